--- /dev/null
+++ b/packages/bundle/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./platform.ts";
+export * from "./schema.ts";
+export * from "./signedBundle.ts";
--- /dev/null
+++ b/packages/common/src/metrics.ts
@@ -0,0 +1,39 @@
+/** Tags of one metric; values come from bounded sets. */
+export type MetricTags = Readonly<Record<string, string | number>>;
+
+/** Where counters and histograms go. */
+export abstract class Metrics {
+  /** Adds to a counter. */
+  abstract count(name: string, by?: number, tags?: MetricTags): void;
+  /** Adds one value to a histogram. */
+  abstract observe(name: string, value: number, tags?: MetricTags): void;
+}
+
+/** Keeps counters in memory, for tests and the status page. */
+export class MemoryMetrics extends Metrics {
+  readonly #counters = new Map<string, number>();
+
+  override count(name: string, by = 1, tags: MetricTags = {}): void {
+    const key = metricKey(name, tags);
+    this.#counters.set(key, (this.#counters.get(key) ?? 0) + by);
+  }
+
+  override observe(_name: string, _value: number, _tags?: MetricTags): void {}
+
+  /** The value of one counter, 0 when it was never counted. */
+  counter(name: string, tags: MetricTags = {}): number {
+    return this.#counters.get(metricKey(name, tags)) ?? 0;
+  }
+
+  /** Every counter by its name and tags. */
+  counters(): Record<string, number> {
+    return Object.fromEntries([...this.#counters].sort());
+  }
+}
+
+function metricKey(name: string, tags: MetricTags): string {
+  const pairs = Object.entries(tags).sort().map(([key, value]) =>
+    `${key}=${value}`
+  );
+  return pairs.length === 0 ? name : `${name}{${pairs.join(",")}}`;
+}
--- /dev/null
+++ b/packages/decisions/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./scheduler.ts";
+export * from "./types.ts";
