Add the two baseline schedulers

The entry daemon needs something to run on, and the experiments need baselines: round robin without bounds, and two random choices with a fixed queue.

--- /dev/null
+++ b/packages/decisions/tests/baselineSchedulers.test.ts
@@ -0,0 +1,59 @@
+import test from "ava";
+import { asId, type RequestId, SeededRandom } from "@wasabivane/common";
+import {
+  FirstComeScheduler,
+  LeastOutstandingScheduler,
+} from "@wasabivane/decisions";
+import {
+  buildAsk,
+  buildPolicy,
+  describeDecisions,
+  upstreamId,
+} from "./helpers/pools.ts";
+
+test("first come goes round the upstreams that do not leave", (t) => {
+  const { upstreams, ...policy } = buildPolicy(3);
+  const scheduler = new FirstComeScheduler({
+    ...policy,
+    upstreams: upstreams.map((description, index) => ({
+      ...description,
+      isLeaving: index === 1,
+    })),
+  });
+  const decisions = ["a", "b", "c"].flatMap((name) =>
+    scheduler.ask(buildAsk(name), 0)
+  );
+  t.deepEqual(describeDecisions(decisions), [
+    "grant a u0",
+    "grant b u2",
+    "grant c u0",
+  ]);
+});
+
+test("first come refuses only when no upstream is left", (t) => {
+  const scheduler = new FirstComeScheduler(buildPolicy(0));
+  t.deepEqual(describeDecisions(scheduler.ask(buildAsk("a"), 0)), [
+    "refuse a no-upstream",
+  ]);
+});
+
+test("least outstanding holds its bounds and grants in order of arrival", (t) => {
+  const scheduler = new LeastOutstandingScheduler(
+    buildPolicy(1, { maximumConcurrency: 1 }),
+    { random: new SeededRandom(1), queuePerUpstream: 1 },
+  );
+  t.deepEqual(describeDecisions(scheduler.ask(buildAsk("a"), 0)), [
+    "grant a u0",
+  ]);
+  t.deepEqual(scheduler.ask(buildAsk("b"), 0), []);
+  t.deepEqual(describeDecisions(scheduler.ask(buildAsk("c"), 0)), [
+    "refuse c shed",
+  ]);
+  const decisions = scheduler.finish({
+    request: asId<RequestId>("a"),
+    upstream: upstreamId(0),
+    outcome: "whole",
+    outputTokens: 10,
+  }, 5);
+  t.deepEqual(describeDecisions(decisions), ["grant b u0"]);
+});
