Let one keeper per pool decide who fills its upstreams

Cause: engines admit what comes, so the queue and the bounds must hold over all entry hosts at once.

--- /dev/null
+++ b/packages/coordination/src/poolClient.ts
@@ -0,0 +1,304 @@
+import {
+  type Blackboard,
+  Controller,
+  type HostId,
+  type Metrics,
+  type Milliseconds,
+  type PeerLink,
+  type RequestId,
+  type ServiceId,
+  type Timer,
+  type TimerSubscription,
+  type Topic,
+  type UpstreamId,
+} from "@wasabivane/common";
+import type { Ask, AttemptReport, Decision } from "@wasabivane/decisions";
+import type { PoolKeeper } from "./poolKeeper.ts";
+import { keeperOf, type PoolMember } from "./poolMembers.ts";
+import {
+  checksumOf,
+  type DecisionMessage,
+  POOL_MESSAGES,
+  type ReportMessage,
+  type ReportWantedMessage,
+  type SyncMessage,
+  toWireAsk,
+} from "./poolMessages.ts";
+
+const SYNC_PERIOD_MS = 1_000;
+
+/** What a client of the keepers needs from its process. */
+export interface PoolClientOptions {
+  readonly blackboard: Blackboard;
+  readonly link: PeerLink;
+  readonly timer: Timer;
+  readonly metrics: Metrics;
+  readonly members: Topic<readonly PoolMember[]>;
+  /** The keeper in this process, reached without the link. */
+  readonly localKeeper: () => PoolKeeper;
+}
+
+interface Waiting {
+  readonly ask: Ask;
+  readonly decide: (decision: Decision) => void;
+}
+
+interface Running {
+  readonly ask: Ask;
+  readonly upstream: UpstreamId;
+  readonly grantedAt: Milliseconds;
+  hasFirstToken: boolean;
+}
+
+interface Pool {
+  readonly waiting: Map<RequestId, Waiting>;
+  readonly running: Map<RequestId, Running>;
+  keeper: PoolMember | undefined;
+}
+
+/**
+ * Holds this host's waiting and running requests of every pool and talks to
+ * the pools' keepers. A keeper may vanish at any moment: its successor gets
+ * everything again, and decisions of a former keeper are not followed.
+ */
+export class PoolClient extends Controller {
+  readonly #options: PoolClientOptions;
+  readonly #pools = new Map<ServiceId, Pool>();
+  readonly #subscriptions: (() => void)[] = [];
+  #syncing: TimerSubscription | undefined;
+
+  constructor(options: PoolClientOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override start(): void {
+    const { blackboard, link, timer, members } = this.#options;
+    this.#subscriptions.push(
+      link.subscribe(
+        POOL_MESSAGES.decision,
+        (from, { body }) => this.#onDecision(from, body as DecisionMessage),
+      ),
+      link.subscribe(
+        POOL_MESSAGES.reportWanted,
+        (from, { body }) =>
+          this.#onReportWanted(from, body as ReportWantedMessage),
+      ),
+      blackboard.watch(members, () => this.#followKeepers()),
+    );
+    this.#syncing = timer.every(SYNC_PERIOD_MS, () => this.#sync());
+  }
+
+  override stop(): void {
+    for (const unsubscribe of this.#subscriptions.splice(0)) unsubscribe();
+    this.#syncing?.cancel();
+  }
+
+  /** Asks for a place; `decide` is called once unless the ask is withdrawn. */
+  submit(
+    service: ServiceId,
+    ask: Ask,
+    { decide }: { decide: (decision: Decision) => void },
+  ): void {
+    const pool = this.#poolOf(service);
+    pool.waiting.set(ask.request, { ask, decide });
+    if (pool.keeper === undefined) return;
+    if (this.#isLocal(pool)) {
+      this.#options.localKeeper().ask(service, ask);
+      return;
+    }
+    const wire = toWireAsk(ask, this.#options.timer.now());
+    this.#send(pool, POOL_MESSAGES.ask, { service, ask: wire });
+  }
+
+  /** Takes back an ask that still waits; false when it was decided already. */
+  withdraw(service: ServiceId, request: RequestId): boolean {
+    const pool = this.#poolOf(service);
+    if (!pool.waiting.delete(request)) return false;
+    const body = { service, request };
+    if (this.#isLocal(pool)) this.#options.localKeeper().withdraw(body);
+    else this.#send(pool, POOL_MESSAGES.withdraw, body);
+    return true;
+  }
+
+  /** Tells the keeper that the first token of a request arrived. */
+  firstToken(service: ServiceId, request: RequestId): void {
+    const pool = this.#poolOf(service);
+    const running = pool.running.get(request);
+    if (running === undefined || running.hasFirstToken) return;
+    running.hasFirstToken = true;
+    const body = { service, request };
+    if (this.#isLocal(pool)) this.#options.localKeeper().firstToken(body);
+    else this.#send(pool, POOL_MESSAGES.firstToken, body);
+  }
+
+  /** Tells the keeper that a granted request ended. */
+  finish(service: ServiceId, report: AttemptReport): void {
+    const pool = this.#poolOf(service);
+    if (!pool.running.delete(report.request)) return;
+    this.#tellFinish(pool, service, report);
+  }
+
+  /** Counts of this host's requests by pool. */
+  status(): {
+    service: ServiceId;
+    waiting: number;
+    running: number;
+    keeper: HostId | undefined;
+  }[] {
+    return [...this.#pools].map(([service, pool]) => ({
+      service,
+      waiting: pool.waiting.size,
+      running: pool.running.size,
+      keeper: pool.keeper?.host,
+    }));
+  }
+
+  /** Follows a decision of the keeper in this process. */
+  decideLocally(service: ServiceId, decision: Decision): void {
+    const pool = this.#poolOf(service);
+    if (!this.#isLocal(pool)) return;
+    this.#follow(service, decision);
+  }
+
+  #onDecision(from: HostId, { service, decision }: DecisionMessage): void {
+    const pool = this.#poolOf(service);
+    if (pool.keeper?.host !== from) {
+      this.#options.metrics.count("pool.decision_of_former_keeper");
+      return;
+    }
+    const waiting = pool.waiting.get(decision.request);
+    if (waiting !== undefined) {
+      const { request: _request, ...rest } = decision;
+      this.#follow(service, { ...rest, ask: waiting.ask });
+    } else if (decision.kind === "grant") {
+      this.#giveBack(pool, service, decision);
+    }
+  }
+
+  /** A grant for a request that no longer waits frees its place, or the place is lost until the next sync. */
+  #giveBack(
+    pool: Pool,
+    service: ServiceId,
+    { request, upstream }: { request: RequestId; upstream: UpstreamId },
+  ): void {
+    if (pool.running.has(request)) return;
+    this.#tellFinish(pool, service, {
+      request,
+      upstream,
+      outcome: "cancelled",
+      outputTokens: 0,
+    });
+  }
+
+  #follow(service: ServiceId, decision: Decision): void {
+    const pool = this.#poolOf(service);
+    const { request } = decision.ask;
+    const waiting = pool.waiting.get(request);
+    if (waiting === undefined) {
+      if (decision.kind === "grant") {
+        this.#giveBack(pool, service, { request, upstream: decision.upstream });
+      }
+      return;
+    }
+    pool.waiting.delete(request);
+    if (decision.kind === "grant") {
+      pool.running.set(request, {
+        ask: waiting.ask,
+        upstream: decision.upstream,
+        grantedAt: this.#options.timer.now(),
+        hasFirstToken: false,
+      });
+    }
+    waiting.decide(decision);
+  }
+
+  #followKeepers(): void {
+    for (const [service, pool] of this.#pools) {
+      const keeper = this.#currentKeeper(service);
+      const isSame = keeper?.host === pool.keeper?.host &&
+        keeper?.incarnation === pool.keeper?.incarnation;
+      if (isSame) continue;
+      pool.keeper = keeper;
+      this.#options.metrics.count("pool.keeper_changed");
+      this.#report(pool, service);
+    }
+  }
+
+  #onReportWanted(from: HostId, { service }: ReportWantedMessage): void {
+    const pool = this.#poolOf(service);
+    if (pool.keeper?.host === from) this.#report(pool, service);
+  }
+
+  #report(pool: Pool, service: ServiceId): void {
+    if (pool.keeper === undefined) return;
+    const report = this.#reportOf(pool, service);
+    if (this.#isLocal(pool)) {
+      this.#options.localKeeper().report(this.#options.link.self, report);
+    } else {
+      this.#send(pool, POOL_MESSAGES.report, report);
+    }
+  }
+
+  #reportOf(pool: Pool, service: ServiceId): ReportMessage {
+    const now = this.#options.timer.now();
+    const waiting = [...pool.waiting.values()].map(({ ask }) =>
+      toWireAsk(ask, now)
+    );
+    const running = [...pool.running.values()].map((attempt) => ({
+      ask: toWireAsk(attempt.ask, now),
+      upstream: attempt.upstream,
+      runningFor: now - attempt.grantedAt,
+      hasFirstToken: attempt.hasFirstToken,
+    }));
+    return { service, waiting, running };
+  }
+
+  #sync(): void {
+    for (const [service, pool] of this.#pools) {
+      if (pool.keeper === undefined || this.#isLocal(pool)) continue;
+      const requests = [...pool.waiting.keys(), ...pool.running.keys()];
+      const body: SyncMessage = {
+        service,
+        waiting: pool.waiting.size,
+        running: pool.running.size,
+        checksum: checksumOf(requests),
+      };
+      this.#send(pool, POOL_MESSAGES.sync, body);
+    }
+  }
+
+  #tellFinish(pool: Pool, service: ServiceId, report: AttemptReport): void {
+    if (this.#isLocal(pool)) {
+      this.#options.localKeeper().finish(service, report);
+    } else this.#send(pool, POOL_MESSAGES.finish, { service, report });
+  }
+
+  #poolOf(service: ServiceId): Pool {
+    let pool = this.#pools.get(service);
+    if (pool === undefined) {
+      pool = {
+        waiting: new Map(),
+        running: new Map(),
+        keeper: this.#currentKeeper(service),
+      };
+      this.#pools.set(service, pool);
+    }
+    return pool;
+  }
+
+  #currentKeeper(service: ServiceId): PoolMember | undefined {
+    const { blackboard, members } = this.#options;
+    return keeperOf(service, blackboard.read(members));
+  }
+
+  #isLocal(pool: Pool): boolean {
+    return pool.keeper?.host === this.#options.link.self;
+  }
+
+  #send(pool: Pool, kind: string, body: unknown): void {
+    if (pool.keeper !== undefined) {
+      this.#options.link.send(pool.keeper.host, { kind, body });
+    }
+  }
+}
