--- /dev/null
+++ b/packages/coordination/src/linkSubscriptions.ts
@@ -0,0 +1,19 @@
+import type { HostId, PeerListener, PeerMessage } from "@wasabivane/common";
+
+/** The listeners of one link by kind of message. */
+export class LinkSubscriptions {
+  readonly #listeners = new Map<string, Set<PeerListener>>();
+
+  add(kind: string, listener: PeerListener): () => void {
+    const listeners = this.#listeners.get(kind) ?? new Set();
+    this.#listeners.set(kind, listeners);
+    listeners.add(listener);
+    return () => listeners.delete(listener);
+  }
+
+  deliver(from: HostId, message: PeerMessage): void {
+    for (const listener of this.#listeners.get(message.kind) ?? []) {
+      listener(from, message);
+    }
+  }
+}
