Add the engine model in virtual time

Experiments and stand-ins need an engine that batches continuously, shares steps between prefill and decoding, caches prefixes in limited memory and reports late.

--- /dev/null
+++ b/packages/engine-model/src/engineModel.ts
@@ -0,0 +1,369 @@
+import {
+  BYTES_PER_TOKEN,
+  type Digest,
+  type Milliseconds,
+  PREFIX_BLOCK_BYTES,
+  type Timer,
+  type TimerSubscription,
+} from "@wasabivane/common";
+import { CacheEventLog } from "./cacheEventLog.ts";
+import { LoadHistory } from "./loadHistory.ts";
+import { PrefixCache } from "./prefixCache.ts";
+import type {
+  EngineCacheEvent,
+  EngineCounters,
+  EngineEvent,
+  EngineListener,
+  EngineLoad,
+  EngineModelOptions,
+  EngineRequest,
+  EngineSpeed,
+} from "./types.ts";
+
+/** Tokens of prompt that one cached block saves. */
+export const BLOCK_TOKENS = PREFIX_BLOCK_BYTES / BYTES_PER_TOKEN;
+
+/** Guards whole steps against rounding of times. */
+const STEP_TOLERANCE = 1e-6;
+
+interface Run {
+  readonly request: EngineRequest;
+  readonly listener: EngineListener;
+  cachedTokens: number;
+  /** Prompt tokens still to compute. */
+  prefillLeft: number;
+  prefilled: number;
+  /** Prompt tokens computed in each step of the current span. */
+  chunk: number;
+  generated: number;
+  isGone: boolean;
+}
+
+/** Equal steps of an unchanged batch, so that one timer call stands for all. */
+interface Span {
+  startedAt: Milliseconds;
+  readonly stepMs: Milliseconds;
+  steps: number;
+  end: TimerSubscription;
+}
+
+/**
+ * An engine that batches continuously. It admits in order of arrival as far as
+ * batch and KV memory go; it reserves the whole length, so nothing is preempted.
+ * Each step computes one token of every decoding request and a chunk of prompts,
+ * the earliest first. An idle engine sets no timer.
+ */
+export class EngineModel {
+  readonly #timer: Timer;
+  readonly #speed: EngineSpeed;
+  readonly #maximumSteps: number;
+  readonly #waiting = new Map<string, Run>();
+  readonly #running = new Map<string, Run>();
+  readonly #cache = new PrefixCache();
+  readonly #cacheEvents: CacheEventLog;
+  readonly #load: LoadHistory;
+  readonly #counters = {
+    prefillTokens: 0,
+    wastedPrefillTokens: 0,
+    cachedTokens: 0,
+    outputTokens: 0,
+    finished: 0,
+    cancelled: 0,
+    lost: 0,
+  };
+  #reservedTokens = 0;
+  #slowness = 1;
+  #span: Span | undefined;
+  #isUp = true;
+  #isPaused = false;
+  #isTelling = false;
+
+  constructor(options: EngineModelOptions) {
+    this.#timer = options.timer;
+    this.#speed = options.speed;
+    this.#maximumSteps = options.maximumStepsPerEvent ?? Infinity;
+    this.#load = new LoadHistory(options.reportLagMs ?? 0);
+    this.#cacheEvents = new CacheEventLog({
+      timer: options.timer,
+      random: options.random,
+      lagMs: options.cacheEventLagMs ?? 0,
+      lossRate: options.cacheEventLossRate ?? 0,
+    });
+  }
+
+  get isUp(): boolean {
+    return this.#isUp;
+  }
+
+  get isPaused(): boolean {
+    return this.#isPaused;
+  }
+
+  get counters(): EngineCounters {
+    return { ...this.#counters };
+  }
+
+  /** Queues a request; false when the engine is down. */
+  submit(request: EngineRequest, listener: EngineListener): boolean {
+    if (!this.#isUp) return false;
+    if (this.#waiting.has(request.id) || this.#running.has(request.id)) {
+      throw new Error(`Request ${request.id} is in the engine already`);
+    }
+    this.#waiting.set(request.id, {
+      request,
+      listener,
+      cachedTokens: 0,
+      prefillLeft: request.promptTokens,
+      prefilled: 0,
+      chunk: 0,
+      generated: 0,
+      isGone: false,
+    });
+    this.#recordLoad();
+    if (this.#canAdmit(request)) this.#interrupt();
+    this.#plan();
+    return true;
+  }
+
+  /** Drops a request; the prompt tokens wasted on it, `undefined` when it is not here. */
+  cancel(id: string): number | undefined {
+    const run = this.#waiting.get(id) ?? this.#running.get(id);
+    if (run === undefined) return undefined;
+    if (this.#running.has(id)) this.#interrupt();
+    if (run.isGone) return undefined;
+    this.#drop(run);
+    this.#counters.cancelled++;
+    this.#counters.wastedPrefillTokens += run.prefilled;
+    this.#recordLoad();
+    return run.prefilled;
+  }
+
+  /** Makes every later step so many times as long; 1 is the usual speed. */
+  slowDown(factor: number): void {
+    this.#slowness = factor;
+    this.#interrupt();
+  }
+
+  /** Stops all work after the completed steps; requests still queue. */
+  pause(): void {
+    if (this.#isPaused) return;
+    this.#interrupt();
+    this.#isPaused = true;
+    this.#span?.end.cancel();
+    this.#span = undefined;
+  }
+
+  /** Goes on after a pause; the interrupted step is done again. */
+  resume(): void {
+    this.#isPaused = false;
+    this.#plan();
+  }
+
+  /** Loses all requests and the cache; nothing is taken in until a restart. */
+  crash(): void {
+    if (!this.#isUp) return;
+    this.#interrupt();
+    this.#isUp = false;
+    this.#span?.end.cancel();
+    this.#span = undefined;
+    this.#cache.clear();
+    this.#cacheEvents.record("cleared", []);
+    const lost = [...this.#running.values(), ...this.#waiting.values()];
+    for (const run of lost) this.#drop(run);
+    this.#recordLoad();
+    for (const { prefilled, listener } of lost) {
+      this.#counters.lost++;
+      this.#counters.wastedPrefillTokens += prefilled;
+      listener({ kind: "lost", prefilledTokens: prefilled });
+    }
+  }
+
+  /** Takes requests again after a crash, empty, at the usual speed. */
+  restart(): void {
+    this.#isUp = true;
+    this.#isPaused = false;
+    this.#slowness = 1;
+  }
+
+  /** The load one report lag ago; `undefined` while the engine is down. */
+  loadReport(): EngineLoad | undefined {
+    return this.#isUp ? this.#load.report(this.#timer.now()) : undefined;
+  }
+
+  /** Published cache events past a sequence number. */
+  cacheEvents(after: number): EngineCacheEvent[] {
+    return this.#cacheEvents.after(after);
+  }
+
+  /** Those of the blocks that the cache holds. */
+  exportBlocks(digests: readonly Digest[]): Digest[] {
+    return digests.filter((digest) => this.#cache.has(digest));
+  }
+
+  /** Takes in blocks of a prompt, the first block first. */
+  importBlocks(digests: readonly Digest[]): void {
+    if (this.#isUp) this.#storeBlocks(digests);
+  }
+
+  #plan(): void {
+    if (this.#span || !this.#isUp || this.#isPaused || this.#isTelling) return;
+    this.#admit();
+    if (this.#running.size === 0) return;
+    const { decodeStepMs, decodeStepPerRequestMs, prefillTokensPerSecond } =
+      this.#speed;
+    let budget = this.#speed.maximumBatchPrefillTokens;
+    let steps = this.#maximumSteps;
+    let stepMs = decodeStepMs;
+    for (const run of this.#running.values()) {
+      if (run.prefillLeft > 0) {
+        run.chunk = Math.min(budget, run.prefillLeft);
+        budget -= run.chunk;
+        if (run.chunk === 0) continue;
+        stepMs += (run.chunk / prefillTokensPerSecond) * 1_000;
+        steps = Math.min(steps, Math.floor(run.prefillLeft / run.chunk));
+      } else {
+        stepMs += decodeStepPerRequestMs;
+        steps = Math.min(steps, run.request.outputTokens - run.generated);
+      }
+    }
+    this.#startSpan(stepMs * this.#slowness, steps);
+  }
+
+  #startSpan(stepMs: Milliseconds, steps: number): void {
+    const end = this.#timer.after(stepMs * steps, () => this.#endSpan());
+    this.#span = { startedAt: this.#timer.now(), stepMs, steps, end };
+  }
+
+  #endSpan(): void {
+    const { steps } = this.#span!;
+    this.#span = undefined;
+    this.#apply(steps);
+    this.#plan();
+  }
+
+  /** Counts the completed steps of the span and lets only the current one finish. */
+  #interrupt(): void {
+    const span = this.#span;
+    if (span === undefined || span.steps === 1) return;
+    const elapsed = this.#timer.now() - span.startedAt;
+    const completed = Math.min(
+      Math.floor(elapsed / span.stepMs + STEP_TOLERANCE),
+      span.steps - 1,
+    );
+    span.end.cancel();
+    span.startedAt += completed * span.stepMs;
+    span.steps = 1;
+    const rest = span.startedAt + span.stepMs - this.#timer.now();
+    span.end = this.#timer.after(Math.max(0, rest), () => this.#endSpan());
+    if (completed > 0) this.#apply(completed);
+  }
+
+  #apply(steps: number): void {
+    const told: { run: Run; event: EngineEvent }[] = [];
+    for (const run of this.#running.values()) {
+      const event = run.prefillLeft > 0
+        ? this.#prefill(run, steps)
+        : this.#decode(run, steps);
+      if (event !== undefined) told.push({ run, event });
+    }
+    this.#isTelling = true;
+    for (const { run, event } of told) {
+      if (!run.isGone) run.listener(event);
+      if (run.generated >= run.request.outputTokens) this.#finish(run);
+    }
+    this.#isTelling = false;
+  }
+
+  #prefill(run: Run, steps: number): EngineEvent | undefined {
+    const tokens = run.chunk * steps;
+    run.prefillLeft -= tokens;
+    run.prefilled += tokens;
+    this.#counters.prefillTokens += tokens;
+    if (run.prefillLeft > 0) return undefined;
+    this.#storeBlocks(run.request.prefixDigests);
+    run.generated = 1;
+    this.#counters.outputTokens++;
+    return { kind: "firstToken", cachedTokens: run.cachedTokens };
+  }
+
+  #decode(run: Run, steps: number): EngineEvent {
+    run.generated += steps;
+    this.#counters.outputTokens += steps;
+    return { kind: "tokens", count: steps };
+  }
+
+  #finish(run: Run): void {
+    if (run.isGone) return;
+    this.#drop(run);
+    this.#counters.finished++;
+    this.#recordLoad();
+    run.listener({ kind: "finished", cachedTokens: run.cachedTokens });
+  }
+
+  #drop(run: Run): void {
+    run.isGone = true;
+    this.#waiting.delete(run.request.id);
+    if (!this.#running.delete(run.request.id)) return;
+    this.#reservedTokens -= lengthOf(run.request);
+  }
+
+  #admit(): void {
+    for (const run of this.#waiting.values()) {
+      if (!this.#canAdmit(run.request)) break;
+      this.#waiting.delete(run.request.id);
+      this.#start(run);
+    }
+    this.#recordLoad();
+  }
+
+  #canAdmit(request: EngineRequest): boolean {
+    const { maximumBatch, kvCapacityTokens } = this.#speed;
+    if (this.#running.size === 0) return true;
+    return this.#running.size < maximumBatch &&
+      this.#reservedTokens + lengthOf(request) <= kvCapacityTokens;
+  }
+
+  #start(run: Run): void {
+    const { request } = run;
+    const matched = this.#cache.match(request.prefixDigests);
+    // The last prompt token is always computed; it gives the first answer token.
+    run.cachedTokens = Math.min(
+      matched * BLOCK_TOKENS,
+      request.promptTokens - 1,
+    );
+    run.prefillLeft = request.promptTokens - run.cachedTokens;
+    this.#counters.cachedTokens += run.cachedTokens;
+    this.#reservedTokens += lengthOf(request);
+    this.#running.set(request.id, run);
+    this.#shrinkCache();
+  }
+
+  #storeBlocks(digests: readonly Digest[]): void {
+    const added = this.#cache.store(digests);
+    if (added.length > 0) this.#cacheEvents.record("stored", added);
+    this.#shrinkCache();
+  }
+
+  #shrinkCache(): void {
+    const free = this.#speed.kvCapacityTokens - this.#reservedTokens;
+    const bound = Math.max(0, Math.floor(free / BLOCK_TOKENS));
+    if (this.#cache.size <= bound) return;
+    this.#cacheEvents.record("evicted", this.#cache.shrinkTo(bound));
+  }
+
+  #recordLoad(): void {
+    this.#load.record({
+      takenAt: this.#timer.now(),
+      running: this.#running.size,
+      waiting: this.#waiting.size,
+      memoryShare: Math.min(
+        1,
+        this.#reservedTokens / this.#speed.kvCapacityTokens,
+      ),
+    });
+  }
+}
+
+function lengthOf(request: EngineRequest): number {
+  return request.promptTokens + request.outputTokens;
+}
--- /dev/null
+++ b/packages/engine-model/src/generations.ts
@@ -0,0 +1,39 @@
+import type { EngineSpeed } from "./types.ts";
+
+/**
+ * Three generations of accelerators serving a model of eight billion
+ * parameters in 16 bits. A decode step reads the weights (16 GB) once and each
+ * request's KV cache (2,000 tokens of 128 KiB), so its times follow from memory
+ * bandwidth (0.3, 1.5 and 3.3 TB/s); the capacity is the memory that the weights
+ * leave free (of 24, 40 and 80 GB, less a tenth); prefill is bounded by
+ * arithmetic at about two fifths of the published peak.
+ */
+export const GENERATIONS = {
+  l4: {
+    prefillTokensPerSecond: 3_000,
+    decodeStepMs: 54,
+    decodeStepPerRequestMs: 0.85,
+    maximumBatch: 16,
+    maximumBatchPrefillTokens: 512,
+    kvCapacityTokens: 42_000,
+  },
+  a100: {
+    prefillTokensPerSecond: 8_000,
+    decodeStepMs: 11,
+    decodeStepPerRequestMs: 0.17,
+    maximumBatch: 32,
+    maximumBatchPrefillTokens: 1_024,
+    kvCapacityTokens: 150_000,
+  },
+  h100: {
+    prefillTokensPerSecond: 24_000,
+    decodeStepMs: 5,
+    decodeStepPerRequestMs: 0.08,
+    maximumBatch: 64,
+    maximumBatchPrefillTokens: 2_048,
+    kvCapacityTokens: 420_000,
+  },
+} as const satisfies Record<string, EngineSpeed>;
+
+/** Name of one entry of {@link GENERATIONS}. */
+export type Generation = keyof typeof GENERATIONS;
--- a/packages/engine-model/src/index.ts
+++ b/packages/engine-model/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./engineModel.ts";
+export * from "./generations.ts";
+export * from "./types.ts";
