Sign bundles over a digest tree and send differences of parts

A bundle may near a megabyte while an entry host may spend 3 KB/s on peers, so bundles travel as changed parts. Each tier, service, upstream, client account, stop plan and failure domain is one part, everything else one more; parts hash into 256 buckets under one root, so that one changed part costs one bucket.

Two parts under one id are refused: a map would drop one unseen, and an added account would carry the digest of the bundle without it.

--- /dev/null
+++ b/packages/bundle/src/bundleParts.ts
@@ -0,0 +1,146 @@
+import type { Branded } from "@wasabivane/common";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import {
+  type Bundle,
+  bundleSchema,
+  clientAccountSchema,
+  failureDomainSchema,
+  serviceSchema,
+  stopPlanSchema,
+  tierSchema,
+  upstreamSchema,
+} from "./schema.ts";
+
+/** Names one part within its bundle, such as `upstream/drafter-01`. */
+export type PartKey = Branded<string, "PartKey">;
+
+/** Everything in a bundle that is in no list. */
+export const bundleScalarsSchema = bundleSchema.omit({
+  failureDomains: true,
+  tiers: true,
+  services: true,
+  upstreams: true,
+  clientAccounts: true,
+  stopPlans: true,
+});
+
+/** One part of a bundle: the unit that is digested and sent in a difference. */
+export const bundlePartSchema = z.discriminatedUnion("kind", [
+  z.strictObject({ kind: z.literal("scalars"), value: bundleScalarsSchema }),
+  z.strictObject({
+    kind: z.literal("failure-domain"),
+    value: failureDomainSchema,
+  }),
+  z.strictObject({ kind: z.literal("tier"), value: tierSchema }),
+  z.strictObject({ kind: z.literal("service"), value: serviceSchema }),
+  z.strictObject({ kind: z.literal("upstream"), value: upstreamSchema }),
+  z.strictObject({
+    kind: z.literal("client-account"),
+    value: clientAccountSchema,
+  }),
+  z.strictObject({ kind: z.literal("stop-plan"), value: stopPlanSchema }),
+]);
+
+/** See {@link bundlePartSchema}. */
+export type BundlePart = z.infer<typeof bundlePartSchema>;
+/** See {@link bundleScalarsSchema}. */
+export type BundleScalars = z.infer<typeof bundleScalarsSchema>;
+
+/** The kinds of part that a bundle holds as lists. */
+export type ListedPartKind = Exclude<BundlePart["kind"], "scalars">;
+
+interface PartList {
+  /** The bundle's property that holds the list. */
+  readonly property: keyof Bundle;
+  /** The property of a part that is unique within the list. */
+  readonly id: string;
+}
+
+/** Where the parts of each kind stand in a bundle. */
+export const PART_LISTS: Readonly<Record<ListedPartKind, PartList>> = {
+  "failure-domain": { property: "failureDomains", id: "failureDomain" },
+  tier: { property: "tiers", id: "tier" },
+  service: { property: "services", id: "service" },
+  upstream: { property: "upstreams", id: "upstream" },
+  "client-account": { property: "clientAccounts", id: "account" },
+  "stop-plan": { property: "stopPlans", id: "stopPlan" },
+};
+
+const SCALARS_KEY = "scalars" as PartKey;
+
+/** Two parts of a bundle have one key. */
+export interface DuplicatePart {
+  readonly kind: "duplicate-part";
+  readonly key: PartKey;
+}
+
+/** The key under which a part stands. */
+export function partKey(part: BundlePart): PartKey {
+  if (part.kind === "scalars") return SCALARS_KEY;
+  return listedPartKey(part.kind, part.value);
+}
+
+/**
+ * Every part of a bundle by its key. Two parts with one key are an error: were
+ * the second to replace the first unseen, a bundle with an added account could
+ * carry the digest of the bundle without it.
+ */
+export function bundleParts(
+  bundle: Bundle,
+): Result<Map<PartKey, BundlePart>, DuplicatePart> {
+  const parts = new Map<PartKey, BundlePart>();
+  parts.set(SCALARS_KEY, { kind: "scalars", value: scalarsOf(bundle) });
+  for (const kind of Object.keys(PART_LISTS) as ListedPartKind[]) {
+    for (const value of listOf(bundle, kind)) {
+      const key = listedPartKey(kind, value);
+      if (parts.has(key)) return err({ kind: "duplicate-part", key });
+      parts.set(key, { kind, value } as BundlePart);
+    }
+  }
+  return ok(parts);
+}
+
+/** Builds a bundle from parts; lists come out sorted, whatever order went in. */
+export function assembleBundle(parts: Iterable<BundlePart>): Bundle {
+  const bundle: Record<string, unknown> = {};
+  const lists = new Map<ListedPartKind, object[]>();
+  for (const kind of Object.keys(PART_LISTS) as ListedPartKind[]) {
+    lists.set(kind, []);
+  }
+  for (const part of parts) {
+    if (part.kind === "scalars") Object.assign(bundle, part.value);
+    else lists.get(part.kind)!.push(part.value);
+  }
+  for (const [kind, values] of lists) {
+    bundle[PART_LISTS[kind].property] = sortById(kind, values);
+  }
+  return bundle as Bundle;
+}
+
+function scalarsOf(bundle: Bundle): BundleScalars {
+  const scalars: Partial<Bundle> = { ...bundle };
+  for (const { property } of Object.values(PART_LISTS)) {
+    delete scalars[property];
+  }
+  return scalars as BundleScalars;
+}
+
+function listOf(bundle: Bundle, kind: ListedPartKind): readonly object[] {
+  return bundle[PART_LISTS[kind].property] as unknown as readonly object[];
+}
+
+function listedPartKey(kind: ListedPartKind, value: object): PartKey {
+  return `${kind}/${idOf(kind, value)}` as PartKey;
+}
+
+function idOf(kind: ListedPartKind, value: object): string | number {
+  const id = PART_LISTS[kind].id;
+  return (value as Record<string, string | number>)[id]!;
+}
+
+function sortById(kind: ListedPartKind, values: object[]): object[] {
+  return values.sort((left, right) =>
+    idOf(kind, left) < idOf(kind, right) ? -1 : 1
+  );
+}
--- a/packages/bundle/src/signedBundle.ts
+++ b/packages/bundle/src/signedBundle.ts
@@ -1,5 +1,30 @@
 import type { Digest } from "@wasabivane/common";
-import type { Bundle } from "./schema.ts";
+import { z } from "zod";
+import { type Bundle, bundleSchema } from "./schema.ts";
+
+const ED25519_SIGNATURE = /^[A-Za-z0-9+/]{86}==$/;
+
+/** A SHA-256 digest in lower-case hex. */
+export const digestSchema = z.string().regex(
+  /^[0-9a-f]{64}$/,
+  "Use 64 lower-case hex digits",
+) as unknown as z.ZodType<Digest>;
+
+/** One signature; see {@link BundleSignature}. */
+export const bundleSignatureSchema = z.strictObject({
+  keyId: z.string().min(1).max(64),
+  signature: z.string().regex(
+    ED25519_SIGNATURE,
+    "Use the base64 text of an Ed25519 signature",
+  ),
+});
+
+/** A signed bundle as files and the platform hold it. */
+export const signedBundleSchema = z.strictObject({
+  bundle: bundleSchema,
+  root: digestSchema,
+  signatures: z.array(bundleSignatureSchema).min(1).max(4),
+});
 
 /** One signature over the bundle's version and root digest. */
 export interface BundleSignature {
--- /dev/null
+++ b/packages/bundle/tests/bundleDifference.test.ts
@@ -0,0 +1,110 @@
+import test from "ava";
+import fc from "fast-check";
+import {
+  applyDifference,
+  type Bundle,
+  bundleDifferenceSchema,
+  bundleParts,
+  differenceBetween,
+  DigestTree,
+  exampleBundle,
+  exampleSigningKey,
+  signBundle,
+  type SignedBundle,
+  trustedKeyOf,
+  verifySignatures,
+  verifySignedBundle,
+} from "@wasabivane/bundle";
+
+const KEY = exampleSigningKey();
+const TRUSTED = [trustedKeyOf(KEY)];
+
+function signed(bundle: Bundle): SignedBundle {
+  return signBundle(bundle, KEY)._unsafeUnwrap();
+}
+
+function later(version: number, change: Partial<Bundle> = {}): SignedBundle {
+  return signed({ ...exampleBundle("fukuoka", { version }), ...change });
+}
+
+test("a difference holds only what changed and leads to the signed bundle", (t) => {
+  const from = later(1);
+  const [first, ...others] = from.bundle.upstreams;
+  const moved = { ...first!, url: "http://127.0.0.1:9999" };
+  const to = later(2, { upstreams: [moved, ...others.slice(1)] });
+  const difference = differenceBetween(from, to)._unsafeUnwrap();
+  t.deepEqual(
+    difference.changed.map(({ kind }) => kind),
+    ["scalars", "upstream"],
+  );
+  t.is(difference.removed.length, 1);
+  const received = bundleDifferenceSchema.parse(
+    JSON.parse(JSON.stringify(difference)),
+  );
+  const applied = applyDifference(from, received)._unsafeUnwrap();
+  t.deepEqual(applied, to);
+  t.true(verifySignatures(applied, TRUSTED).isOk());
+  t.true(verifySignedBundle(applied, TRUSTED).isOk());
+});
+
+test("a difference from another base, to an older version or of another deployment is refused", (t) => {
+  const [first, second, third] = [later(1), later(2), later(3)];
+  const difference = differenceBetween(second, third)._unsafeUnwrap();
+  t.is(
+    applyDifference(first, difference)._unsafeUnwrapErr().kind,
+    "other-base",
+  );
+  t.is(
+    applyDifference(third, difference)._unsafeUnwrapErr().kind,
+    "other-base",
+  );
+  t.is(differenceBetween(third, second)._unsafeUnwrapErr().kind, "not-newer");
+  const cairo = signed(exampleBundle("cairo", { version: 4 }));
+  t.is(
+    differenceBetween(first, cairo)._unsafeUnwrapErr().kind,
+    "other-deployment",
+  );
+});
+
+test("a forged difference is refused by its root", (t) => {
+  const from = later(1);
+  const difference = differenceBetween(from, later(2))._unsafeUnwrap();
+  const [account] = from.bundle.clientAccounts;
+  const forged = {
+    ...difference,
+    changed: [...difference.changed, {
+      kind: "client-account" as const,
+      value: { ...account!, keyDigests: ["0".repeat(64)] },
+    }],
+  };
+  t.is(applyDifference(from, forged)._unsafeUnwrapErr().kind, "root-mismatch");
+  const { version } = later(9).bundle;
+  const relabelled = { ...difference, toVersion: version };
+  t.is(
+    applyDifference(from, relabelled)._unsafeUnwrapErr().kind,
+    "root-mismatch",
+  );
+});
+
+test("any sequence of differences ends in the same root as digesting the whole", (t) => {
+  const urls = fc.array(
+    fc.record({ index: fc.nat(15), port: fc.integer({ min: 1, max: 65535 }) }),
+    { minLength: 1, maxLength: 8 },
+  );
+  const property = fc.property(urls, (changes) => {
+    let current = later(1);
+    for (const [step, { index, port }] of changes.entries()) {
+      const upstreams = [...current.bundle.upstreams];
+      upstreams[index] = {
+        ...upstreams[index]!,
+        url: `http://127.0.0.1:${port}`,
+      };
+      const next = later(step + 2, { upstreams });
+      const difference = differenceBetween(current, next)._unsafeUnwrap();
+      current = applyDifference(current, difference)._unsafeUnwrap();
+    }
+    const parts = bundleParts(current.bundle)._unsafeUnwrap();
+    return DigestTree.of(parts.values()).root === current.root;
+  });
+  t.notThrows(() => fc.assert(property, { seed: 3, numRuns: 25 }));
+});
