--- a/packages/engine-model/src/engineModel.ts
+++ b/packages/engine-model/src/engineModel.ts
@@ -1,14 +1,14 @@
-import {
-  BYTES_PER_TOKEN,
-  type Digest,
-  type Milliseconds,
-  PREFIX_BLOCK_BYTES,
-  type Timer,
-  type TimerSubscription,
+import type {
+  Digest,
+  Milliseconds,
+  Timer,
+  TimerSubscription,
 } from "@wasabivane/common";
 import { CacheEventLog } from "./cacheEventLog.ts";
+import { EngineRun } from "./engineRun.ts";
+import { KvMemory } from "./kvMemory.ts";
 import { LoadHistory } from "./loadHistory.ts";
-import { PrefixCache } from "./prefixCache.ts";
+import { planSteps } from "./stepPlan.ts";
 import type {
   EngineCacheEvent,
   EngineCounters,
@@ -20,25 +20,9 @@
   EngineSpeed,
 } from "./types.ts";
 
-/** Tokens of prompt that one cached block saves. */
-export const BLOCK_TOKENS = PREFIX_BLOCK_BYTES / BYTES_PER_TOKEN;
-
 /** Guards whole steps against rounding of times. */
 const STEP_TOLERANCE = 1e-6;
 
-interface Run {
-  readonly request: EngineRequest;
-  readonly listener: EngineListener;
-  cachedTokens: number;
-  /** Prompt tokens still to compute. */
-  prefillLeft: number;
-  prefilled: number;
-  /** Prompt tokens computed in each step of the current span. */
-  chunk: number;
-  generated: number;
-  isGone: boolean;
-}
-
 /** Equal steps of an unchanged batch, so that one timer call stands for all. */
 interface Span {
   startedAt: Milliseconds;
@@ -57,9 +41,9 @@
   readonly #timer: Timer;
   readonly #speed: EngineSpeed;
   readonly #maximumSteps: number;
-  readonly #waiting = new Map<string, Run>();
-  readonly #running = new Map<string, Run>();
-  readonly #cache = new PrefixCache();
+  readonly #waiting = new Map<string, EngineRun>();
+  readonly #running = new Map<string, EngineRun>();
+  readonly #memory: KvMemory;
   readonly #cacheEvents: CacheEventLog;
   readonly #load: LoadHistory;
   readonly #counters = {
@@ -71,7 +55,6 @@
     cancelled: 0,
     lost: 0,
   };
-  #reservedTokens = 0;
   #slowness = 1;
   #span: Span | undefined;
   #isUp = true;
@@ -89,6 +72,10 @@
       lagMs: options.cacheEventLagMs ?? 0,
       lossRate: options.cacheEventLossRate ?? 0,
     });
+    this.#memory = new KvMemory(
+      options.speed.kvCapacityTokens,
+      this.#cacheEvents,
+    );
   }
 
   get isUp(): boolean {
@@ -109,18 +96,10 @@
     if (this.#waiting.has(request.id) || this.#running.has(request.id)) {
       throw new Error(`Request ${request.id} is in the engine already`);
     }
-    this.#waiting.set(request.id, {
-      request,
-      listener,
-      cachedTokens: 0,
-      prefillLeft: request.promptTokens,
-      prefilled: 0,
-      chunk: 0,
-      generated: 0,
-      isGone: false,
-    });
+    const run = new EngineRun(request, listener);
+    this.#waiting.set(request.id, run);
     this.#recordLoad();
-    if (this.#canAdmit(request)) this.#interrupt();
+    if (this.#canAdmit(run)) this.#interrupt();
     this.#plan();
     return true;
   }
@@ -166,8 +145,7 @@
     this.#isUp = false;
     this.#span?.end.cancel();
     this.#span = undefined;
-    this.#cache.clear();
-    this.#cacheEvents.record("cleared", []);
+    this.#memory.clearCache();
     const lost = [...this.#running.values(), ...this.#waiting.values()];
     for (const run of lost) this.#drop(run);
     this.#recordLoad();
@@ -197,36 +175,21 @@
 
   /** Those of the blocks that the cache holds. */
   exportBlocks(digests: readonly Digest[]): Digest[] {
-    return digests.filter((digest) => this.#cache.has(digest));
+    return this.#memory.held(digests);
   }
 
   /** Takes in blocks of a prompt, the first block first. */
   importBlocks(digests: readonly Digest[]): void {
-    if (this.#isUp) this.#storeBlocks(digests);
+    if (this.#isUp) this.#memory.store(digests);
   }
 
   #plan(): void {
     if (this.#span || !this.#isUp || this.#isPaused || this.#isTelling) return;
     this.#admit();
     if (this.#running.size === 0) return;
-    const { decodeStepMs, decodeStepPerRequestMs, prefillTokensPerSecond } =
-      this.#speed;
-    let budget = this.#speed.maximumBatchPrefillTokens;
-    let steps = this.#maximumSteps;
-    let stepMs = decodeStepMs;
-    for (const run of this.#running.values()) {
-      if (run.prefillLeft > 0) {
-        run.chunk = Math.min(budget, run.prefillLeft);
-        budget -= run.chunk;
-        if (run.chunk === 0) continue;
-        stepMs += (run.chunk / prefillTokensPerSecond) * 1_000;
-        steps = Math.min(steps, Math.floor(run.prefillLeft / run.chunk));
-      } else {
-        stepMs += decodeStepPerRequestMs;
-        steps = Math.min(steps, run.request.outputTokens - run.generated);
-      }
-    }
-    this.#startSpan(stepMs * this.#slowness, steps);
+    const plan = planSteps(this.#running.values(), this.#speed);
+    const steps = Math.min(plan.steps, this.#maximumSteps);
+    this.#startSpan(plan.stepMs * this.#slowness, steps);
   }
 
   #startSpan(stepMs: Milliseconds, steps: number): void {
@@ -259,40 +222,31 @@
   }
 
   #apply(steps: number): void {
-    const told: { run: Run; event: EngineEvent }[] = [];
+    const told = [];
     for (const run of this.#running.values()) {
-      const event = run.prefillLeft > 0
-        ? this.#prefill(run, steps)
-        : this.#decode(run, steps);
+      const event = this.#advance(run, steps);
       if (event !== undefined) told.push({ run, event });
     }
     this.#isTelling = true;
     for (const { run, event } of told) {
       if (!run.isGone) run.listener(event);
-      if (run.generated >= run.request.outputTokens) this.#finish(run);
+      if (run.isComplete) this.#finish(run);
     }
     this.#isTelling = false;
   }
 
-  #prefill(run: Run, steps: number): EngineEvent | undefined {
-    const tokens = run.chunk * steps;
-    run.prefillLeft -= tokens;
-    run.prefilled += tokens;
-    this.#counters.prefillTokens += tokens;
-    if (run.prefillLeft > 0) return undefined;
-    this.#storeBlocks(run.request.prefixDigests);
-    run.generated = 1;
-    this.#counters.outputTokens++;
-    return { kind: "firstToken", cachedTokens: run.cachedTokens };
-  }
-
-  #decode(run: Run, steps: number): EngineEvent {
-    run.generated += steps;
-    this.#counters.outputTokens += steps;
-    return { kind: "tokens", count: steps };
+  #advance(run: EngineRun, steps: number): EngineEvent | undefined {
+    const { prefilled, generated } = run;
+    const event = run.advance(steps);
+    this.#counters.prefillTokens += run.prefilled - prefilled;
+    this.#counters.outputTokens += run.generated - generated;
+    if (event?.kind === "firstToken") {
+      this.#memory.store(run.request.prefixDigests);
+    }
+    return event;
   }
 
-  #finish(run: Run): void {
+  #finish(run: EngineRun): void {
     if (run.isGone) return;
     this.#drop(run);
     this.#counters.finished++;
@@ -300,55 +254,37 @@
     run.listener({ kind: "finished", cachedTokens: run.cachedTokens });
   }
 
-  #drop(run: Run): void {
+  #drop(run: EngineRun): void {
     run.isGone = true;
     this.#waiting.delete(run.request.id);
     if (!this.#running.delete(run.request.id)) return;
-    this.#reservedTokens -= lengthOf(run.request);
+    this.#memory.release(run.lengthTokens);
   }
 
   #admit(): void {
     for (const run of this.#waiting.values()) {
-      if (!this.#canAdmit(run.request)) break;
+      if (!this.#canAdmit(run)) break;
       this.#waiting.delete(run.request.id);
       this.#start(run);
     }
     this.#recordLoad();
   }
 
-  #canAdmit(request: EngineRequest): boolean {
-    const { maximumBatch, kvCapacityTokens } = this.#speed;
+  #canAdmit(run: EngineRun): boolean {
     if (this.#running.size === 0) return true;
-    return this.#running.size < maximumBatch &&
-      this.#reservedTokens + lengthOf(request) <= kvCapacityTokens;
+    return this.#running.size < this.#speed.maximumBatch &&
+      this.#memory.hasRoom(run.lengthTokens);
   }
 
-  #start(run: Run): void {
+  #start(run: EngineRun): void {
     const { request } = run;
-    const matched = this.#cache.match(request.prefixDigests);
+    const matchedTokens = this.#memory.match(request.prefixDigests);
     // The last prompt token is always computed; it gives the first answer token.
-    run.cachedTokens = Math.min(
-      matched * BLOCK_TOKENS,
-      request.promptTokens - 1,
-    );
+    run.cachedTokens = Math.min(matchedTokens, request.promptTokens - 1);
     run.prefillLeft = request.promptTokens - run.cachedTokens;
     this.#counters.cachedTokens += run.cachedTokens;
-    this.#reservedTokens += lengthOf(request);
+    this.#memory.reserve(run.lengthTokens);
     this.#running.set(request.id, run);
-    this.#shrinkCache();
-  }
-
-  #storeBlocks(digests: readonly Digest[]): void {
-    const added = this.#cache.store(digests);
-    if (added.length > 0) this.#cacheEvents.record("stored", added);
-    this.#shrinkCache();
-  }
-
-  #shrinkCache(): void {
-    const free = this.#speed.kvCapacityTokens - this.#reservedTokens;
-    const bound = Math.max(0, Math.floor(free / BLOCK_TOKENS));
-    if (this.#cache.size <= bound) return;
-    this.#cacheEvents.record("evicted", this.#cache.shrinkTo(bound));
   }
 
   #recordLoad(): void {
@@ -356,14 +292,7 @@
       takenAt: this.#timer.now(),
       running: this.#running.size,
       waiting: this.#waiting.size,
-      memoryShare: Math.min(
-        1,
-        this.#reservedTokens / this.#speed.kvCapacityTokens,
-      ),
+      memoryShare: this.#memory.share,
     });
   }
 }
-
-function lengthOf(request: EngineRequest): number {
-  return request.promptTokens + request.outputTokens;
-}
--- a/packages/engine-model/src/index.ts
+++ b/packages/engine-model/src/index.ts
@@ -1,3 +1,4 @@
 export * from "./engineModel.ts";
 export * from "./generations.ts";
+export { BLOCK_TOKENS } from "./kvMemory.ts";
 export * from "./types.ts";
