--- a/packages/engine-model/src/generations.ts
+++ b/packages/engine-model/src/generations.ts
@@ -1,7 +1,7 @@
 import type { EngineSpeed } from "./types.ts";
 
 /**
- * Three generations of accelerators serving a model of eight billion
+ * Three hardware generations (like L4, A100 and H100 accelerators) serving a model of eight billion
  * parameters in 16 bits. A decode step reads the weights (16 GB) once and each
  * request's KV cache (2,000 tokens of 128 KiB), so its times follow from memory
  * bandwidth (0.3, 1.5 and 3.3 TB/s); the capacity is the memory that the weights
@@ -9,7 +9,7 @@
  * arithmetic at about two fifths of the published peak.
  */
 export const GENERATIONS = {
-  l4: {
+  g1: {
     prefillTokensPerSecond: 3_000,
     decodeStepMs: 54,
     decodeStepPerRequestMs: 0.85,
@@ -17,7 +17,7 @@
     maximumBatchPrefillTokens: 512,
     kvCapacityTokens: 42_000,
   },
-  a100: {
+  g2: {
     prefillTokensPerSecond: 8_000,
     decodeStepMs: 11,
     decodeStepPerRequestMs: 0.17,
@@ -25,7 +25,7 @@
     maximumBatchPrefillTokens: 1_024,
     kvCapacityTokens: 150_000,
   },
-  h100: {
+  g3: {
     prefillTokensPerSecond: 24_000,
     decodeStepMs: 5,
     decodeStepPerRequestMs: 0.08,
