--- a/packages/bundle/tests/bundleSignature.test.ts
+++ b/packages/bundle/tests/bundleSignature.test.ts
@@ -1,14 +1,19 @@
 import test from "ava";
+import fc from "fast-check";
 import {
   addSignature,
+  canonicalJson,
   exampleBundle,
   exampleSigningKey,
   generateSigningKey,
+  parseDocument,
   signBundle,
   type SignedBundle,
+  signedBundleSchema,
   trustedKeyOf,
   verifySignedBundle,
 } from "@wasabivane/bundle";
+import { damagedText } from "./helpers/damagedText.ts";
 
 const FORMER_KEY = exampleSigningKey("former");
 const NEXT_KEY = exampleSigningKey("next");
@@ -88,3 +93,16 @@
     "unknown-key",
   );
 });
+
+test("any damage to a signed bundle's text is refused or leaves the same bundle", (t) => {
+  const signed = signedExample();
+  const trusted = [trustedKeyOf(FORMER_KEY)];
+  const untouched = canonicalJson(signed.bundle);
+  const property = fc.property(damagedText(JSON.stringify(signed)), (text) => {
+    const taken = parseDocument(text, signedBundleSchema, { file: "any" })
+      .mapErr((): unknown => "unreadable")
+      .andThen((read) => verifySignedBundle(read, trusted));
+    return taken.isErr() || canonicalJson(taken.value.bundle) === untouched;
+  });
+  t.notThrows(() => fc.assert(property, { seed: 7, numRuns: 500 }));
+});
