Check what a bundle's schema cannot say

References between parts, unique ids, key digests and addresses, tiers of accounts and bounds that contradict each other passed the schema. A digest in two accounts would let one firm read the other's answers; two upstreams at one address would get twice the in-flight bound of one. Each finding names the path and what is allowed there.

--- a/packages/bundle/src/index.ts
+++ b/packages/bundle/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./bundleChecks.ts";
 export * from "./bundleDifference.ts";
 export * from "./bundleParts.ts";
 export * from "./bundleSignature.ts";
