Bring signed bundles and host lists into force by few readers

Cause: each host must serve the newest bundle within seconds, while reads of the service are counted and some hosts may not reach it at all.

Change: hosts are ranked by rendezvous; two read, the others hear it from notices and fetch the difference, or the whole bundle in chunks. Only a checked root and signature make a bundle valid; versions never go back; two bundles of one version settle on the lower root with an alarm.

--- /dev/null
+++ b/packages/coordination/src/hostListShape.ts
@@ -0,0 +1,35 @@
+import type { HostList, ListedHost, ListedUpstream } from "@wasabivane/bundle";
+import type { FailureDomain, HostId, UpstreamId } from "@wasabivane/common";
+import {
+  listOf,
+  numberOf,
+  objectOf,
+  oneOf,
+  optional,
+  type Shape,
+  textOf,
+} from "./messageShapes.ts";
+
+const MAX_LISTED = 65_536;
+
+/** Whether a value from a peer is a host list; readers have checked theirs. */
+export const isHostList: Shape<HostList> = objectOf({
+  version: numberOf<number>(),
+  entryHosts: listOf<ListedHost>(
+    objectOf({
+      host: textOf<HostId>(),
+      incarnation: optional(textOf<string>()),
+      peerAddress: textOf<string>(),
+      failureDomain: textOf<FailureDomain>(),
+      state: oneOf("live", "leaving"),
+    }),
+    MAX_LISTED,
+  ),
+  upstreams: listOf<ListedUpstream>(
+    objectOf({
+      upstream: textOf<UpstreamId>(),
+      state: oneOf("live", "leaving"),
+    }),
+    MAX_LISTED,
+  ),
+});
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -5,3 +5,6 @@
 export * from "./poolKeeper.ts";
 export * from "./poolMembers.ts";
 export * from "./poolMessages.ts";
+export * from "./configurationController.ts";
+export * from "./configurationMessages.ts";
+export * from "./configurationSpread.ts";
--- /dev/null
+++ b/packages/coordination/tests/helpers/asyncTime.ts
@@ -0,0 +1,18 @@
+import type { Milliseconds, VirtualTimer } from "@wasabivane/common";
+
+/** Moves virtual time and lets promises settle after each call that is due. */
+export async function advance(
+  timer: VirtualTimer,
+  span: Milliseconds,
+): Promise<void> {
+  const end = timer.now() + span;
+  for (let step = timer.now(); step < end; step++) {
+    timer.runUntil(Math.min(end, step + 1));
+    await settle();
+  }
+}
+
+/** Lets promises settle that are ready. */
+export async function settle(): Promise<void> {
+  for (let turn = 0; turn < 4; turn++) await Promise.resolve();
+}
