Check the pool messages and prove the keeper's recovery

Cause: pool messages crossed hosts unchecked, and nothing showed that a lost message or a dead keeper leaves no request behind. Change: pool messages are declared kinds of the peer registry; refusal reasons and outcomes are listed constants; tests over the in-memory network.

--- a/packages/coordination/src/poolClient.ts
+++ b/packages/coordination/src/poolClient.ts
@@ -15,13 +15,23 @@
 import type { Ask, AttemptReport, Decision } from "@wasabivane/decisions";
 import type { PoolKeeper } from "./poolKeeper.ts";
 import { keeperOf, type PoolMember } from "./poolMembers.ts";
+import {
+  type MessageKind,
+  sendMessage,
+  subscribeMessage,
+} from "./peerMessages.ts";
 import {
   checksumOf,
   type DecisionMessage,
-  POOL_MESSAGES,
+  POOL_ASK,
+  POOL_DECISION,
+  POOL_FINISH,
+  POOL_FIRST_TOKEN,
+  POOL_REPORT,
+  POOL_REPORT_WANTED,
+  POOL_SYNC,
+  POOL_WITHDRAW,
   type ReportMessage,
-  type ReportWantedMessage,
-  type SyncMessage,
   toWireAsk,
 } from "./poolMessages.ts";
 
@@ -75,14 +85,15 @@
   override start(): void {
     const { blackboard, link, timer, members } = this.#options;
     this.#subscriptions.push(
-      link.subscribe(
-        POOL_MESSAGES.decision,
-        (from, { body }) => this.#onDecision(from, body as DecisionMessage),
+      subscribeMessage(
+        link,
+        POOL_DECISION,
+        (from, body) => this.#onDecision(from, body),
       ),
-      link.subscribe(
-        POOL_MESSAGES.reportWanted,
-        (from, { body }) =>
-          this.#onReportWanted(from, body as ReportWantedMessage),
+      subscribeMessage(
+        link,
+        POOL_REPORT_WANTED,
+        (from, { service }) => this.#onReportWanted(from, service),
       ),
       blackboard.watch(members, () => this.#followKeepers()),
     );
@@ -108,7 +119,7 @@
       return;
     }
     const wire = toWireAsk(ask, this.#options.timer.now());
-    this.#send(pool, POOL_MESSAGES.ask, { service, ask: wire });
+    this.#send(pool, POOL_ASK, { service, ask: wire });
   }
 
   /** Takes back an ask that still waits; false when it was decided already. */
@@ -117,7 +128,7 @@
     if (!pool.waiting.delete(request)) return false;
     const body = { service, request };
     if (this.#isLocal(pool)) this.#options.localKeeper().withdraw(body);
-    else this.#send(pool, POOL_MESSAGES.withdraw, body);
+    else this.#send(pool, POOL_WITHDRAW, body);
     return true;
   }
 
@@ -129,7 +140,7 @@
     running.hasFirstToken = true;
     const body = { service, request };
     if (this.#isLocal(pool)) this.#options.localKeeper().firstToken(body);
-    else this.#send(pool, POOL_MESSAGES.firstToken, body);
+    else this.#send(pool, POOL_FIRST_TOKEN, body);
   }
 
   /** Tells the keeper that a granted request ended. */
@@ -225,7 +236,7 @@
     }
   }
 
-  #onReportWanted(from: HostId, { service }: ReportWantedMessage): void {
+  #onReportWanted(from: HostId, service: ServiceId): void {
     const pool = this.#poolOf(service);
     if (pool.keeper?.host === from) this.#report(pool, service);
   }
@@ -236,7 +247,7 @@
     if (this.#isLocal(pool)) {
       this.#options.localKeeper().report(this.#options.link.self, report);
     } else {
-      this.#send(pool, POOL_MESSAGES.report, report);
+      this.#send(pool, POOL_REPORT, report);
     }
   }
 
@@ -258,20 +269,20 @@
     for (const [service, pool] of this.#pools) {
       if (pool.keeper === undefined || this.#isLocal(pool)) continue;
       const requests = [...pool.waiting.keys(), ...pool.running.keys()];
-      const body: SyncMessage = {
+      const body = {
         service,
         waiting: pool.waiting.size,
         running: pool.running.size,
         checksum: checksumOf(requests),
       };
-      this.#send(pool, POOL_MESSAGES.sync, body);
+      this.#send(pool, POOL_SYNC, body);
     }
   }
 
   #tellFinish(pool: Pool, service: ServiceId, report: AttemptReport): void {
     if (this.#isLocal(pool)) {
       this.#options.localKeeper().finish(service, report);
-    } else this.#send(pool, POOL_MESSAGES.finish, { service, report });
+    } else this.#send(pool, POOL_FINISH, { service, report });
   }
 
   #poolOf(service: ServiceId): Pool {
@@ -296,9 +307,8 @@
     return pool.keeper?.host === this.#options.link.self;
   }
 
-  #send(pool: Pool, kind: string, body: unknown): void {
-    if (pool.keeper !== undefined) {
-      this.#options.link.send(pool.keeper.host, { kind, body });
-    }
+  #send<Body>(pool: Pool, kind: MessageKind<Body>, body: Body): void {
+    if (pool.keeper === undefined) return;
+    sendMessage(this.#options.link, kind, { to: pool.keeper.host, body });
   }
 }
--- a/packages/coordination/src/poolKeeper.ts
+++ b/packages/coordination/src/poolKeeper.ts
@@ -19,14 +19,19 @@
   Scheduler,
 } from "@wasabivane/decisions";
 import { keeperOf, type PoolMember } from "./poolMembers.ts";
+import { sendMessage, subscribeMessage } from "./peerMessages.ts";
 import {
-  type AskMessage,
   checksumOf,
-  type FinishMessage,
   fromWireAsk,
-  POOL_MESSAGES,
+  POOL_ASK,
+  POOL_DECISION,
+  POOL_FINISH,
+  POOL_FIRST_TOKEN,
+  POOL_REPORT,
+  POOL_REPORT_WANTED,
+  POOL_SYNC,
+  POOL_WITHDRAW,
   type ReportMessage,
-  type ReportWantedMessage,
   type RequestMessage,
   type SyncMessage,
   toWireDecision,
@@ -93,37 +98,37 @@
 
   override start(): void {
     const { blackboard, link, timer, members, fleetShare } = this.#options;
-    const handlers: [string, (from: HostId, body: never) => void][] = [
-      [POOL_MESSAGES.ask, (from, body: AskMessage) => this.#onAsk(from, body)],
-      [
-        POOL_MESSAGES.withdraw,
-        (_from, body: RequestMessage) => this.withdraw(body),
-      ],
-      [
-        POOL_MESSAGES.firstToken,
-        (_from, body: RequestMessage) => this.firstToken(body),
-      ],
-      [
-        POOL_MESSAGES.finish,
-        (_from, body: FinishMessage) => this.finish(body.service, body.report),
-      ],
-      [
-        POOL_MESSAGES.report,
-        (from, body: ReportMessage) => this.report(from, body),
-      ],
-      [
-        POOL_MESSAGES.sync,
-        (from, body: SyncMessage) => this.#onSync(from, body),
-      ],
-    ];
-    for (const [kind, handle] of handlers) {
-      const unsubscribe = link.subscribe(
-        kind,
-        (from, message) => handle(from, message.body as never),
-      );
-      this.#subscriptions.push(unsubscribe);
-    }
     this.#subscriptions.push(
+      subscribeMessage(
+        link,
+        POOL_ASK,
+        (from, { service, ask }) => this.ask(service, this.#askOf(ask, from)),
+      ),
+      subscribeMessage(
+        link,
+        POOL_WITHDRAW,
+        (_from, body) => this.withdraw(body),
+      ),
+      subscribeMessage(
+        link,
+        POOL_FIRST_TOKEN,
+        (_from, body) => this.firstToken(body),
+      ),
+      subscribeMessage(
+        link,
+        POOL_FINISH,
+        (_from, { service, report }) => this.finish(service, report),
+      ),
+      subscribeMessage(
+        link,
+        POOL_REPORT,
+        (from, body) => this.report(from, body),
+      ),
+      subscribeMessage(
+        link,
+        POOL_SYNC,
+        (from, body) => this.#onSync(from, body),
+      ),
       blackboard.watch(
         members,
         (value, former) => this.#onMembers(value, former),
@@ -195,10 +200,6 @@
     this.#endRecovery(pool, report.service);
   }
 
-  #onAsk(from: HostId, { service, ask }: AskMessage): void {
-    this.ask(service, this.#askOf(ask, from));
-  }
-
   #onSync(from: HostId, body: SyncMessage): void {
     const pool = this.#poolOf(body.service);
     if (pool === undefined) return;
@@ -209,10 +210,9 @@
       checksumOf(requests.map(([request]) => request)) === body.checksum;
     if (isSame) return;
     this.#options.metrics.count("pool.resync");
-    const wanted: ReportWantedMessage = { service: body.service };
-    this.#options.link.send(from, {
-      kind: POOL_MESSAGES.reportWanted,
-      body: wanted,
+    sendMessage(this.#options.link, POOL_REPORT_WANTED, {
+      to: from,
+      body: { service: body.service },
     });
   }
 
@@ -370,8 +370,8 @@
       decideLocally(service, decision);
       return;
     }
-    link.send(decision.ask.origin, {
-      kind: POOL_MESSAGES.decision,
+    sendMessage(link, POOL_DECISION, {
+      to: decision.ask.origin,
       body: { service, decision: toWireDecision(decision) },
     });
   }
--- a/packages/coordination/src/poolMessages.ts
+++ b/packages/coordination/src/poolMessages.ts
@@ -9,109 +9,160 @@
   Tier,
   UpstreamId,
 } from "@wasabivane/common";
-import type {
-  Ask,
-  AttemptReport,
-  Decision,
-  RefusalReason,
+import {
+  type Ask,
+  ATTEMPT_OUTCOMES,
+  type Decision,
+  REFUSAL_REASONS,
 } from "@wasabivane/decisions";
-
-/** Kinds of the messages between the entries and the keeper of a pool. */
-export const POOL_MESSAGES = {
-  ask: "pool-ask",
-  decision: "pool-decision",
-  withdraw: "pool-withdraw",
-  firstToken: "pool-first-token",
-  finish: "pool-finish",
-  report: "pool-report",
-  sync: "pool-sync",
-  reportWanted: "pool-report-wanted",
-} as const;
+import {
+  anyOf,
+  isBoolean,
+  listOf,
+  numberOf,
+  objectOf,
+  oneOf,
+  optional,
+  type Shape,
+  textOf,
+} from "./messageShapes.ts";
+import { defineMessage, type MessageKind } from "./peerMessages.ts";
+
+/** Most asks in one report; a pool's bounds are far lower. */
+const MAX_REPORTED = 65_536;
+
+const isRequest = textOf<RequestId>();
+const isService = textOf<ServiceId>();
+const isUpstream = textOf<UpstreamId>();
 
 /**
  * An {@link Ask} as it crosses hosts. Monotonic clocks of two hosts share no
  * origin, so that the deadline travels as the time that is left.
  */
-export interface WireAsk {
-  readonly request: RequestId;
-  readonly originDomain: FailureDomain;
-  readonly account: ClientAccountId;
-  readonly tier: Tier;
-  readonly promptTokens: number;
-  readonly maximumOutputTokens: number;
-  readonly bodyBytes: number;
-  readonly timeLeft: Milliseconds;
-  readonly prefixDigests: readonly Digest[];
-  readonly fingerprint: Digest;
-}
-
-/** A decision as it crosses hosts; the entry still holds the ask. */
-export type WireDecision =
-  | {
-    readonly kind: "grant";
-    readonly request: RequestId;
-    readonly upstream: UpstreamId;
-    readonly expectedCachedTokens: number;
-  }
-  | {
-    readonly kind: "refuse";
-    readonly request: RequestId;
-    readonly reason: RefusalReason;
-    readonly retryAfter: Milliseconds;
-    readonly estimate?: Milliseconds;
-  };
-
-/** Body of `pool-ask`. */
-export interface AskMessage {
-  readonly service: ServiceId;
-  readonly ask: WireAsk;
-}
-
-/** Body of `pool-decision`. */
-export interface DecisionMessage {
-  readonly service: ServiceId;
-  readonly decision: WireDecision;
-}
-
-/** Body of `pool-withdraw` and `pool-first-token`. */
-export interface RequestMessage {
-  readonly service: ServiceId;
-  readonly request: RequestId;
-}
-
-/** Body of `pool-finish`. */
-export interface FinishMessage {
-  readonly service: ServiceId;
-  readonly report: AttemptReport;
-}
+const isWireAsk = objectOf({
+  request: isRequest,
+  originDomain: textOf<FailureDomain>(),
+  account: textOf<ClientAccountId>(),
+  tier: numberOf<Tier>(),
+  promptTokens: numberOf<number>(),
+  maximumOutputTokens: numberOf<number>(),
+  bodyBytes: numberOf<number>(),
+  timeLeft: numberOf<Milliseconds>(),
+  prefixDigests: listOf(textOf<Digest>()),
+  fingerprint: textOf<Digest>(),
+});
+
+const isWireGrant = objectOf({
+  kind: oneOf("grant"),
+  request: isRequest,
+  upstream: isUpstream,
+  expectedCachedTokens: numberOf<number>(),
+});
+
+const isWireRefusal = objectOf({
+  kind: oneOf("refuse"),
+  request: isRequest,
+  reason: oneOf(...REFUSAL_REASONS),
+  retryAfter: numberOf<Milliseconds>(),
+  estimate: optional(numberOf<Milliseconds>()),
+});
 
 /** An attempt that runs at an upstream, as told to a new keeper. */
-export interface WireAttempt {
-  readonly ask: WireAsk;
-  readonly upstream: UpstreamId;
-  readonly runningFor: Milliseconds;
-  readonly hasFirstToken: boolean;
-}
-
-/** Body of `pool-report`: all that one entry has waiting and running in a pool. */
-export interface ReportMessage {
-  readonly service: ServiceId;
-  readonly waiting: readonly WireAsk[];
-  readonly running: readonly WireAttempt[];
-}
-
-/** Body of `pool-sync`: a digest of the same, to notice lost messages cheaply. */
-export interface SyncMessage {
-  readonly service: ServiceId;
-  readonly waiting: number;
-  readonly running: number;
-  readonly checksum: number;
-}
-
-/** Body of `pool-report-wanted`. */
-export interface ReportWantedMessage {
-  readonly service: ServiceId;
-}
+const isWireAttempt = objectOf({
+  ask: isWireAsk,
+  upstream: isUpstream,
+  runningFor: numberOf<Milliseconds>(),
+  hasFirstToken: isBoolean,
+});
+
+const isAttemptReport = objectOf({
+  request: isRequest,
+  upstream: isUpstream,
+  outcome: oneOf(...ATTEMPT_OUTCOMES),
+  outputTokens: numberOf<number>(),
+  cachedTokens: optional(numberOf<number>()),
+});
+
+const isRequestBody = objectOf({ service: isService, request: isRequest });
+
+/** An entry wants a place for a request. */
+export const POOL_ASK = defineMessage(
+  "pool-ask",
+  objectOf({ service: isService, ask: isWireAsk }),
+);
+
+/** The keeper decided; the entry still holds the ask. */
+export const POOL_DECISION = defineMessage(
+  "pool-decision",
+  objectOf({
+    service: isService,
+    decision: anyOf<WireGrant | WireRefusal>(isWireGrant, isWireRefusal),
+  }),
+);
+
+/** A request that waited wants no place any more. */
+export const POOL_WITHDRAW = defineMessage("pool-withdraw", isRequestBody);
+
+/** The first token of a running request arrived. */
+export const POOL_FIRST_TOKEN = defineMessage(
+  "pool-first-token",
+  isRequestBody,
+);
+
+/** A running request ended. */
+export const POOL_FINISH = defineMessage(
+  "pool-finish",
+  objectOf({ service: isService, report: isAttemptReport }),
+);
+
+/** All that one entry has waiting and running in a pool. */
+export const POOL_REPORT = defineMessage(
+  "pool-report",
+  objectOf({
+    service: isService,
+    waiting: listOf(isWireAsk, MAX_REPORTED),
+    running: listOf(isWireAttempt, MAX_REPORTED),
+  }),
+);
+
+/** A checksum of the same, to notice lost messages cheaply. */
+export const POOL_SYNC = defineMessage(
+  "pool-sync",
+  objectOf({
+    service: isService,
+    waiting: numberOf<number>(),
+    running: numberOf<number>(),
+    checksum: numberOf<number>(),
+  }),
+);
+
+/** The keeper's picture of an entry differs; it wants a report. */
+export const POOL_REPORT_WANTED = defineMessage(
+  "pool-report-wanted",
+  objectOf({ service: isService }),
+);
+
+type BodyOf<Kind> = Kind extends MessageKind<infer Body> ? Body : never;
+type Checked<Check> = Check extends Shape<infer Value> ? Value : never;
+
+/** See {@link POOL_ASK}. */
+export type WireAsk = Checked<typeof isWireAsk>;
+/** A grant as it crosses hosts. */
+export type WireGrant = Checked<typeof isWireGrant>;
+/** A refusal as it crosses hosts. */
+export type WireRefusal = Checked<typeof isWireRefusal>;
+/** See {@link POOL_ASK}. */
+export type AskMessage = BodyOf<typeof POOL_ASK>;
+/** See {@link POOL_DECISION}. */
+export type DecisionMessage = BodyOf<typeof POOL_DECISION>;
+/** See {@link POOL_WITHDRAW}. */
+export type RequestMessage = BodyOf<typeof POOL_WITHDRAW>;
+/** See {@link POOL_FINISH}. */
+export type FinishMessage = BodyOf<typeof POOL_FINISH>;
+/** See {@link POOL_REPORT}. */
+export type ReportMessage = BodyOf<typeof POOL_REPORT>;
+/** See {@link POOL_SYNC}. */
+export type SyncMessage = BodyOf<typeof POOL_SYNC>;
 
 /** Prepares an ask for the wire. */
 export function toWireAsk(ask: Ask, now: Milliseconds): WireAsk {
@@ -129,7 +180,7 @@
 }
 
 /** Prepares a decision for the wire. */
-export function toWireDecision(decision: Decision): WireDecision {
+export function toWireDecision(decision: Decision): WireGrant | WireRefusal {
   const { ask, ...rest } = decision;
   return { ...rest, request: ask.request };
 }
--- /dev/null
+++ b/packages/coordination/tests/pool.test.ts
@@ -0,0 +1,233 @@
+import test from "ava";
+import {
+  asId,
+  asTier,
+  Blackboard,
+  createTopic,
+  type HostId,
+  MemoryMetrics,
+  type RequestId,
+  SeededRandom,
+  type ServiceId,
+  VirtualTimer,
+} from "@wasabivane/common";
+import {
+  keeperOf,
+  type MemoryLink,
+  MemoryNetwork,
+  PoolClient,
+  PoolKeeper,
+  type PoolMember,
+} from "@wasabivane/coordination";
+import {
+  type Ask,
+  type Decision,
+  LeastOutstandingScheduler,
+  type PoolPolicy,
+} from "@wasabivane/decisions";
+
+const SERVICE = asId<ServiceId>("drafter");
+const MEMBERS = createTopic<readonly PoolMember[]>("test-members", []);
+const SHARE = createTopic("test-share", 1);
+const PLACES = 2;
+
+const POLICY: PoolPolicy = {
+  upstreams: [{
+    upstream: asId("drafter-01"),
+    failureDomain: asId("hakata"),
+    generation: "g1",
+    isLeaving: false,
+  }],
+  accounts: [],
+  tiers: [asTier(1)],
+  initialConcurrency: PLACES,
+  maximumConcurrency: PLACES,
+  maximumWaitingTokens: 1_000_000,
+  maximumWaitingBytes: 1_000_000,
+  maximumEjectedShare: 0.4,
+  domainDistanceMs: 1,
+};
+
+interface PoolHost {
+  readonly blackboard: Blackboard;
+  readonly link: MemoryLink;
+  readonly client: PoolClient;
+  readonly keeper: PoolKeeper;
+}
+
+class Fleet {
+  readonly timer = new VirtualTimer();
+  readonly network = new MemoryNetwork({
+    timer: this.timer,
+    random: new SeededRandom(1),
+  });
+  readonly hosts = new Map<HostId, PoolHost>();
+
+  constructor(...names: string[]) {
+    for (const name of names) this.startHost(asId<HostId>(name));
+    this.agreeOnMembers();
+  }
+
+  startHost(host: HostId): PoolHost {
+    const blackboard = new Blackboard();
+    const link = this.network.join(host);
+    const common = {
+      blackboard,
+      link,
+      timer: this.timer,
+      members: MEMBERS,
+      metrics: new MemoryMetrics(),
+    };
+    const client: PoolClient = new PoolClient({
+      ...common,
+      localKeeper: () => keeper,
+    });
+    const keeper: PoolKeeper = new PoolKeeper({
+      ...common,
+      fleetShare: SHARE,
+      policyOf: () => POLICY,
+      createScheduler: (_service, policy) =>
+        new LeastOutstandingScheduler(policy, { random: new SeededRandom(2) }),
+      decideLocally: (service, decision) =>
+        client.decideLocally(service, decision),
+    });
+    client.start();
+    keeper.start();
+    const started = { blackboard, link, client, keeper };
+    this.hosts.set(host, started);
+    return started;
+  }
+
+  agreeOnMembers(): void {
+    const members = [...this.hosts.keys()].map((host): PoolMember => ({
+      host,
+      incarnation: "1",
+      state: "alive",
+      isLeaving: false,
+    }));
+    for (const { blackboard } of this.hosts.values()) {
+      blackboard.write(MEMBERS, members);
+    }
+  }
+
+  keeper(): HostId {
+    const [first] = this.hosts.values();
+    return keeperOf(SERVICE, first!.blackboard.read(MEMBERS))!.host;
+  }
+
+  other(host: HostId): HostId {
+    return [...this.hosts.keys()].find((candidate) => candidate !== host)!;
+  }
+
+  kill(host: HostId): void {
+    const { client, keeper, link } = this.hosts.get(host)!;
+    client.stop();
+    keeper.stop();
+    link.close();
+    this.hosts.delete(host);
+  }
+
+  submit(host: HostId, request: string): Decision[] {
+    const decisions: Decision[] = [];
+    const ask = askOf(host, { request, now: this.timer.now() });
+    this.hosts.get(host)!.client.submit(SERVICE, ask, {
+      decide: (decision) => void decisions.push(decision),
+    });
+    return decisions;
+  }
+
+  finish(host: HostId, request: string): void {
+    this.hosts.get(host)!.client.finish(SERVICE, {
+      request: asId(request),
+      upstream: asId("drafter-01"),
+      outcome: "whole",
+      outputTokens: 1,
+    });
+  }
+}
+
+function askOf(
+  origin: HostId,
+  { request, now }: { request: string; now: number },
+): Ask {
+  return {
+    request: asId<RequestId>(request),
+    origin,
+    originDomain: asId("hakata"),
+    account: asId("firm"),
+    tier: asTier(1),
+    promptTokens: 10,
+    maximumOutputTokens: 10,
+    bodyBytes: 40,
+    deadline: now + 60_000,
+    prefixDigests: [],
+    fingerprint: asId(request),
+  };
+}
+
+test("a request of another host is granted over the link and counts against the same places", (t) => {
+  const fleet = new Fleet("a", "b");
+  const keeper = fleet.keeper();
+  const other = fleet.other(keeper);
+  const remote = fleet.submit(other, "r1");
+  fleet.timer.advance(1_500);
+  t.is(remote[0]?.kind, "grant");
+  fleet.submit(keeper, "r2");
+  const third = fleet.submit(keeper, "r3");
+  fleet.timer.advance(100);
+  t.deepEqual(third, [], "both places are taken");
+  fleet.finish(other, "r1");
+  fleet.timer.advance(100);
+  t.is(third[0]?.kind, "grant");
+});
+
+// The keeper dies while two requests run and one waits. The callers of all
+// three see nothing of it: the waiting one is asked for again at the next
+// keeper, which first hears what runs and so does not fill the places twice.
+test("a new keeper counts what runs before it grants what waits", (t) => {
+  const fleet = new Fleet("a", "b", "c");
+  const keeper = fleet.keeper();
+  const other = fleet.other(keeper);
+  fleet.submit(other, "r1");
+  fleet.submit(other, "r2");
+  const waiting = fleet.submit(other, "r3");
+  fleet.timer.advance(2_000);
+  fleet.kill(keeper);
+  fleet.agreeOnMembers();
+  fleet.timer.advance(3_000);
+  t.deepEqual(waiting, []);
+  fleet.finish(other, "r1");
+  fleet.timer.advance(1_000);
+  t.is(waiting[0]?.kind, "grant");
+});
+
+// The ask is lost on its way: nobody decides about it, and the caller would
+// wait until its deadline. The keeper notices at the next checksum that its
+// picture of the entry differs, asks for a report and grants.
+test("a lost ask is found within two checksums", (t) => {
+  const fleet = new Fleet("a", "b");
+  const other = fleet.other(fleet.keeper());
+  fleet.network.setFaults({ dropShare: 1 });
+  const decisions = fleet.submit(other, "r1");
+  fleet.timer.advance(10);
+  fleet.network.setFaults({ dropShare: 0 });
+  fleet.timer.advance(2_500);
+  t.is(decisions[0]?.kind, "grant");
+});
+
+// The end of a request is lost: its place would stay taken for ever. The
+// checksum differs, and what the entry no longer reports is freed.
+test("a lost end frees its place within two checksums", (t) => {
+  const fleet = new Fleet("a", "b");
+  const other = fleet.other(fleet.keeper());
+  fleet.submit(other, "r1");
+  fleet.submit(other, "r2");
+  fleet.timer.advance(1_500);
+  fleet.network.setFaults({ dropShare: 1 });
+  fleet.finish(other, "r1");
+  fleet.timer.advance(10);
+  fleet.network.setFaults({ dropShare: 0 });
+  const third = fleet.submit(other, "r3");
+  fleet.timer.advance(2_500);
+  t.is(third[0]?.kind, "grant");
+});
--- a/packages/decisions/src/types.ts
+++ b/packages/decisions/src/types.ts
@@ -34,14 +34,18 @@
 }
 
 /** Why a request was refused before it ran. */
-export type RefusalReason =
-  | "deadline-unreachable"
-  | "deadline-passed"
-  | "shed"
-  | "account-limit"
-  | "no-upstream"
-  | "convicted"
-  | "stopping";
+export const REFUSAL_REASONS = [
+  "deadline-unreachable",
+  "deadline-passed",
+  "shed",
+  "account-limit",
+  "no-upstream",
+  "convicted",
+  "stopping",
+] as const;
+
+/** See {@link REFUSAL_REASONS}. */
+export type RefusalReason = typeof REFUSAL_REASONS[number];
 
 /** What the scheduler decided about one ask. */
 export type Decision =
@@ -62,13 +66,17 @@
   };
 
 /** How one granted request ended at its upstream. */
-export type AttemptOutcome =
-  | "whole"
-  | "cancelled"
-  | "upstream-lost"
-  | "upstream-refused"
-  | "upstream-error"
-  | "timeout";
+export const ATTEMPT_OUTCOMES = [
+  "whole",
+  "cancelled",
+  "upstream-lost",
+  "upstream-refused",
+  "upstream-error",
+  "timeout",
+] as const;
+
+/** See {@link ATTEMPT_OUTCOMES}. */
+export type AttemptOutcome = typeof ATTEMPT_OUTCOMES[number];
 
 /** What an entry host saw of a granted request. */
 export interface AttemptReport {
