Carry requests from the caller's connection to an upstream and back

Cause: nothing stood between callers and upstreams. Change: intake, authentication, problems, answer records with back-pressure, model and plain dispatch with nonce checks and resume, exchanges, HTTP listeners, settings.

--- /dev/null
+++ b/apps/entry/src/acceptedRequest.ts
@@ -0,0 +1,34 @@
+import type { Buffer } from "node:buffer";
+import type { Bundle, ClientAccount, Service } from "@wasabivane/bundle";
+import type {
+  Digest,
+  IdempotencyKey,
+  Milliseconds,
+  RequestId,
+  Tier,
+} from "@wasabivane/common";
+
+/** A request that passed all checks, with the bundle that it ends under. */
+export interface AcceptedRequest {
+  readonly request: RequestId;
+  readonly bundle: Bundle;
+  readonly account: ClientAccount;
+  readonly service: Service;
+  readonly tier: Tier;
+  readonly key: IdempotencyKey | undefined;
+  readonly isIdempotent: boolean;
+  readonly acceptedAt: Milliseconds;
+  /** On the timer's monotonic clock. */
+  readonly deadline: Milliseconds;
+  readonly method: string;
+  /** Path and query as sent upstream. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+  readonly wantsStream: boolean;
+  readonly promptTokens: number;
+  readonly maximumOutputTokens: number;
+  readonly prefixDigests: readonly Digest[];
+  /** Digest of account, service and content; the same for every resend. */
+  readonly fingerprint: Digest;
+}
--- /dev/null
+++ b/apps/entry/src/answerRecord.ts
@@ -0,0 +1,239 @@
+import type { Problem } from "./problem.ts";
+
+/** Status and headers of an answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+}
+
+/** How an answer ended. */
+export type AnswerEnd =
+  | { readonly kind: "whole" }
+  | { readonly kind: "failed"; readonly problem: Problem };
+
+/** What a reader gets next. */
+export type AnswerStep =
+  | { readonly kind: "head"; readonly head: AnswerHead }
+  | { readonly kind: "part"; readonly part: Uint8Array }
+  | { readonly kind: "end"; readonly end: AnswerEnd };
+
+/** Options of an {@link AnswerRecord}. */
+export interface AnswerRecordOptions {
+  /** Keeps all parts, so that a resend can read the answer from its start. */
+  readonly isReplayable?: boolean;
+  /** Bytes that may stand unread before the writer waits. */
+  readonly highWaterBytes?: number;
+  /** Bytes after which a replayable answer forgets its start. */
+  readonly maximumReplayBytes?: number;
+}
+
+const DEFAULT_HIGH_WATER_BYTES = 64 * 1024;
+const DEFAULT_MAXIMUM_REPLAY_BYTES = 1024 * 1024;
+
+/**
+ * One answer on its way from an upstream to its readers: the caller, and the
+ * caller's resends. The writer waits while the slowest reader is far behind,
+ * so that a slow caller slows the upstream's connection, not this host's memory.
+ */
+export class AnswerRecord {
+  readonly #highWaterBytes: number;
+  readonly #maximumReplayBytes: number;
+  #isReplayable: boolean;
+  #head: AnswerHead | undefined;
+  #end: AnswerEnd | undefined;
+  #parts: Uint8Array[] = [];
+  #firstPart = 0;
+  #retainedBytes = 0;
+  readonly #readers = new Set<AnswerReader>();
+  #wakeWriter: (() => void) | undefined;
+
+  constructor(options: AnswerRecordOptions = {}) {
+    this.#isReplayable = options.isReplayable ?? false;
+    this.#highWaterBytes = options.highWaterBytes ?? DEFAULT_HIGH_WATER_BYTES;
+    this.#maximumReplayBytes = options.maximumReplayBytes ??
+      DEFAULT_MAXIMUM_REPLAY_BYTES;
+  }
+
+  get head(): AnswerHead | undefined {
+    return this.#head;
+  }
+
+  get end(): AnswerEnd | undefined {
+    return this.#end;
+  }
+
+  get retainedBytes(): number {
+    return this.#retainedBytes;
+  }
+
+  get readerCount(): number {
+    return this.#readers.size;
+  }
+
+  /** Whether a new reader would get the answer from its first byte. */
+  get canReplay(): boolean {
+    return this.#firstPart === 0;
+  }
+
+  /** Writes status and headers; once. */
+  begin(head: AnswerHead): void {
+    if (this.#head !== undefined || this.#end !== undefined) return;
+    this.#head = head;
+    this.#wakeReaders();
+  }
+
+  /** Adds a part; parts after the end are dropped. */
+  append(part: Uint8Array): void {
+    if (this.#end !== undefined) return;
+    this.#parts.push(part);
+    this.#retainedBytes += part.byteLength;
+    this.#wakeReaders();
+    this.#trim();
+  }
+
+  /** Ends the answer; the first end counts. */
+  finish(end: AnswerEnd): void {
+    if (this.#end !== undefined) return;
+    this.#end = end;
+    this.#wakeReaders();
+    this.#wakeWriter?.();
+  }
+
+  /** Whether the writer should wait before the next part. */
+  get isFull(): boolean {
+    if (this.#end !== undefined || this.#readers.size === 0) return false;
+    return this.#unreadBytes() > this.#highWaterBytes;
+  }
+
+  /** Resolves when there is room again, or the answer ended. */
+  whenRoom(): Promise<void> {
+    if (!this.isFull) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.#wakeWriter = resolve;
+    });
+  }
+
+  /** A reader from the first byte; `undefined` when that is forgotten. */
+  open(): AnswerReader | undefined {
+    if (!this.canReplay) return undefined;
+    const reader = new AnswerReader(this);
+    this.#readers.add(reader);
+    return reader;
+  }
+
+  /** Used by readers: the step at a position, if it is there. */
+  stepAt(position: number): AnswerStep | undefined {
+    if (position === 0) {
+      if (this.#head !== undefined) return { kind: "head", head: this.#head };
+      return this.#end === undefined
+        ? undefined
+        : { kind: "end", end: this.#end };
+    }
+    const part = this.#parts[position - 1 - this.#firstPart];
+    if (part !== undefined) return { kind: "part", part };
+    return this.#end === undefined
+      ? undefined
+      : { kind: "end", end: this.#end };
+  }
+
+  /** Used by readers: a reader moved on or left. */
+  onProgress(): void {
+    this.#trim();
+    if (this.#wakeWriter !== undefined && !this.isFull) {
+      const wake = this.#wakeWriter;
+      this.#wakeWriter = undefined;
+      wake();
+    }
+  }
+
+  /** Used by readers: a reader left. */
+  close(reader: AnswerReader): void {
+    this.#readers.delete(reader);
+    this.onProgress();
+  }
+
+  #unreadBytes(): number {
+    const slowest = this.#slowestPosition();
+    let bytes = 0;
+    for (
+      let index = Math.max(0, slowest - 1 - this.#firstPart);
+      index < this.#parts.length;
+      index++
+    ) {
+      bytes += this.#parts[index]!.byteLength;
+    }
+    return bytes;
+  }
+
+  #slowestPosition(): number {
+    let slowest = Infinity;
+    for (const { position } of this.#readers) {
+      slowest = Math.min(slowest, position);
+    }
+    return slowest;
+  }
+
+  /** Forgets parts that no reader needs any more. */
+  #trim(): void {
+    if (this.#isReplayable && this.#retainedBytes <= this.#maximumReplayBytes) {
+      return;
+    }
+    this.#isReplayable = false;
+    if (this.#readers.size === 0) return;
+    const readUpTo = this.#slowestPosition() - 1 - this.#firstPart;
+    if (readUpTo <= 0) return;
+    for (const part of this.#parts.splice(0, readUpTo)) {
+      this.#retainedBytes -= part.byteLength;
+    }
+    this.#firstPart += readUpTo;
+  }
+
+  #wakeReaders(): void {
+    for (const reader of this.#readers) reader.wake();
+  }
+}
+
+/** Reads one answer in order. */
+export class AnswerReader {
+  readonly #record: AnswerRecord;
+  #position = 0;
+  #wake: (() => void) | undefined;
+
+  constructor(record: AnswerRecord) {
+    this.#record = record;
+  }
+
+  get position(): number {
+    return this.#position;
+  }
+
+  /** The next step if it is there already. */
+  poll(): AnswerStep | undefined {
+    const step = this.#record.stepAt(this.#position);
+    if (step === undefined || step.kind === "end") return step;
+    this.#position++;
+    this.#record.onProgress();
+    return step;
+  }
+
+  /** The next step; after the end it is the end again. */
+  async next(): Promise<AnswerStep> {
+    while (true) {
+      const step = this.poll();
+      if (step !== undefined) return step;
+      await new Promise<void>((resolve) => (this.#wake = resolve));
+    }
+  }
+
+  /** Called by the record when there may be something to read. */
+  wake(): void {
+    const wake = this.#wake;
+    this.#wake = undefined;
+    wake?.();
+  }
+
+  /** Leaves the answer; the record no longer waits for this reader. */
+  close(): void {
+    this.#record.close(this);
+  }
+}
--- /dev/null
+++ b/apps/entry/src/answerWriter.ts
@@ -0,0 +1,88 @@
+import type { ServerResponse } from "node:http";
+import type {
+  AnswerHead,
+  AnswerReader,
+  AnswerRecord,
+  AnswerStep,
+} from "./answerRecord.ts";
+import {
+  type Problem,
+  problemDocument,
+  problemHeaders,
+  PROBLEMS,
+} from "./problem.ts";
+
+/** Sends a problem as the whole answer. */
+export function writeProblem(outgoing: ServerResponse, problem: Problem): void {
+  const body = JSON.stringify(problemDocument(problem));
+  outgoing.writeHead(PROBLEMS[problem.name].status, problemHeaders(problem));
+  outgoing.end(body);
+}
+
+/**
+ * Relays an answer to its caller, as fast as the caller reads. An answer that
+ * fails after its head was sent ends so that no part can be taken for the
+ * whole: an event stream gets an error event and no end mark, anything else a
+ * broken connection.
+ */
+export async function relayAnswer(
+  record: AnswerRecord,
+  outgoing: ServerResponse,
+): Promise<void> {
+  const reader = record.open();
+  if (reader === undefined) {
+    writeProblem(outgoing, { name: "answer-gone", ending: "unknown" });
+    return;
+  }
+  outgoing.on("close", () => reader.close());
+  await pump(reader, outgoing);
+  reader.close();
+}
+
+async function pump(
+  reader: AnswerReader,
+  outgoing: ServerResponse,
+): Promise<void> {
+  let head: AnswerHead | undefined;
+  while (!outgoing.destroyed) {
+    const step: AnswerStep = reader.poll() ?? await reader.next();
+    if (step.kind === "head") {
+      head = step.head;
+      outgoing.writeHead(head.status, head.headers);
+    } else if (step.kind === "part") {
+      if (!outgoing.write(step.part)) await drained(outgoing);
+    } else {
+      finish(outgoing, { head, step });
+      return;
+    }
+  }
+}
+
+function finish(
+  outgoing: ServerResponse,
+  { head, step }: {
+    head: AnswerHead | undefined;
+    step: AnswerStep & { kind: "end" };
+  },
+): void {
+  if (step.end.kind === "whole") {
+    outgoing.end();
+  } else if (head === undefined) {
+    writeProblem(outgoing, step.end.problem);
+  } else if (head.headers["content-type"]?.startsWith("text/event-stream")) {
+    outgoing.end(
+      `event: error\ndata: ${
+        JSON.stringify(problemDocument(step.end.problem))
+      }\n\n`,
+    );
+  } else {
+    outgoing.destroy();
+  }
+}
+
+function drained(outgoing: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    outgoing.once("drain", resolve);
+    outgoing.once("close", resolve);
+  });
+}
--- /dev/null
+++ b/apps/entry/src/callerApi.ts
@@ -0,0 +1,135 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { HttpBindings } from "@hono/node-server";
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import { Hono } from "hono";
+import type {
+  Blackboard,
+  Metrics,
+  Random,
+  RequestId,
+  Timer,
+  Topic,
+} from "@wasabivane/common";
+import type { Bundle, SignedBundle } from "@wasabivane/bundle";
+import type { AcceptedRequest } from "./acceptedRequest.ts";
+import { relayAnswer, writeProblem } from "./answerWriter.ts";
+import { Authenticator } from "./authentication.ts";
+import { acceptRequest } from "./intake.ts";
+import { type Problem, problemOf } from "./problem.ts";
+import { readBody } from "./requestBody.ts";
+
+const REQUEST_ID_BYTES = 9;
+const RETRY_AFTER_MS = 2_000;
+
+/** Serves accepted requests; the rim knows no more of them. */
+export interface RequestService {
+  serve(request: AcceptedRequest, outgoing: ServerResponse): Promise<void>;
+}
+
+/** What the caller interface needs from its process. */
+export interface CallerApiOptions {
+  readonly blackboard: Blackboard;
+  readonly timer: Timer;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly bundleInForce: Topic<SignedBundle | undefined>;
+  readonly maximumBodyBytes: number;
+  readonly isStopping: () => boolean;
+  readonly service: RequestService;
+}
+
+type Environment = { Bindings: HttpBindings };
+
+/** The HTTP interface for callers. */
+export class CallerApi {
+  readonly #options: CallerApiOptions;
+  #authenticator: { bundle: Bundle; authenticator: Authenticator } | undefined;
+
+  constructor(options: CallerApiOptions) {
+    this.#options = options;
+  }
+
+  /** The routes; answers are written to the connection directly. */
+  routes(): Hono<Environment> {
+    const app = new Hono<Environment>();
+    app.all("*", async ({ env: { incoming, outgoing } }) => {
+      await this.handle(
+        incoming as IncomingMessage,
+        outgoing as ServerResponse,
+      );
+      return RESPONSE_ALREADY_SENT;
+    });
+    return app;
+  }
+
+  /** Serves one request from its first byte to its ending. */
+  async handle(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): Promise<void> {
+    const problem = await this.#accept(incoming, outgoing);
+    if (problem === undefined) return;
+    this.#options.metrics.count("request.refused_at_intake", 1, {
+      problem: problem.name,
+    });
+    if (problem.name === "body-too-large") outgoing.shouldKeepAlive = false;
+    writeProblem(outgoing, problem);
+  }
+
+  async #accept(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): Promise<Problem | undefined> {
+    const { blackboard, bundleInForce, isStopping, service } = this.#options;
+    if (isStopping()) {
+      return problemOf("stopping", { retryAfter: RETRY_AFTER_MS });
+    }
+    const bundle = blackboard.read(bundleInForce)?.bundle;
+    if (bundle === undefined) {
+      return problemOf("not-ready", { retryAfter: RETRY_AFTER_MS });
+    }
+    const account = this.#authenticatorFor(bundle).authenticate(
+      incoming.headers.authorization,
+    );
+    if (account === undefined) return problemOf("unauthenticated");
+    const body = await readBody(incoming, this.#options.maximumBodyBytes);
+    if (body.isErr()) return body.error;
+    const accepted = acceptRequest({
+      request: this.#options.random.hex(REQUEST_ID_BYTES) as RequestId,
+      bundle,
+      account,
+      now: this.#options.timer.now(),
+      method: incoming.method ?? "GET",
+      path: incoming.url ?? "/",
+      headers: incoming.headers,
+      body: body.value,
+    });
+    if (accepted.isErr()) return accepted.error;
+    await service.serve(accepted.value, outgoing);
+    return undefined;
+  }
+
+  #authenticatorFor(bundle: Bundle): Authenticator {
+    if (this.#authenticator?.bundle !== bundle) {
+      this.#authenticator = {
+        bundle,
+        authenticator: new Authenticator(bundle),
+      };
+    }
+    return this.#authenticator.authenticator;
+  }
+}
+
+/** Serves a request from this host alone, without a key. */
+export async function relayUntilClosed(
+  { record, outgoing, onHangUp }: {
+    record: Parameters<typeof relayAnswer>[0];
+    outgoing: ServerResponse;
+    onHangUp: () => void;
+  },
+): Promise<void> {
+  outgoing.on("close", () => {
+    if (!outgoing.writableFinished) onHangUp();
+  });
+  await relayAnswer(record, outgoing);
+}
--- /dev/null
+++ b/apps/entry/src/dispatch.ts
@@ -0,0 +1,63 @@
+import type { Buffer } from "node:buffer";
+import { err, ok, type Result } from "neverthrow";
+import type { Nonce, UpstreamId } from "@wasabivane/common";
+import type { AcceptedRequest } from "./acceptedRequest.ts";
+import type { AnswerRecord } from "./answerRecord.ts";
+import type { UpstreamClient } from "./upstreamClient.ts";
+import type { UpstreamError } from "./upstreamError.ts";
+
+/** Where and as what a request is sent. */
+export interface DispatchTarget {
+  readonly upstream: UpstreamId;
+  readonly url: string;
+  readonly nonce: Nonce;
+}
+
+/** What an attempt told besides its answer. */
+export interface DispatchSummary {
+  readonly status: number;
+  readonly outputTokens: number;
+  readonly cachedTokens: number | undefined;
+}
+
+/** Options of one {@link Dispatch}. */
+export interface DispatchOptions {
+  readonly client: UpstreamClient;
+  readonly request: AcceptedRequest;
+  readonly target: DispatchTarget;
+  readonly record: AnswerRecord;
+  readonly signal: AbortSignal;
+  /** Called at the first token, or at the head of a whole answer. */
+  readonly onFirstToken: () => void;
+  /** Called at each further token with the time since the one before. */
+  readonly onToken: () => void;
+  readonly onSafeguard: (name: string) => void;
+}
+
+/** Runs one request at one upstream and writes its answer to the record. */
+export abstract class Dispatch {
+  protected readonly options: DispatchOptions;
+
+  constructor(options: DispatchOptions) {
+    this.options = options;
+  }
+
+  /** Sends the request; the only place from which it leaves. */
+  abstract run(): Promise<Result<DispatchSummary, UpstreamError>>;
+
+  /** Takes over a request that another process dispatched. */
+  abstract resume(): Promise<Result<DispatchSummary, UpstreamError>>;
+
+  protected async collect(
+    body: AsyncIterable<Buffer>,
+    onPart: (part: Buffer) => void | Promise<void>,
+  ): Promise<Result<void, UpstreamError>> {
+    try {
+      for await (const part of body) await onPart(part);
+      return ok();
+    } catch (thrown) {
+      if (this.options.signal.aborted) return err({ kind: "aborted" });
+      return err({ kind: "broken", detail: String((thrown as Error).message) });
+    }
+  }
+}
--- /dev/null
+++ b/apps/entry/src/modelDispatch.ts
@@ -0,0 +1,260 @@
+import { Buffer } from "node:buffer";
+import { err, ok, type Result } from "neverthrow";
+import { CHAT_PATH } from "./constants.ts";
+import { CompletionStream, usageOf } from "./completionStream.ts";
+import { Dispatch, type DispatchSummary } from "./dispatch.ts";
+import type { UpstreamAnswer } from "./upstreamClient.ts";
+import type { UpstreamError } from "./upstreamError.ts";
+
+/** Resumes of one dispatch; engines hold a broken request for seconds, not for long. */
+const MAX_RESUMES = 4;
+const STREAM_HEADERS = {
+  "content-type": "text/event-stream; charset=utf-8",
+  "cache-control": "no-store",
+  "x-accel-buffering": "no",
+};
+const JSON_HEADERS = { "content-type": "application/json" };
+const HTTP_OK = 200;
+const HTTP_NOT_FOUND = 404;
+
+/**
+ * A completion at a model engine, streamed or whole.
+ *
+ * A connection that breaks is no reason to run the request again: the engine
+ * still holds it, so the stream goes on from the last token passed on. That is
+ * no second dispatch, and the caller sees neither a gap nor a double.
+ */
+export class ModelDispatch extends Dispatch {
+  #stream = this.#createStream();
+  #text = "";
+  #hasFirstToken = false;
+
+  override async run(): Promise<Result<DispatchSummary, UpstreamError>> {
+    const { client, request, target, signal } = this.options;
+    const sent = await client.send({
+      url: target.url,
+      method: "POST",
+      path: CHAT_PATH,
+      headers: JSON_HEADERS,
+      body: request.body,
+      nonce: target.nonce,
+      signal,
+    });
+    if (sent.isErr()) return this.#recover(sent.error);
+    if (sent.value.status !== HTTP_OK) {
+      return await this.#relayRefusal(sent.value);
+    }
+    if (request.wantsStream) return await this.#relayStream(sent.value);
+    return await this.#relayWhole(sent.value);
+  }
+
+  override async resume(): Promise<Result<DispatchSummary, UpstreamError>> {
+    return await this.#resumeFrom({
+      kind: "broken",
+      detail: "Another host held the connection",
+    });
+  }
+
+  /** Only a connection that broke after bytes had left can be resumed. */
+  #recover(
+    error: UpstreamError,
+  ): Promise<Result<DispatchSummary, UpstreamError>> {
+    if (error.kind !== "broken") return Promise.resolve(err(error));
+    return this.#resumeFrom(error);
+  }
+
+  async #resumeFrom(
+    cause: UpstreamError,
+  ): Promise<Result<DispatchSummary, UpstreamError>> {
+    let error = cause;
+    for (
+      let attempt = 0;
+      attempt < MAX_RESUMES && error.kind === "broken";
+      attempt++
+    ) {
+      this.options.onSafeguard("resume");
+      const answer = await this.#sendResume();
+      if (answer.isErr()) {
+        error = answer.error;
+        continue;
+      }
+      if (answer.value.status === HTTP_NOT_FOUND) return err({ kind: "gone" });
+      if (answer.value.status !== HTTP_OK) return err({ kind: "gone" });
+      const relayed = await this.#readStream(answer.value);
+      if (relayed.isOk()) return this.#finishStream();
+      error = relayed.error;
+    }
+    return err(error);
+  }
+
+  #sendResume(): Promise<Result<UpstreamAnswer, UpstreamError>> {
+    const { client, target, signal } = this.options;
+    this.#stream.restart();
+    return client.send({
+      url: target.url,
+      method: "POST",
+      path: `/v1/requests/${target.nonce}/resume`,
+      headers: JSON_HEADERS,
+      body: JSON.stringify({ offset: this.#stream.tokens }),
+      nonce: target.nonce,
+      signal,
+    });
+  }
+
+  async #relayStream(
+    answer: UpstreamAnswer,
+  ): Promise<Result<DispatchSummary, UpstreamError>> {
+    const relayed = await this.#readStream(answer);
+    if (relayed.isErr()) return await this.#recover(relayed.error);
+    return this.#finishStream();
+  }
+
+  async #readStream(
+    { body }: UpstreamAnswer,
+  ): Promise<Result<void, UpstreamError>> {
+    const { record } = this.options;
+    let failure: UpstreamError | undefined;
+    const read = await this.collect(body, (part) => {
+      this.#stream.feed(part);
+      failure = this.#stream.error;
+      if (failure !== undefined || this.#stream.isWhole) body.destroy();
+      if (record.isFull) return record.whenRoom();
+    });
+    if (this.#stream.hasExcess) this.options.onSafeguard("excess_answer");
+    if (this.#stream.isWhole) return ok();
+    if (failure !== undefined) return err(failure);
+    if (read.isErr()) return err(read.error);
+    return err({
+      kind: "broken",
+      detail: "The stream ended without its end mark",
+    });
+  }
+
+  #finishStream(): Result<DispatchSummary, UpstreamError> {
+    const { request, record, target } = this.options;
+    const usage = this.#stream.usage;
+    if (!request.wantsStream) {
+      record.begin({ status: HTTP_OK, headers: JSON_HEADERS });
+      record.append(Buffer.from(JSON.stringify(this.#assembled(target.nonce))));
+    }
+    record.finish({ kind: "whole" });
+    return ok({
+      status: HTTP_OK,
+      outputTokens: this.#stream.tokens,
+      cachedTokens: usage?.cachedTokens,
+    });
+  }
+
+  #assembled(nonce: string): Record<string, unknown> {
+    const usage = this.#stream.usage;
+    return {
+      id: `chatcmpl-${nonce}`,
+      object: "chat.completion",
+      choices: [{
+        index: 0,
+        message: { role: "assistant", content: this.#text },
+        finish_reason: "stop",
+      }],
+      usage: {
+        prompt_tokens: usage?.promptTokens ?? 0,
+        completion_tokens: usage?.completionTokens ?? this.#stream.tokens,
+        prompt_tokens_details: { cached_tokens: usage?.cachedTokens ?? 0 },
+      },
+    };
+  }
+
+  async #relayWhole(
+    { status, body }: UpstreamAnswer,
+  ): Promise<Result<DispatchSummary, UpstreamError>> {
+    const { record, target } = this.options;
+    const parts: Buffer[] = [];
+    const read = await this.collect(body, (part) => void parts.push(part));
+    if (read.isErr()) return await this.#recover(read.error);
+    this.#noteToken();
+    const whole = Buffer.concat(parts);
+    const checked = checkWhole(whole, `chatcmpl-${target.nonce}`);
+    if (checked.isErr()) return err(checked.error);
+    record.begin({ status, headers: JSON_HEADERS });
+    record.append(whole);
+    record.finish({ kind: "whole" });
+    return ok({ status, ...checked.value });
+  }
+
+  /** An engine's own error document is an answer too, whole and with the nonce. */
+  async #relayRefusal(
+    { status, headers, body }: UpstreamAnswer,
+  ): Promise<Result<DispatchSummary, UpstreamError>> {
+    const parts: Buffer[] = [];
+    const read = await this.collect(body, (part) => void parts.push(part));
+    if (read.isErr()) return err(read.error);
+    const type = headers["content-type"] ?? "application/json";
+    this.options.record.begin({ status, headers: { "content-type": type } });
+    this.options.record.append(Buffer.concat(parts));
+    this.options.record.finish({ kind: "whole" });
+    return ok({ status, outputTokens: 0, cachedTokens: undefined });
+  }
+
+  #createStream(): CompletionStream {
+    return new CompletionStream(
+      this.options.target.nonce,
+      ({ data, isToken }) => {
+        if (isToken) this.#noteToken();
+        if (!this.options.request.wantsStream) {
+          this.#text += isToken ? contentOf(data) : "";
+          return;
+        }
+        this.options.record.begin({ status: HTTP_OK, headers: STREAM_HEADERS });
+        this.options.record.append(Buffer.from(`data: ${data}\n\n`));
+      },
+    );
+  }
+
+  #noteToken(): void {
+    if (this.#hasFirstToken) {
+      this.options.onToken();
+      return;
+    }
+    this.#hasFirstToken = true;
+    this.options.onFirstToken();
+  }
+}
+
+function contentOf(data: string): string {
+  const chunk = JSON.parse(data) as {
+    choices: { delta: { content: string } }[];
+  };
+  return chunk.choices[0]!.delta.content;
+}
+
+interface WholeCompletion {
+  id?: unknown;
+  usage?: Parameters<typeof usageOf>[0];
+}
+
+function checkWhole(
+  body: Buffer,
+  expectedId: string,
+): Result<
+  { outputTokens: number; cachedTokens: number | undefined },
+  UpstreamError
+> {
+  let completion: WholeCompletion;
+  try {
+    completion = JSON.parse(body.toString("utf8")) as WholeCompletion;
+  } catch {
+    return err({ kind: "malformed", detail: "The answer is not valid JSON" });
+  }
+  if (completion.id !== expectedId) {
+    return err({
+      kind: "not-own",
+      detail: "The answer's id is not this dispatch's",
+    });
+  }
+  const usage = completion.usage === undefined
+    ? undefined
+    : usageOf(completion.usage);
+  return ok({
+    outputTokens: usage?.completionTokens ?? 0,
+    cachedTokens: usage?.cachedTokens,
+  });
+}
--- /dev/null
+++ b/apps/entry/src/problem.ts
@@ -0,0 +1,213 @@
+import type { Ending, Milliseconds } from "@wasabivane/common";
+import type { RefusalReason } from "@wasabivane/decisions";
+
+interface ProblemKind {
+  readonly status: number;
+  readonly title: string;
+  readonly ending: Ending;
+}
+
+/**
+ * Every problem that a caller can get. `not-run` stands only where no byte of
+ * the request's key has left for an upstream and none can leave later.
+ */
+export const PROBLEMS = {
+  "malformed-request": {
+    status: 400,
+    title: "The request is malformed",
+    ending: "not-run",
+  },
+  "unauthenticated": {
+    status: 401,
+    title: "The API key is missing or unknown",
+    ending: "not-run",
+  },
+  "tier-not-allowed": {
+    status: 403,
+    title: "The account may not use this tier",
+    ending: "not-run",
+  },
+  "service-not-allowed": {
+    status: 403,
+    title: "The account may not use this service",
+    ending: "not-run",
+  },
+  "unknown-model": {
+    status: 404,
+    title: "No service has this model",
+    ending: "not-run",
+  },
+  "unknown-path": {
+    status: 404,
+    title: "No service has this path",
+    ending: "not-run",
+  },
+  "unknown-job": {
+    status: 404,
+    title: "The account has no such job",
+    ending: "unknown",
+  },
+  "body-too-large": {
+    status: 413,
+    title: "The body is too large",
+    ending: "not-run",
+  },
+  "key-malformed": {
+    status: 400,
+    title: "The idempotency key is neither a ticket nor a UUIDv7",
+    ending: "not-run",
+  },
+  "key-in-future": {
+    status: 400,
+    title: "The idempotency key was issued in the future",
+    ending: "not-run",
+  },
+  "key-expired": {
+    status: 409,
+    title: "The idempotency key has expired",
+    ending: "unknown",
+  },
+  "key-mismatch": {
+    status: 422,
+    title: "The idempotency key belongs to another body",
+    ending: "unknown",
+  },
+  "key-unknown": {
+    status: 409,
+    title: "An earlier attempt with this key may have run",
+    ending: "unknown",
+  },
+  "key-home-unreachable": {
+    status: 503,
+    title: "The host that knows this key does not answer",
+    ending: "unknown",
+  },
+  "key-table-full": {
+    status: 503,
+    title: "Too many idempotency keys are in use",
+    ending: "not-run",
+  },
+  "deadline-unreachable": {
+    status: 503,
+    title: "The deadline cannot be met",
+    ending: "not-run",
+  },
+  "deadline-passed": {
+    status: 504,
+    title: "The deadline passed before the request started",
+    ending: "not-run",
+  },
+  "shed": {
+    status: 503,
+    title: "The request gave way to more urgent work",
+    ending: "not-run",
+  },
+  "account-limit": {
+    status: 429,
+    title: "The account is over its limit",
+    ending: "not-run",
+  },
+  "no-upstream": {
+    status: 503,
+    title: "No upstream can take the request",
+    ending: "not-run",
+  },
+  "convicted": {
+    status: 422,
+    title: "This request has stopped the upstreams that ran it",
+    ending: "not-run",
+  },
+  "stopping": {
+    status: 503,
+    title: "This host is stopping",
+    ending: "not-run",
+  },
+  "not-ready": {
+    status: 503,
+    title: "This host has no bundle in force yet",
+    ending: "not-run",
+  },
+  "job-refused": {
+    status: 503,
+    title: "The job cannot be kept safely now",
+    ending: "not-run",
+  },
+  "answer-broken": {
+    status: 502,
+    title: "The upstream broke off its answer",
+    ending: "unknown",
+  },
+  "answer-not-own": {
+    status: 502,
+    title: "The upstream answered something else",
+    ending: "unknown",
+  },
+  "answer-late": {
+    status: 504,
+    title: "The answer did not arrive by the deadline",
+    ending: "unknown",
+  },
+  "answer-gone": {
+    status: 410,
+    title: "The answer is no longer kept",
+    ending: "unknown",
+  },
+} as const satisfies Record<string, ProblemKind>;
+
+/** Name of a problem; the last part of its `type`. */
+export type ProblemName = keyof typeof PROBLEMS;
+
+/** What a problem says beyond its kind. */
+export interface ProblemDetails {
+  readonly detail?: string;
+  readonly retryAfter?: Milliseconds;
+}
+
+/** A problem that ends a request. */
+export interface Problem extends ProblemDetails {
+  readonly name: ProblemName;
+  /** Differs from the kind's ending only towards `unknown`. */
+  readonly ending: Ending;
+}
+
+/** Creates a problem of the given name. */
+export function problemOf(
+  name: ProblemName,
+  details: ProblemDetails = {},
+): Problem {
+  return { name, ending: PROBLEMS[name].ending, ...details };
+}
+
+/** The problem that tells a caller why the scheduler refused. */
+export function problemOfRefusal(
+  reason: RefusalReason,
+  retryAfter: Milliseconds,
+): Problem {
+  return problemOf(reason, { retryAfter });
+}
+
+/** The RFC 9457 document of a problem. */
+export function problemDocument(problem: Problem): Record<string, unknown> {
+  const { status, title } = PROBLEMS[problem.name];
+  return {
+    type: `urn:wasabivane:problem:${problem.name}`,
+    title,
+    status,
+    ending: problem.ending,
+    ...(problem.detail === undefined ? {} : { detail: problem.detail }),
+    ...(problem.retryAfter === undefined
+      ? {}
+      : { retryAfterMs: Math.ceil(problem.retryAfter) }),
+  };
+}
+
+/** The headers of a problem's answer. */
+export function problemHeaders(problem: Problem): Record<string, string> {
+  const headers: Record<string, string> = {
+    "content-type": "application/problem+json",
+  };
+  if (problem.retryAfter !== undefined) {
+    headers["retry-after"] = String(Math.ceil(problem.retryAfter / 1000));
+  }
+  return headers;
+}
--- /dev/null
+++ b/apps/entry/src/requestBody.ts
@@ -0,0 +1,40 @@
+import { Buffer } from "node:buffer";
+import type { IncomingMessage } from "node:http";
+import { err, ok, type Result } from "neverthrow";
+import { type Problem, problemOf } from "./problem.ts";
+
+/** Reads a whole body of bounded size; the rest of a larger one is not read. */
+export function readBody(
+  incoming: IncomingMessage,
+  maximumBytes: number,
+): Promise<Result<Buffer, Problem>> {
+  const announced = Number(incoming.headers["content-length"] ?? 0);
+  if (announced > maximumBytes) {
+    return Promise.resolve(err(problemOf("body-too-large")));
+  }
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    let bytes = 0;
+    incoming.on("data", (part: Buffer) => {
+      bytes += part.byteLength;
+      if (bytes <= maximumBytes) {
+        parts.push(part);
+        return;
+      }
+      incoming.pause();
+      resolve(err(problemOf("body-too-large")));
+    });
+    incoming.on("end", () => resolve(ok(Buffer.concat(parts))));
+    const cut = (): void => {
+      resolve(
+        err(
+          problemOf("malformed-request", {
+            detail: "The connection broke before the body's end",
+          }),
+        ),
+      );
+    };
+    incoming.on("error", cut);
+    incoming.on("aborted", cut);
+  });
+}
--- /dev/null
+++ b/apps/entry/src/requestMetrics.ts
@@ -0,0 +1,83 @@
+import type {
+  Metrics,
+  MetricTags,
+  Milliseconds,
+  Timer,
+} from "@wasabivane/common";
+import type { AcceptedRequest } from "./acceptedRequest.ts";
+import type { AnswerEnd } from "./answerRecord.ts";
+import type { DispatchSummary } from "./dispatch.ts";
+
+/** Histograms and counters of one request, by tier and client account. */
+export class RequestMetrics {
+  readonly #request: AcceptedRequest;
+  readonly #metrics: Metrics;
+  readonly #timer: Timer;
+  readonly #tags: MetricTags;
+  #lastTokenAt: Milliseconds | undefined;
+  #slowestGap = 0;
+
+  constructor(
+    request: AcceptedRequest,
+    { metrics, timer }: { metrics: Metrics; timer: Timer },
+  ) {
+    this.#request = request;
+    this.#metrics = metrics;
+    this.#timer = timer;
+    this.#tags = { tier: request.tier, account: request.account.account };
+  }
+
+  /** The keeper gave the request a place. */
+  granted(): void {
+    this.#metrics.observe("request.waiting_ms", this.#age(), this.#tags);
+  }
+
+  /** The first token, or the head of a whole answer, arrived. */
+  firstToken(): void {
+    this.#lastTokenAt = this.#timer.now();
+    this.#metrics.observe("request.first_token_ms", this.#age(), this.#tags);
+  }
+
+  /** A further token arrived; only the longest gap of an answer is kept, tokens are too many. */
+  token(): void {
+    const now = this.#timer.now();
+    this.#slowestGap = Math.max(
+      this.#slowestGap,
+      now - (this.#lastTokenAt ?? now),
+    );
+    this.#lastTokenAt = now;
+  }
+
+  /** The upstream's answer is whole. */
+  answered({ outputTokens }: DispatchSummary): void {
+    this.#metrics.observe("request.output_tokens", outputTokens, this.#tags);
+    this.#metrics.observe(
+      "request.prompt_tokens",
+      this.#request.promptTokens,
+      this.#tags,
+    );
+    if (outputTokens > 1) {
+      this.#metrics.observe(
+        "request.slowest_gap_ms",
+        this.#slowestGap,
+        this.#tags,
+      );
+    }
+  }
+
+  /** The request has its ending. */
+  ended(end: AnswerEnd): void {
+    const ending = end.kind === "whole" ? "whole" : end.problem.ending;
+    const problem = end.kind === "whole" ? "none" : end.problem.name;
+    this.#metrics.observe("request.whole_ms", this.#age(), this.#tags);
+    this.#metrics.count("request.ended", 1, {
+      ending,
+      problem,
+      tier: this.#request.tier,
+    });
+  }
+
+  #age(): Milliseconds {
+    return this.#timer.now() - this.#request.acceptedAt;
+  }
+}
--- /dev/null
+++ b/apps/entry/src/upstreamWatch.ts
@@ -0,0 +1,152 @@
+import { z } from "zod";
+import type { Bundle } from "@wasabivane/bundle";
+import {
+  Controller,
+  type Digest,
+  type Metrics,
+  type ServiceId,
+  type Timer,
+  type TimerSubscription,
+  type UpstreamId,
+} from "@wasabivane/common";
+import type { CacheEvent, LoadReport } from "@wasabivane/decisions";
+import type { UpstreamClient } from "./upstreamClient.ts";
+
+const POLL_PERIOD_MS = 1_000;
+const MAX_EVENTS = 4_096;
+const MAX_DIGESTS = 1_024;
+
+const loadDocument = z.object({
+  takenAt: z.number(),
+  running: z.number().min(0),
+  waiting: z.number().min(0),
+  memoryShare: z.number().min(0).max(1),
+});
+
+const cacheDocument = z.object({
+  events: z.array(z.object({
+    sequence: z.number().int(),
+    kind: z.enum(["stored", "evicted", "cleared"]),
+    digests: z.array(z.string().max(64)).max(MAX_DIGESTS),
+  })).max(MAX_EVENTS),
+});
+
+/** What the watch needs from its process. */
+export interface UpstreamWatchOptions {
+  readonly timer: Timer;
+  readonly metrics: Metrics;
+  readonly client: UpstreamClient;
+  readonly bundle: () => Bundle | undefined;
+  /** Services whose pools this host keeps; only their upstreams are asked. */
+  readonly keptServices: () => Iterable<ServiceId>;
+  readonly onLoad: (service: ServiceId, report: LoadReport) => void;
+  readonly onCache: (service: ServiceId, event: CacheEvent) => void;
+}
+
+/**
+ * Reads load reports and cache events of the upstreams whose pools this host
+ * keeps. Only the keeper reads them, so that each engine is asked once a
+ * second however many entry hosts there are.
+ */
+export class UpstreamWatch extends Controller {
+  readonly #options: UpstreamWatchOptions;
+  readonly #sequences = new Map<UpstreamId, number>();
+  readonly #pending = new Set<UpstreamId>();
+  #polling: TimerSubscription | undefined;
+
+  constructor(options: UpstreamWatchOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override start(): void {
+    const poll = (): void => this.#pollAll();
+    this.#polling = this.#options.timer.every(POLL_PERIOD_MS, poll);
+  }
+
+  override stop(): void {
+    this.#polling?.cancel();
+  }
+
+  #pollAll(): void {
+    const bundle = this.#options.bundle();
+    if (bundle === undefined) return;
+    const kept = new Set(this.#options.keptServices());
+    const models = new Set(
+      bundle.services.filter(({ kind }) => kind === "model").map((
+        { service },
+      ) => service),
+    );
+    for (const { upstream, service, url } of bundle.upstreams) {
+      if (!kept.has(service) || this.#pending.has(upstream)) continue;
+      void this.#poll({ upstream, service, url, isModel: models.has(service) });
+    }
+  }
+
+  async #poll(
+    target: {
+      upstream: UpstreamId;
+      service: ServiceId;
+      url: string;
+      isModel: boolean;
+    },
+  ): Promise<void> {
+    this.#pending.add(target.upstream);
+    await this.#pollLoad(target);
+    if (target.isModel) await this.#pollCache(target);
+    this.#pending.delete(target.upstream);
+  }
+
+  async #pollLoad(
+    { upstream, service, url }: {
+      upstream: UpstreamId;
+      service: ServiceId;
+      url: string;
+    },
+  ): Promise<void> {
+    const document = await this.#read(url, {
+      path: "/v1/load",
+      schema: loadDocument,
+    });
+    if (document === undefined) return;
+    const { timer, onLoad } = this.#options;
+    const age = Math.max(0, timer.wallNow() - document.takenAt);
+    onLoad(service, {
+      upstream,
+      takenAt: timer.now() - age,
+      runningRequests: document.running,
+      waitingRequests: document.waiting,
+      memoryShare: document.memoryShare,
+    });
+  }
+
+  async #pollCache(
+    { upstream, service, url }: {
+      upstream: UpstreamId;
+      service: ServiceId;
+      url: string;
+    },
+  ): Promise<void> {
+    const after = this.#sequences.get(upstream) ?? 0;
+    const path = `/v1/cache-events?after=${after}`;
+    const document = await this.#read(url, { path, schema: cacheDocument });
+    for (const event of document?.events ?? []) {
+      this.#sequences.set(upstream, event.sequence);
+      const digests = event.digests as Digest[];
+      this.#options.onCache(service, { ...event, upstream, digests });
+    }
+  }
+
+  async #read<Document>(
+    url: string,
+    { path, schema }: { path: string; schema: z.ZodType<Document> },
+  ): Promise<Document | undefined> {
+    const { client, metrics } = this.#options;
+    const answer = await client.readJson(url, path);
+    if (answer.isErr()) return undefined;
+    const parsed = schema.safeParse(answer.value);
+    if (parsed.success) return parsed.data;
+    metrics.count("upstream.malformed_report");
+    return undefined;
+  }
+}
