Compose the first pool scheduler from pure modules

Each decision stands in its own module: waiting order, account limits, in-flight bounds, length and speed estimates, routing, cache map, ejection and suspects. Scheduler gains importSuspicions, exportSuspicions and drainSuspicions with defaults, so that other implementations need no change.

--- /dev/null
+++ b/packages/decisions/src/placement.ts
@@ -0,0 +1,173 @@
+import type { Milliseconds, UpstreamId } from "@wasabivane/common";
+import type { Waiting } from "./accountLane.ts";
+import { TOKENS_PER_BLOCK } from "./cacheMap.ts";
+import type { LengthDistribution } from "./lengthEstimate.ts";
+import {
+  estimateRoute,
+  isCacheWorthWaiting,
+  type RouteEstimate,
+  type RouteQuery,
+} from "./router.ts";
+import type { Ask } from "./types.ts";
+import type { UpstreamPool } from "./upstreamPool.ts";
+import type { UpstreamState } from "./upstreamState.ts";
+
+/** Where a request should start. */
+export interface Place {
+  readonly state: UpstreamState;
+  readonly cachedTokens: number;
+  readonly estimate: RouteEstimate;
+}
+
+/** What a placement is asked for. */
+export interface PlacementQuery {
+  readonly waiting: Waiting;
+  readonly lengths: LengthDistribution;
+  readonly isSuspect: boolean;
+  readonly domainDistanceMs: Milliseconds;
+  readonly now: Milliseconds;
+}
+
+/** With this chance or more, a request need not wait for a better upstream. */
+const GOOD_PROBABILITY = 0.97;
+/** A better upstream must raise the chance by so much to be waited for. */
+const WORTHWHILE_GAIN = 0.02;
+
+/**
+ * The best free upstream for a request; `undefined` when it should rather wait:
+ * for room, for an upstream where it can meet its deadline, or for one that holds
+ * its prefix.
+ */
+export function findPlace(
+  pool: UpstreamPool,
+  query: PlacementQuery,
+): Place | undefined {
+  const { ask } = query.waiting;
+  const holders = cachedTokensByUpstream(pool, ask, query.now);
+  const route = routeQuery(query);
+  let best: Place | undefined;
+  for (const state of pool.candidates(holders.keys())) {
+    if (!isAllowed(pool, state, query)) continue;
+    const cachedTokens = holders.get(state.description.upstream) ?? 0;
+    const estimate = estimateAt(pool, state, { cachedTokens, route });
+    const place = { state, cachedTokens, estimate };
+    if (best === undefined || isBetter(place, best, query)) best = place;
+  }
+  if (best === undefined) return undefined;
+  if (shouldWaitForFaster(pool, best, query)) return undefined;
+  if (shouldWaitForCache(pool, best, { query, route, holders })) {
+    return undefined;
+  }
+  return best;
+}
+
+function routeQuery(
+  { waiting, lengths, domainDistanceMs, now }: PlacementQuery,
+): RouteQuery {
+  return {
+    ask: waiting.ask,
+    meanOutputTokens: lengths.mean(),
+    probabilityWithin: (tokens) => lengths.probabilityWithin(tokens),
+    domainDistanceMs,
+    now,
+  };
+}
+
+function estimateAt(
+  pool: UpstreamPool,
+  state: UpstreamState,
+  { cachedTokens, route }: { cachedTokens: number; route: RouteQuery },
+): RouteEstimate {
+  return estimateRoute({
+    description: state.description,
+    times: pool.speeds.times(state.description.upstream),
+    inFlightRequests: state.attempts.size,
+    prefillBacklogTokens: state.prefillBacklogTokens,
+    cachedTokens,
+    report: state.report,
+  }, route);
+}
+
+function isAllowed(
+  pool: UpstreamPool,
+  state: UpstreamState,
+  { waiting, isSuspect }: PlacementQuery,
+): boolean {
+  if (isSuspect && state.suspect !== undefined) return false;
+  return state.hasRoomFor(waiting.expectedTokens, pool.share);
+}
+
+/** A suspect goes where its loss would cost the fewest; others where they end first. */
+function isBetter(
+  place: Place,
+  other: Place,
+  { isSuspect }: PlacementQuery,
+): boolean {
+  if (isSuspect && place.state.attempts.size !== other.state.attempts.size) {
+    return place.state.attempts.size < other.state.attempts.size;
+  }
+  return place.estimate.cost < other.estimate.cost;
+}
+
+function shouldWaitForFaster(
+  pool: UpstreamPool,
+  { estimate }: Place,
+  { waiting, lengths, now }: PlacementQuery,
+): boolean {
+  if (estimate.probability >= GOOD_PROBABILITY) return false;
+  const { ask } = waiting;
+  const times = pool.bestTimes(lengths.mean(), ask.promptTokens);
+  const left = ask.deadline - now - ask.promptTokens * times.prefillMsPerToken;
+  const possible = lengths.probabilityWithin(left / times.decodeMsPerToken);
+  return possible > estimate.probability + WORTHWHILE_GAIN;
+}
+
+function shouldWaitForCache(
+  pool: UpstreamPool,
+  best: Place,
+  { query, route, holders }: {
+    query: PlacementQuery;
+    route: RouteQuery;
+    holders: ReadonlyMap<UpstreamId, number>;
+  },
+): boolean {
+  const { waiting, now } = query;
+  if (waiting.heldUntil !== undefined && waiting.heldUntil <= now) return false;
+  const { prefillMsPerToken } = pool.speeds.times(
+    best.state.description.upstream,
+  );
+  for (const [upstream, cachedTokens] of holders) {
+    const savedTokens = cachedTokens - best.cachedTokens;
+    const state = pool.states.get(upstream);
+    if (savedTokens <= 0 || state === undefined) continue;
+    if (state.isEjected || state.description.isLeaving) continue;
+    if (pool.free.has(state)) continue;
+    const { expectedMs } = estimateAt(pool, state, { cachedTokens, route });
+    const inFlightRequests = state.attempts.size;
+    const isWorthWaiting = isCacheWorthWaiting({
+      savedTokens,
+      prefillMsPerToken,
+      expectedMs,
+      inFlightRequests,
+    });
+    if (!isWorthWaiting) continue;
+    waiting.heldUntil ??= now + savedTokens * prefillMsPerToken / 2;
+    return waiting.heldUntil > now;
+  }
+  return false;
+}
+
+function cachedTokensByUpstream(
+  pool: UpstreamPool,
+  ask: Ask,
+  now: Milliseconds,
+): Map<UpstreamId, number> {
+  const found = new Map<UpstreamId, number>();
+  for (
+    const { upstream, blocks } of pool.cache.holders(ask.prefixDigests, now)
+  ) {
+    const tokens = Math.min(blocks * TOKENS_PER_BLOCK, ask.promptTokens - 1);
+    found.set(upstream, tokens);
+  }
+  return found;
+}
--- a/packages/decisions/src/scheduler.ts
+++ b/packages/decisions/src/scheduler.ts
@@ -5,6 +5,7 @@
   RequestId,
   UpstreamId,
 } from "@wasabivane/common";
+import type { Suspicion } from "./suspects.ts";
 import type {
   Ask,
   AttemptReport,
@@ -67,4 +68,20 @@
   /** Deadlines, probes and expiries; call at least every 100 ms. */
   abstract tick(now: Milliseconds): Decision[];
   abstract status(): SchedulerStatus;
+
+  /** Takes in what other keepers hold against request contents. */
+  importSuspicions(
+    _suspicions: readonly Suspicion[],
+    _now: Milliseconds,
+  ): void {}
+
+  /** All that is held against request contents, for a keeper that takes over. */
+  exportSuspicions(_now: Milliseconds): Suspicion[] {
+    return [];
+  }
+
+  /** What changed since the last call; to be told to the peers at once. */
+  drainSuspicions(_now: Milliseconds): Suspicion[] {
+    return [];
+  }
 }
--- /dev/null
+++ b/packages/decisions/src/upstreamState.ts
@@ -0,0 +1,100 @@
+import type { Milliseconds, RequestId } from "@wasabivane/common";
+import type { Ask, LoadReport, UpstreamDescription } from "./types.ts";
+import { UpstreamBound, type UpstreamBoundOptions } from "./upstreamBound.ts";
+
+/** A request in flight, with what its grant rested on. */
+export interface PoolAttempt {
+  readonly ask: Ask;
+  readonly state: UpstreamState;
+  readonly grantedAt: Milliseconds;
+  firstTokenAt?: Milliseconds;
+  /** Prompt tokens that were to be computed there at the grant, its own included. */
+  readonly backlogTokens: number;
+  readonly uncachedTokens: number;
+  /** Tokens that it counts against the bound, the account and its fairness. */
+  readonly expectedTokens: number;
+  readonly inFlightRequests: number;
+  readonly inFlightTokens: number;
+  /** The loss of its upstream has been taken in already. */
+  isLost: boolean;
+}
+
+/** What counts towards one attempt at its grant. */
+export interface GrantDetails {
+  readonly now: Milliseconds;
+  readonly uncachedTokens: number;
+  readonly expectedTokens: number;
+}
+
+/** One upstream as its keeper knows it: own work in flight first, reports second. */
+export class UpstreamState {
+  readonly bound: UpstreamBound;
+  readonly attempts = new Map<RequestId, PoolAttempt>();
+  description: UpstreamDescription;
+  isEjected = false;
+  /** The one suspect that runs here. */
+  suspect: RequestId | undefined;
+  report: LoadReport | undefined;
+  prefillBacklogTokens = 0;
+  inFlightTokens = 0;
+
+  constructor(description: UpstreamDescription, bound: UpstreamBoundOptions) {
+    this.description = description;
+    this.bound = new UpstreamBound(bound);
+  }
+
+  /** Whether one more request may be in flight. */
+  isOpen(share: number): boolean {
+    return !this.description.isLeaving && !this.isEjected &&
+      this.attempts.size < this.requestBound(share);
+  }
+
+  /** Requests that may be in flight under a share of the pool. */
+  requestBound(share: number): number {
+    return share <= 0
+      ? 0
+      : Math.max(1, Math.floor(this.bound.requests * share));
+  }
+
+  /** Whether a request of this size fits; a lone one always does. */
+  hasRoomFor(tokens: number, share: number): boolean {
+    return this.attempts.size === 0 ||
+      this.inFlightTokens + tokens <= this.bound.tokens * share;
+  }
+
+  /** Counts a request in. */
+  add(ask: Ask, details: GrantDetails): PoolAttempt {
+    this.prefillBacklogTokens += details.uncachedTokens;
+    this.inFlightTokens += details.expectedTokens;
+    const attempt: PoolAttempt = {
+      ask,
+      state: this,
+      grantedAt: details.now,
+      backlogTokens: this.prefillBacklogTokens,
+      uncachedTokens: details.uncachedTokens,
+      expectedTokens: details.expectedTokens,
+      inFlightRequests: this.attempts.size + 1,
+      inFlightTokens: this.inFlightTokens,
+      isLost: false,
+    };
+    this.attempts.set(ask.request, attempt);
+    return attempt;
+  }
+
+  /** The prompt of an attempt is computed. */
+  prefilled(attempt: PoolAttempt, now: Milliseconds): void {
+    if (attempt.firstTokenAt !== undefined) return;
+    attempt.firstTokenAt = now;
+    this.prefillBacklogTokens -= attempt.uncachedTokens;
+  }
+
+  /** Counts a request out. */
+  remove(attempt: PoolAttempt): void {
+    this.attempts.delete(attempt.ask.request);
+    this.inFlightTokens -= attempt.expectedTokens;
+    if (attempt.firstTokenAt === undefined) {
+      this.prefillBacklogTokens -= attempt.uncachedTokens;
+    }
+    if (this.suspect === attempt.ask.request) this.suspect = undefined;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/waitQueue.ts
@@ -0,0 +1,353 @@
+import {
+  type ClientAccountId,
+  Heap,
+  type HostId,
+  type Milliseconds,
+  type RequestId,
+  type Tier,
+} from "@wasabivane/common";
+import type { Ask } from "./types.ts";
+import { AccountLane, type Waiting } from "./accountLane.ts";
+
+/** What is known of a request when it starts to wait. */
+export interface WaitingDetails {
+  readonly now: Milliseconds;
+  /** Prompt and expected output. */
+  readonly expectedTokens: number;
+  /** Expected time at an upstream. */
+  readonly expectedMs: Milliseconds;
+  /** The last moment at which a start can still meet the deadline. */
+  readonly latestStart: Milliseconds;
+}
+
+/** Options of a {@link WaitQueue}. */
+export interface WaitQueueOptions {
+  readonly maximumTokens: number;
+  readonly maximumBytes: number;
+  /** How many times its own length a request gives way to shorter ones. */
+  readonly stretch?: number;
+}
+
+/** Whether a waiting request can start now. */
+export type Acceptance = "start" | "blocked" | "account-blocked";
+
+/** A request has given way to shorter ones when it waited so many times its own length. */
+const DEFAULT_STRETCH = 20;
+/** Blocked requests that are passed by in each tier before the next tier has its turn. */
+const MAXIMUM_PASSED_BY = 4;
+
+/**
+ * Answers the load patterns of a burst, a hot account, long jobs among short
+ * ones and overload. Order: tier; then the account with the fewest served tokens;
+ * then arrival plus a multiple of the expected length, so that short requests
+ * overtake long ones but not for ever. A full queue sheds the lowest tier first,
+ * there the request with the most expected tokens. Without it, whoever sends
+ * most is served most, and one long job delays a hundred short ones.
+ *
+ * Grounds: an account that was idle starts at the count of the one that is next
+ * to be served, so idleness saves up nothing; served tokens rather than requests
+ * count, since lengths differ a hundredfold.
+ */
+export class WaitQueue {
+  readonly #tiers = new Map<Tier, TierQueue>();
+  #order: TierQueue[] = [];
+  readonly #waiting = new Map<RequestId, Waiting>();
+  readonly #stretch: number;
+  #maximumTokens: number;
+  #maximumBytes: number;
+  #tokens = 0;
+  #bytes = 0;
+  #byLatestStart = new Heap<Waiting>((left, right) =>
+    left.latestStart < right.latestStart
+  );
+
+  constructor(
+    { maximumTokens, maximumBytes, stretch = DEFAULT_STRETCH }:
+      WaitQueueOptions,
+  ) {
+    this.#maximumTokens = maximumTokens;
+    this.#maximumBytes = maximumBytes;
+    this.#stretch = stretch;
+  }
+
+  get size(): number {
+    return this.#waiting.size;
+  }
+
+  get tokens(): number {
+    return this.#tokens;
+  }
+
+  /** Replaces the bounds; requests beyond them are shed by the next push. */
+  setBounds(maximumTokens: number, maximumBytes: number): void {
+    this.#maximumTokens = maximumTokens;
+    this.#maximumBytes = maximumBytes;
+  }
+
+  /** Takes a request in and returns those shed for it, perhaps itself. */
+  push(ask: Ask, details: WaitingDetails): Waiting[] {
+    const waiting: Waiting = {
+      ask,
+      expectedTokens: details.expectedTokens,
+      expectedMs: details.expectedMs,
+      latestStart: details.latestStart,
+      key: details.now + this.#stretch * details.expectedMs,
+      since: details.now,
+      isGone: false,
+    };
+    this.#waiting.set(ask.request, waiting);
+    this.#tokens += waiting.expectedTokens;
+    this.#bytes += ask.bodyBytes;
+    this.#tier(ask.tier).add(waiting);
+    this.#byLatestStart.push(waiting);
+    return this.#shedOverflow();
+  }
+
+  /** Takes a request out; undefined when it does not wait. */
+  remove(request: RequestId): Waiting | undefined {
+    const waiting = this.#waiting.get(request);
+    if (waiting !== undefined) this.#leave(waiting);
+    return waiting;
+  }
+
+  /** Takes out every request of one origin. */
+  removeOrigin(origin: HostId): Waiting[] {
+    const found = [...this.#waiting.values()]
+      .filter(({ ask }) => ask.origin === origin);
+    found.forEach((waiting) => this.#leave(waiting));
+    return found;
+  }
+
+  /** Takes out the requests whose latest start has passed. */
+  removeLate(now: Milliseconds): Waiting[] {
+    const late: Waiting[] = [];
+    let next = this.#byLatestStart.peek();
+    while (next !== undefined && (next.isGone || next.latestStart < now)) {
+      this.#byLatestStart.pop();
+      if (!next.isGone) {
+        this.#leave(next);
+        late.push(next);
+      }
+      next = this.#byLatestStart.peek();
+    }
+    return late;
+  }
+
+  /**
+   * Takes out the first request, in order, that can start. Blocked ones are
+   * passed by and stay; a few in each tier, so that one call stays cheap.
+   */
+  take(accept: (waiting: Waiting) => Acceptance): Waiting | undefined {
+    for (const tier of this.#order) {
+      const found = tier.take(accept);
+      if (found === undefined) continue;
+      this.#leave(found);
+      return found;
+    }
+    return undefined;
+  }
+
+  /** Corrects an account's served tokens once the real length is known. */
+  correctServed(
+    tier: Tier,
+    account: ClientAccountId,
+    tokens: number,
+  ): void {
+    this.#tiers.get(tier)?.charge(account, tokens);
+  }
+
+  /** Expected tokens that would be served before a request of this tier, account and length. */
+  tokensAhead(ask: Ask, expectedTokens: number): number {
+    let ahead = 0;
+    for (const tier of this.#order) {
+      if (tier.tier < ask.tier) ahead += tier.tokens;
+      if (tier.tier === ask.tier) {
+        ahead += tier.tokensAhead(ask.account, expectedTokens);
+      }
+    }
+    return ahead;
+  }
+
+  /** Waiting requests by tier and account. */
+  counts(): { tier: Tier; account: ClientAccountId; requests: number }[] {
+    return this.#order.flatMap((tier) => tier.counts());
+  }
+
+  /** The least urgent tier that has a waiting request. */
+  lowestTier(): Tier | undefined {
+    return this.#order.findLast(({ size }) => size > 0)?.tier;
+  }
+
+  #shedOverflow(): Waiting[] {
+    const shed: Waiting[] = [];
+    while (
+      this.#tokens > this.#maximumTokens || this.#bytes > this.#maximumBytes
+    ) {
+      const victim = this.#order.findLast(({ size }) => size > 0)?.costliest();
+      if (victim === undefined) break;
+      this.#leave(victim);
+      shed.push(victim);
+    }
+    return shed;
+  }
+
+  #leave(waiting: Waiting): void {
+    waiting.isGone = true;
+    this.#waiting.delete(waiting.ask.request);
+    this.#tokens -= waiting.expectedTokens;
+    this.#bytes -= waiting.ask.bodyBytes;
+    this.#tiers.get(waiting.ask.tier)!.forget(waiting);
+    if (this.#byLatestStart.size > 64 + 2 * this.#waiting.size) {
+      this.#rebuildByLatestStart();
+    }
+  }
+
+  #rebuildByLatestStart(): void {
+    this.#byLatestStart = new Heap((left, right) =>
+      left.latestStart < right.latestStart
+    );
+    for (const waiting of this.#waiting.values()) {
+      this.#byLatestStart.push(waiting);
+    }
+  }
+
+  #tier(tier: Tier): TierQueue {
+    const known = this.#tiers.get(tier);
+    if (known !== undefined) return known;
+    const added = new TierQueue(tier);
+    this.#tiers.set(tier, added);
+    this.#order = [...this.#tiers.values()]
+      .sort((left, right) => left.tier - right.tier);
+    return added;
+  }
+}
+
+/** The lanes of one tier, the account with the fewest served tokens first. */
+class TierQueue {
+  readonly tier: Tier;
+  readonly #lanes = new Map<ClientAccountId, AccountLane>();
+  #ready = new Heap<AccountLane>((left, right) => left.served < right.served);
+  #costly = new Heap<Waiting>(isCostlier);
+  #reached = 0;
+  size = 0;
+  tokens = 0;
+
+  constructor(tier: Tier) {
+    this.tier = tier;
+  }
+
+  add(waiting: Waiting): void {
+    const { account } = waiting.ask;
+    const lane = this.#lanes.get(account) ?? new AccountLane(account);
+    this.#lanes.set(account, lane);
+    if (lane.size === 0) {
+      lane.served = Math.max(lane.served, this.#reached);
+      this.#enter(lane);
+    }
+    lane.add(waiting);
+    this.size++;
+    this.tokens += waiting.expectedTokens;
+    this.#costly.push(waiting);
+    if (this.#costly.size > 64 + 2 * this.size) this.#rebuildCostly();
+  }
+
+  /** Counts out a request that left; the heaps drop it later. */
+  forget(waiting: Waiting): void {
+    this.size--;
+    this.tokens -= waiting.expectedTokens;
+    this.#lanes.get(waiting.ask.account)!.forget(waiting);
+  }
+
+  take(accept: (waiting: Waiting) => Acceptance): Waiting | undefined {
+    if (this.size === 0) return undefined;
+    const setAside: { lane: AccountLane; waiting: Waiting }[] = [];
+    const lanesAside: AccountLane[] = [];
+    let found: Waiting | undefined;
+    while (found === undefined && setAside.length < MAXIMUM_PASSED_BY) {
+      const lane = this.#ready.pop();
+      if (lane === undefined) break;
+      const waiting = lane.pop();
+      if (waiting === undefined) {
+        lane.isReady = false;
+        continue;
+      }
+      const acceptance = accept(waiting);
+      if (acceptance === "start") {
+        found = waiting;
+        this.#reached = Math.max(this.#reached, lane.served);
+        lane.served += waiting.expectedTokens;
+      } else {
+        setAside.push({ lane, waiting });
+      }
+      if (acceptance === "account-blocked") lanesAside.push(lane);
+      else this.#ready.push(lane);
+    }
+    for (const { lane, waiting } of setAside) lane.putBack(waiting);
+    for (const lane of lanesAside) this.#ready.push(lane);
+    for (const { lane } of setAside) {
+      if (!lane.isReady) this.#enter(lane);
+    }
+    return found;
+  }
+
+  charge(account: ClientAccountId, tokens: number): void {
+    const lane = this.#lanes.get(account);
+    if (lane === undefined) return;
+    lane.served += tokens;
+    if (!lane.isReady) return;
+    const lanes = [...this.#lanes.values()].filter(({ isReady }) => isReady);
+    this.#ready = new Heap((left, right) => left.served < right.served);
+    lanes.forEach((ready) => this.#ready.push(ready));
+  }
+
+  costliest(): Waiting | undefined {
+    let first = this.#costly.peek();
+    while (first?.isGone) {
+      this.#costly.pop();
+      first = this.#costly.peek();
+    }
+    return first;
+  }
+
+  tokensAhead(account: ClientAccountId, expectedTokens: number): number {
+    const lane = this.#lanes.get(account);
+    const own = lane?.tokensShorterThan(expectedTokens) ?? 0;
+    let ahead = own;
+    // While the account's own share is served, each other account gets as much.
+    for (const other of this.#lanes.values()) {
+      if (other === lane || other.size === 0) continue;
+      ahead += Math.min(other.tokens, own + expectedTokens);
+    }
+    return ahead;
+  }
+
+  counts(): { tier: Tier; account: ClientAccountId; requests: number }[] {
+    return [...this.#lanes.values()]
+      .filter(({ size }) => size > 0)
+      .map(({ account, size }) => ({
+        tier: this.tier,
+        account,
+        requests: size,
+      }));
+  }
+
+  #enter(lane: AccountLane): void {
+    if (lane.isReady) return;
+    lane.isReady = true;
+    this.#ready.push(lane);
+  }
+
+  #rebuildCostly(): void {
+    this.#costly = new Heap(isCostlier);
+    for (const lane of this.#lanes.values()) {
+      for (const waiting of lane.waiting()) this.#costly.push(waiting);
+    }
+  }
+}
+
+function isCostlier(left: Waiting, right: Waiting): boolean {
+  if (left.expectedTokens !== right.expectedTokens) {
+    return left.expectedTokens > right.expectedTokens;
+  }
+  return left.since > right.since;
+}
--- /dev/null
+++ b/packages/decisions/tests/poolScheduler.test.ts
@@ -0,0 +1,61 @@
+import test from "ava";
+import { asId, type RequestId, SeededRandom } from "@wasabivane/common";
+import { type PoolPolicy, PoolScheduler } from "@wasabivane/decisions";
+import {
+  buildAsk,
+  buildPolicy,
+  describeDecisions,
+  upstreamId,
+} from "./helpers/pools.ts";
+
+function buildScheduler(
+  upstreams: number,
+  overrides: Partial<PoolPolicy> = {},
+): PoolScheduler {
+  return new PoolScheduler(buildPolicy(upstreams, overrides), {
+    random: new SeededRandom(1),
+  });
+}
+
+test("a free place goes to the most urgent tier", (t) => {
+  const scheduler = buildScheduler(1, { initialConcurrency: 1 });
+  scheduler.ask(buildAsk("running"), 0);
+  scheduler.ask(buildAsk("low", { tier: 4 }), 0);
+  scheduler.ask(buildAsk("high", { tier: 1 }), 1);
+  const decisions = scheduler.finish({
+    request: asId<RequestId>("running"),
+    upstream: upstreamId(0),
+    outcome: "whole",
+    outputTokens: 20,
+  }, 500);
+  t.deepEqual(describeDecisions(decisions), ["grant high u0"]);
+});
+
+test("a full queue sheds the lowest tier, whoever comes", (t) => {
+  const scheduler = buildScheduler(1, {
+    initialConcurrency: 1,
+    maximumWaitingBytes: 3_000,
+  });
+  scheduler.ask(buildAsk("running"), 0);
+  scheduler.ask(buildAsk("low", { tier: 4 }), 0);
+  t.deepEqual(
+    describeDecisions(scheduler.ask(buildAsk("high", { tier: 1 }), 1)),
+    ["refuse low shed"],
+  );
+  t.deepEqual(
+    describeDecisions(scheduler.ask(buildAsk("later", { tier: 3 }), 1)),
+    ["refuse later shed"],
+  );
+});
+
+test("a deadline that cannot be met is refused with the estimate", (t) => {
+  const scheduler = buildScheduler(1);
+  const [decision] = scheduler.ask(
+    buildAsk("late", { promptTokens: 20_000, deadline: 100 }),
+    0,
+  );
+  t.is(decision?.kind, "refuse");
+  if (decision?.kind !== "refuse") return;
+  t.is(decision.reason, "deadline-unreachable");
+  t.true(decision.estimate! > 100);
+});
