Add the peer link over WebSockets

Cause: entry hosts talk over TCP by IP number and are replaced at any time. Conclusion: other secrets, other names and rubbish are closed and counted, as the tests show.

--- /dev/null
+++ b/packages/coordination/src/inboundPeer.ts
@@ -0,0 +1,126 @@
+import type { Buffer } from "node:buffer";
+import type {
+  HostId,
+  Metrics,
+  PeerMessage,
+  Timer,
+  TimerSubscription,
+} from "@wasabivane/common";
+import type { WebSocket } from "ws";
+import { HANDSHAKE_MS } from "./outboundPeer.ts";
+import {
+  CHALLENGE,
+  CHALLENGE_BYTES,
+  handshakeProof,
+  HELLO,
+  type Hello,
+  isProofValid,
+  isVersionSpoken,
+  type ProofInput,
+  PROTOCOL_VERSION,
+  WELCOME,
+} from "./peerHandshake.ts";
+import type { FrameError, PeerCodec } from "./peerMessages.ts";
+import type { LinkIdentity } from "./webSocketLink.ts";
+
+/** What an {@link InboundPeer} needs. */
+export interface InboundPeerOptions {
+  readonly socket: WebSocket;
+  readonly channelBinding: string;
+  readonly identity: LinkIdentity;
+  readonly timer: Timer;
+  readonly metrics: Metrics;
+  readonly codec: PeerCodec;
+  readonly deliver: (from: HostId, message: PeerMessage) => void;
+}
+
+/** The receiving connection from one peer; nothing is delivered before its proof. */
+export class InboundPeer {
+  readonly #options: InboundPeerOptions;
+  readonly #challenge: string;
+  readonly #handshake: TimerSubscription;
+  #peer: HostId | undefined;
+
+  constructor(options: InboundPeerOptions) {
+    this.#options = options;
+    this.#challenge = options.identity.random.hex(CHALLENGE_BYTES);
+    const { socket, timer } = options;
+    this.#handshake = timer.after(HANDSHAKE_MS, () => socket.terminate());
+    socket.on("error", () => {});
+    socket.on("close", () => this.#handshake.cancel());
+  }
+
+  /** Sends the challenge that the dialer has to answer. */
+  challenge(): void {
+    this.#send({ kind: CHALLENGE.kind, body: { challenge: this.#challenge } });
+  }
+
+  receive(frame: Buffer): void {
+    const message = this.#options.codec.decode(frame);
+    if (message.isErr()) return this.#onFrameError(message.error);
+    if (this.#peer !== undefined) {
+      this.#options.deliver(this.#peer, message.value);
+      return;
+    }
+    if (message.value.kind !== HELLO.kind) return this.#reject("handshake");
+    this.#verify(message.value.body as Hello);
+  }
+
+  #verify(hello: Hello): void {
+    const { identity } = this.#options;
+    const input = this.#proofInput(hello, { side: "dialer" });
+    const isPeer = isVersionSpoken(hello.protocolVersion) &&
+      isProofValid(identity.sharedSecrets(), hello.proof, input);
+    if (!isPeer) return this.#reject("handshake");
+    this.#handshake.cancel();
+    this.#welcome(hello);
+    this.#peer = hello.host;
+  }
+
+  #welcome(hello: Hello): void {
+    const { identity } = this.#options;
+    const input = this.#proofInput(hello, { side: "listener" });
+    const body: Hello = {
+      protocolVersion: PROTOCOL_VERSION,
+      host: identity.host,
+      incarnation: identity.incarnation,
+      challenge: hello.challenge,
+      proof: handshakeProof(identity.sharedSecrets()[0]!, input),
+    };
+    this.#send({ kind: WELCOME.kind, body });
+  }
+
+  #proofInput(
+    hello: Hello,
+    { side }: { side: ProofInput["side"] },
+  ): ProofInput {
+    const { identity, channelBinding } = this.#options;
+    const isDialer = side === "dialer";
+    return {
+      side,
+      prover: isDialer ? hello.host : identity.host,
+      incarnation: isDialer ? hello.incarnation : identity.incarnation,
+      verifier: isDialer ? identity.host : hello.host,
+      listenerChallenge: this.#challenge,
+      dialerChallenge: hello.challenge,
+      channelBinding,
+    };
+  }
+
+  #onFrameError(error: FrameError): void {
+    const isNewerRelease = error.kind === "unknown-kind" &&
+      this.#peer !== undefined;
+    if (!isNewerRelease) return this.#reject(error.kind);
+    this.#options.metrics.count("peer_messages_unknown");
+  }
+
+  #reject(reason: string): void {
+    this.#options.metrics.count("peer_rejected", 1, { reason });
+    this.#options.socket.terminate();
+  }
+
+  #send(message: PeerMessage): void {
+    const frame = this.#options.codec.encode(message);
+    if (frame.isOk()) this.#options.socket.send(frame.value);
+  }
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,3 +1,6 @@
+export * from "./configurationController.ts";
+export * from "./configurationMessages.ts";
+export * from "./configurationSpread.ts";
 export * from "./memoryLink.ts";
 export * from "./messageShapes.ts";
 export * from "./peerMessages.ts";
@@ -5,6 +8,4 @@
 export * from "./poolKeeper.ts";
 export * from "./poolMembers.ts";
 export * from "./poolMessages.ts";
-export * from "./configurationController.ts";
-export * from "./configurationMessages.ts";
-export * from "./configurationSpread.ts";
+export * from "./webSocketLink.ts";
--- /dev/null
+++ b/packages/coordination/tests/webSocketLink.test.ts
@@ -0,0 +1,167 @@
+import { setTimeout as delay } from "node:timers/promises";
+import test from "ava";
+import {
+  asId,
+  type HostId,
+  type Incarnation,
+  MemoryMetrics,
+  SystemRandom,
+  SystemTimer,
+} from "@wasabivane/common";
+import {
+  defineMessage,
+  objectOf,
+  sendMessage,
+  subscribeMessage,
+  textOf,
+  WebSocketLink,
+} from "@wasabivane/coordination";
+import { generate } from "selfsigned";
+import { WebSocket } from "ws";
+
+const NOTE = defineMessage("test-note", objectOf({ text: textOf<string>() }));
+const A = asId<HostId>("a");
+const B = asId<HostId>("b");
+const LOOPBACK = "127.0.0.1";
+
+type LinkChanges = Partial<ConstructorParameters<typeof WebSocketLink>[0]>;
+
+function createLink(
+  host: HostId,
+  changes: LinkChanges = {},
+): { link: WebSocketLink; metrics: MemoryMetrics } {
+  const metrics = new MemoryMetrics();
+  const link = new WebSocketLink({
+    host,
+    incarnation: asId<Incarnation>(`${host}-1`),
+    timer: new SystemTimer(),
+    random: new SystemRandom(),
+    metrics,
+    sharedSecrets: ["peer secret"],
+    ...changes,
+  });
+  return { link, metrics };
+}
+
+async function listen(link: WebSocketLink, port = 0): Promise<string> {
+  const result = await link.listen({ address: LOOPBACK, port });
+  return `${LOOPBACK}:${result._unsafeUnwrap()}`;
+}
+
+async function eventually(isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) await delay(5);
+}
+
+test("messages reach a peer, also after it restarted at another address", async (t) => {
+  const { link: a } = createLink(A);
+  const { link: b } = createLink(B);
+  const seen: string[] = [];
+  subscribeMessage(b, NOTE, (from, { text }) => seen.push(`${from} ${text}`));
+  a.setAddresses(new Map([[B, await listen(b)]]));
+  sendMessage(a, NOTE, { to: B, body: { text: "first" } });
+  await eventually(() => seen.length === 1);
+  b.close();
+  const { link: restarted } = createLink(B);
+  subscribeMessage(restarted, NOTE, (_from, { text }) => seen.push(text));
+  a.setAddresses(new Map([[B, await listen(restarted)]]));
+  sendMessage(a, NOTE, { to: B, body: { text: "second" } });
+  await eventually(() => seen.length === 2);
+  t.deepEqual(seen, ["a first", "second"]);
+  a.close();
+  restarted.close();
+});
+
+test("a dial that was refused is tried again while messages wait", async (t) => {
+  const { link: placeholder } = createLink(B);
+  const address = await listen(placeholder);
+  placeholder.close();
+  const { link: a } = createLink(A, { addresses: new Map([[B, address]]) });
+  sendMessage(a, NOTE, { to: B, body: { text: "waits" } });
+  await delay(20);
+  const { link: b } = createLink(B);
+  const seen: string[] = [];
+  subscribeMessage(b, NOTE, (_from, { text }) => seen.push(text));
+  await listen(b, Number(address.split(":")[1]));
+  await eventually(() => seen.length === 1);
+  t.deepEqual(seen, ["waits"]);
+  a.close();
+  b.close();
+});
+
+test("a peer with another secret is closed and counted", async (t) => {
+  const { link: a } = createLink(A, { sharedSecrets: ["wrong"] });
+  const { link: b, metrics } = createLink(B);
+  subscribeMessage(b, NOTE, () => t.fail());
+  a.setAddresses(new Map([[B, await listen(b)]]));
+  sendMessage(a, NOTE, { to: B, body: { text: "forged" } });
+  await eventually(() =>
+    metrics.counter("peer_rejected", { reason: "handshake" }) > 0
+  );
+  t.pass();
+  a.close();
+  b.close();
+});
+
+test("a host under another name than the dialed one gets no message", async (t) => {
+  const { link: a, metrics } = createLink(A);
+  const { link: other } = createLink(asId<HostId>("other"));
+  subscribeMessage(other, NOTE, () => t.fail());
+  a.setAddresses(new Map([[B, await listen(other)]]));
+  sendMessage(a, NOTE, { to: B, body: { text: "for b only" } });
+  await eventually(() => Object.keys(metrics.counters()).length > 0);
+  t.pass();
+  a.close();
+  other.close();
+});
+
+test("rubbish before the proof closes the connection and is counted", async (t) => {
+  const { link: b, metrics } = createLink(B);
+  const socket = new WebSocket(`ws://${await listen(b)}/`);
+  socket.on("open", () => socket.send("rubbish"));
+  await new Promise((resolve) => socket.on("close", resolve));
+  t.is(metrics.counter("peer_rejected", { reason: "malformed" }), 1);
+  b.close();
+});
+
+test("peers with TLS speak, and go on after the certificate was renewed", async (t) => {
+  const authority = await createAuthority();
+  const first = await createCertificate(authority);
+  const { link: a } = createLink(A, { secureContext: first });
+  const { link: b } = createLink(B, { secureContext: first });
+  const seen: string[] = [];
+  subscribeMessage(b, NOTE, (_from, { text }) => seen.push(text));
+  const address = await listen(b);
+  a.setAddresses(new Map([[B, address]]));
+  sendMessage(a, NOTE, { to: B, body: { text: "first" } });
+  await eventually(() => seen.length === 1);
+  b.renewSecureContext(await createCertificate(authority));
+  a.setAddresses(new Map());
+  a.setAddresses(new Map([[B, address]]));
+  sendMessage(a, NOTE, { to: B, body: { text: "second" } });
+  await eventually(() => seen.length === 2);
+  t.deepEqual(seen, ["first", "second"]);
+  a.close();
+  b.close();
+});
+
+interface Certificate {
+  readonly key: string;
+  readonly cert: string;
+  readonly ca?: string;
+}
+
+async function createAuthority(): Promise<Certificate> {
+  const name = [{ name: "commonName", value: "peers authority" }];
+  const made = await generate(name, {
+    extensions: [
+      { name: "basicConstraints", cA: true, critical: true },
+      { name: "keyUsage", keyCertSign: true, critical: true },
+    ],
+  });
+  return { key: made.private, cert: made.cert };
+}
+
+async function createCertificate(ca: Certificate): Promise<Certificate> {
+  const made = await generate([{ name: "commonName", value: "peer" }], { ca });
+  return { key: made.private, cert: made.cert, ca: ca.cert };
+}
