Add HTTP stand-ins for engines, plain services and the platform

Tests, demos and the load tool need upstreams that speak the protocol of docs/ARCHITECTURE.md and fail on demand: resumable streams, crashes, pauses, crossed and doubled answers, runs counted by key, a read budget and stale values. All answer real HTTP and can be embedded.

--- /dev/null
+++ b/packages/stand-ins/src/chatRequest.ts
@@ -0,0 +1,34 @@
+import { Buffer } from "node:buffer";
+import { estimateTokens, prefixDigests } from "@wasabivane/common";
+import { type ChatMessage, promptText } from "@wasabivane/engine-model";
+import type { AnswerRequest } from "./engineAnswer.ts";
+
+/** A chat completions call. */
+export interface ChatRequest extends AnswerRequest {
+  readonly wantsStream: boolean;
+}
+
+/** Reads a chat completions body; `undefined` when it has no model or messages. */
+export function parseChatRequest(
+  body: Record<string, unknown>,
+  nonce: string,
+): ChatRequest | undefined {
+  const { model, messages, cache_salt: salt } = body;
+  if (typeof model !== "string" || !areMessages(messages)) return undefined;
+  const prompt = promptText(messages);
+  const maximum = body["max_completion_tokens"] ?? body["max_tokens"];
+  return {
+    nonce,
+    model,
+    prompt,
+    promptTokens: estimateTokens(Buffer.byteLength(prompt)),
+    prefixDigests: prefixDigests(typeof salt === "string" ? salt : "", prompt),
+    maximumTokens: typeof maximum === "number" ? maximum : Infinity,
+    wantsStream: body["stream"] === true,
+  };
+}
+
+function areMessages(value: unknown): value is ChatMessage[] {
+  return Array.isArray(value) && value.length > 0 &&
+    value.every((message) => typeof message === "object" && message !== null);
+}
--- /dev/null
+++ b/packages/stand-ins/src/engineStandIn.ts
@@ -0,0 +1,276 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import { SystemRandom } from "@wasabivane/common";
+import type { EngineCounters } from "@wasabivane/engine-model";
+import { streamAnswer, type StreamCut } from "./answerStream.ts";
+import { ArmedFaults, numberOr } from "./armedFaults.ts";
+import { parseChatRequest } from "./chatRequest.ts";
+import type { ShownAnswer } from "./chatShape.ts";
+import type { EngineAnswer } from "./engineAnswer.ts";
+import { EngineHost, type EngineHostOptions } from "./engineHost.ts";
+import {
+  answerError,
+  hangUp,
+  HttpStandIn,
+  type HttpStandInOptions,
+  readJsonObject,
+  type StandInAddress,
+  type StandInContext,
+} from "./httpStandIn.ts";
+import {
+  exportBlocks,
+  importBlocks,
+  parseBlocks,
+  parseDigests,
+} from "./kvBlocks.ts";
+import { OrderBook, type TakenOrder } from "./orderBook.ts";
+import type { LoggedRun } from "./runLog.ts";
+import { answerWhole } from "./wholeAnswer.ts";
+
+const NONCE_HEADER = "x-request-nonce";
+const NONCE = /^[A-Za-z0-9_-]{1,128}$/;
+const NONCE_BYTES = 16;
+
+/**
+ * Faults of the next answers; they take `{"count", "afterTokens"}`. An empty
+ * body makes `break-streams` break the open connections instead.
+ */
+export const ANSWER_FAULTS = [
+  "break-streams",
+  "truncate",
+  "wrong-nonce",
+  "second-answer",
+  "refuse",
+] as const;
+/** See {@link ANSWER_FAULTS}. */
+export type AnswerFault = typeof ANSWER_FAULTS[number];
+
+/** Options of an {@link EngineStandIn}. */
+export interface EngineStandInOptions
+  extends HttpStandInOptions, Omit<EngineHostOptions, "onCrash"> {
+  /** Whether orders with an old fencing number are refused. */
+  fencing?: "checked" | "ignored";
+}
+
+/** What `GET /control/state` tells. */
+export interface EngineStandInState {
+  readonly isUp: boolean;
+  readonly isPaused: boolean;
+  readonly counters: EngineCounters;
+  readonly runs: Readonly<Record<string, LoggedRun>>;
+  readonly orders: readonly TakenOrder[];
+}
+
+type ControlBody = Record<string, unknown>;
+type ControlAction = (body: ControlBody) => void;
+
+/** A model engine over HTTP, as `docs/ARCHITECTURE.md` describes the upstream protocol. */
+export class EngineStandIn extends HttpStandIn {
+  readonly #host: EngineHost;
+  readonly #orders: OrderBook;
+  readonly #faults = new ArmedFaults<AnswerFault>();
+  readonly #random = new SystemRandom();
+  readonly #actions: ReadonlyMap<string, ControlAction>;
+  /** The control request that causes a crash keeps its connection. */
+  #spared: IncomingMessage | undefined;
+
+  constructor(options: EngineStandInOptions = {}) {
+    super(options);
+    this.#host = new EngineHost({
+      ...options,
+      onCrash: () => this.breakConnections(this.#spared),
+    });
+    this.#orders = new OrderBook(options.fencing ?? "ignored");
+    this.#actions = this.#createActions();
+    this.#addControlRoutes();
+    this.#addEngineRoutes();
+  }
+
+  get state(): EngineStandInState {
+    return {
+      isUp: this.#host.model.isUp,
+      isPaused: this.#host.model.isPaused,
+      counters: this.#host.model.counters,
+      runs: this.#host.runs.byNonce(),
+      orders: this.#orders.taken,
+    };
+  }
+
+  override start(): Promise<StandInAddress> {
+    this.#host.restart();
+    return super.start();
+  }
+
+  override stop(): Promise<void> {
+    this.#host.stop();
+    return super.stop();
+  }
+
+  /** Does what `POST /control/ACTION` does; false when there is no such action. */
+  control(action: string, body: ControlBody = {}): boolean {
+    const run = this.#actions.get(action);
+    run?.(body);
+    return run !== undefined;
+  }
+
+  #createActions(): Map<string, ControlAction> {
+    const host = this.#host;
+    const actions = new Map<string, ControlAction>([
+      [
+        "crash",
+        (body) => host.crash(numberOr(body["restartAfterMs"], undefined)),
+      ],
+      ["restart", () => host.restart()],
+      ["slow-down", (body) => host.model.slowDown(numberOr(body["factor"], 1))],
+      ["pause", (body) => host.pause(numberOr(body["forMs"], undefined))],
+      ["resume", () => host.resume()],
+      ["clear", () => this.#faults.disarmAll()],
+    ]);
+    for (const fault of ANSWER_FAULTS) {
+      actions.set(fault, (body) => this.#faults.arm(fault, body));
+    }
+    actions.set("break-streams", (body) => this.#breakStreams(body));
+    return actions;
+  }
+
+  #breakStreams(body: ControlBody): void {
+    if (Object.keys(body).length === 0) this.breakConnections(this.#spared);
+    else this.#faults.arm("break-streams", body);
+  }
+
+  #addControlRoutes(): void {
+    this.app.get("/control/state", (context) => context.json(this.state));
+    this.app.post("/control/:action", async (context) => {
+      const body = await readJsonObject(context);
+      if (body === undefined) return malformed(context);
+      this.#spared = context.env.incoming;
+      const isKnown = this.control(context.req.param("action"), body);
+      this.#spared = undefined;
+      return isKnown ? context.json({}) : unknown(context);
+    });
+  }
+
+  #addEngineRoutes(): void {
+    this.app.use("/v1/*", async (context, next) => {
+      await this.#host.whenAwake();
+      if (!this.#host.model.isUp) return hangUp(context);
+      await next();
+    });
+    this.app.post("/v1/chat/completions", (context) => this.#chat(context));
+    this.app.post(
+      "/v1/requests/:nonce/resume",
+      (context) => this.#resume(context, context.req.param("nonce")),
+    );
+    this.app.delete("/v1/requests/:nonce", (context) => {
+      const isKnown = this.#host.cancel(context.req.param("nonce"));
+      return isKnown ? context.body(null, 204) : unknown(context);
+    });
+    this.app.get("/v1/load", (context) => context.json(this.#host.load()));
+    this.app.get("/v1/cache-events", (context) => {
+      const after = Number(context.req.query("after") ?? 0);
+      if (!Number.isSafeInteger(after)) return malformed(context);
+      return context.json({ events: this.#host.model.cacheEvents(after) });
+    });
+    this.app.post("/v1/kv/export", (context) => this.#export(context));
+    this.app.post("/v1/kv/import", (context) => this.#import(context));
+    this.app.post("/v1/orders", (context) => this.#order(context));
+  }
+
+  async #chat(context: StandInContext): Promise<Response> {
+    const nonce = context.req.header(NONCE_HEADER) ??
+      this.#random.hex(NONCE_BYTES);
+    const body = await readJsonObject(context);
+    const request = NONCE.test(nonce) && body !== undefined
+      ? parseChatRequest(body, nonce)
+      : undefined;
+    if (request === undefined) return malformed(context);
+    if (this.#faults.take("refuse") !== undefined) {
+      return answerError(context, { status: 503, message: "Engine refuses" });
+    }
+    const answer = this.#host.run(request);
+    if (answer === undefined) return hangUp(context);
+    const shown = this.#show(answer);
+    const { outgoing } = context.env;
+    outgoing.on("close", () => this.#host.release(answer));
+    if (request.wantsStream) this.#stream(shown, { outgoing, offset: 0 });
+    else answerWhole({ shown, outgoing, cut: this.#takeCut() });
+    return RESPONSE_ALREADY_SENT;
+  }
+
+  async #resume(context: StandInContext, nonce: string): Promise<Response> {
+    const body = await readJsonObject(context);
+    const offset = body?.["offset"];
+    if (!Number.isSafeInteger(offset) || Number(offset) < 0) {
+      return malformed(context);
+    }
+    const answer = this.#host.find(nonce);
+    if (answer === undefined) return unknown(context);
+    const { outgoing } = context.env;
+    outgoing.on("close", () => this.#host.release(answer));
+    const shown = this.#show(answer);
+    this.#stream(shown, { outgoing, offset: Number(offset) });
+    return RESPONSE_ALREADY_SENT;
+  }
+
+  #stream(
+    shown: ShownAnswer,
+    { outgoing, offset }: { outgoing: ServerResponse; offset: number },
+  ): void {
+    const isDoubled = this.#faults.take("second-answer") !== undefined;
+    streamAnswer({
+      shown,
+      outgoing,
+      offset,
+      cut: this.#takeCut(),
+      second: isDoubled
+        ? { ...shown, nonce: this.#random.hex(NONCE_BYTES) }
+        : undefined,
+    });
+  }
+
+  #show(answer: EngineAnswer): ShownAnswer {
+    const isWrong = this.#faults.take("wrong-nonce") !== undefined;
+    const nonce = isWrong
+      ? this.#random.hex(NONCE_BYTES)
+      : answer.request.nonce;
+    return { answer, nonce, createdSeconds: this.#host.wallSeconds() };
+  }
+
+  #takeCut(): StreamCut | undefined {
+    const broken = this.#faults.take("break-streams");
+    if (broken !== undefined) return { kind: "break", ...broken };
+    const truncated = this.#faults.take("truncate");
+    return truncated && { kind: "truncate", ...truncated };
+  }
+
+  async #export(context: StandInContext): Promise<Response> {
+    const digests = parseDigests((await readJsonObject(context))?.["digests"]);
+    if (digests === undefined) return malformed(context);
+    return context.json({ blocks: exportBlocks(this.#host.model, digests) });
+  }
+
+  async #import(context: StandInContext): Promise<Response> {
+    const blocks = parseBlocks((await readJsonObject(context))?.["blocks"]);
+    if (blocks === undefined || !importBlocks(this.#host.model, blocks)) {
+      return malformed(context);
+    }
+    return context.json({ imported: blocks.length });
+  }
+
+  async #order(context: StandInContext): Promise<Response> {
+    const body = await readJsonObject(context);
+    const fencing = body?.["fencing"];
+    if (typeof fencing !== "number") return malformed(context);
+    const isTaken = this.#orders.take({ order: body?.["order"], fencing });
+    if (isTaken) return context.json({});
+    return answerError(context, { status: 409, message: "Old fencing number" });
+  }
+}
+
+function malformed(context: StandInContext): Response {
+  return answerError(context, { status: 400, message: "Malformed request" });
+}
+
+function unknown(context: StandInContext): Response {
+  return answerError(context, { status: 404, message: "Unknown request" });
+}
--- /dev/null
+++ b/packages/stand-ins/src/plainStandIn.ts
@@ -0,0 +1,146 @@
+import {
+  type Milliseconds,
+  sleep,
+  SystemRandom,
+  SystemTimer,
+  type Timer,
+} from "@wasabivane/common";
+import { ArmedFaults } from "./armedFaults.ts";
+import {
+  answerError,
+  hangUp,
+  HttpStandIn,
+  type HttpStandInOptions,
+  readJsonObject,
+  type StandInContext,
+} from "./httpStandIn.ts";
+
+const NONCE_HEADER = "x-request-nonce";
+const KEY_HEADER = "idempotency-key";
+const NONCE_BYTES = 16;
+
+/** Faults of the next calls; they take `{"count", "delayMs"}`. */
+export const CALL_FAULTS = [
+  /** Answers only after `delayMs`. */
+  "slow",
+  /** Runs the call, then breaks the connection. */
+  "reset-after-run",
+  /** Answers 503 without a run. */
+  "refuse",
+  /** Runs the call and answers with another nonce. */
+  "wrong-nonce",
+] as const;
+/** See {@link CALL_FAULTS}. */
+export type CallFault = typeof CALL_FAULTS[number];
+
+/** Options of a {@link PlainStandIn}. */
+export interface PlainStandInOptions extends HttpStandInOptions {
+  timer?: Timer;
+  /** Time that each run takes. */
+  runMs?: Milliseconds;
+}
+
+/** How often calls ran; `GET /control/runs` tells it. */
+export interface PlainRuns {
+  readonly total: number;
+  readonly byKey: Readonly<Record<string, number>>;
+  readonly byNonce: Readonly<Record<string, number>>;
+}
+
+/** What the service echoes of a call. */
+export interface PlainEcho {
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  readonly body: string;
+}
+
+/** A plain service that echoes each call and counts its runs. */
+export class PlainStandIn extends HttpStandIn {
+  readonly #timer: Timer;
+  readonly #runMs: Milliseconds;
+  readonly #faults = new ArmedFaults<CallFault>();
+  readonly #random = new SystemRandom();
+  readonly #byKey = new Map<string, number>();
+  readonly #byNonce = new Map<string, number>();
+  #total = 0;
+
+  constructor(options: PlainStandInOptions = {}) {
+    super(options);
+    this.#timer = options.timer ?? new SystemTimer();
+    this.#runMs = options.runMs ?? 0;
+    this.app.get("/control/runs", (context) => context.json(this.runs));
+    this.app.post("/control/:action", (context) => this.#control(context));
+    this.app.all("*", (context) => this.#call(context));
+  }
+
+  get runs(): PlainRuns {
+    return {
+      total: this.#total,
+      byKey: Object.fromEntries(this.#byKey),
+      byNonce: Object.fromEntries(this.#byNonce),
+    };
+  }
+
+  /** Does what `POST /control/ACTION` does; false when there is no such action. */
+  control(action: string, body: Record<string, unknown> = {}): boolean {
+    if (action === "clear") {
+      this.#faults.disarmAll();
+      return true;
+    }
+    const fault = CALL_FAULTS.find((name) => name === action);
+    if (fault === undefined) return false;
+    this.#faults.arm(fault, body);
+    return true;
+  }
+
+  async #control(context: StandInContext): Promise<Response> {
+    const body = await readJsonObject(context);
+    if (body === undefined) {
+      return answerError(context, { status: 400, message: "Malformed body" });
+    }
+    const isKnown = this.control(context.req.param("action") ?? "", body);
+    if (isKnown) return context.json({});
+    return answerError(context, { status: 404, message: "Unknown action" });
+  }
+
+  async #call(context: StandInContext): Promise<Response> {
+    const body = await context.req.text();
+    if (this.#faults.take("refuse") !== undefined) {
+      return answerError(context, { status: 503, message: "Service refuses" });
+    }
+    this.#countRun(context);
+    const delay = this.#faults.take("slow")?.delayMs ?? this.#runMs;
+    if (delay > 0) await sleep(this.#timer, delay);
+    if (this.#faults.take("reset-after-run") !== undefined) {
+      return hangUp(context);
+    }
+    return this.#echo(context, body);
+  }
+
+  #countRun(context: StandInContext): void {
+    this.#total++;
+    increment(this.#byKey, context.req.header(KEY_HEADER));
+    increment(this.#byNonce, context.req.header(NONCE_HEADER));
+  }
+
+  #echo(context: StandInContext, body: string): Response {
+    const isWrong = this.#faults.take("wrong-nonce") !== undefined;
+    const nonce = isWrong
+      ? this.#random.hex(NONCE_BYTES)
+      : context.req.header(NONCE_HEADER);
+    if (nonce !== undefined) context.header(NONCE_HEADER, nonce);
+    const { pathname, search } = new URL(context.req.url);
+    const path = `${pathname}${search}`;
+    const echo: PlainEcho = { method: context.req.method, path, body };
+    return context.json(echo);
+  }
+}
+
+function increment(
+  counts: Map<string, number>,
+  name: string | undefined,
+): void {
+  if (name === undefined) return;
+  counts.set(name, (counts.get(name) ?? 0) + 1);
+}
--- /dev/null
+++ b/packages/stand-ins/src/publishedValue.ts
@@ -0,0 +1,102 @@
+import type { Milliseconds, Timer } from "@wasabivane/common";
+
+/** Whether a value can be read, and whether what is read is the newest. */
+export type PublishedMode = "up" | "down" | "stale";
+
+/** A value with its revision, as readers get it. */
+export interface PublishedRevision {
+  readonly revision: number;
+  readonly value: unknown;
+}
+
+/** What became of one read. */
+export type PublishedRead =
+  | { readonly kind: "value"; readonly published: PublishedRevision }
+  | { readonly kind: "nothing-newer" }
+  | { readonly kind: "down" };
+
+/** Options of a {@link PublishedValue}. */
+export interface PublishedValueOptions {
+  timer: Timer;
+  /** Time from a set to the moment when readers see it. */
+  lagMs: Milliseconds;
+}
+
+/** A value that readers read and watch. */
+export class PublishedValue {
+  readonly #timer: Timer;
+  readonly #lagMs: Milliseconds;
+  readonly #wakers = new Set<() => void>();
+  #mode: PublishedMode = "up";
+  #revision = 0;
+  /** What readers would see if the mode were up. */
+  #newest: PublishedRevision | undefined;
+  #shown: PublishedRevision | undefined;
+
+  constructor({ timer, lagMs }: PublishedValueOptions) {
+    this.#timer = timer;
+    this.#lagMs = lagMs;
+  }
+
+  get mode(): PublishedMode {
+    return this.#mode;
+  }
+
+  /** Sets the value; returns its revision. */
+  set(value: unknown): number {
+    const published = { revision: ++this.#revision, value };
+    if (this.#lagMs === 0) this.#publish(published);
+    else this.#timer.after(this.#lagMs, () => this.#publish(published));
+    return published.revision;
+  }
+
+  setMode(mode: PublishedMode): void {
+    this.#mode = mode;
+    if (mode === "up") this.#shown = this.#newest;
+    this.#wake();
+  }
+
+  /** The value past a revision, waiting for it at most `waitMs`. */
+  read(
+    { after, waitMs }: { after: number; waitMs: Milliseconds },
+  ): Promise<PublishedRead> {
+    return new Promise((resolve) => {
+      const finish = (read: PublishedRead): void => {
+        this.#wakers.delete(check);
+        timeout.cancel();
+        resolve(read);
+      };
+      const check = (): void => {
+        const read = this.#readNow(after);
+        if (read.kind !== "nothing-newer") finish(read);
+      };
+      const timeout = this.#timer.after(
+        waitMs,
+        () => finish({ kind: "nothing-newer" }),
+      );
+      this.#wakers.add(check);
+      check();
+      if (waitMs === 0) finish(this.#readNow(after));
+    });
+  }
+
+  #readNow(after: number): PublishedRead {
+    if (this.#mode === "down") return { kind: "down" };
+    const published = this.#shown;
+    if (published === undefined || published.revision <= after) {
+      return { kind: "nothing-newer" };
+    }
+    return { kind: "value", published };
+  }
+
+  #publish(published: PublishedRevision): void {
+    this.#newest = published;
+    if (this.#mode === "stale") return;
+    this.#shown = published;
+    this.#wake();
+  }
+
+  #wake(): void {
+    for (const check of [...this.#wakers]) check();
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/tests/helpers/chat.ts
@@ -0,0 +1,114 @@
+/** What a client got from one chat completions call or resume. */
+export interface Received {
+  status: number;
+  nonceHeader: string | null;
+  ids: Set<string>;
+  text: string;
+  tokens: number;
+  usage: Record<string, unknown> | undefined;
+  isDone: boolean;
+  /** Whether the connection broke before its end. */
+  isBroken: boolean;
+}
+
+export interface ChatOptions {
+  nonce?: string;
+  prompt: string;
+  stream?: boolean;
+  salt?: string;
+  maximumTokens?: number;
+}
+
+export function askChat(
+  url: string,
+  { nonce = "n1", prompt, stream = true, salt, maximumTokens }: ChatOptions,
+): Promise<Received> {
+  const body = {
+    model: "drafter",
+    messages: [{ role: "user", content: prompt }],
+    stream,
+    "cache_salt": salt,
+    "max_tokens": maximumTokens,
+  };
+  return send(`${url}/v1/chat/completions`, { nonce, body });
+}
+
+export function resumeChat(
+  url: string,
+  { nonce = "n1", offset }: { nonce?: string; offset: number },
+): Promise<Received> {
+  return send(`${url}/v1/requests/${nonce}/resume`, {
+    nonce,
+    body: { offset },
+  });
+}
+
+export function post(
+  url: string,
+  body: Record<string, unknown> = {},
+): Promise<Response> {
+  return fetch(url, { method: "POST", body: JSON.stringify(body) });
+}
+
+export async function getJson<Value>(url: string): Promise<Value> {
+  return await (await fetch(url)).json() as Value;
+}
+
+async function send(
+  url: string,
+  { nonce, body }: { nonce: string; body: Record<string, unknown> },
+): Promise<Received> {
+  const received: Received = {
+    status: 0,
+    nonceHeader: null,
+    ids: new Set(),
+    text: "",
+    tokens: 0,
+    usage: undefined,
+    isDone: false,
+    isBroken: false,
+  };
+  let raw = "";
+  try {
+    const response = await fetch(url, {
+      method: "POST",
+      headers: { "x-request-nonce": nonce },
+      body: JSON.stringify(body),
+    });
+    received.status = response.status;
+    received.nonceHeader = response.headers.get("x-request-nonce");
+    const decoder = new TextDecoder();
+    for await (const part of response.body!) raw += decoder.decode(part);
+  } catch {
+    received.isBroken = true;
+  }
+  for (const line of raw.split("\n")) {
+    if (line.startsWith("data: ")) takeEvent(received, line.slice(6));
+  }
+  if (!raw.startsWith("data:")) takeWhole(received, raw);
+  return received;
+}
+
+function takeEvent(received: Received, data: string): void {
+  if (data === "[DONE]") {
+    received.isDone = true;
+    return;
+  }
+  const chunk = JSON.parse(data);
+  received.ids.add(chunk.id);
+  const content = chunk.choices[0].delta.content ?? "";
+  received.text += content;
+  if (content !== "") received.tokens++;
+  received.usage ??= chunk.usage;
+}
+
+function takeWhole(received: Received, raw: string): void {
+  try {
+    const answer = JSON.parse(raw);
+    received.ids.add(answer.id);
+    received.text = answer.choices[0].message.content;
+    received.usage = answer.usage;
+  } catch {
+    // Cut bodies leave the text empty.
+  }
+}
