Start all stand-ins of a deployment with one call

Tests and the demo need Fukuoka's and Cairo's fleets as their example bundles describe them. Stopping a stand-in now also ends its waiting watches, delays and lags, so that no timer outlives it.

--- /dev/null
+++ b/packages/stand-ins/src/deployment.ts
@@ -0,0 +1,87 @@
+import {
+  exampleBundle,
+  type ExampleDeployment,
+  type Upstream,
+} from "@wasabivane/bundle";
+import type { Milliseconds } from "@wasabivane/common";
+import { type Generation, GENERATIONS } from "@wasabivane/engine-model";
+import { EngineStandIn, type EngineStandInOptions } from "./engineStandIn.ts";
+import { PlainStandIn } from "./plainStandIn.ts";
+import { PlatformStandIn } from "./platformStandIn.ts";
+
+/** Options of {@link startDeployment}. */
+export interface DeploymentOptions {
+  deployment: ExampleDeployment;
+  /** How many times as fast as real time the engines work. */
+  timeScale?: number;
+  hostListLagMs?: Milliseconds;
+  readsPerSecond?: number;
+  /** Options of every engine that the example bundle says nothing about. */
+  engineOptions?: Omit<
+    EngineStandInOptions,
+    "port" | "generation" | "fencing" | "timeScale"
+  >;
+}
+
+/** The running stand-ins of one deployment. */
+export interface RunningDeployment {
+  /** Urls by upstream id, such as `drafter-01` or `casefile-1`. */
+  readonly urls: Readonly<Record<string, string>>;
+  readonly engines: ReadonlyMap<string, EngineStandIn>;
+  readonly plains: ReadonlyMap<string, PlainStandIn>;
+  readonly platform: PlatformStandIn;
+  readonly platformUrl: string;
+  /** Stops all of them. */
+  stop(): Promise<void>;
+}
+
+/** Starts a stand-in for each upstream of an example bundle, and the platform, on free ports. */
+export async function startDeployment(
+  options: DeploymentOptions,
+): Promise<RunningDeployment> {
+  const { services, upstreams } = exampleBundle(options.deployment);
+  const engines = new Map<string, EngineStandIn>();
+  const plains = new Map<string, PlainStandIn>();
+  for (const upstream of upstreams) {
+    const service = services.find(({ service }) =>
+      service === upstream.service
+    );
+    if (service?.kind === "plain") {
+      plains.set(upstream.upstream, new PlainStandIn());
+    } else engines.set(upstream.upstream, createEngine(upstream, options));
+  }
+  const { hostListLagMs, readsPerSecond } = options;
+  const platform = new PlatformStandIn({ hostListLagMs, readsPerSecond });
+  const urls: Record<string, string> = {};
+  for (const [upstream, standIn] of [...engines, ...plains]) {
+    urls[upstream] = (await standIn.start()).url;
+  }
+  const { url: platformUrl } = await platform.start();
+  const all = [...engines.values(), ...plains.values(), platform];
+  return {
+    urls,
+    engines,
+    plains,
+    platform,
+    platformUrl,
+    async stop(): Promise<void> {
+      await Promise.all(all.map((standIn) => standIn.stop()));
+    },
+  };
+}
+
+function createEngine(
+  { generation, fencing }: Upstream,
+  { timeScale, engineOptions }: DeploymentOptions,
+): EngineStandIn {
+  return new EngineStandIn({
+    ...engineOptions,
+    generation: isGeneration(generation) ? generation : undefined,
+    fencing,
+    timeScale,
+  });
+}
+
+function isGeneration(name: string): name is Generation {
+  return name in GENERATIONS;
+}
--- a/packages/stand-ins/src/httpStandIn.ts
+++ b/packages/stand-ins/src/httpStandIn.ts
@@ -84,6 +84,13 @@
   return RESPONSE_ALREADY_SENT;
 }
 
+/** Aborted once the answer has left or its connection has closed. */
+export function closeSignal(context: StandInContext): AbortSignal {
+  const controller = new AbortController();
+  context.env.outgoing.on("close", () => controller.abort());
+  return controller.signal;
+}
+
 /** The request's body as a JSON object, empty when there is no body; `undefined` when it is no object. */
 export async function readJsonObject(
   context: StandInContext,
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./deployment.ts";
 export * from "./engineStandIn.ts";
 export { POISON_MARK } from "./engineHost.ts";
 export * from "./httpStandIn.ts";
--- a/packages/stand-ins/src/plainStandIn.ts
+++ b/packages/stand-ins/src/plainStandIn.ts
@@ -1,6 +1,5 @@
 import {
   type Milliseconds,
-  sleep,
   SystemRandom,
   SystemTimer,
   type Timer,
@@ -8,6 +7,7 @@
 import { ArmedFaults } from "./armedFaults.ts";
 import {
   answerError,
+  closeSignal,
   hangUp,
   HttpStandIn,
   type HttpStandInOptions,
@@ -111,13 +111,23 @@
     }
     this.#countRun(context);
     const delay = this.#faults.take("slow")?.delayMs ?? this.#runMs;
-    if (delay > 0) await sleep(this.#timer, delay);
+    if (delay > 0) await this.#delay(context, delay);
     if (this.#faults.take("reset-after-run") !== undefined) {
       return hangUp(context);
     }
     return this.#echo(context, body);
   }
 
+  #delay(context: StandInContext, delay: Milliseconds): Promise<void> {
+    return new Promise((resolve) => {
+      const subscription = this.#timer.after(delay, resolve);
+      closeSignal(context).addEventListener("abort", () => {
+        subscription.cancel();
+        resolve();
+      });
+    });
+  }
+
   #countRun(context: StandInContext): void {
     this.#total++;
     increment(this.#byKey, context.req.header(KEY_HEADER));
--- a/packages/stand-ins/src/platformStandIn.ts
+++ b/packages/stand-ins/src/platformStandIn.ts
@@ -2,6 +2,7 @@
 import { type Milliseconds, SystemTimer, type Timer } from "@wasabivane/common";
 import {
   answerError,
+  closeSignal,
   hangUp,
   HttpStandIn,
   type HttpStandInOptions,
@@ -73,6 +74,11 @@
     this.#values[name].setMode(mode);
   }
 
+  override stop(): Promise<void> {
+    this.#values.hosts.settle();
+    return super.stop();
+  }
+
   #addReadRoutes(): void {
     this.app.get(
       "/v1/values/bundle",
@@ -113,6 +119,7 @@
     const read = await value.read({
       after,
       waitMs: Math.min(waitMs, LONGEST_WAIT_MS),
+      signal: closeSignal(context),
     });
     if (read.kind === "down") return this.#hangUp(context);
     if (read.kind === "nothing-newer") {
--- a/packages/stand-ins/src/publishedValue.ts
+++ b/packages/stand-ins/src/publishedValue.ts
@@ -1,4 +1,8 @@
-import type { Milliseconds, Timer } from "@wasabivane/common";
+import type {
+  Milliseconds,
+  Timer,
+  TimerSubscription,
+} from "@wasabivane/common";
 
 /** Whether a value can be read, and whether what is read is the newest. */
 export type PublishedMode = "up" | "down" | "stale";
@@ -22,11 +26,21 @@
   lagMs: Milliseconds;
 }
 
+/** Options of one read. */
+export interface PublishedReadOptions {
+  /** Revision that the reader has. */
+  readonly after: number;
+  readonly waitMs: Milliseconds;
+  /** Ends the waiting when the reader is gone. */
+  readonly signal?: AbortSignal;
+}
+
 /** A value that readers read and watch. */
 export class PublishedValue {
   readonly #timer: Timer;
   readonly #lagMs: Milliseconds;
   readonly #wakers = new Set<() => void>();
+  readonly #lagging = new Map<PublishedRevision, TimerSubscription>();
   #mode: PublishedMode = "up";
   #revision = 0;
   /** What readers would see if the mode were up. */
@@ -46,10 +60,19 @@
   set(value: unknown): number {
     const published = { revision: ++this.#revision, value };
     if (this.#lagMs === 0) this.#publish(published);
-    else this.#timer.after(this.#lagMs, () => this.#publish(published));
+    else this.#publishLater(published);
     return published.revision;
   }
 
+  /** Publishes at once what still lags, and leaves no timer behind. */
+  settle(): void {
+    for (const [published, subscription] of this.#lagging) {
+      subscription.cancel();
+      this.#publish(published);
+    }
+    this.#lagging.clear();
+  }
+
   setMode(mode: PublishedMode): void {
     this.#mode = mode;
     if (mode === "up") this.#shown = this.#newest;
@@ -58,10 +81,12 @@
 
   /** The value past a revision, waiting for it at most `waitMs`. */
   read(
-    { after, waitMs }: { after: number; waitMs: Milliseconds },
+    { after, waitMs, signal }: PublishedReadOptions,
   ): Promise<PublishedRead> {
     return new Promise((resolve) => {
+      const giveUp = (): void => finish({ kind: "nothing-newer" });
       const finish = (read: PublishedRead): void => {
+        signal?.removeEventListener("abort", giveUp);
         this.#wakers.delete(check);
         timeout.cancel();
         resolve(read);
@@ -70,13 +95,11 @@
         const read = this.#readNow(after);
         if (read.kind !== "nothing-newer") finish(read);
       };
-      const timeout = this.#timer.after(
-        waitMs,
-        () => finish({ kind: "nothing-newer" }),
-      );
+      const timeout = this.#timer.after(waitMs, giveUp);
+      signal?.addEventListener("abort", giveUp);
       this.#wakers.add(check);
       check();
-      if (waitMs === 0) finish(this.#readNow(after));
+      if (waitMs === 0 || signal?.aborted) giveUp();
     });
   }
 
@@ -89,6 +112,14 @@
     return { kind: "value", published };
   }
 
+  #publishLater(published: PublishedRevision): void {
+    const subscription = this.#timer.after(this.#lagMs, () => {
+      this.#lagging.delete(published);
+      this.#publish(published);
+    });
+    this.#lagging.set(published, subscription);
+  }
+
   #publish(published: PublishedRevision): void {
     this.#newest = published;
     if (this.#mode === "stale") return;
--- /dev/null
+++ b/packages/stand-ins/tests/deployment.test.ts
@@ -0,0 +1,24 @@
+import test from "ava";
+import { expectedAnswer, markTokens } from "@wasabivane/engine-model";
+import { startDeployment } from "@wasabivane/stand-ins";
+import { askChat } from "./helpers/chat.ts";
+
+test("a deployment has an engine for each replica, of three speeds", async (t) => {
+  const running = await startDeployment({
+    deployment: "cairo",
+    timeScale: 100,
+  });
+  t.teardown(() => running.stop());
+  t.is(running.engines.size, 13);
+  t.is(running.plains.size, 3);
+  t.true("press-advisor-13" in running.urls);
+  t.true("field-desk-3" in running.urls);
+  const prompt = `Diagnose ${markTokens(20)}`;
+  const answers = await Promise.all(
+    [...running.engines.keys()].map((upstream) =>
+      askChat(running.urls[upstream]!, { prompt })
+    ),
+  );
+  const whole = expectedAnswer(prompt, 20);
+  t.true(answers.every(({ text, isDone }) => isDone && text === whole));
+});
