Serve requests end to end through several entry processes

Cause: the parts were there but no process joined them. Change: the daemon, its binary, the operators' interface, the watch of load and cache events, a fleet of processes on loopback and the demo command.

--- a/apps/entry/src/httpListener.ts
+++ b/apps/entry/src/httpListener.ts
@@ -7,9 +7,10 @@
 import type { AddressInfo } from "node:net";
 import type { SecureContextOptions } from "node:tls";
 import { getRequestListener } from "@hono/node-server";
-import type { Hono } from "hono";
 import type { Listener, Settings } from "./settings.ts";
 
+type FetchCallback = Parameters<typeof getRequestListener>[0];
+
 const CERTIFICATE_POLL_MS = 5_000;
 const MAX_HEADER_BYTES = 16 * 1024;
 const KEEP_ALIVE_MS = 30_000;
@@ -23,13 +24,18 @@
   close(): Promise<void>;
 }
 
+/** What is served, such as a Hono application. */
+export interface Routes {
+  fetch(request: Request, environment: never): Response | Promise<Response>;
+}
+
 /** Serves routes at an address, over TLS where the settings give certificates. */
 export function listen(
-  { fetch }: Pick<Hono, "fetch">,
+  { fetch }: Routes,
   { listener, limits }: { listener: Listener; limits: Settings["limits"] },
 ): Promise<HttpListener> {
   const handle = getRequestListener(
-    fetch as Parameters<typeof getRequestListener>[0],
+    fetch as FetchCallback,
     {
       overrideGlobalObjects: false,
     },
--- a/apps/entry/src/index.ts
+++ b/apps/entry/src/index.ts
@@ -1,1 +1,9 @@
-export {};
+export * from "./answerRecord.ts";
+export * from "./authentication.ts";
+export * from "./callerApi.ts";
+export * from "./completionStream.ts";
+export * from "./daemon.ts";
+export * from "./intake.ts";
+export * from "./problem.ts";
+export * from "./settings.ts";
+export * from "./startEntry.ts";
--- a/apps/entry/src/settings.ts
+++ b/apps/entry/src/settings.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { trustedKeysSchema } from "@wasabivane/bundle";
 import type { FailureDomain, HostId } from "@wasabivane/common";
 
 const port = z.number().int().min(0).max(65_535);
@@ -27,17 +28,15 @@
   callers: listenerSchema,
   operators: listenerSchema,
   peers: listenerSchema.extend({
-    /** Shared by all entry hosts; proves a peer in the handshake. */
-    secret: z.string().min(16),
+    /** Shared by all entry hosts; prove a peer in the handshake. The first is used, both count. */
+    secrets: z.array(z.string().min(16)).min(1).max(2),
   }),
   platform: z.strictObject({
     configurationUrl: z.url({ protocol: /^https?$/ }),
     hostListUrl: z.url({ protocol: /^https?$/ }),
   }),
   /** Public keys whose bundle signatures count, by key id. */
-  trustedKeys: z.array(
-    z.strictObject({ keyId: name, publicKey: z.string().min(1) }),
-  ).min(1).max(2),
+  trustedKeys: trustedKeysSchema,
   limits: z.strictObject({
     maximumBodyBytes: z.number().int().min(1024).default(4_194_304),
     maximumConnections: z.number().int().min(1).default(4_096),
--- /dev/null
+++ b/apps/entry/tests/completionStream.test.ts
@@ -0,0 +1,90 @@
+import { Buffer } from "node:buffer";
+import test from "ava";
+import fc from "fast-check";
+import { asId, type Nonce } from "@wasabivane/common";
+import { CompletionStream } from "@wasabivane/entry";
+
+const NONCE = asId<Nonce>("n1");
+
+function chunk(
+  content: string,
+  options: { id?: string; finish?: string } = {},
+): string {
+  const { id = "chatcmpl-n1", finish = null } = options;
+  const choices = [{ index: 0, delta: { content }, finish_reason: finish }];
+  return `data: ${JSON.stringify({ id, choices })}\n\n`;
+}
+
+const WHOLE = chunk("a") + chunk("b") + chunk("", { finish: "stop" }) +
+  "data: [DONE]\n\n";
+
+function read(
+  ...parts: string[]
+): { stream: CompletionStream; events: string[] } {
+  const events: string[] = [];
+  const stream = new CompletionStream(
+    NONCE,
+    ({ data }) => void events.push(data),
+  );
+  for (const part of parts) stream.feed(Buffer.from(part));
+  return { stream, events };
+}
+
+test("a stream is whole after its finish reason and its end mark", (t) => {
+  const { stream } = read(WHOLE);
+  t.true(stream.isWhole);
+  t.is(stream.tokens, 2);
+});
+
+test("any cut of the bytes gives the same events", (t) => {
+  fc.assert(
+    fc.property(fc.array(fc.integer({ min: 0, max: WHOLE.length })), (cuts) => {
+      const places = [
+        0,
+        ...cuts.sort((left, right) => left - right),
+        WHOLE.length,
+      ];
+      const parts = places.slice(1).map((end, index) =>
+        WHOLE.slice(places[index], end)
+      );
+      const { stream, events } = read(...parts);
+      return stream.isWhole && events.length === 4;
+    }),
+  );
+  t.pass();
+});
+
+// An engine mixes two answers up. The caller must never see the other's text:
+// the event is not passed on and the dispatch ends as another's answer.
+test("an event of another dispatch is not passed on", (t) => {
+  const { stream, events } = read(
+    chunk("a"),
+    chunk("secret", { id: "chatcmpl-n2" }),
+    chunk("b"),
+  );
+  t.is(stream.error?.kind, "not-own");
+  t.is(events.length, 1);
+});
+
+// The engine repeats its answer after the end mark. The caller has the whole
+// answer already; the rest is counted and dropped.
+test("nothing after the end mark is passed on", (t) => {
+  const { stream, events } = read(WHOLE, WHOLE);
+  t.true(stream.hasExcess);
+  t.is(events.length, 4);
+});
+
+test("an end mark without a finish reason is no end", (t) => {
+  const { stream } = read(chunk("a"), "data: [DONE]\n\n");
+  t.false(stream.isWhole);
+  t.is(stream.error?.kind, "malformed");
+});
+
+test("any bytes end without a throw", (t) => {
+  fc.assert(fc.property(fc.array(fc.uint8Array({ maxLength: 64 })), (parts) => {
+    const stream = new CompletionStream(NONCE, () => {});
+    for (const part of parts) stream.feed(part);
+    return !stream.isWhole;
+  }));
+  t.pass();
+});
--- a/packages/coordination/src/poolKeeper.ts
+++ b/packages/coordination/src/poolKeeper.ts
@@ -14,7 +14,9 @@
 import type {
   Ask,
   AttemptReport,
+  CacheEvent,
   Decision,
+  LoadReport,
   PoolPolicy,
   Scheduler,
 } from "@wasabivane/decisions";
@@ -200,6 +202,18 @@
     this.#endRecovery(pool, report.service);
   }
 
+  /** Passes on an engine's load report. */
+  reportLoad(service: ServiceId, report: LoadReport): void {
+    const scheduler = this.#pools.get(service)?.scheduler;
+    if (scheduler === undefined) return;
+    this.#deliverAll(service, scheduler.reportLoad(report, this.#now()));
+  }
+
+  /** Passes on an engine's cache event. */
+  reportCache(service: ServiceId, event: CacheEvent): void {
+    this.#pools.get(service)?.scheduler.reportCache(event, this.#now());
+  }
+
   #onSync(from: HostId, body: SyncMessage): void {
     const pool = this.#poolOf(body.service);
     if (pool === undefined) return;
