Part the entry host from its sockets

Cause: failure tests and fault schedules need several entry hosts in one process, in virtual time and without sockets.

--- a/apps/entry/src/callerApi.ts
+++ b/apps/entry/src/callerApi.ts
@@ -12,6 +12,7 @@
 } from "@wasabivane/common";
 import type { Bundle, SignedBundle } from "@wasabivane/bundle";
 import type { AcceptedRequest } from "./acceptedRequest.ts";
+import type { AnswerRecord } from "./answerRecord.ts";
 import { relayAnswer, writeProblem } from "./answerWriter.ts";
 import { Authenticator } from "./authentication.ts";
 import { acceptRequest } from "./intake.ts";
@@ -21,9 +22,16 @@
 const REQUEST_ID_BYTES = 9;
 const RETRY_AFTER_MS = 2_000;
 
+/** An answer that is on its way. */
+export interface ServedAnswer {
+  readonly record: AnswerRecord;
+  /** The caller is gone; work that nobody will fetch should end. */
+  hangUp(): void;
+}
+
 /** Serves accepted requests; the rim knows no more of them. */
 export interface RequestService {
-  serve(request: AcceptedRequest, outgoing: ServerResponse): Promise<void>;
+  serve(request: AcceptedRequest): ServedAnswer;
 }
 
 /** What the caller interface needs from its process. */
@@ -105,10 +113,17 @@
       body: body.value,
     });
     if (accepted.isErr()) return accepted.error;
-    await service.serve(accepted.value, outgoing);
+    await this.#relay(service.serve(accepted.value), outgoing);
     return undefined;
   }
 
+  async #relay(answer: ServedAnswer, outgoing: ServerResponse): Promise<void> {
+    outgoing.on("close", () => {
+      if (!outgoing.writableFinished) answer.hangUp();
+    });
+    await relayAnswer(answer.record, outgoing);
+  }
+
   #authenticatorFor(bundle: Bundle): Authenticator {
     if (this.#authenticator?.bundle !== bundle) {
       this.#authenticator = {
@@ -119,17 +134,3 @@
     return this.#authenticator.authenticator;
   }
 }
-
-/** Serves a request from this host alone, without a key. */
-export async function relayUntilClosed(
-  { record, outgoing, onHangUp }: {
-    record: Parameters<typeof relayAnswer>[0];
-    outgoing: ServerResponse;
-    onHangUp: () => void;
-  },
-): Promise<void> {
-  outgoing.on("close", () => {
-    if (!outgoing.writableFinished) onHangUp();
-  });
-  await relayAnswer(record, outgoing);
-}
--- a/apps/entry/src/entryService.ts
+++ b/apps/entry/src/entryService.ts
@@ -1,6 +1,5 @@
-import type { ServerResponse } from "node:http";
 import type { AcceptedRequest } from "./acceptedRequest.ts";
-import { relayUntilClosed, type RequestService } from "./callerApi.ts";
+import type { RequestService, ServedAnswer } from "./callerApi.ts";
 import { Exchange, type ExchangeServices } from "./exchange.ts";
 import { problemOf } from "./problem.ts";
 
@@ -18,18 +17,16 @@
     return this.#exchanges.size;
   }
 
-  async serve(
-    request: AcceptedRequest,
-    outgoing: ServerResponse,
-  ): Promise<void> {
-    const exchange = new Exchange(request, { services: this.#services });
+  serve(request: AcceptedRequest): ServedAnswer {
+    const exchange = new Exchange(request, {
+      services: this.#services,
+      onEnd: () => this.#exchanges.delete(exchange),
+    });
     this.#exchanges.add(exchange);
     exchange.start();
-    await relayUntilClosed({
+    return {
       record: exchange.record,
-      outgoing,
-      onHangUp: () => exchange.cancel(problemOf("answer-late")),
-    });
-    this.#exchanges.delete(exchange);
+      hangUp: () => exchange.cancel(problemOf("answer-late")),
+    };
   }
 }
--- a/apps/entry/src/exchange.ts
+++ b/apps/entry/src/exchange.ts
@@ -46,6 +46,14 @@
   readonly afterRefusedConnection?: () => void;
 }
 
+/** Options of an {@link Exchange}. */
+export interface ExchangeOptions {
+  readonly services: ExchangeServices;
+  readonly hooks?: ExchangeHooks;
+  /** Called once, after the ending stands. */
+  readonly onEnd?: (end: AnswerEnd) => void;
+}
+
 type Phase = "waiting" | "dispatched" | "ended";
 
 /**
@@ -57,6 +65,7 @@
   readonly record: AnswerRecord;
   readonly #services: ExchangeServices;
   readonly #hooks: ExchangeHooks;
+  readonly #onEnd: (end: AnswerEnd) => void;
   readonly #abort = new AbortController();
   readonly #metrics: RequestMetrics;
   #phase: Phase = "waiting";
@@ -67,14 +76,12 @@
 
   constructor(
     request: AcceptedRequest,
-    { services, hooks = {} }: {
-      services: ExchangeServices;
-      hooks?: ExchangeHooks;
-    },
+    { services, hooks = {}, onEnd = () => {} }: ExchangeOptions,
   ) {
     this.request = request;
     this.#services = services;
     this.#hooks = hooks;
+    this.#onEnd = onEnd;
     this.record = new AnswerRecord({ isReplayable: request.key !== undefined });
     this.#metrics = new RequestMetrics(request, services);
   }
@@ -125,6 +132,7 @@
     this.#deadlineTimer?.cancel();
     this.record.finish(end);
     this.#metrics.ended(end);
+    this.#onEnd(end);
   }
 
   #armDeadline(): void {
--- /dev/null
+++ b/apps/entry/src/httpUpstreamClient.ts
@@ -0,0 +1,112 @@
+import { Agent, type Dispatcher } from "undici";
+import { err, ok, type Result } from "neverthrow";
+import type { Nonce } from "@wasabivane/common";
+import { NONCE_HEADER } from "./constants.ts";
+import {
+  type UpstreamAnswer,
+  type UpstreamCall,
+  UpstreamClient,
+} from "./upstreamClient.ts";
+import { type UpstreamError, upstreamErrorOf } from "./upstreamError.ts";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const CONNECTIONS_PER_UPSTREAM = 512;
+const MAX_HEADER_BYTES = 16 * 1024;
+
+/**
+ * Calls upstreams over HTTP. One request at a time per connection, so that an answer on
+ * a connection can only belong to the request sent on it; the nonce shows it
+ * even when an upstream mixes its answers up. Nothing is ever sent twice here.
+ */
+export class HttpUpstreamClient extends UpstreamClient {
+  readonly #agent = new Agent({
+    pipelining: 1,
+    connections: CONNECTIONS_PER_UPSTREAM,
+    maxHeaderSize: MAX_HEADER_BYTES,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+  override async send(
+    call: UpstreamCall,
+  ): Promise<Result<UpstreamAnswer, UpstreamError>> {
+    try {
+      const answer = await this.#agent.request({
+        origin: call.url,
+        method: call.method as Dispatcher.HttpMethod,
+        path: call.path,
+        headers: { ...call.headers, [NONCE_HEADER]: call.nonce },
+        body: call.body ?? null,
+        signal: call.signal,
+      });
+      return checkNonce(call.nonce, answer);
+    } catch (thrown) {
+      return err(upstreamErrorOf(thrown, call.signal));
+    }
+  }
+
+  override async readJson(
+    url: string,
+    path: string,
+  ): Promise<Result<unknown, UpstreamError>> {
+    const signal = AbortSignal.timeout(CONNECT_TIMEOUT_MS);
+    try {
+      const answer = await this.#agent.request({
+        origin: url,
+        path,
+        method: "GET",
+        signal,
+      });
+      return ok(await answer.body.json());
+    } catch (thrown) {
+      return err(upstreamErrorOf(thrown, signal));
+    }
+  }
+
+  override async cancel(url: string, nonce: Nonce): Promise<void> {
+    try {
+      const answer = await this.#agent.request({
+        origin: url,
+        path: `/v1/requests/${nonce}`,
+        method: "DELETE",
+        signal: AbortSignal.timeout(CONNECT_TIMEOUT_MS),
+      });
+      await answer.body.dump();
+    } catch {
+      return;
+    }
+  }
+
+  override async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+}
+
+function checkNonce(
+  nonce: Nonce,
+  { statusCode, headers, body }: Dispatcher.ResponseData,
+): Result<UpstreamAnswer, UpstreamError> {
+  if (headers[NONCE_HEADER] !== nonce) {
+    body.on("error", ignore).destroy();
+    return err({
+      kind: "not-own",
+      detail: "The answer's nonce is not this dispatch's",
+    });
+  }
+  return ok({ status: statusCode, headers: singleHeaders(headers), body });
+}
+
+function ignore(): void {}
+
+function singleHeaders(
+  headers: Dispatcher.ResponseData["headers"],
+): Record<string, string> {
+  const single: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined) {
+      single[name] = Array.isArray(value) ? value.join(", ") : value;
+    }
+  }
+  return single;
+}
--- a/apps/entry/src/startEntry.ts
+++ b/apps/entry/src/startEntry.ts
@@ -12,6 +12,7 @@
 } from "@wasabivane/common";
 import { WebSocketLink } from "@wasabivane/coordination";
 import { Daemon } from "./daemon.ts";
+import { HttpUpstreamClient } from "./httpUpstreamClient.ts";
 import type { Settings } from "./settings.ts";
 import { StatsdMetrics } from "./statsdMetrics.ts";
 
@@ -63,6 +64,7 @@
     metrics,
     counters,
     link,
+    client: new HttpUpstreamClient(),
     onPeerAddresses: (addresses) => link.setAddresses(addresses),
     bundleSource: new HttpBundleSource({
       url: settings.platform.configurationUrl,
--- a/apps/entry/src/upstreamClient.ts
+++ b/apps/entry/src/upstreamClient.ts
@@ -1,13 +1,7 @@
 import type { Buffer } from "node:buffer";
-import { Agent, type Dispatcher } from "undici";
-import { err, ok, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import type { Nonce } from "@wasabivane/common";
-import { NONCE_HEADER } from "./constants.ts";
-import { type UpstreamError, upstreamErrorOf } from "./upstreamError.ts";
-
-const CONNECT_TIMEOUT_MS = 1_000;
-const CONNECTIONS_PER_UPSTREAM = 512;
-const MAX_HEADER_BYTES = 16 * 1024;
+import type { UpstreamError } from "./upstreamError.ts";
 
 /** An HTTP call to one upstream. */
 export interface UpstreamCall {
@@ -20,111 +14,32 @@
   readonly signal: AbortSignal;
 }
 
+/** The bytes of an answer as they arrive. */
+export interface UpstreamBody extends AsyncIterable<Buffer> {
+  /** Closes the connection; the rest is not read. */
+  destroy(error?: Error): unknown;
+}
+
 /** An upstream's answer whose head has been checked. */
 export interface UpstreamAnswer {
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
-  readonly body: Dispatcher.ResponseData["body"];
+  readonly body: UpstreamBody;
 }
 
-/**
- * Calls upstreams. One request at a time per connection, so that an answer on
- * a connection can only belong to the request sent on it; the nonce shows it
- * even when an upstream mixes its answers up. Nothing is ever sent twice here.
- */
-export class UpstreamClient {
-  readonly #agent = new Agent({
-    pipelining: 1,
-    connections: CONNECTIONS_PER_UPSTREAM,
-    maxHeaderSize: MAX_HEADER_BYTES,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
-
+/** Calls upstreams. Nothing is ever sent twice below this interface. */
+export abstract class UpstreamClient {
   /** Sends a call and checks that the answer's head is this dispatch's own. */
-  async send(
+  abstract send(
     call: UpstreamCall,
-  ): Promise<Result<UpstreamAnswer, UpstreamError>> {
-    try {
-      const answer = await this.#agent.request({
-        origin: call.url,
-        method: call.method as Dispatcher.HttpMethod,
-        path: call.path,
-        headers: { ...call.headers, [NONCE_HEADER]: call.nonce },
-        body: call.body ?? null,
-        signal: call.signal,
-      });
-      return checkNonce(call.nonce, answer);
-    } catch (thrown) {
-      return err(upstreamErrorOf(thrown, call.signal));
-    }
-  }
-
+  ): Promise<Result<UpstreamAnswer, UpstreamError>>;
   /** Reads a small JSON document, such as a load report. */
-  async readJson(
+  abstract readJson(
     url: string,
     path: string,
-  ): Promise<Result<unknown, UpstreamError>> {
-    const signal = AbortSignal.timeout(CONNECT_TIMEOUT_MS);
-    try {
-      const answer = await this.#agent.request({
-        origin: url,
-        path,
-        method: "GET",
-        signal,
-      });
-      return ok(await answer.body.json());
-    } catch (thrown) {
-      return err(upstreamErrorOf(thrown, signal));
-    }
-  }
-
-  /** Tells an engine to stop a request; failures do not matter, the connection is closed anyway. */
-  async cancel(url: string, nonce: Nonce): Promise<void> {
-    try {
-      const answer = await this.#agent.request({
-        origin: url,
-        path: `/v1/requests/${nonce}`,
-        method: "DELETE",
-        signal: AbortSignal.timeout(CONNECT_TIMEOUT_MS),
-      });
-      await answer.body.dump();
-    } catch {
-      return;
-    }
-  }
-
+  ): Promise<Result<unknown, UpstreamError>>;
+  /** Tells an engine to stop a request; best effort, the connection is closed anyway. */
+  abstract cancel(url: string, nonce: Nonce): Promise<void>;
   /** Closes all connections. */
-  async close(): Promise<void> {
-    await this.#agent.destroy();
-  }
-}
-
-function checkNonce(
-  nonce: Nonce,
-  { statusCode, headers, body }: Dispatcher.ResponseData,
-): Result<UpstreamAnswer, UpstreamError> {
-  if (headers[NONCE_HEADER] !== nonce) {
-    body.on("error", ignore).destroy();
-    return err({
-      kind: "not-own",
-      detail: "The answer's nonce is not this dispatch's",
-    });
-  }
-  return ok({ status: statusCode, headers: singleHeaders(headers), body });
-}
-
-function ignore(): void {}
-
-function singleHeaders(
-  headers: Dispatcher.ResponseData["headers"],
-): Record<string, string> {
-  const single: Record<string, string> = {};
-  for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined) {
-      single[name] = Array.isArray(value) ? value.join(", ") : value;
-    }
-  }
-  return single;
+  abstract close(): Promise<void>;
 }
