Send load patterns to entries and say what callers received

The load tool plans every call from a seed (open loop), resends broken ones through the next entry under the same key and checks each answer token by token, so that cut, crossed and doubled content is seen. Stand-ins now repeat the nonce on error answers too. The package declares the engine model, which it shares the expected answers with.

--- /dev/null
+++ b/apps/load/src/runLoad.ts
@@ -0,0 +1,155 @@
+import {
+  type Milliseconds,
+  type Random,
+  sleep,
+  SystemRandom,
+  SystemTimer,
+  type Timer,
+} from "@wasabivane/common";
+import { Agent } from "undici";
+import { type AttemptEnding, sendAttempt } from "./attempt.ts";
+import { callBodyOf, type CallTargets } from "./callBody.ts";
+import { type LoadReport, TierTally } from "./loadReport.ts";
+import { planCalls, type PlannedCall, type PlanOptions } from "./plan.ts";
+import { TokenClock } from "./tokenClock.ts";
+import { uuidV7 } from "./uuidV7.ts";
+
+/** How far a run is. */
+export interface LoadProgress {
+  readonly planned: number;
+  readonly sent: number;
+  readonly ended: number;
+}
+
+/** Options of {@link runLoad}. */
+export interface LoadOptions extends PlanOptions {
+  /** Base urls of the entries, which take turns as behind a balancer. */
+  readonly entries: readonly string[];
+  readonly targets: CallTargets;
+  /** Deadline that callers set; the tier's own when left out. */
+  readonly deadlineMs?: Milliseconds | undefined;
+  /** Resends of one call after broken connections, each through the next entry. */
+  readonly maximumResends?: number;
+  /** Silence after which a caller gives a connection up. */
+  readonly silenceMs?: Milliseconds;
+  readonly timer?: Timer;
+  readonly random?: Random;
+  /** Called after each change. */
+  readonly onProgress?: (progress: LoadProgress) => void;
+}
+
+const RESEND_DELAY_MS = 100;
+
+/** Sends a pattern of load to running entries and says what the callers received. */
+export async function runLoad(options: LoadOptions): Promise<LoadReport> {
+  const silenceMs = options.silenceMs ?? 120_000;
+  const dispatcher = new Agent({
+    headersTimeout: silenceMs,
+    bodyTimeout: silenceMs,
+  });
+  try {
+    return await new LoadRun(options, dispatcher).run();
+  } finally {
+    await dispatcher.destroy();
+  }
+}
+
+class LoadRun {
+  readonly #options: LoadOptions;
+  readonly #dispatcher: Agent;
+  readonly #timer: Timer;
+  readonly #random: Random;
+  readonly #calls: PlannedCall[];
+  readonly #tallies = new Map<number, TierTally>();
+  #sent = 0;
+  #ended = 0;
+  #resends = 0;
+  #turn = 0;
+
+  constructor(options: LoadOptions, dispatcher: Agent) {
+    this.#options = options;
+    this.#dispatcher = dispatcher;
+    this.#timer = options.timer ?? new SystemTimer();
+    this.#random = options.random ?? new SystemRandom();
+    this.#calls = planCalls(options);
+  }
+
+  async run(): Promise<LoadReport> {
+    const startedAt = this.#timer.now();
+    await Promise.all(this.#calls.map((call) => this.#runCall(call)));
+    const tallies = [...this.#tallies].sort(([left], [right]) => left - right);
+    return {
+      pattern: this.#options.pattern,
+      seed: this.#options.seed,
+      elapsedMs: this.#timer.now() - startedAt,
+      offered: this.#calls.length,
+      resends: this.#resends,
+      tiers: Object.fromEntries(
+        tallies.map(([tier, tally]) => [tier, tally.report()]),
+      ),
+    };
+  }
+
+  async #runCall(call: PlannedCall): Promise<void> {
+    await sleep(this.#timer, call.at);
+    const tally = this.#tallyOf(call);
+    const startedAt = this.#timer.now();
+    this.#sent++;
+    tally.offered++;
+    const ending = await this.#sendUntilEnded(call, tally);
+    tally.end(ending, this.#timer.now() - startedAt);
+    this.#ended++;
+    this.#tellProgress();
+  }
+
+  /** Resends under the same key, so that a resend joins what is running. */
+  async #sendUntilEnded(
+    call: PlannedCall,
+    tally: TierTally,
+  ): Promise<AttemptEnding> {
+    const { entries, targets, seed, maximumResends = 3 } = this.#options;
+    const turn = this.#turn++;
+    const body = callBodyOf(call, { targets, seed });
+    const headers = this.#headersOf(call);
+    const clock = new TokenClock(this.#timer, (time) => tally.observe(time));
+    for (let resend = 0;; resend++) {
+      const ending = await sendAttempt({
+        entry: entries[(turn + resend) % entries.length]!,
+        call,
+        body,
+        headers,
+        dispatcher: this.#dispatcher,
+        onToken: clock.startAttempt(),
+      });
+      if (ending.kind !== "broken" || resend === maximumResends) return ending;
+      this.#resends++;
+      await sleep(this.#timer, RESEND_DELAY_MS);
+    }
+  }
+
+  #headersOf(call: PlannedCall): Record<string, string> {
+    const { deadlineMs } = this.#options;
+    return {
+      "authorization": `Bearer ${call.caller.apiKey}`,
+      "idempotency-key": uuidV7(this.#timer.wallNow(), this.#random),
+      "x-tier": String(call.tier),
+      ...(deadlineMs === undefined
+        ? {}
+        : { "x-deadline-ms": String(deadlineMs) }),
+    };
+  }
+
+  #tallyOf({ tier }: PlannedCall): TierTally {
+    const tally = this.#tallies.get(tier) ?? new TierTally();
+    this.#tallies.set(tier, tally);
+    return tally;
+  }
+
+  #tellProgress(): void {
+    this.#options.onProgress?.({
+      planned: this.#calls.length,
+      sent: this.#sent,
+      ended: this.#ended,
+    });
+  }
+}
--- /dev/null
+++ b/apps/load/tests/helpers/fakeEntry.ts
@@ -0,0 +1,135 @@
+import { createServer, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import {
+  answerLength,
+  answerSeed,
+  answerToken,
+  expectedAnswer,
+} from "@wasabivane/engine-model";
+
+/** One request as a fake entry got it. */
+export interface SeenRequest {
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** Prompt of a completion, empty for plain calls. */
+  readonly prompt: string;
+  readonly isStreamed: boolean;
+}
+
+/** Answers one request in a true or a faulty way. */
+export type Behaviour = (request: SeenRequest, answer: ServerResponse) => void;
+
+/** An entry that answers as a test tells it. */
+export class FakeEntry {
+  readonly seen: SeenRequest[] = [];
+  readonly #server: Server;
+
+  constructor(behaviour: Behaviour) {
+    this.#server = createServer((incoming, outgoing) => {
+      let body = "";
+      incoming.setEncoding("utf8").on("data", (part) => body += part);
+      incoming.on("end", () => {
+        const chat = JSON.parse(body);
+        const request = {
+          path: incoming.url ?? "",
+          headers: incoming.headers,
+          body,
+          prompt: chat.messages?.[0].content ?? "",
+          isStreamed: chat.stream === true,
+        };
+        this.seen.push(request);
+        behaviour(request, outgoing);
+      });
+    });
+  }
+
+  async start(): Promise<string> {
+    await new Promise<void>((resolve) =>
+      this.#server.listen(0, "127.0.0.1", resolve)
+    );
+    return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
+
+/** Answers as an entry before stand-ins does. */
+export function answerWhole(
+  request: SeenRequest,
+  outgoing: ServerResponse,
+): void {
+  if (request.isStreamed) {
+    sendTokens(request.prompt, outgoing);
+    outgoing.end("data: [DONE]\n\n");
+  } else outgoing.end(JSON.stringify(bodyOf(request)));
+}
+
+/** Ends a stream without its end mark. */
+export function answerCut(
+  { prompt }: SeenRequest,
+  outgoing: ServerResponse,
+): void {
+  sendTokens(prompt, outgoing);
+  outgoing.end();
+}
+
+/** Answers somebody else's prompt. */
+export function answerCrossed(
+  request: SeenRequest,
+  outgoing: ServerResponse,
+): void {
+  answerWhole({ ...request, prompt: `${request.prompt} other` }, outgoing);
+}
+
+/** Breaks the connection after the tokens. */
+export function breakOff(
+  { prompt }: SeenRequest,
+  outgoing: ServerResponse,
+): void {
+  sendTokens(prompt, outgoing);
+  outgoing.write("", () => outgoing.destroy());
+}
+
+/** Ends a started stream with an error event. */
+export function answerErrorEvent(
+  { prompt }: SeenRequest,
+  outgoing: ServerResponse,
+): void {
+  sendTokens(prompt, outgoing);
+  const problem = { type: "urn:wasabivane:problem:answer-broken" };
+  outgoing.end(
+    `event: error\ndata: ${
+      JSON.stringify({ ...problem, ending: "unknown" })
+    }\n\n`,
+  );
+}
+
+/** Refuses without a run. */
+export function refuse(_request: SeenRequest, outgoing: ServerResponse): void {
+  outgoing.writeHead(503, { "content-type": "application/problem+json" });
+  outgoing.end(JSON.stringify({
+    type: "urn:wasabivane:problem:shed",
+    status: 503,
+    ending: "not-run",
+  }));
+}
+
+function bodyOf(request: SeenRequest): unknown {
+  const { prompt, path, body } = request;
+  if (prompt === "") return { path, body };
+  const content = expectedAnswer(prompt, answerLength(prompt));
+  return { choices: [{ message: { content } }] };
+}
+
+function sendTokens(prompt: string, outgoing: ServerResponse): void {
+  outgoing.writeHead(200, { "content-type": "text/event-stream" });
+  const seed = answerSeed(prompt);
+  for (let index = 0; index < answerLength(prompt); index++) {
+    const delta = { content: answerToken(seed, index) };
+    outgoing.write(`data: ${JSON.stringify({ choices: [{ delta }] })}\n\n`);
+  }
+}
--- a/packages/stand-ins/src/engineStandIn.ts
+++ b/packages/stand-ins/src/engineStandIn.ts
@@ -13,6 +13,7 @@
   hangUp,
   HttpStandIn,
   type HttpStandInOptions,
+  NONCE_HEADER,
   readJsonObject,
   type StandInAddress,
   type StandInContext,
@@ -27,7 +28,6 @@
 import type { LoggedRun } from "./runLog.ts";
 import { answerWhole } from "./wholeAnswer.ts";
 
-const NONCE_HEADER = "x-request-nonce";
 const NONCE = /^[A-Za-z0-9_-]{1,128}$/;
 const NONCE_BYTES = 16;
 
--- a/packages/stand-ins/src/httpStandIn.ts
+++ b/packages/stand-ins/src/httpStandIn.ts
@@ -4,6 +4,9 @@
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import { type Context, Hono } from "hono";
 
+/** Header that every answer repeats, errors too. */
+export const NONCE_HEADER = "x-request-nonce";
+
 /** Longer than any client keeps an idle connection, so that closes are deliberate. */
 const KEEP_ALIVE_MS = 120_000;
 
@@ -115,5 +118,7 @@
     message: string;
   },
 ): Response {
+  const nonce = context.req.header(NONCE_HEADER);
+  if (nonce !== undefined) context.header(NONCE_HEADER, nonce);
   return context.json({ error: { message, code: status } }, status);
 }
--- a/packages/stand-ins/src/plainStandIn.ts
+++ b/packages/stand-ins/src/plainStandIn.ts
@@ -11,11 +11,11 @@
   hangUp,
   HttpStandIn,
   type HttpStandInOptions,
+  NONCE_HEADER,
   readJsonObject,
   type StandInContext,
 } from "./httpStandIn.ts";
 
-const NONCE_HEADER = "x-request-nonce";
 const KEY_HEADER = "idempotency-key";
 const NONCE_BYTES = 16;
 
--- a/packages/stand-ins/tests/engineStandIn.test.ts
+++ b/packages/stand-ins/tests/engineStandIn.test.ts
@@ -113,7 +113,8 @@
   engine.control("second-answer");
   t.is((await askChat(url, { nonce: "n3", prompt })).ids.size, 2);
   engine.control("refuse");
-  t.is((await askChat(url, { nonce: "n4", prompt })).status, 503);
+  const refused = await askChat(url, { nonce: "n4", prompt });
+  t.like(refused, { status: 503, nonceHeader: "n4" });
 });
 
 // One prompt kills each engine that runs it: its own caller and the one beside
