--- /dev/null
+++ b/packages/coordination/tests/helpers/memberFleet.ts
@@ -0,0 +1,139 @@
+import type { HostList } from "@wasabivane/bundle";
+import {
+  asId,
+  Blackboard,
+  type FailureDomain,
+  type HostId,
+  MemoryMetrics,
+  type Milliseconds,
+  SeededRandom,
+} from "@wasabivane/common";
+import {
+  createIncarnation,
+  FLEET_SHARE,
+  HOST_LIST,
+  type Member,
+  MEMBERS,
+  MembershipController,
+  type MemoryLink,
+  MemoryNetwork,
+} from "@wasabivane/coordination";
+import { HostTimer, WorldTimer } from "./hostTimer.ts";
+
+const DOMAINS = ["hakata", "tenjin", "momochi"];
+
+/** One entry host of a {@link MemberFleet}. */
+export interface FleetHost {
+  readonly host: HostId;
+  readonly timer: HostTimer;
+  readonly link: MemoryLink;
+  readonly blackboard: Blackboard;
+  readonly membership: MembershipController;
+  readonly metrics: MemoryMetrics;
+}
+
+/** The name of the host with that number. */
+export function hostName(index: number): HostId {
+  return asId<HostId>(`entry-${index}`);
+}
+
+/** A published list of the first `size` hosts. */
+export function createList(
+  hosts: readonly HostId[],
+  { version = 1 }: { version?: number } = {},
+): HostList {
+  const entryHosts = hosts.map((host, index) => ({
+    host,
+    peerAddress: `192.0.2.${index + 1}:7000`,
+    failureDomain: asId<FailureDomain>(DOMAINS[index % DOMAINS.length]!),
+    state: "live" as const,
+  }));
+  return { version, entryHosts, upstreams: [] };
+}
+
+/** Membership controllers of several hosts over one in-memory network. */
+export class MemberFleet {
+  readonly world = new WorldTimer();
+  readonly random: SeededRandom;
+  readonly network: MemoryNetwork;
+  readonly hosts = new Map<HostId, FleetHost>();
+  list: HostList;
+
+  constructor({ size = 8, seed = 1 } = {}) {
+    this.random = new SeededRandom(seed);
+    this.network = new MemoryNetwork({
+      timer: this.world,
+      random: this.random,
+      jitterMs: 2,
+    });
+    const names = Array.from(
+      { length: size },
+      (_, index) => hostName(index + 1),
+    );
+    this.list = createList(names);
+    for (const host of names) this.start(host);
+  }
+
+  /** Starts a process on a host that knows the published list. */
+  start(host: HostId): FleetHost {
+    const timer = new HostTimer(this.world);
+    const blackboard = new Blackboard();
+    const link = this.network.join(host);
+    const metrics = new MemoryMetrics();
+    const listed = this.list.entryHosts.find((item) => item.host === host)!;
+    const membership = new MembershipController({
+      self: {
+        host,
+        incarnation: createIncarnation(timer, this.random),
+        failureDomain: listed.failureDomain,
+        peerAddress: listed.peerAddress,
+        isLeaving: false,
+      },
+      blackboard,
+      link,
+      timer,
+      random: this.random,
+      metrics,
+    });
+    const started = { host, timer, link, blackboard, membership, metrics };
+    this.hosts.set(host, started);
+    blackboard.write(HOST_LIST, this.list);
+    membership.start();
+    return started;
+  }
+
+  kill(host: HostId): void {
+    const dead = this.at(host);
+    dead.timer.kill();
+    dead.link.close();
+    this.hosts.delete(host);
+  }
+
+  pause(host: HostId): void {
+    this.at(host).timer.pause();
+    this.at(host).link.pause();
+  }
+
+  resume(host: HostId): void {
+    this.at(host).timer.resume();
+    this.at(host).link.resume();
+  }
+
+  advance(span: Milliseconds): void {
+    this.world.advance(span);
+  }
+
+  at(host: HostId): FleetHost {
+    return this.hosts.get(host)!;
+  }
+
+  /** What `observer` knows of `host`. */
+  memberAt(observer: HostId, host: HostId): Member | undefined {
+    const members = this.at(observer).blackboard.read(MEMBERS);
+    return members.find((member) => member.host === host);
+  }
+
+  shareAt(observer: HostId): number {
+    return this.at(observer).blackboard.read(FLEET_SHARE);
+  }
+}
