--- a/packages/decisions/src/ejection.ts
+++ b/packages/decisions/src/ejection.ts
@@ -57,7 +57,8 @@
   ): boolean {
     if (outcome === "cancelled") return false;
     if (outcome === "whole") {
-      this.#health.delete(upstream);
+      // An answer that was under way when its upstream was ejected proves nothing.
+      if (!this.#ejected.has(upstream)) this.#health.delete(upstream);
       return false;
     }
     const health = this.#healthOf(upstream);
--- /dev/null
+++ b/packages/proof/src/arrivalPatterns.ts
@@ -0,0 +1,176 @@
+import {
+  asId,
+  asTier,
+  type ClientAccountId,
+  type Milliseconds,
+  type Random,
+  SeededRandom,
+} from "@wasabivane/common";
+import {
+  type Arrival,
+  ARRIVALS_END_MS,
+  buildArrivals,
+  buildFleet,
+  type Deployment,
+  domainDistance,
+  type Fault,
+  type LoadShape,
+  MAXIMUM_OUTPUT_TOKENS,
+  type Scenario,
+} from "./arrivals.ts";
+
+/** What a pattern adds to the usual load. */
+interface PatternShape extends Partial<LoadShape> {
+  readonly faults?: (random: Random) => Fault[];
+  readonly reportLagMs?: Milliseconds;
+  readonly cacheEventLagMs?: Milliseconds;
+  readonly hasKiller?: boolean;
+}
+
+const USUAL_LOAD = 0.6;
+const REPORT_LAG_MS = 1_000;
+const CACHE_EVENT_LAG_MS = 1_000;
+const FLEET_SIZE = 16;
+const RESTART_AFTER_MS = 15_000;
+const SLOW_FOR_MS = 25_000;
+
+/** The load patterns by name. */
+const PATTERNS = {
+  "steady": {},
+  "burst": { load: burstLoad },
+  "hot-account": { load: () => 1.2, hotAccountShare: 0.5 },
+  "hot-prefix": { load: () => 0.9, sharedPrefixShare: 0.8 },
+  "slow-upstream": { faults: slowUpstreams },
+  "long-among-short": { load: () => 0.4, longShare: 0.1 },
+  "overload": { load: () => 2 },
+  "stale-reports": {
+    load: () => 0.9,
+    reportLagMs: 8_000,
+    cacheEventLagMs: 5_000,
+  },
+  "upstream-loss": { load: () => 0.5, faults: lostUpstreams },
+  "poison": { load: () => 0.5, hasKiller: true },
+  "leaving": { load: () => 0.5, faults: leavingUpstreams },
+  "mixed": {
+    load: burstLoad,
+    hotAccountShare: 0.2,
+    longShare: 0.02,
+    faults: mixedFaults,
+    reportLagMs: 4_000,
+  },
+} as const satisfies Record<string, PatternShape>;
+
+/** Name of a load pattern. */
+export type Pattern = keyof typeof PATTERNS;
+
+/** Every pattern, in the order of reports. */
+export const PATTERN_NAMES = Object.keys(PATTERNS) as Pattern[];
+
+/** Draws the requests and faults of one pattern. */
+export function buildScenario(
+  { pattern, deployment, seed }: {
+    pattern: Pattern;
+    deployment: Deployment;
+    seed: number;
+  },
+): Scenario {
+  const shape: PatternShape = PATTERNS[pattern];
+  const random = new SeededRandom(seed + 1_000_003);
+  const load = shape.load ?? (() => USUAL_LOAD);
+  const arrivals = buildArrivals({
+    deployment,
+    seed,
+    shape: { ...shape, load },
+  });
+  if (shape.hasKiller) arrivals.push(killer());
+  return {
+    fleet: buildFleet(deployment),
+    arrivals: arrivals.sort((left, right) => left.at - right.at),
+    faults: shape.faults?.(random) ?? [],
+    reportLagMs: shape.reportLagMs ?? REPORT_LAG_MS,
+    cacheEventLagMs: shape.cacheEventLagMs ?? CACHE_EVENT_LAG_MS,
+    domainDistanceMs: domainDistance(deployment),
+  };
+}
+
+/** Two bursts of ten seconds at one and a half times what the fleet can carry. */
+function burstLoad(at: Milliseconds): number {
+  const isBurst = (at >= 20_000 && at < 30_000) ||
+    (at >= 55_000 && at < 65_000);
+  return isBurst ? 1.5 : 0.5;
+}
+
+/** One engine of each generation turns slow and recovers. */
+function slowUpstreams(random: Random): Fault[] {
+  return [random.int(4), 4 + random.int(6), 10 + random.int(6)]
+    .flatMap((upstream) => {
+      const at = 15_000 + random.int(30_000);
+      return slowFault(upstream, at);
+    });
+}
+
+/** Two engines are lost one by one, then two at once. */
+function lostUpstreams(random: Random): Fault[] {
+  const lost = distinct(random, 4);
+  const times = [15_000, 35_000, 55_000, 55_200];
+  return lost.flatMap((upstream, index) =>
+    crashFault(upstream, times[index]! + random.int(100))
+  );
+}
+
+function leavingUpstreams(random: Random): Fault[] {
+  return distinct(random, 4).map((upstream, index) => ({
+    at: 15_000 + index * 15_000,
+    upstream,
+    kind: "leave" as const,
+  }));
+}
+
+/** A slowdown, a loss and a leaving upstream at moments drawn from the seed. */
+function mixedFaults(random: Random): Fault[] {
+  const [slow, lost, leaving] = distinct(random, 3) as [number, number, number];
+  const moment = (): Milliseconds => 10_000 + random.int(60_000);
+  return [
+    ...slowFault(slow, moment()),
+    ...crashFault(lost, moment()),
+    { at: moment(), upstream: leaving, kind: "leave" },
+  ];
+}
+
+function slowFault(upstream: number, at: Milliseconds): Fault[] {
+  return [
+    { at, upstream, kind: "slow", factor: 6 },
+    { at: at + SLOW_FOR_MS, upstream, kind: "slow", factor: 1 },
+  ];
+}
+
+function crashFault(upstream: number, at: Milliseconds): Fault[] {
+  return [
+    { at, upstream, kind: "crash" },
+    { at: at + RESTART_AFTER_MS, upstream, kind: "restart" },
+  ];
+}
+
+function distinct(random: Random, count: number): number[] {
+  const chosen = new Set<number>();
+  while (chosen.size < count) chosen.add(random.int(FLEET_SIZE));
+  return [...chosen];
+}
+
+/** A request that crashes its engine; its caller keeps sending it. */
+function killer(): Arrival {
+  return {
+    id: "killer",
+    at: 15_000,
+    deadline: ARRIVALS_END_MS * 2,
+    account: asId<ClientAccountId>("account-1"),
+    tier: asTier(2),
+    originDomain: buildFleet("fukuoka")[0]!.failureDomain,
+    promptTokens: 900,
+    outputTokens: 200,
+    maximumOutputTokens: MAXIMUM_OUTPUT_TOKENS,
+    prefixDigests: [],
+    isIdempotent: true,
+    isKiller: true,
+  };
+}
--- /dev/null
+++ b/packages/proof/src/arrivals.ts
@@ -0,0 +1,258 @@
+import {
+  asId,
+  asTier,
+  type ClientAccountId,
+  type Digest,
+  type FailureDomain,
+  type Milliseconds,
+  type Random,
+  SeededRandom,
+  type Tier,
+  type UpstreamId,
+} from "@wasabivane/common";
+import {
+  BLOCK_TOKENS,
+  type EngineSpeed,
+  type Generation,
+  GENERATIONS,
+} from "@wasabivane/engine-model";
+
+/** A deployment that the experiments are modelled on. */
+export type Deployment = "fukuoka" | "cairo";
+
+/** One request of a caller, with what only the engines know: its real length. */
+export interface Arrival {
+  readonly id: string;
+  readonly at: Milliseconds;
+  readonly deadline: Milliseconds;
+  readonly account: ClientAccountId;
+  readonly tier: Tier;
+  readonly originDomain: FailureDomain;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly maximumOutputTokens: number;
+  readonly prefixDigests: readonly Digest[];
+  /** Whether the caller sends it again when its upstream was lost. */
+  readonly isIdempotent: boolean;
+  /** It crashes each engine that runs it. */
+  readonly isKiller: boolean;
+}
+
+/** Something that happens to an upstream. */
+export interface Fault {
+  readonly at: Milliseconds;
+  readonly upstream: number;
+  readonly kind: "slow" | "crash" | "restart" | "leave";
+  /** How many times as long each step takes from now on, for `slow`. */
+  readonly factor?: number;
+}
+
+/** One engine of the fleet. */
+export interface FleetMember {
+  readonly upstream: UpstreamId;
+  readonly failureDomain: FailureDomain;
+  readonly generation: Generation;
+  readonly speed: EngineSpeed;
+}
+
+/** Everything an experiment replays for each policy. */
+export interface Scenario {
+  readonly fleet: readonly FleetMember[];
+  readonly arrivals: readonly Arrival[];
+  readonly faults: readonly Fault[];
+  readonly reportLagMs: Milliseconds;
+  readonly cacheEventLagMs: Milliseconds;
+  readonly domainDistanceMs: Milliseconds;
+}
+
+/** How the load of a pattern differs from the usual. */
+export interface LoadShape {
+  /** Load as a share of what the fleet can carry, at a moment. */
+  readonly load: (at: Milliseconds) => number;
+  /** Share of the requests of the one hot account. */
+  readonly hotAccountShare?: number;
+  /** Share of the requests that begin with one of their account's prefixes. */
+  readonly sharedPrefixShare?: number;
+  /** Share of the requests that are long. */
+  readonly longShare?: number;
+}
+
+/** Requests arrive until then; the last deadlines pass a minute later. */
+export const ARRIVALS_END_MS = 90_000;
+/** Each tier's share of the requests and time to its deadline. */
+export const TIER_LOADS = [
+  { tier: asTier(1), share: 0.15, deadlineMs: 20_000, weight: 8 },
+  { tier: asTier(2), share: 0.25, deadlineMs: 30_000, weight: 4 },
+  { tier: asTier(3), share: 0.3, deadlineMs: 40_000, weight: 2 },
+  { tier: asTier(4), share: 0.3, deadlineMs: 60_000, weight: 1 },
+] as const;
+/** What callers allow an answer at most. */
+export const MAXIMUM_OUTPUT_TOKENS = 1_024;
+
+const ACCOUNT_SHARES = [0.4, 0.3, 0.15, 0.1, 0.05];
+const FLEET: readonly Generation[] = [
+  ...["g3", "g3", "g3", "g3"] as const,
+  ...["g2", "g2", "g2", "g2", "g2", "g2"] as const,
+  ...["g1", "g1", "g1", "g1", "g1", "g1"] as const,
+];
+const SHAPES = {
+  fukuoka: {
+    domains: ["hakata", "tenjin", "momochi"],
+    distanceMs: 1,
+    prompt: { median: 500, spread: 1.2 },
+    output: { median: 150, spread: 0.9 },
+  },
+  cairo: {
+    domains: ["obour-hall", "smart-village", "tenth-ramadan"],
+    distanceMs: 1.5,
+    prompt: { median: 1_200, spread: 1.3 },
+    output: { median: 100, spread: 0.9 },
+  },
+} as const;
+const PROMPT_LIMITS = { least: 40, most: 16_000 };
+const LONG_PROMPT = { median: 10_000, spread: 0.3 };
+const PREFIXES_PER_ACCOUNT = 4;
+const PREFIX_BLOCKS = 32;
+const IDEMPOTENT_SHARE = 0.7;
+
+/** The fleet of a deployment: 16 engines of three speeds in three failure domains. */
+export function buildFleet(deployment: Deployment): FleetMember[] {
+  const { domains } = SHAPES[deployment];
+  return FLEET.map((generation, index) => ({
+    upstream: asId<UpstreamId>(`${deployment}-${index}`),
+    failureDomain: asId<FailureDomain>(domains[index % domains.length]!),
+    generation,
+    speed: GENERATIONS[generation],
+  }));
+}
+
+/** One way between failure domains. */
+export function domainDistance(deployment: Deployment): Milliseconds {
+  return SHAPES[deployment].distanceMs;
+}
+
+/** The requests of one experiment in order of arrival. */
+export function buildArrivals(
+  { deployment, seed, shape }: {
+    deployment: Deployment;
+    seed: number;
+    shape: LoadShape;
+  },
+): Arrival[] {
+  const random = new SeededRandom(seed);
+  const perSecond = requestsPerSecond(deployment);
+  const arrivals: Arrival[] = [];
+  let at = 0;
+  while (true) {
+    const load = Math.max(0.01, shape.load(at));
+    at += random.exponential(1_000 / (perSecond * load));
+    if (at >= ARRIVALS_END_MS) return arrivals;
+    const id = `r${arrivals.length}`;
+    arrivals.push(drawArrival({ id, at, deployment, shape, random }));
+  }
+}
+
+/**
+ * How many usual requests a second keep the whole fleet busy: prompt tokens and
+ * output tokens by what each costs on each engine with a full batch.
+ */
+function requestsPerSecond(deployment: Deployment): number {
+  const { prompt, output } = SHAPES[deployment];
+  const random = new SeededRandom(0);
+  const samples = Array.from({ length: 4_000 }, () => ({
+    prompt: drawPrompt(random, prompt),
+    output: drawOutput(random, output),
+  }));
+  const promptTokens = mean(samples.map((sample) => sample.prompt));
+  const outputTokens = mean(samples.map((sample) => sample.output));
+  return FLEET.reduce((sum, generation) => {
+    const speed = GENERATIONS[generation];
+    const seconds = promptTokens / speed.prefillTokensPerSecond +
+      outputTokens * fullBatchStepMs(speed) / 1_000;
+    return sum + 1 / seconds;
+  }, 0);
+}
+
+/** Time of one output token when the batch is full. */
+export function fullBatchStepMs(speed: EngineSpeed): Milliseconds {
+  return speed.decodeStepMs / speed.maximumBatch +
+    speed.decodeStepPerRequestMs;
+}
+
+function drawArrival(
+  { id, at, deployment, shape, random }: {
+    id: string;
+    at: Milliseconds;
+    deployment: Deployment;
+    shape: LoadShape;
+    random: Random;
+  },
+): Arrival {
+  const { domains, prompt, output } = SHAPES[deployment];
+  const { tier, deadlineMs } = drawByShare(random, TIER_LOADS);
+  const account = drawAccount(random, shape.hotAccountShare ?? 0);
+  const isLong = random.float() < (shape.longShare ?? 0);
+  const ownTokens = drawPrompt(random, isLong ? LONG_PROMPT : prompt);
+  const prefixDigests = random.float() < (shape.sharedPrefixShare ?? 0.2)
+    ? prefixOf(account, random.int(PREFIXES_PER_ACCOUNT))
+    : [];
+  return {
+    id,
+    at,
+    deadline: at + deadlineMs,
+    account,
+    tier,
+    originDomain: asId<FailureDomain>(random.pick(domains)),
+    promptTokens: prefixDigests.length * BLOCK_TOKENS + ownTokens,
+    outputTokens: drawOutput(random, output),
+    maximumOutputTokens: MAXIMUM_OUTPUT_TOKENS,
+    prefixDigests,
+    isIdempotent: random.float() < IDEMPOTENT_SHARE,
+    isKiller: false,
+  };
+}
+
+function drawAccount(random: Random, hotShare: number): ClientAccountId {
+  if (random.float() < hotShare) return asId<ClientAccountId>("account-4");
+  const shares = ACCOUNT_SHARES.map((share, index) => ({ share, index }));
+  return asId<ClientAccountId>(`account-${drawByShare(random, shares).index}`);
+}
+
+function drawByShare<Item extends { readonly share: number }>(
+  random: Random,
+  items: readonly Item[],
+): Item {
+  let left = random.float();
+  for (const item of items) {
+    left -= item.share;
+    if (left < 0) return item;
+  }
+  return items.at(-1)!;
+}
+
+function prefixOf(account: ClientAccountId, prefix: number): Digest[] {
+  return Array.from(
+    { length: PREFIX_BLOCKS },
+    (_, block) => asId<Digest>(`${account}/${prefix}/${block}`),
+  );
+}
+
+function drawPrompt(
+  random: Random,
+  { median, spread }: { median: number; spread: number },
+): number {
+  const tokens = Math.round(median * Math.exp(spread * random.normal()));
+  return Math.min(PROMPT_LIMITS.most, Math.max(PROMPT_LIMITS.least, tokens));
+}
+
+function drawOutput(
+  random: Random,
+  { median, spread }: { median: number; spread: number },
+): number {
+  const tokens = Math.round(median * Math.exp(spread * random.normal()));
+  return Math.min(MAXIMUM_OUTPUT_TOKENS, Math.max(8, tokens));
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
--- /dev/null
+++ b/packages/proof/src/experimentMain.ts
@@ -0,0 +1,59 @@
+import process from "node:process";
+import { cac } from "cac";
+import { type Pattern, PATTERN_NAMES } from "./arrivalPatterns.ts";
+import type { Deployment } from "./arrivals.ts";
+import { type DetailedResult, runExperiment } from "./experimentPolicies.ts";
+import { formatTable } from "./reportTable.ts";
+
+interface Flags {
+  readonly pattern: string;
+  readonly deployment: string;
+  readonly seed: number;
+  readonly json?: boolean;
+}
+
+const DEPLOYMENTS: readonly Deployment[] = ["fukuoka", "cairo"];
+
+/** Reads the command line, runs the experiment and prints what it gave. */
+async function main(): Promise<void> {
+  const cli = cac("experiment");
+  cli.command("", "Run the decision modules in virtual time")
+    .option("--pattern <name>", `One of ${PATTERN_NAMES.join(", ")}, or all`, {
+      default: "steady",
+    })
+    .option("--deployment <name>", "fukuoka or cairo", { default: "fukuoka" })
+    .option("--seed <number>", "Seed of arrivals and faults", { default: 1 })
+    .option("--json", "Print one JSON object for each pattern")
+    .action(runFlags);
+  cli.help();
+  cli.parse(process.argv, { run: false });
+  await cli.runMatchedCommand();
+}
+
+function runFlags(flags: Flags): void {
+  const patterns = flags.pattern === "all" ? PATTERN_NAMES : [flags.pattern];
+  const isKnown =
+    patterns.every((name) => PATTERN_NAMES.includes(name as Pattern)) &&
+    DEPLOYMENTS.includes(flags.deployment as Deployment);
+  if (!isKnown || !Number.isInteger(flags.seed)) {
+    process.stderr.write("Name a known pattern, a deployment and a seed\n");
+    process.exitCode = 2;
+    return;
+  }
+  for (const pattern of patterns) {
+    const detailed = runExperiment({
+      pattern: pattern as Pattern,
+      deployment: flags.deployment as Deployment,
+      seed: flags.seed,
+    });
+    print(detailed, flags.json === true);
+  }
+}
+
+function print({ result }: DetailedResult, isJson: boolean): void {
+  process.stdout.write(
+    isJson ? `${JSON.stringify(result)}\n` : `${formatTable(result)}\n`,
+  );
+}
+
+await main();
--- /dev/null
+++ b/packages/proof/src/experimentTally.ts
@@ -0,0 +1,128 @@
+import type { Milliseconds } from "@wasabivane/common";
+import type { EngineCounters } from "@wasabivane/engine-model";
+import { type Arrival, TIER_LOADS } from "./arrivals.ts";
+
+/** Why computed prompt tokens were thrown away. */
+export type WasteCause = "late" | "broken" | "cancelled" | "shedAfterStart";
+
+/** A count for each tier, by its number. */
+export type ByTier = Record<string, number>;
+
+/** What callers received under one policy. */
+export interface PolicyResult {
+  readonly goodputByTier: ByTier;
+  readonly offeredByTier: ByTier;
+  readonly prefillTokens: number;
+  readonly wastedPrefillTokens: number;
+  readonly wastedByCause: Record<WasteCause, number>;
+  readonly ttftP99MsByTier: ByTier;
+  readonly refusedByTier: ByTier;
+  readonly refusedByReason: Record<string, number>;
+  readonly tierInversions: number;
+  readonly doubleDispatches: number;
+  readonly crossedAnswers: number;
+  readonly falseNotRun: number;
+  readonly lost: number;
+  readonly weightedGoodput: number;
+  /** Answers that broke off with their upstream and were not sent again. */
+  readonly broken: number;
+  readonly upstreamsLost: number;
+  readonly dispatches: number;
+  /** Requests as sent by callers, resends included. */
+  readonly sent: number;
+}
+
+/** One whole answer, for the plots. */
+export interface AnswerSample {
+  readonly tier: number;
+  readonly at: Milliseconds;
+  /** From the arrival to the grant. */
+  readonly waited: Milliseconds;
+}
+
+/** Counts what happens in one run of an experiment. */
+export class ExperimentTally {
+  readonly goodput = emptyByTier();
+  readonly offered = emptyByTier();
+  readonly refused = emptyByTier();
+  readonly refusedByReason: Record<string, number> = {};
+  readonly wasted: Record<WasteCause, number> = {
+    late: 0,
+    broken: 0,
+    cancelled: 0,
+    shedAfterStart: 0,
+  };
+  readonly answers: AnswerSample[] = [];
+  readonly #firstTokens: Record<string, Milliseconds[]> = {};
+  tierInversions = 0;
+  doubleDispatches = 0;
+  crossedAnswers = 0;
+  falseNotRun = 0;
+  unanswered = 0;
+  broken = 0;
+  upstreamsLost = 0;
+  dispatches = 0;
+  sent = 0;
+
+  answered({ tier }: Arrival, sample: AnswerSample): void {
+    this.goodput[tier]!++;
+    this.answers.push(sample);
+  }
+
+  refusedOnce({ tier, isKiller }: Arrival, reason: string): void {
+    if (isKiller) return;
+    this.refused[tier]!++;
+    this.refusedByReason[reason] = (this.refusedByReason[reason] ?? 0) + 1;
+  }
+
+  firstToken({ tier }: Arrival, elapsed: Milliseconds): void {
+    (this.#firstTokens[tier] ??= []).push(elapsed);
+  }
+
+  result(engines: readonly EngineCounters[]): PolicyResult {
+    return {
+      goodputByTier: this.goodput,
+      offeredByTier: this.offered,
+      prefillTokens: total(engines.map((counters) => counters.prefillTokens)),
+      wastedPrefillTokens: total(Object.values(this.wasted)),
+      wastedByCause: this.wasted,
+      ttftP99MsByTier: this.#firstTokenP99(),
+      refusedByTier: this.refused,
+      refusedByReason: this.refusedByReason,
+      tierInversions: this.tierInversions,
+      doubleDispatches: this.doubleDispatches,
+      crossedAnswers: this.crossedAnswers,
+      falseNotRun: this.falseNotRun,
+      lost: this.unanswered,
+      weightedGoodput: weightedSum(this.goodput),
+      broken: this.broken,
+      upstreamsLost: this.upstreamsLost,
+      dispatches: this.dispatches,
+      sent: this.sent,
+    };
+  }
+
+  #firstTokenP99(): ByTier {
+    return Object.fromEntries(
+      Object.entries(this.#firstTokens).sort().map(([tier, times]) => {
+        times.sort((left, right) => left - right);
+        return [tier, Math.round(times[Math.floor(times.length * 0.99)]!)];
+      }),
+    );
+  }
+}
+
+/** The sum of counts by tier, each with its tier's weight. */
+export function weightedSum(byTier: ByTier): number {
+  return total(
+    TIER_LOADS.map(({ tier, weight }) => weight * (byTier[tier] ?? 0)),
+  );
+}
+
+function emptyByTier(): ByTier {
+  return Object.fromEntries(TIER_LOADS.map(({ tier }) => [tier, 0]));
+}
+
+function total(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0);
+}
