Keep accepted jobs alive among three processes with one right to dispatch

Cause: overnight work must outlive the host that took it, with no disk and no store, and must not run twice when a holder pauses or is cut off.

Change: a job is accepted once two peers in other failure domains hold it (one and a witness where there are two domains). Each epoch of a job is a write-once register among its three processes; it settles on a dispatch or on a move to other processes. After a dispatch successors resume only. Answers stay at three hosts until fetched or expired; tombstones keep late copies from acting.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -14,3 +14,8 @@
 export * from "./poolMembers.ts";
 export * from "./poolMessages.ts";
 export * from "./webSocketLink.ts";
+export * from "./jobController.ts";
+export * from "./jobKeeping.ts";
+export * from "./jobMembers.ts";
+export * from "./jobMessages.ts";
+export * from "./jobStore.ts";
--- /dev/null
+++ b/packages/coordination/src/jobLifecycle.ts
@@ -0,0 +1,251 @@
+import type { JobId, Metrics, Timer } from "@wasabivane/common";
+import type { Job, JobAnswer, JobTakeover } from "./job.ts";
+import type { JobNews } from "./jobMessages.ts";
+import type { JobOutbox } from "./jobOutbox.ts";
+import type { Epoch, MemberId, RegisterValue } from "./jobRegister.ts";
+import type { JobOutcome, JobRecord, JobStore } from "./jobStore.ts";
+
+/** A round that no attempt exceeds; a member that promised it takes no part any more. */
+const LAST_ROUND = Number.MAX_SAFE_INTEGER;
+
+/** An answer for a job that ended without one. */
+export function emptyAnswer(ending: "not-run" | "unknown"): JobAnswer {
+  return { ending, status: 0, headers: {}, body: new Uint8Array() };
+}
+
+/** What {@link JobLifecycle} needs. */
+export interface JobLifecycleOptions {
+  readonly self: MemberId;
+  readonly timer: Timer;
+  readonly metrics: Metrics;
+  readonly store: JobStore;
+  readonly outbox: JobOutbox;
+}
+
+/** Every change of a job's state in this process, and whom it is told to. */
+export class JobLifecycle {
+  readonly #options: JobLifecycleOptions;
+  readonly #takeoverListeners = new Set<(takeover: JobTakeover) => void>();
+
+  constructor(options: JobLifecycleOptions) {
+    this.#options = options;
+  }
+
+  onTakeover(listener: (takeover: JobTakeover) => void): () => void {
+    this.#takeoverListeners.add(listener);
+    return () => this.#takeoverListeners.delete(listener);
+  }
+
+  /** An epoch is known to be the job's; a member that is not in it lets go. */
+  confirm(record: JobRecord, epoch: Epoch): void {
+    const { self, store, metrics } = this.#options;
+    if (record.outcome !== undefined) return;
+    if (record.epoch !== undefined && record.epoch.number >= epoch.number) {
+      return;
+    }
+    endAttempt(record);
+    if (!epoch.members.includes(self)) {
+      store.bury(record.job.id, epoch);
+      return;
+    }
+    record.epoch = epoch;
+    record.acceptor = {};
+    record.hasUsedHolderRound = false;
+    record.highestRound = 0;
+    record.retryAt = 0;
+    record.keepers = epoch.members;
+    record.lost.clear();
+    if (epoch.number === 0 || epoch.holder !== self) return;
+    metrics.count("jobs_taken_over");
+    this.#tellTakeover({ job: record.job });
+  }
+
+  /** A value was chosen in the job's epoch. */
+  choose(record: JobRecord, value: RegisterValue): void {
+    if (value.kind === "move") this.#move(record, value.epoch);
+    else this.settle(record, { outcome: value });
+  }
+
+  /** The job's outcome is known, by an own attempt or from a peer. */
+  settle(
+    record: JobRecord,
+    { outcome, keepers, runner, answer, isNews = false }: {
+      outcome: JobOutcome;
+      keepers?: readonly MemberId[];
+      runner?: MemberId;
+      answer?: JobAnswer;
+      isNews?: boolean;
+    },
+  ): void {
+    const { self, store } = this.#options;
+    endAttempt(record);
+    record.outcome ??= outcome;
+    if (keepers !== undefined) record.keepers = keepers;
+    if (runner !== undefined) record.runner = runner;
+    else if (outcome.kind === "dispatch") record.runner ??= outcome.by;
+    const isOwn = outcome.kind === "dispatch" && outcome.by === self;
+    if (!isOwn) store.dropBody(record);
+    if (outcome.kind === "withdraw") {
+      this.#keepAnswer(record, emptyAnswer("not-run"));
+    }
+    if (answer !== undefined) this.#keepAnswer(record, answer);
+    if (!isNews) this.tellKeepers(record);
+  }
+
+  /** The job ended here. */
+  finish(record: JobRecord, answer: JobAnswer): void {
+    this.#keepAnswer(record, answer);
+    this.#options.metrics.count("jobs_ended", 1, { ending: answer.ending });
+    if (record.outcome !== undefined) this.tellKeepers(record);
+  }
+
+  /**
+   * Ends a job whose other members are gone. This member takes no part in the
+   * register any more, so that what it says stays true if they come back.
+   */
+  endAlone(record: JobRecord, ending: "not-run" | "unknown"): void {
+    const { self, metrics } = this.#options;
+    endAttempt(record);
+    const promised = { round: LAST_ROUND, proposer: self };
+    record.acceptor = { ...record.acceptor, promised };
+    metrics.count("jobs_stranded", 1, { ending });
+    this.finish(record, emptyAnswer(ending));
+  }
+
+  /** This process resumes the job's answer at its upstream. */
+  resume(record: JobRecord): void {
+    const { self, metrics } = this.#options;
+    const dispatch = dispatchOf(record);
+    if (dispatch === undefined) return;
+    record.runner = self;
+    metrics.count("jobs_resumed");
+    if (record.outcome !== undefined) this.tellKeepers(record);
+    const { upstream, nonce } = dispatch;
+    this.#tellTakeover({
+      job: record.job,
+      resumeAt: { upstream, nonce },
+    });
+  }
+
+  /** Drops a job everywhere: fetched, expired or never accepted. */
+  forget(
+    record: JobRecord,
+    { isTold = true }: { isTold?: boolean } = {},
+  ): void {
+    const { store } = this.#options;
+    endAttempt(record);
+    const others = this.#othersOf(record);
+    store.bury(record.job.id);
+    if (!isTold) return;
+    for (const to of others) this.#post(to, record.job.id, { kind: "gone" });
+  }
+
+  /** Tells the keepers the outcome, and the answer once there is one. */
+  tellKeepers(record: JobRecord): void {
+    const news = settledNews(record);
+    if (news === undefined) return;
+    for (const to of this.#othersOf(record)) {
+      this.#post(to, record.job.id, news);
+    }
+  }
+
+  /** Tells a process what it missed about a job; nothing when it is up to date. */
+  tellLatest(
+    to: MemberId,
+    { id, epochNumber }: { id: JobId; epochNumber: number },
+  ): void {
+    const { store } = this.#options;
+    const record = store.find(id);
+    const tombstone = store.tombstone(id);
+    if (record?.outcome !== undefined) {
+      this.#post(to, id, settledNews(record)!);
+    } else if (record?.epoch !== undefined) {
+      if (record.epoch.number <= epochNumber) return;
+      this.#post(to, id, { kind: "moved", epoch: record.epoch });
+    } else if (tombstone?.movedTo !== undefined) {
+      this.#post(to, id, { kind: "moved", epoch: tombstone.movedTo });
+    } else if (tombstone !== undefined) {
+      this.#post(to, id, { kind: "gone" });
+    }
+  }
+
+  #move(record: JobRecord, epoch: Epoch): void {
+    const { self, metrics } = this.#options;
+    const told = new Set([...record.epoch?.members ?? [], ...epoch.members]);
+    told.delete(self);
+    metrics.count("jobs_moved");
+    this.confirm(record, epoch);
+    for (const to of told) this.tellMoved(to, { record, epoch });
+  }
+
+  /** Tells a process the job's epoch; one without a copy counts as lost. */
+  tellMoved(
+    to: MemberId,
+    { record, epoch, onNoted }: {
+      record: JobRecord;
+      epoch: Epoch;
+      onNoted?: (isHeld: boolean) => void;
+    },
+  ): void {
+    this.#options.outbox.post(to, {
+      id: record.job.id,
+      news: { kind: "moved", epoch },
+      onNoted: (isHeld) => {
+        if (!isHeld && epoch.members.includes(to)) record.lost.add(to);
+        onNoted?.(isHeld);
+      },
+    });
+  }
+
+  #post(to: MemberId, id: JobId, news: JobNews): void {
+    this.#options.outbox.post(to, { id, news });
+  }
+
+  #othersOf(record: JobRecord): MemberId[] {
+    const all = new Set([...record.keepers, ...record.epoch?.members ?? []]);
+    all.delete(this.#options.self);
+    return [...all];
+  }
+
+  #keepAnswer(record: JobRecord, answer: JobAnswer): void {
+    // A whole answer that comes late is better than an ending without one.
+    if (record.answer?.ending === "whole") return;
+    this.#options.store.setAnswer(record, answer);
+  }
+
+  #tellTakeover(takeover: JobTakeover): void {
+    for (const listener of this.#takeoverListeners) listener(takeover);
+  }
+}
+
+/** Where the job was or may have been dispatched, as far as this process knows. */
+export function dispatchOf(
+  record: JobRecord,
+): Extract<JobOutcome, { kind: "dispatch" }> | undefined {
+  const value = record.outcome ?? record.acceptor.accepted?.value;
+  return value?.kind === "dispatch" ? value : undefined;
+}
+
+/** Ends this process's attempt, if one is under way. */
+export function endAttempt(record: JobRecord): void {
+  const { attempt } = record;
+  delete record.attempt;
+  attempt?.onEnd({ kind: "failed" });
+}
+
+function withoutBody(job: Job): Job {
+  return { ...job, body: new Uint8Array() };
+}
+
+function settledNews(record: JobRecord): JobNews | undefined {
+  const { outcome, keepers, runner, answer } = record;
+  if (outcome === undefined) return undefined;
+  return {
+    kind: "settled",
+    job: withoutBody(record.job),
+    outcome,
+    keepers,
+    ...(runner && { runner }),
+    ...(answer && { answer }),
+  };
+}
--- /dev/null
+++ b/packages/coordination/src/jobMessages.ts
@@ -0,0 +1,288 @@
+import type {
+  ClientAccountId,
+  Ending,
+  JobId,
+  Nonce,
+  ServiceId,
+  Tier,
+  UpstreamId,
+} from "@wasabivane/common";
+import type { Job, JobAnswer, JobStatus } from "./job.ts";
+import type {
+  Ballot,
+  Epoch,
+  MemberId,
+  Proposal,
+  RegisterReply,
+  RegisterRequest,
+  RegisterValue,
+} from "./jobRegister.ts";
+import type { JobOutcome } from "./jobStore.ts";
+import {
+  anyOf,
+  isBoolean,
+  isBytes,
+  listOf,
+  numberOf,
+  objectOf,
+  oneOf,
+  optional,
+  type Shape,
+  textOf,
+} from "./messageShapes.ts";
+import { defineMessage, type MessageKind } from "./peerMessages.ts";
+
+/** Members of one epoch. */
+export const MAX_MEMBERS = 8;
+const MAX_HEADER_LENGTH = 8_192;
+
+const isMember = textOf<MemberId>(256);
+const isJobId = textOf<JobId>(512);
+const isMembers = listOf(isMember, MAX_MEMBERS);
+
+function isHeaders(value: unknown): value is Readonly<Record<string, string>> {
+  if (typeof value !== "object" || value === null) return false;
+  const isText = textOf<string>(MAX_HEADER_LENGTH);
+  return Object.values(value).every(isText);
+}
+
+const isJob: Shape<Job> = objectOf({
+  id: isJobId,
+  account: textOf<ClientAccountId>(),
+  service: textOf<ServiceId>(),
+  tier: numberOf<Tier>(),
+  method: textOf<string>(16),
+  path: textOf<string>(8_192),
+  headers: isHeaders,
+  body: isBytes,
+  expiresAt: numberOf<number>(),
+  acceptedAt: numberOf<number>(),
+});
+
+const isAnswer: Shape<JobAnswer> = objectOf({
+  ending: oneOf<Ending>("whole", "not-run", "unknown"),
+  status: numberOf<number>(),
+  headers: isHeaders,
+  body: isBytes,
+});
+
+const isEpoch: Shape<Epoch> = objectOf({
+  number: numberOf<number>(),
+  members: isMembers,
+  holder: isMember,
+});
+
+const isDispatch = objectOf({
+  kind: oneOf("dispatch"),
+  upstream: textOf<UpstreamId>(),
+  nonce: textOf<Nonce>(),
+  by: isMember,
+});
+const isWithdraw = objectOf({ kind: oneOf("withdraw") });
+const isMove = objectOf({ kind: oneOf("move"), epoch: isEpoch });
+const isOutcome: Shape<JobOutcome> = anyOf<JobOutcome>(isDispatch, isWithdraw);
+const isValue: Shape<RegisterValue> = anyOf<RegisterValue>(
+  isDispatch,
+  isWithdraw,
+  isMove,
+);
+const isBallot: Shape<Ballot> = objectOf({
+  round: numberOf<number>(),
+  proposer: isMember,
+});
+const isProposal: Shape<Proposal> = objectOf({
+  ballot: isBallot,
+  value: isValue,
+});
+
+const isRequest: Shape<RegisterRequest> = anyOf<RegisterRequest>(
+  objectOf({ kind: oneOf("prepare"), ballot: isBallot }),
+  objectOf({ kind: oneOf("accept"), ballot: isBallot, value: isValue }),
+);
+const isReply: Shape<RegisterReply> = anyOf<RegisterReply>(
+  objectOf({
+    kind: oneOf("promised"),
+    ballot: isBallot,
+    accepted: optional(isProposal),
+  }),
+  objectOf({ kind: oneOf("accepted"), ballot: isBallot }),
+  objectOf({
+    kind: oneOf("refused"),
+    ballot: isBallot,
+    promisedRound: numberOf<number>(),
+  }),
+);
+
+/** A chosen fact about a job; each supersedes those before it. */
+export type JobNews =
+  | { readonly kind: "moved"; readonly epoch: Epoch }
+  | {
+    readonly kind: "settled";
+    /** Without its body. */
+    readonly job: Job;
+    readonly outcome: JobOutcome;
+    readonly keepers: readonly MemberId[];
+    readonly runner?: MemberId;
+    readonly answer?: JobAnswer;
+  }
+  /** Fetched, expired or never accepted. */
+  | { readonly kind: "gone" };
+
+const isNews: Shape<JobNews> = anyOf<JobNews>(
+  objectOf({ kind: oneOf("moved"), epoch: isEpoch }),
+  objectOf({
+    kind: oneOf("settled"),
+    job: isJob,
+    outcome: isOutcome,
+    keepers: isMembers,
+    runner: optional(isMember),
+    answer: optional(isAnswer),
+  }),
+  objectOf({ kind: oneOf("gone") }),
+);
+
+/** Asks a host to hold a copy that does not act until it is confirmed. */
+export const JOB_COPY: MessageKind<{ readonly job: Job }> = defineMessage(
+  "job-copy",
+  objectOf({ job: isJob }),
+);
+
+/** Answers {@link JOB_COPY}. */
+export interface JobCopied {
+  readonly id: JobId;
+  readonly member: MemberId;
+  readonly isHeld: boolean;
+}
+/** See {@link JobCopied}. */
+export const JOB_COPIED: MessageKind<JobCopied> = defineMessage<JobCopied>(
+  "job-copied",
+  objectOf({ id: isJobId, member: isMember, isHeld: isBoolean }),
+);
+
+/** Asks a member of an epoch to promise or accept. */
+export interface JobRegisterRequest {
+  readonly id: JobId;
+  readonly epoch: Epoch;
+  readonly request: RegisterRequest;
+  readonly by: MemberId;
+}
+/** See {@link JobRegisterRequest}. */
+export const JOB_REGISTER: MessageKind<JobRegisterRequest> = defineMessage<
+  JobRegisterRequest
+>(
+  "job-register",
+  objectOf({ id: isJobId, epoch: isEpoch, request: isRequest, by: isMember }),
+);
+
+/** A member's answer to {@link JOB_REGISTER}. */
+export interface JobRegisterReply {
+  readonly id: JobId;
+  /** See `epochKey`. */
+  readonly key: string;
+  readonly member: MemberId;
+  readonly reply: RegisterReply;
+}
+/** See {@link JobRegisterReply}. */
+export const JOB_REPLY: MessageKind<JobRegisterReply> = defineMessage<
+  JobRegisterReply
+>(
+  "job-reply",
+  objectOf({
+    id: isJobId,
+    key: textOf<string>(4_096),
+    member: isMember,
+    reply: isReply,
+  }),
+);
+
+/** News that the sender repeats until it is noted. */
+export interface JobNewsMessage {
+  readonly id: JobId;
+  readonly sequence: number;
+  readonly to: MemberId;
+  readonly news: JobNews;
+}
+/** See {@link JobNewsMessage}. */
+export const JOB_NEWS: MessageKind<JobNewsMessage> = defineMessage<
+  JobNewsMessage
+>(
+  "job-news",
+  objectOf({
+    id: isJobId,
+    sequence: numberOf<number>(),
+    to: isMember,
+    news: isNews,
+  }),
+);
+
+/** Answers {@link JOB_NEWS}. */
+export interface JobNoted {
+  readonly id: JobId;
+  readonly sequence: number;
+  readonly member: MemberId;
+  /** False when the member has no copy. */
+  readonly isHeld: boolean;
+}
+/** See {@link JobNoted}. */
+export const JOB_NOTED: MessageKind<JobNoted> = defineMessage<JobNoted>(
+  "job-noted",
+  objectOf({
+    id: isJobId,
+    sequence: numberOf<number>(),
+    member: isMember,
+    isHeld: isBoolean,
+  }),
+);
+
+/** Asks whether a copy is still needed; answered by news where it is not. */
+export interface JobCheck {
+  readonly id: JobId;
+  readonly epochNumber: number;
+  readonly by: MemberId;
+}
+/** See {@link JobCheck}. */
+export const JOB_CHECK: MessageKind<JobCheck> = defineMessage<JobCheck>(
+  "job-check",
+  objectOf({ id: isJobId, epochNumber: numberOf<number>(), by: isMember }),
+);
+
+/** Asks what a host knows of a job. */
+export interface JobQuestion {
+  readonly id: JobId;
+  readonly account: ClientAccountId;
+  readonly question: number;
+  /** The caller has the answer; drop it. */
+  readonly isFetched: boolean;
+}
+/** See {@link JobQuestion}. */
+export const JOB_QUESTION: MessageKind<JobQuestion> = defineMessage<
+  JobQuestion
+>(
+  "job-question",
+  objectOf({
+    id: isJobId,
+    account: textOf<ClientAccountId>(),
+    question: numberOf<number>(),
+    isFetched: isBoolean,
+  }),
+);
+
+/** Answers {@link JOB_QUESTION}; no status when the host knows nothing. */
+export interface JobStatusMessage {
+  readonly question: number;
+  readonly status?: JobStatus;
+}
+/** See {@link JobStatusMessage}. */
+export const JOB_STATUS: MessageKind<JobStatusMessage> = defineMessage<
+  JobStatusMessage
+>(
+  "job-status",
+  objectOf({
+    question: numberOf<number>(),
+    status: optional(anyOf<JobStatus>(
+      objectOf({ kind: oneOf("waiting") }),
+      objectOf({ kind: oneOf("running"), upstream: textOf<UpstreamId>() }),
+      objectOf({ kind: oneOf("ended"), answer: isAnswer }),
+    )),
+  }),
+);
--- /dev/null
+++ b/packages/coordination/src/jobStore.ts
@@ -0,0 +1,186 @@
+import type {
+  EpochMilliseconds,
+  JobId,
+  Milliseconds,
+} from "@wasabivane/common";
+import type { Job, JobAnswer } from "./job.ts";
+import type {
+  Acceptor,
+  Attempt,
+  Epoch,
+  MemberId,
+  RegisterValue,
+} from "./jobRegister.ts";
+
+/** A value that ends the choice: the job moves no more. */
+export type JobOutcome = Exclude<RegisterValue, { kind: "move" }>;
+
+/** How an attempt to settle a job ended. */
+export type AttemptEnd =
+  | { readonly kind: "chosen"; readonly value: RegisterValue }
+  | { readonly kind: "failed" };
+
+/** An attempt of this process that is under way. */
+export interface RunningAttempt {
+  attempt: Attempt;
+  readonly startedAt: Milliseconds;
+  sentAt: Milliseconds;
+  readonly onEnd: (end: AttemptEnd) => void;
+}
+
+/** One job as this process holds it. */
+export interface JobRecord {
+  job: Job;
+  readonly installedAt: Milliseconds;
+  /** Absent for a copy that nobody has confirmed yet; such a copy never acts. */
+  epoch?: Epoch;
+  /** What this process has promised and accepted in the epoch. */
+  acceptor: Acceptor;
+  attempt?: RunningAttempt;
+  /** The holder's round 0 serves once per epoch. */
+  hasUsedHolderRound: boolean;
+  highestRound: number;
+  retryAt: Milliseconds;
+  isMoving: boolean;
+  /** Members that answer but hold no copy any more. */
+  readonly lost: Set<MemberId>;
+  outcome?: JobOutcome;
+  /** Processes that hold the job or its outcome now. */
+  keepers: readonly MemberId[];
+  /** Who dispatches or resumes. */
+  runner?: MemberId;
+  /** `recordDispatch` has given the right here; it gives it once. */
+  isReleased: boolean;
+  answer?: JobAnswer;
+  checkedAt: Milliseconds;
+}
+
+/** What remains of a job that was here. */
+interface Tombstone {
+  readonly until: EpochMilliseconds;
+  readonly movedTo?: Epoch;
+}
+
+/** Bounds of a {@link JobStore}. */
+export interface JobStoreOptions {
+  readonly maximumJobs?: number;
+  /** Bytes of bodies and answers. */
+  readonly maximumBytes?: number;
+  readonly maximumTombstones?: number;
+}
+
+/** Largest clock difference between hosts that tombstones allow for. */
+export const CLOCK_SKEW_MS: Milliseconds = 600_000;
+/** Bytes that a job without body is charged with. */
+const RECORD_BYTES = 1024;
+
+/**
+ * The jobs of this process, bounded by count and bytes.
+ *
+ * A job that was here leaves a tombstone until it would have expired. Without
+ * one, a copy that the network delivers again long after would make this
+ * process a member with an empty memory, which could let a job that ran be
+ * dispatched again. Tombstones are bounded, too: when there is no room for one
+ * more, no new job is taken.
+ */
+export class JobStore {
+  readonly #records = new Map<JobId, JobRecord>();
+  readonly #tombstones = new Map<JobId, Tombstone>();
+  readonly #options: Required<JobStoreOptions>;
+  #bytes = 0;
+
+  constructor(
+    {
+      maximumJobs = 5_000,
+      maximumBytes = 128 * 1024 * 1024,
+      maximumTombstones = 100_000,
+    }: JobStoreOptions = {},
+  ) {
+    this.#options = { maximumJobs, maximumBytes, maximumTombstones };
+  }
+
+  get size(): number {
+    return this.#records.size;
+  }
+
+  get bytes(): number {
+    return this.#bytes;
+  }
+
+  find(id: JobId): JobRecord | undefined {
+    return this.#records.get(id);
+  }
+
+  records(): JobRecord[] {
+    return [...this.#records.values()];
+  }
+
+  tombstone(id: JobId): Tombstone | undefined {
+    return this.#tombstones.get(id);
+  }
+
+  hasRoomFor(job: Job): boolean {
+    const { maximumJobs, maximumBytes, maximumTombstones } = this.#options;
+    return this.#records.size < maximumJobs &&
+      this.#bytes + bytesOf(job) <= maximumBytes &&
+      this.#records.size + this.#tombstones.size < maximumTombstones;
+  }
+
+  /** Adds a job that nobody has confirmed yet. */
+  install(job: Job, now: Milliseconds): JobRecord {
+    const record: JobRecord = {
+      job,
+      installedAt: now,
+      acceptor: {},
+      hasUsedHolderRound: false,
+      highestRound: 0,
+      retryAt: 0,
+      isMoving: false,
+      lost: new Set(),
+      keepers: [],
+      isReleased: false,
+      checkedAt: now,
+    };
+    this.#records.set(job.id, record);
+    this.#bytes += bytesOf(job);
+    return record;
+  }
+
+  /** Drops the body, which nobody needs after a dispatch elsewhere. */
+  dropBody(record: JobRecord): void {
+    this.#bytes -= record.job.body.length;
+    record.job = { ...record.job, body: new Uint8Array() };
+  }
+
+  setAnswer(record: JobRecord, answer: JobAnswer): void {
+    this.#bytes += answer.body.length - (record.answer?.body.length ?? 0);
+    record.answer = answer;
+  }
+
+  /** Removes a job and leaves a tombstone. */
+  bury(id: JobId, movedTo?: Epoch): void {
+    const record = this.#records.get(id);
+    if (record === undefined) return;
+    this.remove(id);
+    const until = record.job.expiresAt + CLOCK_SKEW_MS;
+    this.#tombstones.set(id, { until, ...(movedTo && { movedTo }) });
+  }
+
+  /** Removes a copy that was never confirmed; it has promised nothing. */
+  remove(id: JobId): void {
+    const record = this.#records.get(id);
+    if (record === undefined) return;
+    this.#bytes -= bytesOf(record.job) + (record.answer?.body.length ?? 0);
+    this.#records.delete(id);
+  }
+
+  dropOldTombstones(wallNow: EpochMilliseconds): void {
+    for (const [id, { until }] of this.#tombstones) {
+      if (until <= wallNow) this.#tombstones.delete(id);
+    }
+  }
+}
+
+function bytesOf(job: Job): number {
+  return RECORD_BYTES + job.body.length;
+}
--- a/packages/coordination/tests/helpers/asyncTime.ts
+++ b/packages/coordination/tests/helpers/asyncTime.ts
@@ -4,10 +4,11 @@
 export async function advance(
   timer: VirtualTimer,
   span: Milliseconds,
+  { grain = 1 }: { grain?: Milliseconds } = {},
 ): Promise<void> {
   const end = timer.now() + span;
-  for (let step = timer.now(); step < end; step++) {
-    timer.runUntil(Math.min(end, step + 1));
+  for (let step = timer.now(); step < end; step += grain) {
+    timer.runUntil(Math.min(end, step + grain));
     await settle();
   }
 }
--- /dev/null
+++ b/packages/coordination/tests/jobs.test.ts
@@ -0,0 +1,312 @@
+import test from "ava";
+import { asId, type ClientAccountId } from "@wasabivane/common";
+import { hostName } from "./helpers/configurationFleet.ts";
+import { JobFleet, WHOLE } from "./helpers/jobFleet.ts";
+
+const FIRST = hostName(1);
+
+test("an accepted job has copies in two other failure domains", async (t) => {
+  const fleet = new JobFleet();
+  const job = await fleet.accept(FIRST);
+  const domains = fleet.membersOf(job).map((host) =>
+    fleet.hosts.get(host)!.domain
+  );
+  t.is(new Set(domains).size, 3);
+  t.is(fleet.heldCopies(), 3);
+  for (const host of fleet.hosts.keys()) {
+    t.is(await fleet.statusAt(host, job), "waiting");
+  }
+});
+
+test("a job runs once, its answer is kept until it is fetched, and nothing stays", async (t) => {
+  const fleet = new JobFleet();
+  const job = await fleet.accept(FIRST);
+  fleet.isDispatching = true;
+  await fleet.advance(1_000);
+  const stranger = fleet.strangerTo(job);
+  t.is(await fleet.statusAt(stranger, job), "whole");
+  const { controller } = fleet.hosts.get(stranger)!;
+  const other = controller.lookUp(job.id, asId<ClientAccountId>("rival"));
+  await fleet.advance(1_100);
+  t.deepEqual((await other)._unsafeUnwrapErr(), { kind: "not-found" });
+  const fetching = controller.fetchOnce(job.id, job.account);
+  await fleet.advance(1_100);
+  t.is((await fetching)._unsafeUnwrap().kind, "ended");
+  await fleet.advance(1_000);
+  t.is(fleet.heldCopies(), 0);
+  t.is(await fleet.statusAt(stranger, job), "not-found");
+  t.is(fleet.timesDispatched(job), 1);
+});
+
+test("a waiting job survives its holder and then the next holder", async (t) => {
+  // The caller was told "accepted". Holders die one after the other before the
+  // dispatch; each time a copy moves the job on and finds a fresh member.
+  const fleet = new JobFleet();
+  const job = await fleet.accept(FIRST);
+  const copy = fleet.membersOf(job)[1]!;
+  await fleet.kill(FIRST);
+  await fleet.advance(6_000);
+  t.is(fleet.heldCopies(), 3);
+  await fleet.kill(copy);
+  await fleet.advance(6_000);
+  t.is(fleet.heldCopies(), 3);
+  fleet.isDispatching = true;
+  await fleet.advance(2_000);
+  const [host] = fleet.hosts.keys();
+  t.is(await fleet.statusAt(host!, job), "whole");
+  t.is(fleet.timesDispatched(job), 1);
+});
+
+test("a lost copy is replaced", async (t) => {
+  const fleet = new JobFleet();
+  const job = await fleet.accept(FIRST);
+  await fleet.kill(fleet.membersOf(job)[2]!);
+  await fleet.advance(3_000);
+  t.is(fleet.heldCopies(), 3);
+  fleet.isDispatching = true;
+  await fleet.advance(1_000);
+  t.is(fleet.timesDispatched(job), 1);
+});
+
+test("a holder that wakes an hour late dispatches nothing that moved on", async (t) => {
+  // The holder pauses before its dispatch and believes itself in charge when it
+  // wakes. A copy has taken over and run the job; a second run would bill twice.
+  const fleet = new JobFleet();
+  const job = await fleet.accept(FIRST);
+  await fleet.pause(FIRST);
+  fleet.isDispatching = true;
+  await fleet.pass(3_600_000);
+  t.is(fleet.timesDispatched(job), 1);
+  fleet.wake(FIRST);
+  await fleet.advance(10_000);
+  fleet.refreshMembers();
+  await fleet.advance(10_000);
+  t.is(fleet.timesDispatched(job), 1);
+  t.is(await fleet.statusAt(FIRST, job), "whole");
+});
+
+test("after the dispatch was recorded a successor resumes and never dispatches", async (t) => {
+  const fleet = new JobFleet();
+  const job = await fleet.accept(FIRST);
+  const dispatching = fleet.dispatch(FIRST, job);
+  await fleet.advance(20);
+  t.is(await dispatching, "dispatched");
+  await fleet.kill(FIRST);
+  fleet.isDispatching = true;
+  await fleet.advance(10_000);
+  t.is(await fleet.statusAt(fleet.strangerTo(job), job), "whole");
+  t.is(fleet.timesDispatched(job), 1);
+});
+
+test("a holder that dies between record and dispatch leaves an unknown, not a second run", async (t) => {
+  // The copies hold "dispatch to U as N", yet no byte left. Nobody can know, so
+  // the resume at U finds nothing and the caller hears the truth: unknown.
+  const fleet = new JobFleet();
+  const job = await fleet.accept(FIRST);
+  const { controller } = fleet.hosts.get(FIRST)!;
+  const recording = controller.recordDispatch(job.id, {
+    upstream: asId("drafter-1"),
+    nonce: asId("n-1"),
+  });
+  await fleet.advance(20);
+  t.true((await recording).isOk());
+  await fleet.kill(FIRST);
+  fleet.isDispatching = true;
+  await fleet.advance(10_000);
+  t.is(await fleet.statusAt(fleet.strangerTo(job), job), "unknown");
+  t.is(fleet.timesDispatched(job), 0);
+});
+
+test("a holder cut off from both copies cannot dispatch, and they can", async (t) => {
+  const fleet = new JobFleet();
+  const job = await fleet.accept(FIRST);
+  const others = [...fleet.hosts.keys()].filter((host) => host !== FIRST);
+  await fleet.partition([[FIRST], others]);
+  const dispatching = fleet.dispatch(FIRST, job);
+  await fleet.advance(3_000);
+  t.is(await dispatching, "unconfirmed");
+  fleet.isDispatching = true;
+  await fleet.advance(10_000);
+  t.is(fleet.timesDispatched(job), 1);
+  fleet.heal();
+  await fleet.advance(10_000);
+  t.is(await fleet.statusAt(FIRST, job), "whole");
+  t.is(fleet.timesDispatched(job), 1);
+});
+
+test("a job in a pair ends as not run when the other member is gone before any dispatch", async (t) => {
+  // Only two hosts live. Both are needed for every choice, so that a survivor
+  // that accepted nothing knows that the job never ran and says so.
+  for (const survivor of [0, 1]) {
+    const fleet = new JobFleet({ size: 2, domains: 2 });
+    const job = await fleet.accept(FIRST);
+    const members = fleet.membersOf(job);
+    await fleet.kill(members[1 - survivor]!);
+    fleet.start(1 - survivor === 0 ? 1 : 2);
+    fleet.refreshMembers();
+    fleet.isDispatching = true;
+    await fleet.advance(10_000);
+    t.is(await fleet.statusAt(members[survivor]!, job), "not-run");
+    t.is(fleet.timesDispatched(job), 0);
+  }
+});
+
+test("a survivor of three that cannot know says unknown", async (t) => {
+  const fleet = new JobFleet({ size: 3 });
+  const job = await fleet.accept(FIRST);
+  const [, second, third] = fleet.membersOf(job);
+  await fleet.kill(FIRST, second!);
+  fleet.start(1);
+  fleet.start(Number(second!.split("-")[1]));
+  fleet.refreshMembers();
+  fleet.isDispatching = true;
+  await fleet.advance(10_000);
+  t.is(await fleet.statusAt(third!, job), "unknown");
+  t.is(fleet.timesDispatched(job), 0);
+});
+
+test("with two failure domains a third member keeps the job through any one loss", async (t) => {
+  for (const lost of [0, 1, 2]) {
+    const fleet = new JobFleet({ size: 6, domains: 2 });
+    const job = await fleet.accept(FIRST);
+    await fleet.kill(fleet.membersOf(job)[lost]!);
+    fleet.isDispatching = true;
+    await fleet.advance(10_000);
+    t.is(fleet.timesDispatched(job), 1);
+  }
+});
+
+test("a full host refuses truthfully and keeps what it has", async (t) => {
+  const fleet = new JobFleet({ options: { maximumJobs: 2 } });
+  const jobs = [await fleet.accept(FIRST), await fleet.accept(FIRST)];
+  const refused = await fleet.hosts.get(FIRST)!.controller.accept(
+    fleet.offer(),
+  );
+  t.is(refused._unsafeUnwrapErr().kind, "full");
+  fleet.isDispatching = true;
+  await fleet.advance(1_000);
+  for (const job of jobs) t.is(fleet.timesDispatched(job), 1);
+});
+
+test("a job without a reachable copy is refused and never runs", async (t) => {
+  const fleet = new JobFleet();
+  fleet.network.setFaults({ dropShare: 1 });
+  const accepting = fleet.hosts.get(FIRST)!.controller.accept(fleet.offer());
+  await fleet.advance(3_000);
+  t.is((await accepting)._unsafeUnwrapErr().kind, "no-copies");
+  fleet.network.setFaults({ dropShare: 0 });
+  fleet.isDispatching = true;
+  await fleet.advance(70_000);
+  t.is(fleet.dispatches.size, 0);
+  t.is(fleet.heldCopies(), 0);
+});
+
+test("a withdrawn job ends as not run", async (t) => {
+  const fleet = new JobFleet();
+  const job = await fleet.accept(FIRST);
+  const withdrawing = fleet.hosts.get(FIRST)!.controller.withdraw(job.id);
+  await fleet.advance(20);
+  t.true((await withdrawing).isOk());
+  fleet.isDispatching = true;
+  await fleet.advance(1_000);
+  t.is(await fleet.statusAt(fleet.strangerTo(job), job), "not-run");
+  t.is(fleet.timesDispatched(job), 0);
+});
+
+test("a planned stop hands jobs and answers over before the host ends", async (t) => {
+  const fleet = new JobFleet();
+  const waiting = await fleet.accept(FIRST);
+  const done = await fleet.accept(FIRST);
+  const dispatching = fleet.dispatch(FIRST, done);
+  await fleet.advance(20);
+  t.is(await dispatching, "dispatched");
+  fleet.finish(FIRST, done);
+  const stopping = fleet.hosts.get(FIRST)!;
+  stopping.isLeaving = true;
+  fleet.refreshMembers();
+  const handingOver = stopping.controller.handOver(5_000);
+  await fleet.advance(5_000);
+  t.true(await handingOver);
+  await fleet.kill(FIRST);
+  fleet.isDispatching = true;
+  await fleet.advance(2_000);
+  const [host] = fleet.hosts.keys();
+  t.is(await fleet.statusAt(host!, waiting), "whole");
+  t.is(await fleet.statusAt(host!, done), "whole");
+  t.is(fleet.timesDispatched(waiting), 1);
+  t.is(fleet.timesDispatched(done), 1);
+});
+
+test("the host that takes a job over dies during the handover", async (t) => {
+  const fleet = new JobFleet();
+  const job = await fleet.accept(FIRST);
+  const stopping = fleet.hosts.get(FIRST)!;
+  stopping.isLeaving = true;
+  fleet.refreshMembers();
+  const handingOver = stopping.controller.handOver(5_000);
+  await fleet.kill(fleet.membersOf(job)[1]!);
+  await fleet.advance(2_000);
+  await handingOver;
+  await fleet.kill(FIRST);
+  fleet.isDispatching = true;
+  await fleet.advance(12_000);
+  t.is(fleet.timesDispatched(job), 1);
+});
+
+test("a host that stops moves the copies it holds for others", async (t) => {
+  const fleet = new JobFleet();
+  const job = await fleet.accept(FIRST);
+  const copy = fleet.membersOf(job)[1]!;
+  const stopping = fleet.hosts.get(copy)!;
+  stopping.isLeaving = true;
+  fleet.refreshMembers();
+  const handingOver = stopping.controller.handOver(5_000);
+  await fleet.advance(5_000);
+  t.true(await handingOver);
+  t.is(stopping.controller.held.jobs, 0);
+  t.is(fleet.heldCopies(), 3);
+});
+
+test("doubled, late and lost messages change nothing", async (t) => {
+  for (let seed = 1; seed <= 6; seed++) {
+    const fleet = new JobFleet({ seed });
+    fleet.network.setFaults({
+      dropShare: 0.2,
+      duplicateShare: 0.4,
+      jitterMs: 400,
+    });
+    fleet.isDispatching = true;
+    const accepting = fleet.hosts.get(FIRST)!.controller.accept(fleet.offer());
+    await fleet.advance(10_000);
+    const accepted = await accepting;
+    const made = [...fleet.dispatches.values()].map(({ length }) => length);
+    t.true(made.every((times) => times === 1), `seed ${seed}`);
+    if (accepted.isOk()) {
+      t.is(fleet.timesDispatched(accepted.value), 1, `seed ${seed}`);
+    }
+  }
+});
+
+test("an expired job leaves nothing behind", async (t) => {
+  const fleet = new JobFleet();
+  await fleet.accept(FIRST, { expiresAt: fleet.timer.wallNow() + 5_000 });
+  await fleet.advance(6_000);
+  fleet.isDispatching = true;
+  await fleet.advance(1_000);
+  t.is(fleet.heldCopies(), 0);
+  t.is(fleet.dispatches.size, 0);
+});
+
+test("a whole answer that comes late replaces an unknown", async (t) => {
+  const fleet = new JobFleet();
+  const job = await fleet.accept(FIRST);
+  const dispatching = fleet.dispatch(FIRST, job);
+  await fleet.advance(20);
+  await dispatching;
+  const { controller } = fleet.hosts.get(FIRST)!;
+  controller.recordFinished(job.id, { ...WHOLE, ending: "unknown" });
+  await fleet.advance(100);
+  controller.recordFinished(job.id, WHOLE);
+  await fleet.advance(100);
+  t.is(await fleet.statusAt(fleet.strangerTo(job), job), "whole");
+});
