--- /dev/null
+++ b/packages/proof/src/childProgram.ts
@@ -0,0 +1,46 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { readFile } from "node:fs/promises";
+import process from "node:process";
+import { createInterface } from "node:readline";
+import { fileURLToPath } from "node:url";
+
+const KIB_PER_MIB = 1024;
+
+/** A started program and the JSON line that it printed first. */
+export interface ChildProgram {
+  readonly child: ChildProcess;
+  readonly announcement: Record<string, unknown>;
+}
+
+/** Starts a program beside this file and waits for its first line. */
+export async function startProgram(
+  name: string,
+  args: readonly string[] = [],
+): Promise<ChildProgram> {
+  const file = fileURLToPath(new URL(name, import.meta.url));
+  const child = spawn(process.execPath, [file, ...args], {
+    stdio: ["ignore", "pipe", "inherit"],
+  });
+  for await (const line of createInterface({ input: child.stdout! })) {
+    return { child, announcement: JSON.parse(line) as Record<string, unknown> };
+  }
+  throw new Error(`${name} ended before it printed a line`);
+}
+
+/** Ends a started program. */
+export function endProgram(child: ChildProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) {
+    return Promise.resolve();
+  }
+  return new Promise((resolve) => {
+    child.once("exit", () => resolve());
+    child.kill("SIGKILL");
+  });
+}
+
+/** Resident size of a process in MiB, as the kernel tells it. */
+export async function residentMib(pid: number): Promise<number> {
+  const status = await readFile(`/proc/${pid}/status`, "utf8");
+  const [, kib] = /VmRSS:\s+(\d+) kB/.exec(status) ?? [];
+  return Number(kib ?? 0) / KIB_PER_MIB;
+}
--- /dev/null
+++ b/packages/proof/src/entryBench.ts
@@ -0,0 +1,258 @@
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { build as buildHistogram, type Histogram } from "hdr-histogram-js";
+import { Agent } from "undici";
+import {
+  apiKeyDigest,
+  type Bundle,
+  exampleBundle,
+  exampleSigningKey,
+  signBundle,
+  trustedKeyOf,
+} from "@wasabivane/bundle";
+import { asId } from "@wasabivane/common";
+import { PlatformStandIn } from "@wasabivane/stand-ins";
+import {
+  type ChildProgram,
+  endProgram,
+  residentMib,
+  startProgram,
+} from "./childProgram.ts";
+
+const ENTRY_PROGRAM = "../../../apps/entry/dist/main.js";
+const API_KEY = "bench-key";
+const WHOLE_CONCURRENCY = 32;
+const STREAM_CONCURRENCY = 32;
+const STREAM_TOKENS = 500;
+const WARM_UP_MS = 2_000;
+const MEASURED_MS = 5_000;
+const MICROSECONDS = 1_000;
+
+/** What the benchmark of one entry process prints. */
+export interface EntryBench {
+  readonly passThroughRps: number;
+  readonly entryRps: number;
+  readonly ratio: number;
+  readonly addedP50Ms: number;
+  readonly addedP99Ms: number;
+  readonly streamTokensPerSecond: number;
+  readonly rssMb: number;
+  /** Resident size of the pass-through under the same load. */
+  readonly passThroughRssMb: number;
+}
+
+interface LoadFigures {
+  readonly rps: number;
+  readonly latency: Histogram;
+}
+
+/** Measures one entry process against the barest relay, over the same upstream. */
+export async function benchEntry(): Promise<EntryBench> {
+  const upstream = await startProgram("./benchUpstreamMain.js");
+  const upstreamUrl = urlOf(upstream.announcement.port);
+  const relay = await startProgram("./benchPassThroughMain.js", [upstreamUrl]);
+  const entry = await startBenchEntry(upstreamUrl);
+  const relayUrl = urlOf(relay.announcement.port);
+  const entryUrl = urlOf(entry.program.announcement.callerPort);
+  try {
+    const passThrough = await measureWhole(relayUrl);
+    const passThroughRssMb = await residentMib(relay.child.pid!);
+    const through = await measureWhole(entryUrl);
+    const streamTokensPerSecond = await measureStream(entryUrl);
+    const rssMb = await residentMib(entry.program.child.pid!);
+    return {
+      passThroughRps: Math.round(passThrough.rps),
+      entryRps: Math.round(through.rps),
+      ratio: round(through.rps / passThrough.rps),
+      addedP50Ms: addedAt(50, { through, passThrough }),
+      addedP99Ms: addedAt(99, { through, passThrough }),
+      streamTokensPerSecond: Math.round(streamTokensPerSecond),
+      rssMb: Math.round(rssMb),
+      passThroughRssMb: Math.round(passThroughRssMb),
+    };
+  } finally {
+    await Promise.all(
+      [upstream, relay, entry.program].map(({ child }) => endProgram(child)),
+    );
+    await entry.close();
+  }
+}
+
+async function startBenchEntry(
+  upstreamUrl: string,
+): Promise<{ program: ChildProgram; close: () => Promise<void> }> {
+  const platform = new PlatformStandIn();
+  const { url } = await platform.start();
+  const bundle = benchBundle(upstreamUrl);
+  platform.setBundle(signBundle(bundle, exampleSigningKey())._unsafeUnwrap());
+  platform.setHosts({
+    version: 1,
+    entryHosts: [{
+      host: asId("entry-1"),
+      peerAddress: "127.0.0.1:1",
+      failureDomain: asId("hakata"),
+      state: "live",
+    }],
+    upstreams: bundle.upstreams.map(({ upstream }) => ({
+      upstream,
+      state: "live",
+    })),
+  });
+  const folder = await mkdtemp(join(tmpdir(), "wasabivane-"));
+  const file = join(folder, "entry.json");
+  await writeFile(file, JSON.stringify(benchSettings(url)));
+  const program = await startProgram(ENTRY_PROGRAM, ["--settings", file]);
+  await untilReady(urlOf(program.announcement.operatorPort));
+  return {
+    program,
+    async close(): Promise<void> {
+      await platform.stop();
+      await rm(folder, { recursive: true });
+    },
+  };
+}
+
+function benchBundle(url: string): Bundle {
+  const example = exampleBundle("fukuoka");
+  const [account] = example.clientAccounts;
+  const limits = {
+    requestsPerSecond: 1e6,
+    tokensPerSecond: 1e9,
+    concurrentRequests: 4_096,
+    waitingRequests: 4_096,
+  };
+  return {
+    ...example,
+    services: example.services.map((service) => ({
+      ...service,
+      initialConcurrency: 256,
+      maximumConcurrency: 256,
+    })),
+    upstreams: example.upstreams.map((upstream) => ({ ...upstream, url })),
+    clientAccounts: [{
+      ...account!,
+      keyDigests: [apiKeyDigest(API_KEY)],
+      limits,
+    }],
+  };
+}
+
+function benchSettings(platformUrl: string): Record<string, unknown> {
+  const listener = { address: "127.0.0.1", port: 0 };
+  return {
+    host: "entry-1",
+    failureDomain: "hakata",
+    callers: listener,
+    operators: listener,
+    peers: { ...listener, secrets: ["loopback-bench-secret"] },
+    platform: { configurationUrl: platformUrl, hostListUrl: platformUrl },
+    trustedKeys: [trustedKeyOf(exampleSigningKey())],
+    logLevel: "silent",
+  };
+}
+
+async function untilReady(operatorUrl: string): Promise<void> {
+  for (let attempt = 0; attempt < 200; attempt++) {
+    const answer = await fetch(`${operatorUrl}/ready`).catch(() => undefined);
+    if (answer?.ok) return;
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+  throw new Error("The entry did not become ready");
+}
+
+async function measureWhole(url: string): Promise<LoadFigures> {
+  const call = caller(url, { stream: false });
+  await callFor(WARM_UP_MS, { concurrency: WHOLE_CONCURRENCY, call });
+  const latency = buildHistogram();
+  const calls = await callFor(MEASURED_MS, {
+    concurrency: WHOLE_CONCURRENCY,
+    call,
+    latency,
+  });
+  return { rps: calls / (MEASURED_MS / 1_000), latency };
+}
+
+async function measureStream(url: string): Promise<number> {
+  const call = caller(url, { stream: true });
+  await callFor(WARM_UP_MS, { concurrency: STREAM_CONCURRENCY, call });
+  const calls = await callFor(MEASURED_MS, {
+    concurrency: STREAM_CONCURRENCY,
+    call,
+  });
+  return calls * STREAM_TOKENS / (MEASURED_MS / 1_000);
+}
+
+function caller(
+  url: string,
+  { stream }: { stream: boolean },
+): () => Promise<void> {
+  const agent = new Agent({ connections: 256, pipelining: 1 });
+  const body = JSON.stringify({
+    model: exampleBundle("fukuoka").services[0]!.models[0],
+    messages: [{ role: "user", content: "When does the school year start?" }],
+    stream,
+    max_tokens: STREAM_TOKENS,
+  });
+  const headers = {
+    "content-type": "application/json",
+    "authorization": `Bearer ${API_KEY}`,
+  };
+  return async () => {
+    const answer = await agent.request({
+      origin: url,
+      path: "/v1/chat/completions",
+      method: "POST",
+      headers,
+      body,
+    });
+    const text = await answer.body.text();
+    const isWhole = answer.statusCode === 200 &&
+      (!stream || text.endsWith("data: [DONE]\n\n"));
+    if (!isWhole) {
+      throw new Error(
+        `An answer was not whole: ${answer.statusCode} ${text.slice(-200)}`,
+      );
+    }
+  };
+}
+
+/** Calls in closed loops for a span; returns the calls that ended within it. */
+async function callFor(
+  span: number,
+  { concurrency, call, latency }: {
+    concurrency: number;
+    call: () => Promise<void>;
+    latency?: Histogram;
+  },
+): Promise<number> {
+  const end = performance.now() + span;
+  let calls = 0;
+  const loop = async (): Promise<void> => {
+    while (performance.now() < end) {
+      const startedAt = performance.now();
+      await call();
+      latency?.recordValue((performance.now() - startedAt) * MICROSECONDS);
+      if (performance.now() <= end) calls++;
+    }
+  };
+  await Promise.all(Array.from({ length: concurrency }, loop));
+  return calls;
+}
+
+function addedAt(
+  percentile: number,
+  { through, passThrough }: { through: LoadFigures; passThrough: LoadFigures },
+): number {
+  const added = through.latency.getValueAtPercentile(percentile) -
+    passThrough.latency.getValueAtPercentile(percentile);
+  return round(added / MICROSECONDS);
+}
+
+function urlOf(port: unknown): string {
+  return `http://127.0.0.1:${String(port)}`;
+}
+
+function round(value: number): number {
+  return Math.round(value * 1_000) / 1_000;
+}
