Add the binaries wasabivane-stand-ins and wasabivane-load

Both take settings in JSON with comments that one schema checks; the load tool's flags pass the same schema, so a typo in either names what is allowed. Settings schemas use the copy of zod that the bundle package inspects.

--- a/apps/load/src/loadReport.ts
+++ b/apps/load/src/loadReport.ts
@@ -45,6 +45,11 @@
 const MICROSECONDS = 1_000;
 const BROKEN_TYPE = "connection-broken";
 
+/** Whether a caller got a part for the whole, or another call's content. */
+export function hasFault({ tiers }: LoadReport): boolean {
+  return Object.values(tiers).some(({ cut, crossed }) => cut + crossed > 0);
+}
+
 /** Counts the endings of one tier. */
 export class TierTally {
   offered = 0;
--- /dev/null
+++ b/apps/load/src/main.ts
@@ -0,0 +1,79 @@
+#!/usr/bin/env node
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import { cac } from "cac";
+import { formatDocumentError } from "@wasabivane/bundle";
+import { SystemTimer } from "@wasabivane/common";
+import { type LoadFlags, settingsOf } from "./flags.ts";
+import { loadOptionsOf } from "./loadOptions.ts";
+import { hasFault } from "./loadReport.ts";
+import { PATTERNS } from "./pattern.ts";
+import { ProgressLine } from "./progressLine.ts";
+import { reportLines } from "./reportTable.ts";
+import { type LoadOptions, runLoad } from "./runLoad.ts";
+
+/** Callers received something that no caller may receive. */
+const EXIT_FAULT = 1;
+const EXIT_USAGE = 2;
+const PACKAGE_FILE = new URL("../package.json", import.meta.url);
+
+function exitWith(code: number, lines: readonly string[]): never {
+  for (const line of lines) process.stderr.write(`${line}\n`);
+  process.exit(code);
+}
+
+function optionsOf(flags: LoadFlags): LoadOptions {
+  const settings = settingsOf(flags);
+  if (settings.isErr()) {
+    exitWith(EXIT_USAGE, settings.error.map(formatDocumentError));
+  }
+  const options = loadOptionsOf(settings.value);
+  if (options.isErr()) exitWith(EXIT_USAGE, [options.error.detail]);
+  return options.value;
+}
+
+async function run(flags: LoadFlags): Promise<void> {
+  const options = optionsOf(flags);
+  const progress = new ProgressLine({
+    timer: new SystemTimer(),
+    write: (text) => process.stderr.write(text),
+  });
+  const report = await runLoad({
+    ...options,
+    onProgress: process.stderr.isTTY
+      ? (now): void => progress.show(now)
+      : undefined,
+  });
+  progress.clear();
+  const lines = flags.json ? [JSON.stringify(report)] : reportLines(report);
+  for (const line of lines) process.stdout.write(`${line}\n`);
+  process.exitCode = hasFault(report) ? EXIT_FAULT : 0;
+}
+
+function check(flags: LoadFlags): void {
+  optionsOf(flags);
+  process.stdout.write("The settings are valid\n");
+}
+
+const program = cac("wasabivane-load");
+program
+  .option("--settings <file>", "Settings file, JSON with comments")
+  .option("--entry <url>", "Caller port of an entry; may stand more than once")
+  .option("--deployment <name>", "Play the accounts of an example bundle")
+  .option("--pattern <name>", Object.keys(PATTERNS).join(", "))
+  .option("--seed <number>", "Fixes arrivals, lengths and callers")
+  .option("--duration <seconds>", "Time over which calls arrive")
+  .option("--rate <number>", "Usual calls a second, which patterns multiply")
+  .option("--deadline <ms>", "Deadline of every call")
+  .option("--json", "Print one JSON object");
+program.command("", "Send load and say what callers received").action(run);
+program.command("check", "Check the settings without sending").action(check);
+program.help();
+program.version(JSON.parse(readFileSync(PACKAGE_FILE, "utf8")).version);
+
+try {
+  program.parse(process.argv, { run: false });
+  await program.runMatchedCommand();
+} catch (error) {
+  exitWith(EXIT_USAGE, [(error as Error).message]);
+}
--- /dev/null
+++ b/apps/load/src/progressLine.ts
@@ -0,0 +1,40 @@
+import type { Milliseconds, Timer } from "@wasabivane/common";
+import type { LoadProgress } from "./runLoad.ts";
+
+/** Runs shorter than this show nothing. */
+const QUIET_MS = 2_000;
+const REFRESH_MS = 200;
+const CLEAR_LINE = "\r\u001b[K";
+
+/** Options of a {@link ProgressLine}. */
+export interface ProgressLineOptions {
+  timer: Timer;
+  /** Writes to the terminal. */
+  write: (text: string) => void;
+}
+
+/** One line on a terminal that says how far a run is. */
+export class ProgressLine {
+  readonly #timer: Timer;
+  readonly #write: (text: string) => void;
+  readonly #startedAt: Milliseconds;
+  #shownAt = -Infinity;
+
+  constructor({ timer, write }: ProgressLineOptions) {
+    this.#timer = timer;
+    this.#write = write;
+    this.#startedAt = timer.now();
+  }
+
+  show({ planned, sent, ended }: LoadProgress): void {
+    const now = this.#timer.now();
+    if (now - this.#startedAt < QUIET_MS) return;
+    if (now - this.#shownAt < REFRESH_MS) return;
+    this.#shownAt = now;
+    this.#write(`${CLEAR_LINE}${ended} of ${planned} ended, ${sent} sent`);
+  }
+
+  clear(): void {
+    if (this.#shownAt > -Infinity) this.#write(CLEAR_LINE);
+  }
+}
--- a/apps/load/src/runLoad.ts
+++ b/apps/load/src/runLoad.ts
@@ -35,7 +35,7 @@
   readonly timer?: Timer;
   readonly random?: Random;
   /** Called after each change. */
-  readonly onProgress?: (progress: LoadProgress) => void;
+  readonly onProgress?: ((progress: LoadProgress) => void) | undefined;
 }
 
 const RESEND_DELAY_MS = 100;
--- /dev/null
+++ b/apps/load/tests/settings.test.ts
@@ -0,0 +1,72 @@
+import test from "ava";
+import { VirtualTimer } from "@wasabivane/common";
+import {
+  loadOptionsOf,
+  ProgressLine,
+  reportLines,
+  settingsOf,
+} from "@wasabivane/load";
+
+test("flags and an example deployment make a run", (t) => {
+  const settings = settingsOf({
+    entry: "http://127.0.0.1:9001",
+    deployment: "cairo",
+    pattern: "burst",
+    rate: 50,
+    duration: 3,
+  })._unsafeUnwrap();
+  const options = loadOptionsOf(settings)._unsafeUnwrap();
+  t.like(options, {
+    pattern: "burst",
+    durationMs: 3_000,
+    requestsPerSecond: 50,
+    targets: { models: ["press-advisor"], plainPaths: ["/field-desk"] },
+  });
+  t.is(options.callers.length, 5);
+});
+
+test("a wrong flag is told with what is allowed, a missing one by name", (t) => {
+  const [error] = settingsOf({ pattern: "burts" })._unsafeUnwrapErr();
+  t.like(error, { file: "command line", path: "pattern" });
+  t.regex(error!.allowed, /did you mean "burst"/);
+  const empty = settingsOf({})._unsafeUnwrap();
+  t.is(loadOptionsOf(empty)._unsafeUnwrapErr().detail, "Name an entry's url");
+});
+
+test("the table has a row for each tier and the reasons below", (t) => {
+  const times = { count: 1, p50: 1, p95: 2, p99: 3, maximum: 3 };
+  const lines = reportLines({
+    pattern: "steady",
+    seed: 1,
+    elapsedMs: 2_000,
+    offered: 5,
+    resends: 1,
+    tiers: {
+      "1": {
+        offered: 5,
+        whole: 2,
+        notRun: { shed: 2 },
+        unknown: { "answer-broken": 1 },
+        cut: 0,
+        crossed: 0,
+        firstTokenMs: times,
+        betweenTokensMs: times,
+        wholeMs: { ...times, count: 0 },
+      },
+    },
+  });
+  t.is(lines.length, 4);
+  t.regex(lines[2]!, /^ +1 +5 +2 +2 +1 +0 +0 .* -$/);
+  t.is(lines[3], "tier 1: shed 2 (not run), answer-broken 1 (unknown)");
+});
+
+test("progress shows only on runs over two seconds, and not too often", (t) => {
+  const timer = new VirtualTimer();
+  const written: string[] = [];
+  const line = new ProgressLine({ timer, write: (text) => written.push(text) });
+  for (let ended = 0; ended < 30; ended++) {
+    line.show({ planned: 30, sent: ended, ended });
+    timer.advance(100);
+  }
+  t.is(written.length, 5);
+});
--- a/packages/bundle/src/index.ts
+++ b/packages/bundle/src/index.ts
@@ -17,3 +17,5 @@
 export * from "./schema.ts";
 export * from "./schemaFindings.ts";
 export * from "./signedBundle.ts";
+/** For schemas that `readDocument` reads: it must be the copy of zod that it inspects. */
+export { z } from "zod";
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -5,3 +5,5 @@
 export * from "./plainStandIn.ts";
 export * from "./platformStandIn.ts";
 export type { PublishedMode } from "./publishedValue.ts";
+export * from "./settings.ts";
+export * from "./startStandIns.ts";
--- /dev/null
+++ b/packages/stand-ins/tests/settings.test.ts
@@ -0,0 +1,40 @@
+import { fileURLToPath } from "node:url";
+import test from "ava";
+import { parseDocument, readDocument } from "@wasabivane/bundle";
+import { standInSettingsSchema, startStandIns } from "@wasabivane/stand-ins";
+
+const EXAMPLE = fileURLToPath(
+  new URL("../examples/stand-ins.jsonc", import.meta.url),
+);
+
+test("the example settings are valid, and its stand-ins start", async (t) => {
+  const settings = readDocument(EXAMPLE, standInSettingsSchema)
+    ._unsafeUnwrap();
+  const onFreePorts = settings.standIns.map((one) => ({ ...one, port: 0 }));
+  const started = await startStandIns({ ...settings, standIns: onFreePorts });
+  const standIns = started._unsafeUnwrap();
+  t.teardown(() => Promise.all(standIns.map(({ standIn }) => standIn.stop())));
+  t.deepEqual(
+    standIns.map(({ name }) => name),
+    ["drafter-01", "drafter-02", "casefile-1", "platform"],
+  );
+  const taken = Number(new URL(standIns[0]!.url).port);
+  const again = await startStandIns({
+    ...settings,
+    standIns: [{ ...onFreePorts[0]!, port: taken }],
+  });
+  t.is(again._unsafeUnwrapErr().name, "drafter-01");
+});
+
+test("a typo in the settings names its line, its path and what is allowed", (t) => {
+  const text = `{
+    "standIns": [
+      { "kind": "plain", "name": "casefile-1", "port": 0, "runsMs": 5 }
+    ]
+  }`;
+  const [error] = parseDocument(text, standInSettingsSchema, {
+    file: "stand-ins.jsonc",
+  })._unsafeUnwrapErr();
+  t.like(error, { line: 3, path: "standIns[0].runsMs" });
+  t.regex(error!.allowed, /runMs/);
+});
