Follow heartbeats and run jobs that outlive their host

Cause: the daemon took the host list for the membership, and overnight work could not be taken. Change: MembershipController in place of the list; Prefer: respond-async takes a job (202 once copies hold it), JobDesk tells and delivers, JobRunner records the dispatch at the copies before the first byte and resumes what another host dispatched. A settled upstream that refuses the connection is tried again.

--- a/apps/entry/src/callerApi.ts
+++ b/apps/entry/src/callerApi.ts
@@ -16,6 +16,7 @@
 import { relayAnswer, writeProblem } from "./answerWriter.ts";
 import { Authenticator } from "./authentication.ts";
 import { acceptRequest } from "./intake.ts";
+import type { JobDesk } from "./jobDesk.ts";
 import { type Problem, problemOf } from "./problem.ts";
 import { readBody } from "./requestBody.ts";
 
@@ -44,6 +45,7 @@
   readonly maximumBodyBytes: number;
   readonly isStopping: () => boolean;
   readonly service: RequestService;
+  readonly jobDesk: JobDesk;
 }
 
 type Environment = { Bindings: HttpBindings };
@@ -88,7 +90,8 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<Problem | undefined> {
-    const { blackboard, bundleInForce, isStopping, service } = this.#options;
+    const { blackboard, bundleInForce, isStopping, service, jobDesk } =
+      this.#options;
     if (isStopping()) {
       return problemOf("stopping", { retryAfter: RETRY_AFTER_MS });
     }
@@ -100,6 +103,11 @@
       incoming.headers.authorization,
     );
     if (account === undefined) return problemOf("unauthenticated");
+    const path = incoming.url ?? "/";
+    if (jobDesk.serves(path)) {
+      await jobDesk.tell({ path, account: account.account, outgoing });
+      return undefined;
+    }
     const body = await readBody(incoming, this.#options.maximumBodyBytes);
     if (body.isErr()) return body.error;
     const accepted = acceptRequest({
@@ -108,12 +116,13 @@
       account,
       now: this.#options.timer.now(),
       method: incoming.method ?? "GET",
-      path: incoming.url ?? "/",
+      path,
       headers: incoming.headers,
       body: body.value,
     });
     if (accepted.isErr()) return accepted.error;
-    await this.#relay(service.serve(accepted.value), outgoing);
+    if (wantsJob(incoming)) await jobDesk.take(accepted.value, outgoing);
+    else await this.#relay(service.serve(accepted.value), outgoing);
     return undefined;
   }
 
@@ -134,3 +143,10 @@
     return this.#authenticator.authenticator;
   }
 }
+
+const RESPOND_ASYNC = /(?:^|,)\s*respond-async\s*(?:,|;|$)/;
+
+/** RFC 7240: the caller prefers a 202 and a location to waiting. */
+function wantsJob({ headers }: IncomingMessage): boolean {
+  return RESPOND_ASYNC.test(String(headers.prefer ?? ""));
+}
--- a/apps/entry/src/constants.ts
+++ b/apps/entry/src/constants.ts
@@ -10,3 +10,5 @@
 export const CHAT_PATH = "/v1/chat/completions";
 /** Path below which jobs are fetched. */
 export const JOBS_PATH = "/v1/jobs";
+/** How long a job's answer is kept for its caller after the job's deadline. */
+export const ANSWER_KEPT_MS = 4 * 3_600_000;
--- a/apps/entry/src/entryHost.ts
+++ b/apps/entry/src/entryHost.ts
@@ -1,6 +1,5 @@
 import type {
   BundleSource,
-  HostList,
   HostListSource,
   SignedBundle,
 } from "@wasabivane/bundle";
@@ -22,7 +21,12 @@
   BUNDLE_VERSIONS,
   type ConfigurationChange,
   ConfigurationController,
+  FLEET_SHARE,
   HOST_LIST,
+  JobController,
+  type Member,
+  MEMBERS,
+  MembershipController,
   PoolClient,
   PoolKeeper,
 } from "@wasabivane/coordination";
@@ -34,8 +38,9 @@
 import type { Logger } from "pino";
 import { CallerApi } from "./callerApi.ts";
 import { EntryService } from "./entryService.ts";
-import { FLEET_SHARE, MEMBERS } from "./membersFromHostList.ts";
-import { MembersFromHostList } from "./membersFromHostList.ts";
+import type { ExchangeServices } from "./exchange.ts";
+import { JobDesk } from "./jobDesk.ts";
+import { JobRunner } from "./jobRunner.ts";
 import type { OperatorView } from "./operatorApi.ts";
 import { poolPolicyOf } from "./poolPolicy.ts";
 import type { Settings } from "./settings.ts";
@@ -73,7 +78,9 @@
   readonly #pools: PoolClient;
   readonly #keeper: PoolKeeper;
   readonly #service: EntryService;
-  readonly #controllers: Controller[];
+  readonly #jobs: JobController;
+  readonly #jobRunner: JobRunner;
+  readonly #controllers: Pick<Controller, "start" | "stop">[];
   #isStopping = false;
 
   constructor(options: EntryHostOptions) {
@@ -83,16 +90,17 @@
     this.#metrics = options.metrics ?? this.#counters;
     this.#pools = this.#createPoolClient();
     this.#keeper = this.#createPoolKeeper();
-    this.#service = this.#createService();
+    this.#service = new EntryService(this.#exchangeServices());
+    this.#jobs = this.#createJobs();
+    this.#jobRunner = this.#createJobRunner();
     this.#controllers = [
-      new MembersFromHostList(this.#blackboard, {
-        self: options.settings.host,
-        incarnation: this.incarnation,
-      }),
+      this.#createMembership(),
       this.#createConfiguration(),
       this.#pools,
       this.#keeper,
       this.#createUpstreamWatch(),
+      this.#jobs,
+      this.#jobRunner,
     ];
   }
 
@@ -103,10 +111,11 @@
       BUNDLE_IN_FORCE,
       () => this.#keeper.refreshPolicies(),
     );
-    this.#blackboard.watch(HOST_LIST, (list) => {
-      this.#keeper.refreshPolicies();
-      this.#options.onPeerAddresses?.(peerAddressesOf(list));
-    });
+    this.#blackboard.watch(HOST_LIST, () => this.#keeper.refreshPolicies());
+    this.#blackboard.watch(
+      MEMBERS,
+      (members) => this.#options.onPeerAddresses?.(peerAddressesOf(members)),
+    );
   }
 
   /** Ends at once, as if the process died; a planned stop has drained before. */
@@ -149,9 +158,9 @@
     });
   }
 
-  #createService(): EntryService {
+  #exchangeServices(): ExchangeServices {
     const { settings, timer, random } = this.#options;
-    return new EntryService({
+    return {
       host: settings.host,
       failureDomain: settings.failureDomain,
       timer,
@@ -159,6 +168,53 @@
       metrics: this.#metrics,
       pools: this.#pools,
       client: this.#options.client,
+    };
+  }
+
+  #createJobs(): JobController {
+    const { link, timer, random, incarnation } = this.#options;
+    return new JobController({
+      blackboard: this.#blackboard,
+      link,
+      timer,
+      random,
+      metrics: this.#metrics,
+      incarnation,
+      members: MEMBERS,
+    });
+  }
+
+  #createJobRunner(): JobRunner {
+    const { timer, random } = this.#options;
+    return new JobRunner({
+      blackboard: this.#blackboard,
+      timer,
+      random,
+      metrics: this.#metrics,
+      bundleInForce: BUNDLE_IN_FORCE,
+      jobs: this.#jobs,
+      services: this.#exchangeServices(),
+    });
+  }
+
+  #createMembership(): MembershipController {
+    const { settings, link, timer, random, incarnation } = this.#options;
+    return new MembershipController({
+      self: {
+        host: settings.host,
+        incarnation,
+        failureDomain: settings.failureDomain,
+        peerAddress: settings.peers.advertisedAddress ??
+          `${settings.peers.address}:${settings.peers.port}`,
+        isLeaving: false,
+      },
+      blackboard: this.#blackboard,
+      link,
+      timer,
+      random,
+      metrics: this.#metrics,
+      log: ({ host, state }) =>
+        this.#options.log.info({ peer: host, state }, "Peer changed"),
     });
   }
 
@@ -203,6 +259,7 @@
       maximumBodyBytes: settings.limits.maximumBodyBytes,
       isStopping: () => this.#isStopping,
       service: this.#service,
+      jobDesk: new JobDesk({ timer, jobs: this.#jobs }),
     });
   }
 
@@ -263,7 +320,6 @@
   }
 }
 
-function peerAddressesOf(list: HostList | undefined): Map<HostId, string> {
-  const hosts = list?.entryHosts ?? [];
-  return new Map(hosts.map(({ host, peerAddress }) => [host, peerAddress]));
+function peerAddressesOf(members: readonly Member[]): Map<HostId, string> {
+  return new Map(members.map(({ host, peerAddress }) => [host, peerAddress]));
 }
--- a/apps/entry/src/exchange.ts
+++ b/apps/entry/src/exchange.ts
@@ -24,6 +24,9 @@
 /** Upstreams tried while none took a byte; each refusal also ejects at the keeper. */
 const MAX_REFUSED_CONNECTIONS = 3;
 const RETRY_AFTER_MS = 1_000;
+/** Five minutes: longer than a restart of an upstream takes. */
+const MAX_RECONNECTS = 60;
+const RECONNECT_MS = 5_000;
 
 /** What an exchange needs from its process. */
 export interface ExchangeServices {
@@ -44,6 +47,8 @@
   ) => Promise<Problem | undefined>;
   /** Runs after a connection was refused: no byte has left after all. */
   readonly afterRefusedConnection?: () => void;
+  /** The upstream is settled for good: a refused connection is tried again, at no other. */
+  readonly isSingleAttempt?: boolean;
 }
 
 /** Options of an {@link Exchange}. */
@@ -100,6 +105,12 @@
     this.#submit();
   }
 
+  /** Sends the request to an upstream that was settled before; no place is asked for. */
+  dispatchAt(target: DispatchTarget): void {
+    this.#armDeadline();
+    void this.#run(target);
+  }
+
   /** Takes over a request that another process dispatched; no place is asked for. */
   resumeAt(target: DispatchTarget): Promise<void> {
     this.#armDeadline();
@@ -211,16 +222,20 @@
     this.#release(target.upstream, {
       outcome: OUTCOMES[result.error.kind](this.#isPastDeadline),
     });
-    if (result.error.kind === "refused") this.#onRefusedConnection();
+    if (result.error.kind === "refused") this.#onRefusedConnection(target);
     else this.end({ kind: "failed", problem: problemOfError(result.error) });
   }
 
   /** No byte left, so another upstream may be asked: this is still the first dispatch. */
-  #onRefusedConnection(): void {
+  #onRefusedConnection(target: DispatchTarget): void {
     this.#services.metrics.count("safeguard.connection_refused");
     this.#hooks.afterRefusedConnection?.();
     this.#refusedConnections++;
     if (this.#phase === "ended") return;
+    if (this.#hooks.isSingleAttempt) {
+      this.#reconnectLater(target);
+      return;
+    }
     this.#target = undefined;
     this.#phase = "waiting";
     if (this.#refusedConnections < MAX_REFUSED_CONNECTIONS) {
@@ -233,6 +248,23 @@
     });
   }
 
+  /** Still no byte has left, so a later connection is the first dispatch. */
+  #reconnectLater(target: DispatchTarget): void {
+    if (this.#refusedConnections >= MAX_RECONNECTS) {
+      this.end({ kind: "failed", problem: problemOf("no-upstream") });
+      return;
+    }
+    this.#target = undefined;
+    this.#phase = "waiting";
+    this.#services.timer.after(RECONNECT_MS, () => {
+      if (this.phase === "ended") return;
+      this.#target = target;
+      this.#phase = "dispatched";
+      void this.#dispatch(target).run()
+        .then((result) => this.#conclude(target, result));
+    });
+  }
+
   #abortDispatch(): void {
     const target = this.#target;
     this.#abort.abort();
--- /dev/null
+++ b/apps/entry/src/jobRunner.ts
@@ -0,0 +1,295 @@
+import { Buffer } from "node:buffer";
+import type { Bundle } from "@wasabivane/bundle";
+import {
+  type Blackboard,
+  Controller,
+  type JobId,
+  type Metrics,
+  type Milliseconds,
+  type Random,
+  type RequestId,
+  type Timer,
+  type TimerSubscription,
+  type Topic,
+} from "@wasabivane/common";
+import type { SignedBundle } from "@wasabivane/bundle";
+import type {
+  Job,
+  JobAnswer,
+  JobDispatch,
+  JobService,
+  JobTakeover,
+  ReadyJob,
+} from "@wasabivane/coordination";
+import type { AcceptedRequest } from "./acceptedRequest.ts";
+import type { AnswerEnd, AnswerHead, AnswerReader } from "./answerRecord.ts";
+import { ANSWER_KEPT_MS } from "./constants.ts";
+import type { DispatchTarget } from "./dispatch.ts";
+import { Exchange, type ExchangeServices } from "./exchange.ts";
+import { acceptRequest } from "./intake.ts";
+import {
+  problemDocument,
+  problemHeaders,
+  problemOf,
+  PROBLEMS,
+} from "./problem.ts";
+
+const POLL_MS = 500;
+const REQUEST_ID_BYTES = 9;
+/** A job that the scheduler refused asks again after the time it was told, but not sooner. */
+const MIN_RETRY_MS = 1_000;
+
+/** What the runner needs from its process. */
+export interface JobRunnerOptions {
+  readonly blackboard: Blackboard;
+  readonly timer: Timer;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly bundleInForce: Topic<SignedBundle | undefined>;
+  readonly jobs: JobService;
+  readonly services: ExchangeServices;
+}
+
+/**
+ * Runs the jobs that this host holds. A job goes through the same scheduler as
+ * any request of its tier; what differs is that its dispatch is recorded at
+ * the copies before the first byte leaves, so that no other host repeats it.
+ */
+export class JobRunner extends Controller {
+  readonly #options: JobRunnerOptions;
+  readonly #running = new Map<JobId, Exchange>();
+  readonly #notBefore = new Map<JobId, Milliseconds>();
+  #polling: TimerSubscription | undefined;
+  #endTakeovers: (() => void) | undefined;
+
+  constructor(options: JobRunnerOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override start(): void {
+    const { timer, jobs } = this.#options;
+    this.#polling = timer.every(POLL_MS, () => this.#poll());
+    this.#endTakeovers = jobs.onTakeover((takeover) =>
+      this.#takeOver(takeover)
+    );
+  }
+
+  override stop(): void {
+    this.#polling?.cancel();
+    this.#endTakeovers?.();
+  }
+
+  /** Jobs that wait at the scheduler or run at an upstream. */
+  get active(): number {
+    return this.#running.size;
+  }
+
+  /** Withdraws the asks of all jobs that wait, before they are handed over. */
+  release(): void {
+    this.#polling?.cancel();
+    for (const exchange of this.#running.values()) {
+      if (exchange.phase === "waiting") exchange.cancel(problemOf("stopping"));
+    }
+  }
+
+  #poll(): void {
+    const now = this.#options.timer.now();
+    for (const ready of this.#options.jobs.readyJobs()) {
+      const { id } = ready.job;
+      if (this.#running.has(id) || (this.#notBefore.get(id) ?? 0) > now) {
+        continue;
+      }
+      this.#run(ready);
+    }
+  }
+
+  #run({ job, pinned }: ReadyJob): void {
+    const request = this.#requestOf(job);
+    if (request === undefined) {
+      this.#postpone(job.id, MIN_RETRY_MS);
+      return;
+    }
+    const exchange = this.#exchangeFor(job, request);
+    if (pinned === undefined) {
+      exchange.start();
+      return;
+    }
+    const target = targetOf(request, pinned);
+    if (target !== undefined) exchange.dispatchAt(target);
+    else {this.#finish(job.id, {
+        kind: "failed",
+        problem: problemOf("answer-broken"),
+      });}
+  }
+
+  /** The former holder has dispatched: the work is at its upstream, it is fetched from there. */
+  #takeOver({ job, resumeAt }: JobTakeover): void {
+    if (resumeAt === undefined || this.#running.has(job.id)) return;
+    const request = this.#requestOf(job);
+    const target = request && targetOf(request, resumeAt);
+    if (request === undefined || target === undefined) {
+      this.#finish(job.id, {
+        kind: "failed",
+        problem: problemOf("answer-broken"),
+      });
+      return;
+    }
+    this.#options.metrics.count("jobs_resumed");
+    void this.#exchangeFor(job, request).resumeAt(target);
+  }
+
+  #exchangeFor(job: Job, request: AcceptedRequest): Exchange {
+    const { jobs, services } = this.#options;
+    const exchange = new Exchange(request, {
+      services,
+      hooks: {
+        beforeDispatch: async ({ upstream, nonce }) => {
+          const recorded = await jobs.recordDispatch(job.id, {
+            upstream,
+            nonce,
+          });
+          return recorded.isOk() ? undefined : problemOf("job-refused");
+        },
+        // The record at the copies cannot be taken back, so no other upstream is tried.
+        isSingleAttempt: true,
+      },
+    });
+    this.#running.set(job.id, exchange);
+    void this.#collect(job.id, exchange);
+    return exchange;
+  }
+
+  async #collect(id: JobId, exchange: Exchange): Promise<void> {
+    const { head, parts, end } = await collectAnswer(exchange.record.open()!);
+    this.#running.delete(id);
+    if (end.kind === "whole") {
+      this.#finish(id, end, { head, body: Buffer.concat(parts) });
+    } else if (end.problem.ending === "unknown") {
+      this.#finish(id, end);
+    } else {
+      await this.#onNotRun(id, { end, request: exchange.request });
+    }
+  }
+
+  async #onNotRun(
+    id: JobId,
+    { end, request }: {
+      end: AnswerEnd & { kind: "failed" };
+      request: AcceptedRequest;
+    },
+  ): Promise<void> {
+    const { timer, jobs } = this.#options;
+    const isOver = timer.now() >= request.deadline ||
+      end.problem.name === "convicted";
+    if (!isOver) {
+      this.#postpone(id, end.problem.retryAfter ?? MIN_RETRY_MS);
+      return;
+    }
+    const withdrawn = await jobs.withdraw(id);
+    if (withdrawn.isOk()) this.#finish(id, end);
+  }
+
+  #finish(
+    id: JobId,
+    end: AnswerEnd,
+    whole?: { head: AnswerHead | undefined; body: Buffer },
+  ): void {
+    this.#notBefore.delete(id);
+    this.#options.jobs.recordFinished(id, jobAnswerOf(end, whole));
+  }
+
+  #postpone(id: JobId, delay: Milliseconds): void {
+    this.#notBefore.set(
+      id,
+      this.#options.timer.now() + Math.max(MIN_RETRY_MS, delay),
+    );
+  }
+
+  #requestOf(job: Job): AcceptedRequest | undefined {
+    const { blackboard, bundleInForce, timer, random } = this.#options;
+    const bundle = blackboard.read(bundleInForce)?.bundle;
+    if (bundle === undefined) return undefined;
+    return requestOfJob(job, {
+      bundle,
+      request: random.hex(REQUEST_ID_BYTES) as RequestId,
+      now: timer.now(),
+      timeLeft: job.expiresAt - ANSWER_KEPT_MS - timer.wallNow(),
+    });
+  }
+}
+
+function requestOfJob(
+  job: Job,
+  { bundle, request, now, timeLeft }: {
+    bundle: Bundle;
+    request: RequestId;
+    now: Milliseconds;
+    timeLeft: Milliseconds;
+  },
+): AcceptedRequest | undefined {
+  const account = bundle.clientAccounts.find(({ account }) =>
+    account === job.account
+  );
+  if (account === undefined) return undefined;
+  const accepted = acceptRequest({
+    request,
+    bundle,
+    account,
+    now,
+    method: job.method,
+    path: job.path,
+    headers: { ...job.headers, "x-tier": String(job.tier) },
+    body: Buffer.from(job.body),
+  });
+  if (accepted.isErr()) return undefined;
+  // A stream that nobody listens to would only be collected again.
+  return { ...accepted.value, wantsStream: false, deadline: now + timeLeft };
+}
+
+function targetOf(
+  { bundle }: AcceptedRequest,
+  { upstream, nonce }: JobDispatch,
+): DispatchTarget | undefined {
+  const found = bundle.upstreams.find((candidate) =>
+    candidate.upstream === upstream
+  );
+  return found && { upstream, nonce, url: found.url };
+}
+
+async function collectAnswer(
+  reader: AnswerReader,
+): Promise<
+  { head: AnswerHead | undefined; parts: Uint8Array[]; end: AnswerEnd }
+> {
+  let head: AnswerHead | undefined;
+  const parts: Uint8Array[] = [];
+  while (true) {
+    const step = await reader.next();
+    if (step.kind === "head") head = step.head;
+    else if (step.kind === "part") parts.push(step.part);
+    else return { head, parts, end: step.end };
+  }
+}
+
+function jobAnswerOf(
+  end: AnswerEnd,
+  whole?: { head: AnswerHead | undefined; body: Buffer },
+): JobAnswer {
+  if (end.kind === "whole") {
+    const { status = 200, headers = {} } = whole?.head ?? {};
+    return {
+      ending: "whole",
+      status,
+      headers,
+      body: whole?.body ?? Buffer.alloc(0),
+    };
+  }
+  const { problem } = end;
+  return {
+    ending: problem.ending,
+    status: PROBLEMS[problem.name].status,
+    headers: problemHeaders(problem),
+    body: Buffer.from(JSON.stringify(problemDocument(problem))),
+  };
+}
--- a/apps/entry/src/problem.ts
+++ b/apps/entry/src/problem.ts
@@ -132,6 +132,11 @@
     title: "The job cannot be kept safely now",
     ending: "not-run",
   },
+  "job-unconfirmed": {
+    status: 503,
+    title: "The copies did not confirm the job in time",
+    ending: "unknown",
+  },
   "answer-broken": {
     status: 502,
     title: "The upstream broke off its answer",
--- a/apps/entry/src/settings.ts
+++ b/apps/entry/src/settings.ts
@@ -28,6 +28,8 @@
   callers: listenerSchema,
   operators: listenerSchema,
   peers: listenerSchema.extend({
+    /** Address told to peers, `ip:port`; the listening one when left out. */
+    advertisedAddress: z.string().max(64).optional(),
     /** Shared by all entry hosts; prove a peer in the handshake. The first is used, both count. */
     secrets: z.array(z.string().min(16)).min(1).max(2),
   }),
