--- a/packages/stand-ins/src/engineStandIn.ts
+++ b/packages/stand-ins/src/engineStandIn.ts
@@ -193,7 +193,7 @@
     const { outgoing } = context.env;
     outgoing.on("close", () => this.#host.release(answer));
     if (request.wantsStream) this.#stream(shown, { outgoing, offset: 0 });
-    else answerWhole({ shown, outgoing, cut: this.#takeCut() });
+    else answerWhole({ shown, outgoing, ...this.#takeFaults(shown) });
     return RESPONSE_ALREADY_SENT;
   }
 
@@ -216,16 +216,18 @@
     shown: ShownAnswer,
     { outgoing, offset }: { outgoing: ServerResponse; offset: number },
   ): void {
-    const isDoubled = this.#faults.take("second-answer") !== undefined;
-    streamAnswer({
-      shown,
-      outgoing,
-      offset,
-      cut: this.#takeCut(),
-      second: isDoubled
-        ? { ...shown, nonce: this.#random.hex(NONCE_BYTES) }
-        : undefined,
-    });
+    streamAnswer({ shown, outgoing, offset, ...this.#takeFaults(shown) });
+  }
+
+  #takeFaults(
+    shown: ShownAnswer,
+  ): { cut: StreamCut | undefined; second: ShownAnswer | undefined } {
+    const cut = this.#takeCut();
+    if (this.#faults.take("second-answer") === undefined) {
+      return { cut, second: undefined };
+    }
+    const nonce = this.#random.hex(NONCE_BYTES);
+    return { cut, second: { ...shown, nonce } };
   }
 
   #show(answer: EngineAnswer): ShownAnswer {
--- a/packages/stand-ins/tests/engineStandIn.test.ts
+++ b/packages/stand-ins/tests/engineStandIn.test.ts
@@ -1,3 +1,4 @@
+import { connect } from "node:net";
 import test, { type ExecutionContext } from "ava";
 import { prefixDigests } from "@wasabivane/common";
 import {
@@ -117,6 +118,27 @@
   t.like(refused, { status: 503, nonceHeader: "n4" });
 });
 
+// The engine answers a call in one piece twice. The second answer waits on the
+// kept connection, where the next call would read it as its own.
+test("a second whole answer follows on the same connection", async (t) => {
+  const { engine, url } = await startEngine(t);
+  engine.control("second-answer");
+  const { hostname, port } = new URL(url);
+  const body = JSON.stringify({ model: "m", messages: [{ content: "Draft" }] });
+  const socket = connect(Number(port), hostname);
+  socket.write(
+    `POST /v1/chat/completions HTTP/1.1\r\nhost: engine\r\n` +
+      `x-request-nonce: n1\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+  );
+  let received = "";
+  for await (const part of socket) {
+    received += part;
+    if (received.split("HTTP/1.1 200 OK").length === 3) break;
+  }
+  t.is(received.split("x-request-nonce: n1\r\n").length, 2);
+  t.is(received.split("x-request-nonce:").length, 3);
+});
+
 // One prompt kills each engine that runs it: its own caller and the one beside
 // it lose their connections, and the engine is gone until it is restarted.
 test("a poison prompt crashes the engine with all that runs there", async (t) => {
