Run command lines the same way in every binary

All binaries need the same exit codes, JSON or lines, and usage errors without a stack trace. The runner takes any parser with cac's shape, so that the common package needs no dependency on it.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,6 @@
 export * from "./blackboard.ts";
+export * from "./commandLine.ts";
+export * from "./commandOptions.ts";
 export * from "./controller.ts";
 export * from "./ending.ts";
 export * from "./heap.ts";
