Add wasabivane-bundle: init, check, diff, keygen, sign, verify, explain

Operators need to see what is wrong with a bundle before it is signed, what a change changes, and what a request would get and why. Files are never overwritten, private keys are readable by their owner only, and an altered signed bundle gets no further signature: that would make someone's change look agreed.

--- /dev/null
+++ b/apps/bundle/src/bundleFile.ts
@@ -0,0 +1,63 @@
+import {
+  type Bundle,
+  bundleSchema,
+  checkBundle,
+  type DocumentError,
+  formatDocumentError,
+  readDocument,
+  type SignedBundle,
+  signedBundleSchema,
+} from "@wasabivane/bundle";
+import { type CommandReport, EXIT_FINDINGS } from "@wasabivane/common";
+import type { Result } from "neverthrow";
+import { z } from "zod";
+
+/** A bundle file, signed or not yet. */
+export interface BundleFile {
+  readonly bundle: Bundle;
+  readonly signed?: SignedBundle;
+}
+
+const anyObjectSchema = z.looseObject({});
+
+/** Reads and checks a bundle as operators write it, or as `sign` writes it. */
+export function readBundleFile(
+  file: string,
+): Result<BundleFile, DocumentError[]> {
+  return readDocument(file, anyObjectSchema).andThen((value) =>
+    "signatures" in value
+      ? readSignedBundle(file).map((signed) => ({
+        bundle: signed.bundle,
+        signed,
+      }))
+      : readPlainBundle(file).map((bundle) => ({ bundle }))
+  );
+}
+
+/** Reads and checks a signed bundle; the signatures are not looked at. */
+export function readSignedBundle(
+  file: string,
+): Result<SignedBundle, DocumentError[]> {
+  return readDocument(file, signedBundleSchema, {
+    check: ({ bundle }) =>
+      checkBundle(bundle).map((finding) => ({
+        ...finding,
+        path: ["bundle", ...finding.path],
+      })),
+  });
+}
+
+/** A report of what is wrong with a file. */
+export function documentErrorsReport(
+  errors: readonly DocumentError[],
+): CommandReport {
+  return {
+    exitCode: EXIT_FINDINGS,
+    data: { errors },
+    lines: errors.map(formatDocumentError),
+  };
+}
+
+function readPlainBundle(file: string): Result<Bundle, DocumentError[]> {
+  return readDocument(file, bundleSchema, { check: checkBundle });
+}
--- /dev/null
+++ b/apps/bundle/src/checkCommand.ts
@@ -0,0 +1,30 @@
+import { type CommandReport, EXIT_OK } from "@wasabivane/common";
+import {
+  type BundleFile,
+  documentErrorsReport,
+  readBundleFile,
+} from "./bundleFile.ts";
+
+/** Says whether a bundle file is well formed and consistent. */
+export function checkCommand(file: string): CommandReport {
+  return readBundleFile(file).match(
+    (bundleFile) => soundReport(file, bundleFile),
+    documentErrorsReport,
+  );
+}
+
+function soundReport(file: string, { bundle }: BundleFile): CommandReport {
+  const { deployment, version, services, upstreams, clientAccounts } = bundle;
+  const counts = [
+    `${services.length} services`,
+    `${upstreams.length} upstreams`,
+    `${clientAccounts.length} client accounts`,
+  ];
+  return {
+    exitCode: EXIT_OK,
+    data: { errors: [], deployment, version },
+    lines: [
+      `${file}: version ${version} of ${deployment}, ${counts.join(", ")}`,
+    ],
+  };
+}
--- /dev/null
+++ b/apps/bundle/src/diffCommand.ts
@@ -0,0 +1,33 @@
+import { type Bundle, compareBundles, formatPath } from "@wasabivane/bundle";
+import { type CommandReport, EXIT_FINDINGS, EXIT_OK } from "@wasabivane/common";
+import { Result } from "neverthrow";
+import { documentErrorsReport, readBundleFile } from "./bundleFile.ts";
+import { changeLine, changesBetween } from "./partChanges.ts";
+
+/** Lists the parts that differ between two bundle files; as `diff`, 1 when any does. */
+export function diffCommand(from: string, to: string): CommandReport {
+  return Result.combine([readBundleFile(from), readBundleFile(to)]).match(
+    ([former, later]) => differenceReport(former!.bundle, later!.bundle),
+    documentErrorsReport,
+  );
+}
+
+function differenceReport(from: Bundle, to: Bundle): CommandReport {
+  const comparison = compareBundles(from, to)._unsafeUnwrap();
+  const changes = changesBetween(from, comparison);
+  return {
+    exitCode: changes.length === 0 ? EXIT_OK : EXIT_FINDINGS,
+    data: {
+      from: from.version,
+      to: to.version,
+      changes: changes.map((change) => ({
+        ...change,
+        values: change.values.map((value) => ({
+          ...value,
+          path: formatPath(value.path),
+        })),
+      })),
+    },
+    lines: changes.flatMap(changeLine),
+  };
+}
--- a/apps/bundle/src/index.ts
+++ b/apps/bundle/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./bundleTemplate.ts";
+export * from "./explanation.ts";
+export * from "./program.ts";
--- /dev/null
+++ b/apps/bundle/src/initCommand.ts
@@ -0,0 +1,36 @@
+import {
+  EXAMPLE_DEPLOYMENTS,
+  type ExampleDeployment,
+  listAllowed,
+} from "@wasabivane/bundle";
+import { type CommandReport, EXIT_OK, UsageError } from "@wasabivane/common";
+import { bundleTemplate } from "./bundleTemplate.ts";
+import { writeErrorReport, writeNewFile } from "./newFile.ts";
+
+/** Options of {@link initCommand}. */
+export interface InitOptions {
+  readonly deployment: string;
+  readonly out?: string;
+}
+
+/** Writes a first bundle, with comments, for one of the known deployments. */
+export function initCommand({ deployment, out }: InitOptions): CommandReport {
+  if (!isExampleDeployment(deployment)) {
+    const allowed = listAllowed(EXAMPLE_DEPLOYMENTS, { found: deployment });
+    throw new UsageError(
+      `Unknown deployment ${JSON.stringify(deployment)}; allowed: ${allowed}`,
+    );
+  }
+  const text = bundleTemplate(deployment);
+  if (out === undefined) {
+    return { exitCode: EXIT_OK, data: { text }, lines: [text.trimEnd()] };
+  }
+  return writeNewFile(out, { text }).match(
+    () => ({ exitCode: EXIT_OK, data: { file: out }, lines: [`Wrote ${out}`] }),
+    writeErrorReport,
+  );
+}
+
+function isExampleDeployment(name: string): name is ExampleDeployment {
+  return (EXAMPLE_DEPLOYMENTS as readonly string[]).includes(name);
+}
--- /dev/null
+++ b/apps/bundle/src/keygenCommand.ts
@@ -0,0 +1,38 @@
+import { createHash } from "node:crypto";
+import { generateSigningKey, trustedKeyOf } from "@wasabivane/bundle";
+import { type CommandReport, EXIT_OK } from "@wasabivane/common";
+import { PRIVATE_MODE, writeErrorReport, writeNewFile } from "./newFile.ts";
+
+const KEY_ID_DIGITS = 8;
+
+/** Options of {@link keygenCommand}. */
+export interface KeygenOptions {
+  readonly keyId?: string;
+  readonly out?: string;
+}
+
+/** Writes a new private key and prints its public half as settings pin it. */
+export function keygenCommand(options: KeygenOptions): CommandReport {
+  const { privateKey, trustedKey } = generateSigningKey("");
+  const keyId = options.keyId ?? keyIdOf(trustedKey.publicKey);
+  const file = options.out ?? `${keyId}.pem`;
+  const text = privateKey.export({ type: "pkcs8", format: "pem" }).toString();
+  const pinned = trustedKeyOf({ keyId, privateKey });
+  return writeNewFile(file, { text, mode: PRIVATE_MODE }).match(
+    () => ({
+      exitCode: EXIT_OK,
+      data: { file, trustedKey: pinned },
+      lines: [
+        `Wrote the private key to ${file}; add this to trustedKeys in settings:`,
+        JSON.stringify(pinned),
+      ],
+    }),
+    writeErrorReport,
+  );
+}
+
+/** An id that two keys never share by accident. */
+function keyIdOf(publicKey: string): string {
+  const digest = createHash("sha256").update(publicKey).digest("hex");
+  return `key-${digest.slice(0, KEY_ID_DIGITS)}`;
+}
--- /dev/null
+++ b/apps/bundle/src/newFile.ts
@@ -0,0 +1,40 @@
+import { writeFileSync } from "node:fs";
+import { err, ok, type Result } from "neverthrow";
+import { type CommandReport, EXIT_FINDINGS } from "@wasabivane/common";
+
+/** Only the owner reads a private key. */
+export const PRIVATE_MODE = 0o600;
+const PUBLIC_MODE = 0o644;
+
+/** A file that could not be written. */
+export interface WriteError {
+  readonly kind: "not-written";
+  readonly file: string;
+  readonly message: string;
+}
+
+/** Writes a file that must not exist yet: a typo must not cost a key or a bundle. */
+export function writeNewFile(
+  file: string,
+  { text, mode = PUBLIC_MODE }: { text: string; mode?: number },
+): Result<void, WriteError> {
+  try {
+    writeFileSync(file, text, { flag: "wx", mode });
+    return ok(undefined);
+  } catch (error) {
+    const { code = "unknown error" } = error as NodeJS.ErrnoException;
+    const message = code === "EEXIST"
+      ? "The file exists already"
+      : `Cannot write the file (${code})`;
+    return err({ kind: "not-written", file, message });
+  }
+}
+
+/** A report of a file that could not be written. */
+export function writeErrorReport(error: WriteError): CommandReport {
+  return {
+    exitCode: EXIT_FINDINGS,
+    data: { errors: [error] },
+    lines: [`${error.file}: ${error.message}; allowed: a new file`],
+  };
+}
--- /dev/null
+++ b/apps/bundle/src/program.ts
@@ -0,0 +1,99 @@
+import { type CAC, cac } from "cac";
+import {
+  type CommandOutput,
+  type ParsedOptions,
+  requiredTextOption,
+  runCommandLine,
+  textOption,
+  wholeNumberOption,
+} from "@wasabivane/common";
+import { checkCommand } from "./checkCommand.ts";
+import { diffCommand } from "./diffCommand.ts";
+import { explainCommand } from "./explainCommand.ts";
+import { initCommand } from "./initCommand.ts";
+import { keygenCommand } from "./keygenCommand.ts";
+import { signCommand } from "./signCommand.ts";
+import { verifyCommand } from "./verifyCommand.ts";
+
+/** How to run the tool. */
+export interface BundleToolRun {
+  readonly argv: readonly string[];
+  readonly output: CommandOutput;
+  readonly version: string;
+}
+
+/** Runs `wasabivane-bundle`; gives its exit code: 0 in order, 1 findings, 2 usage. */
+export function runBundleTool(
+  { argv, output, version }: BundleToolRun,
+): Promise<number> {
+  const cli = cac("wasabivane-bundle");
+  cli.option("--json", "Print one JSON document for programs");
+  registerFileCommands(cli);
+  registerKeyCommands(cli);
+  cli.help();
+  cli.version(version);
+  return runCommandLine(cli, { argv, output });
+}
+
+function registerFileCommands(cli: CAC): void {
+  cli.command("init", "Write a first bundle with comments")
+    .option("--deployment <name>", "fukuoka or cairo")
+    .option("--out <file>", "Write there instead of printing")
+    .action((options: ParsedOptions) =>
+      initCommand({
+        deployment: requiredTextOption(options, "deployment"),
+        out: textOption(options, "out"),
+      })
+    );
+  cli.command("check <file>", "Say what is wrong with a bundle")
+    .action((file: unknown) => checkCommand(String(file)));
+  cli.command("diff <from> <to>", "List the parts that differ")
+    .action((from: unknown, to: unknown) =>
+      diffCommand(String(from), String(to))
+    );
+  cli.command("explain <file>", "Say what a request would get, and why")
+    .option("--account <account>", "Client account that sends the request")
+    .option("--model <model>", "Model that the request names")
+    .option("--path <path>", "Path of the request, for plain services")
+    .option("--method <method>", "HTTP method (default: POST)")
+    .option("--tier <tier>", "Tier that the request asks for")
+    .action((file: unknown, options: ParsedOptions) =>
+      explainCommand(String(file), {
+        account: requiredTextOption(options, "account"),
+        model: textOption(options, "model"),
+        path: textOption(options, "path"),
+        method: textOption(options, "method")?.toUpperCase(),
+        tier: wholeNumberOption(options, "tier"),
+      })
+    );
+}
+
+function registerKeyCommands(cli: CAC): void {
+  cli.command("keygen", "Make a key pair to sign with")
+    .option("--key-id <id>", "Id in settings (default: from the key itself)")
+    .option("--out <file>", "File of the private key (default: ID.pem)")
+    .action((options: ParsedOptions) =>
+      keygenCommand({
+        keyId: textOption(options, "keyId"),
+        out: textOption(options, "out"),
+      })
+    );
+  cli.command("sign <file>", "Check and sign a bundle")
+    .option("--key <file>", "File of the private key")
+    .option("--key-id <id>", "Id under which settings pin the key")
+    .option("--out <file>", "Write there instead of printing")
+    .action((file: unknown, options: ParsedOptions) =>
+      signCommand(String(file), {
+        key: requiredTextOption(options, "key"),
+        keyId: requiredTextOption(options, "keyId"),
+        out: textOption(options, "out"),
+      })
+    );
+  cli.command("verify <file>", "Say whether pinned keys trust a signed bundle")
+    .option("--trust <file>", "Settings, or a list of trusted keys")
+    .action((file: unknown, options: ParsedOptions) =>
+      verifyCommand(String(file), {
+        trust: requiredTextOption(options, "trust"),
+      })
+    );
+}
--- /dev/null
+++ b/apps/bundle/src/signCommand.ts
@@ -0,0 +1,78 @@
+import {
+  addSignature,
+  signBundle,
+  type SignedBundle,
+  type SigningKey,
+} from "@wasabivane/bundle";
+import { type CommandReport, EXIT_FINDINGS, EXIT_OK } from "@wasabivane/common";
+import {
+  type BundleFile,
+  documentErrorsReport,
+  readBundleFile,
+} from "./bundleFile.ts";
+import { keyFileReport, readPrivateKey } from "./keyFile.ts";
+import { writeErrorReport, writeNewFile } from "./newFile.ts";
+
+/** Options of {@link signCommand}. */
+export interface SignOptions {
+  /** File of the private key. */
+  readonly key: string;
+  readonly keyId: string;
+  readonly out?: string;
+}
+
+/** Checks and signs a bundle; a signed one gets a further signature. */
+export function signCommand(
+  file: string,
+  { key, keyId, out }: SignOptions,
+): CommandReport {
+  const privateKey = readPrivateKey(key);
+  if (privateKey.isErr()) return keyFileReport(privateKey.error);
+  const signingKey = { keyId, privateKey: privateKey.value };
+  return readBundleFile(file).match(
+    (bundleFile) => signReport(bundleFile, { file, signingKey, out }),
+    documentErrorsReport,
+  );
+}
+
+function signReport(
+  { bundle, signed }: BundleFile,
+  { file, signingKey, out }: {
+    file: string;
+    signingKey: SigningKey;
+    out?: string;
+  },
+): CommandReport {
+  const fresh = signBundle(bundle, signingKey)._unsafeUnwrap();
+  if (signed === undefined) return outputReport(fresh, out);
+  if (signed.root !== fresh.root) return alteredReport(file);
+  return outputReport(addSignature(signed, signingKey), out);
+}
+
+/** A signature under altered parts would make someone's change look agreed. */
+function alteredReport(file: string): CommandReport {
+  const message = "The bundle was altered after it was signed";
+  return {
+    exitCode: EXIT_FINDINGS,
+    data: { errors: [{ kind: "root-mismatch", file, message }] },
+    lines: [`${file}: ${message}; allowed: a bundle without signatures`],
+  };
+}
+
+function outputReport(signed: SignedBundle, out?: string): CommandReport {
+  if (out === undefined) {
+    const lines = [JSON.stringify(signed, null, 1)];
+    return { exitCode: EXIT_OK, data: signed, lines };
+  }
+  const { deployment, version } = signed.bundle;
+  const { root } = signed;
+  return writeNewFile(out, { text: `${JSON.stringify(signed, null, 1)}\n` })
+    .match(
+      () => ({
+        exitCode: EXIT_OK,
+        data: { file: out, deployment, version, root },
+        lines: [`Wrote version ${version} of ${deployment} to ${out}`, root],
+      }),
+      writeErrorReport,
+    );
+}
--- /dev/null
+++ b/apps/bundle/tests/helpers/bundleTool.ts
@@ -0,0 +1,76 @@
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { ExecutionContext } from "ava";
+import { bundleTemplate, runBundleTool } from "@wasabivane/bundle-tool";
+import type { ExampleDeployment } from "@wasabivane/bundle";
+
+/** What one run of the tool left behind. */
+export interface ToolRun {
+  readonly exitCode: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+/** A folder of its own with the tool at hand. */
+export class Workbench {
+  readonly #folder = mkdtempSync(join(tmpdir(), "wasabivane-"));
+
+  constructor(t: ExecutionContext) {
+    t.teardown(() => rmSync(this.#folder, { recursive: true }));
+  }
+
+  path(name: string): string {
+    return join(this.#folder, name);
+  }
+
+  read(name: string): string {
+    return readFileSync(this.path(name), "utf8");
+  }
+
+  write(name: string, text: string): string {
+    writeFileSync(this.path(name), text);
+    return this.path(name);
+  }
+
+  /** Writes an example's bundle, edited as an operator would. */
+  writeBundle(
+    name: string,
+    { deployment = "fukuoka", edit = (text) => text }: {
+      deployment?: ExampleDeployment;
+      edit?: (text: string) => string;
+    } = {},
+  ): string {
+    return this.write(name, edit(bundleTemplate(deployment)));
+  }
+
+  /** Runs the tool with arguments as a shell would pass them. */
+  async run(...args: string[]): Promise<ToolRun> {
+    let stdout = "";
+    let stderr = "";
+    const exitCode = await runBundleTool({
+      argv: ["node", "wasabivane-bundle", ...args],
+      version: "0.0.0",
+      output: {
+        write: (text) => void (stdout += text),
+        writeError: (text) => void (stderr += text),
+      },
+    });
+    return { exitCode, stdout, stderr };
+  }
+
+  /** Makes a key pair and a trust file that pins it. */
+  async makeKey(keyId: string): Promise<{ key: string; trust: string }> {
+    const key = this.path(`${keyId}.pem`);
+    const { stdout } = await this.run(
+      "keygen",
+      "--json",
+      "--key-id",
+      keyId,
+      "--out",
+      key,
+    );
+    const pinned = JSON.stringify([JSON.parse(stdout).trustedKey]);
+    return { key, trust: this.write(`${keyId}.trust.json`, pinned) };
+  }
+}
