Move the readers of bundle, trust and status documents into the library

The tools used zod without declaring it; schemas belong where they are shared. The status schema is now one contract between entry hosts and the operators' tool.

--- a/apps/bundle/src/checkCommand.ts
+++ b/apps/bundle/src/checkCommand.ts
@@ -1,9 +1,6 @@
+import { type BundleFile, readBundleFile } from "@wasabivane/bundle";
 import { type CommandReport, EXIT_OK } from "@wasabivane/common";
-import {
-  type BundleFile,
-  documentErrorsReport,
-  readBundleFile,
-} from "./bundleFile.ts";
+import { documentErrorsReport } from "./documentReport.ts";
 
 /** Says whether a bundle file is well formed and consistent. */
 export function checkCommand(file: string): CommandReport {
--- a/apps/bundle/src/diffCommand.ts
+++ b/apps/bundle/src/diffCommand.ts
@@ -1,7 +1,12 @@
-import { type Bundle, compareBundles, formatPath } from "@wasabivane/bundle";
+import {
+  type Bundle,
+  compareBundles,
+  formatPath,
+  readBundleFile,
+} from "@wasabivane/bundle";
 import { type CommandReport, EXIT_FINDINGS, EXIT_OK } from "@wasabivane/common";
 import { Result } from "neverthrow";
-import { documentErrorsReport, readBundleFile } from "./bundleFile.ts";
+import { documentErrorsReport } from "./documentReport.ts";
 import { changeLine, changesBetween } from "./partChanges.ts";
 
 /** Lists the parts that differ between two bundle files; as `diff`, 1 when any does. */
--- a/apps/bundle/src/explainCommand.ts
+++ b/apps/bundle/src/explainCommand.ts
@@ -1,10 +1,11 @@
+import { readBundleFile } from "@wasabivane/bundle";
 import {
   type CommandReport,
   EXIT_FINDINGS,
   EXIT_OK,
   UsageError,
 } from "@wasabivane/common";
-import { documentErrorsReport, readBundleFile } from "./bundleFile.ts";
+import { documentErrorsReport } from "./documentReport.ts";
 import {
   type ExplainedRequest,
   explainRequest,
--- a/apps/bundle/src/keyFile.ts
+++ b/apps/bundle/src/keyFile.ts
@@ -1,15 +1,7 @@
 import { createPrivateKey, type KeyObject } from "node:crypto";
 import { readFileSync } from "node:fs";
-import {
-  type DocumentError,
-  formatDocumentError,
-  readDocument,
-  type TrustedKey,
-  trustedKeysSchema,
-} from "@wasabivane/bundle";
 import { type CommandReport, EXIT_FINDINGS } from "@wasabivane/common";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
 
 /** A key file that cannot be used. */
 export interface KeyFileError {
@@ -18,10 +10,6 @@
   readonly message: string;
 }
 
-/** A list of keys, or settings of an entry host. */
-const trustFileSchema = z.union([z.array(z.unknown()), z.looseObject({})]);
-const trustInSettingsSchema = z.looseObject({ trustedKeys: trustedKeysSchema });
-
 /** Reads an Ed25519 private key in PEM. */
 export function readPrivateKey(file: string): Result<KeyObject, KeyFileError> {
   try {
@@ -38,19 +26,6 @@
   return err({ kind: "unusable-key", file, message });
 }
 
-/** Reads pinned keys: a list of them, or settings that hold `trustedKeys`. */
-export function readTrustedKeys(
-  file: string,
-): Result<TrustedKey[], DocumentError[]> {
-  return readDocument(file, trustFileSchema).andThen((value) =>
-    Array.isArray(value)
-      ? readDocument(file, trustedKeysSchema)
-      : readDocument(file, trustInSettingsSchema).map((settings) =>
-        settings.trustedKeys
-      )
-  );
-}
-
 /** A report of a key file that cannot be used. */
 export function keyFileReport(error: KeyFileError): CommandReport {
   return {
@@ -61,14 +36,3 @@
     ],
   };
 }
-
-/** A report of a trust file that cannot be used. */
-export function trustFileReport(
-  errors: readonly DocumentError[],
-): CommandReport {
-  return {
-    exitCode: EXIT_FINDINGS,
-    data: { errors },
-    lines: errors.map(formatDocumentError),
-  };
-}
--- a/apps/bundle/src/signCommand.ts
+++ b/apps/bundle/src/signCommand.ts
@@ -1,15 +1,13 @@
 import {
   addSignature,
+  type BundleFile,
+  readBundleFile,
   signBundle,
   type SignedBundle,
   type SigningKey,
 } from "@wasabivane/bundle";
 import { type CommandReport, EXIT_FINDINGS, EXIT_OK } from "@wasabivane/common";
-import {
-  type BundleFile,
-  documentErrorsReport,
-  readBundleFile,
-} from "./bundleFile.ts";
+import { documentErrorsReport } from "./documentReport.ts";
 import { keyFileReport, readPrivateKey } from "./keyFile.ts";
 import { writeErrorReport, writeNewFile } from "./newFile.ts";
 
--- a/apps/bundle/src/verifyCommand.ts
+++ b/apps/bundle/src/verifyCommand.ts
@@ -1,11 +1,12 @@
 import {
+  readSignedBundle,
+  readTrustedKeys,
   type SignatureError,
   type SignedBundle,
   verifySignedBundle,
 } from "@wasabivane/bundle";
 import { type CommandReport, EXIT_FINDINGS, EXIT_OK } from "@wasabivane/common";
-import { documentErrorsReport, readSignedBundle } from "./bundleFile.ts";
-import { readTrustedKeys, trustFileReport } from "./keyFile.ts";
+import { documentErrorsReport } from "./documentReport.ts";
 
 /** Says whether an entry host with these pinned keys would take the bundle. */
 export function verifyCommand(
@@ -13,7 +14,7 @@
   { trust }: { trust: string },
 ): CommandReport {
   const trustedKeys = readTrustedKeys(trust);
-  if (trustedKeys.isErr()) return trustFileReport(trustedKeys.error);
+  if (trustedKeys.isErr()) return documentErrorsReport(trustedKeys.error);
   const signed = readSignedBundle(file);
   if (signed.isErr()) return documentErrorsReport(signed.error);
   return verifySignedBundle(signed.value, trustedKeys.value).match(
--- /dev/null
+++ b/packages/bundle/src/boundedBody.ts
@@ -0,0 +1,16 @@
+import { Buffer } from "node:buffer";
+
+/** The whole body; `undefined` when it is larger than allowed, and reading stops there. */
+export async function readBoundedBody(
+  body: AsyncIterable<Uint8Array>,
+  maximumBytes: number,
+): Promise<Buffer | undefined> {
+  const chunks: Uint8Array[] = [];
+  let bytes = 0;
+  for await (const chunk of body) {
+    bytes += chunk.byteLength;
+    if (bytes > maximumBytes) return undefined;
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
--- a/apps/bundle/src/bundleFile.ts
+++ b/packages/bundle/src/bundleFile.ts
@@ -1,16 +1,9 @@
-import {
-  type Bundle,
-  bundleSchema,
-  checkBundle,
-  type DocumentError,
-  formatDocumentError,
-  readDocument,
-  type SignedBundle,
-  signedBundleSchema,
-} from "@wasabivane/bundle";
-import { type CommandReport, EXIT_FINDINGS } from "@wasabivane/common";
 import type { Result } from "neverthrow";
 import { z } from "zod";
+import { checkBundle } from "./bundleChecks.ts";
+import { type DocumentError, readDocument } from "./jsonDocument.ts";
+import { type Bundle, bundleSchema } from "./schema.ts";
+import { type SignedBundle, signedBundleSchema } from "./signedBundle.ts";
 
 /** A bundle file, signed or not yet. */
 export interface BundleFile {
@@ -47,17 +40,6 @@
   });
 }
 
-/** A report of what is wrong with a file. */
-export function documentErrorsReport(
-  errors: readonly DocumentError[],
-): CommandReport {
-  return {
-    exitCode: EXIT_FINDINGS,
-    data: { errors },
-    lines: errors.map(formatDocumentError),
-  };
-}
-
 function readPlainBundle(file: string): Result<Bundle, DocumentError[]> {
   return readDocument(file, bundleSchema, { check: checkBundle });
 }
--- a/packages/bundle/src/index.ts
+++ b/packages/bundle/src/index.ts
@@ -1,10 +1,13 @@
+export * from "./boundedBody.ts";
 export * from "./bundleChecks.ts";
 export * from "./bundleDifference.ts";
+export * from "./bundleFile.ts";
 export * from "./bundleParts.ts";
 export * from "./bundleSignature.ts";
 export * from "./canonicalJson.ts";
 export * from "./closestWord.ts";
 export * from "./digestTree.ts";
+export * from "./entryStatus.ts";
 export * from "./exampleBundle.ts";
 export * from "./exampleKeys.ts";
 export * from "./finding.ts";
@@ -17,5 +20,6 @@
 export * from "./schema.ts";
 export * from "./schemaFindings.ts";
 export * from "./signedBundle.ts";
+export * from "./trustFile.ts";
 /** For schemas that `readDocument` reads: it must be the copy of zod that it inspects. */
 export { z } from "zod";
--- a/packages/bundle/src/platformReader.ts
+++ b/packages/bundle/src/platformReader.ts
@@ -1,8 +1,9 @@
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { type Milliseconds, SystemTimer, type Timer } from "@wasabivane/common";
 import { err, ok, type Result } from "neverthrow";
 import { request as undiciRequest } from "undici";
 import { z } from "zod";
+import { readBoundedBody } from "./boundedBody.ts";
 import { formatPath } from "./finding.ts";
 import type { PlatformError, Revised } from "./platform.ts";
 import { schemaFindings } from "./schemaFindings.ts";
@@ -97,7 +98,7 @@
     url.searchParams.set("after", String(afterRevision));
     url.searchParams.set("waitMs", String(waitMs));
     const answer = await this.#request(url, { signal });
-    const bytes = await this.#readBody(answer);
+    const bytes = await readBoundedBody(answer.body, this.#maximumBytes);
     if (bytes === undefined) return this.#tooLarge();
     if (answer.statusCode === 304) return ok(undefined);
     if (answer.statusCode === 429) return err(this.#overBudget(answer));
@@ -111,18 +112,6 @@
     );
   }
 
-  /** The whole body; `undefined` when it is larger than allowed, and reading stops there. */
-  async #readBody({ body }: PlatformAnswer): Promise<Buffer | undefined> {
-    const chunks: Uint8Array[] = [];
-    let bytes = 0;
-    for await (const chunk of body) {
-      bytes += chunk.byteLength;
-      if (bytes > this.#maximumBytes) return undefined;
-      chunks.push(chunk);
-    }
-    return Buffer.concat(chunks);
-  }
-
   #tooLarge(): Result<never, PlatformError> {
     const detail = `The answer is larger than ${this.#maximumBytes} bytes`;
     return err({ kind: "malformed", detail });
--- a/packages/common/src/commandLine.ts
+++ b/packages/common/src/commandLine.ts
@@ -12,6 +12,8 @@
   readonly exitCode: number;
   readonly data: unknown;
   readonly lines: readonly string[];
+  /** Whether the command printed it itself, as one that watches does. */
+  readonly isPrinted?: boolean;
 }
 
 /** Where a binary writes. */
@@ -52,7 +54,8 @@
     if (isAnswered(cli)) return EXIT_OK;
     if (cli.matchedCommand === undefined) throw unknownCommand(cli);
     const report = await cli.runMatchedCommand() as CommandReport;
-    printReport(report, { isJson: cli.options.json === true, output });
+    const isJson = cli.options.json === true;
+    if (report.isPrinted !== true) printReport(report, { isJson, output });
     return report.exitCode;
   } catch (error) {
     return printFailure(error, { name: cli.name, output });
