Add wasabivane-ctl: versions, status, waiting, upstreams, counters, health, drain

Operators ask which version is in force on each host and what is still on its way, what waits and where. Each host is asked with a timeout of its own, so that a paused one is named and the others still count; the exit code is 1 when a host does not answer or versions differ. Control characters in answers are replaced, so that a name cannot steer the operator's terminal.

--- /dev/null
+++ b/apps/ctl/src/drainCommand.ts
@@ -0,0 +1,49 @@
+import { listAllowed } from "@wasabivane/bundle";
+import { type CommandReport, EXIT_FINDINGS, EXIT_OK } from "@wasabivane/common";
+import type { EntryClient } from "./entryClient.ts";
+import { askFleet, type FleetStatus, silentLines } from "./fleet.ts";
+
+/** Options of {@link drainCommand}. */
+export interface DrainOptions {
+  readonly host: string;
+  /** The bundle's default stop plan when left out. */
+  readonly stopPlan?: string;
+}
+
+/** Orders one entry host to stop as planned. */
+export async function drainCommand(
+  clients: readonly EntryClient[],
+  { host, stopPlan }: DrainOptions,
+): Promise<CommandReport> {
+  const fleet = await askFleet(clients);
+  const found = fleet.answering.find(({ status }) => status.host === host);
+  if (found === undefined) return unknownHostReport(fleet, host);
+  const answer = await found.client.drain(stopPlan);
+  return answer.match(
+    (state) => ({
+      exitCode: state === "started" ? EXIT_OK : EXIT_FINDINGS,
+      data: { host, state },
+      lines: [
+        state === "started"
+          ? `${host} has started to drain`
+          : `${host} is draining already`,
+      ],
+    }),
+    (error) => ({
+      exitCode: EXIT_FINDINGS,
+      data: { host, error },
+      lines: [`${host}: ${error.kind} (${error.detail})`],
+    }),
+  );
+}
+
+function unknownHostReport(fleet: FleetStatus, host: string): CommandReport {
+  const hosts = fleet.answering.map(({ status }) => status.host);
+  const message = `No answering entry host is called ${JSON.stringify(host)}`;
+  const allowed = listAllowed(hosts, { found: host });
+  return {
+    exitCode: EXIT_FINDINGS,
+    data: { error: { kind: "unknown-host", message, allowed } },
+    lines: [`${message}; allowed: ${allowed}`, ...silentLines(fleet)],
+  };
+}
--- /dev/null
+++ b/apps/ctl/src/healthCommand.ts
@@ -0,0 +1,38 @@
+import { type CommandReport, EXIT_FINDINGS, EXIT_OK } from "@wasabivane/common";
+import type { Result } from "neverthrow";
+import type { EntryClient, EntryError } from "./entryClient.ts";
+import { askAll } from "./fleet.ts";
+import { formatTable } from "./table.ts";
+
+/** Tells which entry hosts are alive and which take new connections. */
+export async function healthCommand(
+  clients: readonly EntryClient[],
+): Promise<CommandReport> {
+  const [healthy, ready] = await Promise.all([
+    askAll(clients, (client) => client.isHealthy()),
+    askAll(clients, (client) => client.isReady()),
+  ]);
+  const hosts = clients.map(({ url }, index) => ({
+    url,
+    health: textOf(healthy[index]!.result),
+    ready: textOf(ready[index]!.result),
+  }));
+  const isFine = hosts.every((host) =>
+    host.health === "yes" && host.ready === "yes"
+  );
+  return {
+    exitCode: isFine ? EXIT_OK : EXIT_FINDINGS,
+    data: { hosts },
+    lines: formatTable(
+      ["ENTRY", "ALIVE", "READY"],
+      hosts.map((host) => [host.url, host.health, host.ready]),
+    ),
+  };
+}
+
+function textOf(result: Result<boolean, EntryError>): string {
+  return result.match(
+    (isSo) => (isSo ? "yes" : "no"),
+    ({ kind, detail }) => `${kind} (${detail})`,
+  );
+}
--- /dev/null
+++ b/apps/ctl/src/table.ts
@@ -0,0 +1,34 @@
+const GAP = "  ";
+// deno-lint-ignore no-control-regex
+const CONTROL_CHARACTERS = /[\u0000-\u001f\u007f-\u009f]/g;
+
+/** Cells of one row. */
+export type Row = readonly (string | number)[];
+
+/**
+ * Lines of a table with aligned columns; numbers stand to the right. Control
+ * characters are replaced: a name that a host answers must not steer the
+ * operator's terminal.
+ */
+export function formatTable(
+  header: readonly string[],
+  rows: readonly Row[],
+): string[] {
+  const texts = [header, ...rows].map((row) => row.map(cellText));
+  const widths = header.map((_, column) =>
+    Math.max(...texts.map((row) => row[column]!.length))
+  );
+  return texts.map((row, index) =>
+    row.map((cell, column) => {
+      const isNumber =
+        typeof rows[Math.max(0, index - 1)]?.[column] === "number";
+      return isNumber
+        ? cell.padStart(widths[column]!)
+        : cell.padEnd(widths[column]!);
+    }).join(GAP).trimEnd()
+  );
+}
+
+function cellText(cell: string | number): string {
+  return String(cell).replace(CONTROL_CHARACTERS, "?");
+}
--- /dev/null
+++ b/apps/ctl/src/versionsCommand.ts
@@ -0,0 +1,93 @@
+import { type CommandReport, EXIT_FINDINGS, EXIT_OK } from "@wasabivane/common";
+import type { EntryClient } from "./entryClient.ts";
+import {
+  type AnsweringHost,
+  askFleet,
+  silentData,
+  silentLines,
+} from "./fleet.ts";
+import { formatTable } from "./table.ts";
+
+const ROOT_CHARACTERS = 12;
+
+/** Where one entry host stands on the way to the newest version seen. */
+type VersionState = "in-force" | "on-its-way" | "no-bundle" | "conflict";
+
+const STATE_TEXTS: Readonly<Record<VersionState, string>> = {
+  "in-force": "in force",
+  "on-its-way": "still on its way",
+  "no-bundle": "no bundle yet",
+  conflict: "same version, other root",
+};
+
+/** Tells the version in force on each entry host and what is still on its way. */
+export async function versionsCommand(
+  clients: readonly EntryClient[],
+): Promise<CommandReport> {
+  const fleet = await askFleet(clients);
+  const newest = newestHost(fleet.answering);
+  const hosts = fleet.answering.map((host) => ({
+    ...host,
+    state: versionState(host, newest),
+  }));
+  const isSettled = fleet.silent.length === 0 &&
+    hosts.every(({ state }) => state === "in-force");
+  return {
+    exitCode: isSettled ? EXIT_OK : EXIT_FINDINGS,
+    data: {
+      newest: newest?.status.bundle ?? null,
+      hosts: hosts.map(({ status, state }) => ({
+        host: status.host,
+        failureDomain: status.failureDomain,
+        version: status.bundle?.version ?? null,
+        root: status.bundle?.root ?? null,
+        state,
+      })),
+      silent: silentData(fleet),
+    },
+    lines: [
+      ...formatTable(
+        ["HOST", "FAILURE DOMAIN", "VERSION", "ROOT", "STATE"],
+        hosts.map(({ status, state }) => [
+          status.host,
+          status.failureDomain,
+          status.bundle?.version ?? "-",
+          status.bundle?.root.slice(0, ROOT_CHARACTERS) ?? "-",
+          stateText(state, newest),
+        ]),
+      ),
+      ...silentLines(fleet),
+    ],
+  };
+}
+
+function newestHost(
+  hosts: readonly AnsweringHost[],
+): AnsweringHost | undefined {
+  return hosts.reduce<AnsweringHost | undefined>(
+    (newest, host) => versionOf(host) > versionOf(newest) ? host : newest,
+    undefined,
+  );
+}
+
+function versionOf(host: AnsweringHost | undefined): number {
+  return host?.status.bundle?.version ?? 0;
+}
+
+function versionState(
+  host: AnsweringHost,
+  newest: AnsweringHost | undefined,
+): VersionState {
+  if (host.status.bundle === null) return "no-bundle";
+  if (versionOf(host) < versionOf(newest)) return "on-its-way";
+  const isSame = host.status.bundle.root === newest?.status.bundle?.root;
+  return isSame ? "in-force" : "conflict";
+}
+
+function stateText(
+  state: VersionState,
+  newest: AnsweringHost | undefined,
+): string {
+  const text = STATE_TEXTS[state];
+  return state === "on-its-way" ? `${text}: ${versionOf(newest)}` : text;
+}
--- /dev/null
+++ b/apps/ctl/src/waitingCommand.ts
@@ -0,0 +1,59 @@
+import { type CommandReport, EXIT_FINDINGS, EXIT_OK } from "@wasabivane/common";
+import type { EntryClient } from "./entryClient.ts";
+import {
+  askFleet,
+  type FleetStatus,
+  silentData,
+  silentLines,
+} from "./fleet.ts";
+import { formatTable } from "./table.ts";
+
+interface WaitingGroup {
+  readonly service: string;
+  readonly tier: number;
+  readonly account: string;
+  readonly requests: number;
+}
+
+/** Tells what waits by service, tier and client account, over all entry hosts. */
+export async function waitingCommand(
+  clients: readonly EntryClient[],
+): Promise<CommandReport> {
+  const fleet = await askFleet(clients);
+  const groups = waitingGroups(fleet);
+  return {
+    exitCode: fleet.silent.length === 0 ? EXIT_OK : EXIT_FINDINGS,
+    data: { waiting: groups, silent: silentData(fleet) },
+    lines: [
+      ...formatTable(
+        ["SERVICE", "TIER", "CLIENT ACCOUNT", "WAITING"],
+        groups.map(({ service, tier, account, requests }) => [
+          service,
+          tier,
+          account,
+          requests,
+        ]),
+      ),
+      ...silentLines(fleet),
+    ],
+  };
+}
+
+function waitingGroups({ answering }: FleetStatus): WaitingGroup[] {
+  const groups = new Map<string, WaitingGroup>();
+  for (const { status } of answering) {
+    for (const { service, tier, account, requests } of status.waiting) {
+      const key = JSON.stringify([service, tier, account]);
+      const former = groups.get(key)?.requests ?? 0;
+      const total = former + requests;
+      groups.set(key, { service, tier, account, requests: total });
+    }
+  }
+  return [...groups.values()].sort(compareGroups);
+}
+
+function compareGroups(left: WaitingGroup, right: WaitingGroup): number {
+  return left.service.localeCompare(right.service) ||
+    left.tier - right.tier ||
+    left.account.localeCompare(right.account);
+}
--- /dev/null
+++ b/apps/ctl/tests/helpers/fleet.ts
@@ -0,0 +1,119 @@
+import { Buffer } from "node:buffer";
+import type { EntryStatus } from "@wasabivane/bundle";
+import {
+  type EntryRequest,
+  type OperatorToolRun,
+  runOperatorTool,
+} from "@wasabivane/ctl";
+
+/** How one fake entry host answers. */
+export interface FakeEntry {
+  readonly status?: Partial<EntryStatus>;
+  readonly isReady?: boolean;
+  readonly isDraining?: boolean;
+  /** Takes the request and never answers. */
+  readonly isSilent?: boolean;
+  /** Body of `/status` in place of a well-formed one. */
+  readonly statusText?: string;
+}
+
+/** One call that reached a fake entry host. */
+export interface Call {
+  readonly host: string;
+  readonly method: string;
+  readonly path: string;
+  readonly body?: string;
+}
+
+/** Fake entry hosts that answer in the process of the test. */
+export class FakeFleet {
+  readonly calls: Call[] = [];
+  readonly #entries: Readonly<Record<string, FakeEntry>>;
+
+  constructor(entries: Readonly<Record<string, FakeEntry>>) {
+    this.#entries = entries;
+  }
+
+  /** Value of `--entries`. */
+  get urls(): string {
+    return Object.keys(this.#entries).map((host) => `http://${host}.test`)
+      .join(",");
+  }
+
+  readonly request: EntryRequest = (url, { method, body, signal }) => {
+    const host = url.hostname.replace(/\.test$/, "");
+    const entry = this.#entries[host]!;
+    this.calls.push({ host, method, path: url.pathname, body });
+    if (entry.isSilent) return refusedBy(signal);
+    return Promise.resolve(answerOf(host, { entry, path: url.pathname }));
+  };
+
+  /** Runs the tool against the fleet. */
+  async run(
+    args: readonly string[],
+    options: Partial<OperatorToolRun> = {},
+  ): Promise<{ exitCode: number; stdout: string; stderr: string }> {
+    let stdout = "";
+    let stderr = "";
+    const exitCode = await runOperatorTool({
+      argv: ["node", "wasabivane-ctl", ...args, "--entries", this.urls],
+      version: "0.0.0",
+      request: this.request,
+      output: {
+        write: (text) => void (stdout += text),
+        writeError: (text) => void (stderr += text),
+      },
+      ...options,
+    });
+    return { exitCode, stdout, stderr };
+  }
+}
+
+/** A well-formed status with a few values of the test's own. */
+export function statusOf(
+  host: string,
+  values: Partial<EntryStatus> = {},
+): EntryStatus {
+  return {
+    host,
+    incarnation: "1",
+    failureDomain: "hakata",
+    bundle: { version: 3, root: "a".repeat(64) },
+    hostListVersion: 1,
+    members: [{ host, state: "live" }],
+    phase: "serving",
+    waiting: [],
+    upstreams: [],
+    endings: {},
+    counters: {},
+    ...values,
+  };
+}
+
+function answerOf(
+  host: string,
+  { entry, path }: { entry: FakeEntry; path: string },
+): ReturnType<EntryRequest> extends Promise<infer Answer> ? Answer : never {
+  const { isReady = true, isDraining = false } = entry;
+  const answers: Record<string, { statusCode: number; text: string }> = {
+    "/health": { statusCode: 200, text: '{"status":"ok"}' },
+    "/ready": { statusCode: isReady ? 200 : 503, text: "{}" },
+    "/drain": { statusCode: isDraining ? 409 : 202, text: "{}" },
+    "/status": {
+      statusCode: 200,
+      text: entry.statusText ?? JSON.stringify(statusOf(host, entry.status)),
+    },
+  };
+  const { statusCode, text } = answers[path]!;
+  return { statusCode, body: inOneChunk(text) };
+}
+
+function refusedBy(signal: AbortSignal): Promise<never> {
+  return new Promise((_resolve, reject) =>
+    signal.addEventListener("abort", () => reject(signal.reason))
+  );
+}
+
+async function* inOneChunk(text: string): AsyncGenerator<Uint8Array> {
+  yield await Promise.resolve(Buffer.from(text));
+}
