Read what the daemon answers at /status

The daemon counts endings in its counters and calls members alive; the tool expected fields of their own.

--- a/apps/ctl/src/statusCommand.ts
+++ b/apps/ctl/src/statusCommand.ts
@@ -10,12 +10,15 @@
   "PHASE",
   "VERSION",
   "HOST LIST",
-  "LIVE MEMBERS",
+  "ALIVE MEMBERS",
   "WAITING",
   "IN FLIGHT",
   "ENDINGS",
 ];
 
+/** A counter of endings, as entry hosts name it, and which ending it counts. */
+const ENDING_COUNTER = /^request\.ended\{(?:.*,)?ending=([^,}]+)/;
+
 /** Tells how each entry host stands, one line each. */
 export async function statusCommand(
   clients: readonly EntryClient[],
@@ -34,25 +37,28 @@
 
 function statusRow(status: EntryStatus): Row {
   const { members, waiting, upstreams, bundle } = status;
-  const live = members.filter(({ state }) => state === "live").length;
+  const alive = members.filter(({ state }) => state === "alive").length;
   return [
     status.host,
     status.failureDomain,
     status.phase,
     bundle?.version ?? "-",
     status.hostListVersion ?? "-",
-    `${live} of ${members.length}`,
+    `${alive} of ${members.length}`,
     sum(waiting.map(({ requests }) => requests)),
     sum(upstreams.map(({ inFlight }) => inFlight)),
     endingsText(status),
   ];
 }
 
-function endingsText({ endings }: EntryStatus): string {
-  const parts = Object.entries(endings).map(([ending, value]) =>
-    `${ending} ${typeof value === "number" ? value : JSON.stringify(value)}`
-  );
-  return parts.join(", ");
+/** The counters of endings, summed over their other tags. */
+function endingsText({ counters }: EntryStatus): string {
+  const sums = new Map<string, number>();
+  for (const [name, value] of Object.entries(counters)) {
+    const ending = ENDING_COUNTER.exec(name)?.[1];
+    if (ending !== undefined) sums.set(ending, (sums.get(ending) ?? 0) + value);
+  }
+  return [...sums].map(([ending, value]) => `${ending} ${value}`).join(", ");
 }
 
 function sum(numbers: readonly number[]): number {
--- a/apps/ctl/tests/helpers/fleet.ts
+++ b/apps/ctl/tests/helpers/fleet.ts
@@ -80,11 +80,10 @@
     failureDomain: "hakata",
     bundle: { version: 3, root: "a".repeat(64) },
     hostListVersion: 1,
-    members: [{ host, state: "live" }],
+    members: [{ host, state: "alive" }],
     phase: "serving",
     waiting: [],
     upstreams: [],
-    endings: {},
     counters: {},
     ...values,
   };
--- a/apps/ctl/tests/operatorTool.test.ts
+++ b/apps/ctl/tests/operatorTool.test.ts
@@ -88,6 +88,19 @@
   t.deepEqual(JSON.parse(counters.stdout).counters, { shed: 3 });
 });
 
+test("status sums the endings over tiers and problems", async (t) => {
+  const counters = {
+    "request.ended{ending=whole,problem=none,tier=1}": 4,
+    "request.ended{ending=whole,problem=none,tier=2}": 3,
+    "request.ended{ending=not-run,problem=shed,tier=3}": 2,
+    "request.waiting": 9,
+  };
+  const fleet = new FakeFleet({ "entry-1": { status: { counters } } });
+  const { exitCode, stdout } = await fleet.run(["status"]);
+  t.is(exitCode, 0);
+  t.regex(stdout, /1 of 1 +0 +0 +whole 7, not-run 2$/m);
+});
+
 test("upstreams are told with the keeper that sees them", async (t) => {
   const upstream = {
     service: "drafter",
--- a/packages/bundle/src/entryStatus.ts
+++ b/packages/bundle/src/entryStatus.ts
@@ -33,8 +33,7 @@
     isEjected: z.boolean(),
     isLeaving: z.boolean(),
   })).max(50_000),
-  /** Requests by their ending, since the process started. */
-  endings: z.record(text, z.unknown()),
+  /** Counters by name and tags, such as `request.ended{ending=whole,tier=1}`. */
   counters: z.record(text, z.number()),
 });
 
