--- a/apps/ctl/src/versionsCommand.ts
+++ b/apps/ctl/src/versionsCommand.ts
@@ -30,7 +30,8 @@
     ...host,
     state: versionState(host, newest),
   }));
-  const isSettled = fleet.silent.length === 0 &&
+  const unheard = unheardMembers(fleet.answering);
+  const isSettled = fleet.silent.length === 0 && unheard.length === 0 &&
     hosts.every(({ state }) => state === "in-force");
   return {
     exitCode: isSettled ? EXIT_OK : EXIT_FINDINGS,
@@ -43,6 +44,7 @@
         root: status.bundle?.root ?? null,
         state,
       })),
+      unheard,
       silent: silentData(fleet),
     },
     lines: [
@@ -56,11 +58,22 @@
           stateText(state, newest),
         ]),
       ),
+      ...unheard.map((host) => `${host}: a member that gave no answer here`),
       ...silentLines(fleet),
     ],
   };
 }
 
+/** Members that answering hosts name and that are not among them: their version is not known. */
+function unheardMembers(hosts: readonly AnsweringHost[]): string[] {
+  const answering = new Set(hosts.map(({ status }) => status.host));
+  const members = hosts.flatMap(({ status }) =>
+    status.members.map(({ host }) => host)
+  );
+  const unheard = members.filter((host) => !answering.has(host));
+  return [...new Set(unheard)].sort();
+}
+
 function newestHost(
   hosts: readonly AnsweringHost[],
 ): AnsweringHost | undefined {
--- a/apps/ctl/tests/operatorTool.test.ts
+++ b/apps/ctl/tests/operatorTool.test.ts
@@ -35,6 +35,17 @@
   t.is(JSON.parse(stdout).hosts[1].state, "conflict");
 });
 
+test("a member that was not asked leaves the version unproved", async (t) => {
+  const members = ["entry-1", "entry-9"].map((host) => ({
+    host,
+    state: "alive",
+  }));
+  const fleet = new FakeFleet({ "entry-1": { status: { members } } });
+  const { exitCode, stdout } = await fleet.run(["versions"]);
+  t.is(exitCode, 1);
+  t.regex(stdout, /^entry-9: a member that gave no answer here$/m);
+});
+
 // The operator sees one host missing from the table and exit code 1. The host
 // is paused: it takes the connection and answers nothing, so that only the
 // tool's own timeout ends the question; the other hosts' answers still count.
