--- a/packages/bundle/src/index.ts
+++ b/packages/bundle/src/index.ts
@@ -19,6 +19,7 @@
 export * from "./platformReader.ts";
 export * from "./schema.ts";
 export * from "./schemaFindings.ts";
+export * from "./schemaRows.ts";
 export * from "./signedBundle.ts";
 export * from "./trustFile.ts";
 /** For schemas that `readDocument` reads: it must be the copy of zod that it inspects. */
--- /dev/null
+++ b/packages/bundle/src/schemaRows.ts
@@ -0,0 +1,115 @@
+import { z } from "zod";
+
+/** One setting of a schema, as a reference lists it. */
+export interface SchemaRow {
+  /** Such as `trustedKeys[].keyId`. */
+  readonly path: string;
+  readonly allowed: string;
+  /** JSON of the default; absent for settings without one. */
+  readonly defaultText?: string;
+  readonly isRequired: boolean;
+}
+
+/** The parts of JSON Schema that zod writes for our schemas. */
+interface JsonSchema {
+  readonly type?: string;
+  readonly properties?: Readonly<Record<string, JsonSchema>>;
+  readonly required?: readonly string[];
+  readonly items?: JsonSchema;
+  readonly anyOf?: readonly JsonSchema[];
+  readonly enum?: readonly unknown[];
+  readonly const?: unknown;
+  readonly format?: string;
+  readonly pattern?: string;
+  readonly minimum?: number;
+  readonly exclusiveMinimum?: number;
+  readonly maximum?: number;
+  readonly minItems?: number;
+  readonly maxItems?: number;
+  readonly maxLength?: number;
+  readonly default?: unknown;
+}
+
+/** Every setting of an object schema, leaves only, in the schema's order. */
+export function schemaRows(schema: z.ZodType): SchemaRow[] {
+  const root = z.toJSONSchema(schema, { io: "input", unrepresentable: "any" });
+  return memberRows(root as JsonSchema, { prefix: "", isRequired: true });
+}
+
+function memberRows(
+  { properties = {}, required = [] }: JsonSchema,
+  { prefix, isRequired }: { prefix: string; isRequired: boolean },
+): SchemaRow[] {
+  return Object.entries(properties).flatMap(([key, member]) =>
+    rowsOf(member, {
+      path: `${prefix}${key}`,
+      isRequired: isRequired && required.includes(key),
+    })
+  );
+}
+
+function rowsOf(
+  schema: JsonSchema,
+  { path, isRequired }: { path: string; isRequired: boolean },
+): SchemaRow[] {
+  if (schema.properties !== undefined) {
+    return memberRows(schema, { prefix: `${path}.`, isRequired });
+  }
+  if (schema.items?.properties !== undefined) {
+    return memberRows(schema.items, { prefix: `${path}[].`, isRequired });
+  }
+  const defaultText = schema.default === undefined
+    ? {}
+    : { defaultText: JSON.stringify(schema.default) };
+  return [{ path, allowed: allowedText(schema), isRequired, ...defaultText }];
+}
+
+function allowedText(schema: JsonSchema): string {
+  if (schema.anyOf !== undefined) {
+    return schema.anyOf.map(allowedText).join(" or ");
+  }
+  if (schema.const !== undefined) return JSON.stringify(schema.const);
+  if (schema.enum !== undefined) {
+    return schema.enum.map((value) => JSON.stringify(value)).join(", ");
+  }
+  if (schema.type === "array") return arrayText(schema);
+  if (schema.type === "string") return stringText(schema);
+  if (schema.type === "boolean") return "true, false";
+  return numberText(schema);
+}
+
+function arrayText({ items = {}, minItems, maxItems }: JsonSchema): string {
+  const bounds = rangeText({ minimum: minItems, maximum: maxItems });
+  return `list${bounds === "" ? "" : ` of ${bounds}`}: ${allowedText(items)}`;
+}
+
+function stringText({ format, pattern, maxLength }: JsonSchema): string {
+  if (format === "uri") return "http or https URL";
+  if (format === "ipv4") return "IPv4 number";
+  if (format === "ipv6") return "IPv6 number";
+  if (format === "base64") return "base64 text";
+  const length = maxLength === undefined ? "" : `, at most ${maxLength} long`;
+  return pattern === undefined ? `text${length}` : `\`${pattern}\`${length}`;
+}
+
+function numberText(
+  { type, minimum, exclusiveMinimum, maximum }: JsonSchema,
+): string {
+  const noun = type === "integer" ? "whole number" : "number";
+  if (exclusiveMinimum !== undefined) {
+    return `${noun} above ${exclusiveMinimum}`;
+  }
+  const bounds = rangeText({ minimum, maximum });
+  return bounds === "" ? noun : `${noun}, ${bounds}`;
+}
+
+/** `1 to 9`, `at least 1`, `at most 9` or nothing; bounds of the number type itself are left out. */
+function rangeText(
+  { minimum, maximum }: { minimum?: number; maximum?: number },
+): string {
+  const hasMinimum = minimum !== undefined && minimum > Number.MIN_SAFE_INTEGER;
+  const hasMaximum = maximum !== undefined && maximum < Number.MAX_SAFE_INTEGER;
+  if (hasMinimum && hasMaximum) return `${minimum} to ${maximum}`;
+  if (hasMinimum) return `at least ${minimum}`;
+  return hasMaximum ? `at most ${maximum}` : "";
+}
