--- a/packages/bundle/tests/bundleDifference.test.ts
+++ b/packages/bundle/tests/bundleDifference.test.ts
@@ -5,16 +5,19 @@
   type Bundle,
   bundleDifferenceSchema,
   bundleParts,
+  canonicalJson,
   differenceBetween,
   DigestTree,
   exampleBundle,
   exampleSigningKey,
+  parseDocument,
   signBundle,
   type SignedBundle,
   trustedKeyOf,
   verifySignatures,
   verifySignedBundle,
 } from "@wasabivane/bundle";
+import { damagedText } from "./helpers/damagedText.ts";
 
 const KEY = exampleSigningKey();
 const TRUSTED = [trustedKeyOf(KEY)];
@@ -108,3 +111,20 @@
   });
   t.notThrows(() => fc.assert(property, { seed: 3, numRuns: 25 }));
 });
+
+test("any damage to a difference's text is refused or leads to the same bundle", (t) => {
+  const [from, to] = [later(1), later(2, { domainDistanceMs: 2 })];
+  const difference = differenceBetween(from, to)._unsafeUnwrap();
+  const untouched = canonicalJson(to.bundle);
+  const text = damagedText(JSON.stringify(difference));
+  const property = fc.property(text, (damaged) => {
+    const applied = parseDocument(damaged, bundleDifferenceSchema, {
+      file: "any",
+    })
+      .mapErr((): unknown => "unreadable")
+      .andThen((read) => applyDifference(from, read))
+      .andThen((result) => verifySignatures(result, TRUSTED));
+    return applied.isErr() || canonicalJson(applied.value.bundle) === untouched;
+  });
+  t.notThrows(() => fc.assert(property, { seed: 9, numRuns: 500 }));
+});
--- a/packages/bundle/tests/jsonDocument.test.ts
+++ b/packages/bundle/tests/jsonDocument.test.ts
@@ -9,6 +9,8 @@
   type DocumentError,
   exampleBundle,
   formatDocumentError,
+  hostListSchema,
+  operatorSettingsSchema,
   parseDocument,
   readDocument,
   signedBundleSchema,
@@ -96,6 +98,8 @@
     signedBundleSchema,
     bundleDifferenceSchema,
     trustedKeysSchema,
+    hostListSchema,
+    operatorSettingsSchema,
   ];
   const example = JSON.stringify(exampleBundle("cairo"), null, 1);
   const text = fc.oneof(
