--- a/scripts/settingsMeanings.ts
+++ b/scripts/settingsMeanings.ts
@@ -15,6 +15,8 @@
   "operators.tls.authorityFile": "PEM authority of client certificates",
   "peers.address": "Address of the port for other entry hosts",
   "peers.port": "Port for other entry hosts",
+  "peers.advertisedAddress":
+    "Address told to peers, `ip:port`; the listening one when left out",
   "peers.tls.certificateFile": "PEM certificate chain; TLS is off without it",
   "peers.tls.keyFile": "PEM private key of the certificate",
   "peers.tls.authorityFile": "PEM authority of the peers' certificates",
