Grant each idempotency key to one owner

Cause: a caller's resend reaches another host, and no host keeps anything. Change: tickets that name the one incarnation which decides about them; bare UUIDv7 keys with a home chosen over a view; a view is active while majorities of its hosts, and of the hosts of every older view that may be active, lease it; a home takes only keys issued since its tenure began; claims before queueing, one dispatch per grant, releases, and resuming a dead owner's dispatch. Tried and left: retiring a view by answers of any age; a granter that answered, restarted and forgot could then support another view.

--- /dev/null
+++ b/packages/coordination/src/keyHome.ts
@@ -0,0 +1,212 @@
+import type {
+  ClientAccountId,
+  EpochMilliseconds,
+  HostId,
+  IdempotencyKey,
+  Incarnation,
+} from "@wasabivane/common";
+import {
+  HOST_SKEW_MS,
+  KEY_LIFETIME_MS,
+  SKEW_BOUND_MS,
+} from "./idempotencyKeys.ts";
+import type { Claim, ClaimAnswer, Claimant, Dispatch } from "./keyClaims.ts";
+
+/** Keys that one home holds; a full table refuses new ones. */
+export const MAX_HELD_KEYS = 200_000;
+/** How long after the start of a tenure keys must be issued: no former home took them, whatever the clocks. */
+export const TENURE_MARGIN_MS = SKEW_BOUND_MS + 2 * HOST_SKEW_MS;
+
+/** What a home knows of one key. */
+export interface KeyRecord {
+  readonly bodyDigest: string;
+  readonly expiresAt: EpochMilliseconds;
+  claimId: string;
+  owner: Claimant | undefined;
+  attempt: number;
+  state: "waiting" | "dispatched" | "finished" | "unknown";
+  dispatch: Dispatch | undefined;
+}
+
+/** A home's circumstances at the moment of a claim. */
+export interface ClaimContext {
+  readonly wallNow: EpochMilliseconds;
+  /** Since when this home alone decides about the key, on its wall clock. */
+  readonly tenureStartedAt: EpochMilliseconds;
+  readonly isGone: (host: HostId, incarnation: Incarnation) => boolean;
+}
+
+/** Names the owner's claim whose state changed. */
+export interface ClaimUpdate {
+  readonly account: ClientAccountId;
+  readonly key: IdempotencyKey;
+  readonly claimId: string;
+}
+
+/**
+ * The table of a key's home. It grants each key to one owner: who may dispatch
+ * is decided here and nowhere else, as long as this home alone is active.
+ */
+export class KeyHome {
+  readonly records: Map<string, KeyRecord>;
+  readonly #maximum: number;
+
+  constructor(
+    { maximum = MAX_HELD_KEYS, records = new Map() }: {
+      maximum?: number;
+      records?: Map<string, KeyRecord>;
+    } = {},
+  ) {
+    this.#maximum = maximum;
+    this.records = records;
+  }
+
+  /** Decides a claim; the caller of this has checked that the home is active. */
+  claim(claim: Claim, context: ClaimContext): ClaimAnswer {
+    const record = this.records.get(recordKey(claim));
+    if (record === undefined) return this.#claimUnheard(claim, context);
+    if (record.bodyDigest !== claim.bodyDigest) return { kind: "mismatch" };
+    return this.#claimHeld(claim, { record, context });
+  }
+
+  /** The owner is about to write to an upstream. */
+  markDispatched(update: ClaimUpdate, dispatch: Dispatch): void {
+    const record = this.#find(update);
+    if (record === undefined || record.state === "finished") return;
+    record.state = "dispatched";
+    record.dispatch = dispatch;
+  }
+
+  /** The owner has the whole answer. */
+  markFinished(update: ClaimUpdate, dispatch: Dispatch): void {
+    const record = this.#find(update);
+    if (record === undefined) return;
+    record.state = "finished";
+    record.dispatch = dispatch;
+  }
+
+  /**
+   * The owner gave up without having written a byte, and never will under this
+   * claim. Where a caller was told "unknown" meanwhile, that stays the answer.
+   */
+  release(update: ClaimUpdate): void {
+    const record = this.#find(update);
+    if (record?.state !== "waiting") return;
+    this.records.delete(recordKey(update));
+  }
+
+  /** Forgets keys that no host takes any more. */
+  expire(wallNow: EpochMilliseconds): void {
+    for (const [key, record] of this.records) {
+      if (record.expiresAt + 2 * HOST_SKEW_MS <= wallNow) {
+        this.records.delete(key);
+      }
+    }
+  }
+
+  /**
+   * Whether what was known of the key may be forgotten already, so that a claim
+   * taken here could be the second one. The bound is the same for all claims:
+   * how long a former record was held for is not known any more.
+   */
+  protected isForgettable(claim: Claim, { wallNow }: ClaimContext): boolean {
+    return wallNow >= claim.issuedAt + KEY_LIFETIME_MS;
+  }
+
+  /**
+   * Whether a home before this one may have granted the key. Without this a
+   * former owner, paused before its write, and the owner granted here would both
+   * dispatch it.
+   */
+  protected isOlderThanTenure(
+    claim: Claim,
+    { tenureStartedAt }: ClaimContext,
+  ): boolean {
+    return claim.issuedAt <= tenureStartedAt + TENURE_MARGIN_MS;
+  }
+
+  #claimUnheard(claim: Claim, context: ClaimContext): ClaimAnswer {
+    if (claim.issuedAt > context.wallNow + SKEW_BOUND_MS) {
+      return { kind: "not-run", reason: "issued-in-future" };
+    }
+    if (this.isForgettable(claim, context)) {
+      return { kind: "unknown", reason: "expired" };
+    }
+    const isOlder = this.isOlderThanTenure(claim, context);
+    if (this.records.size >= this.#maximum) {
+      return isOlder
+        ? { kind: "unknown", reason: "older-than-tenure" }
+        : { kind: "not-run", reason: "full" };
+    }
+    const record = createRecord(claim);
+    this.records.set(recordKey(claim), record);
+    if (!isOlder) return grant(record, claim);
+    record.state = "unknown";
+    record.owner = undefined;
+    return { kind: "unknown", reason: "older-than-tenure" };
+  }
+
+  #claimHeld(
+    claim: Claim,
+    { record, context }: { record: KeyRecord; context: ClaimContext },
+  ): ClaimAnswer {
+    const { owner, dispatch } = record;
+    if (record.claimId === claim.claimId) return repeatAnswer(record);
+    const isOwnerGone = owner === undefined ||
+      context.isGone(owner.host, owner.incarnation);
+    if (!isOwnerGone && record.state !== "unknown") {
+      return { kind: "owned-by", owner, state: record.state, dispatch };
+    }
+    if (dispatch !== undefined) return { kind: "resume-at", dispatch };
+    return this.#claimLost(claim, record);
+  }
+
+  /** Nobody can tell whether the owner dispatched; only an idempotent request may run anew. */
+  #claimLost(claim: Claim, record: KeyRecord): ClaimAnswer {
+    const reason = record.owner === undefined
+      ? "older-than-tenure"
+      : "owner-lost";
+    const isAnew = claim.isIdempotent && record.state === "unknown";
+    record.state = "unknown";
+    return isAnew ? grant(record, claim) : { kind: "unknown", reason };
+  }
+
+  #find(update: ClaimUpdate): KeyRecord | undefined {
+    const record = this.records.get(recordKey(update));
+    return record?.claimId === update.claimId ? record : undefined;
+  }
+}
+
+function recordKey(
+  { account, key }: { account: ClientAccountId; key: IdempotencyKey },
+): string {
+  return `${account}\0${key}`;
+}
+
+/** A doubled claim gets the answer that the first one got. */
+function repeatAnswer({ owner, attempt }: KeyRecord): ClaimAnswer {
+  return owner === undefined
+    ? { kind: "unknown", reason: "older-than-tenure" }
+    : { kind: "granted", attempt };
+}
+
+function createRecord(claim: Claim): KeyRecord {
+  const lifetimeMs = Math.max(claim.lifetimeMs, KEY_LIFETIME_MS);
+  return {
+    bodyDigest: claim.bodyDigest,
+    expiresAt: claim.issuedAt + lifetimeMs,
+    claimId: claim.claimId,
+    owner: claim.claimant,
+    attempt: 0,
+    state: "waiting",
+    dispatch: undefined,
+  };
+}
+
+function grant(record: KeyRecord, claim: Claim): ClaimAnswer {
+  record.claimId = claim.claimId;
+  record.owner = claim.claimant;
+  record.attempt++;
+  record.state = "waiting";
+  return { kind: "granted", attempt: record.attempt };
+}
--- /dev/null
+++ b/packages/coordination/src/keyHomeController.ts
@@ -0,0 +1,152 @@
+import {
+  type Blackboard,
+  Controller,
+  type EpochMilliseconds,
+  type HostId,
+  type Incarnation,
+  type Metrics,
+  type Milliseconds,
+  type PeerLink,
+  type Timer,
+  type TimerSubscription,
+} from "@wasabivane/common";
+import type { Claim, ClaimAnswer } from "./keyClaims.ts";
+import { type ClaimContext, KeyHome } from "./keyHome.ts";
+import { type BareKey, parseKey, type Ticket } from "./idempotencyKeys.ts";
+import {
+  KEY_ANSWER,
+  KEY_CLAIM,
+  KEY_UPDATE,
+  KEY_UPDATE_TAKEN,
+  type KeyUpdate,
+} from "./keyMessages.ts";
+import { MEMBERS } from "./membershipController.ts";
+import { sendMessage, subscribeMessage } from "./peerMessages.ts";
+import type { ViewController } from "./viewController.ts";
+import { type Activity, homeOf } from "./views.ts";
+
+const EXPIRY_PERIOD_MS: Milliseconds = 10_000;
+
+/** What key controllers need from their process. */
+export interface KeyControllerOptions {
+  readonly host: HostId;
+  readonly incarnation: Incarnation;
+  readonly blackboard: Blackboard;
+  readonly link: PeerLink;
+  readonly timer: Timer;
+  readonly metrics: Metrics;
+  readonly views: ViewController;
+  /** Secrets that authenticate tickets, the one to mint with first. */
+  readonly secrets: () => readonly string[];
+}
+
+/** Decides claims of the keys whose home this host is, and of its own tickets. */
+export class KeyHomeController extends Controller {
+  readonly #options: KeyControllerOptions;
+  readonly #home: KeyHome;
+  readonly #subscriptions: (() => void)[] = [];
+  #expiry: TimerSubscription | undefined;
+
+  constructor(options: KeyControllerOptions, home: KeyHome = new KeyHome()) {
+    super();
+    this.#options = options;
+    this.#home = home;
+  }
+
+  override start(): void {
+    const { link, timer } = this.#options;
+    this.#subscriptions.push(
+      subscribeMessage(link, KEY_CLAIM, (from, claim) => {
+        this.#onClaim(from, claim);
+      }),
+      subscribeMessage(link, KEY_UPDATE, (from, update) => {
+        this.update(update);
+        const { claimId, state } = update;
+        const body = { claimId, state };
+        sendMessage(link, KEY_UPDATE_TAKEN, { to: from, body });
+      }),
+    );
+    this.#expiry = timer.every(EXPIRY_PERIOD_MS, () => {
+      this.#home.expire(timer.wallNow());
+    });
+  }
+
+  override stop(): void {
+    for (const unsubscribe of this.#subscriptions.splice(0)) unsubscribe();
+    this.#expiry?.cancel();
+  }
+
+  /** Decides a claim as home; the home's own requests call it directly. */
+  claim(claim: Claim): ClaimAnswer {
+    const { account, key } = claim;
+    const parsed = parseKey(key, { account, secrets: this.#options.secrets() });
+    if (parsed.isErr()) return { kind: "unknown", reason: "unauthenticated" };
+    const answer = parsed.value.kind === "ticket"
+      ? this.#claimTicket(claim, parsed.value)
+      : this.#claimBare(claim, parsed.value);
+    this.#options.metrics.count("key_claims", 1, {
+      key: parsed.value.kind,
+      answer: answer.kind,
+    });
+    return answer;
+  }
+
+  /** Takes what became of a granted claim. */
+  update(update: KeyUpdate): void {
+    const { state, dispatch } = update;
+    if (state === "released") this.#home.release(update);
+    if (dispatch === undefined) return;
+    if (state === "dispatched") this.#home.markDispatched(update, dispatch);
+    if (state === "finished") this.#home.markFinished(update, dispatch);
+  }
+
+  #onClaim(from: HostId, claim: Claim): void {
+    if (claim.claimant.host !== from) return;
+    const body = { claimId: claim.claimId, answer: this.claim(claim) };
+    sendMessage(this.#options.link, KEY_ANSWER, { to: from, body });
+  }
+
+  #claimTicket(claim: Claim, ticket: Ticket): ClaimAnswer {
+    const { host, incarnation } = this.#options;
+    const isOwn = ticket.host === host && ticket.incarnation === incarnation;
+    if (!isOwn) return { kind: "unknown", reason: "home-restarted" };
+    const checked = { ...claim, issuedAt: ticket.issuedAt };
+    return this.#home.claim(checked, this.#context(-Infinity));
+  }
+
+  #claimBare(claim: Claim, key: BareKey): ClaimAnswer {
+    const activity = this.#options.views.activity();
+    const isHome = activity !== undefined &&
+      homeOf(claim.key, activity.view) === this.#options.host;
+    if (!isHome) return { kind: "unknown", reason: "home-inactive" };
+    const checked = { ...claim, issuedAt: key.issuedAt };
+    const tenureStartedAt = this.#tenureStart(claim.key, activity);
+    return this.#home.claim(checked, this.#context(tenureStartedAt));
+  }
+
+  /** The tenure reaches back over earlier views as long as this host was the key's home in them. */
+  #tenureStart(key: string, activity: Activity): EpochMilliseconds {
+    const { host, views, timer } = this.#options;
+    let { startedAt } = activity.tenures[0]!;
+    for (const tenure of activity.tenures) {
+      if (homeOf(key, tenure.view) !== host) break;
+      startedAt = tenure.startedAt;
+    }
+    return timer.wallNow() - views.elapsedSince(startedAt);
+  }
+
+  #context(tenureStartedAt: EpochMilliseconds): ClaimContext {
+    return {
+      wallNow: this.#options.timer.wallNow(),
+      tenureStartedAt,
+      isGone: (host, incarnation) => this.#isGone(host, incarnation),
+    };
+  }
+
+  #isGone(host: HostId, incarnation: Incarnation): boolean {
+    const members = this.#options.blackboard.read(MEMBERS);
+    const member = members.find((candidate) => candidate.host === host);
+    if (member === undefined || member.state === "dead") return true;
+    return member.incarnation !== "" && member.incarnation !== incarnation;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/keyMessages.ts
@@ -0,0 +1,117 @@
+import type {
+  ClientAccountId,
+  Digest,
+  HostId,
+  IdempotencyKey,
+  Incarnation,
+  Nonce,
+  RequestId,
+  UpstreamId,
+} from "@wasabivane/common";
+import type {
+  Claim,
+  ClaimAnswer,
+  Claimant,
+  Dispatch,
+  NotRunReason,
+  UnknownReason,
+} from "./keyClaims.ts";
+import {
+  anyOf,
+  isBoolean,
+  numberOf,
+  objectOf,
+  oneOf,
+  optional,
+  type Shape,
+  textOf,
+} from "./messageShapes.ts";
+import { defineMessage, type MessageKind } from "./peerMessages.ts";
+
+/** Tells the home what became of a granted claim; repeated until acknowledged. */
+export interface KeyUpdate {
+  readonly account: ClientAccountId;
+  readonly key: IdempotencyKey;
+  readonly claimId: string;
+  readonly state: "dispatched" | "finished" | "released";
+  readonly dispatch?: Dispatch | undefined;
+}
+
+/** Body of `key-answer`. */
+export interface KeyAnswer {
+  readonly claimId: string;
+  readonly answer: ClaimAnswer;
+}
+
+/** Body of `key-update-taken`. */
+export interface KeyUpdateTaken {
+  readonly claimId: string;
+  readonly state: KeyUpdate["state"];
+}
+
+const claimantShape: Shape<Claimant> = objectOf({
+  host: textOf<HostId>(),
+  incarnation: textOf<Incarnation>(),
+  request: textOf<RequestId>(),
+});
+const dispatchShape: Shape<Dispatch> = objectOf({
+  upstream: textOf<UpstreamId>(),
+  nonce: textOf<Nonce>(),
+});
+const answerShape: Shape<ClaimAnswer> = anyOf<ClaimAnswer>(
+  objectOf({ kind: oneOf("granted"), attempt: numberOf<number>() }),
+  objectOf({
+    kind: oneOf("owned-by"),
+    owner: claimantShape,
+    state: oneOf("waiting", "dispatched", "finished"),
+    dispatch: optional(dispatchShape),
+  }),
+  objectOf({ kind: oneOf("resume-at"), dispatch: dispatchShape }),
+  objectOf({ kind: oneOf("mismatch") }),
+  objectOf({ kind: oneOf("unknown"), reason: textOf<UnknownReason>() }),
+  objectOf({ kind: oneOf("not-run"), reason: textOf<NotRunReason>() }),
+);
+const keyFields = {
+  account: textOf<ClientAccountId>(),
+  key: textOf<IdempotencyKey>(),
+  claimId: textOf<string>(),
+};
+
+/** See {@link Claim}. */
+export const KEY_CLAIM: MessageKind<Claim> = defineMessage<Claim>(
+  "key-claim",
+  objectOf({
+    ...keyFields,
+    issuedAt: numberOf<number>(),
+    lifetimeMs: numberOf<number>(),
+    bodyDigest: textOf<Digest>(),
+    isIdempotent: isBoolean,
+    claimant: claimantShape,
+  }),
+);
+/** See {@link KeyAnswer}. */
+export const KEY_ANSWER: MessageKind<KeyAnswer> = defineMessage<KeyAnswer>(
+  "key-answer",
+  objectOf({ claimId: textOf<string>(), answer: answerShape }),
+);
+const updateState = oneOf<KeyUpdate["state"]>(
+  "dispatched",
+  "finished",
+  "released",
+);
+/** See {@link KeyUpdate}. */
+export const KEY_UPDATE: MessageKind<KeyUpdate> = defineMessage<KeyUpdate>(
+  "key-update",
+  objectOf({
+    ...keyFields,
+    state: updateState,
+    dispatch: optional(dispatchShape),
+  }),
+);
+/** See {@link KeyUpdateTaken}. */
+export const KEY_UPDATE_TAKEN: MessageKind<KeyUpdateTaken> = defineMessage<
+  KeyUpdateTaken
+>(
+  "key-update-taken",
+  objectOf({ claimId: textOf<string>(), state: updateState }),
+);
--- /dev/null
+++ b/packages/coordination/src/keyService.ts
@@ -0,0 +1,351 @@
+import {
+  type ClientAccountId,
+  Controller,
+  type Digest,
+  type EpochMilliseconds,
+  type HostId,
+  type IdempotencyKey,
+  type Milliseconds,
+  type Random,
+  type RequestId,
+  type TimerSubscription,
+} from "@wasabivane/common";
+import {
+  canonicalKey,
+  HOST_SKEW_MS,
+  KEY_LIFETIME_MS,
+  mintTicket,
+  type ParsedKey,
+  parseKey,
+  SKEW_BOUND_MS,
+} from "./idempotencyKeys.ts";
+import type { Claim, ClaimAnswer, Dispatch } from "./keyClaims.ts";
+import {
+  type KeyControllerOptions,
+  KeyHomeController,
+} from "./keyHomeController.ts";
+import {
+  KEY_ANSWER,
+  KEY_CLAIM,
+  KEY_UPDATE,
+  KEY_UPDATE_TAKEN,
+  type KeyUpdate,
+} from "./keyMessages.ts";
+import { sendMessage, subscribeMessage } from "./peerMessages.ts";
+import { homeOf } from "./views.ts";
+
+/** How long a claim is tried for; a home that lost its leases has them again within this, or something is wrong. */
+export const CLAIM_TIMEOUT_MS: Milliseconds = 3_000;
+const CLAIM_RETRY_MS: Milliseconds = 200;
+const UPDATE_RETRY_MS: Milliseconds = 300;
+/** Tries of an update; an owner that cannot reach the home for so long leaves the key unknown there. */
+const UPDATE_TRIES = 40;
+const PURGE_PERIOD_MS: Milliseconds = 10_000;
+const CLAIM_ID_BYTES = 12;
+
+/** A request that wants to own its key. */
+export interface ClaimRequest {
+  readonly account: ClientAccountId;
+  readonly key: IdempotencyKey;
+  readonly request: RequestId;
+  readonly bodyDigest: Digest;
+  readonly isIdempotent: boolean;
+  /** How long resends are known; {@link KEY_LIFETIME_MS} unless it is a job. */
+  readonly lifetimeMs?: Milliseconds;
+  readonly timeoutMs?: Milliseconds;
+}
+
+/** A key that this process owns: it may dispatch once. */
+export interface OwnedKey {
+  readonly account: ClientAccountId;
+  readonly key: IdempotencyKey;
+  readonly claimId: string;
+  readonly home: HostId;
+  /** Above 1 when a caller sent an idempotent request again after "unknown". */
+  readonly attempt: number;
+  readonly expiresAt: EpochMilliseconds;
+}
+
+/** What a claim ended with. */
+export type ClaimOutcome =
+  | { readonly kind: "granted"; readonly owned: OwnedKey }
+  | Exclude<ClaimAnswer, { kind: "granted" }>;
+
+/** What became of one own claim. */
+type ClaimState =
+  | "pending"
+  | "owned"
+  | "dispatched"
+  | "released"
+  /** Nobody waits for it any more; a late grant is given back. */
+  | "abandoned";
+
+interface OwnClaim {
+  readonly claim: Claim;
+  readonly home: HostId;
+  state: ClaimState;
+  resolve: (outcome: ClaimOutcome) => void;
+  lastReason: ClaimOutcome;
+  timers: TimerSubscription[];
+}
+
+/** What a {@link KeyService} needs from its process. */
+export interface KeyServiceOptions extends KeyControllerOptions {
+  readonly random: Random;
+  readonly homeController?: KeyHomeController;
+}
+
+/**
+ * The owner's side of idempotency keys: claims a key at its home before the
+ * request queues, and tells the home what became of it.
+ */
+export class KeyService extends Controller {
+  readonly #options: KeyServiceOptions;
+  readonly #home: KeyHomeController;
+  readonly #claims = new Map<string, OwnClaim>();
+  readonly #updates = new Map<string, TimerSubscription>();
+  readonly #subscriptions: (() => void)[] = [];
+  #purging: TimerSubscription | undefined;
+
+  constructor(options: KeyServiceOptions) {
+    super();
+    this.#options = options;
+    this.#home = options.homeController ?? new KeyHomeController(options);
+  }
+
+  override start(): void {
+    const { link, timer } = this.#options;
+    this.#home.start();
+    this.#subscriptions.push(
+      subscribeMessage(link, KEY_ANSWER, (from, { claimId, answer }) => {
+        this.#onAnswer(claimId, answer, { from });
+      }),
+      subscribeMessage(link, KEY_UPDATE_TAKEN, (_from, { claimId, state }) => {
+        this.#endUpdate(updateKey({ claimId, state }));
+      }),
+    );
+    this.#purging = timer.every(PURGE_PERIOD_MS, () => this.#purge());
+  }
+
+  override stop(): void {
+    this.#home.stop();
+    for (const unsubscribe of this.#subscriptions.splice(0)) unsubscribe();
+    for (const update of this.#updates.values()) update.cancel();
+    this.#purging?.cancel();
+  }
+
+  /** A key for a caller that sends its request again if it must; only this process decides about it. */
+  mintTicket(account: ClientAccountId): IdempotencyKey {
+    const { host, incarnation, random, timer, secrets } = this.#options;
+    return mintTicket({
+      host,
+      incarnation,
+      account,
+      random,
+      issuedAt: timer.wallNow(),
+      secret: secrets()[0]!,
+    });
+  }
+
+  /** Claims a key; resolves within the timeout. */
+  claim(request: ClaimRequest): Promise<ClaimOutcome> {
+    const { account } = request;
+    const key = canonicalKey(request.key);
+    const secrets = this.#options.secrets();
+    const parsed = parseKey(key, { account, secrets });
+    if (parsed.isErr()) {
+      return Promise.resolve(
+        parsed.error.kind === "malformed"
+          ? { kind: "not-run", reason: "malformed" }
+          : { kind: "unknown", reason: "unauthenticated" },
+      );
+    }
+    if (this.#isTooEarly(parsed.value)) {
+      return Promise.resolve({ kind: "not-run", reason: "issued-in-future" });
+    }
+    const home = this.#homeOf(key, parsed.value);
+    if (home === undefined) {
+      return Promise.resolve({ kind: "unknown", reason: "home-inactive" });
+    }
+    const claim = this.#createClaim({ ...request, key }, parsed.value);
+    return this.#pursue(claim, { home, timeoutMs: request.timeoutMs });
+  }
+
+  /**
+   * Call right before the first byte is written, and write only if it says so.
+   * It says so once per grant, not after a release, and not after the key's
+   * lifetime: a process that slept since the grant must not write.
+   */
+  markDispatched(owned: OwnedKey, dispatch: Dispatch): boolean {
+    const own = this.#claims.get(owned.claimId);
+    const isExpired = this.#options.timer.wallNow() >= owned.expiresAt;
+    if (own?.state !== "owned" || isExpired) return false;
+    own.state = "dispatched";
+    this.#update(owned, { state: "dispatched", dispatch });
+    return true;
+  }
+
+  /** The whole answer is here. */
+  markFinished(owned: OwnedKey, dispatch: Dispatch): void {
+    this.#update(owned, { state: "finished", dispatch });
+  }
+
+  /**
+   * Gives a key back of which no byte was written; false when it was dispatched.
+   * Afterwards this grant dispatches nothing, so that "not run" is true.
+   */
+  release(owned: OwnedKey): boolean {
+    const own = this.#claims.get(owned.claimId);
+    if (own?.state === "dispatched") return false;
+    if (own !== undefined) own.state = "released";
+    this.#update(owned, { state: "released" });
+    return true;
+  }
+
+  /** Every host refuses such a key, however its clock stands, so that it never ran. */
+  #isTooEarly({ issuedAt }: ParsedKey): boolean {
+    const bound = SKEW_BOUND_MS + 2 * HOST_SKEW_MS;
+    return issuedAt > this.#options.timer.wallNow() + bound;
+  }
+
+  #homeOf(key: string, parsed: ParsedKey): HostId | undefined {
+    if (parsed.kind === "ticket") return parsed.host;
+    const view = this.#options.views.newest();
+    return view === undefined ? undefined : homeOf(key, view);
+  }
+
+  #createClaim(request: ClaimRequest, parsed: ParsedKey): Claim {
+    const { host, incarnation, random } = this.#options;
+    return {
+      account: request.account,
+      key: request.key,
+      issuedAt: parsed.issuedAt,
+      lifetimeMs: request.lifetimeMs ?? KEY_LIFETIME_MS,
+      bodyDigest: request.bodyDigest,
+      isIdempotent: request.isIdempotent,
+      claimId: random.hex(CLAIM_ID_BYTES),
+      claimant: { host, incarnation, request: request.request },
+    };
+  }
+
+  #pursue(
+    claim: Claim,
+    { home, timeoutMs = CLAIM_TIMEOUT_MS }: {
+      home: HostId;
+      timeoutMs?: Milliseconds | undefined;
+    },
+  ): Promise<ClaimOutcome> {
+    const { timer } = this.#options;
+    return new Promise((resolve) => {
+      const own: OwnClaim = {
+        claim,
+        home,
+        state: "pending",
+        resolve,
+        lastReason: { kind: "unknown", reason: "unreachable" },
+        timers: [],
+      };
+      this.#claims.set(claim.claimId, own);
+      own.timers = [
+        timer.every(CLAIM_RETRY_MS, () => this.#ask(own)),
+        timer.after(timeoutMs, () => this.#settle(own, own.lastReason)),
+      ];
+      this.#ask(own);
+    });
+  }
+
+  #ask(own: OwnClaim): void {
+    if (own.state !== "pending") return;
+    const { host, link } = this.#options;
+    const { claim, home } = own;
+    if (home === host) {
+      this.#onAnswer(claim.claimId, this.#home.claim(claim), { from: host });
+    } else {
+      sendMessage(link, KEY_CLAIM, { to: home, body: claim });
+    }
+  }
+
+  #onAnswer(
+    claimId: string,
+    answer: ClaimAnswer,
+    { from }: { from: HostId },
+  ): void {
+    const own = this.#claims.get(claimId);
+    if (own === undefined || own.home !== from) return;
+    if (own.state !== "pending") {
+      this.#giveBack(own, answer);
+      return;
+    }
+    const isPassing = answer.kind === "unknown" &&
+      answer.reason === "home-inactive";
+    if (isPassing) own.lastReason = answer;
+    else this.#settle(own, this.#toOutcome(own, answer));
+  }
+
+  /** Nobody waits for the grant; without this the key would stay owned by a request that is gone. */
+  #giveBack(own: OwnClaim, answer: ClaimAnswer): void {
+    const isUnwanted = own.state === "abandoned" || own.state === "released";
+    if (!isUnwanted || answer.kind !== "granted") return;
+    this.#update(this.#ownedKey(own, answer.attempt), { state: "released" });
+  }
+
+  #toOutcome(own: OwnClaim, answer: ClaimAnswer): ClaimOutcome {
+    if (answer.kind !== "granted") return answer;
+    return { kind: "granted", owned: this.#ownedKey(own, answer.attempt) };
+  }
+
+  #ownedKey({ claim, home }: OwnClaim, attempt: number): OwnedKey {
+    const { account, key, claimId, issuedAt, lifetimeMs } = claim;
+    const expiresAt = issuedAt + lifetimeMs;
+    return { account, key, claimId, home, attempt, expiresAt };
+  }
+
+  #settle(own: OwnClaim, outcome: ClaimOutcome): void {
+    for (const timer of own.timers.splice(0)) timer.cancel();
+    if (own.state !== "pending") return;
+    own.state = outcome.kind === "granted" ? "owned" : "abandoned";
+    this.#options.metrics.count("key_outcomes", 1, { kind: outcome.kind });
+    own.resolve(outcome);
+  }
+
+  #update(
+    owned: OwnedKey,
+    change: Pick<KeyUpdate, "state" | "dispatch">,
+  ): void {
+    const { host, timer, link } = this.#options;
+    const { account, key, claimId, home } = owned;
+    const update: KeyUpdate = { account, key, claimId, ...change };
+    if (home === host) return this.#home.update(update);
+    const name = updateKey(update);
+    this.#endUpdate(name);
+    let tries = 0;
+    const send = (): void => {
+      sendMessage(link, KEY_UPDATE, { to: home, body: update });
+      tries++;
+      if (tries === UPDATE_TRIES) this.#endUpdate(name);
+    };
+    this.#updates.set(name, timer.every(UPDATE_RETRY_MS, send));
+    send();
+  }
+
+  #endUpdate(name: string): void {
+    this.#updates.get(name)?.cancel();
+    this.#updates.delete(name);
+  }
+
+  /** Claims are remembered until their key is past use, so that a late grant is not taken for a new one. */
+  #purge(): void {
+    const now = this.#options.timer.wallNow();
+    for (const [claimId, { claim, state }] of this.#claims) {
+      const end = claim.issuedAt + claim.lifetimeMs;
+      const isOver = end + 2 * HOST_SKEW_MS < now;
+      if (isOver && state !== "pending") this.#claims.delete(claimId);
+    }
+  }
+}
+
+function updateKey(
+  { claimId, state }: Pick<KeyUpdate, "claimId" | "state">,
+): string {
+  return `${claimId} ${state}`;
+}
--- /dev/null
+++ b/packages/coordination/src/viewController.ts
@@ -0,0 +1,193 @@
+import {
+  type Blackboard,
+  Controller,
+  createTopic,
+  type HostId,
+  type Incarnation,
+  type Metrics,
+  type Milliseconds,
+  type PeerLink,
+  type Timer,
+  type TimerSubscription,
+  type Topic,
+} from "@wasabivane/common";
+import { HOST_LIST } from "./configurationController.ts";
+import { ElapsedClock } from "./elapsedClock.ts";
+import {
+  isBoolean,
+  listOf,
+  numberOf,
+  objectOf,
+  optional,
+  type Shape,
+  textOf,
+} from "./messageShapes.ts";
+import {
+  defineMessage,
+  type MessageKind,
+  sendMessage,
+  subscribeMessage,
+} from "./peerMessages.ts";
+import { ViewLease } from "./viewLease.ts";
+import {
+  type Activity,
+  type LeaseAnswer,
+  type LeaseRequest,
+  MAX_VIEW_HOSTS,
+  type View,
+  viewOf,
+} from "./views.ts";
+
+/** Time between lease requests; two rounds may be lost before a lease runs out. */
+export const LEASE_ROUND_MS: Milliseconds = 600;
+/** Views that one message names; more than a few may be active only in deep trouble. */
+const MAX_VIEWS = 64;
+
+const viewShape: Shape<View> = objectOf({
+  version: numberOf<number>(),
+  hosts: listOf(textOf<HostId>(), MAX_VIEW_HOSTS),
+});
+
+/** See {@link LeaseRequest}. */
+export const LEASE_REQUEST: MessageKind<LeaseRequest> = defineMessage<
+  LeaseRequest
+>(
+  "lease-request",
+  objectOf({
+    serial: numberOf<number>(),
+    incarnation: textOf<Incarnation>(),
+    views: listOf(viewShape, MAX_VIEWS),
+  }),
+);
+/** See {@link LeaseAnswer}. */
+export const LEASE_ANSWER: MessageKind<LeaseAnswer> = defineMessage<
+  LeaseAnswer
+>(
+  "lease-answer",
+  objectOf({
+    serial: numberOf<number>(),
+    incarnation: textOf<Incarnation>(),
+    isJoined: isBoolean,
+    views: listOf(viewShape, MAX_VIEWS),
+    retired: listOf(numberOf<number>(), MAX_VIEWS),
+    supported: optional(numberOf<number>()),
+    granted: optional(numberOf<number>()),
+    unbrokenSince: optional(numberOf<number>()),
+  }),
+);
+
+/** What the status page says about views. */
+export interface ViewStatus {
+  readonly newest: View | undefined;
+  /** Whether this host may decide about bare keys. */
+  readonly isActive: boolean;
+}
+
+/** See {@link ViewStatus}. */
+export const VIEW_STATUS: Topic<ViewStatus> = createTopic<ViewStatus>(
+  "view-status",
+  { newest: undefined, isActive: false },
+);
+
+/** What a {@link ViewController} needs from its process. */
+export interface ViewControllerOptions {
+  readonly host: HostId;
+  readonly incarnation: Incarnation;
+  readonly blackboard: Blackboard;
+  readonly link: PeerLink;
+  readonly timer: Timer;
+  readonly metrics: Metrics;
+}
+
+/** Asks for leases, grants them, and tells when this host may act as a home of keys. */
+export class ViewController extends Controller {
+  readonly #options: ViewControllerOptions;
+  readonly #clock: ElapsedClock;
+  readonly #lease: ViewLease;
+  readonly #subscriptions: (() => void)[] = [];
+  #rounds: TimerSubscription | undefined;
+
+  constructor(options: ViewControllerOptions) {
+    super();
+    this.#options = options;
+    this.#clock = new ElapsedClock(options.timer);
+    this.#lease = new ViewLease({ ...options, startedAt: this.#clock.now() });
+  }
+
+  override start(): void {
+    const { blackboard, link, timer } = this.#options;
+    this.#subscriptions.push(
+      subscribeMessage(link, LEASE_REQUEST, (from, body) => {
+        this.#onRequest(from, body);
+      }),
+      subscribeMessage(link, LEASE_ANSWER, (from, body) => {
+        this.#lease.take(from, body, this.#clock.now());
+      }),
+      blackboard.watch(HOST_LIST, () => this.#adoptList()),
+    );
+    this.#adoptList();
+    this.#rounds = timer.every(LEASE_ROUND_MS, () => this.#ask());
+  }
+
+  override stop(): void {
+    for (const unsubscribe of this.#subscriptions.splice(0)) unsubscribe();
+    this.#rounds?.cancel();
+  }
+
+  /** What this host may decide about now; ask right before each decision. */
+  activity(): Activity | undefined {
+    return this.#lease.activity(this.#clock.now());
+  }
+
+  /** How long ago something was on the clock of {@link Activity}. */
+  elapsedSince(instant: Milliseconds): Milliseconds {
+    return this.#clock.now() - instant;
+  }
+
+  /** The newest view known here, active or not. */
+  newest(): View | undefined {
+    return this.#lease.newest;
+  }
+
+  #adoptList(): void {
+    const list = this.#options.blackboard.read(HOST_LIST);
+    if (list !== undefined) this.#lease.learn(viewOf(list));
+  }
+
+  #ask(): void {
+    const { host, link } = this.#options;
+    this.#publish();
+    if (!this.#lease.isConcerned()) return;
+    const request = this.#lease.nextRequest(this.#clock.now());
+    const message = { kind: LEASE_REQUEST.kind, body: request };
+    for (const target of this.#lease.targets()) {
+      if (target === host) this.#askSelf(request);
+      else link.send(target, message);
+    }
+  }
+
+  #askSelf(request: LeaseRequest): void {
+    const { host } = this.#options;
+    const now = this.#clock.now();
+    this.#lease.take(host, this.#lease.answer(host, request, now), now);
+  }
+
+  #onRequest(from: HostId, request: LeaseRequest): void {
+    const body = this.#lease.answer(from, request, this.#clock.now());
+    sendMessage(this.#options.link, LEASE_ANSWER, { to: from, body });
+  }
+
+  #publish(): void {
+    const { blackboard, metrics } = this.#options;
+    const isActive = this.activity() !== undefined;
+    const newest = this.#lease.newest;
+    const former = blackboard.read(VIEW_STATUS);
+    const isSame = former.isActive === isActive &&
+      former.newest?.version === newest?.version;
+    if (isSame) return;
+    if (former.isActive !== isActive) {
+      metrics.count("view_activity_changes", 1, { to: String(isActive) });
+    }
+    blackboard.write(VIEW_STATUS, { newest, isActive });
+  }
+}
--- a/packages/coordination/tests/helpers/memberFleet.ts
+++ b/packages/coordination/tests/helpers/memberFleet.ts
@@ -12,11 +12,13 @@
   createIncarnation,
   FLEET_SHARE,
   HOST_LIST,
+  KeyService,
   type Member,
   MEMBERS,
   MembershipController,
   type MemoryLink,
   MemoryNetwork,
+  ViewController,
 } from "@wasabivane/coordination";
 import { HostTimer, WorldTimer } from "./hostTimer.ts";
 
@@ -30,6 +32,8 @@
   readonly blackboard: Blackboard;
   readonly membership: MembershipController;
   readonly metrics: MemoryMetrics;
+  readonly views: ViewController;
+  readonly keys: KeyService;
 }
 
 /** The name of the host with that number. */
@@ -75,16 +79,17 @@
   }
 
   /** Starts a process on a host that knows the published list. */
-  start(host: HostId): FleetHost {
-    const timer = new HostTimer(this.world);
+  start(host: HostId, { skewMs = 0 } = {}): FleetHost {
+    const timer = new HostTimer(this.world, { skewMs });
     const blackboard = new Blackboard();
     const link = this.network.join(host);
     const metrics = new MemoryMetrics();
     const listed = this.list.entryHosts.find((item) => item.host === host)!;
+    const incarnation = createIncarnation(timer, this.random);
     const membership = new MembershipController({
       self: {
         host,
-        incarnation: createIncarnation(timer, this.random),
+        incarnation,
         failureDomain: listed.failureDomain,
         peerAddress: listed.peerAddress,
         isLeaving: false,
@@ -95,10 +100,38 @@
       random: this.random,
       metrics,
     });
-    const started = { host, timer, link, blackboard, membership, metrics };
+    const views = new ViewController({
+      host,
+      incarnation,
+      blackboard,
+      link,
+      timer,
+      metrics,
+    });
+    const keys = new KeyService({
+      host,
+      incarnation,
+      blackboard,
+      link,
+      timer,
+      metrics,
+      views,
+      random: this.random,
+      secrets: () => ["ticket secret"],
+    });
+    const started = {
+      host,
+      timer,
+      link,
+      blackboard,
+      membership,
+      metrics,
+      views,
+      keys,
+    };
     this.hosts.set(host, started);
     blackboard.write(HOST_LIST, this.list);
-    membership.start();
+    for (const controller of [membership, views, keys]) controller.start();
     return started;
   }
 
@@ -119,6 +152,14 @@
     this.at(host).link.resume();
   }
 
+  /** Publishes a list; only the named hosts read it. */
+  publish(list: HostList, readers: Iterable<HostId> = this.hosts.keys()): void {
+    this.list = list;
+    for (const host of readers) {
+      this.at(host).blackboard.write(HOST_LIST, list);
+    }
+  }
+
   advance(span: Milliseconds): void {
     this.world.advance(span);
   }
--- /dev/null
+++ b/packages/coordination/tests/keyService.test.ts
@@ -0,0 +1,200 @@
+import test from "ava";
+import {
+  asId,
+  type ClientAccountId,
+  type IdempotencyKey,
+} from "@wasabivane/common";
+import {
+  KEY_LIFETIME_MS,
+  SKEW_BOUND_MS,
+  TENURE_MARGIN_MS,
+} from "@wasabivane/coordination";
+import {
+  bareKey,
+  claimAt,
+  claimOf,
+  DISPATCH,
+  keyWithHome,
+  ownAt,
+} from "./helpers/keys.ts";
+import { createList, hostName, MemberFleet } from "./helpers/memberFleet.ts";
+
+const [A, B, C, D] = [1, 2, 3, 4].map(hostName) as [
+  ReturnType<typeof hostName>,
+  ReturnType<typeof hostName>,
+  ReturnType<typeof hostName>,
+  ReturnType<typeof hostName>,
+];
+const ACCOUNT = asId<ClientAccountId>("oyako");
+/** Joining, the first leases and the tenure's margin. */
+const SETTLE_MS = 5_000 + TENURE_MARGIN_MS;
+
+function settledFleet(size = 4): MemberFleet {
+  const fleet = new MemberFleet({ size });
+  fleet.advance(SETTLE_MS);
+  return fleet;
+}
+
+test("a resend through another host finds the first attempt", async (t) => {
+  const fleet = settledFleet();
+  const request = keyWithHome(fleet, A);
+  const owned = await ownAt(fleet, B, request);
+  const joined = await claimAt(fleet, C, request);
+  t.like(joined, { kind: "owned-by", owner: { host: B }, state: "waiting" });
+  t.true(fleet.at(B).keys.markDispatched(owned, DISPATCH));
+  t.false(fleet.at(B).keys.markDispatched(owned, DISPATCH));
+  fleet.advance(100);
+  const later = await claimAt(fleet, D, request);
+  t.like(later, { kind: "owned-by", state: "dispatched", dispatch: DISPATCH });
+});
+
+test("a released key goes to the next claim and its former owner cannot write", async (t) => {
+  const fleet = settledFleet();
+  const request = keyWithHome(fleet, A);
+  const owned = await ownAt(fleet, B, request);
+  t.true(fleet.at(B).keys.release(owned));
+  t.false(fleet.at(B).keys.markDispatched(owned, DISPATCH));
+  fleet.advance(100);
+  await ownAt(fleet, C, request);
+  t.pass();
+});
+
+test("the same key with another body is told, and accounts do not meet", async (t) => {
+  const fleet = settledFleet();
+  const request = keyWithHome(fleet, A);
+  await ownAt(fleet, B, request);
+  const other = claimOf(request.key, { body: "other" });
+  t.is((await claimAt(fleet, C, other)).kind, "mismatch");
+  await ownAt(fleet, C, claimOf(request.key, { account: "delta-press" }));
+});
+
+test("the dispatch of a dead owner is resumed, not repeated", async (t) => {
+  const fleet = settledFleet();
+  const request = keyWithHome(fleet, A);
+  const owned = await ownAt(fleet, B, request);
+  fleet.at(B).keys.markDispatched(owned, DISPATCH);
+  fleet.advance(100);
+  fleet.kill(B);
+  fleet.advance(4_000);
+  const outcome = await claimAt(fleet, C, request);
+  t.deepEqual(outcome, { kind: "resume-at", dispatch: DISPATCH });
+});
+
+test("a key whose owner died silently is never run again unless it is idempotent", async (t) => {
+  // B owns both keys and dies before it reports a dispatch. It may have written
+  // a byte right before. The caller asks C: nobody knows, so "unknown". Only a
+  // further resend of the idempotent request runs, as a second attempt.
+  const fleet = settledFleet();
+  const once = keyWithHome(fleet, A);
+  const idempotent = { ...keyWithHome(fleet, A), isIdempotent: true };
+  await ownAt(fleet, B, once);
+  await ownAt(fleet, B, idempotent);
+  fleet.kill(B);
+  fleet.advance(4_000);
+  const lost = { kind: "unknown", reason: "owner-lost" } as const;
+  t.deepEqual(await claimAt(fleet, C, once), lost);
+  t.deepEqual(await claimAt(fleet, C, idempotent), lost);
+  t.deepEqual(await claimAt(fleet, D, once), lost);
+  t.is((await ownAt(fleet, D, idempotent)).attempt, 2);
+});
+
+test("a new home takes no key that the former home may have granted", async (t) => {
+  // A grants the key to B and dies; the list drops A. B has not written yet. If
+  // the new home granted the key again, both B and the new owner would run it.
+  const fleet = settledFleet();
+  const request = keyWithHome(fleet, A);
+  const owned = await ownAt(fleet, B, request);
+  fleet.kill(A);
+  fleet.publish(createList([B, C, D], { version: 2 }));
+  fleet.advance(SETTLE_MS);
+  const outcome = await claimAt(fleet, C, request);
+  t.deepEqual(outcome, { kind: "unknown", reason: "older-than-tenure" });
+  t.true(fleet.at(B).keys.markDispatched(owned, DISPATCH));
+  const key = bareKey(fleet.world.wallNow(), fleet.random);
+  await ownAt(fleet, C, claimOf(key));
+});
+
+test("keys whose home stays are not lost when the list changes", async (t) => {
+  const fleet = settledFleet();
+  const requests = Array.from({ length: 5 }, () => keyWithHome(fleet, A));
+  await ownAt(fleet, B, requests[0]!);
+  fleet.publish(createList([A, B, C], { version: 2 }));
+  fleet.advance(5_000);
+  t.is((await claimAt(fleet, C, requests[0]!)).kind, "owned-by");
+  for (const request of requests.slice(1)) await ownAt(fleet, C, request);
+});
+
+test("a change of upstreams alone interrupts no home", async (t) => {
+  const fleet = settledFleet();
+  const request = keyWithHome(fleet, A);
+  fleet.publish({ ...fleet.list, version: 2 }, [A, B]);
+  fleet.advance(100);
+  t.truthy(fleet.at(A).views.activity());
+  await ownAt(fleet, C, request);
+});
+
+test("a home cut off from the majority decides nothing", async (t) => {
+  const fleet = settledFleet();
+  const request = keyWithHome(fleet, A);
+  fleet.network.partition([[A], [B, C, D]]);
+  fleet.advance(2_500);
+  const inactive = { kind: "unknown", reason: "home-inactive" } as const;
+  t.deepEqual(await claimAt(fleet, A, request), inactive);
+  const unreachable = { kind: "unknown", reason: "unreachable" } as const;
+  t.deepEqual(await claimAt(fleet, B, request), unreachable);
+  fleet.network.heal();
+  fleet.advance(5_000);
+  await ownAt(fleet, C, request);
+});
+
+test("a ticket is decided by the process that minted it, and by none after it", async (t) => {
+  const fleet = settledFleet();
+  const mint = (): IdempotencyKey => fleet.at(A).keys.mintTicket(ACCOUNT);
+  const request = claimOf(mint());
+  const unused = claimOf(mint());
+  await ownAt(fleet, B, request);
+  t.is((await claimAt(fleet, C, request)).kind, "owned-by");
+  fleet.network.partition([[A, B], [C, D]]);
+  t.like(await claimAt(fleet, C, unused), { reason: "unreachable" });
+  await ownAt(fleet, B, unused);
+  fleet.network.heal();
+  fleet.kill(A);
+  fleet.start(A);
+  fleet.advance(SETTLE_MS);
+  const restarted = { kind: "unknown", reason: "home-restarted" } as const;
+  t.deepEqual(await claimAt(fleet, B, request), restarted);
+  t.deepEqual(await claimAt(fleet, A, request), restarted);
+});
+
+test("a ticket serves only the account that it was minted for", async (t) => {
+  const fleet = settledFleet();
+  const key = fleet.at(A).keys.mintTicket(ACCOUNT);
+  const stolen = claimOf(key, { account: "delta-press" });
+  t.like(await claimAt(fleet, B, stolen), { reason: "unauthenticated" });
+});
+
+test("every host refuses what is no key, and keys from the future", async (t) => {
+  const fleet = settledFleet();
+  const text = claimOf(asId<IdempotencyKey>("order-7"));
+  for (const host of [A, B, C, D]) {
+    const refused = { kind: "not-run", reason: "malformed" } as const;
+    t.deepEqual(await claimAt(fleet, host, text), refused);
+    const early = fleet.world.wallNow() + 2 * SKEW_BOUND_MS;
+    const request = claimOf(bareKey(early, fleet.random));
+    const refusedEarly = { kind: "not-run", reason: "issued-in-future" };
+    t.deepEqual(await claimAt(fleet, host, request), refusedEarly);
+  }
+});
+
+test("an owner that wakes after the key's lifetime does not write", async (t) => {
+  // B owns the key, then sleeps past its lifetime, after which the home forgot
+  // the key. Whatever callers were told since, B must not write now.
+  const fleet = settledFleet();
+  const request = keyWithHome(fleet, A);
+  const owned = await ownAt(fleet, B, request);
+  fleet.pause(B);
+  fleet.advance(KEY_LIFETIME_MS + 20_000);
+  t.like(await claimAt(fleet, C, request), { kind: "unknown" });
+  fleet.resume(B);
+  t.false(fleet.at(B).keys.markDispatched(owned, DISPATCH));
+});
