Take a refused resume for a broken answer

A scenario found it: an engine crashed in the middle of a draft and was still down when the entry host asked it for the rest. The refused connection of the resume was passed on as if no byte of the request had ever left, so the request was dispatched again at another engine, and its caller was told "not run" when none was up. A refused resume now counts as a broken answer and ends unknown.

--- a/apps/entry/src/modelDispatch.ts
+++ b/apps/entry/src/modelDispatch.ts
@@ -75,7 +75,7 @@
       this.options.onSafeguard("resume");
       const answer = await this.#sendResume();
       if (answer.isErr()) {
-        error = answer.error;
+        error = brokenOf(answer.error);
         continue;
       }
       if (answer.value.status === HTTP_NOT_FOUND) return err({ kind: "gone" });
@@ -219,6 +219,16 @@
   }
 }
 
+/**
+ * A resume that finds no open port says nothing of the dispatch before it,
+ * whose bytes have left. Passed on as refused, it would be taken for "no byte
+ * left": the request would run again elsewhere, or its caller be told "not run".
+ */
+function brokenOf(error: UpstreamError): UpstreamError {
+  if (error.kind !== "refused") return error;
+  return { kind: "broken", detail: error.detail };
+}
+
 function contentOf(data: string): string {
   const chunk = JSON.parse(data) as {
     choices: { delta: { content: string } }[];
