Give a key back when its upstream refused the connection

Cause: a refused connection left the key as dispatched though no byte had left, so no other upstream could be tried and a later refusal could not be released. A keeper's first second in a pool went by waiting for members that never used it. Change: updates of a claim carry a sequence, so that late ones change nothing; markRefused returns the right to dispatch; answer messages between hosts; a new keeper asks the members for their reports.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./answerMessages.ts";
 export * from "./configurationController.ts";
 export * from "./configurationMessages.ts";
 export * from "./configurationSpread.ts";
--- a/packages/coordination/src/keyHome.ts
+++ b/packages/coordination/src/keyHome.ts
@@ -26,6 +26,8 @@
   attempt: number;
   state: "waiting" | "dispatched" | "finished" | "unknown";
   dispatch: Dispatch | undefined;
+  /** Sequence of the newest update of the owner. */
+  updates: number;
 }
 
 /** A home's circumstances at the moment of a claim. */
@@ -41,6 +43,7 @@
   readonly account: ClientAccountId;
   readonly key: IdempotencyKey;
   readonly claimId: string;
+  readonly sequence: number;
 }
 
 /**
@@ -69,6 +72,22 @@
     return this.#claimHeld(claim, { record, context });
   }
 
+  /** Notes an update's sequence; false for one that was overtaken by a newer one. */
+  isNews(update: ClaimUpdate): boolean {
+    const record = this.#find(update);
+    if (record === undefined || update.sequence <= record.updates) return false;
+    record.updates = update.sequence;
+    return true;
+  }
+
+  /** The upstream refused the connection: no byte left, the owner may try another. */
+  markRefused(update: ClaimUpdate): void {
+    const record = this.#find(update);
+    if (record?.state !== "dispatched") return;
+    record.state = "waiting";
+    record.dispatch = undefined;
+  }
+
   /** The owner is about to write to an upstream. */
   markDispatched(update: ClaimUpdate, dispatch: Dispatch): void {
     const record = this.#find(update);
@@ -200,12 +219,14 @@
     attempt: 0,
     state: "waiting",
     dispatch: undefined,
+    updates: 0,
   };
 }
 
 function grant(record: KeyRecord, claim: Claim): ClaimAnswer {
   record.claimId = claim.claimId;
   record.owner = claim.claimant;
+  record.updates = 0;
   record.attempt++;
   record.state = "waiting";
   return { kind: "granted", attempt: record.attempt };
--- a/packages/coordination/src/keyHomeController.ts
+++ b/packages/coordination/src/keyHomeController.ts
@@ -61,8 +61,8 @@
       }),
       subscribeMessage(link, KEY_UPDATE, (from, update) => {
         this.update(update);
-        const { claimId, state } = update;
-        const body = { claimId, state };
+        const { claimId, sequence } = update;
+        const body = { claimId, sequence };
         sendMessage(link, KEY_UPDATE_TAKEN, { to: from, body });
       }),
     );
@@ -94,7 +94,9 @@
   /** Takes what became of a granted claim. */
   update(update: KeyUpdate): void {
     const { state, dispatch } = update;
+    if (!this.#home.isNews(update)) return;
     if (state === "released") this.#home.release(update);
+    if (state === "refused") this.#home.markRefused(update);
     if (dispatch === undefined) return;
     if (state === "dispatched") this.#home.markDispatched(update, dispatch);
     if (state === "finished") this.#home.markFinished(update, dispatch);
--- a/packages/coordination/src/keyMessages.ts
+++ b/packages/coordination/src/keyMessages.ts
@@ -33,7 +33,9 @@
   readonly account: ClientAccountId;
   readonly key: IdempotencyKey;
   readonly claimId: string;
-  readonly state: "dispatched" | "finished" | "released";
+  readonly state: "dispatched" | "refused" | "finished" | "released";
+  /** Orders the updates of one claim; repeated and late ones are known by it. */
+  readonly sequence: number;
   readonly dispatch?: Dispatch | undefined;
 }
 
@@ -46,7 +48,7 @@
 /** Body of `key-update-taken`. */
 export interface KeyUpdateTaken {
   readonly claimId: string;
-  readonly state: KeyUpdate["state"];
+  readonly sequence: number;
 }
 
 const claimantShape: Shape<Claimant> = objectOf({
@@ -96,6 +98,7 @@
 );
 const updateState = oneOf<KeyUpdate["state"]>(
   "dispatched",
+  "refused",
   "finished",
   "released",
 );
@@ -105,6 +108,7 @@
   objectOf({
     ...keyFields,
     state: updateState,
+    sequence: numberOf<number>(),
     dispatch: optional(dispatchShape),
   }),
 );
@@ -113,5 +117,5 @@
   KeyUpdateTaken
 >(
   "key-update-taken",
-  objectOf({ claimId: textOf<string>(), state: updateState }),
+  objectOf({ claimId: textOf<string>(), sequence: numberOf<number>() }),
 );
--- a/packages/coordination/src/keyService.ts
+++ b/packages/coordination/src/keyService.ts
@@ -86,6 +86,8 @@
   state: ClaimState;
   resolve: (outcome: ClaimOutcome) => void;
   lastReason: ClaimOutcome;
+  /** Updates sent to the home so far. */
+  updates: number;
   timers: TimerSubscription[];
 }
 
@@ -120,8 +122,8 @@
       subscribeMessage(link, KEY_ANSWER, (from, { claimId, answer }) => {
         this.#onAnswer(claimId, answer, { from });
       }),
-      subscribeMessage(link, KEY_UPDATE_TAKEN, (_from, { claimId, state }) => {
-        this.#endUpdate(updateKey({ claimId, state }));
+      subscribeMessage(link, KEY_UPDATE_TAKEN, (_from, taken) => {
+        this.#endUpdate(updateKey(taken));
       }),
     );
     this.#purging = timer.every(PURGE_PERIOD_MS, () => this.#purge());
@@ -185,6 +187,14 @@
     return true;
   }
 
+  /** The upstream refused the connection: no byte has left, so the right to dispatch is back. */
+  markRefused(owned: OwnedKey): void {
+    const own = this.#claims.get(owned.claimId);
+    if (own?.state !== "dispatched") return;
+    own.state = "owned";
+    this.#update(owned, { state: "refused" });
+  }
+
   /** The whole answer is here. */
   markFinished(owned: OwnedKey, dispatch: Dispatch): void {
     this.#update(owned, { state: "finished", dispatch });
@@ -243,6 +253,7 @@
         state: "pending",
         resolve,
         lastReason: { kind: "unknown", reason: "unreachable" },
+        updates: 0,
         timers: [],
       };
       this.#claims.set(claim.claimId, own);
@@ -314,10 +325,10 @@
   ): void {
     const { host, timer, link } = this.#options;
     const { account, key, claimId, home } = owned;
-    const update: KeyUpdate = { account, key, claimId, ...change };
+    const sequence = this.#nextSequence(claimId);
+    const update: KeyUpdate = { account, key, claimId, sequence, ...change };
     if (home === host) return this.#home.update(update);
     const name = updateKey(update);
-    this.#endUpdate(name);
     let tries = 0;
     const send = (): void => {
       sendMessage(link, KEY_UPDATE, { to: home, body: update });
@@ -328,6 +339,13 @@
     send();
   }
 
+  #nextSequence(claimId: string): number {
+    const own = this.#claims.get(claimId);
+    if (own === undefined) return 1;
+    own.updates++;
+    return own.updates;
+  }
+
   #endUpdate(name: string): void {
     this.#updates.get(name)?.cancel();
     this.#updates.delete(name);
@@ -345,7 +363,7 @@
 }
 
 function updateKey(
-  { claimId, state }: Pick<KeyUpdate, "claimId" | "state">,
+  { claimId, sequence }: Pick<KeyUpdate, "claimId" | "sequence">,
 ): string {
-  return `${claimId} ${state}`;
+  return `${claimId} ${sequence}`;
 }
--- a/packages/coordination/src/poolKeeper.ts
+++ b/packages/coordination/src/poolKeeper.ts
@@ -310,6 +310,7 @@
       this.#pools.set(service, pool);
       pool.scheduler.setShare(0, now);
       this.#options.metrics.count("pool.keeper_started");
+      this.#askForReports(service);
       this.#endRecovery(pool, service);
     }
     pool.usedAt = now;
@@ -333,6 +334,15 @@
     this.#applyShare(pool, service);
   }
 
+  /** Members that never used the pool would not report by themselves. */
+  #askForReports(service: ServiceId): void {
+    const { blackboard, members, link } = this.#options;
+    for (const { host, state } of blackboard.read(members)) {
+      if (host === link.self || state === "dead") continue;
+      sendMessage(link, POOL_REPORT_WANTED, { to: host, body: { service } });
+    }
+  }
+
   #applyShares(): void {
     for (const [service, pool] of this.#pools) this.#applyShare(pool, service);
   }
