Serve keyed requests through any host, run by one

Cause: a resend that reached another host ran a second time. Change: KeyedService claims the key before the request queues, runs it as owner, joins the owner's answer over AnswerRelay, or resumes when the owner is gone; KeptAnswers holds answers within the settings' bound; keyed jobs return the same job; POST /v1/tickets mints tickets; an engine's 5xx becomes a problem document.

--- a/apps/entry/src/answerRecord.ts
+++ b/apps/entry/src/answerRecord.ts
@@ -115,8 +115,13 @@
 
   /** A reader from the first byte; `undefined` when that is forgotten. */
   open(): AnswerReader | undefined {
+    return this.openAt(0);
+  }
+
+  /** A reader from a position on, counted in steps. */
+  openAt(position: number): AnswerReader | undefined {
     if (!this.canReplay) return undefined;
-    const reader = new AnswerReader(this);
+    const reader = new AnswerReader(this, position);
     this.#readers.add(reader);
     return reader;
   }
@@ -196,11 +201,12 @@
 /** Reads one answer in order. */
 export class AnswerReader {
   readonly #record: AnswerRecord;
-  #position = 0;
+  #position: number;
   #wake: (() => void) | undefined;
 
-  constructor(record: AnswerRecord) {
+  constructor(record: AnswerRecord, position = 0) {
     this.#record = record;
+    this.#position = position;
   }
 
   get position(): number {
--- a/apps/entry/src/callerApi.ts
+++ b/apps/entry/src/callerApi.ts
@@ -4,6 +4,8 @@
 import { Hono } from "hono";
 import type {
   Blackboard,
+  ClientAccountId,
+  IdempotencyKey,
   Metrics,
   Random,
   RequestId,
@@ -15,6 +17,7 @@
 import type { AnswerRecord } from "./answerRecord.ts";
 import { relayAnswer, writeProblem } from "./answerWriter.ts";
 import { Authenticator } from "./authentication.ts";
+import { TICKETS_PATH } from "./constants.ts";
 import { acceptRequest } from "./intake.ts";
 import type { JobDesk } from "./jobDesk.ts";
 import { type Problem, problemOf } from "./problem.ts";
@@ -44,7 +47,10 @@
   readonly bundleInForce: Topic<SignedBundle | undefined>;
   readonly maximumBodyBytes: number;
   readonly isStopping: () => boolean;
+  /** Serves requests without an idempotency key. */
   readonly service: RequestService;
+  readonly keyedService: RequestService;
+  readonly mintTicket: (account: ClientAccountId) => IdempotencyKey;
   readonly jobDesk: JobDesk;
 }
 
@@ -90,8 +96,7 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<Problem | undefined> {
-    const { blackboard, bundleInForce, isStopping, service, jobDesk } =
-      this.#options;
+    const { blackboard, bundleInForce, isStopping, jobDesk } = this.#options;
     if (isStopping()) {
       return problemOf("stopping", { retryAfter: RETRY_AFTER_MS });
     }
@@ -108,6 +113,10 @@
       await jobDesk.tell({ path, account: account.account, outgoing });
       return undefined;
     }
+    if (path === TICKETS_PATH && incoming.method === "POST") {
+      writeTicket(outgoing, this.#options.mintTicket(account.account));
+      return undefined;
+    }
     const body = await readBody(incoming, this.#options.maximumBodyBytes);
     if (body.isErr()) return body.error;
     const accepted = acceptRequest({
@@ -122,10 +131,18 @@
     });
     if (accepted.isErr()) return accepted.error;
     if (wantsJob(incoming)) await jobDesk.take(accepted.value, outgoing);
-    else await this.#relay(service.serve(accepted.value), outgoing);
+    else {await this.#relay(
+        this.#serviceFor(accepted.value).serve(accepted.value),
+        outgoing,
+      );}
     return undefined;
   }
 
+  #serviceFor({ key }: AcceptedRequest): RequestService {
+    const { service, keyedService } = this.#options;
+    return key === undefined ? service : keyedService;
+  }
+
   async #relay(answer: ServedAnswer, outgoing: ServerResponse): Promise<void> {
     outgoing.on("close", () => {
       if (!outgoing.writableFinished) answer.hangUp();
@@ -150,3 +167,12 @@
 function wantsJob({ headers }: IncomingMessage): boolean {
   return RESPOND_ASYNC.test(String(headers.prefer ?? ""));
 }
+
+/** A ticket is an idempotency key that this process alone decides about. */
+function writeTicket(outgoing: ServerResponse, key: IdempotencyKey): void {
+  outgoing.writeHead(201, {
+    "content-type": "application/json",
+    "cache-control": "no-store",
+  });
+  outgoing.end(JSON.stringify({ key }));
+}
--- a/apps/entry/src/constants.ts
+++ b/apps/entry/src/constants.ts
@@ -12,3 +12,5 @@
 export const JOBS_PATH = "/v1/jobs";
 /** How long a job's answer is kept for its caller after the job's deadline. */
 export const ANSWER_KEPT_MS = 4 * 3_600_000;
+/** Path at which callers get tickets. */
+export const TICKETS_PATH = "/v1/tickets";
--- a/apps/entry/src/entryHost.ts
+++ b/apps/entry/src/entryHost.ts
@@ -24,11 +24,13 @@
   FLEET_SHARE,
   HOST_LIST,
   JobController,
+  KeyService,
   type Member,
   MEMBERS,
   MembershipController,
   PoolClient,
   PoolKeeper,
+  ViewController,
 } from "@wasabivane/coordination";
 import {
   type PoolPolicy,
@@ -41,6 +43,9 @@
 import type { ExchangeServices } from "./exchange.ts";
 import { JobDesk } from "./jobDesk.ts";
 import { JobRunner } from "./jobRunner.ts";
+import { AnswerRelay } from "./answerRelay.ts";
+import { KeptAnswers } from "./keptAnswers.ts";
+import { KeyedService } from "./keyedService.ts";
 import type { OperatorView } from "./operatorApi.ts";
 import { poolPolicyOf } from "./poolPolicy.ts";
 import type { Settings } from "./settings.ts";
@@ -78,6 +83,11 @@
   readonly #pools: PoolClient;
   readonly #keeper: PoolKeeper;
   readonly #service: EntryService;
+  readonly #views: ViewController;
+  readonly #keys: KeyService;
+  readonly #kept: KeptAnswers;
+  readonly #relay: AnswerRelay;
+  readonly #keyed: KeyedService;
   readonly #jobs: JobController;
   readonly #jobRunner: JobRunner;
   readonly #controllers: Pick<Controller, "start" | "stop">[];
@@ -91,6 +101,16 @@
     this.#pools = this.#createPoolClient();
     this.#keeper = this.#createPoolKeeper();
     this.#service = new EntryService(this.#exchangeServices());
+    this.#views = this.#createViews();
+    this.#keys = this.#createKeys();
+    this.#kept = new KeptAnswers(options.settings.limits.retainedAnswerBytes);
+    this.#relay = this.#createRelay();
+    this.#keyed = new KeyedService({
+      services: this.#exchangeServices(),
+      keys: this.#keys,
+      relay: this.#relay,
+      kept: this.#kept,
+    });
     this.#jobs = this.#createJobs();
     this.#jobRunner = this.#createJobRunner();
     this.#controllers = [
@@ -99,6 +119,9 @@
       this.#pools,
       this.#keeper,
       this.#createUpstreamWatch(),
+      this.#views,
+      this.#keys,
+      this.#relay,
       this.#jobs,
       this.#jobRunner,
     ];
@@ -171,6 +194,43 @@
     };
   }
 
+  #createViews(): ViewController {
+    const { settings, link, timer, incarnation } = this.#options;
+    return new ViewController({
+      host: settings.host,
+      incarnation,
+      blackboard: this.#blackboard,
+      link,
+      timer,
+      metrics: this.#metrics,
+    });
+  }
+
+  #createKeys(): KeyService {
+    const { settings, link, timer, random, incarnation } = this.#options;
+    return new KeyService({
+      host: settings.host,
+      incarnation,
+      blackboard: this.#blackboard,
+      link,
+      timer,
+      random,
+      metrics: this.#metrics,
+      views: this.#views,
+      secrets: () => settings.peers.secrets,
+    });
+  }
+
+  #createRelay(): AnswerRelay {
+    const { link, timer } = this.#options;
+    return new AnswerRelay({
+      link,
+      timer,
+      metrics: this.#metrics,
+      recordOf: (request) => this.#kept.find(request),
+    });
+  }
+
   #createJobs(): JobController {
     const { link, timer, random, incarnation } = this.#options;
     return new JobController({
@@ -259,7 +319,9 @@
       maximumBodyBytes: settings.limits.maximumBodyBytes,
       isStopping: () => this.#isStopping,
       service: this.#service,
-      jobDesk: new JobDesk({ timer, jobs: this.#jobs }),
+      keyedService: this.#keyed,
+      mintTicket: (account) => this.#keys.mintTicket(account),
+      jobDesk: new JobDesk({ timer, jobs: this.#jobs, keys: this.#keys }),
     });
   }
 
@@ -301,7 +363,7 @@
       members: this.#blackboard.read(MEMBERS),
       versions: Object.fromEntries(this.#blackboard.read(BUNDLE_VERSIONS)),
       phase: this.#isStopping ? "stopping" : "serving",
-      openExchanges: this.#service.openExchanges,
+      openExchanges: this.#service.openExchanges + this.#keyed.openAnswers,
       pools: this.#pools.status(),
       waiting: kept.flatMap(([service, scheduler]) =>
         scheduler.status().waiting.map((row) => ({ service, ...row }))
--- a/apps/entry/src/exchange.ts
+++ b/apps/entry/src/exchange.ts
@@ -55,6 +55,8 @@
 export interface ExchangeOptions {
   readonly services: ExchangeServices;
   readonly hooks?: ExchangeHooks;
+  /** Where the answer goes; a new record when left out. */
+  readonly record?: AnswerRecord;
   /** Called once, after the ending stands. */
   readonly onEnd?: (end: AnswerEnd) => void;
 }
@@ -81,13 +83,14 @@
 
   constructor(
     request: AcceptedRequest,
-    { services, hooks = {}, onEnd = () => {} }: ExchangeOptions,
+    { services, hooks = {}, record = new AnswerRecord(), onEnd = () => {} }:
+      ExchangeOptions,
   ) {
     this.request = request;
     this.#services = services;
     this.#hooks = hooks;
     this.#onEnd = onEnd;
-    this.record = new AnswerRecord({ isReplayable: request.key !== undefined });
+    this.record = record;
     this.#metrics = new RequestMetrics(request, services);
   }
 
@@ -347,12 +350,16 @@
   "broken": () => "upstream-lost",
   "not-own": () => "upstream-error",
   "malformed": () => "upstream-error",
+  "refused-run": () => "upstream-error",
   "gone": () => "upstream-lost",
   "aborted": (isPastDeadline) => isPastDeadline ? "timeout" : "cancelled",
 };
 
 function problemOfError(error: UpstreamError): Problem {
   if (error.kind === "not-own") return problemOf("answer-not-own");
+  if (error.kind === "refused-run") {
+    return problemOf("upstream-refused", { detail: error.detail });
+  }
   const detail = "detail" in error ? { detail: error.detail } : {};
   return problemOf("answer-broken", detail);
 }
--- a/apps/entry/src/index.ts
+++ b/apps/entry/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./daemon.ts";
 export * from "./entryHost.ts";
 export * from "./intake.ts";
+export * from "./keptAnswers.ts";
 export * from "./problem.ts";
 export * from "./settings.ts";
 export * from "./startEntry.ts";
--- a/apps/entry/src/jobDesk.ts
+++ b/apps/entry/src/jobDesk.ts
@@ -1,17 +1,25 @@
 import type { ServerResponse } from "node:http";
 import { Buffer } from "node:buffer";
+import { err, ok, type Result } from "neverthrow";
 import type {
   ClientAccountId,
+  IdempotencyKey,
   JobId,
   Milliseconds,
+  Nonce,
   Timer,
+  UpstreamId,
 } from "@wasabivane/common";
 import { sleep } from "@wasabivane/common";
-import type {
-  JobAnswer,
-  JobRefusal,
-  JobService,
+import {
+  JOB_KEY_LIFETIME_MS,
+  type JobAnswer,
+  type JobRefusal,
+  type JobService,
+  type KeyService,
+  type OwnedKey,
 } from "@wasabivane/coordination";
+import { problemOfClaim } from "./claimProblem.ts";
 import type { AcceptedRequest } from "./acceptedRequest.ts";
 import { writeProblem } from "./answerWriter.ts";
 import { ANSWER_KEPT_MS, JOBS_PATH } from "./constants.ts";
@@ -26,8 +34,15 @@
 export interface JobDeskOptions {
   readonly timer: Timer;
   readonly jobs: JobService;
+  readonly keys: KeyService;
 }
 
+/**
+ * Stands for the upstream in what a key's home remembers of a job: the nonce
+ * beside it is then the job's id, so that a resend finds the same job.
+ */
+const JOB_UPSTREAM = "~job" as UpstreamId;
+
 /** The job form of a request: taken now, run later, fetched once. */
 export class JobDesk {
   readonly #options: JobDeskOptions;
@@ -46,6 +61,58 @@
     request: AcceptedRequest,
     outgoing: ServerResponse,
   ): Promise<void> {
+    const taken = request.key === undefined
+      ? await this.#accept(request)
+      : await this.#acceptOnce(request, request.key);
+    if (taken.isErr()) writeProblem(outgoing, taken.error);
+    else writeTaken(outgoing, taken.value);
+  }
+
+  /** A resend of a keyed job gets the job that the first sending made. */
+  async #acceptOnce(
+    request: AcceptedRequest,
+    key: IdempotencyKey,
+  ): Promise<Result<JobId, Problem>> {
+    const { keys } = this.#options;
+    const outcome = await keys.claim({
+      account: request.account.account,
+      key,
+      request: request.request,
+      bodyDigest: request.fingerprint,
+      isIdempotent: false,
+      lifetimeMs: JOB_KEY_LIFETIME_MS,
+    });
+    if (outcome.kind === "granted") {
+      return await this.#acceptOwned(request, outcome.owned);
+    }
+    if (outcome.kind !== "owned-by" && outcome.kind !== "resume-at") {
+      return err(problemOfClaim(outcome));
+    }
+    const { dispatch } = outcome;
+    if (dispatch?.upstream === JOB_UPSTREAM) {
+      return ok(dispatch.nonce as string as JobId);
+    }
+    return err(problemOf("key-unknown", { retryAfter: RETRY_AFTER_MS }));
+  }
+
+  async #acceptOwned(
+    request: AcceptedRequest,
+    owned: OwnedKey,
+  ): Promise<Result<JobId, Problem>> {
+    const { keys } = this.#options;
+    const accepted = await this.#accept(request);
+    if (accepted.isOk()) {
+      keys.markDispatched(owned, {
+        upstream: JOB_UPSTREAM,
+        nonce: accepted.value as string as Nonce,
+      });
+    } else if (accepted.error.ending === "not-run") {
+      keys.release(owned);
+    }
+    return accepted;
+  }
+
+  async #accept(request: AcceptedRequest): Promise<Result<JobId, Problem>> {
     const { timer, jobs } = this.#options;
     const accepted = await jobs.accept({
       account: request.account.account,
@@ -58,9 +125,7 @@
       expiresAt: timer.wallNow() + request.deadline - timer.now() +
         ANSWER_KEPT_MS,
     });
-    if (accepted.isErr()) {
-      writeProblem(outgoing, problemOfJobRefusal(accepted.error));
-    } else writeTaken(outgoing, accepted.value.id);
+    return accepted.map(({ id }) => id).mapErr(problemOfJobRefusal);
   }
 
   /** Answers a question about a job; waits a bounded time where the caller wants to. */
--- /dev/null
+++ b/apps/entry/src/keyedService.ts
@@ -0,0 +1,241 @@
+import type { TimerSubscription, UpstreamId } from "@wasabivane/common";
+import type {
+  ClaimOutcome,
+  Dispatch,
+  KeyService,
+  OwnedKey,
+} from "@wasabivane/coordination";
+import type { AcceptedRequest } from "./acceptedRequest.ts";
+import { type AnswerRelay, RESEND_GRACE_MS } from "./answerRelay.ts";
+import { type AnswerEnd, AnswerRecord } from "./answerRecord.ts";
+import type { RequestService, ServedAnswer } from "./callerApi.ts";
+import { problemOfClaim } from "./claimProblem.ts";
+import type { DispatchTarget } from "./dispatch.ts";
+import { Exchange, type ExchangeServices } from "./exchange.ts";
+import type { KeptAnswers } from "./keptAnswers.ts";
+import { type Problem, problemOf } from "./problem.ts";
+
+/** Claims of one request: the owner may die while its answer is relayed, more often is an outage. */
+const MAX_CLAIMS = 3;
+
+/** What a {@link KeyedService} needs from its process. */
+export interface KeyedServiceOptions {
+  readonly services: ExchangeServices;
+  readonly keys: KeyService;
+  readonly relay: AnswerRelay;
+  readonly kept: KeptAnswers;
+}
+
+/**
+ * Serves requests that carry an idempotency key. The key is claimed at its home
+ * before the request queues; whoever owns it runs it, everybody else joins the
+ * owner's answer or, when the owner is gone, resumes at its upstream.
+ */
+export class KeyedService implements RequestService {
+  readonly #options: KeyedServiceOptions;
+  readonly #open = new Set<AnswerRecord>();
+
+  constructor(options: KeyedServiceOptions) {
+    this.#options = options;
+  }
+
+  /** Answers that have not ended. */
+  get openAnswers(): number {
+    return this.#open.size;
+  }
+
+  serve(request: AcceptedRequest): ServedAnswer {
+    const served = new KeyedAnswer(request, this.#options);
+    this.#open.add(served.record);
+    void served.run().then(() => this.#open.delete(served.record));
+    return served;
+  }
+}
+
+/** One resend, or first sending, of a keyed request. */
+class KeyedAnswer implements ServedAnswer {
+  readonly record = new AnswerRecord({ isReplayable: true });
+  readonly #request: AcceptedRequest;
+  readonly #options: KeyedServiceOptions;
+  #isHungUp = false;
+  #onHangUp: (() => void) | undefined;
+
+  constructor(request: AcceptedRequest, options: KeyedServiceOptions) {
+    this.#request = request;
+    this.#options = options;
+  }
+
+  hangUp(): void {
+    this.#isHungUp = true;
+    this.#onHangUp?.();
+  }
+
+  /** Claims and follows until the record has its end. */
+  async run(): Promise<void> {
+    for (
+      let claim = 0;
+      claim < MAX_CLAIMS && this.record.end === undefined;
+      claim++
+    ) {
+      await this.#follow(await this.#claim());
+    }
+    this.#fail(problemOf("key-unknown"));
+  }
+
+  #claim(): Promise<ClaimOutcome> {
+    const { account, key, request, fingerprint, isIdempotent } = this.#request;
+    return this.#options.keys.claim({
+      account: account.account,
+      key: key!,
+      request,
+      bodyDigest: fingerprint,
+      isIdempotent,
+    });
+  }
+
+  async #follow(outcome: ClaimOutcome): Promise<void> {
+    if (outcome.kind === "granted") await this.#own(outcome.owned);
+    else if (outcome.kind === "owned-by") await this.#join(outcome);
+    else if (outcome.kind === "resume-at") await this.#resume(outcome.dispatch);
+    else this.#fail(problemOfClaim(outcome));
+  }
+
+  /** This host owns the key: only this exchange may dispatch it. */
+  #own(owned: OwnedKey): Promise<void> {
+    const { services, keys, kept } = this.#options;
+    return new Promise((resolve) => {
+      const exchange: Exchange = new Exchange(this.#request, {
+        services,
+        record: this.record,
+        hooks: {
+          beforeDispatch: ({ upstream, nonce }) => {
+            const isAllowed = keys.markDispatched(owned, { upstream, nonce });
+            return Promise.resolve(
+              isAllowed ? undefined : problemOf("key-expired"),
+            );
+          },
+          afterRefusedConnection: () => keys.markRefused(owned),
+        },
+        onEnd: (end) => {
+          this.#tellHome(owned, { end, target: exchange.target });
+          kept.noteEnd(this.#request.request);
+          resolve();
+        },
+      });
+      kept.keep(this.#request.request, this.record);
+      this.#onHangUp = () => this.#cancelAfterGrace(exchange);
+      exchange.start();
+      if (this.#isHungUp) this.#cancelAfterGrace(exchange);
+    });
+  }
+
+  #tellHome(
+    owned: OwnedKey,
+    { end, target }: { end: AnswerEnd; target: DispatchTarget | undefined },
+  ): void {
+    const { keys } = this.#options;
+    if (end.kind === "whole" && target !== undefined) {
+      keys.markFinished(owned, dispatchOf(target));
+    } else if (end.kind === "failed" && end.problem.ending === "not-run") {
+      keys.release(owned);
+    }
+  }
+
+  /**
+   * A caller that hung up may be about to ask again through another host, as
+   * balancers make it do. Cancelling at once would waste the prefill and leave
+   * the resend nothing to join, so the work goes on for a while.
+   */
+  #cancelAfterGrace(exchange: Exchange): void {
+    const { timer } = this.#options.services;
+    const check: TimerSubscription = timer.after(RESEND_GRACE_MS, () => {
+      check.cancel();
+      const isWanted = this.record.readerCount > 0 ||
+        exchange.phase === "ended";
+      // What may not be repeated runs to its end, so that its outcome is known.
+      const isSacred = exchange.phase === "dispatched" &&
+        !this.#request.isIdempotent;
+      if (!isWanted && !isSacred) exchange.cancel(problemOf("answer-late"));
+    });
+  }
+
+  async #join(outcome: ClaimOutcome & { kind: "owned-by" }): Promise<void> {
+    const { services, relay, kept } = this.#options;
+    const { host, request } = outcome.owner;
+    services.metrics.count("key.joined");
+    if (host === services.host) {
+      await this.#copy(kept.find(request));
+      return;
+    }
+    const end = await relay.follow({
+      owner: host,
+      request,
+      record: this.record,
+    });
+    if (end === "not-kept") await this.#onNotKept(outcome);
+  }
+
+  /** The owner forgot the answer; the upstream may still hold it. */
+  async #onNotKept(
+    { dispatch }: { dispatch?: Dispatch | undefined },
+  ): Promise<void> {
+    if (this.record.head !== undefined || dispatch === undefined) {
+      this.#fail(problemOf("answer-gone"));
+    } else {
+      await this.#resume(dispatch);
+    }
+  }
+
+  async #copy(source: AnswerRecord | undefined): Promise<void> {
+    const reader = source?.open();
+    if (reader === undefined) {
+      this.#fail(problemOf("answer-gone"));
+      return;
+    }
+    while (this.record.end === undefined) {
+      const step = await reader.next();
+      if (step.kind === "head") this.record.begin(step.head);
+      else if (step.kind === "part") this.record.append(step.part);
+      else this.record.finish(step.end);
+      if (this.record.isFull) await this.record.whenRoom();
+    }
+    reader.close();
+  }
+
+  /** The owner is gone after its dispatch. A resume is no second dispatch. */
+  #resume({ upstream, nonce }: Dispatch): Promise<void> {
+    const target = this.#targetOf(upstream, nonce);
+    if (target === undefined || this.record.head !== undefined) {
+      this.#fail(problemOf("key-unknown"));
+      return Promise.resolve();
+    }
+    const { services, kept } = this.#options;
+    services.metrics.count("key.resumed");
+    const exchange = new Exchange(this.#request, {
+      services,
+      record: this.record,
+      onEnd: () => kept.noteEnd(this.#request.request),
+    });
+    kept.keep(this.#request.request, this.record);
+    this.#onHangUp = () => this.#cancelAfterGrace(exchange);
+    return exchange.resumeAt(target);
+  }
+
+  #targetOf(
+    upstream: UpstreamId,
+    nonce: Dispatch["nonce"],
+  ): DispatchTarget | undefined {
+    const found = this.#request.bundle.upstreams.find((candidate) =>
+      candidate.upstream === upstream
+    );
+    return found && { upstream, nonce, url: found.url };
+  }
+
+  #fail(problem: Problem): void {
+    this.record.finish({ kind: "failed", problem });
+  }
+}
+
+function dispatchOf({ upstream, nonce }: DispatchTarget): Dispatch {
+  return { upstream, nonce };
+}
--- a/apps/entry/src/problem.ts
+++ b/apps/entry/src/problem.ts
@@ -137,6 +137,11 @@
     title: "The copies did not confirm the job in time",
     ending: "unknown",
   },
+  "upstream-refused": {
+    status: 502,
+    title: "The upstream took the request and refused to run it",
+    ending: "unknown",
+  },
   "answer-broken": {
     status: 502,
     title: "The upstream broke off its answer",
--- a/apps/entry/src/upstreamError.ts
+++ b/apps/entry/src/upstreamError.ts
@@ -8,6 +8,8 @@
   | { readonly kind: "not-own"; readonly detail: string }
   /** The answer ended without its end mark, or went on after it. */
   | { readonly kind: "malformed"; readonly detail: string }
+  /** The engine answered that it is full or broken; it has the request's bytes. */
+  | { readonly kind: "refused-run"; readonly detail: string }
   /** The engine no longer knows the request that should resume. */
   | { readonly kind: "gone" }
   /** This side gave up: deadline, or the caller hung up. */
