Measure what grows with the size of a deployment

Cause: the users ask how the design carries 350 hosts, 12,000 upstreams and 27,000 requests a second, and no cost of the design had a measured slope.

--- a/packages/proof/src/entryBench.ts
+++ b/packages/proof/src/entryBench.ts
@@ -79,7 +79,8 @@
   }
 }
 
-async function startBenchEntry(
+/** Starts one entry process with a single client account before an upstream. */
+export async function startBenchEntry(
   upstreamUrl: string,
 ): Promise<{ program: ChildProgram; close: () => Promise<void> }> {
   const platform = new PlatformStandIn();
@@ -183,29 +184,39 @@
   return calls * STREAM_TOKENS / (MEASURED_MS / 1_000);
 }
 
+/** The call that the benchmark's client account makes. */
+export function benchCall(
+  { stream, tokens }: { stream: boolean; tokens: number },
+): {
+  path: string;
+  method: "POST";
+  headers: Record<string, string>;
+  body: string;
+} {
+  return {
+    path: "/v1/chat/completions",
+    method: "POST",
+    headers: {
+      "content-type": "application/json",
+      "authorization": `Bearer ${API_KEY}`,
+    },
+    body: JSON.stringify({
+      model: exampleBundle("fukuoka").services[0]!.models[0],
+      messages: [{ role: "user", content: "When does the school year start?" }],
+      stream,
+      max_tokens: tokens,
+    }),
+  };
+}
+
 function caller(
   url: string,
   { stream }: { stream: boolean },
 ): () => Promise<void> {
   const agent = new Agent({ connections: 256, pipelining: 1 });
-  const body = JSON.stringify({
-    model: exampleBundle("fukuoka").services[0]!.models[0],
-    messages: [{ role: "user", content: "When does the school year start?" }],
-    stream,
-    max_tokens: STREAM_TOKENS,
-  });
-  const headers = {
-    "content-type": "application/json",
-    "authorization": `Bearer ${API_KEY}`,
-  };
+  const request = benchCall({ stream, tokens: STREAM_TOKENS });
   return async () => {
-    const answer = await agent.request({
-      origin: url,
-      path: "/v1/chat/completions",
-      method: "POST",
-      headers,
-      body,
-    });
+    const answer = await agent.request({ origin: url, ...request });
     const text = await answer.body.text();
     const isWhole = answer.statusCode === 200 &&
       (!stream || text.endsWith("data: [DONE]\n\n"));
@@ -249,7 +260,8 @@
   return round(added / MICROSECONDS);
 }
 
-function urlOf(port: unknown): string {
+/** The address of a program on loopback. */
+export function urlOf(port: unknown): string {
   return `http://127.0.0.1:${String(port)}`;
 }
 
--- a/packages/proof/src/index.ts
+++ b/packages/proof/src/index.ts
@@ -5,3 +5,6 @@
 export * from "./experimentPolicies.ts";
 export * from "./experimentTally.ts";
 export * from "./reportTable.ts";
+export * from "./slope.ts";
+export * from "./slopeTarget.ts";
+export * from "./slopes.ts";
--- /dev/null
+++ b/packages/proof/src/slopeScheduler.ts
@@ -0,0 +1,233 @@
+import {
+  asId,
+  asTier,
+  type ClientAccountId,
+  type Digest,
+  type FailureDomain,
+  type HostId,
+  prefixDigests,
+  type RequestId,
+  SeededRandom,
+  type UpstreamId,
+} from "@wasabivane/common";
+import {
+  type Ask,
+  type Decision,
+  type PoolPolicy,
+  PoolScheduler,
+} from "@wasabivane/decisions";
+import { leastProcessorMs, retainedBytes } from "./slopeMeasure.ts";
+import type { SlopePoint } from "./slope.ts";
+import { TARGET } from "./slopeTarget.ts";
+
+const UPSTREAM_COUNTS = [16, 100, 857, 3_000, 12_000];
+const ACCOUNT_COUNTS = [100, 400, 1_100];
+const WAITING_COUNTS = [1_000, 2_000, 4_000];
+const RUNNING_COUNTS = [1_000, 2_000, 4_000];
+const GENERATIONS = 3;
+const TIERS = [1, 2, 3, 4];
+/** Requests that run at each upstream while decisions are timed. */
+const RUNNING_PER_UPSTREAM = 2;
+const TIMED_DECISIONS = 2_000;
+const TIMED_ROUNDS = 4;
+/** A prompt of 4 KiB, hence 16 digests. */
+const PROMPT_BYTES = 4_096;
+const MICROSECONDS = 1_000;
+const HOUR_MS = 3_600_000;
+
+/** A pool of the target's shape with so many upstreams. */
+export function slopePolicy(
+  upstreams: number,
+  { accounts = 0, ...rest }:
+    & { accounts?: number }
+    & Partial<
+      Omit<PoolPolicy, "accounts" | "upstreams">
+    > = {},
+): PoolPolicy {
+  return {
+    upstreams: Array.from({ length: upstreams }, (_, index) => ({
+      upstream: asId<UpstreamId>(`upstream-${index}`),
+      failureDomain: asId<FailureDomain>(
+        `domain-${index % TARGET.failureDomains}`,
+      ),
+      generation: `g${index % GENERATIONS}`,
+      isLeaving: false,
+    })),
+    accounts: Array.from({ length: accounts }, (_, index) => ({
+      account: accountId(index),
+      requestsPerSecond: 1e6,
+      tokensPerSecond: 1e9,
+      concurrentRequests: 100_000,
+      waitingRequests: 100_000,
+    })),
+    tiers: TIERS.map(asTier),
+    initialConcurrency: 8,
+    maximumConcurrency: 64,
+    maximumWaitingTokens: 1e9,
+    maximumWaitingBytes: 1e12,
+    maximumEjectedShare: 0.4,
+    domainDistanceMs: 1,
+    ...rest,
+  };
+}
+
+/** A request of the target's shape; its strings are its own, as on arrival. */
+export function slopeAsk(
+  number: number,
+  { accounts = TARGET.accounts, origin = "entry-1" }: {
+    accounts?: number;
+    origin?: string;
+  } = {},
+): Ask {
+  const account = accountId(number % accounts);
+  const prompt = `request ${number}`.padEnd(PROMPT_BYTES, " word");
+  return {
+    request: asId<RequestId>(`request-${number}`),
+    origin: asId<HostId>(origin),
+    originDomain: asId<FailureDomain>("domain-1"),
+    account,
+    tier: asTier(TIERS[number % TIERS.length]!),
+    promptTokens: PROMPT_BYTES / 4,
+    maximumOutputTokens: 400,
+    bodyBytes: PROMPT_BYTES,
+    deadline: HOUR_MS,
+    prefixDigests: prefixDigests(account, prompt),
+    fingerprint: asId<Digest>(`fingerprint-${number}`.padEnd(64, "0")),
+  };
+}
+
+function accountId(index: number): ClientAccountId {
+  return asId<ClientAccountId>(`client-account-${index}`);
+}
+
+/** Heap of a scheduler by its upstreams. */
+export function upstreamState(): SlopePoint[] {
+  return UPSTREAM_COUNTS.map((count) => {
+    const policy = slopePolicy(count);
+    return [count, retainedBytes(() => schedulerOf(policy))];
+  });
+}
+
+/** Heap of a scheduler by client accounts that each sent a request. */
+export function accountState(): SlopePoint[] {
+  return ACCOUNT_COUNTS.map((count) => {
+    const policy = slopePolicy(16, {
+      accounts: count,
+      initialConcurrency: 1_000,
+      maximumConcurrency: 1_000,
+    });
+    return [
+      count,
+      retainedBytes(() => {
+        const scheduler = schedulerOf(policy);
+        serve(scheduler, asksFrom(0, count, { accounts: count }));
+        return scheduler;
+      }),
+    ];
+  });
+}
+
+/** Heap of a scheduler by requests that wait. */
+export function waitingState(): SlopePoint[] {
+  return WAITING_COUNTS.map((count) => [
+    count,
+    retainedBytes(() => {
+      const scheduler = schedulerOf(
+        slopePolicy(1, { initialConcurrency: 1, maximumConcurrency: 1 }),
+      );
+      for (let number = 0; number <= count; number++) {
+        scheduler.ask(slopeAsk(number), number / 100);
+      }
+      return scheduler;
+    }),
+  ]);
+}
+
+/** Heap of a scheduler by requests that run. */
+export function runningState(): SlopePoint[] {
+  return RUNNING_COUNTS.map((count) => [
+    count,
+    retainedBytes(() => {
+      const scheduler = schedulerOf(slopePolicy(857));
+      start(scheduler, { from: 0, count });
+      return scheduler;
+    }),
+  ]);
+}
+
+/** Processor time of one request at the keeper: ask, grant, first token, end. */
+export function decisionTime(): SlopePoint[] {
+  return UPSTREAM_COUNTS.map((count) => {
+    const scheduler = schedulerOf(
+      slopePolicy(count, { accounts: TARGET.accounts }),
+    );
+    const running = RUNNING_PER_UPSTREAM * count;
+    start(scheduler, { from: 0, count: running });
+    const rounds = Array.from(
+      { length: TIMED_ROUNDS },
+      (_, round) =>
+        asksFrom(running + round * TIMED_DECISIONS, TIMED_DECISIONS),
+    );
+    const least = leastProcessorMs(
+      () => serve(scheduler, rounds.pop()!),
+      { rounds: TIMED_ROUNDS },
+    );
+    return [count, least / TIMED_DECISIONS * MICROSECONDS];
+  });
+}
+
+/** Processor time of a new policy at the keeper, by upstreams of the pool. */
+export function policyTime(): SlopePoint[] {
+  return UPSTREAM_COUNTS.map((count) => {
+    const scheduler = schedulerOf(slopePolicy(count));
+    const next = slopePolicy(count);
+    return [count, leastProcessorMs(() => void scheduler.setPolicy(next, 1))];
+  });
+}
+
+function schedulerOf(policy: PoolPolicy): PoolScheduler {
+  return new PoolScheduler(policy, { random: new SeededRandom(1) });
+}
+
+function asksFrom(
+  from: number,
+  count: number,
+  options: { accounts?: number } = {},
+): Ask[] {
+  return Array.from(
+    { length: count },
+    (_, index) => slopeAsk(from + index, options),
+  );
+}
+
+/** Starts requests that stay. */
+function start(
+  scheduler: PoolScheduler,
+  { from, count }: { from: number; count: number },
+): void {
+  for (const ask of asksFrom(from, count)) scheduler.ask(ask, 0);
+}
+
+/** Runs requests from their ask to their end. */
+function serve(scheduler: PoolScheduler, asks: readonly Ask[]): void {
+  for (const ask of asks) {
+    const grant = grantOf(scheduler.ask(ask, 1));
+    scheduler.firstToken(ask.request, 50);
+    scheduler.finish({
+      request: ask.request,
+      upstream: grant.upstream,
+      outcome: "whole",
+      outputTokens: 200,
+    }, 8_000);
+  }
+}
+
+function grantOf(
+  decisions: readonly Decision[],
+): Extract<Decision, { kind: "grant" }> {
+  const [decision] = decisions;
+  if (decision?.kind !== "grant") {
+    throw new Error(`A request was not granted: ${JSON.stringify(decision)}`);
+  }
+  return decision;
+}
