Refuse bad bytes on a caller's connection with a problem document

Broken requests, slow ones and connections past the bound got a bare status line from Node.js or a closed connection, slow ones only after up to 30 s, and a path with dot segments, plain or escaped, left a plain service's prefix. Two Authorization or Host headers went through with the first counting.

A shared bench starts one entry host over stand-ins on free ports; 45 cases run over real sockets and check the document, the ending and that no upstream saw anything. The caller interface no longer goes through Hono, whose adapter answered some of these by itself.

--- a/apps/entry/src/answerWriter.ts
+++ b/apps/entry/src/answerWriter.ts
@@ -1,4 +1,5 @@
-import type { ServerResponse } from "node:http";
+import { Buffer } from "node:buffer";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type {
   AnswerHead,
   AnswerReader,
@@ -15,10 +16,44 @@
 /** Sends a problem as the whole answer. */
 export function writeProblem(outgoing: ServerResponse, problem: Problem): void {
   const body = JSON.stringify(problemDocument(problem));
-  outgoing.writeHead(PROBLEMS[problem.name].status, problemHeaders(problem));
+  outgoing.writeHead(PROBLEMS[problem.name].status, {
+    ...problemHeaders(problem),
+    "content-length": Buffer.byteLength(body),
+  });
   outgoing.end(body);
 }
 
+/**
+ * Sends a problem to a caller that may still be sending. A connection closed
+ * with bytes unread is reset, and the reset can overtake the document; so what
+ * still comes is read and dropped, up to a bound. The listener bounds the time.
+ */
+export function refuseUnread(
+  incoming: IncomingMessage,
+  { outgoing, problem, maximumBytes }: {
+    outgoing: ServerResponse;
+    problem: Problem;
+    maximumBytes: number;
+  },
+): void {
+  if (incoming.complete) return writeProblem(outgoing, problem);
+  const body = JSON.stringify(problemDocument(problem));
+  outgoing.writeHead(PROBLEMS[problem.name].status, {
+    ...problemHeaders(problem),
+    "content-length": Buffer.byteLength(body),
+    "connection": "close",
+  });
+  outgoing.write(body);
+  let droppedBytes = 0;
+  incoming.on("data", (part: Uint8Array) => {
+    droppedBytes += part.byteLength;
+    if (droppedBytes > maximumBytes) outgoing.end();
+  });
+  incoming.on("end", () => outgoing.end());
+  incoming.on("error", () => outgoing.destroy());
+  incoming.resume();
+}
+
 /**
  * Relays an answer to its caller, as fast as the caller reads. An answer that
  * fails after its head was sent ends so that no part can be taken for the
--- a/apps/entry/src/callerApi.ts
+++ b/apps/entry/src/callerApi.ts
@@ -1,7 +1,4 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { HttpBindings } from "@hono/node-server";
-import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
-import { Hono } from "hono";
 import type {
   Blackboard,
   ClientAccountId,
@@ -15,13 +12,14 @@
 import type { Bundle, SignedBundle } from "@wasabivane/bundle";
 import type { AcceptedRequest } from "./acceptedRequest.ts";
 import type { AnswerRecord } from "./answerRecord.ts";
-import { relayAnswer, writeProblem } from "./answerWriter.ts";
+import { refuseUnread, relayAnswer, writeProblem } from "./answerWriter.ts";
 import { Authenticator } from "./authentication.ts";
 import { TICKETS_PATH } from "./constants.ts";
 import { acceptRequest } from "./intake.ts";
 import type { JobDesk } from "./jobDesk.ts";
 import { type Problem, problemOf } from "./problem.ts";
 import { readBody } from "./requestBody.ts";
+import { checkHead } from "./requestHead.ts";
 
 const REQUEST_ID_BYTES = 9;
 const RETRY_AFTER_MS = 2_000;
@@ -54,8 +52,6 @@
   readonly jobDesk: JobDesk;
 }
 
-type Environment = { Bindings: HttpBindings };
-
 /** The HTTP interface for callers. */
 export class CallerApi {
   readonly #options: CallerApiOptions;
@@ -65,31 +61,36 @@
     this.#options = options;
   }
 
-  /** The routes; answers are written to the connection directly. */
-  routes(): Hono<Environment> {
-    const app = new Hono<Environment>();
-    app.all("*", async ({ env: { incoming, outgoing } }) => {
-      await this.handle(
-        incoming as IncomingMessage,
-        outgoing as ServerResponse,
-      );
-      return RESPONSE_ALREADY_SENT;
-    });
-    return app;
-  }
-
   /** Serves one request from its first byte to its ending. */
   async handle(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<void> {
-    const problem = await this.#accept(incoming, outgoing);
-    if (problem === undefined) return;
-    this.#options.metrics.count("request.refused_at_intake", 1, {
-      problem: problem.name,
+    try {
+      const problem = await this.#accept(incoming, outgoing);
+      if (problem !== undefined) this.#refuse(problem, { incoming, outgoing });
+    } catch {
+      // A broken invariant; what ran of the request is not known here.
+      this.#options.metrics.count("request.internal_error");
+      if (outgoing.headersSent) outgoing.destroy();
+      else writeProblem(outgoing, problemOf("internal"));
+    }
+  }
+
+  #refuse(
+    problem: Problem,
+    { incoming, outgoing }: {
+      incoming: IncomingMessage;
+      outgoing: ServerResponse;
+    },
+  ): void {
+    const { metrics, maximumBodyBytes } = this.#options;
+    metrics.count("request.refused_at_intake", 1, { problem: problem.name });
+    refuseUnread(incoming, {
+      outgoing,
+      problem,
+      maximumBytes: maximumBodyBytes,
     });
-    if (problem.name === "body-too-large") outgoing.shouldKeepAlive = false;
-    writeProblem(outgoing, problem);
   }
 
   async #accept(
@@ -104,11 +105,13 @@
     if (bundle === undefined) {
       return problemOf("not-ready", { retryAfter: RETRY_AFTER_MS });
     }
+    const target = checkHead(incoming);
+    if (target.isErr()) return target.error;
+    const path = target.value;
     const account = this.#authenticatorFor(bundle).authenticate(
       incoming.headers.authorization,
     );
     if (account === undefined) return problemOf("unauthenticated");
-    const path = incoming.url ?? "/";
     if (jobDesk.serves(path)) {
       await jobDesk.tell({ path, account: account.account, outgoing });
       return undefined;
--- a/apps/entry/src/daemon.ts
+++ b/apps/entry/src/daemon.ts
@@ -1,3 +1,4 @@
+import { getRequestListener } from "@hono/node-server";
 import { EntryHost, type EntryHostOptions } from "./entryHost.ts";
 import { type HttpListener, listen } from "./httpListener.ts";
 import { operatorRoutes } from "./operatorApi.ts";
@@ -23,12 +24,14 @@
   async start(): Promise<DaemonPorts> {
     const { settings: { callers, operators, limits } } = this.#options;
     this.host.start();
-    const callerListener = await listen(this.host.createCallerApi().routes(), {
-      listener: callers,
-      limits,
-    });
+    const callerApi = this.host.createCallerApi();
+    const callerListener = await listen(
+      (incoming, outgoing) => void callerApi.handle(incoming, outgoing),
+      { listener: callers, limits },
+    );
+    const routes = operatorRoutes(this.host.operatorView());
     const operatorListener = await listen(
-      operatorRoutes(this.host.operatorView()),
+      getRequestListener(routes.fetch, { overrideGlobalObjects: false }),
       { listener: operators, limits },
     );
     this.#listeners = [callerListener, operatorListener];
--- a/apps/entry/src/httpListener.ts
+++ b/apps/entry/src/httpListener.ts
@@ -6,14 +6,18 @@
 } from "node:https";
 import type { AddressInfo } from "node:net";
 import type { SecureContextOptions } from "node:tls";
-import { getRequestListener } from "@hono/node-server";
+import {
+  ConnectionProblems,
+  type RequestHandler,
+} from "./connectionProblems.ts";
 import type { Listener, Settings } from "./settings.ts";
 
-type FetchCallback = Parameters<typeof getRequestListener>[0];
-
 const CERTIFICATE_POLL_MS = 5_000;
 const MAX_HEADER_BYTES = 16 * 1024;
 const KEEP_ALIVE_MS = 30_000;
+/** Slow connections end within this past their time. */
+const MAX_TIMEOUT_CHECK_MS = 1_000;
+const TIMEOUT_CHECKS = 4;
 
 /** A listening HTTP server. */
 export interface HttpListener {
@@ -24,32 +28,31 @@
   close(): Promise<void>;
 }
 
-/** What is served, such as a Hono application. */
-export interface Routes {
-  fetch(request: Request, environment: never): Response | Promise<Response>;
-}
-
-/** Serves routes at an address, over TLS where the settings give certificates. */
+/** Serves requests at an address, over TLS where the settings give certificates. */
 export function listen(
-  { fetch }: Routes,
+  handle: RequestHandler,
   { listener, limits }: { listener: Listener; limits: Settings["limits"] },
 ): Promise<HttpListener> {
-  const handle = getRequestListener(
-    fetch as FetchCallback,
-    {
-      overrideGlobalObjects: false,
-    },
-  );
+  const problems = new ConnectionProblems(limits.maximumConnections);
   const options = {
     maxHeaderSize: MAX_HEADER_BYTES,
     headersTimeout: limits.headersTimeoutMs,
-    requestTimeout: limits.requestTimeoutMs,
+    requestTimeout: limits.headersTimeoutMs + limits.requestTimeoutMs,
+    connectionsCheckingInterval: Math.min(
+      MAX_TIMEOUT_CHECK_MS,
+      limits.headersTimeoutMs / TIMEOUT_CHECKS,
+    ),
+    // The caller interface refuses these itself, with a document.
+    requireHostHeader: false,
     keepAliveTimeout: KEEP_ALIVE_MS,
   };
   const server = listener.tls === undefined
-    ? createServer(options, handle)
-    : createSecureServer({ ...options, tls: listener.tls }, handle);
-  server.maxConnections = limits.maximumConnections;
+    ? createServer(options, problems.guard(handle))
+    : createSecureServer(
+      { ...options, tls: listener.tls },
+      problems.guard(handle),
+    );
+  problems.watch(server);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(listener.port, listener.address, () => resolve(wrap(server)));
@@ -60,7 +63,7 @@
   { tls, ...options }:
     & { tls: NonNullable<Listener["tls"]> }
     & Record<string, unknown>,
-  handle: ReturnType<typeof getRequestListener>,
+  handle: RequestHandler,
 ): TlsServer {
   const server = createTlsServer(
     { ...options, ...readCertificate(tls) },
--- a/apps/entry/src/main.ts
+++ b/apps/entry/src/main.ts
@@ -35,12 +35,12 @@
     process.stderr.write(`${started.error.detail}\n`);
     process.exit(EXIT_FAILURE);
   }
-  const { daemon, ports } = started.value;
+  const { stop: stopEntry, ports } = started.value;
   process.stdout.write(
     `${JSON.stringify({ host: settings.host, ...ports })}\n`,
   );
   const stop = (): void => {
-    void daemon.stop().then(() => process.exit(0));
+    void stopEntry().then(() => process.exit(0));
   };
   process.once("SIGTERM", stop);
   process.once("SIGINT", stop);
--- a/apps/entry/src/problem.ts
+++ b/apps/entry/src/problem.ts
@@ -47,6 +47,26 @@
     title: "The account has no such job",
     ending: "unknown",
   },
+  "headers-too-large": {
+    status: 431,
+    title: "The headers are too large",
+    ending: "not-run",
+  },
+  "request-timeout": {
+    status: 408,
+    title: "The request did not arrive in time",
+    ending: "not-run",
+  },
+  "too-many-connections": {
+    status: 503,
+    title: "This host has too many connections",
+    ending: "not-run",
+  },
+  "internal": {
+    status: 500,
+    title: "This host failed",
+    ending: "unknown",
+  },
   "body-too-large": {
     status: 413,
     title: "The body is too large",
@@ -216,6 +236,9 @@
   const headers: Record<string, string> = {
     "content-type": "application/problem+json",
   };
+  if (problem.name === "unauthenticated") {
+    headers["www-authenticate"] = "Bearer";
+  }
   if (problem.retryAfter !== undefined) {
     headers["retry-after"] = String(Math.ceil(problem.retryAfter / 1000));
   }
--- a/apps/entry/src/requestBody.ts
+++ b/apps/entry/src/requestBody.ts
@@ -22,6 +22,7 @@
         return;
       }
       incoming.pause();
+      incoming.removeAllListeners("data");
       resolve(err(problemOf("body-too-large")));
     });
     incoming.on("end", () => resolve(ok(Buffer.concat(parts))));
--- a/apps/entry/src/startEntry.ts
+++ b/apps/entry/src/startEntry.ts
@@ -26,6 +26,8 @@
     readonly operatorPort: number;
     readonly peerPort: number;
   };
+  /** Ends at once and closes every port. */
+  stop(): Promise<void>;
 }
 
 /** Why an entry host did not start. */
@@ -81,6 +83,11 @@
     return ok({
       daemon,
       ports: { ...await daemon.start(), peerPort: peers.value },
+      async stop(): Promise<void> {
+        await daemon.stop();
+        link.close();
+        if (metrics instanceof StatsdMetrics) await metrics.close();
+      },
     });
   } catch (thrown) {
     return err({ kind: "cannot-listen", detail: (thrown as Error).message });
--- /dev/null
+++ b/apps/entry/tests/badInput.test.ts
@@ -0,0 +1,296 @@
+import { Buffer } from "node:buffer";
+import test, { type ExecutionContext } from "ava";
+import {
+  bearer,
+  type EntryBench,
+  startBench,
+  until,
+} from "./helpers/entryBench.ts";
+import {
+  callRaw,
+  openSocket,
+  type RawAnswer,
+  readAnswer,
+} from "./helpers/rawCall.ts";
+
+const MAXIMUM_BODY_BYTES = 2_048;
+const CHAT = JSON.stringify({
+  model: "drafter",
+  messages: [{ role: "user", content: "When does school start?" }],
+});
+
+let bench: EntryBench;
+
+test.before(async () => {
+  bench = await startBench({
+    settings: {
+      limits: {
+        maximumBodyBytes: MAXIMUM_BODY_BYTES,
+        headersTimeoutMs: 200,
+        requestTimeoutMs: 200,
+      },
+    },
+  });
+});
+
+test.after.always(() => bench.stop());
+
+interface RequestParts {
+  readonly method?: string;
+  readonly target?: string;
+  readonly headers?: readonly string[];
+  readonly body?: string | Buffer;
+  readonly authorization?: string;
+}
+
+function requestBytes(
+  {
+    method = "POST",
+    target = "/v1/chat/completions",
+    headers = [],
+    body = "",
+    authorization = bearer(),
+  }: RequestParts,
+): Buffer {
+  const content = Buffer.from(body);
+  const isFramed = headers.some((header) =>
+    /^(content-length|transfer-encoding):/i.test(header)
+  );
+  const head = [
+    `${method} ${target} HTTP/1.1`,
+    "Host: entry",
+    "Connection: close",
+    `Authorization: ${authorization}`,
+    ...headers,
+    ...isFramed ? [] : [`Content-Length: ${content.byteLength}`],
+  ];
+  return Buffer.concat([Buffer.from(`${head.join("\r\n")}\r\n\r\n`), content]);
+}
+
+interface Refusal extends RequestParts {
+  readonly problem: string;
+  readonly status: number;
+}
+
+function chunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+const BIG = "x".repeat(MAXIMUM_BODY_BYTES + 1);
+const MALFORMED = { problem: "malformed-request", status: 400 };
+
+const REFUSALS: Readonly<Record<string, Refusal>> = {
+  "broken JSON": { ...MALFORMED, body: '{"model":' },
+  "an empty body": { ...MALFORMED, body: "" },
+  "a wrong type": { ...MALFORMED, body: '{"model":"drafter","messages":"hi"}' },
+  "a body that is a list": { ...MALFORMED, body: "[]" },
+  "invalid UTF-8": {
+    ...MALFORMED,
+    body: Buffer.from([0x7b, 0x22, 0xff, 0x22, 0x7d]),
+  },
+  "an unknown model": {
+    problem: "unknown-model",
+    status: 404,
+    body: CHAT.replace("drafter", "painter"),
+  },
+  "an unknown account": {
+    problem: "unauthenticated",
+    status: 401,
+    body: CHAT,
+    authorization: "Bearer demo-key-of-nobody",
+  },
+  "a wrong scheme": {
+    problem: "unauthenticated",
+    status: 401,
+    body: CHAT,
+    authorization: "Basic ZGVtbzpkZW1v",
+  },
+  "a tier of others": {
+    problem: "tier-not-allowed",
+    status: 403,
+    body: CHAT,
+    headers: ["X-Tier: 1"],
+    authorization: bearer("oita-law-office"),
+  },
+  "a wrong key": {
+    problem: "key-malformed",
+    status: 400,
+    body: CHAT,
+    headers: ["Idempotency-Key: order-17"],
+  },
+  "two keys": {
+    ...MALFORMED,
+    body: CHAT,
+    headers: ["Idempotency-Key: a", "Idempotency-Key: b"],
+  },
+  "two accounts": {
+    ...MALFORMED,
+    body: CHAT,
+    headers: [`Authorization: ${bearer("oita-law-office")}`],
+  },
+  "two hosts": { ...MALFORMED, body: CHAT, headers: ["Host: other"] },
+  "a deadline in words": {
+    ...MALFORMED,
+    body: CHAT,
+    headers: ["X-Deadline-Ms: soon"],
+  },
+  "an announced body over the bound": {
+    problem: "body-too-large",
+    status: 413,
+    headers: [`Content-Length: ${BIG.length}`],
+    body: BIG,
+  },
+  "a chunked body over the bound": {
+    problem: "body-too-large",
+    status: 413,
+    headers: ["Transfer-Encoding: chunked"],
+    body: chunk(BIG) + chunk(""),
+  },
+  "both lengths": {
+    ...MALFORMED,
+    headers: ["Content-Length: 4", "Transfer-Encoding: chunked"],
+    body: chunk(""),
+  },
+  "a broken chunk": {
+    ...MALFORMED,
+    headers: ["Transfer-Encoding: chunked"],
+    body: "zz\r\n",
+  },
+  "headers over the bound": {
+    problem: "headers-too-large",
+    status: 431,
+    headers: [`X-Filler: ${"x".repeat(20_000)}`],
+  },
+  "a header without colon": { ...MALFORMED, headers: ["Nonsense"] },
+  "a path of no service": {
+    problem: "unknown-path",
+    status: 404,
+    method: "GET",
+    target: "/elsewhere",
+  },
+  "a path that only starts like a service's": {
+    problem: "unknown-path",
+    status: 404,
+    method: "GET",
+    target: "/casefiles",
+  },
+  "the asterisk": {
+    problem: "unknown-path",
+    status: 404,
+    method: "OPTIONS",
+    target: "*",
+  },
+  "an unknown expectation": { ...MALFORMED, headers: ["Expect: wonders"] },
+  "an unknown job": {
+    problem: "unknown-job",
+    status: 404,
+    method: "GET",
+    target: "/v1/jobs/none",
+  },
+  ...Object.fromEntries(
+    [
+      "/casefile/../secret",
+      "/casefile/..",
+      "/casefile/./a",
+      "/casefile/%2e%2e/secret",
+      "/casefile/%2E./secret",
+      "/casefile/..%2fsecret",
+      "/casefile/a%2f..%2f..%2fsecret",
+      "/casefile/..%5csecret",
+      "/casefile/..\\secret",
+      "/casefile/%252e%252e/secret",
+      "/casefile/..;x=1/secret",
+      "/casefile/%zz",
+      "/casefile/%00",
+      "/casefile/a#b",
+      "http://entry/casefile/../secret",
+    ].map((target) => [target, { ...MALFORMED, method: "GET", target }]),
+  ),
+};
+
+for (const [name, { problem, status, ...parts }] of Object.entries(REFUSALS)) {
+  test.serial(`${name} is refused with a document and reaches no upstream`, async (t) => {
+    const answer = await callRaw(requestBytes(parts), {
+      port: bench.callerPort,
+    });
+    assertProblem(t, answer, { problem, status });
+    assertNothingRan(t);
+  });
+}
+
+function assertProblem(
+  t: ExecutionContext,
+  answer: RawAnswer | undefined,
+  { problem, status }: { problem: string; status: number },
+): void {
+  t.is(answer?.status, status);
+  t.is(answer?.headers["content-type"], "application/problem+json");
+  const document = JSON.parse(answer!.body);
+  t.is(document.type, `urn:wasabivane:problem:${problem}`);
+  t.is(document.status, status);
+  t.is(document.ending, problem === "unknown-job" ? "unknown" : "not-run");
+  t.is(answer?.headers["retry-after"], undefined);
+}
+
+function assertNothingRan(t: ExecutionContext): void {
+  t.is(bench.status().openExchanges, 0);
+  t.deepEqual(bench.engines[0]!.state.runs, {});
+  t.is(bench.plains[0]!.runs.total, 0);
+}
+
+test.serial("headers that come too slowly end with a document", async (t) => {
+  const socket = await openSocket(bench.callerPort);
+  const answer = readAnswer(socket);
+  socket.write("POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n");
+  assertProblem(t, await answer, { problem: "request-timeout", status: 408 });
+  assertNothingRan(t);
+});
+
+test.serial("a body that comes too slowly ends with a document", async (t) => {
+  const socket = await openSocket(bench.callerPort);
+  const answer = readAnswer(socket);
+  const headers = [`Content-Length: ${CHAT.length}`];
+  socket.write(requestBytes({ body: CHAT.slice(0, 10), headers }));
+  assertProblem(t, await answer, { problem: "request-timeout", status: 408 });
+  assertNothingRan(t);
+});
+
+test.serial("a connection half closed within the body gets a document", async (t) => {
+  const headers = [`Content-Length: ${CHAT.length}`];
+  const bytes = requestBytes({ body: CHAT.slice(0, 10), headers });
+  const answer = await callRaw(bytes, {
+    port: bench.callerPort,
+    endsAfter: true,
+  });
+  assertProblem(t, answer, MALFORMED);
+  assertNothingRan(t);
+});
+
+test.serial("a request without a host is refused", async (t) => {
+  const answer = await callRaw(
+    "GET /casefile HTTP/1.1\r\nConnection: close\r\n\r\n",
+    { port: bench.callerPort },
+  );
+  assertProblem(t, answer, MALFORMED);
+});
+
+test.serial("a caller over the bound of connections is told to come again", async (t) => {
+  const small = await startBench({
+    settings: { limits: { maximumConnections: 2 } },
+  });
+  const held = [
+    await openSocket(small.callerPort),
+    await openSocket(small.callerPort),
+  ];
+  const bytes = requestBytes({ body: CHAT });
+  const answer = await callRaw(bytes, { port: small.callerPort });
+  t.is(answer?.status, 503);
+  t.is(answer?.headers["retry-after"], "1");
+  const document = JSON.parse(answer!.body);
+  t.is(document.type, "urn:wasabivane:problem:too-many-connections");
+  t.is(document.ending, "not-run");
+  t.deepEqual(small.engines[0]!.state.runs, {});
+  for (const socket of held) socket.destroy();
+  await until(() => small.status().openExchanges === 0);
+  await small.stop();
+});
--- /dev/null
+++ b/apps/entry/tests/helpers/entryBench.ts
@@ -0,0 +1,161 @@
+import { setTimeout as pause } from "node:timers/promises";
+import {
+  type Bundle,
+  demoApiKey,
+  exampleBundle,
+  exampleSigningKey,
+  signBundle,
+  trustedKeyOf,
+} from "@wasabivane/bundle";
+import { asId } from "@wasabivane/common";
+import { settingsSchema, startEntry } from "@wasabivane/entry";
+import {
+  EngineStandIn,
+  type EngineStandInOptions,
+  PlainStandIn,
+  PlatformStandIn,
+} from "@wasabivane/stand-ins";
+
+const POLL_MS = 2;
+const ADDRESS = "127.0.0.1";
+
+/** Options of {@link startBench}. */
+export interface EntryBenchOptions {
+  readonly engines?: number;
+  readonly plains?: number;
+  readonly engineOptions?: EngineStandInOptions;
+  /** Settings beside or in place of the bench's own. */
+  readonly settings?: Readonly<Record<string, unknown>>;
+  /** Urls in place of those of stand-ins, by upstream. */
+  readonly upstreamUrls?: Readonly<Record<string, string>>;
+  readonly platformUrl?: (url: string) => string;
+}
+
+/** One entry host over stand-ins, all in this process. */
+export interface EntryBench {
+  readonly callerPort: number;
+  readonly operatorPort: number;
+  readonly callerUrl: string;
+  readonly bundle: Bundle;
+  readonly engines: readonly EngineStandIn[];
+  readonly plains: readonly PlainStandIn[];
+  readonly platform: PlatformStandIn;
+  /** What the operator port would tell. */
+  status(): { openExchanges: number; counters: Record<string, number> };
+  /** The sum of a counter over all its tags. */
+  counter(name: string): number;
+  stop(): Promise<void>;
+}
+
+/** Resolves once a condition holds; the test's own timeout is the only bound. */
+export async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await pause(POLL_MS);
+}
+
+/** Settings of a single entry host on free ports. */
+export function benchSettings(
+  platformUrl: string,
+  overrides: Readonly<Record<string, unknown>> = {},
+): Record<string, unknown> {
+  return {
+    host: "entry-1",
+    failureDomain: "hakata",
+    callers: { port: 0 },
+    operators: { port: 0 },
+    peers: { port: 0, secrets: ["secret-of-the-bench"] },
+    platform: { configurationUrl: platformUrl, hostListUrl: platformUrl },
+    trustedKeys: [trustedKeyOf(exampleSigningKey())],
+    logLevel: "silent",
+    ...overrides,
+  };
+}
+
+/** Starts an entry host in front of stand-ins and waits until it is ready. */
+export async function startBench(
+  options: EntryBenchOptions = {},
+): Promise<EntryBench> {
+  const engines = Array.from(
+    { length: options.engines ?? 1 },
+    () => new EngineStandIn({ timeScale: 50, ...options.engineOptions }),
+  );
+  const plains = Array.from(
+    { length: options.plains ?? 1 },
+    () => new PlainStandIn(),
+  );
+  const platform = new PlatformStandIn();
+  const bundle = await bundleOver({ engines, plains }, options);
+  platform.setBundle(signBundle(bundle, exampleSigningKey())._unsafeUnwrap());
+  platform.setHosts({
+    version: 1,
+    entryHosts: [{
+      host: asId("entry-1"),
+      peerAddress: `${ADDRESS}:1`,
+      failureDomain: bundle.failureDomains[0]!.failureDomain,
+      state: "live",
+    }],
+    upstreams: bundle.upstreams.map(({ upstream }) => ({
+      upstream,
+      state: "live",
+    })),
+  });
+  const { url } = await platform.start();
+  const platformUrl = options.platformUrl?.(url) ?? url;
+  const settings = settingsSchema.parse(
+    benchSettings(platformUrl, options.settings),
+  );
+  const started = (await startEntry(settings))._unsafeUnwrap();
+  const { host } = started.daemon;
+  await until(() => host.operatorView().isReady());
+  const status = host.status.bind(host) as EntryBench["status"];
+  return {
+    ...started.ports,
+    callerUrl: `http://${ADDRESS}:${started.ports.callerPort}`,
+    bundle,
+    engines,
+    plains,
+    platform,
+    status,
+    counter: (name) => sumOf(status().counters, name),
+    async stop(): Promise<void> {
+      await started.stop();
+      const standIns = [...engines, ...plains, platform];
+      await Promise.all(standIns.map((standIn) => standIn.stop()));
+    },
+  };
+}
+
+async function bundleOver(
+  { engines, plains }: Pick<EntryBench, "engines" | "plains">,
+  { upstreamUrls = {} }: EntryBenchOptions,
+): Promise<Bundle> {
+  const example = exampleBundle("fukuoka");
+  const urls: Record<string, string> = {};
+  for (
+    const [service, standIns] of [["drafter", engines], [
+      "casefile",
+      plains,
+    ]] as const
+  ) {
+    const upstreams = example.upstreams.filter((upstream) =>
+      upstream.service === service
+    );
+    for (const [index, standIn] of standIns.entries()) {
+      const { upstream } = upstreams[index]!;
+      urls[upstream] = upstreamUrls[upstream] ?? (await standIn.start()).url;
+    }
+  }
+  const bundle = exampleBundle("fukuoka", { upstreamUrls: urls });
+  const upstreams = bundle.upstreams.filter(({ upstream }) => upstream in urls);
+  return { ...bundle, upstreams };
+}
+
+function sumOf(counters: Record<string, number>, name: string): number {
+  return Object.entries(counters)
+    .filter(([key]) => key === name || key.startsWith(`${name}{`))
+    .reduce((sum, [, value]) => sum + value, 0);
+}
+
+/** The `Authorization` value of an example account. */
+export function bearer(account = "hakata-mediation"): string {
+  return `Bearer ${demoApiKey(account)}`;
+}
