Explore every run of the job register with three members

Cause: the right to dispatch must hold under any order of messages, crashes and pauses; scenarios show only some of them.

Change: a breadth-first check over the register's own functions, with members taken as interchangeable. Safeguards can be turned off.

--- a/packages/proof/src/index.ts
+++ b/packages/proof/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./experiment.ts";
 export * from "./experimentPolicies.ts";
 export * from "./experimentTally.ts";
+export * from "./registerCheck.ts";
 export * from "./reportTable.ts";
 export * from "./slope.ts";
 export * from "./slopeTarget.ts";
