Let a job grow back to three members and return to a former one

Cause: random faults ended with jobs not found although hosts were free. A job that moved while no fresh host answered stayed at two members, and a host that had let go of a job refused it for good because of its tombstone.

Change: a move keeps members that may come back, a job below three members is moved as soon as a host is free, and a former member holds the job again for later epochs only, since it has forgotten what it promised in earlier ones.

--- a/packages/coordination/src/jobController.ts
+++ b/packages/coordination/src/jobController.ts
@@ -27,7 +27,7 @@
 import { JobAcceptance, type JobBounds } from "./jobAcceptance.ts";
 import { JobCopying } from "./jobCopying.ts";
 import { JobInbox } from "./jobInbox.ts";
-import { type JobStep, nextStep } from "./jobKeeping.ts";
+import { type JobStep, MEMBERS_PER_JOB, nextStep } from "./jobKeeping.ts";
 import { dispatchOf, JobLifecycle } from "./jobLifecycle.ts";
 import { JobLookUps } from "./jobLookUps.ts";
 import { type JobMember, JobMembers } from "./jobMembers.ts";
@@ -46,6 +46,7 @@
 
 const TICK_MS: Milliseconds = 250;
 const MOVE_COPY_WAIT_MS: Milliseconds = 1_000;
+const MOVE_RETRY_MS: Milliseconds = 2_000;
 /** A copy that nobody confirms vanishes; it has promised nothing. */
 const UNCONFIRMED_MS: Milliseconds = 60_000;
 /** How often a copy asks whether it is still needed, after lost news. */
@@ -305,7 +306,7 @@
       record.outcome === undefined;
     const age = timer.now() - record.installedAt;
     if (!isUnconfirmed || age < UNCONFIRMED_MS) return false;
-    this.#store.remove(record.job.id);
+    this.#store.removeUnconfirmed(record);
     return true;
   }
 
@@ -322,7 +323,10 @@
 
   async #move(
     record: JobRecord,
-    { staying, fresh, holder }: Extract<JobStep, { kind: "move" }>,
+    { staying, fresh, spare, holder, isRequired }: Extract<
+      JobStep,
+      { kind: "move" }
+    >,
   ): Promise<void> {
     const epoch = record.epoch!;
     record.isMoving = true;
@@ -331,10 +335,14 @@
       withinMs: MOVE_COPY_WAIT_MS,
     });
     record.isMoving = false;
-    const members = [...staying, ...copies];
+    const members = padded([...staying, ...copies], spare);
     const isCurrent = this.#store.find(record.job.id) === record &&
       record.epoch === epoch && record.outcome === undefined;
-    if (!isCurrent || members.length < 2) return;
+    if (!isCurrent) return;
+    record.retryAt = this.#options.timer.now() + MOVE_RETRY_MS;
+    const isHelped = members.length > 1 &&
+      (isRequired || copies.length > 0);
+    if (!isHelped) return;
     const next: Epoch = {
       number: epoch.number + 1,
       members,
@@ -356,3 +364,14 @@
     }
   }
 }
+
+/** Members up to the usual number; spare ones may come back with their copies. */
+function padded(
+  members: readonly MemberId[],
+  spare: readonly MemberId[],
+): MemberId[] {
+  return [...members, ...spare].slice(
+    0,
+    Math.max(members.length, MEMBERS_PER_JOB),
+  );
+}
--- a/packages/coordination/src/jobInbox.ts
+++ b/packages/coordination/src/jobInbox.ts
@@ -82,7 +82,7 @@
   #hold(job: Job): boolean {
     const { timer, store, isOpen } = this.#options;
     if (store.find(job.id) !== undefined) return true;
-    if (store.tombstone(job.id) !== undefined) return false;
+    if (!store.isWelcome(job.id)) return false;
     if (job.expiresAt <= timer.wallNow()) return false;
     if (!isOpen() || !store.hasRoomFor(job)) return false;
     store.install(job, timer.now());
@@ -111,7 +111,7 @@
       return;
     }
     const isWelcome = record !== undefined ||
-      (store.tombstone(id) === undefined &&
+      (store.isWelcome(id) &&
         news.job.expiresAt > timer.wallNow() && store.hasRoomFor(news.job));
     if (!isWelcome) return;
     const settled = record ?? store.install(news.job, timer.now());
--- a/packages/coordination/src/jobKeeping.ts
+++ b/packages/coordination/src/jobKeeping.ts
@@ -30,7 +30,11 @@
     readonly kind: "move";
     readonly staying: readonly MemberId[];
     readonly fresh: readonly MemberId[];
+    /** Members that do not answer now but may come back with their copies. */
+    readonly spare: readonly MemberId[];
     readonly holder: "self" | "other";
+    /** Worth it also without a fresh member. */
+    readonly isRequired: boolean;
   }
   | { readonly kind: "end-alone"; readonly ending: "not-run" | "unknown" }
   | { readonly kind: "resume" }
@@ -75,7 +79,8 @@
   const patience = DEAD_GRACE_MS + others.indexOf(self) * TAKEOVER_STAGGER_MS;
   const isHolderGone = members.deadFor(epoch.holder, now) >= patience &&
     members.isDead(epoch.holder);
-  return isHolderGone ? move(record, { staying: others, view }) : WAIT;
+  if (!isHolderGone) return WAIT;
+  return move(record, { epoch, staying: others, view, isRequired: true });
 }
 
 function stepAsHolder(
@@ -91,29 +96,34 @@
   // The holder's own round is spent, so a fresh epoch must follow in any case.
   const mustMove = record.hasUsedHolderRound ||
     staying.length < answering.length;
-  if (mustMove) return move(record, { staying, view });
+  if (mustMove) return move(record, { epoch, staying, view, isRequired: true });
   const isAnyGone = epoch.members.some((member) =>
     record.lost.has(member) || members.deadFor(member, now) >= DEAD_GRACE_MS
   );
-  if (!isAnyGone) return WAIT;
-  const step = move(record, { staying, view });
+  if (!isAnyGone && epoch.members.length >= MEMBERS_PER_JOB) return WAIT;
+  const step = move(record, { epoch, staying, view, isRequired: false });
   const isHelped = step.kind === "move" && step.fresh.length > 0;
   return isHelped ? step : WAIT;
 }
 
 function move(
   record: JobRecord,
-  { staying, view }: { staying: readonly MemberId[]; view: JobView },
+  { epoch, staying, view, isRequired }: {
+    epoch: Epoch;
+    staying: readonly MemberId[];
+    view: JobView;
+    isRequired: boolean;
+  },
 ): JobStep {
+  const { self, members } = view;
   const fresh = freshMembers(record, { staying, view });
+  const spare = epoch.members.filter((member) =>
+    !staying.includes(member) && !record.lost.has(member) &&
+    !members.isReplaced(member) && !isLeaving(member, view)
+  );
   if (staying.length + fresh.length < 2) return WAIT;
-  const isSelfStaying = staying.includes(view.self);
-  return {
-    kind: "move",
-    staying,
-    fresh,
-    holder: isSelfStaying ? "self" : "other",
-  };
+  const holder = staying.includes(self) ? "self" : "other";
+  return { kind: "move", staying, fresh, spare, holder, isRequired };
 }
 
 /**
--- a/packages/coordination/src/jobLifecycle.ts
+++ b/packages/coordination/src/jobLifecycle.ts
@@ -40,9 +40,8 @@
   confirm(record: JobRecord, epoch: Epoch): void {
     const { self, store, metrics } = this.#options;
     if (record.outcome !== undefined) return;
-    if (record.epoch !== undefined && record.epoch.number >= epoch.number) {
-      return;
-    }
+    const known = record.epoch ?? record.formerEpoch;
+    if (known !== undefined && known.number >= epoch.number) return;
     endAttempt(record);
     if (!epoch.members.includes(self)) {
       store.bury(record.job.id, epoch);
@@ -159,11 +158,12 @@
     const tombstone = store.tombstone(id);
     if (record?.outcome !== undefined) {
       this.#post(to, id, settledNews(record)!);
-    } else if (record?.epoch !== undefined) {
-      if (record.epoch.number <= epochNumber) return;
-      this.#post(to, id, { kind: "moved", epoch: record.epoch });
-    } else if (tombstone?.movedTo !== undefined) {
-      this.#post(to, id, { kind: "moved", epoch: tombstone.movedTo });
+      return;
+    }
+    const epoch = record?.epoch ?? record?.formerEpoch ?? tombstone?.movedTo;
+    if (epoch !== undefined) {
+      if (epoch.number <= epochNumber) return;
+      this.#post(to, id, { kind: "moved", epoch });
     } else if (tombstone !== undefined) {
       this.#post(to, id, { kind: "gone" });
     }
--- a/packages/coordination/src/jobStore.ts
+++ b/packages/coordination/src/jobStore.ts
@@ -34,6 +34,12 @@
   readonly installedAt: Milliseconds;
   /** Absent for a copy that nobody has confirmed yet; such a copy never acts. */
   epoch?: Epoch;
+  /**
+   * The epoch that this process learned of when it let go of the job earlier. It
+   * takes part in later ones only: in those before it may have promised things
+   * that it has forgotten.
+   */
+  formerEpoch?: Epoch;
   /** What this process has promised and accepted in the epoch. */
   acceptor: Acceptor;
   attempt?: RunningAttempt;
@@ -126,11 +132,20 @@
       this.#records.size + this.#tombstones.size < maximumTombstones;
   }
 
+  /** Whether a copy may come here: the job has not ended here before. */
+  isWelcome(id: JobId): boolean {
+    const tombstone = this.#tombstones.get(id);
+    return tombstone === undefined || tombstone.movedTo !== undefined;
+  }
+
   /** Adds a job that nobody has confirmed yet. */
   install(job: Job, now: Milliseconds): JobRecord {
+    const formerEpoch = this.#tombstones.get(job.id)?.movedTo;
+    this.#tombstones.delete(job.id);
     const record: JobRecord = {
       job,
       installedAt: now,
+      ...(formerEpoch && { formerEpoch }),
       acceptor: {},
       hasUsedHolderRound: false,
       highestRound: 0,
@@ -161,13 +176,18 @@
   bury(id: JobId, movedTo?: Epoch): void {
     const record = this.#records.get(id);
     if (record === undefined) return;
-    this.remove(id);
+    this.#remove(id);
     const until = record.job.expiresAt + CLOCK_SKEW_MS;
     this.#tombstones.set(id, { until, ...(movedTo && { movedTo }) });
   }
 
   /** Removes a copy that was never confirmed; it has promised nothing. */
-  remove(id: JobId): void {
+  removeUnconfirmed({ job, formerEpoch }: JobRecord): void {
+    if (formerEpoch === undefined) this.#remove(job.id);
+    else this.bury(job.id, formerEpoch);
+  }
+
+  #remove(id: JobId): void {
     const record = this.#records.get(id);
     if (record === undefined) return;
     this.#bytes -= bytesOf(record.job) + (record.answer?.body.length ?? 0);
--- /dev/null
+++ b/packages/coordination/tests/jobFaults.test.ts
@@ -0,0 +1,98 @@
+import test from "ava";
+import type { HostId, SeededRandom } from "@wasabivane/common";
+import type { Job } from "@wasabivane/coordination";
+import { JobFleet, LAWYER } from "./helpers/jobFleet.ts";
+
+const SEEDS = 10;
+const EVENTS = 14;
+
+/** One fault that ends by itself or by a later event. */
+async function strike(fleet: JobFleet, random: SeededRandom): Promise<void> {
+  const hosts = [...fleet.hosts.keys()];
+  const host = random.pick(hosts);
+  const { isPaused } = fleet.hosts.get(host)!;
+  const kind = random.int(6);
+  if (kind === 0 && hosts.length > 4) await fleet.kill(host);
+  else if (kind === 1) restart(fleet, host);
+  else if (kind === 2 && !isPaused) await fleet.pause(host);
+  else if (kind === 3) await fleet.partition(split(hosts, random));
+  else if (kind === 4) fleet.heal();
+  else if (isPaused) fleet.wake(host);
+  await fleet.pass(random.int(20_000));
+  fleet.refreshMembers();
+}
+
+function restart(fleet: JobFleet, host: HostId): void {
+  fleet.hosts.get(host)!.link.close();
+  fleet.start(Number(host.split("-")[1]));
+}
+
+function split(hosts: readonly HostId[], random: SeededRandom): HostId[][] {
+  const left = hosts.filter(() => random.float() < 0.5);
+  return [left, hosts.filter((host) => !left.includes(host))];
+}
+
+async function acceptSome(
+  fleet: JobFleet,
+  random: SeededRandom,
+): Promise<Job[]> {
+  const awake = [...fleet.hosts.values()].filter(({ isPaused }) => !isPaused);
+  const accepting = Array.from(
+    { length: 4 },
+    () => random.pick(awake).controller.accept(fleet.offer()),
+  );
+  await fleet.pass(3_500);
+  const settled = await Promise.all(
+    accepting.map((one) => Promise.race([one, Promise.resolve(undefined)])),
+  );
+  return settled.flatMap((result) => result?.isOk() ? [result.value] : []);
+}
+
+async function statusOf(fleet: JobFleet, job: Job): Promise<string> {
+  const [first] = fleet.hosts.values();
+  const asking = first!.controller.lookUp(job.id, LAWYER);
+  await fleet.pass(1_500);
+  const result = await asking;
+  if (result.isErr()) return result.error.kind;
+  const status = result.value;
+  return status.kind === "ended" ? status.answer.ending : status.kind;
+}
+
+test("random kills, restarts, pauses and partitions never run a job twice or deny a run", async (t) => {
+  // Whatever strikes in whatever order, a job is dispatched at most once, "not
+  // run" is said only of jobs that never left, and when all is healed each
+  // accepted job has an ending or will run.
+  const endings: Record<string, number> = {};
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const fleet = new JobFleet({ seed, size: 7 });
+    const { random } = fleet;
+    fleet.network.setFaults({
+      jitterMs: random.pick([1, 50, 500]),
+      duplicateShare: random.pick([0, 0.2]),
+      dropShare: random.pick([0, 0.05]),
+    });
+    const jobs: Job[] = [];
+    for (let event = 0; event < EVENTS; event++) {
+      if (event % 3 === 0) jobs.push(...await acceptSome(fleet, random));
+      fleet.isDispatching = random.float() < 0.4;
+      await strike(fleet, random);
+    }
+    fleet.heal();
+    for (const { host, isPaused } of fleet.hosts.values()) {
+      if (isPaused) fleet.wake(host);
+    }
+    fleet.refreshMembers();
+    fleet.isDispatching = true;
+    await fleet.pass(700_000);
+    for (const job of jobs) {
+      const status = await statusOf(fleet, job);
+      const times = fleet.timesDispatched(job);
+      endings[status] = (endings[status] ?? 0) + 1;
+      t.true(times <= 1, `seed ${seed}: ${job.id} dispatched ${times} times`);
+      if (status === "not-run") t.is(times, 0, `seed ${seed}: ${job.id}`);
+      t.not(status, "waiting", `seed ${seed}: ${job.id}`);
+      t.not(status, "running", `seed ${seed}: ${job.id}`);
+    }
+  }
+  t.log(JSON.stringify(endings));
+});
--- a/packages/coordination/tests/jobs.test.ts
+++ b/packages/coordination/tests/jobs.test.ts
@@ -68,6 +68,40 @@
   t.is(fleet.timesDispatched(job), 1);
 });
 
+test("a job left with two members grows back to three", async (t) => {
+  // All hosts are members and one is lost, so nobody can replace it. When its
+  // host is back, the job must not stay one loss away from its end.
+  const fleet = new JobFleet({ size: 3 });
+  await fleet.accept(FIRST);
+  await fleet.kill(hostName(3));
+  await fleet.advance(3_000);
+  t.is(fleet.heldCopies(), 2);
+  fleet.start(3);
+  fleet.refreshMembers();
+  await fleet.advance(4_000);
+  t.is(fleet.heldCopies(), 3);
+});
+
+test("a host that let go of a job can hold it again", async (t) => {
+  // A partition makes the job move away from a member; later another member
+  // dies and the former one is the only host left that can replace it.
+  const fleet = new JobFleet({ size: 4 });
+  const job = await fleet.accept(FIRST);
+  const [, second, third] = fleet.membersOf(job);
+  const stranger = fleet.strangerTo(job);
+  await fleet.partition([[FIRST, second!, stranger], [third!]]);
+  await fleet.advance(3_000);
+  fleet.heal();
+  await fleet.advance(8_000);
+  t.is(fleet.hosts.get(third!)!.controller.held.jobs, 0);
+  await fleet.kill(stranger);
+  await fleet.advance(4_000);
+  t.is(fleet.hosts.get(third!)!.controller.held.jobs, 1);
+  fleet.isDispatching = true;
+  await fleet.advance(1_000);
+  t.is(fleet.timesDispatched(job), 1);
+});
+
 test("a holder that wakes an hour late dispatches nothing that moved on", async (t) => {
   // The holder pauses before its dispatch and believes itself in charge when it
   // wakes. A copy has taken over and run the job; a second run would bill twice.
