Send shared names of message fields as one byte

Cause: at the target, names of fields were two thirds of a heartbeat and a third of an ask; membership, configuration and the pools' checksums came to 5.8 KB a second per host, above the 3 KB that control may take.

Change: both ends know a table of the field names of frequent objects; such an object travels as one byte and its values. Other objects are spelled out. A frame that redefines an entry of the table is refused and the table mended, or one frame would make later ones unreadable. The wire format changes, so the protocol version is 2; nothing of version 1 was released.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -14,6 +14,8 @@
 export * from "./membershipController.ts";
 export * from "./memoryLink.ts";
 export * from "./messageShapes.ts";
+export * from "./messageStructures.ts";
+export { PROTOCOL_VERSION } from "./peerHandshake.ts";
 export * from "./peerMessages.ts";
 export * from "./poolClient.ts";
 export * from "./poolKeeper.ts";
--- /dev/null
+++ b/packages/coordination/src/messageStructures.ts
@@ -0,0 +1,78 @@
+/**
+ * Field names of the objects that hosts send often. Both ends know this table,
+ * so that such an object travels as one byte and its values; spelled out, names
+ * made up two thirds of a heartbeat and grew with every host and request.
+ *
+ * An object with other fields, or the same in another order, is spelled out: it
+ * costs more and is understood all the same. The table is part of the protocol:
+ * a release that changes it raises `PROTOCOL_VERSION`, or the other side reads
+ * the values of one object under the names of another.
+ */
+export const MESSAGE_STRUCTURES: readonly (readonly string[])[] = [
+  // Membership
+  ["sender", "isRegular", "news", "extras"],
+  ["sender", "isRegular", "isProbe", "news", "extras"],
+  [
+    "host",
+    "incarnation",
+    "failureDomain",
+    "peerAddress",
+    "isLeaving",
+    "state",
+    "sequence",
+    "revision",
+  ],
+  [
+    "host",
+    "incarnation",
+    "state",
+    "failureDomain",
+    "peerAddress",
+    "isLeaving",
+    "sequence",
+    "revision",
+  ],
+  ["news"],
+  // Configuration
+  ["inForce", "hostListVersion", "reads"],
+  ["version", "root"],
+  ["host", "ageMs"],
+  ["document", "version", "root", "fromRoot", "index"],
+  ["document", "version", "root", "fromRoot", "index", "count", "text"],
+  // Pools
+  ["service", "ask"],
+  [
+    "request",
+    "originDomain",
+    "account",
+    "tier",
+    "promptTokens",
+    "maximumOutputTokens",
+    "bodyBytes",
+    "prefixDigests",
+    "fingerprint",
+    "timeLeft",
+  ],
+  ["service", "decision"],
+  ["kind", "upstream", "expectedCachedTokens", "request"],
+  ["service", "request"],
+  ["service", "report"],
+  ["request", "upstream", "outcome", "outputTokens", "cachedTokens"],
+  ["service", "waiting", "running", "checksum"],
+  ["service", "waiting", "running"],
+  ["ask", "upstream", "runningFor", "hasFirstToken"],
+  // View leases
+  ["serial", "incarnation", "views"],
+  ["serial", "incarnation", "isJoined", "views", "retired", "supported"],
+  [
+    "serial",
+    "incarnation",
+    "isJoined",
+    "views",
+    "retired",
+    "supported",
+    "granted",
+    "unbrokenSince",
+  ],
+  ["version", "hosts"],
+];
--- a/packages/coordination/src/peerHandshake.ts
+++ b/packages/coordination/src/peerHandshake.ts
@@ -8,9 +8,9 @@
  * Version of the rules between entry hosts. Bodies grow by fields that older
  * releases ignore; this number changes only when that is not enough.
  */
-export const PROTOCOL_VERSION = 1;
+export const PROTOCOL_VERSION = 2;
 /** Oldest version that this release still speaks with. */
-export const OLDEST_PROTOCOL_VERSION = 1;
+export const OLDEST_PROTOCOL_VERSION = 2;
 /** Bytes of chance in a challenge. */
 export const CHALLENGE_BYTES = 16;
 
--- a/packages/coordination/src/peerMessages.ts
+++ b/packages/coordination/src/peerMessages.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import type { HostId, PeerLink, PeerMessage } from "@wasabivane/common";
-import { Packr } from "msgpackr";
 import { err, ok, type Result } from "neverthrow";
+import { createPacker, FrameValues } from "./frameValues.ts";
 import type { Shape } from "./messageShapes.ts";
 
 /**
@@ -79,10 +79,8 @@
  */
 export class PeerCodec {
   readonly #registry: MessageRegistry;
-  readonly #packr = new Packr({
-    useRecords: false,
-    encodeUndefinedAsNil: false,
-  });
+  readonly #packer = createPacker();
+  readonly #values = new FrameValues();
   readonly #frames = new WeakMap<PeerMessage, Buffer>();
 
   constructor(
@@ -104,21 +102,11 @@
     if (frame.length > MAX_FRAME_BYTES) {
       return err({ kind: "too-large", bytes: frame.length });
     }
-    const unpacked = this.#unpack(frame);
-    if (unpacked.isErr()) return err(unpacked.error);
-    return this.#check(unpacked.value);
+    return this.#values.read(frame).andThen((value) => this.#check(value));
   }
 
   #pack(message: PeerMessage): Buffer {
-    return Buffer.from(this.#packr.pack([message.kind, message.body]));
-  }
-
-  #unpack(frame: Uint8Array): Result<unknown, FrameError> {
-    try {
-      return ok(this.#packr.unpack(frame));
-    } catch (error) {
-      return err({ kind: "malformed", detail: String(error) });
-    }
+    return Buffer.from(this.#packer.pack([message.kind, message.body]));
   }
 
   #check(value: unknown): Result<PeerMessage, FrameError> {
--- a/packages/coordination/tests/peerMessages.test.ts
+++ b/packages/coordination/tests/peerMessages.test.ts
@@ -1,3 +1,5 @@
+import { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
 import test from "ava";
 import {
   asId,
@@ -9,15 +11,19 @@
   defineMessage,
   MAX_FRAME_BYTES,
   MemoryNetwork,
+  MESSAGE_STRUCTURES,
   numberOf,
   objectOf,
   optional,
   PeerCodec,
+  POOL_WITHDRAW,
+  PROTOCOL_VERSION,
   sendMessage,
   subscribeMessage,
   textOf,
 } from "@wasabivane/coordination";
 import { pack } from "msgpackr";
+import fc from "fast-check";
 
 const GREETING = defineMessage(
   "test-greeting",
@@ -44,6 +50,58 @@
   t.is(codec.decode(new Uint8Array([0xc1, 1])).isErr(), true);
 });
 
+test("names that all hosts share are not sent, others are spelled out", (t) => {
+  const codec = new PeerCodec();
+  const body = { service: "drafter", request: "request-1" };
+  const frame = codec.encode({ kind: POOL_WITHDRAW.kind, body })
+    ._unsafeUnwrap();
+  t.false(frame.includes("service"));
+  t.deepEqual(new PeerCodec().decode(frame)._unsafeUnwrap().body, body);
+  const longer = { ...body, addedLater: 1 };
+  const spelled = codec.encode({ kind: POOL_WITHDRAW.kind, body: longer })
+    ._unsafeUnwrap();
+  t.true(spelled.includes("addedLater"));
+  t.deepEqual(new PeerCodec().decode(spelled)._unsafeUnwrap().body, longer);
+});
+
+test("a frame that replaces a shared name is refused and spoils no later one", (t) => {
+  // A frame may define names of its own under a number. Under a number of the
+  // shared table they would stay, and each later message of every peer would be
+  // read under them: the receiver would drop them all, or take a wrong value.
+  const codec = new PeerCodec();
+  const body = { service: "drafter", request: "request-1" };
+  const good = codec.encode({ kind: POOL_WITHDRAW.kind, body })._unsafeUnwrap();
+  for (let number = 0; number < MESSAGE_STRUCTURES.length; number++) {
+    const definition = Buffer.from([0xd4, 0x72, 0x40 + number]);
+    const names = pack(["service", "request", "extra"]);
+    const values = ["drafter", "request-2", 3].map((value) => pack(value));
+    const head = Buffer.concat([Buffer.from([0x92]), pack("pool-withdraw")]);
+    const frame = Buffer.concat([head, definition, names, ...values]);
+    t.is(codec.decode(frame)._unsafeUnwrapErr().kind, "malformed");
+    t.deepEqual(codec.decode(good)._unsafeUnwrap().body, body);
+  }
+});
+
+test("no bytes at all make the codec throw or forget the shared names", (t) => {
+  const codec = new PeerCodec();
+  const body = { service: "drafter", request: "request-1" };
+  const good = codec.encode({ kind: POOL_WITHDRAW.kind, body })._unsafeUnwrap();
+  fc.assert(
+    fc.property(fc.uint8Array({ maxLength: 64 }), (bytes) => {
+      codec.decode(bytes);
+      t.deepEqual(codec.decode(good)._unsafeUnwrap().body, body);
+    }),
+    { seed: 1, numRuns: 500 },
+  );
+});
+
+test("the shared names belong to the protocol version", (t) => {
+  const digest = createHash("sha256")
+    .update(JSON.stringify(MESSAGE_STRUCTURES)).digest("hex").slice(0, 16);
+  const digests: Record<number, string> = { 2: "f54fc5c6ecec1496" };
+  t.is(digest, digests[PROTOCOL_VERSION]!);
+});
+
 test("a frame above the bound is neither sent nor taken", (t) => {
   const codec = new PeerCodec();
   const body = { text: "x".repeat(MAX_FRAME_BYTES) };
