Tell suspicions, convictions and ejections among the hosts

Cause: a request that kills its upstream is sent again through another host, and a pool's next keeper has seen nothing of it.

Change: a book merges suspicions so that order, repeats and paths do not matter; a controller drains the schedulers, tells four peers in each of three ticks, and compares books with one peer a second. Entries are bounded and end everywhere.

--- /dev/null
+++ b/packages/coordination/src/suspicionController.ts
@@ -0,0 +1,268 @@
+import {
+  type Blackboard,
+  Controller,
+  createTopic,
+  type Digest,
+  type HostId,
+  type Metrics,
+  type Milliseconds,
+  type PeerLink,
+  type Random,
+  type ServiceId,
+  type Timer,
+  type TimerSubscription,
+  type Topic,
+  type UpstreamId,
+} from "@wasabivane/common";
+import type { Suspicion } from "@wasabivane/decisions";
+import {
+  isBoolean,
+  listOf,
+  numberOf,
+  objectOf,
+  oneOf,
+  textOf,
+} from "./messageShapes.ts";
+import {
+  defineMessage,
+  type MessageKind,
+  sendMessage,
+  subscribeMessage,
+} from "./peerMessages.ts";
+import { type SharedSuspicion, SuspicionBook } from "./suspicionBook.ts";
+
+const TICK_MS: Milliseconds = 200;
+/** Peers told at once; each passes news on, so that it reaches all in a few steps. */
+const FANOUT = 4;
+/**
+ * Ticks in which news is told. One telling to four peers misses about one host
+ * in fifty; three leave one in a hundred thousand to the comparison of books.
+ */
+const TELLINGS = 3;
+/** Books are compared with one peer so often, which repairs lost news. */
+const COMPARE_PERIOD_MS: Milliseconds = 1_000;
+const MAX_PER_MESSAGE = 64;
+
+/** Suspicions that hold now, for keepers that start later. */
+export const SUSPICIONS: Topic<readonly SharedSuspicion[]> = createTopic<
+  readonly SharedSuspicion[]
+>("suspicions", []);
+
+/** Tells suspicions that are news to the sender. */
+export const SUSPICION_NEWS: MessageKind<
+  { readonly suspicions: readonly SharedSuspicion[] }
+> = defineMessage(
+  "suspicion-news",
+  objectOf({
+    suspicions: listOf<SharedSuspicion>(
+      objectOf({
+        service: textOf<ServiceId>(64),
+        subject: textOf<Digest | UpstreamId>(128),
+        kind: oneOf("suspect", "cleared", "convicted", "ejected"),
+        remainingMs: numberOf<Milliseconds>(),
+      }),
+      MAX_PER_MESSAGE,
+    ),
+  }),
+);
+
+/** Compares two books. */
+export interface SuspicionDigest {
+  readonly count: number;
+  readonly checksum: number;
+  /** Set on the way back, which gets no digest in return. */
+  readonly isAnswer: boolean;
+}
+/** See {@link SuspicionDigest}. */
+export const SUSPICION_DIGEST: MessageKind<SuspicionDigest> = defineMessage<
+  SuspicionDigest
+>(
+  "suspicion-digest",
+  objectOf({
+    count: numberOf<number>(),
+    checksum: numberOf<number>(),
+    isAnswer: isBoolean,
+  }),
+);
+
+/** What suspicions need to know of an entry host. */
+export interface SuspicionMember {
+  readonly host: HostId;
+  readonly state: "alive" | "suspect" | "dead";
+}
+
+/** Suspicions of one service, as its scheduler gives and takes them. */
+export interface ServiceSuspicions {
+  readonly service: ServiceId;
+  readonly suspicions: readonly Suspicion[];
+}
+
+/** What a {@link SuspicionController} needs from its process. */
+export interface SuspicionControllerOptions {
+  readonly blackboard: Blackboard;
+  readonly link: PeerLink;
+  readonly timer: Timer;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly members: Topic<readonly SuspicionMember[]>;
+  /** What the schedulers of this host learned since the last call. */
+  readonly drain: () => readonly ServiceSuspicions[];
+  /** Gives a scheduler of this host what others learned. */
+  readonly absorb: (suspicions: ServiceSuspicions) => void;
+  /** Upstreams that schedulers of this host hold ejected now. */
+  readonly ejections?: () => readonly SharedSuspicion[];
+}
+
+/**
+ * Tells suspicions, convictions and ejections among the entry hosts: at once to
+ * a few peers that pass them on, and by comparing books each second.
+ */
+export class SuspicionController extends Controller {
+  readonly #options: SuspicionControllerOptions;
+  readonly #book = new SuspicionBook();
+  readonly #endings: (() => void)[] = [];
+  #ticking: TimerSubscription[] = [];
+  #recent: { news: readonly SharedSuspicion[]; tellings: number }[] = [];
+
+  constructor(options: SuspicionControllerOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override start(): void {
+    const { link, timer } = this.#options;
+    this.#endings.push(
+      subscribeMessage(
+        link,
+        SUSPICION_NEWS,
+        (_from, { suspicions }) => this.#onNews(suspicions),
+      ),
+      subscribeMessage(
+        link,
+        SUSPICION_DIGEST,
+        (from, digest) => this.#onDigest(from, digest),
+      ),
+    );
+    this.#ticking = [
+      timer.every(TICK_MS, () => this.#tick()),
+      timer.every(COMPARE_PERIOD_MS, () => this.#compare()),
+    ];
+  }
+
+  override stop(): void {
+    for (const end of this.#endings.splice(0)) end();
+    for (const subscription of this.#ticking.splice(0)) subscription.cancel();
+  }
+
+  /**
+   * Tells what the schedulers learned. Call it right after an upstream was
+   * lost, so that peers know before the caller can send the request again.
+   */
+  flush(): void {
+    const { drain, ejections } = this.#options;
+    const learned = drain().flatMap(({ service, suspicions }) =>
+      suspicions.map(({ fingerprint, kind, remainingMs }) => ({
+        service,
+        subject: fingerprint,
+        kind,
+        remainingMs,
+      }))
+    );
+    const own = [...learned, ...ejections?.() ?? []];
+    if (own.length > 0) this.#merge(own);
+  }
+
+  #tick(): void {
+    for (const recent of this.#recent) {
+      recent.tellings++;
+      this.#tell(recent.news);
+    }
+    this.#recent = this.#recent.filter(({ tellings }) => tellings < TELLINGS);
+    this.flush();
+  }
+
+  #onNews(suspicions: readonly SharedSuspicion[]): void {
+    for (const absorbed of byService(this.#merge(suspicions))) {
+      this.#options.absorb(absorbed);
+    }
+  }
+
+  #merge(suspicions: readonly SharedSuspicion[]): SharedSuspicion[] {
+    const { blackboard, metrics, timer } = this.#options;
+    const now = timer.now();
+    const news = this.#book.merge(suspicions, now);
+    if (news.length === 0) return news;
+    metrics.count("suspicions_learned", news.length);
+    blackboard.write(SUSPICIONS, this.#book.entries(now));
+    this.#recent.push({ news, tellings: 1 });
+    this.#tell(news);
+    return news;
+  }
+
+  #tell(news: readonly SharedSuspicion[]): void {
+    for (const peer of this.#pickPeers(FANOUT)) this.#send(peer, news);
+  }
+
+  #compare(): void {
+    this.#options.blackboard.write(
+      SUSPICIONS,
+      this.#book.entries(this.#options.timer.now()),
+    );
+    for (const peer of this.#pickPeers(1)) {
+      this.#sendDigest(peer, { isAnswer: false });
+    }
+  }
+
+  #onDigest(from: HostId, digest: SuspicionDigest): void {
+    const now = this.#options.timer.now();
+    const entries = this.#book.entries(now);
+    const isSame = digest.count === entries.length &&
+      digest.checksum === this.#book.checksum(now);
+    if (isSame) return;
+    this.#send(from, entries);
+    if (!digest.isAnswer) this.#sendDigest(from, { isAnswer: true });
+  }
+
+  #send(to: HostId, suspicions: readonly SharedSuspicion[]): void {
+    for (let start = 0; start < suspicions.length; start += MAX_PER_MESSAGE) {
+      const part = suspicions.slice(start, start + MAX_PER_MESSAGE);
+      sendMessage(this.#options.link, SUSPICION_NEWS, {
+        to,
+        body: { suspicions: part },
+      });
+    }
+  }
+
+  #sendDigest(to: HostId, { isAnswer }: { isAnswer: boolean }): void {
+    const now = this.#options.timer.now();
+    const checksum = this.#book.checksum(now);
+    const body = { count: this.#book.size, checksum, isAnswer };
+    sendMessage(this.#options.link, SUSPICION_DIGEST, { to, body });
+  }
+
+  #pickPeers(maximum: number): HostId[] {
+    const { blackboard, link, members, random } = this.#options;
+    const peers = blackboard.read(members)
+      .filter(({ host, state }) => host !== link.self && state !== "dead")
+      .map(({ host }) => host);
+    const picked: HostId[] = [];
+    while (picked.length < maximum && peers.length > 0) {
+      picked.push(...peers.splice(random.int(peers.length), 1));
+    }
+    return picked;
+  }
+}
+
+/** The request suspicions among shared ones, grouped for the schedulers. */
+export function byService(
+  shared: readonly SharedSuspicion[],
+): ServiceSuspicions[] {
+  const groups = new Map<ServiceId, Suspicion[]>();
+  for (const { service, subject, kind, remainingMs } of shared) {
+    if (kind === "ejected") continue;
+    const group = groups.get(service) ?? [];
+    group.push({ fingerprint: subject as Digest, kind, remainingMs });
+    groups.set(service, group);
+  }
+  return [...groups].map(([service, suspicions]) => ({ service, suspicions }));
+}
--- /dev/null
+++ b/packages/coordination/tests/suspicions.test.ts
@@ -0,0 +1,166 @@
+import test from "ava";
+import fc from "fast-check";
+import {
+  asId,
+  Blackboard,
+  createTopic,
+  type Digest,
+  type HostId,
+  MemoryMetrics,
+  SeededRandom,
+  type ServiceId,
+  VirtualTimer,
+} from "@wasabivane/common";
+import type { Suspicion } from "@wasabivane/decisions";
+import {
+  MemoryNetwork,
+  type ServiceSuspicions,
+  type SharedSuspicion,
+  SuspicionBook,
+  SuspicionController,
+  type SuspicionMember,
+} from "@wasabivane/coordination";
+import { hostName } from "./helpers/configurationFleet.ts";
+
+const MEMBERS = createTopic<readonly SuspicionMember[]>("members", []);
+const DRAFTER = asId<ServiceId>("drafter");
+const POISON = asId<Digest>("poison");
+
+interface Host {
+  readonly learned: Suspicion[];
+  readonly absorbed: ServiceSuspicions[];
+  readonly metrics: MemoryMetrics;
+}
+
+function startFleet(size: number, dropShare = 0): {
+  timer: VirtualTimer;
+  network: MemoryNetwork;
+  hosts: Map<HostId, Host>;
+} {
+  const timer = new VirtualTimer();
+  const random = new SeededRandom(1);
+  const network = new MemoryNetwork({ timer, random, dropShare, jitterMs: 2 });
+  const hosts = new Map<HostId, Host>();
+  const names = Array.from({ length: size }, (_, index) => hostName(index + 1));
+  for (const host of names) {
+    const blackboard = new Blackboard();
+    const started: Host = {
+      learned: [],
+      absorbed: [],
+      metrics: new MemoryMetrics(),
+    };
+    hosts.set(host, started);
+    new SuspicionController({
+      blackboard,
+      link: network.join(host),
+      timer,
+      random,
+      metrics: started.metrics,
+      members: MEMBERS,
+      drain: () => [{
+        service: DRAFTER,
+        suspicions: started.learned.splice(0),
+      }],
+      absorb: (suspicions) => started.absorbed.push(suspicions),
+    }).start();
+    blackboard.write(
+      MEMBERS,
+      names.map((name) => ({ host: name, state: "alive" as const })),
+    );
+  }
+  return { timer, network, hosts };
+}
+
+function knows(host: Host, kind: Suspicion["kind"]): boolean {
+  return host.absorbed.some(({ suspicions }) =>
+    suspicions.some((suspicion) =>
+      suspicion.fingerprint === POISON && suspicion.kind === kind
+    )
+  );
+}
+
+test("a conviction reaches every host within a second", (t) => {
+  // The poison request is sent again through another host at once; a keeper
+  // there that knows nothing would lose one more upstream to it.
+  for (const size of [2, 8, 32]) {
+    const { timer, hosts } = startFleet(size);
+    const [first, ...others] = hosts.values();
+    first!.learned.push({
+      fingerprint: POISON,
+      kind: "convicted",
+      remainingMs: 60_000,
+    });
+    timer.advance(1_000);
+    t.true(others.every((host) => knows(host, "convicted")), `size ${size}`);
+  }
+});
+
+test("lost news is repaired by comparing books, and a settled fleet is quiet", (t) => {
+  const { timer, network, hosts } = startFleet(8, 1);
+  const [first, ...others] = hosts.values();
+  first!.learned.push({
+    fingerprint: POISON,
+    kind: "suspect",
+    remainingMs: 60_000,
+  });
+  timer.advance(2_000);
+  t.false(others.some((host) => knows(host, "suspect")));
+  network.setFaults({ dropShare: 0.2 });
+  timer.advance(10_000);
+  t.true(others.every((host) => knows(host, "suspect")));
+  const before = network.sentBytes;
+  timer.advance(10_000);
+  const perHostAndSecond = (network.sentBytes - before) / 8 / 10;
+  t.log(`${perHostAndSecond} bytes per host and second`);
+  t.true(perHostAndSecond < 200);
+});
+
+test("suspicions end on every host, also when they are passed in circles", (t) => {
+  const { timer, hosts } = startFleet(8);
+  const [first] = hosts.values();
+  first!.learned.push({
+    fingerprint: POISON,
+    kind: "suspect",
+    remainingMs: 5_000,
+  });
+  timer.advance(20_000);
+  for (const host of hosts.values()) {
+    t.true(host.metrics.counter("suspicions_learned") <= 2);
+  }
+});
+
+const shared = fc.record({
+  service: fc.constant(DRAFTER),
+  subject: fc.constantFrom(POISON, asId<Digest>("other")),
+  kind: fc.constantFrom<SharedSuspicion["kind"]>(
+    "suspect",
+    "cleared",
+    "convicted",
+  ),
+  remainingMs: fc.constant(10_000),
+});
+
+test("books agree whatever order and how often they hear", (t) => {
+  fc.assert(fc.property(fc.array(shared), (suspicions) => {
+    const forward = new SuspicionBook();
+    const backward = new SuspicionBook();
+    forward.merge(suspicions, 0);
+    backward.merge(suspicions.toReversed(), 0);
+    backward.merge(suspicions, 0);
+    t.is(forward.checksum(1), backward.checksum(1));
+  }));
+});
+
+test("a book stays within its bound and drops what ends soonest", (t) => {
+  const book = new SuspicionBook({ maximum: 10 });
+  for (let index = 0; index < 100; index++) {
+    const subject = asId<Digest>(`content-${index}`);
+    const remainingMs = 1_000 + index;
+    book.merge(
+      [{ service: DRAFTER, subject, kind: "suspect", remainingMs }],
+      0,
+    );
+  }
+  t.is(book.size, 10);
+  t.true(book.entries(0).every(({ remainingMs }) => remainingMs >= 1_090));
+});
