--- a/apps/entry/src/modelDispatch.ts
+++ b/apps/entry/src/modelDispatch.ts
@@ -102,7 +102,7 @@
       this.options.onSafeguard("resume");
       const answer = await this.#sendResume();
       if (answer.isErr()) {
-        error = answer.error;
+        error = brokenOf(answer.error);
         continue;
       }
       if (answer.value.status === HTTP_NOT_FOUND) return err({ kind: "gone" });
@@ -251,6 +251,16 @@
   }
 }
 
+/**
+ * A resume that finds no open port says nothing of the dispatch before it,
+ * whose bytes have left. Passed on as refused, it would be taken for "no byte
+ * left": the request would run again elsewhere, or its caller be told "not run".
+ */
+function brokenOf(error: UpstreamError): UpstreamError {
+  if (error.kind !== "refused") return error;
+  return { kind: "broken", detail: error.detail };
+}
+
 /** The engine is full or broken; nothing shows that it ran nothing of the request. */
 function isRefusedRun(status: number): boolean {
   return status === HTTP_TOO_MANY || status >= HTTP_SERVER_ERROR;
--- /dev/null
+++ b/packages/proof/scenarios/index.ts
@@ -0,0 +1,35 @@
+import type { FaultScenario } from "@wasabivane/proof";
+import { BUNDLE_ROLLED_WHILE_REQUESTS_RUN } from "./bundleRolledWhileRequestsRun.ts";
+import { CONFIGURATION_SERVICE_DOWN_AT_START } from "./configurationServiceDownAtStart.ts";
+import { CROSSED_ANSWERS } from "./crossedAnswers.ts";
+import { DOMAIN_LOST } from "./domainLost.ts";
+import { FRESH_HOST_MEETS_STALE_SERVICE } from "./freshHostMeetsStaleService.ts";
+import { HOST_PAUSED_AN_HOUR_WAKES_WITH_A_JOB } from "./hostPausedAnHourWakesWithAJob.ts";
+import { JOB_HOLDER_CUT_FROM_COPIES } from "./jobHolderCutFromCopies.ts";
+import { JOB_HOLDER_KILLED_AFTER_DISPATCH } from "./jobHolderKilledAfterDispatch.ts";
+import { JOB_HOLDER_KILLED_BEFORE_DISPATCH } from "./jobHolderKilledBeforeDispatch.ts";
+import { KEEPER_DIES } from "./keeperDies.ts";
+import { LATE_ANSWER_AFTER_CANCEL } from "./lateAnswerAfterCancel.ts";
+import { PARTITION_SPLITS_FLEET } from "./partitionSplitsFleet.ts";
+import { UPSTREAM_BREAKS_STREAM_AND_RESUMES } from "./upstreamBreaksStreamAndResumes.ts";
+import { UPSTREAM_CRASHES_MID_STREAM } from "./upstreamCrashesMidStream.ts";
+import { UPSTREAM_LEAVING } from "./upstreamLeaving.ts";
+
+/** Every scenario of this folder. */
+export const SCENARIOS: readonly FaultScenario[] = [
+  BUNDLE_ROLLED_WHILE_REQUESTS_RUN,
+  CONFIGURATION_SERVICE_DOWN_AT_START,
+  CROSSED_ANSWERS,
+  DOMAIN_LOST,
+  FRESH_HOST_MEETS_STALE_SERVICE,
+  HOST_PAUSED_AN_HOUR_WAKES_WITH_A_JOB,
+  JOB_HOLDER_CUT_FROM_COPIES,
+  JOB_HOLDER_KILLED_AFTER_DISPATCH,
+  JOB_HOLDER_KILLED_BEFORE_DISPATCH,
+  KEEPER_DIES,
+  LATE_ANSWER_AFTER_CANCEL,
+  PARTITION_SPLITS_FLEET,
+  UPSTREAM_BREAKS_STREAM_AND_RESUMES,
+  UPSTREAM_CRASHES_MID_STREAM,
+  UPSTREAM_LEAVING,
+];
--- /dev/null
+++ b/packages/proof/scenarios/jobHolderCutFromCopies.ts
@@ -0,0 +1,20 @@
+import type { FaultScenario } from "@wasabivane/proof";
+
+// A host has accepted a job when a partition cuts it off from all copies. It
+// wants to dispatch and the copies want to take over, and neither can ask the
+// other. Only a majority can settle who may dispatch, so the job runs on the
+// larger side, once, and never on both.
+export const JOB_HOLDER_CUT_FROM_COPIES: FaultScenario = {
+  name: "jobHolderCutFromCopies",
+  requests: { "export-1": { kind: "export", deadlineMs: 60_000 } },
+  story: [
+    { at: 0, do: "send", request: "export-1", via: "entry-1" },
+    {
+      once: { request: "export-1", is: "accepted" },
+      do: "partition",
+      groups: [["entry-1"], ["entry-2", "entry-3", "entry-4"]],
+    },
+    { at: 20_000, do: "heal" },
+  ],
+  expect: { "export-1": { ends: ["whole"], dispatches: 1 } },
+};
--- /dev/null
+++ b/packages/proof/scenarios/lateAnswerAfterCancel.ts
@@ -0,0 +1,30 @@
+import type { FaultScenario } from "@wasabivane/proof";
+
+// A caller hangs up while a slow engine works, and the engine answers later all
+// the same. The next callers of that engine get their own answers; the late one
+// reaches nobody.
+export const LATE_ANSWER_AFTER_CANCEL: FaultScenario = {
+  name: "lateAnswerAfterCancel",
+  requests: {
+    "draft-1": { kind: "draft", hasKey: false, tokens: 40 },
+    "draft-2": { kind: "draft", hasKey: false, tokens: 40 },
+    "save-1": { kind: "save", hasKey: false },
+    "save-2": { kind: "save", hasKey: false },
+  },
+  story: [
+    ...["drafter-01", "drafter-02", "drafter-03", "casefile-1", "casefile-2"]
+      .map((upstream) => ({ at: 0, do: "slow", upstream, factor: 5 }) as const),
+    { at: 0, do: "send", request: "draft-1", via: "entry-1" },
+    { at: 0, do: "send", request: "save-1", via: "entry-1" },
+    { at: 1_100, do: "hang-up", request: "save-1" },
+    { at: 1_150, do: "send", request: "save-2", via: "entry-1" },
+    { at: 1_500, do: "hang-up", request: "draft-1" },
+    { at: 1_510, do: "send", request: "draft-2", via: "entry-1" },
+  ],
+  expect: {
+    "save-1": { ends: ["unknown"], dispatches: 1 },
+    "save-2": { ends: ["whole"], dispatches: 1 },
+    "draft-1": { ends: ["unknown"], dispatches: 1 },
+    "draft-2": { ends: ["whole"], dispatches: 1 },
+  },
+};
--- /dev/null
+++ b/packages/proof/scenarios/upstreamBreaksStreamAndResumes.ts
@@ -0,0 +1,24 @@
+import type { FaultScenario } from "@wasabivane/proof";
+
+// An engine's connections break in the middle of a draft, twice, while the
+// engine itself lives on. The entry host asks the same engine for the rest from
+// the last token passed on. The caller sees one whole draft without a gap.
+export const UPSTREAM_BREAKS_STREAM_AND_RESUMES: FaultScenario = {
+  name: "upstreamBreaksStreamAndResumes",
+  requests: {
+    "draft-1": { kind: "draft", tokens: 60 },
+    "answer-1": { kind: "answer", tokens: 60 },
+  },
+  story: [
+    { at: 0, do: "send", request: "draft-1", via: "entry-1" },
+    { at: 0, do: "send", request: "answer-1", via: "entry-2" },
+    ...["drafter-01", "drafter-02", "drafter-03"].flatMap((upstream) => [
+      { at: 1_300, do: "break-streams", upstream } as const,
+      { at: 1_700, do: "break-streams", upstream } as const,
+    ]),
+  ],
+  expect: {
+    "draft-1": { ends: ["whole"], dispatches: 1 },
+    "answer-1": { ends: ["whole"], dispatches: 1 },
+  },
+};
--- /dev/null
+++ b/packages/proof/scenarios/upstreamLeaving.ts
@@ -0,0 +1,27 @@
+import type { FaultScenario } from "@wasabivane/proof";
+
+// Two of three engines leave while a draft runs on one of them. The running
+// draft finishes there; what is asked for more than 3 s later goes to the engine
+// that stays, and callers notice nothing.
+export const UPSTREAM_LEAVING: FaultScenario = {
+  name: "upstreamLeaving",
+  requests: Object.fromEntries([
+    ["draft-long", { kind: "draft", tokens: 300 }],
+    ...Array.from(
+      { length: 8 },
+      (_, index) => [`draft-${index}`, { kind: "draft" }],
+    ),
+  ]),
+  story: [
+    { at: 0, do: "send", request: "draft-long", via: "entry-1" },
+    { at: 1_500, do: "leave", upstreams: ["drafter-01", "drafter-02"] },
+    ...Array.from({ length: 8 }, (_, index) =>
+      ({
+        at: 5_500 + index * 50,
+        do: "send",
+        request: `draft-${index}`,
+        via: `entry-${1 + index % 4}`,
+      }) as const),
+  ],
+  expect: { "draft-long": { ends: ["whole"], dispatches: 1 } },
+};
--- a/packages/proof/src/index.ts
+++ b/packages/proof/src/index.ts
@@ -9,3 +9,8 @@
 export * from "./slope.ts";
 export * from "./slopeTarget.ts";
 export * from "./slopes.ts";
+export * from "./scenario.ts";
+export * from "./scenarioFleet.ts";
+export * from "./scenarioJournal.ts";
+export * from "./scenarioJudge.ts";
+export * from "./scenarioRunner.ts";
--- /dev/null
+++ b/packages/proof/src/scenarioFleet.ts
@@ -0,0 +1,312 @@
+import {
+  type Bundle,
+  exampleBundle,
+  exampleSigningKey,
+  type HostList,
+  signBundle,
+  type SignedBundle,
+  trustedKeyOf,
+} from "@wasabivane/bundle";
+import {
+  asBundleVersion,
+  asId,
+  type HostId,
+  type Incarnation,
+  type Milliseconds,
+  type Random,
+  type Timer,
+} from "@wasabivane/common";
+import { type MemoryLink, MemoryNetwork } from "@wasabivane/coordination";
+import {
+  type CallerApi,
+  EntryHost,
+  type EntryHostOptions,
+  type Settings,
+  settingsSchema,
+} from "@wasabivane/entry";
+import { FakePlatform } from "./fakePlatform.ts";
+import {
+  FakeUpstream,
+  FakeUpstreamClient,
+  type UpstreamWorld,
+} from "./fakeUpstreams.ts";
+import { type FaultScenario, SCENARIO_UPSTREAMS } from "./scenario.ts";
+import type { ScenarioJournal } from "./scenarioJournal.ts";
+import { ScenarioProcess } from "./scenarioProcess.ts";
+
+const DEFAULT_HOSTS = 4;
+/** Time until the platform's host list shows a change. */
+const HOST_LIST_LAG_MS: Milliseconds = 1_000;
+const SIGNING_KEY = exampleSigningKey();
+const SIGNED = new Map<string, SignedBundle>();
+
+/** One start of an entry host. */
+export interface ScenarioHost {
+  readonly host: string;
+  readonly incarnation: string;
+  readonly process: ScenarioProcess;
+  readonly link: MemoryLink;
+  readonly entry: EntryHost;
+  readonly callerApi: CallerApi;
+  isPaused: boolean;
+}
+
+/** Safeguards that a test turns off to see the fault found. */
+export interface Safeguards {
+  /** The client compares the nonce of an answer's head. */
+  readonly checksNonce?: boolean;
+  /** Changes the options of every entry host. */
+  readonly alterHost?: (options: EntryHostOptions) => EntryHostOptions;
+  /** Runs on every entry host before it starts. */
+  readonly alterEntry?: (entry: EntryHost) => void;
+}
+
+/** The entry hosts, upstreams, platform and network of one scenario. */
+export class ScenarioFleet {
+  readonly platform: FakePlatform;
+  readonly network: MemoryNetwork;
+  readonly hosts = new Map<string, ScenarioHost>();
+  readonly upstreams = new Map<string, FakeUpstream>();
+  readonly #byUrl = new Map<string, FakeUpstream>();
+  readonly #scenario: FaultScenario;
+  readonly #timer: Timer;
+  readonly #random: Random;
+  readonly #journal: ScenarioJournal;
+  readonly #safeguards: Safeguards;
+  readonly #world: UpstreamWorld;
+  readonly #leaving = new Set<string>();
+  #hostListVersion = 0;
+  #starts = 0;
+
+  constructor(
+    { scenario, timer, random, journal, safeguards }: {
+      scenario: FaultScenario;
+      timer: Timer;
+      random: Random;
+      journal: ScenarioJournal;
+      safeguards: Safeguards;
+    },
+  ) {
+    this.#scenario = scenario;
+    this.#timer = timer;
+    this.#random = random;
+    this.#journal = journal;
+    this.#safeguards = safeguards;
+    this.platform = new FakePlatform(timer);
+    this.network = new MemoryNetwork({
+      timer,
+      random,
+      jitterMs: 1,
+      ...scenario.link,
+    });
+    const checksNonce = safeguards.checksNonce ?? true;
+    this.#world = { timer, journal, checksNonce };
+    for (const { upstream, url } of this.#bundle(1).upstreams) {
+      const fake = new FakeUpstream(upstream, this.#world);
+      this.upstreams.set(upstream, fake);
+      this.#byUrl.set(url, fake);
+    }
+    this.platform.onHostListRead = ({ upstreams }) =>
+      this.#noteLeaving(upstreams);
+  }
+
+  /** Names of all hosts, running or not. */
+  get hostNames(): string[] {
+    const count = this.#scenario.hosts ?? DEFAULT_HOSTS;
+    return Array.from({ length: count }, (_, index) => `entry-${index + 1}`);
+  }
+
+  /** Hosts that run now. */
+  get running(): ScenarioHost[] {
+    return [...this.hosts.values()].filter(({ isPaused }) => !isPaused);
+  }
+
+  start(): void {
+    this.platform.setState(this.#scenario.platformAtStart ?? "up");
+    this.roll(1);
+    for (const host of this.hostNames) this.startHost(host);
+    this.#publishHosts();
+  }
+
+  /** Starts a process that knows nothing; one that ran there is gone. */
+  startHost(host: string): void {
+    if (this.hosts.has(host)) this.killHost(host);
+    const skewMs = this.#scenario.clockSkewMs?.[host];
+    const process = new ScenarioProcess(this.#timer, { skewMs });
+    const link = this.network.join(asId<HostId>(host));
+    const incarnation = `start-${++this.#starts}`;
+    const options: EntryHostOptions = {
+      settings: this.#settingsOf(host),
+      incarnation: asId<Incarnation>(incarnation),
+      timer: process,
+      random: this.#random,
+      link,
+      client: new FakeUpstreamClient({
+        host,
+        process,
+        world: this.#world,
+        upstreams: this.#byUrl,
+      }),
+      ...this.platform.sourcesOf(host, process),
+      log: this.#logOf(host, incarnation),
+    };
+    const entry = new EntryHost(
+      this.#safeguards.alterHost?.(options) ?? options,
+    );
+    this.#safeguards.alterEntry?.(entry);
+    const callerApi = entry.createCallerApi();
+    entry.start();
+    this.hosts.set(host, {
+      host,
+      incarnation,
+      process,
+      link,
+      entry,
+      callerApi,
+      isPaused: false,
+    });
+    this.#journal.add({ kind: "disturbed", how: "started", hosts: [host] });
+    this.#publishHostsLater();
+  }
+
+  /** Ends a process at once: nothing leaves it and nothing reaches it any more. */
+  killHost(host: string): void {
+    const killed = this.hosts.get(host);
+    if (killed === undefined) return;
+    this.hosts.delete(host);
+    killed.link.close();
+    killed.process.kill();
+    killed.entry.stop();
+    this.#journal.add({ kind: "disturbed", how: "killed", hosts: [host] });
+    this.#publishHostsLater();
+  }
+
+  pauseHost(host: string, forMs: Milliseconds): void {
+    const paused = this.hosts.get(host);
+    if (paused === undefined || paused.isPaused) return;
+    paused.isPaused = true;
+    paused.process.pause();
+    paused.link.pause();
+    this.#journal.add({ kind: "disturbed", how: "paused", hosts: [host] });
+    this.#timer.after(forMs, () => this.wakeHost(paused));
+  }
+
+  wakeHost(paused: ScenarioHost): void {
+    if (!paused.isPaused || this.hosts.get(paused.host) !== paused) return;
+    paused.isPaused = false;
+    paused.process.wake();
+    paused.link.resume();
+    const hosts = [paused.host];
+    this.#journal.add({ kind: "disturbed", how: "woken", hosts });
+  }
+
+  roll(version: number): void {
+    this.platform.publishBundle(this.#signed(version));
+  }
+
+  leave(upstreams: readonly string[]): void {
+    for (const upstream of upstreams) this.#leaving.add(upstream);
+    this.#publishHosts();
+  }
+
+  #publishHostsLater(): void {
+    if (this.#hostListVersion === 0) return;
+    this.#timer.after(HOST_LIST_LAG_MS, () => this.#publishHosts());
+  }
+
+  #publishHosts(): void {
+    const { failureDomains, upstreams } = this.#bundle(1);
+    const hostList: HostList = {
+      version: ++this.#hostListVersion,
+      entryHosts: this.hostNames.filter((host) => this.hosts.has(host)).map((
+        host,
+      ) => ({
+        host: asId(host),
+        peerAddress: `10.0.0.${host.slice("entry-".length)}:7000`,
+        failureDomain: failureDomains[this.#domainIndex(host)]!.failureDomain,
+        state: "live",
+      })),
+      upstreams: upstreams.map(({ upstream }) => ({
+        upstream,
+        state: this.#leaving.has(upstream) ? "leaving" : "live",
+      })),
+    };
+    this.platform.publishHosts(hostList);
+  }
+
+  #noteLeaving(upstreams: HostList["upstreams"]): void {
+    const leaving = upstreams.filter(({ state }) => state === "leaving");
+    if (leaving.length === 0) return;
+    this.#journal.add({
+      kind: "leaving-read",
+      upstreams: leaving.map(({ upstream }) => upstream),
+    });
+  }
+
+  #domainIndex(host: string): number {
+    const { failureDomains } = this.#bundle(1);
+    return Number(host.slice("entry-".length)) % failureDomains.length;
+  }
+
+  #bundle(version: number): Bundle {
+    const { maximumWaitingTokens, concurrency } = this.#scenario;
+    const whole = exampleBundle("fukuoka", { version });
+    return {
+      ...whole,
+      version: asBundleVersion(version),
+      services: whole.services.map((service) => ({
+        ...service,
+        ...(maximumWaitingTokens === undefined ? {} : { maximumWaitingTokens }),
+        ...(concurrency === undefined ? {} : {
+          initialConcurrency: concurrency,
+          maximumConcurrency: concurrency,
+        }),
+      })),
+      upstreams: whole.upstreams.filter(({ upstream }) =>
+        SCENARIO_UPSTREAMS.some((name) => name === upstream)
+      ),
+    };
+  }
+
+  #signed(version: number): SignedBundle {
+    const { maximumWaitingTokens, concurrency } = this.#scenario;
+    const key = `${version} ${maximumWaitingTokens} ${concurrency}`;
+    const signed = SIGNED.get(key) ??
+      signBundle(this.#bundle(version), SIGNING_KEY)._unsafeUnwrap();
+    SIGNED.set(key, signed);
+    return signed;
+  }
+
+  #settingsOf(host: string): Settings {
+    const { failureDomains } = this.#bundle(1);
+    return settingsSchema.parse({
+      host,
+      failureDomain: failureDomains[this.#domainIndex(host)]!.failureDomain,
+      callers: { port: 0 },
+      operators: { port: 0 },
+      peers: { port: 0, secrets: ["secret-of-all-scenarios"] },
+      platform: {
+        configurationUrl: "http://127.0.0.1:1",
+        hostListUrl: "http://127.0.0.1:1",
+      },
+      trustedKeys: [trustedKeyOf(SIGNING_KEY)],
+    });
+  }
+
+  #logOf(host: string, incarnation: string): EntryHostOptions["log"] {
+    const note = (
+      line: { kind?: string; mark?: { version: number } },
+    ): void => {
+      if (line.kind !== "in-force" || line.mark === undefined) return;
+      const { version } = line.mark;
+      this.#journal.add({ kind: "in-force", host, incarnation, version });
+    };
+    const ignore = (): void => {};
+    return {
+      info: note,
+      warn: ignore,
+      error: ignore,
+      debug: ignore,
+    } as unknown as EntryHostOptions["log"];
+  }
+}
