Fetch a dispatched job without its body, and end a stranded one in words

Two faults that scenarios and random schedules found. A copy that took over a dispatched review had dropped the body by then, took the job for malformed and told its caller "unknown" while the whole answer waited at the engine; the job is now resumed from what the copies still know. A job whose copies were lost ended with status 0, which Node refuses to write, so that the caller's fetch failed; it now gets the problem job-stranded with the job's ending.

Scenario jobHolderKilledAfterDispatch: unknown before, whole after.

--- a/apps/entry/src/jobDesk.ts
+++ b/apps/entry/src/jobDesk.ts
@@ -27,6 +27,8 @@
 
 const MAX_WAIT_MS = 30_000;
 const POLL_MS = 250;
+/** Status of a job that ended without an answer, because its copies were lost. */
+const NO_ANSWER = 0;
 const RETRY_AFTER_MS = 5_000;
 const WAIT_QUERY = /[?&]waitMs=([0-9]{1,6})(?:&|$)/;
 
@@ -179,10 +181,12 @@
       "finish",
       () => this.#options.jobs.recordFetched(id, account),
     );
-    outgoing.writeHead(answer.status, {
-      ...answer.headers,
-      "x-job-ending": answer.ending,
-    });
+    outgoing.setHeader("x-job-ending", answer.ending);
+    if (answer.status === NO_ANSWER) {
+      const { ending } = answer;
+      return writeProblem(outgoing, { ...problemOf("job-stranded"), ending });
+    }
+    outgoing.writeHead(answer.status, answer.headers);
     outgoing.end(Buffer.from(answer.body));
   }
 }
--- a/apps/entry/src/jobRunner.ts
+++ b/apps/entry/src/jobRunner.ts
@@ -1,5 +1,4 @@
 import { Buffer } from "node:buffer";
-import type { Bundle } from "@wasabivane/bundle";
 import {
   type Blackboard,
   Controller,
@@ -26,7 +25,11 @@
 import { ANSWER_KEPT_MS } from "./constants.ts";
 import type { DispatchTarget } from "./dispatch.ts";
 import { Exchange, type ExchangeServices } from "./exchange.ts";
-import { acceptRequest } from "./intake.ts";
+import {
+  type JobContext,
+  requestOfJob,
+  resumedRequestOf,
+} from "./jobRequest.ts";
 import {
   problemDocument,
   problemHeaders,
@@ -126,7 +129,8 @@
   /** The former holder has dispatched: the work is at its upstream, it is fetched from there. */
   #takeOver({ job, resumeAt }: JobTakeover): void {
     if (resumeAt === undefined || this.#running.has(job.id)) return;
-    const request = this.#requestOf(job);
+    const context = this.#contextOf(job);
+    const request = context && resumedRequestOf(job, context);
     const target = request && targetOf(request, resumeAt);
     if (request === undefined || target === undefined) {
       this.#finish(job.id, {
@@ -207,46 +211,23 @@
   }
 
   #requestOf(job: Job): AcceptedRequest | undefined {
+    const context = this.#contextOf(job);
+    return context && requestOfJob(job, context);
+  }
+
+  #contextOf(job: Job): JobContext | undefined {
     const { blackboard, bundleInForce, timer, random } = this.#options;
     const bundle = blackboard.read(bundleInForce)?.bundle;
     if (bundle === undefined) return undefined;
-    return requestOfJob(job, {
+    return {
       bundle,
       request: random.hex(REQUEST_ID_BYTES) as RequestId,
       now: timer.now(),
       timeLeft: job.expiresAt - ANSWER_KEPT_MS - timer.wallNow(),
-    });
+    };
   }
 }
 
-function requestOfJob(
-  job: Job,
-  { bundle, request, now, timeLeft }: {
-    bundle: Bundle;
-    request: RequestId;
-    now: Milliseconds;
-    timeLeft: Milliseconds;
-  },
-): AcceptedRequest | undefined {
-  const account = bundle.clientAccounts.find(({ account }) =>
-    account === job.account
-  );
-  if (account === undefined) return undefined;
-  const accepted = acceptRequest({
-    request,
-    bundle,
-    account,
-    now,
-    method: job.method,
-    path: job.path,
-    headers: { ...job.headers, "x-tier": String(job.tier) },
-    body: Buffer.from(job.body),
-  });
-  if (accepted.isErr()) return undefined;
-  // A stream that nobody listens to would only be collected again.
-  return { ...accepted.value, wantsStream: false, deadline: now + timeLeft };
-}
-
 function targetOf(
   { bundle }: AcceptedRequest,
   { upstream, nonce }: JobDispatch,
--- a/apps/entry/src/problem.ts
+++ b/apps/entry/src/problem.ts
@@ -162,6 +162,11 @@
     title: "The upstream took the request and refused to run it",
     ending: "unknown",
   },
+  "job-stranded": {
+    status: 503,
+    title: "Too few of the job's copies are left to run it",
+    ending: "not-run",
+  },
   "answer-broken": {
     status: 502,
     title: "The upstream broke off its answer",
