--- a/packages/proof/scenarios/index.ts
+++ b/packages/proof/scenarios/index.ts
@@ -10,6 +10,7 @@
 import { JOB_HOLDER_KILLED_BEFORE_DISPATCH } from "./jobHolderKilledBeforeDispatch.ts";
 import { KEEPER_DIES } from "./keeperDies.ts";
 import { LATE_ANSWER_AFTER_CANCEL } from "./lateAnswerAfterCancel.ts";
+import { OWNER_KILLED_AFTER_DISPATCH } from "./ownerKilledAfterDispatch.ts";
 import { PARTITION_SPLITS_FLEET } from "./partitionSplitsFleet.ts";
 import { UPSTREAM_BREAKS_STREAM_AND_RESUMES } from "./upstreamBreaksStreamAndResumes.ts";
 import { UPSTREAM_CRASHES_MID_STREAM } from "./upstreamCrashesMidStream.ts";
@@ -28,6 +29,7 @@
   JOB_HOLDER_KILLED_BEFORE_DISPATCH,
   KEEPER_DIES,
   LATE_ANSWER_AFTER_CANCEL,
+  OWNER_KILLED_AFTER_DISPATCH,
   PARTITION_SPLITS_FLEET,
   UPSTREAM_BREAKS_STREAM_AND_RESUMES,
   UPSTREAM_CRASHES_MID_STREAM,
--- a/packages/proof/scenarios/upstreamBreaksStreamAndResumes.ts
+++ b/packages/proof/scenarios/upstreamBreaksStreamAndResumes.ts
@@ -13,8 +13,8 @@
     { at: 0, do: "send", request: "draft-1", via: "entry-1" },
     { at: 0, do: "send", request: "answer-1", via: "entry-2" },
     ...["drafter-01", "drafter-02", "drafter-03"].flatMap((upstream) => [
-      { at: 1_300, do: "break-streams", upstream } as const,
-      { at: 1_700, do: "break-streams", upstream } as const,
+      { at: 300, do: "break-streams", upstream } as const,
+      { at: 700, do: "break-streams", upstream } as const,
     ]),
   ],
   expect: {
--- a/packages/proof/scenarios/upstreamCrashesMidStream.ts
+++ b/packages/proof/scenarios/upstreamCrashesMidStream.ts
@@ -9,7 +9,13 @@
   story: [
     { at: 0, do: "send", request: "draft-1", via: "entry-1" },
     ...["drafter-01", "drafter-02", "drafter-03"].map((upstream) =>
-      ({ at: 1_500, do: "crash", upstream, forMs: 300 }) as const
+      ({
+        once: { request: "draft-1", is: "dispatched" },
+        after: 300,
+        do: "crash",
+        upstream,
+        forMs: 300,
+      }) as const
     ),
   ],
   expect: { "draft-1": { ends: ["unknown"], dispatches: 1 } },
--- a/packages/proof/src/scenarioCall.ts
+++ b/packages/proof/src/scenarioCall.ts
@@ -2,6 +2,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Readable, Writable } from "node:stream";
 
+const LOWEST_STATUS = 100;
+
 /** One call of a caller, as its bytes are. */
 export interface ScenarioCall {
   readonly method: string;
@@ -54,9 +56,15 @@
     return this.writableFinished;
   }
 
+  setHeader(name: string, value: unknown): void {
+    this.headers = { ...this.headers, [name]: value };
+  }
+
   writeHead(status: number, headers: Record<string, unknown> = {}): this {
+    // Node refuses such a status, too.
+    if (status < LOWEST_STATUS) throw new RangeError(`Status ${status}`);
     this.status = status;
-    this.headers = headers;
+    this.headers = { ...this.headers, ...headers };
     return this;
   }
 
--- a/packages/proof/src/scenarioRunner.ts
+++ b/packages/proof/src/scenarioRunner.ts
@@ -24,8 +24,8 @@
 import { ScenarioJournal } from "./scenarioJournal.ts";
 import { judgeScenario, type Verdict } from "./scenarioJudge.ts";
 
-/** Time for the hosts to find each other before the story starts. */
-const START_MS: Milliseconds = 5_000;
+/** Time for the hosts to find each other and for homes of keys to start their tenure. */
+const START_MS: Milliseconds = 8_000;
 /** How long faults go on after the last step. */
 const FAULTY_TAIL_MS: Milliseconds = 10_000;
 /** Longest time until everything has ended once all is healed. */
@@ -270,7 +270,9 @@
   }
 
   #handle({ callerApi }: ScenarioHost, connection: CallerConnection): void {
-    void callerApi.handle(connection.incoming, connection.outgoing);
+    callerApi.handle(connection.incoming, connection.outgoing).catch(
+      (thrown: Error) => connection.destroy(thrown),
+    );
   }
 
   #hangUp(name: string): void {
