--- /dev/null
+++ b/packages/proof/src/faultsReport.ts
@@ -0,0 +1,99 @@
+import { drawSchedule } from "./faults.ts";
+import type { FaultScenario } from "./scenario.ts";
+import { emptyVerdict, PROMISES, type Verdict } from "./scenarioJudge.ts";
+import { runScenario } from "./scenarioRunner.ts";
+
+/** A schedule that broke a promise. */
+export interface FailedSchedule {
+  /** The fewest steps that still break it. */
+  readonly schedule: FaultScenario;
+  readonly what: string;
+  /** Runs the schedule alone, as it was drawn. */
+  readonly replay: string;
+}
+
+/** What the `faults` command prints. */
+export interface FaultsReport extends Omit<Verdict, "findings"> {
+  readonly seed: number;
+  runs: number;
+  readonly failures: FailedSchedule[];
+}
+
+/** Shrinking takes as long as dozens of schedules; a few show what is wrong. */
+const MAX_SHRUNK = 3;
+
+/** Which schedules of a seed to run. */
+export interface FaultsOptions {
+  readonly seed: number;
+  readonly from: number;
+  /** The first one that is left out. */
+  readonly to: number;
+}
+
+/** Runs schedules one after the other and shrinks those that break a promise. */
+export async function runFaults(
+  { seed, from, to }: FaultsOptions,
+): Promise<FaultsReport> {
+  const report = emptyReport(seed);
+  for (let index = from; index < to; index++) {
+    const scenario = drawSchedule(seed, index);
+    const { verdict } = await runScenario(scenario);
+    addVerdict(report, verdict);
+    report.runs++;
+    if (verdict.findings.length === 0) continue;
+    const isShrunk = report.failures.length < MAX_SHRUNK;
+    report.failures.push({
+      schedule: isShrunk ? await shrink(scenario) : scenario,
+      what: verdict.findings.join("; "),
+      replay: `npm run --silent faults -- --seed ${seed} --replay ${index}`,
+    });
+  }
+  return report;
+}
+
+/** A report without runs. */
+export function emptyReport(seed: number): FaultsReport {
+  const { findings: _findings, ...counts } = emptyVerdict();
+  return { seed, runs: 0, ...counts, failures: [] };
+}
+
+/** Adds what another process found. */
+export function addReport(sum: FaultsReport, part: FaultsReport): void {
+  addVerdict(sum, part);
+  sum.runs += part.runs;
+  sum.failures.push(...part.failures);
+}
+
+function addVerdict(
+  sum: FaultsReport,
+  part: Omit<Verdict, "findings">,
+): void {
+  sum.requests += part.requests;
+  sum.whole += part.whole;
+  sum.notRun += part.notRun;
+  sum.unknown += part.unknown;
+  sum.unknownThatHadNotRun += part.unknownThatHadNotRun;
+  for (const promise of PROMISES) sum[promise] += part[promise];
+}
+
+/** Leaves out every step without which the schedule still breaks a promise. */
+export async function shrink(scenario: FaultScenario): Promise<FaultScenario> {
+  let smallest = scenario;
+  for (let index = scenario.story.length - 1; index >= 0; index--) {
+    const story = smallest.story.filter((_, position) => position !== index);
+    const smaller = { ...smallest, story };
+    if (await isBroken(smaller)) smallest = smaller;
+  }
+  const sent = new Set(
+    smallest.story.map((step) => step.do === "send" ? step.request : ""),
+  );
+  const requests = Object.fromEntries(
+    Object.entries(smallest.requests).filter(([name]) => sent.has(name)),
+  );
+  return { ...smallest, requests };
+}
+
+async function isBroken(scenario: FaultScenario): Promise<boolean> {
+  const { verdict } = await runScenario(scenario);
+  return verdict.findings.length > 0;
+}
--- a/packages/proof/src/index.ts
+++ b/packages/proof/src/index.ts
@@ -14,3 +14,5 @@
 export * from "./scenarioJournal.ts";
 export * from "./scenarioJudge.ts";
 export * from "./scenarioRunner.ts";
+export * from "./faults.ts";
+export * from "./faultsReport.ts";
