--- a/packages/proof/src/scenarioCall.ts
+++ b/packages/proof/src/scenarioCall.ts
@@ -32,10 +32,18 @@
     super();
     this.#onEnd = options.onEnd;
     const parts = body === "" ? [] : [Buffer.from(body)];
+    const allHeaders = {
+      ...headers,
+      "host": "entry",
+      "content-length": String(body.length),
+    };
     this.incoming = Object.assign(Readable.from(parts), {
       method,
       url: path,
-      headers: { ...headers, "content-length": String(body.length) },
+      httpVersion: "1.1",
+      headers: allHeaders,
+      rawHeaders: Object.entries(allHeaders).flat(),
+      complete: true,
     }) as unknown as IncomingMessage;
     this.on("error", () => {});
     this.on("finish", () => this.#end());
@@ -51,6 +59,11 @@
     return Buffer.concat(this.#parts).toString("utf8");
   }
 
+  /** Read by the caller interface when it fails half-way. */
+  get headersSent(): boolean {
+    return this.status > 0;
+  }
+
   /** Whether the host ended the answer itself; a part is not the whole. */
   get isFinished(): boolean {
     return this.writableFinished;
