Explore the at-most-once machines exhaustively in small scopes

Cause: orders of messages, restarts and list changes are too many to think of. Found while writing it: an answer to a process that restarted could be taken by its successor for an answer to its own request of the same number, and count for a lease that nobody gave; answers now name who asked.

--- a/packages/coordination/src/keyHome.ts
+++ b/packages/coordination/src/keyHome.ts
@@ -4,6 +4,7 @@
   HostId,
   IdempotencyKey,
   Incarnation,
+  Milliseconds,
 } from "@wasabivane/common";
 import {
   HOST_SKEW_MS,
@@ -46,6 +47,15 @@
   readonly sequence: number;
 }
 
+/** Bounds of a {@link KeyHome}. */
+export interface KeyHomeOptions {
+  readonly maximum?: number;
+  /** Least time that a key is held; also how old a key may be that it takes anew. */
+  readonly lifetimeMs?: Milliseconds;
+  readonly tenureMarginMs?: Milliseconds;
+  readonly records?: Map<string, KeyRecord>;
+}
+
 /**
  * The table of a key's home. It grants each key to one owner: who may dispatch
  * is decided here and nowhere else, as long as this home alone is active.
@@ -53,14 +63,20 @@
 export class KeyHome {
   readonly records: Map<string, KeyRecord>;
   readonly #maximum: number;
+  readonly #lifetimeMs: Milliseconds;
+  readonly #tenureMarginMs: Milliseconds;
 
   constructor(
-    { maximum = MAX_HELD_KEYS, records = new Map() }: {
-      maximum?: number;
-      records?: Map<string, KeyRecord>;
-    } = {},
+    {
+      maximum = MAX_HELD_KEYS,
+      lifetimeMs = KEY_LIFETIME_MS,
+      tenureMarginMs = TENURE_MARGIN_MS,
+      records = new Map(),
+    }: KeyHomeOptions = {},
   ) {
     this.#maximum = maximum;
+    this.#lifetimeMs = lifetimeMs;
+    this.#tenureMarginMs = tenureMarginMs;
     this.records = records;
   }
 
@@ -129,7 +145,7 @@
    * how long a former record was held for is not known any more.
    */
   protected isForgettable(claim: Claim, { wallNow }: ClaimContext): boolean {
-    return wallNow >= claim.issuedAt + KEY_LIFETIME_MS;
+    return wallNow >= claim.issuedAt + this.#lifetimeMs;
   }
 
   /**
@@ -141,7 +157,7 @@
     claim: Claim,
     { tenureStartedAt }: ClaimContext,
   ): boolean {
-    return claim.issuedAt <= tenureStartedAt + TENURE_MARGIN_MS;
+    return claim.issuedAt <= tenureStartedAt + this.#tenureMarginMs;
   }
 
   #claimUnheard(claim: Claim, context: ClaimContext): ClaimAnswer {
@@ -157,7 +173,7 @@
         ? { kind: "unknown", reason: "older-than-tenure" }
         : { kind: "not-run", reason: "full" };
     }
-    const record = createRecord(claim);
+    const record = createRecord(claim, this.#lifetimeMs);
     this.records.set(recordKey(claim), record);
     if (!isOlder) return grant(record, claim);
     record.state = "unknown";
@@ -209,8 +225,8 @@
     : { kind: "granted", attempt };
 }
 
-function createRecord(claim: Claim): KeyRecord {
-  const lifetimeMs = Math.max(claim.lifetimeMs, KEY_LIFETIME_MS);
+function createRecord(claim: Claim, leastMs: Milliseconds): KeyRecord {
+  const lifetimeMs = Math.max(claim.lifetimeMs, leastMs);
   return {
     bodyDigest: claim.bodyDigest,
     expiresAt: claim.issuedAt + lifetimeMs,
--- a/packages/coordination/src/keyHomeController.ts
+++ b/packages/coordination/src/keyHomeController.ts
@@ -23,7 +23,7 @@
 import { MEMBERS } from "./membershipController.ts";
 import { sendMessage, subscribeMessage } from "./peerMessages.ts";
 import type { ViewController } from "./viewController.ts";
-import { type Activity, homeOf } from "./views.ts";
+import { type Activity, homeOf, tenureStartOf } from "./views.ts";
 
 const EXPIRY_PERIOD_MS: Milliseconds = 10_000;
 
@@ -126,14 +126,9 @@
     return this.#home.claim(checked, this.#context(tenureStartedAt));
   }
 
-  /** The tenure reaches back over earlier views as long as this host was the key's home in them. */
-  #tenureStart(key: string, activity: Activity): EpochMilliseconds {
+  #tenureStart(key: string, { tenures }: Activity): EpochMilliseconds {
     const { host, views, timer } = this.#options;
-    let { startedAt } = activity.tenures[0]!;
-    for (const tenure of activity.tenures) {
-      if (homeOf(key, tenure.view) !== host) break;
-      startedAt = tenure.startedAt;
-    }
+    const startedAt = tenureStartOf(key, { host, tenures });
     return timer.wallNow() - views.elapsedSince(startedAt);
   }
 
--- a/packages/coordination/src/keyService.ts
+++ b/packages/coordination/src/keyService.ts
@@ -31,6 +31,7 @@
   KEY_UPDATE_TAKEN,
   type KeyUpdate,
 } from "./keyMessages.ts";
+import { expiryOf, KeyOwner, type OwnClaim } from "./keyOwner.ts";
 import { sendMessage, subscribeMessage } from "./peerMessages.ts";
 import { homeOf } from "./views.ts";
 
@@ -71,23 +72,10 @@
   | { readonly kind: "granted"; readonly owned: OwnedKey }
   | Exclude<ClaimAnswer, { kind: "granted" }>;
 
-/** What became of one own claim. */
-type ClaimState =
-  | "pending"
-  | "owned"
-  | "dispatched"
-  | "released"
-  /** Nobody waits for it any more; a late grant is given back. */
-  | "abandoned";
-
-interface OwnClaim {
-  readonly claim: Claim;
-  readonly home: HostId;
-  state: ClaimState;
-  resolve: (outcome: ClaimOutcome) => void;
-  lastReason: ClaimOutcome;
-  /** Updates sent to the home so far. */
-  updates: number;
+interface Waiter {
+  readonly resolve: (outcome: ClaimOutcome) => void;
+  /** What to say when time runs out. */
+  fallback: ClaimOutcome;
   timers: TimerSubscription[];
 }
 
@@ -104,7 +92,8 @@
 export class KeyService extends Controller {
   readonly #options: KeyServiceOptions;
   readonly #home: KeyHomeController;
-  readonly #claims = new Map<string, OwnClaim>();
+  readonly #owner = new KeyOwner();
+  readonly #waiters = new Map<string, Waiter>();
   readonly #updates = new Map<string, TimerSubscription>();
   readonly #subscriptions: (() => void)[] = [];
   #purging: TimerSubscription | undefined;
@@ -126,7 +115,9 @@
         this.#endUpdate(updateKey(taken));
       }),
     );
-    this.#purging = timer.every(PURGE_PERIOD_MS, () => this.#purge());
+    this.#purging = timer.every(PURGE_PERIOD_MS, () => {
+      this.#owner.purge(timer.wallNow());
+    });
   }
 
   override stop(): void {
@@ -179,19 +170,15 @@
    * lifetime: a process that slept since the grant must not write.
    */
   markDispatched(owned: OwnedKey, dispatch: Dispatch): boolean {
-    const own = this.#claims.get(owned.claimId);
-    const isExpired = this.#options.timer.wallNow() >= owned.expiresAt;
-    if (own?.state !== "owned" || isExpired) return false;
-    own.state = "dispatched";
+    const now = this.#options.timer.wallNow();
+    if (!this.#owner.spend(owned.claimId, now)) return false;
     this.#update(owned, { state: "dispatched", dispatch });
     return true;
   }
 
   /** The upstream refused the connection: no byte has left, so the right to dispatch is back. */
   markRefused(owned: OwnedKey): void {
-    const own = this.#claims.get(owned.claimId);
-    if (own?.state !== "dispatched") return;
-    own.state = "owned";
+    if (!this.#owner.refund(owned.claimId)) return;
     this.#update(owned, { state: "refused" });
   }
 
@@ -205,9 +192,7 @@
    * Afterwards this grant dispatches nothing, so that "not run" is true.
    */
   release(owned: OwnedKey): boolean {
-    const own = this.#claims.get(owned.claimId);
-    if (own?.state === "dispatched") return false;
-    if (own !== undefined) own.state = "released";
+    if (!this.#owner.release(owned.claimId)) return false;
     this.#update(owned, { state: "released" });
     return true;
   }
@@ -246,29 +231,25 @@
     },
   ): Promise<ClaimOutcome> {
     const { timer } = this.#options;
+    const { claimId } = claim;
+    this.#owner.begin(claim, home);
     return new Promise((resolve) => {
-      const own: OwnClaim = {
-        claim,
-        home,
-        state: "pending",
-        resolve,
-        lastReason: { kind: "unknown", reason: "unreachable" },
-        updates: 0,
-        timers: [],
-      };
-      this.#claims.set(claim.claimId, own);
-      own.timers = [
-        timer.every(CLAIM_RETRY_MS, () => this.#ask(own)),
-        timer.after(timeoutMs, () => this.#settle(own, own.lastReason)),
-      ];
-      this.#ask(own);
+      const fallback = { kind: "unknown", reason: "unreachable" } as const;
+      const waiter: Waiter = { resolve, fallback, timers: [] };
+      this.#waiters.set(claimId, waiter);
+      waiter.timers.push(
+        timer.every(CLAIM_RETRY_MS, () => this.#ask(claim, home)),
+        timer.after(timeoutMs, () => {
+          this.#owner.abandon(claimId);
+          this.#settle(claimId, waiter.fallback);
+        }),
+      );
+      this.#ask(claim, home);
     });
   }
 
-  #ask(own: OwnClaim): void {
-    if (own.state !== "pending") return;
+  #ask(claim: Claim, home: HostId): void {
     const { host, link } = this.#options;
-    const { claim, home } = own;
     if (home === host) {
       this.#onAnswer(claim.claimId, this.#home.claim(claim), { from: host });
     } else {
@@ -281,42 +262,27 @@
     answer: ClaimAnswer,
     { from }: { from: HostId },
   ): void {
-    const own = this.#claims.get(claimId);
-    if (own === undefined || own.home !== from) return;
-    if (own.state !== "pending") {
-      this.#giveBack(own, answer);
-      return;
+    const action = this.#owner.take(claimId, answer, { from });
+    const own = this.#owner.claims.get(claimId);
+    if (action === "settle") {
+      this.#settle(claimId, toOutcome(own!, answer));
+    }
+    if (action === "give-back" && answer.kind === "granted") {
+      this.#update(ownedKey(own!, answer.attempt), { state: "released" });
+    }
+    const waiter = this.#waiters.get(claimId);
+    if (action === "retry" && answer.kind === "unknown") {
+      waiter!.fallback = answer;
     }
-    const isPassing = answer.kind === "unknown" &&
-      answer.reason === "home-inactive";
-    if (isPassing) own.lastReason = answer;
-    else this.#settle(own, this.#toOutcome(own, answer));
-  }
-
-  /** Nobody waits for the grant; without this the key would stay owned by a request that is gone. */
-  #giveBack(own: OwnClaim, answer: ClaimAnswer): void {
-    const isUnwanted = own.state === "abandoned" || own.state === "released";
-    if (!isUnwanted || answer.kind !== "granted") return;
-    this.#update(this.#ownedKey(own, answer.attempt), { state: "released" });
-  }
-
-  #toOutcome(own: OwnClaim, answer: ClaimAnswer): ClaimOutcome {
-    if (answer.kind !== "granted") return answer;
-    return { kind: "granted", owned: this.#ownedKey(own, answer.attempt) };
-  }
-
-  #ownedKey({ claim, home }: OwnClaim, attempt: number): OwnedKey {
-    const { account, key, claimId, issuedAt, lifetimeMs } = claim;
-    const expiresAt = issuedAt + lifetimeMs;
-    return { account, key, claimId, home, attempt, expiresAt };
   }
 
-  #settle(own: OwnClaim, outcome: ClaimOutcome): void {
-    for (const timer of own.timers.splice(0)) timer.cancel();
-    if (own.state !== "pending") return;
-    own.state = outcome.kind === "granted" ? "owned" : "abandoned";
+  #settle(claimId: string, outcome: ClaimOutcome): void {
+    const waiter = this.#waiters.get(claimId);
+    if (waiter === undefined) return;
+    this.#waiters.delete(claimId);
+    for (const timer of waiter.timers) timer.cancel();
     this.#options.metrics.count("key_outcomes", 1, { kind: outcome.kind });
-    own.resolve(outcome);
+    waiter.resolve(outcome);
   }
 
   #update(
@@ -325,7 +291,7 @@
   ): void {
     const { host, timer, link } = this.#options;
     const { account, key, claimId, home } = owned;
-    const sequence = this.#nextSequence(claimId);
+    const sequence = this.#owner.nextUpdate(claimId);
     const update: KeyUpdate = { account, key, claimId, sequence, ...change };
     if (home === host) return this.#home.update(update);
     const name = updateKey(update);
@@ -339,27 +305,21 @@
     send();
   }
 
-  #nextSequence(claimId: string): number {
-    const own = this.#claims.get(claimId);
-    if (own === undefined) return 1;
-    own.updates++;
-    return own.updates;
-  }
-
   #endUpdate(name: string): void {
     this.#updates.get(name)?.cancel();
     this.#updates.delete(name);
   }
+}
 
-  /** Claims are remembered until their key is past use, so that a late grant is not taken for a new one. */
-  #purge(): void {
-    const now = this.#options.timer.wallNow();
-    for (const [claimId, { claim, state }] of this.#claims) {
-      const end = claim.issuedAt + claim.lifetimeMs;
-      const isOver = end + 2 * HOST_SKEW_MS < now;
-      if (isOver && state !== "pending") this.#claims.delete(claimId);
-    }
-  }
+function toOutcome(own: OwnClaim, answer: ClaimAnswer): ClaimOutcome {
+  if (answer.kind !== "granted") return answer;
+  return { kind: "granted", owned: ownedKey(own, answer.attempt) };
+}
+
+function ownedKey({ claim, home }: OwnClaim, attempt: number): OwnedKey {
+  const { account, key, claimId } = claim;
+  const expiresAt = expiryOf(claim);
+  return { account, key, claimId, home, attempt, expiresAt };
 }
 
 function updateKey(
--- a/packages/coordination/src/viewController.ts
+++ b/packages/coordination/src/viewController.ts
@@ -66,6 +66,7 @@
   "lease-answer",
   objectOf({
     serial: numberOf<number>(),
+    asker: textOf<Incarnation>(),
     incarnation: textOf<Incarnation>(),
     isJoined: isBoolean,
     views: listOf(viewShape, MAX_VIEWS),
--- a/packages/coordination/src/viewLease.ts
+++ b/packages/coordination/src/viewLease.ts
@@ -148,6 +148,7 @@
     const grant = this.#grant(from, request, now);
     return {
       serial: request.serial,
+      asker: request.incarnation,
       incarnation: this.#options.incarnation,
       isJoined: this.state.isJoined,
       views: this.#views(),
@@ -160,7 +161,8 @@
   /** Takes an answer as holder. */
   take(from: HostId, answer: LeaseAnswer, now: Milliseconds): void {
     const sentAt = this.state.sentAt.get(answer.serial);
-    if (sentAt === undefined) return;
+    const isOwn = answer.asker === this.#options.incarnation;
+    if (sentAt === undefined || !isOwn) return;
     this.activity(now);
     for (const view of answer.views) this.learn(view);
     for (const version of answer.retired) this.#retireVersion(version);
--- a/packages/coordination/src/views.ts
+++ b/packages/coordination/src/views.ts
@@ -26,6 +26,8 @@
 /** What a granter says to a {@link LeaseRequest}. */
 export interface LeaseAnswer {
   readonly serial: number;
+  /** Who asked; a successor that counts its requests anew must not take the answer for its own. */
+  readonly asker: Incarnation;
   readonly incarnation: Incarnation;
   readonly isJoined: boolean;
   readonly views: readonly View[];
@@ -84,3 +86,19 @@
 export function homeOf(key: string, view: View): HostId | undefined {
   return rendezvousOrder(key, view.hosts)[0];
 }
+
+/**
+ * Since when a host alone decides about a key: the tenure reaches back over
+ * earlier views as long as the host was the key's home in them too.
+ */
+export function tenureStartOf(
+  key: string,
+  { host, tenures }: { host: HostId; tenures: readonly Tenure[] },
+): Milliseconds {
+  let startedAt = Infinity;
+  for (const tenure of tenures) {
+    if (homeOf(key, tenure.view) !== host) break;
+    startedAt = tenure.startedAt;
+  }
+  return startedAt;
+}
--- /dev/null
+++ b/packages/proof/tests/modelCheck.test.ts
@@ -0,0 +1,82 @@
+import test from "ava";
+import { KeyHome, ViewLease } from "@wasabivane/coordination";
+import {
+  checkModel,
+  type ModelMachines,
+  type ModelScopeName,
+  SHIPPED_MACHINES,
+  SMALL_SCOPES,
+} from "@wasabivane/proof";
+
+class LeaseWithoutWait extends ViewLease {
+  protected override areFormerLeasesOver(): boolean {
+    return true;
+  }
+}
+
+class LeaseWithoutRestartWait extends ViewLease {
+  protected override areForgottenLeasesOver(): boolean {
+    return true;
+  }
+}
+
+class HomeWithoutTenure extends KeyHome {
+  protected override isOlderThanTenure(): boolean {
+    return false;
+  }
+}
+
+class HomeWithoutExpiry extends KeyHome {
+  protected override isForgettable(): boolean {
+    return false;
+  }
+}
+
+for (const [name, scope] of Object.entries(SMALL_SCOPES)) {
+  test(`${name}: no order of events breaks a promise`, (t) => {
+    const { states, isComplete, violation } = checkModel(scope);
+    t.log(`${states} states`);
+    t.is(violation, undefined);
+    t.true(isComplete);
+  });
+}
+
+const weakened: readonly {
+  safeguard: string;
+  scope: ModelScopeName;
+  machines: Partial<ModelMachines>;
+}[] = [
+  {
+    safeguard: "the wait for former leases",
+    scope: "viewChange",
+    machines: { createLease: (options) => new LeaseWithoutWait(options) },
+  },
+  {
+    safeguard: "the wait after a restart",
+    scope: "granterRestart",
+    machines: {
+      createLease: (options) => new LeaseWithoutRestartWait(options),
+    },
+  },
+  {
+    safeguard: "the start of a tenure",
+    scope: "homeChange",
+    machines: { createHome: (options) => new HomeWithoutTenure(options) },
+  },
+  {
+    safeguard: "the expiry of keys",
+    scope: "keyExpiry",
+    machines: { createHome: (options) => new HomeWithoutExpiry(options) },
+  },
+];
+
+for (const { safeguard, scope, machines } of weakened) {
+  test(`without ${safeguard} a broken promise is found`, (t) => {
+    const { violation } = checkModel({
+      ...SMALL_SCOPES[scope],
+      machines: { ...SHIPPED_MACHINES, ...machines },
+    });
+    t.truthy(violation);
+    t.log(violation!.what, violation!.trace);
+  });
+}
