--- a/apps/entry/src/answerWriter.ts
+++ b/apps/entry/src/answerWriter.ts
@@ -117,7 +117,12 @@
 
 function drained(outgoing: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
-    outgoing.once("drain", resolve);
-    outgoing.once("close", resolve);
+    const settle = (): void => {
+      outgoing.off("drain", settle);
+      outgoing.off("close", settle);
+      resolve();
+    };
+    outgoing.on("drain", settle);
+    outgoing.on("close", settle);
   });
 }
