Stop hosts by a stop plan, few of one failure domain at once

Cause: a planned stop must cut no request, and several hosts of a domain that are ordered to stop in the same second must not all go.

Change: phases on the blackboard (readiness off, no new connections, streams finish while jobs move, last answers handed over, end); slots of a failure domain are granted among its own hosts by logical clocks. A host that dies while it stops holds its slot for a minute or until it is back.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -26,6 +26,8 @@
 export * from "./poolKeeper.ts";
 export * from "./poolMembers.ts";
 export * from "./poolMessages.ts";
+export * from "./stopController.ts";
+export * from "./stopSlots.ts";
 export * from "./suspicionBook.ts";
 export * from "./suspicionController.ts";
 export * from "./viewController.ts";
