--- a/packages/coordination/tests/helpers/memberFleet.ts
+++ b/packages/coordination/tests/helpers/memberFleet.ts
@@ -48,13 +48,28 @@
 ): HostList {
   const entryHosts = hosts.map((host, index) => ({
     host,
-    peerAddress: `192.0.2.${index + 1}:7000`,
-    failureDomain: asId<FailureDomain>(DOMAINS[index % DOMAINS.length]!),
+    peerAddress: addressOf(index + 1),
+    failureDomain: domainOf(index + 1),
     state: "live" as const,
   }));
   return { version, entryHosts, upstreams: [] };
 }
 
+function addressOf(number: number): string {
+  return `192.0.2.${number}:7000`;
+}
+
+function domainOf(number: number): FailureDomain {
+  return asId<FailureDomain>(DOMAINS[(number - 1) % DOMAINS.length]!);
+}
+
+/** How a process of a {@link MemberFleet} starts. */
+export interface StartOptions {
+  /** By how much its wall clock is off. */
+  readonly skewMs?: Milliseconds;
+  readonly list?: HostList;
+}
+
 /** Membership controllers of several hosts over one in-memory network. */
 export class MemberFleet {
   readonly world = new WorldTimer();
@@ -78,20 +93,23 @@
     for (const host of names) this.start(host);
   }
 
-  /** Starts a process on a host that knows the published list. */
-  start(host: HostId, { skewMs = 0 } = {}): FleetHost {
+  /** Starts a process on a host; it knows a list, the published one unless told. */
+  start(
+    host: HostId,
+    { skewMs = 0, list = this.list }: StartOptions = {},
+  ): FleetHost {
     const timer = new HostTimer(this.world, { skewMs });
     const blackboard = new Blackboard();
     const link = this.network.join(host);
     const metrics = new MemoryMetrics();
-    const listed = this.list.entryHosts.find((item) => item.host === host)!;
+    const [number] = /\d+$/.exec(host)!;
     const incarnation = createIncarnation(timer, this.random);
     const membership = new MembershipController({
       self: {
         host,
         incarnation,
-        failureDomain: listed.failureDomain,
-        peerAddress: listed.peerAddress,
+        failureDomain: domainOf(Number(number)),
+        peerAddress: addressOf(Number(number)),
         isLeaving: false,
       },
       blackboard,
@@ -130,7 +148,7 @@
       keys,
     };
     this.hosts.set(host, started);
-    blackboard.write(HOST_LIST, this.list);
+    blackboard.write(HOST_LIST, list);
     for (const controller of [membership, views, keys]) controller.start();
     return started;
   }
