Keep the pace that deadlines need, and look past blocked requests

With bounds that only followed the time to first token, engines either ran at a third of their batch (the floor was learned from samples that counted other prompts) or so full that a tenth of the top tier came late; and four requests that waited for a faster upstream hid all behind them, so that slow engines stood idle.

Changes: the floor rests on samples with their own backlog; a ladder of paces bounds each upstream by what its tier needs; blocked requests are kept apart from fresh ones; order within an account by the cost of an upstream's time; a long prior for lengths, since the first answers are the short ones; refusals no longer rest on the guessed speed of unknown engines; a second loss does not convict a request that got further.

--- a/packages/decisions/src/accountLane.ts
+++ b/packages/decisions/src/accountLane.ts
@@ -19,10 +19,18 @@
   isGone: boolean;
   /** It waits for an upstream that holds its prefix, until then at most. */
   heldUntil?: Milliseconds;
+  /** How often it was looked at and could not start. */
+  timesBlocked: number;
+  /** Kinds of upstream, as bits, that could not take it when it was last looked at. */
+  blockedKinds: number;
+  /** When those kinds are worth another look. */
+  blockedUntil: Milliseconds;
 }
 
 /** Waiting tokens are counted by the power of two of their request's length. */
 const LENGTH_CLASSES = 24;
+/** How far a request falls back each time that it could not start. */
+const BLOCKED_DELAY_MS = 2_000;
 
 /** The waiting requests of one account in one tier. */
 export class AccountLane {
@@ -33,7 +41,8 @@
   isReady = false;
   size = 0;
   tokens = 0;
-  #heap = new Heap<Waiting>(isEarlier);
+  #fresh = new Heap<Waiting>(isEarlier);
+  #blocked = new Heap<Waiting>(isEarlierAgain);
   readonly #tokensByClass = new Float64Array(LENGTH_CLASSES);
 
   constructor(account: ClientAccountId) {
@@ -45,7 +54,7 @@
     this.tokens += waiting.expectedTokens;
     this.#tokensByClass[classOf(waiting.expectedTokens)]! +=
       waiting.expectedTokens;
-    this.#heap.push(waiting);
+    this.#fresh.push(waiting);
   }
 
   /** Counts out a request that left; the heap drops it later. */
@@ -54,18 +63,30 @@
     this.tokens -= waiting.expectedTokens;
     this.#tokensByClass[classOf(waiting.expectedTokens)]! -=
       waiting.expectedTokens;
-    if (this.#heap.size > 64 + 2 * this.size) this.#rebuild();
+    const held = this.#fresh.size + this.#blocked.size;
+    if (held > 64 + 2 * this.size) this.#rebuild();
   }
 
-  /** The first request that has not left; it is put back or forgotten. */
-  pop(): Waiting | undefined {
-    let first = this.#heap.pop();
-    while (first?.isGone) first = this.#heap.pop();
-    return first;
+  /** The first request that was not looked at yet; it is blocked or forgotten next. */
+  popFresh(): Waiting | undefined {
+    return popPresent(this.#fresh);
   }
 
+  /** The first request that was blocked before; it is blocked or forgotten next. */
+  popBlocked(): Waiting | undefined {
+    return popPresent(this.#blocked);
+  }
+
+  /** Keeps a request that could not start behind those that were tried less often. */
+  block(waiting: Waiting): void {
+    waiting.timesBlocked++;
+    this.#blocked.push(waiting);
+  }
+
+  /** Keeps a request as if it had not been looked at. */
   putBack(waiting: Waiting): void {
-    this.#heap.push(waiting);
+    if (waiting.timesBlocked > 0) this.#blocked.push(waiting);
+    else this.#fresh.push(waiting);
   }
 
   /** Waiting tokens of shorter requests, and half of those about as long. */
@@ -80,25 +101,45 @@
 
   /** The requests that wait here, in no order. */
   waiting(): Waiting[] {
-    const found: Waiting[] = [];
-    for (let next = this.pop(); next !== undefined; next = this.pop()) {
-      found.push(next);
-    }
-    found.forEach((waiting) => this.#heap.push(waiting));
+    const found = [...drain(this.#fresh), ...drain(this.#blocked)];
+    found.forEach((waiting) => this.putBack(waiting));
     return found;
   }
 
   #rebuild(): void {
     const kept = this.waiting();
-    this.#heap = new Heap(isEarlier);
-    kept.forEach((waiting) => this.#heap.push(waiting));
+    this.#fresh = new Heap(isEarlier);
+    this.#blocked = new Heap(isEarlierAgain);
+    kept.forEach((waiting) => this.putBack(waiting));
+  }
+}
+
+function popPresent(heap: Heap<Waiting>): Waiting | undefined {
+  let first = heap.pop();
+  while (first?.isGone) first = heap.pop();
+  return first;
+}
+
+function drain(heap: Heap<Waiting>): Waiting[] {
+  const found: Waiting[] = [];
+  for (let next = popPresent(heap); next; next = popPresent(heap)) {
+    found.push(next);
   }
+  return found;
 }
 
 function isEarlier(left: Waiting, right: Waiting): boolean {
   return left.key < right.key;
 }
 
+function isEarlierAgain(left: Waiting, right: Waiting): boolean {
+  return blockedKey(left) < blockedKey(right);
+}
+
+function blockedKey({ key, timesBlocked }: Waiting): number {
+  return key + timesBlocked * BLOCKED_DELAY_MS;
+}
+
 function classOf(tokens: number): number {
   const index = Math.floor(Math.log2(Math.max(1, tokens)));
   return Math.min(LENGTH_CLASSES - 1, index);
--- a/packages/decisions/src/freeUpstreams.ts
+++ b/packages/decisions/src/freeUpstreams.ts
@@ -3,6 +3,8 @@
 
 /** Up to so many free upstreams are all looked at; of more, a sample. */
 const MAXIMUM_CANDIDATES = 16;
+/** More generations than these share bits, which only costs a few more looks. */
+const KIND_BITS = 30;
 
 /**
  * The upstreams that may take one more request, by generation. Answers the load
@@ -12,12 +14,19 @@
  */
 export class FreeUpstreams {
   readonly #generations = new Map<string, UpstreamState[]>();
+  readonly #bits = new Map<string, number>();
+  #kinds = 0;
   readonly #places = new Map<UpstreamState, number>();
 
   get size(): number {
     return this.#places.size;
   }
 
+  /** The generations that have a free upstream, one bit each. */
+  get kinds(): number {
+    return this.#kinds;
+  }
+
   has(state: UpstreamState): boolean {
     return this.#places.has(state);
   }
@@ -29,19 +38,30 @@
     this.#generations.set(generation, states);
     this.#places.set(state, states.length);
     states.push(state);
+    this.#kinds |= this.#bitOf(generation);
   }
 
   remove(state: UpstreamState): void {
     const place = this.#places.get(state);
     if (place === undefined) return;
     this.#places.delete(state);
-    const states = this.#generations.get(state.description.generation)!;
+    const { generation } = state.description;
+    const states = this.#generations.get(generation)!;
     const last = states.pop()!;
+    if (states.length === 0) this.#kinds &= ~this.#bitOf(generation);
     if (last === state) return;
     states[place] = last;
     this.#places.set(last, place);
   }
 
+  #bitOf(generation: string): number {
+    const known = this.#bits.get(generation);
+    if (known !== undefined) return known;
+    const added = 1 << (this.#bits.size % KIND_BITS);
+    this.#bits.set(generation, added);
+    return added;
+  }
+
   /** All free upstreams, or a sample with some of each generation. */
   sample(random: Random): UpstreamState[] {
     if (this.size <= MAXIMUM_CANDIDATES) return [...this.#places.keys()];
--- a/packages/decisions/src/lengthEstimate.ts
+++ b/packages/decisions/src/lengthEstimate.ts
@@ -7,7 +7,7 @@
 /** A histogram this heavy is halved, so that about the last 500 answers count. */
 const MAXIMUM_WEIGHT = 512;
 /** Answers after which a histogram counts as much as the one it refines. */
-const CONFIDENCE_WEIGHT = 20;
+const CONFIDENCE_WEIGHT = 35;
 /** An even spread over the doublings up to a bound has about this mean. */
 const PRIOR_MEAN_SHARE = 0.14;
 /** Bound on histograms; the least recently made are forgotten. */
@@ -147,6 +147,8 @@
 class Histogram {
   readonly #cumulative = new Float64Array(BUCKETS);
   #sum = 0;
+  /** Answers taken in, also those that count for less by now. */
+  seen = 0;
 
   get weight(): number {
     return this.#cumulative[BUCKETS - 1]!;
@@ -162,6 +164,7 @@
       this.#cumulative[bucket]! += 1;
     }
     this.#sum += tokens;
+    this.seen++;
   }
 
   shareUpTo(bucket: number): number {
@@ -182,7 +185,7 @@
   fallback: number,
 ): number {
   if (histogram === undefined) return fallback;
-  const trust = histogram.weight / (histogram.weight + CONFIDENCE_WEIGHT);
+  const trust = histogram.seen / (histogram.seen + CONFIDENCE_WEIGHT);
   return trust * value + (1 - trust) * fallback;
 }
 
--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -24,14 +24,18 @@
   readonly waiting: Waiting;
   readonly lengths: LengthDistribution;
   readonly isSuspect: boolean;
+  /** With this chance or more, it need not wait for a better upstream. */
+  readonly leastProbability: number;
+  /** More requests wait, so that upstreams will be filled to their bounds. */
+  readonly isBusy: boolean;
   readonly domainDistanceMs: Milliseconds;
   readonly now: Milliseconds;
 }
 
-/** With this chance or more, a request need not wait for a better upstream. */
-const GOOD_PROBABILITY = 0.97;
+/** Requests in flight at an upstream of a generation that has answered nothing yet. */
+const UNKNOWN_BOUND = 4;
 /** A better upstream must raise the chance by so much to be waited for. */
-const WORTHWHILE_GAIN = 0.02;
+const WORTHWHILE_GAIN = 0.005;
 
 /**
  * The best free upstream for a request; `undefined` when it should rather wait:
@@ -49,7 +53,11 @@
   for (const state of pool.candidates(holders.keys())) {
     if (!isAllowed(pool, state, query)) continue;
     const cachedTokens = holders.get(state.description.upstream) ?? 0;
-    const estimate = estimateAt(pool, state, { cachedTokens, route });
+    const estimate = estimateAt(pool, state, {
+      cachedTokens,
+      route,
+      isBusy: query.isBusy,
+    });
     const place = { state, cachedTokens, estimate };
     if (best === undefined || isBetter(place, best, query)) best = place;
   }
@@ -76,12 +84,19 @@
 function estimateAt(
   pool: UpstreamPool,
   state: UpstreamState,
-  { cachedTokens, route }: { cachedTokens: number; route: RouteQuery },
+  { cachedTokens, route, isBusy }: {
+    cachedTokens: number;
+    route: RouteQuery;
+    isBusy: boolean;
+  },
 ): RouteEstimate {
   return estimateRoute({
     description: state.description,
     times: pool.speeds.times(state.description.upstream),
     inFlightRequests: state.attempts.size,
+    expectedInFlight: isBusy
+      ? Math.max(state.attempts.size, state.requestBound(pool.share))
+      : state.attempts.size + 1,
     prefillBacklogTokens: state.prefillBacklogTokens,
     cachedTokens,
     report: state.report,
@@ -94,6 +109,8 @@
   { waiting, isSuspect }: PlacementQuery,
 ): boolean {
   if (isSuspect && state.suspect !== undefined) return false;
+  const isKnown = pool.speeds.isKnown(state.description.generation);
+  if (!isKnown && state.attempts.size >= UNKNOWN_BOUND) return false;
   return state.hasRoomFor(waiting.expectedTokens, pool.share);
 }
 
@@ -112,9 +129,9 @@
 function shouldWaitForFaster(
   pool: UpstreamPool,
   { estimate }: Place,
-  { waiting, lengths, now }: PlacementQuery,
+  { waiting, lengths, leastProbability, now }: PlacementQuery,
 ): boolean {
-  if (estimate.probability >= GOOD_PROBABILITY) return false;
+  if (estimate.probability >= leastProbability) return false;
   const { ask } = waiting;
   const times = pool.bestTimes(lengths.mean(), ask.promptTokens);
   const left = ask.deadline - now - ask.promptTokens * times.prefillMsPerToken;
@@ -142,7 +159,11 @@
     if (savedTokens <= 0 || state === undefined) continue;
     if (state.isEjected || state.description.isLeaving) continue;
     if (pool.free.has(state)) continue;
-    const { expectedMs } = estimateAt(pool, state, { cachedTokens, route });
+    const { expectedMs } = estimateAt(pool, state, {
+      cachedTokens,
+      route,
+      isBusy: true,
+    });
     const inFlightRequests = state.attempts.size;
     const isWorthWaiting = isCacheWorthWaiting({
       savedTokens,
--- a/packages/decisions/src/poolScheduler.ts
+++ b/packages/decisions/src/poolScheduler.ts
@@ -4,19 +4,22 @@
   Random,
   RequestId,
 } from "@wasabivane/common";
-import type { Acceptance } from "./waitQueue.ts";
+import { Admission, refuse } from "./admission.ts";
 import { AccountLimits } from "./accountLimits.ts";
 import type { Waiting } from "./accountLane.ts";
 import { REFUSED_WITHOUT_UPSTREAM_RETRY_MS } from "./constants.ts";
 import { DrainRate } from "./drainRate.ts";
 import { type LengthDistribution, LengthEstimate } from "./lengthEstimate.ts";
 import { findPlace, type Place } from "./placement.ts";
+import { PaceLadder } from "./paceLadder.ts";
 import {
   type InFlightAttempt,
   Scheduler,
   type SchedulerStatus,
 } from "./scheduler.ts";
+import { ServiceTime } from "./serviceTime.ts";
 import type { TokenTimes } from "./speedEstimate.ts";
+import { SuspectRuns } from "./suspectRuns.ts";
 import { Suspects, type Suspicion } from "./suspects.ts";
 import type {
   Ask,
@@ -25,9 +28,10 @@
   Decision,
   LoadReport,
   PoolPolicy,
-  RefusalReason,
 } from "./types.ts";
 import { UpstreamPool } from "./upstreamPool.ts";
+import type { Acceptance } from "./tierQueue.ts";
+import { targetsOf } from "./tierTargets.ts";
 import type { PoolAttempt } from "./upstreamState.ts";
 import { WaitQueue } from "./waitQueue.ts";
 
@@ -38,20 +42,9 @@
   readonly generationTimes?: Readonly<Record<string, TokenTimes>>;
 }
 
-/** What was learned of a waiting request when it came. */
-interface AskFacts {
-  readonly lengths: LengthDistribution;
-}
-
-/** A request of the top tier is given up when its chance falls below this. */
-const TOP_TIER_LEAST_PROBABILITY = 0.5;
-/** One of another tier is; its prefill would more likely be wasted. */
-const LEAST_PROBABILITY = 0.8;
-/** A refused caller comes back no sooner and no later than this. */
-const MINIMUM_RETRY_MS = 500;
-const MAXIMUM_RETRY_MS = 30_000;
-/** A wait is known only roughly; a refusal on arrival needs a clear miss. */
-const WAIT_CONFIDENCE = 0.7;
+const PACE_PERIOD_MS = 500;
+/** A request that found no place is looked at again when another kind of upstream is free, or after this. */
+const BLOCKED_MS = 250;
 
 /**
  * The scheduler of a pool: it composes the modules of this package and decides
@@ -64,9 +57,14 @@
   readonly #limits: AccountLimits;
   readonly #lengths = new LengthEstimate();
   readonly #suspects = new Suspects();
+  readonly #suspectRuns = new SuspectRuns(this.#suspects);
   readonly #drain = new DrainRate();
+  readonly #ladder = new PaceLadder();
+  #pacedAt: Milliseconds = -Infinity;
   readonly #attempts = new Map<RequestId, PoolAttempt>();
-  readonly #facts = new Map<RequestId, AskFacts>();
+  readonly #distributions = new Map<RequestId, LengthDistribution>();
+  readonly #serviceTime: ServiceTime;
+  readonly #admission: Admission;
   #policy: PoolPolicy;
 
   constructor(policy: PoolPolicy, options: PoolSchedulerOptions) {
@@ -78,6 +76,15 @@
       maximumTokens: policy.maximumWaitingTokens,
       maximumBytes: policy.maximumWaitingBytes,
     });
+    this.#serviceTime = new ServiceTime(this.#pool);
+    this.#admission = new Admission({
+      pool: this.#pool,
+      queue: this.#queue,
+      limits: this.#limits,
+      suspects: this.#suspects,
+      drain: this.#drain,
+      serviceTime: this.#serviceTime,
+    });
   }
 
   override setPolicy(policy: PoolPolicy, now: Milliseconds): Decision[] {
@@ -88,23 +95,40 @@
       policy.maximumWaitingTokens,
       policy.maximumWaitingBytes,
     );
-    return this.#grantWaiting(now);
+    const refused = this.#pool.hasTargets ? [] : this.#refuseAllWaiting();
+    return [...refused, ...this.#grantWaiting(now)];
   }
 
   override ask(ask: Ask, now: Milliseconds): Decision[] {
-    const refusal = this.#refuseAtOnce(ask, now);
+    const refusal = this.#admission.refuseAtOnce(ask, now);
     if (refusal !== undefined) return [refusal];
     const lengths = this.#lengths.distribution(ask);
     const expectedTokens = ask.promptTokens + lengths.mean();
-    const late = this.#refuseLate(ask, { lengths, expectedTokens, now });
+    const { longQuantile, giveUpBelow } = targetsOf(
+      ask.tier,
+      this.#policy.tiers,
+    );
+    this.#ladder.asked({
+      tier: ask.tier,
+      remaining: ask.deadline - now,
+      meanOutputTokens: lengths.mean(),
+      longOutputTokens: lengths.quantile(longQuantile),
+    }, now);
+    const latestStart = this.#serviceTime.latestStart(ask, {
+      lengths,
+      probability: giveUpBelow,
+    });
+    const details = { lengths, expectedTokens, latestStart, now };
+    const late = this.#admission.refuseLate(ask, details);
     if (late !== undefined) return [late];
     this.#limits.admit(ask, expectedTokens);
-    this.#facts.set(ask.request, { lengths });
+    this.#distributions.set(ask.request, lengths);
     const shed = this.#queue.push(ask, {
       now,
       expectedTokens,
-      expectedMs: this.#bestTime(ask, lengths.mean()),
-      latestStart: this.#latestStart(ask, lengths),
+      expectedMs: this.#serviceTime.expected(ask, lengths.mean()),
+      costMs: this.#serviceTime.cost(ask, lengths.mean(), now),
+      latestStart,
     });
     const decisions = shed.map((waiting) => this.#giveUp(waiting, "shed", now));
     return [...decisions, ...this.#grantWaiting(now)];
@@ -126,10 +150,7 @@
     const attempt = this.#attempts.get(report.request);
     if (attempt === undefined) return [];
     this.#attempts.delete(report.request);
-    if (report.outcome === "upstream-lost") this.#learnLoss(attempt, now);
-    if (report.outcome === "whole") {
-      this.#suspects.answeredWhole(attempt.ask.fingerprint, now);
-    }
+    this.#suspectRuns.ended(attempt, report, now);
     this.#pool.ended(attempt, report, now);
     this.#settle(attempt, report);
     return this.#grantWaiting(now);
@@ -147,16 +168,14 @@
       expectedTokens: ask.promptTokens + this.#lengths.distribution(ask).mean(),
     });
     if (hasFirstToken) state.prefilled(attempt, now);
-    if (this.#suspects.verdict(ask.fingerprint, now).kind === "suspect") {
-      state.suspect = ask.request;
-    }
+    this.#suspectRuns.started(attempt, now);
     this.#attempts.set(ask.request, attempt);
     this.#limits.adopt(ask.account);
     this.#pool.refresh(state);
   }
 
   override dropOrigin(origin: HostId, now: Milliseconds): Decision[] {
-    for (const waiting of this.#queue.removeOrigin(origin)) {
+    for (const waiting of this.#queue.removeAll(origin)) {
       this.#leaveQueue(waiting);
     }
     for (const attempt of [...this.#attempts.values()]) {
@@ -189,6 +208,10 @@
 
   override tick(now: Milliseconds): Decision[] {
     this.#pool.tick(now);
+    if (now - this.#pacedAt >= PACE_PERIOD_MS) {
+      this.#pacedAt = now;
+      this.#pool.assignPaces(this.#ladder, now);
+    }
     const decisions = this.#queue.removeLate(now).map((waiting) =>
       this.#giveUp(waiting, "deadline-unreachable", now)
     );
@@ -225,54 +248,6 @@
     };
   }
 
-  #refuseAtOnce(ask: Ask, now: Milliseconds): Decision | undefined {
-    if (ask.deadline <= now) return refuse(ask, "deadline-passed", 0);
-    if (!this.#pool.hasTargets) {
-      return refuse(ask, "no-upstream", REFUSED_WITHOUT_UPSTREAM_RETRY_MS);
-    }
-    const verdict = this.#suspects.verdict(ask.fingerprint, now);
-    if (verdict.kind === "convicted") {
-      return refuse(ask, "convicted", verdict.retryAfter);
-    }
-    const limit = this.#limits.check(ask, now);
-    if (limit.kind === "within") return undefined;
-    return refuse(ask, "account-limit", limit.retryAfter);
-  }
-
-  #refuseLate(
-    ask: Ask,
-    { lengths, expectedTokens, now }: {
-      lengths: LengthDistribution;
-      expectedTokens: number;
-      now: Milliseconds;
-    },
-  ): Decision | undefined {
-    const ahead = this.#queue.tokensAhead(ask, expectedTokens);
-    const wait = (this.#drain.timeFor(ahead) ?? 0) * WAIT_CONFIDENCE;
-    const latestStart = this.#latestStart(ask, lengths);
-    if (now + wait <= latestStart) return undefined;
-    return {
-      kind: "refuse",
-      ask,
-      reason: "deadline-unreachable",
-      retryAfter: boundedRetry(now + wait - latestStart),
-      estimate: wait + this.#bestTime(ask, lengths.mean()),
-    };
-  }
-
-  #latestStart(ask: Ask, lengths: LengthDistribution): Milliseconds {
-    const least = ask.tier === this.#policy.tiers[0]
-      ? TOP_TIER_LEAST_PROBABILITY
-      : LEAST_PROBABILITY;
-    return ask.deadline - this.#bestTime(ask, lengths.quantile(least));
-  }
-
-  #bestTime(ask: Ask, outputTokens: number): Milliseconds {
-    const times = this.#pool.bestTimes(outputTokens, ask.promptTokens);
-    return ask.promptTokens * times.prefillMsPerToken +
-      outputTokens * times.decodeMsPerToken;
-  }
-
   #grantWaiting(now: Milliseconds): Decision[] {
     const decisions: Decision[] = [];
     while (this.#queue.size > 0 && this.#pool.free.size > 0) {
@@ -281,8 +256,12 @@
         if (!this.#limits.mayStart(candidate.ask.account)) {
           return "account-blocked";
         }
+        if (this.#isStillBlocked(candidate, now)) return "still-blocked";
         place = this.#findPlace(candidate, now);
-        return place === undefined ? "blocked" : "start";
+        if (place !== undefined) return "start";
+        candidate.blockedKinds = this.#pool.free.kinds;
+        candidate.blockedUntil = now + BLOCKED_MS;
+        return "blocked";
       });
       if (waiting === undefined || place === undefined) break;
       decisions.push(this.#grant(waiting, place, now));
@@ -290,12 +269,33 @@
     return decisions;
   }
 
+  /**
+   * A request waits for a better upstream only while no lower tier would take
+   * the place; else it could be given up after the lower tier was served.
+   */
+  #leastProbability({ tier }: Ask): number {
+    const targets = targetsOf(tier, this.#policy.tiers);
+    const isContended = (this.#queue.lowestTier() ?? tier) > tier;
+    return isContended ? targets.contendedWaitBelow : targets.waitBelow;
+  }
+
+  /** Whether only such upstreams are free as could not take it a moment ago. */
+  #isStillBlocked(
+    { blockedKinds, blockedUntil }: Waiting,
+    now: Milliseconds,
+  ): boolean {
+    if (now >= blockedUntil) return false;
+    return (this.#pool.free.kinds & ~blockedKinds) === 0;
+  }
+
   #findPlace(waiting: Waiting, now: Milliseconds): Place | undefined {
     const { fingerprint, request } = waiting.ask;
     return findPlace(this.#pool, {
       waiting,
-      lengths: this.#facts.get(request)!.lengths,
-      isSuspect: this.#suspects.verdict(fingerprint, now).kind === "suspect",
+      lengths: this.#distributions.get(request)!,
+      isSuspect: this.#suspectRuns.isSuspect(fingerprint, now),
+      leastProbability: this.#leastProbability(waiting.ask),
+      isBusy: this.#queue.size > 1,
       domainDistanceMs: this.#policy.domainDistanceMs,
       now,
     });
@@ -304,15 +304,13 @@
   #grant(waiting: Waiting, place: Place, now: Milliseconds): Decision {
     const { ask, expectedTokens } = waiting;
     const { state, cachedTokens } = place;
-    this.#facts.delete(ask.request);
+    this.#distributions.delete(ask.request);
     const attempt = state.add(ask, {
       now,
       uncachedTokens: ask.promptTokens - cachedTokens,
       expectedTokens,
     });
-    if (this.#suspects.verdict(ask.fingerprint, now).kind === "suspect") {
-      state.suspect = ask.request;
-    }
+    this.#suspectRuns.started(attempt, now);
     this.#attempts.set(ask.request, attempt);
     this.#limits.start(ask.account);
     this.#drain.granted(expectedTokens);
@@ -325,16 +323,16 @@
     };
   }
 
-  /** All that was in flight there is lost with it, whenever each report comes. */
-  #learnLoss({ state, isLost }: PoolAttempt, now: Milliseconds): void {
-    if (isLost) return;
-    const lost = [...state.attempts.values()];
-    for (const attempt of lost) attempt.isLost = true;
-    this.#suspects.upstreamLost(
-      state.description.upstream,
-      lost.map(({ ask }) => ask.fingerprint),
-      now,
-    );
+  /** Every upstream is leaving; no wait would help. */
+  #refuseAllWaiting(): Decision[] {
+    return this.#queue.removeAll().map((waiting) => {
+      this.#leaveQueue(waiting);
+      return refuse(
+        waiting.ask,
+        "no-upstream",
+        REFUSED_WITHOUT_UPSTREAM_RETRY_MS,
+      );
+    });
   }
 
   #settle(attempt: PoolAttempt, report: AttemptReport): void {
@@ -358,7 +356,7 @@
   }
 
   #leaveQueue({ ask, expectedTokens }: Waiting): void {
-    this.#facts.delete(ask.request);
+    this.#distributions.delete(ask.request);
     this.#limits.leaveWaiting(ask, expectedTokens);
   }
 
@@ -368,27 +366,13 @@
     now: Milliseconds,
   ): Decision {
     this.#leaveQueue(waiting);
-    const queued = this.#drain.timeFor(this.#queue.tokens);
+    const retryAfter = this.#admission.retryAfterQueue();
     return {
       kind: "refuse",
       ask: waiting.ask,
       reason,
-      retryAfter: boundedRetry(queued ?? MINIMUM_RETRY_MS),
-      estimate: now - waiting.since + (queued ?? 0) + waiting.expectedMs,
+      retryAfter,
+      estimate: now - waiting.since + retryAfter + waiting.expectedMs,
     };
   }
 }
-
-function refuse(
-  ask: Ask,
-  reason: RefusalReason,
-  retryAfter: Milliseconds,
-): Decision {
-  return { kind: "refuse", ask, reason, retryAfter };
-}
-
-function boundedRetry(wait: Milliseconds): Milliseconds {
-  return Math.ceil(
-    Math.min(MAXIMUM_RETRY_MS, Math.max(MINIMUM_RETRY_MS, wait)),
-  );
-}
--- a/packages/decisions/src/router.ts
+++ b/packages/decisions/src/router.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@wasabivane/common";
+import { decodeTimeAt } from "./paceLadder.ts";
 import type { TokenTimes } from "./speedEstimate.ts";
 import type { Ask, LoadReport, UpstreamDescription } from "./types.ts";
 
@@ -7,6 +8,8 @@
   readonly description: UpstreamDescription;
   readonly times: TokenTimes;
   readonly inFlightRequests: number;
+  /** Requests that will be in flight while this one runs, itself included. */
+  readonly expectedInFlight: number;
   readonly prefillBacklogTokens: number;
   readonly cachedTokens: number;
   readonly report: LoadReport | undefined;
@@ -35,8 +38,8 @@
 
 /** A report says less the older it is: half after about 1.4 s, nothing after 10. */
 const REPORT_DECAY_MS = 2_000;
-/** Share of the time of an output token that grows with the requests in flight. */
-const LOAD_SHARE = 0.4;
+/** A missed deadline costs so many times what was left of it. */
+const MISS_WEIGHT = 4;
 /** From this share of KV memory on, new work may push cached prefixes out. */
 const TIGHT_MEMORY_SHARE = 0.9;
 /** A report older than about 1.4 s says nothing of memory. */
@@ -52,9 +55,6 @@
  * that urgent and long requests go where they can finish. Without it, requests
  * of unknown length go to whichever upstream has the fewest, which is the slow
  * one.
- *
- * Grounds: a step of a batching engine reads its weights once and each request's
- * KV cache, so about two fifths of its time grow with the batch near its bound.
  */
 export function estimateRoute(
   candidate: RouteCandidate,
@@ -69,7 +69,10 @@
   const uncached = ask.promptTokens - candidate.cachedTokens;
   const prefillMs = distance +
     (candidate.prefillBacklogTokens + uncached) * prefillMsPerToken;
-  const decodeMsPerToken = decodeTime(candidate, foreign);
+  const decodeMsPerToken = decodeTimeAt(
+    candidate.times,
+    candidate.expectedInFlight + foreign,
+  );
   const expectedMs = prefillMs + query.meanOutputTokens * decodeMsPerToken;
   const remaining = ask.deadline - now;
   const probability = query.probabilityWithin(
@@ -83,7 +86,7 @@
     decodeMsPerToken,
     expectedMs,
     probability,
-    cost: expectedMs + memoryCost + (1 - probability) * remaining,
+    cost: expectedMs + memoryCost + MISS_WEIGHT * (1 - probability) * remaining,
   };
 }
 
@@ -104,13 +107,6 @@
   return savedTokens * prefillMsPerToken >= 2 * expectedWait;
 }
 
-function decodeTime(candidate: RouteCandidate, foreign: number): number {
-  const { decodeMsPerToken, typicalInFlight } = candidate.times;
-  const load = (candidate.inFlightRequests + 1 + foreign) /
-    Math.max(1, typicalInFlight);
-  return decodeMsPerToken * (1 - LOAD_SHARE + LOAD_SHARE * load);
-}
-
 function foreignRequests(
   { report, inFlightRequests }: RouteCandidate,
   now: Milliseconds,
--- a/packages/decisions/src/speedEstimate.ts
+++ b/packages/decisions/src/speedEstimate.ts
@@ -33,10 +33,10 @@
   readonly seeds?: Readonly<Record<string, TokenTimes>>;
 }
 
-/** An unknown engine is taken for a middling one; a dozen answers correct it. */
+/** An unknown engine is taken for a slow one, so that known ones are preferred. */
 const DEFAULT_TIMES: TokenTimes = {
   prefillMsPerToken: 0.15,
-  decodeMsPerToken: 20,
+  decodeMsPerToken: 60,
   typicalInFlight: 8,
 };
 /** Weight of a new answer: about the last five answers count. */
@@ -129,6 +129,12 @@
     return this.generationTimes(this.#generationOf.get(upstream) ?? "");
   }
 
+  /** Whether an upstream of the generation has given a whole answer. */
+  isKnown(generation: string): boolean {
+    return this.#seeds[generation] !== undefined ||
+      this.#generations.get(generation)?.decodeMsPerToken !== undefined;
+  }
+
   /** The mean times of a generation. */
   generationTimes(generation: string): TokenTimes {
     const seed = this.#seeds[generation] ?? DEFAULT_TIMES;
--- a/packages/decisions/src/suspects.ts
+++ b/packages/decisions/src/suspects.ts
@@ -27,6 +27,8 @@
 const SUSPECT_MS = 120_000;
 /** Long enough that a persistent caller costs a few upstreams a day. */
 const CONVICTED_MS = 3_600_000;
+/** Tokens that arrive between the fatal point and the loss, on a fast engine. */
+const PROGRESS_SLACK_TOKENS = 32;
 /** Two losses this close with no request in common have another cause. */
 const OUTAGE_WINDOW_MS = 1_000;
 
@@ -35,6 +37,8 @@
   expiresAt: Milliseconds;
   /** Losses that this content was present at. */
   losses: Loss[];
+  /** Output tokens that had arrived when an upstream was lost with it, at most. */
+  furthest?: number;
 }
 
 interface Loss {
@@ -103,6 +107,25 @@
     this.#forgetOldest();
   }
 
+  /**
+   * How far a request had come when its upstream was lost. A content that kills
+   * does so at about the same point; one that got further than at its first loss
+   * met two unlucky upstreams and is not convicted for them.
+   */
+  lostAfter(
+    fingerprint: Digest,
+    outputTokens: number,
+    now: Milliseconds,
+  ): void {
+    const record = this.#record(fingerprint, now);
+    if (record === undefined) return;
+    const former = record.furthest;
+    record.furthest = Math.max(former ?? 0, outputTokens);
+    if (record.kind !== "convicted" || former === undefined) return;
+    if (outputTokens <= former + PROGRESS_SLACK_TOKENS) return;
+    this.#set(fingerprint, "suspect", now + SUSPECT_MS);
+  }
+
   /** A request with this content was answered whole. */
   answeredWhole(fingerprint: Digest, now: Milliseconds): void {
     if (this.#record(fingerprint, now) === undefined) return;
@@ -129,12 +152,11 @@
       const record = this.#record(fingerprint, now);
       if (record?.kind === "convicted") continue;
       if (record?.kind === "cleared" && kind === "suspect") continue;
-      const losses = record?.losses ?? [];
       this.#records.delete(fingerprint);
       this.#records.set(fingerprint, {
+        ...(record ?? { losses: [] }),
         kind,
         expiresAt: now + remainingMs,
-        losses,
       });
     }
     this.#forgetOldest();
@@ -195,9 +217,9 @@
     kind: Suspicion["kind"],
     expiresAt: Milliseconds,
   ): void {
-    const losses = this.#records.get(fingerprint)?.losses ?? [];
+    const former = this.#records.get(fingerprint) ?? { losses: [] };
     this.#records.delete(fingerprint);
-    this.#records.set(fingerprint, { kind, expiresAt, losses });
+    this.#records.set(fingerprint, { ...former, kind, expiresAt });
     this.#changed.add(fingerprint);
   }
 
--- a/packages/decisions/src/upstreamBound.ts
+++ b/packages/decisions/src/upstreamBound.ts
@@ -6,6 +6,8 @@
   readonly elapsed: Milliseconds;
   /** Prompt tokens that had to be computed there, its own included. */
   readonly backlogTokens: number;
+  /** Its own share of them. */
+  readonly uncachedTokens: number;
   /** Work in flight there at the grant, its own included. */
   readonly inFlightRequests: number;
   readonly inFlightTokens: number;
@@ -36,6 +38,8 @@
 /** The floor is the least of the last one to two of these periods. */
 const FLOOR_PERIOD_MS = 15_000;
 const MINIMUM_FLOOR_TOKENS = 256;
+/** A first token shows the floor when its own prompt was so much of the backlog. */
+const OWN_SHARE = 0.8;
 
 /**
  * Answers the load pattern of an engine that admits all that comes and queues it
@@ -132,15 +136,18 @@
   }
 
   #learnFloor(
-    { elapsed, backlogTokens }: BoundSample,
+    { elapsed, backlogTokens, uncachedTokens }: BoundSample,
     now: Milliseconds,
   ): void {
+    if (uncachedTokens < MINIMUM_FLOOR_TOKENS) return;
+    // How much of the others' prompts was computed already is not known; a
+    // sample that rests on them would show a floor that is far too low.
+    if (uncachedTokens < backlogTokens * OWN_SHARE) return;
     if (now - this.#floorSince > FLOOR_PERIOD_MS) {
       this.#formerFloor = this.#floor;
       this.#floor = Infinity;
       this.#floorSince = now;
     }
-    if (backlogTokens < MINIMUM_FLOOR_TOKENS) return;
     this.#floor = Math.min(this.#floor, elapsed / backlogTokens);
   }
 
--- a/packages/decisions/src/upstreamPool.ts
+++ b/packages/decisions/src/upstreamPool.ts
@@ -7,6 +7,7 @@
 import { CacheMap } from "./cacheMap.ts";
 import { Ejection } from "./ejection.ts";
 import { FreeUpstreams } from "./freeUpstreams.ts";
+import type { PaceLadder } from "./paceLadder.ts";
 import { SpeedEstimate, type TokenTimes } from "./speedEstimate.ts";
 import type { AttemptReport, LoadReport, PoolPolicy } from "./types.ts";
 import { type PoolAttempt, UpstreamState } from "./upstreamState.ts";
@@ -24,6 +25,8 @@
   readonly wait: Milliseconds;
 }
 
+/** An upstream so many times slower than its generation is slow itself. */
+const BEHIND_RATIO = 3;
 /** From this share of KV memory on, or with a queue inside the engine, a bound does not grow. */
 const FULL_MEMORY_SHARE = 0.9;
 
@@ -69,6 +72,13 @@
     return this.#policy.upstreams.some(({ isLeaving }) => !isLeaving);
   }
 
+  /** Whether the speed of every generation is known. */
+  get hasLearned(): boolean {
+    return this.#generations.every((generation) =>
+      this.speeds.isKnown(generation)
+    );
+  }
+
   /** Takes in a new list of upstreams; one that is gone ends its running work. */
   configure(policy: PoolPolicy): void {
     this.#policy = policy;
@@ -191,6 +201,35 @@
     );
   }
 
+  /** Bounds each upstream so that its answers keep the pace that tiers need. */
+  assignPaces(ladder: PaceLadder, now: Milliseconds): void {
+    const paced = [...this.#states.values()]
+      .filter(({ description }) => !description.isLeaving)
+      .map((state) => ({
+        state,
+        times: this.speeds.times(state.description.upstream),
+        paceBound: state.paceBound,
+      }))
+      .sort((left, right) => this.#rank(left.state) - this.#rank(right.state));
+    ladder.assign(paced, now);
+    for (const { state, paceBound } of paced) {
+      state.paceBound = paceBound;
+      this.refresh(state);
+    }
+  }
+
+  /**
+   * Prefill tells fast generations from slow ones whatever their load is; an
+   * upstream far behind its generation is slow itself.
+   */
+  #rank({ description }: UpstreamState): Milliseconds {
+    const generation = this.speeds.generationTimes(description.generation);
+    const own = this.speeds.times(description.upstream);
+    const isBehind =
+      own.prefillMsPerToken > BEHIND_RATIO * generation.prefillMsPerToken;
+    return isBehind ? own.prefillMsPerToken : generation.prefillMsPerToken;
+  }
+
   /** Brings ejected upstreams back and notices first tokens that are overdue. */
   tick(now: Milliseconds): void {
     for (const upstream of this.#ejection.takeReturning(now)) {
--- a/packages/decisions/src/upstreamState.ts
+++ b/packages/decisions/src/upstreamState.ts
@@ -35,6 +35,8 @@
   /** The one suspect that runs here. */
   suspect: RequestId | undefined;
   report: LoadReport | undefined;
+  /** Requests in flight at which answers keep their pace. */
+  paceBound = Infinity;
   prefillBacklogTokens = 0;
   inFlightTokens = 0;
 
@@ -51,9 +53,9 @@
 
   /** Requests that may be in flight under a share of the pool. */
   requestBound(share: number): number {
-    return share <= 0
-      ? 0
-      : Math.max(1, Math.floor(this.bound.requests * share));
+    if (share <= 0) return 0;
+    const bound = Math.min(this.bound.requests, this.paceBound);
+    return Math.max(1, Math.floor(bound * share));
   }
 
   /** Whether a request of this size fits; a lone one always does. */
--- a/packages/decisions/src/waitQueue.ts
+++ b/packages/decisions/src/waitQueue.ts
@@ -7,7 +7,8 @@
   type Tier,
 } from "@wasabivane/common";
 import type { Ask } from "./types.ts";
-import { AccountLane, type Waiting } from "./accountLane.ts";
+import type { Waiting } from "./accountLane.ts";
+import { type Acceptance, TierQueue } from "./tierQueue.ts";
 
 /** What is known of a request when it starts to wait. */
 export interface WaitingDetails {
@@ -16,6 +17,8 @@
   readonly expectedTokens: number;
   /** Expected time at an upstream. */
   readonly expectedMs: Milliseconds;
+  /** Expected time of an upstream that it takes from others. */
+  readonly costMs: Milliseconds;
   /** The last moment at which a start can still meet the deadline. */
   readonly latestStart: Milliseconds;
 }
@@ -24,22 +27,17 @@
 export interface WaitQueueOptions {
   readonly maximumTokens: number;
   readonly maximumBytes: number;
-  /** How many times its own length a request gives way to shorter ones. */
+  /** How many times its own cost a request gives way to shorter ones. */
   readonly stretch?: number;
 }
 
-/** Whether a waiting request can start now. */
-export type Acceptance = "start" | "blocked" | "account-blocked";
-
-/** A request has given way to shorter ones when it waited so many times its own length. */
-const DEFAULT_STRETCH = 20;
-/** Blocked requests that are passed by in each tier before the next tier has its turn. */
-const MAXIMUM_PASSED_BY = 4;
+/** A request has given way to shorter ones when it waited so many times its own cost. */
+const DEFAULT_STRETCH = 1_000;
 
 /**
  * Answers the load patterns of a burst, a hot account, long jobs among short
  * ones and overload. Order: tier; then the account with the fewest served tokens;
- * then arrival plus a multiple of the expected length, so that short requests
+ * then arrival plus a multiple of the expected cost, so that short requests
  * overtake long ones but not for ever. A full queue sheds the lowest tier first,
  * there the request with the most expected tokens. Without it, whoever sends
  * most is served most, and one long job delays a hundred short ones.
@@ -91,9 +89,12 @@
       expectedTokens: details.expectedTokens,
       expectedMs: details.expectedMs,
       latestStart: details.latestStart,
-      key: details.now + this.#stretch * details.expectedMs,
+      key: details.now + this.#stretch * details.costMs,
       since: details.now,
       isGone: false,
+      timesBlocked: 0,
+      blockedKinds: 0,
+      blockedUntil: 0,
     };
     this.#waiting.set(ask.request, waiting);
     this.#tokens += waiting.expectedTokens;
@@ -110,10 +111,11 @@
     return waiting;
   }
 
-  /** Takes out every request of one origin. */
-  removeOrigin(origin: HostId): Waiting[] {
-    const found = [...this.#waiting.values()]
-      .filter(({ ask }) => ask.origin === origin);
+  /** Takes out every request, or every one of an origin. */
+  removeAll(origin?: HostId): Waiting[] {
+    const found = [...this.#waiting.values()].filter(({ ask }) =>
+      origin === undefined || ask.origin === origin
+    );
     found.forEach((waiting) => this.#leave(waiting));
     return found;
   }
@@ -221,133 +223,3 @@
     return added;
   }
 }
-
-/** The lanes of one tier, the account with the fewest served tokens first. */
-class TierQueue {
-  readonly tier: Tier;
-  readonly #lanes = new Map<ClientAccountId, AccountLane>();
-  #ready = new Heap<AccountLane>((left, right) => left.served < right.served);
-  #costly = new Heap<Waiting>(isCostlier);
-  #reached = 0;
-  size = 0;
-  tokens = 0;
-
-  constructor(tier: Tier) {
-    this.tier = tier;
-  }
-
-  add(waiting: Waiting): void {
-    const { account } = waiting.ask;
-    const lane = this.#lanes.get(account) ?? new AccountLane(account);
-    this.#lanes.set(account, lane);
-    if (lane.size === 0) {
-      lane.served = Math.max(lane.served, this.#reached);
-      this.#enter(lane);
-    }
-    lane.add(waiting);
-    this.size++;
-    this.tokens += waiting.expectedTokens;
-    this.#costly.push(waiting);
-    if (this.#costly.size > 64 + 2 * this.size) this.#rebuildCostly();
-  }
-
-  /** Counts out a request that left; the heaps drop it later. */
-  forget(waiting: Waiting): void {
-    this.size--;
-    this.tokens -= waiting.expectedTokens;
-    this.#lanes.get(waiting.ask.account)!.forget(waiting);
-  }
-
-  take(accept: (waiting: Waiting) => Acceptance): Waiting | undefined {
-    if (this.size === 0) return undefined;
-    const setAside: { lane: AccountLane; waiting: Waiting }[] = [];
-    const lanesAside: AccountLane[] = [];
-    let found: Waiting | undefined;
-    while (found === undefined && setAside.length < MAXIMUM_PASSED_BY) {
-      const lane = this.#ready.pop();
-      if (lane === undefined) break;
-      const waiting = lane.pop();
-      if (waiting === undefined) {
-        lane.isReady = false;
-        continue;
-      }
-      const acceptance = accept(waiting);
-      if (acceptance === "start") {
-        found = waiting;
-        this.#reached = Math.max(this.#reached, lane.served);
-        lane.served += waiting.expectedTokens;
-      } else {
-        setAside.push({ lane, waiting });
-      }
-      if (acceptance === "account-blocked") lanesAside.push(lane);
-      else this.#ready.push(lane);
-    }
-    for (const { lane, waiting } of setAside) lane.putBack(waiting);
-    for (const lane of lanesAside) this.#ready.push(lane);
-    for (const { lane } of setAside) {
-      if (!lane.isReady) this.#enter(lane);
-    }
-    return found;
-  }
-
-  charge(account: ClientAccountId, tokens: number): void {
-    const lane = this.#lanes.get(account);
-    if (lane === undefined) return;
-    lane.served += tokens;
-    if (!lane.isReady) return;
-    const lanes = [...this.#lanes.values()].filter(({ isReady }) => isReady);
-    this.#ready = new Heap((left, right) => left.served < right.served);
-    lanes.forEach((ready) => this.#ready.push(ready));
-  }
-
-  costliest(): Waiting | undefined {
-    let first = this.#costly.peek();
-    while (first?.isGone) {
-      this.#costly.pop();
-      first = this.#costly.peek();
-    }
-    return first;
-  }
-
-  tokensAhead(account: ClientAccountId, expectedTokens: number): number {
-    const lane = this.#lanes.get(account);
-    const own = lane?.tokensShorterThan(expectedTokens) ?? 0;
-    let ahead = own;
-    // While the account's own share is served, each other account gets as much.
-    for (const other of this.#lanes.values()) {
-      if (other === lane || other.size === 0) continue;
-      ahead += Math.min(other.tokens, own + expectedTokens);
-    }
-    return ahead;
-  }
-
-  counts(): { tier: Tier; account: ClientAccountId; requests: number }[] {
-    return [...this.#lanes.values()]
-      .filter(({ size }) => size > 0)
-      .map(({ account, size }) => ({
-        tier: this.tier,
-        account,
-        requests: size,
-      }));
-  }
-
-  #enter(lane: AccountLane): void {
-    if (lane.isReady) return;
-    lane.isReady = true;
-    this.#ready.push(lane);
-  }
-
-  #rebuildCostly(): void {
-    this.#costly = new Heap(isCostlier);
-    for (const lane of this.#lanes.values()) {
-      for (const waiting of lane.waiting()) this.#costly.push(waiting);
-    }
-  }
-}
-
-function isCostlier(left: Waiting, right: Waiting): boolean {
-  if (left.expectedTokens !== right.expectedTokens) {
-    return left.expectedTokens > right.expectedTokens;
-  }
-  return left.since > right.since;
-}
--- a/packages/proof/src/experimentTally.ts
+++ b/packages/proof/src/experimentTally.ts
@@ -18,7 +18,14 @@
   readonly ttftP99MsByTier: ByTier;
   readonly refusedByTier: ByTier;
   readonly refusedByReason: Record<string, number>;
+  /** Requests shed while one of a lower tier kept its place in the queue. */
   readonly tierInversions: number;
+  /**
+   * Requests not started by their deadline though, while they waited, a lower
+   * tier was given an upstream that when idle would have answered them in time
+   * at any length: a strict count, since a loaded upstream might not have.
+   */
+  readonly passedOver: number;
   readonly doubleDispatches: number;
   readonly crossedAnswers: number;
   readonly falseNotRun: number;
@@ -55,6 +62,7 @@
   readonly answers: AnswerSample[] = [];
   readonly #firstTokens: Record<string, Milliseconds[]> = {};
   tierInversions = 0;
+  passedOver = 0;
   doubleDispatches = 0;
   crossedAnswers = 0;
   falseNotRun = 0;
@@ -90,6 +98,7 @@
       refusedByTier: this.refused,
       refusedByReason: this.refusedByReason,
       tierInversions: this.tierInversions,
+      passedOver: this.passedOver,
       doubleDispatches: this.doubleDispatches,
       crossedAnswers: this.crossedAnswers,
       falseNotRun: this.falseNotRun,
