Say "unknown" of a keyed request that a host refuses unasked

A random schedule found it: a host that had just restarted and had no bundle told a caller "not run" of a resend whose first sending ran through another host. A refusal before the key was asked for now says unknown, unless these bytes get it from every host under every bundle. A caller with a key may send again without risk, so nothing is lost.

--- a/apps/entry/src/callerApi.ts
+++ b/apps/entry/src/callerApi.ts
@@ -14,10 +14,10 @@
 import type { AnswerRecord } from "./answerRecord.ts";
 import { refuseUnread, relayAnswer, writeProblem } from "./answerWriter.ts";
 import { Authenticator } from "./authentication.ts";
-import { TICKETS_PATH } from "./constants.ts";
+import { IDEMPOTENCY_KEY_HEADER, TICKETS_PATH } from "./constants.ts";
 import { acceptRequest } from "./intake.ts";
 import type { JobDesk } from "./jobDesk.ts";
-import { type Problem, problemOf } from "./problem.ts";
+import { type Problem, type ProblemName, problemOf } from "./problem.ts";
 import { readBody } from "./requestBody.ts";
 import { checkHead } from "./requestHead.ts";
 
@@ -88,7 +88,7 @@
     metrics.count("request.refused_at_intake", 1, { problem: problem.name });
     refuseUnread(incoming, {
       outgoing,
-      problem,
+      problem: hasKey(incoming) ? aboutKey(problem) : problem,
       maximumBytes: maximumBodyBytes,
     });
   }
@@ -164,6 +164,26 @@
   }
 }
 
+/** Refusals that these bytes get from every host under every bundle. */
+const SAME_EVERYWHERE = new Set<ProblemName>([
+  "malformed-request",
+  "body-too-large",
+]);
+
+function hasKey({ headers }: IncomingMessage): boolean {
+  return headers[IDEMPOTENCY_KEY_HEADER] !== undefined;
+}
+
+/**
+ * A host that refuses before it has asked for the key knows only that it did
+ * nothing itself: the key's first sending may run through another host. Without
+ * this a caller would be told "not run" of a request that has run.
+ */
+function aboutKey(problem: Problem): Problem {
+  if (SAME_EVERYWHERE.has(problem.name)) return problem;
+  return { ...problem, ending: "unknown" };
+}
+
 const RESPOND_ASYNC = /(?:^|,)\s*respond-async\s*(?:,|;|$)/;
 
 /** RFC 7240: the caller prefers a 202 and a location to waiting. */
