--- a/packages/proof/scenarios/index.ts
+++ b/packages/proof/scenarios/index.ts
@@ -4,6 +4,7 @@
 import { CROSSED_ANSWERS } from "./crossedAnswers.ts";
 import { DOMAIN_LOST } from "./domainLost.ts";
 import { FRESH_HOST_MEETS_STALE_SERVICE } from "./freshHostMeetsStaleService.ts";
+import { HOST_PAUSED_AN_HOUR_WAKES_BELIEVING_ITS_OLD_VIEW } from "./hostPausedAnHourWakesBelievingItsOldView.ts";
 import { HOST_PAUSED_AN_HOUR_WAKES_WITH_A_JOB } from "./hostPausedAnHourWakesWithAJob.ts";
 import { JOB_HOLDER_CUT_FROM_COPIES } from "./jobHolderCutFromCopies.ts";
 import { JOB_HOLDER_KILLED_AFTER_DISPATCH } from "./jobHolderKilledAfterDispatch.ts";
@@ -11,7 +12,12 @@
 import { KEEPER_DIES } from "./keeperDies.ts";
 import { LATE_ANSWER_AFTER_CANCEL } from "./lateAnswerAfterCancel.ts";
 import { OWNER_KILLED_AFTER_DISPATCH } from "./ownerKilledAfterDispatch.ts";
+import { OWNER_KILLED_MID_STREAM_ANSWER_RESUMED } from "./ownerKilledMidStreamAnswerResumed.ts";
 import { PARTITION_SPLITS_FLEET } from "./partitionSplitsFleet.ts";
+import { POISON_RESENT_THROUGH_ALL_HOSTS } from "./poisonResentThroughAllHosts.ts";
+import { RESEND_TO_ANOTHER_HOST_WHILE_FIRST_RUNS } from "./resendToAnotherHostWhileFirstRuns.ts";
+import { RESEND_TO_FRESH_HOST_WHILE_FIRST_RUNS } from "./resendToFreshHostWhileFirstRuns.ts";
+import { STALE_HOST_LIST } from "./staleHostList.ts";
 import { UPSTREAM_BREAKS_STREAM_AND_RESUMES } from "./upstreamBreaksStreamAndResumes.ts";
 import { UPSTREAM_CRASHES_MID_STREAM } from "./upstreamCrashesMidStream.ts";
 import { UPSTREAM_LEAVING } from "./upstreamLeaving.ts";
@@ -23,6 +29,7 @@
   CROSSED_ANSWERS,
   DOMAIN_LOST,
   FRESH_HOST_MEETS_STALE_SERVICE,
+  HOST_PAUSED_AN_HOUR_WAKES_BELIEVING_ITS_OLD_VIEW,
   HOST_PAUSED_AN_HOUR_WAKES_WITH_A_JOB,
   JOB_HOLDER_CUT_FROM_COPIES,
   JOB_HOLDER_KILLED_AFTER_DISPATCH,
@@ -30,7 +37,12 @@
   KEEPER_DIES,
   LATE_ANSWER_AFTER_CANCEL,
   OWNER_KILLED_AFTER_DISPATCH,
+  OWNER_KILLED_MID_STREAM_ANSWER_RESUMED,
   PARTITION_SPLITS_FLEET,
+  POISON_RESENT_THROUGH_ALL_HOSTS,
+  RESEND_TO_ANOTHER_HOST_WHILE_FIRST_RUNS,
+  RESEND_TO_FRESH_HOST_WHILE_FIRST_RUNS,
+  STALE_HOST_LIST,
   UPSTREAM_BREAKS_STREAM_AND_RESUMES,
   UPSTREAM_CRASHES_MID_STREAM,
   UPSTREAM_LEAVING,
--- a/packages/proof/src/scenarioCaller.ts
+++ b/packages/proof/src/scenarioCaller.ts
@@ -17,6 +17,8 @@
 export interface AttemptEnding {
   readonly ending: RequestEnding | "accepted";
   readonly detail: string;
+  /** What the problem says beyond its kind. */
+  readonly reason?: string;
   /** A broken promise that the bytes alone show. */
   readonly fault?: "crossed" | "cut";
   /** Only of an accepted job. */
@@ -134,11 +136,13 @@
 }
 
 function problemEnding(text: string): AttemptEnding {
-  const { type, ending } = JSON.parse(text) as {
+  const { type, ending, detail } = JSON.parse(text) as {
     type: string;
     ending: RequestEnding;
+    detail?: string;
   };
-  return { ending, detail: type.split(":").at(-1)! };
+  const reason = detail === undefined ? {} : { reason: detail };
+  return { ending, detail: type.split(":").at(-1)!, ...reason };
 }
 
 function jobOf(text: string): { detail: string; job: string } {
--- a/packages/proof/src/scenarioJournal.ts
+++ b/packages/proof/src/scenarioJournal.ts
@@ -16,6 +16,7 @@
     readonly ending: RequestEnding | "accepted";
     /** Problem, or what is wrong with the answer. */
     readonly detail: string;
+    readonly reason?: string;
     readonly fault?: "crossed" | "cut";
   }
   | {
--- a/packages/proof/src/scenarioRunner.ts
+++ b/packages/proof/src/scenarioRunner.ts
@@ -287,13 +287,14 @@
     request: string,
     { attempt, ending }: { attempt: number; ending: AttemptEnding },
   ): void {
-    const { ending: kind, detail, fault } = ending;
+    const { ending: kind, detail, reason, fault } = ending;
     this.#journal.add({
       kind: "ended",
       request,
       attempt,
       ending: kind,
       detail,
+      ...(reason === undefined ? {} : { reason }),
       ...(fault === undefined ? {} : { fault }),
     });
   }
