Take renewed certificates on every port, and check them where they are named

A certificate was looked at every five seconds and its key never, so a pair whose key was written last was not taken until a restart; the peer port took no renewal at all, and an authority of client certificates was read but no certificate asked for. All files are watched now, and a pair is taken only when it fits. Platform and upstreams can have a private authority. A host that cannot start closes what it opened and names why.

An error before any connection stood, such as a foreign certificate or an unknown name, now counts as a refused connection: no byte has left.

--- a/apps/entry/src/daemon.ts
+++ b/apps/entry/src/daemon.ts
@@ -1,4 +1,5 @@
 import { getRequestListener } from "@hono/node-server";
+import { MemoryMetrics } from "@wasabivane/common";
 import { EntryHost, type EntryHostOptions } from "./entryHost.ts";
 import { type HttpListener, listen } from "./httpListener.ts";
 import { operatorRoutes } from "./operatorApi.ts";
@@ -13,7 +14,7 @@
 export class Daemon {
   readonly host: EntryHost;
   readonly #options: EntryHostOptions;
-  #listeners: HttpListener[] = [];
+  readonly #listeners: HttpListener[] = [];
 
   constructor(options: EntryHostOptions) {
     this.#options = options;
@@ -22,19 +23,23 @@
 
   /** Joins the fleet and listens; rejects when a port cannot be bound. */
   async start(): Promise<DaemonPorts> {
-    const { settings: { callers, operators, limits } } = this.#options;
+    const {
+      settings: { callers, operators, limits },
+      metrics = new MemoryMetrics(),
+    } = this.#options;
     this.host.start();
     const callerApi = this.host.createCallerApi();
     const callerListener = await listen(
       (incoming, outgoing) => void callerApi.handle(incoming, outgoing),
-      { listener: callers, limits },
+      { listener: callers, limits, metrics },
     );
+    this.#listeners.push(callerListener);
     const routes = operatorRoutes(this.host.operatorView());
     const operatorListener = await listen(
       getRequestListener(routes.fetch, { overrideGlobalObjects: false }),
-      { listener: operators, limits },
+      { listener: operators, limits, metrics },
     );
-    this.#listeners = [callerListener, operatorListener];
+    this.#listeners.push(operatorListener);
     return {
       callerPort: callerListener.port,
       operatorPort: operatorListener.port,
--- a/apps/entry/src/httpListener.ts
+++ b/apps/entry/src/httpListener.ts
@@ -1,18 +1,17 @@
-import { readFileSync, watchFile } from "node:fs";
 import { createServer, type Server } from "node:http";
 import {
   createServer as createTlsServer,
-  type Server as TlsServer,
+  Server as TlsServer,
 } from "node:https";
 import type { AddressInfo } from "node:net";
-import type { SecureContextOptions } from "node:tls";
+import type { Metrics } from "@wasabivane/common";
+import { readCertificate, watchCertificate } from "./certificateFiles.ts";
 import {
   ConnectionProblems,
   type RequestHandler,
 } from "./connectionProblems.ts";
 import type { Listener, Settings } from "./settings.ts";
 
-const CERTIFICATE_POLL_MS = 5_000;
 const MAX_HEADER_BYTES = 16 * 1024;
 const KEEP_ALIVE_MS = 30_000;
 /** Slow connections end within this past their time. */
@@ -31,7 +30,11 @@
 /** Serves requests at an address, over TLS where the settings give certificates. */
 export function listen(
   handle: RequestHandler,
-  { listener, limits }: { listener: Listener; limits: Settings["limits"] },
+  { listener, limits, metrics }: {
+    listener: Listener;
+    limits: Settings["limits"];
+    metrics: Metrics;
+  },
 ): Promise<HttpListener> {
   const problems = new ConnectionProblems(limits.maximumConnections);
   const options = {
@@ -53,6 +56,7 @@
       problems.guard(handle),
     );
   problems.watch(server);
+  watchRenewal(server, { tls: listener.tls, metrics });
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(listener.port, listener.address, () => resolve(wrap(server)));
@@ -65,34 +69,26 @@
     & Record<string, unknown>,
   handle: RequestHandler,
 ): TlsServer {
-  const server = createTlsServer(
-    { ...options, ...readCertificate(tls) },
-    handle,
-  );
-  // A renewed certificate counts for new connections; open ones keep theirs.
-  watchFile(tls.certificateFile, {
-    interval: CERTIFICATE_POLL_MS,
-    persistent: false,
-  }, () => {
-    try {
-      server.setSecureContext(readCertificate(tls));
-    } catch {
-      return; // The key file is written next; the former pair serves until then.
-    }
-  });
-  return server;
+  const isClientCertified = tls.authorityFile !== undefined;
+  return createTlsServer({
+    ...options,
+    ...readCertificate(tls),
+    requestCert: isClientCertified,
+    rejectUnauthorized: isClientCertified,
+  }, handle);
 }
 
-function readCertificate(
-  tls: NonNullable<Listener["tls"]>,
-): SecureContextOptions {
-  return {
-    cert: readFileSync(tls.certificateFile),
-    key: readFileSync(tls.keyFile),
-    ...(tls.authorityFile === undefined
-      ? {}
-      : { ca: readFileSync(tls.authorityFile) }),
-  };
+/** A renewed certificate counts for new connections; open ones keep theirs. */
+function watchRenewal(
+  server: Server | TlsServer,
+  { tls, metrics }: { tls: Listener["tls"]; metrics: Metrics },
+): void {
+  if (tls === undefined || !(server instanceof TlsServer)) return;
+  const unwatch = watchCertificate(tls, {
+    metrics,
+    take: (context) => server.setSecureContext(context),
+  });
+  server.once("close", unwatch);
 }
 
 function wrap(server: Server | TlsServer): HttpListener {
--- a/apps/entry/src/httpUpstreamClient.ts
+++ b/apps/entry/src/httpUpstreamClient.ts
@@ -1,4 +1,5 @@
-import { Agent, type Dispatcher } from "undici";
+import type { Buffer } from "node:buffer";
+import { Agent, buildConnector, type Dispatcher } from "undici";
 import { err, ok, type Result } from "neverthrow";
 import type { Nonce } from "@wasabivane/common";
 import { NONCE_HEADER } from "./constants.ts";
@@ -13,15 +14,29 @@
 const CONNECTIONS_PER_UPSTREAM = 512;
 const MAX_HEADER_BYTES = 16 * 1024;
 
+/** Options of an {@link HttpUpstreamClient}. */
+export interface HttpUpstreamClientOptions {
+  /** Authority of the upstreams' certificates; the system's when left out. */
+  readonly ca?: Buffer;
+}
+
 /**
  * Calls upstreams over HTTP. One request at a time per connection, so that an answer on
  * a connection can only belong to the request sent on it; the nonce shows it
  * even when an upstream mixes its answers up. Nothing is ever sent twice here.
  */
 export class HttpUpstreamClient extends UpstreamClient {
-  readonly #agent = createAgent({ pipelining: 1 });
+  readonly #agent: Agent;
   /** Without pipelining a connection ends with its first answer. */
-  readonly #singleCallAgent = createAgent({ pipelining: 0 });
+  readonly #singleCallAgent: Agent;
+  readonly #unconnected = new WeakSet<object>();
+
+  constructor(options: HttpUpstreamClientOptions = {}) {
+    super();
+    const connect = this.#connector(options);
+    this.#agent = createAgent({ pipelining: 1, connect });
+    this.#singleCallAgent = createAgent({ pipelining: 0, connect });
+  }
 
   override async send(
     call: UpstreamCall,
@@ -40,7 +55,7 @@
       });
       return checkNonce(call.nonce, answer);
     } catch (thrown) {
-      return err(upstreamErrorOf(thrown, call.signal));
+      return err(this.#errorOf(thrown, call.signal));
     }
   }
 
@@ -58,7 +73,7 @@
       });
       return ok(await answer.body.json());
     } catch (thrown) {
-      return err(upstreamErrorOf(thrown, signal));
+      return err(this.#errorOf(thrown, signal));
     }
   }
 
@@ -76,6 +91,25 @@
     }
   }
 
+  #errorOf(thrown: unknown, signal: AbortSignal): UpstreamError {
+    const isUnconnected = this.#unconnected.has(thrown as object);
+    return upstreamErrorOf(thrown, { signal, isUnconnected });
+  }
+
+  /** Remembers which errors came before any connection stood: with them no byte left. */
+  #connector({ ca }: HttpUpstreamClientOptions): buildConnector.connector {
+    const connect = buildConnector({
+      timeout: CONNECT_TIMEOUT_MS,
+      ...(ca === undefined ? {} : { ca }),
+    });
+    return (options, callback) =>
+      connect(options, (...result) => {
+        const [error] = result;
+        if (error !== null) this.#unconnected.add(error);
+        callback(...result);
+      });
+  }
+
   override async close(): Promise<void> {
     await Promise.all([
       this.#agent.destroy(),
@@ -84,12 +118,17 @@
   }
 }
 
-function createAgent({ pipelining }: { pipelining: number }): Agent {
+function createAgent(
+  { pipelining, connect }: {
+    pipelining: number;
+    connect: buildConnector.connector;
+  },
+): Agent {
   return new Agent({
     pipelining,
     connections: CONNECTIONS_PER_UPSTREAM,
     maxHeaderSize: MAX_HEADER_BYTES,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect,
     headersTimeout: 0,
     bodyTimeout: 0,
   });
--- a/apps/entry/src/index.ts
+++ b/apps/entry/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./intake.ts";
 export * from "./keptAnswers.ts";
 export * from "./problem.ts";
+export * from "./program.ts";
 export * from "./settings.ts";
 export * from "./startEntry.ts";
 export * from "./upstreamClient.ts";
--- /dev/null
+++ b/apps/entry/src/program.ts
@@ -0,0 +1,87 @@
+import { cac } from "cac";
+import { formatDocumentError, readDocument } from "@wasabivane/bundle";
+import {
+  type CommandOutput,
+  type CommandReport,
+  EXIT_FINDINGS,
+  EXIT_OK,
+  type ParsedOptions,
+  requiredTextOption,
+  runCommandLine,
+} from "@wasabivane/common";
+import { settingsSchema } from "./settings.ts";
+import { startEntry } from "./startEntry.ts";
+
+/** How to run the daemon's program. */
+export interface EntryProgramRun {
+  readonly argv: readonly string[];
+  readonly output: CommandOutput;
+  readonly version: string;
+  /** Resolves when the daemon should end. */
+  readonly whenStopped: () => Promise<unknown>;
+}
+
+/** Runs `wasabivane-entry`; gives its exit code: 0 in order, 1 not started, 2 usage. */
+export function runEntryProgram(run: EntryProgramRun): Promise<number> {
+  const { argv, output, version } = run;
+  const cli = cac("wasabivane-entry");
+  cli.option("--settings <file>", "Settings file, JSON with comments");
+  cli.option("--json", "Print one JSON document for programs");
+  cli.command("", "Run an entry host")
+    .action((options: ParsedOptions) => serve(settingsFileOf(options), run));
+  cli.command("check", "Check the settings without starting")
+    .action((options: ParsedOptions) => check(settingsFileOf(options)));
+  cli.help();
+  cli.version(version);
+  return runCommandLine(cli, { argv, output });
+}
+
+function settingsFileOf(options: ParsedOptions): string {
+  return requiredTextOption(options, "settings");
+}
+
+function check(file: string): CommandReport {
+  const settings = readDocument(file, settingsSchema);
+  if (settings.isErr()) {
+    return {
+      exitCode: EXIT_FINDINGS,
+      data: { errors: settings.error },
+      lines: settings.error.map(formatDocumentError),
+    };
+  }
+  return {
+    exitCode: EXIT_OK,
+    data: { errors: [] },
+    lines: [`${file}: The settings are valid`],
+  };
+}
+
+async function serve(
+  file: string,
+  { output, whenStopped }: EntryProgramRun,
+): Promise<CommandReport> {
+  const settings = readDocument(file, settingsSchema);
+  if (settings.isErr()) {
+    return notStarted(output, settings.error.map(formatDocumentError));
+  }
+  const started = await startEntry(settings.value);
+  if (started.isErr()) return notStarted(output, [started.error.detail]);
+  const { host } = settings.value;
+  const { ports, stop } = started.value;
+  output.write(`${JSON.stringify({ host, ...ports })}\n`);
+  await whenStopped();
+  await stop();
+  return printed(EXIT_OK);
+}
+
+function notStarted(
+  output: CommandOutput,
+  lines: readonly string[],
+): CommandReport {
+  for (const line of lines) output.writeError(`${line}\n`);
+  return printed(EXIT_FINDINGS);
+}
+
+function printed(exitCode: number): CommandReport {
+  return { exitCode, data: undefined, lines: [], isPrinted: true };
+}
--- a/apps/entry/src/settings.ts
+++ b/apps/entry/src/settings.ts
@@ -36,7 +36,13 @@
   platform: z.strictObject({
     configurationUrl: z.url({ protocol: /^https?$/ }),
     hostListUrl: z.url({ protocol: /^https?$/ }),
+    /** Authority of the platform's certificates; the system's when left out. */
+    authorityFile: z.string().min(1).optional(),
   }),
+  upstreams: z.strictObject({
+    /** Authority of the upstreams' certificates; the system's when left out. */
+    authorityFile: z.string().min(1).optional(),
+  }).prefault({}),
   /** Public keys whose bundle signatures count, by key id. */
   trustedKeys: trustedKeysSchema,
   limits: z.strictObject({
@@ -57,5 +63,7 @@
 
 /** Checked settings of `wasabivane-entry`. */
 export type Settings = z.infer<typeof settingsSchema>;
+/** See {@link certificateSchema}. */
+export type CertificateSettings = z.infer<typeof certificateSchema>;
 /** See {@link listenerSchema}. */
 export type Listener = z.infer<typeof listenerSchema>;
--- a/apps/entry/src/startEntry.ts
+++ b/apps/entry/src/startEntry.ts
@@ -1,22 +1,33 @@
+import type { Buffer } from "node:buffer";
 import { readFileSync } from "node:fs";
-import type { SecureContextOptions } from "node:tls";
 import { err, ok, type Result } from "neverthrow";
 import { pino } from "pino";
-import { HttpBundleSource, HttpHostListSource } from "@wasabivane/bundle";
+import { Agent } from "undici";
+import {
+  HttpBundleSource,
+  HttpHostListSource,
+  type PlatformRequest,
+} from "@wasabivane/bundle";
 import {
   asId,
   type Incarnation,
   MemoryMetrics,
+  type Metrics,
   SystemRandom,
   SystemTimer,
 } from "@wasabivane/common";
-import { WebSocketLink } from "@wasabivane/coordination";
+import {
+  WebSocketLink,
+  type WebSocketLinkOptions,
+} from "@wasabivane/coordination";
+import { readCertificate, watchCertificate } from "./certificateFiles.ts";
 import { Daemon } from "./daemon.ts";
 import { HttpUpstreamClient } from "./httpUpstreamClient.ts";
 import type { Settings } from "./settings.ts";
 import { StatsdMetrics } from "./statsdMetrics.ts";
 
 const INCARNATION_BYTES = 8;
+const STANDARD_ERROR = 2;
 
 /** A daemon with the ports that it listens on. */
 export interface StartedEntry {
@@ -32,7 +43,7 @@
 
 /** Why an entry host did not start. */
 export interface StartError {
-  readonly kind: "cannot-listen";
+  readonly kind: "cannot-start";
   readonly detail: string;
 }
 
@@ -40,24 +51,48 @@
 export async function startEntry(
   settings: Settings,
 ): Promise<Result<StartedEntry, StartError>> {
+  const closers: Closer[] = [];
+  const stop = async (): Promise<void> => {
+    for (const close of closers.splice(0).reverse()) await close();
+  };
+  try {
+    return ok({ ...await startParts(settings, closers), stop });
+  } catch (thrown) {
+    await stop();
+    const detail = (thrown as Error).message;
+    return err({ kind: "cannot-start", detail });
+  }
+}
+
+type Closer = () => void | Promise<void>;
+
+/** Each part that was started leaves how to close it, so that a later one may fail. */
+async function startParts(
+  settings: Settings,
+  closers: Closer[],
+): Promise<Omit<StartedEntry, "stop">> {
   const timer = new SystemTimer();
   const random = new SystemRandom();
   const counters = new MemoryMetrics();
-  const metrics = settings.statsd === undefined
-    ? counters
-    : new StatsdMetrics(counters, settings.statsd);
+  const metrics = createMetrics(settings, { counters, closers });
   const incarnation = asId<Incarnation>(random.hex(INCARNATION_BYTES));
-  const link = new WebSocketLink({
-    host: settings.host,
-    incarnation,
-    timer,
-    random,
-    metrics,
-    sharedSecrets: settings.peers.secrets,
-    ...secureContextOf(settings),
-  });
+  const link = createLink(settings, { incarnation, timer, random, metrics });
+  closers.push(() => link.close());
   const peers = await link.listen(settings.peers);
-  if (peers.isErr()) return err(peers.error);
+  if (peers.isErr()) throw new Error(peers.error.detail);
+  closers.push(watchPeerCertificate(settings, { link, metrics }));
+  const platform = new Agent({
+    connect: authorityOf(settings.platform.authorityFile),
+  });
+  closers.push(() => platform.destroy());
+  const { configurationUrl, hostListUrl } = settings.platform;
+  const request: PlatformRequest = (url, options) =>
+    platform.request({
+      origin: url.origin,
+      path: url.pathname + url.search,
+      method: "GET",
+      signal: options.signal,
+    });
   const daemon = new Daemon({
     settings,
     incarnation,
@@ -66,46 +101,60 @@
     metrics,
     counters,
     link,
-    client: new HttpUpstreamClient(),
+    client: new HttpUpstreamClient(
+      authorityOf(settings.upstreams.authorityFile),
+    ),
     onPeerAddresses: (addresses) => link.setAddresses(addresses),
-    bundleSource: new HttpBundleSource({
-      url: settings.platform.configurationUrl,
-    }),
-    hostListSource: new HttpHostListSource({
-      url: settings.platform.hostListUrl,
-    }),
+    bundleSource: new HttpBundleSource({ url: configurationUrl, request }),
+    hostListSource: new HttpHostListSource({ url: hostListUrl, request }),
     log: pino(
       { level: settings.logLevel, base: { host: settings.host } },
-      pino.destination(2),
+      pino.destination(STANDARD_ERROR),
     ),
   });
-  try {
-    return ok({
-      daemon,
-      ports: { ...await daemon.start(), peerPort: peers.value },
-      async stop(): Promise<void> {
-        await daemon.stop();
-        link.close();
-        if (metrics instanceof StatsdMetrics) await metrics.close();
-      },
-    });
-  } catch (thrown) {
-    return err({ kind: "cannot-listen", detail: (thrown as Error).message });
-  }
+  closers.push(() => daemon.stop());
+  const ports = { ...await daemon.start(), peerPort: peers.value };
+  return { daemon, ports };
 }
 
-function secureContextOf(
-  { peers }: Settings,
-): { secureContext?: SecureContextOptions } {
-  if (peers.tls === undefined) return {};
-  const { certificateFile, keyFile, authorityFile } = peers.tls;
-  return {
-    secureContext: {
-      cert: readFileSync(certificateFile),
-      key: readFileSync(keyFile),
-      ...(authorityFile === undefined
-        ? {}
-        : { ca: readFileSync(authorityFile) }),
-    },
-  };
+function createMetrics(
+  { statsd }: Settings,
+  { counters, closers }: { counters: MemoryMetrics; closers: Closer[] },
+): Metrics {
+  if (statsd === undefined) return counters;
+  const metrics = new StatsdMetrics(counters, statsd);
+  closers.push(() => metrics.close());
+  return metrics;
+}
+
+function createLink(
+  { host, peers }: Settings,
+  services: Pick<
+    WebSocketLinkOptions,
+    "incarnation" | "timer" | "random" | "metrics"
+  >,
+): WebSocketLink {
+  return new WebSocketLink({
+    ...services,
+    host,
+    sharedSecrets: peers.secrets,
+    ...(peers.tls === undefined
+      ? {}
+      : { secureContext: readCertificate(peers.tls) }),
+  });
+}
+
+function watchPeerCertificate(
+  { peers: { tls } }: Settings,
+  { link, metrics }: { link: WebSocketLink; metrics: Metrics },
+): Closer {
+  if (tls === undefined) return () => {};
+  return watchCertificate(tls, {
+    metrics,
+    take: (context) => link.renewSecureContext(context),
+  });
+}
+
+function authorityOf(file: string | undefined): { ca?: Buffer } {
+  return file === undefined ? {} : { ca: readFileSync(file) };
 }
--- a/apps/entry/src/upstreamError.ts
+++ b/apps/entry/src/upstreamError.ts
@@ -15,20 +15,13 @@
   /** This side gave up: deadline, or the caller hung up. */
   | { readonly kind: "aborted" };
 
-const NOT_CONNECTED = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
-
 /** Sorts what the HTTP client threw by whether bytes can have left. */
 export function upstreamErrorOf(
   thrown: unknown,
-  signal: AbortSignal,
+  { signal, isUnconnected }: { signal: AbortSignal; isUnconnected: boolean },
 ): UpstreamError {
   if (signal.aborted) return { kind: "aborted" };
   const { code, message } = thrown as { code?: string; message?: string };
   const detail = code ?? message ?? "unknown";
-  return { kind: NOT_CONNECTED.has(code ?? "") ? "refused" : "broken", detail };
+  return { kind: isUnconnected ? "refused" : "broken", detail };
 }
--- a/apps/entry/tests/helpers/entryBench.ts
+++ b/apps/entry/tests/helpers/entryBench.ts
@@ -26,15 +26,19 @@
   readonly engineOptions?: EngineStandInOptions;
   /** Settings beside or in place of the bench's own. */
   readonly settings?: Readonly<Record<string, unknown>>;
+  /** Settings of the platform beside its urls. */
+  readonly platform?: Readonly<Record<string, unknown>>;
   /** Urls in place of those of stand-ins, by upstream. */
   readonly upstreamUrls?: Readonly<Record<string, string>>;
-  readonly platformUrl?: (url: string) => string;
+  /** Puts something before a stand-in; gives the url to use in its place. */
+  readonly proxied?: (url: string) => Promise<string>;
 }
 
 /** One entry host over stand-ins, all in this process. */
 export interface EntryBench {
   readonly callerPort: number;
   readonly operatorPort: number;
+  readonly peerPort: number;
   readonly callerUrl: string;
   readonly bundle: Bundle;
   readonly engines: readonly EngineStandIn[];
@@ -99,10 +103,15 @@
     })),
   });
   const { url } = await platform.start();
-  const platformUrl = options.platformUrl?.(url) ?? url;
-  const settings = settingsSchema.parse(
-    benchSettings(platformUrl, options.settings),
-  );
+  const platformUrl = await options.proxied?.(url) ?? url;
+  const settings = settingsSchema.parse(benchSettings(platformUrl, {
+    ...options.settings,
+    platform: {
+      configurationUrl: platformUrl,
+      hostListUrl: platformUrl,
+      ...options.platform,
+    },
+  }));
   const started = (await startEntry(settings))._unsafeUnwrap();
   const { host } = started.daemon;
   await until(() => host.operatorView().isReady());
@@ -126,7 +135,8 @@
 
 async function bundleOver(
   { engines, plains }: Pick<EntryBench, "engines" | "plains">,
-  { upstreamUrls = {} }: EntryBenchOptions,
+  { upstreamUrls = {}, proxied = Promise.resolve.bind(Promise) }:
+    EntryBenchOptions,
 ): Promise<Bundle> {
   const example = exampleBundle("fukuoka");
   const urls: Record<string, string> = {};
@@ -141,7 +151,8 @@
     );
     for (const [index, standIn] of standIns.entries()) {
       const { upstream } = upstreams[index]!;
-      urls[upstream] = upstreamUrls[upstream] ?? (await standIn.start()).url;
+      urls[upstream] = upstreamUrls[upstream] ??
+        await proxied((await standIn.start()).url);
     }
   }
   const bundle = exampleBundle("fukuoka", { upstreamUrls: urls });
--- a/scripts/settingsMeanings.ts
+++ b/scripts/settingsMeanings.ts
@@ -24,6 +24,8 @@
     "Prove a peer in the handshake; the first is used, both count",
   "platform.configurationUrl": "Base url of the configuration service",
   "platform.hostListUrl": "Base url of the host list",
+  "platform.authorityFile": "PEM authority of the platform's certificates",
+  "upstreams.authorityFile": "PEM authority of the upstreams' certificates",
   "trustedKeys[].keyId": "Id of a key whose bundle signatures count",
   "trustedKeys[].publicKey": "Ed25519 public key, as `keygen` prints it",
   "limits.maximumBodyBytes": "Larger bodies are refused with 413",
