Give a job back when its upstream refused the recorded dispatch

Cause: a dispatch is recorded at the copies before the first byte. When the upstream then refused the connection, the job stayed "running" until it expired, and could not even be withdrawn.

Change: `recordUnsent` lets the process that the outcome names, and only that one, void its own dispatch and open the next epoch with the copies. Copies keep the body for 30 s after an outcome for that.

--- a/packages/coordination/src/job.ts
+++ b/packages/coordination/src/job.ts
@@ -110,6 +110,11 @@
     id: JobId,
     dispatch: JobDispatch,
   ): Promise<Result<void, DispatchRefusal>>;
+  /**
+   * A recorded dispatch was not made: no byte left, and none will. The job may
+   * be dispatched again; it comes back from `readyJobs`.
+   */
+  abstract recordUnsent(id: JobId): Promise<Result<void, DispatchRefusal>>;
   /** The dispatch, or a resume, has ended; copies keep the answer. */
   abstract recordFinished(id: JobId, answer: JobAnswer): void;
   /** Ends a job that has not been dispatched; it ends as not run. */
--- a/packages/coordination/src/jobAcceptance.ts
+++ b/packages/coordination/src/jobAcceptance.ts
@@ -76,7 +76,7 @@
     );
     const job: Job = { ...offer, id, acceptedAt: timer.wallNow() };
     if (!store.hasRoomFor(job)) return err(FULL);
-    const record = store.install(job, timer.now());
+    const record = store.install(job, { now: timer.now() });
     const copies = await this.#copy(job, { places, needed });
     record.keepers = [self, ...copies];
     if (!this.#areEnough(copies, needed)) {
--- a/packages/coordination/src/jobController.ts
+++ b/packages/coordination/src/jobController.ts
@@ -168,6 +168,24 @@
     return this.#release(record, { upstream, nonce });
   }
 
+  override async recordUnsent(
+    id: JobId,
+  ): Promise<Result<void, DispatchRefusal>> {
+    const record = this.#store.find(id);
+    if (record === undefined) return err({ kind: "not-held" });
+    if (!this.#isReleasedHere(record)) return err({ kind: "settled" });
+    record.isMoving = true;
+    const others = record.keepers.filter((member) => member !== this.#self);
+    const copies = await this.#copying.copyTo(others, {
+      job: record.job,
+      withinMs: MOVE_COPY_WAIT_MS,
+    });
+    record.isMoving = false;
+    if (!this.#isReleasedHere(record)) return err({ kind: "settled" });
+    this.#lifecycle.reopen(record, copies);
+    return ok(undefined);
+  }
+
   override recordFinished(id: JobId, answer: JobAnswer): void {
     const record = this.#store.find(id);
     if (record !== undefined) this.#lifecycle.finish(record, answer);
@@ -261,6 +279,13 @@
     return ok(undefined);
   }
 
+  /** Whether the dispatch is this process's to make and nobody has ended it. */
+  #isReleasedHere(record: JobRecord): boolean {
+    return record.isReleased && record.answer === undefined &&
+      dispatchOf(record)?.by === this.#self &&
+      this.#store.find(record.job.id) === record;
+  }
+
   #isExpired({ job }: JobRecord): boolean {
     return job.expiresAt <= this.#options.timer.wallNow();
   }
@@ -281,6 +306,7 @@
     for (const record of this.#store.records()) {
       if (this.#dropIfOver(record)) continue;
       this.#proposals.poll(record);
+      this.#lifecycle.dropIdleBody(record);
       this.#take(record, this.#nextStep(record));
       this.#check(record);
     }
--- a/packages/coordination/src/jobInbox.ts
+++ b/packages/coordination/src/jobInbox.ts
@@ -81,11 +81,15 @@
 
   #hold(job: Job): boolean {
     const { timer, store, isOpen } = this.#options;
-    if (store.find(job.id) !== undefined) return true;
+    const record = store.find(job.id);
+    if (record !== undefined) {
+      store.restoreBody(record, job);
+      return true;
+    }
     if (!store.isWelcome(job.id)) return false;
     if (job.expiresAt <= timer.wallNow()) return false;
     if (!isOpen() || !store.hasRoomFor(job)) return false;
-    store.install(job, timer.now());
+    store.install(job, { now: timer.now() });
     return true;
   }
 
@@ -94,7 +98,9 @@
     // News for a former process on this host must not touch this one.
     if (to !== self) return;
     this.#take(id, news);
-    const isHeld = store.find(id) !== undefined;
+    const record = store.find(id);
+    const isHeld = record !== undefined &&
+      (news.kind !== "moved" || record.hasBody);
     const body = { id, sequence, member: self, isHeld };
     sendMessage(link, JOB_NOTED, { to: from, body });
   }
@@ -114,7 +120,8 @@
       (store.isWelcome(id) &&
         news.job.expiresAt > timer.wallNow() && store.hasRoomFor(news.job));
     if (!isWelcome) return;
-    const settled = record ?? store.install(news.job, timer.now());
+    const now = timer.now();
+    const settled = record ?? store.install(news.job, { now, hasBody: false });
     lifecycle.settle(settled, { ...news, isNews: true });
   }
 }
--- a/packages/coordination/src/jobLifecycle.ts
+++ b/packages/coordination/src/jobLifecycle.ts
@@ -1,4 +1,4 @@
-import type { JobId, Metrics, Timer } from "@wasabivane/common";
+import type { JobId, Metrics, Milliseconds, Timer } from "@wasabivane/common";
 import type { Job, JobAnswer, JobTakeover } from "./job.ts";
 import type { JobNews } from "./jobMessages.ts";
 import type { JobOutbox } from "./jobOutbox.ts";
@@ -8,6 +8,9 @@
 /** A round that no attempt exceeds; a member that promised it takes no part any more. */
 const LAST_ROUND = Number.MAX_SAFE_INTEGER;
 
+/** Longer than a refused connection takes to be reported. */
+const BODY_KEPT_MS: Milliseconds = 30_000;
+
 /** An answer for a job that ended without one. */
 export function emptyAnswer(ending: "not-run" | "unknown"): JobAnswer {
   return { ending, status: 0, headers: {}, body: new Uint8Array() };
@@ -39,7 +42,7 @@
   /** An epoch is known to be the job's; a member that is not in it lets go. */
   confirm(record: JobRecord, epoch: Epoch): void {
     const { self, store, metrics } = this.#options;
-    if (record.outcome !== undefined) return;
+    if (record.outcome !== undefined && !voids(epoch, record)) return;
     const known = record.epoch ?? record.formerEpoch;
     if (known !== undefined && known.number >= epoch.number) return;
     endAttempt(record);
@@ -47,6 +50,13 @@
       store.bury(record.job.id, epoch);
       return;
     }
+    // Without the body this process could only dispatch an empty request.
+    if (!record.hasBody) return;
+    delete record.outcome;
+    delete record.outcomeEpoch;
+    delete record.runner;
+    record.isReleased = false;
+    const isTakeover = record.epoch?.holder !== self && epoch.holder === self;
     record.epoch = epoch;
     record.acceptor = {};
     record.hasUsedHolderRound = false;
@@ -54,7 +64,7 @@
     record.retryAt = 0;
     record.keepers = epoch.members;
     record.lost.clear();
-    if (epoch.number === 0 || epoch.holder !== self) return;
+    if (epoch.number === 0 || !isTakeover) return;
     metrics.count("jobs_taken_over");
     this.#tellTakeover({ job: record.job });
   }
@@ -62,28 +72,35 @@
   /** A value was chosen in the job's epoch. */
   choose(record: JobRecord, value: RegisterValue): void {
     if (value.kind === "move") this.#move(record, value.epoch);
-    else this.settle(record, { outcome: value });
+    else {
+      const epochNumber = record.epoch!.number;
+      this.settle(record, { outcome: value, epochNumber });
+    }
   }
 
   /** The job's outcome is known, by an own attempt or from a peer. */
   settle(
     record: JobRecord,
-    { outcome, keepers, runner, answer, isNews = false }: {
+    { outcome, epochNumber, keepers, runner, answer, isNews = false }: {
       outcome: JobOutcome;
+      epochNumber: number;
       keepers?: readonly MemberId[];
       runner?: MemberId;
       answer?: JobAnswer;
       isNews?: boolean;
     },
   ): void {
-    const { self, store } = this.#options;
+    const isStale = (record.epoch?.number ?? 0) > epochNumber;
+    if (isNews && isStale) return;
     endAttempt(record);
+    if (record.outcome === undefined) {
+      record.settledAt = this.#options.timer.now();
+    }
     record.outcome ??= outcome;
+    record.outcomeEpoch ??= epochNumber;
     if (keepers !== undefined) record.keepers = keepers;
     if (runner !== undefined) record.runner = runner;
     else if (outcome.kind === "dispatch") record.runner ??= outcome.by;
-    const isOwn = outcome.kind === "dispatch" && outcome.by === self;
-    if (!isOwn) store.dropBody(record);
     if (outcome.kind === "withdraw") {
       this.#keepAnswer(record, emptyAnswer("not-run"));
     }
@@ -111,6 +128,19 @@
     this.finish(record, emptyAnswer(ending));
   }
 
+  /**
+   * Drops a body that no dispatch needs any more. It stays a while after the
+   * outcome, since the upstream may refuse the dispatch.
+   */
+  dropIdleBody(record: JobRecord): void {
+    const { self, timer, store } = this.#options;
+    if (!record.hasBody || record.outcome === undefined) return;
+    const isOwn = dispatchOf(record)?.by === self;
+    const isRecent = timer.now() - record.settledAt < BODY_KEPT_MS;
+    if (record.answer === undefined && (isOwn || isRecent)) return;
+    store.dropBody(record);
+  }
+
   /** This process resumes the job's answer at its upstream. */
   resume(record: JobRecord): void {
     const { self, metrics } = this.#options;
@@ -169,9 +199,27 @@
     }
   }
 
+  /**
+   * Opens a fresh epoch in place of a dispatch of this process that was not
+   * made. Only the process that the outcome names may write the request, so
+   * that its word alone voids it; the former epoch needs no further choice.
+   */
+  reopen(record: JobRecord, copies: readonly MemberId[]): void {
+    const { self, metrics } = this.#options;
+    metrics.count("jobs_unsent");
+    record.isReleased = false;
+    // With no other copy the recorded dispatch stands and may be made later.
+    if (copies.length === 0) return;
+    this.#move(record, {
+      number: record.outcomeEpoch! + 1,
+      members: [self, ...copies],
+      holder: self,
+    });
+  }
+
   #move(record: JobRecord, epoch: Epoch): void {
     const { self, metrics } = this.#options;
-    const told = new Set([...record.epoch?.members ?? [], ...epoch.members]);
+    const told = new Set([...this.#othersOf(record), ...epoch.members]);
     told.delete(self);
     metrics.count("jobs_moved");
     this.confirm(record, epoch);
@@ -233,17 +281,24 @@
   attempt?.onEnd({ kind: "failed" });
 }
 
+/** Whether an epoch replaces an outcome whose dispatch was not made. */
+function voids(epoch: Epoch, { outcome, outcomeEpoch }: JobRecord): boolean {
+  return outcome?.kind === "dispatch" && outcome.by === epoch.holder &&
+    epoch.number > (outcomeEpoch ?? 0);
+}
+
 function withoutBody(job: Job): Job {
   return { ...job, body: new Uint8Array() };
 }
 
 function settledNews(record: JobRecord): JobNews | undefined {
-  const { outcome, keepers, runner, answer } = record;
+  const { outcome, outcomeEpoch = 0, keepers, runner, answer } = record;
   if (outcome === undefined) return undefined;
   return {
     kind: "settled",
     job: withoutBody(record.job),
     outcome,
+    epochNumber: outcomeEpoch,
     keepers,
     ...(runner && { runner }),
     ...(answer && { answer }),
--- a/packages/coordination/src/jobMessages.ts
+++ b/packages/coordination/src/jobMessages.ts
@@ -121,6 +121,8 @@
     /** Without its body. */
     readonly job: Job;
     readonly outcome: JobOutcome;
+    /** Number of the epoch that settled on it. */
+    readonly epochNumber: number;
     readonly keepers: readonly MemberId[];
     readonly runner?: MemberId;
     readonly answer?: JobAnswer;
@@ -134,6 +136,7 @@
     kind: oneOf("settled"),
     job: isJob,
     outcome: isOutcome,
+    epochNumber: numberOf<number>(),
     keepers: isMembers,
     runner: optional(isMember),
     answer: optional(isAnswer),
--- a/packages/coordination/src/jobStore.ts
+++ b/packages/coordination/src/jobStore.ts
@@ -31,6 +31,8 @@
 /** One job as this process holds it. */
 export interface JobRecord {
   job: Job;
+  /** Whether the job could be dispatched from here. */
+  hasBody: boolean;
   readonly installedAt: Milliseconds;
   /** Absent for a copy that nobody has confirmed yet; such a copy never acts. */
   epoch?: Epoch;
@@ -51,6 +53,9 @@
   /** Members that answer but hold no copy any more. */
   readonly lost: Set<MemberId>;
   outcome?: JobOutcome;
+  settledAt: Milliseconds;
+  /** Number of the epoch that settled on the outcome. */
+  outcomeEpoch?: number;
   /** Processes that hold the job or its outcome now. */
   keepers: readonly MemberId[];
   /** Who dispatches or resumes. */
@@ -139,11 +144,15 @@
   }
 
   /** Adds a job that nobody has confirmed yet. */
-  install(job: Job, now: Milliseconds): JobRecord {
+  install(
+    job: Job,
+    { now, hasBody = true }: { now: Milliseconds; hasBody?: boolean },
+  ): JobRecord {
     const formerEpoch = this.#tombstones.get(job.id)?.movedTo;
     this.#tombstones.delete(job.id);
     const record: JobRecord = {
       job,
+      hasBody,
       installedAt: now,
       ...(formerEpoch && { formerEpoch }),
       acceptor: {},
@@ -154,6 +163,7 @@
       lost: new Set(),
       keepers: [],
       isReleased: false,
+      settledAt: now,
       checkedAt: now,
     };
     this.#records.set(job.id, record);
@@ -165,6 +175,15 @@
   dropBody(record: JobRecord): void {
     this.#bytes -= record.job.body.length;
     record.job = { ...record.job, body: new Uint8Array() };
+    record.hasBody = false;
+  }
+
+  /** Takes the body again, for a dispatch that was recorded but not made. */
+  restoreBody(record: JobRecord, { body }: Job): void {
+    if (record.hasBody) return;
+    this.#bytes += body.length;
+    record.job = { ...record.job, body };
+    record.hasBody = true;
   }
 
   setAnswer(record: JobRecord, answer: JobAnswer): void {
--- a/packages/coordination/tests/helpers/jobFleet.ts
+++ b/packages/coordination/tests/helpers/jobFleet.ts
@@ -60,6 +60,8 @@
   readonly hosts = new Map<HostId, JobHost>();
   /** Every dispatch that reached an upstream. */
   readonly dispatches = new Map<JobId, JobDispatch[]>();
+  /** Share of dispatches that the upstream's host refuses before any byte. */
+  refusedShare = 0;
   /** Whether hosts dispatch what they hold. */
   isDispatching = false;
   readonly #domains: number;
@@ -243,6 +245,10 @@
     const { controller } = this.hosts.get(host)!;
     const result = await controller.recordDispatch(job.id, dispatch);
     if (result.isErr()) return result.error.kind;
+    if (this.random.float() < this.refusedShare) {
+      void controller.recordUnsent(job.id);
+      return "refused";
+    }
     const made = this.dispatches.get(job.id) ?? [];
     this.dispatches.set(job.id, [...made, dispatch]);
     return "dispatched";
--- a/packages/coordination/tests/jobFaults.test.ts
+++ b/packages/coordination/tests/jobFaults.test.ts
@@ -71,6 +71,7 @@
       duplicateShare: random.pick([0, 0.2]),
       dropShare: random.pick([0, 0.05]),
     });
+    fleet.refusedShare = random.pick([0, 0.5]);
     const jobs: Job[] = [];
     for (let event = 0; event < EVENTS; event++) {
       if (event % 3 === 0) jobs.push(...await acceptSome(fleet, random));
@@ -83,6 +84,7 @@
     }
     fleet.refreshMembers();
     fleet.isDispatching = true;
+    fleet.refusedShare = 0;
     await fleet.pass(700_000);
     for (const job of jobs) {
       const status = await statusOf(fleet, job);
--- a/packages/coordination/tests/jobs.test.ts
+++ b/packages/coordination/tests/jobs.test.ts
@@ -132,6 +132,25 @@
   t.is(fleet.timesDispatched(job), 1);
 });
 
+test("a dispatch that the upstream refused is made elsewhere, once", async (t) => {
+  // The copies hold "dispatch to U as N", and U refused the connection. The job
+  // would be stuck at an upstream that is gone; its holder alone may reopen it.
+  const fleet = new JobFleet();
+  const job = await fleet.accept(FIRST);
+  fleet.refusedShare = 1;
+  const refused = fleet.dispatch(FIRST, job);
+  await fleet.advance(20);
+  t.is(await refused, "refused");
+  await fleet.advance(20);
+  t.is(await fleet.statusAt(fleet.strangerTo(job), job), "waiting");
+  fleet.refusedShare = 0;
+  await fleet.kill(FIRST);
+  fleet.isDispatching = true;
+  await fleet.advance(6_000);
+  t.is(await fleet.statusAt(fleet.strangerTo(job), job), "whole");
+  t.is(fleet.timesDispatched(job), 1);
+});
+
 test("a holder that dies between record and dispatch leaves an unknown, not a second run", async (t) => {
   // The copies hold "dispatch to U as N", yet no byte left. Nobody can know, so
   // the resume at U finds nothing and the caller hears the truth: unknown.
