Void a job's recorded dispatch when no byte of it left

Cause: after a refused connection the runner asked the copies for another dispatch or a withdrawal, and both were refused since the first one was recorded.

Change: the runner tells the job service that the dispatch was not made. The service ignores it where nothing was recorded.

--- a/apps/entry/src/jobRunner.ts
+++ b/apps/entry/src/jobRunner.ts
@@ -184,6 +184,8 @@
     },
   ): Promise<void> {
     const { timer, jobs } = this.#options;
+    // No byte left, so a dispatch that the copies hold already is void.
+    await jobs.recordUnsent(id);
     const isOver = timer.now() >= request.deadline ||
       end.problem.name === "convicted";
     if (!isOver) {
