Read a finished stream to its end instead of closing its connection

Cause: a profile of the entry under load showed error objects and reconnects: the connection was destroyed at the end mark, so each stream opened a new one. Change: the caller gets its end at the mark; the rest of the connection is read with a bound of one second, and an excess answer still closes it.

--- a/apps/entry/src/completionStream.ts
+++ b/apps/entry/src/completionStream.ts
@@ -40,6 +40,11 @@
   readonly #decoder = new TextDecoder();
   #hasFinishReason = false;
   #isWhole = false;
+  #resolveWhole: () => void = () => {};
+  /** Resolves at the end mark. */
+  readonly whole: Promise<undefined> = new Promise((resolve) => {
+    this.#resolveWhole = () => resolve(undefined);
+  });
   #hasExcess = false;
   #tokens = 0;
   #usage: CompletionUsage | undefined;
@@ -111,6 +116,7 @@
       return;
     }
     this.#isWhole = true;
+    this.#resolveWhole();
     this.#onEvent({ data: END_MARK, isToken: false });
   }
 
--- a/apps/entry/src/dispatch.ts
+++ b/apps/entry/src/dispatch.ts
@@ -1,6 +1,6 @@
 import type { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
-import type { Nonce, UpstreamId } from "@wasabivane/common";
+import type { Nonce, Timer, UpstreamId } from "@wasabivane/common";
 import type { AcceptedRequest } from "./acceptedRequest.ts";
 import type { AnswerRecord } from "./answerRecord.ts";
 import type { UpstreamClient } from "./upstreamClient.ts";
@@ -23,6 +23,7 @@
 /** Options of one {@link Dispatch}. */
 export interface DispatchOptions {
   readonly client: UpstreamClient;
+  readonly timer: Timer;
   readonly request: AcceptedRequest;
   readonly target: DispatchTarget;
   readonly record: AnswerRecord;
--- a/apps/entry/src/exchange.ts
+++ b/apps/entry/src/exchange.ts
@@ -293,12 +293,13 @@
   }
 
   #dispatch(target: DispatchTarget): Dispatch {
-    const { client, metrics, pools } = this.#services;
+    const { client, timer, metrics, pools } = this.#services;
     const Kind = this.request.service.kind === "model"
       ? ModelDispatch
       : PlainDispatch;
     return new Kind({
       client,
+      timer,
       request: this.request,
       target,
       record: this.record,
--- a/apps/entry/src/modelDispatch.ts
+++ b/apps/entry/src/modelDispatch.ts
@@ -3,11 +3,13 @@
 import { CHAT_PATH } from "./constants.ts";
 import { CompletionStream, usageOf } from "./completionStream.ts";
 import { Dispatch, type DispatchSummary } from "./dispatch.ts";
-import type { UpstreamAnswer } from "./upstreamClient.ts";
+import type { UpstreamAnswer, UpstreamBody } from "./upstreamClient.ts";
 import type { UpstreamError } from "./upstreamError.ts";
 
 /** Resumes of one dispatch; engines hold a broken request for seconds, not for long. */
 const MAX_RESUMES = 4;
+/** An engine closes an answer right after its end mark. */
+const DRAIN_MS = 1_000;
 const STREAM_HEADERS = {
   "content-type": "text/event-stream; charset=utf-8",
   "cache-control": "no-store",
@@ -139,29 +141,38 @@
   async #readStream(
     { body }: UpstreamAnswer,
   ): Promise<Result<void, UpstreamError>> {
-    const { record } = this.options;
-    let failure: UpstreamError | undefined;
-    let hasExcess = false;
-    const read = await this.collect(body, (part) => {
-      this.#stream.feed(part);
-      failure = this.#stream.error;
-      if (this.#stream.isWhole && (body.readableLength ?? 0) > 0) {
-        hasExcess = true;
-      }
-      if (failure !== undefined || this.#stream.isWhole) body.destroy();
+    const { record, onSafeguard } = this.options;
+    const stream = this.#stream;
+    const reading = this.collect(body, (part) => {
+      stream.feed(part);
+      if (stream.error !== undefined || stream.hasExcess) body.destroy();
       if (record.isFull) return record.whenRoom();
     });
-    hasExcess ||= this.#stream.hasExcess;
-    if (hasExcess) this.options.onSafeguard("excess_answer");
-    if (this.#stream.isWhole) return ok();
-    if (failure !== undefined) return err(failure);
-    if (read.isErr()) return err(read.error);
+    const read = await Promise.race([reading, stream.whole]);
+    if (stream.isWhole) {
+      this.#drain(
+        body,
+        reading.then(() => stream.hasExcess && onSafeguard("excess_answer")),
+      );
+      return ok();
+    }
+    if (stream.error !== undefined) return err(stream.error);
+    if (read?.isErr()) return err(read.error);
     return err({
       kind: "broken",
       detail: "The stream ended without its end mark",
     });
   }
 
+  /**
+   * The caller has the whole answer. The connection is read to its end, so that
+   * it can serve again; an engine that neither ends nor closes loses it.
+   */
+  #drain(body: UpstreamBody, reading: Promise<unknown>): void {
+    const limit = this.options.timer.after(DRAIN_MS, () => body.destroy());
+    void reading.then(() => limit.cancel());
+  }
+
   #finishStream(): Result<DispatchSummary, UpstreamError> {
     const { request, record, target } = this.options;
     const usage = this.#stream.usage;
