Measure the entry and the bare relay in turns, and their processor time

Change: six rounds in turns, the median of their ratios, and processor time from the kernel's accounting for each small answer and each relayed token.

--- a/packages/proof/src/childProgram.ts
+++ b/packages/proof/src/childProgram.ts
@@ -44,3 +44,14 @@
   const [, kib] = /VmRSS:\s+(\d+) kB/.exec(status) ?? [];
   return Number(kib ?? 0) / KIB_PER_MIB;
 }
+
+/** Clock ticks of the kernel's accounting, 100 a second on Linux. */
+const MICROS_PER_TICK = 10_000;
+
+/** Processor time that a process has used, in microseconds. */
+export async function processorMicros(pid: number): Promise<number> {
+  const stat = await readFile(`/proc/${pid}/stat`, "utf8");
+  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+  const [userTicks, systemTicks] = [Number(fields[11]), Number(fields[12])];
+  return (userTicks + systemTicks) * MICROS_PER_TICK;
+}
--- a/packages/proof/src/entryBench.ts
+++ b/packages/proof/src/entryBench.ts
@@ -16,6 +16,7 @@
 import {
   type ChildProgram,
   endProgram,
+  processorMicros,
   residentMib,
   startProgram,
 } from "./childProgram.ts";
@@ -26,13 +27,17 @@
 const STREAM_CONCURRENCY = 32;
 const STREAM_TOKENS = 500;
 const WARM_UP_MS = 2_000;
-const MEASURED_MS = 5_000;
+/** The two are measured in turns, so that other load on the machine hits both alike. */
+const ROUNDS = 6;
+const ROUND_MS = 1_500;
+const STREAM_MS = 5_000;
 const MICROSECONDS = 1_000;
 
 /** What the benchmark of one entry process prints. */
 export interface EntryBench {
   readonly passThroughRps: number;
   readonly entryRps: number;
+  /** Median over the rounds. */
   readonly ratio: number;
   readonly addedP50Ms: number;
   readonly addedP99Ms: number;
@@ -40,11 +45,20 @@
   readonly rssMb: number;
   /** Resident size of the pass-through under the same load. */
   readonly passThroughRssMb: number;
+  /** Processor time of one small whole answer; other load changes it least. */
+  readonly passThroughCpuMicros: number;
+  readonly entryCpuMicros: number;
+  /** Processor time of one relayed token. */
+  readonly streamTokenCpuMicros: number;
 }
 
-interface LoadFigures {
-  readonly rps: number;
+interface Subject {
+  readonly url: string;
+  readonly pid: number;
   readonly latency: Histogram;
+  readonly rps: number[];
+  calls: number;
+  cpuMicros: number;
 }
 
 /** Measures one entry process against the barest relay, over the same upstream. */
@@ -55,21 +69,37 @@
   const entry = await startBenchEntry(upstreamUrl);
   const relayUrl = urlOf(relay.announcement.port);
   const entryUrl = urlOf(entry.program.announcement.callerPort);
+  const relaySubject = subjectOf(relayUrl, relay.child.pid!);
+  const entrySubject = subjectOf(entryUrl, entry.program.child.pid!);
   try {
-    const passThrough = await measureWhole(relayUrl);
-    const passThroughRssMb = await residentMib(relay.child.pid!);
-    const through = await measureWhole(entryUrl);
-    const streamTokensPerSecond = await measureStream(entryUrl);
-    const rssMb = await residentMib(entry.program.child.pid!);
+    await measureInTurns([relaySubject, entrySubject]);
+    const passThroughRssMb = await residentMib(relaySubject.pid);
+    const stream = await measureStream(entrySubject);
+    const rssMb = await residentMib(entrySubject.pid);
     return {
-      passThroughRps: Math.round(passThrough.rps),
-      entryRps: Math.round(through.rps),
-      ratio: round(through.rps / passThrough.rps),
-      addedP50Ms: addedAt(50, { through, passThrough }),
-      addedP99Ms: addedAt(99, { through, passThrough }),
-      streamTokensPerSecond: Math.round(streamTokensPerSecond),
+      passThroughRps: Math.round(median(relaySubject.rps)),
+      entryRps: Math.round(median(entrySubject.rps)),
+      ratio: round(
+        median(
+          entrySubject.rps.map((rps, turn) => rps / relaySubject.rps[turn]!),
+        ),
+      ),
+      addedP50Ms: addedAt(50, {
+        through: entrySubject,
+        passThrough: relaySubject,
+      }),
+      addedP99Ms: addedAt(99, {
+        through: entrySubject,
+        passThrough: relaySubject,
+      }),
+      streamTokensPerSecond: Math.round(stream.tokensPerSecond),
       rssMb: Math.round(rssMb),
       passThroughRssMb: Math.round(passThroughRssMb),
+      passThroughCpuMicros: Math.round(
+        relaySubject.cpuMicros / relaySubject.calls,
+      ),
+      entryCpuMicros: Math.round(entrySubject.cpuMicros / entrySubject.calls),
+      streamTokenCpuMicros: round(stream.cpuMicrosPerToken),
     };
   } finally {
     await Promise.all(
@@ -162,26 +192,65 @@
   throw new Error("The entry did not become ready");
 }
 
-async function measureWhole(url: string): Promise<LoadFigures> {
-  const call = caller(url, { stream: false });
-  await callFor(WARM_UP_MS, { concurrency: WHOLE_CONCURRENCY, call });
-  const latency = buildHistogram();
-  const calls = await callFor(MEASURED_MS, {
+function subjectOf(url: string, pid: number): Subject {
+  return {
+    url,
+    pid,
+    latency: buildHistogram(),
+    rps: [],
+    calls: 0,
+    cpuMicros: 0,
+  };
+}
+
+async function measureInTurns(subjects: readonly Subject[]): Promise<void> {
+  const calls = subjects.map(({ url }) => caller(url, { stream: false }));
+  for (const call of calls) {
+    await callFor(WARM_UP_MS, { concurrency: WHOLE_CONCURRENCY, call });
+  }
+  for (let turn = 0; turn < ROUNDS; turn++) {
+    for (const [index, subject] of subjects.entries()) {
+      await measureTurn(subject, calls[index]!);
+    }
+  }
+}
+
+async function measureTurn(
+  subject: Subject,
+  call: () => Promise<void>,
+): Promise<void> {
+  const { latency, pid } = subject;
+  const before = await processorMicros(pid);
+  const calls = await callFor(ROUND_MS, {
     concurrency: WHOLE_CONCURRENCY,
     call,
     latency,
   });
-  return { rps: calls / (MEASURED_MS / 1_000), latency };
+  subject.cpuMicros += await processorMicros(pid) - before;
+  subject.calls += calls;
+  subject.rps.push(calls / (ROUND_MS / 1_000));
 }
 
-async function measureStream(url: string): Promise<number> {
+async function measureStream(
+  { url, pid }: Subject,
+): Promise<{ tokensPerSecond: number; cpuMicrosPerToken: number }> {
   const call = caller(url, { stream: true });
   await callFor(WARM_UP_MS, { concurrency: STREAM_CONCURRENCY, call });
-  const calls = await callFor(MEASURED_MS, {
+  const before = await processorMicros(pid);
+  const calls = await callFor(STREAM_MS, {
     concurrency: STREAM_CONCURRENCY,
     call,
   });
-  return calls * STREAM_TOKENS / (MEASURED_MS / 1_000);
+  const tokens = calls * STREAM_TOKENS;
+  return {
+    tokensPerSecond: tokens / (STREAM_MS / 1_000),
+    cpuMicrosPerToken: (await processorMicros(pid) - before) / tokens,
+  };
+}
+
+function median(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor(sorted.length / 2)] ?? 0;
 }
 
 /** The call that the benchmark's client account makes. */
@@ -253,7 +322,7 @@
 
 function addedAt(
   percentile: number,
-  { through, passThrough }: { through: LoadFigures; passThrough: LoadFigures },
+  { through, passThrough }: { through: Subject; passThrough: Subject },
 ): number {
   const added = through.latency.getValueAtPercentile(percentile) -
     passThrough.latency.getValueAtPercentile(percentile);
