Write what is there of an answer at once

Cause: a profile of small whole answers showed 18 % of the processor time in writes (head, chunk and end each on their own) and 2.5 % in fetching random bytes. Change: steps that are there leave in one corked write, whole answers carry their length, random bytes come from a pool. A first try that corked around each wait hung streams, because cork and uncork did not balance; taken out.

--- a/apps/entry/src/answerWriter.ts
+++ b/apps/entry/src/answerWriter.ts
@@ -13,6 +13,9 @@
   PROBLEMS,
 } from "./problem.ts";
 
+/** Steps written at once; the slow reader's bound counts before and after. */
+const MAX_STEPS = 64;
+
 /** Sends a problem as the whole answer. */
 export function writeProblem(outgoing: ServerResponse, problem: Problem): void {
   const body = JSON.stringify(problemDocument(problem));
@@ -80,17 +83,34 @@
 ): Promise<void> {
   let head: AnswerHead | undefined;
   while (!outgoing.destroyed) {
-    const step: AnswerStep = reader.poll() ?? await reader.next();
-    if (step.kind === "head") {
-      head = step.head;
-      outgoing.writeHead(head.status, head.headers);
-    } else if (step.kind === "part") {
-      if (!outgoing.write(step.part)) await drained(outgoing);
-    } else {
-      finish(outgoing, { head, step });
-      return;
+    const steps = await nextSteps(reader);
+    // What is there already leaves in one write instead of one for each part.
+    outgoing.cork();
+    let isDrained = true;
+    for (const step of steps) {
+      if (step.kind === "head") {
+        head = step.head;
+        outgoing.writeHead(head.status, head.headers);
+      } else if (step.kind === "part") {
+        isDrained = outgoing.write(step.part);
+      } else {
+        finish(outgoing, { head, step });
+        return;
+      }
     }
+    outgoing.uncork();
+    if (!isDrained) await drained(outgoing);
+  }
+}
+
+async function nextSteps(reader: AnswerReader): Promise<AnswerStep[]> {
+  const steps = [await reader.next()];
+  while (steps.length < MAX_STEPS && steps.at(-1)?.kind !== "end") {
+    const step = reader.poll();
+    if (step === undefined) break;
+    steps.push(step);
   }
+  return steps;
 }
 
 function finish(
--- a/apps/entry/src/modelDispatch.ts
+++ b/apps/entry/src/modelDispatch.ts
@@ -177,8 +177,9 @@
     const { request, record, target } = this.options;
     const usage = this.#stream.usage;
     if (!request.wantsStream) {
-      record.begin({ status: HTTP_OK, headers: JSON_HEADERS });
-      record.append(Buffer.from(JSON.stringify(this.#assembled(target.nonce))));
+      const whole = Buffer.from(JSON.stringify(this.#assembled(target.nonce)));
+      record.begin({ status: HTTP_OK, headers: jsonHeaders(whole) });
+      record.append(whole);
     }
     record.finish({ kind: "whole" });
     return ok({
@@ -217,7 +218,7 @@
     const whole = Buffer.concat(parts);
     const checked = checkWhole(whole, `chatcmpl-${target.nonce}`);
     if (checked.isErr()) return await this.#recover(checked.error);
-    record.begin({ status, headers: JSON_HEADERS });
+    record.begin({ status, headers: jsonHeaders(whole) });
     record.append(whole);
     record.finish({ kind: "whole" });
     return ok({ status, ...checked.value });
@@ -272,6 +273,10 @@
   return { kind: "broken", detail: error.detail };
 }
 
+function jsonHeaders(body: Buffer): Record<string, string> {
+  return { ...JSON_HEADERS, "content-length": String(body.byteLength) };
+}
+
 /** The engine is full or broken; nothing shows that it ran nothing of the request. */
 function isRefusedRun(status: number): boolean {
   return status === HTTP_TOO_MANY || status >= HTTP_SERVER_ERROR;
--- a/packages/common/src/random.ts
+++ b/packages/common/src/random.ts
@@ -1,4 +1,5 @@
-import { randomBytes, randomInt } from "node:crypto";
+import { Buffer } from "node:buffer";
+import { randomBytes } from "node:crypto";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 
 const TWO_TO_32 = 2 ** 32;
@@ -53,13 +54,29 @@
   }
 }
 
+/** Random bytes fetched at once; a call to the system for each nonce costs more than the nonce. */
+const POOL_BYTES = 4_096;
+
 /** Unpredictable numbers, for nonces, incarnations and jitter in the daemons. */
 export class SystemRandom extends Random {
+  #pool = Buffer.alloc(0);
+  #offset = 0;
+
   override float(): number {
-    return randomInt(TWO_TO_32) / TWO_TO_32;
+    return this.#take(4).readUInt32LE() / TWO_TO_32;
   }
 
   override hex(bytes: number): string {
-    return randomBytes(bytes).toString("hex");
+    return this.#take(bytes).toString("hex");
+  }
+
+  /** Each byte of the pool is given out once. */
+  #take(bytes: number): Buffer {
+    if (this.#offset + bytes > this.#pool.length) {
+      this.#pool = randomBytes(Math.max(bytes, POOL_BYTES));
+      this.#offset = 0;
+    }
+    this.#offset += bytes;
+    return this.#pool.subarray(this.#offset - bytes, this.#offset);
   }
 }
