--- a/packages/coordination/src/viewLease.ts
+++ b/packages/coordination/src/viewLease.ts
@@ -151,7 +151,7 @@
       asker: request.incarnation,
       incarnation: this.#options.incarnation,
       isJoined: this.state.isJoined,
-      views: this.#views(),
+      views: this.#views().filter(({ version }) => !versions.includes(version)),
       retired: versions.filter((version) => retired.has(version)),
       supported: this.state.supported,
       ...grant,
--- a/packages/coordination/src/views.ts
+++ b/packages/coordination/src/views.ts
@@ -6,8 +6,11 @@
   rendezvousOrder,
 } from "@wasabivane/common";
 
-/** Hosts of a view; a larger fleet takes that many of its hosts, so that messages stay bounded. */
-export const MAX_VIEW_HOSTS = 15;
+/**
+ * Hosts of a view; a larger fleet takes that many of its hosts, so that messages
+ * stay bounded. Four of nine may fail at once.
+ */
+export const MAX_VIEW_HOSTS = 9;
 
 /** The hosts among which homes of keys are chosen, ordered by the platform's list version. */
 export interface View {
@@ -30,6 +33,7 @@
   readonly asker: Incarnation;
   readonly incarnation: Incarnation;
   readonly isJoined: boolean;
+  /** Views that may be active and that the asker did not name itself. */
   readonly views: readonly View[];
   /** Which of the asker's views can never be active again. */
   readonly retired: readonly number[];
