--- a/packages/coordination/src/messageStructures.ts
+++ b/packages/coordination/src/messageStructures.ts
@@ -63,9 +63,18 @@
   ["ask", "upstream", "runningFor", "hasFirstToken"],
   // View leases
   ["serial", "incarnation", "views"],
-  ["serial", "incarnation", "isJoined", "views", "retired", "supported"],
   [
     "serial",
+    "asker",
+    "incarnation",
+    "isJoined",
+    "views",
+    "retired",
+    "supported",
+  ],
+  [
+    "serial",
+    "asker",
     "incarnation",
     "isJoined",
     "views",
