Work the target size out from measured slopes

The bundle's accounts have key digests of their own now; with equal ones it compressed too well (125 instead of 167 KB).

--- a/packages/proof/src/slopeBundle.ts
+++ b/packages/proof/src/slopeBundle.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import { gzipSync } from "node:zlib";
 import {
+  apiKeyDigest,
   applyDifference,
   type Bundle,
   bundleSchema,
@@ -112,6 +113,7 @@
     clientAccounts: Array.from({ length: TARGET.accounts }, (_, index) => ({
       ...account!,
       account: `client-account-${index + 1}`,
+      keyDigests: [apiKeyDigest(`key ${index}`)],
       services: models,
     })),
   });
--- a/packages/proof/src/slopeFleet.ts
+++ b/packages/proof/src/slopeFleet.ts
@@ -1,23 +1,8 @@
 import process from "node:process";
+import type { HostList, ListedHost } from "@wasabivane/bundle";
 import {
-  type Bundle,
-  BundleSource,
-  exampleBundle,
-  exampleSigningKey,
-  type HostList,
-  HostListSource,
-  type PlatformError,
-  type Revised,
-  signBundle,
-  type SignedBundle,
-  trustedKeyOf,
-  verifySignedBundle,
-} from "@wasabivane/bundle";
-import {
-  asBundleVersion,
   asId,
   Blackboard,
-  createTopic,
   type FailureDomain,
   type HostId,
   MemoryMetrics,
@@ -26,26 +11,22 @@
   VirtualTimer,
 } from "@wasabivane/common";
 import {
-  BUNDLE_IN_FORCE,
-  ConfigurationController,
-  type ConfigurationMember,
   createIncarnation,
   HOST_LIST,
   MembershipController,
+  type MemoryLink,
   MemoryNetwork,
 } from "@wasabivane/coordination";
-import { ok, type Result } from "neverthrow";
 import { processorMsSince } from "./slopeMeasure.ts";
 import { TARGET } from "./slopeTarget.ts";
 
-const WARM_UP_MS: Milliseconds = 8_000;
-const MEASURED_MS: Milliseconds = 10_000;
-const SETTLE_MS: Milliseconds = 4_000;
-const GRAIN_MS: Milliseconds = 5;
-const CHANGES = 3;
-const SECOND = 1_000;
+/** Virtual time until a fleet that started at once is idle. */
+export const WARM_UP_MS: Milliseconds = 8_000;
+/** Virtual time of one measurement. */
+export const MEASURED_MS: Milliseconds = 10_000;
 /** One way between two hosts, as within a region. */
-const DELAY_MS: Milliseconds = 1;
+export const LINK_DELAY_MS: Milliseconds = 1;
+const SECOND = 1_000;
 
 /** What one host of a fleet spends each second of virtual time. */
 export interface HostCost {
@@ -55,95 +36,140 @@
   readonly processorMs: number;
 }
 
-/** What one change of configuration costs a fleet. */
-export interface ChangeCost {
-  /** Bytes sent per host and change beyond those of an idle fleet. */
-  readonly bytesPerHost: number;
-  /** Longest time until a change was in force on every host. */
-  readonly inForceMs: Milliseconds;
+/** What a change of the members costs, over the whole fleet. */
+export interface MemberChangeCost {
+  /** Bytes that all hosts send beyond those of an idle fleet when one dies. */
+  readonly deathBytes: number;
+  /** The same when a host starts that nobody knows. */
+  readonly startBytes: number;
 }
 
-/** What a fleet does whose hosts all start at once. */
-export interface StartCost {
-  /** Reads of the platform in the first ten seconds. */
-  readonly reads: number;
+/** Membership of a fleet of `size` hosts in virtual time, idle. */
+export function measureMembership(size: number): HostCost {
+  const fleet = new MembershipFleet(size);
+  fleet.timer.advance(WARM_UP_MS);
+  return idleCost(fleet, size);
 }
 
-/** Membership of a fleet of `size` hosts in virtual time. */
-export function measureMembership(size: number): HostCost {
-  const fleet = startMembership(size);
+/** What a death and a start add to an idle fleet of `size` hosts. */
+export function measureMemberChanges(size: number): MemberChangeCost {
+  const fleet = new MembershipFleet(size);
   fleet.timer.advance(WARM_UP_MS);
-  const start = costReading(fleet.network);
-  fleet.timer.advance(MEASURED_MS);
-  return costSince(start, fleet.network, { size, span: MEASURED_MS });
+  const idle = idleCost(fleet, size);
+  const idleBytes = idle.bytes * size * MEASURED_MS / SECOND;
+  const addedBytes = (change: () => void): number => {
+    const before = fleet.network.sentBytes;
+    change();
+    fleet.timer.advance(MEASURED_MS);
+    return fleet.network.sentBytes - before - idleBytes;
+  };
+  return {
+    deathBytes: addedBytes(() => fleet.stopLast()),
+    startBytes: addedBytes(() => fleet.start(size)),
+  };
 }
 
 /** Starts membership on `size` hosts and lets them settle; the fleet keeps their state alive. */
 export function settledMembership(size: number): unknown {
-  const fleet = startMembership(size);
+  const fleet = new MembershipFleet(size);
   fleet.timer.advance(WARM_UP_MS);
   return fleet;
 }
 
-interface MembershipFleet {
-  readonly timer: VirtualTimer;
-  readonly network: MemoryNetwork;
-  readonly controllers: readonly MembershipController[];
+function idleCost(fleet: MembershipFleet, size: number): HostCost {
+  const start = costReading(fleet.network);
+  fleet.timer.advance(MEASURED_MS);
+  return costSince(start, fleet.network, { size, span: MEASURED_MS });
 }
 
-function startMembership(size: number): MembershipFleet {
-  const timer = new VirtualTimer();
-  const random = new SeededRandom(size);
-  const network = new MemoryNetwork({ timer, random, delayMs: DELAY_MS });
-  const list = hostListOf(size);
-  const controllers = list.entryHosts.map((listed) => {
+/** Membership controllers over one network, in virtual time. */
+class MembershipFleet {
+  readonly timer = new VirtualTimer();
+  readonly network: MemoryNetwork;
+  readonly #random: SeededRandom;
+  readonly #list: HostList;
+  readonly #hosts: { controller: MembershipController; link: MemoryLink }[] =
+    [];
+
+  constructor(size: number) {
+    const { timer } = this;
+    this.#random = new SeededRandom(size);
+    this.network = new MemoryNetwork({
+      timer,
+      random: this.#random,
+      delayMs: LINK_DELAY_MS,
+    });
+    this.#list = hostListOf(size);
+    for (let index = 0; index < size; index++) this.start(index);
+  }
+
+  /** Starts the host with that number, also one that the list does not name. */
+  start(index: number): void {
+    const { timer } = this;
+    const { host, failureDomain, peerAddress } = listedHost(index);
     const blackboard = new Blackboard();
-    blackboard.write(HOST_LIST, list);
-    const { host, failureDomain, peerAddress } = listed;
+    blackboard.write(HOST_LIST, this.#list);
+    const link = this.network.join(host);
     const controller = new MembershipController({
       self: {
         host,
-        incarnation: createIncarnation(timer, random),
+        incarnation: createIncarnation(timer, this.#random),
         failureDomain,
         peerAddress,
         isLeaving: false,
       },
       blackboard,
-      link: network.join(host),
+      link,
       timer,
-      random,
+      random: this.#random,
       metrics: new MemoryMetrics(),
     });
     controller.start();
-    return controller;
-  });
-  return { timer, network, controllers };
+    this.#hosts.push({ controller, link });
+  }
+
+  /** Ends the newest host without a word. */
+  stopLast(): void {
+    const { controller, link } = this.#hosts.pop()!;
+    controller.stop();
+    link.close();
+  }
 }
 
-/** Hosts over all failure domains of the target. */
-function hostListOf(size: number): HostList {
-  const entryHosts = Array.from({ length: size }, (_, index) => ({
+/** A list of so many hosts over all failure domains of the target. */
+export function hostListOf(size: number): HostList {
+  const entryHosts = Array.from(
+    { length: size },
+    (_, index) => listedHost(index),
+  );
+  return { version: 1, entryHosts, upstreams: [] };
+}
+
+function listedHost(index: number): ListedHost {
+  return {
     host: hostName(index),
     peerAddress: `192.0.2.${index % 250 + 1}:7000`,
     failureDomain: asId<FailureDomain>(
       `domain-${index % TARGET.failureDomains + 1}`,
     ),
-    state: "live" as const,
-  }));
-  return { version: 1, entryHosts, upstreams: [] };
+    state: "live",
+  };
 }
 
-function hostName(index: number): HostId {
+/** The name of the host with that number, counted from 0. */
+export function hostName(index: number): HostId {
   return asId<HostId>(`entry-${index + 1}`);
 }
 
-interface CostReading {
+/** Counters at the start of a measurement. */
+export interface CostReading {
   readonly messages: number;
   readonly bytes: number;
   readonly processor: NodeJS.CpuUsage;
 }
 
-function costReading(network: MemoryNetwork): CostReading {
+/** Reads the counters that {@link costSince} compares with. */
+export function costReading(network: MemoryNetwork): CostReading {
   return {
     messages: network.sentMessages,
     bytes: network.sentBytes,
@@ -151,7 +177,8 @@
   };
 }
 
-function costSince(
+/** What each host spent since a reading. */
+export function costSince(
   start: CostReading,
   network: MemoryNetwork,
   { size, span }: { size: number; span: Milliseconds },
@@ -163,195 +190,3 @@
     processorMs: processorMsSince(start.processor) / hostSeconds,
   };
 }
-
-const MEMBERS = createTopic<readonly ConfigurationMember[]>(
-  "slope-members",
-  [],
-);
-const SIGNING_KEY = exampleSigningKey();
-const TRUSTED_KEYS = [trustedKeyOf(SIGNING_KEY)];
-
-/** Configuration of a fleet of `size` hosts: idle, at changes, and at a start of all at once. */
-export async function measureConfiguration(
-  size: number,
-): Promise<{ idle: HostCost; change: ChangeCost; start: StartCost }> {
-  const fleet = new ConfigurationFleet(size);
-  await fleet.advance(WARM_UP_MS);
-  const start = { reads: fleet.platform.reads };
-  const reading = costReading(fleet.network);
-  await fleet.advance(MEASURED_MS);
-  const idle = costSince(reading, fleet.network, { size, span: MEASURED_MS });
-  return { idle, change: await fleet.measureChanges(idle), start };
-}
-
-/** Configuration controllers over one network and one platform, in virtual time. */
-class ConfigurationFleet {
-  readonly timer = new VirtualTimer();
-  readonly network: MemoryNetwork;
-  readonly platform: VirtualPlatform;
-  readonly #size: number;
-  readonly #bundle: Bundle = exampleBundle("fukuoka");
-  readonly #inForceAt = new Map<number, Milliseconds[]>();
-
-  constructor(size: number) {
-    this.#size = size;
-    const random = new SeededRandom(size);
-    const { timer } = this;
-    this.network = new MemoryNetwork({ timer, random, delayMs: DELAY_MS });
-    this.platform = new VirtualPlatform(timer);
-    this.#publish(1);
-    const hosts = Array.from({ length: size }, (_, index) => hostName(index));
-    const members = hosts.map((host) => ({ host, state: "alive" as const }));
-    for (const host of hosts) this.#start(host, { members, random });
-  }
-
-  async advance(span: Milliseconds): Promise<void> {
-    const end = this.timer.now() + span;
-    while (this.timer.now() < end) {
-      this.timer.advance(GRAIN_MS);
-      for (let turn = 0; turn < 4; turn++) await Promise.resolve();
-    }
-  }
-
-  async measureChanges(idle: HostCost): Promise<ChangeCost> {
-    const before = this.network.sentBytes;
-    let inForceMs = 0;
-    for (let change = 1; change <= CHANGES; change++) {
-      const since = this.timer.now();
-      this.#publish(1 + change);
-      await this.advance(SETTLE_MS);
-      const times = this.#inForceAt.get(1 + change) ?? [];
-      const isEverywhere = times.length === this.#size;
-      const last = isEverywhere ? Math.max(...times) - since : Infinity;
-      inForceMs = Math.max(inForceMs, last);
-    }
-    const idleBytes = idle.bytes * SETTLE_MS / SECOND * CHANGES;
-    const sentPerHost = (this.network.sentBytes - before) / this.#size;
-    return { bytesPerHost: (sentPerHost - idleBytes) / CHANGES, inForceMs };
-  }
-
-  /** A change of one service's bound, the commonest kind of change. */
-  #publish(version: number): void {
-    const services = this.#bundle.services.map((service, index) =>
-      index === 0 ? { ...service, maximumConcurrency: 64 + version } : service
-    );
-    const bundle = {
-      ...this.#bundle,
-      services,
-      version: asBundleVersion(version),
-    };
-    this.platform.publish(signBundle(bundle, SIGNING_KEY)._unsafeUnwrap());
-  }
-
-  #start(
-    host: HostId,
-    { members, random }: {
-      members: readonly ConfigurationMember[];
-      random: SeededRandom;
-    },
-  ): void {
-    const blackboard = new Blackboard();
-    blackboard.write(MEMBERS, members);
-    blackboard.watch(BUNDLE_IN_FORCE, (signed) => {
-      if (signed !== undefined) this.#noteInForce(signed.bundle.version);
-    });
-    new ConfigurationController({
-      blackboard,
-      link: this.network.join(host),
-      timer: this.timer,
-      random,
-      metrics: new MemoryMetrics(),
-      members: MEMBERS,
-      bundleSource: new VirtualBundleSource(this.platform),
-      hostListSource: new VirtualHostListSource(this.platform),
-      verify: (signed) => verifySignedBundle(signed, TRUSTED_KEYS),
-    }).start();
-  }
-
-  #noteInForce(version: number): void {
-    const times = this.#inForceAt.get(version) ?? [];
-    times.push(this.timer.now());
-    this.#inForceAt.set(version, times);
-  }
-}
-
-type Answer<Value> = Result<Revised<Value> | undefined, PlatformError>;
-
-/** The platform's service; a watch ends at a change or after its wait. */
-class VirtualPlatform {
-  reads = 0;
-  readonly #timer: VirtualTimer;
-  readonly #watches = new Set<() => void>();
-  #bundle: Revised<SignedBundle> | undefined;
-
-  constructor(timer: VirtualTimer) {
-    this.#timer = timer;
-  }
-
-  publish(signed: SignedBundle): void {
-    this.#bundle = { revision: signed.bundle.version, value: signed };
-    for (const wake of [...this.#watches]) wake();
-  }
-
-  readBundle(
-    options: { afterRevision: number; waitMs: Milliseconds },
-  ): Promise<Answer<SignedBundle>> {
-    const newer = (): Revised<SignedBundle> | undefined =>
-      this.#bundle !== undefined &&
-        this.#bundle.revision > options.afterRevision
-        ? this.#bundle
-        : undefined;
-    return this.#watch(options.waitMs, newer);
-  }
-
-  readHosts(waitMs: Milliseconds): Promise<Answer<HostList>> {
-    return this.#watch(waitMs, () => undefined);
-  }
-
-  #watch<Value>(
-    waitMs: Milliseconds,
-    newer: () => Revised<Value> | undefined,
-  ): Promise<Answer<Value>> {
-    this.reads++;
-    return new Promise((resolve) => {
-      const answer = (): void => {
-        if (!this.#watches.delete(answer)) return;
-        timeout.cancel();
-        this.#timer.after(DELAY_MS, () => resolve(ok(newer())));
-      };
-      this.#watches.add(answer);
-      const timeout = this.#timer.after(waitMs, answer);
-      if (newer() !== undefined) answer();
-    });
-  }
-}
-
-class VirtualBundleSource extends BundleSource {
-  readonly #platform: VirtualPlatform;
-
-  constructor(platform: VirtualPlatform) {
-    super();
-    this.#platform = platform;
-  }
-
-  override read(
-    options: { afterRevision: number; waitMs: Milliseconds },
-  ): Promise<Answer<SignedBundle>> {
-    return this.#platform.readBundle(options);
-  }
-}
-
-class VirtualHostListSource extends HostListSource {
-  readonly #platform: VirtualPlatform;
-
-  constructor(platform: VirtualPlatform) {
-    super();
-    this.#platform = platform;
-  }
-
-  override read(
-    options: { afterRevision: number; waitMs: Milliseconds },
-  ): Promise<Answer<HostList>> {
-    return this.#platform.readHosts(options.waitMs);
-  }
-}
