Time decisions, and revise what waiting requests can still reach

benchDecisions() times asks in pools of 16 to 12,000 upstreams. It led to: holders of a prefix without a search for each, blocks not stored again within five seconds, at most 32 holders of a block, nine candidates in place of sixteen, quantiles by bisection, and no search through the list of upstreams for each of them.

--- a/packages/decisions/src/accountLane.ts
+++ b/packages/decisions/src/accountLane.ts
@@ -11,7 +11,7 @@
   /** Prompt and expected output. */
   readonly expectedTokens: number;
   readonly expectedMs: Milliseconds;
-  readonly latestStart: Milliseconds;
+  latestStart: Milliseconds;
   /** Place among the requests of its account and tier, the least first. */
   readonly key: number;
   readonly since: Milliseconds;
--- a/packages/decisions/src/cacheMap.ts
+++ b/packages/decisions/src/cacheMap.ts
@@ -22,8 +22,12 @@
 const DOUBTED_ENTRY_MS = 30_000;
 /** An entry that nothing confirmed counts so long. */
 const ENTRY_MS = 300_000;
-/** More holders than these add no choice. */
-const MAXIMUM_HOLDERS = 16;
+/** An entry younger than this is not renewed. */
+const FRESH_ENTRY_MS = 5_000;
+/** More holders than these add no choice to one decision. */
+const MAXIMUM_HOLDERS = 8;
+/** More holders of one block are not remembered; the oldest is forgotten first. */
+const MAXIMUM_HOLDERS_KEPT = 32;
 
 interface Entry {
   readonly storedAt: Milliseconds;
@@ -65,6 +69,8 @@
     digests: readonly Digest[],
     now: Milliseconds,
   ): void {
+    const last = digests.at(-1);
+    if (last === undefined || this.#isFresh(last, upstream, now)) return;
     const { epoch } = this.#eventsOf(upstream);
     for (const digest of digests) this.#store(digest, upstream, now, epoch);
     this.#forgetOldest();
@@ -108,20 +114,29 @@
   /** Upstreams that hold leading blocks, the longest match first. */
   holders(digests: readonly Digest[], now: Milliseconds): CacheHolder[] {
     if (digests.length === 0 || !this.#holders.has(digests[0]!)) return [];
-    const found = new Map<UpstreamId, number>();
+    const found: CacheHolder[] = [];
+    const seen = new Set<UpstreamId>();
     let blocks = longestMatch(digests, (digest) => this.#holders.has(digest));
-    while (blocks > 0 && found.size < MAXIMUM_HOLDERS) {
-      for (const upstream of this.#holders.get(digests[blocks - 1]!)!.keys()) {
-        if (found.size >= MAXIMUM_HOLDERS) break;
-        if (found.has(upstream)) continue;
-        const held = this.blocksAt(upstream, digests, now);
-        if (held > 0) found.set(upstream, held);
+    // A holder of a later block holds the earlier ones, so that the first level
+    // at which it is met is a lower bound of what it holds.
+    while (blocks > 0 && found.length < MAXIMUM_HOLDERS) {
+      const digest = digests[blocks - 1]!;
+      for (const upstream of this.#holders.get(digest)!.keys()) {
+        if (found.length >= MAXIMUM_HOLDERS) break;
+        if (seen.has(upstream)) continue;
+        seen.add(upstream);
+        if (this.#has(digest, upstream, now)) found.push({ upstream, blocks });
       }
       blocks >>= 1;
     }
-    return [...found]
-      .map(([upstream, held]) => ({ upstream, blocks: held }))
-      .sort((left, right) => right.blocks - left.blocks);
+    return found;
+  }
+
+  /** Whether a block was stored so lately that storing it again says nothing new. */
+  #isFresh(digest: Digest, upstream: UpstreamId, now: Milliseconds): boolean {
+    const entry = this.#holders.get(digest)?.get(upstream);
+    return entry !== undefined && now - entry.storedAt < FRESH_ENTRY_MS &&
+      entry.epoch === this.#eventsOf(upstream).epoch;
   }
 
   #has(digest: Digest, upstream: UpstreamId, now: Milliseconds): boolean {
@@ -142,8 +157,11 @@
     const holders = this.#holders.get(digest) ?? new Map<UpstreamId, Entry>();
     this.#holders.delete(digest);
     this.#holders.set(digest, holders);
-    if (!holders.has(upstream)) this.#entries++;
+    if (!holders.delete(upstream)) this.#entries++;
     holders.set(upstream, { storedAt, epoch });
+    if (holders.size <= MAXIMUM_HOLDERS_KEPT) return;
+    holders.delete(holders.keys().next().value!);
+    this.#entries--;
   }
 
   #drop(digest: Digest, upstream: UpstreamId): void {
--- a/packages/decisions/src/freeUpstreams.ts
+++ b/packages/decisions/src/freeUpstreams.ts
@@ -2,7 +2,7 @@
 import type { UpstreamState } from "./upstreamState.ts";
 
 /** Up to so many free upstreams are all looked at; of more, a sample. */
-const MAXIMUM_CANDIDATES = 16;
+const MAXIMUM_CANDIDATES = 9;
 /** More generations than these share bits, which only costs a few more looks. */
 const KIND_BITS = 30;
 
--- a/packages/decisions/src/lengthEstimate.ts
+++ b/packages/decisions/src/lengthEstimate.ts
@@ -102,11 +102,14 @@
 
   /** The length that a share `quantile` of such answers does not exceed. */
   quantile(quantile: number): number {
-    for (let bucket = 0; bucket < this.#limitBucket; bucket++) {
-      if (this.#shareUpTo(bucket) < quantile) continue;
-      return Math.min(this.#limit, Math.ceil(upperEnd(bucket)));
+    let low = 0;
+    let high = this.#limitBucket;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (this.#shareUpTo(middle) >= quantile) high = middle;
+      else low = middle + 1;
     }
-    return this.#limit;
+    return Math.min(this.#limit, Math.ceil(upperEnd(low)));
   }
 
   /** The chance that the answer has at most so many tokens. */
--- a/packages/decisions/src/poolScheduler.ts
+++ b/packages/decisions/src/poolScheduler.ts
@@ -104,25 +104,22 @@
     if (refusal !== undefined) return [refusal];
     const lengths = this.#lengths.distribution(ask);
     const expectedTokens = ask.promptTokens + lengths.mean();
-    const { longQuantile, giveUpBelow } = targetsOf(
-      ask.tier,
-      this.#policy.tiers,
-    );
+    this.#distributions.set(ask.request, lengths);
+    const { longQuantile } = targetsOf(ask.tier, this.#policy.tiers);
     this.#ladder.asked({
       tier: ask.tier,
       remaining: ask.deadline - now,
       meanOutputTokens: lengths.mean(),
       longOutputTokens: lengths.quantile(longQuantile),
     }, now);
-    const latestStart = this.#serviceTime.latestStart(ask, {
-      lengths,
-      probability: giveUpBelow,
-    });
+    const latestStart = this.#latestStart(ask);
     const details = { lengths, expectedTokens, latestStart, now };
     const late = this.#admission.refuseLate(ask, details);
-    if (late !== undefined) return [late];
+    if (late !== undefined) {
+      this.#distributions.delete(ask.request);
+      return [late];
+    }
     this.#limits.admit(ask, expectedTokens);
-    this.#distributions.set(ask.request, lengths);
     const shed = this.#queue.push(ask, {
       now,
       expectedTokens,
@@ -211,6 +208,7 @@
     if (now - this.#pacedAt >= PACE_PERIOD_MS) {
       this.#pacedAt = now;
       this.#pool.assignPaces(this.#ladder, now);
+      this.#queue.reviseLatestStarts(({ ask }) => this.#latestStart(ask));
     }
     const decisions = this.#queue.removeLate(now).map((waiting) =>
       this.#giveUp(waiting, "deadline-unreachable", now)
@@ -269,6 +267,15 @@
     return decisions;
   }
 
+  /** Upstreams turn slower or faster than they were when a request came. */
+  #latestStart(ask: Ask): Milliseconds {
+    const { giveUpBelow } = targetsOf(ask.tier, this.#policy.tiers);
+    return this.#serviceTime.latestStart(ask, {
+      lengths: this.#distributions.get(ask.request)!,
+      probability: giveUpBelow,
+    });
+  }
+
   /**
    * A request waits for a better upstream only while no lower tier would take
    * the place; else it could be given up after the lower tier was served.
--- a/packages/decisions/src/speedEstimate.ts
+++ b/packages/decisions/src/speedEstimate.ts
@@ -80,10 +80,9 @@
 
   /** The present times of one upstream. */
   times(upstream: UpstreamId): TokenTimes {
-    const fallback = this.#generationTimes(upstream);
     const learned = this.#upstreams.get(upstream);
-    if (learned === undefined) return fallback;
-    return { ...fallback, ...learned };
+    if (learned !== undefined && isComplete(learned)) return learned;
+    return { ...this.#generationTimes(upstream), ...learned };
   }
 
   /** Takes in a first token. */
@@ -137,14 +136,21 @@
 
   /** The mean times of a generation. */
   generationTimes(generation: string): TokenTimes {
-    const seed = this.#seeds[generation] ?? DEFAULT_TIMES;
     const learned = this.#generations.get(generation);
+    if (learned !== undefined && isComplete(learned)) return learned;
+    const seed = this.#seeds[generation] ?? DEFAULT_TIMES;
     return { ...seed, ...learned };
   }
 }
 
 type LearnedTimes = { -readonly [Figure in keyof TokenTimes]?: number };
 
+function isComplete(times: LearnedTimes): times is TokenTimes {
+  return times.prefillMsPerToken !== undefined &&
+    times.decodeMsPerToken !== undefined &&
+    times.typicalInFlight !== undefined;
+}
+
 function moved(former: number, sample: number, gain: number): number {
   return former + gain * (sample - former);
 }
--- a/packages/decisions/src/upstreamPool.ts
+++ b/packages/decisions/src/upstreamPool.ts
@@ -9,7 +9,12 @@
 import { FreeUpstreams } from "./freeUpstreams.ts";
 import type { PaceLadder } from "./paceLadder.ts";
 import { SpeedEstimate, type TokenTimes } from "./speedEstimate.ts";
-import type { AttemptReport, LoadReport, PoolPolicy } from "./types.ts";
+import type {
+  AttemptReport,
+  LoadReport,
+  PoolPolicy,
+  UpstreamDescription,
+} from "./types.ts";
 import { type PoolAttempt, UpstreamState } from "./upstreamState.ts";
 
 /** Options of an {@link UpstreamPool}. */
@@ -91,7 +96,7 @@
       if (!listed.has(upstream)) this.#retire(state);
     }
     for (const description of policy.upstreams) {
-      const state = this.#stateOf(description.upstream);
+      const state = this.#stateOf(description);
       this.free.remove(state);
       state.description = description;
       this.speeds.register(description.upstream, description.generation);
@@ -264,12 +269,10 @@
     this.#expected.push({ attempt, dueAt: attempt.grantedAt + wait, wait });
   }
 
-  #stateOf(upstream: UpstreamId): UpstreamState {
+  #stateOf(description: UpstreamDescription): UpstreamState {
+    const { upstream } = description;
     const known = this.#states.get(upstream);
     if (known !== undefined) return known;
-    const description = this.#policy.upstreams.find((listed) =>
-      listed.upstream === upstream
-    )!;
     const added = new UpstreamState(description, {
       initialRequests: this.#policy.initialConcurrency,
       maximumRequests: this.#policy.maximumConcurrency,
--- a/packages/decisions/src/waitQueue.ts
+++ b/packages/decisions/src/waitQueue.ts
@@ -120,6 +120,14 @@
     return found;
   }
 
+  /** Sets the latest start of every request anew. */
+  reviseLatestStarts(revise: (waiting: Waiting) => Milliseconds): void {
+    for (const waiting of this.#waiting.values()) {
+      waiting.latestStart = revise(waiting);
+    }
+    this.#rebuildByLatestStart();
+  }
+
   /** Takes out the requests whose latest start has passed. */
   removeLate(now: Milliseconds): Waiting[] {
     const late: Waiting[] = [];
--- a/packages/proof/src/index.ts
+++ b/packages/proof/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./decisionBench.ts";
 export * from "./arrivalPatterns.ts";
 export * from "./arrivals.ts";
 export * from "./bound.ts";
