--- /dev/null
+++ b/examples/accountLimits.ts
@@ -0,0 +1,15 @@
+import { AccountLimits, type AccountPolicy } from "@wasabivane/decisions";
+import { exampleAsk } from "./exampleAsk.ts";
+
+const policy = {
+  account: "account-1",
+  requestsPerSecond: 1,
+  tokensPerSecond: 10_000,
+  concurrentRequests: 2,
+  waitingRequests: 8,
+} as unknown as AccountPolicy;
+const limits = new AccountLimits([policy]);
+limits.admit(exampleAsk("first", { tier: 1 }), 600);
+
+/** The second request within a second is told when to come back. */
+export const result = limits.check(exampleAsk("second", { tier: 1 }), 250);
--- /dev/null
+++ b/examples/exampleAsk.ts
@@ -0,0 +1,18 @@
+import type { Ask } from "@wasabivane/decisions";
+
+/** A request with customary values. */
+export function exampleAsk(request: string, { tier }: { tier: number }): Ask {
+  return {
+    request,
+    origin: "host-1",
+    originDomain: "hakata",
+    account: "account-1",
+    tier,
+    promptTokens: 400,
+    maximumOutputTokens: 500,
+    bodyBytes: 1_600,
+    deadline: 20_000,
+    prefixDigests: [],
+    fingerprint: `print of ${request}`,
+  } as unknown as Ask;
+}
--- /dev/null
+++ b/examples/lengthEstimate.ts
@@ -0,0 +1,14 @@
+import { LengthEstimate, type LengthQuery } from "@wasabivane/decisions";
+
+const lengths = new LengthEstimate();
+const query = {
+  account: "account-1",
+  tier: 2,
+  maximumOutputTokens: 4_096,
+} as unknown as LengthQuery;
+for (let answer = 0; answer < 400; answer++) {
+  lengths.observe({ ...query, outputTokens: 100 + answer, isWhole: true });
+}
+
+/** Nine of ten answers of this account and tier are at most so long. */
+export const result = lengths.distribution(query).quantile(0.9);
--- /dev/null
+++ b/examples/waitQueue.ts
@@ -0,0 +1,16 @@
+import { WaitQueue } from "@wasabivane/decisions";
+import { exampleAsk } from "./exampleAsk.ts";
+
+const queue = new WaitQueue({ maximumTokens: 10_000, maximumBytes: 1_000_000 });
+const details = {
+  now: 0,
+  expectedTokens: 500,
+  expectedMs: 900,
+  costMs: 90,
+  latestStart: 5_000,
+};
+queue.push(exampleAsk("overnight review", { tier: 4 }), details);
+queue.push(exampleAsk("live draft", { tier: 1 }), details);
+
+/** The more urgent request leaves first. */
+export const result = queue.take(() => "start")?.ask.request;
--- a/packages/decisions/src/upstreamBound.ts
+++ b/packages/decisions/src/upstreamBound.ts
@@ -173,14 +173,18 @@
   ): void {
     if (now - this.#shrunkAt < SHRINK_PERIOD_MS) return;
     this.#shrunkAt = now;
-    const factor = ratio > SEVERE_RATIO ? SEVERE_SHRINK : MILD_SHRINK;
+    const isSevere = ratio > SEVERE_RATIO;
+    const factor = isSevere ? SEVERE_SHRINK : MILD_SHRINK;
     const requestUse = inFlightRequests / this.#requests;
     const tokenUse = inFlightTokens / this.#tokens;
     if (requestUse >= tokenUse) {
-      this.#fastUntilRequests = this.#requests * FAST_GROWTH_SHARE;
+      // A slow upstream shows nothing of the batch that it holds when it is not.
+      if (!isSevere) {
+        this.#fastUntilRequests = this.#requests * FAST_GROWTH_SHARE;
+      }
       this.#requests = Math.max(1, this.#requests * factor);
     } else {
-      this.#fastUntilTokens = this.#tokens * FAST_GROWTH_SHARE;
+      if (!isSevere) this.#fastUntilTokens = this.#tokens * FAST_GROWTH_SHARE;
       this.#tokens = Math.max(TOKENS_PER_REQUEST, this.#tokens * factor);
     }
   }
--- a/packages/proof/src/experimentMain.ts
+++ b/packages/proof/src/experimentMain.ts
@@ -10,6 +10,7 @@
   readonly deployment: string;
   readonly seed: number;
   readonly json?: boolean;
+  readonly report?: string;
 }
 
 const DEPLOYMENTS: readonly Deployment[] = ["fukuoka", "cairo"];
@@ -24,13 +25,14 @@
     .option("--deployment <name>", "fukuoka or cairo", { default: "fukuoka" })
     .option("--seed <number>", "Seed of arrivals and faults", { default: 1 })
     .option("--json", "Print one JSON object for each pattern")
+    .option("--report <file>", "Write a page with plots")
     .action(runFlags);
   cli.help();
   cli.parse(process.argv, { run: false });
   await cli.runMatchedCommand();
 }
 
-function runFlags(flags: Flags): void {
+async function runFlags(flags: Flags): Promise<void> {
   const patterns = flags.pattern === "all" ? PATTERN_NAMES : [flags.pattern];
   const isKnown =
     patterns.every((name) => PATTERN_NAMES.includes(name as Pattern)) &&
@@ -40,14 +42,19 @@
     process.exitCode = 2;
     return;
   }
-  for (const pattern of patterns) {
+  const results = patterns.map((pattern) => {
     const detailed = runExperiment({
       pattern: pattern as Pattern,
       deployment: flags.deployment as Deployment,
       seed: flags.seed,
     });
     print(detailed, flags.json === true);
-  }
+    return detailed;
+  });
+  if (flags.report === undefined) return;
+  // The plotting library takes half a second to load, so only when it is needed.
+  const { writeReport } = await import("./reportPage.ts");
+  await writeReport(flags.report, results);
 }
 
 function print({ result }: DetailedResult, isJson: boolean): void {
