Relay large answers of plain services, and bound what an upstream can fill

A plain service's answer over 4 MiB always ended as answer-broken, although it had run; it is relayed as it comes now, and cuts the caller's connection when it breaks. An engine's whole answer, its error text and its reports were read without a bound; 16 MiB and 8 MiB bound them.

150 requests damaged by chance end with a document or a closed connection, and leave no exchange open.

--- a/apps/entry/src/dispatch.ts
+++ b/apps/entry/src/dispatch.ts
@@ -1,11 +1,14 @@
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import type { Nonce, Timer, UpstreamId } from "@wasabivane/common";
 import type { AcceptedRequest } from "./acceptedRequest.ts";
 import type { AnswerRecord } from "./answerRecord.ts";
-import type { UpstreamClient } from "./upstreamClient.ts";
+import type { UpstreamBody, UpstreamClient } from "./upstreamClient.ts";
 import type { UpstreamError } from "./upstreamError.ts";
 
+/** Far above the longest completion; an engine that never ends must not fill this host. */
+const MAX_WHOLE_BYTES = 16 * 1024 * 1024;
+
 /** Where and as what a request is sent. */
 export interface DispatchTarget {
   readonly upstream: UpstreamId;
@@ -55,6 +58,23 @@
     return error;
   }
 
+  /** Reads an answer that is held whole before its caller sees any of it. */
+  protected async collectWhole(
+    body: UpstreamBody,
+  ): Promise<Result<Buffer, UpstreamError>> {
+    const parts: Buffer[] = [];
+    let bytes = 0;
+    const read = await this.collect(body, (part) => {
+      bytes += part.byteLength;
+      if (bytes > MAX_WHOLE_BYTES) body.destroy();
+      else parts.push(part);
+    });
+    if (bytes > MAX_WHOLE_BYTES) {
+      return err({ kind: "malformed", detail: "The answer is too large" });
+    }
+    return read.map(() => Buffer.concat(parts));
+  }
+
   protected async collect(
     body: AsyncIterable<Buffer>,
     onPart: (part: Buffer) => void | Promise<void>,
--- a/apps/entry/src/httpUpstreamClient.ts
+++ b/apps/entry/src/httpUpstreamClient.ts
@@ -1,4 +1,4 @@
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import { Agent, buildConnector, type Dispatcher } from "undici";
 import { err, ok, type Result } from "neverthrow";
 import type { Nonce } from "@wasabivane/common";
@@ -13,6 +13,8 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const CONNECTIONS_PER_UPSTREAM = 512;
 const MAX_HEADER_BYTES = 16 * 1024;
+/** Room for a full list of cache events. */
+const MAX_REPORT_BYTES = 8 * 1024 * 1024;
 
 /** Options of an {@link HttpUpstreamClient}. */
 export interface HttpUpstreamClientOptions {
@@ -71,7 +73,7 @@
         method: "GET",
         signal,
       });
-      return ok(await answer.body.json());
+      return ok(JSON.parse(await readText(answer.body)));
     } catch (thrown) {
       return err(this.#errorOf(thrown, signal));
     }
@@ -151,6 +153,20 @@
   return ok({ status: statusCode, headers: singleHeaders(headers), body });
 }
 
+async function readText(
+  body: Dispatcher.ResponseData["body"],
+): Promise<string> {
+  body.on("error", ignore);
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  for await (const part of body) {
+    bytes += part.byteLength;
+    if (bytes > MAX_REPORT_BYTES) throw new Error("The report is too large");
+    parts.push(part);
+  }
+  return Buffer.concat(parts).toString("utf8");
+}
+
 function ignore(): void {}
 
 function singleHeaders(
--- a/apps/entry/src/modelDispatch.ts
+++ b/apps/entry/src/modelDispatch.ts
@@ -211,11 +211,10 @@
     { status, body }: UpstreamAnswer,
   ): Promise<Result<DispatchSummary, UpstreamError>> {
     const { record, target } = this.options;
-    const parts: Buffer[] = [];
-    const read = await this.collect(body, (part) => void parts.push(part));
+    const read = await this.collectWhole(body);
     if (read.isErr()) return await this.#recover(read.error);
     this.#noteToken();
-    const whole = Buffer.concat(parts);
+    const whole = read.value;
     const checked = checkWhole(whole, `chatcmpl-${target.nonce}`);
     if (checked.isErr()) return await this.#recover(checked.error);
     record.begin({ status, headers: jsonHeaders(whole) });
@@ -228,12 +227,11 @@
   async #relayClientError(
     { status, headers, body }: UpstreamAnswer,
   ): Promise<Result<DispatchSummary, UpstreamError>> {
-    const parts: Buffer[] = [];
-    const read = await this.collect(body, (part) => void parts.push(part));
+    const read = await this.collectWhole(body);
     if (read.isErr()) return err(read.error);
     const type = headers["content-type"] ?? "application/json";
     this.options.record.begin({ status, headers: { "content-type": type } });
-    this.options.record.append(Buffer.concat(parts));
+    this.options.record.append(read.value);
     this.options.record.finish({ kind: "whole" });
     return ok({ status, outputTokens: 0, cachedTokens: undefined });
   }
--- a/apps/entry/src/plainDispatch.ts
+++ b/apps/entry/src/plainDispatch.ts
@@ -1,11 +1,15 @@
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import { IDEMPOTENCY_KEY_HEADER } from "./constants.ts";
 import { Dispatch, type DispatchSummary } from "./dispatch.ts";
 import type { UpstreamAnswer } from "./upstreamClient.ts";
 import type { UpstreamError } from "./upstreamError.ts";
 
-/** Answers up to this size are checked whole before the caller sees their head. */
+/**
+ * Answers up to this size are held until they are whole, so that one that
+ * breaks becomes a problem document. A larger one is relayed as it comes, and
+ * breaks its caller's connection when it breaks.
+ */
 const MAX_HELD_BYTES = 4 * 1024 * 1024;
 const HELD_HEADERS = [
   "content-type",
@@ -50,17 +54,22 @@
     { status, headers, body }: UpstreamAnswer,
   ): Promise<Result<DispatchSummary, UpstreamError>> {
     const { record } = this.options;
-    const parts: Buffer[] = [];
+    const head = { status, headers: keptHeaders(headers) };
+    const held: Buffer[] = [];
     let heldBytes = 0;
+    const release = (): void => {
+      record.begin(head);
+      for (const part of held.splice(0)) record.append(part);
+    };
     const read = await this.collect(body, (part) => {
+      held.push(part);
       heldBytes += part.byteLength;
-      if (heldBytes > MAX_HELD_BYTES) {
-        body.destroy(new Error("The answer is too large"));
-      } else parts.push(part);
+      if (heldBytes <= MAX_HELD_BYTES) return;
+      release();
+      if (record.isFull) return record.whenRoom();
     });
     if (read.isErr()) return err(read.error);
-    record.begin({ status, headers: keptHeaders(headers) });
-    if (heldBytes > 0) record.append(Buffer.concat(parts));
+    release();
     record.finish({ kind: "whole" });
     return ok({ status, outputTokens: 0, cachedTokens: undefined });
   }
--- a/apps/entry/tests/badInput.test.ts
+++ b/apps/entry/tests/badInput.test.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import fc from "fast-check";
 import test, { type ExecutionContext } from "ava";
 import {
   bearer,
@@ -238,6 +239,34 @@
   t.is(bench.plains[0]!.runs.total, 0);
 }
 
+// Whatever bytes come, the host answers with a document or closes, and lives.
+test.serial("bytes by chance end with a document or a closed connection", async (t) => {
+  const other = await startBench();
+  t.teardown(() => other.stop());
+  const head = requestBytes({ body: CHAT });
+  const damage = fc.record({
+    at: fc.nat({ max: head.length - 1 }),
+    bytes: fc.uint8Array({ minLength: 1, maxLength: 40 }),
+  });
+  await fc.assert(
+    fc.asyncProperty(damage, async ({ at, bytes }) => {
+      const damaged = Buffer.from(head);
+      damaged.set(bytes.subarray(0, head.length - at), at);
+      if (damaged.equals(head)) return;
+      const answer = await callRaw(damaged, {
+        port: other.callerPort,
+        endsAfter: true,
+      });
+      if (answer === undefined || answer.status === 200) return;
+      const document = JSON.parse(answer.body);
+      t.is(document.status, answer.status);
+      t.true(["not-run", "unknown"].includes(document.ending));
+    }),
+    { numRuns: 150, seed: 11 },
+  );
+  await until(() => other.status().openExchanges === 0);
+});
+
 test.serial("headers that come too slowly end with a document", async (t) => {
   const socket = await openSocket(bench.callerPort);
   const answer = readAnswer(socket);
--- a/apps/entry/tests/ownAnswers.test.ts
+++ b/apps/entry/tests/ownAnswers.test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import test, { type ExecutionContext } from "ava";
 import { expectedAnswer, markTokens } from "@wasabivane/engine-model";
 import {
@@ -206,6 +207,54 @@
   t.is(bench.plains.reduce((sum, { runs }) => sum + runs.total, 0), calls);
 });
 
+const MEBIBYTE = 1024 * 1024;
+
+// Large answers are relayed before they are whole. What was sent of a broken
+// one must not look like a whole answer: the caller's connection breaks.
+for (const isWhole of [true, false]) {
+  const ending = isWhole ? "arrives whole" : "that breaks is cut visibly";
+  test(`a large answer of a plain service ${ending}`, async (t) => {
+    const plain = await startScripted(({ outgoing, nonce }) => {
+      outgoing.writeHead(200, { "x-request-nonce": nonce });
+      const sent = outgoing.write(Buffer.alloc(8 * MEBIBYTE, "x"), () => {
+        if (isWhole) outgoing.end();
+        else outgoing.destroy();
+      });
+      t.false(sent);
+    });
+    t.teardown(() => plain.stop());
+    const bench = await withBench(t, {
+      upstreamUrls: { "casefile-1": plain.url },
+    });
+    const headers = { authorization: bearer() };
+    const answer = await fetch(`${bench.callerUrl}/casefile/a`, { headers });
+    t.is(answer.status, 200);
+    if (isWhole) t.is((await answer.text()).length, 8 * MEBIBYTE);
+    else await t.throwsAsync(answer.text());
+    await until(() => bench.status().openExchanges === 0);
+  });
+}
+
+test("an engine's whole answer without end is given up", async (t) => {
+  let isClosed = false;
+  const engine = await startScripted(({ incoming, outgoing, nonce }) => {
+    outgoing.writeHead(200, { "x-request-nonce": nonce });
+    if (incoming.method === "DELETE") return void outgoing.end();
+    outgoing.on("close", () => (isClosed = true));
+    const write = (): void => {
+      if (!isClosed) outgoing.write(Buffer.alloc(MEBIBYTE, "x"), write);
+    };
+    write();
+  });
+  t.teardown(() => engine.stop());
+  const bench = await withBench(t, {
+    upstreamUrls: { "drafter-01": engine.url },
+  });
+  const answer = await chat(bench, { prompt: PROMPT, stream: false });
+  assertFailed(t, answer, { name: "answer-broken" });
+  await until(() => isClosed);
+});
+
 test("when every plain service refuses the connection, nothing has run", async (t) => {
   const bench = await withBench(t);
   await bench.plains[0]!.stop();
