Show that large bundles travel in chunks and changes as differences

Cause: no test fetched a bundle of more than one chunk, or one further behind than the kept differences reach.

Change: a bundle with 3,000 client accounts reaches a fresh host whole while the service is down, then a change of it travels in less than a fifth of that; a host that slept through 13 versions takes the whole.

--- a/packages/coordination/tests/configuration.test.ts
+++ b/packages/coordination/tests/configuration.test.ts
@@ -240,3 +240,42 @@
     t.is(blackboard.read(HOST_LIST)?.version, 7);
   }
 });
+
+test("a bundle near a megabyte reaches a fresh host in chunks, then changes as a difference", async (t) => {
+  // The whole would not fit the peers' budget at each change, and one frame of
+  // it would hold up heartbeats. Half of the messages of the first fetch repeat.
+  const fleet = new ConfigurationFleet({ size: 3 });
+  fleet.platform.bundle.publish(bundleOf(1, { accounts: 3_000 }));
+  await fleet.advance(4_000);
+  fleet.platform.canRead = () => false;
+  fleet.kill(hostName(3));
+  const fresh = fleet.add(hostName(3));
+  fleet.refreshMembers();
+  fleet.network.setFaults({ duplicateShare: 0.5 });
+  const whole = await bytesSentDuring(fleet, 3_000);
+  t.deepEqual([...fresh.inForceAt.keys()], [1]);
+  t.true(whole > 500_000, `${whole} bytes`);
+  fleet.network.setFaults({ duplicateShare: 0 });
+  fleet.platform.canRead = (host) => host !== hostName(3);
+  fleet.platform.bundle.publish(bundleOf(2, { accounts: 3_000, weight: 2 }));
+  const difference = await bytesSentDuring(fleet, 10_000);
+  t.deepEqual(fleet.versions(), [2, 2, 2]);
+  t.true(difference < 100_000, `${difference} bytes`);
+});
+
+test("a host that slept through many versions takes the whole bundle", async (t) => {
+  const fleet = await startFleet({ size: 3 });
+  const sleeper = fleet.hosts.get(hostName(2))!;
+  sleeper.link.pause();
+  fleet.platform.canRead = (host) => host !== hostName(2);
+  for (let version = 2; version <= 14; version++) {
+    fleet.platform.bundle.publish(bundleOf(version));
+    await fleet.advance(200);
+  }
+  sleeper.link.resume();
+  await fleet.advance(4_000);
+  t.deepEqual(fleet.versions(), everyHost(fleet, 14));
+  t.true(
+    sleeper.metrics.counter("documents_fetched", { document: "bundle" }) > 0,
+  );
+});
--- a/packages/coordination/tests/helpers/configurationFleet.ts
+++ b/packages/coordination/tests/helpers/configurationFleet.ts
@@ -12,6 +12,7 @@
   asBundleVersion,
   asId,
   Blackboard,
+  type ClientAccountId,
   createTopic,
   type HostId,
   MemoryMetrics,
@@ -169,16 +170,28 @@
   return asId<HostId>(`entry-${index}`);
 }
 
-/** A signed bundle of a version; the weight makes its content differ. */
+/** A signed bundle of a version; the weight makes its content differ, accounts make it large. */
 export function bundleOf(
   version: number,
-  { weight = 1, key = SIGNING_KEY }: { weight?: number; key?: SigningKey } = {},
+  { weight = 1, accounts = 0, key = SIGNING_KEY }: {
+    weight?: number;
+    accounts?: number;
+    key?: SigningKey;
+  } = {},
 ): SignedBundle {
   const base = exampleBundle("fukuoka");
   const bundle: Bundle = {
     ...base,
     version: asBundleVersion(version),
     domainDistanceMs: weight,
+    clientAccounts: [
+      ...base.clientAccounts,
+      ...Array.from({ length: accounts }, (_, index) => ({
+        ...base.clientAccounts[0]!,
+        account: asId<ClientAccountId>(`account-${index}`),
+        keyDigests: [String(index).padStart(64, "0")],
+      })),
+    ],
   };
   return signBundle(bundle, key)._unsafeUnwrap();
 }
