Move the periodic work on jobs out of their controller

Change: `JobAttendance` carries out the steps; the controller is the service's face. No behaviour changes; the same tests pass.

--- /dev/null
+++ b/packages/coordination/src/jobAttendance.ts
@@ -0,0 +1,155 @@
+import type {
+  Metrics,
+  Milliseconds,
+  PeerLink,
+  Timer,
+} from "@wasabivane/common";
+import type { JobCopying } from "./jobCopying.ts";
+import { type JobStep, MEMBERS_PER_JOB, nextStep } from "./jobKeeping.ts";
+import type { JobLifecycle } from "./jobLifecycle.ts";
+import type { JobMembers } from "./jobMembers.ts";
+import { JOB_CHECK } from "./jobMessages.ts";
+import type { JobOutbox } from "./jobOutbox.ts";
+import type { JobProposals } from "./jobProposals.ts";
+import { type Epoch, hostOf, type MemberId } from "./jobRegister.ts";
+import type { JobRecord, JobStore } from "./jobStore.ts";
+import { sendMessage } from "./peerMessages.ts";
+
+/** Longest wait for copies at fresh members. */
+export const MOVE_COPY_WAIT_MS: Milliseconds = 1_000;
+const MOVE_RETRY_MS: Milliseconds = 2_000;
+/** A copy that nobody confirms vanishes; it has promised nothing. */
+const UNCONFIRMED_MS: Milliseconds = 60_000;
+/** How often a copy asks whether it is still needed, after lost news. */
+const CHECK_PERIOD_MS: Milliseconds = 300_000;
+
+/** What {@link JobAttendance} needs. */
+export interface JobAttendanceOptions {
+  readonly self: MemberId;
+  readonly link: PeerLink;
+  readonly timer: Timer;
+  readonly metrics: Metrics;
+  readonly store: JobStore;
+  readonly members: JobMembers;
+  readonly copying: JobCopying;
+  readonly outbox: JobOutbox;
+  readonly lifecycle: JobLifecycle;
+  readonly proposals: JobProposals;
+  /** Whether this host hands its jobs over. */
+  readonly isStopping: () => boolean;
+}
+
+/** Carries out what `nextStep` decides for each job, period by period. */
+export class JobAttendance {
+  readonly #options: JobAttendanceOptions;
+
+  constructor(options: JobAttendanceOptions) {
+    this.#options = options;
+  }
+
+  /** Takes the next step for each job that this process holds. */
+  attendAll(): void {
+    const { timer, store, outbox, proposals, lifecycle } = this.#options;
+    outbox.poll();
+    store.dropOldTombstones(timer.wallNow());
+    for (const record of store.records()) {
+      if (this.#dropIfOver(record)) continue;
+      proposals.poll(record);
+      lifecycle.dropIdleBody(record);
+      this.#take(record, this.#nextStep(record));
+      this.#check(record);
+    }
+  }
+
+  #nextStep(record: JobRecord): JobStep {
+    const { self, timer, members, isStopping } = this.#options;
+    return nextStep(record, {
+      self,
+      now: timer.now(),
+      members,
+      isStopping: isStopping(),
+    });
+  }
+
+  #dropIfOver(record: JobRecord): boolean {
+    const { timer, metrics, store, lifecycle } = this.#options;
+    if (record.job.expiresAt <= timer.wallNow()) {
+      metrics.count("jobs_expired");
+      lifecycle.forget(record, { isTold: false });
+      return true;
+    }
+    const isUnconfirmed = record.epoch === undefined &&
+      record.outcome === undefined;
+    const age = timer.now() - record.installedAt;
+    if (!isUnconfirmed || age < UNCONFIRMED_MS) return false;
+    store.removeUnconfirmed(record);
+    return true;
+  }
+
+  #take(record: JobRecord, step: JobStep): void {
+    const { lifecycle } = this.#options;
+    if (step.kind === "move") void this.#move(record, step);
+    else if (step.kind === "end-alone") {
+      lifecycle.endAlone(record, step.ending);
+    } else if (step.kind === "resume") lifecycle.resume(record);
+    else if (step.kind === "replenish") {
+      record.keepers = step.keepers;
+      lifecycle.tellKeepers(record);
+    }
+  }
+
+  async #move(
+    record: JobRecord,
+    { staying, fresh, spare, holder, isRequired }: Extract<
+      JobStep,
+      { kind: "move" }
+    >,
+  ): Promise<void> {
+    const { self, timer, store, copying, proposals } = this.#options;
+    const epoch = record.epoch!;
+    record.isMoving = true;
+    const copies = await copying.copyTo(fresh, {
+      job: record.job,
+      withinMs: MOVE_COPY_WAIT_MS,
+    });
+    record.isMoving = false;
+    const members = padded([...staying, ...copies], spare);
+    const isCurrent = store.find(record.job.id) === record &&
+      record.epoch === epoch && record.outcome === undefined;
+    if (!isCurrent) return;
+    record.retryAt = timer.now() + MOVE_RETRY_MS;
+    const isHelped = members.length > 1 &&
+      (isRequired || copies.length > 0);
+    if (!isHelped) return;
+    const next: Epoch = {
+      number: epoch.number + 1,
+      members,
+      holder: holder === "self" ? self : members[0]!,
+    };
+    await proposals.propose(record, { kind: "move", epoch: next });
+  }
+
+  #check(record: JobRecord): void {
+    const { self, timer, link } = this.#options;
+    const now = timer.now();
+    if (now - record.checkedAt < CHECK_PERIOD_MS) return;
+    record.checkedAt = now;
+    const epochNumber = record.epoch?.number ?? 0;
+    const body = { id: record.job.id, epochNumber, by: self };
+    for (const member of record.keepers) {
+      if (member === self) continue;
+      sendMessage(link, JOB_CHECK, { to: hostOf(member), body });
+    }
+  }
+}
+
+/** Members up to the usual number; spare ones may come back with their copies. */
+function padded(
+  members: readonly MemberId[],
+  spare: readonly MemberId[],
+): MemberId[] {
+  return [...members, ...spare].slice(
+    0,
+    Math.max(members.length, MEMBERS_PER_JOB),
+  );
+}
--- a/packages/coordination/src/jobController.ts
+++ b/packages/coordination/src/jobController.ts
@@ -25,32 +25,18 @@
   type ReadyJob,
 } from "./job.ts";
 import { JobAcceptance, type JobBounds } from "./jobAcceptance.ts";
+import { JobAttendance, MOVE_COPY_WAIT_MS } from "./jobAttendance.ts";
 import { JobCopying } from "./jobCopying.ts";
 import { JobInbox } from "./jobInbox.ts";
-import { type JobStep, MEMBERS_PER_JOB, nextStep } from "./jobKeeping.ts";
 import { dispatchOf, JobLifecycle } from "./jobLifecycle.ts";
 import { JobLookUps } from "./jobLookUps.ts";
 import { type JobMember, JobMembers } from "./jobMembers.ts";
-import { JOB_CHECK } from "./jobMessages.ts";
 import { JobOutbox } from "./jobOutbox.ts";
 import { JobProposals } from "./jobProposals.ts";
-import {
-  type Epoch,
-  hostOf,
-  type MemberId,
-  memberId,
-  type RegisterValue,
-} from "./jobRegister.ts";
+import { type MemberId, memberId, type RegisterValue } from "./jobRegister.ts";
 import { type JobRecord, JobStore, type JobStoreOptions } from "./jobStore.ts";
-import { sendMessage } from "./peerMessages.ts";
 
 const TICK_MS: Milliseconds = 250;
-const MOVE_COPY_WAIT_MS: Milliseconds = 1_000;
-const MOVE_RETRY_MS: Milliseconds = 2_000;
-/** A copy that nobody confirms vanishes; it has promised nothing. */
-const UNCONFIRMED_MS: Milliseconds = 60_000;
-/** How often a copy asks whether it is still needed, after lost news. */
-const CHECK_PERIOD_MS: Milliseconds = 300_000;
 const MAXIMUM_BODY_BYTES = 1024 * 1024;
 const MAXIMUM_AGE_MS: Milliseconds = 24 * 3_600_000;
 
@@ -80,6 +66,7 @@
   readonly #acceptance: JobAcceptance;
   readonly #lookUps: JobLookUps;
   readonly #inbox: JobInbox;
+  readonly #attendance: JobAttendance;
   #endings: (() => void)[] = [];
   #isStopping = false;
 
@@ -108,6 +95,11 @@
       maximumAgeMs: options.maximumAgeMs ?? MAXIMUM_AGE_MS,
     });
     this.#lookUps = new JobLookUps(parts);
+    this.#attendance = new JobAttendance({
+      ...parts,
+      proposals: this.#proposals,
+      isStopping: () => this.#isStopping,
+    });
     this.#inbox = new JobInbox({
       ...parts,
       proposals: this.#proposals,
@@ -119,7 +111,7 @@
   start(): void {
     const { blackboard, members, timer } = this.#options;
     this.#members.set(blackboard.read(members));
-    const ticking = timer.every(TICK_MS, () => this.#tick());
+    const ticking = timer.every(TICK_MS, () => this.#attendance.attendAll());
     this.#endings = [
       blackboard.watch(members, (value) => this.#members.set(value)),
       ...this.#inbox.start(),
@@ -298,106 +290,4 @@
       return isOpen || untold.has(job.id);
     });
   }
-
-  #tick(): void {
-    const { timer } = this.#options;
-    this.#outbox.poll();
-    this.#store.dropOldTombstones(timer.wallNow());
-    for (const record of this.#store.records()) {
-      if (this.#dropIfOver(record)) continue;
-      this.#proposals.poll(record);
-      this.#lifecycle.dropIdleBody(record);
-      this.#take(record, this.#nextStep(record));
-      this.#check(record);
-    }
-  }
-
-  #nextStep(record: JobRecord): JobStep {
-    return nextStep(record, {
-      self: this.#self,
-      now: this.#options.timer.now(),
-      members: this.#members,
-      isStopping: this.#isStopping,
-    });
-  }
-
-  #dropIfOver(record: JobRecord): boolean {
-    const { timer, metrics } = this.#options;
-    if (this.#isExpired(record)) {
-      metrics.count("jobs_expired");
-      this.#lifecycle.forget(record, { isTold: false });
-      return true;
-    }
-    const isUnconfirmed = record.epoch === undefined &&
-      record.outcome === undefined;
-    const age = timer.now() - record.installedAt;
-    if (!isUnconfirmed || age < UNCONFIRMED_MS) return false;
-    this.#store.removeUnconfirmed(record);
-    return true;
-  }
-
-  #take(record: JobRecord, step: JobStep): void {
-    if (step.kind === "move") void this.#move(record, step);
-    else if (step.kind === "end-alone") {
-      this.#lifecycle.endAlone(record, step.ending);
-    } else if (step.kind === "resume") this.#lifecycle.resume(record);
-    else if (step.kind === "replenish") {
-      record.keepers = step.keepers;
-      this.#lifecycle.tellKeepers(record);
-    }
-  }
-
-  async #move(
-    record: JobRecord,
-    { staying, fresh, spare, holder, isRequired }: Extract<
-      JobStep,
-      { kind: "move" }
-    >,
-  ): Promise<void> {
-    const epoch = record.epoch!;
-    record.isMoving = true;
-    const copies = await this.#copying.copyTo(fresh, {
-      job: record.job,
-      withinMs: MOVE_COPY_WAIT_MS,
-    });
-    record.isMoving = false;
-    const members = padded([...staying, ...copies], spare);
-    const isCurrent = this.#store.find(record.job.id) === record &&
-      record.epoch === epoch && record.outcome === undefined;
-    if (!isCurrent) return;
-    record.retryAt = this.#options.timer.now() + MOVE_RETRY_MS;
-    const isHelped = members.length > 1 &&
-      (isRequired || copies.length > 0);
-    if (!isHelped) return;
-    const next: Epoch = {
-      number: epoch.number + 1,
-      members,
-      holder: holder === "self" ? this.#self : members[0]!,
-    };
-    await this.#proposals.propose(record, { kind: "move", epoch: next });
-  }
-
-  #check(record: JobRecord): void {
-    const { timer, link } = this.#options;
-    const now = timer.now();
-    if (now - record.checkedAt < CHECK_PERIOD_MS) return;
-    record.checkedAt = now;
-    const epochNumber = record.epoch?.number ?? 0;
-    const body = { id: record.job.id, epochNumber, by: this.#self };
-    for (const member of record.keepers) {
-      if (member === this.#self) continue;
-      sendMessage(link, JOB_CHECK, { to: hostOf(member), body });
-    }
-  }
-}
-
-/** Members up to the usual number; spare ones may come back with their copies. */
-function padded(
-  members: readonly MemberId[],
-  spare: readonly MemberId[],
-): MemberId[] {
-  return [...members, ...spare].slice(
-    0,
-    Math.max(members.length, MEMBERS_PER_JOB),
-  );
 }
