Choose ports that no outgoing connection can take

Cause: a port out of the kernel's range for outgoing connections could be taken between its choice and the start of the entry process, which then ended; its siblings lived on. Change: ports come from below that range, and a fleet that does not start ends the processes that did.

--- a/packages/proof/src/fleet.ts
+++ b/packages/proof/src/fleet.ts
@@ -1,4 +1,5 @@
 import { type ChildProcess, spawn } from "node:child_process";
+import { randomInt } from "node:crypto";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
@@ -26,6 +27,9 @@
 const START_TIMEOUT_MS = 15_000;
 const READY_POLL_MS = 50;
 const ADDRESS = "127.0.0.1";
+const FIRST_PORT = 15_000;
+const LAST_PORT = 32_000;
+const MAX_PORT_ATTEMPTS = 100;
 
 /** Options of {@link startFleet}. */
 export interface FleetOptions {
@@ -91,7 +95,11 @@
   deployment.platform.setBundle(sign(bundle));
   publishHosts();
   for (const entry of entries) entry.process = spawnEntry(entry.settingsFile);
-  await Promise.all(entries.map(untilReady));
+  await Promise.all(entries.map(untilReady)).catch(async (thrown: unknown) => {
+    // Processes that started would outlive this one and keep their ports.
+    await Promise.all(entries.map(({ process: child }) => ended(child)));
+    throw thrown;
+  });
   return {
     get bundle(): Bundle {
       return bundle;
@@ -228,9 +236,20 @@
   return ports;
 }
 
-function listenOnAny(): Promise<ReturnType<typeof createServer>> {
-  const server = createServer();
-  return new Promise((resolve) =>
-    server.listen(0, ADDRESS, () => resolve(server))
-  );
+/**
+ * Listens below the range that the kernel takes outgoing connections' ports
+ * from. Out of that range a port could be lost between its choice and the start
+ * or the restart of the process that is to listen on it.
+ */
+async function listenOnAny(): Promise<ReturnType<typeof createServer>> {
+  for (let attempt = 0; attempt < MAX_PORT_ATTEMPTS; attempt++) {
+    const server = createServer();
+    const port = randomInt(FIRST_PORT, LAST_PORT);
+    const isListening = await new Promise<boolean>((resolve) => {
+      server.once("error", () => resolve(false));
+      server.listen(port, ADDRESS, () => resolve(true));
+    });
+    if (isListening) return server;
+  }
+  throw new Error("No port is free");
 }
