--- a/apps/load/src/runLoad.ts
+++ b/apps/load/src/runLoad.ts
@@ -21,6 +21,13 @@
   readonly ended: number;
 }
 
+/** How one call ended, after all its resends. */
+export interface EndedCall {
+  readonly call: PlannedCall;
+  readonly key: string;
+  readonly ending: AttemptEnding;
+}
+
 /** Options of {@link runLoad}. */
 export interface LoadOptions extends PlanOptions {
   /** Base urls of the entries, which take turns as behind a balancer. */
@@ -36,6 +43,8 @@
   readonly random?: Random;
   /** Called after each change. */
   readonly onProgress?: ((progress: LoadProgress) => void) | undefined;
+  /** Called once for each call. */
+  readonly onEnd?: ((ended: EndedCall) => void) | undefined;
 }
 
 const RESEND_DELAY_MS = 100;
@@ -121,7 +130,11 @@
         dispatcher: this.#dispatcher,
         onToken: clock.startAttempt(),
       });
-      if (ending.kind !== "broken" || resend === maximumResends) return ending;
+      if (ending.kind !== "broken" || resend === maximumResends) {
+        const key = headers["idempotency-key"]!;
+        this.#options.onEnd?.({ call, key, ending });
+        return ending;
+      }
       this.#resends++;
       await sleep(this.#timer, RESEND_DELAY_MS);
     }
