--- a/packages/proof/scenarios/index.ts
+++ b/packages/proof/scenarios/index.ts
@@ -18,6 +18,7 @@
 import { RESEND_TO_ANOTHER_HOST_WHILE_FIRST_RUNS } from "./resendToAnotherHostWhileFirstRuns.ts";
 import { RESEND_TO_FRESH_HOST_WHILE_FIRST_RUNS } from "./resendToFreshHostWhileFirstRuns.ts";
 import { STALE_HOST_LIST } from "./staleHostList.ts";
+import { STRANDED_JOB_IS_TOLD_IN_WORDS } from "./strandedJobIsToldInWords.ts";
 import { UPSTREAM_BREAKS_STREAM_AND_RESUMES } from "./upstreamBreaksStreamAndResumes.ts";
 import { UPSTREAM_CRASHES_MID_STREAM } from "./upstreamCrashesMidStream.ts";
 import { UPSTREAM_LEAVING } from "./upstreamLeaving.ts";
@@ -43,6 +44,7 @@
   RESEND_TO_ANOTHER_HOST_WHILE_FIRST_RUNS,
   RESEND_TO_FRESH_HOST_WHILE_FIRST_RUNS,
   STALE_HOST_LIST,
+  STRANDED_JOB_IS_TOLD_IN_WORDS,
   UPSTREAM_BREAKS_STREAM_AND_RESUMES,
   UPSTREAM_CRASHES_MID_STREAM,
   UPSTREAM_LEAVING,
