Go on with a joined answer where it stands, and say "unknown" of a key granted anew

A relay that lost the owner for a while began again from the first part on the same record, so that the caller got a token twice; it now goes on from where the record stands, and another run's answer never continues a broken one. A resend that heard of the grant before the owner did was told answer-gone; it now asks again. An idempotent request that was granted anew after "unknown" and then refused was told "not run" although its key may have run; it is told "unknown", also where a former home may have granted the key.

--- a/apps/entry/src/answerRecord.ts
+++ b/apps/entry/src/answerRecord.ts
@@ -70,6 +70,12 @@
     return this.#readers.size;
   }
 
+  /** Steps written so far: the head counts as one, each part as one. */
+  get length(): number {
+    if (this.#head === undefined) return 0;
+    return 1 + this.#firstPart + this.#parts.length;
+  }
+
   /** Whether a new reader would get the answer from its first byte. */
   get canReplay(): boolean {
     return this.#firstPart === 0;
--- a/apps/entry/src/answerRelay.ts
+++ b/apps/entry/src/answerRelay.ts
@@ -88,7 +88,11 @@
     }
   }
 
-  /** Copies the answer of a request owned by a peer into a record of this host. */
+  /**
+   * Copies the answer of a request owned by a peer into a record of this host,
+   * from where the record stands: a relay that was lost for a while goes on, and
+   * the caller gets no part twice.
+   */
   follow(
     { owner, request, record }: {
       owner: HostId;
@@ -101,7 +105,7 @@
         owner,
         request,
         record,
-        position: 0,
+        position: record.length,
         retries: 0,
         retry: undefined,
         finish: (end) => {
--- a/apps/entry/src/exchange.ts
+++ b/apps/entry/src/exchange.ts
@@ -57,6 +57,12 @@
   readonly hooks?: ExchangeHooks;
   /** Where the answer goes; a new record when left out. */
   readonly record?: AnswerRecord;
+  /**
+   * An earlier attempt under the same key may have run. Without this the caller
+   * of an idempotent request, granted anew after "unknown", would be told "not
+   * run" of a key that ran before.
+   */
+  readonly mayHaveRun?: boolean;
   /** Called once, after the ending stands. */
   readonly onEnd?: (end: AnswerEnd) => void;
 }
@@ -73,6 +79,7 @@
   readonly #services: ExchangeServices;
   readonly #hooks: ExchangeHooks;
   readonly #onEnd: (end: AnswerEnd) => void;
+  readonly #mayHaveRun: boolean;
   readonly #abort = new AbortController();
   readonly #metrics: RequestMetrics;
   #phase: Phase = "waiting";
@@ -83,14 +90,20 @@
 
   constructor(
     request: AcceptedRequest,
-    { services, hooks = {}, record = new AnswerRecord(), onEnd = () => {} }:
-      ExchangeOptions,
+    {
+      services,
+      hooks = {},
+      record = new AnswerRecord(),
+      mayHaveRun = false,
+      onEnd = () => {},
+    }: ExchangeOptions,
   ) {
     this.request = request;
     this.#services = services;
     this.#hooks = hooks;
     this.#onEnd = onEnd;
     this.record = record;
+    this.#mayHaveRun = mayHaveRun;
     this.#metrics = new RequestMetrics(request, services);
   }
 
@@ -144,9 +157,10 @@
     if (this.#phase === "ended") return;
     this.#phase = "ended";
     this.#deadlineTimer?.cancel();
-    this.record.finish(end);
-    this.#metrics.ended(end);
-    this.#onEnd(end);
+    const told = this.#mayHaveRun ? withoutNotRun(end) : end;
+    this.record.finish(told);
+    this.#metrics.ended(told);
+    this.#onEnd(told);
   }
 
   #armDeadline(): void {
@@ -356,6 +370,11 @@
   "aborted": (isPastDeadline) => isPastDeadline ? "timeout" : "cancelled",
 };
 
+function withoutNotRun(end: AnswerEnd): AnswerEnd {
+  if (end.kind === "whole") return end;
+  return { kind: "failed", problem: { ...end.problem, ending: "unknown" } };
+}
+
 function problemOfError(error: UpstreamError): Problem {
   if (error.kind === "not-own") return problemOf("answer-not-own");
   if (error.kind === "refused-run") {
--- a/apps/entry/src/keyedService.ts
+++ b/apps/entry/src/keyedService.ts
@@ -1,4 +1,9 @@
-import type { TimerSubscription, UpstreamId } from "@wasabivane/common";
+import {
+  type RequestId,
+  sleep,
+  type TimerSubscription,
+  type UpstreamId,
+} from "@wasabivane/common";
 import type {
   ClaimOutcome,
   Dispatch,
@@ -17,6 +22,8 @@
 
 /** Claims of one request: the owner may die while its answer is relayed, more often is an outage. */
 const MAX_CLAIMS = 3;
+/** Time for a grant that was lost on its way to be asked for again. */
+const GRANT_WAIT_MS = 400;
 
 /** What a {@link KeyedService} needs from its process. */
 export interface KeyedServiceOptions {
@@ -58,6 +65,8 @@
   readonly #request: AcceptedRequest;
   readonly #options: KeyedServiceOptions;
   #isHungUp = false;
+  /** The owner's request whose answer this one has begun to copy. */
+  #joined: RequestId | undefined;
   #onHangUp: (() => void) | undefined;
 
   constructor(request: AcceptedRequest, options: KeyedServiceOptions) {
@@ -94,12 +103,21 @@
   }
 
   async #follow(outcome: ClaimOutcome): Promise<void> {
-    if (outcome.kind === "granted") await this.#own(outcome.owned);
+    if (this.record.head !== undefined && !this.#isJoined(outcome)) {
+      // Another run's answer must not go on where the first one broke off.
+      if (outcome.kind === "granted") this.#options.keys.release(outcome.owned);
+      this.#fail(problemOf("answer-broken"));
+    } else if (outcome.kind === "granted") await this.#own(outcome.owned);
     else if (outcome.kind === "owned-by") await this.#join(outcome);
     else if (outcome.kind === "resume-at") await this.#resume(outcome.dispatch);
     else this.#fail(problemOfClaim(outcome));
   }
 
+  #isJoined(outcome: ClaimOutcome): boolean {
+    return outcome.kind === "owned-by" &&
+      outcome.owner.request === this.#joined;
+  }
+
   /** This host owns the key: only this exchange may dispatch it. */
   #own(owned: OwnedKey): Promise<void> {
     const { services, keys, kept } = this.#options;
@@ -107,6 +125,7 @@
       const exchange: Exchange = new Exchange(this.#request, {
         services,
         record: this.record,
+        mayHaveRun: owned.attempt > 1,
         hooks: {
           beforeDispatch: ({ upstream, nonce }) => {
             const isAllowed = keys.markDispatched(owned, { upstream, nonce });
@@ -162,9 +181,12 @@
   async #join(outcome: ClaimOutcome & { kind: "owned-by" }): Promise<void> {
     const { services, relay, kept } = this.#options;
     const { host, request } = outcome.owner;
+    this.#joined = request;
     services.metrics.count("key.joined");
     if (host === services.host) {
-      await this.#copy(kept.find(request));
+      const source = kept.find(request);
+      if (source === undefined) await this.#onNotKept(outcome);
+      else await this.#copy(source);
       return;
     }
     const end = await relay.follow({
@@ -175,19 +197,24 @@
     if (end === "not-kept") await this.#onNotKept(outcome);
   }
 
-  /** The owner forgot the answer; the upstream may still hold it. */
+  /**
+   * The owner forgot the answer, and the upstream may still hold it; or the
+   * owner has not heard yet that it is the owner.
+   */
   async #onNotKept(
-    { dispatch }: { dispatch?: Dispatch | undefined },
+    { dispatch, state }: ClaimOutcome & { kind: "owned-by" },
   ): Promise<void> {
-    if (this.record.head !== undefined || dispatch === undefined) {
+    if (state === "waiting" && this.record.head === undefined) {
+      await sleep(this.#options.services.timer, GRANT_WAIT_MS);
+    } else if (this.record.head !== undefined || dispatch === undefined) {
       this.#fail(problemOf("answer-gone"));
     } else {
       await this.#resume(dispatch);
     }
   }
 
-  async #copy(source: AnswerRecord | undefined): Promise<void> {
-    const reader = source?.open();
+  async #copy(source: AnswerRecord): Promise<void> {
+    const reader = source.openAt(this.record.length);
     if (reader === undefined) {
       this.#fail(problemOf("answer-gone"));
       return;
--- a/packages/coordination/src/keyHome.ts
+++ b/packages/coordination/src/keyHome.ts
@@ -178,6 +178,8 @@
     if (!isOlder) return grant(record, claim);
     record.state = "unknown";
     record.owner = undefined;
+    // A former home may have granted it, so a grant here is not the first one.
+    record.attempt = 1;
     return { kind: "unknown", reason: "older-than-tenure" };
   }
 
