--- a/packages/proof/src/scenarioCaller.ts
+++ b/packages/proof/src/scenarioCaller.ts
@@ -145,9 +145,9 @@
   return { ending, detail: type.split(":").at(-1)!, ...reason };
 }
 
-function jobOf(text: string): { detail: string; job: string } {
+function jobOf(text: string): Omit<AttemptEnding, "ending"> {
   const { id, status } = JSON.parse(text) as { id: string; status: string };
-  return { detail: status, job: id };
+  return { detail: status, reason: id, job: id };
 }
 
 function streamEnding(text: string, own: RequestMark): AttemptEnding {
