Let no tenure reach back over a view with another home

Cause: a host that held some leases in a view without being active in it took its tenure for unbroken afterwards. Another host could have been the key's home in that view and have granted the key; it would have been granted twice. Change: views that leases were asked for in are part of the tenure's row, so that a key's tenure ends at a view in which its home was another host. Figures: the new test fails on the former code (tenure start 0 in place of 5000) and passes now. Neither the model's scopes (one change of lists) nor 420 random schedules had shown it.

--- a/packages/coordination/src/viewLease.ts
+++ b/packages/coordination/src/viewLease.ts
@@ -49,6 +49,8 @@
   serial: number;
   sentAt: Map<number, Milliseconds>;
   tenures: readonly Tenure[];
+  /** Views that leases were asked for in since this host was last active, newest first. */
+  passed: readonly View[];
   /** The newest own request when this host was last active. */
   activeSerial: number;
   /** When the leases that were last counted end. */
@@ -117,6 +119,7 @@
     state.serial++;
     state.sentAt.set(state.serial, now);
     state.sentAt.delete(state.serial - MAX_OPEN_REQUESTS);
+    this.#notePassed();
     return {
       serial: state.serial,
       incarnation: this.#options.incarnation,
@@ -186,6 +189,7 @@
     if (hasLapsed || !isSame) this.#enter(view, now);
     state.activeUntil = until;
     state.activeSerial = state.serial;
+    state.passed = [view];
     return { view, until, tenures: state.tenures };
   }
 
@@ -344,8 +348,24 @@
     return held !== undefined && this.areForgottenLeasesOver(held.sentAt);
   }
 
+  #notePassed(): void {
+    const { state, newest } = this;
+    const isNoted = state.passed[0]?.version === newest?.version;
+    if (newest === undefined || isNoted) return;
+    state.passed = [newest, ...state.passed].slice(0, MAX_TENURES);
+  }
+
+  /**
+   * Begins a tenure or goes on with the last one. Views in which this host held
+   * leases without being active count too: another host may have been a key's
+   * home in them, and granted the key, while the leases here went on.
+   */
   #enter(view: View, now: Milliseconds): void {
     const { state } = this;
+    const active = state.tenures[0]?.view.version;
+    const passed = state.passed.filter(({ version }) =>
+      version !== view.version && version !== active
+    );
     const former = state.tenures[0]?.view;
     const isUnbroken = former !== undefined &&
       [former, view].every((counted) => this.#isUnbroken(counted, view));
@@ -353,9 +373,13 @@
       state.tenures = [{ view, startedAt: now }];
       return;
     }
-    if (former.version === view.version) return;
-    state.tenures = [{ view, startedAt: now }, ...state.tenures]
-      .slice(0, MAX_TENURES);
+    const isSame = former.version === view.version && passed.length === 0;
+    if (isSame) return;
+    const since = [view, ...passed].map((seen) => ({
+      view: seen,
+      startedAt: now,
+    }));
+    state.tenures = [...since, ...state.tenures].slice(0, MAX_TENURES);
   }
 
   /** Whether a majority testifies that no other host acted since this one last did. */
@@ -406,6 +430,7 @@
     serial: 0,
     sentAt: new Map(),
     tenures: [],
+    passed: [],
     activeSerial: 0,
     activeUntil: -Infinity,
   };
