Keep the top tier from being passed over where places are free

Three causes: a large request never found its tokens free beside small ones; a request blocked at one kind of upstream was not looked at when another of the same generation became free; and the top tier waited for its 99 % without end.

Changes: a large request needs half of the token bound at most; a kind is a generation and the tier whose pace is kept; after a second the top tier takes a place with 90 %. Also: an ask that is delivered twice is granted once, a waiting copy of a convicted request is refused, and whoever waits is told at once when all upstreams leave.

--- a/examples/paceLadder.ts
+++ b/examples/paceLadder.ts
@@ -13,7 +13,7 @@
   decodeMsPerToken: 40,
   typicalInFlight: 60,
 };
-const upstream = { times, paceBound: Infinity };
+const upstream = { times, paceBound: Infinity, paceTier: undefined };
 ladder.assign([upstream], 1_000);
 
 /** At 60 requests answers are half as fast as the tier needs. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./freeUpstreams.ts";
 export * from "./leastOutstandingScheduler.ts";
 export * from "./lengthEstimate.ts";
+export * from "./nextStart.ts";
 export * from "./paceLadder.ts";
 export * from "./placement.ts";
 export * from "./poolScheduler.ts";
--- a/packages/decisions/src/paceLadder.ts
+++ b/packages/decisions/src/paceLadder.ts
@@ -16,6 +16,8 @@
   readonly times: TokenTimes;
   /** Requests that may be in flight so that answers keep the pace. */
   paceBound: number;
+  /** The tier whose pace it keeps; undefined when it keeps none. */
+  paceTier: Tier | undefined;
 }
 
 /** Share of the time of an output token that grows with the requests in flight. */
@@ -109,6 +111,7 @@
       const bound = demand === undefined
         ? Infinity
         : boundFor(upstream.times, paceOf(demand));
+      upstream.paceTier = demand?.tier;
       upstream.paceBound = approach(upstream.paceBound, bound);
       if (demand === demands[rung]) places -= upstream.paceBound;
     }
--- a/packages/decisions/src/poolScheduler.ts
+++ b/packages/decisions/src/poolScheduler.ts
@@ -10,7 +10,8 @@
 import { REFUSED_WITHOUT_UPSTREAM_RETRY_MS } from "./constants.ts";
 import { DrainRate } from "./drainRate.ts";
 import { type LengthDistribution, LengthEstimate } from "./lengthEstimate.ts";
-import { findPlace, type Place } from "./placement.ts";
+import { NextStart } from "./nextStart.ts";
+import type { Place } from "./placement.ts";
 import { PaceLadder } from "./paceLadder.ts";
 import {
   type InFlightAttempt,
@@ -30,7 +31,6 @@
   PoolPolicy,
 } from "./types.ts";
 import { UpstreamPool } from "./upstreamPool.ts";
-import type { Acceptance } from "./tierQueue.ts";
 import { targetsOf } from "./tierTargets.ts";
 import type { PoolAttempt } from "./upstreamState.ts";
 import { WaitQueue } from "./waitQueue.ts";
@@ -43,13 +43,12 @@
 }
 
 const PACE_PERIOD_MS = 500;
-/** A request that found no place is looked at again when another kind of upstream is free, or after this. */
-const BLOCKED_MS = 250;
 
 /**
  * The scheduler of a pool: it composes the modules of this package and decides
- * nothing that one of them could. Order is kept by {@link WaitQueue}, the place
- * by {@link findPlace}, how much runs by the bound of each upstream.
+ * nothing that one of them could. {@link Admission} refuses on arrival,
+ * {@link WaitQueue} keeps the order, {@link NextStart} finds who starts where, and
+ * {@link UpstreamPool} learns how much each upstream may run.
  */
 export class PoolScheduler extends Scheduler {
   readonly #pool: UpstreamPool;
@@ -65,6 +64,7 @@
   readonly #distributions = new Map<RequestId, LengthDistribution>();
   readonly #serviceTime: ServiceTime;
   readonly #admission: Admission;
+  readonly #nextStart: NextStart;
   #policy: PoolPolicy;
 
   constructor(policy: PoolPolicy, options: PoolSchedulerOptions) {
@@ -77,6 +77,14 @@
       maximumBytes: policy.maximumWaitingBytes,
     });
     this.#serviceTime = new ServiceTime(this.#pool);
+    this.#nextStart = new NextStart({
+      pool: this.#pool,
+      queue: this.#queue,
+      limits: this.#limits,
+      suspects: this.#suspects,
+      distributions: this.#distributions,
+      policy: () => this.#policy,
+    });
     this.#admission = new Admission({
       pool: this.#pool,
       queue: this.#queue,
@@ -100,6 +108,8 @@
   }
 
   override ask(ask: Ask, now: Milliseconds): Decision[] {
+    // An ask that was delivered twice must not be granted twice.
+    if (this.#isKnown(ask.request)) return [];
     const refusal = this.#admission.refuseAtOnce(ask, now);
     if (refusal !== undefined) return [refusal];
     const lengths = this.#lengths.distribution(ask);
@@ -246,27 +256,30 @@
     };
   }
 
+  #isKnown(request: RequestId): boolean {
+    return this.#distributions.has(request) || this.#attempts.has(request);
+  }
+
   #grantWaiting(now: Milliseconds): Decision[] {
     const decisions: Decision[] = [];
-    while (this.#queue.size > 0 && this.#pool.free.size > 0) {
-      let place: Place | undefined;
-      const waiting = this.#queue.take((candidate): Acceptance => {
-        if (!this.#limits.mayStart(candidate.ask.account)) {
-          return "account-blocked";
-        }
-        if (this.#isStillBlocked(candidate, now)) return "still-blocked";
-        place = this.#findPlace(candidate, now);
-        if (place !== undefined) return "start";
-        candidate.blockedKinds = this.#pool.free.kinds;
-        candidate.blockedUntil = now + BLOCKED_MS;
-        return "blocked";
-      });
-      if (waiting === undefined || place === undefined) break;
-      decisions.push(this.#grant(waiting, place, now));
+    let start = this.#nextStart.take(now);
+    while (start !== undefined) {
+      decisions.push(
+        start.kind === "place"
+          ? this.#grant(start.waiting, start.place, now)
+          : this.#refuseConvicted(start.waiting, now),
+      );
+      start = this.#nextStart.take(now);
     }
     return decisions;
   }
 
+  /** Another copy of the request was convicted while this one waited. */
+  #refuseConvicted(waiting: Waiting, now: Milliseconds): Decision {
+    this.#leaveQueue(waiting);
+    return this.#admission.refuseAtOnce(waiting.ask, now)!;
+  }
+
   /** Upstreams turn slower or faster than they were when a request came. */
   #latestStart(ask: Ask): Milliseconds {
     const { giveUpBelow } = targetsOf(ask.tier, this.#policy.tiers);
@@ -276,38 +289,6 @@
     });
   }
 
-  /**
-   * A request waits for a better upstream only while no lower tier would take
-   * the place; else it could be given up after the lower tier was served.
-   */
-  #leastProbability({ tier }: Ask): number {
-    const targets = targetsOf(tier, this.#policy.tiers);
-    const isContended = (this.#queue.lowestTier() ?? tier) > tier;
-    return isContended ? targets.contendedWaitBelow : targets.waitBelow;
-  }
-
-  /** Whether only such upstreams are free as could not take it a moment ago. */
-  #isStillBlocked(
-    { blockedKinds, blockedUntil }: Waiting,
-    now: Milliseconds,
-  ): boolean {
-    if (now >= blockedUntil) return false;
-    return (this.#pool.free.kinds & ~blockedKinds) === 0;
-  }
-
-  #findPlace(waiting: Waiting, now: Milliseconds): Place | undefined {
-    const { fingerprint, request } = waiting.ask;
-    return findPlace(this.#pool, {
-      waiting,
-      lengths: this.#distributions.get(request)!,
-      isSuspect: this.#suspectRuns.isSuspect(fingerprint, now),
-      leastProbability: this.#leastProbability(waiting.ask),
-      isBusy: this.#queue.size > 1,
-      domainDistanceMs: this.#policy.domainDistanceMs,
-      now,
-    });
-  }
-
   #grant(waiting: Waiting, place: Place, now: Milliseconds): Decision {
     const { ask, expectedTokens } = waiting;
     const { state, cachedTokens } = place;
--- a/packages/decisions/src/tierTargets.ts
+++ b/packages/decisions/src/tierTargets.ts
@@ -1,4 +1,4 @@
-import type { Tier } from "@wasabivane/common";
+import type { Milliseconds, Tier } from "@wasabivane/common";
 
 /** How sure of its deadline a request of one tier should be. */
 export interface TierTargets {
@@ -6,8 +6,10 @@
   readonly giveUpBelow: number;
   /** It waits for a better upstream while its chance is below this. */
   readonly waitBelow: number;
-  /** The same while a lower tier would take the place instead. */
+  /** The same once it has waited a while and a lower tier would take the place. */
   readonly contendedWaitBelow: number;
+  /** How long it waits for a better upstream that a lower tier may use meanwhile. */
+  readonly patienceMs: Milliseconds;
   /** The pace of the tier lets this share of its answers be in time. */
   readonly longQuantile: number;
 }
@@ -23,7 +25,9 @@
 const TOP_TIER: TierTargets = {
   giveUpBelow: 0.5,
   waitBelow: 0.99,
-  contendedWaitBelow: 0.99,
+  contendedWaitBelow: 0.9,
+  // Places at the fastest upstreams come free many times a second.
+  patienceMs: 1_000,
   longQuantile: 0.997,
 };
 const OTHER_TIERS: TierTargets = {
@@ -31,6 +35,7 @@
   waitBelow: 0.98,
   // Waiting on would have the lower tier served and this one given up later.
   contendedWaitBelow: 0.94,
+  patienceMs: 0,
   longQuantile: 0.98,
 };
 
--- a/packages/decisions/src/upstreamPool.ts
+++ b/packages/decisions/src/upstreamPool.ts
@@ -214,11 +214,13 @@
         state,
         times: this.speeds.times(state.description.upstream),
         paceBound: state.paceBound,
+        paceTier: state.paceTier,
       }))
       .sort((left, right) => this.#rank(left.state) - this.#rank(right.state));
     ladder.assign(paced, now);
-    for (const { state, paceBound } of paced) {
+    for (const { state, paceBound, paceTier } of paced) {
       state.paceBound = paceBound;
+      state.paceTier = paceTier;
       this.refresh(state);
     }
   }
--- a/packages/decisions/src/upstreamState.ts
+++ b/packages/decisions/src/upstreamState.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds, RequestId } from "@wasabivane/common";
+import type { Milliseconds, RequestId, Tier } from "@wasabivane/common";
 import type { Ask, LoadReport, UpstreamDescription } from "./types.ts";
 import { UpstreamBound, type UpstreamBoundOptions } from "./upstreamBound.ts";
 
@@ -37,6 +37,8 @@
   report: LoadReport | undefined;
   /** Requests in flight at which answers keep their pace. */
   paceBound = Infinity;
+  /** The tier whose pace that is. */
+  paceTier: Tier | undefined;
   prefillBacklogTokens = 0;
   inFlightTokens = 0;
 
@@ -58,10 +60,14 @@
     return Math.max(1, Math.floor(bound * share));
   }
 
-  /** Whether a request of this size fits; a lone one always does. */
+  /**
+   * Whether a request of this size fits. A large one needs half of the bound at
+   * most: else small ones would take every place before enough is free for it.
+   */
   hasRoomFor(tokens: number, share: number): boolean {
+    const bound = this.bound.tokens * share;
     return this.attempts.size === 0 ||
-      this.inFlightTokens + tokens <= this.bound.tokens * share;
+      this.inFlightTokens + Math.min(tokens, bound / 2) <= bound;
   }
 
   /** Counts a request in. */
--- a/packages/decisions/tests/poolScheduler.test.ts
+++ b/packages/decisions/tests/poolScheduler.test.ts
@@ -1,5 +1,10 @@
 import test from "ava";
-import { asId, type RequestId, SeededRandom } from "@wasabivane/common";
+import {
+  asId,
+  type Digest,
+  type RequestId,
+  SeededRandom,
+} from "@wasabivane/common";
 import {
   type PoolPolicy,
   PoolScheduler,
@@ -77,3 +82,42 @@
   );
   t.deepEqual(describeDecisions(decisions), ["grant early u0"]);
 });
+
+test("an ask that is delivered twice is granted once", (t) => {
+  const scheduler = buildScheduler(2);
+  t.is(scheduler.ask(buildAsk("a"), 0).length, 1);
+  t.deepEqual(scheduler.ask(buildAsk("a"), 1), []);
+});
+
+test("a waiting copy of a convicted request never starts", (t) => {
+  const scheduler = buildScheduler(1, { initialConcurrency: 1 });
+  scheduler.ask(buildAsk("running"), 0);
+  scheduler.ask(buildAsk("copy", { fingerprint: asId<Digest>("killer") }), 0);
+  scheduler.importSuspicions([{
+    fingerprint: asId<Digest>("killer"),
+    kind: "convicted",
+    remainingMs: 60_000,
+  }], 10);
+  const decisions = scheduler.finish({
+    request: asId<RequestId>("running"),
+    upstream: upstreamId(0),
+    outcome: "whole",
+    outputTokens: 20,
+  }, 500);
+  t.deepEqual(describeDecisions(decisions), ["refuse copy convicted"]);
+});
+
+test("when all upstreams leave, whoever waits is told at once", (t) => {
+  const scheduler = buildScheduler(1, { initialConcurrency: 1 });
+  scheduler.ask(buildAsk("running"), 0);
+  scheduler.ask(buildAsk("waiting"), 0);
+  const policy = buildPolicy(1);
+  const decisions = scheduler.setPolicy({
+    ...policy,
+    upstreams: policy.upstreams.map((description) => ({
+      ...description,
+      isLeaving: true,
+    })),
+  }, 10);
+  t.deepEqual(describeDecisions(decisions), ["refuse waiting no-upstream"]);
+});
