Answer no running request with the problem of the one behind it

On a connection with several requests under way only the last was remembered, so a broken one behind a running one was told as a document that says not-run, which its caller takes for the answer of the first. All are remembered now. The test got that document before the change, and a closed connection after.

--- a/apps/entry/src/connectionProblems.ts
+++ b/apps/entry/src/connectionProblems.ts
@@ -36,7 +36,8 @@
  * send a bare status line, from which a caller cannot learn that nothing ran.
  */
 export class ConnectionProblems {
-  readonly #pending = new WeakMap<Socket, Pending>();
+  /** A caller may send requests before the answers of former ones came. */
+  readonly #pending = new WeakMap<Socket, Set<Pending>>();
   readonly #refused = new WeakSet<Socket>();
   readonly #maximumConnections: number;
   #connections = 0;
@@ -57,7 +58,7 @@
         );
         return;
       }
-      this.#pending.set(incoming.socket, { incoming, outgoing });
+      this.#note({ incoming, outgoing });
       handle(incoming, outgoing);
     };
   }
@@ -81,6 +82,13 @@
     );
   }
 
+  #note(pending: Pending): void {
+    const { incoming: { socket }, outgoing } = pending;
+    const all = this.#pending.get(socket) ?? new Set();
+    this.#pending.set(socket, all.add(pending));
+    outgoing.once("close", () => all.delete(pending));
+  }
+
   #onConnection(socket: Socket): void {
     this.#connections++;
     if (this.#connections > this.#maximumConnections) this.#refused.add(socket);
@@ -92,10 +100,10 @@
    * taken for its answer, so its connection just breaks, as a hang-up does.
    */
   #onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-    const pending = this.#pending.get(socket);
-    const isRunning = pending !== undefined &&
-      !pending.outgoing.writableFinished &&
-      (pending.incoming.complete || pending.outgoing.headersSent);
+    const pending = [...this.#pending.get(socket) ?? []];
+    const isRunning = pending.some(({ incoming, outgoing }) =>
+      incoming.complete || outgoing.headersSent
+    );
     if (isRunning || !socket.writable || error.code === "ECONNRESET") {
       socket.destroy();
       return;
--- a/apps/entry/tests/callerConnection.test.ts
+++ b/apps/entry/tests/callerConnection.test.ts
@@ -91,6 +91,22 @@
   await assertCancelled(t, bench);
 });
 
+// The second request is broken, but the first one runs, and the document of
+// the second would be taken for the answer of the first.
+test("a broken request behind a running one breaks the connection without a document", async (t) => {
+  const bench = await withBench(t);
+  const socket = await openSocket(bench.callerPort);
+  const answer = readAnswer(socket);
+  socket.write(chatBytes(ENDLESS, { stream: false }));
+  await until(() => states(bench).length === 1);
+  socket.write(
+    "POST /casefile HTTP/1.1\r\nHost: entry\r\nTransfer-Encoding: chunked\r\n\r\n",
+  );
+  socket.write("zz\r\n");
+  t.is(await answer, undefined);
+  await assertCancelled(t, bench);
+});
+
 function chatBytes(prompt: string, { stream = true } = {}): string {
   const messages = [{ role: "user", content: prompt }];
   const body = JSON.stringify({ model: "drafter", messages, stream });
