Stop hosts by their stop plan and share suspicions with every keeper

Cause: SIGTERM cut what ran and a drain was refused; a new keeper knew nothing of the requests that had killed upstreams. Change: hostParts.ts builds the controllers, among them StopController and SuspicionController; the daemon drains on a signal or an operator's order, stops accepting when draining and ends when the plan has ended; a new scheduler takes in what peers hold against request contents.

--- a/apps/entry/src/daemon.ts
+++ b/apps/entry/src/daemon.ts
@@ -13,12 +13,20 @@
 /** One entry host's process: an {@link EntryHost} behind HTTP listeners. */
 export class Daemon {
   readonly host: EntryHost;
+  /** Resolves when a planned stop, whoever ordered it, has come to its end. */
+  readonly whenDrained: Promise<void>;
   readonly #options: EntryHostOptions;
   readonly #listeners: HttpListener[] = [];
 
   constructor(options: EntryHostOptions) {
     this.#options = options;
     this.host = new EntryHost(options);
+    this.whenDrained = new Promise((resolve) => {
+      this.host.onStopPhase(({ kind }) => {
+        if (kind === "draining") this.#listeners[0]?.stopAccepting();
+        if (kind === "ended") resolve();
+      });
+    });
   }
 
   /** Joins the fleet and listens; rejects when a port cannot be bound. */
@@ -46,6 +54,16 @@
     };
   }
 
+  /**
+   * Stops by the bundle's stop plan: the balancer is told, running answers
+   * finish, waiting work is handed over. Without a bundle there is none of it.
+   */
+  async drain(): Promise<void> {
+    const isUnderWay = this.host.requestStop() || this.host.isStopping;
+    if (isUnderWay) await this.whenDrained;
+    await this.stop();
+  }
+
   /** Closes everything. */
   async stop(): Promise<void> {
     this.host.stop();
--- /dev/null
+++ b/apps/entry/src/hostParts.ts
@@ -0,0 +1,286 @@
+import { type SignedBundle, verifySignedBundle } from "@wasabivane/bundle";
+import type {
+  Blackboard,
+  Controller,
+  Digest,
+  FailureDomain,
+  HostId,
+  Incarnation,
+  Metrics,
+  PeerLink,
+  Random,
+  ServiceId,
+  Timer,
+  Topic,
+} from "@wasabivane/common";
+import {
+  BUNDLE_IN_FORCE,
+  type ConfigurationChange,
+  ConfigurationController,
+  FLEET_SHARE,
+  HOST_LIST,
+  JobController,
+  KeyService,
+  type Member,
+  MEMBERS,
+  MembershipController,
+  PoolClient,
+  PoolKeeper,
+  type SharedSuspicion,
+  StopController,
+  SuspicionController,
+  SUSPICIONS,
+  ViewController,
+} from "@wasabivane/coordination";
+import {
+  type PoolPolicy,
+  PoolScheduler,
+  type Scheduler,
+  type Suspicion,
+} from "@wasabivane/decisions";
+import { AnswerRelay } from "./answerRelay.ts";
+import type { EntryHostOptions } from "./entryHost.ts";
+import { EntryService } from "./entryService.ts";
+import type { ExchangeServices } from "./exchange.ts";
+import { JobRunner } from "./jobRunner.ts";
+import { KeptAnswers } from "./keptAnswers.ts";
+import { KeyedService } from "./keyedService.ts";
+import { poolPolicyOf } from "./poolPolicy.ts";
+import { UpstreamWatch } from "./upstreamWatch.ts";
+
+/** Everything that runs on an entry host, joined through the blackboard. */
+export interface HostParts {
+  readonly pools: PoolClient;
+  readonly keeper: PoolKeeper;
+  readonly service: EntryService;
+  readonly keys: KeyService;
+  readonly keyed: KeyedService;
+  readonly jobs: JobController;
+  readonly jobRunner: JobRunner;
+  readonly stopping: StopController;
+  /** In the order in which they start. */
+  readonly controllers: readonly Pick<Controller, "start" | "stop">[];
+}
+
+/** What most parts need alike. */
+interface Shared {
+  readonly host: HostId;
+  readonly failureDomain: FailureDomain;
+  readonly incarnation: Incarnation;
+  readonly blackboard: Blackboard;
+  readonly link: PeerLink;
+  readonly timer: Timer;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly members: Topic<readonly Member[]>;
+}
+
+/** Builds the parts of one entry host. */
+export function createHostParts(
+  options: EntryHostOptions,
+  { blackboard, metrics }: { blackboard: Blackboard; metrics: Metrics },
+): HostParts {
+  const shared = sharedOf(options, { blackboard, metrics });
+  const pools: PoolClient = new PoolClient({
+    ...shared,
+    localKeeper: () => keeper,
+  });
+  const keeper = createKeeper(shared, pools);
+  const services: ExchangeServices = {
+    ...shared,
+    pools,
+    client: options.client,
+  };
+  const service = new EntryService(services);
+  const membership = createMembership(options, shared);
+  const views = new ViewController(shared);
+  const keys = new KeyService({
+    ...shared,
+    views,
+    secrets: () => options.settings.peers.secrets,
+  });
+  const kept = new KeptAnswers(options.settings.limits.retainedAnswerBytes);
+  const relay = new AnswerRelay({
+    ...shared,
+    recordOf: (request) => kept.find(request),
+  });
+  const keyed = new KeyedService({ services, keys, relay, kept });
+  const jobs = new JobController(shared);
+  const jobRunner = new JobRunner({
+    ...shared,
+    bundleInForce: BUNDLE_IN_FORCE,
+    jobs,
+    services,
+  });
+  const stopping = new StopController({
+    ...shared,
+    openStreams: () =>
+      service.openExchanges + keyed.openAnswers + jobRunner.dispatched,
+    handOver: (withinMs) => {
+      jobRunner.release();
+      return jobs.handOver(withinMs);
+    },
+    setLeaving: (isLeaving) => membership.setLeaving(isLeaving),
+  });
+  return {
+    pools,
+    keeper,
+    service,
+    keys,
+    keyed,
+    jobs,
+    jobRunner,
+    stopping,
+    controllers: [
+      membership,
+      createConfiguration(options, shared),
+      pools,
+      keeper,
+      createUpstreamWatch(options, { shared, keeper }),
+      createSuspicions(shared, keeper),
+      views,
+      keys,
+      relay,
+      jobs,
+      jobRunner,
+      stopping,
+    ],
+  };
+}
+
+function sharedOf(
+  { settings, incarnation, timer, random, link }: EntryHostOptions,
+  { blackboard, metrics }: { blackboard: Blackboard; metrics: Metrics },
+): Shared {
+  const { host, failureDomain } = settings;
+  return {
+    host,
+    failureDomain,
+    incarnation,
+    blackboard,
+    link,
+    timer,
+    random,
+    metrics,
+    members: MEMBERS,
+  };
+}
+
+function createKeeper(shared: Shared, pools: PoolClient): PoolKeeper {
+  const { blackboard, random } = shared;
+  return new PoolKeeper({
+    ...shared,
+    fleetShare: FLEET_SHARE,
+    policyOf: (service) => policyOf(service, blackboard),
+    createScheduler: (service, policy) => {
+      const scheduler = new PoolScheduler(policy, { random });
+      recallSuspicions(scheduler, { service, shared });
+      return scheduler;
+    },
+    decideLocally: (service, decision) =>
+      pools.decideLocally(service, decision),
+  });
+}
+
+/**
+ * A pool whose keeper died is kept by a host that never saw what its upstreams
+ * were lost to. Without what the others were told, the request that killed
+ * them could kill as many again.
+ */
+function recallSuspicions(
+  scheduler: Scheduler,
+  { service, shared }: { service: ServiceId; shared: Shared },
+): void {
+  const known = shared.blackboard.read(SUSPICIONS)
+    .filter((suspicion) => suspicion.service === service);
+  scheduler.importSuspicions(known.flatMap(suspicionOf), shared.timer.now());
+}
+
+function policyOf(
+  service: ServiceId,
+  blackboard: Blackboard,
+): PoolPolicy | undefined {
+  const bundle = blackboard.read(BUNDLE_IN_FORCE)?.bundle;
+  if (bundle === undefined) return undefined;
+  return poolPolicyOf(service, {
+    bundle,
+    hostList: blackboard.read(HOST_LIST),
+  });
+}
+
+function createMembership(
+  { settings, log }: EntryHostOptions,
+  shared: Shared,
+): MembershipController {
+  const { peers, failureDomain, host } = settings;
+  const { incarnation } = shared;
+  return new MembershipController({
+    ...shared,
+    self: {
+      host,
+      incarnation,
+      failureDomain,
+      peerAddress: peers.advertisedAddress ?? `${peers.address}:${peers.port}`,
+      isLeaving: false,
+    },
+    log: ({ host: peer, state }) => log.info({ peer, state }, "Peer changed"),
+  });
+}
+
+function createConfiguration(
+  options: EntryHostOptions,
+  shared: Shared,
+): ConfigurationController {
+  const { settings, bundleSource, hostListSource, log } = options;
+  return new ConfigurationController({
+    ...shared,
+    bundleSource,
+    hostListSource,
+    verify: (signed: SignedBundle) =>
+      verifySignedBundle(signed, settings.trustedKeys),
+    log: (change: ConfigurationChange) => {
+      if (change.kind === "in-force") log.info(change, "Bundle in force");
+      else log.warn(change, "Bundle not taken");
+    },
+  });
+}
+
+function createUpstreamWatch(
+  { client }: EntryHostOptions,
+  { shared, keeper }: { shared: Shared; keeper: PoolKeeper },
+): UpstreamWatch {
+  const { blackboard } = shared;
+  return new UpstreamWatch({
+    ...shared,
+    client,
+    bundle: () => blackboard.read(BUNDLE_IN_FORCE)?.bundle,
+    keptServices: () => keeper.kept().keys(),
+    onLoad: (service, report) => keeper.reportLoad(service, report),
+    onCache: (service, event) => keeper.reportCache(service, event),
+  });
+}
+
+function createSuspicions(
+  shared: Shared,
+  keeper: PoolKeeper,
+): SuspicionController {
+  const { timer } = shared;
+  return new SuspicionController({
+    ...shared,
+    drain: () =>
+      [...keeper.kept()].map(([service, scheduler]) => ({
+        service,
+        suspicions: scheduler.drainSuspicions(timer.now()),
+      })).filter(({ suspicions }) => suspicions.length > 0),
+    absorb: ({ service, suspicions }) =>
+      keeper.kept().get(service)?.importSuspicions(suspicions, timer.now()),
+  });
+}
+
+/** Ejections concern upstreams; each keeper judges those by its own signals. */
+function suspicionOf(
+  { kind, subject, remainingMs }: SharedSuspicion,
+): Suspicion[] {
+  if (kind === "ejected") return [];
+  return [{ kind, fingerprint: subject as Digest, remainingMs }];
+}
--- a/apps/entry/src/jobRunner.ts
+++ b/apps/entry/src/jobRunner.ts
@@ -88,6 +88,12 @@
     return this.#running.size;
   }
 
+  /** Jobs that run at an upstream. */
+  get dispatched(): number {
+    return [...this.#running.values()]
+      .filter(({ phase }) => phase === "dispatched").length;
+  }
+
   /** Withdraws the asks of all jobs that wait, before they are handed over. */
   release(): void {
     this.#polling?.cancel();
--- a/apps/entry/src/program.ts
+++ b/apps/entry/src/program.ts
@@ -67,9 +67,10 @@
   const started = await startEntry(settings.value);
   if (started.isErr()) return notStarted(output, [started.error.detail]);
   const { host } = settings.value;
-  const { ports, stop } = started.value;
+  const { ports, daemon, stop } = started.value;
   output.write(`${JSON.stringify({ host, ...ports })}\n`);
-  await whenStopped();
+  await Promise.race([whenStopped(), daemon.whenDrained]);
+  await daemon.drain();
   await stop();
   return printed(EXIT_OK);
 }
