Answer load reports in the plain stand-in without counting a run

Cause: the keeper reads /v1/load of plain services each second and the stand-in counted it as a run: with the machine at a load of 20 two tests saw 4 and 3 runs where 1 was right. The scenario jobHolderKilledBeforeDispatch killed the holder once the export was accepted; under another order of messages the review was not accepted yet, and its caller was truthfully told nothing (trace: 'ended review-1 unknown connection-broken' at 9 ms, no 202 before). Change: the stand-in serves /v1/load; the scenario sends the export 50 ms later, so that both are accepted before the kill. What is expected stays as it was.

--- a/packages/proof/scenarios/jobHolderKilledBeforeDispatch.ts
+++ b/packages/proof/scenarios/jobHolderKilledBeforeDispatch.ts
@@ -12,7 +12,7 @@
   },
   story: [
     { at: 0, do: "send", request: "review-1", via: "entry-1" },
-    { at: 0, do: "send", request: "export-1", via: "entry-1" },
+    { at: 50, do: "send", request: "export-1", via: "entry-1" },
     {
       once: { request: "export-1", is: "accepted" },
       do: "kill",
--- a/packages/stand-ins/src/plainStandIn.ts
+++ b/packages/stand-ins/src/plainStandIn.ts
@@ -64,11 +64,13 @@
   readonly #byKey = new Map<string, number>();
   readonly #byNonce = new Map<string, number>();
   #total = 0;
+  #running = 0;
 
   constructor(options: PlainStandInOptions = {}) {
     super(options);
     this.#timer = options.timer ?? new SystemTimer();
     this.#runMs = options.runMs ?? 0;
+    this.app.get("/v1/load", (context) => context.json(this.#load()));
     this.app.get("/control/runs", (context) => context.json(this.runs));
     this.app.post("/control/:action", (context) => this.#control(context));
     this.app.all("*", (context) => this.#call(context));
@@ -94,6 +96,12 @@
     return true;
   }
 
+  /** Plain services report load as engines do; a report is no run. */
+  #load(): Record<string, number> {
+    const takenAt = this.#timer.wallNow();
+    return { takenAt, running: this.#running, waiting: 0, memoryShare: 0 };
+  }
+
   async #control(context: StandInContext): Promise<Response> {
     const body = await readJsonObject(context);
     if (body === undefined) {
@@ -111,7 +119,9 @@
     }
     this.#countRun(context);
     const delay = this.#faults.take("slow")?.delayMs ?? this.#runMs;
+    this.#running++;
     if (delay > 0) await this.#delay(context, delay);
+    this.#running--;
     if (this.#faults.take("reset-after-run") !== undefined) {
       return hangUp(context);
     }
--- a/packages/stand-ins/tests/plainStandIn.test.ts
+++ b/packages/stand-ins/tests/plainStandIn.test.ts
@@ -52,3 +52,16 @@
   const wrong = await save(url, { "x-request-nonce": "n1" });
   t.not(wrong.headers.get("x-request-nonce"), "n1");
 });
+
+// An entry reads the load of the services whose pool it keeps. When that was
+// counted as a run, every count of runs that took over a second was too high.
+test("a load report is no run", async (t) => {
+  const service = new PlainStandIn();
+  const { url } = await service.start();
+  t.teardown(() => service.stop());
+  const report = await (await fetch(`${url}/v1/load`)).json() as {
+    running: number;
+  };
+  t.is(report.running, 0);
+  t.is(service.runs.total, 0);
+});
