Say "not run" of a key only when its home confirms it

Change: a released key is granted to nobody for 4 s, longer than any claim of before lives (claims end after 3 s), and such claims are told "not run" with a Retry-After; release resolves only when the home, still active, has the key back, else the ending is "unknown". One ejection is allowed in pools of two or three, where the share rounded down to none.

--- a/apps/entry/src/claimProblem.ts
+++ b/apps/entry/src/claimProblem.ts
@@ -1,4 +1,4 @@
-import type { ClaimOutcome } from "@wasabivane/coordination";
+import { type ClaimOutcome, RELEASE_GRACE_MS } from "@wasabivane/coordination";
 import { type Problem, type ProblemName, problemOf } from "./problem.ts";
 
 const RETRY_AFTER_MS = 1_000;
@@ -12,6 +12,7 @@
   "malformed": "key-malformed",
   "issued-in-future": "key-in-future",
   "full": "key-table-full",
+  "released": "key-released",
 };
 
 const UNKNOWN: Record<string, ProblemName> = {
@@ -26,7 +27,10 @@
 ): Problem {
   if (outcome.kind === "mismatch") return problemOf("key-mismatch");
   if (outcome.kind === "not-run") {
-    return problemOf(NOT_RUN[outcome.reason] ?? "key-unknown");
+    const name = NOT_RUN[outcome.reason] ?? "key-unknown";
+    const isPassing = outcome.reason === "released" ||
+      outcome.reason === "full";
+    return problemOf(name, isPassing ? { retryAfter: RELEASE_GRACE_MS } : {});
   }
   const name = UNKNOWN[outcome.reason] ?? "key-unknown";
   const details = { detail: outcome.reason };
--- a/apps/entry/src/exchange.ts
+++ b/apps/entry/src/exchange.ts
@@ -45,6 +45,8 @@
   readonly beforeDispatch?: (
     target: DispatchTarget,
   ) => Promise<Problem | undefined>;
+  /** Asks whoever else may have run the request before "not run" is said. */
+  readonly confirmNotRun?: () => Promise<boolean>;
   /** Runs after a connection was refused: no byte has left after all. */
   readonly afterRefusedConnection?: () => void;
   /** The upstream is settled for good: a refused connection is tried again, at no other. */
@@ -157,6 +159,16 @@
     if (this.#phase === "ended") return;
     this.#phase = "ended";
     this.#deadlineTimer?.cancel();
+    const { confirmNotRun } = this.#hooks;
+    if (confirmNotRun === undefined || !isNotRun(end)) this.#tell(end);
+    else {
+      void confirmNotRun().then((isConfirmed) =>
+        this.#tell(isConfirmed ? end : withoutNotRun(end))
+      );
+    }
+  }
+
+  #tell(end: AnswerEnd): void {
     const told = this.#mayHaveRun ? withoutNotRun(end) : end;
     this.record.finish(told);
     this.#metrics.ended(told);
@@ -357,6 +369,10 @@
   }
 }
 
+function isNotRun(end: AnswerEnd): boolean {
+  return end.kind === "failed" && end.problem.ending === "not-run";
+}
+
 const OUTCOMES: Record<
   UpstreamError["kind"],
   (isPastDeadline: boolean) => AttemptOutcome
--- a/apps/entry/src/jobDesk.ts
+++ b/apps/entry/src/jobDesk.ts
@@ -109,7 +109,8 @@
         nonce: accepted.value as string as Nonce,
       });
     } else if (accepted.error.ending === "not-run") {
-      keys.release(owned);
+      const isReleased = await keys.release(owned);
+      if (!isReleased) return err({ ...accepted.error, ending: "unknown" });
     }
     return accepted;
   }
--- a/apps/entry/src/keyedService.ts
+++ b/apps/entry/src/keyedService.ts
@@ -105,7 +105,9 @@
   async #follow(outcome: ClaimOutcome): Promise<void> {
     if (this.record.head !== undefined && !this.#isJoined(outcome)) {
       // Another run's answer must not go on where the first one broke off.
-      if (outcome.kind === "granted") this.#options.keys.release(outcome.owned);
+      if (outcome.kind === "granted") {
+        void this.#options.keys.release(outcome.owned);
+      }
       this.#fail(problemOf("answer-broken"));
     } else if (outcome.kind === "granted") await this.#own(outcome.owned);
     else if (outcome.kind === "owned-by") await this.#join(outcome);
@@ -134,6 +136,7 @@
             );
           },
           afterRefusedConnection: () => keys.markRefused(owned),
+          confirmNotRun: () => keys.release(owned),
         },
         onEnd: (end) => {
           this.#tellHome(owned, { end, target: exchange.target });
@@ -152,12 +155,8 @@
     owned: OwnedKey,
     { end, target }: { end: AnswerEnd; target: DispatchTarget | undefined },
   ): void {
-    const { keys } = this.#options;
-    if (end.kind === "whole" && target !== undefined) {
-      keys.markFinished(owned, dispatchOf(target));
-    } else if (end.kind === "failed" && end.problem.ending === "not-run") {
-      keys.release(owned);
-    }
+    if (end.kind !== "whole" || target === undefined) return;
+    this.#options.keys.markFinished(owned, dispatchOf(target));
   }
 
   /**
--- a/apps/entry/src/problem.ts
+++ b/apps/entry/src/problem.ts
@@ -102,6 +102,11 @@
     title: "The host that knows this key does not answer",
     ending: "unknown",
   },
+  "key-released": {
+    status: 503,
+    title: "An earlier attempt with this key was refused a moment ago",
+    ending: "not-run",
+  },
   "key-table-full": {
     status: 503,
     title: "Too many idempotency keys are in use",
--- a/packages/coordination/src/keyClaims.ts
+++ b/packages/coordination/src/keyClaims.ts
@@ -56,7 +56,12 @@
   | "unauthenticated";
 
 /** Why no host ever took or takes the key. */
-export type NotRunReason = "malformed" | "issued-in-future" | "full";
+export type NotRunReason =
+  | "malformed"
+  | "issued-in-future"
+  | "full"
+  /** Its owner gave it back a moment ago; nobody is granted it yet. */
+  | "released";
 
 /** What a home says to a {@link Claim}. */
 export type ClaimAnswer =
--- a/packages/coordination/src/keyHome.ts
+++ b/packages/coordination/src/keyHome.ts
@@ -18,6 +18,14 @@
 /** How long after the start of a tenure keys must be issued: no former home took them, whatever the clocks. */
 export const TENURE_MARGIN_MS = SKEW_BOUND_MS + 2 * HOST_SKEW_MS;
 
+/**
+ * How long a key that was given back is granted to nobody. Its caller has been
+ * told "not run". A resend that was on its way then, and was granted the key
+ * afterwards, would make that false; after this time every claim of before has
+ * been given up by its claimant.
+ */
+export const RELEASE_GRACE_MS: Milliseconds = 4_000;
+
 /** What a home knows of one key. */
 export interface KeyRecord {
   readonly bodyDigest: string;
@@ -25,10 +33,12 @@
   claimId: string;
   owner: Claimant | undefined;
   attempt: number;
-  state: "waiting" | "dispatched" | "finished" | "unknown";
+  state: "waiting" | "dispatched" | "finished" | "released" | "unknown";
   dispatch: Dispatch | undefined;
   /** Sequence of the newest update of the owner. */
   updates: number;
+  /** When its last owner gave it back. */
+  releasedAt: EpochMilliseconds;
 }
 
 /** A home's circumstances at the moment of a claim. */
@@ -53,6 +63,7 @@
   /** Least time that a key is held; also how old a key may be that it takes anew. */
   readonly lifetimeMs?: Milliseconds;
   readonly tenureMarginMs?: Milliseconds;
+  readonly releaseGraceMs?: Milliseconds;
   readonly records?: Map<string, KeyRecord>;
 }
 
@@ -65,18 +76,21 @@
   readonly #maximum: number;
   readonly #lifetimeMs: Milliseconds;
   readonly #tenureMarginMs: Milliseconds;
+  readonly #releaseGraceMs: Milliseconds;
 
   constructor(
     {
       maximum = MAX_HELD_KEYS,
       lifetimeMs = KEY_LIFETIME_MS,
       tenureMarginMs = TENURE_MARGIN_MS,
+      releaseGraceMs = RELEASE_GRACE_MS,
       records = new Map(),
     }: KeyHomeOptions = {},
   ) {
     this.#maximum = maximum;
     this.#lifetimeMs = lifetimeMs;
     this.#tenureMarginMs = tenureMarginMs;
+    this.#releaseGraceMs = releaseGraceMs;
     this.records = records;
   }
 
@@ -124,10 +138,18 @@
    * The owner gave up without having written a byte, and never will under this
    * claim. Where a caller was told "unknown" meanwhile, that stays the answer.
    */
-  release(update: ClaimUpdate): void {
+  release(update: ClaimUpdate, wallNow: EpochMilliseconds): void {
     const record = this.#find(update);
     if (record?.state !== "waiting") return;
-    this.records.delete(recordKey(update));
+    record.state = "released";
+    record.owner = undefined;
+    record.attempt--;
+    record.releasedAt = wallNow;
+  }
+
+  /** Whether the key was given back under this claim and nobody was granted it since. */
+  isReleasedBy(update: ClaimUpdate): boolean {
+    return this.#find(update)?.state === "released";
   }
 
   /** Forgets keys that no host takes any more. */
@@ -187,6 +209,9 @@
     claim: Claim,
     { record, context }: { record: KeyRecord; context: ClaimContext },
   ): ClaimAnswer {
+    if (record.state === "released") {
+      return this.#claimReleased(claim, { record, context });
+    }
     const { owner, dispatch } = record;
     if (record.claimId === claim.claimId) return repeatAnswer(record);
     const isOwnerGone = owner === undefined ||
@@ -198,6 +223,18 @@
     return this.#claimLost(claim, record);
   }
 
+  #claimReleased(
+    claim: Claim,
+    { record, context }: { record: KeyRecord; context: ClaimContext },
+  ): ClaimAnswer {
+    const isRepeat = record.claimId === claim.claimId;
+    const isOpen = context.wallNow >= record.releasedAt + this.#releaseGraceMs;
+    if (isOpen && !isRepeat) return grant(record, claim);
+    return record.attempt > 0
+      ? { kind: "unknown", reason: "owner-lost" }
+      : { kind: "not-run", reason: "released" };
+  }
+
   /** Nobody can tell whether the owner dispatched; only an idempotent request may run anew. */
   #claimLost(claim: Claim, record: KeyRecord): ClaimAnswer {
     const reason = record.owner === undefined
@@ -238,6 +275,7 @@
     state: "waiting",
     dispatch: undefined,
     updates: 0,
+    releasedAt: 0,
   };
 }
 
--- a/packages/coordination/src/keyHomeController.ts
+++ b/packages/coordination/src/keyHomeController.ts
@@ -60,9 +60,9 @@
         this.#onClaim(from, claim);
       }),
       subscribeMessage(link, KEY_UPDATE, (from, update) => {
-        this.update(update);
+        const isReleased = this.update(update);
         const { claimId, sequence } = update;
-        const body = { claimId, sequence };
+        const body = { claimId, sequence, isReleased };
         sendMessage(link, KEY_UPDATE_TAKEN, { to: from, body });
       }),
     );
@@ -91,17 +91,36 @@
     return answer;
   }
 
-  /** Takes what became of a granted claim. */
-  update(update: KeyUpdate): void {
+  /**
+   * Takes what became of a granted claim; true when the key is given back and
+   * nobody else was or is granted it. A home that lost its leases cannot say so:
+   * another one may have granted the key meanwhile.
+   */
+  update(update: KeyUpdate): boolean {
+    if (this.#home.isNews(update)) this.#apply(update);
+    return this.#home.isReleasedBy(update) && this.#isHomeOf(update);
+  }
+
+  #apply(update: KeyUpdate): void {
     const { state, dispatch } = update;
-    if (!this.#home.isNews(update)) return;
-    if (state === "released") this.#home.release(update);
+    if (state === "released") {
+      this.#home.release(update, this.#options.timer.wallNow());
+    }
     if (state === "refused") this.#home.markRefused(update);
     if (dispatch === undefined) return;
     if (state === "dispatched") this.#home.markDispatched(update, dispatch);
     if (state === "finished") this.#home.markFinished(update, dispatch);
   }
 
+  #isHomeOf({ account, key }: KeyUpdate): boolean {
+    const { host, secrets, views } = this.#options;
+    const parsed = parseKey(key, { account, secrets: secrets() });
+    if (parsed.isErr()) return false;
+    if (parsed.value.kind === "ticket") return true;
+    const activity = views.activity();
+    return activity !== undefined && homeOf(key, activity.view) === host;
+  }
+
   #onClaim(from: HostId, claim: Claim): void {
     if (claim.claimant.host !== from) return;
     const body = { claimId: claim.claimId, answer: this.claim(claim) };
--- a/packages/coordination/src/keyMessages.ts
+++ b/packages/coordination/src/keyMessages.ts
@@ -49,6 +49,8 @@
 export interface KeyUpdateTaken {
   readonly claimId: string;
   readonly sequence: number;
+  /** Whether the key is given back and granted to nobody else. */
+  readonly isReleased?: boolean | undefined;
 }
 
 const claimantShape: Shape<Claimant> = objectOf({
@@ -117,5 +119,9 @@
   KeyUpdateTaken
 >(
   "key-update-taken",
-  objectOf({ claimId: textOf<string>(), sequence: numberOf<number>() }),
+  objectOf({
+    claimId: textOf<string>(),
+    sequence: numberOf<number>(),
+    isReleased: optional(isBoolean),
+  }),
 );
--- a/packages/coordination/src/keyService.ts
+++ b/packages/coordination/src/keyService.ts
@@ -38,6 +38,8 @@
 /** How long a claim is tried for; a home that lost its leases has them again within this, or something is wrong. */
 export const CLAIM_TIMEOUT_MS: Milliseconds = 3_000;
 const CLAIM_RETRY_MS: Milliseconds = 200;
+/** How long an owner waits for its home before it says "unknown" in place of "not run". */
+const CONFIRM_TIMEOUT_MS: Milliseconds = 1_000;
 const UPDATE_RETRY_MS: Milliseconds = 300;
 /** Tries of an update; an owner that cannot reach the home for so long leaves the key unknown there. */
 const UPDATE_TRIES = 40;
@@ -79,6 +81,12 @@
   timers: TimerSubscription[];
 }
 
+/** An update that its home has not acknowledged. */
+interface PendingUpdate {
+  readonly repeating: TimerSubscription;
+  readonly onTaken: (isReleased: boolean) => void;
+}
+
 /** What a {@link KeyService} needs from its process. */
 export interface KeyServiceOptions extends KeyControllerOptions {
   readonly random: Random;
@@ -94,7 +102,7 @@
   readonly #home: KeyHomeController;
   readonly #owner = new KeyOwner();
   readonly #waiters = new Map<string, Waiter>();
-  readonly #updates = new Map<string, TimerSubscription>();
+  readonly #updates = new Map<string, PendingUpdate>();
   readonly #subscriptions: (() => void)[] = [];
   #purging: TimerSubscription | undefined;
 
@@ -112,7 +120,7 @@
         this.#onAnswer(claimId, answer, { from });
       }),
       subscribeMessage(link, KEY_UPDATE_TAKEN, (_from, taken) => {
-        this.#endUpdate(updateKey(taken));
+        this.#endUpdate(updateKey(taken), taken.isReleased === true);
       }),
     );
     this.#purging = timer.every(PURGE_PERIOD_MS, () => {
@@ -123,7 +131,7 @@
   override stop(): void {
     this.#home.stop();
     for (const unsubscribe of this.#subscriptions.splice(0)) unsubscribe();
-    for (const update of this.#updates.values()) update.cancel();
+    for (const { repeating } of this.#updates.values()) repeating.cancel();
     this.#purging?.cancel();
   }
 
@@ -172,29 +180,30 @@
   markDispatched(owned: OwnedKey, dispatch: Dispatch): boolean {
     const now = this.#options.timer.wallNow();
     if (!this.#owner.spend(owned.claimId, now)) return false;
-    this.#update(owned, { state: "dispatched", dispatch });
+    void this.#update(owned, { state: "dispatched", dispatch });
     return true;
   }
 
   /** The upstream refused the connection: no byte has left, so the right to dispatch is back. */
   markRefused(owned: OwnedKey): void {
     if (!this.#owner.refund(owned.claimId)) return;
-    this.#update(owned, { state: "refused" });
+    void this.#update(owned, { state: "refused" });
   }
 
   /** The whole answer is here. */
   markFinished(owned: OwnedKey, dispatch: Dispatch): void {
-    this.#update(owned, { state: "finished", dispatch });
+    void this.#update(owned, { state: "finished", dispatch });
   }
 
   /**
-   * Gives a key back of which no byte was written; false when it was dispatched.
-   * Afterwards this grant dispatches nothing, so that "not run" is true.
+   * Gives a key back of which no byte was written. Resolves with true when the
+   * home has it and granted it to nobody else: only then "not run" is true. An
+   * owner that was paused or cut off may have been taken for dead meanwhile, and
+   * its key granted anew.
    */
-  release(owned: OwnedKey): boolean {
-    if (!this.#owner.release(owned.claimId)) return false;
-    this.#update(owned, { state: "released" });
-    return true;
+  release(owned: OwnedKey): Promise<boolean> {
+    if (!this.#owner.release(owned.claimId)) return Promise.resolve(false);
+    return this.#update(owned, { state: "released" });
   }
 
   /** Every host refuses such a key, however its clock stands, so that it never ran. */
@@ -268,7 +277,7 @@
       this.#settle(claimId, toOutcome(own!, answer));
     }
     if (action === "give-back" && answer.kind === "granted") {
-      this.#update(ownedKey(own!, answer.attempt), { state: "released" });
+      void this.#update(ownedKey(own!, answer.attempt), { state: "released" });
     }
     const waiter = this.#waiters.get(claimId);
     if (action === "retry" && answer.kind === "unknown") {
@@ -285,28 +294,46 @@
     waiter.resolve(outcome);
   }
 
+  /** Resolves with whether the home has the key back; false when it does not answer in time. */
   #update(
     owned: OwnedKey,
     change: Pick<KeyUpdate, "state" | "dispatch">,
-  ): void {
-    const { host, timer, link } = this.#options;
+  ): Promise<boolean> {
+    const { host, timer } = this.#options;
     const { account, key, claimId, home } = owned;
     const sequence = this.#owner.nextUpdate(claimId);
     const update: KeyUpdate = { account, key, claimId, sequence, ...change };
-    if (home === host) return this.#home.update(update);
+    if (home === host) return Promise.resolve(this.#home.update(update));
+    return new Promise((resolve) => {
+      timer.after(CONFIRM_TIMEOUT_MS, () => resolve(false));
+      this.#sendUntilTaken(update, { home, onTaken: resolve });
+    });
+  }
+
+  #sendUntilTaken(
+    update: KeyUpdate,
+    { home, onTaken }: {
+      home: HostId;
+      onTaken: (isReleased: boolean) => void;
+    },
+  ): void {
+    const { timer, link } = this.#options;
     const name = updateKey(update);
     let tries = 0;
     const send = (): void => {
       sendMessage(link, KEY_UPDATE, { to: home, body: update });
       tries++;
-      if (tries === UPDATE_TRIES) this.#endUpdate(name);
+      if (tries === UPDATE_TRIES) this.#endUpdate(name, false);
     };
-    this.#updates.set(name, timer.every(UPDATE_RETRY_MS, send));
+    const repeating = timer.every(UPDATE_RETRY_MS, send);
+    this.#updates.set(name, { repeating, onTaken });
     send();
   }
 
-  #endUpdate(name: string): void {
-    this.#updates.get(name)?.cancel();
+  #endUpdate(name: string, isReleased: boolean): void {
+    const update = this.#updates.get(name);
+    update?.repeating.cancel();
+    update?.onTaken(isReleased);
     this.#updates.delete(name);
   }
 }
--- a/packages/decisions/src/ejection.ts
+++ b/packages/decisions/src/ejection.ts
@@ -99,11 +99,20 @@
     this.#ejected.delete(upstream);
   }
 
+  /**
+   * Of two or three upstreams one may go, whatever the share says. Without this
+   * a dead one of two stays in place and is granted again and again.
+   */
+  #cap(): number {
+    if (this.#upstreams < 2 || this.#maximumEjectedShare === 0) return 0;
+    const share = Math.floor(this.#upstreams * this.#maximumEjectedShare);
+    return Math.max(1, share);
+  }
+
   #eject(upstream: UpstreamId, health: Health, now: Milliseconds): boolean {
     health.failedAt = now;
     if (this.#ejected.has(upstream)) return false;
-    const cap = Math.floor(this.#upstreams * this.#maximumEjectedShare);
-    if (this.#ejected.size >= cap) return false;
+    if (this.#ejected.size >= this.#cap()) return false;
     const doubled = FIRST_EJECTION_MS * 2 ** health.ejections;
     health.ejectedUntil = now + Math.min(MAXIMUM_EJECTION_MS, doubled);
     health.ejections++;
--- a/packages/proof/src/modelCheck.ts
+++ b/packages/proof/src/modelCheck.ts
@@ -468,7 +468,7 @@
         key: this.#key,
         claimId,
         sequence: 1,
-      });
+      }, 0);
     });
   }
 
--- a/packages/proof/src/modelWorld.ts
+++ b/packages/proof/src/modelWorld.ts
@@ -135,6 +135,9 @@
       records: state.records,
       tenureMarginMs: 0,
       lifetimeMs: lifetimeOf(bounds),
+      // Claims overtake nothing here: the model asks what a grant right after
+      // a release can do at worst.
+      releaseGraceMs: 0,
     });
     this.owner = new KeyOwner({ claims: state.claims });
   }
