--- a/packages/proof/src/faultsMain.ts
+++ b/packages/proof/src/faultsMain.ts
@@ -84,25 +84,30 @@
   const report = emptyReport(seed);
   let next = 0;
   await Promise.all(Array.from({ length: jobs }, async () => {
-    const worker = fork(fileURLToPath(import.meta.url), {
-      execArgv: process.execArgv,
-    });
     while (next < runs) {
       const from = next;
       next = Math.min(runs, next + BATCH);
-      const answer = new Promise<FaultsReport>((resolve, reject) => {
-        worker.once("message", resolve);
-        worker.once("exit", () => reject(new Error("A worker process ended")));
-      });
-      worker.send({ seed, from, to: next });
-      addReport(report, await answer);
-      worker.removeAllListeners("exit");
+      addReport(report, await runInProcess({ seed, from, to: next }));
     }
-    worker.disconnect();
   }));
   return report;
 }
 
+/** A process of its own for each batch, whose memory goes with it. */
+function runInProcess(options: FaultsOptions): Promise<FaultsReport> {
+  const worker = fork(fileURLToPath(import.meta.url), {
+    execArgv: process.execArgv,
+  });
+  return new Promise((resolve, reject) => {
+    worker.once("message", (report: FaultsReport) => {
+      worker.disconnect();
+      resolve(report);
+    });
+    worker.once("exit", () => reject(new Error("A worker process ended")));
+    worker.send(options);
+  });
+}
+
 function printReadable(
   { failures, ...counts }: FaultsReport,
   seconds: number,
