--- a/packages/coordination/src/keyHomeController.ts
+++ b/packages/coordination/src/keyHomeController.ts
@@ -26,6 +26,8 @@
 import { type Activity, homeOf, tenureStartOf } from "./views.ts";
 
 const EXPIRY_PERIOD_MS: Milliseconds = 10_000;
+/** More starts than a host has tenures at once; all are worked out again after that. */
+const MAX_WALL_STARTS = 64;
 
 /** What key controllers need from their process. */
 export interface KeyControllerOptions {
@@ -45,6 +47,12 @@
   readonly #options: KeyControllerOptions;
   readonly #home: KeyHome;
   readonly #subscriptions: (() => void)[] = [];
+  /**
+   * Wall-clock starts of tenures. Worked out anew at each claim, a start moved
+   * by up to a millisecond with the two clocks, and of two accounts' equal keys
+   * right at the border one was granted and one was not.
+   */
+  readonly #wallStarts = new Map<Milliseconds, EpochMilliseconds>();
   #expiry: TimerSubscription | undefined;
 
   constructor(options: KeyControllerOptions, home: KeyHome = new KeyHome()) {
@@ -148,7 +156,12 @@
   #tenureStart(key: string, { tenures }: Activity): EpochMilliseconds {
     const { host, views, timer } = this.#options;
     const startedAt = tenureStartOf(key, { host, tenures });
-    return timer.wallNow() - views.elapsedSince(startedAt);
+    const known = this.#wallStarts.get(startedAt);
+    if (known !== undefined) return known;
+    const wallStart = timer.wallNow() - views.elapsedSince(startedAt);
+    if (this.#wallStarts.size >= MAX_WALL_STARTS) this.#wallStarts.clear();
+    this.#wallStarts.set(startedAt, wallStart);
+    return wallStart;
   }
 
   #context(tenureStartedAt: EpochMilliseconds): ClaimContext {
