--- a/packages/coordination/src/messageStructures.ts
+++ b/packages/coordination/src/messageStructures.ts
@@ -84,4 +84,21 @@
     "unbrokenSince",
   ],
   ["version", "hosts"],
+  // Keys
+  [
+    "account",
+    "key",
+    "issuedAt",
+    "lifetimeMs",
+    "bodyDigest",
+    "isIdempotent",
+    "claimId",
+    "claimant",
+  ],
+  ["host", "incarnation", "request"],
+  ["claimId", "answer"],
+  ["kind", "attempt"],
+  ["account", "key", "claimId", "sequence", "state", "dispatch"],
+  ["upstream", "nonce"],
+  ["claimId", "sequence"],
 ];
--- a/packages/proof/src/slopeHostGroups.ts
+++ b/packages/proof/src/slopeHostGroups.ts
@@ -1,3 +1,4 @@
+import { KEY_LIFETIME_MS, MAX_VIEW_HOSTS } from "@wasabivane/coordination";
 import { measureBundles } from "./slopeBundle.ts";
 import {
   bytesPerSecond,
@@ -7,6 +8,7 @@
   type SlopeGroup,
   slopeGroup,
 } from "./slopeGroup.ts";
+import { keyBytes, keyState } from "./slopeKeys.ts";
 import { poolProtocol, poolSync } from "./slopePool.ts";
 import {
   accountState,
@@ -26,6 +28,9 @@
 } from "./slopeTarget.ts";
 
 const MILLISECONDS = 1_000;
+/** Were every request to carry a bare key, as long as keys are remembered. */
+const KEYS_PER_HOME = TARGET.requestsPerSecond * KEY_LIFETIME_MS /
+  MILLISECONDS / MAX_VIEW_HOSTS;
 /** What one process can relay at most: a core less a third for bursts. */
 const RELAY_BUDGET_MS = 667;
 
@@ -135,6 +140,22 @@
       "pool-sync-bytes": poolSync(),
     };
   }),
+  slopeGroup({
+    "key-bytes": {
+      ...bytesPerSecond,
+      unit: "bytes between a host and the homes of keys per second",
+      per: "requests with a bare key of the host per second",
+      targetX: REQUESTS_PER_HOST,
+    },
+    "key-state": {
+      ...heap,
+      per: "bare keys that one home holds",
+      targetX: KEYS_PER_HOME,
+    },
+  }, async () => ({
+    "key-bytes": await keyBytes(),
+    "key-state": await keyState(),
+  })),
   slopeGroup({
     "relay-processor": {
       unit: "ms of processor time of one entry process per second",
--- /dev/null
+++ b/packages/proof/src/slopeKeys.ts
@@ -0,0 +1,165 @@
+import {
+  asId,
+  Blackboard,
+  type ClientAccountId,
+  type Digest,
+  type IdempotencyKey,
+  type Incarnation,
+  MemoryMetrics,
+  type Milliseconds,
+  type Nonce,
+  SeededRandom,
+  type UpstreamId,
+  VirtualTimer,
+} from "@wasabivane/common";
+import {
+  type Dispatch,
+  HOST_LIST,
+  KeyService,
+  MemoryNetwork,
+  ViewController,
+} from "@wasabivane/coordination";
+import { hostListOf } from "./slopeFleet.ts";
+import { heapBytes } from "./slopeMeasure.ts";
+import type { SlopePoint } from "./slope.ts";
+
+const HOSTS = 8;
+const RATES = [10, 20, 40, 80];
+const HELD_COUNTS = [1_000, 2_000, 4_000];
+/** Leases are joined and held by then. */
+const WARM_UP_MS: Milliseconds = 8_000;
+const MEASURED_MS: Milliseconds = 4_000;
+const SETTLE_MS: Milliseconds = 1_000;
+const GRAIN_MS: Milliseconds = 5;
+const SECOND = 1_000;
+const SECRETS = ["slope-secret"];
+const BODY_DIGEST = asId<Digest>("0".repeat(64));
+const DISPATCH: Dispatch = {
+  upstream: asId<UpstreamId>("upstream-1"),
+  nonce: asId<Nonce>("0".repeat(32)),
+};
+
+/** Bytes that keys add to a fleet, by keys claimed through one host in a second. */
+export async function keyBytes(): Promise<SlopePoint[]> {
+  const idle = await sentBytesAt(0);
+  const points: SlopePoint[] = [];
+  for (const rate of RATES) {
+    const bytes = await sentBytesAt(rate) - idle;
+    points.push([rate, bytes / MEASURED_MS * SECOND]);
+  }
+  return points;
+}
+
+/** Heap of owner and home together, by keys that are held. */
+export async function keyState(): Promise<SlopePoint[]> {
+  const points: SlopePoint[] = [];
+  for (const count of HELD_COUNTS) {
+    const fleet = new KeyFleet();
+    await fleet.advance(WARM_UP_MS);
+    const before = heapBytes();
+    for (let number = 0; number < count; number++) fleet.claim();
+    await fleet.advance(SETTLE_MS);
+    points.push([count, heapBytes() - before]);
+    fleet.check(count);
+  }
+  return points;
+}
+
+async function sentBytesAt(rate: number): Promise<number> {
+  const fleet = new KeyFleet();
+  await fleet.advance(WARM_UP_MS);
+  const before = fleet.network.sentBytes;
+  const claims = rate * MEASURED_MS / SECOND;
+  for (let number = 0; number < claims; number++) {
+    fleet.timer.after(number * SECOND / rate, () => fleet.claim());
+  }
+  await fleet.advance(MEASURED_MS + SETTLE_MS);
+  fleet.check(claims);
+  return fleet.network.sentBytes - before;
+}
+
+/** Hosts that hold leases and keys; all keys are claimed through the first. */
+class KeyFleet {
+  readonly timer = new VirtualTimer();
+  readonly network: MemoryNetwork;
+  readonly #random = new SeededRandom(1);
+  readonly #keys: KeyService[];
+  #granted = 0;
+
+  constructor() {
+    const { timer } = this;
+    this.network = new MemoryNetwork({ timer, random: this.#random });
+    const list = hostListOf(HOSTS);
+    this.#keys = list.entryHosts.map(({ host }) => {
+      const blackboard = new Blackboard();
+      blackboard.write(HOST_LIST, list);
+      const shared = {
+        host,
+        incarnation: asId<Incarnation>(`incarnation-of-${host}`),
+        blackboard,
+        link: this.network.join(host),
+        timer,
+        metrics: new MemoryMetrics(),
+      };
+      const views = new ViewController(shared);
+      const keys = new KeyService({
+        ...shared,
+        views,
+        random: this.#random,
+        secrets: () => SECRETS,
+      });
+      views.start();
+      keys.start();
+      return keys;
+    });
+  }
+
+  async advance(span: Milliseconds): Promise<void> {
+    const end = this.timer.now() + span;
+    while (this.timer.now() < end) {
+      this.timer.advance(GRAIN_MS);
+      for (let turn = 0; turn < 6; turn++) await Promise.resolve();
+    }
+  }
+
+  /** Takes one bare key from its claim to the end of its request. */
+  claim(): void {
+    const [keys] = this.#keys;
+    const key = this.#bareKey();
+    void keys!.claim({
+      account: asId<ClientAccountId>("client-account-1"),
+      key,
+      request: asId(`request-${key}`),
+      bodyDigest: BODY_DIGEST,
+      isIdempotent: false,
+    }).then((outcome) => {
+      if (outcome.kind !== "granted") return;
+      this.#granted++;
+      keys!.markDispatched(outcome.owned, DISPATCH);
+      keys!.markFinished(outcome.owned, DISPATCH);
+    });
+  }
+
+  /** Claims that were not granted would make the figures too good. */
+  check(claims: number): void {
+    if (this.#granted === claims) return;
+    throw new Error(`${this.#granted} of ${claims} claims were granted`);
+  }
+
+  /** A UUIDv7 made now. */
+  #bareKey(): IdempotencyKey {
+    const time = Math.floor(this.timer.wallNow()).toString(16).padStart(
+      12,
+      "0",
+    );
+    const chance = this.#random.hex(9);
+    const parts = [
+      time.slice(0, 8),
+      time.slice(8),
+      `7${chance.slice(0, 3)}`,
+      `8${chance.slice(3, 6)}`,
+      chance.slice(6, 18),
+    ];
+    return asId<IdempotencyKey>(parts.join("-"));
+  }
+}
