--- a/packages/proof/src/entryBench.ts
+++ b/packages/proof/src/entryBench.ts
@@ -10,8 +10,9 @@
   exampleSigningKey,
   signBundle,
   trustedKeyOf,
+  type Upstream,
 } from "@wasabivane/bundle";
-import { asId } from "@wasabivane/common";
+import { asId, type UpstreamId } from "@wasabivane/common";
 import { PlatformStandIn } from "@wasabivane/stand-ins";
 import {
   type ChildProgram,
@@ -23,6 +24,7 @@
 
 const ENTRY_PROGRAM = "../../../apps/entry/dist/main.js";
 const API_KEY = "bench-key";
+const DAY_MS = 86_400_000;
 const WHOLE_CONCURRENCY = 32;
 const STREAM_CONCURRENCY = 32;
 const STREAM_TOKENS = 500;
@@ -112,10 +114,11 @@
 /** Starts one entry process with a single client account before an upstream. */
 export async function startBenchEntry(
   upstreamUrl: string,
+  { copies = 1 }: { copies?: number } = {},
 ): Promise<{ program: ChildProgram; close: () => Promise<void> }> {
   const platform = new PlatformStandIn();
   const { url } = await platform.start();
-  const bundle = benchBundle(upstreamUrl);
+  const bundle = benchBundle(upstreamUrl, copies);
   platform.setBundle(signBundle(bundle, exampleSigningKey())._unsafeUnwrap());
   platform.setHosts({
     version: 1,
@@ -144,7 +147,7 @@
   };
 }
 
-function benchBundle(url: string): Bundle {
+function benchBundle(url: string, copies: number): Bundle {
   const example = exampleBundle("fukuoka");
   const [account] = example.clientAccounts;
   const limits = {
@@ -155,12 +158,17 @@
   };
   return {
     ...example,
+    // The benchmark measures the relay; no stream of it shall be refused because
+    // an engine that answers from a constant has taught the scheduler odd speeds.
+    tiers: example.tiers.map((tier) => ({ ...tier, deadlineMs: DAY_MS })),
     services: example.services.map((service) => ({
       ...service,
       initialConcurrency: 256,
       maximumConcurrency: 256,
     })),
-    upstreams: example.upstreams.map((upstream) => ({ ...upstream, url })),
+    upstreams: example.upstreams.flatMap((upstream) =>
+      copiesOf(upstream, copies).map((copy) => ({ ...copy, url }))
+    ),
     clientAccounts: [{
       ...account!,
       keyDigests: [apiKeyDigest(API_KEY)],
@@ -169,6 +177,14 @@
   };
 }
 
+/** The scheduler bounds what one upstream streams; more streams need more upstreams. */
+function copiesOf(upstream: Upstream, copies: number): Upstream[] {
+  return Array.from({ length: copies }, (_, index) => ({
+    ...upstream,
+    upstream: asId<UpstreamId>(`${upstream.upstream}-${index}`),
+  }));
+}
+
 function benchSettings(platformUrl: string): Record<string, unknown> {
   const listener = { address: "127.0.0.1", port: 0 };
   return {
--- a/packages/proof/src/slopeStream.ts
+++ b/packages/proof/src/slopeStream.ts
@@ -27,7 +27,9 @@
 /** Holds streams open through one entry process and reads what the kernel charges it. */
 export async function measureStreams(): Promise<StreamCosts> {
   const upstream = await startProgram("./slopeUpstreamMain.js");
-  const entry = await startBenchEntry(urlOf(upstream.announcement.port));
+  const entry = await startBenchEntry(urlOf(upstream.announcement.port), {
+    copies: 16,
+  });
   const pid = entry.program.child.pid!;
   const load = new StreamLoad(urlOf(entry.program.announcement.callerPort));
   const residentBytes: SlopePoint[] = [];
@@ -94,11 +96,13 @@
         ...benchCall({ stream: true, tokens: 4_096 }),
         signal: this.#ending.signal,
       });
+      let last = "";
       for await (const bytes of answer.body) {
-        this.tokens += (bytes as Buffer).toString("latin1").split(TOKEN_MARK)
-          .length - 1;
+        last = (bytes as Buffer).toString("latin1");
+        this.tokens += last.split(TOKEN_MARK).length - 1;
       }
-      throw new Error(`A stream ended with status ${answer.statusCode}`);
+      const { statusCode } = answer;
+      throw new Error(`A stream ended with status ${statusCode}: ${last}`);
     } catch (error) {
       if (!this.#ending.signal.aborted) this.#failure ??= error;
     }
