Tell stories of planned stops

Cause: plannedStopCutsNothing and twoHostsStopAtOnce could not be told while a drain was refused. Change: both stories; the runner ends a host's process when its stop has ended, as the daemon does.

--- a/packages/proof/scenarios/index.ts
+++ b/packages/proof/scenarios/index.ts
@@ -14,11 +14,13 @@
 import { OWNER_KILLED_AFTER_DISPATCH } from "./ownerKilledAfterDispatch.ts";
 import { OWNER_KILLED_MID_STREAM_ANSWER_RESUMED } from "./ownerKilledMidStreamAnswerResumed.ts";
 import { PARTITION_SPLITS_FLEET } from "./partitionSplitsFleet.ts";
+import { PLANNED_STOP_CUTS_NOTHING } from "./plannedStopCutsNothing.ts";
 import { POISON_RESENT_THROUGH_ALL_HOSTS } from "./poisonResentThroughAllHosts.ts";
 import { RESEND_TO_ANOTHER_HOST_WHILE_FIRST_RUNS } from "./resendToAnotherHostWhileFirstRuns.ts";
 import { RESEND_TO_FRESH_HOST_WHILE_FIRST_RUNS } from "./resendToFreshHostWhileFirstRuns.ts";
 import { STALE_HOST_LIST } from "./staleHostList.ts";
 import { STRANDED_JOB_IS_TOLD_IN_WORDS } from "./strandedJobIsToldInWords.ts";
+import { TWO_HOSTS_STOP_AT_ONCE } from "./twoHostsStopAtOnce.ts";
 import { UPSTREAM_BREAKS_STREAM_AND_RESUMES } from "./upstreamBreaksStreamAndResumes.ts";
 import { UPSTREAM_CRASHES_MID_STREAM } from "./upstreamCrashesMidStream.ts";
 import { UPSTREAM_LEAVING } from "./upstreamLeaving.ts";
@@ -40,11 +42,13 @@
   OWNER_KILLED_AFTER_DISPATCH,
   OWNER_KILLED_MID_STREAM_ANSWER_RESUMED,
   PARTITION_SPLITS_FLEET,
+  PLANNED_STOP_CUTS_NOTHING,
   POISON_RESENT_THROUGH_ALL_HOSTS,
   RESEND_TO_ANOTHER_HOST_WHILE_FIRST_RUNS,
   RESEND_TO_FRESH_HOST_WHILE_FIRST_RUNS,
   STALE_HOST_LIST,
   STRANDED_JOB_IS_TOLD_IN_WORDS,
+  TWO_HOSTS_STOP_AT_ONCE,
   UPSTREAM_BREAKS_STREAM_AND_RESUMES,
   UPSTREAM_CRASHES_MID_STREAM,
   UPSTREAM_LEAVING,
--- a/packages/proof/src/scenarioRunner.ts
+++ b/packages/proof/src/scenarioRunner.ts
@@ -227,7 +227,12 @@
   }
 
   #stop(host: string): void {
-    this.#fleet.hosts.get(host)?.entry.operatorView().drain(undefined);
+    const entry = this.#fleet.hosts.get(host)?.entry;
+    // A daemon ends its process when its planned stop has ended.
+    entry?.onStopPhase(({ kind }) => {
+      if (kind === "ended") this.#kill(host);
+    });
+    entry?.requestStop();
   }
 
   #noteLinks(how: "cut" | "healed"): void {
