Let a piece of an answer serve one read only

A caller that resends through one host could have brought it down. Change: reads are numbered, a piece repeats the number, and a relay takes only the piece of its own outstanding read; late and doubled pieces find none.

--- a/apps/entry/src/answerRelay.ts
+++ b/apps/entry/src/answerRelay.ts
@@ -46,6 +46,8 @@
   readonly record: AnswerRecord;
   readonly finish: (end: RelayEnd) => void;
   position: number;
+  /** The read that waits for its piece; none while the reader has no room. */
+  read: number | undefined;
   retries: number;
   retry: TimerSubscription | undefined;
 }
@@ -57,7 +59,14 @@
  */
 export class AnswerRelay extends Controller {
   readonly #options: AnswerRelayOptions;
-  readonly #relays = new Map<RequestId, Set<Relay>>();
+  /**
+   * Relays by the read that each waits for. A piece answers one read and no
+   * other: when pieces were matched by request alone, two resends through one
+   * host each took the other's piece and read on, and the reads doubled with
+   * every piece until the host ran out of memory.
+   */
+  readonly #relays = new Map<number, Relay>();
+  #reads = 0;
   readonly #subscriptions: (() => void)[] = [];
 
   constructor(options: AnswerRelayOptions) {
@@ -83,9 +92,7 @@
 
   override stop(): void {
     for (const unsubscribe of this.#subscriptions.splice(0)) unsubscribe();
-    for (const relays of this.#relays.values()) {
-      for (const relay of relays) relay.retry?.cancel();
-    }
+    for (const relay of this.#relays.values()) relay.retry?.cancel();
   }
 
   /**
@@ -106,16 +113,14 @@
         request,
         record,
         position: record.length,
+        read: undefined,
         retries: 0,
         retry: undefined,
         finish: (end) => {
-          relay.retry?.cancel();
-          this.#relays.get(request)?.delete(relay);
+          this.#endRead(relay);
           resolve(end);
         },
       };
-      const relays = this.#relays.get(request) ?? new Set();
-      this.#relays.set(request, relays.add(relay));
       this.#read(relay);
     });
   }
@@ -123,8 +128,13 @@
   #read(relay: Relay): void {
     const { link, timer } = this.#options;
     const { owner, request, position } = relay;
-    sendMessage(link, ANSWER_READ, { to: owner, body: { request, position } });
-    relay.retry?.cancel();
+    this.#endRead(relay);
+    this.#reads++;
+    const read = this.#reads;
+    relay.read = read;
+    this.#relays.set(read, relay);
+    const body: AnswerRead = { request, read, position };
+    sendMessage(link, ANSWER_READ, { to: owner, body });
     relay.retry = timer.after(RETRY_MS, () => {
       relay.retries++;
       if (relay.retries > MAX_RETRIES) relay.finish("owner-lost");
@@ -132,12 +142,18 @@
     });
   }
 
+  /** A piece that comes later, or a second time, finds no relay any more. */
+  #endRead(relay: Relay): void {
+    relay.retry?.cancel();
+    if (relay.read !== undefined) this.#relays.delete(relay.read);
+    relay.read = undefined;
+  }
+
   #onPiece(from: HostId, piece: AnswerPiece): void {
-    for (const relay of [...this.#relays.get(piece.request) ?? []]) {
-      if (relay.owner === from && relay.position === piece.position) {
-        this.#take(relay, piece);
-      }
-    }
+    const relay = this.#relays.get(piece.read);
+    if (relay === undefined || relay.owner !== from) return;
+    this.#endRead(relay);
+    this.#take(relay, piece);
   }
 
   #take(relay: Relay, piece: AnswerPiece): void {
@@ -158,26 +174,26 @@
       relay.finish("ended");
       return;
     }
-    relay.retry?.cancel();
     void record.whenRoom().then(() => this.#read(relay));
   }
 
-  #onRead(from: HostId, { request, position }: AnswerRead): void {
+  #onRead(from: HostId, asked: AnswerRead): void {
+    const { request, position } = asked;
     const record = this.#options.recordOf(request);
     if (record === undefined || !record.canReplay) {
-      this.#reply(from, { request, position, isKept: false, parts: [] });
+      this.#reply(from, { ...asked, isKept: false, parts: [] });
       return;
     }
     if (record.stepAt(position) !== undefined) {
-      this.#reply(from, pieceOf(record, { request, position }));
+      this.#reply(from, pieceOf(record, asked));
       return;
     }
-    this.#holdUntilNews(record, { request, position, from });
+    this.#holdUntilNews(record, { asked, from });
   }
 
   #holdUntilNews(
     record: AnswerRecord,
-    { request, position, from }: AnswerRead & { from: HostId },
+    { asked, from }: { asked: AnswerRead; from: HostId },
   ): void {
     let isSent = false;
     const send = (): void => {
@@ -185,10 +201,10 @@
       isSent = true;
       held.cancel();
       reader?.close();
-      this.#reply(from, pieceOf(record, { request, position }));
+      this.#reply(from, pieceOf(record, asked));
     };
     const held = this.#options.timer.after(HOLD_MS, send);
-    const reader = record.openAt(position);
+    const reader = record.openAt(asked.position);
     void reader?.next().then(send);
   }
 
@@ -198,15 +214,12 @@
   }
 }
 
-function pieceOf(
-  record: AnswerRecord,
-  { request, position }: AnswerRead,
-): AnswerPiece {
+function pieceOf(record: AnswerRecord, asked: AnswerRead): AnswerPiece {
   const parts: Uint8Array[] = [];
   let head: Partial<AnswerPiece> = {};
   let end: Partial<AnswerPiece> = {};
   let bytes = 0;
-  let at = position;
+  let at = asked.position;
   while (bytes < MAX_PIECE_BYTES && parts.length < MAX_PIECE_PARTS) {
     const step: AnswerStep | undefined = record.stepAt(at);
     if (step === undefined) break;
@@ -225,7 +238,7 @@
     }
     at++;
   }
-  return { request, position, isKept: true, parts, ...head, ...end };
+  return { ...asked, isKept: true, parts, ...head, ...end };
 }
 
 function headersOf({ headers = [] }: AnswerPiece): Record<string, string> {
--- a/apps/entry/src/index.ts
+++ b/apps/entry/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./answerRecord.ts";
+export * from "./answerRelay.ts";
 export * from "./authentication.ts";
 export * from "./boundedTag.ts";
 export * from "./callerApi.ts";
--- a/apps/entry/tests/tls.test.ts
+++ b/apps/entry/tests/tls.test.ts
@@ -171,7 +171,7 @@
   t.teardown(() => link.close());
   sendMessage(link, ANSWER_READ, {
     to: ENTRY,
-    body: { request: asId("request"), position: 0 },
+    body: { request: asId("request"), read: 1, position: 0 },
   });
 }
 
--- a/packages/coordination/src/answerMessages.ts
+++ b/packages/coordination/src/answerMessages.ts
@@ -20,6 +20,8 @@
 /** Asks the owner of a request for its answer from a position on. */
 export interface AnswerRead {
   readonly request: RequestId;
+  /** Numbers the reads of one host; the piece repeats it. */
+  readonly read: number;
   /** Steps that the reader has: the head counts as one, each part as one. */
   readonly position: number;
 }
@@ -27,6 +29,7 @@
 /** A piece of an answer, in reply to {@link AnswerRead}. */
 export interface AnswerPiece {
   readonly request: RequestId;
+  readonly read: number;
   readonly position: number;
   /** False when the owner no longer has the answer from its first byte. */
   readonly isKept: boolean;
@@ -42,11 +45,16 @@
 /** See {@link AnswerRead}. */
 export const ANSWER_READ: MessageKind<AnswerRead> = defineMessage<AnswerRead>(
   "answer-read",
-  objectOf({ request: textOf<RequestId>(), position: numberOf<number>() }),
+  objectOf({
+    request: textOf<RequestId>(),
+    read: numberOf<number>(),
+    position: numberOf<number>(),
+  }),
 );
 
 const isPiece: Shape<AnswerPiece> = objectOf({
   request: textOf<RequestId>(),
+  read: numberOf<number>(),
   position: numberOf<number>(),
   isKept: isBoolean,
   status: optional(numberOf<number>()),
