Tell the home how old a keyed request may be

A caller was told "not run" through one host while a resend of it lay in the socket of a paused one; on waking that host claimed the key long after the release's grace and ran it. Change: StallWatch gives the earliest moment at which a request that is read now can have arrived; claims carry that age, and a released key is not granted to a request older than its release. Body and queue times before the claim count too.

--- a/apps/entry/src/acceptedRequest.ts
+++ b/apps/entry/src/acceptedRequest.ts
@@ -18,6 +18,8 @@
   readonly key: IdempotencyKey | undefined;
   readonly isIdempotent: boolean;
   readonly acceptedAt: Milliseconds;
+  /** The earliest moment at which its first byte can have come in. */
+  readonly arrivedAt: Milliseconds;
   /** On the timer's monotonic clock. */
   readonly deadline: Milliseconds;
   readonly method: string;
--- a/apps/entry/src/callerApi.ts
+++ b/apps/entry/src/callerApi.ts
@@ -4,6 +4,7 @@
   ClientAccountId,
   IdempotencyKey,
   Metrics,
+  Milliseconds,
   Random,
   RequestId,
   Timer,
@@ -45,6 +46,8 @@
   readonly bundleInForce: Topic<SignedBundle | undefined>;
   readonly maximumBodyBytes: number;
   readonly isStopping: () => boolean;
+  /** The earliest moment at which a request that is read now can have arrived. */
+  readonly earliestArrival: () => Milliseconds;
   /** Serves requests without an idempotency key. */
   readonly service: RequestService;
   readonly keyedService: RequestService;
@@ -98,6 +101,7 @@
     outgoing: ServerResponse,
   ): Promise<Problem | undefined> {
     const { blackboard, bundleInForce, isStopping, jobDesk } = this.#options;
+    const arrivedAt = this.#options.earliestArrival();
     if (isStopping()) {
       return problemOf("stopping", { retryAfter: RETRY_AFTER_MS });
     }
@@ -127,6 +131,7 @@
       bundle,
       account,
       now: this.#options.timer.now(),
+      arrivedAt,
       method: incoming.method ?? "GET",
       path,
       headers: incoming.headers,
--- a/apps/entry/src/entryHost.ts
+++ b/apps/entry/src/entryHost.ts
@@ -123,7 +123,7 @@
   /** The interface for callers. */
   createCallerApi(): CallerApi {
     const { settings, timer, random } = this.#options;
-    const { service, keyed, keys, jobs } = this.#parts;
+    const { service, keyed, keys, jobs, stalls } = this.#parts;
     return new CallerApi({
       blackboard: this.#blackboard,
       timer,
@@ -132,6 +132,7 @@
       bundleInForce: BUNDLE_IN_FORCE,
       maximumBodyBytes: settings.limits.maximumBodyBytes,
       isStopping: () => !this.#isServing(),
+      earliestArrival: () => stalls.earliestArrival(),
       service,
       keyedService: keyed,
       mintTicket: (account) => keys.mintTicket(account),
--- a/apps/entry/src/hostParts.ts
+++ b/apps/entry/src/hostParts.ts
@@ -46,6 +46,7 @@
 import { KeptAnswers } from "./keptAnswers.ts";
 import { KeyedService } from "./keyedService.ts";
 import { poolPolicyOf } from "./poolPolicy.ts";
+import { StallWatch } from "./stallWatch.ts";
 import { UpstreamWatch } from "./upstreamWatch.ts";
 
 /** Everything that runs on an entry host, joined through the blackboard. */
@@ -58,6 +59,7 @@
   readonly jobs: JobController;
   readonly jobRunner: JobRunner;
   readonly stopping: StopController;
+  readonly stalls: StallWatch;
   /** In the order in which they start. */
   readonly controllers: readonly Pick<Controller, "start" | "stop">[];
 }
@@ -92,6 +94,7 @@
     client: options.client,
   };
   const service = new EntryService(services);
+  const stalls = new StallWatch(shared);
   const membership = createMembership(options, shared);
   const views = new ViewController(shared);
   const keys = new KeyService({
@@ -131,6 +134,7 @@
     jobs,
     jobRunner,
     stopping,
+    stalls,
     controllers: [
       membership,
       createConfiguration(options, shared),
@@ -144,6 +148,7 @@
       jobs,
       jobRunner,
       stopping,
+      stalls,
     ],
   };
 }
--- a/apps/entry/src/index.ts
+++ b/apps/entry/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./program.ts";
 export * from "./requestMetrics.ts";
 export * from "./settings.ts";
+export * from "./stallWatch.ts";
 export * from "./startEntry.ts";
 export * from "./statsdMetrics.ts";
 export * from "./upstreamClient.ts";
--- a/apps/entry/src/intake.ts
+++ b/apps/entry/src/intake.ts
@@ -52,6 +52,8 @@
   readonly bundle: Bundle;
   readonly account: ClientAccount;
   readonly now: Milliseconds;
+  /** The earliest moment at which it can have come in; now when left out. */
+  readonly arrivedAt?: Milliseconds;
   readonly method: string;
   /** Path and query. */
   readonly path: string;
@@ -123,6 +125,7 @@
     key: key.value,
     isIdempotent,
     acceptedAt: now,
+    arrivedAt: incoming.arrivedAt ?? now,
     deadline: now + timeAllowed.value,
     method: incoming.method,
     path: incoming.path,
--- a/apps/entry/src/jobDesk.ts
+++ b/apps/entry/src/jobDesk.ts
@@ -82,6 +82,7 @@
       request: request.request,
       bodyDigest: request.fingerprint,
       isIdempotent: false,
+      ageMs: this.#options.timer.now() - request.arrivedAt,
       lifetimeMs: JOB_KEY_LIFETIME_MS,
     });
     if (outcome.kind === "granted") {
--- a/apps/entry/src/jobRequest.ts
+++ b/apps/entry/src/jobRequest.ts
@@ -63,6 +63,7 @@
     key: undefined,
     isIdempotent: false,
     acceptedAt: now,
+    arrivedAt: now,
     deadline: now + timeLeft,
     method: job.method,
     path: job.path,
--- a/apps/entry/src/keyedService.ts
+++ b/apps/entry/src/keyedService.ts
@@ -92,13 +92,15 @@
   }
 
   #claim(): Promise<ClaimOutcome> {
-    const { account, key, request, fingerprint, isIdempotent } = this.#request;
+    const { account, key, request, fingerprint, isIdempotent, arrivedAt } =
+      this.#request;
     return this.#options.keys.claim({
       account: account.account,
       key: key!,
       request,
       bodyDigest: fingerprint,
       isIdempotent,
+      ageMs: this.#options.services.timer.now() - arrivedAt,
     });
   }
 
--- a/packages/coordination/src/keyClaims.ts
+++ b/packages/coordination/src/keyClaims.ts
@@ -27,6 +27,8 @@
   readonly lifetimeMs: Milliseconds;
   readonly bodyDigest: Digest;
   readonly isIdempotent: boolean;
+  /** How long ago the request can have reached its entry host at most. */
+  readonly ageMs?: Milliseconds | undefined;
   /** Names this claim, so that a doubled message is told from a second one. */
   readonly claimId: string;
   readonly claimant: Claimant;
--- a/packages/coordination/src/keyHome.ts
+++ b/packages/coordination/src/keyHome.ts
@@ -228,7 +228,9 @@
     { record, context }: { record: KeyRecord; context: ClaimContext },
   ): ClaimAnswer {
     const isRepeat = record.claimId === claim.claimId;
-    const isOpen = context.wallNow >= record.releasedAt + this.#releaseGraceMs;
+    // Sent before its caller was told "not run", however late it was read.
+    const sentAt = context.wallNow - (claim.ageMs ?? 0);
+    const isOpen = sentAt >= record.releasedAt + this.#releaseGraceMs;
     if (isOpen && !isRepeat) return grant(record, claim);
     return record.attempt > 0
       ? { kind: "unknown", reason: "owner-lost" }
--- a/packages/coordination/src/keyMessages.ts
+++ b/packages/coordination/src/keyMessages.ts
@@ -90,6 +90,7 @@
     lifetimeMs: numberOf<number>(),
     bodyDigest: textOf<Digest>(),
     isIdempotent: isBoolean,
+    ageMs: optional(numberOf<number>()),
     claimant: claimantShape,
   }),
 );
--- a/packages/coordination/src/keyService.ts
+++ b/packages/coordination/src/keyService.ts
@@ -53,6 +53,8 @@
   readonly request: RequestId;
   readonly bodyDigest: Digest;
   readonly isIdempotent: boolean;
+  /** How long ago the request can have come in at most; a paused process reads old ones. */
+  readonly ageMs?: Milliseconds;
   /** How long resends are known; {@link KEY_LIFETIME_MS} unless it is a job. */
   readonly lifetimeMs?: Milliseconds;
   readonly timeoutMs?: Milliseconds;
@@ -227,6 +229,7 @@
       lifetimeMs: request.lifetimeMs ?? KEY_LIFETIME_MS,
       bodyDigest: request.bodyDigest,
       isIdempotent: request.isIdempotent,
+      ageMs: request.ageMs,
       claimId: random.hex(CLAIM_ID_BYTES),
       claimant: { host, incarnation, request: request.request },
     };
--- a/packages/coordination/tests/keyService.test.ts
+++ b/packages/coordination/tests/keyService.test.ts
@@ -73,6 +73,19 @@
   t.like(late, { kind: "not-run", reason: "released" });
 });
 
+// An entry host was paused with a resend in its socket while the caller was told
+// "not run" through another host. When it wakes it claims the key long after the
+// release, but the resend is older than the release and must not run.
+test("a resend older than the release is not granted however late it is read", async (t) => {
+  const fleet = settledFleet();
+  const request = keyWithHome(fleet, A);
+  const owned = await ownAt(fleet, B, request);
+  void fleet.at(B).keys.release(owned);
+  fleet.advance(20_000);
+  const late = await claimAt(fleet, C, { ...request, ageMs: 20_500 });
+  t.like(late, { kind: "not-run", reason: "released" });
+});
+
 // The owner is cut off from the home until its request's deadline. The home
 // cannot confirm that the key was granted to nobody else, so "not run" may be
 // false and is not said.
