Part what an exchange asks and how it ends from its steps

Change: askOf and the mapping of endings stand in files of their own; a function that nobody called went.

--- a/apps/entry/src/exchange.ts
+++ b/apps/entry/src/exchange.ts
@@ -1,18 +1,26 @@
 import type { PoolClient } from "@wasabivane/coordination";
 import type {
+  FailureDomain,
+  HostId,
   Metrics,
-  Milliseconds,
   Nonce,
   Random,
   Timer,
   TimerSubscription,
+  UpstreamId,
 } from "@wasabivane/common";
-import type { Ask, AttemptOutcome, Decision } from "@wasabivane/decisions";
-import type { FailureDomain, HostId, UpstreamId } from "@wasabivane/common";
+import type { AttemptOutcome, Decision } from "@wasabivane/decisions";
 import type { Result } from "neverthrow";
 import type { AcceptedRequest } from "./acceptedRequest.ts";
 import { type AnswerEnd, AnswerRecord } from "./answerRecord.ts";
 import type { Dispatch, DispatchSummary, DispatchTarget } from "./dispatch.ts";
+import { askOf } from "./exchangeAsk.ts";
+import {
+  isNotRun,
+  outcomeOf,
+  problemOfError,
+  withoutNotRun,
+} from "./exchangeEnding.ts";
 import { ModelDispatch } from "./modelDispatch.ts";
 import { PlainDispatch } from "./plainDispatch.ts";
 import { type Problem, problemOf, problemOfRefusal } from "./problem.ts";
@@ -195,9 +203,13 @@
   #submit(): void {
     const decide = (decision: Decision): void =>
       void this.#onDecision(decision);
-    this.#services.pools.submit(this.request.service.service, this.#ask(), {
-      decide,
-    });
+    this.#services.pools.submit(
+      this.request.service.service,
+      askOf(this.request, this.#services),
+      {
+        decide,
+      },
+    );
   }
 
   async #onDecision(decision: Decision): Promise<void> {
@@ -249,7 +261,9 @@
       return;
     }
     this.#release(target.upstream, {
-      outcome: OUTCOMES[result.error.kind](this.#isPastDeadline),
+      outcome: outcomeOf(result.error, {
+        isPastDeadline: this.#isPastDeadline,
+      }),
     });
     if (result.error.kind === "refused") this.#onRefusedConnection(target);
     else this.end({ kind: "failed", problem: problemOfError(result.error) });
@@ -350,60 +364,4 @@
       nonce: this.#services.random.hex(NONCE_BYTES) as Nonce,
     };
   }
-
-  #ask(): Ask {
-    const { request } = this;
-    return {
-      request: request.request,
-      origin: this.#services.host,
-      originDomain: this.#services.failureDomain,
-      account: request.account.account,
-      tier: request.tier,
-      promptTokens: request.promptTokens,
-      maximumOutputTokens: request.maximumOutputTokens,
-      bodyBytes: request.body.byteLength,
-      deadline: request.deadline,
-      prefixDigests: request.prefixDigests,
-      fingerprint: request.fingerprint,
-    };
-  }
-}
-
-function isNotRun(end: AnswerEnd): boolean {
-  return end.kind === "failed" && end.problem.ending === "not-run";
-}
-
-const OUTCOMES: Record<
-  UpstreamError["kind"],
-  (isPastDeadline: boolean) => AttemptOutcome
-> = {
-  "refused": () => "upstream-refused",
-  "broken": () => "upstream-lost",
-  "not-own": () => "upstream-error",
-  "malformed": () => "upstream-error",
-  "refused-run": () => "upstream-error",
-  "gone": () => "upstream-lost",
-  "aborted": (isPastDeadline) => isPastDeadline ? "timeout" : "cancelled",
-};
-
-function withoutNotRun(end: AnswerEnd): AnswerEnd {
-  if (end.kind === "whole") return end;
-  return { kind: "failed", problem: { ...end.problem, ending: "unknown" } };
-}
-
-function problemOfError(error: UpstreamError): Problem {
-  if (error.kind === "not-own") return problemOf("answer-not-own");
-  if (error.kind === "refused-run") {
-    return problemOf("upstream-refused", { detail: error.detail });
-  }
-  const detail = "detail" in error ? { detail: error.detail } : {};
-  return problemOf("answer-broken", detail);
-}
-
-/** Time since a request was accepted. */
-export function ageOf(
-  request: AcceptedRequest,
-  now: Milliseconds,
-): Milliseconds {
-  return now - request.acceptedAt;
 }
--- /dev/null
+++ b/apps/entry/src/exchangeAsk.ts
@@ -0,0 +1,23 @@
+import type { FailureDomain, HostId } from "@wasabivane/common";
+import type { Ask } from "@wasabivane/decisions";
+import type { AcceptedRequest } from "./acceptedRequest.ts";
+
+/** What the keeper needs to know of a request of this host. */
+export function askOf(
+  request: AcceptedRequest,
+  { host, failureDomain }: { host: HostId; failureDomain: FailureDomain },
+): Ask {
+  return {
+    request: request.request,
+    origin: host,
+    originDomain: failureDomain,
+    account: request.account.account,
+    tier: request.tier,
+    promptTokens: request.promptTokens,
+    maximumOutputTokens: request.maximumOutputTokens,
+    bodyBytes: request.body.byteLength,
+    deadline: request.deadline,
+    prefixDigests: request.prefixDigests,
+    fingerprint: request.fingerprint,
+  };
+}
