--- /dev/null
+++ b/packages/admission/src/fleetLoad.ts
@@ -0,0 +1,111 @@
+import type {
+  HostId,
+  Milliseconds,
+  ServiceId,
+  UpstreamId,
+} from "@wasabivane/common";
+
+/** A peer that says nothing for so long is dead or cut off; its waiting work counts no more. */
+const PEER_SILENCE_MS: Milliseconds = 700;
+/** Requests of a silent peer count until then: upstreams drop those of a dead one within seconds. */
+const PEER_FORGET_MS: Milliseconds = 2_000;
+
+/** How many requests of one tier wait at a host for a service. */
+export interface WaitingCount {
+  readonly service: ServiceId;
+  readonly tier: number;
+  readonly count: number;
+}
+
+/** What a host tells of its own work; each word replaces the one before. */
+export interface HostLoad {
+  readonly inFlight: ReadonlyMap<UpstreamId, number>;
+  readonly waiting: readonly WaitingCount[];
+}
+
+interface PeerLoad extends HostLoad {
+  readonly heardAt: Milliseconds;
+}
+
+/**
+ * Requests in flight at each upstream over all hosts: own ones exactly, those
+ * of peers as they told them last.
+ *
+ * Answers the load pattern of many hosts before few upstreams. Each sees only
+ * its own few requests; without the others' counts several hosts fill the same
+ * upstream while another idles, and the engines queue or reject what was sent.
+ */
+export class FleetLoad {
+  readonly #own = new Map<UpstreamId, number>();
+  readonly #others = new Map<UpstreamId, number>();
+  readonly #peers = new Map<HostId, PeerLoad>();
+
+  /** Counts a request in that this host sends. */
+  begin(upstream: UpstreamId): void {
+    this.#own.set(upstream, this.own(upstream) + 1);
+  }
+
+  /** Counts it out. */
+  end(upstream: UpstreamId): void {
+    const left = this.own(upstream) - 1;
+    if (left > 0) this.#own.set(upstream, left);
+    else this.#own.delete(upstream);
+  }
+
+  /** Takes a peer's word. */
+  hear(peer: HostId, load: HostLoad, now: Milliseconds): void {
+    const former = this.#peers.get(peer);
+    if (former !== undefined) this.#addAll(former, -1);
+    this.#peers.set(peer, { ...load, heardAt: now });
+    this.#addAll(load, 1);
+  }
+
+  /** Forgets peers that have been silent; true when one was forgotten. */
+  expire(now: Milliseconds): boolean {
+    let isChanged = false;
+    for (const [peer, load] of this.#peers) {
+      if (now - load.heardAt < PEER_FORGET_MS) continue;
+      this.#addAll(load, -1);
+      this.#peers.delete(peer);
+      isChanged = true;
+    }
+    return isChanged;
+  }
+
+  own(upstream: UpstreamId): number {
+    return this.#own.get(upstream) ?? 0;
+  }
+
+  /** Requests at the upstream from all hosts. */
+  total(upstream: UpstreamId): number {
+    return this.own(upstream) + (this.#others.get(upstream) ?? 0);
+  }
+
+  /** This host's word for its peers. */
+  ownInFlight(): ReadonlyMap<UpstreamId, number> {
+    return this.#own;
+  }
+
+  /** What each peer that speaks has waiting for a service, by tier. */
+  waitingElsewhere(
+    service: ServiceId,
+    now: Milliseconds,
+  ): { peer: HostId; tier: number; count: number }[] {
+    const waiting = [];
+    for (const [peer, load] of this.#peers) {
+      if (now - load.heardAt > PEER_SILENCE_MS) continue;
+      for (const { service: of, tier, count } of load.waiting) {
+        if (of === service) waiting.push({ peer, tier, count });
+      }
+    }
+    return waiting;
+  }
+
+  #addAll({ inFlight }: HostLoad, sign: 1 | -1): void {
+    for (const [upstream, count] of inFlight) {
+      const sum = (this.#others.get(upstream) ?? 0) + sign * count;
+      if (sum > 0) this.#others.set(upstream, sum);
+      else this.#others.delete(upstream);
+    }
+  }
+}
--- /dev/null
+++ b/packages/admission/src/hostScheduler.ts
@@ -0,0 +1,303 @@
+import type {
+  FailureDomain,
+  Milliseconds,
+  Random,
+  RequestId,
+  ServiceId,
+  Tier,
+  UpstreamId,
+} from "@wasabivane/common";
+import { FleetLoad, type WaitingCount } from "./fleetLoad.ts";
+import { Placement } from "./placement.ts";
+import type { Upstream, UpstreamOutcome } from "./types.ts";
+import type { UpstreamDirectory } from "./upstreamDirectory.ts";
+import { UpstreamHealth } from "./upstreamHealth.ts";
+import { UpstreamSpeed } from "./upstreamSpeed.ts";
+import { type Waiter, WaitingLine } from "./waitingLine.ts";
+
+/** Share of the time in which an answer is useful that the line ahead may take. */
+const HOPEFUL_SHARE = 0.8;
+/** Span over which the rate of starts is measured. */
+const RATE_SPAN_MS: Milliseconds = 1_000;
+/** Time for which a place is left to a peer whose waiting request is more urgent. */
+const YIELD_MS: Milliseconds = 60;
+/** Time between hosts' words; work that starts and ends within it is not seen. */
+const WORD_LAG_MS: Milliseconds = 30;
+/** Assumed residence of a request before any was seen. */
+const FIRST_RESIDENCE_MS: Milliseconds = 300;
+const RESIDENCE_WEIGHT = 0.05;
+
+/** A request that wants an upstream. */
+export interface Candidate extends Waiter {
+  readonly service: ServiceId;
+  readonly affinity?: string;
+  readonly excluded: ReadonlySet<UpstreamId>;
+  /** Called once unless the candidate is withdrawn. */
+  readonly decide: (verdict: Verdict) => void;
+}
+
+/** What was decided about a {@link Candidate}. */
+export type Verdict =
+  | { readonly kind: "place"; readonly upstream: Upstream }
+  | {
+    readonly kind: "refuse";
+    readonly reason: "line-too-long" | "waited-out";
+    /** Requests ahead when it was decided, and how fast they started. */
+    readonly ahead: number;
+    readonly startsPerSecond: number;
+  };
+
+/** What a {@link HostScheduler} is built from. */
+export interface HostSchedulerOptions {
+  readonly directory: UpstreamDirectory;
+  readonly random: Random;
+  readonly failureDomain: FailureDomain;
+}
+
+interface ServiceLine {
+  readonly line: WaitingLine<Candidate>;
+  starts: number;
+  startsSince: Milliseconds;
+  startsPerSecond: number | undefined;
+  residence: Milliseconds;
+  /** Places that ended requests of this host freed and that are its to fill. */
+  ownFreed: number;
+  yieldingSince: Milliseconds | undefined;
+}
+
+/**
+ * Decides on one host which request goes to which upstream, which waits and which
+ * is refused. It never waits for a peer; what peers say only improves the picture.
+ *
+ * Answers the load pattern of many hosts before few engines that admit in order of
+ * arrival and know no tiers. Requests wait here, in order of tier, and engines get
+ * no more than they run at once, over all hosts. A place that a request of this
+ * host leaves is this host's to fill, unless a peer says that something more
+ * urgent waits there; other free places are shared by who waits with how much.
+ */
+export class HostScheduler {
+  readonly load = new FleetLoad();
+  readonly health = new UpstreamHealth();
+  readonly speed = new UpstreamSpeed();
+  readonly #directory: UpstreamDirectory;
+  readonly #random: Random;
+  readonly #placement: Placement;
+  readonly #services = new Map<ServiceId, ServiceLine>();
+
+  constructor({ directory, random, failureDomain }: HostSchedulerOptions) {
+    this.#directory = directory;
+    this.#random = random;
+    this.#placement = new Placement({
+      load: this.load,
+      health: this.health,
+      speed: this.speed,
+      random,
+      failureDomain,
+      limitOf: (upstream) => this.#limitOf(upstream),
+    });
+  }
+
+  /** Takes a candidate in; it may be decided before the call returns. */
+  submit(candidate: Candidate, now: Milliseconds): void {
+    const state = this.#stateOf(candidate.service, now);
+    this.#measureStarts(state, now);
+    const ahead = state.line.aheadOf(candidate.tier);
+    if (this.#isHopeless(state, { candidate, ahead, now })) {
+      candidate.decide(refusal("line-too-long", { state, ahead }));
+      return;
+    }
+    state.line.push(candidate);
+    this.#fill(candidate.service, now);
+  }
+
+  /** Takes back a candidate that still waits. */
+  withdraw(service: ServiceId, request: RequestId): void {
+    this.#services.get(service)?.line.remove(request);
+  }
+
+  /** A request was sent to an upstream. */
+  begin(upstream: UpstreamId): void {
+    this.load.begin(upstream);
+  }
+
+  /** It ended there after `residence`. */
+  end(
+    upstream: Upstream,
+    { outcome, residence, now }: {
+      outcome: UpstreamOutcome;
+      residence: Milliseconds;
+      now: Milliseconds;
+    },
+  ): void {
+    this.load.end(upstream.upstream);
+    const state = this.#stateOf(upstream.service, now);
+    if (outcome === "whole") {
+      state.residence += RESIDENCE_WEIGHT * (residence - state.residence);
+    }
+    state.ownFreed++;
+    this.#fill(upstream.service, now);
+  }
+
+  /** Looks at every line again: upstreams or peers' words have changed, or time went by. */
+  review(now: Milliseconds): void {
+    for (const [service, state] of this.#services) {
+      this.#measureStarts(state, now);
+      for (const candidate of state.line.takeUseless(now)) {
+        const ahead = state.line.aheadOf(candidate.tier);
+        candidate.decide(refusal("waited-out", { state, ahead }));
+      }
+      this.#fill(service, now);
+    }
+  }
+
+  /** What waits here, for the peers. */
+  waiting(): WaitingCount[] {
+    const counts: WaitingCount[] = [];
+    for (const [service, { line }] of this.#services) {
+      for (const [tier, count] of line.counts()) {
+        counts.push({ service, tier, count });
+      }
+    }
+    return counts;
+  }
+
+  get waitingTotal(): number {
+    let total = 0;
+    for (const { line } of this.#services.values()) total += line.size;
+    return total;
+  }
+
+  /** Places of a service's upstreams that nobody uses. */
+  freePlaces(service: ServiceId, now: Milliseconds): number {
+    return this.#placement.freePlaces(this.#directory.of(service), now);
+  }
+
+  #fill(service: ServiceId, now: Milliseconds): void {
+    const state = this.#stateOf(service, now);
+    if (state.line.size === 0) {
+      state.ownFreed = 0;
+      return;
+    }
+    const upstreams = this.#directory.of(service);
+    let free = this.#placement.freePlaces(upstreams, now);
+    let share = this.#shareOf(state, { service, free, now });
+    for (const candidate of state.line.inOrder(now)) {
+      if (free <= 0 || share <= 0) break;
+      const upstream = this.#placement.pick(upstreams, candidate, now);
+      if (upstream === undefined) continue;
+      state.line.remove(candidate.request);
+      state.starts++;
+      state.ownFreed = Math.max(0, state.ownFreed - 1);
+      free--;
+      share--;
+      candidate.decide({ kind: "place", upstream });
+    }
+    if (free > 0) state.ownFreed = 0;
+  }
+
+  /** How many of the free places this host may fill now. */
+  #shareOf(
+    state: ServiceLine,
+    { service, free, now }: {
+      service: ServiceId;
+      free: number;
+      now: Milliseconds;
+    },
+  ): number {
+    const [first] = state.line.inOrder(now);
+    if (first === undefined || free <= 0) return 0;
+    const elsewhere = this.load.waitingElsewhere(service, now);
+    const moreUrgent = sumOf(elsewhere, (tier) => tier < first.tier);
+    const left = free - moreUrgent;
+    if (left <= 0) return this.#yield(state, now);
+    state.yieldingSince = undefined;
+    const equal = sumOf(elsewhere, (tier) => tier === first.tier);
+    if (equal === 0) return left;
+    const fair = left * state.line.size / (state.line.size + equal);
+    const whole = Math.floor(fair);
+    const drawn = whole + (this.#random.float() < fair - whole ? 1 : 0);
+    return Math.min(left, Math.max(drawn, state.ownFreed));
+  }
+
+  /** A peer that is asked to fill a place and does not must not keep it idle. */
+  #yield(state: ServiceLine, now: Milliseconds): number {
+    state.yieldingSince ??= now;
+    if (now - state.yieldingSince < YIELD_MS) return 0;
+    state.yieldingSince = undefined;
+    return 1;
+  }
+
+  #isHopeless(
+    state: ServiceLine,
+    { candidate, ahead, now }: {
+      candidate: Candidate;
+      ahead: number;
+      now: Milliseconds;
+    },
+  ): boolean {
+    if (ahead === 0 || state.startsPerSecond === undefined) return false;
+    const wait = ahead / Math.max(state.startsPerSecond, 1) * 1_000;
+    return wait > HOPEFUL_SHARE * (candidate.usefulUntil - now);
+  }
+
+  #measureStarts(state: ServiceLine, now: Milliseconds): void {
+    const span = now - state.startsSince;
+    if (span < RATE_SPAN_MS) return;
+    state.startsPerSecond = state.line.size > 0
+      ? state.starts * 1_000 / span
+      : undefined;
+    state.starts = 0;
+    state.startsSince = now;
+  }
+
+  /**
+   * Short work may start and end between two words of a host; so many places
+   * more keep an upstream busy meanwhile.
+   */
+  #limitOf(upstream: Upstream): number {
+    const state = this.#services.get(upstream.service);
+    const residence = state?.residence ?? FIRST_RESIDENCE_MS;
+    const unseen = upstream.slots * WORD_LAG_MS / Math.max(residence, 1);
+    return upstream.slots + Math.min(upstream.slots, Math.floor(unseen));
+  }
+
+  #stateOf(service: ServiceId, now: Milliseconds): ServiceLine {
+    let state = this.#services.get(service);
+    if (state === undefined) {
+      state = {
+        line: new WaitingLine(),
+        starts: 0,
+        startsSince: now,
+        startsPerSecond: undefined,
+        residence: FIRST_RESIDENCE_MS,
+        ownFreed: 0,
+        yieldingSince: undefined,
+      };
+      this.#services.set(service, state);
+    }
+    return state;
+  }
+}
+
+function refusal(
+  reason: "line-too-long" | "waited-out",
+  { state, ahead }: { state: ServiceLine; ahead: number },
+): Verdict {
+  return {
+    kind: "refuse",
+    reason,
+    ahead,
+    startsPerSecond: state.startsPerSecond ?? 0,
+  };
+}
+
+function sumOf(
+  waiting: readonly { tier: number; count: number }[],
+  matches: (tier: Tier) => boolean,
+): number {
+  let sum = 0;
+  for (const { tier, count } of waiting) {
+    if (matches(tier as Tier)) sum += count;
+  }
+  return sum;
+}
--- /dev/null
+++ b/packages/admission/src/index.ts
@@ -0,0 +1,24 @@
+/**
+ * Decisions of a host that decides alone on what it sees and what its peers tell:
+ * placement, waiting, refusal, quotas, retries, health. No module reads a clock,
+ * a network or a random source of its own.
+ */
+export * from "./types.ts";
+export { PolicyIndex } from "./policyIndex.ts";
+export { Freshness, type FreshnessOptions } from "./freshness.ts";
+export { UpstreamDirectory } from "./upstreamDirectory.ts";
+export { FleetLoad, type HostLoad, type WaitingCount } from "./fleetLoad.ts";
+export { type LossNotice, UpstreamHealth } from "./upstreamHealth.ts";
+export { type SpeedSample, UpstreamSpeed } from "./upstreamSpeed.ts";
+export { Placement, type PlacementOptions, type Wish } from "./placement.ts";
+export { type Waiter, WaitingLine } from "./waitingLine.ts";
+export { type OverQuota, QuotaBook, type UsageReport } from "./quotaBook.ts";
+export { RetryBudget, type RetryBudgetOptions } from "./retryBudget.ts";
+export { type Crash, CrashBook } from "./crashBook.ts";
+export { returnAfter, type StartBounds, startBounds } from "./patience.ts";
+export {
+  type Candidate,
+  HostScheduler,
+  type HostSchedulerOptions,
+  type Verdict,
+} from "./hostScheduler.ts";
--- /dev/null
+++ b/packages/admission/src/patience.ts
@@ -0,0 +1,67 @@
+import type { Milliseconds, Random } from "@wasabivane/common";
+import type { Route } from "./types.ts";
+
+/**
+ * Callers of streams leave after a gap of the longest of these: two seconds, four
+ * targets, eight pauses. The published interface says so.
+ */
+const LEAST_STREAM_GAP_MS: Milliseconds = 2_000;
+const GAP_TARGETS = 4;
+const GAP_PAUSES = 8;
+/** Part of the time that a caller waits in which a start still serves it. */
+const USEFUL_SHARE = 0.75;
+/** Callers come back at most after this part of the time that they have left. */
+const RETURN_SHARE = 0.3;
+const LEAST_RETURN_MS: Milliseconds = 150;
+/** Callers that were refused together come back spread over this part of the wait. */
+const RETURN_SPREAD = 0.5;
+
+/** Bounds for the start of a request. */
+export interface StartBounds {
+  /** Started until then, its answer is on time. */
+  readonly onTimeUntil: Milliseconds;
+  /** Started later, its caller is likely gone before anything arrives. */
+  readonly usefulUntil: Milliseconds;
+}
+
+/** Works out until when a start serves the caller; times are on one clock. */
+export function startBounds(
+  route: Route,
+  { arrivedAt, deadline, latency }: {
+    arrivedAt: Milliseconds;
+    deadline: Milliseconds;
+    /** Usual time from the start to the first event or whole answer. */
+    latency: Milliseconds;
+  },
+): StartBounds {
+  const gap = route.isStreaming
+    ? Math.max(
+      LEAST_STREAM_GAP_MS,
+      GAP_TARGETS * route.target,
+      GAP_PAUSES * route.pauseTarget,
+    )
+    : Infinity;
+  const patience = Math.min(gap, deadline - arrivedAt);
+  return {
+    onTimeUntil: arrivedAt + route.target - latency,
+    usefulUntil: arrivedAt + patience * USEFUL_SHARE - latency,
+  };
+}
+
+/**
+ * When a refused caller should come back: after what is ahead has started, no
+ * later than it will wait, and not together with the others.
+ */
+export function returnAfter(
+  { ahead, startsPerSecond, timeLeft }: {
+    ahead: number;
+    startsPerSecond: number;
+    timeLeft: Milliseconds;
+  },
+  random: Random,
+): Milliseconds {
+  const drain = ahead / Math.max(startsPerSecond, 1) * 1_000;
+  const longest = Math.max(LEAST_RETURN_MS, RETURN_SHARE * timeLeft);
+  const wait = Math.min(longest, Math.max(LEAST_RETURN_MS, drain));
+  return wait * (1 - RETURN_SPREAD * random.float());
+}
--- /dev/null
+++ b/packages/admission/src/placement.ts
@@ -0,0 +1,132 @@
+import type {
+  FailureDomain,
+  Milliseconds,
+  Random,
+  UpstreamId,
+} from "@wasabivane/common";
+import type { FleetLoad } from "./fleetLoad.ts";
+import type { Upstream } from "./types.ts";
+import type { UpstreamHealth } from "./upstreamHealth.ts";
+import type { UpstreamSpeed } from "./upstreamSpeed.ts";
+
+/** An upstream with no work at all still has half the cost of a full one. */
+const IDLE_COST = 0.5;
+/** Bytes between failure domains are charged; so little more load is taken for them. */
+const OTHER_DOMAIN_FACTOR = 1.04;
+/** An engine that read the prompt's last part before saves its prefill. */
+const AFFINITY_FACTOR = 0.8;
+/** An upstream that fails every request costs so many times more than one that fails none. */
+const FAILURE_COST = 4;
+/** Hosts that see the same loads must not all pick the same upstream. */
+const JITTER = 0.08;
+
+/** What a request looks for. */
+export interface Wish {
+  /** Same for requests that share most of their prompt. */
+  readonly affinity?: string;
+  /** Upstreams that this request was sent to before. */
+  readonly excluded?: ReadonlySet<UpstreamId>;
+}
+
+/** What {@link Placement} reads. */
+export interface PlacementOptions {
+  readonly load: FleetLoad;
+  readonly health: UpstreamHealth;
+  readonly speed: UpstreamSpeed;
+  readonly random: Random;
+  /** Failure domain of this host. */
+  readonly failureDomain: FailureDomain;
+  /** Requests that an upstream may have from all hosts together. */
+  readonly limitOf: (upstream: Upstream) => number;
+}
+
+/**
+ * Picks the upstream for one request: free places first, then speed, load,
+ * failures, nearness and a prompt that was read there before.
+ *
+ * Affinity is by rendezvous weight of the prompt's last part, so that all hosts
+ * agree on where it was read without telling each other.
+ */
+export class Placement {
+  readonly #options: PlacementOptions;
+
+  constructor(options: PlacementOptions) {
+    this.#options = options;
+  }
+
+  /** Places that the upstreams have left, over all hosts. */
+  freePlaces(upstreams: readonly Upstream[], now: Milliseconds): number {
+    let free = 0;
+    for (const upstream of upstreams) free += this.#freeAt(upstream, now);
+    return free;
+  }
+
+  /** The best upstream with a free place. */
+  pick(
+    upstreams: readonly Upstream[],
+    { affinity, excluded }: Wish,
+    now: Milliseconds,
+  ): Upstream | undefined {
+    const favourite = affinity === undefined
+      ? undefined
+      : favouriteOf(affinity, upstreams);
+    let best: Upstream | undefined;
+    let leastCost = Infinity;
+    for (const upstream of upstreams) {
+      if (excluded?.has(upstream.upstream)) continue;
+      if (this.#freeAt(upstream, now) <= 0) continue;
+      const cost = this.#costOf(upstream, upstream === favourite);
+      if (cost >= leastCost) continue;
+      leastCost = cost;
+      best = upstream;
+    }
+    return best;
+  }
+
+  #freeAt(upstream: Upstream, now: Milliseconds): number {
+    const { load, health, limitOf } = this.#options;
+    if (health.isEjected(upstream.upstream, now)) return 0;
+    return Math.max(0, limitOf(upstream) - load.total(upstream.upstream));
+  }
+
+  #costOf(upstream: Upstream, isFavourite: boolean): number {
+    const { load, health, speed, random, failureDomain, limitOf } =
+      this.#options;
+    const id = upstream.upstream;
+    const fill = load.total(id) / limitOf(upstream);
+    let cost = (IDLE_COST + fill) * speed.slowness(upstream.service, id);
+    cost *= 1 + FAILURE_COST * health.failureShare(id);
+    if (upstream.failureDomain !== failureDomain) cost *= OTHER_DOMAIN_FACTOR;
+    if (isFavourite) cost *= AFFINITY_FACTOR;
+    return cost * (1 + JITTER * random.float());
+  }
+}
+
+/** The upstream with the greatest rendezvous weight for a key. */
+function favouriteOf(
+  key: string,
+  upstreams: readonly Upstream[],
+): Upstream | undefined {
+  let favourite: Upstream | undefined;
+  let greatest = -1;
+  for (const upstream of upstreams) {
+    const weight = weightOf(key, upstream.upstream);
+    if (weight <= greatest) continue;
+    greatest = weight;
+    favourite = upstream;
+  }
+  return favourite;
+}
+
+/** FNV-1a with a final mix; equal on every host. */
+function weightOf(key: string, upstream: string): number {
+  let hash = 0x811c9dc5;
+  for (const text of [key, upstream]) {
+    for (let index = 0; index < text.length; index++) {
+      hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
+    }
+  }
+  hash = Math.imul(hash ^ (hash >>> 15), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
--- a/packages/coordination/src/elapsedClock.ts
+++ b/packages/common/src/elapsedClock.ts
@@ -1,8 +1,5 @@
-import type {
-  EpochMilliseconds,
-  Milliseconds,
-  Timer,
-} from "@wasabivane/common";
+import type { EpochMilliseconds, Milliseconds } from "./ids.ts";
+import type { Timer } from "./timer.ts";
 
 /** Wall time may run ahead of the monotonic clock by so much before it counts. */
 const STEP_MS: Milliseconds = 500;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./commandLine.ts";
 export * from "./commandOptions.ts";
 export * from "./controller.ts";
+export * from "./elapsedClock.ts";
 export * from "./ending.ts";
 export * from "./heap.ts";
 export * from "./ids.ts";
--- a/packages/coordination/src/viewController.ts
+++ b/packages/coordination/src/viewController.ts
@@ -2,6 +2,7 @@
   type Blackboard,
   Controller,
   createTopic,
+  ElapsedClock,
   type HostId,
   type Incarnation,
   type Metrics,
@@ -12,7 +13,7 @@
   type Topic,
 } from "@wasabivane/common";
 import { HOST_LIST } from "./configurationController.ts";
-import { ElapsedClock } from "./elapsedClock.ts";
+
 import {
   isBoolean,
   listOf,
--- /dev/null
+++ b/packages/gateway/src/attempt.ts
@@ -0,0 +1,219 @@
+import { Buffer } from "node:buffer";
+import type {
+  Milliseconds,
+  Timer,
+  TimerSubscription,
+} from "@wasabivane/common";
+import type { Upstream, UpstreamOutcome } from "@wasabivane/admission";
+import type { Dialect } from "./dialect.ts";
+import { EventFrames } from "./eventFrames.ts";
+import type { FieldValues } from "./fields.ts";
+import type {
+  RunningCall,
+  UpstreamCall,
+  UpstreamConnections,
+  UpstreamListener,
+} from "./upstreamConnections.ts";
+
+/** Answers are held back until they are whole, but not above this. */
+const MAXIMUM_HELD_BYTES = 1_024 * 1_024;
+/** Another upstream has the address; it never runs the request. */
+const MISDIRECTED = 421;
+
+/** Head of an answer that may be passed on. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly fields: FieldValues;
+}
+
+/** How an attempt ended. */
+export interface AttemptEnd {
+  readonly outcome: UpstreamOutcome;
+  readonly detail: string;
+  /** Whether bytes of the request may have left. */
+  readonly wasSent: boolean;
+  /** A whole answer that was held back. */
+  readonly answer?: AnswerHead & { readonly body: Buffer };
+}
+
+/** Who is told of an attempt's steps. */
+export interface AttemptListener {
+  /** The first whole event of a stream arrived; it follows by `events`. */
+  streamStarted(head: AnswerHead): void;
+  /** Bytes of whole events, and the id of the last one where it has one. */
+  events(bytes: Buffer, lastEvent: number | undefined): void;
+  ended(end: AttemptEnd): void;
+}
+
+/** What an attempt is made of. */
+export interface AttemptOptions {
+  readonly upstream: Upstream;
+  readonly call: UpstreamCall;
+  readonly connections: UpstreamConnections;
+  readonly dialect: Dialect;
+  readonly timer: Timer;
+  /** The request's id, which the answer must repeat. */
+  readonly attempt: string;
+  readonly isStreaming: boolean;
+  /** Longest wait for the first event or the whole answer; `undefined`: no bound. */
+  readonly firstWait: Milliseconds | undefined;
+  /** Longest pause between later events; `undefined`: no bound. */
+  readonly pauseWait: Milliseconds | undefined;
+  readonly listener: AttemptListener;
+}
+
+/** One request at one upstream: checks that the answer belongs to it and is whole. */
+export class Attempt implements UpstreamListener {
+  readonly startedAt: Milliseconds;
+  readonly upstream: Upstream;
+  firstEventAt: Milliseconds | undefined;
+  eventCount = 0;
+  readonly #options: AttemptOptions;
+  readonly #frames = new EventFrames();
+  readonly #held: Buffer[] = [];
+  #heldBytes = 0;
+  #head: AnswerHead | undefined;
+  #wasSent = false;
+  #isOver = false;
+  #hasStarted = false;
+  /** A large answer goes straight on; it can no longer be asked for again. */
+  #isPassingOn = false;
+  #guard: TimerSubscription | undefined;
+  #call: RunningCall | undefined;
+
+  constructor(options: AttemptOptions) {
+    this.#options = options;
+    this.upstream = options.upstream;
+    this.startedAt = options.timer.now();
+  }
+
+  get wasSent(): boolean {
+    return this.#wasSent;
+  }
+
+  start(): void {
+    const { connections, call, firstWait } = this.#options;
+    this.#watch(firstWait);
+    this.#call = connections.send(call, this);
+  }
+
+  /** Ends the attempt from this side. */
+  abort(outcome: UpstreamOutcome, detail: string): void {
+    this.#end({ outcome, detail });
+  }
+
+  pause(): void {
+    this.#call?.pause();
+  }
+
+  resume(): void {
+    this.#call?.resume();
+  }
+
+  sent(): void {
+    this.#wasSent = true;
+  }
+
+  head(status: number, fields: FieldValues): void {
+    if (this.#isOver) return;
+    const says = this.#options.dialect.readAnswer(status, fields);
+    if (says.isNotRun || status === MISDIRECTED) {
+      return this.#end({ outcome: "not-run", detail: `status ${status}` });
+    }
+    if (says.attempt !== this.#options.attempt) {
+      return this.#end({ outcome: "broken", detail: "foreign answer" });
+    }
+    if (isSuccess(status) && !says.isSealed) {
+      return this.#end({ outcome: "broken", detail: "answer without a mark" });
+    }
+    this.#head = { status, fields };
+  }
+
+  data(chunk: Buffer): void {
+    if (this.#isOver || this.#head === undefined) return;
+    if (this.#isEventStream()) this.#takeEvents(chunk);
+    else if (this.#isPassingOn) this.#options.listener.events(chunk, undefined);
+    else this.#hold(chunk);
+  }
+
+  ended(): void {
+    if (this.#isOver || this.#head === undefined) return;
+    if (this.#isEventStream() || this.#isPassingOn) return this.#endStream();
+    const { status } = this.#head;
+    const body = Buffer.concat(this.#held);
+    const outcome = status >= 500 ? "failed" : "whole";
+    this.#end({
+      outcome,
+      detail: `status ${status}`,
+      answer: { ...this.#head, body },
+    });
+  }
+
+  failed(detail: string): void {
+    this.#end({ outcome: this.#wasSent ? "broken" : "unreachable", detail });
+  }
+
+  #isEventStream(): boolean {
+    return this.#options.isStreaming && isSuccess(this.#head!.status);
+  }
+
+  #takeEvents(chunk: Buffer): void {
+    const frames = this.#frames.push(chunk);
+    if (frames.length === 0) return;
+    this.#startStream();
+    this.eventCount += frames.length;
+    this.#watch(this.#options.pauseWait);
+    const bytes = frames.length === 1
+      ? frames[0]!.bytes
+      : Buffer.concat(frames.map((frame) => frame.bytes));
+    this.#options.listener.events(bytes, frames.at(-1)!.id);
+  }
+
+  #startStream(): void {
+    if (this.#hasStarted) return;
+    this.#hasStarted = true;
+    this.firstEventAt = this.#options.timer.now();
+    this.#options.listener.streamStarted(this.#head!);
+  }
+
+  /** A stream that ends inside an event is passed on to its last byte. */
+  #endStream(): void {
+    this.#startStream();
+    const { rest } = this.#frames;
+    if (rest.length > 0) this.#options.listener.events(rest, undefined);
+    this.#end({ outcome: "whole", detail: "end of stream" });
+  }
+
+  #hold(chunk: Buffer): void {
+    this.#held.push(Buffer.from(chunk));
+    this.#heldBytes += chunk.length;
+    if (this.#heldBytes <= MAXIMUM_HELD_BYTES) return;
+    this.#isPassingOn = true;
+    this.#watch(undefined);
+    this.#startStream();
+    this.#options.listener.events(Buffer.concat(this.#held), undefined);
+  }
+
+  #watch(span: Milliseconds | undefined): void {
+    this.#guard?.cancel();
+    if (span === undefined) return;
+    this.#guard = this.#options.timer.after(
+      span,
+      () => this.#end({ outcome: "silent", detail: `nothing for ${span} ms` }),
+    );
+  }
+
+  #end(end: Omit<AttemptEnd, "wasSent">): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.#guard?.cancel();
+    const isOwnEnd = end.answer !== undefined || end.outcome === "whole" ||
+      end.outcome === "unreachable";
+    if (!isOwnEnd) this.#call?.abort();
+    this.#options.listener.ended({ ...end, wasSent: this.#wasSent });
+  }
+}
+
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
--- /dev/null
+++ b/packages/gateway/src/callerFront.ts
@@ -0,0 +1,250 @@
+import { createHash } from "node:crypto";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import type { Digest, Milliseconds } from "@wasabivane/common";
+import type { CallerLimits, Route } from "@wasabivane/admission";
+import { err, ok, type Result } from "neverthrow";
+import { CallerAnswer } from "./callerAnswer.ts";
+import { Exchange } from "./exchange.ts";
+import { fieldLines } from "./fields.ts";
+import type { GatewayParts } from "./gatewayParts.ts";
+import {
+  accountName,
+  admit,
+  type Admitted,
+  type Refusal,
+  unitsOf,
+} from "./intake.ts";
+import { splitAddress } from "./peerChannel.ts";
+import { type BodyError, readBody } from "./requestBody.ts";
+
+/** Hard bound of the parser; the policy's own bound is checked by request. */
+const MAXIMUM_FIELD_BYTES = 64 * 1_024;
+/** How often connections are checked for heads that take too long. */
+const HEAD_CHECK_MS: Milliseconds = 500;
+/** Bounds until the first policy is read. */
+const FIRST_HEADER_TIMEOUT_MS: Milliseconds = 3_000;
+const FIRST_IDLE_TIMEOUT_MS: Milliseconds = 15_000;
+const BACKLOG = 1_024;
+
+/** Why the front could not listen. */
+export interface ListenError {
+  readonly kind: "cannot-listen";
+  readonly detail: string;
+}
+
+/** Takes requests of callers and gives each its one answer. */
+export class CallerFront {
+  readonly #parts: GatewayParts;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  readonly #busy = new Set<Socket>();
+
+  constructor(parts: GatewayParts) {
+    this.#parts = parts;
+    this.#server = createServer({
+      maxHeaderSize: MAXIMUM_FIELD_BYTES,
+      headersTimeout: FIRST_HEADER_TIMEOUT_MS,
+      requestTimeout: 0,
+      keepAliveTimeout: FIRST_IDLE_TIMEOUT_MS,
+      connectionsCheckingInterval: HEAD_CHECK_MS,
+      noDelay: true,
+    }, (request, response) => void this.#serve(request, response));
+    this.#server.on("connection", (socket) => this.#track(socket));
+    parts.policies.watch(({ policy }) => this.#applyLimits(policy.limits));
+  }
+
+  /** Requests that have no whole answer yet. */
+  get openRequests(): number {
+    return this.#busy.size;
+  }
+
+  listen(address: string): Promise<Result<void, ListenError>> {
+    const { ip, port } = splitAddress(address);
+    return new Promise((resolve) => {
+      this.#server.once("error", (error) => {
+        resolve(err({ kind: "cannot-listen", detail: error.message }));
+      });
+      this.#server.listen(port, ip, BACKLOG, () => resolve(ok(undefined)));
+    });
+  }
+
+  /** Takes no new connections; those that stand are served on. */
+  stopListening(): void {
+    this.#server.close();
+  }
+
+  /** Closes the connections on which nothing is asked. */
+  closeIdle(): void {
+    for (const socket of this.#sockets) {
+      if (!this.#busy.has(socket)) socket.end();
+    }
+  }
+
+  /** Closes every connection. */
+  closeAll(): void {
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  #track(socket: Socket): void {
+    this.#sockets.add(socket);
+    socket.on("close", () => {
+      this.#sockets.delete(socket);
+      this.#busy.delete(socket);
+    });
+  }
+
+  #applyLimits({ headerTimeout, idleTimeout }: CallerLimits): void {
+    this.#server.headersTimeout = headerTimeout;
+    this.#server.keepAliveTimeout = idleTimeout;
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { socket } = request;
+    this.#busy.add(socket);
+    response.once("close", () => this.#busy.delete(socket));
+    const answer = new CallerAnswer(response, this.#parts.isStopping);
+    const admitted = this.#admit(request);
+    if (admitted.isErr()) return this.#refuse(request, answer, admitted.error);
+    const limits = this.#parts.policies.index!.policy.limits;
+    const body = await readBody(request, {
+      maximumBytes: limits.maximumBodyBytes,
+      idleTimeout: limits.idleTimeout,
+      timer: this.#parts.timer,
+    });
+    if (body.isErr()) {
+      if (body.error === "caller-left") return;
+      return this.#refuse(request, answer, bodyRefusal(body.error));
+    }
+    const charged = this.#charge(admitted.value);
+    if (charged.isErr()) return this.#refuse(request, answer, charged.error);
+    this.#exchange({
+      admitted: admitted.value,
+      request,
+      response,
+      answer,
+      body: body.value,
+    });
+  }
+
+  #admit(request: IncomingMessage): Result<Admitted, Refusal> {
+    const { policies, dialect, random, timer, elapsed } = this.#parts;
+    return admit({
+      path: pathOf(request.url ?? ""),
+      fields: request.headers,
+      lines: fieldLines(request.rawHeaders),
+    }, {
+      policies,
+      dialect,
+      random,
+      now: timer.now(),
+      elapsedNow: elapsed.now(),
+    });
+  }
+
+  #charge({ account, says }: Admitted): Result<void, Refusal> {
+    if (account?.quota === undefined) return ok(undefined);
+    return this.#parts.quotas.take({
+      account: account.account,
+      quota: account.quota,
+      units: unitsOf(account, says),
+    }, this.#parts.timer.now()).mapErr(({ retryAfter }) => ({
+      status: 429,
+      reason: "over-quota" as const,
+      retryAfter,
+    }));
+  }
+
+  #exchange(
+    { admitted, request, response, answer, body }: {
+      admitted: Admitted;
+      request: IncomingMessage;
+      response: ServerResponse;
+      answer: CallerAnswer;
+      body: Buffer;
+    },
+  ): void {
+    const method = request.method ?? "GET";
+    const path = request.url ?? "/";
+    const fingerprint = fingerprintOf(admitted, { method, path, body });
+    if (this.#parts.crashes.isConvicted(fingerprint, this.#parts.timer.now())) {
+      this.#giveBack(admitted);
+      const refusal = { status: 503, reason: "convicted" } as const;
+      return this.#refuse(request, answer, refusal);
+    }
+    const exchange = new Exchange({
+      parts: this.#parts,
+      admitted,
+      request: {
+        method,
+        path,
+        lines: fieldLines(request.rawHeaders),
+        body,
+        fingerprint,
+      },
+      answer,
+      done: ({ hasRun }) => {
+        if (!hasRun) this.#giveBack(admitted);
+      },
+    });
+    response.once("close", () => {
+      if (!response.writableFinished) exchange.callerLeft();
+    });
+    exchange.start();
+  }
+
+  #giveBack({ account, says }: Admitted): void {
+    if (account?.quota === undefined) return;
+    this.#parts.quotas.giveBack(account.account, unitsOf(account, says));
+  }
+
+  #refuse(
+    request: IncomingMessage,
+    answer: CallerAnswer,
+    refusal: Refusal,
+  ): void {
+    const { log, metrics, policies, elapsed } = this.#parts;
+    metrics.count(`refused_${refusal.reason}`);
+    log.write("request_refused", {
+      path: pathOf(request.url ?? ""),
+      status: refusal.status,
+      reason: refusal.reason,
+      retryAfter: refusal.retryAfter,
+      policy: policies.version,
+      proofAge: Math.round(policies.freshness.age(elapsed.now())),
+    });
+    answer.refuse(refusal);
+    request.resume();
+  }
+}
+
+function bodyRefusal(error: Exclude<BodyError, "caller-left">): Refusal {
+  return error === "body-too-large"
+    ? { status: 413, reason: error }
+    : { status: 408, reason: error };
+}
+
+function pathOf(url: string): string {
+  const query = url.indexOf("?");
+  return query < 0 ? url : url.slice(0, query);
+}
+
+/** Same for every sending of a request by one caller. */
+function fingerprintOf(
+  { account, route }: { account: Admitted["account"]; route: Route },
+  { method, path, body }: { method: string; path: string; body: Buffer },
+): Digest {
+  return createHash("sha1")
+    .update(`${accountName(account)}\n${route.route}\n${method} ${path}\n`)
+    .update(body)
+    .digest("base64")
+    .slice(0, 16) as Digest;
+}
--- /dev/null
+++ b/packages/gateway/src/exchange.ts
@@ -0,0 +1,421 @@
+import type { Buffer } from "node:buffer";
+import type {
+  Digest,
+  Milliseconds,
+  TimerSubscription,
+  UpstreamId,
+} from "@wasabivane/common";
+import {
+  type Candidate,
+  returnAfter,
+  startBounds,
+  type Upstream,
+  type Verdict,
+} from "@wasabivane/admission";
+import {
+  type AnswerHead,
+  Attempt,
+  type AttemptEnd,
+  type AttemptListener,
+} from "./attempt.ts";
+import type { CallerAnswer } from "./callerAnswer.ts";
+import { endToEndFields, type FieldLine } from "./fields.ts";
+import type { GatewayParts } from "./gatewayParts.ts";
+import { accountName, type Admitted, type Refusal } from "./intake.ts";
+import { firstWaitOf, pauseWaitOf } from "./silenceBounds.ts";
+
+/** Unreachable upstreams cost a request no send; after so many it is refused. */
+const MAXIMUM_UNREACHABLE = 4;
+/** A caller whose request has not run comes back after about this time. */
+const NOT_RUN_RETURN_MS: Milliseconds = 250;
+
+/** The request as it was read. */
+export interface ReadRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly lines: readonly FieldLine[];
+  readonly body: Buffer;
+  readonly fingerprint: Digest;
+}
+
+/** What an {@link Exchange} is about. */
+export interface ExchangeOptions {
+  readonly parts: GatewayParts;
+  readonly admitted: Admitted;
+  readonly request: ReadRequest;
+  readonly answer: CallerAnswer;
+  /** Called once when the exchange is over; `hasRun` is false only where that is certain. */
+  readonly done: (ending: { hasRun: boolean }) => void;
+}
+
+/**
+ * One request from its admission to its end: waits for a place, is sent, sent
+ * again where that is allowed, passed on, refused or cut. "Not run" is said only
+ * when no byte left for an upstream or each that got it said so.
+ */
+export class Exchange implements AttemptListener {
+  readonly #options: ExchangeOptions;
+  readonly #excluded = new Set<UpstreamId>();
+  readonly #queuedAt: Milliseconds;
+  #deadlineTimer: TimerSubscription | undefined;
+  #attempt: Attempt | undefined;
+  #sends = 0;
+  #unreachable = 0;
+  /** Whether some upstream may have run the request. */
+  #mayHaveRun = false;
+  #lastEvent: number | undefined;
+  #waited: Milliseconds = 0;
+  #firstByteAt: Milliseconds | undefined;
+  /** This side ended the work; what the attempt says of its end decides nothing. */
+  #isStopped = false;
+  #isOver = false;
+
+  constructor(options: ExchangeOptions) {
+    this.#options = options;
+    this.#queuedAt = options.parts.timer.now();
+    this.#lastEvent = options.admitted.says.lastEvent;
+  }
+
+  start(): void {
+    const { parts, admitted } = this.#options;
+    const span = admitted.deadline - parts.timer.now();
+    this.#deadlineTimer = parts.timer.after(
+      Math.max(0, span),
+      () => this.#passDeadline(),
+    );
+    this.#seekPlace();
+  }
+
+  /** The caller closed its connection; work for it ends at once. */
+  callerLeft(): void {
+    if (this.#isOver) return;
+    this.#log("caller_left", { sends: this.#sends });
+    this.#stopWork("caller left");
+    this.#end("caller-left");
+  }
+
+  streamStarted({ status, fields }: AnswerHead): void {
+    if (this.#isOver) return;
+    this.#firstByteAt ??= this.#now();
+    if (!this.#options.answer.hasStarted) {
+      this.#options.answer.start(status, fields);
+    }
+  }
+
+  events(bytes: Buffer, lastEvent: number | undefined): void {
+    if (this.#isOver) return;
+    const { answer } = this.#options;
+    if (lastEvent !== undefined) this.#lastEvent = lastEvent;
+    if (answer.write(bytes)) return;
+    const attempt = this.#attempt;
+    attempt?.pause();
+    answer.onDrain(() => attempt?.resume());
+  }
+
+  ended(end: AttemptEnd): void {
+    const attempt = this.#attempt!;
+    this.#attempt = undefined;
+    this.#learn(attempt, end);
+    if (this.#isOver || this.#isStopped) return;
+    if (end.outcome === "whole") this.#deliver(end);
+    else this.#recover(attempt, end);
+  }
+
+  #seekPlace(): void {
+    const { parts, admitted } = this.#options;
+    const { route, service, says, arrivedAt, deadline } = admitted;
+    const candidate: Candidate = {
+      request: says.attempt,
+      service,
+      tier: admitted.account?.tier ?? route.tier,
+      since: arrivedAt,
+      ...startBounds(route, {
+        arrivedAt,
+        deadline,
+        latency: parts.latencies.mean(service),
+      }),
+      ...affinityOf(admitted),
+      excluded: this.#excluded,
+      decide: (verdict) => this.#onVerdict(verdict),
+    };
+    parts.scheduler.submit(candidate, this.#now());
+  }
+
+  #onVerdict(verdict: Verdict): void {
+    if (this.#isOver) return;
+    if (verdict.kind === "place") return this.#send(verdict.upstream);
+    const { ahead, startsPerSecond, reason } = verdict;
+    this.#log("request_waited", { reason, ahead, startsPerSecond });
+    if (this.#options.answer.hasStarted) return this.#cut(reason);
+    this.#refuse(
+      this.#mayHaveRun
+        ? { status: 502, reason: "upstream-lost" }
+        : this.#comeBack(reason, { ahead, startsPerSecond }),
+    );
+  }
+
+  #send(upstream: Upstream): void {
+    const { parts, admitted, request } = this.#options;
+    const { route, service, says, account, deadline } = admitted;
+    const now = this.#now();
+    if (this.#sends === 0) {
+      this.#waited = now - this.#queuedAt;
+      parts.retries.countFirst(service, now);
+    }
+    this.#sends++;
+    const canRepeat = this.#mayBeSentAgain() &&
+      this.#sends < route.maximumAttempts;
+    const fields = parts.dialect.sendingFields(endToEndFields(request.lines), {
+      upstream: upstream.upstream,
+      account: account?.account,
+      timeLeft: Math.max(1, Math.floor(deadline - now)),
+      lastEvent: this.#lastEvent,
+    });
+    const latency = parts.latencies.mean(service);
+    this.#attempt = new Attempt({
+      upstream,
+      call: {
+        address: upstream.address,
+        method: request.method,
+        path: request.path,
+        fields,
+        body: request.body.length > 0 ? request.body : undefined,
+      },
+      connections: parts.connections,
+      dialect: parts.dialect,
+      timer: parts.timer,
+      attempt: says.attempt,
+      isStreaming: route.isStreaming,
+      firstWait: canRepeat ? firstWaitOf(route, latency) : undefined,
+      pauseWait: canRepeat ? pauseWaitOf(route) : undefined,
+      listener: this,
+    });
+    parts.scheduler.begin(upstream.upstream);
+    this.#log(this.#sends === 1 ? "request_sent" : "request_sent_again", {
+      upstream: upstream.upstream,
+      waited: Math.round(this.#waited),
+      sends: this.#sends,
+    });
+    this.#attempt.start();
+  }
+
+  /** Passes on the whole answer, or the end of the stream. */
+  #deliver({ answer }: AttemptEnd): void {
+    const caller = this.#options.answer;
+    this.#firstByteAt ??= this.#now();
+    if (answer === undefined) caller.finish();
+    else if (caller.hasStarted) caller.cut();
+    else caller.whole(answer.status, answer.fields, answer.body);
+    this.#end(answer === undefined ? "whole" : `status-${answer.status}`);
+  }
+
+  /** An attempt did not end whole: try again where that is allowed, or say how it ended. */
+  #recover(attempt: Attempt, end: AttemptEnd): void {
+    const { parts, admitted } = this.#options;
+    const { outcome, detail } = end;
+    this.#excluded.add(attempt.upstream.upstream);
+    if (outcome === "unreachable") {
+      this.#sends--;
+      this.#unreachable++;
+      if (this.#unreachable < MAXIMUM_UNREACHABLE) return this.#seekPlace();
+      return this.#giveUp(end, "unreachable-upstream");
+    }
+    if (outcome !== "not-run") this.#mayHaveRun = true;
+    const isAllowed = (outcome === "not-run" || this.#mayBeSentAgain()) &&
+      this.#sends < admitted.route.maximumAttempts &&
+      !parts.crashes.isConvicted(
+        this.#options.request.fingerprint,
+        this.#now(),
+      ) &&
+      parts.retries.takeFurther(admitted.service, {
+        hosts: parts.hostCount(),
+        now: this.#now(),
+      });
+    if (!isAllowed) {
+      return this.#giveUp(
+        end,
+        outcome === "not-run" ? "not-run-upstream" : "upstream-lost",
+      );
+    }
+    this.#log("request_failed", {
+      upstream: attempt.upstream.upstream,
+      outcome,
+      detail,
+      next: "again",
+    });
+    this.#seekPlace();
+  }
+
+  #giveUp(
+    { outcome, detail, answer: held }: AttemptEnd,
+    reason: "not-run-upstream" | "unreachable-upstream" | "upstream-lost",
+  ): void {
+    const { answer } = this.#options;
+    this.#log("request_failed", { outcome, detail, next: "give-up" });
+    if (answer.hasStarted) return this.#cut(outcome);
+    if (held !== undefined && isPassable(held.status)) {
+      answer.whole(held.status, held.fields, held.body);
+      return this.#end(`status-${held.status}`);
+    }
+    this.#refuse(
+      this.#mayHaveRun
+        ? { status: 502, reason }
+        : { status: 503, reason, retryAfter: this.#soon() },
+    );
+  }
+
+  #passDeadline(): void {
+    if (this.#isOver) return;
+    this.#stopWork("deadline");
+    if (this.#options.answer.hasStarted) return this.#cut("deadline");
+    const status = this.#mayHaveRun ? 504 : 503;
+    this.#refuse({ status, reason: "deadline" });
+  }
+
+  /** Whether a request that may have run can be sent to another upstream. */
+  #mayBeSentAgain(): boolean {
+    const { repeatability } = this.#options.admitted.route;
+    if (repeatability === "at-most-once") return false;
+    return repeatability === "resumable" || !this.#options.answer.hasStarted;
+  }
+
+  #comeBack(
+    reason: Refusal["reason"],
+    { ahead, startsPerSecond }: { ahead: number; startsPerSecond: number },
+  ): Refusal {
+    const { parts, admitted } = this.#options;
+    const timeLeft = admitted.deadline - this.#now();
+    const retryAfter = returnAfter(
+      { ahead, startsPerSecond, timeLeft },
+      parts.random,
+    );
+    return { status: 503, reason, retryAfter };
+  }
+
+  #soon(): Milliseconds {
+    return NOT_RUN_RETURN_MS * (0.5 + this.#options.parts.random.float());
+  }
+
+  #refuse(refusal: Refusal): void {
+    this.#log("request_refused", {
+      status: refusal.status,
+      reason: refusal.reason,
+      retryAfter: refusal.retryAfter,
+      held: Math.round(this.#now() - this.#options.admitted.arrivedAt),
+    });
+    this.#options.answer.refuse(refusal);
+    this.#end(refusal.reason);
+  }
+
+  #cut(detail: string): void {
+    this.#log("request_cut", { detail, lastEvent: this.#lastEvent });
+    this.#options.answer.cut();
+    this.#end("cut");
+  }
+
+  #stopWork(detail: string): void {
+    const { parts, admitted } = this.#options;
+    parts.scheduler.withdraw(admitted.service, admitted.says.attempt);
+    const attempt = this.#attempt;
+    if (attempt === undefined) return;
+    this.#isStopped = true;
+    this.#mayHaveRun ||= attempt.wasSent;
+    attempt.abort("cancelled", detail);
+  }
+
+  #learn(attempt: Attempt, { outcome, wasSent }: AttemptEnd): void {
+    const { parts, admitted, request } = this.#options;
+    const { service } = admitted;
+    const { upstream } = attempt.upstream;
+    const now = this.#now();
+    const residence = now - attempt.startedAt;
+    if (outcome === "whole") this.#learnTimes(attempt, residence);
+    if (outcome === "broken" && wasSent) {
+      parts.crashes.noteBroken({
+        fingerprint: request.fingerprint,
+        upstream,
+        at: now,
+      });
+    }
+    if (outcome === "unreachable") this.#confirmCrashes(upstream, now);
+    if (parts.scheduler.health.observe(upstream, outcome, now)) {
+      parts.metrics.count("upstream_ejected");
+      parts.log.write("upstream_ejected", { upstream, outcome, service });
+    }
+    parts.scheduler.end(attempt.upstream, { outcome, residence, now });
+  }
+
+  #learnTimes(attempt: Attempt, residence: Milliseconds): void {
+    const { parts, admitted } = this.#options;
+    const { service } = admitted;
+    const { upstream } = attempt.upstream;
+    const latency = attempt.firstEventAt === undefined
+      ? residence
+      : attempt.firstEventAt - attempt.startedAt;
+    parts.latencies.observe(service, latency);
+    const duration = attempt.firstEventAt === undefined
+      ? residence
+      : (residence - latency) / Math.max(1, attempt.eventCount - 1);
+    if (attempt.firstEventAt === undefined || attempt.eventCount > 1) {
+      parts.scheduler.speed.observe({ service, upstream, duration });
+    }
+  }
+
+  #confirmCrashes(upstream: UpstreamId, now: Milliseconds): void {
+    const { parts } = this.#options;
+    for (const { fingerprint } of parts.crashes.noteDown(upstream, now)) {
+      parts.log.write("crash_confirmed", { upstream, fingerprint });
+    }
+  }
+
+  #end(ending: string): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.#deadlineTimer?.cancel();
+    const { parts, admitted, done } = this.#options;
+    const now = this.#now();
+    const { arrivedAt } = admitted;
+    parts.metrics.observe({
+      account: accountName(admitted.account),
+      tier: admitted.account?.tier ?? admitted.route.tier,
+      ending,
+      waited: this.#waited,
+      firstByte: this.#firstByteAt === undefined
+        ? undefined
+        : this.#firstByteAt - arrivedAt,
+      whole: now - arrivedAt,
+    });
+    if (ending !== "caller-left") {
+      this.#log("request_ended", { ending, took: Math.round(now - arrivedAt) });
+    }
+    done({ hasRun: this.#mayHaveRun || this.#firstByteAt !== undefined });
+  }
+
+  #log(
+    event: Parameters<GatewayParts["log"]["write"]>[0],
+    values: Parameters<GatewayParts["log"]["write"]>[1],
+  ): void {
+    const { parts, admitted } = this.#options;
+    parts.log.write(event, {
+      id: admitted.says.attempt,
+      route: admitted.route.route,
+      policy: admitted.policyVersion,
+      ...values,
+    });
+  }
+
+  #now(): Milliseconds {
+    return this.#options.parts.timer.now();
+  }
+}
+
+/** A "not run" of the upstream's own is ours to say; other failures are passed on. */
+function isPassable(status: number): boolean {
+  return status !== 408 && status !== 429 && status !== 503;
+}
+
+/** Requests with the same last part of the prompt gain from the same engine. */
+function affinityOf({ says }: Admitted): { affinity?: string } {
+  const last = says.parts.at(-1);
+  return last === undefined ? {} : { affinity: last.part };
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,392 @@
+import {
+  ElapsedClock,
+  type FailureDomain,
+  type HostId,
+  type Incarnation,
+  type Milliseconds,
+  type Random,
+  type Timer,
+  type TimerSubscription,
+  type UpstreamId,
+} from "@wasabivane/common";
+import {
+  CrashBook,
+  type FreshnessOptions,
+  HostScheduler,
+  QuotaBook,
+  RetryBudget,
+  type RetryBudgetOptions,
+  type Upstream,
+  UpstreamDirectory,
+} from "@wasabivane/admission";
+import { err, ok, type Result } from "neverthrow";
+import { CallerFront, type ListenError } from "./callerFront.ts";
+import { DecisionLog, type LogOutput } from "./decisionLog.ts";
+import type { Dialect } from "./dialect.ts";
+import { FleetTalk } from "./fleetTalk.ts";
+import { GatewayMetrics } from "./gatewayMetrics.ts";
+import type { GatewayParts } from "./gatewayParts.ts";
+import { LatencyBook } from "./latencyBook.ts";
+import {
+  beliefApp,
+  fetchBelief,
+  listenApp,
+  metricsApp,
+  readinessApp,
+  type Shown,
+} from "./operatorPort.ts";
+import { PeerBook, type PeerChange } from "./peerBook.ts";
+import { type ChannelError, PeerChannel } from "./peerChannel.ts";
+import { PolicyState } from "./policyState.ts";
+import { UpstreamConnections } from "./upstreamConnections.ts";
+
+/** How often lines, peers and grace times are looked at. */
+const TICK_MS: Milliseconds = 10;
+const SLOW_TICK_MS: Milliseconds = 100;
+/** The balancer asks every second and gives up after two misses. */
+const UNREADY_SPREAD_MS: Milliseconds = 2_500;
+/** Time before the platform's kill by which the process ends by itself. */
+const STOP_MARGIN_MS: Milliseconds = 600;
+/** A host that cannot read the store asks a peer so often what it holds. */
+const PEER_ASK_MS: Milliseconds = 1_000;
+const STOP_CHECK_MS: Milliseconds = 50;
+const FALLBACK_CONNECTIONS = 64;
+
+/** Where a host listens; all are `ip:port`. */
+export interface GatewayAddresses {
+  readonly callers: string;
+  readonly readiness: string;
+  /** Datagrams and beliefs among hosts. */
+  readonly peers: string;
+  /** Counters and histograms; left out where nobody reads them. */
+  readonly metrics?: { readonly address: string; readonly path: string };
+}
+
+/** What a {@link Gateway} is built from. */
+export interface GatewayOptions {
+  readonly host: HostId;
+  readonly incarnation: Incarnation;
+  readonly failureDomain: FailureDomain;
+  readonly addresses: GatewayAddresses;
+  readonly seeds: readonly string[];
+  readonly readyPath: string;
+  readonly freshness: FreshnessOptions;
+  readonly retryBudget: RetryBudgetOptions;
+  /** From the order to stop to the kill. */
+  readonly stopGrace: Milliseconds;
+  readonly dialect: Dialect;
+  readonly timer: Timer;
+  readonly random: Random;
+  readonly output: LogOutput;
+}
+
+/**
+ * One entry host: callers on one side, upstreams on the other, peers beside it.
+ * Whoever reads the platform hands in policies and upstreams.
+ */
+export class Gateway {
+  readonly parts: GatewayParts;
+  readonly #options: GatewayOptions;
+  readonly #front: CallerFront;
+  readonly #talk: FleetTalk;
+  readonly #book: PeerBook;
+  readonly #channel: PeerChannel;
+  readonly #timers: TimerSubscription[] = [];
+  #isStopping = false;
+  #isReading = false;
+  #isAskingPeer = false;
+  #workMark = "";
+  #askedPeerAt: Milliseconds = -Infinity;
+
+  constructor(options: GatewayOptions) {
+    this.#options = options;
+    this.#book = new PeerBook(options.host, options.seeds);
+    this.parts = this.#createParts();
+    this.#front = new CallerFront(this.parts);
+    this.#channel = new PeerChannel({
+      onWord: (word) => this.#onPeerChange(this.#talk.hear(word)),
+      onMalformed: () => this.parts.metrics.count("peer_words_malformed"),
+    });
+    this.#talk = new FleetTalk({
+      parts: this.parts,
+      book: this.#book,
+      incarnation: options.incarnation,
+      address: options.addresses.peers,
+      send: (word, targets) => this.#channel.send(word, targets),
+      onNewerPolicy: (peer) => void this.#askPeer(peer),
+      isReading: () => this.#isReading,
+    });
+  }
+
+  /** Whether callers may be sent here. */
+  get isReady(): boolean {
+    const { policies, directory, elapsed } = this.parts;
+    return !this.#isStopping && policies.index !== undefined &&
+      directory.size > 0 && policies.freshness.mayTrustKeys(elapsed.now());
+  }
+
+  async start(): Promise<Result<void, ListenError | ChannelError>> {
+    const { addresses, readyPath, timer } = this.#options;
+    const shown = this.#shown();
+    listenApp(readinessApp(shown, readyPath), addresses.readiness);
+    if (addresses.metrics !== undefined) {
+      const { address, path } = addresses.metrics;
+      listenApp(metricsApp(shown, path), address);
+    }
+    listenApp(beliefApp(shown), addresses.peers);
+    const opened = await this.#channel.open(addresses.peers);
+    if (opened.isErr()) return err(opened.error);
+    const listening = await this.#front.listen(addresses.callers);
+    if (listening.isErr()) return err(listening.error);
+    this.#timers.push(
+      timer.every(TICK_MS, () => this.#tick()),
+      timer.every(SLOW_TICK_MS, () => this.#slowTick()),
+    );
+    this.parts.log.write("started", { peers: addresses.peers });
+    return ok(undefined);
+  }
+
+  /** Takes in the newest policy, as the store held it at `provenAt` of the elapsed clock. */
+  takePolicy(bytes: Uint8Array, provenAt: Milliseconds): void {
+    const { policies, log } = this.parts;
+    const former = policies.version;
+    policies.adopt(bytes, provenAt).match(
+      (adoption) => {
+        if (adoption !== "adopted") return;
+        log.write("policy_adopted", { version: policies.version, former });
+        this.#talk.touch();
+      },
+      ({ detail }) => log.write("policy_rejected", { detail }),
+    );
+  }
+
+  /** The store's picture is the newest as of a moment of the elapsed clock. */
+  provePolicy(provenAt: Milliseconds): void {
+    this.parts.policies.freshness.prove(provenAt);
+  }
+
+  /** Takes in what the store says of one upstream. */
+  takeUpstream(upstream: Upstream): void {
+    const { directory, log, scheduler, timer } = this.parts;
+    const known = directory.get(upstream.upstream);
+    if (upstream.isLeaving) return this.#leave(upstream.upstream, "announced");
+    directory.set(upstream);
+    if (known === undefined) {
+      log.write("upstream_listed", {
+        upstream: upstream.upstream,
+        service: upstream.service,
+        slots: upstream.slots,
+      });
+    }
+    scheduler.review(timer.now());
+  }
+
+  /** The store holds an upstream no more. */
+  dropUpstream(upstream: UpstreamId, isStoreSuspect: boolean): void {
+    const { directory, log, timer } = this.parts;
+    if (directory.get(upstream) === undefined) return;
+    directory.remove(upstream, { now: timer.now(), isStoreSuspect });
+    log.write("upstream_left", {
+      upstream,
+      why: isStoreSuspect ? "lapsed" : "removed",
+    });
+  }
+
+  /** Takes in a full reading of all upstreams. */
+  takeAllUpstreams(
+    upstreams: readonly Upstream[],
+    isStoreSuspect: boolean,
+  ): void {
+    for (const { upstream, isLeaving } of upstreams) {
+      if (isLeaving) this.#leave(upstream, "announced");
+    }
+    const { directory, timer, scheduler } = this.parts;
+    directory.replaceAll(upstreams, { now: timer.now(), isStoreSuspect });
+    scheduler.review(timer.now());
+  }
+
+  /** Whether the store can be read, for the peers and the log. */
+  setReading(isReading: boolean, detail: string): void {
+    if (isReading === this.#isReading) return;
+    this.#isReading = isReading;
+    this.parts.log.write(isReading ? "store_regained" : "store_lost", {
+      detail,
+    });
+  }
+
+  setSeeds(seeds: readonly string[]): void {
+    this.#book.setSeeds(seeds);
+    this.parts.log.write("settings_reloaded", { seeds: seeds.join(",") });
+  }
+
+  /**
+   * Ends without cutting a request: not ready at once, so that the balancer sends
+   * no new connections; everything that comes meanwhile is served, with the
+   * advice to close; connections without a request are closed last.
+   */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const { timer, log } = this.parts;
+    const end = timer.now() + this.#options.stopGrace - STOP_MARGIN_MS;
+    log.write("stopping", { open: this.#front.openRequests });
+    await this.#sleep(UNREADY_SPREAD_MS);
+    this.#front.stopListening();
+    this.#front.closeIdle();
+    while (this.#front.openRequests > 0 && timer.now() < end) {
+      await this.#sleep(STOP_CHECK_MS);
+      this.#front.closeIdle();
+    }
+    log.write("stopped", { open: this.#front.openRequests });
+    this.#front.closeAll();
+    for (const subscription of this.#timers) subscription.cancel();
+    this.parts.connections.close();
+    this.#channel.close();
+  }
+
+  #createParts(): GatewayParts {
+    const { host, failureDomain, timer, random, dialect, output } =
+      this.#options;
+    const directory = new UpstreamDirectory();
+    const hostCount = (): number => this.#book.aliveCount + 1;
+    const policies = new PolicyState({
+      dialect,
+      bounds: this.#options.freshness,
+    });
+    return {
+      host,
+      failureDomain,
+      timer,
+      elapsed: new ElapsedClock(timer),
+      random,
+      dialect,
+      log: new DecisionLog({ output, timer, host }),
+      metrics: new GatewayMetrics(),
+      policies,
+      directory,
+      scheduler: new HostScheduler({ directory, random, failureDomain }),
+      quotas: new QuotaBook(),
+      retries: new RetryBudget(this.#options.retryBudget),
+      crashes: new CrashBook(),
+      latencies: new LatencyBook(),
+      connections: new UpstreamConnections(() =>
+        connectionsOf(policies, hostCount())
+      ),
+      hostCount,
+      isStopping: () => this.#isStopping,
+    };
+  }
+
+  #shown(): Shown {
+    const { policies, elapsed, directory } = this.parts;
+    return {
+      isReady: () => this.isReady,
+      metricsText: () => this.#metricsText(),
+      belief: () =>
+        policies.index === undefined ? undefined : {
+          policy: policies.bytes,
+          proofAge: policies.freshness.age(elapsed.now()),
+          upstreams: directory.all(),
+        },
+    };
+  }
+
+  #metricsText(): Promise<string> {
+    const { metrics, policies, directory, scheduler, elapsed } = this.parts;
+    metrics.set("policy_version", policies.version);
+    metrics.set("policy_proof_age_ms", policies.freshness.age(elapsed.now()));
+    metrics.set("upstreams", directory.size);
+    metrics.set("peers", this.#book.aliveCount);
+    metrics.set("waiting", scheduler.waitingTotal);
+    metrics.set("open_requests", this.#front.openRequests);
+    return metrics.text();
+  }
+
+  #tick(): void {
+    const { scheduler, timer } = this.parts;
+    if (scheduler.waitingTotal > 0) scheduler.review(timer.now());
+    const mark = workMark(this.parts);
+    if (mark !== this.#workMark) this.#talk.touch();
+    this.#workMark = mark;
+    for (const change of this.#talk.tick()) this.#onPeerChange(change);
+  }
+
+  #slowTick(): void {
+    const { scheduler, directory, timer } = this.parts;
+    const now = timer.now();
+    const isChanged = scheduler.load.expire(now) || directory.expire(now);
+    if (isChanged) scheduler.review(now);
+    if (!this.#isReading && now - this.#askedPeerAt >= PEER_ASK_MS) {
+      this.#askedPeerAt = now;
+      const peer = this.#book.pick(this.parts.random);
+      if (peer !== undefined) void this.#askPeer(peer);
+    }
+  }
+
+  #leave(upstream: UpstreamId, why: string): void {
+    if (!this.parts.directory.leave(upstream)) return;
+    this.parts.log.write("upstream_left", { upstream, why });
+    this.#talk.tellLeft(upstream);
+  }
+
+  #onPeerChange(change: PeerChange | undefined): void {
+    if (change === undefined) return;
+    this.parts.log.write(
+      change.kind === "found" ? "peer_found" : "peer_lost",
+      { peer: change.host },
+    );
+  }
+
+  /** Learns from a peer what the store would say; only needed where the store is late or away. */
+  async #askPeer(peer: HostId): Promise<void> {
+    const address = this.#book.addressOf(peer);
+    if (this.#isAskingPeer || address === undefined) return;
+    this.#isAskingPeer = true;
+    const { elapsed, log } = this.parts;
+    const askedAt = elapsed.now();
+    const fetched = await fetchBelief(address);
+    this.#isAskingPeer = false;
+    fetched.match(
+      ({ policy, proofAge, upstreams }) => {
+        this.takePolicy(policy, askedAt - proofAge);
+        if (!this.#isReading) this.#takePeerUpstreams(upstreams);
+      },
+      ({ detail }) => log.write("policy_rejected", { peer, detail }),
+    );
+  }
+
+  /** Takes in upstreams that this host has not heard of from the store itself. */
+  #takePeerUpstreams(upstreams: readonly Upstream[]): void {
+    for (const upstream of upstreams) {
+      if (this.parts.directory.get(upstream.upstream) === undefined) {
+        this.takeUpstream(upstream);
+      }
+    }
+  }
+
+  #sleep(span: Milliseconds): Promise<void> {
+    return new Promise((resolve) => {
+      this.parts.timer.after(span, resolve);
+    });
+  }
+}
+
+/** Changes whenever what peers should know of this host's work changes. */
+function workMark({ scheduler }: GatewayParts): string {
+  let mark = `${scheduler.waitingTotal}`;
+  for (const [upstream, count] of scheduler.load.ownInFlight()) {
+    mark += `|${upstream}${count}`;
+  }
+  return mark;
+}
+
+/** Connections that this host may have to one upstream, of what all may have. */
+function connectionsOf(policies: PolicyState, hosts: number): number {
+  const services = policies.index?.policy.services ?? [];
+  let least = Infinity;
+  for (const { maximumConnections } of services) {
+    least = Math.min(least, maximumConnections);
+  }
+  if (!Number.isFinite(least)) return FALLBACK_CONNECTIONS;
+  return Math.max(1, Math.floor(least / hosts));
+}
--- /dev/null
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -0,0 +1,103 @@
+import type { Milliseconds } from "@wasabivane/common";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Upper bounds of latency buckets, in milliseconds: half a target to a long deadline. */
+const LATENCY_BUCKETS_MS = [
+  10,
+  25,
+  50,
+  100,
+  200,
+  400,
+  800,
+  1_600,
+  3_200,
+  6_400,
+  12_800,
+];
+/** Client accounts with series of their own; further ones share one. */
+const MAXIMUM_ACCOUNTS = 64;
+const OTHER_ACCOUNTS = "other";
+
+/** How one request ended, for the series. */
+export interface RequestSample {
+  readonly account: string;
+  readonly tier: number;
+  readonly ending: string;
+  readonly waited: Milliseconds;
+  /** Time to the first event or to the whole answer; `undefined` when none came. */
+  readonly firstByte: Milliseconds | undefined;
+  readonly whole: Milliseconds;
+}
+
+/** Counters, gauges and histograms of one process, as text for a scraper. */
+export class GatewayMetrics {
+  readonly #registry = new Registry();
+  readonly #accounts = new Set<string>();
+  readonly #requests = new Counter({
+    name: "wasabivane_requests_total",
+    help: "Requests by how they ended",
+    labelNames: ["account", "tier", "ending"],
+    registers: [this.#registry],
+  });
+  readonly #waited = this.#histogram("waited", "Time in the waiting line");
+  readonly #firstByte = this.#histogram(
+    "first_byte",
+    "Time to the first event or the whole answer",
+  );
+  readonly #whole = this.#histogram("whole", "Time to the end");
+  readonly #counts = new Counter({
+    name: "wasabivane_events_total",
+    help: "Steps and failures by name",
+    labelNames: ["name"],
+    registers: [this.#registry],
+  });
+  readonly #states = new Gauge({
+    name: "wasabivane_state",
+    help: "What the process believes now, by name",
+    labelNames: ["name"],
+    registers: [this.#registry],
+  });
+
+  observe(sample: RequestSample): void {
+    const labels = {
+      account: this.#boundedAccount(sample.account),
+      tier: sample.tier,
+    };
+    this.#requests.inc({ ...labels, ending: sample.ending });
+    this.#waited.observe(labels, sample.waited);
+    this.#whole.observe(labels, sample.whole);
+    if (sample.firstByte !== undefined) {
+      this.#firstByte.observe(labels, sample.firstByte);
+    }
+  }
+
+  count(name: string, by = 1): void {
+    this.#counts.inc({ name }, by);
+  }
+
+  set(name: string, value: number): void {
+    this.#states.set({ name }, value);
+  }
+
+  text(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  #boundedAccount(account: string): string {
+    if (this.#accounts.has(account)) return account;
+    if (this.#accounts.size >= MAXIMUM_ACCOUNTS) return OTHER_ACCOUNTS;
+    this.#accounts.add(account);
+    return account;
+  }
+
+  #histogram(name: string, help: string): Histogram<"account" | "tier"> {
+    return new Histogram({
+      name: `wasabivane_${name}_ms`,
+      help,
+      labelNames: ["account", "tier"],
+      buckets: LATENCY_BUCKETS_MS,
+      registers: [this.#registry],
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gatewayParts.ts
@@ -0,0 +1,43 @@
+import type {
+  ElapsedClock,
+  FailureDomain,
+  HostId,
+  Random,
+  Timer,
+} from "@wasabivane/common";
+import type {
+  CrashBook,
+  HostScheduler,
+  QuotaBook,
+  RetryBudget,
+  UpstreamDirectory,
+} from "@wasabivane/admission";
+import type { DecisionLog } from "./decisionLog.ts";
+import type { Dialect } from "./dialect.ts";
+import type { GatewayMetrics } from "./gatewayMetrics.ts";
+import type { LatencyBook } from "./latencyBook.ts";
+import type { PolicyState } from "./policyState.ts";
+import type { UpstreamConnections } from "./upstreamConnections.ts";
+
+/** What the parts of one process share. */
+export interface GatewayParts {
+  readonly host: HostId;
+  readonly failureDomain: FailureDomain;
+  readonly timer: Timer;
+  readonly elapsed: ElapsedClock;
+  readonly random: Random;
+  readonly dialect: Dialect;
+  readonly log: DecisionLog;
+  readonly metrics: GatewayMetrics;
+  readonly policies: PolicyState;
+  readonly directory: UpstreamDirectory;
+  readonly scheduler: HostScheduler;
+  readonly quotas: QuotaBook;
+  readonly retries: RetryBudget;
+  readonly crashes: CrashBook;
+  readonly latencies: LatencyBook;
+  readonly connections: UpstreamConnections;
+  /** Hosts that share budgets, this one included. */
+  readonly hostCount: () => number;
+  readonly isStopping: () => boolean;
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,21 @@
+/** An entry host for requests that are passed on unchanged, beside peers that tell each other their load. */
+export * from "./dialect.ts";
+export * from "./fields.ts";
+export {
+  DecisionLog,
+  LOG_EVENTS,
+  type LogEvent,
+  type LogOutput,
+} from "./decisionLog.ts";
+export { EventFrames } from "./eventFrames.ts";
+export {
+  Gateway,
+  type GatewayAddresses,
+  type GatewayOptions,
+} from "./gateway.ts";
+export { GatewayMetrics } from "./gatewayMetrics.ts";
+export { PeerBook } from "./peerBook.ts";
+export { splitAddress } from "./peerChannel.ts";
+export { decodeWord, encodeWord, type PeerWord } from "./peerWord.ts";
+export { PolicyState } from "./policyState.ts";
+export { StandardOutput } from "./standardOutput.ts";
--- /dev/null
+++ b/packages/gateway/src/intake.ts
@@ -0,0 +1,181 @@
+import type {
+  ClientAccountId,
+  Milliseconds,
+  Random,
+  ServiceId,
+} from "@wasabivane/common";
+import type {
+  ClientAccount,
+  PolicyIndex,
+  Route,
+  RouteTarget,
+} from "@wasabivane/admission";
+import { err, ok, type Result } from "neverthrow";
+import type { CallerSays, Dialect } from "./dialect.ts";
+import { type FieldLine, fieldOf, type FieldValues } from "./fields.ts";
+import type { PolicyState } from "./policyState.ts";
+
+/** Why a request was not taken in. */
+export type RefusalReason =
+  | "no-policy"
+  | "policy-behind"
+  | "no-route"
+  | "no-account"
+  | "malformed"
+  | "fields-too-large"
+  | "body-too-large"
+  | "body-too-slow"
+  | "over-quota"
+  | "convicted"
+  | "line-too-long"
+  | "waited-out"
+  | "not-run-upstream"
+  | "unreachable-upstream"
+  | "deadline"
+  | "upstream-lost"
+  | "internal";
+
+/** A final answer of this host's own. */
+export interface Refusal {
+  readonly status: number;
+  readonly reason: RefusalReason;
+  /** When the caller should come back; only where the request has not run. */
+  readonly retryAfter?: Milliseconds;
+}
+
+/** A request that a route and an account were found for. */
+export interface Admitted {
+  readonly route: Route;
+  readonly service: ServiceId;
+  readonly account: ClientAccount | undefined;
+  readonly says: CallerSays;
+  readonly arrivedAt: Milliseconds;
+  /** When the last byte of the answer must have left. */
+  readonly deadline: Milliseconds;
+  readonly policyVersion: number;
+}
+
+/** The head of a request. */
+export interface RequestHead {
+  readonly path: string;
+  readonly fields: FieldValues;
+  readonly lines: readonly FieldLine[];
+}
+
+/** What {@link admit} reads. */
+export interface IntakeOptions {
+  readonly policies: PolicyState;
+  readonly dialect: Dialect;
+  readonly random: Random;
+  /** Clock of the request's times. */
+  readonly now: Milliseconds;
+  /** Clock of proofs of freshness; it counts time in which the machine was suspended. */
+  readonly elapsedNow: Milliseconds;
+}
+
+/** A host without a usable policy expects to have one after about this time. */
+const POLICY_RETRY_MS: Milliseconds = 600;
+
+/**
+ * Finds the route and the client account of a request, or the truthful refusal.
+ * "No such route" and "no such key" are said only on a policy that was the newest
+ * a moment ago; from a host that may be behind they would be wrong for good, while
+ * "not run, come back" is right anywhere.
+ */
+export function admit(
+  head: RequestHead,
+  options: IntakeOptions,
+): Result<Admitted, Refusal> {
+  const { policies, dialect, now } = options;
+  const index = policies.index;
+  if (index === undefined) return err(notNow("no-policy"));
+  if (sizeOf(head.lines) > index.policy.limits.maximumHeaderBytes) {
+    return err({ status: 431, reason: "fields-too-large" });
+  }
+  const route = index.route(fieldOf(head.fields, "host") ?? "", head.path);
+  if (route === undefined) return err(deny(404, "no-route", options));
+  const says = dialect.readRequest(head.fields);
+  if (says === undefined) return err({ status: 400, reason: "malformed" });
+  return findAccount(says, { index, route, options }).map((account) => ({
+    route,
+    service: pickTarget(route.targets, options.random),
+    account,
+    says,
+    arrivedAt: now,
+    deadline: now + Math.min(says.timeLeft ?? route.timeout, route.timeout),
+    policyVersion: index.policy.version,
+  }));
+}
+
+/** Tokens or requests that a request takes of its account's quota. */
+export function unitsOf(account: ClientAccount, says: CallerSays): number {
+  if (account.quota?.unit !== "tokens") return 1;
+  const { tokens } = says;
+  return tokens === undefined
+    ? account.quota.plainTokens
+    : tokens.prompt + tokens.output;
+}
+
+/** Name of an account for logs and series. */
+export function accountName(
+  account: { account: ClientAccountId } | undefined,
+): string {
+  return account?.account ?? "anonymous";
+}
+
+function findAccount(
+  says: CallerSays,
+  { index, route, options }: {
+    index: PolicyIndex;
+    route: Route;
+    options: IntakeOptions;
+  },
+): Result<ClientAccount | undefined, Refusal> {
+  if (route.isAnonymous || index.policy.accounts.length === 0) {
+    return ok(undefined);
+  }
+  const { freshness } = options.policies;
+  if (!freshness.mayTrustKeys(options.elapsedNow)) {
+    return err(notNow("policy-behind"));
+  }
+  const account = says.apiKey === undefined
+    ? undefined
+    : index.accountOfKey(says.apiKey);
+  if (account === undefined) return err(deny(401, "no-account", options));
+  return ok(account);
+}
+
+function deny(
+  status: number,
+  reason: RefusalReason,
+  { policies, elapsedNow }: IntakeOptions,
+): Refusal {
+  return policies.freshness.mayDeny(elapsedNow)
+    ? { status, reason }
+    : notNow("policy-behind");
+}
+
+function notNow(reason: RefusalReason): Refusal {
+  return { status: 503, reason, retryAfter: POLICY_RETRY_MS };
+}
+
+function pickTarget(
+  targets: readonly RouteTarget[],
+  random: Random,
+): ServiceId {
+  let total = 0;
+  for (const { weight } of targets) total += weight;
+  let draw = random.float() * total;
+  for (const { service, weight } of targets) {
+    draw -= weight;
+    if (draw < 0) return service;
+  }
+  return targets[targets.length - 1]!.service;
+}
+
+/** Bytes of the fields as they stood on the wire, about. */
+function sizeOf(lines: readonly FieldLine[]): number {
+  let bytes = 0;
+  for (const [name, value] of lines) bytes += name.length + value.length + 4;
+  return bytes;
+}
--- /dev/null
+++ b/packages/gateway/src/operatorPort.ts
@@ -0,0 +1,82 @@
+import type { Server } from "node:http";
+import { serve } from "@hono/node-server";
+import { Hono } from "hono";
+import { request } from "undici";
+import type { Milliseconds } from "@wasabivane/common";
+import type { Upstream } from "@wasabivane/admission";
+import { Packr } from "msgpackr";
+import { err, ok, type Result } from "neverthrow";
+import { splitAddress } from "./peerChannel.ts";
+
+const packr = new Packr({ useRecords: false });
+
+/** Path under which hosts give each other what they believe. */
+const BELIEF_PATH = "/belief";
+const FETCH_TIMEOUT_MS: Milliseconds = 800;
+
+/** What a host holds for true, for a peer that cannot read the store. */
+export interface Belief {
+  /** Bytes of the policy in force. */
+  readonly policy: Uint8Array;
+  /** Age of the proof that it is the newest. */
+  readonly proofAge: Milliseconds;
+  readonly upstreams: readonly Upstream[];
+}
+
+/** What a host shows to peers and operators. */
+export interface Shown {
+  readonly isReady: () => boolean;
+  readonly metricsText: () => Promise<string>;
+  readonly belief: () => Belief | undefined;
+}
+
+/** Why a peer's belief could not be had. */
+export interface FetchError {
+  readonly kind: "unreachable" | "no-belief";
+  readonly detail: string;
+}
+
+/** Answers the balancer's question. */
+export function readinessApp({ isReady }: Shown, path: string): Hono {
+  return new Hono()
+    .get(path, (context) => context.body(null, isReady() ? 200 : 503));
+}
+
+/** Answers the scraper. */
+export function metricsApp({ metricsText }: Shown, path: string): Hono {
+  return new Hono()
+    .get(path, async (context) => context.text(await metricsText()));
+}
+
+/** Gives peers what this host believes. */
+export function beliefApp({ belief }: Shown): Hono {
+  return new Hono().get(BELIEF_PATH, (context) => {
+    const held = belief();
+    if (held === undefined) return context.body(null, 404);
+    return context.body(new Uint8Array(packr.pack(held)));
+  });
+}
+
+/** Listens for an app at `ip:port`. */
+export function listenApp(app: Hono, address: string): Server {
+  const { ip, port } = splitAddress(address);
+  return serve({ fetch: app.fetch, hostname: ip, port }) as Server;
+}
+
+/** Reads what a peer believes. */
+export async function fetchBelief(
+  address: string,
+): Promise<Result<Belief, FetchError>> {
+  try {
+    const answer = await request(`http://${address}${BELIEF_PATH}`, {
+      signal: AbortSignal.timeout(FETCH_TIMEOUT_MS),
+    });
+    const bytes = new Uint8Array(await answer.body.arrayBuffer());
+    if (answer.statusCode !== 200) {
+      return err({ kind: "no-belief", detail: `status ${answer.statusCode}` });
+    }
+    return ok(packr.unpack(bytes) as Belief);
+  } catch (thrown) {
+    return err({ kind: "unreachable", detail: String(thrown) });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -0,0 +1,155 @@
+import type { Buffer } from "node:buffer";
+import type { Milliseconds } from "@wasabivane/common";
+import { type Dispatcher, Pool } from "undici";
+import type { FieldLine, FieldValues } from "./fields.ts";
+
+/** A connection inside a region stands within a few milliseconds; a lost packet costs a second. */
+const CONNECT_TIMEOUT_MS: Milliseconds = 250;
+/** Idle connections are kept for so long where the upstream names no time. */
+const IDLE_MS: Milliseconds = 8_000;
+/** The upstream may close so much earlier than it names. */
+const IDLE_MARGIN_MS: Milliseconds = 1_000;
+const MAXIMUM_FIELD_BYTES = 32 * 1_024;
+const LEAST_CONNECTIONS = 4;
+
+/** One request to an upstream. */
+export interface UpstreamCall {
+  /** `ip:port`. */
+  readonly address: string;
+  readonly method: string;
+  /** Path and query as the caller wrote them. */
+  readonly path: string;
+  readonly fields: readonly FieldLine[];
+  readonly body: Buffer | undefined;
+}
+
+/** What happens to an {@link UpstreamCall}; `failed` or `ended` comes last, once. */
+export interface UpstreamListener {
+  /** Bytes of the request may have left from now on. */
+  sent(): void;
+  head(status: number, fields: FieldValues): void;
+  data(chunk: Buffer): void;
+  ended(): void;
+  failed(detail: string): void;
+}
+
+/** Handle of a call that runs. */
+export interface RunningCall {
+  /** Ends the call and its connection; the upstream then drops the request. */
+  abort(): void;
+  pause(): void;
+  resume(): void;
+}
+
+/**
+ * Connections to upstreams, one request at a time on each. Nothing is ever sent
+ * twice here, and no time-out of the library's ends an answer: whoever sends
+ * knows how long it is worth waiting.
+ */
+export class UpstreamConnections {
+  readonly #pools = new Map<string, Pool>();
+  readonly #maximumConnections: () => number;
+
+  /** `maximumConnections`: connections that this host may have to one upstream. */
+  constructor(maximumConnections: () => number) {
+    this.#maximumConnections = maximumConnections;
+  }
+
+  send(call: UpstreamCall, listener: UpstreamListener): RunningCall {
+    const run = new CallRun(listener);
+    this.#poolOf(call.address).dispatch({
+      method: call.method as Dispatcher.HttpMethod,
+      path: call.path,
+      headers: call.fields.flat(),
+      body: call.body ?? null,
+    }, run);
+    return run;
+  }
+
+  /** Ends the connections to an address when its last answer is over. */
+  forget(address: string): void {
+    const pool = this.#pools.get(address);
+    this.#pools.delete(address);
+    void pool?.close();
+  }
+
+  close(): void {
+    for (const pool of this.#pools.values()) void pool.destroy();
+    this.#pools.clear();
+  }
+
+  #poolOf(address: string): Pool {
+    let pool = this.#pools.get(address);
+    if (pool === undefined) {
+      pool = new Pool(`http://${address}`, {
+        connections: Math.max(LEAST_CONNECTIONS, this.#maximumConnections()),
+        pipelining: 1,
+        connectTimeout: CONNECT_TIMEOUT_MS,
+        keepAliveTimeout: IDLE_MS,
+        keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        maxHeaderSize: MAXIMUM_FIELD_BYTES,
+      });
+      this.#pools.set(address, pool);
+    }
+    return pool;
+  }
+}
+
+/** Translates the library's callbacks, and abandons a call that never started. */
+class CallRun implements Dispatcher.DispatchHandler, RunningCall {
+  readonly #listener: UpstreamListener;
+  #controller: Dispatcher.DispatchController | undefined;
+  #isAborted = false;
+
+  constructor(listener: UpstreamListener) {
+    this.#listener = listener;
+  }
+
+  abort(): void {
+    this.#isAborted = true;
+    this.#controller?.abort(new Error("The host ended the call"));
+  }
+
+  pause(): void {
+    this.#controller?.pause();
+  }
+
+  resume(): void {
+    this.#controller?.resume();
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#isAborted) controller.abort(new Error("The host ended the call"));
+    else this.#listener.sent();
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    fields: FieldValues,
+  ): void {
+    if (status < 200 || this.#isAborted) return;
+    this.#listener.head(status, fields);
+  }
+
+  onResponseData(
+    _controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (!this.#isAborted) this.#listener.data(chunk);
+  }
+
+  onResponseEnd(): void {
+    if (!this.#isAborted) this.#listener.ended();
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    if (!this.#isAborted) this.#listener.failed(error.message);
+  }
+}
