Do not pass on a reset answer without a length as a whole one

Change: the connector notes that a socket fails before the library's own handler runs; an end reported meanwhile counts as broken. A request that was sent to every upstream of its service is answered at once instead of waiting in line until its patience ends.

--- a/packages/admission/src/hostScheduler.ts
+++ b/packages/admission/src/hostScheduler.ts
@@ -36,12 +36,19 @@
   readonly decide: (verdict: Verdict) => void;
 }
 
+/** Why a {@link Candidate} gets no place. */
+export type PlaceRefusal =
+  | "line-too-long"
+  | "waited-out"
+  /** It was sent to every upstream of the service before. */
+  | "no-other-upstream";
+
 /** What was decided about a {@link Candidate}. */
 export type Verdict =
   | { readonly kind: "place"; readonly upstream: Upstream }
   | {
     readonly kind: "refuse";
-    readonly reason: "line-too-long" | "waited-out";
+    readonly reason: PlaceRefusal;
     /** Requests ahead when it was decided, and how fast they started. */
     readonly ahead: number;
     readonly startsPerSecond: number;
@@ -102,6 +109,10 @@
     const state = this.#stateOf(candidate.service, now);
     this.#measureStarts(state, now);
     const ahead = state.line.aheadOf(candidate.tier);
+    if (this.#hasNoOther(candidate)) {
+      candidate.decide(refusal("no-other-upstream", { state, ahead }));
+      return;
+    }
     if (this.#isHopeless(state, { candidate, ahead, now })) {
       candidate.decide(refusal("line-too-long", { state, ahead }));
       return;
@@ -227,6 +238,12 @@
     return 1;
   }
 
+  #hasNoOther({ service, excluded }: Candidate): boolean {
+    const upstreams = this.#directory.of(service);
+    return upstreams.length > 0 &&
+      upstreams.every(({ upstream }) => excluded.has(upstream));
+  }
+
   #isHopeless(
     state: ServiceLine,
     { candidate, ahead, now }: {
@@ -280,7 +297,7 @@
 }
 
 function refusal(
-  reason: "line-too-long" | "waited-out",
+  reason: PlaceRefusal,
   { state, ahead }: { state: ServiceLine; ahead: number },
 ): Verdict {
   return {
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -20,5 +20,6 @@
   type Candidate,
   HostScheduler,
   type HostSchedulerOptions,
+  type PlaceRefusal,
   type Verdict,
 } from "./hostScheduler.ts";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,3 +1,4 @@
+import type { Server } from "node:http";
 import {
   ElapsedClock,
   type FailureDomain,
@@ -92,6 +93,7 @@
   readonly #book: PeerBook;
   readonly #channel: PeerChannel;
   readonly #timers: TimerSubscription[] = [];
+  readonly #servers: Server[] = [];
   #isStopping = false;
   #isReading = false;
   #isAskingPeer = false;
@@ -128,12 +130,14 @@
   async start(): Promise<Result<void, ListenError | ChannelError>> {
     const { addresses, readyPath, timer } = this.#options;
     const shown = this.#shown();
-    listenApp(readinessApp(shown, readyPath), addresses.readiness);
+    this.#servers.push(
+      listenApp(readinessApp(shown, readyPath), addresses.readiness),
+      listenApp(beliefApp(shown), addresses.peers),
+    );
     if (addresses.metrics !== undefined) {
       const { address, path } = addresses.metrics;
-      listenApp(metricsApp(shown, path), address);
+      this.#servers.push(listenApp(metricsApp(shown, path), address));
     }
-    listenApp(beliefApp(shown), addresses.peers);
     const opened = await this.#channel.open(addresses.peers);
     if (opened.isErr()) return err(opened.error);
     const listening = await this.#front.listen(addresses.callers);
@@ -238,9 +242,16 @@
       this.#front.closeIdle();
     }
     log.write("stopped", { open: this.#front.openRequests });
+    await this.close();
+  }
+
+  /** Ends at once, whatever is under way. */
+  async close(): Promise<void> {
+    this.#front.stopListening();
     this.#front.closeAll();
-    for (const subscription of this.#timers) subscription.cancel();
-    this.parts.connections.close();
+    for (const subscription of this.#timers.splice(0)) subscription.cancel();
+    for (const server of this.#servers.splice(0)) server.close();
+    await this.parts.connections.close();
     this.#channel.close();
   }
 
--- a/packages/gateway/src/intake.ts
+++ b/packages/gateway/src/intake.ts
@@ -6,6 +6,7 @@
 } from "@wasabivane/common";
 import type {
   ClientAccount,
+  PlaceRefusal,
   PolicyIndex,
   Route,
   RouteTarget,
@@ -27,8 +28,7 @@
   | "body-too-slow"
   | "over-quota"
   | "convicted"
-  | "line-too-long"
-  | "waited-out"
+  | PlaceRefusal
   | "not-run-upstream"
   | "unreachable-upstream"
   | "deadline"
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -1,6 +1,6 @@
 import type { Buffer } from "node:buffer";
 import type { Milliseconds } from "@wasabivane/common";
-import { type Dispatcher, Pool } from "undici";
+import { buildConnector, type Dispatcher, Pool } from "undici";
 import type { FieldLine, FieldValues } from "./fields.ts";
 
 /** A connection inside a region stands within a few milliseconds; a lost packet costs a second. */
@@ -48,6 +48,7 @@
  */
 export class UpstreamConnections {
   readonly #pools = new Map<string, Pool>();
+  readonly #resets = new SocketResets();
   readonly #maximumConnections: () => number;
 
   /** `maximumConnections`: connections that this host may have to one upstream. */
@@ -56,7 +57,7 @@
   }
 
   send(call: UpstreamCall, listener: UpstreamListener): RunningCall {
-    const run = new CallRun(listener);
+    const run = new CallRun(listener, this.#resets);
     this.#poolOf(call.address).dispatch({
       method: call.method as Dispatcher.HttpMethod,
       path: call.path,
@@ -73,9 +74,10 @@
     void pool?.close();
   }
 
-  close(): void {
-    for (const pool of this.#pools.values()) void pool.destroy();
+  async close(): Promise<void> {
+    const pools = [...this.#pools.values()];
     this.#pools.clear();
+    await Promise.all(pools.map((pool) => pool.destroy()));
   }
 
   #poolOf(address: string): Pool {
@@ -84,7 +86,7 @@
       pool = new Pool(`http://${address}`, {
         connections: Math.max(LEAST_CONNECTIONS, this.#maximumConnections()),
         pipelining: 1,
-        connectTimeout: CONNECT_TIMEOUT_MS,
+        connect: this.#resets.connector,
         keepAliveTimeout: IDLE_MS,
         keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
         headersTimeout: 0,
@@ -97,14 +99,43 @@
   }
 }
 
+/**
+ * Knows whether a socket is failing right now.
+ *
+ * An answer without a length ends with its connection. The library takes a reset
+ * for such an end too, and half an answer would reach the caller framed as a whole
+ * one. Its own handler of the error runs after the one set here, so that the end
+ * it reports can be told from a true one.
+ */
+class SocketResets {
+  isFailing = false;
+  readonly connector: buildConnector.connector;
+
+  constructor() {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    this.connector = (options, callback) =>
+      connect(options, (...result) => {
+        result[1]?.prependListener("error", () => this.#noteFailure());
+        callback(...result);
+      });
+  }
+
+  #noteFailure(): void {
+    this.isFailing = true;
+    queueMicrotask(() => (this.isFailing = false));
+  }
+}
+
 /** Translates the library's callbacks, and abandons a call that never started. */
 class CallRun implements Dispatcher.DispatchHandler, RunningCall {
   readonly #listener: UpstreamListener;
+  readonly #resets: SocketResets;
   #controller: Dispatcher.DispatchController | undefined;
   #isAborted = false;
 
-  constructor(listener: UpstreamListener) {
+  constructor(listener: UpstreamListener, resets: SocketResets) {
     this.#listener = listener;
+    this.#resets = resets;
   }
 
   abort(): void {
@@ -143,7 +174,9 @@
   }
 
   onResponseEnd(): void {
-    if (!this.#isAborted) this.#listener.ended();
+    if (this.#isAborted) return;
+    if (this.#resets.isFailing) this.#listener.failed("connection reset");
+    else this.#listener.ended();
   }
 
   onResponseError(
--- /dev/null
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -0,0 +1,256 @@
+import { Buffer } from "node:buffer";
+import { createServer as createTcpServer, type Socket } from "node:net";
+import {
+  asId,
+  asTier,
+  type FailureDomain,
+  type HostId,
+  type Incarnation,
+  SeededRandom,
+  type ServiceId,
+  SystemTimer,
+  type UpstreamId,
+} from "@wasabivane/common";
+import type { Policy, Route, RouteId } from "@wasabivane/admission";
+import { Gateway, type LogOutput } from "@wasabivane/gateway";
+import { PlainDialect } from "./plainDialect.ts";
+
+const SERVICE = asId<ServiceId>("plans");
+
+/** What a stand-in upstream got on one connection. */
+export interface Received {
+  readonly head: string;
+  readonly body: string;
+  readonly socket: Socket;
+  /** Value of a header field of the request. */
+  field(name: string): string | undefined;
+}
+
+/** An upstream that answers with bytes that a test writes itself. */
+export interface RawUpstream {
+  readonly address: string;
+  readonly received: Received[];
+  close(): void;
+}
+
+/** Starts an upstream; `answer` is called once for each whole request. */
+export async function startUpstream(
+  answer: (received: Received) => void,
+): Promise<RawUpstream> {
+  const received: Received[] = [];
+  const sockets = new Set<Socket>();
+  const server = createTcpServer((socket) => {
+    sockets.add(socket);
+    let text = "";
+    socket.on("error", () => {});
+    socket.on("close", () => sockets.delete(socket));
+    socket.on("data", (chunk) => {
+      text += chunk.toString("latin1");
+      const headEnd = text.indexOf("\r\n\r\n");
+      if (headEnd < 0) return;
+      const head = text.slice(0, headEnd);
+      const length = Number(fieldIn(head, "content-length") ?? 0);
+      if (text.length < headEnd + 4 + length) return;
+      const body = text.slice(headEnd + 4, headEnd + 4 + length);
+      text = "";
+      const request: Received = {
+        head,
+        body,
+        socket,
+        field: (name) => fieldIn(head, name),
+      };
+      received.push(request);
+      answer(request);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as { port: number };
+  return {
+    address: `127.0.0.1:${port}`,
+    received,
+    close: () => {
+      server.close();
+      for (const socket of sockets) socket.destroy();
+    },
+  };
+}
+
+function fieldIn(head: string, name: string): string | undefined {
+  const match = new RegExp(`^${name}: *(.*)$`, "im").exec(head);
+  return match?.[1]?.trim();
+}
+
+/** Head of a good answer to a request; the body follows. */
+export function goodHead(
+  received: Received,
+  fields: Readonly<Record<string, string | number>> = {},
+): string {
+  const lines = Object.entries({
+    id: received.field("id") ?? "",
+    mark: "m",
+    ...fields,
+  }).map(([name, value]) => `${name}: ${value}\r\n`);
+  return `HTTP/1.1 200 OK\r\n${lines.join("")}\r\n`;
+}
+
+/** A plain route to the tests' service. */
+export function buildRoute(changes: Partial<Route> = {}): Route {
+  return {
+    route: asId<RouteId>("r"),
+    host: "plans.example",
+    prefix: "/a/",
+    isStreaming: false,
+    repeatability: "idempotent",
+    timeout: 5_000,
+    target: 500,
+    pauseTarget: 0,
+    tier: asTier(1),
+    maximumAttempts: 2,
+    isAnonymous: false,
+    targets: [{ service: SERVICE, weight: 1 }],
+    ...changes,
+  };
+}
+
+/** A policy with one route and one account that holds the key `k`. */
+export function buildPolicy(
+  { version = 1, routes = [buildRoute()] }: Partial<Policy> = {},
+): Policy {
+  return {
+    version,
+    routes,
+    services: [{ service: SERVICE, maximumConnections: 100 }],
+    accounts: [{ account: asId("family"), apiKeys: ["k"] }],
+    limits: {
+      maximumHeaderBytes: 16_384,
+      maximumBodyBytes: 100_000,
+      headerTimeout: 3_000,
+      idleTimeout: 5_000,
+    },
+  };
+}
+
+/** A gateway on loopback and what it logged. */
+export interface RunningGateway {
+  readonly gateway: Gateway;
+  readonly url: string;
+  readonly lines: Record<string, unknown>[];
+  close(): Promise<void>;
+}
+
+/** Options of {@link startGateway}. */
+export interface GatewayStart {
+  readonly upstreams: readonly RawUpstream[];
+  readonly route?: Partial<Route>;
+  readonly slots?: number;
+}
+
+/** Starts a gateway before the given upstreams. */
+export async function startGateway(
+  { upstreams, route = {}, slots = 4 }: GatewayStart,
+): Promise<RunningGateway> {
+  const lines: Record<string, unknown>[] = [];
+  const output: LogOutput = {
+    behind: 0,
+    write: (line) => lines.push(JSON.parse(line)),
+  };
+  const timer = new SystemTimer();
+  const [callers, readiness, peers] = await freePorts(3);
+  const gateway = new Gateway({
+    host: asId<HostId>("host"),
+    incarnation: asId<Incarnation>("1"),
+    failureDomain: asId<FailureDomain>("west"),
+    addresses: {
+      callers: `127.0.0.1:${callers}`,
+      readiness: `127.0.0.1:${readiness}`,
+      peers: `127.0.0.1:${peers}`,
+    },
+    seeds: [],
+    readyPath: "/ready",
+    freshness: { revocationBound: 600_000, applyBound: 600_000 },
+    retryBudget: { ratio: 0.2, slack: 50, window: 10_000 },
+    stopGrace: 3_000,
+    dialect: new PlainDialect(),
+    timer,
+    random: new SeededRandom(1),
+    output,
+  });
+  const started = await gateway.start();
+  if (started.isErr()) throw new Error(started.error.detail);
+  const policy = buildPolicy({ routes: [buildRoute(route)] });
+  const now = gateway.parts.elapsed.now();
+  gateway.takePolicy(Buffer.from(JSON.stringify(policy)), now);
+  for (const [index, { address }] of upstreams.entries()) {
+    gateway.takeUpstream({
+      upstream: asId<UpstreamId>(`u${index}`),
+      service: SERVICE,
+      address,
+      failureDomain: asId<FailureDomain>("west"),
+      slots,
+      isLeaving: false,
+    });
+  }
+  return {
+    gateway,
+    url: `http://127.0.0.1:${callers}`,
+    lines,
+    close: async () => {
+      await gateway.close();
+      for (const upstream of upstreams) upstream.close();
+    },
+  };
+}
+
+/** Ports that were free a moment ago. */
+async function freePorts(count: number): Promise<number[]> {
+  const ports: number[] = [];
+  const servers = [];
+  for (let index = 0; index < count; index++) {
+    const server = createTcpServer();
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    ports.push((server.address() as { port: number }).port);
+    servers.push(server);
+  }
+  for (const server of servers) server.close();
+  return ports;
+}
+
+/** What a caller saw of one request. */
+export interface Seen {
+  readonly status: number | undefined;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** Whether the answer came to its proper end. */
+  readonly isWhole: boolean;
+}
+
+/** Sends a request as a caller would. */
+export async function ask(
+  url: string,
+  { path = "/a/1", method = "POST", headers = {}, body = "hello" }: {
+    path?: string;
+    method?: string;
+    headers?: Readonly<Record<string, string>>;
+    body?: string;
+  } = {},
+): Promise<Seen> {
+  const { request } = await import("undici");
+  let status: number | undefined;
+  let fields: Seen["headers"] = {};
+  let text = "";
+  try {
+    const answer = await request(url + path, {
+      method: method as "POST",
+      headers: { host: "plans.example", id: "q1", key: "k", ...headers },
+      body: method === "GET" ? null : body,
+    });
+    status = answer.statusCode;
+    fields = answer.headers;
+    for await (const chunk of answer.body) text += chunk.toString();
+    return { status, headers: fields, body: text, isWhole: true };
+  } catch {
+    return { status, headers: fields, body: text, isWhole: false };
+  }
+}
