--- a/packages/admission/src/quotaBook.ts
+++ b/packages/admission/src/quotaBook.ts
@@ -15,6 +15,8 @@
 const PRESUMED_MS: Milliseconds = 15_000;
 /** Span over which a peer's rate is measured. */
 const RATE_SPAN_MS: Milliseconds = 2_000;
+/** Part of the granted overrun that is used; the rest covers what peers tell late and restarts forget. */
+const USED_OVERRUN = 0.7;
 /** Shortest and longest time after which an account over its quota is asked to return. */
 const LEAST_RETRY_MS: Milliseconds = 250;
 const GREATEST_RETRY_MS: Milliseconds = 4_000;
@@ -59,10 +61,16 @@
  * that falls silent may be cut off: its last rate stays charged for a while.
  */
 export class QuotaBook {
+  /** Operators grant hosts so much above a quota, as they count without a store. */
+  readonly #overrun: number;
   readonly #buckets = new Map<ClientAccountId, Bucket>();
   readonly #used = new Map<ClientAccountId, number>();
   readonly #peers = new Map<HostId, PeerUsage>();
 
+  constructor({ overrun }: { overrun: number }) {
+    this.#overrun = overrun;
+  }
+
   /** Takes units for a request, or says when to come back. */
   take(
     { account, quota, units }: {
@@ -128,7 +136,8 @@
       return bucket;
     }
     const presumed = this.#presumedRate(account, now) * 1_000;
-    const rate = Math.max(0, quota.perSecond - presumed);
+    const granted = quota.perSecond * (1 + USED_OVERRUN * this.#overrun);
+    const rate = Math.max(0, granted - presumed);
     const elapsed = (now - bucket.refilledAt) / 1_000;
     bucket.quota = quota;
     bucket.level = Math.min(quota.burst, bucket.level + rate * elapsed);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -73,6 +73,8 @@
   readonly readyPath: string;
   readonly freshness: FreshnessOptions;
   readonly retryBudget: RetryBudgetOptions;
+  /** Share by which all hosts together may exceed a quota. */
+  readonly quotaOverrun: number;
   /** From the order to stop to the kill. */
   readonly stopGrace: Milliseconds;
   readonly dialect: Dialect;
@@ -127,6 +129,11 @@
       directory.size > 0 && policies.freshness.mayTrustKeys(elapsed.now());
   }
 
+  /** Peers that read the store themselves and pass on that nothing changed. */
+  get readingPeers(): number {
+    return this.#book.readingCount;
+  }
+
   async start(): Promise<Result<void, ListenError | ChannelError>> {
     const { addresses, readyPath, timer } = this.#options;
     const shown = this.#shown();
@@ -276,7 +283,7 @@
       policies,
       directory,
       scheduler: new HostScheduler({ directory, random, failureDomain }),
-      quotas: new QuotaBook(),
+      quotas: new QuotaBook({ overrun: this.#options.quotaOverrun }),
       retries: new RetryBudget(this.#options.retryBudget),
       crashes: new CrashBook(),
       latencies: new LatencyBook(),
--- a/packages/gateway/src/peerBook.ts
+++ b/packages/gateway/src/peerBook.ts
@@ -22,6 +22,7 @@
   heardAt: Milliseconds;
   knockedAt: Milliseconds;
   isLost: boolean;
+  isReading: boolean;
 }
 
 /** Something changed in the picture of a peer. */
@@ -55,11 +56,12 @@
 
   /** Takes in a word; `undefined` for one that is older than what was heard. */
   hear(
-    { host, incarnation, sequence, address }: {
+    { host, incarnation, sequence, address, isReading }: {
       host: HostId;
       incarnation: Incarnation;
       sequence: number;
       address: string;
+      isReading: boolean;
     },
     now: Milliseconds,
   ): PeerChange | "known" | undefined {
@@ -74,6 +76,7 @@
       heardAt: now,
       knockedAt: now,
       isLost: false,
+      isReading,
     });
     this.#seeds.delete(address);
     return isSame && !former.isLost ? "known" : { host, kind: "found" };
@@ -89,6 +92,7 @@
       heardAt: -Infinity,
       knockedAt: -Infinity,
       isLost: true,
+      isReading: false,
     });
   }
 
@@ -133,6 +137,15 @@
     return count;
   }
 
+  /** Peers that speak and read the store themselves. */
+  get readingCount(): number {
+    let count = 0;
+    for (const { isLost, isReading } of this.#peers.values()) {
+      if (!isLost && isReading) count++;
+    }
+    return count;
+  }
+
   /** Any peer that speaks. */
   pick(random: Random): HostId | undefined {
     const alive = [...this.#peers].filter(([, { isLost }]) => !isLost);
