Give a freed place to the host that freed it, and spread away from last places

Cause: replayed in virtual time, eight hosts ran for the same free places. A host whose request ended took the cheapest free place it had been told of, while that one's own host took it too; both then waited inside the engine, first come, first served, behind long work.

Change: places that own requests left are filled at their own upstream; those that all see are drawn for. A last place costs 1.6 times, the last but one 1.15.

--- a/packages/admission/src/hostScheduler.ts
+++ b/packages/admission/src/hostScheduler.ts
@@ -67,8 +67,8 @@
   startsSince: Milliseconds;
   startsPerSecond: number | undefined;
   residence: Milliseconds;
-  /** Places that ended requests of this host freed and that are its to fill. */
-  ownFreed: number;
+  /** Upstreams where ended requests of this host left places that are its to fill. */
+  readonly ownFreed: Map<UpstreamId, number>;
   yieldingSince: Milliseconds | undefined;
 }
 
@@ -145,7 +145,8 @@
     if (outcome === "whole") {
       state.residence += RESIDENCE_WEIGHT * (residence - state.residence);
     }
-    state.ownFreed++;
+    const freed = state.ownFreed.get(upstream.upstream) ?? 0;
+    state.ownFreed.set(upstream.upstream, freed + 1);
     this.#fill(upstream.service, now);
   }
 
@@ -183,51 +184,76 @@
     return this.#placement.freePlaces(this.#directory.of(service), now);
   }
 
+  /**
+   * Fills free places in order of the line. Places that this host's own requests
+   * left come first and at their upstream: a peer sees them only when told, so
+   * that two hosts do not run for one place.
+   */
   #fill(service: ServiceId, now: Milliseconds): void {
     const state = this.#stateOf(service, now);
-    if (state.line.size === 0) {
-      state.ownFreed = 0;
-      return;
-    }
     const upstreams = this.#directory.of(service);
-    let free = this.#placement.freePlaces(upstreams, now);
-    let share = this.#shareOf(state, { service, free, now });
+    if (state.line.size > 0) {
+      const share = this.#shareOf(state, { service, upstreams, now });
+      this.#start(state, {
+        upstreams: upstreams.filter(({ upstream }) =>
+          state.ownFreed.has(upstream)
+        ),
+        most: Math.min(share.left, share.own),
+        now,
+      });
+      this.#start(state, { upstreams, most: share.common, now });
+    }
+    state.ownFreed.clear();
+  }
+
+  /** Starts up to `most` requests at the given upstreams. */
+  #start(
+    state: ServiceLine,
+    { upstreams, most, now }: {
+      upstreams: readonly Upstream[];
+      most: number;
+      now: Milliseconds;
+    },
+  ): void {
+    let left = Math.min(most, this.#placement.freePlaces(upstreams, now));
+    if (left <= 0) return;
     for (const candidate of state.line.inOrder(now)) {
-      if (free <= 0 || share <= 0) break;
+      if (left <= 0) return;
       const upstream = this.#placement.pick(upstreams, candidate, now);
       if (upstream === undefined) continue;
       state.line.remove(candidate.request);
       state.starts++;
-      state.ownFreed = Math.max(0, state.ownFreed - 1);
-      free--;
-      share--;
+      left--;
       candidate.decide({ kind: "place", upstream });
     }
-    if (free > 0) state.ownFreed = 0;
   }
 
-  /** How many of the free places this host may fill now. */
+  /** How many free places this host may fill: its own, and of those that all see. */
   #shareOf(
     state: ServiceLine,
-    { service, free, now }: {
+    { service, upstreams, now }: {
       service: ServiceId;
-      free: number;
+      upstreams: readonly Upstream[];
       now: Milliseconds;
     },
-  ): number {
+  ): { left: number; own: number; common: number } {
     const [first] = state.line.inOrder(now);
-    if (first === undefined || free <= 0) return 0;
+    const free = this.#placement.freePlaces(upstreams, now);
+    const nothing = { left: 0, own: 0, common: 0 };
+    if (first === undefined || free <= 0) return nothing;
     const elsewhere = this.load.waitingElsewhere(service, now);
-    const moreUrgent = sumOf(elsewhere, (tier) => tier < first.tier);
-    const left = free - moreUrgent;
-    if (left <= 0) return this.#yield(state, now);
+    const left = free - sumOf(elsewhere, (tier) => tier < first.tier);
+    if (left <= 0) return { ...nothing, common: this.#yield(state, now) };
     state.yieldingSince = undefined;
     const equal = sumOf(elsewhere, (tier) => tier === first.tier);
-    if (equal === 0) return left;
-    const fair = left * state.line.size / (state.line.size + equal);
+    if (equal === 0) return { left, own: 0, common: left };
+    let own = 0;
+    for (const count of state.ownFreed.values()) own += count;
+    const open = Math.max(0, left - own);
+    const fair = open * state.line.size / (state.line.size + equal);
     const whole = Math.floor(fair);
-    const drawn = whole + (this.#random.float() < fair - whole ? 1 : 0);
-    return Math.min(left, Math.max(drawn, state.ownFreed));
+    const common = whole + (this.#random.float() < fair - whole ? 1 : 0);
+    return { left, own, common };
   }
 
   /** A peer that is asked to fill a place and does not must not keep it idle. */
@@ -287,7 +313,7 @@
         startsSince: now,
         startsPerSecond: undefined,
         residence: FIRST_RESIDENCE_MS,
-        ownFreed: 0,
+        ownFreed: new Map(),
         yieldingSince: undefined,
       };
       this.#services.set(service, state);
--- a/packages/admission/src/placement.ts
+++ b/packages/admission/src/placement.ts
@@ -17,6 +17,9 @@
 const AFFINITY_FACTOR = 0.8;
 /** An upstream that fails every request costs so many times more than one that fails none. */
 const FAILURE_COST = 4;
+/** A last place may be taken by a peer at the same moment; so many times dearer. */
+const LAST_PLACE_FACTOR = 1.6;
+const LAST_BUT_ONE_FACTOR = 1.15;
 /** Hosts that see the same loads must not all pick the same upstream. */
 const JITTER = 0.08;
 
@@ -93,15 +96,22 @@
     const { load, health, speed, random, failureDomain, limitOf } =
       this.#options;
     const id = upstream.upstream;
-    const fill = load.total(id) / limitOf(upstream);
+    const limit = limitOf(upstream);
+    const fill = load.total(id) / limit;
     let cost = (IDLE_COST + fill) * speed.slowness(upstream.service, id);
     cost *= 1 + FAILURE_COST * health.failureShare(id);
     if (upstream.failureDomain !== failureDomain) cost *= OTHER_DOMAIN_FACTOR;
+    cost *= scarcityOf(limit - load.total(id));
     if (isFavourite) cost *= AFFINITY_FACTOR;
     return cost * (1 + JITTER * random.float());
   }
 }
 
+function scarcityOf(free: number): number {
+  if (free <= 1) return LAST_PLACE_FACTOR;
+  return free <= 2 ? LAST_BUT_ONE_FACTOR : 1;
+}
+
 /** The upstream with the greatest rendezvous weight for a key. */
 function favouriteOf(
   key: string,
--- /dev/null
+++ b/packages/admission/tests/beliefs.test.ts
@@ -0,0 +1,144 @@
+import test from "ava";
+import { asId, asTier, type Digest, type UpstreamId } from "@wasabivane/common";
+import {
+  CrashBook,
+  Freshness,
+  type Policy,
+  PolicyIndex,
+  type Route,
+  UpstreamDirectory,
+  UpstreamHealth,
+} from "@wasabivane/admission";
+import { buildUpstream, PLANS } from "./helpers/build.ts";
+
+const U0 = asId<UpstreamId>("u0");
+
+test("keys stop serving before the revocation bound, denials earlier still", (t) => {
+  // A host that is cut off cannot know that a key was withdrawn. Requests with keys
+  // must end before the bound, with a margin for a store whose watch heard nothing.
+  const freshness = new Freshness({
+    revocationBound: 5_000,
+    applyBound: 2_000,
+  });
+  t.false(freshness.mayTrustKeys(0));
+  freshness.prove(1_000);
+  t.true(freshness.mayTrustKeys(4_000));
+  t.false(freshness.mayTrustKeys(4_500));
+  t.true(freshness.mayDeny(2_000));
+  t.false(freshness.mayDeny(2_500));
+  freshness.prove(500);
+  t.is(freshness.age(1_000), 0);
+});
+
+test("an upstream that announced its leaving does not come back by an older page", (t) => {
+  const directory = new UpstreamDirectory();
+  directory.set(buildUpstream(0));
+  directory.set(buildUpstream(0, { isLeaving: true }));
+  directory.set(buildUpstream(0));
+  t.is(directory.of(PLANS).length, 0);
+});
+
+test("entries that lapse with the store are kept until it had time to list them again", (t) => {
+  // The store was away and every lease ran out. Taking the empty list at its word
+  // would leave no upstream; those that are alive are written again within two
+  // seconds, and one that is not is gone.
+  const directory = new UpstreamDirectory();
+  directory.set(buildUpstream(0));
+  directory.set(buildUpstream(1));
+  directory.replaceAll([], { now: 0, isStoreSuspect: true });
+  t.is(directory.of(PLANS).length, 2);
+  directory.set(buildUpstream(0));
+  t.true(directory.expire(1_600));
+  t.deepEqual(directory.of(PLANS).map(({ upstream }) => upstream), [U0]);
+});
+
+test("with a calm store a removed upstream is gone at once", (t) => {
+  const directory = new UpstreamDirectory();
+  directory.set(buildUpstream(0));
+  directory.remove(U0, { now: 0, isStoreSuspect: false });
+  t.is(directory.size, 0);
+});
+
+test("an upstream that cannot be reached is left out for a while, longer each time", (t) => {
+  const health = new UpstreamHealth();
+  t.true(health.observe(U0, "unreachable", 0));
+  t.true(health.isEjected(U0, 399));
+  t.false(health.isEjected(U0, 401));
+  t.true(health.observe(U0, "unreachable", 500));
+  t.true(health.isEjected(U0, 1_200));
+  t.false(health.isEjected(U0, 1_400));
+});
+
+test("one broken answer may be the request's fault, two in a row are the upstream's", (t) => {
+  const health = new UpstreamHealth();
+  t.false(health.observe(U0, "broken", 0));
+  t.false(health.observe(U0, "whole", 10));
+  t.false(health.observe(U0, "broken", 20));
+  t.true(health.observe(U0, "broken", 30));
+});
+
+test("a request that crashed three upstreams on any hosts is convicted", (t) => {
+  // Each upstream that runs the request dies; the caller sends it again to another
+  // host. A break alone proves nothing; the upstream must be found down right after.
+  const book = new CrashBook();
+  const fingerprint = asId<Digest>("f");
+  for (const [index, name] of ["u0", "u1"].entries()) {
+    const upstream = asId<UpstreamId>(name);
+    const at = index * 5_000;
+    book.noteBroken({ fingerprint, upstream, at });
+    t.is(book.noteDown(upstream, at + 100).length, 1);
+  }
+  t.false(book.isConvicted(fingerprint, 6_000));
+  book.hear({ fingerprint, upstream: asId<UpstreamId>("u2"), at: 8_000 });
+  t.true(book.isConvicted(fingerprint, 8_000));
+  t.false(book.isConvicted(fingerprint, 100_000));
+});
+
+test("an upstream that is found down long after is no crash of the request", (t) => {
+  const book = new CrashBook();
+  book.noteBroken({ fingerprint: asId<Digest>("f"), upstream: U0, at: 0 });
+  t.deepEqual(book.noteDown(U0, 2_000), []);
+});
+
+test("the longest prefix of the host's routes wins", (t) => {
+  const index = new PolicyIndex(policyOf([
+    routeOf("short", "/a/"),
+    routeOf("long", "/a/b/"),
+  ]));
+  t.is(index.route("plans.example:80", "/a/b/c")?.route as string, "long");
+  t.is(index.route("PLANS.example", "/a/x")?.route as string, "short");
+  t.is(index.route("plans.example", "/b/"), undefined);
+  t.is(index.route("other.example", "/a/"), undefined);
+});
+
+function routeOf(name: string, prefix: string): Route {
+  return {
+    route: asId(name),
+    host: "plans.example",
+    prefix,
+    isStreaming: false,
+    repeatability: "idempotent",
+    timeout: 1_000,
+    target: 100,
+    pauseTarget: 0,
+    tier: asTier(1),
+    maximumAttempts: 1,
+    isAnonymous: false,
+    targets: [{ service: PLANS, weight: 1 }],
+  };
+}
+
+function policyOf(routes: readonly Route[]): Policy {
+  return {
+    version: 1,
+    routes,
+    services: [],
+    accounts: [],
+    limits: {
+      maximumHeaderBytes: 1,
+      maximumBodyBytes: 1,
+      headerTimeout: 1,
+      idleTimeout: 1,
+    },
+  };
+}
--- /dev/null
+++ b/packages/admission/tests/budgets.test.ts
@@ -0,0 +1,135 @@
+import test from "ava";
+import {
+  asId,
+  type ClientAccountId,
+  type HostId,
+  type Incarnation,
+  SeededRandom,
+} from "@wasabivane/common";
+import {
+  type Quota,
+  QuotaBook,
+  RetryBudget,
+  returnAfter,
+} from "@wasabivane/admission";
+import { PLANS } from "./helpers/build.ts";
+
+const FAMILY = asId<ClientAccountId>("family");
+const QUOTA: Quota = {
+  unit: "tokens",
+  perSecond: 10_000,
+  burst: 10_000,
+  plainTokens: 200,
+};
+
+/** Plays one account that asks for far more than its quota at every host. */
+function admittedByFleet(
+  { hosts, seconds, areTelling }: {
+    hosts: number;
+    seconds: number;
+    areTelling: boolean;
+  },
+): number {
+  const books = Array.from(
+    { length: hosts },
+    () => new QuotaBook({ overrun: 0.25 }),
+  );
+  let admitted = 0;
+  for (let now = 0; now < seconds * 1_000; now += 25) {
+    for (const book of books) {
+      const taken = book.take(
+        { account: FAMILY, quota: QUOTA, units: 500 },
+        now,
+      );
+      if (taken.isOk()) admitted += 500;
+    }
+    if (!areTelling) continue;
+    for (const [index, book] of books.entries()) {
+      const report = {
+        host: asId<HostId>(`h${index}`),
+        incarnation: asId<Incarnation>("1"),
+        used: new Map(book.used()),
+      };
+      for (const other of books) if (other !== book) other.hear(report, now);
+    }
+  }
+  return admitted;
+}
+
+test("hosts that tell each other keep an account within its quota", (t) => {
+  // One account sends many times its usual through all hosts at once. Each host has
+  // the whole quota in its bucket; what the others admitted has to come out of it.
+  const admitted = admittedByFleet({ hosts: 8, seconds: 8, areTelling: true });
+  t.true(admitted <= (10_000 * 8 + 10_000) * 1.25);
+  t.true(admitted >= 10_000 * 8);
+});
+
+test("an account that one host serves alone gets its whole quota", (t) => {
+  const admitted = admittedByFleet({ hosts: 1, seconds: 8, areTelling: true });
+  t.true(admitted >= 10_000 * 8);
+});
+
+test("a peer that falls silent stays charged with its last rate", (t) => {
+  // A partition parts two hosts that each admit half of a quota. Both go on
+  // serving their callers; without the charge both would admit all of it.
+  const book = new QuotaBook({ overrun: 0 });
+  const peer = {
+    host: asId<HostId>("peer"),
+    incarnation: asId<Incarnation>("1"),
+  };
+  for (let second = 0; second <= 4; second++) {
+    book.hear(
+      { ...peer, used: new Map([[FAMILY, second * 5_000]]) },
+      second * 1_000,
+    );
+    book.take({ account: FAMILY, quota: QUOTA, units: 5_000 }, second * 1_000);
+  }
+  let admitted = 0;
+  for (let now = 5_500; now < 13_500; now += 50) {
+    const taken = book.take({ account: FAMILY, quota: QUOTA, units: 500 }, now);
+    if (taken.isOk()) admitted += 500;
+  }
+  t.true(admitted < 10_000 * 8 * 0.7);
+  t.true(admitted > 10_000 * 8 * 0.3);
+});
+
+test("what did not run is given back", (t) => {
+  const book = new QuotaBook({ overrun: 0 });
+  t.true(book.take({ account: FAMILY, quota: QUOTA, units: 9_000 }, 0).isOk());
+  t.true(book.take({ account: FAMILY, quota: QUOTA, units: 500 }, 0).isErr());
+  book.giveBack(FAMILY, 9_000);
+  t.true(book.take({ account: FAMILY, quota: QUOTA, units: 500 }, 0).isOk());
+});
+
+test("an account over its quota is told when there is room again", (t) => {
+  const book = new QuotaBook({ overrun: 0 });
+  book.take({ account: FAMILY, quota: QUOTA, units: 15_000 }, 0);
+  const refused = book.take({ account: FAMILY, quota: QUOTA, units: 1 }, 0);
+  t.true(refused.isErr() && refused.error.retryAfter === 1_000);
+});
+
+test("further sends stay within the shared budget", (t) => {
+  // A service fails half of its requests. Every failed one is sent again, unless
+  // the budget over all hosts is spent; more load on what is left fails more.
+  const budget = new RetryBudget({ ratio: 0.2, slack: 40, window: 10_000 });
+  let further = 0;
+  for (let index = 0; index < 1_000; index++) {
+    const now = index * 10;
+    budget.countFirst(PLANS, now);
+    if (budget.takeFurther(PLANS, { hosts: 8, now })) further++;
+  }
+  t.true(further <= 0.2 * 1_000 + 40 / 8);
+  t.true(further >= 0.1 * 1_000);
+});
+
+test("refused callers come back spread, and within what they will wait", (t) => {
+  const random = new SeededRandom(3);
+  const waits = Array.from(
+    { length: 50 },
+    () =>
+      returnAfter({ ahead: 100, startsPerSecond: 50, timeLeft: 4_000 }, random),
+  );
+  t.true(Math.max(...waits) <= 1_200);
+  t.true(Math.min(...waits) >= 600);
+  t.true(Math.max(...waits) - Math.min(...waits) > 300);
+});
--- /dev/null
+++ b/packages/admission/tests/helpers/build.ts
@@ -0,0 +1,61 @@
+import {
+  asId,
+  asTier,
+  type FailureDomain,
+  type RequestId,
+  type ServiceId,
+  type UpstreamId,
+} from "@wasabivane/common";
+import type { Candidate, Upstream, Verdict } from "@wasabivane/admission";
+
+export const PLANS = asId<ServiceId>("plans");
+export const WEST = asId<FailureDomain>("west");
+
+/** An upstream `u<index>` of the tests' service. */
+export function buildUpstream(
+  index: number,
+  changes: Partial<Upstream> = {},
+): Upstream {
+  return {
+    upstream: asId<UpstreamId>(`u${index}`),
+    service: PLANS,
+    address: `127.0.0.1:${9_000 + index}`,
+    failureDomain: WEST,
+    slots: 2,
+    isLeaving: false,
+    ...changes,
+  };
+}
+
+/** A candidate that records its verdict. */
+export function buildCandidate(
+  name: string,
+  {
+    tier = 1,
+    since = 0,
+    onTimeUntil = 500,
+    usefulUntil = 2_000,
+    excluded = [],
+  }: {
+    tier?: number;
+    since?: number;
+    onTimeUntil?: number;
+    usefulUntil?: number;
+    excluded?: readonly string[];
+  } = {},
+): Candidate & { verdict: Verdict | undefined } {
+  const candidate = {
+    request: asId<RequestId>(name),
+    service: PLANS,
+    tier: asTier(tier),
+    since,
+    onTimeUntil,
+    usefulUntil,
+    excluded: new Set(excluded.map((id) => asId<UpstreamId>(id))),
+    verdict: undefined as Verdict | undefined,
+    decide: (verdict: Verdict): void => {
+      candidate.verdict = verdict;
+    },
+  };
+  return candidate;
+}
--- /dev/null
+++ b/packages/admission/tests/helpers/loadReplay.ts
@@ -0,0 +1,226 @@
+import {
+  asId,
+  asTier,
+  type HostId,
+  type Milliseconds,
+  type RequestId,
+  SeededRandom,
+  VirtualTimer,
+} from "@wasabivane/common";
+import {
+  HostScheduler,
+  type Upstream,
+  UpstreamDirectory,
+} from "@wasabivane/admission";
+import { buildUpstream, PLANS, WEST } from "./build.ts";
+
+/** Requests of one tier. */
+export interface ReplayedTier {
+  readonly tier: number;
+  /** Arrivals a second over all hosts, by time. */
+  readonly rateAt: (at: Milliseconds) => number;
+  /** Time at an engine that runs at speed 1. */
+  readonly work: Milliseconds;
+  readonly target: Milliseconds;
+  readonly patience: Milliseconds;
+}
+
+/** A load before a fleet of hosts and engines. */
+export interface Replay {
+  readonly hosts: number;
+  readonly engines: number;
+  readonly slots: number;
+  readonly speeds: readonly number[];
+  readonly tiers: readonly ReplayedTier[];
+  readonly duration: Milliseconds;
+  readonly seed: number;
+  /** Whether hosts tell each other of their work. */
+  readonly areTelling: boolean;
+}
+
+/** What callers of one tier saw. */
+export interface TierResult {
+  asked: number;
+  onTime: number;
+  late: number;
+  refused: number;
+}
+
+/** Time between a host's words, and their way. */
+const WORD_MS: Milliseconds = 25;
+const WORD_WAY_MS: Milliseconds = 1;
+const REVIEW_MS: Milliseconds = 10;
+
+interface Engine {
+  readonly upstream: Upstream;
+  readonly speed: number;
+  running: number;
+  readonly waiting: (() => void)[];
+}
+
+/** Plays a load in virtual time: engines admit in order of arrival and know no tiers. */
+export function replayLoad(replay: Replay): Map<number, TierResult> {
+  const timer = new VirtualTimer();
+  const random = new SeededRandom(replay.seed);
+  const engines = createEngines(replay);
+  const hosts = Array.from(
+    { length: replay.hosts },
+    (_, index) => createHost(engines, { seed: replay.seed + index + 1 }),
+  );
+  const results = new Map<number, TierResult>();
+  for (const { tier } of replay.tiers) {
+    results.set(tier, { asked: 0, onTime: 0, late: 0, refused: 0 });
+  }
+  for (const host of hosts) {
+    timer.every(REVIEW_MS, () => host.review(timer.now()));
+  }
+  if (replay.areTelling) tellEachOther(hosts, timer);
+  for (const tier of replay.tiers) {
+    scheduleArrivals(tier, { replay, timer, random, hosts, engines, results });
+  }
+  timer.runUntil(replay.duration + 20_000);
+  return results;
+}
+
+function createEngines({ engines, slots, speeds }: Replay): Engine[] {
+  return Array.from({ length: engines }, (_, index) => ({
+    upstream: buildUpstream(index, { slots }),
+    speed: speeds[index % speeds.length]!,
+    running: 0,
+    waiting: [],
+  }));
+}
+
+function createHost(
+  engines: readonly Engine[],
+  { seed }: { seed: number },
+): HostScheduler {
+  const directory = new UpstreamDirectory();
+  for (const { upstream } of engines) directory.set(upstream);
+  return new HostScheduler({
+    directory,
+    random: new SeededRandom(seed),
+    failureDomain: WEST,
+  });
+}
+
+function tellEachOther(
+  hosts: readonly HostScheduler[],
+  timer: VirtualTimer,
+): void {
+  for (const [index, host] of hosts.entries()) {
+    timer.after(index * WORD_MS / hosts.length, () => {
+      timer.every(WORD_MS, () => {
+        const word = {
+          inFlight: new Map(host.load.ownInFlight()),
+          waiting: host.waiting(),
+        };
+        timer.after(WORD_WAY_MS, () => {
+          for (const other of hosts) {
+            if (other === host) continue;
+            const name = asId<HostId>(`h${index}`);
+            other.load.hear(name, word, timer.now());
+          }
+        });
+      });
+    });
+  }
+}
+
+function scheduleArrivals(
+  tier: ReplayedTier,
+  context: {
+    replay: Replay;
+    timer: VirtualTimer;
+    random: SeededRandom;
+    hosts: readonly HostScheduler[];
+    engines: readonly Engine[];
+    results: Map<number, TierResult>;
+  },
+): void {
+  const { replay, timer, random, hosts } = context;
+  let count = 0;
+  const next = (): void => {
+    const now = timer.now();
+    if (now >= replay.duration) return;
+    const name = `${tier.tier}-${count++}`;
+    arrive(name, tier, { ...context, host: random.pick(hosts) });
+    timer.after(random.exponential(1_000 / tier.rateAt(now)), next);
+  };
+  timer.after(random.exponential(1_000 / tier.rateAt(0)), next);
+}
+
+function arrive(
+  name: string,
+  { tier, work, target, patience }: ReplayedTier,
+  { timer, host, engines, results }: {
+    timer: VirtualTimer;
+    host: HostScheduler;
+    engines: readonly Engine[];
+    results: Map<number, TierResult>;
+  },
+): void {
+  const since = timer.now();
+  const result = results.get(tier)!;
+  result.asked++;
+  host.submit({
+    request: asId<RequestId>(name),
+    service: PLANS,
+    tier: asTier(tier),
+    since,
+    onTimeUntil: since + target,
+    usefulUntil: since + patience,
+    excluded: new Set(),
+    decide: (verdict) => {
+      if (verdict.kind === "refuse") {
+        result.refused++;
+        return;
+      }
+      const { upstream } = verdict;
+      const engine = engines.find((item) => item.upstream === upstream)!;
+      host.begin(upstream.upstream);
+      const sentAt = timer.now();
+      run(engine, {
+        timer,
+        work,
+        started: () => {
+          if (timer.now() - since <= target) result.onTime++;
+          else result.late++;
+        },
+        ended: () => {
+          const now = timer.now();
+          const residence = now - sentAt;
+          const { service } = upstream;
+          host.speed.observe({
+            service,
+            upstream: upstream.upstream,
+            duration: residence,
+          });
+          host.end(upstream, { outcome: "whole", residence, now });
+        },
+      });
+    },
+  }, since);
+}
+
+function run(
+  engine: Engine,
+  { timer, work, started, ended }: {
+    timer: VirtualTimer;
+    work: Milliseconds;
+    started: () => void;
+    ended: () => void;
+  },
+): void {
+  const begin = (): void => {
+    engine.running++;
+    started();
+    timer.after(work / engine.speed, () => {
+      engine.running--;
+      engine.waiting.shift()?.();
+      ended();
+    });
+  };
+  if (engine.running < engine.upstream.slots) begin();
+  else engine.waiting.push(begin);
+}
--- /dev/null
+++ b/packages/admission/tests/hostScheduler.test.ts
@@ -0,0 +1,95 @@
+import test from "ava";
+import { asId, type HostId, SeededRandom } from "@wasabivane/common";
+import { HostScheduler, UpstreamDirectory } from "@wasabivane/admission";
+import { buildCandidate, buildUpstream, PLANS, WEST } from "./helpers/build.ts";
+
+function createScheduler(
+  { upstreams = 2, slots = 1 } = {},
+): { scheduler: HostScheduler; directory: UpstreamDirectory } {
+  const directory = new UpstreamDirectory();
+  for (let index = 0; index < upstreams; index++) {
+    directory.set(buildUpstream(index, { slots }));
+  }
+  const scheduler = new HostScheduler({
+    directory,
+    random: new SeededRandom(1),
+    failureDomain: WEST,
+  });
+  return { scheduler, directory };
+}
+
+test("a request gets a free upstream at once", (t) => {
+  const { scheduler } = createScheduler();
+  const candidate = buildCandidate("a");
+  scheduler.submit(candidate, 0);
+  t.is(candidate.verdict?.kind, "place");
+});
+
+test("the most urgent request gets the place that comes free", (t) => {
+  const { scheduler } = createScheduler({ upstreams: 1 });
+  const first = buildCandidate("first");
+  scheduler.submit(first, 0);
+  if (first.verdict?.kind !== "place") return t.fail();
+  scheduler.begin(first.verdict.upstream.upstream);
+  const later = buildCandidate("later", { tier: 3 });
+  const urgent = buildCandidate("urgent", { tier: 1 });
+  scheduler.submit(later, 1);
+  scheduler.submit(urgent, 2);
+  t.is(later.verdict, undefined);
+  scheduler.end(first.verdict.upstream, {
+    outcome: "whole",
+    residence: 100,
+    now: 100,
+  });
+  t.is(urgent.verdict?.kind, "place");
+  t.is(later.verdict, undefined);
+});
+
+test("a place is left to a peer whose waiting request is more urgent, but not for long", (t) => {
+  // A peer says that something of tier 1 waits there and may be cut off by now.
+  // The place goes to it first; a peer that does not come must not keep it idle.
+  const { scheduler } = createScheduler({ upstreams: 1 });
+  scheduler.load.hear(asId<HostId>("peer"), {
+    inFlight: new Map(),
+    waiting: [{ service: PLANS, tier: 1, count: 1 }],
+  }, 0);
+  const candidate = buildCandidate("a", { tier: 2 });
+  scheduler.submit(candidate, 0);
+  t.is(candidate.verdict, undefined);
+  scheduler.review(30);
+  t.is(candidate.verdict, undefined);
+  scheduler.review(80);
+  t.is(candidate.verdict?.kind, "place");
+});
+
+test("work of peers counts toward what an upstream runs", (t) => {
+  const { scheduler, directory } = createScheduler({ upstreams: 1 });
+  const [only] = directory.of(PLANS);
+  scheduler.load.hear(asId<HostId>("peer"), {
+    inFlight: new Map([[only!.upstream, 1]]),
+    waiting: [],
+  }, 0);
+  const candidate = buildCandidate("a");
+  scheduler.submit(candidate, 0);
+  t.is(candidate.verdict, undefined);
+  t.true(scheduler.load.expire(3_000));
+  scheduler.review(3_000 - 1_500);
+  t.is(candidate.verdict?.kind, "place");
+});
+
+test("a request that waited until it is of no use is refused", (t) => {
+  const { scheduler } = createScheduler({ upstreams: 0 });
+  const candidate = buildCandidate("a", { usefulUntil: 1_000 });
+  scheduler.submit(candidate, 0);
+  scheduler.review(999);
+  t.is(candidate.verdict, undefined);
+  scheduler.review(1_000);
+  t.like(candidate.verdict, { kind: "refuse", reason: "waited-out" });
+});
+
+test("a request that every upstream got already is refused at once", (t) => {
+  const { scheduler } = createScheduler({ upstreams: 2 });
+  const candidate = buildCandidate("a", { excluded: ["u0", "u1"] });
+  scheduler.submit(candidate, 0);
+  t.like(candidate.verdict, { kind: "refuse", reason: "no-other-upstream" });
+});
--- /dev/null
+++ b/packages/admission/tests/loadPatterns.test.ts
@@ -0,0 +1,99 @@
+import test from "ava";
+import type { Milliseconds } from "@wasabivane/common";
+import {
+  type Replay,
+  type ReplayedTier,
+  replayLoad,
+  type TierResult,
+} from "./helpers/loadReplay.ts";
+
+const BURST_FROM: Milliseconds = 4_000;
+const BURST_UNTIL: Milliseconds = 9_000;
+
+/** Steady arrivals with a burst in between. */
+function burst(usual: number, factor: number): ReplayedTier["rateAt"] {
+  return (at) => at >= BURST_FROM && at < BURST_UNTIL ? usual * factor : usual;
+}
+
+const FLEET: Omit<Replay, "tiers" | "areTelling"> = {
+  hosts: 8,
+  engines: 13,
+  slots: 8,
+  speeds: [0.6, 1.7, 1.7],
+  duration: 15_000,
+  seed: 7,
+};
+
+function shareOnTime({ asked, onTime }: TierResult): number {
+  return onTime / asked;
+}
+
+test("a burst of every tier costs the most urgent one nothing", (t) => {
+  // Callers ask for twice what the engines can run. Without order the urgent
+  // requests would queue behind the long ones in the engines, where no tier is
+  // seen. Urgent requests start on time; what is left over goes to the others.
+  const results = replayLoad({
+    ...FLEET,
+    areTelling: true,
+    tiers: [
+      {
+        tier: 1,
+        rateAt: burst(60, 2.5),
+        work: 300,
+        target: 400,
+        patience: 1_500,
+      },
+      {
+        tier: 3,
+        rateAt: burst(50, 2.5),
+        work: 1_500,
+        target: 900,
+        patience: 3_000,
+      },
+    ],
+  });
+  t.true(shareOnTime(results.get(1)!) > 0.97);
+  const last = results.get(3)!;
+  t.true(last.refused > 0);
+  t.true(last.onTime + last.late > last.asked * 0.5);
+});
+
+test("hosts that tell each other their work keep engines from queueing", (t) => {
+  // Eight hosts send to the same engines, which are 86 % full. Each alone sees an
+  // eighth of the work and believes every engine free, so that several fill one
+  // engine while others idle, and requests wait inside it.
+  const tiers = [
+    { tier: 1, rateAt: () => 230, work: 500, target: 60, patience: 1_500 },
+  ];
+  const alone = replayLoad({ ...FLEET, tiers, areTelling: false });
+  const telling = replayLoad({ ...FLEET, tiers, areTelling: true });
+  t.true(shareOnTime(alone.get(1)!) < 0.3);
+  t.true(shareOnTime(telling.get(1)!) > 0.85);
+});
+
+test("after a burst the fleet is back at its usual level", (t) => {
+  // A burst of four times the usual fills all lines. Work that waited in vain must
+  // not keep the engines from what comes after the burst.
+  let lateAsked = 0;
+  const results = replayLoad({
+    ...FLEET,
+    areTelling: true,
+    duration: 12_000,
+    tiers: [
+      {
+        tier: 1,
+        rateAt: (at) => {
+          if (at >= BURST_FROM && at < 6_000) return 400;
+          if (at > 9_000) lateAsked++;
+          return 100;
+        },
+        work: 500,
+        target: 300,
+        patience: 1_500,
+      },
+    ],
+  });
+  const { asked, onTime } = results.get(1)!;
+  t.true(lateAsked > 0);
+  t.true(onTime / asked > 0.7);
+});
