--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -1,18 +1,10 @@
 import type { Milliseconds, ServiceId, UpstreamId } from "@wasabivane/common";
 import type { Upstream } from "./types.ts";
 
-/**
- * How long an entry that vanished while the store was in trouble is still used
- * after the store is back. Entries of live upstreams that lapsed meanwhile are
- * written again within about two seconds; one that does not come back is gone,
- * and must get no work two seconds after the store said so.
- */
-const LAPSED_GRACE_MS: Milliseconds = 1_500;
-
 interface Entry {
   upstream: Upstream;
-  /** When the entry vanished; `undefined` while the store holds it. */
-  lapsedAt?: Milliseconds;
+  /** Until when an entry that vanished is kept; `undefined` while the store holds it. */
+  keptUntil?: Milliseconds;
 }
 
 /**
@@ -37,18 +29,20 @@
   }
 
   /**
-   * The store holds the upstream no more. With a store that was in trouble just
-   * now that may mean that its lease ran out unheard.
+   * The store holds the upstream no more; true when it was known and is gone now.
+   * After an outage of the store that may mean that its lease ran out unheard: with
+   * `keepUntil` it is used until then, and gone unless it was listed again.
    */
-  remove(
-    upstream: UpstreamId,
-    { now, isStoreSuspect }: { now: Milliseconds; isStoreSuspect: boolean },
-  ): void {
+  remove(upstream: UpstreamId, keepUntil?: Milliseconds): boolean {
     const entry = this.#entries.get(upstream);
-    if (entry === undefined) return;
-    if (isStoreSuspect) entry.lapsedAt ??= now;
-    else this.#entries.delete(upstream);
+    if (entry === undefined) return false;
+    if (keepUntil !== undefined) {
+      entry.keptUntil ??= keepUntil;
+      return false;
+    }
+    this.#entries.delete(upstream);
     this.#rebuild();
+    return true;
   }
 
   /** The upstream announced its leaving; `true` when that was news. */
@@ -60,28 +54,27 @@
     return true;
   }
 
-  /** Makes the directory equal to a full reading of the store. */
+  /** Makes the directory equal to a full reading of the store; gives back who is gone. */
   replaceAll(
     upstreams: readonly Upstream[],
-    options: { now: Milliseconds; isStoreSuspect: boolean },
-  ): void {
+    keepUntil?: Milliseconds,
+  ): UpstreamId[] {
     const listed = new Set(upstreams.map(({ upstream }) => upstream));
-    for (const upstream of [...this.#entries.keys()]) {
-      if (!listed.has(upstream)) this.remove(upstream, options);
-    }
+    const gone = [...this.#entries.keys()].filter((upstream) =>
+      !listed.has(upstream) && this.remove(upstream, keepUntil)
+    );
     for (const upstream of upstreams) this.set(upstream);
+    return gone;
   }
 
-  /** Ends the grace of entries that did not come back; true when one ended. */
-  expire(now: Milliseconds): boolean {
-    let isChanged = false;
-    for (const [upstream, { lapsedAt }] of this.#entries) {
-      if (lapsedAt === undefined || now - lapsedAt < LAPSED_GRACE_MS) continue;
-      this.#entries.delete(upstream);
-      isChanged = true;
+  /** Drops kept entries that did not come back; gives them back. */
+  expire(now: Milliseconds): UpstreamId[] {
+    const gone: UpstreamId[] = [];
+    for (const [upstream, { keptUntil }] of this.#entries) {
+      if (keptUntil !== undefined && keptUntil <= now) gone.push(upstream);
     }
-    if (isChanged) this.#rebuild();
-    return isChanged;
+    for (const upstream of gone) this.remove(upstream);
+    return gone;
   }
 
   /** Upstreams of a service that may get work. */
--- a/packages/admission/tests/beliefs.test.ts
+++ b/packages/admission/tests/beliefs.test.ts
@@ -45,17 +45,18 @@
   const directory = new UpstreamDirectory();
   directory.set(buildUpstream(0));
   directory.set(buildUpstream(1));
-  directory.replaceAll([], { now: 0, isStoreSuspect: true });
+  t.deepEqual(directory.replaceAll([], 1_500), []);
   t.is(directory.of(PLANS).length, 2);
   directory.set(buildUpstream(0));
-  t.true(directory.expire(1_600));
+  t.deepEqual(directory.expire(1_400), []);
+  t.deepEqual(directory.expire(1_500), [asId<UpstreamId>("u1")]);
   t.deepEqual(directory.of(PLANS).map(({ upstream }) => upstream), [U0]);
 });
 
 test("with a calm store a removed upstream is gone at once", (t) => {
   const directory = new UpstreamDirectory();
   directory.set(buildUpstream(0));
-  directory.remove(U0, { now: 0, isStoreSuspect: false });
+  t.true(directory.remove(U0));
   t.is(directory.size, 0);
 });
 
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -14,6 +14,7 @@
   "store_history_lost",
   "peer_found",
   "peer_lost",
+  "upstreams_read",
   "upstream_listed",
   "upstream_left",
   "upstream_ejected",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -192,27 +192,34 @@
     scheduler.review(timer.now());
   }
 
-  /** The store holds an upstream no more. */
-  dropUpstream(upstream: UpstreamId, isStoreSuspect: boolean): void {
-    const { directory, log, timer } = this.parts;
+  /** The store holds an upstream no more; after an outage it is kept for a while. */
+  dropUpstream(upstream: UpstreamId, keepUntil?: Milliseconds): void {
+    const { directory, log } = this.parts;
     if (directory.get(upstream) === undefined) return;
-    directory.remove(upstream, { now: timer.now(), isStoreSuspect });
+    const isGone = directory.remove(upstream, keepUntil);
     log.write("upstream_left", {
       upstream,
-      why: isStoreSuspect ? "lapsed" : "removed",
+      why: isGone ? "removed" : "lapsed",
     });
   }
 
   /** Takes in a full reading of all upstreams. */
   takeAllUpstreams(
     upstreams: readonly Upstream[],
-    isStoreSuspect: boolean,
+    keepUntil?: Milliseconds,
   ): void {
+    const { directory, timer, scheduler, log } = this.parts;
     for (const { upstream, isLeaving } of upstreams) {
       if (isLeaving) this.#leave(upstream, "announced");
     }
-    const { directory, timer, scheduler } = this.parts;
-    directory.replaceAll(upstreams, { now: timer.now(), isStoreSuspect });
+    for (const upstream of directory.replaceAll(upstreams, keepUntil)) {
+      log.write("upstream_left", { upstream, why: "not listed" });
+    }
+    log.write("upstreams_read", {
+      listed: upstreams.length,
+      known: directory.size,
+      kept: keepUntil !== undefined,
+    });
     scheduler.review(timer.now());
   }
 
@@ -330,9 +337,13 @@
   }
 
   #slowTick(): void {
-    const { scheduler, directory, timer } = this.parts;
+    const { scheduler, directory, timer, log } = this.parts;
     const now = timer.now();
-    const isChanged = scheduler.load.expire(now) || directory.expire(now);
+    const gone = directory.expire(now);
+    for (const upstream of gone) {
+      log.write("upstream_left", { upstream, why: "did not come back" });
+    }
+    const isChanged = scheduler.load.expire(now) || gone.length > 0;
     if (isChanged) scheduler.review(now);
     if (!this.#isReading && now - this.#askedPeerAt >= PEER_ASK_MS) {
       this.#askedPeerAt = now;
