Tell a masked reset from an end, and drop requests that cross a close

A reset that arrives in one turn with the last bytes is reported by the runtime as an orderly end (a partial read with a hang-up); no error event follows. Ruled out: the error path mended before, which did not run there.

A connection that this side closed takes no further request.

Both tests failed before (200 with half a body; two requests at the upstream).

--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -44,6 +44,8 @@
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   readonly #busy = new Set<Socket>();
+  /** Connections that this side has closed; nothing can be answered on them. */
+  readonly #closed = new WeakSet<Socket>();
 
   constructor(parts: GatewayParts) {
     this.#parts = parts;
@@ -82,7 +84,9 @@
   /** Closes the connections on which nothing is asked. */
   closeIdle(): void {
     for (const socket of this.#sockets) {
-      if (!this.#busy.has(socket)) socket.end();
+      if (this.#busy.has(socket)) continue;
+      this.#closed.add(socket);
+      socket.end();
     }
   }
 
@@ -109,6 +113,9 @@
     response: ServerResponse,
   ): Promise<void> {
     const { socket } = request;
+    // A request that crosses the close of its connection must not run: its caller
+    // sees a close, takes it for unread and sends it again elsewhere.
+    if (this.#closed.has(socket)) return void socket.destroy();
     this.#busy.add(socket);
     response.once("close", () => this.#busy.delete(socket));
     const answer = new CallerAnswer(response, this.#parts.isStopping);
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -1,10 +1,9 @@
 import type { Buffer } from "node:buffer";
 import type { Milliseconds } from "@wasabivane/common";
-import { buildConnector, type Dispatcher, Pool } from "undici";
+import { type Dispatcher, Pool } from "undici";
 import type { FieldLine, FieldValues } from "./fields.ts";
+import { SocketResets } from "./socketResets.ts";
 
-/** A connection inside a region stands within a few milliseconds; a lost packet costs a second. */
-const CONNECT_TIMEOUT_MS: Milliseconds = 250;
 /** Idle connections are kept for so long where the upstream names no time. */
 const IDLE_MS: Milliseconds = 8_000;
 /** The upstream may close so much earlier than it names. */
@@ -99,33 +98,6 @@
   }
 }
 
-/**
- * Knows whether a socket is failing right now.
- *
- * An answer without a length ends with its connection. The library takes a reset
- * for such an end too, and half an answer would reach the caller framed as a whole
- * one. Its own handler of the error runs after the one set here, so that the end
- * it reports can be told from a true one.
- */
-class SocketResets {
-  isFailing = false;
-  readonly connector: buildConnector.connector;
-
-  constructor() {
-    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-    this.connector = (options, callback) =>
-      connect(options, (...result) => {
-        result[1]?.prependListener("error", () => this.#noteFailure());
-        callback(...result);
-      });
-  }
-
-  #noteFailure(): void {
-    this.isFailing = true;
-    queueMicrotask(() => (this.isFailing = false));
-  }
-}
-
 /** Translates the library's callbacks, and abandons a call that never started. */
 class CallRun implements Dispatcher.DispatchHandler, RunningCall {
   readonly #listener: UpstreamListener;
--- a/packages/gateway/tests/brokenAnswers.test.ts
+++ b/packages/gateway/tests/brokenAnswers.test.ts
@@ -27,6 +27,25 @@
   await both.close();
 });
 
+test("a reset that arrives together with the last bytes is no end either", async (t) => {
+  // The half answer and the reset reach the host in one turn of its event loop. The
+  // runtime then reports an end of the connection and keeps the reset to itself.
+  const crashing = await startUpstream((received) => {
+    received.socket.write(goodHead(received, { connection: "close" }) + "half");
+    received.socket.resetAndDestroy();
+  });
+  const fleet = await startGateway({
+    upstreams: [crashing],
+    route: { repeatability: "at-most-once" },
+  });
+  for (const id of ["q1", "q2", "q3", "q4", "q5"]) {
+    const seen = await ask(fleet.url, { headers: { id } });
+    t.is(seen.status, 502);
+    t.notRegex(seen.body, /half/);
+  }
+  await fleet.close();
+});
+
 test("an answer without a length that ends with its connection is whole", async (t) => {
   const upstream = await startUpstream((received) => {
     received.socket.end(goodHead(received, { connection: "close" }) + "all");
--- a/packages/gateway/tests/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding.test.ts
@@ -147,6 +147,50 @@
   for (const { close } of [upstream]) close();
 });
 
+test("a request that crosses the close of its connection does not run", async (t) => {
+  // A stopping host closes an idle connection while a request is on its way. The
+  // caller sees the close, takes the request for unread and sends it elsewhere; run
+  // here as well, it would run twice or its answer be lost.
+  const waiting: Received[] = [];
+  const upstream = await startUpstream((received) => {
+    if (received.field("id") === "q1") waiting.push(received);
+    else answerWhole(received);
+  });
+  const fleet = await startGateway({
+    upstreams: [upstream],
+    route: { repeatability: "at-most-once", timeout: 15_000 },
+    stopGrace: 20_000,
+  });
+  const { port, hostname } = new URL(fleet.url);
+  // A request under way keeps the host from ending before the crossing one is there.
+  const first = ask(fleet.url, { headers: { id: "q1" } });
+  const idle = connect({
+    port: Number(port),
+    host: hostname,
+    allowHalfOpen: true,
+  });
+  idle.on("error", () => {});
+  await once(idle, "connect");
+  const stopped = fleet.gateway.stop();
+  await once(idle.resume(), "end");
+  idle.write(
+    "POST /a/1 HTTP/1.1\r\nhost: plans.example\r\nid: q2\r\nkey: k\r\n" +
+      "content-length: 0\r\n\r\n",
+  );
+  // A half-closed connection tells of the other side's close only when written to.
+  const writing = setInterval(() => idle.write("\r\n"), 10);
+  const ran = (): boolean => upstream.received.length > 1;
+  while (!idle.destroyed && !ran()) {
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  clearInterval(writing);
+  t.false(ran());
+  answerWhole(waiting[0]!);
+  t.is((await first).status, 200);
+  await stopped;
+  upstream.close();
+});
+
 test("an upstream that announced its leaving gets no further request", async (t) => {
   const leaving = await startUpstream(answerWhole);
   const fleet = await startGateway({ upstreams: [leaving] });
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -143,11 +143,12 @@
   readonly upstreams: readonly RawUpstream[];
   readonly route?: Partial<Route>;
   readonly slots?: number;
+  readonly stopGrace?: number;
 }
 
 /** Starts a gateway before the given upstreams. */
 export async function startGateway(
-  { upstreams, route = {}, slots = 4 }: GatewayStart,
+  { upstreams, route = {}, slots = 4, stopGrace = 3_000 }: GatewayStart,
 ): Promise<RunningGateway> {
   const lines: Record<string, unknown>[] = [];
   const output: LogOutput = {
@@ -170,7 +171,7 @@
     freshness: { revocationBound: 600_000, applyBound: 600_000 },
     retryBudget: { ratio: 0.2, slack: 50, window: 10_000 },
     quotaOverrun: 0.25,
-    stopGrace: 3_000,
+    stopGrace,
     dialect: new PlainDialect(),
     timer,
     random: new SeededRandom(1),
