Explain a request's end from the logs of all hosts

Cause: on-call has only logs and metrics. Lines of requests that were refused at the door bore no id, and refusals in line did not say what decided them.

Change: every refusal names the id and its inputs (what was ahead, how fast it moved, the age of the last proof, account and units); a sent request names what ran at its upstream. wasabivane-ctl explain ID FILE... orders the lines of all hosts, adds what the host believed, and says the cause in a sentence.

--- a/apps/ctl/src/program.ts
+++ b/apps/ctl/src/program.ts
@@ -11,6 +11,7 @@
 } from "@wasabivane/common";
 import { countersCommand } from "./countersCommand.ts";
 import { drainCommand } from "./drainCommand.ts";
+import { explainCommand } from "./explainCommand.ts";
 import { EntryClient, type EntryRequest } from "./entryClient.ts";
 import { healthCommand } from "./healthCommand.ts";
 import { dispatcherOf, settingsOf } from "./operatorSettings.ts";
@@ -90,6 +91,10 @@
   cli.option("--json", "Print JSON documents for programs, one a line");
   for (const entry of FLEET_COMMANDS) registerFleetCommand(cli, { entry, run });
   registerDrain(cli, run);
+  cli.command(
+    "explain <id> [...files]",
+    "Say from log files why a request ended as it did",
+  ).action((id: unknown, files: string[]) => explainCommand(String(id), files));
   cli.help();
   cli.version(run.version);
   return runCommandLine(cli, run);
--- /dev/null
+++ b/apps/ctl/src/requestExplanation.ts
@@ -0,0 +1,124 @@
+import type { LogEvent } from "@wasabivane/gateway";
+import type { LogLine } from "./logLines.ts";
+
+/** Changes of belief that are older than this did not decide a request. */
+const BEFORE_MS = 5_000;
+
+/** Events that tell what a host believed. */
+const BELIEF_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
+  "store_lost",
+  "store_regained",
+  "store_history_lost",
+  "policy_adopted",
+  "peer_lost",
+  "stopping",
+  "upstream_left",
+  "upstream_ejected",
+  "crash_confirmed",
+]);
+
+/** What the lines of all hosts say of one request. */
+export interface RequestExplanation {
+  /** The request's own lines, and changes of belief that bear on it. */
+  readonly lines: readonly LogLine[];
+  /** Why it ended as it did. */
+  readonly cause: string;
+}
+
+/** Finds why a request ended as it did; `undefined` when no line names it. */
+export function explainRequest(
+  lines: readonly LogLine[],
+  id: string,
+): RequestExplanation | undefined {
+  const own = lines.filter(({ values }) => values.id === id);
+  if (own.length === 0) return undefined;
+  const beliefs = beliefsFor(own, lines);
+  const all = [...own, ...beliefs]
+    .sort((left, right) => left.time - right.time);
+  return { lines: all, cause: causeOf(own, beliefs) };
+}
+
+function beliefsFor(
+  own: readonly LogLine[],
+  lines: readonly LogLine[],
+): LogLine[] {
+  const hosts = new Set(own.map(({ host }) => host));
+  const upstreams = new Set(own.map(({ values }) => values.upstream));
+  const from = own[0]!.time - BEFORE_MS;
+  const until = own.at(-1)!.time;
+  return lines.filter(({ time, host, event, values }) =>
+    BELIEF_EVENTS.has(event) && hosts.has(host) && time >= from &&
+    time <= until &&
+    (values.upstream === undefined || upstreams.has(values.upstream))
+  );
+}
+
+type Cause = (line: LogLine, beliefs: readonly LogLine[]) => string;
+
+const REFUSAL_CAUSES: Readonly<Record<string, Cause>> = {
+  "no-policy": () => "the host had not read a policy yet",
+  "policy-behind": ({ values }, beliefs) =>
+    `the host could not prove that its policy is the newest (last proof ` +
+    `${values.proofAge} ms ago)${storeNote(beliefs)}`,
+  "no-route": ({ values }) =>
+    `policy ${values.policy} has no route for ${values.path}`,
+  "no-account": ({ values }) =>
+    `policy ${values.policy} has no account with the caller's key`,
+  "over-quota": ({ values }) =>
+    `account ${values.account} was over its quota when it asked for ` +
+    `${values.units} more`,
+  convicted: () => "requests with the same content crashed three upstreams",
+  "line-too-long": ({ values }) =>
+    `${values.ahead} requests were ahead and ${values.startsPerSecond} a ` +
+    "second started, so that it could not have started in time",
+  "waited-out": ({ values }) =>
+    `it waited ${values.held} ms for a place; ${values.startsPerSecond} ` +
+    `requests a second started, and ${values.ahead} were ahead at the end`,
+  "no-other-upstream": () => "every upstream of the service had it already",
+  "not-run-upstream": () => "the upstream said that it did not run it",
+  "unreachable-upstream": () => "no upstream could be connected to",
+  "upstream-lost": () => "the upstream's answer broke off or never came",
+  deadline: () => "its time was over",
+};
+
+function causeOf(
+  own: readonly LogLine[],
+  beliefs: readonly LogLine[],
+): string {
+  const last =
+    [...own].reverse().find(({ event }) => event !== "request_ended") ??
+      own.at(-1)!;
+  const failures = own.filter(({ event }) => event === "request_failed")
+    .map(({ values }) => failureText(values));
+  const failed = failures.length === 0
+    ? ""
+    : `; before, ${failures.join(", ")}`;
+  switch (last.event) {
+    case "request_refused": {
+      const cause = REFUSAL_CAUSES[String(last.values.reason)];
+      const text = cause?.(last, beliefs) ?? String(last.values.reason);
+      return `Refused with ${last.values.status}: ${text}${failed}`;
+    }
+    case "request_cut":
+      return `Cut after event ${last.values.lastEvent ?? "none"} ` +
+        `(${last.values.detail})${failed}`;
+    case "caller_left":
+      return `The caller left${failed}`;
+    default:
+      return `Ended as ${own.at(-1)!.values.ending ?? "not known"}${failed}`;
+  }
+}
+
+function failureText(values: LogLine["values"]): string {
+  const where = values.upstream === undefined ? "" : `${values.upstream} `;
+  return `${where}was ${values.outcome} (${values.detail})`;
+}
+
+function storeNote(beliefs: readonly LogLine[]): string {
+  const lost = [...beliefs].reverse().find(({ event }) =>
+    event === "store_lost"
+  );
+  return lost === undefined
+    ? ""
+    : `; the store was lost: ${lost.values.detail}`;
+}
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -10,6 +10,7 @@
 import type { CallerLimits, Route } from "@wasabivane/admission";
 import { err, ok, type Result } from "neverthrow";
 import { CallerAnswer } from "./callerAnswer.ts";
+import type { LogValues } from "./decisionLog.ts";
 import { Exchange } from "./exchange.ts";
 import { fieldLines } from "./fields.ts";
 import type { GatewayParts } from "./gatewayParts.ts";
@@ -132,7 +133,12 @@
       return this.#refuse(request, answer, bodyRefusal(body.error));
     }
     const charged = this.#charge(admitted.value);
-    if (charged.isErr()) return this.#refuse(request, answer, charged.error);
+    if (charged.isErr()) {
+      return this.#refuse(request, answer, charged.error, {
+        account: accountName(admitted.value.account),
+        units: unitsOf(admitted.value.account!, admitted.value.says),
+      });
+    }
     this.#exchange({
       admitted: admitted.value,
       request,
@@ -217,16 +223,19 @@
     request: IncomingMessage,
     answer: CallerAnswer,
     refusal: Refusal,
+    inputs: LogValues = {},
   ): void {
-    const { log, metrics, policies, elapsed } = this.#parts;
+    const { log, metrics, policies, elapsed, dialect } = this.#parts;
     metrics.count(`refused_${refusal.reason}`);
     log.write("request_refused", {
+      id: dialect.readRequest(request.headers)?.attempt,
       path: pathOf(request.url ?? ""),
       status: refusal.status,
       reason: refusal.reason,
       retryAfter: refusal.retryAfter,
       policy: policies.version,
       proofAge: Math.round(policies.freshness.age(elapsed.now())),
+      ...inputs,
     });
     answer.refuse(refusal);
     request.resume();
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -20,7 +20,6 @@
   "upstream_ejected",
   "crash_confirmed",
   "request_refused",
-  "request_waited",
   "request_sent",
   "request_sent_again",
   "request_ended",
@@ -49,7 +48,6 @@
 
 const ROUTINE_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
   "request_sent",
-  "request_waited",
   "request_ended",
   "caller_left",
 ]);
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -19,6 +19,7 @@
   type AttemptListener,
 } from "./attempt.ts";
 import type { CallerAnswer } from "./callerAnswer.ts";
+import type { LogEvent, LogValues } from "./decisionLog.ts";
 import { endToEndFields, type FieldLine } from "./fields.ts";
 import type { GatewayParts } from "./gatewayParts.ts";
 import { accountName, type Admitted, type Refusal } from "./intake.ts";
@@ -145,12 +146,12 @@
     if (this.#isOver) return;
     if (verdict.kind === "place") return this.#send(verdict.upstream);
     const { ahead, startsPerSecond, reason } = verdict;
-    this.#log("request_waited", { reason, ahead, startsPerSecond });
     if (this.#options.answer.hasStarted) return this.#cut(reason);
     this.#refuse(
       this.#mayHaveRun
         ? { status: 502, reason: "upstream-lost" }
         : this.#comeBack(reason, { ahead, startsPerSecond }),
+      { ahead, startsPerSecond: Math.round(startsPerSecond) },
     );
   }
 
@@ -195,6 +196,8 @@
       upstream: upstream.upstream,
       waited: Math.round(this.#waited),
       sends: this.#sends,
+      inFlight: parts.scheduler.load.total(upstream.upstream),
+      slots: upstream.slots,
     });
     this.#attempt.start();
   }
@@ -296,8 +299,9 @@
     return NOT_RUN_RETURN_MS * (0.5 + this.#options.parts.random.float());
   }
 
-  #refuse(refusal: Refusal): void {
+  #refuse(refusal: Refusal, inputs: LogValues = {}): void {
     this.#log("request_refused", {
+      ...inputs,
       status: refusal.status,
       reason: refusal.reason,
       retryAfter: refusal.retryAfter,
@@ -391,10 +395,7 @@
     done({ hasRun: this.#mayHaveRun || this.#firstByteAt !== undefined });
   }
 
-  #log(
-    event: Parameters<GatewayParts["log"]["write"]>[0],
-    values: Parameters<GatewayParts["log"]["write"]>[1],
-  ): void {
+  #log(event: LogEvent, values: LogValues): void {
     const { parts, admitted } = this.#options;
     parts.log.write(event, {
       id: admitted.says.attempt,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,6 +6,7 @@
   LOG_EVENTS,
   type LogEvent,
   type LogOutput,
+  type LogValues,
 } from "./decisionLog.ts";
 export { EventFrames } from "./eventFrames.ts";
 export {
