Accept a job only when every copy knows that it counts

A job was accepted once one of its two copies had noted it; the other was cut off. Its holder died 50 ms later, and the copy that was left has no majority alone: the job never ended.

Price: a job offered while a copy is cut off ends as unconfirmed instead of accepted.

--- a/packages/coordination/src/jobAcceptance.ts
+++ b/packages/coordination/src/jobAcceptance.ts
@@ -44,8 +44,8 @@
 }
 
 /**
- * Takes new jobs. A job is accepted once its copies hold it and one of them
- * knows that it counts. Until then the copies never act, so that a refusal may
+ * Takes new jobs. A job is accepted once its copies hold it and know that it
+ * counts. Until then the copies never act, so that a refusal may
  * say "not run" whatever becomes of its messages.
  */
 export class JobAcceptance {
@@ -137,6 +137,11 @@
     return elsewhere.length >= needed;
   }
 
+  /**
+   * Every copy has to know that the job counts. With one of them cut off, the
+   * death of the holder leaves the other alone, which has no majority, and a job
+   * that was accepted never ends.
+   */
   #confirm(
     record: JobRecord,
     members: readonly MemberId[],
@@ -149,13 +154,16 @@
         CONFIRM_WAIT_MS,
         () => resolve(err({ kind: "unconfirmed", id: record.job.id })),
       );
-      const onNoted = (isHeld: boolean): void => {
-        if (!isHeld) return;
-        timeout.cancel();
-        resolve(ok(record.job));
-      };
-      for (const to of members) {
-        if (to === self) continue;
+      const copies = members.filter((member) => member !== self);
+      const noted = new Set<MemberId>();
+      for (const to of copies) {
+        const onNoted = (isHeld: boolean): void => {
+          if (!isHeld) return;
+          noted.add(to);
+          if (noted.size < copies.length) return;
+          timeout.cancel();
+          resolve(ok(record.job));
+        };
         lifecycle.tellMoved(to, { record, epoch, onNoted });
       }
     });
