--- a/scripts/settingsReference.ts
+++ b/scripts/settingsReference.ts
@@ -1,5 +1,5 @@
 /**
- * Writes the settings reference in docs/OPERATING.md from the schemas:
+ * Writes the settings reference in docs/OPERATIONS.md from the schemas:
  * `npx tsx --conditions=source scripts/settingsReference.ts && npx deno fmt`.
  */
 import { readFileSync, writeFileSync } from "node:fs";
@@ -16,7 +16,7 @@
 
 const BEGIN = "<!-- settings reference: begin -->";
 const END = "<!-- settings reference: end -->";
-const GUIDE = fileURLToPath(new URL("../docs/OPERATING.md", import.meta.url));
+const GUIDE = fileURLToPath(new URL("../docs/OPERATIONS.md", import.meta.url));
 
 const SECTIONS = [
   { title: "`wasabivane-entry`", schema: settingsSchema },
