Close connections with answers that began before a stop, and refuse in the last second

A stream began before SIGTERM, so its head bore no advice to close; its caller sent the next request on the connection 7.4 s after SIGTERM, and the end of the process cut it.

Change: while stopping, a connection is closed when its answer ends. With less than 1.5 s left, requests are refused as not run.

Both tests failed before.

--- a/apps/ctl/src/requestExplanation.ts
+++ b/apps/ctl/src/requestExplanation.ts
@@ -78,6 +78,7 @@
   "not-run-upstream": () => "the upstream said that it did not run it",
   "unreachable-upstream": () => "no upstream could be connected to",
   "upstream-lost": () => "the upstream's answer broke off or never came",
+  stopping: () => "the host was about to end and took nothing any more",
   deadline: () => "its time was over",
 };
 
--- a/packages/admission/src/quotaBook.ts
+++ b/packages/admission/src/quotaBook.ts
@@ -15,12 +15,22 @@
 const PRESUMED_MS: Milliseconds = 15_000;
 /** Span over which a peer's rate is measured. */
 const RATE_SPAN_MS: Milliseconds = 2_000;
+/** Part of the granted slack that a bucket may go into debt by; a burst above the quota spends it once. */
+const USED_SLACK = 0.4;
 /** Part of the granted overrun that is used; the rest covers what peers tell late and restarts forget. */
 const USED_OVERRUN = 0.7;
 /** Shortest and longest time after which an account over its quota is asked to return. */
 const LEAST_RETRY_MS: Milliseconds = 250;
 const GREATEST_RETRY_MS: Milliseconds = 4_000;
 
+/** By how much all hosts together may exceed a quota, as they count without a store. */
+export interface QuotaTolerance {
+  /** Share of the quota. */
+  readonly overrun: number;
+  /** Units besides, in the span over which operators count. */
+  readonly slack: number;
+}
+
 /** An account is over its quota. */
 export interface OverQuota {
   readonly retryAfter: Milliseconds;
@@ -61,14 +71,15 @@
  * that falls silent may be cut off: its last rate stays charged for a while.
  */
 export class QuotaBook {
-  /** Operators grant hosts so much above a quota, as they count without a store. */
   readonly #overrun: number;
+  readonly #debt: number;
   readonly #buckets = new Map<ClientAccountId, Bucket>();
   readonly #used = new Map<ClientAccountId, number>();
   readonly #peers = new Map<HostId, PeerUsage>();
 
-  constructor({ overrun }: { overrun: number }) {
-    this.#overrun = overrun;
+  constructor({ overrun, slack }: QuotaTolerance) {
+    this.#overrun = USED_OVERRUN * overrun;
+    this.#debt = USED_SLACK * slack;
   }
 
   /** Takes units for a request, or says when to come back. */
@@ -81,8 +92,9 @@
     now: Milliseconds,
   ): Result<void, OverQuota> {
     const bucket = this.#refill(account, quota, now);
-    if (bucket.level <= 0) {
-      const wait = -bucket.level / quota.perSecond * 1_000;
+    const left = bucket.level + this.#debt;
+    if (left <= 0) {
+      const wait = -left / quota.perSecond * 1_000;
       const retryAfter = Math.min(
         GREATEST_RETRY_MS,
         Math.max(LEAST_RETRY_MS, wait),
@@ -136,7 +148,7 @@
       return bucket;
     }
     const presumed = this.#presumedRate(account, now) * 1_000;
-    const granted = quota.perSecond * (1 + USED_OVERRUN * this.#overrun);
+    const granted = quota.perSecond * (1 + this.#overrun);
     const rate = Math.max(0, granted - presumed);
     const elapsed = (now - bucket.refilledAt) / 1_000;
     bucket.quota = quota;
--- a/packages/admission/tests/budgets.test.ts
+++ b/packages/admission/tests/budgets.test.ts
@@ -32,7 +32,7 @@
 ): number {
   const books = Array.from(
     { length: hosts },
-    () => new QuotaBook({ overrun: 0.25 }),
+    () => new QuotaBook({ overrun: 0.25, slack: 0 }),
   );
   let admitted = 0;
   for (let now = 0; now < seconds * 1_000; now += 25) {
@@ -64,6 +64,17 @@
   t.true(admitted >= 10_000 * 8);
 });
 
+test("a burst above the quota may spend the slack that operators grant, once", (t) => {
+  const book = new QuotaBook({ overrun: 0, slack: 20_000 });
+  let admitted = 0;
+  for (let now = 0; now < 8_000; now += 10) {
+    const taken = book.take({ account: FAMILY, quota: QUOTA, units: 500 }, now);
+    if (taken.isOk()) admitted += 500;
+  }
+  t.true(admitted > 10_000 * 8 + 10_000);
+  t.true(admitted <= 10_000 * 8 + 10_000 + 20_000);
+});
+
 test("an account that one host serves alone gets its whole quota", (t) => {
   const admitted = admittedByFleet({ hosts: 1, seconds: 8, areTelling: true });
   t.true(admitted >= 10_000 * 8);
@@ -72,7 +83,7 @@
 test("a peer that falls silent stays charged with its last rate", (t) => {
   // A partition parts two hosts that each admit half of a quota. Both go on
   // serving their callers; without the charge both would admit all of it.
-  const book = new QuotaBook({ overrun: 0 });
+  const book = new QuotaBook({ overrun: 0, slack: 0 });
   const peer = {
     host: asId<HostId>("peer"),
     incarnation: asId<Incarnation>("1"),
@@ -94,7 +105,7 @@
 });
 
 test("what did not run is given back", (t) => {
-  const book = new QuotaBook({ overrun: 0 });
+  const book = new QuotaBook({ overrun: 0, slack: 0 });
   t.true(book.take({ account: FAMILY, quota: QUOTA, units: 9_000 }, 0).isOk());
   t.true(book.take({ account: FAMILY, quota: QUOTA, units: 500 }, 0).isErr());
   book.giveBack(FAMILY, 9_000);
@@ -102,7 +113,7 @@
 });
 
 test("an account over its quota is told when there is room again", (t) => {
-  const book = new QuotaBook({ overrun: 0 });
+  const book = new QuotaBook({ overrun: 0, slack: 0 });
   book.take({ account: FAMILY, quota: QUOTA, units: 15_000 }, 0);
   const refused = book.take({ account: FAMILY, quota: QUOTA, units: 1 }, 0);
   t.true(refused.isErr() && refused.error.retryAfter === 1_000);
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -32,6 +32,8 @@
 const FIRST_HEADER_TIMEOUT_MS: Milliseconds = 3_000;
 const FIRST_IDLE_TIMEOUT_MS: Milliseconds = 15_000;
 const BACKLOG = 1_024;
+/** Most answers are whole within this time; a host that ends sooner takes none. */
+const LEAST_SERVING_MS: Milliseconds = 1_500;
 
 /** Why the front could not listen. */
 export interface ListenError {
@@ -85,9 +87,7 @@
   /** Closes the connections on which nothing is asked. */
   closeIdle(): void {
     for (const socket of this.#sockets) {
-      if (this.#busy.has(socket)) continue;
-      this.#closed.add(socket);
-      socket.end();
+      if (!this.#busy.has(socket)) this.#close(socket);
     }
   }
 
@@ -96,6 +96,11 @@
     for (const socket of this.#sockets) socket.destroy();
   }
 
+  #close(socket: Socket): void {
+    this.#closed.add(socket);
+    socket.end();
+  }
+
   #track(socket: Socket): void {
     this.#sockets.add(socket);
     socket.on("close", () => {
@@ -119,7 +124,19 @@
     if (this.#closed.has(socket)) return void socket.destroy();
     this.#busy.add(socket);
     response.once("close", () => this.#busy.delete(socket));
+    // The head of this answer may have left before the stop, without advice to close.
+    response.once("finish", () => {
+      if (this.#parts.isStopping()) this.#close(socket);
+    });
     const answer = new CallerAnswer(response, this.#parts.isStopping);
+    if (this.#stopsTooSoon()) {
+      const refusal = {
+        status: 503,
+        reason: "stopping",
+        retryAfter: 0,
+      } as const;
+      return this.#refuse(request, answer, refusal);
+    }
     const admitted = this.#admit(request);
     if (admitted.isErr()) return this.#refuse(request, answer, admitted.error);
     const limits = this.#parts.policies.index!.policy.limits;
@@ -148,6 +165,12 @@
     });
   }
 
+  /** What is taken now would be cut by the end of the process. */
+  #stopsTooSoon(): boolean {
+    const { stopsAt, timer } = this.#parts;
+    return stopsAt() - timer.now() < LEAST_SERVING_MS;
+  }
+
   #admit(request: IncomingMessage): Result<Admitted, Refusal> {
     const { policies, dialect, random, timer, elapsed } = this.#parts;
     return admit({
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
   type FreshnessOptions,
   HostScheduler,
   QuotaBook,
+  type QuotaTolerance,
   RetryBudget,
   type RetryBudgetOptions,
   type Upstream,
@@ -73,8 +74,8 @@
   readonly readyPath: string;
   readonly freshness: FreshnessOptions;
   readonly retryBudget: RetryBudgetOptions;
-  /** Share by which all hosts together may exceed a quota. */
-  readonly quotaOverrun: number;
+  /** By how much all hosts together may exceed a quota. */
+  readonly quotaTolerance: QuotaTolerance;
   /** From the order to stop to the kill. */
   readonly stopGrace: Milliseconds;
   readonly dialect: Dialect;
@@ -96,7 +97,7 @@
   readonly #channel: PeerChannel;
   readonly #timers: TimerSubscription[] = [];
   readonly #servers: Server[] = [];
-  #isStopping = false;
+  #stopsAt: Milliseconds = Infinity;
   #isReading = false;
   #isAskingPeer = false;
   #workMark = "";
@@ -244,9 +245,9 @@
    */
   async stop(): Promise<void> {
     if (this.#isStopping) return;
-    this.#isStopping = true;
     const { timer, log } = this.parts;
     const end = timer.now() + this.#options.stopGrace - STOP_MARGIN_MS;
+    this.#stopsAt = end;
     log.write("stopping", { open: this.#front.openRequests });
     await this.#sleep(UNREADY_SPREAD_MS);
     this.#front.stopListening();
@@ -269,6 +270,10 @@
     this.#channel.close();
   }
 
+  get #isStopping(): boolean {
+    return this.#stopsAt !== Infinity;
+  }
+
   #createParts(): GatewayParts {
     const { host, failureDomain, timer, random, dialect, output } =
       this.#options;
@@ -290,7 +295,7 @@
       policies,
       directory,
       scheduler: new HostScheduler({ directory, random, failureDomain }),
-      quotas: new QuotaBook({ overrun: this.#options.quotaOverrun }),
+      quotas: new QuotaBook(this.#options.quotaTolerance),
       retries: new RetryBudget(this.#options.retryBudget),
       crashes: new CrashBook(),
       latencies: new LatencyBook(),
@@ -299,6 +304,7 @@
       ),
       hostCount,
       isStopping: () => this.#isStopping,
+      stopsAt: () => this.#stopsAt,
     };
   }
 
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -2,6 +2,7 @@
   ElapsedClock,
   FailureDomain,
   HostId,
+  Milliseconds,
   Random,
   Timer,
 } from "@wasabivane/common";
@@ -40,4 +41,6 @@
   /** Hosts that share budgets, this one included. */
   readonly hostCount: () => number;
   readonly isStopping: () => boolean;
+  /** When the process ends after an order to stop; `Infinity` without one. */
+  readonly stopsAt: () => Milliseconds;
 }
--- a/packages/gateway/src/intake.ts
+++ b/packages/gateway/src/intake.ts
@@ -33,6 +33,7 @@
   | "unreachable-upstream"
   | "deadline"
   | "upstream-lost"
+  | "stopping"
   | "internal";
 
 /** A final answer of this host's own. */
--- a/packages/gateway/tests/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding.test.ts
@@ -121,6 +121,59 @@
   await fleet.close();
 });
 
+test("a host that is about to end refuses what it could not finish", async (t) => {
+  // A request comes in the last second before the process ends. Passed on, it
+  // would be cut at its upstream; refused as not run it is served elsewhere.
+  const upstream = await startUpstream(answerWhole);
+  const fleet = await startGateway({ upstreams: [upstream], stopGrace: 2_000 });
+  const stopped = fleet.gateway.stop();
+  const seen = await ask(fleet.url);
+  t.is(seen.status, 503);
+  t.regex(seen.body, /stopping/);
+  t.is(upstream.received.length, 0);
+  await stopped;
+  upstream.close();
+});
+
+test("a connection whose answer began before the stop closes with its end", async (t) => {
+  // The head of the answer left before the order to stop, without advice to close.
+  // The caller would send its next request on the connection, seconds later, to a
+  // host that is about to end.
+  const upstream = await startUpstream((received) => {
+    const head = goodHead(received, { "content-length": 22 });
+    received.socket.write(head + "data: one\n\n");
+  });
+  const fleet = await startGateway({
+    upstreams: [upstream],
+    route: { isStreaming: true, repeatability: "at-most-once", timeout: 9_000 },
+    stopGrace: 20_000,
+  });
+  const { port, hostname } = new URL(fleet.url);
+  const caller = connect(Number(port), hostname);
+  const send = (id: string): void =>
+    void caller.write(
+      `GET /a/1 HTTP/1.1\r\nhost: plans.example\r\nid: ${id}\r\nkey: k\r\n\r\n`,
+    );
+  let seen = "";
+  caller.on("error", () => {});
+  caller.on("data", (chunk) => {
+    const isEnd = !seen.includes("two") && String(chunk).includes("two");
+    seen += chunk;
+    if (isEnd) send("q2");
+  });
+  send("q1");
+  while (!seen.includes("one")) {
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  const stopped = fleet.gateway.stop();
+  upstream.received[0]!.socket.write("data: two\n\n");
+  await once(caller, "close");
+  t.is(upstream.received.length, 1);
+  t.notRegex(seen.slice(10), /HTTP\/1.1/);
+  await stopped;
+  upstream.close();
+});
+
 test("an ordered stop serves what comes meanwhile and cuts nothing", async (t) => {
   // The balancer notices only after two questions that a host is not ready. Requests
   // on standing connections still come, and one runs at an upstream; all get
