Part upstream news and lessons of attempts from gateway and exchange

Change: upstreamNews.ts and attemptLessons.ts; confirmed crashes are told; what is known of a gone upstream is dropped, its connections after 30 s; the unused shape is taken out.

--- a/packages/admission/src/hostScheduler.ts
+++ b/packages/admission/src/hostScheduler.ts
@@ -179,9 +179,10 @@
     return total;
   }
 
-  /** Places of a service's upstreams that nobody uses. */
-  freePlaces(service: ServiceId, now: Milliseconds): number {
-    return this.#placement.freePlaces(this.#directory.of(service), now);
+  /** An upstream is gone for good. */
+  forget(upstream: UpstreamId): void {
+    this.health.forget(upstream);
+    this.speed.forget(upstream);
   }
 
   /**
--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -50,16 +50,6 @@
   readonly service: ServiceId;
   /** Connections that one upstream takes from all hosts together. */
   readonly maximumConnections: number;
-  /** Present where the upstreams are model engines. */
-  readonly engine?: EngineShape;
-}
-
-/** What the policy says of the model engines of a service. */
-export interface EngineShape {
-  /** Requests that run at once. */
-  readonly slots: number;
-  /** Tokens that fit into an engine's memory. */
-  readonly memoryTokens: number;
 }
 
 /** What a client account may use over all hosts. */
--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -58,9 +58,9 @@
   replaceAll(
     upstreams: readonly Upstream[],
     keepUntil?: Milliseconds,
-  ): UpstreamId[] {
+  ): Upstream[] {
     const listed = new Set(upstreams.map(({ upstream }) => upstream));
-    const gone = [...this.#entries.keys()].filter((upstream) =>
+    const gone = this.all().filter(({ upstream }) =>
       !listed.has(upstream) && this.remove(upstream, keepUntil)
     );
     for (const upstream of upstreams) this.set(upstream);
@@ -68,12 +68,12 @@
   }
 
   /** Drops kept entries that did not come back; gives them back. */
-  expire(now: Milliseconds): UpstreamId[] {
-    const gone: UpstreamId[] = [];
-    for (const [upstream, { keptUntil }] of this.#entries) {
+  expire(now: Milliseconds): Upstream[] {
+    const gone: Upstream[] = [];
+    for (const { upstream, keptUntil } of this.#entries.values()) {
       if (keptUntil !== undefined && keptUntil <= now) gone.push(upstream);
     }
-    for (const upstream of gone) this.remove(upstream);
+    for (const { upstream } of gone) this.remove(upstream);
     return gone;
   }
 
--- a/packages/admission/tests/beliefs.test.ts
+++ b/packages/admission/tests/beliefs.test.ts
@@ -49,7 +49,7 @@
   t.is(directory.of(PLANS).length, 2);
   directory.set(buildUpstream(0));
   t.deepEqual(directory.expire(1_400), []);
-  t.deepEqual(directory.expire(1_500), [asId<UpstreamId>("u1")]);
+  t.deepEqual(directory.expire(1_500), [buildUpstream(1)]);
   t.deepEqual(directory.of(PLANS).map(({ upstream }) => upstream), [U0]);
 });
 
--- /dev/null
+++ b/packages/gateway/src/attemptLessons.ts
@@ -0,0 +1,65 @@
+import type {
+  Digest,
+  Milliseconds,
+  ServiceId,
+  UpstreamId,
+} from "@wasabivane/common";
+import type { Attempt, AttemptEnd } from "./attempt.ts";
+import type { GatewayParts } from "./gatewayParts.ts";
+
+/** What an attempt was about. */
+export interface LessonContext {
+  readonly parts: GatewayParts;
+  readonly service: ServiceId;
+  readonly fingerprint: Digest;
+  readonly end: AttemptEnd;
+}
+
+/** Takes in what one attempt showed of its upstream: speed, health, crashes, a free place. */
+export function learnFrom(
+  attempt: Attempt,
+  context: LessonContext,
+): void {
+  const { parts, service, fingerprint } = context;
+  const { outcome, wasSent } = context.end;
+  const { upstream } = attempt.upstream;
+  const now = parts.timer.now();
+  const residence = now - attempt.startedAt;
+  if (outcome === "whole") learnTimes(attempt, { ...context, residence });
+  if (outcome === "broken" && wasSent) {
+    parts.crashes.noteBroken({ fingerprint, upstream, at: now });
+  }
+  if (outcome === "unreachable") confirmCrashes(upstream, parts);
+  if (parts.scheduler.health.observe(upstream, outcome, now)) {
+    parts.metrics.count("upstream_ejected");
+    parts.log.write("upstream_ejected", { upstream, outcome, service });
+  }
+  parts.scheduler.end(attempt.upstream, { outcome, residence, now });
+}
+
+/** A stream shows its speed by its pauses, a plain answer by its whole time. */
+function learnTimes(
+  { upstream: { upstream }, startedAt, firstEventAt, eventCount }: Attempt,
+  { parts, service, residence }: LessonContext & { residence: Milliseconds },
+): void {
+  if (firstEventAt === undefined) {
+    parts.latencies.observe(service, residence);
+    const duration = residence;
+    return parts.scheduler.speed.observe({ service, upstream, duration });
+  }
+  const latency = firstEventAt - startedAt;
+  parts.latencies.observe(service, latency);
+  if (eventCount <= 1) return;
+  const duration = (residence - latency) / (eventCount - 1);
+  parts.scheduler.speed.observe({ service, upstream, duration });
+}
+
+function confirmCrashes(
+  upstream: UpstreamId,
+  { crashes, log, tellCrash, timer }: GatewayParts,
+): void {
+  for (const crash of crashes.noteDown(upstream, timer.now())) {
+    log.write("crash_confirmed", { upstream, fingerprint: crash.fingerprint });
+    tellCrash(crash);
+  }
+}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -20,6 +20,7 @@
 } from "./attempt.ts";
 import type { CallerAnswer } from "./callerAnswer.ts";
 import type { LogEvent, LogValues } from "./decisionLog.ts";
+import { learnFrom } from "./attemptLessons.ts";
 import { endToEndFields, type FieldLine } from "./fields.ts";
 import type { GatewayParts } from "./gatewayParts.ts";
 import { accountName, type Admitted, type Refusal } from "./intake.ts";
@@ -116,7 +117,13 @@
   ended(end: AttemptEnd): void {
     const attempt = this.#attempt!;
     this.#attempt = undefined;
-    this.#learn(attempt, end);
+    const { parts, admitted, request } = this.#options;
+    learnFrom(attempt, {
+      end,
+      parts,
+      service: admitted.service,
+      fingerprint: request.fingerprint,
+    });
     if (this.#isOver || this.#isStopped) return;
     if (end.outcome === "whole") this.#deliver(end);
     else this.#recover(attempt, end);
@@ -327,51 +334,6 @@
     attempt.abort("cancelled", detail);
   }
 
-  #learn(attempt: Attempt, { outcome, wasSent }: AttemptEnd): void {
-    const { parts, admitted, request } = this.#options;
-    const { service } = admitted;
-    const { upstream } = attempt.upstream;
-    const now = this.#now();
-    const residence = now - attempt.startedAt;
-    if (outcome === "whole") this.#learnTimes(attempt, residence);
-    if (outcome === "broken" && wasSent) {
-      parts.crashes.noteBroken({
-        fingerprint: request.fingerprint,
-        upstream,
-        at: now,
-      });
-    }
-    if (outcome === "unreachable") this.#confirmCrashes(upstream, now);
-    if (parts.scheduler.health.observe(upstream, outcome, now)) {
-      parts.metrics.count("upstream_ejected");
-      parts.log.write("upstream_ejected", { upstream, outcome, service });
-    }
-    parts.scheduler.end(attempt.upstream, { outcome, residence, now });
-  }
-
-  #learnTimes(attempt: Attempt, residence: Milliseconds): void {
-    const { parts, admitted } = this.#options;
-    const { service } = admitted;
-    const { upstream } = attempt.upstream;
-    const latency = attempt.firstEventAt === undefined
-      ? residence
-      : attempt.firstEventAt - attempt.startedAt;
-    parts.latencies.observe(service, latency);
-    const duration = attempt.firstEventAt === undefined
-      ? residence
-      : (residence - latency) / Math.max(1, attempt.eventCount - 1);
-    if (attempt.firstEventAt === undefined || attempt.eventCount > 1) {
-      parts.scheduler.speed.observe({ service, upstream, duration });
-    }
-  }
-
-  #confirmCrashes(upstream: UpstreamId, now: Milliseconds): void {
-    const { parts } = this.#options;
-    for (const { fingerprint } of parts.crashes.noteDown(upstream, now)) {
-      parts.log.write("crash_confirmed", { upstream, fingerprint });
-    }
-  }
-
   #end(ending: string): void {
     if (this.#isOver) return;
     this.#isOver = true;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,6 @@
   type Random,
   type Timer,
   type TimerSubscription,
-  type UpstreamId,
 } from "@wasabivane/common";
 import {
   CrashBook,
@@ -18,7 +17,6 @@
   type QuotaTolerance,
   RetryBudget,
   type RetryBudgetOptions,
-  type Upstream,
   UpstreamDirectory,
 } from "@wasabivane/admission";
 import { err, ok, type Result } from "neverthrow";
@@ -41,6 +39,7 @@
 import { type ChannelError, PeerChannel } from "./peerChannel.ts";
 import { PolicyState } from "./policyState.ts";
 import { UpstreamConnections } from "./upstreamConnections.ts";
+import { UpstreamNews } from "./upstreamNews.ts";
 
 /** How often lines, peers and grace times are looked at. */
 const TICK_MS: Milliseconds = 10;
@@ -90,6 +89,8 @@
  */
 export class Gateway {
   readonly parts: GatewayParts;
+  /** What is known of upstreams; whoever reads the platform hands it in here. */
+  readonly upstreams: UpstreamNews;
   readonly #options: GatewayOptions;
   readonly #front: CallerFront;
   readonly #talk: FleetTalk;
@@ -121,6 +122,9 @@
       onNewerPolicy: (peer) => void this.#askPeer(peer),
       isReading: () => this.#isReading,
     });
+    this.upstreams = new UpstreamNews(this.parts, {
+      tellLeft: (upstream) => this.#talk.tellLeft(upstream),
+    });
   }
 
   /** Whether callers may be sent here. */
@@ -177,53 +181,6 @@
     this.parts.policies.freshness.prove(provenAt);
   }
 
-  /** Takes in what the store says of one upstream. */
-  takeUpstream(upstream: Upstream): void {
-    const { directory, log, scheduler, timer } = this.parts;
-    const known = directory.get(upstream.upstream);
-    if (upstream.isLeaving) return this.#leave(upstream.upstream, "announced");
-    directory.set(upstream);
-    if (known === undefined) {
-      log.write("upstream_listed", {
-        upstream: upstream.upstream,
-        service: upstream.service,
-        slots: upstream.slots,
-      });
-    }
-    scheduler.review(timer.now());
-  }
-
-  /** The store holds an upstream no more; after an outage it is kept for a while. */
-  dropUpstream(upstream: UpstreamId, keepUntil?: Milliseconds): void {
-    const { directory, log } = this.parts;
-    if (directory.get(upstream) === undefined) return;
-    const isGone = directory.remove(upstream, keepUntil);
-    log.write("upstream_left", {
-      upstream,
-      why: isGone ? "removed" : "lapsed",
-    });
-  }
-
-  /** Takes in a full reading of all upstreams. */
-  takeAllUpstreams(
-    upstreams: readonly Upstream[],
-    keepUntil?: Milliseconds,
-  ): void {
-    const { directory, timer, scheduler, log } = this.parts;
-    for (const { upstream, isLeaving } of upstreams) {
-      if (isLeaving) this.#leave(upstream, "announced");
-    }
-    for (const upstream of directory.replaceAll(upstreams, keepUntil)) {
-      log.write("upstream_left", { upstream, why: "not listed" });
-    }
-    log.write("upstreams_read", {
-      listed: upstreams.length,
-      known: directory.size,
-      kept: keepUntil !== undefined,
-    });
-    scheduler.review(timer.now());
-  }
-
   /** Whether the store can be read, for the peers and the log. */
   setReading(isReading: boolean, detail: string): void {
     if (isReading === this.#isReading) return;
@@ -266,6 +223,7 @@
     this.#front.closeAll();
     for (const subscription of this.#timers.splice(0)) subscription.cancel();
     for (const server of this.#servers.splice(0)) server.close();
+    this.upstreams.close();
     await this.parts.connections.close();
     this.#channel.close();
   }
@@ -302,6 +260,7 @@
       connections: new UpstreamConnections(() =>
         connectionsOf(policies, hostCount())
       ),
+      tellCrash: (crash) => this.#talk.tellCrash(crash),
       hostCount,
       isStopping: () => this.#isStopping,
       stopsAt: () => this.#stopsAt,
@@ -343,14 +302,10 @@
   }
 
   #slowTick(): void {
-    const { scheduler, directory, timer, log } = this.parts;
+    const { scheduler, timer } = this.parts;
     const now = timer.now();
-    const gone = directory.expire(now);
-    for (const upstream of gone) {
-      log.write("upstream_left", { upstream, why: "did not come back" });
-    }
-    const isChanged = scheduler.load.expire(now) || gone.length > 0;
-    if (isChanged) scheduler.review(now);
+    this.upstreams.expire();
+    if (scheduler.load.expire(now)) scheduler.review(now);
     if (!this.#isReading && now - this.#askedPeerAt >= PEER_ASK_MS) {
       this.#askedPeerAt = now;
       const peer = this.#book.pick(this.parts.random);
@@ -358,12 +313,6 @@
     }
   }
 
-  #leave(upstream: UpstreamId, why: string): void {
-    if (!this.parts.directory.leave(upstream)) return;
-    this.parts.log.write("upstream_left", { upstream, why });
-    this.#talk.tellLeft(upstream);
-  }
-
   #onPeerChange(change: PeerChange | undefined): void {
     if (change === undefined) return;
     this.parts.log.write(
@@ -384,21 +333,12 @@
     fetched.match(
       ({ policy, proofAge, upstreams }) => {
         this.takePolicy(policy, askedAt - proofAge);
-        if (!this.#isReading) this.#takePeerUpstreams(upstreams);
+        if (!this.#isReading) this.upstreams.takeFromPeer(upstreams);
       },
       ({ detail }) => log.write("policy_rejected", { peer, detail }),
     );
   }
 
-  /** Takes in upstreams that this host has not heard of from the store itself. */
-  #takePeerUpstreams(upstreams: readonly Upstream[]): void {
-    for (const upstream of upstreams) {
-      if (this.parts.directory.get(upstream.upstream) === undefined) {
-        this.takeUpstream(upstream);
-      }
-    }
-  }
-
   #sleep(span: Milliseconds): Promise<void> {
     return new Promise((resolve) => {
       this.parts.timer.after(span, resolve);
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -7,6 +7,7 @@
   Timer,
 } from "@wasabivane/common";
 import type {
+  Crash,
   CrashBook,
   HostScheduler,
   QuotaBook,
@@ -38,6 +39,8 @@
   readonly crashes: CrashBook;
   readonly latencies: LatencyBook;
   readonly connections: UpstreamConnections;
+  /** Tells the peers that a request crashed an upstream. */
+  readonly tellCrash: (crash: Crash) => void;
   /** Hosts that share budgets, this one included. */
   readonly hostCount: () => number;
   readonly isStopping: () => boolean;
--- /dev/null
+++ b/packages/gateway/src/upstreamNews.ts
@@ -0,0 +1,109 @@
+import type {
+  Milliseconds,
+  TimerSubscription,
+  UpstreamId,
+} from "@wasabivane/common";
+import type { Upstream } from "@wasabivane/admission";
+import type { GatewayParts } from "./gatewayParts.ts";
+
+/** Connections of upstreams that are gone are closed so long after; answers may still come on them. */
+const CONNECTION_GRACE_MS: Milliseconds = 30_000;
+
+/** Takes in what the store and peers say of upstreams, and logs what it changes. */
+export class UpstreamNews {
+  readonly #parts: GatewayParts;
+  readonly #tellLeft: (upstream: UpstreamId) => void;
+  readonly #graces = new Set<TimerSubscription>();
+
+  constructor(
+    parts: GatewayParts,
+    { tellLeft }: { tellLeft: (upstream: UpstreamId) => void },
+  ) {
+    this.#parts = parts;
+    this.#tellLeft = tellLeft;
+  }
+
+  /** Takes in what the store says of one upstream. */
+  take(upstream: Upstream): void {
+    const { directory, log, scheduler, timer } = this.#parts;
+    const known = directory.get(upstream.upstream);
+    if (upstream.isLeaving) return this.#leave(upstream.upstream);
+    directory.set(upstream);
+    if (known === undefined) {
+      log.write("upstream_listed", {
+        upstream: upstream.upstream,
+        service: upstream.service,
+        slots: upstream.slots,
+      });
+    }
+    scheduler.review(timer.now());
+  }
+
+  /** The store holds an upstream no more; after an outage it is kept for a while. */
+  drop(upstream: UpstreamId, keepUntil?: Milliseconds): void {
+    const { directory, log } = this.#parts;
+    const known = directory.get(upstream);
+    if (known === undefined) return;
+    if (directory.remove(upstream, keepUntil)) {
+      return this.#forget(known, "removed");
+    }
+    log.write("upstream_left", { upstream, why: "lapsed" });
+  }
+
+  /** Takes in a full reading of all upstreams. */
+  takeAll(upstreams: readonly Upstream[], keepUntil?: Milliseconds): void {
+    const { directory, timer, scheduler, log } = this.#parts;
+    for (const { upstream, isLeaving } of upstreams) {
+      if (isLeaving) this.#leave(upstream);
+    }
+    for (const gone of directory.replaceAll(upstreams, keepUntil)) {
+      this.#forget(gone, "not listed");
+    }
+    log.write("upstreams_read", {
+      listed: upstreams.length,
+      known: directory.size,
+      kept: keepUntil !== undefined,
+    });
+    scheduler.review(timer.now());
+  }
+
+  /** Takes in upstreams that only a peer could hear of from the store. */
+  takeFromPeer(upstreams: readonly Upstream[]): void {
+    for (const upstream of upstreams) {
+      if (this.#parts.directory.get(upstream.upstream) === undefined) {
+        this.take(upstream);
+      }
+    }
+  }
+
+  /** Ends the time for which entries were kept that did not come back. */
+  expire(): void {
+    const { directory, timer, scheduler } = this.#parts;
+    const gone = directory.expire(timer.now());
+    for (const upstream of gone) this.#forget(upstream, "did not come back");
+    if (gone.length > 0) scheduler.review(timer.now());
+  }
+
+  close(): void {
+    for (const grace of this.#graces) grace.cancel();
+  }
+
+  #leave(upstream: UpstreamId): void {
+    const known = this.#parts.directory.get(upstream);
+    if (!this.#parts.directory.leave(upstream)) return;
+    this.#tellLeft(upstream);
+    if (known !== undefined) this.#forget(known, "announced");
+  }
+
+  #forget({ upstream, address }: Upstream, why: string): void {
+    const { scheduler, connections, directory, timer, log } = this.#parts;
+    log.write("upstream_left", { upstream, why });
+    scheduler.forget(upstream);
+    const grace = timer.after(CONNECTION_GRACE_MS, () => {
+      this.#graces.delete(grace);
+      const isUsed = directory.all().some((other) => other.address === address);
+      if (!isUsed) connections.forget(address);
+    });
+    this.#graces.add(grace);
+  }
+}
--- a/packages/gateway/tests/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding.test.ts
@@ -247,7 +247,7 @@
 test("an upstream that announced its leaving gets no further request", async (t) => {
   const leaving = await startUpstream(answerWhole);
   const fleet = await startGateway({ upstreams: [leaving] });
-  fleet.gateway.takeUpstream({
+  fleet.gateway.upstreams.take({
     ...fleet.gateway.parts.directory.get(asId<UpstreamId>("u0"))!,
     isLeaving: true,
   });
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -183,7 +183,7 @@
   const now = gateway.parts.elapsed.now();
   gateway.takePolicy(Buffer.from(JSON.stringify(policy)), now);
   for (const [index, { address }] of upstreams.entries()) {
-    gateway.takeUpstream({
+    gateway.upstreams.take({
       upstream: asId<UpstreamId>(`u${index}`),
       service: SERVICE,
       address,
