Use what operators tolerate above a quota only where it takes nothing from others

Refused callers came back after up to 4 s, and all of them at once after a store outage.

Change: a bucket keeps two levels, the quota's and that of quota and tolerance, which keeps every span that operators count over within 0.9 of what they grant. The second is open only while a quarter of the places is free, nobody waits and no peer is silent. The time to return follows the level that opens first. Hosts that are behind spread the return of their callers.

--- a/packages/admission/src/hostScheduler.ts
+++ b/packages/admission/src/hostScheduler.ts
@@ -21,6 +21,8 @@
 const RATE_SPAN_MS: Milliseconds = 1_000;
 /** Time for which a place is left to a peer whose waiting request is more urgent. */
 const YIELD_MS: Milliseconds = 60;
+/** Share of all places that must be free for a service to count as idle. */
+const IDLE_SHARE = 0.25;
 /** Time between hosts' words; work that starts and ends within it is not seen. */
 const WORD_LAG_MS: Milliseconds = 30;
 /** Assumed residence of a request before any was seen. */
@@ -179,6 +181,17 @@
     return total;
   }
 
+  /** Whether places of a service are free to spare and nobody waits, here or elsewhere. */
+  isIdle(service: ServiceId, now: Milliseconds): boolean {
+    if ((this.#services.get(service)?.line.size ?? 0) > 0) return false;
+    if (this.load.waitingElsewhere(service, now).length > 0) return false;
+    const upstreams = this.#directory.of(service);
+    let places = 0;
+    for (const upstream of upstreams) places += this.#limitOf(upstream);
+    const free = this.#placement.freePlaces(upstreams, now);
+    return free > IDLE_SHARE * places;
+  }
+
   /** An upstream is gone for good. */
   forget(upstream: UpstreamId): void {
     this.health.forget(upstream);
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -12,12 +12,8 @@
 export { type SpeedSample, UpstreamSpeed } from "./upstreamSpeed.ts";
 export { Placement, type PlacementOptions, type Wish } from "./placement.ts";
 export { type Waiter, WaitingLine } from "./waitingLine.ts";
-export {
-  type OverQuota,
-  QuotaBook,
-  type QuotaTolerance,
-  type UsageReport,
-} from "./quotaBook.ts";
+export { type OverQuota, QuotaBook, type UsageReport } from "./quotaBook.ts";
+export { type QuotaTolerance } from "./quotaBucket.ts";
 export { RetryBudget, type RetryBudgetOptions } from "./retryBudget.ts";
 export { type Crash, CrashBook } from "./crashBook.ts";
 export { returnAfter, type StartBounds, startBounds } from "./patience.ts";
--- a/packages/admission/src/quotaBook.ts
+++ b/packages/admission/src/quotaBook.ts
@@ -5,32 +5,19 @@
   Milliseconds,
 } from "@wasabivane/common";
 import { err, ok, type Result } from "neverthrow";
+import { QuotaBucket, type QuotaTolerance } from "./quotaBucket.ts";
 import type { Quota } from "./types.ts";
 
-/** A host that just started does not know what was used; it takes this share of a burst as left. */
-const START_SHARE = 0.5;
 /** A peer that says nothing for so long may be cut off and go on admitting. */
 const SILENCE_MS: Milliseconds = 1_000;
 /** Its last rate is charged for so long: longer than partitions usually last. */
 const PRESUMED_MS: Milliseconds = 15_000;
 /** Span over which a peer's rate is measured. */
 const RATE_SPAN_MS: Milliseconds = 2_000;
-/** Part of the granted slack that a bucket may go into debt by; a burst above the quota spends it once. */
-const USED_SLACK = 0.4;
-/** Part of the granted overrun that is used; the rest covers what peers tell late and restarts forget. */
-const USED_OVERRUN = 0.7;
 /** Shortest and longest time after which an account over its quota is asked to return. */
 const LEAST_RETRY_MS: Milliseconds = 250;
 const GREATEST_RETRY_MS: Milliseconds = 4_000;
 
-/** By how much all hosts together may exceed a quota, as they count without a store. */
-export interface QuotaTolerance {
-  /** Share of the quota. */
-  readonly overrun: number;
-  /** Units besides, in the span over which operators count. */
-  readonly slack: number;
-}
-
 /** An account is over its quota. */
 export interface OverQuota {
   readonly retryAfter: Milliseconds;
@@ -43,12 +30,6 @@
   readonly used: ReadonlyMap<ClientAccountId, number>;
 }
 
-interface Bucket {
-  quota: Quota;
-  level: number;
-  refilledAt: Milliseconds;
-}
-
 interface PeerUsage {
   incarnation: Incarnation;
   heardAt: Milliseconds;
@@ -71,45 +52,45 @@
  * that falls silent may be cut off: its last rate stays charged for a while.
  */
 export class QuotaBook {
-  readonly #overrun: number;
-  readonly #debt: number;
-  readonly #buckets = new Map<ClientAccountId, Bucket>();
+  readonly #tolerance: QuotaTolerance;
+  readonly #buckets = new Map<ClientAccountId, QuotaBucket>();
   readonly #used = new Map<ClientAccountId, number>();
   readonly #peers = new Map<HostId, PeerUsage>();
 
-  constructor({ overrun, slack }: QuotaTolerance) {
-    this.#overrun = USED_OVERRUN * overrun;
-    this.#debt = USED_SLACK * slack;
+  constructor(tolerance: QuotaTolerance) {
+    this.#tolerance = tolerance;
   }
 
-  /** Takes units for a request, or says when to come back. */
+  /**
+   * Takes units for a request, or says when to come back. What operators tolerate
+   * above a quota is used only where it takes nothing from others: `isIdle` says
+   * that places are free and nobody waits.
+   */
   take(
-    { account, quota, units }: {
+    { account, quota, units, isIdle }: {
       account: ClientAccountId;
       quota: Quota;
       units: number;
+      isIdle: boolean;
     },
     now: Milliseconds,
   ): Result<void, OverQuota> {
     const bucket = this.#refill(account, quota, now);
-    const left = bucket.level + this.#debt;
-    if (left <= 0) {
-      const wait = -left / quota.perSecond * 1_000;
-      const retryAfter = Math.min(
-        GREATEST_RETRY_MS,
-        Math.max(LEAST_RETRY_MS, wait),
-      );
-      return err({ retryAfter });
+    const isToleranceOpen = isIdle && !this.#hasSilentPeer(now);
+    const isTolerated = isToleranceOpen && bucket.isTolerated;
+    if (!bucket.isWithinQuota && !isTolerated) {
+      const refillTime = bucket.refillTime(isToleranceOpen);
+      const wait = Math.max(LEAST_RETRY_MS, refillTime);
+      return err({ retryAfter: Math.min(GREATEST_RETRY_MS, wait) });
     }
-    bucket.level -= units;
+    bucket.take(units);
     this.#used.set(account, (this.#used.get(account) ?? 0) + units);
     return ok(undefined);
   }
 
   /** Gives back units of a request that did not run. */
   giveBack(account: ClientAccountId, units: number): void {
-    const bucket = this.#buckets.get(account);
-    if (bucket !== undefined) bucket.level += units;
+    this.#buckets.get(account)?.take(-units);
     this.#used.set(account, (this.#used.get(account) ?? 0) - units);
   }
 
@@ -127,8 +108,7 @@
     }
     for (const [account, sum] of used) {
       const before = former.used.get(account) ?? 0;
-      const bucket = this.#buckets.get(account);
-      if (bucket !== undefined) bucket.level -= sum - before;
+      this.#buckets.get(account)?.take(sum - before);
       former.used.set(account, sum);
     }
     former.heardAt = now;
@@ -139,24 +119,27 @@
     account: ClientAccountId,
     quota: Quota,
     now: Milliseconds,
-  ): Bucket {
-    let bucket = this.#buckets.get(account);
-    if (bucket === undefined) {
-      const level = quota.burst * START_SHARE;
-      bucket = { quota, level, refilledAt: now };
-      this.#buckets.set(account, bucket);
-      return bucket;
+  ): QuotaBucket {
+    const known = this.#buckets.get(account);
+    if (known !== undefined) {
+      const presumed = this.#presumedRate(account, now) * 1_000;
+      known.refill(quota, { presumed, now });
+      return known;
     }
-    const presumed = this.#presumedRate(account, now) * 1_000;
-    const granted = quota.perSecond * (1 + this.#overrun);
-    const rate = Math.max(0, granted - presumed);
-    const elapsed = (now - bucket.refilledAt) / 1_000;
-    bucket.quota = quota;
-    bucket.level = Math.min(quota.burst, bucket.level + rate * elapsed);
-    bucket.refilledAt = now;
+    const tolerance = this.#tolerance;
+    const bucket = new QuotaBucket(quota, { tolerance, now });
+    this.#buckets.set(account, bucket);
     return bucket;
   }
 
+  /** A peer that may be cut off may use the tolerance itself. */
+  #hasSilentPeer(now: Milliseconds): boolean {
+    for (const { heardAt } of this.#peers.values()) {
+      if (now - heardAt >= SILENCE_MS) return true;
+    }
+    return false;
+  }
+
   /** Units a millisecond that silent peers are taken to admit. */
   #presumedRate(account: ClientAccountId, now: Milliseconds): number {
     let rate = 0;
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -186,13 +186,15 @@
     });
   }
 
-  #charge({ account, says }: Admitted): Result<void, Refusal> {
+  #charge({ account, says, service }: Admitted): Result<void, Refusal> {
     if (account?.quota === undefined) return ok(undefined);
-    return this.#parts.quotas.take({
+    const { quotas, scheduler, timer } = this.#parts;
+    return quotas.take({
       account: account.account,
       quota: account.quota,
       units: unitsOf(account, says),
-    }, this.#parts.timer.now()).mapErr(({ retryAfter }) => ({
+      isIdle: scheduler.isIdle(service, timer.now()),
+    }, timer.now()).mapErr(({ retryAfter }) => ({
       status: 429,
       reason: "over-quota" as const,
       retryAfter,
--- a/packages/gateway/src/intake.ts
+++ b/packages/gateway/src/intake.ts
@@ -74,7 +74,7 @@
   readonly elapsedNow: Milliseconds;
 }
 
-/** A host without a usable policy expects to have one after about this time. */
+/** A host without a usable policy expects to have one after about this time; callers return spread around it. */
 const POLICY_RETRY_MS: Milliseconds = 600;
 
 /**
@@ -89,7 +89,7 @@
 ): Result<Admitted, Refusal> {
   const { policies, dialect, now } = options;
   const index = policies.index;
-  if (index === undefined) return err(notNow("no-policy"));
+  if (index === undefined) return err(notNow("no-policy", options));
   if (sizeOf(head.lines) > index.policy.limits.maximumHeaderBytes) {
     return err({ status: 431, reason: "fields-too-large" });
   }
@@ -137,7 +137,7 @@
   }
   const { freshness } = options.policies;
   if (!freshness.mayTrustKeys(options.elapsedNow)) {
-    return err(notNow("policy-behind"));
+    return err(notNow("policy-behind", options));
   }
   const account = says.apiKey === undefined
     ? undefined
@@ -149,15 +149,17 @@
 function deny(
   status: number,
   reason: RefusalReason,
-  { policies, elapsedNow }: IntakeOptions,
+  options: IntakeOptions,
 ): Refusal {
+  const { policies, elapsedNow } = options;
   return policies.freshness.mayDeny(elapsedNow)
     ? { status, reason }
-    : notNow("policy-behind");
+    : notNow("policy-behind", options);
 }
 
-function notNow(reason: RefusalReason): Refusal {
-  return { status: 503, reason, retryAfter: POLICY_RETRY_MS };
+function notNow(reason: RefusalReason, { random }: IntakeOptions): Refusal {
+  const retryAfter = POLICY_RETRY_MS * (0.5 + random.float());
+  return { status: 503, reason, retryAfter };
 }
 
 function pickTarget(
