--- /dev/null
+++ b/apps/ctl/tests/explainRuns.test.ts
@@ -0,0 +1,75 @@
+import test from "ava";
+import { explainRequest, parseLogLines } from "@wasabivane/ctl";
+import {
+  ask,
+  type Received,
+  type RunningGateway,
+  startGateway,
+  startUpstream,
+} from "../../../packages/gateway/tests/helpers/fleet.ts";
+
+/** The cause that the lines of a host alone tell. */
+function causeOf({ lines }: RunningGateway, id: string): string | undefined {
+  const text = lines.map((line) => JSON.stringify(line)).join("\n");
+  return explainRequest(parseLogLines(text), id)?.cause;
+}
+
+test("a request that is refused under load is explained by its logs", async (t) => {
+  // One upstream with one place hangs. The second request waits for the place until
+  // an answer would come too late, and is refused as not run.
+  const upstream = await startUpstream(() => {});
+  const fleet = await startGateway({
+    upstreams: [upstream],
+    slots: 1,
+    route: { repeatability: "at-most-once", timeout: 1_000 },
+  });
+  const first = ask(fleet.url, { headers: { id: "hangs" } });
+  while (upstream.received.length === 0) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  t.is((await ask(fleet.url, { headers: { id: "waits" } })).status, 503);
+  t.regex(
+    causeOf(fleet, "waits")!,
+    /Refused with 503: it waited \d+ ms for a place/,
+  );
+  t.is((await first).status, 504);
+  t.regex(causeOf(fleet, "hangs")!, /Refused with 504: its time was over/);
+  await fleet.close();
+});
+
+test("a request that is unknown after an upstream's failure is explained by its logs", async (t) => {
+  const upstream = await startUpstream(({ socket }: Received) =>
+    void socket.resetAndDestroy()
+  );
+  const fleet = await startGateway({
+    upstreams: [upstream],
+    route: { repeatability: "at-most-once" },
+  });
+  t.is((await ask(fleet.url, { headers: { id: "lost" } })).status, 502);
+  t.regex(
+    causeOf(fleet, "lost")!,
+    /Refused with 502: the upstream's answer broke off.*was broken/,
+  );
+  await fleet.close();
+});
+
+test("a request refused while the store cannot be reached is explained by its logs", async (t) => {
+  // No proof of freshness comes any more, and the last one has run out.
+  const upstream = await startUpstream(() => {});
+  const fleet = await startGateway({
+    upstreams: [upstream],
+    revocationBound: 1,
+  });
+  fleet.gateway.setReading(true, "answered");
+  fleet.gateway.setReading(false, "refused with 503");
+  while (fleet.gateway.isReady) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  t.is((await ask(fleet.url, { headers: { id: "behind" } })).status, 503);
+  t.regex(
+    causeOf(fleet, "behind")!,
+    /could not prove.*the store was lost: refused with 503/,
+  );
+  t.is(upstream.received.length, 0);
+  await fleet.close();
+});
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -144,11 +144,19 @@
   readonly route?: Partial<Route>;
   readonly slots?: number;
   readonly stopGrace?: number;
+  /** Within this time a withdrawn key must have stopped working. */
+  readonly revocationBound?: number;
 }
 
 /** Starts a gateway before the given upstreams. */
 export async function startGateway(
-  { upstreams, route = {}, slots = 4, stopGrace = 3_000 }: GatewayStart,
+  {
+    upstreams,
+    route = {},
+    slots = 4,
+    stopGrace = 3_000,
+    revocationBound = 600_000,
+  }: GatewayStart,
 ): Promise<RunningGateway> {
   const lines: Record<string, unknown>[] = [];
   const output: LogOutput = {
@@ -168,7 +176,7 @@
     },
     seeds: [],
     readyPath: "/ready",
-    freshness: { revocationBound: 600_000, applyBound: 600_000 },
+    freshness: { revocationBound, applyBound: 600_000 },
     retryBudget: { ratio: 0.2, slack: 50, window: 10_000 },
     quotaTolerance: { overrun: 0.25, slack: 0, span: 8_000 },
     stopGrace,
