--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -134,6 +134,7 @@
 export interface RunningGateway {
   readonly gateway: Gateway;
   readonly url: string;
+  readonly peers: string;
   readonly lines: Record<string, unknown>[];
   close(): Promise<void>;
 }
@@ -146,6 +147,11 @@
   readonly stopGrace?: number;
   /** Within this time a withdrawn key must have stopped working. */
   readonly revocationBound?: number;
+  /** Peer addresses to begin with. */
+  readonly seeds?: readonly string[];
+  /** Whether the host reads policy and upstreams itself. */
+  readonly isReading?: boolean;
+  readonly host?: string;
 }
 
 /** Starts a gateway before the given upstreams. */
@@ -156,6 +162,9 @@
     slots = 4,
     stopGrace = 3_000,
     revocationBound = 600_000,
+    seeds = [],
+    isReading = true,
+    host = "host",
   }: GatewayStart,
 ): Promise<RunningGateway> {
   const lines: Record<string, unknown>[] = [];
@@ -166,7 +175,7 @@
   const timer = new SystemTimer();
   const [callers, readiness, peers] = await freePorts(3);
   const gateway = new Gateway({
-    host: asId<HostId>("host"),
+    host: asId<HostId>(host),
     incarnation: asId<Incarnation>("1"),
     failureDomain: asId<FailureDomain>("west"),
     addresses: {
@@ -174,7 +183,7 @@
       readiness: `127.0.0.1:${readiness}`,
       peers: `127.0.0.1:${peers}`,
     },
-    seeds: [],
+    seeds,
     readyPath: "/ready",
     freshness: { revocationBound, applyBound: 600_000 },
     retryBudget: { ratio: 0.2, slack: 50, window: 10_000 },
@@ -187,6 +196,18 @@
   });
   const started = await gateway.start();
   if (started.isErr()) throw new Error(started.error.detail);
+  const result = {
+    gateway,
+    url: `http://127.0.0.1:${callers}`,
+    peers: `127.0.0.1:${peers}`,
+    lines,
+    close: async () => {
+      await gateway.close();
+      for (const upstream of upstreams) upstream.close();
+    },
+  };
+  gateway.setReading(isReading, "start");
+  if (!isReading) return result;
   const policy = buildPolicy({ routes: [buildRoute(route)] });
   const now = gateway.parts.elapsed.now();
   gateway.takePolicy(Buffer.from(JSON.stringify(policy)), now);
@@ -200,15 +221,7 @@
       isLeaving: false,
     });
   }
-  return {
-    gateway,
-    url: `http://127.0.0.1:${callers}`,
-    lines,
-    close: async () => {
-      await gateway.close();
-      for (const upstream of upstreams) upstream.close();
-    },
-  };
+  return result;
 }
 
 /** Ports that were free a moment ago. */
