--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -24,3 +24,4 @@
   type PlaceRefusal,
   type Verdict,
 } from "./hostScheduler.ts";
+export { type WatchSituation, watchWait } from "./watchWait.ts";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -46,6 +46,8 @@
 const SLOW_TICK_MS: Milliseconds = 100;
 /** The balancer asks every second and gives up after two misses. */
 const UNREADY_SPREAD_MS: Milliseconds = 2_500;
+/** Part of a short grace after which no new connections are taken, so that the rest is left for answers. */
+const UNREADY_SHARE = 0.35;
 /** Time before the platform's kill by which the process ends by itself. */
 const STOP_MARGIN_MS: Milliseconds = 600;
 /** A host that cannot read the store asks a peer so often what it holds. */
@@ -206,7 +208,8 @@
     const end = timer.now() + this.#options.stopGrace - STOP_MARGIN_MS;
     this.#stopsAt = end;
     log.write("stopping", { open: this.#front.openRequests });
-    await this.#sleep(UNREADY_SPREAD_MS);
+    const spread = UNREADY_SHARE * this.#options.stopGrace;
+    await this.#sleep(Math.min(UNREADY_SPREAD_MS, spread));
     this.#front.stopListening();
     this.#front.closeIdle();
     while (this.#front.openRequests > 0 && timer.now() < end) {
