Place a request once, end without a late word, and report a taken port

Causes, found by reading the code and by tests that failed once: a verdict that ends at once fills places anew from within, and the outer loop placed a request a second time (it would run twice); a word that was due when the host closed threw on its closed socket, an exit with an error at an ordered stop; a port in use ended the process with an uncaught error; an answer to HEAD lost the length that it names. The test of peers failed twice in five runs: once by the late word, once since test files that run at the same time took each other's ports.

Change: one check in the line, FleetTalk.close, listenApp gives a result, lengths of answers without a body are passed on.

--- a/packages/admission/src/hostScheduler.ts
+++ b/packages/admission/src/hostScheduler.ts
@@ -235,7 +235,9 @@
       if (left <= 0) return;
       const upstream = this.#placement.pick(upstreams, candidate, now);
       if (upstream === undefined) continue;
-      state.line.remove(candidate.request);
+      // A verdict may end a request at once and fill places anew from within; who
+      // was placed meanwhile must not be placed twice.
+      if (state.line.remove(candidate.request) === undefined) continue;
       state.starts++;
       left--;
       candidate.decide({ kind: "place", upstream });
--- a/packages/admission/tests/hostScheduler.test.ts
+++ b/packages/admission/tests/hostScheduler.test.ts
@@ -77,6 +77,37 @@
   t.is(candidate.verdict?.kind, "place");
 });
 
+test("a request is placed once, also when a verdict before it ends at once", (t) => {
+  // Two requests wait and two places come free. The first one's connection fails in
+  // the moment it is placed, which frees its place and fills places again from
+  // within: the second request is placed there, and must not be placed a second time.
+  const { scheduler, directory } = createScheduler({ upstreams: 1, slots: 2 });
+  const [only] = directory.of(PLANS);
+  const peer = asId<HostId>("peer");
+  scheduler.load.hear(peer, {
+    inFlight: new Map([[only!.upstream, 2]]),
+    waiting: [],
+  }, 0);
+  const placed: string[] = [];
+  const failing = {
+    ...buildCandidate("failing"),
+    decide: () => {
+      placed.push("failing");
+      scheduler.begin(only!.upstream);
+      scheduler.end(only!, { outcome: "cancelled", residence: 0, now: 1 });
+    },
+  };
+  const second = {
+    ...buildCandidate("second", { since: 1 }),
+    decide: () => void placed.push("second"),
+  };
+  scheduler.submit(failing, 0);
+  scheduler.submit(second, 0);
+  scheduler.load.hear(peer, { inFlight: new Map(), waiting: [] }, 1);
+  scheduler.review(1);
+  t.deepEqual(placed, ["failing", "second"]);
+});
+
 test("a request that waited until it is of no use is refused", (t) => {
   const { scheduler } = createScheduler({ upstreams: 0 });
   const candidate = buildCandidate("a", { usefulUntil: 1_000 });
--- a/packages/gateway/src/callerAnswer.ts
+++ b/packages/gateway/src/callerAnswer.ts
@@ -48,11 +48,13 @@
     this.#response.end();
   }
 
-  /** Sends the upstream's whole answer. */
+  /** Sends the upstream's whole answer; one that ended with its connection gets a length. */
   whole(status: number, fields: FieldValues, body: Buffer): void {
-    const lines = endToEndFields(linesOfValues(fields))
-      .filter(([name]) => name.toLowerCase() !== "content-length");
-    lines.push(["content-length", String(body.length)]);
+    const lines = endToEndFields(linesOfValues(fields));
+    const hasLength = lines.some(([name]) => name === "content-length");
+    if (!hasLength && body.length > 0) {
+      lines.push(["content-length", String(body.length)]);
+    }
     if (this.#isStopping()) lines.push(["connection", "close"]);
     this.#response.writeHead(status, lines.flat());
     this.#response.end(body);
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -21,6 +21,7 @@
   type Refusal,
   unitsOf,
 } from "./intake.ts";
+import type { ListenError } from "./listenError.ts";
 import { splitAddress } from "./peerChannel.ts";
 import { type BodyError, readBody } from "./requestBody.ts";
 
@@ -35,12 +36,6 @@
 /** Most answers are whole within this time; a host that ends sooner takes none. */
 const LEAST_SERVING_MS: Milliseconds = 1_500;
 
-/** Why the front could not listen. */
-export interface ListenError {
-  readonly kind: "cannot-listen";
-  readonly detail: string;
-}
-
 /** Takes requests of callers and gives each its one answer. */
 export class CallerFront {
   readonly #parts: GatewayParts;
--- a/packages/gateway/src/fleetTalk.ts
+++ b/packages/gateway/src/fleetTalk.ts
@@ -51,6 +51,7 @@
   #sentAt: Milliseconds = -Infinity;
   #mentionedAt: Milliseconds = -Infinity;
   #hasNews = false;
+  #isClosed = false;
   #pending: TimerSubscription | undefined;
   #left: News<UpstreamId>[] = [];
   #crashes: News<Crash>[] = [];
@@ -78,6 +79,12 @@
     this.touch();
   }
 
+  /** Says nothing any more. */
+  close(): void {
+    this.#isClosed = true;
+    this.#pending?.cancel();
+  }
+
   /** Speaks if it is time, and notices silent peers. */
   tick(): PeerChange[] {
     const { parts, book } = this.#options;
@@ -138,7 +145,7 @@
   }
 
   #plan(): void {
-    if (this.#pending !== undefined) return;
+    if (this.#pending !== undefined || this.#isClosed) return;
     const { timer } = this.#options.parts;
     const now = timer.now();
     const wait = Math.max(0, this.#sentAt + this.#wordSpan() - now);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,8 +19,9 @@
   type RetryBudgetOptions,
   UpstreamDirectory,
 } from "@wasabivane/admission";
+import type { Hono } from "hono";
 import { err, ok, type Result } from "neverthrow";
-import { CallerFront, type ListenError } from "./callerFront.ts";
+import { CallerFront } from "./callerFront.ts";
 import { DecisionLog, type LogOutput } from "./decisionLog.ts";
 import type { Dialect } from "./dialect.ts";
 import { FleetTalk } from "./fleetTalk.ts";
@@ -35,6 +36,7 @@
   readinessApp,
   type Shown,
 } from "./operatorPort.ts";
+import type { ListenError } from "./listenError.ts";
 import { PeerBook, type PeerChange } from "./peerBook.ts";
 import { type ChannelError, PeerChannel } from "./peerChannel.ts";
 import { PolicyState } from "./policyState.ts";
@@ -142,15 +144,11 @@
   }
 
   async start(): Promise<Result<void, ListenError | ChannelError>> {
-    const { addresses, readyPath, timer } = this.#options;
-    const shown = this.#shown();
-    this.#servers.push(
-      listenApp(readinessApp(shown, readyPath), addresses.readiness),
-      listenApp(beliefApp(shown), addresses.peers),
-    );
-    if (addresses.metrics !== undefined) {
-      const { address, path } = addresses.metrics;
-      this.#servers.push(listenApp(metricsApp(shown, path), address));
+    const { addresses, timer } = this.#options;
+    for (const { app, address } of this.#apps()) {
+      const server = await listenApp(app, address);
+      if (server.isErr()) return err(server.error);
+      this.#servers.push(server.value);
     }
     const opened = await this.#channel.open(addresses.peers);
     if (opened.isErr()) return err(opened.error);
@@ -227,6 +225,7 @@
     for (const subscription of this.#timers.splice(0)) subscription.cancel();
     for (const server of this.#servers.splice(0)) server.close();
     this.upstreams.close();
+    this.#talk.close();
     await this.parts.connections.close();
     this.#channel.close();
   }
@@ -270,6 +269,21 @@
     };
   }
 
+  /** What this host serves besides callers, and where. */
+  #apps(): { app: Hono; address: string }[] {
+    const { addresses, readyPath } = this.#options;
+    const shown = this.#shown();
+    const apps = [
+      { app: readinessApp(shown, readyPath), address: addresses.readiness },
+      { app: beliefApp(shown), address: addresses.peers },
+    ];
+    if (addresses.metrics !== undefined) {
+      const { address, path } = addresses.metrics;
+      apps.push({ app: metricsApp(shown, path), address });
+    }
+    return apps;
+  }
+
   #shown(): Shown {
     const { policies, elapsed, directory } = this.parts;
     return {
--- a/packages/gateway/src/operatorPort.ts
+++ b/packages/gateway/src/operatorPort.ts
@@ -6,6 +6,7 @@
 import type { Upstream } from "@wasabivane/admission";
 import { Packr } from "msgpackr";
 import { err, ok, type Result } from "neverthrow";
+import type { ListenError } from "./listenError.ts";
 import { splitAddress } from "./peerChannel.ts";
 
 const packr = new Packr({ useRecords: false });
@@ -58,9 +59,20 @@
 }
 
 /** Listens for an app at `ip:port`. */
-export function listenApp(app: Hono, address: string): Server {
+export function listenApp(
+  app: Hono,
+  address: string,
+): Promise<Result<Server, ListenError>> {
   const { ip, port } = splitAddress(address);
-  return serve({ fetch: app.fetch, hostname: ip, port }) as Server;
+  return new Promise((resolve) => {
+    const server = serve(
+      { fetch: app.fetch, hostname: ip, port },
+      () => resolve(ok(server)),
+    ) as Server;
+    server.on("error", (error) => {
+      resolve(err({ kind: "cannot-listen", detail: error.message }));
+    });
+  });
 }
 
 /** Reads what a peer believes. */
--- a/packages/gateway/tests/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding.test.ts
@@ -35,6 +35,16 @@
   await fleet.close();
 });
 
+test("the length that an answer without a body names is the upstream's", async (t) => {
+  const upstream = await startUpstream((received) => {
+    received.socket.write(goodHead(received, { "content-length": 42 }));
+  });
+  const fleet = await startGateway({ upstreams: [upstream] });
+  const seen = await ask(fleet.url, { method: "HEAD" });
+  t.deepEqual([seen.status, seen.headers["content-length"]], [200, "42"]);
+  await fleet.close();
+});
+
 test("an upstream that cannot be reached costs a request nothing", async (t) => {
   // The upstream is gone but still listed. No byte of the request left, so that even
   // one that may run only once goes to another upstream.
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -13,8 +13,11 @@
 } from "@wasabivane/common";
 import type { Policy, Route, RouteId } from "@wasabivane/admission";
 import { Gateway, type LogOutput } from "@wasabivane/gateway";
+import { freePorts } from "./freePorts.ts";
 import { PlainDialect } from "./plainDialect.ts";
 
+/** Other tests may take a port between its choice and the start. */
+const MAXIMUM_TRIES = 5;
 const SERVICE = asId<ServiceId>("plans");
 
 /** What a stand-in upstream got on one connection. */
@@ -156,6 +159,16 @@
 
 /** Starts a gateway before the given upstreams. */
 export async function startGateway(
+  options: GatewayStart,
+): Promise<RunningGateway> {
+  for (let tries = 0; tries < MAXIMUM_TRIES; tries++) {
+    const started = await tryToStart(options);
+    if (started !== undefined) return started;
+  }
+  throw new Error("No free ports were found");
+}
+
+async function tryToStart(
   {
     upstreams,
     route = {},
@@ -166,7 +179,7 @@
     isReading = true,
     host = "host",
   }: GatewayStart,
-): Promise<RunningGateway> {
+): Promise<RunningGateway | undefined> {
   const lines: Record<string, unknown>[] = [];
   const output: LogOutput = {
     behind: 0,
@@ -195,7 +208,10 @@
     output,
   });
   const started = await gateway.start();
-  if (started.isErr()) throw new Error(started.error.detail);
+  if (started.isErr()) {
+    await gateway.close();
+    return undefined;
+  }
   const result = {
     gateway,
     url: `http://127.0.0.1:${callers}`,
@@ -224,22 +240,6 @@
   return result;
 }
 
-/** Ports that were free a moment ago. */
-async function freePorts(count: number): Promise<number[]> {
-  const ports: number[] = [];
-  const servers = [];
-  for (let index = 0; index < count; index++) {
-    const server = createTcpServer();
-    await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", resolve)
-    );
-    ports.push((server.address() as { port: number }).port);
-    servers.push(server);
-  }
-  for (const server of servers) server.close();
-  return ports;
-}
-
 /** What a caller saw of one request. */
 export interface Seen {
   readonly status: number | undefined;
@@ -267,7 +267,7 @@
     const answer = await request(url + path, {
       method: method as "POST",
       headers: { host: "plans.example", id: "q1", key: "k", ...headers },
-      body: method === "GET" ? null : body,
+      body: method === "POST" ? body : null,
     });
     status = answer.statusCode;
     fields = answer.headers;
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -138,3 +138,19 @@
   await refused.close();
   await reading.close();
 });
+
+test("a host that ends while a word is due says nothing any more", async (t) => {
+  // An upstream leaves in the moment in which the host ends: the word that tells of
+  // it is due a few milliseconds later, on a closed socket. An error there would end
+  // the process as a crash instead of an ordered stop.
+  const upstream = await startUpstream(() => {});
+  const fleet = await startGateway({
+    upstreams: [upstream],
+    seeds: ["127.0.0.1:9"],
+  });
+  const [listed] = fleet.gateway.parts.directory.all();
+  fleet.gateway.upstreams.take({ ...listed!, isLeaving: true });
+  await fleet.close();
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  t.pass();
+});
