Say at a request's end how long it waited, began and paused; bench one host

Cause: request_ended told only how long a request took, so that a late answer could not be put down to the line, the engine or a change of upstreams.

Change: waited, first and pause (ms) in request_ended; npm run hostbench plays the bundled program between stand-ins and measures what one request costs.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -68,6 +68,9 @@
   #lastEvent: number | undefined;
   #waited: Milliseconds = 0;
   #firstByteAt: Milliseconds | undefined;
+  #eventsAt: Milliseconds | undefined;
+  /** Longest time between events of a stream, that of changing upstreams included. */
+  #longestPause: Milliseconds = 0;
   /** This side ended the work; what the attempt says of its end decides nothing. */
   #isStopped = false;
   #isOver = false;
@@ -107,6 +110,7 @@
   events(bytes: Buffer, lastEvent: number | undefined): void {
     if (this.#isOver) return;
     const { answer } = this.#options;
+    this.#notePause();
     if (lastEvent !== undefined) this.#lastEvent = lastEvent;
     if (answer.write(bytes)) return;
     const attempt = this.#attempt;
@@ -129,6 +133,13 @@
     else this.#recover(attempt, end);
   }
 
+  #notePause(): void {
+    const now = this.#now();
+    const pause = now - (this.#eventsAt ?? now);
+    this.#longestPause = Math.max(this.#longestPause, pause);
+    this.#eventsAt = now;
+  }
+
   #seekPlace(): void {
     const { parts, admitted } = this.#options;
     const { route, service, says, arrivedAt, deadline } = admitted;
@@ -352,7 +363,15 @@
       whole: now - arrivedAt,
     });
     if (ending !== "caller-left") {
-      this.#log("request_ended", { ending, took: Math.round(now - arrivedAt) });
+      this.#log("request_ended", {
+        ending,
+        waited: Math.round(this.#waited),
+        first: this.#firstByteAt === undefined
+          ? undefined
+          : Math.round(this.#firstByteAt - arrivedAt),
+        pause: Math.round(this.#longestPause),
+        took: Math.round(now - arrivedAt),
+      });
     }
     done({ hasRun: this.#mayHaveRun || this.#firstByteAt !== undefined });
   }
--- /dev/null
+++ b/scripts/hostBench.ts
@@ -0,0 +1,208 @@
+/**
+ * Measures what one request costs the bundled program of an entry host: processor
+ * time, memory, and bytes of log lines. Stand-ins of store and upstreams and the
+ * callers run in this process; the host is a process of its own.
+ *
+ *   npm run hostbench -- --per-second 100 --seconds 10
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { createServer, type ServerResponse } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { cac } from "cac";
+import { Pool, request } from "undici";
+import { freePorts } from "../packages/gateway/tests/helpers/freePorts.ts";
+import { StoreStandIn } from "../platform/tests/helpers/storeStandIn.ts";
+import {
+  settingsText,
+  wireConfig,
+  wireServer,
+} from "../platform/tests/helpers/wire.ts";
+
+/** Ticks of the kernel's processor accounting. */
+const TICK_MS = 10;
+const UPSTREAMS = 6;
+/** A long answer of the deployments' sheets, in events and bytes. */
+const EVENTS = 20;
+const EVENT_GAP_MS = 15;
+const EVENT = `data: ${"x".repeat(55)}\n\n`;
+const BODY = "p".repeat(6_000);
+const WARM_UP_MS = 2_000;
+const SCRAPES = 20;
+
+interface BenchHost {
+  readonly process: ChildProcess;
+  readonly callers: string;
+  readonly metrics: string;
+  logBytes: number;
+}
+
+interface Usage {
+  readonly processorMs: number;
+  readonly peakMb: number;
+}
+
+async function startUpstream(): Promise<string> {
+  const server = createServer((received, response) => {
+    received.resume();
+    received.once("end", () => {
+      response.writeHead(200, {
+        "x-attempt-id": String(received.headers["x-attempt-id"]),
+        "x-response-seal": "s",
+        "content-type": "text/event-stream",
+      });
+      sendEvents(response, 1);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as { port: number };
+  return `127.0.0.1:${port}`;
+}
+
+function sendEvents(response: ServerResponse, id: number): void {
+  if (id > EVENTS) return void response.end();
+  response.write(`id: ${id}\n${EVENT}`);
+  setTimeout(() => sendEvents(response, id + 1), EVENT_GAP_MS);
+}
+
+async function startHost(
+  folder: string,
+  { store, nodeArguments }: { store: string; nodeArguments: string[] },
+): Promise<BenchHost> {
+  const ports = await freePorts(4);
+  const settings = join(folder, "boot.conf");
+  writeFileSync(settings, settingsText({ ports, store }));
+  const child = spawn(process.execPath, [
+    ...nodeArguments,
+    "target/wasabivane.mjs",
+    `${ports[3]}/metrics`,
+  ], {
+    env: { ...process.env, WASABIVANE_BOOT: settings },
+    stdio: ["ignore", "pipe", "inherit"],
+  });
+  const host: BenchHost = {
+    process: child,
+    callers: `http://127.0.0.1:${ports[0]}`,
+    metrics: `http://127.0.0.1:${ports[3]}/metrics`,
+    logBytes: 0,
+  };
+  child.stdout.on("data", (chunk: Uint8Array) => {
+    host.logBytes += chunk.length;
+  });
+  return host;
+}
+
+function usageOf({ process: { pid } }: BenchHost): Usage {
+  const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
+  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+  const status = readFileSync(`/proc/${pid}/status`, "utf8");
+  const peakKb = Number(/VmHWM:\s+(\d+)/.exec(status)?.[1] ?? 0);
+  return {
+    processorMs: (Number(fields[11]) + Number(fields[12])) * TICK_MS,
+    peakMb: peakKb / 1_024,
+  };
+}
+
+async function load(
+  { callers }: BenchHost,
+  { perSecond, span, name }: { perSecond: number; span: number; name: string },
+): Promise<{ asked: number; whole: number }> {
+  const pool = new Pool(callers, { connections: 100 });
+  const pending: Promise<boolean>[] = [];
+  const startedAt = performance.now();
+  while (performance.now() - startedAt < span) {
+    const due = (performance.now() - startedAt) * perSecond / 1_000;
+    while (pending.length < due) {
+      pending.push(askOnce(pool, `${name}-${pending.length}`));
+    }
+    await sleep(2);
+  }
+  const answers = await Promise.all(pending);
+  await pool.close();
+  return { asked: answers.length, whole: answers.filter(Boolean).length };
+}
+
+async function askOnce(pool: Pool, id: string): Promise<boolean> {
+  const answer = await pool.request({
+    path: "/lohu/2f",
+    method: "POST",
+    headers: {
+      host: "plans.example",
+      "x-attempt-id": id,
+      "x-key": "k1",
+      "x-deadline-ms": "4000",
+      "x-token-count": "2890,50",
+      "x-prefix-hash": `a:60,${id}:2830`,
+    },
+    body: BODY,
+  });
+  const text = await answer.body.text();
+  return answer.statusCode === 200 && text.includes(`id: ${EVENTS}\n`);
+}
+
+/** Mean processor time of one scrape of the metrics. */
+async function measureScrape(host: BenchHost): Promise<number> {
+  const before = usageOf(host);
+  for (let count = 0; count < SCRAPES; count++) {
+    const answer = await request(host.metrics);
+    await answer.body.text();
+  }
+  return (usageOf(host).processorMs - before.processorMs) / SCRAPES;
+}
+
+async function main(): Promise<void> {
+  const { options } = cac("hostBench")
+    .option("--per-second <n>", "Requests a second", { default: 100 })
+    .option("--seconds <n>", "Length of the load", { default: 10 })
+    .option("--profile <folder>", "Write a processor profile there")
+    .help()
+    .parse();
+  if (options.help) return;
+  const folder = mkdtempSync(join(tmpdir(), "hostBench-"));
+  const store = new StoreStandIn();
+  const storeAddress = await store.start();
+  const config = wireConfig(1);
+  for (const tenant of config.tenants as Record<string, unknown>[]) {
+    tenant.ratePerS = 0;
+    tenant.burst = 0;
+  }
+  store.write("op/config", config);
+  for (let index = 0; index < UPSTREAMS; index++) {
+    const address = await startUpstream();
+    store.write(`servers/u${index}`, wireServer(address, { slots: 32 }));
+  }
+  const host = await startHost(folder, {
+    store: storeAddress,
+    nodeArguments: options.profile === undefined
+      ? ["--max-semi-space-size=4"]
+      : ["--cpu-prof", `--cpu-prof-dir=${options.profile}`],
+  });
+  await sleep(WARM_UP_MS);
+  const startUp = usageOf(host);
+  const perSecond = Number(options.perSecond);
+  await load(host, { perSecond, span: WARM_UP_MS, name: "warm" });
+  const before = { ...usageOf(host), logBytes: host.logBytes };
+  const span = Number(options.seconds) * 1_000;
+  const { asked, whole } = await load(host, { perSecond, span, name: "a" });
+  const after = usageOf(host);
+  const scrape = await measureScrape(host);
+  console.table({
+    "requests": asked,
+    "answered whole": whole,
+    "processor ms until ready": startUp.processorMs,
+    "processor ms a request": (after.processorMs - before.processorMs) / asked,
+    "log bytes a request": (host.logBytes - before.logBytes) / asked,
+    "processor ms a scrape": scrape,
+    "peak resident MB": after.peakMb,
+  });
+  const ended = new Promise((resolve) => host.process.once("exit", resolve));
+  host.process.kill("SIGTERM");
+  await ended;
+  rmSync(folder, { recursive: true });
+  process.exit(0);
+}
+
+await main();
