Expect first events by prompt, backlog and upstream

Cause: the bound of silence was four times the mean latency of the service, about 450 ms.

Change: FirstEventModel learns a constant and a time for each prompt token, by service; times the upstream's slowness it tells when a first event comes behind the prompts that are still read there. Hosts tell each other unread tokens by upstream. The bound of silence and the latest start on time follow it, and Placement prefers upstreams where the first event is on time; a request that is late at every free place but on time elsewhere leaves the place to others. LatencyBook is gone.

--- a/packages/admission/src/fleetLoad.ts
+++ b/packages/admission/src/fleetLoad.ts
@@ -17,9 +17,18 @@
   readonly count: number;
 }
 
+/** Work at one upstream. */
+export interface UpstreamLoad {
+  readonly requests: number;
+  /** Prompt tokens of requests that have no first event yet. */
+  readonly unreadTokens: number;
+}
+
+const NO_LOAD: UpstreamLoad = { requests: 0, unreadTokens: 0 };
+
 /** What a host tells of its own work; each word replaces the one before. */
 export interface HostLoad {
-  readonly inFlight: ReadonlyMap<UpstreamId, number>;
+  readonly inFlight: ReadonlyMap<UpstreamId, UpstreamLoad>;
   readonly waiting: readonly WaitingCount[];
 }
 
@@ -36,20 +45,23 @@
  * upstream while another idles, and the engines queue or reject what was sent.
  */
 export class FleetLoad {
-  readonly #own = new Map<UpstreamId, number>();
-  readonly #others = new Map<UpstreamId, number>();
+  readonly #own = new Map<UpstreamId, UpstreamLoad>();
+  readonly #others = new Map<UpstreamId, UpstreamLoad>();
   readonly #peers = new Map<HostId, PeerLoad>();
 
   /** Counts a request in that this host sends. */
-  begin(upstream: UpstreamId): void {
-    this.#own.set(upstream, this.own(upstream) + 1);
+  begin(upstream: UpstreamId, promptTokens = 0): void {
+    add(this.#own, upstream, { requests: 1, unreadTokens: promptTokens });
   }
 
-  /** Counts it out. */
+  /** The upstream has read a request's prompt, or will not any more. */
+  endReading(upstream: UpstreamId, promptTokens: number): void {
+    add(this.#own, upstream, { requests: 0, unreadTokens: -promptTokens });
+  }
+
+  /** Counts a request out. */
   end(upstream: UpstreamId): void {
-    const left = this.own(upstream) - 1;
-    if (left > 0) this.#own.set(upstream, left);
-    else this.#own.delete(upstream);
+    add(this.#own, upstream, { requests: -1, unreadTokens: 0 });
   }
 
   /** Takes a peer's word. */
@@ -72,17 +84,21 @@
     return isChanged;
   }
 
-  own(upstream: UpstreamId): number {
-    return this.#own.get(upstream) ?? 0;
-  }
-
   /** Requests at the upstream from all hosts. */
   total(upstream: UpstreamId): number {
-    return this.own(upstream) + (this.#others.get(upstream) ?? 0);
+    const own = this.#own.get(upstream) ?? NO_LOAD;
+    return own.requests + (this.#others.get(upstream) ?? NO_LOAD).requests;
+  }
+
+  /** Prompt tokens from all hosts that the upstream has yet to read. */
+  unreadTokens(upstream: UpstreamId): number {
+    const own = this.#own.get(upstream) ?? NO_LOAD;
+    const others = this.#others.get(upstream) ?? NO_LOAD;
+    return own.unreadTokens + others.unreadTokens;
   }
 
   /** This host's word for its peers. */
-  ownInFlight(): ReadonlyMap<UpstreamId, number> {
+  ownInFlight(): ReadonlyMap<UpstreamId, UpstreamLoad> {
     return this.#own;
   }
 
@@ -102,10 +118,25 @@
   }
 
   #addAll({ inFlight }: HostLoad, sign: 1 | -1): void {
-    for (const [upstream, count] of inFlight) {
-      const sum = (this.#others.get(upstream) ?? 0) + sign * count;
-      if (sum > 0) this.#others.set(upstream, sum);
-      else this.#others.delete(upstream);
+    for (const [upstream, { requests, unreadTokens }] of inFlight) {
+      add(this.#others, upstream, {
+        requests: sign * requests,
+        unreadTokens: sign * unreadTokens,
+      });
     }
   }
 }
+
+function add(
+  loads: Map<UpstreamId, UpstreamLoad>,
+  upstream: UpstreamId,
+  { requests, unreadTokens }: UpstreamLoad,
+): void {
+  const former = loads.get(upstream) ?? NO_LOAD;
+  const sum = {
+    requests: Math.max(0, former.requests + requests),
+    unreadTokens: Math.max(0, former.unreadTokens + unreadTokens),
+  };
+  if (sum.requests > 0) loads.set(upstream, sum);
+  else loads.delete(upstream);
+}
--- a/packages/admission/src/hostScheduler.ts
+++ b/packages/admission/src/hostScheduler.ts
@@ -7,8 +7,9 @@
   Tier,
   UpstreamId,
 } from "@wasabivane/common";
+import { FirstEventModel } from "./firstEventModel.ts";
 import { FleetLoad, type WaitingCount } from "./fleetLoad.ts";
-import { Placement } from "./placement.ts";
+import { Placement, type Wish } from "./placement.ts";
 import type { Upstream, UpstreamOutcome } from "./types.ts";
 import type { UpstreamDirectory } from "./upstreamDirectory.ts";
 import { UpstreamHealth } from "./upstreamHealth.ts";
@@ -30,10 +31,8 @@
 const RESIDENCE_WEIGHT = 0.05;
 
 /** A request that wants an upstream. */
-export interface Candidate extends Waiter {
+export interface Candidate extends Waiter, Wish {
   readonly service: ServiceId;
-  readonly affinity?: string;
-  readonly excluded: ReadonlySet<UpstreamId>;
   /** Called once unless the candidate is withdrawn. */
   readonly decide: (verdict: Verdict) => void;
 }
@@ -88,6 +87,7 @@
   readonly load = new FleetLoad();
   readonly health = new UpstreamHealth();
   readonly speed = new UpstreamSpeed();
+  readonly firstEvents = new FirstEventModel(this.speed);
   readonly #directory: UpstreamDirectory;
   readonly #random: Random;
   readonly #placement: Placement;
@@ -100,6 +100,7 @@
       load: this.load,
       health: this.health,
       speed: this.speed,
+      firstEvents: this.firstEvents,
       random,
       failureDomain,
       limitOf: (upstream) => this.#limitOf(upstream),
@@ -129,8 +130,8 @@
   }
 
   /** A request was sent to an upstream. */
-  begin(upstream: UpstreamId): void {
-    this.load.begin(upstream);
+  begin(upstream: UpstreamId, promptTokens = 0): void {
+    this.load.begin(upstream, promptTokens);
   }
 
   /** It ended there after `residence`. */
@@ -283,7 +284,7 @@
   #hasNoOther({ service, excluded }: Candidate): boolean {
     const upstreams = this.#directory.of(service);
     return upstreams.length > 0 &&
-      upstreams.every(({ upstream }) => excluded.has(upstream));
+      upstreams.every(({ upstream }) => excluded?.has(upstream));
   }
 
   #isHopeless(
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -7,9 +7,15 @@
 export { PolicyIndex } from "./policyIndex.ts";
 export { Freshness, type FreshnessOptions } from "./freshness.ts";
 export { UpstreamDirectory } from "./upstreamDirectory.ts";
-export { FleetLoad, type HostLoad, type WaitingCount } from "./fleetLoad.ts";
+export {
+  FleetLoad,
+  type HostLoad,
+  type UpstreamLoad,
+  type WaitingCount,
+} from "./fleetLoad.ts";
 export { type LossNotice, UpstreamHealth } from "./upstreamHealth.ts";
 export { type SpeedSample, UpstreamSpeed } from "./upstreamSpeed.ts";
+export { FirstEventModel, type FirstEventSample } from "./firstEventModel.ts";
 export { Placement, type PlacementOptions, type Wish } from "./placement.ts";
 export { type Waiter, WaitingLine } from "./waitingLine.ts";
 export { type OverQuota, QuotaBook, type UsageReport } from "./quotaBook.ts";
--- a/packages/admission/src/placement.ts
+++ b/packages/admission/src/placement.ts
@@ -4,6 +4,7 @@
   Random,
   UpstreamId,
 } from "@wasabivane/common";
+import type { FirstEventModel } from "./firstEventModel.ts";
 import type { FleetLoad } from "./fleetLoad.ts";
 import type { Upstream } from "./types.ts";
 import type { UpstreamHealth } from "./upstreamHealth.ts";
@@ -23,8 +24,20 @@
 /** Hosts that see the same loads must not all pick the same upstream. */
 const JITTER = 0.08;
 
+/**
+ * An upstream whose first event uses up the whole time to the target costs twice
+ * one that answers at once.
+ */
+const LATENCY_COST = 1;
+
 /** What a request looks for. */
 export interface Wish {
+  /** Prompt tokens that have to be read before its first event. */
+  readonly promptTokens: number;
+  /** Its first event, or its whole plain answer, is on time until then. */
+  readonly dueAt: Milliseconds;
+  /** Time from arrival until it is due. */
+  readonly target: Milliseconds;
   /** Same for requests that share most of their prompt. */
   readonly affinity?: string;
   /** Upstreams that this request was sent to before. */
@@ -36,6 +49,7 @@
   readonly load: FleetLoad;
   readonly health: UpstreamHealth;
   readonly speed: UpstreamSpeed;
+  readonly firstEvents: FirstEventModel;
   readonly random: Random;
   /** Failure domain of this host. */
   readonly failureDomain: FailureDomain;
@@ -44,8 +58,10 @@
 }
 
 /**
- * Picks the upstream for one request: free places first, then speed, load,
- * failures, nearness and a prompt that was read there before.
+ * Picks the upstream for one request: free places first, then whether its first
+ * event would be on time there, speed, load, failures, nearness and a prompt that
+ * was read there before. A request that would be late at every free place, but on
+ * time at a faster upstream, leaves the place to others.
  *
  * Affinity is by rendezvous weight of the prompt's last part, so that all hosts
  * agree on where it was read without telling each other.
@@ -64,26 +80,61 @@
     return free;
   }
 
-  /** The best upstream with a free place. */
+  /** The best upstream with a free place, or `undefined` when none should be taken. */
   pick(
     upstreams: readonly Upstream[],
-    { affinity, excluded }: Wish,
+    wish: Wish,
     now: Milliseconds,
   ): Upstream | undefined {
+    const { affinity, excluded } = wish;
     const favourite = affinity === undefined
       ? undefined
       : favouriteOf(affinity, upstreams);
     let best: Upstream | undefined;
     let leastCost = Infinity;
+    let isBestOnTime = false;
     for (const upstream of upstreams) {
       if (excluded?.has(upstream.upstream)) continue;
       if (this.#freeAt(upstream, now) <= 0) continue;
-      const cost = this.#costOf(upstream, upstream === favourite);
-      if (cost >= leastCost) continue;
+      const latency = this.#latencyAt(upstream, wish);
+      const isOnTime = now + latency <= wish.dueAt;
+      if (isBestOnTime && !isOnTime) continue;
+      const cost = this.#costOf(upstream, {
+        isFavourite: upstream === favourite,
+        latencyShare: latency / wish.target,
+      });
+      if (cost >= leastCost && isOnTime === isBestOnTime) continue;
       leastCost = cost;
       best = upstream;
+      isBestOnTime = isOnTime;
     }
-    return best;
+    if (best === undefined || isBestOnTime) return best;
+    return this.#couldBeOnTime(upstreams, wish, now) ? undefined : best;
+  }
+
+  /** Whether the request would be on time if a place came free now at some upstream. */
+  #couldBeOnTime(
+    upstreams: readonly Upstream[],
+    { promptTokens, dueAt, excluded }: Wish,
+    now: Milliseconds,
+  ): boolean {
+    const { health, firstEvents } = this.#options;
+    return upstreams.some(({ service, upstream }) =>
+      !excluded?.has(upstream) && !health.isEjected(upstream, now) &&
+      now + firstEvents.expected(service, { upstream, promptTokens }) <= dueAt
+    );
+  }
+
+  /** Expected time to the first event behind the prompts that are read there now. */
+  #latencyAt(
+    { service, upstream }: Upstream,
+    { promptTokens }: Wish,
+  ): Milliseconds {
+    const { load, firstEvents } = this.#options;
+    return firstEvents.expected(service, {
+      upstream,
+      promptTokens: promptTokens + load.unreadTokens(upstream),
+    });
   }
 
   #freeAt(upstream: Upstream, now: Milliseconds): number {
@@ -92,7 +143,13 @@
     return Math.max(0, limitOf(upstream) - load.total(upstream.upstream));
   }
 
-  #costOf(upstream: Upstream, isFavourite: boolean): number {
+  #costOf(
+    upstream: Upstream,
+    { isFavourite, latencyShare }: {
+      isFavourite: boolean;
+      latencyShare: number;
+    },
+  ): number {
     const { load, health, speed, random, failureDomain, limitOf } =
       this.#options;
     const id = upstream.upstream;
@@ -101,6 +158,7 @@
     let cost = (IDLE_COST + fill) * speed.slowness(upstream.service, id);
     cost *= 1 + FAILURE_COST * health.failureShare(id);
     if (upstream.failureDomain !== failureDomain) cost *= OTHER_DOMAIN_FACTOR;
+    cost *= 1 + LATENCY_COST * latencyShare;
     cost *= scarcityOf(limit - load.total(id));
     if (isFavourite) cost *= AFFINITY_FACTOR;
     return cost * (1 + JITTER * random.float());
--- a/packages/admission/tests/helpers/build.ts
+++ b/packages/admission/tests/helpers/build.ts
@@ -36,12 +36,14 @@
     onTimeUntil = 500,
     usefulUntil = 2_000,
     excluded = [],
+    promptTokens = 0,
   }: {
     tier?: number;
     since?: number;
     onTimeUntil?: number;
     usefulUntil?: number;
     excluded?: readonly string[];
+    promptTokens?: number;
   } = {},
 ): Candidate & { verdict: Verdict | undefined } {
   const candidate = {
@@ -49,6 +51,9 @@
     service: PLANS,
     tier: asTier(tier),
     since,
+    promptTokens,
+    dueAt: onTimeUntil,
+    target: onTimeUntil - since,
     onTimeUntil,
     usefulUntil,
     excluded: new Set(excluded.map((id) => asId<UpstreamId>(id))),
--- a/packages/admission/tests/hostScheduler.test.ts
+++ b/packages/admission/tests/hostScheduler.test.ts
@@ -66,7 +66,7 @@
   const { scheduler, directory } = createScheduler({ upstreams: 1 });
   const [only] = directory.of(PLANS);
   scheduler.load.hear(asId<HostId>("peer"), {
-    inFlight: new Map([[only!.upstream, 1]]),
+    inFlight: new Map([[only!.upstream, { requests: 1, unreadTokens: 0 }]]),
     waiting: [],
   }, 0);
   const candidate = buildCandidate("a");
@@ -85,7 +85,7 @@
   const [only] = directory.of(PLANS);
   const peer = asId<HostId>("peer");
   scheduler.load.hear(peer, {
-    inFlight: new Map([[only!.upstream, 2]]),
+    inFlight: new Map([[only!.upstream, { requests: 2, unreadTokens: 0 }]]),
     waiting: [],
   }, 0);
   const placed: string[] = [];
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -55,6 +55,8 @@
   /** The request's id, which the answer must repeat. */
   readonly attempt: string;
   readonly isStreaming: boolean;
+  /** Tokens that the upstream reads before the first event, those ahead included. */
+  readonly promptTokens: number;
   /** Longest wait for the first event or the whole answer; `undefined`: no bound. */
   readonly firstWait: Milliseconds | undefined;
   /** Longest pause between later events; `undefined`: no bound. */
@@ -87,6 +89,11 @@
     this.startedAt = options.timer.now();
   }
 
+  /** See {@link AttemptOptions.promptTokens}. */
+  get promptTokens(): number {
+    return this.#options.promptTokens;
+  }
+
   get wasSent(): boolean {
     return this.#wasSent;
   }
--- a/packages/gateway/src/attemptLessons.ts
+++ b/packages/gateway/src/attemptLessons.ts
@@ -39,19 +39,29 @@
 
 /** A stream shows its speed by its pauses, a plain answer by its whole time. */
 function learnTimes(
-  { upstream: { upstream }, startedAt, firstEventAt, eventCount }: Attempt,
-  { parts, service, residence }: LessonContext & { residence: Milliseconds },
+  {
+    upstream: { upstream },
+    startedAt,
+    firstEventAt,
+    eventCount,
+    promptTokens,
+  }: Attempt,
+  { parts: { scheduler }, service, residence }: LessonContext & {
+    residence: Milliseconds;
+  },
 ): void {
-  if (firstEventAt === undefined) {
-    parts.latencies.observe(service, residence);
-    const duration = residence;
-    return parts.scheduler.speed.observe({ service, upstream, duration });
-  }
-  const latency = firstEventAt - startedAt;
-  parts.latencies.observe(service, latency);
-  if (eventCount <= 1) return;
-  const duration = (residence - latency) / (eventCount - 1);
-  parts.scheduler.speed.observe({ service, upstream, duration });
+  const latency = (firstEventAt ?? startedAt + residence) - startedAt;
+  scheduler.firstEvents.observe({
+    service,
+    upstream,
+    promptTokens,
+    duration: latency,
+  });
+  if (firstEventAt !== undefined && eventCount <= 1) return;
+  const duration = firstEventAt === undefined
+    ? residence
+    : (residence - latency) / (eventCount - 1);
+  scheduler.speed.observe({ service, upstream, duration });
 }
 
 function confirmCrashes(
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -68,6 +68,8 @@
   #lastEvent: number | undefined;
   #waited: Milliseconds = 0;
   #firstByteAt: Milliseconds | undefined;
+  /** Upstream that has yet to read the prompt. */
+  #readingAt: UpstreamId | undefined;
   #eventsAt: Milliseconds | undefined;
   /** Longest time between events of a stream, that of changing upstreams included. */
   #longestPause: Milliseconds = 0;
@@ -100,6 +102,7 @@
   }
 
   streamStarted({ status, fields }: AnswerHead): void {
+    this.#endReading();
     if (this.#isOver) return;
     this.#firstByteAt ??= this.#now();
     if (!this.#options.answer.hasStarted) {
@@ -121,6 +124,7 @@
   ended(end: AttemptEnd): void {
     const attempt = this.#attempt!;
     this.#attempt = undefined;
+    this.#endReading();
     const { parts, admitted, request } = this.#options;
     learnFrom(attempt, {
       end,
@@ -148,10 +152,15 @@
       service,
       tier: admitted.account?.tier ?? route.tier,
       since: arrivedAt,
+      promptTokens: promptTokensOf(admitted),
+      dueAt: arrivedAt + route.target,
+      target: route.target,
       ...startBounds(route, {
         arrivedAt,
         deadline,
-        latency: parts.latencies.mean(service),
+        latency: parts.scheduler.firstEvents.expected(service, {
+          promptTokens: promptTokensOf(admitted),
+        }),
       }),
       ...affinityOf(admitted),
       excluded: this.#excluded,
@@ -190,7 +199,12 @@
       timeLeft: Math.max(1, Math.floor(deadline - now)),
       lastEvent: this.#lastEvent,
     });
-    const latency = parts.latencies.mean(service);
+    const promptTokens = promptTokensOf(admitted) +
+      parts.scheduler.load.unreadTokens(upstream.upstream);
+    const latency = parts.scheduler.firstEvents.expected(service, {
+      upstream: upstream.upstream,
+      promptTokens,
+    });
     this.#attempt = new Attempt({
       upstream,
       call: {
@@ -205,11 +219,12 @@
       timer: parts.timer,
       attempt: says.attempt,
       isStreaming: route.isStreaming,
+      promptTokens,
       firstWait: canRepeat ? firstWaitOf(route, latency) : undefined,
       pauseWait: canRepeat ? pauseWaitOf(route) : undefined,
       listener: this,
     });
-    parts.scheduler.begin(upstream.upstream);
+    this.#beginReading(upstream.upstream);
     this.#log(this.#sends === 1 ? "request_sent" : "request_sent_again", {
       upstream: upstream.upstream,
       waited: Math.round(this.#waited),
@@ -220,6 +235,21 @@
     this.#attempt.start();
   }
 
+  #beginReading(upstream: UpstreamId): void {
+    const { parts, admitted } = this.#options;
+    this.#readingAt = upstream;
+    parts.scheduler.begin(upstream, promptTokensOf(admitted));
+  }
+
+  /** The prompt is read, or will not be read any more. */
+  #endReading(): void {
+    if (this.#readingAt === undefined) return;
+    const { parts, admitted } = this.#options;
+    const { load } = parts.scheduler;
+    load.endReading(this.#readingAt, promptTokensOf(admitted));
+    this.#readingAt = undefined;
+  }
+
   /** Passes on the whole answer, or the end of the stream. */
   #deliver({ answer }: AttemptEnd): void {
     const caller = this.#options.answer;
@@ -396,6 +426,11 @@
   return status !== 408 && status !== 429 && status !== 503;
 }
 
+/** Tokens that an engine reads before the first event; 0 where nothing is told. */
+function promptTokensOf({ says }: Admitted): number {
+  return says.tokens?.prompt ?? 0;
+}
+
 /** Requests with the same last part of the prompt gain from the same engine. */
 function affinityOf({ says }: Admitted): { affinity?: string } {
   const last = says.parts.at(-1);
--- a/packages/gateway/src/fleetTalk.ts
+++ b/packages/gateway/src/fleetTalk.ts
@@ -110,7 +110,12 @@
   #hearWork(word: PeerWord, now: Milliseconds): void {
     const { scheduler, quotas } = this.#options.parts;
     scheduler.load.hear(word.host, {
-      inFlight: new Map(word.inFlight),
+      inFlight: new Map(
+        word.inFlight.map(([upstream, requests, unreadTokens]) => [
+          upstream,
+          { requests, unreadTokens },
+        ]),
+      ),
       waiting: word.waiting.map(([service, tier, count]) => ({
         service,
         tier,
@@ -184,7 +189,9 @@
       isLeaving: parts.isStopping(),
       policyVersion: policies.version,
       proofAge: Number.isFinite(proofAge) ? proofAge : undefined,
-      inFlight: [...scheduler.load.ownInFlight()],
+      inFlight: [...scheduler.load.ownInFlight()].map((
+        [upstream, { requests, unreadTokens }],
+      ) => [upstream, requests, unreadTokens]),
       waiting: scheduler.waiting().map(({ service, tier, count }) => [
         service,
         tier,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,7 +27,6 @@
 import { FleetTalk } from "./fleetTalk.ts";
 import { GatewayMetrics } from "./gatewayMetrics.ts";
 import type { GatewayParts } from "./gatewayParts.ts";
-import { LatencyBook } from "./latencyBook.ts";
 import {
   beliefApp,
   fetchBelief,
@@ -258,7 +257,6 @@
       quotas: new QuotaBook(this.#options.quotaTolerance),
       retries: new RetryBudget(this.#options.retryBudget),
       crashes: new CrashBook(),
-      latencies: new LatencyBook(),
       connections: new UpstreamConnections(() =>
         connectionsOf(policies, hostCount())
       ),
@@ -366,8 +364,8 @@
 /** Changes whenever what peers should know of this host's work changes. */
 function workMark({ scheduler }: GatewayParts): string {
   let mark = `${scheduler.waitingTotal}`;
-  for (const [upstream, count] of scheduler.load.ownInFlight()) {
-    mark += `|${upstream}${count}`;
+  for (const [upstream, { requests }] of scheduler.load.ownInFlight()) {
+    mark += `|${upstream}${requests}`;
   }
   return mark;
 }
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -17,7 +17,6 @@
 import type { DecisionLog } from "./decisionLog.ts";
 import type { Dialect } from "./dialect.ts";
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
-import type { LatencyBook } from "./latencyBook.ts";
 import type { PolicyState } from "./policyState.ts";
 import type { UpstreamConnections } from "./upstreamConnections.ts";
 
@@ -37,7 +36,6 @@
   readonly quotas: QuotaBook;
   readonly retries: RetryBudget;
   readonly crashes: CrashBook;
-  readonly latencies: LatencyBook;
   readonly connections: UpstreamConnections;
   /** Tells the peers that a request crashed an upstream. */
   readonly tellCrash: (crash: Crash) => void;
--- a/packages/gateway/src/peerWord.ts
+++ b/packages/gateway/src/peerWord.ts
@@ -12,7 +12,7 @@
 import { Packr } from "msgpackr";
 import { err, ok, type Result } from "neverthrow";
 
-const FORMAT = 1;
+const FORMAT = 2;
 const FIELD_COUNT = 16;
 
 /** Another host, as it is told of. */
@@ -34,7 +34,8 @@
   readonly policyVersion: number;
   /** Age of the proof that this policy is the newest; `undefined` without one. */
   readonly proofAge: Milliseconds | undefined;
-  readonly inFlight: readonly (readonly [UpstreamId, number])[];
+  /** Requests at each upstream, and prompt tokens that it has yet to read. */
+  readonly inFlight: readonly (readonly [UpstreamId, number, number])[];
   readonly waiting: readonly (readonly [ServiceId, number, number])[];
   readonly used: readonly (readonly [ClientAccountId, number])[];
   /** Upstreams that the host sends nothing to, and for how long. */
@@ -103,9 +104,10 @@
     isLeaving: value[5] === true,
     policyVersion: numberOf(value[6]),
     proofAge: proofAge < 0 ? undefined : proofAge,
-    inFlight: rowsOf(value[8]).map(([upstream, count]) => [
+    inFlight: rowsOf(value[8]).map(([upstream, requests, unreadTokens]) => [
       asId<UpstreamId>(textOf(upstream)),
-      numberOf(count),
+      numberOf(requests),
+      numberOf(unreadTokens),
     ]),
     waiting: rowsOf(value[9]).map(([service, tier, count]) => [
       asId<ServiceId>(textOf(service)),
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -74,7 +74,7 @@
     isLeaving: true,
     policyVersion: 12,
     proofAge: 40,
-    inFlight: [[asId<UpstreamId>("u1"), 3]],
+    inFlight: [[asId<UpstreamId>("u1"), 3, 900]],
     waiting: [[asId<ServiceId>("plans"), 1, 2]],
     used: [[asId<ClientAccountId>("family"), 1_234]],
     ejected: [[asId<UpstreamId>("u2"), 300]],
