Tell what will not start in time as soon as the pace of its rank shows it

Cause: lower tiers behind a burst were held until their answers were of no use (3 s) and then refused; the estimate on arrival counted late requests that a fresh one passes, and the pace of all tiers together.

Change: a line measures starts a second by rank (tier, and whether late). What would start too late at the pace of its own rank is refused on arrival or when it turns late, with the time to return taken from that pace; the next one of a rank always stays. Two tests fail before.

--- a/packages/admission/src/hostScheduler.ts
+++ b/packages/admission/src/hostScheduler.ts
@@ -14,12 +14,8 @@
 import type { UpstreamDirectory } from "./upstreamDirectory.ts";
 import { UpstreamHealth } from "./upstreamHealth.ts";
 import { UpstreamSpeed } from "./upstreamSpeed.ts";
-import { type Waiter, WaitingLine } from "./waitingLine.ts";
+import { type Outlook, type Waiter, WaitingLine } from "./waitingLine.ts";
 
-/** Share of the time in which an answer is useful that the line ahead may take. */
-const HOPEFUL_SHARE = 0.8;
-/** Span over which the rate of starts is measured. */
-const RATE_SPAN_MS: Milliseconds = 1_000;
 /** Time for which a place is left to a peer whose waiting request is more urgent. */
 const YIELD_MS: Milliseconds = 60;
 /** Share of all places that must be free for a service to count as idle. */
@@ -50,9 +46,8 @@
   | {
     readonly kind: "refuse";
     readonly reason: PlaceRefusal;
-    /** Requests ahead when it was decided, and how fast they started. */
-    readonly ahead: number;
-    readonly startsPerSecond: number;
+    /** What the line promised when it was decided. */
+    readonly outlook: Outlook;
   };
 
 /** What a {@link HostScheduler} is built from. */
@@ -64,9 +59,6 @@
 
 interface ServiceLine {
   readonly line: WaitingLine<Candidate>;
-  starts: number;
-  startsSince: Milliseconds;
-  startsPerSecond: number | undefined;
   residence: Milliseconds;
   /** Upstreams where ended requests of this host left places that are its to fill. */
   readonly ownFreed: Map<UpstreamId, number>;
@@ -109,18 +101,14 @@
 
   /** Takes a candidate in; it may be decided before the call returns. */
   submit(candidate: Candidate, now: Milliseconds): void {
-    const state = this.#stateOf(candidate.service, now);
-    this.#measureStarts(state, now);
-    const ahead = state.line.aheadOf(candidate.tier);
+    const { line } = this.#stateOf(candidate.service);
     if (this.#hasNoOther(candidate)) {
-      candidate.decide(refusal("no-other-upstream", { state, ahead }));
-      return;
+      return refuse(candidate, "no-other-upstream", { line, now });
     }
-    if (this.#isHopeless(state, { candidate, ahead, now })) {
-      candidate.decide(refusal("line-too-long", { state, ahead }));
-      return;
+    if (line.isHopeless(candidate, now)) {
+      return refuse(candidate, "line-too-long", { line, now });
     }
-    state.line.push(candidate);
+    line.push(candidate, now);
     this.#fill(candidate.service, now);
   }
 
@@ -144,7 +132,7 @@
     },
   ): void {
     this.load.end(upstream.upstream);
-    const state = this.#stateOf(upstream.service, now);
+    const state = this.#stateOf(upstream.service);
     if (outcome === "whole") {
       state.residence += RESIDENCE_WEIGHT * (residence - state.residence);
     }
@@ -155,11 +143,9 @@
 
   /** Looks at every line again: upstreams or peers' words have changed, or time went by. */
   review(now: Milliseconds): void {
-    for (const [service, state] of this.#services) {
-      this.#measureStarts(state, now);
-      for (const candidate of state.line.takeUseless(now)) {
-        const ahead = state.line.aheadOf(candidate.tier);
-        candidate.decide(refusal("waited-out", { state, ahead }));
+    for (const [service, { line }] of this.#services) {
+      for (const candidate of line.takeUseless(now)) {
+        refuse(candidate, "waited-out", { line, now });
       }
       this.#fill(service, now);
     }
@@ -205,7 +191,7 @@
    * that two hosts do not run for one place.
    */
   #fill(service: ServiceId, now: Milliseconds): void {
-    const state = this.#stateOf(service, now);
+    const state = this.#stateOf(service);
     const upstreams = this.#directory.of(service);
     if (state.line.size > 0) {
       const share = this.#shareOf(state, { service, upstreams, now });
@@ -238,8 +224,7 @@
       if (upstream === undefined) continue;
       // A verdict may end a request at once and fill places anew from within; who
       // was placed meanwhile must not be placed twice.
-      if (state.line.remove(candidate.request) === undefined) continue;
-      state.starts++;
+      if (state.line.start(candidate.request, now) === undefined) continue;
       left--;
       candidate.decide({ kind: "place", upstream });
     }
@@ -287,29 +272,6 @@
       upstreams.every(({ upstream }) => excluded?.has(upstream));
   }
 
-  #isHopeless(
-    state: ServiceLine,
-    { candidate, ahead, now }: {
-      candidate: Candidate;
-      ahead: number;
-      now: Milliseconds;
-    },
-  ): boolean {
-    if (ahead === 0 || state.startsPerSecond === undefined) return false;
-    const wait = ahead / Math.max(state.startsPerSecond, 1) * 1_000;
-    return wait > HOPEFUL_SHARE * (candidate.usefulUntil - now);
-  }
-
-  #measureStarts(state: ServiceLine, now: Milliseconds): void {
-    const span = now - state.startsSince;
-    if (span < RATE_SPAN_MS) return;
-    state.startsPerSecond = state.line.size > 0
-      ? state.starts * 1_000 / span
-      : undefined;
-    state.starts = 0;
-    state.startsSince = now;
-  }
-
   /**
    * Short work may start and end between two words of a host; so many places
    * more keep an upstream busy meanwhile.
@@ -321,14 +283,11 @@
     return upstream.slots + Math.min(upstream.slots, Math.floor(unseen));
   }
 
-  #stateOf(service: ServiceId, now: Milliseconds): ServiceLine {
+  #stateOf(service: ServiceId): ServiceLine {
     let state = this.#services.get(service);
     if (state === undefined) {
       state = {
         line: new WaitingLine(),
-        starts: 0,
-        startsSince: now,
-        startsPerSecond: undefined,
         residence: FIRST_RESIDENCE_MS,
         ownFreed: new Map(),
         yieldingSince: undefined,
@@ -339,16 +298,13 @@
   }
 }
 
-function refusal(
+function refuse(
+  candidate: Candidate,
   reason: PlaceRefusal,
-  { state, ahead }: { state: ServiceLine; ahead: number },
-): Verdict {
-  return {
-    kind: "refuse",
-    reason,
-    ahead,
-    startsPerSecond: state.startsPerSecond ?? 0,
-  };
+  { line, now }: { line: WaitingLine<Candidate>; now: Milliseconds },
+): void {
+  const outlook = line.outlook(candidate, now);
+  candidate.decide({ kind: "refuse", reason, outlook });
 }
 
 function sumOf(
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -17,7 +17,7 @@
 export { type SpeedSample, UpstreamSpeed } from "./upstreamSpeed.ts";
 export { FirstEventModel, type FirstEventSample } from "./firstEventModel.ts";
 export { Placement, type PlacementOptions, type Wish } from "./placement.ts";
-export { type Waiter, WaitingLine } from "./waitingLine.ts";
+export { type Outlook, type Waiter, WaitingLine } from "./waitingLine.ts";
 export { type OverQuota, QuotaBook, type UsageReport } from "./quotaBook.ts";
 export { type QuotaTolerance } from "./quotaBucket.ts";
 export { RetryBudget, type RetryBudgetOptions } from "./retryBudget.ts";
--- a/packages/admission/src/patience.ts
+++ b/packages/admission/src/patience.ts
@@ -53,15 +53,14 @@
  * later than it will wait, and not together with the others.
  */
 export function returnAfter(
-  { ahead, startsPerSecond, timeLeft }: {
-    ahead: number;
-    startsPerSecond: number;
+  { wait: expected, timeLeft }: {
+    /** Time until what is ahead has started. */
+    wait: Milliseconds;
     timeLeft: Milliseconds;
   },
   random: Random,
 ): Milliseconds {
-  const drain = ahead / Math.max(startsPerSecond, 1) * 1_000;
   const longest = Math.max(LEAST_RETURN_MS, RETURN_SHARE * timeLeft);
-  const wait = Math.min(longest, Math.max(LEAST_RETURN_MS, drain));
+  const wait = Math.min(longest, Math.max(LEAST_RETURN_MS, expected));
   return wait * (1 - RETURN_SPREAD * random.float());
 }
--- a/packages/admission/src/waitingLine.ts
+++ b/packages/admission/src/waitingLine.ts
@@ -1,16 +1,27 @@
 import type { Milliseconds, RequestId, Tier } from "@wasabivane/common";
+import { type Rank, StartRates } from "./startRates.ts";
 
 /** A request in a line. */
 export interface Waiter {
   readonly request: RequestId;
   readonly tier: Tier;
   readonly since: Milliseconds;
-  /** Started until then, its answer is still on time. */
+  /** Started until then, its answer is on time. */
   readonly onTimeUntil: Milliseconds;
   /** Started later, its answer is of no use to the caller. */
   readonly usefulUntil: Milliseconds;
 }
 
+/** What a line promises one of its requests, or one that would join it. */
+export interface Outlook {
+  /** Requests that start before it as long as it is as urgent as now. */
+  readonly ahead: number;
+  /** Starts a second of requests like it; `undefined` while that is not known. */
+  readonly startsPerSecond: number | undefined;
+  /** Time until it starts at that pace. */
+  readonly wait: Milliseconds;
+}
+
 /**
  * Orders the requests that wait for one service: the most urgent tier first;
  * within it those that can still be on time, earliest due first; then those that
@@ -18,43 +29,69 @@
  *
  * Answers the load pattern of a burst above capacity. First come, first served
  * would make every request late in turn; serving those that can still be on
- * time keeps most of a burst on time and the rest late, but served.
+ * time keeps most of a burst on time and the rest late, but served. What will
+ * not start while it is of use is told so as soon as the pace of the line shows
+ * it, so that its caller can come back instead of waiting in vain.
  */
 export class WaitingLine<Item extends Waiter> {
   readonly #items: Item[] = [];
+  readonly #rates = new StartRates();
 
   get size(): number {
     return this.#items.length;
   }
 
-  push(item: Item): void {
+  push(item: Item, now: Milliseconds): void {
+    this.#rates.pass(this.size > 0, now);
     this.#items.push(item);
   }
 
+  /** Takes out a request that starts. */
+  start(request: RequestId, now: Milliseconds): Item | undefined {
+    this.#rates.pass(this.size > 0, now);
+    const item = this.remove(request);
+    if (item !== undefined) this.#rates.count(rankOf(item, now));
+    return item;
+  }
+
   remove(request: RequestId): Item | undefined {
     const index = this.#items.findIndex((item) => item.request === request);
     return index < 0 ? undefined : this.#items.splice(index, 1)[0];
   }
 
-  /** Takes out the requests that are of no use any more. */
+  /**
+   * Takes out the requests that are of no use any more, and those that are late and
+   * will not start in time at the pace of the line.
+   */
   takeUseless(now: Milliseconds): Item[] {
-    const useless = this.#items.filter(({ usefulUntil }) => usefulUntil <= now);
+    this.#rates.pass(this.size > 0, now);
+    const useless = this.#items.filter((item) =>
+      item.usefulUntil <= now ||
+      isLate(item, now) && this.isHopeless(item, now)
+    );
     for (const { request } of useless) this.remove(request);
     return useless;
   }
 
+  /** Whether a request, waiting or not, will start too late at the pace of the line. */
+  isHopeless(item: Waiter, now: Milliseconds): boolean {
+    return now + this.outlook(item, now).wait > item.usefulUntil;
+  }
+
+  /** What the line promises a request, waiting or not. */
+  outlook(item: Waiter, now: Milliseconds): Outlook {
+    const outlook = this.#outlookAs(isLate(item, now), item, now);
+    const willBeLate = now + outlook.wait > item.onTimeUntil;
+    if (isLate(item, now) || !willBeLate) return outlook;
+    const asLate = this.#outlookAs(true, item, now);
+    return { ...asLate, wait: item.onTimeUntil - now + asLate.wait };
+  }
+
   /** The requests in the order in which they should start. */
   inOrder(now: Milliseconds): Item[] {
     return [...this.#items].sort((left, right) => compare(left, right, now));
   }
 
-  /** Requests that would start before a new one of the tier. */
-  aheadOf(tier: Tier): number {
-    let ahead = 0;
-    for (const item of this.#items) if (item.tier <= tier) ahead++;
-    return ahead;
-  }
-
   /** Counts by tier, for the peers. */
   counts(): ReadonlyMap<Tier, number> {
     const counts = new Map<Tier, number>();
@@ -63,14 +100,43 @@
     }
     return counts;
   }
+
+  #outlookAs(late: boolean, item: Waiter, now: Milliseconds): Outlook {
+    const rank = rankOf(item, now, late);
+    let ahead = 0;
+    for (const other of this.#items) {
+      if (other.request === item.request || rankOf(other, now) !== rank) {
+        continue;
+      }
+      const isAhead = late
+        ? other.since < item.since
+        : other.onTimeUntil <= item.onTimeUntil;
+      if (isAhead) ahead++;
+    }
+    return {
+      ahead,
+      startsPerSecond: this.#rates.perSecond(rank),
+      wait: this.#rates.waitBehind(ahead, rank),
+    };
+  }
+}
+
+function isLate({ onTimeUntil }: Waiter, now: Milliseconds): boolean {
+  return onTimeUntil <= now;
+}
+
+function rankOf(
+  item: Waiter,
+  now: Milliseconds,
+  late = isLate(item, now),
+): Rank {
+  return 2 * item.tier + (late ? 1 : 0);
 }
 
 function compare(left: Waiter, right: Waiter, now: Milliseconds): number {
-  if (left.tier !== right.tier) return left.tier - right.tier;
-  const isLeftOnTime = left.onTimeUntil > now;
-  const isRightOnTime = right.onTimeUntil > now;
-  if (isLeftOnTime !== isRightOnTime) return isLeftOnTime ? -1 : 1;
-  return isLeftOnTime
-    ? left.onTimeUntil - right.onTimeUntil
-    : left.since - right.since;
+  const rank = rankOf(left, now) - rankOf(right, now);
+  if (rank !== 0) return rank;
+  return isLate(left, now)
+    ? left.since - right.since
+    : left.onTimeUntil - right.onTimeUntil;
 }
--- a/packages/admission/tests/budgets.test.ts
+++ b/packages/admission/tests/budgets.test.ts
@@ -186,8 +186,7 @@
   const random = new SeededRandom(3);
   const waits = Array.from(
     { length: 50 },
-    () =>
-      returnAfter({ ahead: 100, startsPerSecond: 50, timeLeft: 4_000 }, random),
+    () => returnAfter({ wait: 2_000, timeLeft: 4_000 }, random),
   );
   t.true(Math.max(...waits) <= 1_200);
   t.true(Math.min(...waits) >= 600);
--- a/packages/admission/tests/hostScheduler.test.ts
+++ b/packages/admission/tests/hostScheduler.test.ts
@@ -124,3 +124,76 @@
   scheduler.submit(candidate, 0);
   t.like(candidate.verdict, { kind: "refuse", reason: "no-other-upstream" });
 });
+
+/** Lets urgent requests start one after the other, every 50 ms, from 0 to `until`. */
+function keepBusy(
+  { scheduler, directory }: ReturnType<typeof createScheduler>,
+  { until, onStep }: { until: number; onStep: (now: number) => void },
+): void {
+  const [only] = directory.of(PLANS);
+  scheduler.begin(only!.upstream);
+  for (let now = 0; now <= until; now += 50) {
+    const urgent = buildCandidate(`urgent-${now}`, {
+      since: now,
+      onTimeUntil: now + 400,
+      usefulUntil: now + 2_000,
+    });
+    scheduler.submit(urgent, now);
+    scheduler.end(only!, { outcome: "whole", residence: 50, now });
+    scheduler.begin(only!.upstream);
+    onStep(now);
+    scheduler.review(now);
+  }
+}
+
+test("a lower tier that never starts is told so early, but for its next one", (t) => {
+  // Urgent requests take every place for seconds. Ten of a lower tier wait behind
+  // them and become late after 0.5 s. Held until they are of no use, their callers
+  // would learn after 3 s what the pace of the line shows after one.
+  const bench = createScheduler({ upstreams: 1 });
+  const lower = Array.from(
+    { length: 10 },
+    (_, index) =>
+      buildCandidate(`lower-${index}`, {
+        tier: 3,
+        since: index,
+        usefulUntil: 3_000,
+      }),
+  );
+  keepBusy(bench, {
+    until: 1_500,
+    onStep: (now) => {
+      if (now > 0) return;
+      for (const candidate of lower) bench.scheduler.submit(candidate, 0);
+    },
+  });
+  const refused = lower.filter(({ verdict }) => verdict?.kind === "refuse");
+  t.true(refused.length >= 5);
+  t.is(lower[0]!.verdict, undefined);
+});
+
+test("a fresh request is taken in though many late ones wait", (t) => {
+  // Forty requests are late and wait for what is left over. One that comes now can
+  // be on time and starts before them; it must not be refused for their number.
+  const bench = createScheduler({ upstreams: 1 });
+  const fresh = buildCandidate("fresh", {
+    since: 1_500,
+    onTimeUntil: 1_900,
+    usefulUntil: 3_000,
+  });
+  keepBusy(bench, {
+    until: 1_450,
+    onStep: (now) => {
+      if (now > 0) return;
+      for (let index = 0; index < 40; index++) {
+        const late = buildCandidate(`late-${index}`, {
+          onTimeUntil: 0,
+          usefulUntil: 60_000,
+        });
+        bench.scheduler.submit(late, 0);
+      }
+    },
+  });
+  bench.scheduler.submit(fresh, 1_500);
+  t.not(fresh.verdict?.kind, "refuse");
+});
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -7,6 +7,7 @@
 } from "@wasabivane/common";
 import {
   type Candidate,
+  type Outlook,
   returnAfter,
   startBounds,
   type Upstream,
@@ -172,13 +173,19 @@
   #onVerdict(verdict: Verdict): void {
     if (this.#isOver) return;
     if (verdict.kind === "place") return this.#send(verdict.upstream);
-    const { ahead, startsPerSecond, reason } = verdict;
+    const { outlook, reason } = verdict;
     if (this.#options.answer.hasStarted) return this.#cut(reason);
     this.#refuse(
       this.#mayHaveRun
         ? { status: 502, reason: "upstream-lost" }
-        : this.#comeBack(reason, { ahead, startsPerSecond }),
-      { ahead, startsPerSecond: Math.round(startsPerSecond) },
+        : this.#comeBack(reason, outlook),
+      {
+        ahead: outlook.ahead,
+        startsPerSecond: outlook.startsPerSecond === undefined
+          ? undefined
+          : Math.round(outlook.startsPerSecond * 10) / 10,
+        expectedWait: Math.round(outlook.wait),
+      },
     );
   }
 
@@ -330,14 +337,11 @@
     return repeatability === "resumable" || !this.#options.answer.hasStarted;
   }
 
-  #comeBack(
-    reason: Refusal["reason"],
-    { ahead, startsPerSecond }: { ahead: number; startsPerSecond: number },
-  ): Refusal {
+  #comeBack(reason: Refusal["reason"], { wait }: Outlook): Refusal {
     const { parts, admitted } = this.#options;
     const timeLeft = admitted.deadline - this.#now();
     const retryAfter = returnAfter(
-      { ahead, startsPerSecond, timeLeft },
+      { wait, timeLeft },
       parts.random,
     );
     return { status: 503, reason, retryAfter };
