Drop an upstream at the first sign that its address answers for another one

Change: 421 is an outcome of its own, 'replaced'; the upstream leaves the directory for good and peers are told.

--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -112,6 +112,8 @@
   | "unreachable"
   /** It said that it did not run the request. */
   | "not-run"
+  /** Another upstream answers at its address: it is gone for good, and did not run it. */
+  | "replaced"
   /** It answered with a failure of its own. */
   | "failed"
   /** The answer broke off, was not an answer, or belonged to another request. */
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -124,7 +124,10 @@
   head(status: number, fields: FieldValues): void {
     if (this.#isOver) return;
     const says = this.#options.dialect.readAnswer(status, fields);
-    if (says.isNotRun || status === MISDIRECTED) {
+    if (status === MISDIRECTED) {
+      return this.#end({ outcome: "replaced", detail: `status ${status}` });
+    }
+    if (says.isNotRun) {
       return this.#end({ outcome: "not-run", detail: `status ${status}` });
     }
     if (says.attempt !== this.#options.attempt) {
--- a/packages/gateway/src/attemptLessons.ts
+++ b/packages/gateway/src/attemptLessons.ts
@@ -29,6 +29,7 @@
   if (outcome === "broken" && wasSent) {
     parts.crashes.noteBroken({ fingerprint, upstream, at: now });
   }
+  if (outcome === "replaced") parts.dropReplaced(upstream);
   if (outcome === "unreachable") confirmCrashes(upstream, parts);
   if (parts.scheduler.health.observe(upstream, outcome, now)) {
     parts.metrics.count("upstream_ejected");
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -279,8 +279,9 @@
       if (this.#unreachable < MAXIMUM_UNREACHABLE) return this.#seekPlace();
       return this.#giveUp(end, "unreachable-upstream");
     }
-    if (outcome !== "not-run") this.#mayHaveRun = true;
-    const isAllowed = (outcome === "not-run" || this.#mayBeSentAgain()) &&
+    const hasNotRun = outcome === "not-run" || outcome === "replaced";
+    if (!hasNotRun) this.#mayHaveRun = true;
+    const isAllowed = (hasNotRun || this.#mayBeSentAgain()) &&
       this.#sends < admitted.route.maximumAttempts &&
       !parts.crashes.isConvicted(
         this.#options.request.fingerprint,
@@ -293,7 +294,7 @@
     if (!isAllowed) {
       return this.#giveUp(
         end,
-        outcome === "not-run" ? "not-run-upstream" : "upstream-lost",
+        hasNotRun ? "not-run-upstream" : "upstream-lost",
       );
     }
     this.#log("request_failed", {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -252,6 +252,7 @@
         connectionsOf(policies, hostCount())
       ),
       tellCrash: (crash) => this.#talk.tellCrash(crash),
+      dropReplaced: (upstream) => this.upstreams.dropReplaced(upstream),
       hostCount,
       isStopping: () => this.#isStopping,
       stopsAt: () => this.#stopsAt,
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -5,6 +5,7 @@
   Milliseconds,
   Random,
   Timer,
+  UpstreamId,
 } from "@wasabivane/common";
 import type {
   Crash,
@@ -39,6 +40,8 @@
   readonly connections: UpstreamConnections;
   /** Tells the peers that a request crashed an upstream. */
   readonly tellCrash: (crash: Crash) => void;
+  /** Takes an upstream out whose address answers for another one. */
+  readonly dropReplaced: (upstream: UpstreamId) => void;
   /** Hosts that share budgets, this one included. */
   readonly hostCount: () => number;
   readonly isStopping: () => boolean;
--- a/packages/gateway/src/upstreamNews.ts
+++ b/packages/gateway/src/upstreamNews.ts
@@ -39,6 +39,15 @@
     scheduler.review(timer.now());
   }
 
+  /**
+   * An upstream's address answered for another one. Each start of an upstream has a
+   * name of its own, so that this one never returns, whatever the store still says.
+   * Listed for seconds more, it would refuse request after request at once.
+   */
+  dropReplaced(upstream: UpstreamId): void {
+    this.#leave(upstream, "replaced");
+  }
+
   /** The store holds an upstream no more; after an outage it is kept for a while. */
   drop(upstream: UpstreamId, keepUntil?: Milliseconds): void {
     const { directory, log } = this.#parts;
@@ -88,11 +97,11 @@
     for (const grace of this.#graces) grace.cancel();
   }
 
-  #leave(upstream: UpstreamId): void {
+  #leave(upstream: UpstreamId, why = "announced"): void {
     const known = this.#parts.directory.get(upstream);
     if (!this.#parts.directory.leave(upstream)) return;
     this.#tellLeft(upstream);
-    if (known !== undefined) this.#forget(known, "announced");
+    if (known !== undefined) this.#forget(known, why);
   }
 
   #forget({ upstream, address }: Upstream, why: string): void {
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -277,3 +277,39 @@
     return { status, headers: fields, body: text, isWhole: false };
   }
 }
+
+/** Waits until something holds; the test's own time-out ends a wait in vain. */
+export async function until(holds: () => boolean): Promise<void> {
+  while (!holds()) {
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+}
+
+/** Two hosts: one reads the store, the other knows only what that one tells. */
+export interface HostPair {
+  readonly reading: RunningGateway;
+  readonly refused: RunningGateway;
+  close(): Promise<void>;
+}
+
+/** Starts a {@link HostPair} and waits until the second one is ready. */
+export async function startHostPair(
+  upstreams: readonly RawUpstream[],
+): Promise<HostPair> {
+  const reading = await startGateway({ upstreams, host: "reading" });
+  const refused = await startGateway({
+    upstreams: [],
+    host: "refused",
+    isReading: false,
+    seeds: [reading.peers],
+  });
+  await until(() => refused.gateway.isReady);
+  return {
+    reading,
+    refused,
+    close: async () => {
+      await refused.close();
+      await reading.close();
+    },
+  };
+}
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -14,7 +14,14 @@
   type PeerWord,
 } from "@wasabivane/gateway";
 import test from "ava";
-import { ask, goodHead, startGateway, startUpstream } from "./helpers/fleet.ts";
+import {
+  ask,
+  goodHead,
+  startGateway,
+  startHostPair,
+  startUpstream,
+  until,
+} from "./helpers/fleet.ts";
 
 const SELF = asId<HostId>("self");
 
@@ -95,48 +102,20 @@
   const upstream = await startUpstream((received) => {
     received.socket.write(goodHead(received, { "content-length": 2 }) + "ok");
   });
-  const reading = await startGateway({
-    upstreams: [upstream],
-    host: "reading",
-  });
-  const refused = await startGateway({
-    upstreams: [],
-    host: "refused",
-    isReading: false,
-    seeds: [reading.peers],
-  });
-  while (!refused.gateway.isReady) {
-    await new Promise((resolve) => setTimeout(resolve, 10));
-  }
+  const { refused, close } = await startHostPair([upstream]);
   const seen = await ask(refused.url);
   t.deepEqual([seen.status, seen.body], [200, "ok"]);
-  await refused.close();
-  await reading.close();
+  await close();
 });
 
 test("an upstream's leaving reaches a host that cannot read the store", async (t) => {
   const upstream = await startUpstream(() => {});
-  const reading = await startGateway({
-    upstreams: [upstream],
-    host: "reading",
-  });
-  const refused = await startGateway({
-    upstreams: [],
-    host: "refused",
-    isReading: false,
-    seeds: [reading.peers],
-  });
-  while (!refused.gateway.isReady) {
-    await new Promise((resolve) => setTimeout(resolve, 10));
-  }
+  const { reading, refused, close } = await startHostPair([upstream]);
   const [listed] = reading.gateway.parts.directory.all();
   reading.gateway.upstreams.take({ ...listed!, isLeaving: true });
-  while (refused.gateway.parts.directory.size > 0) {
-    await new Promise((resolve) => setTimeout(resolve, 10));
-  }
+  await until(() => refused.gateway.parts.directory.size === 0);
   t.pass();
-  await refused.close();
-  await reading.close();
+  await close();
 });
 
 test("a host that ends while a word is due says nothing any more", async (t) => {
