Part an exchange's plan and times from its steps, open two circles of imports

The circles entryHost/hostParts and inboundPeer/outboundPeer/webSocketLink are open: EntryHostOptions and LinkIdentity have their own files.

--- a/apps/entry/src/daemon.ts
+++ b/apps/entry/src/daemon.ts
@@ -1,6 +1,7 @@
 import { getRequestListener } from "@hono/node-server";
 import { MemoryMetrics } from "@wasabivane/common";
-import { EntryHost, type EntryHostOptions } from "./entryHost.ts";
+import { EntryHost } from "./entryHost.ts";
+import type { EntryHostOptions } from "./entryHostOptions.ts";
 import { type HttpListener, listen } from "./httpListener.ts";
 import { operatorRoutes } from "./operatorApi.ts";
 
--- a/apps/entry/src/entryHost.ts
+++ b/apps/entry/src/entryHost.ts
@@ -1,18 +1,10 @@
-import type {
-  Bundle,
-  BundleSource,
-  HostListSource,
-  StopPlan,
-} from "@wasabivane/bundle";
+import type { Bundle, StopPlan } from "@wasabivane/bundle";
 import {
   Blackboard,
   type HostId,
   type Incarnation,
   MemoryMetrics,
   type Metrics,
-  type PeerLink,
-  type Random,
-  type Timer,
 } from "@wasabivane/common";
 import {
   BUNDLE_IN_FORCE,
@@ -23,13 +15,11 @@
   STOP_PHASE,
   type StopPhase,
 } from "@wasabivane/coordination";
-import type { Logger } from "pino";
 import { CallerApi } from "./callerApi.ts";
+import type { EntryHostOptions } from "./entryHostOptions.ts";
 import { createHostParts, type HostParts } from "./hostParts.ts";
 import { JobDesk } from "./jobDesk.ts";
 import type { OperatorView } from "./operatorApi.ts";
-import type { Settings } from "./settings.ts";
-import type { UpstreamClient } from "./upstreamClient.ts";
 
 /** Phases of a planned stop in which requests are still served. */
 const SERVING_PHASES: readonly StopPhase["kind"][] = [
@@ -38,24 +28,6 @@
   "unready",
 ];
 
-/** What an entry host runs on; everything that touches the outside is given. */
-export interface EntryHostOptions {
-  readonly settings: Settings;
-  readonly incarnation: Incarnation;
-  readonly timer: Timer;
-  readonly random: Random;
-  readonly link: PeerLink;
-  readonly client: UpstreamClient;
-  readonly bundleSource: BundleSource;
-  readonly hostListSource: HostListSource;
-  /** Called with the peers' addresses when the host list changes. */
-  readonly onPeerAddresses?: (addresses: ReadonlyMap<HostId, string>) => void;
-  readonly log: Logger;
-  readonly metrics?: Metrics;
-  /** Counters shown on the status page. */
-  readonly counters?: MemoryMetrics;
-}
-
 /**
  * One entry host without sockets: joins the controllers to the blackboard.
  * Tests drive it in virtual time over an in-memory link.
--- a/apps/entry/src/hostParts.ts
+++ b/apps/entry/src/hostParts.ts
@@ -39,7 +39,7 @@
   type Suspicion,
 } from "@wasabivane/decisions";
 import { AnswerRelay } from "./answerRelay.ts";
-import type { EntryHostOptions } from "./entryHost.ts";
+import type { EntryHostOptions } from "./entryHostOptions.ts";
 import { EntryService } from "./entryService.ts";
 import type { ExchangeServices } from "./exchange.ts";
 import { JobRunner } from "./jobRunner.ts";
--- a/apps/entry/src/index.ts
+++ b/apps/entry/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./completionStream.ts";
 export * from "./daemon.ts";
 export * from "./entryHost.ts";
+export * from "./entryHostOptions.ts";
 export * from "./intake.ts";
 export * from "./keptAnswers.ts";
 export * from "./problem.ts";
--- a/packages/coordination/src/inboundPeer.ts
+++ b/packages/coordination/src/inboundPeer.ts
@@ -7,7 +7,6 @@
   TimerSubscription,
 } from "@wasabivane/common";
 import type { WebSocket } from "ws";
-import { HANDSHAKE_MS } from "./outboundPeer.ts";
 import {
   CHALLENGE,
   CHALLENGE_BYTES,
@@ -21,7 +20,7 @@
   WELCOME,
 } from "./peerHandshake.ts";
 import type { FrameError, PeerCodec } from "./peerMessages.ts";
-import type { LinkIdentity } from "./webSocketLink.ts";
+import { HANDSHAKE_MS, type LinkIdentity } from "./linkIdentity.ts";
 
 /** What an {@link InboundPeer} needs. */
 export interface InboundPeerOptions {
--- a/packages/coordination/src/outboundPeer.ts
+++ b/packages/coordination/src/outboundPeer.ts
@@ -22,12 +22,10 @@
   WELCOME,
 } from "./peerHandshake.ts";
 import { MAX_FRAME_BYTES, type PeerCodec } from "./peerMessages.ts";
-import type { LinkIdentity } from "./webSocketLink.ts";
+import { HANDSHAKE_MS, type LinkIdentity } from "./linkIdentity.ts";
 
 /** Bytes that wait for one peer before messages to it are dropped. */
 export const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
-/** Time for connecting and proving both sides. */
-export const HANDSHAKE_MS = 2_000;
 
 /** Messages to a peer that cannot be reached for so long are old news. */
 const MAX_WAITING_MS = 5_000;
--- a/packages/coordination/src/webSocketLink.ts
+++ b/packages/coordination/src/webSocketLink.ts
@@ -23,21 +23,11 @@
 import { err, ok, type Result } from "neverthrow";
 import { type WebSocket, WebSocketServer } from "ws";
 import { InboundPeer } from "./inboundPeer.ts";
+import type { LinkIdentity } from "./linkIdentity.ts";
 import { LinkSubscriptions } from "./linkSubscriptions.ts";
 import { channelBindingOf, OutboundPeer } from "./outboundPeer.ts";
 import { MAX_FRAME_BYTES, PeerCodec } from "./peerMessages.ts";
 
-/** Who this side is and how it proves it. */
-export interface LinkIdentity {
-  readonly host: HostId;
-  readonly incarnation: Incarnation;
-  readonly random: Random;
-  /** The secrets in force, the one to prove with first; a second one lets operators replace the first. */
-  readonly sharedSecrets: () => readonly string[];
-  /** Certificate, key and authority; `undefined` means no TLS. */
-  readonly secureContext: () => SecureContextOptions | undefined;
-}
-
 /** What a {@link WebSocketLink} needs. */
 export interface WebSocketLinkOptions {
   readonly host: HostId;
--- /dev/null
+++ b/packages/gateway/src/attemptPlan.ts
@@ -0,0 +1,119 @@
+import type { Buffer } from "node:buffer";
+import type { Digest, Milliseconds, UpstreamId } from "@wasabivane/common";
+import {
+  type Candidate,
+  type PromptKeys,
+  startBounds,
+  type Upstream,
+} from "@wasabivane/admission";
+import type { AttemptListener, AttemptOptions } from "./attempt.ts";
+import { endToEndFields, type FieldLine } from "./fields.ts";
+import type { GatewayParts } from "./gatewayParts.ts";
+import type { Admitted } from "./intake.ts";
+import { firstWaitOf, pauseWaitOf } from "./silenceBounds.ts";
+
+/** The request as it was read. */
+export interface ReadRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly lines: readonly FieldLine[];
+  readonly body: Buffer;
+  readonly fingerprint: Digest;
+}
+
+/** What an attempt is planned from. */
+export interface PlannedSend {
+  readonly parts: GatewayParts;
+  readonly admitted: Admitted;
+  readonly request: ReadRequest;
+  readonly upstream: Upstream;
+  readonly now: Milliseconds;
+  /** Id of the last event that the caller got; `undefined` before any. */
+  readonly lastEvent: number | undefined;
+  /** Whether another upstream could follow; only then silence ends the attempt. */
+  readonly canRepeat: boolean;
+  readonly listener: AttemptListener;
+}
+
+/** What the scheduler has to know of a request that seeks a place. */
+export function candidateOf(
+  admitted: Admitted,
+  { parts, excluded, decide }: {
+    parts: GatewayParts;
+    excluded: ReadonlySet<UpstreamId>;
+    decide: Candidate["decide"];
+  },
+): Candidate {
+  const { route, service, says, account, arrivedAt, deadline } = admitted;
+  const promptTokens = promptTokensOf(admitted);
+  const { firstEvents } = parts.scheduler;
+  const latency = firstEvents.expected(service, { promptTokens });
+  return {
+    request: says.attempt,
+    service,
+    tier: account?.tier ?? route.tier,
+    since: arrivedAt,
+    promptTokens,
+    dueAt: arrivedAt + route.target,
+    target: route.target,
+    ...startBounds(route, { arrivedAt, deadline, latency }),
+    ...promptKeysOf(admitted),
+    excluded,
+    decide,
+  };
+}
+
+/** One send of a request to the upstream that it was placed at. */
+export function planAttempt(send: PlannedSend): AttemptOptions {
+  const { parts, admitted, request, upstream, canRepeat, listener } = send;
+  const { route, service, says } = admitted;
+  const { scheduler, connections, dialect, timer } = parts;
+  const promptTokens = promptTokensOf(admitted) +
+    scheduler.load.unreadTokens(upstream.upstream);
+  const latency = scheduler.firstEvents.expected(service, {
+    upstream: upstream.upstream,
+    promptTokens,
+  });
+  return {
+    upstream,
+    call: {
+      address: upstream.address,
+      method: request.method,
+      path: request.path,
+      fields: fieldsOf(send),
+      body: request.body.length > 0 ? request.body : undefined,
+    },
+    connections,
+    dialect,
+    timer,
+    attempt: says.attempt,
+    isStreaming: route.isStreaming,
+    promptTokens,
+    firstWait: canRepeat ? firstWaitOf(route, latency) : undefined,
+    pauseWait: canRepeat ? pauseWaitOf(route) : undefined,
+    listener,
+  };
+}
+
+/** Tokens that an engine reads before the first event; 0 where nothing is told. */
+export function promptTokensOf({ says }: Admitted): number {
+  return says.tokens?.prompt ?? 0;
+}
+
+function fieldsOf(
+  { parts, admitted, request, upstream, now, lastEvent }: PlannedSend,
+): FieldLine[] {
+  const { account, deadline } = admitted;
+  return parts.dialect.sendingFields(endToEndFields(request.lines), {
+    upstream: upstream.upstream,
+    account: account?.account,
+    timeLeft: Math.max(1, Math.floor(deadline - now)),
+    lastEvent,
+  });
+}
+
+function promptKeysOf({ says }: Admitted): { prompt?: PromptKeys } {
+  const last = says.parts.at(-1);
+  if (last === undefined) return {};
+  return { prompt: { last: last.part, shared: says.parts.at(-2)?.part } };
+}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,16 +1,12 @@
 import type { Buffer } from "node:buffer";
 import type {
-  Digest,
   Milliseconds,
   TimerSubscription,
   UpstreamId,
 } from "@wasabivane/common";
 import {
-  type Candidate,
   type Outlook,
-  type PromptKeys,
   returnAfter,
-  startBounds,
   type Upstream,
   type Verdict,
 } from "@wasabivane/admission";
@@ -20,28 +16,24 @@
   type AttemptEnd,
   type AttemptListener,
 } from "./attempt.ts";
+import {
+  candidateOf,
+  planAttempt,
+  promptTokensOf,
+  type ReadRequest,
+} from "./attemptPlan.ts";
 import type { CallerAnswer } from "./callerAnswer.ts";
 import type { LogEvent, LogValues } from "./decisionLog.ts";
 import { learnFrom } from "./attemptLessons.ts";
-import { endToEndFields, type FieldLine } from "./fields.ts";
 import type { GatewayParts } from "./gatewayParts.ts";
 import { accountName, type Admitted, type Refusal } from "./intake.ts";
-import { firstWaitOf, pauseWaitOf } from "./silenceBounds.ts";
+import { RequestTimes } from "./requestTimes.ts";
 
 /** Unreachable upstreams cost a request no send; after so many it is refused. */
 const MAXIMUM_UNREACHABLE = 4;
 /** A caller whose request has not run comes back after about this time. */
 const NOT_RUN_RETURN_MS: Milliseconds = 250;
 
-/** The request as it was read. */
-export interface ReadRequest {
-  readonly method: string;
-  readonly path: string;
-  readonly lines: readonly FieldLine[];
-  readonly body: Buffer;
-  readonly fingerprint: Digest;
-}
-
 /** What an {@link Exchange} is about. */
 export interface ExchangeOptions {
   readonly parts: GatewayParts;
@@ -60,7 +52,7 @@
 export class Exchange implements AttemptListener {
   readonly #options: ExchangeOptions;
   readonly #excluded = new Set<UpstreamId>();
-  readonly #queuedAt: Milliseconds;
+  readonly #times: RequestTimes;
   #deadlineTimer: TimerSubscription | undefined;
   #attempt: Attempt | undefined;
   #sends = 0;
@@ -68,20 +60,18 @@
   /** Whether some upstream may have run the request. */
   #mayHaveRun = false;
   #lastEvent: number | undefined;
-  #waited: Milliseconds = 0;
-  #firstByteAt: Milliseconds | undefined;
   /** Upstream that has yet to read the prompt. */
   #readingAt: UpstreamId | undefined;
-  #eventsAt: Milliseconds | undefined;
-  /** Longest time between events of a stream, that of changing upstreams included. */
-  #longestPause: Milliseconds = 0;
   /** This side ended the work; what the attempt says of its end decides nothing. */
   #isStopped = false;
   #isOver = false;
 
   constructor(options: ExchangeOptions) {
     this.#options = options;
-    this.#queuedAt = options.parts.timer.now();
+    this.#times = new RequestTimes({
+      arrivedAt: options.admitted.arrivedAt,
+      queuedAt: options.parts.timer.now(),
+    });
     this.#lastEvent = options.admitted.says.lastEvent;
   }
 
@@ -106,7 +96,7 @@
   streamStarted({ status, fields }: AnswerHead): void {
     this.#endReading();
     if (this.#isOver) return;
-    this.#firstByteAt ??= this.#now();
+    this.#times.noteFirstByte(this.#now());
     if (!this.#options.answer.hasStarted) {
       this.#options.answer.start(status, fields);
     }
@@ -115,7 +105,7 @@
   events(bytes: Buffer, lastEvent: number | undefined): void {
     if (this.#isOver) return;
     const { answer } = this.#options;
-    this.#notePause();
+    this.#times.noteEvents(this.#now());
     if (lastEvent !== undefined) this.#lastEvent = lastEvent;
     if (answer.write(bytes)) return;
     const attempt = this.#attempt;
@@ -139,35 +129,13 @@
     else this.#recover(attempt, end);
   }
 
-  #notePause(): void {
-    const now = this.#now();
-    const pause = now - (this.#eventsAt ?? now);
-    this.#longestPause = Math.max(this.#longestPause, pause);
-    this.#eventsAt = now;
-  }
-
   #seekPlace(): void {
     const { parts, admitted } = this.#options;
-    const { route, service, says, arrivedAt, deadline } = admitted;
-    const candidate: Candidate = {
-      request: says.attempt,
-      service,
-      tier: admitted.account?.tier ?? route.tier,
-      since: arrivedAt,
-      promptTokens: promptTokensOf(admitted),
-      dueAt: arrivedAt + route.target,
-      target: route.target,
-      ...startBounds(route, {
-        arrivedAt,
-        deadline,
-        latency: parts.scheduler.firstEvents.expected(service, {
-          promptTokens: promptTokensOf(admitted),
-        }),
-      }),
-      ...promptKeysOf(admitted),
+    const candidate = candidateOf(admitted, {
+      parts,
       excluded: this.#excluded,
       decide: (verdict) => this.#onVerdict(verdict),
-    };
+    });
     parts.scheduler.submit(candidate, this.#now());
   }
 
@@ -192,50 +160,27 @@
 
   #send(upstream: Upstream): void {
     const { parts, admitted, request } = this.#options;
-    const { route, service, says, account, deadline } = admitted;
     const now = this.#now();
     if (this.#sends === 0) {
-      this.#waited = now - this.#queuedAt;
-      parts.retries.countFirst(service, now);
+      this.#times.notePlace(now);
+      parts.retries.countFirst(admitted.service, now);
     }
     this.#sends++;
-    const canRepeat = this.#mayBeSentAgain() &&
-      this.#sends < route.maximumAttempts;
-    const fields = parts.dialect.sendingFields(endToEndFields(request.lines), {
-      upstream: upstream.upstream,
-      account: account?.account,
-      timeLeft: Math.max(1, Math.floor(deadline - now)),
-      lastEvent: this.#lastEvent,
-    });
-    const promptTokens = promptTokensOf(admitted) +
-      parts.scheduler.load.unreadTokens(upstream.upstream);
-    const latency = parts.scheduler.firstEvents.expected(service, {
-      upstream: upstream.upstream,
-      promptTokens,
-    });
-    this.#attempt = new Attempt({
+    this.#attempt = new Attempt(planAttempt({
+      parts,
+      admitted,
+      request,
       upstream,
-      call: {
-        address: upstream.address,
-        method: request.method,
-        path: request.path,
-        fields,
-        body: request.body.length > 0 ? request.body : undefined,
-      },
-      connections: parts.connections,
-      dialect: parts.dialect,
-      timer: parts.timer,
-      attempt: says.attempt,
-      isStreaming: route.isStreaming,
-      promptTokens,
-      firstWait: canRepeat ? firstWaitOf(route, latency) : undefined,
-      pauseWait: canRepeat ? pauseWaitOf(route) : undefined,
+      now,
+      lastEvent: this.#lastEvent,
+      canRepeat: this.#mayBeSentAgain() &&
+        this.#sends < admitted.route.maximumAttempts,
       listener: this,
-    });
+    }));
     this.#beginReading(upstream.upstream);
     this.#log(this.#sends === 1 ? "request_sent" : "request_sent_again", {
       upstream: upstream.upstream,
-      waited: Math.round(this.#waited),
+      waited: Math.round(this.#times.waited),
       sends: this.#sends,
       inFlight: parts.scheduler.load.total(upstream.upstream),
       slots: upstream.slots,
@@ -261,7 +206,7 @@
   /** Passes on the whole answer, or the end of the stream. */
   #deliver({ answer }: AttemptEnd): void {
     const caller = this.#options.answer;
-    this.#firstByteAt ??= this.#now();
+    this.#times.noteFirstByte(this.#now());
     if (answer === undefined) caller.finish();
     else if (caller.hasStarted) caller.cut();
     else caller.whole(answer.status, answer.fields, answer.body);
@@ -387,29 +332,18 @@
     this.#deadlineTimer?.cancel();
     const { parts, admitted, done } = this.#options;
     const now = this.#now();
-    const { arrivedAt } = admitted;
     parts.metrics.observe({
       account: accountName(admitted.account),
       tier: admitted.account?.tier ?? admitted.route.tier,
       ending,
-      waited: this.#waited,
-      firstByte: this.#firstByteAt === undefined
-        ? undefined
-        : this.#firstByteAt - arrivedAt,
-      whole: now - arrivedAt,
+      waited: this.#times.waited,
+      firstByte: this.#times.firstByte,
+      whole: this.#times.whole(now),
     });
     if (ending !== "caller-left") {
-      this.#log("request_ended", {
-        ending,
-        waited: Math.round(this.#waited),
-        first: this.#firstByteAt === undefined
-          ? undefined
-          : Math.round(this.#firstByteAt - arrivedAt),
-        pause: Math.round(this.#longestPause),
-        took: Math.round(now - arrivedAt),
-      });
+      this.#log("request_ended", { ending, ...this.#times.values(now) });
     }
-    done({ hasRun: this.#mayHaveRun || this.#firstByteAt !== undefined });
+    done({ hasRun: this.#mayHaveRun || this.#times.firstByte !== undefined });
   }
 
   #log(event: LogEvent, values: LogValues): void {
@@ -431,14 +365,3 @@
 function isPassable(status: number): boolean {
   return status !== 408 && status !== 429 && status !== 503;
 }
-
-/** Tokens that an engine reads before the first event; 0 where nothing is told. */
-function promptTokensOf({ says }: Admitted): number {
-  return says.tokens?.prompt ?? 0;
-}
-
-function promptKeysOf({ says }: Admitted): { prompt?: PromptKeys } {
-  const last = says.parts.at(-1);
-  if (last === undefined) return {};
-  return { prompt: { last: last.part, shared: says.parts.at(-2)?.part } };
-}
