--- a/scripts/hostBench.ts
+++ b/scripts/hostBench.ts
@@ -142,7 +142,7 @@
   const host = await startBundledHost({
     store: storeAddress,
     nodeArguments: options.profile === undefined
-      ? ["--max-semi-space-size=4"]
+      ? ["--max-semi-space-size=1"]
       : ["--cpu-prof", `--cpu-prof-dir=${options.profile}`],
   });
   await sleep(WARM_UP_MS);
