Tell from the logs who failed a request last, and that its host was killed

Two had only 'The caller left', one 'Ended as not known': its host was killed while it was open. The last failure never named its upstream. One had reached no host.

Change: request_failed names the upstream also when nothing follows; caller_left says how far the answer had come; explain takes the next start of a silent host for its end, and words the pace of a line by rank. Two tests fail before.

--- a/apps/ctl/src/requestExplanation.ts
+++ b/apps/ctl/src/requestExplanation.ts
@@ -17,6 +17,14 @@
   "crash_confirmed",
 ]);
 
+/** Events after which a request is over. */
+const END_EVENTS: ReadonlySet<LogEvent> = new Set<LogEvent>([
+  "request_ended",
+  "request_refused",
+  "request_cut",
+  "caller_left",
+]);
+
 /** What the lines of all hosts say of one request. */
 export interface RequestExplanation {
   /** The request's own lines, and changes of belief that bear on it. */
@@ -45,10 +53,13 @@
   const hosts = new Set(own.map(({ host }) => host));
   const upstreams = new Set(own.map(({ values }) => values.upstream));
   const from = own[0]!.time - BEFORE_MS;
-  const until = own.at(-1)!.time;
+  const last = own.at(-1)!;
+  const until = last.time;
+  const hasEnd = END_EVENTS.has(last.event);
   return lines.filter(({ time, host, event, values }) =>
-    BELIEF_EVENTS.has(event) && hosts.has(host) && time >= from &&
-    time <= until &&
+    hosts.has(host) && time >= from &&
+    (BELIEF_EVENTS.has(event) && time <= until ||
+      event === "started" && time > until && !hasEnd) &&
     (values.upstream === undefined || upstreams.has(values.upstream))
   );
 }
@@ -69,11 +80,11 @@
     `${values.units} more`,
   convicted: () => "requests with the same content crashed three upstreams",
   "line-too-long": ({ values }) =>
-    `${values.ahead} requests were ahead and ${values.startsPerSecond} a ` +
-    "second started, so that it could not have started in time",
+    `${values.ahead} requests were ahead and ${paceOf(values)}, so that it ` +
+    "could not have started in time",
   "waited-out": ({ values }) =>
-    `it waited ${values.held} ms for a place; ${values.startsPerSecond} ` +
-    `requests a second started, and ${values.ahead} were ahead at the end`,
+    `it waited ${values.held} ms for a place; ${paceOf(values)}, and ` +
+    `${values.ahead} were ahead at the end`,
   "no-other-upstream": () => "every upstream of the service had it already",
   "not-run-upstream": () => "the upstream said that it did not run it",
   "unreachable-upstream": () => "no upstream could be connected to",
@@ -104,12 +115,42 @@
       return `Cut after event ${last.values.lastEvent ?? "none"} ` +
         `(${last.values.detail})${failed}`;
     case "caller_left":
-      return `The caller left${failed}`;
+      return `The caller left ${progressOf(last.values)}${failed}`;
     default:
-      return `Ended as ${own.at(-1)!.values.ending ?? "not known"}${failed}`;
+      return `${endingOf(own.at(-1)!, beliefs)}${failed}`;
   }
 }
 
+/** How fast requests of the same tier and lateness started. */
+function paceOf({ startsPerSecond }: LogLine["values"]): string {
+  return startsPerSecond === undefined
+    ? "their pace was not known yet"
+    : `${startsPerSecond} requests like it started a second`;
+}
+
+function progressOf({ took, first, lastEvent }: LogLine["values"]): string {
+  const after = `after ${took ?? "?"} ms`;
+  if (first === undefined) return `${after}, before anything had come`;
+  return lastEvent === undefined
+    ? `${after}, with the answer on its way`
+    : `${after} and event ${lastEvent}`;
+}
+
+/** A process that is killed writes no end; its next start tells of it. */
+function endingOf(
+  { host, time, values }: LogLine,
+  beliefs: readonly LogLine[],
+): string {
+  if (values.ending !== undefined) return `Ended as ${values.ending}`;
+  const restart = beliefs.find((line) =>
+    line.event === "started" && line.host === host && line.time > time
+  );
+  return restart === undefined
+    ? "No line tells its end; look for lines_left_out"
+    : `Its host ended without a word while it was open, and started again ` +
+      `${restart.time - time} ms after the last line`;
+}
+
 function failureText(values: LogLine["values"]): string {
   const where = values.upstream === undefined ? "" : `${values.upstream} `;
   return `${where}was ${values.outcome} (${values.detail})`;
--- a/apps/ctl/tests/explain.test.ts
+++ b/apps/ctl/tests/explain.test.ts
@@ -93,6 +93,32 @@
   t.regex(text, /Cut after event 4 \(broken\); before, u1 was broken/);
 });
 
+test("a request whose host was killed is told by the host's next start", async (t) => {
+  // A killed process writes nothing. The caller saw its connection end; the last line
+  // tells where the request ran, the host's next start that it was lost with it.
+  const { text } = await explain("q4", [
+    line({ time: 10, id: "q4", event: "request_sent", upstream: "u1" }) +
+    line({ time: 900, event: "started" }),
+    line({ time: 500, host: "h2", event: "started" }),
+  ]);
+  t.regex(text, /Its host ended without a word .* again 890 ms after/);
+});
+
+test("a caller that left is told with how far its answer had come", async (t) => {
+  const { text } = await explain("q5", [
+    line({ time: 10, id: "q5", event: "request_sent", upstream: "u1" }) +
+    line({
+      time: 15_010,
+      id: "q5",
+      event: "caller_left",
+      lastEvent: 205,
+      first: 70,
+      took: 15_000,
+    }),
+  ]);
+  t.regex(text, /The caller left after 15000 ms and event 205/);
+});
+
 test("a request that no line names is a finding", async (t) => {
   const { code, text } = await explain("q9", ["no json\n"]);
   t.is(code, 1);
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -88,7 +88,11 @@
   /** The caller closed its connection; work for it ends at once. */
   callerLeft(): void {
     if (this.#isOver) return;
-    this.#log("caller_left", { sends: this.#sends });
+    this.#log("caller_left", {
+      sends: this.#sends,
+      lastEvent: this.#lastEvent,
+      ...this.#times.values(this.#now()),
+    });
     this.#stopWork("caller left");
     this.#end("caller-left");
   }
@@ -217,12 +221,13 @@
   #recover(attempt: Attempt, end: AttemptEnd): void {
     const { parts, admitted } = this.#options;
     const { outcome, detail } = end;
-    this.#excluded.add(attempt.upstream.upstream);
+    const { upstream } = attempt.upstream;
+    this.#excluded.add(upstream);
     if (outcome === "unreachable") {
       this.#sends--;
       this.#unreachable++;
       if (this.#unreachable < MAXIMUM_UNREACHABLE) return this.#seekPlace();
-      return this.#giveUp(end, "unreachable-upstream");
+      return this.#giveUp(end, { upstream, reason: "unreachable-upstream" });
     }
     const hasNotRun = outcome === "not-run" || outcome === "replaced";
     if (!hasNotRun) this.#mayHaveRun = true;
@@ -237,13 +242,11 @@
         now: this.#now(),
       });
     if (!isAllowed) {
-      return this.#giveUp(
-        end,
-        hasNotRun ? "not-run-upstream" : "upstream-lost",
-      );
+      const reason = hasNotRun ? "not-run-upstream" : "upstream-lost";
+      return this.#giveUp(end, { upstream, reason });
     }
     this.#log("request_failed", {
-      upstream: attempt.upstream.upstream,
+      upstream,
       outcome,
       detail,
       next: "again",
@@ -253,10 +256,13 @@
 
   #giveUp(
     { outcome, detail, answer: held }: AttemptEnd,
-    reason: "not-run-upstream" | "unreachable-upstream" | "upstream-lost",
+    { upstream, reason }: {
+      upstream: UpstreamId;
+      reason: "not-run-upstream" | "unreachable-upstream" | "upstream-lost";
+    },
   ): void {
     const { answer } = this.#options;
-    this.#log("request_failed", { outcome, detail, next: "give-up" });
+    this.#log("request_failed", { upstream, outcome, detail, next: "give-up" });
     if (answer.hasStarted) return this.#cut(outcome);
     if (held !== undefined && isPassable(held.status)) {
       answer.whole(held.status, held.fields, held.body);
