Find the late requests that a line outpaces in one pass

Change: one pass in order, counting by rank; who is taken out no longer counts as ahead of those behind.

--- a/packages/admission/src/waitingLine.ts
+++ b/packages/admission/src/waitingLine.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds, RequestId, Tier } from "@wasabivane/common";
 import { type Rank, StartRates } from "./startRates.ts";
 
-/** How often the pace of a line is held against each late request; that grows with their square. */
+/** How often the pace of a line is held against its late requests; it changes slowly. */
 const PACE_CHECK_MS: Milliseconds = 100;
 
 /** A request in a line. */
@@ -69,14 +69,27 @@
    */
   takeUseless(now: Milliseconds): Item[] {
     this.#rates.pass(this.size > 0, now);
-    const isPaced = now - this.#pacedAt >= PACE_CHECK_MS;
-    if (isPaced) this.#pacedAt = now;
-    const useless = this.#items.filter((item) =>
-      item.usefulUntil <= now ||
-      isPaced && isLate(item, now) && this.isHopeless(item, now)
-    );
+    const useless = this.#items.filter(({ usefulUntil }) => usefulUntil <= now);
     for (const { request } of useless) this.remove(request);
-    return useless;
+    return [...useless, ...this.#takeOutpaced(now)];
+  }
+
+  /** Takes out late requests that will not start in time behind those before them. */
+  #takeOutpaced(now: Milliseconds): Item[] {
+    if (now - this.#pacedAt < PACE_CHECK_MS) return [];
+    this.#pacedAt = now;
+    const outpaced: Item[] = [];
+    const ahead = new Map<Rank, number>();
+    for (const item of this.inOrder(now)) {
+      if (!isLate(item, now)) continue;
+      const rank = rankOf(item, now);
+      const count = ahead.get(rank) ?? 0;
+      const startsAt = now + this.#rates.waitBehind(count, rank);
+      if (startsAt > item.usefulUntil) outpaced.push(item);
+      else ahead.set(rank, count + 1);
+    }
+    for (const { request } of outpaced) this.remove(request);
+    return outpaced;
   }
 
   /** Whether a request, waiting or not, will start too late at the pace of the line. */
