--- a/packages/admission/src/placement.ts
+++ b/packages/admission/src/placement.ts
@@ -25,18 +25,14 @@
 const WEIGHTS = 2 ** 32;
 /** An upstream that fails every request costs so many times more than one that fails none. */
 const FAILURE_COST = 4;
+/** An upstream whose first event takes all the time to the target costs twice one that answers at once. */
+const LATENCY_COST = 1;
 /** A last place may be taken by a peer at the same moment; so many times dearer. */
 const LAST_PLACE_FACTOR = 1.6;
 const LAST_BUT_ONE_FACTOR = 1.15;
 /** Hosts that see the same loads must not all pick the same upstream. */
 const JITTER = 0.08;
 
-/**
- * An upstream whose first event uses up the whole time to the target costs twice
- * one that answers at once.
- */
-const LATENCY_COST = 1;
-
 /** Names of a prompt's parts, equal wherever the part is. */
 export interface PromptKeys {
   /** The last part, of the request itself or its session. */
@@ -80,8 +76,8 @@
  * time at a faster upstream, leaves the place to others.
  *
  * Shared parts belong to some of the upstreams by a hash of both, so that all hosts
- * agree on where they are read without telling each other. Sessions
- * go back to where this host sent them before: callers keep their host.
+ * agree on where they are read without telling each other. Sessions go back to
+ * where this host sent them before: callers keep their host.
  */
 export class Placement {
   readonly #options: PlacementOptions;
