Let what is believed of an upstream hang on its name and its birth

Cause: an upstream may start again under the name that it had. Ejections, speed, load, prompts and 'left for good' hung on the name alone, so that an upstream whose address had answered 421 got no work in its next life, and a peer's word about the former life held for the new one. Entries with an unknown state counted as leaving, for good.

Change: the id of an upstream is its name and its birth; the name stands beside it and is what the upstream is asked for. A younger life ends the older one of its name, an older page never brings one back. An entry that lacks a field, has one of another type or names an unknown state is counted, told in one line and names no upstream; the others hold.

--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -5,6 +5,7 @@
 import type {
   Branded,
   ClientAccountId,
+  EpochMilliseconds,
   FailureDomain,
   Milliseconds,
   ServiceId,
@@ -88,9 +89,17 @@
   readonly limits: CallerLimits;
 }
 
-/** One upstream as the platform publishes it. */
+/**
+ * One upstream as the platform publishes it. What is believed of it hangs on
+ * `upstream`, which {@link upstreamLife} makes of its name and its birth: one that
+ * starts again under the name that it had knows nothing of before.
+ */
 export interface Upstream {
   readonly upstream: UpstreamId;
+  /** As the platform and the upstream itself call it. */
+  readonly name: string;
+  /** When it started; 0 where it does not say so. */
+  readonly bornAt: EpochMilliseconds;
   readonly service: ServiceId;
   /** `ip:port`. */
   readonly address: string;
--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -8,24 +8,39 @@
 }
 
 /**
- * The upstreams that may get work. An upstream that announced its leaving stays
- * left for this process, whatever an older reading says later: a stale page
- * would otherwise bring back an upstream that stops any moment.
+ * The upstreams that may get work. A life of an upstream that announced its leaving
+ * stays left for this process, whatever an older reading says later: a stale page
+ * would otherwise bring back an upstream that stops any moment. For the same reason
+ * an older life never takes the place of a younger one of its name.
  */
 export class UpstreamDirectory {
   readonly #entries = new Map<UpstreamId, Entry>();
   readonly #left = new Set<UpstreamId>();
+  /** The youngest life of each name that was listed. */
+  readonly #lives = new Map<string, Upstream>();
   readonly #byService = new Map<ServiceId, Upstream[]>();
 
-  /** Takes what the store says of one upstream. */
-  set(upstream: Upstream): void {
+  /**
+   * Takes what the store says of one upstream; gives back the former life of its
+   * name, which is over, if that could get work until now.
+   */
+  set(upstream: Upstream): Upstream | undefined {
+    const former = this.#lives.get(upstream.name);
+    if (former !== undefined && former.bornAt > upstream.bornAt) {
+      return undefined;
+    }
+    this.#lives.set(upstream.name, upstream);
     if (upstream.isLeaving) this.#left.add(upstream.upstream);
     if (this.#left.has(upstream.upstream)) {
       this.#entries.delete(upstream.upstream);
     } else {
       this.#entries.set(upstream.upstream, { upstream });
     }
+    const isOver = former !== undefined &&
+      former.upstream !== upstream.upstream &&
+      this.#entries.delete(former.upstream);
     this.#rebuild();
+    return isOver ? former : undefined;
   }
 
   /**
@@ -54,16 +69,25 @@
     return true;
   }
 
+  /** The life that may get work of the upstream that the platform calls so. */
+  named(name: string): Upstream | undefined {
+    const life = this.#lives.get(name);
+    return life === undefined ? undefined : this.get(life.upstream);
+  }
+
   /** Makes the directory equal to a full reading of the store; gives back who is gone. */
   replaceAll(
     upstreams: readonly Upstream[],
     keepUntil?: Milliseconds,
   ): Upstream[] {
-    const listed = new Set(upstreams.map(({ upstream }) => upstream));
-    const gone = this.all().filter(({ upstream }) =>
-      !listed.has(upstream) && this.remove(upstream, keepUntil)
+    const listed = new Set(upstreams.map(({ name }) => name));
+    const gone = this.all().filter(({ name, upstream }) =>
+      !listed.has(name) && this.remove(upstream, keepUntil)
     );
-    for (const upstream of upstreams) this.set(upstream);
+    for (const upstream of upstreams) {
+      const former = this.set(upstream);
+      if (former !== undefined) gone.push(former);
+    }
     return gone;
   }
 
--- a/packages/admission/tests/helpers/build.ts
+++ b/packages/admission/tests/helpers/build.ts
@@ -23,6 +23,8 @@
 ): Upstream {
   return {
     upstream: asId<UpstreamId>(`u${index}`),
+    name: `u${index}`,
+    bornAt: 0,
     service: PLANS,
     address: `127.0.0.1:${9_000 + index}`,
     failureDomain: WEST,
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -105,7 +105,7 @@
 ): FieldLine[] {
   const { account, deadline } = admitted;
   return parts.dialect.sendingFields(endToEndFields(request.lines), {
-    upstream: upstream.upstream,
+    upstream: upstream.name,
     account: account?.account,
     timeLeft: Math.max(1, Math.floor(deadline - now)),
     lastEvent,
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -17,6 +17,7 @@
   "upstreams_read",
   "upstream_listed",
   "upstream_left",
+  "upstream_malformed",
   "upstream_ejected",
   "crash_confirmed",
   "request_refused",
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -1,4 +1,4 @@
-import type { RequestId, UpstreamId } from "@wasabivane/common";
+import type { RequestId } from "@wasabivane/common";
 import type { Policy, PromptPart } from "@wasabivane/admission";
 import type { Result } from "neverthrow";
 import type { FieldLine, FieldValues } from "./fields.ts";
@@ -20,7 +20,8 @@
 
 /** What a host tells the upstream along with the request. */
 export interface SendingSays {
-  readonly upstream: UpstreamId;
+  /** Name of the upstream that is meant; another one at its address must not run the request. */
+  readonly upstream: string;
   readonly account: string | undefined;
   readonly timeLeft: number;
   /** Continue a stream after this event. */
--- a/packages/gateway/src/upstreamNews.ts
+++ b/packages/gateway/src/upstreamNews.ts
@@ -27,9 +27,11 @@
   take(upstream: Upstream): void {
     const { directory, log, scheduler, timer } = this.#parts;
     const known = directory.get(upstream.upstream);
-    if (upstream.isLeaving) return this.#leave(upstream.upstream);
-    directory.set(upstream);
-    if (known === undefined) {
+    if (upstream.isLeaving) this.#leave(upstream.upstream);
+    const former = directory.set(upstream);
+    if (former !== undefined) this.#forget(former, "started again");
+    const isListed = directory.get(upstream.upstream) !== undefined;
+    if (known === undefined && isListed) {
       log.write("upstream_listed", {
         upstream: upstream.upstream,
         service: upstream.service,
@@ -39,9 +41,17 @@
     scheduler.review(timer.now());
   }
 
+  /** An entry of the list that names no upstream to use; the others hold. */
+  takeMalformed(name: string, detail: string): void {
+    const { metrics, log } = this.#parts;
+    metrics.count("upstream_entries_malformed");
+    log.write("upstream_malformed", { upstream: name, detail });
+    this.drop(name);
+  }
+
   /**
-   * An upstream's address answered for another one. Each start of an upstream has a
-   * name of its own, so that this one never returns, whatever the store still says.
+   * An upstream's address answered for another one. This life of it is over and never
+   * returns, whatever the store still says; one that starts again is another life.
    * Listed for seconds more, it would refuse request after request at once.
    */
   dropReplaced(upstream: UpstreamId): void {
@@ -49,14 +59,14 @@
   }
 
   /** The store holds an upstream no more; after an outage it is kept for a while. */
-  drop(upstream: UpstreamId, keepUntil?: Milliseconds): void {
+  drop(name: string, keepUntil?: Milliseconds): void {
     const { directory, log } = this.#parts;
-    const known = directory.get(upstream);
+    const known = directory.named(name);
     if (known === undefined) return;
-    if (directory.remove(upstream, keepUntil)) {
+    if (directory.remove(known.upstream, keepUntil)) {
       return this.#forget(known, "removed");
     }
-    log.write("upstream_left", { upstream, why: "lapsed" });
+    log.write("upstream_left", { upstream: known.upstream, why: "lapsed" });
   }
 
   /** Takes in a full reading of all upstreams. */
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -230,6 +230,8 @@
   for (const [index, { address }] of upstreams.entries()) {
     gateway.upstreams.take({
       upstream: asId<UpstreamId>(`u${index}`),
+      name: `u${index}`,
+      bornAt: 0,
       service: SERVICE,
       address,
       failureDomain: asId<FailureDomain>("west"),
