Judge an upstream's silence by what it has to do, and let begun work go first

The stream was cut as silent and sought a place as if it were new: its use, counted from arrival, was over, so the line refused it at once and the caller's answer broke off with most of it delivered.

Change: a pause is borne for as long as the prompts that the engine was given take to read twice over, to half of the caller's own patience; not where the engine moves on with other streams (it hangs on this one) or was ejected, and not ended at all while no other upstream could follow. What goes on with begun work is placed before new work of its tier and is never refused for the line. Events note their time instead of setting a timer.

--- a/packages/admission/src/firstEventModel.ts
+++ b/packages/admission/src/firstEventModel.ts
@@ -72,6 +72,17 @@
       slopeOf(fit) * (promptTokens - fit.meanTokens);
     return Math.max(0, time) * slowness;
   }
+
+  /** Expected time in which an upstream reads so many prompt tokens. */
+  reading(
+    service: ServiceId,
+    { promptTokens, upstream }: { promptTokens: number; upstream: UpstreamId },
+  ): Milliseconds {
+    const fit = this.#fits.get(service);
+    if (fit === undefined) return 0;
+    return slopeOf(fit) * promptTokens *
+      this.#speed.slowness(service, upstream);
+  }
 }
 
 function refit(fit: Fit, tokens: number, time: Milliseconds): void {
--- a/packages/admission/src/hostScheduler.ts
+++ b/packages/admission/src/hostScheduler.ts
@@ -13,6 +13,7 @@
 import { PromptPlaces } from "./promptPlaces.ts";
 import type { Upstream, UpstreamOutcome } from "./types.ts";
 import type { UpstreamDirectory } from "./upstreamDirectory.ts";
+import { SignsOfLife } from "./signsOfLife.ts";
 import { UpstreamHealth } from "./upstreamHealth.ts";
 import { UpstreamSpeed } from "./upstreamSpeed.ts";
 import { type Outlook, type Waiter, WaitingLine } from "./waitingLine.ts";
@@ -81,6 +82,7 @@
   readonly health = new UpstreamHealth();
   readonly speed = new UpstreamSpeed();
   readonly firstEvents = new FirstEventModel(this.speed);
+  readonly signs = new SignsOfLife();
   readonly #directory: UpstreamDirectory;
   readonly #random: Random;
   readonly #prompts = new PromptPlaces();
@@ -182,10 +184,24 @@
     return free > IDLE_SHARE * places;
   }
 
+  /** Whether a service has an upstream in reach besides those left out. */
+  hasOther(
+    service: ServiceId,
+    { excluded, now }: {
+      excluded: ReadonlySet<UpstreamId>;
+      now: Milliseconds;
+    },
+  ): boolean {
+    return this.#directory.of(service).some(({ upstream }) =>
+      !excluded.has(upstream) && !this.health.isEjected(upstream, now)
+    );
+  }
+
   /** An upstream is gone for good. */
   forget(upstream: UpstreamId): void {
     this.health.forget(upstream);
     this.speed.forget(upstream);
+    this.signs.forget(upstream);
   }
 
   /**
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -29,6 +29,8 @@
 export { RetryBudget, type RetryBudgetOptions } from "./retryBudget.ts";
 export { type Crash, CrashBook } from "./crashBook.ts";
 export { returnAfter, type StartBounds, startBounds } from "./patience.ts";
+export { SignsOfLife } from "./signsOfLife.ts";
+export { bearablePause, bearableWait, type SilentUpstream } from "./silence.ts";
 export {
   type Candidate,
   HostScheduler,
--- a/packages/admission/src/patience.ts
+++ b/packages/admission/src/patience.ts
@@ -24,6 +24,18 @@
   readonly usefulUntil: Milliseconds;
 }
 
+/** How long a caller bears it that nothing comes; plain answers are waited for to the end. */
+export function callerGap(
+  { isStreaming, target, pauseTarget }: Route,
+): Milliseconds {
+  if (!isStreaming) return Infinity;
+  return Math.max(
+    LEAST_STREAM_GAP_MS,
+    GAP_TARGETS * target,
+    GAP_PAUSES * pauseTarget,
+  );
+}
+
 /** Works out until when a start serves the caller; times are on one clock. */
 export function startBounds(
   route: Route,
@@ -34,14 +46,7 @@
     latency: Milliseconds;
   },
 ): StartBounds {
-  const gap = route.isStreaming
-    ? Math.max(
-      LEAST_STREAM_GAP_MS,
-      GAP_TARGETS * route.target,
-      GAP_PAUSES * route.pauseTarget,
-    )
-    : Infinity;
-  const patience = Math.min(gap, deadline - arrivedAt);
+  const patience = Math.min(callerGap(route), deadline - arrivedAt);
   return {
     onTimeUntil: arrivedAt + route.target - latency,
     usefulUntil: arrivedAt + patience * USEFUL_SHARE - latency,
--- a/packages/admission/src/retryBudget.ts
+++ b/packages/admission/src/retryBudget.ts
@@ -14,6 +14,12 @@
   readonly window: Milliseconds;
 }
 
+/** Who shares the budget, and when it is asked for. */
+export interface BudgetSituation {
+  readonly hosts: number;
+  readonly now: Milliseconds;
+}
+
 interface Bucket {
   readonly startedAt: Milliseconds;
   first: number;
@@ -40,12 +46,9 @@
     this.#current(service, now).first++;
   }
 
-  /** Takes one further send, or says that there is none left. */
-  takeFurther(
-    service: ServiceId,
-    { hosts, now }: { hosts: number; now: Milliseconds },
-  ): boolean {
-    const current = this.#current(service, now);
+  /** Whether one further send is left. */
+  hasFurther(service: ServiceId, situation: BudgetSituation): boolean {
+    this.#current(service, situation.now);
     let first = 0;
     let further = 0;
     for (const bucket of this.#buckets.get(service)!) {
@@ -53,9 +56,14 @@
       further += bucket.further;
     }
     const { ratio, slack } = this.#options;
-    const allowed = USED_SHARE * (ratio * first + slack / Math.max(1, hosts));
-    if (further + 1 > allowed) return false;
-    current.further++;
+    const own = slack / Math.max(1, situation.hosts);
+    return further + 1 <= USED_SHARE * (ratio * first + own);
+  }
+
+  /** Takes one further send, or says that there is none left. */
+  takeFurther(service: ServiceId, situation: BudgetSituation): boolean {
+    if (!this.hasFurther(service, situation)) return false;
+    this.#current(service, situation.now).further++;
     return true;
   }
 
--- a/packages/admission/src/waitingLine.ts
+++ b/packages/admission/src/waitingLine.ts
@@ -4,6 +4,12 @@
 /** How often the pace of a line is held against its late requests; it changes slowly. */
 const PACE_CHECK_MS: Milliseconds = 100;
 
+/** Order of the requests of one tier. */
+const BEGUN = 0;
+const ON_TIME = 1;
+const LATE = 2;
+const PLACES = 3;
+
 /** A request in a line. */
 export interface Waiter {
   readonly request: RequestId;
@@ -13,6 +19,8 @@
   readonly onTimeUntil: Milliseconds;
   /** Started later, its answer is of no use to the caller. */
   readonly usefulUntil: Milliseconds;
+  /** It goes on with work that an upstream began and that its caller still waits for. */
+  readonly isContinuation?: boolean;
 }
 
 /** What a line promises one of its requests, or one that would join it. */
@@ -27,14 +35,15 @@
 
 /**
  * Orders the requests that wait for one service: the most urgent tier first;
- * within it those that can still be on time, earliest due first; then those that
- * are late anyway, in order of arrival.
+ * within it those that go on with begun work; then those that can still be on time,
+ * earliest due first; then those that are late anyway, in order of arrival.
  *
  * Answers the load pattern of a burst above capacity. First come, first served
  * would make every request late in turn; serving those that can still be on
  * time keeps most of a burst on time and the rest late, but served. What will
  * not start while it is of use is told so as soon as the pace of the line shows
- * it, so that its caller can come back instead of waiting in vain.
+ * it, so that its caller can come back instead of waiting in vain. Begun work is
+ * never told so: most of it is done, and what was passed on would break off.
  */
 export class WaitingLine<Item extends Waiter> {
   readonly #items: Item[] = [];
@@ -69,7 +78,9 @@
    */
   takeUseless(now: Milliseconds): Item[] {
     this.#rates.pass(this.size > 0, now);
-    const useless = this.#items.filter(({ usefulUntil }) => usefulUntil <= now);
+    const useless = this.#items.filter((item) =>
+      !isBegun(item) && item.usefulUntil <= now
+    );
     for (const { request } of useless) this.remove(request);
     return [...useless, ...this.#takeOutpaced(now)];
   }
@@ -94,7 +105,8 @@
 
   /** Whether a request, waiting or not, will start too late at the pace of the line. */
   isHopeless(item: Waiter, now: Milliseconds): boolean {
-    return now + this.outlook(item, now).wait > item.usefulUntil;
+    return !isBegun(item) &&
+      now + this.outlook(item, now).wait > item.usefulUntil;
   }
 
   /** What the line promises a request, waiting or not. */
@@ -127,7 +139,7 @@
       if (other.request === item.request || rankOf(other, now) !== rank) {
         continue;
       }
-      const isAhead = late
+      const isAhead = late || isBegun(item)
         ? other.since < item.since
         : other.onTimeUntil <= item.onTimeUntil;
       if (isAhead) ahead++;
@@ -140,8 +152,13 @@
   }
 }
 
-function isLate({ onTimeUntil }: Waiter, now: Milliseconds): boolean {
-  return onTimeUntil <= now;
+function isBegun({ isContinuation }: Waiter): boolean {
+  return isContinuation === true;
+}
+
+/** Begun work is never late in the sense of the order. */
+function isLate(item: Waiter, now: Milliseconds): boolean {
+  return !isBegun(item) && item.onTimeUntil <= now;
 }
 
 function rankOf(
@@ -149,13 +166,14 @@
   now: Milliseconds,
   late = isLate(item, now),
 ): Rank {
-  return 2 * item.tier + (late ? 1 : 0);
+  const place = isBegun(item) ? BEGUN : late ? LATE : ON_TIME;
+  return PLACES * item.tier + place;
 }
 
 function compare(left: Waiter, right: Waiter, now: Milliseconds): number {
   const rank = rankOf(left, now) - rankOf(right, now);
   if (rank !== 0) return rank;
-  return isLate(left, now)
+  return isLate(left, now) || isBegun(left)
     ? left.since - right.since
     : left.onTimeUntil - right.onTimeUntil;
 }
--- a/packages/admission/tests/helpers/build.ts
+++ b/packages/admission/tests/helpers/build.ts
@@ -45,6 +45,7 @@
     excluded = [],
     promptTokens = 0,
     prompt,
+    isContinuation = false,
   }: {
     tier?: number;
     since?: number;
@@ -53,6 +54,7 @@
     excluded?: readonly string[];
     promptTokens?: number;
     prompt?: PromptKeys;
+    isContinuation?: boolean;
   } = {},
 ): Candidate & { verdict: Verdict | undefined } {
   const candidate = {
@@ -66,6 +68,7 @@
     target: onTimeUntil - since,
     onTimeUntil,
     usefulUntil,
+    isContinuation,
     excluded: new Set(excluded.map((id) => asId<UpstreamId>(id))),
     verdict: undefined as Verdict | undefined,
     decide: (verdict: Verdict): void => {
--- a/packages/admission/tests/hostScheduler.test.ts
+++ b/packages/admission/tests/hostScheduler.test.ts
@@ -197,3 +197,37 @@
   bench.scheduler.submit(fresh, 1_500);
   t.not(fresh.verdict?.kind, "refuse");
 });
+
+test("begun work goes on first in its tier and is never refused for the line", (t) => {
+  // A stream broke off after seconds and waits for another upstream. Counted from
+  // its arrival it would be late and of no use; refused, the half that its caller
+  // has would break off. It goes before new work, but not before a higher tier.
+  const { scheduler } = createScheduler({ upstreams: 1 });
+  const running = buildCandidate("running");
+  scheduler.submit(running, 0);
+  if (running.verdict?.kind !== "place") return t.fail();
+  const { upstream } = running.verdict;
+  scheduler.begin(upstream.upstream);
+  const fresh = buildCandidate("fresh", {
+    tier: 2,
+    since: 8_000,
+    onTimeUntil: 8_500,
+    usefulUntil: 11_000,
+  });
+  const begun = buildCandidate("begun", { tier: 2, isContinuation: true });
+  const urgent = buildCandidate("urgent", {
+    since: 8_000,
+    onTimeUntil: 8_500,
+    usefulUntil: 11_000,
+  });
+  scheduler.submit(fresh, 8_000);
+  scheduler.submit(begun, 8_010);
+  scheduler.submit(urgent, 8_020);
+  scheduler.review(8_100);
+  t.is(begun.verdict, undefined);
+  for (const expected of [urgent, begun, fresh]) {
+    scheduler.end(upstream, { outcome: "whole", residence: 100, now: 8_200 });
+    t.is(expected.verdict?.kind, "place");
+    scheduler.begin(upstream.upstream);
+  }
+});
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -36,6 +36,18 @@
   readonly answer?: AnswerHead & { readonly body: Buffer };
 }
 
+/**
+ * Says how long a silence that began at `since` is borne; `undefined`: for as long
+ * as it takes. It is asked at the beginning and again when that time is over, as an
+ * upstream may have more to do by then.
+ */
+export interface SilencePatience {
+  /** For the first event, or a whole plain answer. */
+  readonly first: (since: Milliseconds) => Milliseconds | undefined;
+  /** For the next event. */
+  readonly pause: (since: Milliseconds) => Milliseconds | undefined;
+}
+
 /** Who is told of an attempt's steps. */
 export interface AttemptListener {
   /** The first whole event of a stream arrived; it follows by `events`. */
@@ -57,10 +69,8 @@
   readonly isStreaming: boolean;
   /** Tokens that the upstream reads before the first event, those ahead included. */
   readonly promptTokens: number;
-  /** Longest wait for the first event or the whole answer; `undefined`: no bound. */
-  readonly firstWait: Milliseconds | undefined;
-  /** Longest pause between later events; `undefined`: no bound. */
-  readonly pauseWait: Milliseconds | undefined;
+  /** How long it is borne that nothing comes; `undefined`: for as long as it takes. */
+  readonly patience: SilencePatience | undefined;
   readonly listener: AttemptListener;
 }
 
@@ -80,6 +90,8 @@
   #hasStarted = false;
   /** A large answer goes straight on; it can no longer be asked for again. */
   #isPassingOn = false;
+  /** When anything of the answer came last, or the request was sent. */
+  #heardAt: Milliseconds;
   #guard: TimerSubscription | undefined;
   #call: RunningCall | undefined;
 
@@ -87,6 +99,7 @@
     this.#options = options;
     this.upstream = options.upstream;
     this.startedAt = options.timer.now();
+    this.#heardAt = this.startedAt;
   }
 
   /** See {@link AttemptOptions.promptTokens}. */
@@ -99,8 +112,8 @@
   }
 
   start(): void {
-    const { connections, call, firstWait } = this.#options;
-    this.#watch(firstWait);
+    const { connections, call } = this.#options;
+    this.#watchSilence();
     this.#call = connections.send(call, this);
   }
 
@@ -172,7 +185,7 @@
     if (frames.length === 0) return;
     this.#startStream();
     this.eventCount += frames.length;
-    this.#watch(this.#options.pauseWait);
+    this.#heardAt = this.#options.timer.now();
     const bytes = frames.length === 1
       ? frames[0]!.bytes
       : Buffer.concat(frames.map((frame) => frame.bytes));
@@ -183,6 +196,8 @@
     if (this.#hasStarted) return;
     this.#hasStarted = true;
     this.firstEventAt = this.#options.timer.now();
+    this.#heardAt = this.firstEventAt;
+    this.#watchSilence();
     this.#options.listener.streamStarted(this.#head!);
   }
 
@@ -199,18 +214,29 @@
     this.#heldBytes += chunk.length;
     if (this.#heldBytes <= MAXIMUM_HELD_BYTES) return;
     this.#isPassingOn = true;
-    this.#watch(undefined);
     this.#startStream();
     this.#options.listener.events(Buffer.concat(this.#held), undefined);
   }
 
-  #watch(span: Milliseconds | undefined): void {
+  /**
+   * Looks again when the silence since the last event would be too long. Events only
+   * note their time, so that a stream costs no timer for each of them.
+   */
+  #watchSilence(): void {
     this.#guard?.cancel();
-    if (span === undefined) return;
-    this.#guard = this.#options.timer.after(
-      span,
-      () => this.#end({ outcome: "silent", detail: `nothing for ${span} ms` }),
-    );
+    const { patience, timer } = this.#options;
+    const borne = this.#hasStarted
+      ? patience?.pause(this.#heardAt)
+      : patience?.first(this.#heardAt);
+    if (borne === undefined) return;
+    const left = this.#heardAt + borne - timer.now();
+    if (left <= 0) return this.#endSilent();
+    this.#guard = timer.after(left, () => this.#watchSilence());
+  }
+
+  #endSilent(): void {
+    const span = Math.round(this.#options.timer.now() - this.#heardAt);
+    this.#end({ outcome: "silent", detail: `nothing for ${span} ms` });
   }
 
   #end(end: Omit<AttemptEnd, "wasSent">): void {
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -10,7 +10,7 @@
 import { endToEndFields, type FieldLine } from "./fields.ts";
 import type { GatewayParts } from "./gatewayParts.ts";
 import type { Admitted } from "./intake.ts";
-import { firstWaitOf, pauseWaitOf } from "./silenceBounds.ts";
+import { silencePatience } from "./silencePatience.ts";
 
 /** The request as it was read. */
 export interface ReadRequest {
@@ -30,17 +30,21 @@
   readonly now: Milliseconds;
   /** Id of the last event that the caller got; `undefined` before any. */
   readonly lastEvent: number | undefined;
-  /** Whether another upstream could follow; only then silence ends the attempt. */
+  /** Whether the request may be sent to another upstream after this one. */
   readonly canRepeat: boolean;
+  /** Whether there is another upstream now, and budget left to send to it. */
+  readonly hasOther: () => boolean;
   readonly listener: AttemptListener;
 }
 
 /** What the scheduler has to know of a request that seeks a place. */
 export function candidateOf(
   admitted: Admitted,
-  { parts, excluded, decide }: {
+  { parts, excluded, isContinuation, decide }: {
     parts: GatewayParts;
     excluded: ReadonlySet<UpstreamId>;
+    /** An upstream may have begun with it. */
+    isContinuation: boolean;
     decide: Candidate["decide"];
   },
 ): Candidate {
@@ -59,21 +63,18 @@
     ...startBounds(route, { arrivedAt, deadline, latency }),
     ...promptKeysOf(admitted),
     excluded,
+    isContinuation,
     decide,
   };
 }
 
 /** One send of a request to the upstream that it was placed at. */
 export function planAttempt(send: PlannedSend): AttemptOptions {
-  const { parts, admitted, request, upstream, canRepeat, listener } = send;
-  const { route, service, says } = admitted;
+  const { parts, admitted, request, upstream, listener } = send;
+  const { route, says } = admitted;
   const { scheduler, connections, dialect, timer } = parts;
   const promptTokens = promptTokensOf(admitted) +
     scheduler.load.unreadTokens(upstream.upstream);
-  const latency = scheduler.firstEvents.expected(service, {
-    upstream: upstream.upstream,
-    promptTokens,
-  });
   return {
     upstream,
     call: {
@@ -89,8 +90,7 @@
     attempt: says.attempt,
     isStreaming: route.isStreaming,
     promptTokens,
-    firstWait: canRepeat ? firstWaitOf(route, latency) : undefined,
-    pauseWait: canRepeat ? pauseWaitOf(route) : undefined,
+    patience: silencePatience({ ...send, promptTokens }),
     listener,
   };
 }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -108,8 +108,13 @@
 
   events(bytes: Buffer, lastEvent: number | undefined): void {
     if (this.#isOver) return;
-    const { answer } = this.#options;
-    this.#times.noteEvents(this.#now());
+    const { answer, admitted, parts } = this.#options;
+    const now = this.#now();
+    this.#times.noteEvents(now);
+    const upstream = this.#attempt?.upstream.upstream;
+    if (upstream !== undefined) {
+      parts.scheduler.signs.note(upstream, admitted.says.attempt, now);
+    }
     if (lastEvent !== undefined) this.#lastEvent = lastEvent;
     if (answer.write(bytes)) return;
     const attempt = this.#attempt;
@@ -138,6 +143,7 @@
     const candidate = candidateOf(admitted, {
       parts,
       excluded: this.#excluded,
+      isContinuation: this.#mayHaveRun,
       decide: (verdict) => this.#onVerdict(verdict),
     });
     parts.scheduler.submit(candidate, this.#now());
@@ -147,7 +153,9 @@
     if (this.#isOver) return;
     if (verdict.kind === "place") return this.#send(verdict.upstream);
     const { outlook, reason } = verdict;
-    if (this.#options.answer.hasStarted) return this.#cut(reason);
+    if (this.#options.answer.hasStarted) {
+      return this.#cut(reason, { excluded: this.#excluded.size });
+    }
     this.#refuse(
       this.#mayHaveRun
         ? { status: 502, reason: "upstream-lost" }
@@ -179,6 +187,7 @@
       lastEvent: this.#lastEvent,
       canRepeat: this.#mayBeSentAgain() &&
         this.#sends < admitted.route.maximumAttempts,
+      hasOther: () => this.#hasOther(upstream.upstream),
       listener: this,
     }));
     this.#beginReading(upstream.upstream);
@@ -192,6 +201,18 @@
     this.#attempt.start();
   }
 
+  /** Whether an attempt that ends now could go on at another upstream. */
+  #hasOther(upstream: UpstreamId): boolean {
+    const { parts, admitted: { service } } = this.#options;
+    const now = this.#now();
+    const isOpen = parts.scheduler.hasOther(service, {
+      excluded: new Set([...this.#excluded, upstream]),
+      now,
+    });
+    return isOpen &&
+      parts.retries.hasFurther(service, { hosts: parts.hostCount(), now });
+  }
+
   #beginReading(upstream: UpstreamId): void {
     const { parts, admitted } = this.#options;
     this.#readingAt = upstream;
@@ -316,8 +337,13 @@
     this.#end(refusal.reason);
   }
 
-  #cut(detail: string): void {
-    this.#log("request_cut", { detail, lastEvent: this.#lastEvent });
+  #cut(detail: string, inputs: LogValues = {}): void {
+    this.#log("request_cut", {
+      detail,
+      lastEvent: this.#lastEvent,
+      sends: this.#sends,
+      ...inputs,
+    });
     this.#options.answer.cut();
     this.#end("cut");
   }
