Tell from the logs what the places of a service were used for, and bound it

Log lines of a send name service, tier, targets and the expected time in a place; refusals of the line too. The fill of spans stands in a module of its own.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,6 +1,7 @@
 import type { Buffer } from "node:buffer";
 import type {
   Milliseconds,
+  Tier,
   TimerSubscription,
   UpstreamId,
 } from "@wasabivane/common";
@@ -60,6 +61,8 @@
   /** Whether some upstream may have run the request. */
   #mayHaveRun = false;
   #lastEvent: number | undefined;
+  /** Time in a place that was expected when it sought one last. */
+  #hold: Milliseconds = 0;
   /** Upstream that has yet to read the prompt. */
   #readingAt: UpstreamId | undefined;
   /** This side ended the work; what the attempt says of its end decides nothing. */
@@ -146,6 +149,7 @@
       isContinuation: this.#mayHaveRun,
       decide: (verdict) => this.#onVerdict(verdict),
     });
+    this.#hold = candidate.hold;
     parts.scheduler.submit(candidate, this.#now());
   }
 
@@ -166,6 +170,10 @@
           ? undefined
           : Math.round(outlook.startsPerSecond * 10) / 10,
         expectedWait: Math.round(outlook.wait),
+        hold: Math.round(this.#hold),
+        service: this.#options.admitted.service,
+        tier: this.#tier,
+        target: this.#options.admitted.route.target,
       },
     );
   }
@@ -196,6 +204,11 @@
       waited: Math.round(this.#times.waited),
       promptTokens: admitted.says.tokens?.prompt,
       outputTokens: admitted.says.tokens?.output,
+      service: admitted.service,
+      tier: this.#tier,
+      target: admitted.route.target,
+      pauseTarget: admitted.route.pauseTarget,
+      hold: Math.round(this.#hold),
       sends: this.#sends,
       inFlight: parts.scheduler.load.total(upstream.upstream),
       slots: upstream.slots,
@@ -368,7 +381,7 @@
     const now = this.#now();
     parts.metrics.observe({
       account: accountName(admitted.account),
-      tier: admitted.account?.tier ?? admitted.route.tier,
+      tier: this.#tier,
       ending,
       waited: this.#times.waited,
       firstByte: this.#times.firstByte,
@@ -390,6 +403,11 @@
     });
   }
 
+  get #tier(): Tier {
+    const { account, route } = this.#options.admitted;
+    return account?.tier ?? route.tier;
+  }
+
   #now(): Milliseconds {
     return this.#options.parts.timer.now();
   }
--- a/packages/proof/src/bound.ts
+++ b/packages/proof/src/bound.ts
@@ -6,6 +6,7 @@
   type Scenario,
   TIER_LOADS,
 } from "./arrivals.ts";
+import { fillSpans, type SpanJob } from "./spanFill.ts";
 
 /** What no scheduler could exceed on a scenario; see docs/DECISIONS/0003. */
 export interface Bound {
@@ -20,11 +21,8 @@
 /** Prompt tokens that an output token is counted as; each choice gives a valid bound. */
 const OUTPUT_COSTS = [3.8, 4.1, 6];
 
-interface Job {
+interface Job extends SpanJob {
   readonly tier: Tier;
-  readonly work: number;
-  readonly release: number;
-  readonly due: number;
 }
 
 /** Works out the bound of a scenario. */
@@ -56,59 +54,19 @@
   const strict = jobs.toSorted((left, right) =>
     left.tier - right.tier || left.work - right.work
   );
-  fill(strict, capacity).forEach((share, index) => {
+  fillSpans(strict, capacity).forEach((share, index) => {
     byTier[strict[index]!.tier]! += share;
   });
   const dense = jobs.toSorted((left, right) =>
     weightOf(right) / right.work - weightOf(left) / left.work
   );
-  const weighted = fill(dense, capacity).reduce(
+  const weighted = fillSpans(dense, capacity).reduce(
     (sum, share, index) => sum + share * weightOf(dense[index]!),
     0,
   );
   return { byTier, weighted };
 }
 
-/**
- * Gives each job in turn as much work as still fits beside those before it. The
- * sets of work that one preemptive machine can do between releases and due
- * times form a polymatroid, so that this greedy order is the optimum. A set of
- * jobs fits when each span of slots has room for the jobs that lie within it.
- */
-function fill(jobs: readonly Job[], capacity: Float64Array): number[] {
-  const slots = capacity.length;
-  const slack = spanCapacities(capacity);
-  return jobs.map(({ work, release, due }) => {
-    let room = work;
-    for (let start = 0; start <= release; start++) {
-      for (let end = due; end < slots; end++) {
-        const left = slack[start * slots + end]!;
-        if (left < room) room = left;
-      }
-    }
-    if (room <= 0) return 0;
-    for (let start = 0; start <= release; start++) {
-      for (let end = due; end < slots; end++) {
-        slack[start * slots + end]! -= room;
-      }
-    }
-    return room / work;
-  });
-}
-
-function spanCapacities(capacity: Float64Array): Float64Array {
-  const slots = capacity.length;
-  const spans = new Float64Array(slots * slots);
-  for (let start = 0; start < slots; start++) {
-    let sum = 0;
-    for (let end = start; end < slots; end++) {
-      sum += capacity[end]!;
-      spans[start * slots + end] = sum;
-    }
-  }
-  return spans;
-}
-
 function buildJob(
   arrival: Arrival,
   { outputCost, sharedBlocks }: {
--- /dev/null
+++ b/packages/proof/src/dayBoundMain.ts
@@ -0,0 +1,46 @@
+/** Prints what the places of each service were used for, from the logs of its hosts. */
+import process from "node:process";
+import { readLogFiles } from "@wasabivane/ctl";
+import { cac } from "cac";
+import { dayOf, type TierDay } from "./dayBound.ts";
+import { type DayEnding, readDay } from "./dayLog.ts";
+
+const ENDINGS: readonly DayEnding[] = [
+  "on time",
+  "late by its first event",
+  "late by a pause",
+  "refused",
+  "broken off",
+];
+const COLUMN_WIDTH = 25;
+
+function print(cells: readonly (string | number)[]): void {
+  const row = cells.map((cell) => String(cell).padEnd(COLUMN_WIDTH)).join("");
+  process.stdout.write(`${row.trimEnd()}\n`);
+}
+
+function rowOf({ tier, asked, endings, bound }: TierDay): (string | number)[] {
+  return [
+    tier,
+    asked,
+    ...ENDINGS.map((ending) => endings.get(ending) ?? 0),
+    Math.round(bound),
+  ];
+}
+
+function run(files: readonly string[]): void {
+  for (const [service, requests] of readDay(readLogFiles(files))) {
+    const { tiers, capacity, used } = dayOf(requests);
+    const share = Math.round(100 * used / Math.max(1, capacity));
+    print([`service ${service}: ${share} % of the time in places used`]);
+    print(["tier", "asked", ...ENDINGS, "could be on time"]);
+    for (const tier of tiers) print(rowOf(tier));
+  }
+}
+
+const program = cac("bound");
+program.command("<...files>", "Read logs of entry hosts, one or more files")
+  .action(run);
+program.help();
+program.parse(process.argv, { run: false });
+await program.runMatchedCommand();
--- /dev/null
+++ b/packages/proof/tests/dayBound.test.ts
@@ -0,0 +1,98 @@
+import test from "ava";
+import type { LogLine } from "@wasabivane/ctl";
+import { dayOf, type DayRequest, readDay } from "@wasabivane/proof";
+
+function lineOf(
+  event: LogLine["event"],
+  time: number,
+  values: Record<string, unknown>,
+): LogLine {
+  return { time, host: "h", event, values };
+}
+
+const SENT = {
+  service: "plans",
+  tier: 1,
+  target: 500,
+  pauseTarget: 200,
+  upstream: "u0",
+  slots: 2,
+  waited: 100,
+};
+
+test("requests are read with how they ended", (t) => {
+  const ended = {
+    ending: "whole",
+    first: 300,
+    pause: 50,
+    took: 800,
+    parts: 11,
+  };
+  const day = readDay([
+    lineOf("request_sent", 1_000, { ...SENT, id: "a" }),
+    lineOf("request_sent", 1_000, { ...SENT, id: "b" }),
+    lineOf("request_sent", 1_000, { ...SENT, id: "c" }),
+    lineOf("request_ended", 1_700, { ...ended, id: "a" }),
+    lineOf("request_ended", 1_700, { ...ended, id: "b", pause: 300 }),
+    lineOf("request_ended", 1_700, { ...ended, id: "c", ending: "cut" }),
+    lineOf("request_refused", 2_000, { id: "d", reason: "no-route" }),
+    lineOf("request_refused", 2_000, {
+      id: "e",
+      service: "plans",
+      tier: 2,
+      target: 500,
+      hold: 900,
+      held: 400,
+    }),
+  ]);
+  const requests = day.get("plans")!;
+  t.deepEqual(requests.map(({ ending }) => ending), [
+    "on time",
+    "late by a pause",
+    "broken off",
+    "refused",
+  ]);
+  t.like(requests[0], { at: 900, held: 700, pace: 50 });
+  t.like(requests[3], { at: 1_600, held: 900, tier: 2 });
+});
+
+function request(changes: Partial<DayRequest>): DayRequest {
+  return {
+    tier: 1,
+    at: 0,
+    target: 500,
+    upstream: "u0",
+    slots: 1,
+    held: 1_000,
+    pace: 10,
+    ending: "on time",
+    ...changes,
+  };
+}
+
+test("what could be on time is bounded by the time in places, higher tiers first", (t) => {
+  // One place is up for four seconds. Four requests of a second each come at once,
+  // and are on time only within the first two seconds: two of the first tier fit,
+  // and nothing is left for the second.
+  const requests = [
+    request({}),
+    request({}),
+    request({ tier: 2 }),
+    request({ tier: 2, at: 3_000 }),
+  ];
+  const { tiers, used } = dayOf(requests);
+  t.is(used, 4_000);
+  t.deepEqual(tiers.map(({ tier, bound }) => [tier, Math.round(bound)]), [
+    [1, 2],
+    [2, 1],
+  ]);
+});
+
+test("time at a slow upstream counts for less", (t) => {
+  const { capacity, used } = dayOf([
+    request({}),
+    request({ upstream: "u1", held: 4_000, pace: 40 }),
+  ]);
+  t.is(capacity, 2_000);
+  t.is(used, 2_000);
+});
