Let a few hosts read the store for all

Cause: every host watched the whole store.

Change: the first three hosts of an order that all agree on, of those that read with success and spoke within 0.9 s, watch; the others rest. Words carry the revision up to which all upstreams are known; who hears a newer one fetches policy and list from that peer, entries that only lapsed with what time they have left. A host reads itself as soon as it hears fewer than three readers ahead of it, or proofs of freshness are older than half the time in which a policy must be in force: readers may be killed or cut off together.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -6,7 +6,7 @@
 export * from "./types.ts";
 export { PolicyIndex } from "./policyIndex.ts";
 export { Freshness, type FreshnessOptions } from "./freshness.ts";
-export { UpstreamDirectory } from "./upstreamDirectory.ts";
+export { type KeptUpstream, UpstreamDirectory } from "./upstreamDirectory.ts";
 export { upstreamLife } from "./upstreamLife.ts";
 export {
   FleetLoad,
--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -7,6 +7,13 @@
   keptUntil?: Milliseconds;
 }
 
+/** An upstream whose entry lapsed and that is used for a while yet. */
+export interface KeptUpstream {
+  readonly name: string;
+  /** Time after which it is gone unless it was listed again. */
+  readonly left: Milliseconds;
+}
+
 /**
  * The upstreams that may get work. A life of an upstream that announced its leaving
  * stays left for this process, whatever an older reading says later: a stale page
@@ -115,6 +122,15 @@
     return [...this.#entries.values()].map(({ upstream }) => upstream);
   }
 
+  /** Those whose entries lapsed, for peers that do not read the store. */
+  kept(now: Milliseconds): KeptUpstream[] {
+    const kept: KeptUpstream[] = [];
+    for (const { upstream: { name }, keptUntil } of this.#entries.values()) {
+      if (keptUntil !== undefined) kept.push({ name, left: keptUntil - now });
+    }
+    return kept;
+  }
+
   get size(): number {
     return this.#entries.size;
   }
--- a/packages/common/src/rendezvous.ts
+++ b/packages/common/src/rendezvous.ts
@@ -18,7 +18,8 @@
   return weighted.map(({ candidate }) => candidate);
 }
 
-function rendezvousWeight(key: string, candidate: string): string {
+/** Weight of a candidate for a key, equal on every host. */
+export function rendezvousWeight(key: string, candidate: string): string {
   return createHash("sha256").update(key).update("\0").update(candidate).digest(
     "hex",
   );
--- a/packages/gateway/src/fleetTalk.ts
+++ b/packages/gateway/src/fleetTalk.ts
@@ -40,8 +40,10 @@
   /** `ip:port` of this host's datagram port. */
   readonly address: string;
   readonly send: (word: PeerWord, targets: readonly string[]) => void;
-  /** A peer has a newer policy. */
-  readonly onNewerPolicy: (peer: HostId) => void;
+  /** A peer has a newer policy, or a newer list of upstreams. */
+  readonly onNewerBelief: (peer: HostId) => void;
+  /** Revision of the store up to which this host knows all upstreams. */
+  readonly listRevision: () => number;
   /** Whether this host reads the store with success. */
   readonly isReading: () => boolean;
 }
@@ -154,11 +156,17 @@
     }
   }
 
-  #hearPolicy({ host, policyVersion, proofAge }: PeerWord): void {
+  #hearPolicy(
+    { host, policyVersion, listRevision, proofAge }: PeerWord,
+  ): void {
     const { policies, elapsed } = this.#options.parts;
-    if (policyVersion > policies.version) {
-      this.#options.onNewerPolicy(host);
-    } else if (policyVersion === policies.version && proofAge !== undefined) {
+    // A host that reads hears of upstreams by its own watch, at about the same time.
+    const { listRevision: known, isReading } = this.#options;
+    const hasNewer = policyVersion > policies.version ||
+      (listRevision > known() && !isReading());
+    if (hasNewer) this.#options.onNewerBelief(host);
+    if (policyVersion > policies.version) return;
+    if (policyVersion === policies.version && proofAge !== undefined) {
       policies.freshness.prove(elapsed.now() - proofAge - TRANSIT_MS);
     }
   }
@@ -223,6 +231,7 @@
       mentions: isMentioning ? book.takeMentions() : [],
       isReading: isReading(),
       speeds: this.#takeSpeeds(now),
+      listRevision: this.#options.listRevision(),
     };
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,7 +25,7 @@
 import { FleetTalk } from "./fleetTalk.ts";
 import { GatewayMetrics } from "./gatewayMetrics.ts";
 import type { GatewayParts } from "./gatewayParts.ts";
-import type { Shown } from "./operatorPort.ts";
+import type { Belief, Shown } from "./operatorPort.ts";
 import {
   askBelief,
   type OperatorAddresses,
@@ -47,6 +47,14 @@
 const UNREADY_SHARE = 0.35;
 /** Time before the platform's kill by which the process ends by itself. */
 const STOP_MARGIN_MS: Milliseconds = 600;
+/** Hosts that read the store for all; with one of them lost there are two still. */
+const STORE_READERS = 3;
+/**
+ * A host whose readers' proofs are older than this reads itself: they may be cut off
+ * from the store all together. Half of the time within which a published policy must
+ * be in force is left for that.
+ */
+const STALE_PROOF_SHARE = 0.5;
 /** A host that cannot read the store asks a peer so often what it holds. */
 const PEER_ASK_MS: Milliseconds = 1_000;
 const STOP_CHECK_MS: Milliseconds = 50;
@@ -94,6 +102,11 @@
   readonly #timers: TimerSubscription[] = [];
   #stopsAt: Milliseconds = Infinity;
   #isReading = false;
+  /** It does not read because enough peers do. */
+  #isResting = false;
+  /** The last try to read the store failed, or there was none yet. */
+  #isStoreLost = true;
+  #listRevision = 0;
   #isAskingPeer = false;
   #workMark = "";
   #askedPeerAt: Milliseconds = -Infinity;
@@ -118,7 +131,8 @@
       incarnation: options.incarnation,
       address: options.addresses.peers,
       send: (word, targets) => this.#channel.send(word, targets),
-      onNewerPolicy: (peer) => void this.#askPeer(peer),
+      onNewerBelief: (peer) => void this.#askPeer(peer),
+      listRevision: () => this.#listRevision,
       isReading: () => this.#isReading,
     });
     this.upstreams = new UpstreamNews(this.parts, {
@@ -133,6 +147,35 @@
       directory.size > 0 && policies.freshness.mayTrustKeys(elapsed.now());
   }
 
+  /**
+   * Whether this host should read the store. A few hosts read for all: each call is
+   * paid for, and with every host watching their number grows with the hosts.
+   */
+  get shouldRead(): boolean {
+    const { policies, elapsed, timer } = this.parts;
+    if (policies.index === undefined || this.#listRevision === 0) return true;
+    const { applyBound } = this.#options.freshness;
+    const isStale = policies.freshness.age(elapsed.now()) >
+      STALE_PROOF_SHARE * applyBound;
+    return isStale || this.#book.readersAhead(timer.now()) < STORE_READERS;
+  }
+
+  /** Revision of the store up to which all upstreams are known. */
+  get listRevision(): number {
+    return this.#listRevision;
+  }
+
+  /** All upstreams are known up to this revision of the store. */
+  noteListRevision(revision: number): void {
+    this.#listRevision = Math.max(this.#listRevision, revision);
+  }
+
+  /** Enough peers read the store; this host lives on what they tell. */
+  rest(): void {
+    this.#isReading = false;
+    this.#isResting = true;
+  }
+
   /** Peers that read the store themselves and pass on that nothing changed. */
   get readingPeers(): number {
     return this.#book.readingCount;
@@ -173,8 +216,10 @@
 
   /** Whether the store can be read, for the peers and the log. */
   setReading(isReading: boolean, detail: string): void {
-    if (isReading === this.#isReading) return;
     this.#isReading = isReading;
+    this.#isResting = false;
+    if (isReading !== this.#isStoreLost) return;
+    this.#isStoreLost = !isReading;
     this.parts.log.write(isReading ? "store_regained" : "store_lost", {
       detail,
     });
@@ -269,6 +314,8 @@
           policy: policies.bytes,
           proofAge: policies.freshness.age(elapsed.now()),
           upstreams: directory.all(),
+          kept: directory.kept(this.parts.timer.now()),
+          listRevision: this.#listRevision,
         },
     };
   }
@@ -298,7 +345,8 @@
     const now = timer.now();
     this.upstreams.expire();
     if (scheduler.load.expire(now)) scheduler.review(now);
-    if (!this.#isReading && now - this.#askedPeerAt >= PEER_ASK_MS) {
+    const isAlone = !this.#isReading && !this.#isResting;
+    if (isAlone && now - this.#askedPeerAt >= PEER_ASK_MS) {
       this.#askedPeerAt = now;
       const peer = this.#book.pick(this.parts.random);
       if (peer !== undefined) void this.#askPeer(peer);
@@ -323,14 +371,26 @@
     const fetched = await askBelief(address);
     this.#isAskingPeer = false;
     fetched.match(
-      ({ policy, proofAge, upstreams }) => {
-        this.takePolicy(policy, askedAt - proofAge);
-        if (!this.#isReading) this.upstreams.takeFromPeer(upstreams);
-      },
+      (belief) => this.#takeBelief(belief, askedAt),
       ({ detail }) => log.write("policy_rejected", { peer, detail }),
     );
   }
 
+  #takeBelief(
+    { policy, proofAge, upstreams, kept, listRevision }: Belief,
+    askedAt: Milliseconds,
+  ): void {
+    this.takePolicy(policy, askedAt - proofAge);
+    if (this.#isReading) return;
+    if (listRevision <= this.#listRevision) {
+      return this.upstreams.takeFromPeer(upstreams);
+    }
+    this.upstreams.takeAll(upstreams);
+    const now = this.parts.timer.now();
+    for (const { name, left } of kept) this.upstreams.drop(name, now + left);
+    this.noteListRevision(listRevision);
+  }
+
   #sleep(span: Milliseconds): Promise<void> {
     return new Promise((resolve) => {
       this.parts.timer.after(span, resolve);
--- a/packages/gateway/src/operatorPort.ts
+++ b/packages/gateway/src/operatorPort.ts
@@ -3,7 +3,7 @@
 import { Hono } from "hono";
 import { Pool } from "undici";
 import type { Milliseconds } from "@wasabivane/common";
-import type { Upstream } from "@wasabivane/admission";
+import type { KeptUpstream, Upstream } from "@wasabivane/admission";
 import { Packr } from "msgpackr";
 import { err, ok, type Result } from "neverthrow";
 import type { ListenError } from "./listenError.ts";
@@ -22,6 +22,10 @@
   /** Age of the proof that it is the newest. */
   readonly proofAge: Milliseconds;
   readonly upstreams: readonly Upstream[];
+  /** Those of them whose entries lapsed and that are gone unless they come back. */
+  readonly kept: readonly KeptUpstream[];
+  /** Revision of the store up to which these are all. */
+  readonly listRevision: number;
 }
 
 /** What a host shows to peers and operators. */
--- a/packages/gateway/src/peerBook.ts
+++ b/packages/gateway/src/peerBook.ts
@@ -1,8 +1,9 @@
-import type {
-  HostId,
-  Incarnation,
-  Milliseconds,
-  Random,
+import {
+  type HostId,
+  type Incarnation,
+  type Milliseconds,
+  type Random,
+  rendezvousWeight,
 } from "@wasabivane/common";
 import type { PeerMention } from "./peerWord.ts";
 
@@ -12,6 +13,14 @@
 const FORGET_MS: Milliseconds = 60_000;
 /** Times between words to a peer that is lost, or to a seed that never answered. */
 const KNOCK_MS: Milliseconds = 500;
+/**
+ * A reader of the store that says nothing for so long is no longer relied on. Four
+ * words without news fall into it; whoever takes over still hears of an upstream that
+ * leaves within the two seconds in which it must get no more work.
+ */
+const READER_SILENCE_MS: Milliseconds = 900;
+/** Key of the order in which hosts read the store for all. */
+const READER_KEY = "store readers";
 /** Hosts that a word mentions at most; a datagram must stay below a packet. */
 const MAXIMUM_MENTIONS = 12;
 
@@ -23,6 +32,8 @@
   knockedAt: Milliseconds;
   isLost: boolean;
   isReading: boolean;
+  /** Its place in the order of readers. */
+  readonly readerWeight: string;
 }
 
 /** Something changed in the picture of a peer. */
@@ -39,12 +50,14 @@
  */
 export class PeerBook {
   readonly #self: HostId;
+  readonly #readerWeight: string;
   readonly #peers = new Map<HostId, Peer>();
   readonly #seeds = new Map<string, Milliseconds>();
   #mentionOffset = 0;
 
   constructor(self: HostId, seeds: readonly string[]) {
     this.#self = self;
+    this.#readerWeight = rendezvousWeight(READER_KEY, self);
     this.setSeeds(seeds);
   }
 
@@ -77,6 +90,7 @@
       knockedAt: now,
       isLost: false,
       isReading,
+      readerWeight: former?.readerWeight ?? rendezvousWeight(READER_KEY, host),
     });
     this.#seeds.delete(address);
     return isSame && !former.isLost ? "known" : { host, kind: "found" };
@@ -93,6 +107,7 @@
       knockedAt: -Infinity,
       isLost: true,
       isReading: false,
+      readerWeight: rendezvousWeight(READER_KEY, host),
     });
   }
 
@@ -146,6 +161,16 @@
     return count;
   }
 
+  /** Peers that read the store with success and go before this host in doing so. */
+  readersAhead(now: Milliseconds): number {
+    let count = 0;
+    for (const { isReading, heardAt, readerWeight } of this.#peers.values()) {
+      if (!isReading || now - heardAt > READER_SILENCE_MS) continue;
+      if (readerWeight > this.#readerWeight) count++;
+    }
+    return count;
+  }
+
   /** Any peer that speaks. */
   pick(random: Random): HostId | undefined {
     const alive = [...this.#peers].filter(([, { isLost }]) => !isLost);
--- a/packages/gateway/src/peerWord.ts
+++ b/packages/gateway/src/peerWord.ts
@@ -13,8 +13,8 @@
 import { Packr } from "msgpackr";
 import { err, ok, type Result } from "neverthrow";
 
-const FORMAT = 3;
-const FIELD_COUNT = 17;
+const FORMAT = 4;
+const FIELD_COUNT = 18;
 
 /** Another host, as it is told of. */
 export interface PeerMention {
@@ -49,6 +49,8 @@
   readonly isReading: boolean;
   /** How long one unit of work takes at upstreams, as the host saw it. */
   readonly speeds: readonly (readonly [UpstreamId, Milliseconds])[];
+  /** Revision of the store up to which the host knows all upstreams; 0 when it does not. */
+  readonly listRevision: number;
 }
 
 /** A datagram that is no word of a peer. */
@@ -81,6 +83,7 @@
     word.mentions.map(({ host, address }) => [host, address]),
     word.isReading,
     word.speeds,
+    word.listRevision,
   ]);
 }
 
@@ -142,6 +145,7 @@
       asId<UpstreamId>(textOf(upstream)),
       numberOf(duration),
     ]),
+    listRevision: numberOf(value[17]),
   });
 }
 
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -90,6 +90,7 @@
     mentions: [{ host: asId<HostId>("b"), address: "10.0.0.2:7600" }],
     isReading: true,
     speeds: [[asId<UpstreamId>("u0"), 12.5]],
+    listRevision: 41,
   };
   t.deepEqual(decodeWord(encodeWord(word))._unsafeUnwrap(), word);
   t.true(decodeWord(new Uint8Array([1, 2, 3])).isErr());
