Part who reads the store from the gateway, and the sends of a request from its steps

Who reads the store and what the others fetch stands in storeSharing.ts, where a request was sent and whether it may be sent again in requestSends.ts.

--- a/apps/ctl/tests/explainRuns.test.ts
+++ b/apps/ctl/tests/explainRuns.test.ts
@@ -60,8 +60,8 @@
     upstreams: [upstream],
     revocationBound: 1,
   });
-  fleet.gateway.setReading(true, "answered");
-  fleet.gateway.setReading(false, "refused with 503");
+  fleet.gateway.sharing.setReading(true, "answered");
+  fleet.gateway.sharing.setReading(false, "refused with 503");
   while (fleet.gateway.isReady) {
     await new Promise((resolve) => setTimeout(resolve, 5));
   }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -9,6 +9,7 @@
   type Outlook,
   returnAfter,
   type Upstream,
+  type UpstreamOutcome,
   type Verdict,
 } from "@wasabivane/admission";
 import {
@@ -28,10 +29,9 @@
 import { learnFrom } from "./attemptLessons.ts";
 import type { GatewayParts } from "./gatewayParts.ts";
 import { accountName, type Admitted, type Refusal } from "./intake.ts";
+import { isNotRun, RequestSends } from "./requestSends.ts";
 import { RequestTimes } from "./requestTimes.ts";
 
-/** Unreachable upstreams cost a request no send; after so many it is refused. */
-const MAXIMUM_UNREACHABLE = 4;
 /** A caller whose request has not run comes back after about this time. */
 const NOT_RUN_RETURN_MS: Milliseconds = 250;
 
@@ -52,14 +52,10 @@
  */
 export class Exchange implements AttemptListener {
   readonly #options: ExchangeOptions;
-  readonly #excluded = new Set<UpstreamId>();
+  readonly #sends: RequestSends;
   readonly #times: RequestTimes;
   #deadlineTimer: TimerSubscription | undefined;
   #attempt: Attempt | undefined;
-  #sends = 0;
-  #unreachable = 0;
-  /** Whether some upstream may have run the request. */
-  #mayHaveRun = false;
   #lastEvent: number | undefined;
   /** Time in a place that was expected when it sought one last. */
   #hold: Milliseconds = 0;
@@ -71,6 +67,7 @@
 
   constructor(options: ExchangeOptions) {
     this.#options = options;
+    this.#sends = new RequestSends(options);
     this.#times = new RequestTimes({
       arrivedAt: options.admitted.arrivedAt,
       queuedAt: options.parts.timer.now(),
@@ -92,7 +89,7 @@
   callerLeft(): void {
     if (this.#isOver) return;
     this.#log("caller_left", {
-      sends: this.#sends,
+      sends: this.#sends.count,
       lastEvent: this.#lastEvent,
       ...this.#times.values(this.#now()),
     });
@@ -145,8 +142,8 @@
     const { parts, admitted } = this.#options;
     const candidate = candidateOf(admitted, {
       parts,
-      excluded: this.#excluded,
-      isContinuation: this.#mayHaveRun,
+      excluded: this.#sends.excluded,
+      isContinuation: this.#sends.mayHaveRun,
       decide: (verdict) => this.#onVerdict(verdict),
     });
     this.#hold = candidate.hold;
@@ -158,10 +155,10 @@
     if (verdict.kind === "place") return this.#send(verdict.upstream);
     const { outlook, reason } = verdict;
     if (this.#options.answer.hasStarted) {
-      return this.#cut(reason, { excluded: this.#excluded.size });
+      return this.#cut(reason, { excluded: this.#sends.excluded.size });
     }
     this.#refuse(
-      this.#mayHaveRun
+      this.#sends.mayHaveRun
         ? { status: 502, reason: "upstream-lost" }
         : this.#comeBack(reason, outlook),
       {
@@ -181,11 +178,8 @@
   #send(upstream: Upstream): void {
     const { parts, admitted, request } = this.#options;
     const now = this.#now();
-    if (this.#sends === 0) {
-      this.#times.notePlace(now);
-      parts.retries.countFirst(admitted.service, now);
-    }
-    this.#sends++;
+    if (this.#sends.count === 0) this.#times.notePlace(now);
+    this.#sends.noteSend(now);
     this.#attempt = new Attempt(planAttempt({
       parts,
       admitted,
@@ -193,13 +187,12 @@
       upstream,
       now,
       lastEvent: this.#lastEvent,
-      canRepeat: this.#mayBeSentAgain() &&
-        this.#sends < admitted.route.maximumAttempts,
-      hasOther: () => this.#hasOther(upstream.upstream),
+      canRepeat: this.#sends.mayFollow(this.#options.answer.hasStarted),
+      hasOther: () => this.#sends.hasOther(upstream.upstream),
       listener: this,
     }));
     this.#beginReading(upstream.upstream);
-    this.#log(this.#sends === 1 ? "request_sent" : "request_sent_again", {
+    this.#log(this.#sends.count === 1 ? "request_sent" : "request_sent_again", {
       upstream: upstream.upstream,
       waited: Math.round(this.#times.waited),
       promptTokens: admitted.says.tokens?.prompt,
@@ -209,25 +202,13 @@
       target: admitted.route.target,
       pauseTarget: admitted.route.pauseTarget,
       hold: Math.round(this.#hold),
-      sends: this.#sends,
+      sends: this.#sends.count,
       inFlight: parts.scheduler.load.total(upstream.upstream),
       slots: upstream.slots,
     });
     this.#attempt.start();
   }
 
-  /** Whether an attempt that ends now could go on at another upstream. */
-  #hasOther(upstream: UpstreamId): boolean {
-    const { parts, admitted: { service } } = this.#options;
-    const now = this.#now();
-    const isOpen = parts.scheduler.hasOther(service, {
-      excluded: new Set([...this.#excluded, upstream]),
-      now,
-    });
-    return isOpen &&
-      parts.retries.hasFurther(service, { hosts: parts.hostCount(), now });
-  }
-
   #beginReading(upstream: UpstreamId): void {
     const { parts, admitted } = this.#options;
     this.#readingAt = upstream;
@@ -255,47 +236,24 @@
 
   /** An attempt did not end whole: try again where that is allowed, or say how it ended. */
   #recover(attempt: Attempt, end: AttemptEnd): void {
-    const { parts, admitted } = this.#options;
+    const { parts, request, answer } = this.#options;
     const { outcome, detail } = end;
     const { upstream } = attempt.upstream;
-    this.#excluded.add(upstream);
-    if (outcome === "unreachable") {
-      this.#sends--;
-      this.#unreachable++;
-      if (this.#unreachable < MAXIMUM_UNREACHABLE) return this.#seekPlace();
-      return this.#giveUp(end, { upstream, reason: "unreachable-upstream" });
-    }
-    const hasNotRun = outcome === "not-run" || outcome === "replaced";
-    if (!hasNotRun) this.#mayHaveRun = true;
-    const isAllowed = (hasNotRun || this.#mayBeSentAgain()) &&
-      this.#sends < admitted.route.maximumAttempts &&
-      !parts.crashes.isConvicted(
-        this.#options.request.fingerprint,
-        this.#now(),
-      ) &&
-      parts.retries.takeFurther(admitted.service, {
-        hosts: parts.hostCount(),
-        now: this.#now(),
-      });
-    if (!isAllowed) {
-      const reason = hasNotRun ? "not-run-upstream" : "upstream-lost";
-      return this.#giveUp(end, { upstream, reason });
-    }
-    this.#log("request_failed", {
-      upstream,
+    const isAgain = this.#sends.takeNext(upstream, {
       outcome,
-      detail,
-      next: "again",
+      hasStarted: answer.hasStarted,
+      isConvicted: parts.crashes.isConvicted(request.fingerprint, this.#now()),
     });
+    if (!isAgain) return this.#giveUp(end, upstream);
+    if (outcome !== "unreachable") {
+      this.#log("request_failed", { upstream, outcome, detail, next: "again" });
+    }
     this.#seekPlace();
   }
 
   #giveUp(
     { outcome, detail, answer: held }: AttemptEnd,
-    { upstream, reason }: {
-      upstream: UpstreamId;
-      reason: "not-run-upstream" | "unreachable-upstream" | "upstream-lost";
-    },
+    upstream: UpstreamId,
   ): void {
     const { answer } = this.#options;
     this.#log("request_failed", { upstream, outcome, detail, next: "give-up" });
@@ -305,9 +263,9 @@
       return this.#end(`status-${held.status}`);
     }
     this.#refuse(
-      this.#mayHaveRun
-        ? { status: 502, reason }
-        : { status: 503, reason, retryAfter: this.#soon() },
+      this.#sends.mayHaveRun
+        ? { status: 502, reason: lossOf(outcome) }
+        : { status: 503, reason: lossOf(outcome), retryAfter: this.#soon() },
     );
   }
 
@@ -315,17 +273,10 @@
     if (this.#isOver) return;
     this.#stopWork("deadline");
     if (this.#options.answer.hasStarted) return this.#cut("deadline");
-    const status = this.#mayHaveRun ? 504 : 503;
+    const status = this.#sends.mayHaveRun ? 504 : 503;
     this.#refuse({ status, reason: "deadline" });
   }
 
-  /** Whether a request that may have run can be sent to another upstream. */
-  #mayBeSentAgain(): boolean {
-    const { repeatability } = this.#options.admitted.route;
-    if (repeatability === "at-most-once") return false;
-    return repeatability === "resumable" || !this.#options.answer.hasStarted;
-  }
-
   #comeBack(reason: Refusal["reason"], { wait }: Outlook): Refusal {
     const { parts, admitted } = this.#options;
     const timeLeft = admitted.deadline - this.#now();
@@ -356,7 +307,7 @@
     this.#log("request_cut", {
       detail,
       lastEvent: this.#lastEvent,
-      sends: this.#sends,
+      sends: this.#sends.count,
       ...inputs,
     });
     this.#options.answer.cut();
@@ -369,7 +320,7 @@
     const attempt = this.#attempt;
     if (attempt === undefined) return;
     this.#isStopped = true;
-    this.#mayHaveRun ||= attempt.wasSent;
+    if (attempt.wasSent) this.#sends.noteMayHaveRun();
     attempt.abort("cancelled", detail);
   }
 
@@ -390,7 +341,9 @@
     if (ending !== "caller-left") {
       this.#log("request_ended", { ending, ...this.#times.values(now) });
     }
-    done({ hasRun: this.#mayHaveRun || this.#times.firstByte !== undefined });
+    done({
+      hasRun: this.#sends.mayHaveRun || this.#times.firstByte !== undefined,
+    });
   }
 
   #log(event: LogEvent, values: LogValues): void {
@@ -421,3 +374,9 @@
 function isPassable(status: number): boolean {
   return status !== 408 && status !== 429 && status !== 503;
 }
+
+/** What is said of a request that its upstream did not answer whole. */
+function lossOf(outcome: UpstreamOutcome): Refusal["reason"] {
+  if (outcome === "unreachable") return "unreachable-upstream";
+  return isNotRun(outcome) ? "not-run-upstream" : "upstream-lost";
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,16 +25,13 @@
 import { FleetTalk } from "./fleetTalk.ts";
 import { GatewayMetrics } from "./gatewayMetrics.ts";
 import type { GatewayParts } from "./gatewayParts.ts";
-import type { Belief, Shown } from "./operatorPort.ts";
-import {
-  askBelief,
-  type OperatorAddresses,
-  OperatorPorts,
-} from "./operatorPorts.ts";
+import type { Shown } from "./operatorPort.ts";
+import { type OperatorAddresses, OperatorPorts } from "./operatorPorts.ts";
 import type { ListenError } from "./listenError.ts";
 import { PeerBook, type PeerChange } from "./peerBook.ts";
 import { type ChannelError, PeerChannel } from "./peerChannel.ts";
 import { PolicyState } from "./policyState.ts";
+import { StoreSharing } from "./storeSharing.ts";
 import { UpstreamConnections } from "./upstreamConnections.ts";
 import { UpstreamNews } from "./upstreamNews.ts";
 
@@ -47,16 +44,6 @@
 const UNREADY_SHARE = 0.35;
 /** Time before the platform's kill by which the process ends by itself. */
 const STOP_MARGIN_MS: Milliseconds = 600;
-/** Hosts that read the store for all; with one of them lost there are two still. */
-const STORE_READERS = 3;
-/**
- * A host whose readers' proofs are older than this reads itself: they may be cut off
- * from the store all together. Half of the time within which a published policy must
- * be in force is left for that.
- */
-const STALE_PROOF_SHARE = 0.5;
-/** A host that cannot read the store asks a peer so often what it holds. */
-const PEER_ASK_MS: Milliseconds = 1_000;
 const STOP_CHECK_MS: Milliseconds = 50;
 const FALLBACK_CONNECTIONS = 64;
 
@@ -93,6 +80,8 @@
   readonly parts: GatewayParts;
   /** What is known of upstreams; whoever reads the platform hands it in here. */
   readonly upstreams: UpstreamNews;
+  /** Who reads the store, and what the others hear of it. */
+  readonly sharing: StoreSharing;
   readonly #options: GatewayOptions;
   readonly #front: CallerFront;
   readonly #talk: FleetTalk;
@@ -101,15 +90,7 @@
   readonly #operatorPorts: OperatorPorts;
   readonly #timers: TimerSubscription[] = [];
   #stopsAt: Milliseconds = Infinity;
-  #isReading = false;
-  /** It does not read because enough peers do. */
-  #isResting = false;
-  /** The last try to read the store failed, or there was none yet. */
-  #isStoreLost = true;
-  #listRevision = 0;
-  #isAskingPeer = false;
   #workMark = "";
-  #askedPeerAt: Milliseconds = -Infinity;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
@@ -131,13 +112,20 @@
       incarnation: options.incarnation,
       address: options.addresses.peers,
       send: (word, targets) => this.#channel.send(word, targets),
-      onNewerBelief: (peer) => void this.#askPeer(peer),
-      listRevision: () => this.#listRevision,
-      isReading: () => this.#isReading,
+      onNewerBelief: (peer) => void this.sharing.askPeer(peer),
+      listRevision: () => this.sharing.listRevision,
+      isReading: () => this.sharing.isReading,
     });
     this.upstreams = new UpstreamNews(this.parts, {
       tellLeft: (upstream) => this.#talk.tellLeft(upstream),
     });
+    this.sharing = new StoreSharing({
+      parts: this.parts,
+      book: this.#book,
+      upstreams: this.upstreams,
+      applyBound: options.freshness.applyBound,
+      takePolicy: (bytes, provenAt) => this.takePolicy(bytes, provenAt),
+    });
   }
 
   /** Whether callers may be sent here. */
@@ -147,40 +135,6 @@
       directory.size > 0 && policies.freshness.mayTrustKeys(elapsed.now());
   }
 
-  /**
-   * Whether this host should read the store. A few hosts read for all: each call is
-   * paid for, and with every host watching their number grows with the hosts.
-   */
-  get shouldRead(): boolean {
-    const { policies, elapsed, timer } = this.parts;
-    if (policies.index === undefined || this.#listRevision === 0) return true;
-    const { applyBound } = this.#options.freshness;
-    const isStale = policies.freshness.age(elapsed.now()) >
-      STALE_PROOF_SHARE * applyBound;
-    return isStale || this.#book.readersAhead(timer.now()) < STORE_READERS;
-  }
-
-  /** Revision of the store up to which all upstreams are known. */
-  get listRevision(): number {
-    return this.#listRevision;
-  }
-
-  /** All upstreams are known up to this revision of the store. */
-  noteListRevision(revision: number): void {
-    this.#listRevision = Math.max(this.#listRevision, revision);
-  }
-
-  /** Enough peers read the store; this host lives on what they tell. */
-  rest(): void {
-    this.#isReading = false;
-    this.#isResting = true;
-  }
-
-  /** Peers that read the store themselves and pass on that nothing changed. */
-  get readingPeers(): number {
-    return this.#book.readingCount;
-  }
-
   async start(): Promise<Result<void, ListenError | ChannelError>> {
     const { addresses, timer } = this.#options;
     const opened = await this.#channel.open(addresses.peers);
@@ -214,17 +168,6 @@
     this.parts.policies.freshness.prove(provenAt);
   }
 
-  /** Whether the store can be read, for the peers and the log. */
-  setReading(isReading: boolean, detail: string): void {
-    this.#isReading = isReading;
-    this.#isResting = false;
-    if (isReading !== this.#isStoreLost) return;
-    this.#isStoreLost = !isReading;
-    this.parts.log.write(isReading ? "store_regained" : "store_lost", {
-      detail,
-    });
-  }
-
   setSeeds(seeds: readonly string[]): void {
     this.#book.setSeeds(seeds);
     this.parts.log.write("settings_reloaded", { seeds: seeds.join(",") });
@@ -315,7 +258,7 @@
           proofAge: policies.freshness.age(elapsed.now()),
           upstreams: directory.all(),
           kept: directory.kept(this.parts.timer.now()),
-          listRevision: this.#listRevision,
+          listRevision: this.sharing.listRevision,
         },
     };
   }
@@ -345,12 +288,7 @@
     const now = timer.now();
     this.upstreams.expire();
     if (scheduler.load.expire(now)) scheduler.review(now);
-    const isAlone = !this.#isReading && !this.#isResting;
-    if (isAlone && now - this.#askedPeerAt >= PEER_ASK_MS) {
-      this.#askedPeerAt = now;
-      const peer = this.#book.pick(this.parts.random);
-      if (peer !== undefined) void this.#askPeer(peer);
-    }
+    this.sharing.tick(now);
   }
 
   #onPeerChange(change: PeerChange | undefined): void {
@@ -361,36 +299,6 @@
     );
   }
 
-  /** Learns from a peer what the store would say; only needed where the store is late or away. */
-  async #askPeer(peer: HostId): Promise<void> {
-    const address = this.#book.addressOf(peer);
-    if (this.#isAskingPeer || address === undefined) return;
-    this.#isAskingPeer = true;
-    const { elapsed, log } = this.parts;
-    const askedAt = elapsed.now();
-    const fetched = await askBelief(address);
-    this.#isAskingPeer = false;
-    fetched.match(
-      (belief) => this.#takeBelief(belief, askedAt),
-      ({ detail }) => log.write("policy_rejected", { peer, detail }),
-    );
-  }
-
-  #takeBelief(
-    { policy, proofAge, upstreams, kept, listRevision }: Belief,
-    askedAt: Milliseconds,
-  ): void {
-    this.takePolicy(policy, askedAt - proofAge);
-    if (this.#isReading) return;
-    if (listRevision <= this.#listRevision) {
-      return this.upstreams.takeFromPeer(upstreams);
-    }
-    this.upstreams.takeAll(upstreams);
-    const now = this.parts.timer.now();
-    for (const { name, left } of kept) this.upstreams.drop(name, now + left);
-    this.noteListRevision(listRevision);
-  }
-
   #sleep(span: Milliseconds): Promise<void> {
     return new Promise((resolve) => {
       this.parts.timer.after(span, resolve);
--- /dev/null
+++ b/packages/gateway/src/storeSharing.ts
@@ -0,0 +1,137 @@
+import type { HostId, Milliseconds } from "@wasabivane/common";
+import type { GatewayParts } from "./gatewayParts.ts";
+import type { Belief } from "./operatorPort.ts";
+import { askBelief } from "./operatorPorts.ts";
+import type { PeerBook } from "./peerBook.ts";
+import type { UpstreamNews } from "./upstreamNews.ts";
+
+/** Hosts that read the store for all; with one of them lost there are two still. */
+const STORE_READERS = 3;
+/**
+ * A host whose readers' proofs are older than this reads itself: they may be cut off
+ * from the store all together. Half of the time within which a published policy must
+ * be in force is left for that.
+ */
+const STALE_PROOF_SHARE = 0.5;
+/** A host that cannot read the store asks a peer so often what it holds. */
+const PEER_ASK_MS: Milliseconds = 1_000;
+
+/** What a {@link StoreSharing} needs. */
+export interface StoreSharingOptions {
+  readonly parts: GatewayParts;
+  readonly book: PeerBook;
+  readonly upstreams: UpstreamNews;
+  /** Within this time of being published, a policy must be in force. */
+  readonly applyBound: Milliseconds;
+  /** Takes a policy in that was the newest at a moment of the elapsed clock. */
+  readonly takePolicy: (bytes: Uint8Array, provenAt: Milliseconds) => void;
+}
+
+/**
+ * Few hosts read the store, all hear of it: who reads, and what the others fetch.
+ *
+ * Answers the load of a fleet on the store: each call is paid for, and with every
+ * host watching, their number grows with the hosts. Whoever rests fetches from the
+ * peer that tells of something newer. Any number of readers may be killed or cut off
+ * at once; the others see it by silence, or by proofs that grow old, and read.
+ */
+export class StoreSharing {
+  readonly #options: StoreSharingOptions;
+  #isReading = false;
+  /** It does not read because enough peers do. */
+  #isResting = false;
+  /** The last try to read the store failed, or there was none yet. */
+  #isStoreLost = true;
+  #listRevision = 0;
+  #isAskingPeer = false;
+  #askedPeerAt: Milliseconds = -Infinity;
+
+  constructor(options: StoreSharingOptions) {
+    this.#options = options;
+  }
+
+  /** Whether this host reads the store with success. */
+  get isReading(): boolean {
+    return this.#isReading;
+  }
+
+  /** Whether this host should read the store. */
+  get shouldRead(): boolean {
+    const { book, applyBound, parts } = this.#options;
+    const { policies, elapsed, timer } = parts;
+    if (policies.index === undefined || this.#listRevision === 0) return true;
+    const proofAge = policies.freshness.age(elapsed.now());
+    return proofAge > STALE_PROOF_SHARE * applyBound ||
+      book.readersAhead(timer.now()) < STORE_READERS;
+  }
+
+  /** Peers that read the store themselves and pass on that nothing changed. */
+  get readingPeers(): number {
+    return this.#options.book.readingCount;
+  }
+
+  /** Revision of the store up to which all upstreams are known; 0 when they are not. */
+  get listRevision(): number {
+    return this.#listRevision;
+  }
+
+  /** All upstreams are known up to this revision of the store. */
+  noteListRevision(revision: number): void {
+    this.#listRevision = Math.max(this.#listRevision, revision);
+  }
+
+  /** Whether the store can be read, for the peers and the log. */
+  setReading(isReading: boolean, detail: string): void {
+    this.#isReading = isReading;
+    this.#isResting = false;
+    if (isReading !== this.#isStoreLost) return;
+    this.#isStoreLost = !isReading;
+    const event = isReading ? "store_regained" : "store_lost";
+    this.#options.parts.log.write(event, { detail });
+  }
+
+  /** Enough peers read the store; this host lives on what they tell. */
+  rest(): void {
+    this.#isReading = false;
+    this.#isResting = true;
+  }
+
+  /** A host that neither reads nor may rest asks a peer now and then. */
+  tick(now: Milliseconds): void {
+    if (this.#isReading || this.#isResting) return;
+    if (now - this.#askedPeerAt < PEER_ASK_MS) return;
+    this.#askedPeerAt = now;
+    const { book, parts } = this.#options;
+    const peer = book.pick(parts.random);
+    if (peer !== undefined) void this.askPeer(peer);
+  }
+
+  /** Learns from a peer what the store would say. */
+  async askPeer(peer: HostId): Promise<void> {
+    const { book, parts } = this.#options;
+    const address = book.addressOf(peer);
+    if (this.#isAskingPeer || address === undefined) return;
+    this.#isAskingPeer = true;
+    const askedAt = parts.elapsed.now();
+    const fetched = await askBelief(address);
+    this.#isAskingPeer = false;
+    fetched.match(
+      (belief) => this.#takeBelief(belief, askedAt),
+      ({ detail }) => parts.log.write("policy_rejected", { peer, detail }),
+    );
+  }
+
+  #takeBelief(
+    { policy, proofAge, upstreams, kept, listRevision }: Belief,
+    askedAt: Milliseconds,
+  ): void {
+    const { takePolicy, upstreams: news, parts } = this.#options;
+    takePolicy(policy, askedAt - proofAge);
+    if (this.#isReading) return;
+    if (listRevision <= this.#listRevision) return news.takeFromPeer(upstreams);
+    news.takeAll(upstreams);
+    const now = parts.timer.now();
+    for (const { name, left } of kept) news.drop(name, now + left);
+    this.noteListRevision(listRevision);
+  }
+}
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -222,7 +222,7 @@
       for (const upstream of upstreams) upstream.close();
     },
   };
-  gateway.setReading(isReading, "start");
+  gateway.sharing.setReading(isReading, "start");
   if (!isReading) return result;
   const policy = buildPolicy({ routes: [buildRoute(route)] });
   const now = gateway.parts.elapsed.now();
