Part the shares of free places from the scheduler

How hosts share free places stands in placeShares.ts, with its load pattern; no change of behaviour, the tests of the package pass.

--- a/packages/admission/src/hostScheduler.ts
+++ b/packages/admission/src/hostScheduler.ts
@@ -10,6 +10,7 @@
 import { FirstEventModel } from "./firstEventModel.ts";
 import { FleetLoad, type WaitingCount } from "./fleetLoad.ts";
 import { Placement, type Wish } from "./placement.ts";
+import { NO_PLACES, type PlaceShare, PlaceShares } from "./placeShares.ts";
 import { PromptPlaces } from "./promptPlaces.ts";
 import type { Upstream, UpstreamOutcome } from "./types.ts";
 import type { UpstreamDirectory } from "./upstreamDirectory.ts";
@@ -17,7 +18,6 @@
 import { UpstreamHealth } from "./upstreamHealth.ts";
 import { UpstreamPauses } from "./upstreamPauses.ts";
 import { UpstreamSpeed } from "./upstreamSpeed.ts";
-import type { Urgency } from "./urgency.ts";
 import {
   type Outlook,
   urgencyAt,
@@ -25,8 +25,6 @@
   WaitingLine,
 } from "./waitingLine.ts";
 
-/** Time for which a place is left to a peer whose waiting request is more urgent. */
-const YIELD_MS: Milliseconds = 60;
 /** Share of all places that must be free for a service to count as idle. */
 const IDLE_SHARE = 0.25;
 /** Time between hosts' words; work that starts and ends within it is not seen. */
@@ -71,7 +69,7 @@
   residence: Milliseconds;
   /** Upstreams where ended requests of this host left places that are its to fill. */
   readonly ownFreed: Map<UpstreamId, number>;
-  yieldingSince: Milliseconds | undefined;
+  readonly shares: PlaceShares;
 }
 
 /**
@@ -264,7 +262,6 @@
     }
   }
 
-  /** How many free places this host may fill: its own, and of those that all see. */
   #shareOf(
     state: ServiceLine,
     { service, upstreams, now }: {
@@ -272,37 +269,19 @@
       upstreams: readonly Upstream[];
       now: Milliseconds;
     },
-  ): { left: number; own: number; common: number } {
+  ): PlaceShare {
     const first = state.line.mostUrgent(now);
-    const free = this.#placement.freePlaces(upstreams, now);
-    const nothing = { left: 0, own: 0, common: 0 };
-    if (free <= 0) state.yieldingSince = undefined;
-    if (first === undefined || free <= 0) return nothing;
-    const passing = Math.min(free, state.line.passing(now).length);
-    const elsewhere = this.load.waitingElsewhere(service, now);
-    const urgency = urgencyAt(first, now);
-    const left = free - sumOf(elsewhere, (other) => other < urgency);
-    if (left <= 0) {
-      return { ...nothing, common: passing || this.#yield(state, now) };
-    }
-    state.yieldingSince = undefined;
-    const equal = sumOf(elsewhere, (other) => other === urgency);
-    if (equal === 0) return { left, own: 0, common: left };
-    let own = 0;
-    for (const count of state.ownFreed.values()) own += count;
-    const open = Math.max(0, left - own);
-    const fair = open * state.line.size / (state.line.size + equal);
-    const whole = Math.floor(fair);
-    const common = whole + (this.#random.float() < fair - whole ? 1 : 0);
-    return { left, own, common: Math.max(passing, common) };
-  }
-
-  /** A peer that is asked to fill a place and does not must not keep it idle. */
-  #yield(state: ServiceLine, now: Milliseconds): number {
-    state.yieldingSince ??= now;
-    if (now - state.yieldingSince < YIELD_MS) return 0;
-    state.yieldingSince = undefined;
-    return 1;
+    if (first === undefined) return NO_PLACES;
+    let ownFreed = 0;
+    for (const count of state.ownFreed.values()) ownFreed += count;
+    return state.shares.of({
+      free: this.#placement.freePlaces(upstreams, now),
+      waiting: state.line.size,
+      urgency: urgencyAt(first, now),
+      passing: state.line.passing(now).length,
+      elsewhere: this.load.waitingElsewhere(service, now),
+      ownFreed,
+    }, now);
   }
 
   #hasNoOther({ service, excluded }: Candidate): boolean {
@@ -329,7 +308,7 @@
         line: new WaitingLine(),
         residence: FIRST_RESIDENCE_MS,
         ownFreed: new Map(),
-        yieldingSince: undefined,
+        shares: new PlaceShares(this.#random),
       };
       this.#services.set(service, state);
     }
@@ -345,14 +324,3 @@
   const outlook = line.outlook(candidate, now);
   candidate.decide({ kind: "refuse", reason, outlook });
 }
-
-function sumOf(
-  waiting: readonly { urgency: Urgency; count: number }[],
-  matches: (urgency: Urgency) => boolean,
-): number {
-  let sum = 0;
-  for (const { urgency, count } of waiting) {
-    if (matches(urgency)) sum += count;
-  }
-  return sum;
-}
