Order equals by due time again, as short ones first starve the longest

In the order by worth of a place the longest answers of a tier waited until they were of no use.

Change: within a tier goes first what is begun, then the earliest due of those on time, then the late by arrival, as before; classes of length leave the hosts' words. The room for short work of lower tiers stays.

--- a/packages/admission/src/hostScheduler.ts
+++ b/packages/admission/src/hostScheduler.ts
@@ -165,10 +165,10 @@
   }
 
   /** What waits here, for the peers. */
-  waiting(now: Milliseconds): WaitingCount[] {
+  waiting(): WaitingCount[] {
     const counts: WaitingCount[] = [];
     for (const [service, { line }] of this.#services) {
-      for (const [urgency, count] of line.counts(now)) {
+      for (const [urgency, count] of line.counts()) {
         counts.push({ service, urgency, count });
       }
     }
@@ -277,7 +277,7 @@
     return state.shares.of({
       free: this.#placement.freePlaces(upstreams, now),
       waiting: state.line.size,
-      urgency: urgencyAt(first, now),
+      urgency: urgencyAt(first),
       passing: state.line.passing(now).length,
       elsewhere: this.load.waitingElsewhere(service, now),
       ownFreed,
--- a/packages/admission/src/waitingLine.ts
+++ b/packages/admission/src/waitingLine.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds, RequestId, Tier } from "@wasabivane/common";
 import { ShortRoom } from "./shortRoom.ts";
-import { type Urgency, urgencyOf, worthOfPlace } from "./urgency.ts";
+import { type Urgency, urgencyOf } from "./urgency.ts";
 import { type Rank, StartRates } from "./startRates.ts";
 
 /** How often the pace of a line is held against its late requests; it changes slowly. */
@@ -39,18 +39,18 @@
 
 /**
  * Orders the requests that wait for one service: the most urgent tier first; within
- * it those that go on with begun work; then by what a place is worth to them, which
- * is less for a late one, for the time that they will hold it. Short work of lower
+ * it those that go on with begun work; then those that can still be on time, earliest
+ * due first; then those that are late anyway, in order of arrival. Short work of lower
  * tiers has a bounded room of its own, see {@link ShortRoom}.
  *
- * Answers the load pattern of a burst above capacity, with answers that differ a
- * hundredfold in length. First come, first served would make every request late in
- * turn, and one long answer hold the place of many short ones. Places then go to
- * those that can still be on time and leave soon; the long and the late are served
- * from what is left. What will not start while it is of use is told so as soon as
- * the pace of the line shows it, so that its caller can come back instead of waiting
- * in vain. Begun work is never told so: most of it is done, and what was passed on
- * would break off.
+ * Answers the load pattern of a burst above capacity. First come, first served
+ * would make every request late in turn; serving those that can still be on
+ * time keeps most of a burst on time and the rest late, but served. The length of an
+ * answer does not count among equals: with short ones first, the longest starve in
+ * lasting overload. What will not start while it is of use is told so as soon as the
+ * pace of the line shows it, so that its caller can come back instead of waiting in
+ * vain. Begun work is never told so: most of it is done, and what was passed on would
+ * break off.
  */
 export class WaitingLine<Item extends Waiter> {
   readonly #items: Item[] = [];
@@ -154,10 +154,10 @@
   }
 
   /** Counts by urgency, for the peers. */
-  counts(now: Milliseconds): ReadonlyMap<Urgency, number> {
+  counts(): ReadonlyMap<Urgency, number> {
     const counts = new Map<Urgency, number>();
     for (const item of this.#items) {
-      const urgency = urgencyAt(item, now);
+      const urgency = urgencyAt(item);
       counts.set(urgency, (counts.get(urgency) ?? 0) + 1);
     }
     return counts;
@@ -170,7 +170,7 @@
       if (other.request === item.request || rankOf(other, now) !== rank) {
         continue;
       }
-      if (worthAt(other, now) >= worthAt(item, now)) ahead++;
+      if (compare(other, item, now) <= 0) ahead++;
     }
     return {
       ahead,
@@ -199,23 +199,14 @@
 }
 
 function compare(left: Waiter, right: Waiter, now: Milliseconds): number {
-  return left.tier - right.tier ||
-    Number(isBegun(right)) - Number(isBegun(left)) ||
-    worthAt(right, now) - worthAt(left, now) ||
-    left.since - right.since;
+  const rank = rankOf(left, now) - rankOf(right, now);
+  if (rank !== 0) return rank;
+  return isLate(left, now) || isBegun(left)
+    ? left.since - right.since
+    : left.onTimeUntil - right.onTimeUntil;
 }
 
-function worthAt(item: Waiter, now: Milliseconds): number {
-  return worthOfPlace({ hold: item.hold, isLate: isLate(item, now) });
-}
-
-/** How urgent a request is at a moment; it falls when it becomes late. */
-export function urgencyAt(item: Waiter, now: Milliseconds): Urgency {
-  const { tier, hold } = item;
-  return urgencyOf({
-    tier,
-    hold,
-    isLate: isLate(item, now),
-    isBegun: isBegun(item),
-  });
+/** How urgent a request is among those of all hosts. */
+export function urgencyAt(item: Waiter): Urgency {
+  return urgencyOf({ tier: item.tier, isBegun: isBegun(item) });
 }
--- a/packages/gateway/src/fleetTalk.ts
+++ b/packages/gateway/src/fleetTalk.ts
@@ -214,7 +214,7 @@
       inFlight: [...scheduler.load.ownInFlight()].map((
         [upstream, { requests, unreadTokens }],
       ) => [upstream, requests, unreadTokens]),
-      waiting: scheduler.waiting(now).map(({ service, urgency, count }) => [
+      waiting: scheduler.waiting().map(({ service, urgency, count }) => [
         service,
         urgency,
         count,
