Hear of upstreams that left by more than one fetch from one peer

Cause: a resting host learns of a removal by one fetch from the peer that told of the newer list. One fetch at a time, 800 ms each, kept it from asking another while the first peer was stopped; a fetch that came back with an older list brought upstreams back that had left since, and nothing took them away again; a host whose own watch hung ignored its peers; and a proof of freshness was taken for the policy alone, so that an old list never looked old.

--- a/packages/gateway/src/fleetTalk.ts
+++ b/packages/gateway/src/fleetTalk.ts
@@ -40,8 +40,10 @@
   /** `ip:port` of this host's datagram port. */
   readonly address: string;
   readonly send: (word: PeerWord, targets: readonly string[]) => void;
-  /** A peer has a newer policy, or a newer list of upstreams. */
-  readonly onNewerBelief: (peer: HostId) => void;
+  /** A peer has a newer policy. */
+  readonly onNewerPolicy: (peer: HostId) => void;
+  /** A peer tells up to which revision of the store it knows all upstreams. */
+  readonly onListRevision: (peer: HostId, listRevision: number) => void;
   /** Revision of the store up to which this host knows all upstreams. */
   readonly listRevision: () => number;
   /** Whether this host reads the store with success. */
@@ -156,17 +158,22 @@
     }
   }
 
+  /**
+   * A proof says that the peer's policy and list were the newest. It serves only a
+   * host that holds both: with a policy of today and a list of yesterday, a host
+   * would never notice that it goes on sending to an upstream that has left.
+   */
   #hearPolicy(
     { host, policyVersion, listRevision, proofAge }: PeerWord,
   ): void {
     const { policies, elapsed } = this.#options.parts;
-    // A host that reads hears of upstreams by its own watch, at about the same time.
-    const { listRevision: known, isReading } = this.#options;
-    const hasNewer = policyVersion > policies.version ||
-      (listRevision > known() && !isReading());
-    if (hasNewer) this.#options.onNewerBelief(host);
-    if (policyVersion > policies.version) return;
-    if (policyVersion === policies.version && proofAge !== undefined) {
+    const { onNewerPolicy, onListRevision, listRevision: known } =
+      this.#options;
+    if (policyVersion > policies.version) onNewerPolicy(host);
+    onListRevision(host, listRevision);
+    const isSame = policyVersion === policies.version &&
+      listRevision === known();
+    if (isSame && proofAge !== undefined) {
       policies.freshness.prove(elapsed.now() - proofAge - TRANSIT_MS);
     }
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -112,7 +112,12 @@
       incarnation: options.incarnation,
       address: options.addresses.peers,
       send: (word, targets) => this.#channel.send(word, targets),
-      onNewerBelief: (peer) => void this.sharing.askPeer(peer),
+      onNewerPolicy: (peer) => void this.sharing.askPeer(peer),
+      onListRevision: (peer, listRevision) =>
+        this.sharing.hearOf(peer, {
+          listRevision,
+          now: options.timer.now(),
+        }),
       listRevision: () => this.sharing.listRevision,
       isReading: () => this.sharing.isReading,
     });
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -19,4 +19,6 @@
 export { splitAddress } from "./peerChannel.ts";
 export { decodeWord, encodeWord, type PeerWord } from "./peerWord.ts";
 export { PolicyState } from "./policyState.ts";
+export type { Belief, FetchError } from "./operatorPort.ts";
+export { StoreSharing, type StoreSharingOptions } from "./storeSharing.ts";
 export { StandardOutput } from "./standardOutput.ts";
--- a/packages/gateway/src/operatorPort.ts
+++ b/packages/gateway/src/operatorPort.ts
@@ -13,7 +13,8 @@
 
 /** Path under which hosts give each other what they believe. */
 const BELIEF_PATH = "/belief";
-const FETCH_TIMEOUT_MS: Milliseconds = 800;
+/** A peer answers within milliseconds; one that does not is stopped or cut off. */
+const FETCH_TIMEOUT_MS: Milliseconds = 400;
 
 /** What a host holds for true, for a peer that cannot read the store. */
 export interface Belief {
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -1,6 +1,7 @@
 import type { HostId, Milliseconds } from "@wasabivane/common";
+import type { Result } from "neverthrow";
 import type { GatewayParts } from "./gatewayParts.ts";
-import type { Belief } from "./operatorPort.ts";
+import type { Belief, FetchError } from "./operatorPort.ts";
 import { askBelief } from "./operatorPorts.ts";
 import type { PeerBook } from "./peerBook.ts";
 import type { UpstreamNews } from "./upstreamNews.ts";
@@ -15,6 +16,14 @@
 const STALE_PROOF_SHARE = 0.5;
 /** A host that cannot read the store asks a peer so often what it holds. */
 const PEER_ASK_MS: Milliseconds = 1_000;
+/**
+ * A reading host hears of a change by its own watch at about the same time as its
+ * peers. One that has not after this time may watch over a connection that went
+ * silent, and takes a peer's word.
+ */
+const OWN_WATCH_MS: Milliseconds = 300;
+/** Peers asked at once: with one of them hung or killed, the other still answers. */
+const FETCHES_AT_ONCE = 2;
 
 /** What a {@link StoreSharing} needs. */
 export interface StoreSharingOptions {
@@ -25,6 +34,8 @@
   readonly applyBound: Milliseconds;
   /** Takes a policy in that was the newest at a moment of the elapsed clock. */
   readonly takePolicy: (bytes: Uint8Array, provenAt: Milliseconds) => void;
+  /** Fetches what the peer at `ip:port` believes. */
+  readonly ask?: (address: string) => Promise<Result<Belief, FetchError>>;
 }
 
 /**
@@ -43,7 +54,9 @@
   /** The last try to read the store failed, or there was none yet. */
   #isStoreLost = true;
   #listRevision = 0;
-  #isAskingPeer = false;
+  /** Since when peers tell of a newer list than this host knows. */
+  #isBehindSince: Milliseconds | undefined;
+  readonly #asked = new Set<HostId>();
   #askedPeerAt: Milliseconds = -Infinity;
 
   constructor(options: StoreSharingOptions) {
@@ -77,7 +90,21 @@
 
   /** All upstreams are known up to this revision of the store. */
   noteListRevision(revision: number): void {
-    this.#listRevision = Math.max(this.#listRevision, revision);
+    if (revision <= this.#listRevision) return;
+    this.#listRevision = revision;
+    this.#isBehindSince = undefined;
+  }
+
+  /** A peer tells up to which revision it knows all upstreams. */
+  hearOf(
+    peer: HostId,
+    { listRevision, now }: { listRevision: number; now: Milliseconds },
+  ): void {
+    if (listRevision <= this.#listRevision) return;
+    this.#isBehindSince ??= now;
+    const isOwnWatchDue = this.#isReading &&
+      now - this.#isBehindSince < OWN_WATCH_MS;
+    if (!isOwnWatchDue) void this.askPeer(peer);
   }
 
   /** Whether the store can be read, for the peers and the log. */
@@ -108,30 +135,37 @@
 
   /** Learns from a peer what the store would say. */
   async askPeer(peer: HostId): Promise<void> {
-    const { book, parts } = this.#options;
+    const { book, parts, ask = askBelief } = this.#options;
     const address = book.addressOf(peer);
-    if (this.#isAskingPeer || address === undefined) return;
-    this.#isAskingPeer = true;
+    if (address === undefined || this.#asked.has(peer)) return;
+    if (this.#asked.size >= FETCHES_AT_ONCE) return;
+    this.#asked.add(peer);
     const askedAt = parts.elapsed.now();
-    const fetched = await askBelief(address);
-    this.#isAskingPeer = false;
+    const fetched = await ask(address);
+    this.#asked.delete(peer);
     fetched.match(
       (belief) => this.#takeBelief(belief, askedAt),
       ({ detail }) => parts.log.write("policy_rejected", { peer, detail }),
     );
   }
 
+  /**
+   * Takes in what a peer believed when it answered. A list that is not newer changes
+   * nothing: what it names besides has left since, and no later word would say so.
+   */
   #takeBelief(
     { policy, proofAge, upstreams, kept, listRevision }: Belief,
     askedAt: Milliseconds,
   ): void {
     const { takePolicy, upstreams: news, parts } = this.#options;
-    takePolicy(policy, askedAt - proofAge);
-    if (this.#isReading) return;
-    if (listRevision <= this.#listRevision) return news.takeFromPeer(upstreams);
-    news.takeAll(upstreams);
-    const now = parts.timer.now();
-    for (const { name, left } of kept) news.drop(name, now + left);
-    this.noteListRevision(listRevision);
+    if (listRevision > this.#listRevision) {
+      news.takeAll(upstreams);
+      const now = parts.timer.now();
+      for (const { name, left } of kept) news.drop(name, now + left);
+      this.noteListRevision(listRevision);
+    }
+    // The peer's proof speaks of its whole picture; it serves a host that holds it.
+    const isWhole = listRevision >= this.#listRevision;
+    takePolicy(policy, isWhole ? askedAt - proofAge : -Infinity);
   }
 }
--- a/packages/gateway/src/upstreamNews.ts
+++ b/packages/gateway/src/upstreamNews.ts
@@ -86,15 +86,6 @@
     scheduler.review(timer.now());
   }
 
-  /** Takes in upstreams that only a peer could hear of from the store. */
-  takeFromPeer(upstreams: readonly Upstream[]): void {
-    for (const upstream of upstreams) {
-      if (this.#parts.directory.get(upstream.upstream) === undefined) {
-        this.take(upstream);
-      }
-    }
-  }
-
   /** Ends the time for which entries were kept that did not come back. */
   expire(): void {
     const { directory, timer, scheduler } = this.#parts;
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -239,6 +239,8 @@
       isLeaving: false,
     });
   }
+  // A host that reads says up to which revision of the store it knows all upstreams.
+  gateway.sharing.noteListRevision(1);
   return result;
 }
 
