Never refuse for a learned time alone, with nobody ahead

Cause: a start was useful until arrival + 0.75 x patience - learned latency. After slow first answers that lay in the past for every request, so a host refused all of that kind with free places, and as refusals teach nothing it went on so. After a kill of all hosts 9 of 10 refusals "line-too-long" had nobody ahead (users' measurements). The line through the samples gave the first one the weight of fifty later ones.

Change: whatever answers took lately, a request is tried for a quarter of its caller's patience; with nobody ahead it is never refused as hopeless; the first fifty samples weigh alike.

--- a/packages/admission/src/lineFit.ts
+++ b/packages/admission/src/lineFit.ts
@@ -3,8 +3,13 @@
 /** Weight of the newest sample: about fifty are remembered, some seconds of one host's work. */
 const SAMPLE_WEIGHT = 0.02;
 
-/** A straight line of times over amounts of work, the newest samples weighing most. */
+/**
+ * A straight line of times over amounts of work, the newest samples weighing most.
+ * While there are few, all weigh alike: the first answers after a start are often
+ * slow, and one of them must not stand for the next fifty.
+ */
 export class LineFit {
+  #samples = 1;
   #meanAmount: number;
   #meanTime: Milliseconds;
   #variance = 0;
@@ -17,12 +22,13 @@
   }
 
   add(amount: number, time: Milliseconds): void {
+    const weight = Math.max(SAMPLE_WEIGHT, 1 / ++this.#samples);
     const amountOff = amount - this.#meanAmount;
     const timeOff = time - this.#meanTime;
-    this.#meanAmount += SAMPLE_WEIGHT * amountOff;
-    this.#meanTime += SAMPLE_WEIGHT * timeOff;
-    this.#variance = decayed(this.#variance, amountOff * amountOff);
-    this.#covariance = decayed(this.#covariance, amountOff * timeOff);
+    this.#meanAmount += weight * amountOff;
+    this.#meanTime += weight * timeOff;
+    this.#variance = blend(this.#variance, amountOff * amountOff, weight);
+    this.#covariance = blend(this.#covariance, amountOff * timeOff, weight);
   }
 
   /** Expected time of so much work. */
@@ -38,6 +44,7 @@
   }
 }
 
-function decayed(moment: number, sample: number): number {
-  return (1 - SAMPLE_WEIGHT) * (moment + SAMPLE_WEIGHT * sample);
+/** A moment of the samples with one more of the given weight. */
+function blend(moment: number, sample: number, weight: number): number {
+  return (1 - weight) * (moment + weight * sample);
 }
--- a/packages/admission/src/patience.ts
+++ b/packages/admission/src/patience.ts
@@ -10,6 +10,11 @@
 const GAP_PAUSES = 8;
 /** Part of the time that a caller waits in which a start still serves it. */
 const USEFUL_SHARE = 0.75;
+/**
+ * Part of the time that a caller waits in which its request is tried whatever answers
+ * took lately. What is refused teaches nothing, so a belief alone must never refuse.
+ */
+const TRYING_SHARE = 0.25;
 /** Callers come back at most after this part of the time that they have left. */
 const RETURN_SHARE = 0.3;
 const LEAST_RETURN_MS: Milliseconds = 150;
@@ -49,7 +54,8 @@
   const patience = Math.min(callerGap(route), deadline - arrivedAt);
   return {
     onTimeUntil: arrivedAt + route.target - latency,
-    usefulUntil: arrivedAt + patience * USEFUL_SHARE - latency,
+    usefulUntil: arrivedAt +
+      Math.max(TRYING_SHARE * patience, USEFUL_SHARE * patience - latency),
   };
 }
 
--- a/packages/admission/src/waitingLine.ts
+++ b/packages/admission/src/waitingLine.ts
@@ -114,10 +114,14 @@
     return outpaced;
   }
 
-  /** Whether a request, waiting or not, will start too late at the pace of the line. */
+  /**
+   * Whether a request, waiting or not, will start too late at the pace of the line.
+   * With nobody ahead it may start at once and is never refused for a belief.
+   */
   isHopeless(item: Waiter, now: Milliseconds): boolean {
-    return !isBegun(item) &&
-      now + this.outlook(item, now).wait > item.usefulUntil;
+    if (isBegun(item)) return false;
+    const { ahead, wait } = this.outlook(item, now);
+    return ahead > 0 && now + wait > item.usefulUntil;
   }
 
   /** What the line promises a request, waiting or not. */
