--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -140,7 +140,15 @@
       directory.size > 0 && policies.freshness.mayTrustKeys(elapsed.now());
   }
 
-  async start(): Promise<Result<void, ListenError | ChannelError>> {
+  /**
+   * Opens the ports, those of operators and the balancer after `operatorsAfter`: until
+   * a host has read what it serves by, it is not ready, and loading the libraries of
+   * those ports first holds its first answers up on small machines.
+   */
+  async start(
+    { operatorsAfter = Promise.resolve() }: { operatorsAfter?: Promise<void> } =
+      {},
+  ): Promise<Result<void, ListenError | ChannelError>> {
     const { addresses, timer } = this.#options;
     const opened = await this.#channel.open(addresses.peers);
     if (opened.isErr()) return err(opened.error);
@@ -151,6 +159,7 @@
       timer.every(SLOW_TICK_MS, () => this.#slowTick()),
     );
     this.parts.log.write("started", { peers: addresses.peers });
+    await operatorsAfter;
     return await this.#operatorPorts.open();
   }
 
