Take a keeper's answer for a sign of life, whichever ask it speaks of

Cause: an answer counted only when it spoke of the host's last ask.

Change: each ask that wants an answer is kept with its time until an answer to it or a later one comes.

Test first: 500 asks a millisecond apart pass over a sound keeper without it.

--- a/packages/admission/src/cellAsking.ts
+++ b/packages/admission/src/cellAsking.ts
@@ -26,6 +26,11 @@
 /** What a host has to do about a cell now. */
 export type AskingDue = "nothing" | "ask" | "passed-over" | "over";
 
+interface UnansweredAsk {
+  readonly sequence: number;
+  readonly sentAt: Milliseconds;
+}
+
 /** One host's conversation with whoever keeps a cell. */
 export class CellAsking {
   readonly cell: Cell;
@@ -36,8 +41,8 @@
   #verdictsSeen = 0;
   #lessons: AttemptLesson[] = [];
   #lessonsFrom = 1;
-  /** When the oldest ask without an answer was sent. */
-  #unansweredSince: Milliseconds | undefined;
+  /** Asks that want an answer and have none, the oldest first. */
+  #unanswered: UnansweredAsk[] = [];
   #sentAt: Milliseconds = -Infinity;
   #silentKeepers = 0;
 
@@ -51,7 +56,7 @@
   }
 
   get isUnanswered(): boolean {
-    return this.#unansweredSince !== undefined;
+    return this.#unanswered.length > 0;
   }
 
   /** Keepers that did not answer, one after the other. */
@@ -75,12 +80,13 @@
       now: Milliseconds;
     },
   ): Omit<PlaceAsk, "host" | "incarnation" | "inFlight" | "wishes"> {
-    if (keeper !== this.#keeper) this.#turnTo(keeper, now);
-    if (wantsAnswer) this.#unansweredSince ??= now;
+    if (keeper !== this.#keeper) this.#turnTo(keeper);
+    const sequence = ++this.#sequence;
+    if (wantsAnswer) this.#unanswered.push({ sequence, sentAt: now });
     this.#sentAt = now;
     return {
       cell: this.cell,
-      sequence: ++this.#sequence,
+      sequence,
       lessons: [...this.#lessons],
       lessonsFrom: this.#lessonsFrom,
       verdictsSeen: this.#verdictsSeen,
@@ -96,7 +102,9 @@
       this.#verdictsSeen = 0;
     }
     this.#silentKeepers = 0;
-    if (answer.sequence >= this.#sequence) this.#unansweredSince = undefined;
+    this.#unanswered = this.#unanswered.filter(({ sequence }) =>
+      sequence > answer.sequence
+    );
     const known = answer.lessonsSeen - this.#lessonsFrom + 1;
     if (known > 0) {
       this.#lessons.splice(0, known);
@@ -121,8 +129,9 @@
     },
   ): AskingDue {
     const sinceSent = now - this.#sentAt;
-    if (this.#unansweredSince !== undefined) {
-      if (now - this.#unansweredSince >= SILENCE_MS) return "passed-over";
+    const [oldest] = this.#unanswered;
+    if (oldest !== undefined) {
+      if (now - oldest.sentAt >= SILENCE_MS) return "passed-over";
       return sinceSent >= REPEAT_MS ? "ask" : "nothing";
     }
     if (isWaiting && sinceSent >= POLL_MS) return "ask";
@@ -133,19 +142,19 @@
   /** The keeper does not answer, or stops. */
   notePassedOver(kind: KeeperSilence): void {
     if (kind === "silent") this.#silentKeepers++;
-    this.#unansweredSince = undefined;
+    this.#unanswered = [];
   }
 
   /** Nobody answers; the next ask begins anew. */
   giveUp(): void {
     this.#silentKeepers = 0;
-    this.#unansweredSince = undefined;
+    this.#unanswered = [];
   }
 
-  #turnTo(keeper: HostId, now: Milliseconds): void {
+  #turnTo(keeper: HostId): void {
     this.#keeper = keeper;
     this.#keeperIncarnation = undefined;
     this.#verdictsSeen = 0;
-    if (this.#unansweredSince !== undefined) this.#unansweredSince = now;
+    this.#unanswered = [];
   }
 }
--- a/packages/admission/tests/cells.test.ts
+++ b/packages/admission/tests/cells.test.ts
@@ -363,3 +363,19 @@
   const others = dealCells(PLANS, upstreamsIn(55, DOMAINS).toReversed());
   t.deepEqual(others.map(cellKeyOf).sort(), cells.sort());
 });
+
+test("a keeper that answers is not passed over by a host that asks without a pause", (t) => {
+  // A busy host has news every few milliseconds, so that each answer speaks of an ask
+  // that is no longer its last. Taken for silence, a sound keeper would be left, its
+  // line with it, and the places be given anew by one that knows nothing.
+  const { fleet, timer, others: [host] } = createFleet({
+    upstreams: [buildUpstream(0, { slots: 100 })],
+  });
+  for (let count = 0; count < 500; count++) {
+    const wish = buildWish(`q${count}`, { arrivedAt: timer.now() });
+    seek(host!, wish, { timer, work: 20 });
+    host!.seeker.endReading(buildUpstream(0), 100, timer.now());
+    timer.advance(1);
+  }
+  t.is(fleet.changes, 0);
+});
