Place a request near the host that sends it

Cause: the keeper weighed nearness by its own failure domain, so that callers of other domains had their answers cross domains.

Change: each wish says where its host is.

Test first: of two requests from two domains before two engines, both went to the keeper's side without it.

--- a/packages/admission/src/cellKeeper.ts
+++ b/packages/admission/src/cellKeeper.ts
@@ -1,5 +1,4 @@
 import type {
-  FailureDomain,
   HostId,
   Incarnation,
   Milliseconds,
@@ -44,7 +43,6 @@
   readonly upstreams: UpstreamSource;
   readonly knowledge: UpstreamKnowledge;
   readonly random: Random;
-  readonly failureDomain: FailureDomain;
   readonly send: (to: HostId, answer: PlaceAnswer) => void;
   /** Pictures of the other cells of the service. */
   readonly otherPictures: () => readonly CellPicture[];
@@ -91,7 +89,7 @@
   #askedAt: Milliseconds;
 
   constructor(options: CellKeeperOptions, now: Milliseconds) {
-    const { cell, upstreams, knowledge, random, failureDomain } = options;
+    const { cell, upstreams, knowledge, random } = options;
     this.#options = options;
     this.#askedAt = now;
     this.#scheduler = new PlaceScheduler({
@@ -101,7 +99,6 @@
       },
       knowledge,
       random,
-      failureDomain,
     });
   }
 
--- a/packages/admission/src/placeScheduler.ts
+++ b/packages/admission/src/placeScheduler.ts
@@ -1,5 +1,4 @@
 import type {
-  FailureDomain,
   Milliseconds,
   Random,
   RequestId,
@@ -62,7 +61,6 @@
   readonly upstreams: UpstreamSource;
   readonly knowledge: UpstreamKnowledge;
   readonly random: Random;
-  readonly failureDomain: FailureDomain;
 }
 
 interface ServiceLine {
@@ -93,14 +91,13 @@
   readonly #services = new Map<ServiceId, ServiceLine>();
 
   constructor(options: PlaceSchedulerOptions) {
-    const { upstreams, knowledge, random, failureDomain } = options;
+    const { upstreams, knowledge, random } = options;
     this.#upstreams = upstreams;
     this.#placement = new Placement({
       load: this.load,
       knowledge,
       prompts: this.#prompts,
       random,
-      failureDomain,
       limitOf: (upstream) => this.#limitOf(upstream),
     });
   }
--- a/packages/admission/src/placeSeeker.ts
+++ b/packages/admission/src/placeSeeker.ts
@@ -91,14 +91,13 @@
   readonly #orders = new Map<CellKey, KnownOrder>();
 
   constructor(options: PlaceSeekerOptions) {
-    const { directory, knowledge, random, failureDomain } = options;
+    const { directory, knowledge, random } = options;
     this.#options = options;
     this.#cells = new CellMap(directory);
     this.#alone = new PlaceScheduler({
       upstreams: directory,
       knowledge,
       random,
-      failureDomain,
     });
   }
 
--- a/packages/admission/src/placeWish.ts
+++ b/packages/admission/src/placeWish.ts
@@ -1,4 +1,5 @@
 import type {
+  FailureDomain,
   Milliseconds,
   RequestId,
   ServiceId,
@@ -18,6 +19,8 @@
 export interface PlaceWish {
   readonly request: RequestId;
   readonly service: ServiceId;
+  /** Where the host is that sends it. */
+  readonly failureDomain: FailureDomain;
   readonly route: RouteId;
   readonly tier: Tier;
   readonly arrivedAt: Milliseconds;
--- a/packages/admission/src/placement.ts
+++ b/packages/admission/src/placement.ts
@@ -44,6 +44,8 @@
 
 /** What a request looks for. */
 export interface Wish {
+  /** Where the host is that sends it. */
+  readonly failureDomain: FailureDomain;
   /** Prompt tokens that have to be read before its first event. */
   readonly promptTokens: number;
   /** Its first event, or its whole plain answer, is on time until then. */
@@ -68,8 +70,6 @@
   readonly knowledge: UpstreamKnowledge;
   readonly prompts: PromptPlaces;
   readonly random: Random;
-  /** Failure domain of this host. */
-  readonly failureDomain: FailureDomain;
   /** Requests that an upstream may have from all hosts together. */
   readonly limitOf: (upstream: Upstream) => number;
 }
@@ -123,6 +123,7 @@
       const cost = this.#costOf(upstream, {
         affinityFactor: affinityFactor(upstream),
         latencyShare: latency / wish.target,
+        failureDomain: wish.failureDomain,
       });
       if (cost >= leastCost && isGood === isBestGood) continue;
       leastCost = cost;
@@ -207,12 +208,13 @@
 
   #costOf(
     upstream: Upstream,
-    { affinityFactor, latencyShare }: {
+    { affinityFactor, latencyShare, failureDomain }: {
       affinityFactor: number;
       latencyShare: number;
+      failureDomain: FailureDomain;
     },
   ): number {
-    const { load, random, failureDomain, limitOf } = this.#options;
+    const { load, random, limitOf } = this.#options;
     const { health, speed } = this.#options.knowledge;
     const id = upstream.upstream;
     const limit = limitOf(upstream);
--- a/packages/admission/tests/helpers/build.ts
+++ b/packages/admission/tests/helpers/build.ts
@@ -75,6 +75,7 @@
   const candidate = {
     request: asId<RequestId>(name),
     service: PLANS,
+    failureDomain: WEST,
     tier: asTier(tier),
     since,
     promptTokens,
@@ -120,7 +121,6 @@
     upstreams: directory,
     knowledge,
     random: new SeededRandom(seed),
-    failureDomain: WEST,
   });
   return {
     scheduler,
@@ -143,6 +143,7 @@
   return {
     request: asId<RequestId>(name),
     service: PLANS,
+    failureDomain: WEST,
     route: asId<RouteId>("r"),
     tier: asTier(1),
     arrivedAt: 0,
--- a/packages/admission/tests/helpers/loadReplay.ts
+++ b/packages/admission/tests/helpers/loadReplay.ts
@@ -168,6 +168,7 @@
     {
       request: asId<RequestId>(name),
       service: PLANS,
+      failureDomain: host.failureDomain,
       route: asId<RouteId>(`${tier}`),
       tier: asTier(tier),
       arrivedAt: since,
--- a/packages/admission/tests/helpers/virtualFleet.ts
+++ b/packages/admission/tests/helpers/virtualFleet.ts
@@ -104,7 +104,6 @@
       upstreams: this.#directory,
       knowledge: this.knowledge,
       random: this.#random,
-      failureDomain: this.failureDomain,
       send: (to, answer) =>
         this.#fleet.carry(
           this.host,
--- a/packages/admission/tests/placeScheduler.test.ts
+++ b/packages/admission/tests/placeScheduler.test.ts
@@ -1,4 +1,4 @@
-import { asId, type HostId } from "@wasabivane/common";
+import { asId, type FailureDomain, type HostId } from "@wasabivane/common";
 import test from "ava";
 import {
   buildCandidate,
@@ -213,3 +213,21 @@
     begin(upstream);
   }
 });
+
+test("a keeper places a request near the host that sends it, not near itself", (t) => {
+  // One host keeps the places of three failure domains. Callers of another domain than
+  // its own have their answers cross domains unless their own host counts.
+  const domains = ["north", "south"].map((name) => asId<FailureDomain>(name));
+  const { scheduler } = buildScheduler(
+    domains.map((failureDomain, index) =>
+      buildUpstream(index, { failureDomain, slots: 8 })
+    ),
+  );
+  for (const [index, failureDomain] of domains.entries()) {
+    const candidate = Object.assign(buildCandidate(`q${index}`), {
+      failureDomain,
+    });
+    scheduler.submit(candidate, 0);
+    t.like(candidate.verdict, { upstream: { failureDomain } });
+  }
+});
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -1,5 +1,10 @@
 import type { Buffer } from "node:buffer";
-import type { Digest, Milliseconds, UpstreamId } from "@wasabivane/common";
+import type {
+  Digest,
+  FailureDomain,
+  Milliseconds,
+  UpstreamId,
+} from "@wasabivane/common";
 import {
   callerPatience,
   type PlaceWish,
@@ -42,7 +47,8 @@
 /** What a request says to whoever places it. */
 export function wishOf(
   admitted: Admitted,
-  { excluded, isContinuation }: {
+  { failureDomain, excluded, isContinuation }: {
+    failureDomain: FailureDomain;
     excluded: ReadonlySet<UpstreamId>;
     /** An upstream may have begun with it. */
     isContinuation: boolean;
@@ -52,6 +58,7 @@
   return {
     request: says.attempt,
     service,
+    failureDomain,
     route: route.route,
     tier: account?.tier ?? route.tier,
     arrivedAt,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -136,6 +136,7 @@
   #seekPlace(): void {
     const { parts, admitted } = this.#options;
     const wish = wishOf(admitted, {
+      failureDomain: parts.failureDomain,
       excluded: this.#sends.excluded,
       isContinuation: this.#sends.mayHaveRun,
     });
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -380,6 +380,7 @@
       : [wish.prompt.last, wish.prompt.shared ?? ""],
     [...wish.excluded],
     wish.isContinuation,
+    wish.failureDomain,
   ];
 }
 
@@ -403,6 +404,7 @@
     ...prompt,
     excluded: new Set(textsOf<UpstreamId>(row[11])),
     isContinuation: row[12] === true,
+    failureDomain: asId<FailureDomain>(textOf(row[13])),
   };
 }
 
--- a/packages/gateway/src/placeDesk.ts
+++ b/packages/gateway/src/placeDesk.ts
@@ -120,7 +120,7 @@
   /** Begins to keep a cell, and asks all hosts for what they do there. */
   #begin(cell: Cell): CellKeeper {
     const { incarnation, sendToAll } = this.#options;
-    const { host, failureDomain, directory, knowledge, random, ...parts } = this
+    const { host, directory, knowledge, random, ...parts } = this
       .#options.parts();
     const key = cellKeyOf(cell);
     parts.log.write("cell_kept", { cell: key });
@@ -132,7 +132,6 @@
       upstreams: directory,
       knowledge,
       random,
-      failureDomain,
       send: (to, answer) => this.#answer(to, answer),
       otherPictures: () => this.#picturesBeside(cell),
       isLeaving: parts.isStopping,
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -169,6 +169,7 @@
       wishes: [{
         request: asId<RequestId>("q"),
         service: CELL.service,
+        failureDomain: WEST,
         route: asId<RouteId>("r"),
         tier: asTier(1),
         arrivedAt: NOW - 30,
