--- a/packages/gateway/src/peerBook.ts
+++ b/packages/gateway/src/peerBook.ts
@@ -25,8 +25,10 @@
 const READER_KEY = "store readers";
 /** Two starts of one host are at least so far apart; ages told by others are that exact. */
 const RESTART_MS: Milliseconds = 150;
-/** How long the candidates for keeping cells stand before ages are looked at again. */
-const CANDIDATES_MS: Milliseconds = 250;
+/** Ages of candidates for keeping cells are looked at again so often, */
+const CANDIDATES_MS: Milliseconds = 500;
+/** while one of them is so young that its age may still count. */
+const YOUNG_MS: Milliseconds = 10_000;
 
 interface Peer {
   incarnation: Incarnation;
@@ -72,6 +74,8 @@
   #mentionOffset = 0;
   #candidates: readonly KeeperCandidate[] = [];
   #candidatesAt: Milliseconds = -Infinity;
+  #hasYoung = true;
+  #isLeaving = false;
 
   constructor(options: PeerBookOptions) {
     this.#options = options;
@@ -196,8 +200,12 @@
   candidates(
     { isLeaving, now }: { isLeaving: boolean; now: Milliseconds },
   ): readonly KeeperCandidate[] {
-    if (now - this.#candidatesAt < CANDIDATES_MS) return this.#candidates;
+    const isFresh = !this.#hasYoung || now - this.#candidatesAt < CANDIDATES_MS;
+    const isSame = Number.isFinite(this.#candidatesAt) &&
+      isLeaving === this.#isLeaving;
+    if (isSame && isFresh) return this.#candidates;
     this.#candidatesAt = now;
+    this.#isLeaving = isLeaving;
     const { host, failureDomain, startedAt } = this.#options;
     const candidates: KeeperCandidate[] = isLeaving
       ? []
@@ -206,6 +214,7 @@
       if (flags.isLost || flags.isLeaving) continue;
       candidates.push({ host: peer, failureDomain, age: now - startedAt });
     }
+    this.#hasYoung = candidates.some(({ age }) => age < YOUNG_MS);
     this.#candidates = candidates;
     return candidates;
   }
