--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -146,9 +146,13 @@
     }
     const charged = this.#charge(admitted.value);
     if (charged.isErr()) {
+      const { service, account, says } = admitted.value;
       return this.#refuse(request, answer, charged.error, {
-        account: accountName(admitted.value.account),
-        units: unitsOf(admitted.value.account!, admitted.value.says),
+        account: accountName(account),
+        units: unitsOf(account!, says),
+        perSecond: account?.quota?.perSecond,
+        burst: account?.quota?.burst,
+        isIdle: this.#parts.places.isIdle(service, this.#parts.timer.now()),
       });
     }
     this.#exchange({
