Send prompts where their beginning was read, by the keeper's own memory

Cause: a hash let three in ten engines read a common beginning, whatever else was known; a keeper places all prompts of its cell and knows where each part was read.

Change: an upstream costs less by the share of the prompt that it holds, and the first event is expected without what is not read again.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -14,12 +14,7 @@
 export { type SpeedSample, UpstreamSpeed } from "./upstreamSpeed.ts";
 export { AnswerTimeModel, type AnswerTimeSample } from "./answerTimeModel.ts";
 export { FirstEventModel, type FirstEventSample } from "./firstEventModel.ts";
-export {
-  Placement,
-  type PlacementOptions,
-  type PromptKeys,
-  type Wish,
-} from "./placement.ts";
+export { Placement, type PlacementOptions, type Wish } from "./placement.ts";
 export { type Outlook, type Waiter, WaitingLine } from "./waitingLine.ts";
 export { type OverQuota, QuotaBook, type UsageReport } from "./quotaBook.ts";
 export { UsageLedger } from "./usageLedger.ts";
--- a/packages/admission/src/placeScheduler.ts
+++ b/packages/admission/src/placeScheduler.ts
@@ -6,7 +6,7 @@
 } from "@wasabivane/common";
 import { FleetLoad } from "./fleetLoad.ts";
 import { Placement, type Wish } from "./placement.ts";
-import { PromptPlaces } from "./promptPlaces.ts";
+import { PromptMemory } from "./promptMemory.ts";
 import type { Upstream } from "./types.ts";
 import type { UpstreamKnowledge } from "./upstreamKnowledge.ts";
 import { type Outlook, type Waiter, WaitingLine } from "./waitingLine.ts";
@@ -86,7 +86,7 @@
 export class PlaceScheduler {
   readonly load = new FleetLoad();
   readonly #upstreams: UpstreamSource;
-  readonly #prompts = new PromptPlaces();
+  readonly #prompts = new PromptMemory();
   readonly #placement: Placement;
   readonly #services = new Map<ServiceId, ServiceLine>();
 
@@ -170,13 +170,17 @@
       // was placed meanwhile must not be placed twice.
       if (line.start(candidate.request, now) === undefined) continue;
       left--;
-      this.#place(candidate, upstream);
+      this.#place(candidate, upstream, now);
     }
   }
 
-  #place({ prompt, decide }: Candidate, upstream: Upstream): void {
+  #place(
+    { parts, decide }: Candidate,
+    upstream: Upstream,
+    now: Milliseconds,
+  ): void {
     const id = upstream.upstream;
-    if (prompt !== undefined) this.#prompts.note(prompt.last, id);
+    this.#prompts.note(id, parts, now);
     decide({
       kind: "place",
       upstream,
--- a/packages/admission/src/placeWish.ts
+++ b/packages/admission/src/placeWish.ts
@@ -7,9 +7,8 @@
   UpstreamId,
 } from "@wasabivane/common";
 import { startBounds } from "./patience.ts";
-import type { PromptKeys } from "./placement.ts";
 import type { Candidate, Verdict } from "./placeScheduler.ts";
-import type { RouteId } from "./types.ts";
+import type { PromptPart, RouteId } from "./types.ts";
 import type { UpstreamKnowledge } from "./upstreamKnowledge.ts";
 
 /** Shortest time in a place that is told apart from none. */
@@ -35,7 +34,8 @@
   readonly expectedTokens: number;
   /** Longest pause of a stream that is on time; 0 where pauses do not count. */
   readonly pauseTarget: Milliseconds;
-  readonly prompt?: PromptKeys;
+  /** Parts of the prompt, in order. */
+  readonly parts: readonly PromptPart[];
   /** Upstreams that it was sent to before. */
   readonly excluded: ReadonlySet<UpstreamId>;
   /** An upstream may have begun with it. */
--- a/packages/admission/src/placement.ts
+++ b/packages/admission/src/placement.ts
@@ -5,21 +5,19 @@
   UpstreamId,
 } from "@wasabivane/common";
 import type { FleetLoad } from "./fleetLoad.ts";
-import { HASH_WEIGHTS, hashWeight } from "./hashWeight.ts";
-import type { PromptPlaces } from "./promptPlaces.ts";
-import type { Upstream } from "./types.ts";
+import type { PromptMemory } from "./promptMemory.ts";
+import type { PromptPart, Upstream } from "./types.ts";
 import type { UpstreamKnowledge } from "./upstreamKnowledge.ts";
 
 /** An upstream with no work at all still has half the cost of a full one. */
 const IDLE_COST = 0.5;
 /** Bytes between failure domains are charged; so little more load is taken for them. */
 const OTHER_DOMAIN_FACTOR = 1.1;
-/** An engine that holds the session saves the prefill of all that was said before. */
-const SESSION_FACTOR = 0.8;
-/** One that likely holds the part that many prompts share saves a few tokens. */
-const SHARED_FACTOR = 0.93;
-/** Part of a service's upstreams that a shared part is read at, so that no engine gets all of a common one. */
-const SHARING_SHARE = 0.3;
+/**
+ * An upstream that holds the whole prompt costs so much less than one that holds
+ * nothing of it: what is read again takes its time from the streams beside it.
+ */
+const HELD_DISCOUNT = 0.4;
 /** An upstream that fails every request costs so many times more than one that fails none. */
 const FAILURE_COST = 4;
 /** An upstream whose first event takes all the time to the target costs twice one that answers at once. */
@@ -34,14 +32,6 @@
 /** Hosts that see the same loads must not all pick the same upstream. */
 const JITTER = 0.08;
 
-/** Names of a prompt's parts, equal wherever the part is. */
-export interface PromptKeys {
-  /** The last part, of the request itself or its session. */
-  readonly last: string;
-  /** The longest beginning that it shares with other prompts. */
-  readonly shared: string | undefined;
-}
-
 /** What a request looks for. */
 export interface Wish {
   /** Where the host is that sends it. */
@@ -58,8 +48,8 @@
   readonly answering: Milliseconds;
   /** Longest pause of a stream that is on time; 0 where pauses do not count. */
   readonly pauseTarget: Milliseconds;
-  /** Parts of the prompt that engines may hold. */
-  readonly prompt?: PromptKeys;
+  /** Parts of the prompt, in order; engines keep those that they have read. */
+  readonly parts: readonly PromptPart[];
   /** Upstreams that this request was sent to before. */
   readonly excluded?: ReadonlySet<UpstreamId>;
 }
@@ -68,7 +58,7 @@
 export interface PlacementOptions {
   readonly load: FleetLoad;
   readonly knowledge: UpstreamKnowledge;
-  readonly prompts: PromptPlaces;
+  readonly prompts: PromptMemory;
   readonly random: Random;
   /** Requests that an upstream may have from all hosts together. */
   readonly limitOf: (upstream: Upstream) => number;
@@ -85,9 +75,8 @@
  * streams beside it late. At a slow engine that is so for short work only: a long
  * answer runs into its deadline there and a long prompt holds up everybody else.
  *
- * Shared parts belong to some of the upstreams by a hash of both, so that all hosts
- * agree on where they are read without telling each other. Sessions go back to
- * where this host sent them before: callers keep their host.
+ * What an upstream holds of the prompt is not read again: its first event comes
+ * sooner, and the streams beside it pause less.
  */
 export class Placement {
   readonly #options: PlacementOptions;
@@ -109,19 +98,19 @@
     wish: Wish,
     now: Milliseconds,
   ): Upstream | undefined {
-    const { prompt, excluded } = wish;
-    const affinityFactor = this.#affinityOf(prompt);
+    const { excluded, parts, promptTokens } = wish;
     let best: Upstream | undefined;
     let leastCost = Infinity;
     let isBestGood = false;
     for (const upstream of upstreams) {
       if (excluded?.has(upstream.upstream)) continue;
       if (this.#freeAt(upstream, now) <= 0) continue;
-      const latency = this.#latencyAt(upstream, wish);
+      const held = this.#options.prompts.held(upstream.upstream, parts, now);
+      const latency = this.#latencyAt(upstream, promptTokens - held);
       const isGood = this.#isGood(upstream, { wish, latency, now });
       if (isBestGood && !isGood) continue;
       const cost = this.#costOf(upstream, {
-        affinityFactor: affinityFactor(upstream),
+        heldShare: Math.min(1, held / Math.max(1, promptTokens)),
         latencyShare: latency / wish.target,
         failureDomain: wish.failureDomain,
       });
@@ -173,30 +162,15 @@
     return reading <= wish.pauseTarget || load.total(upstream) === 0;
   }
 
-  /** By how much less an upstream costs for what it likely holds of the prompt. */
-  #affinityOf(
-    prompt: PromptKeys | undefined,
-  ): (upstream: Upstream) => number {
-    if (prompt === undefined) return () => 1;
-    const { last, shared } = prompt;
-    const session = this.#options.prompts.placeOf(last);
-    if (session !== undefined) {
-      return ({ upstream }) => upstream === session ? SESSION_FACTOR : 1;
-    }
-    if (shared === undefined) return () => 1;
-    return ({ upstream }) =>
-      isSharingPlace(shared, upstream) ? SHARED_FACTOR : 1;
-  }
-
   /** Expected time to the first event behind the prompts that are read there now. */
   #latencyAt(
     { service, upstream }: Upstream,
-    { promptTokens }: Wish,
+    promptTokens: number,
   ): Milliseconds {
     const { load, knowledge } = this.#options;
     return knowledge.firstEvents.expected(service, {
       upstream,
-      promptTokens: promptTokens + load.unreadTokens(upstream),
+      promptTokens: Math.max(0, promptTokens) + load.unreadTokens(upstream),
     });
   }
 
@@ -208,8 +182,8 @@
 
   #costOf(
     upstream: Upstream,
-    { affinityFactor, latencyShare, failureDomain }: {
-      affinityFactor: number;
+    { heldShare, latencyShare, failureDomain }: {
+      heldShare: number;
       latencyShare: number;
       failureDomain: FailureDomain;
     },
@@ -224,7 +198,7 @@
     if (upstream.failureDomain !== failureDomain) cost *= OTHER_DOMAIN_FACTOR;
     cost *= 1 + LATENCY_COST * latencyShare;
     cost *= scarcityOf(limit - load.total(id));
-    cost *= affinityFactor;
+    cost *= 1 - HELD_DISCOUNT * heldShare;
     return cost * (1 + JITTER * random.float());
   }
 }
@@ -233,8 +207,3 @@
   if (free <= 1) return LAST_PLACE_FACTOR;
   return free <= 2 ? LAST_BUT_ONE_FACTOR : 1;
 }
-
-/** Whether a shared part is read at an upstream; hosts agree on it. */
-function isSharingPlace(part: string, upstream: UpstreamId): boolean {
-  return hashWeight(part, upstream) < SHARING_SHARE * HASH_WEIGHTS;
-}
--- /dev/null
+++ b/packages/admission/src/promptMemory.ts
@@ -0,0 +1,60 @@
+import type { Milliseconds, UpstreamId } from "@wasabivane/common";
+import type { PromptPart } from "./types.ts";
+
+/** Engines let the least recently used parts go; after so long one is taken for gone. */
+const KEPT_MS: Milliseconds = 20_000;
+/** Parts remembered of one upstream: about what its memory holds of usual prompts. */
+const MAXIMUM_PARTS = 512;
+
+/**
+ * Which parts of prompts each upstream has read, as far as whoever places requests
+ * sent them there.
+ *
+ * Answers the load pattern of prompts that begin alike, by account or by session.
+ * Spread over all engines, each reads every common beginning once more; a fifth of
+ * what engines read can be saved by going back to where it was read.
+ */
+export class PromptMemory {
+  readonly #read = new Map<UpstreamId, Map<string, Milliseconds>>();
+
+  /** A prompt of these parts goes to an upstream. */
+  note(
+    upstream: UpstreamId,
+    parts: readonly PromptPart[],
+    now: Milliseconds,
+  ): void {
+    if (parts.length === 0) return;
+    const read = this.#read.get(upstream) ?? new Map<string, Milliseconds>();
+    this.#read.set(upstream, read);
+    for (const { part } of parts) {
+      read.delete(part);
+      read.set(part, now);
+    }
+    for (const oldest of read.keys()) {
+      if (read.size <= MAXIMUM_PARTS) return;
+      read.delete(oldest);
+    }
+  }
+
+  /** Tokens of the longest beginning of a prompt that an upstream likely holds. */
+  held(
+    upstream: UpstreamId,
+    parts: readonly PromptPart[],
+    now: Milliseconds,
+  ): number {
+    const read = this.#read.get(upstream);
+    if (read === undefined) return 0;
+    let tokens = 0;
+    for (const { part, tokens: count } of parts) {
+      const at = read.get(part);
+      if (at === undefined || now - at > KEPT_MS) return tokens;
+      tokens += count;
+    }
+    return tokens;
+  }
+
+  /** An upstream is gone, and what it held with it. */
+  forget(upstream: UpstreamId): void {
+    this.#read.delete(upstream);
+  }
+}
--- a/packages/admission/tests/helpers/loadReplay.ts
+++ b/packages/admission/tests/helpers/loadReplay.ts
@@ -179,6 +179,7 @@
       promptTokens,
       expectedTokens: Math.round(work),
       pauseTarget: 0,
+      parts: [],
       excluded: new Set(),
       isContinuation: false,
     },
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -8,7 +8,6 @@
 import {
   callerPatience,
   type PlaceWish,
-  type PromptKeys,
   type Upstream,
 } from "@wasabivane/admission";
 import type { AttemptListener, AttemptOptions } from "./attempt.ts";
@@ -44,6 +43,9 @@
   readonly listener: AttemptListener;
 }
 
+/** Parts of a prompt that whoever places it hears of; those that are shared come first. */
+const MAXIMUM_PARTS = 8;
+
 /** What a request says to whoever places it. */
 export function wishOf(
   admitted: Admitted,
@@ -68,7 +70,7 @@
     promptTokens: promptTokensOf(admitted),
     expectedTokens: expectedTokensOf(admitted),
     pauseTarget: route.pauseTarget,
-    ...promptKeysOf(admitted),
+    parts: says.parts.slice(0, MAXIMUM_PARTS),
     excluded: new Set(excluded),
     isContinuation,
   };
@@ -128,9 +130,3 @@
     lastEvent,
   });
 }
-
-function promptKeysOf({ says }: Admitted): { prompt?: PromptKeys } {
-  const last = says.parts.at(-1);
-  if (last === undefined) return {};
-  return { prompt: { last: last.part, shared: says.parts.at(-2)?.part } };
-}
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -375,9 +375,7 @@
     wish.promptTokens,
     wish.expectedTokens,
     wish.pauseTarget,
-    wish.prompt === undefined
-      ? []
-      : [wish.prompt.last, wish.prompt.shared ?? ""],
+    wish.parts.map(({ part, tokens }) => [part, tokens]),
     [...wish.excluded],
     wish.isContinuation,
     wish.failureDomain,
@@ -385,10 +383,6 @@
 }
 
 function readWish(row: Row, service: ServiceId, now: Milliseconds): PlaceWish {
-  const [last, shared] = listOf(row[10]);
-  const prompt = last === undefined
-    ? {}
-    : { prompt: { last: textOf(last), shared: textOf(shared) || undefined } };
   return {
     request: asId<RequestId>(textOf(row[0])),
     service,
@@ -401,7 +395,10 @@
     promptTokens: numberOf(row[7]),
     expectedTokens: numberOf(row[8]),
     pauseTarget: numberOf(row[9]),
-    ...prompt,
+    parts: rowsOf(row[10]).map(([part, tokens]) => ({
+      part: textOf(part),
+      tokens: numberOf(tokens),
+    })),
     excluded: new Set(textsOf<UpstreamId>(row[11])),
     isContinuation: row[12] === true,
     failureDomain: asId<FailureDomain>(textOf(row[13])),
