Do not watch for the first policy on every host, nor before peers are known

Cause: a host without a policy counted as one that must read, and a host that knows no peer yet takes itself for one of the three that read.

Change: a reading of list and policy is itself a proof, with or without a policy; a host that has it waits 0.6 s for its peers before it watches, and lives on the readers' proofs like any other.

Tests first, both fail without the change.

--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -17,6 +17,12 @@
 const LAST_STALE_SHARE = 0.6;
 /** So many hosts, in their order, come to read between the two shares. */
 const STALE_RANKS = 16;
+/**
+ * A host that has just read everything waits so long before it watches: until it knows
+ * its peers it takes itself for one of the few, and hundreds that start together would
+ * all watch at once.
+ */
+const SETTLING_MS: Milliseconds = 600;
 /** A host that cannot read the store asks a peer so often what it holds. */
 const PEER_ASK_MS: Milliseconds = 1_000;
 /**
@@ -60,10 +66,12 @@
   /** Since when peers tell of a newer list than this host knows. */
   #isBehindSince: Milliseconds | undefined;
   readonly #asked = new Set<HostId>();
+  readonly #startedAt: Milliseconds;
   #askedPeerAt: Milliseconds = -Infinity;
 
   constructor(options: StoreSharingOptions) {
     this.#options = options;
+    this.#startedAt = options.parts.timer.now();
   }
 
   /** Whether this host reads the store with success. */
@@ -79,14 +87,16 @@
   /** Whether this host should read the store. */
   get shouldRead(): boolean {
     const { book, applyBound, parts } = this.#options;
-    const { policies, elapsed } = parts;
-    if (policies.index === undefined || this.#listRevision === 0) return true;
+    const { policies, elapsed, timer } = parts;
+    if (this.#listRevision === 0) return true;
+    const proofAge = policies.freshness.age(elapsed.now());
     const rank = book.readersAhead - STORE_READERS;
-    if (rank < 0) return true;
+    const isSettling = timer.now() - this.#startedAt < SETTLING_MS;
+    if (rank < 0) return !isSettling || proofAge > SETTLING_MS;
     const late = Math.min(1, rank / STALE_RANKS);
     const share = FIRST_STALE_SHARE +
       late * (LAST_STALE_SHARE - FIRST_STALE_SHARE);
-    return policies.freshness.age(elapsed.now()) > share * applyBound;
+    return proofAge > share * applyBound;
   }
 
   /** Peers that read the store themselves and pass on that nothing changed. */
--- a/packages/gateway/tests/storeSharing.test.ts
+++ b/packages/gateway/tests/storeSharing.test.ts
@@ -61,8 +61,9 @@
 /** A host that knows peers `p0`, `p1`, ... and fetches from them what a test says. */
 async function startSharing(
   answers: Readonly<Record<string, Promise<Result<Belief, FetchError>>>>,
+  { hasPolicy = true } = {},
 ): Promise<SharingHost> {
-  const host = await startGateway({ upstreams: [] });
+  const host = await startGateway({ upstreams: [], isReading: hasPolicy });
   const { parts, upstreams } = host.gateway;
   const book = new PeerBook({
     host: parts.host,
@@ -173,3 +174,30 @@
   t.deepEqual(asked, ["p0", "p0"]);
   await host.close();
 });
+
+test("hosts that start together before the first policy do not all watch the store", async (t) => {
+  // Every host has read the list and found no policy, which operators write seconds
+  // later. While it is missing each host would watch for it, hundreds at once; three do
+  // for all, and the others have it from them.
+  const peers = Array.from({ length: 12 }, (_, index) => [`p${index}`, NEVER]);
+  const { host, sharing } = await startSharing(Object.fromEntries(peers), {
+    hasPolicy: false,
+  });
+  t.true(sharing.shouldRead);
+  sharing.noteListRevision(1);
+  host.gateway.provePolicy(host.gateway.parts.elapsed.now());
+  t.false(sharing.shouldRead);
+  await host.close();
+});
+
+test("a host that has just read everything first learns who else is there", async (t) => {
+  // It knows no peer yet and would take itself for one of the few that watch.
+  const { host, sharing } = await startSharing({});
+  const { elapsed } = host.gateway.parts;
+  sharing.noteListRevision(1);
+  host.gateway.provePolicy(elapsed.now());
+  t.false(sharing.shouldRead);
+  await new Promise((resolve) => setTimeout(resolve, 700));
+  t.true(sharing.shouldRead);
+  await host.close();
+});
