Greet only hosts of which nobody told, and log peers by the second

Cause: at a start of 195 hosts each greeted every other at its first word, 38,000 datagrams of 1.5 KB, and wrote a line for each, though it had heard of most by others.

Change: a host of which nobody had told is greeted, eight a second at most; peers found and lost are one line a second, with the first names and the count of those that live (peers_changed in place of peer_found and peer_lost).

--- a/packages/gateway/src/fleetTalk.ts
+++ b/packages/gateway/src/fleetTalk.ts
@@ -25,8 +25,10 @@
 /** Upstreams whose changes a word carries; with more, hosts fetch the list. */
 const MAXIMUM_CHANGED = 6;
 const MENTIONS = 8;
-/** A host that was just found is told of so many others. */
+/** A host of which nobody had told is told of so many others. */
 const GREETING_MENTIONS = 24;
+/** Greetings a second: when all start together, each hears of the others anyway. */
+const GREETINGS_PER_SECOND = 8;
 /** A newer proof is passed on at once when it is newer by so much. */
 const PROOF_STEP_MS: Milliseconds = 400;
 /** Time that a word takes at most on its way; proofs of freshness age by it. */
@@ -74,6 +76,7 @@
   #sequence = 0;
   #sentAt: Milliseconds = -Infinity;
   #quietAt: Milliseconds = -Infinity;
+  #greetedAt: Milliseconds = -Infinity;
   #hasNews = false;
   #isPlanned = false;
   #isClosed = false;
@@ -125,7 +128,7 @@
     this.#isClosed = true;
   }
 
-  /** Speaks if it is time, and notices silent peers. */
+  /** Speaks if it is time; gives back which peers were found and lost. */
   tick(): PeerChange[] {
     const { parts, book } = this.#options;
     const now = parts.timer.now();
@@ -134,21 +137,20 @@
       this.#quietAt = now;
       this.#speak(now, MENTIONS);
     }
-    return book.expire(now);
+    return book.takeChanges(now);
   }
 
-  /** Takes in a word; gives back a change in the picture of the peer. */
-  hear(word: PeerWord): PeerChange | undefined {
+  /** Takes in a word. */
+  hear(word: PeerWord): void {
     const { parts, book } = this.#options;
     const { self } = word;
     const now = parts.timer.now();
     const heard = book.hear(self, word.sequence, now);
-    if (heard === undefined) return undefined;
+    if (heard === undefined) return;
     for (const mention of word.mentions) book.hearMention(mention, now);
-    if (heard === "found") this.#greet(self.address, now);
+    if (heard === "new") this.#greet(self.address, now);
     this.#hearTrouble(word, now);
     this.#hearBelief(word);
-    return heard === "found" ? { host: self.host, kind: "found" } : undefined;
   }
 
   #hearTrouble(
@@ -231,6 +233,8 @@
 
   /** Tells a host that was just found who else is there. */
   #greet(address: string, now: Milliseconds): void {
+    if (now - this.#greetedAt < 1_000 / GREETINGS_PER_SECOND) return;
+    this.#greetedAt = now;
     this.#options.send(this.#compose(now, GREETING_MENTIONS), [address]);
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,6 +55,10 @@
 const STOP_MARGIN_MS: Milliseconds = 600;
 const STOP_CHECK_MS: Milliseconds = 50;
 const FALLBACK_CONNECTIONS = 64;
+/** Peers that come and go are logged together so often. */
+const PEER_LOG_MS: Milliseconds = 1_000;
+/** Peers that such a line names. */
+const NAMED_PEERS = 8;
 
 /** Where a host listens; all are `ip:port`. */
 export interface GatewayAddresses extends OperatorAddresses {
@@ -101,6 +105,8 @@
   readonly #usage: UsageDesk;
   readonly #startedAt: Milliseconds;
   readonly #timers: TimerSubscription[] = [];
+  readonly #peerChanges: PeerChange[] = [];
+  #loggedPeersAt: Milliseconds = -Infinity;
   #nextTick: TimerSubscription | undefined;
   #isTickSoon = false;
   #stopsAt: Milliseconds = Infinity;
@@ -363,7 +369,7 @@
     const now = this.#options.timer.now();
     switch (message.kind) {
       case "word":
-        return this.#onPeerChange(this.#talk.hear(message.word));
+        return this.#talk.hear(message.word);
       case "ask":
         this.#desk.hearAsk(message.ask);
         return this.#planTick();
@@ -438,15 +444,25 @@
     this.upstreams.expire();
     this.sharing.tick(now);
     this.#usage.tick(now);
-    for (const change of this.#talk.tick()) this.#onPeerChange(change);
+    this.#peerChanges.push(...this.#talk.tick());
+    this.#logPeers(now);
   }
 
-  #onPeerChange(change: PeerChange | undefined): void {
-    if (change === undefined) return;
-    this.parts.log.write(
-      change.kind === "found" ? "peer_found" : "peer_lost",
-      { peer: change.host },
-    );
+  /** One line a second at most, however many hosts start or die together. */
+  #logPeers(now: Milliseconds): void {
+    if (this.#peerChanges.length === 0) return;
+    if (now - this.#loggedPeersAt < PEER_LOG_MS) return;
+    this.#loggedPeersAt = now;
+    const changes = this.#peerChanges.splice(0);
+    const named = (kind: PeerChange["kind"]): string =>
+      changes.filter((change) => change.kind === kind)
+        .map(({ host }) => host).slice(0, NAMED_PEERS).join(",");
+    this.parts.log.write("peers_changed", {
+      changes: changes.length,
+      found: named("found"),
+      lost: named("lost"),
+      peers: this.#book.aliveCount,
+    });
   }
 
   #sleep(span: Milliseconds): Promise<void> {
--- a/packages/gateway/src/peerBook.ts
+++ b/packages/gateway/src/peerBook.ts
@@ -71,6 +71,7 @@
   readonly #readerWeight: string;
   readonly #peers = new Map<HostId, Peer>();
   readonly #seeds = new Map<string, Milliseconds>();
+  readonly #changes: PeerChange[] = [];
   #mentionOffset = 0;
   #candidates: readonly KeeperCandidate[] = [];
   #candidatesAt: Milliseconds = -Infinity;
@@ -89,20 +90,22 @@
     for (const address of seeds) this.#seeds.set(address, -Infinity);
   }
 
-  /** Takes in that a host spoke; `undefined` for a word older than what was heard. */
+  /**
+   * Takes in that a host spoke; `undefined` for a word older than what was heard. It is
+   * new when nobody had told of it before.
+   */
   hear(
     self: PeerMention,
     sequence: number,
     now: Milliseconds,
-  ): "found" | "known" | undefined {
+  ): "new" | "known" | undefined {
     const former = this.#peers.get(self.host);
     const isSame = former?.incarnation === self.incarnation;
     if (isSame && sequence <= former.sequence) return undefined;
-    const wasAlive = isSame && !former.isLost && former.sequence > 0;
     if (!this.hearMention(self, now)) return undefined;
     this.#peers.get(self.host)!.sequence = sequence;
     this.#seeds.delete(self.address);
-    return wasAlive ? "known" : "found";
+    return isSame ? "known" : "new";
   }
 
   /** Takes in that a peer speaks of a host; false for one that is over, or this one. */
@@ -132,6 +135,7 @@
       readerWeight: former?.readerWeight ?? rendezvousWeight(READER_KEY, host),
     });
     this.#candidatesAt = -Infinity;
+    this.#changes.push({ host, kind: "found" });
     return true;
   }
 
@@ -152,22 +156,21 @@
     return targets;
   }
 
-  /** Notices silence; gives back who was lost. */
-  expire(now: Milliseconds): PeerChange[] {
-    const changes: PeerChange[] = [];
+  /** Notices silence; gives back who was found and lost since the last call. */
+  takeChanges(now: Milliseconds): PeerChange[] {
     const lostAfter = this.#lostAfter();
     for (const [host, peer] of this.#peers) {
       const silence = now - peer.heardAt;
       if (!peer.isLost && silence > lostAfter) {
         peer.isLost = true;
         this.#candidatesAt = -Infinity;
-        changes.push({ host, kind: "lost" });
+        this.#changes.push({ host, kind: "lost" });
       }
       if (peer.isLost && silence > lostAfter + FORGET_MS) {
         this.#peers.delete(host);
       }
     }
-    return changes;
+    return this.#changes.splice(0);
   }
 
   /** Peers that live, as far as is known. */
@@ -240,6 +243,7 @@
 
   /** Up to `count` of the peers that live, others each time. */
   takeMentions(count: number, now: Milliseconds): PeerMention[] {
+    if (count === 0) return [];
     const alive = [...this.#peers].filter(([, { isLost }]) => !isLost);
     const mentions: PeerMention[] = [];
     for (let index = 0; index < Math.min(count, alive.length); index++) {
@@ -255,10 +259,11 @@
 
   #refresh(
     peer: Peer,
-    { address, isLeaving, canRead }: PeerMention,
+    { host, address, isLeaving, canRead }: PeerMention,
     heardAt: Milliseconds,
   ): void {
     if (heardAt < peer.heardAt) return;
+    if (peer.isLost) this.#changes.push({ host, kind: "found" });
     const isChanged = peer.isLost || peer.isLeaving !== isLeaving;
     peer.heardAt = heardAt;
     peer.address = address;
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -68,7 +68,7 @@
   const book = createBook(["seed:1"]);
   t.deepEqual(targetsOf(book, 0), ["seed:1"]);
   t.deepEqual(targetsOf(book, 100), []);
-  t.is(book.hear(mentionOf("seed"), 1, 200), "found");
+  t.is(book.hear(mentionOf("seed"), 1, 200), "new");
   t.true(book.hearMention(mentionOf("third", { silence: 100 }), 210));
   t.deepEqual(targetsOf(book, 300), ["seed:1", "third:1"]);
   t.is(book.aliveCount, 2);
@@ -79,12 +79,14 @@
   // part two hosts for good whose seeds are all down.
   const book = createBook();
   book.hear(mentionOf("a"), 1, 0);
-  t.deepEqual(book.expire(1_400), []);
-  t.deepEqual(book.expire(1_600), [{ host: asId<HostId>("a"), kind: "lost" }]);
+  const host = asId<HostId>("a");
+  t.deepEqual(book.takeChanges(1_400), [{ host, kind: "found" }]);
+  t.deepEqual(book.takeChanges(1_600), [{ host, kind: "lost" }]);
   t.is(book.aliveCount, 0);
   t.deepEqual(targetsOf(book, 2_000), ["a:1"]);
   const again = mentionOf("a", { incarnation: asId("2"), age: 50 });
-  t.is(book.hear(again, 1, 2_100), "found");
+  t.is(book.hear(again, 1, 2_100), "new");
+  t.deepEqual(book.takeChanges(2_100), [{ host, kind: "found" }]);
 });
 
 test("a word that was overtaken by a newer one changes nothing", (t) => {
@@ -102,7 +104,7 @@
   const former = mentionOf("a", { age: 9_000 });
   const restarted = mentionOf("a", { incarnation: asId("2"), age: 100 });
   book.hear(former, 40, 9_000);
-  t.is(book.hear(restarted, 1, 10_000), "found");
+  t.is(book.hear(restarted, 1, 10_000), "new");
   t.false(book.hearMention({ ...former, age: 10_050, silence: 900 }, 10_050));
   t.is(book.hear(restarted, 2, 10_100), "known");
 });
