Find hundreds of peers from three seeds, and look at idle parts less often

Cause: words become rarer with the hosts, so that after a start of all a host heard of the others one after another: one in ten of 195 knew none after 1.5 s. And an idle host woke 50 times a second (lines, peers, the store), which at 85 hosts took 18 ms of processor time a second, most of a host's whole share.

Change: a host that knows fewer than four fifths of the peers that a listener knows is told of sixteen at once; for its first 5 s a host keeps the pace of a small fleet. Idle hosts wake 17 times a second.

--- a/packages/gateway/src/fleetTalk.ts
+++ b/packages/gateway/src/fleetTalk.ts
@@ -18,6 +18,8 @@
 const QUIET_MS: Milliseconds = 250;
 /** With more hosts than this, such words become rarer, so that a host's share stays bounded. */
 const HOSTS_AT_FULL_RATE = 32;
+/** A host that has just started has yet to find the others and does not slow down. */
+const STARTING_MS: Milliseconds = 5_000;
 /** News that everybody has heard by then is told no longer. */
 const NEWS_MS: Milliseconds = 3_000;
 /** Rows of one kind in a word; a datagram must stay below a packet. */
@@ -25,10 +27,10 @@
 /** Upstreams whose changes a word carries; with more, hosts fetch the list. */
 const MAXIMUM_CHANGED = 6;
 const MENTIONS = 8;
-/** A host of which nobody had told is told of so many others. */
-const GREETING_MENTIONS = 24;
-/** Greetings a second: when all start together, each hears of the others anyway. */
-const GREETINGS_PER_SECOND = 8;
+/** A host that knows fewer than this share of the peers that this one knows, */
+const POOR_SHARE = 0.8;
+/** as one that has just started, is told at once of so many. */
+const GREETING_MENTIONS = 16;
 /** A newer proof is passed on at once when it is newer by so much. */
 const PROOF_STEP_MS: Milliseconds = 400;
 /** Time that a word takes at most on its way; proofs of freshness age by it. */
@@ -76,7 +78,6 @@
   #sequence = 0;
   #sentAt: Milliseconds = -Infinity;
   #quietAt: Milliseconds = -Infinity;
-  #greetedAt: Milliseconds = -Infinity;
   #hasNews = false;
   #isPlanned = false;
   #isClosed = false;
@@ -145,10 +146,10 @@
     const { parts, book } = this.#options;
     const { self } = word;
     const now = parts.timer.now();
-    const heard = book.hear(self, word.sequence, now);
-    if (heard === undefined) return;
+    if (!book.hear(self, word.sequence, now)) return;
     for (const mention of word.mentions) book.hearMention(mention, now);
-    if (heard === "new") this.#greet(self.address, now);
+    const isPoor = word.peers < POOR_SHARE * book.aliveCount;
+    if (isPoor) this.#greet(self.address, now);
     this.#hearTrouble(word, now);
     this.#hearBelief(word);
   }
@@ -218,7 +219,9 @@
   }
 
   #quietSpan(): Milliseconds {
-    const hosts = this.#options.book.aliveCount + 1;
+    const { book, parts, startedAt } = this.#options;
+    if (parts.timer.now() - startedAt < STARTING_MS) return QUIET_MS;
+    const hosts = book.aliveCount + 1;
     return QUIET_MS * Math.max(1, hosts / HOSTS_AT_FULL_RATE);
   }
 
@@ -231,10 +234,8 @@
     if (targets.length > 0) send(this.#compose(now, mentions), targets);
   }
 
-  /** Tells a host that was just found who else is there. */
+  /** Tells a host that knows few who else is there. */
   #greet(address: string, now: Milliseconds): void {
-    if (now - this.#greetedAt < 1_000 / GREETINGS_PER_SECOND) return;
-    this.#greetedAt = now;
     this.#options.send(this.#compose(now, GREETING_MENTIONS), [address]);
   }
 
@@ -258,6 +259,7 @@
       changes: this.#newestChanges(),
       silent: [...this.#silent].slice(-MAXIMUM_ROWS)
         .map(([host, until]) => [host, until - now]),
+      peers: book.aliveCount,
       mentions: book.takeMentions(mentions, now),
     };
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -44,9 +44,15 @@
 
 /** How often lines and asks are looked at while something waits, */
 const TICK_MS: Milliseconds = 10;
-/** and while nothing does: each look costs a small machine a part of its processor. */
-const IDLE_TICK_MS: Milliseconds = 50;
+/** while this host keeps a cell, for whose places others wait, */
+const KEEPER_TICK_MS: Milliseconds = 100;
+/** and while it has nothing to do: each look costs a small machine a part of its processor. */
+const IDLE_TICK_MS: Milliseconds = 200;
+/** How often peers, usage and grace times are looked at, */
 const SLOW_TICK_MS: Milliseconds = 100;
+/** and in a fleet of more than so many hosts, whose words are rarer. */
+const LARGE_FLEET_TICK_MS: Milliseconds = 200;
+const LARGE_FLEET = 16;
 /** The balancer asks every second and gives up after two misses. */
 const UNREADY_SPREAD_MS: Milliseconds = 2_500;
 /** Part of a short grace after which no new connections are taken, so that the rest is left for answers. */
@@ -104,11 +110,12 @@
   readonly #desk: PlaceDesk;
   readonly #usage: UsageDesk;
   readonly #startedAt: Milliseconds;
-  readonly #timers: TimerSubscription[] = [];
   readonly #peerChanges: PeerChange[] = [];
   #loggedPeersAt: Milliseconds = -Infinity;
   #nextTick: TimerSubscription | undefined;
+  #nextSlowTick: TimerSubscription | undefined;
   #isTickSoon = false;
+  #isClosed = false;
   #stopsAt: Milliseconds = Infinity;
 
   constructor(options: GatewayOptions) {
@@ -174,13 +181,13 @@
     { operatorsAfter = Promise.resolve() }: { operatorsAfter?: Promise<void> } =
       {},
   ): Promise<Result<void, ListenError | ChannelError>> {
-    const { addresses, timer } = this.#options;
+    const { addresses } = this.#options;
     const opened = await this.#channel.open(addresses.peers);
     if (opened.isErr()) return err(opened.error);
     const listening = await this.#front.listen(addresses.callers);
     if (listening.isErr()) return err(listening.error);
-    this.#timers.push(timer.every(SLOW_TICK_MS, () => this.#slowTick()));
     this.#planTick();
+    this.#planSlowTick();
     this.parts.log.write("started", { peers: addresses.peers });
     await operatorsAfter;
     return await this.#operatorPorts.open();
@@ -251,8 +258,9 @@
   async close(): Promise<void> {
     this.#front.stopListening();
     this.#front.closeAll();
-    for (const subscription of this.#timers.splice(0)) subscription.cancel();
+    this.#isClosed = true;
     this.#nextTick?.cancel();
+    this.#nextSlowTick?.cancel();
     this.#operatorPorts.close();
     this.upstreams.close();
     this.#talk.close();
@@ -428,10 +436,12 @@
 
   /** Plans the next look, sooner when something begins to wait. */
   #planTick(): void {
+    if (this.#isClosed) return;
     if (this.#nextTick !== undefined && this.#isTickSoon) return;
     this.#nextTick?.cancel();
     this.#isTickSoon = this.#desk.isBusy;
-    const wait = this.#isTickSoon ? TICK_MS : IDLE_TICK_MS;
+    const idle = this.#desk.keptCount > 0 ? KEEPER_TICK_MS : IDLE_TICK_MS;
+    const wait = this.#isTickSoon ? TICK_MS : idle;
     this.#nextTick = this.#options.timer.after(wait, () => {
       this.#nextTick = undefined;
       this.#desk.tick(this.#options.timer.now());
@@ -439,6 +449,16 @@
     });
   }
 
+  #planSlowTick(): void {
+    if (this.#isClosed) return;
+    const isLarge = this.#book.aliveCount >= LARGE_FLEET;
+    const wait = isLarge ? LARGE_FLEET_TICK_MS : SLOW_TICK_MS;
+    this.#nextSlowTick = this.#options.timer.after(wait, () => {
+      this.#slowTick();
+      this.#planSlowTick();
+    });
+  }
+
   #slowTick(): void {
     const now = this.#options.timer.now();
     this.upstreams.expire();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -14,6 +14,8 @@
   type GatewayAddresses,
   type GatewayOptions,
 } from "./gateway.ts";
+export { FleetTalk } from "./fleetTalk.ts";
+export type { GatewayParts } from "./gatewayParts.ts";
 export { GatewayMetrics } from "./gatewayMetrics.ts";
 export { PeerBook } from "./peerBook.ts";
 export { splitAddress } from "./peerChannel.ts";
--- a/packages/gateway/src/peerBook.ts
+++ b/packages/gateway/src/peerBook.ts
@@ -20,7 +20,7 @@
 /** A lost peer is still spoken to for so long, in case it comes back. */
 const FORGET_MS: Milliseconds = 60_000;
 /** Times between words to a seed that never answered. */
-const KNOCK_MS: Milliseconds = 500;
+const KNOCK_MS: Milliseconds = 200;
 /** Key of the order in which hosts read the store for all. */
 const READER_KEY = "store readers";
 /** Two starts of one host are at least so far apart; ages told by others are that exact. */
@@ -90,22 +90,15 @@
     for (const address of seeds) this.#seeds.set(address, -Infinity);
   }
 
-  /**
-   * Takes in that a host spoke; `undefined` for a word older than what was heard. It is
-   * new when nobody had told of it before.
-   */
-  hear(
-    self: PeerMention,
-    sequence: number,
-    now: Milliseconds,
-  ): "new" | "known" | undefined {
+  /** Takes in that a host spoke; false for a word older than what was heard. */
+  hear(self: PeerMention, sequence: number, now: Milliseconds): boolean {
     const former = this.#peers.get(self.host);
     const isSame = former?.incarnation === self.incarnation;
-    if (isSame && sequence <= former.sequence) return undefined;
-    if (!this.hearMention(self, now)) return undefined;
+    if (isSame && sequence <= former.sequence) return false;
+    if (!this.hearMention(self, now)) return false;
     this.#peers.get(self.host)!.sequence = sequence;
     this.#seeds.delete(self.address);
-    return isSame ? "known" : "new";
+    return true;
   }
 
   /** Takes in that a peer speaks of a host; false for one that is over, or this one. */
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -92,6 +92,7 @@
     word.changes.map(packChange),
     word.silent.map(([host, span]) => [host, Math.round(span)]),
     word.mentions.map(packMention),
+    word.peers,
   ],
   read: (row) => {
     const proofAge = numberOf(row[4]);
@@ -113,6 +114,7 @@
         numberOf(span),
       ]),
       mentions: rowsOf(row[9]).map(readMention),
+      peers: numberOf(row[10]),
     };
   },
 };
--- a/packages/gateway/src/peerWord.ts
+++ b/packages/gateway/src/peerWord.ts
@@ -53,5 +53,7 @@
   readonly changes: readonly ListChange[];
   /** Hosts that were asked in vain, and for how long they are passed over. */
   readonly silent: readonly (readonly [HostId, Milliseconds])[];
+  /** Peers that live, as far as the speaker knows. */
+  readonly peers: number;
   readonly mentions: readonly PeerMention[];
 }
