Tell a peer only what it does not know yet

Cause: every fetch carried the whole policy and the whole list, whichever of the two was new; with every host fetching each change, most bytes were repeats.

Change: a host says what it knows, and the answer leaves that out.

Test first: a host with the same policy still got its bytes.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -412,10 +412,14 @@
     return {
       isReady: () => this.isReady,
       metricsText: () => this.#metricsText(),
-      belief: () => ({
-        policy: policies.bytes,
+      belief: (known) => ({
+        policy: policies.version > known.policyVersion
+          ? policies.bytes
+          : new Uint8Array(),
         proofAge: policies.freshness.age(elapsed.now()),
-        upstreams: directory.all(),
+        upstreams: this.sharing.listRevision > known.listRevision
+          ? directory.all()
+          : [],
         kept: directory.kept(this.parts.timer.now()),
         listRevision: this.sharing.listRevision,
       }),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -26,6 +26,7 @@
 } from "./peerMessage.ts";
 export type { ListChange, PeerMention, PeerWord } from "./peerWord.ts";
 export { PolicyState } from "./policyState.ts";
-export type { Belief, FetchError } from "./operatorPort.ts";
+export type { Belief, FetchError, KnownBelief } from "./operatorPort.ts";
+export { askBelief } from "./operatorPorts.ts";
 export { StoreSharing, type StoreSharingOptions } from "./storeSharing.ts";
 export { StandardOutput } from "./standardOutput.ts";
--- a/packages/gateway/src/operatorPort.ts
+++ b/packages/gateway/src/operatorPort.ts
@@ -16,12 +16,19 @@
 /** A peer answers within milliseconds; one that does not is stopped or cut off. */
 const FETCH_TIMEOUT_MS: Milliseconds = 400;
 
+/** What a host that asks knows already; it is left out of the answer. */
+export interface KnownBelief {
+  readonly policyVersion: number;
+  readonly listRevision: number;
+}
+
 /** What a host holds for true, for a peer that cannot read the store. */
 export interface Belief {
-  /** Bytes of the policy in force; none before the first one. */
+  /** Bytes of the policy in force; none where the asking host has it. */
   readonly policy: Uint8Array;
   /** Age of the proof that it is the newest. */
   readonly proofAge: Milliseconds;
+  /** None where the asking host knows them all. */
   readonly upstreams: readonly Upstream[];
   /** Those of them whose entries lapsed and that are gone unless they come back. */
   readonly kept: readonly KeptUpstream[];
@@ -33,7 +40,7 @@
 export interface Shown {
   readonly isReady: () => boolean;
   readonly metricsText: () => Promise<string>;
-  readonly belief: () => Belief;
+  readonly belief: (known: KnownBelief) => Belief;
 }
 
 /** Why a peer's belief could not be had. */
@@ -58,7 +65,13 @@
 export function beliefApp({ belief }: Shown): Hono {
   return new Hono().get(
     BELIEF_PATH,
-    (context) => context.body(new Uint8Array(packr.pack(belief()))),
+    (context) => {
+      const known = {
+        policyVersion: Number(context.req.query("policy") ?? 0),
+        listRevision: Number(context.req.query("list") ?? 0),
+      };
+      return context.body(new Uint8Array(packr.pack(belief(known))));
+    },
   );
 }
 
@@ -82,12 +95,13 @@
 /** Reads what a peer believes. */
 export async function fetchBelief(
   address: string,
+  { policyVersion, listRevision }: KnownBelief,
 ): Promise<Result<Belief, FetchError>> {
   const pool = new Pool(`http://${address}`);
   try {
     const answer = await pool.request({
       method: "GET",
-      path: BELIEF_PATH,
+      path: `${BELIEF_PATH}?policy=${policyVersion}&list=${listRevision}`,
       signal: AbortSignal.timeout(FETCH_TIMEOUT_MS),
     });
     const bytes = new Uint8Array(await answer.body.arrayBuffer());
--- a/packages/gateway/src/operatorPorts.ts
+++ b/packages/gateway/src/operatorPorts.ts
@@ -1,7 +1,7 @@
 import type { Server } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import type { ListenError } from "./listenError.ts";
-import type { Belief, FetchError, Shown } from "./operatorPort.ts";
+import type { Belief, FetchError, KnownBelief, Shown } from "./operatorPort.ts";
 
 /** Where a host shows itself; all are `ip:port`. */
 export interface OperatorAddresses {
@@ -67,7 +67,8 @@
 /** Reads what a peer believes. */
 export async function askBelief(
   address: string,
+  known: KnownBelief,
 ): Promise<Result<Belief, FetchError>> {
   const { fetchBelief } = await import("./operatorPort.ts");
-  return await fetchBelief(address);
+  return await fetchBelief(address, known);
 }
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -1,7 +1,7 @@
 import type { HostId, Milliseconds } from "@wasabivane/common";
 import type { Result } from "neverthrow";
 import type { GatewayParts } from "./gatewayParts.ts";
-import type { Belief, FetchError } from "./operatorPort.ts";
+import type { Belief, FetchError, KnownBelief } from "./operatorPort.ts";
 import { askBelief } from "./operatorPorts.ts";
 import type { PeerBook } from "./peerBook.ts";
 import type { UpstreamNews } from "./upstreamNews.ts";
@@ -43,8 +43,11 @@
   readonly applyBound: Milliseconds;
   /** Takes a policy in that was the newest at a moment of the elapsed clock. */
   readonly takePolicy: (bytes: Uint8Array, provenAt: Milliseconds) => void;
-  /** Fetches what the peer at `ip:port` believes. */
-  readonly ask?: (address: string) => Promise<Result<Belief, FetchError>>;
+  /** Fetches what the peer at `ip:port` believes beyond what is known. */
+  readonly ask?: (
+    address: string,
+    known: KnownBelief,
+  ) => Promise<Result<Belief, FetchError>>;
 }
 
 /**
@@ -162,7 +165,10 @@
     if (this.#asked.size >= FETCHES_AT_ONCE) return;
     this.#asked.add(peer);
     const askedAt = parts.elapsed.now();
-    const fetched = await ask(address);
+    const fetched = await ask(address, {
+      policyVersion: parts.policies.version,
+      listRevision: this.#listRevision,
+    });
     this.#asked.delete(peer);
     fetched.match(
       (belief) => this.#takeBelief(belief, askedAt),
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -13,6 +13,7 @@
 } from "@wasabivane/common";
 import type { Cell, RouteId } from "@wasabivane/admission";
 import {
+  askBelief,
   decodeMessage,
   encodeMessage,
   PeerBook,
@@ -324,3 +325,30 @@
   await new Promise((resolve) => setTimeout(resolve, 100));
   t.pass();
 });
+
+test("a host is told only what it does not know yet", async (t) => {
+  // Every host fetches a policy that operators change; with the whole list beside it,
+  // and the policy beside each change of the list, a fleet would carry mostly repeats.
+  const upstream = await startUpstream(() => {});
+  const fleet = await startGateway({ upstreams: [upstream] });
+  const fetchWith = async (
+    known: { policyVersion: number; listRevision: number },
+  ): Promise<[boolean, number]> => {
+    const { policy, upstreams } = (await askBelief(fleet.peers, known))
+      ._unsafeUnwrap();
+    return [policy.length > 0, upstreams.length];
+  };
+  t.deepEqual(await fetchWith({ policyVersion: 0, listRevision: 0 }), [
+    true,
+    1,
+  ]);
+  t.deepEqual(await fetchWith({ policyVersion: 1, listRevision: 0 }), [
+    false,
+    1,
+  ]);
+  t.deepEqual(await fetchWith({ policyVersion: 0, listRevision: 1 }), [
+    true,
+    0,
+  ]);
+  await fleet.close();
+});
