--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -138,6 +138,8 @@
   readonly gateway: Gateway;
   readonly url: string;
   readonly peers: string;
+  /** `ip:port` where the balancer asks. */
+  readonly readiness: string;
   readonly lines: Record<string, unknown>[];
   close(): Promise<void>;
 }
@@ -155,6 +157,8 @@
   /** Whether the host reads policy and upstreams itself. */
   readonly isReading?: boolean;
   readonly host?: string;
+  /** Ends when the operators' and the balancer's ports may open; the start does not wait for them then. */
+  readonly operatorsAfter?: Promise<void>;
 }
 
 /** Starts a gateway before the given upstreams. */
@@ -178,6 +182,7 @@
     seeds = [],
     isReading = true,
     host = "host",
+    operatorsAfter,
   }: GatewayStart,
 ): Promise<RunningGateway | undefined> {
   const lines: Record<string, unknown>[] = [];
@@ -207,8 +212,11 @@
     random: new SeededRandom(1),
     output,
   });
-  const started = await gateway.start();
-  if (started.isErr()) {
+  const starting = gateway.start(
+    operatorsAfter === undefined ? {} : { operatorsAfter },
+  );
+  const started = operatorsAfter === undefined ? await starting : undefined;
+  if (started?.isErr()) {
     await gateway.close();
     return undefined;
   }
@@ -216,6 +224,7 @@
     gateway,
     url: `http://127.0.0.1:${callers}`,
     peers: `127.0.0.1:${peers}`,
+    readiness: `127.0.0.1:${readiness}`,
     lines,
     close: async () => {
       await gateway.close();
