Describe a waiting request to its keeper once, and sort its line once

Cause: each ask described everything that waited at its host, and each one made the keeper look for useless requests and sort its line twice. With hundreds waiting at a few hosts the keeper read the same requests thousands of times a second.

Change: an ask describes what the keeper may not know, until an answer shows that it does, and names what waits no more; ten times a second it lists all that waits, by name, and the keeper asks for what it does not know. The line is sorted once for each place that comes free, and 48 requests are looked at.

Tests first: 200 requests that wait are described 200 times and a few for lost words, not for each ask; a keeper that lost its line hears of it again.

--- a/packages/admission/src/cellAsking.ts
+++ b/packages/admission/src/cellAsking.ts
@@ -1,4 +1,9 @@
-import type { HostId, Incarnation, Milliseconds } from "@wasabivane/common";
+import type {
+  HostId,
+  Incarnation,
+  Milliseconds,
+  RequestId,
+} from "@wasabivane/common";
 import { type Cell, type CellKey, cellKeyOf } from "./cells.ts";
 import type { PlaceAnswer, PlaceAsk, PlaceVerdict } from "./cellMessages.ts";
 import type { AttemptLesson } from "./upstreamKnowledge.ts";
@@ -11,7 +16,7 @@
  * shortest targets are a seventh of a second.
  */
 const SILENCE_MS: Milliseconds = 100;
-/** A waiting request is asked for so often; a lost verdict costs no more. */
+/** All that waits is listed so often; a lost verdict costs no more. */
 const POLL_MS: Milliseconds = 100;
 /** Work is confirmed so often; keepers forget a host after two seconds. */
 const CONFIRM_MS: Milliseconds = 500;
@@ -26,6 +31,16 @@
 /** What a host has to do about a cell now. */
 export type AskingDue = "nothing" | "ask" | "passed-over" | "over";
 
+/** What a {@link CellAsking} adds to an ask. */
+export interface AskingPart extends
+  Omit<
+    PlaceAsk,
+    "host" | "incarnation" | "inFlight" | "wishes"
+  > {
+  /** Requests that have to be described. */
+  readonly described: readonly RequestId[];
+}
+
 interface UnansweredAsk {
   readonly sequence: number;
   readonly sentAt: Milliseconds;
@@ -41,9 +56,17 @@
   #verdictsSeen = 0;
   #lessons: AttemptLesson[] = [];
   #lessonsFrom = 1;
+  /** Requests that wait here: the ask that first described each to this keeper. */
+  readonly #described = new Map<RequestId, number>();
+  /** Requests that wait here no more: the ask that first said so. */
+  readonly #withdrawn = new Map<RequestId, number>();
+  /** The last ask that the keeper has answered. */
+  #answered = 0;
+  #isListing = false;
   /** Asks that want an answer and have none, the oldest first. */
   #unanswered: UnansweredAsk[] = [];
   #sentAt: Milliseconds = -Infinity;
+  #listedAt: Milliseconds = -Infinity;
   #silentKeepers = 0;
 
   constructor(cell: Cell) {
@@ -64,6 +87,30 @@
     return this.#silentKeepers;
   }
 
+  /** Requests that wait in this cell. */
+  get waiting(): Iterable<RequestId> {
+    return this.#described.keys();
+  }
+
+  get isWaiting(): boolean {
+    return this.#described.size > 0;
+  }
+
+  /** A request begins to wait here. */
+  add(request: RequestId): void {
+    this.#withdrawn.delete(request);
+    this.#described.set(request, Infinity);
+  }
+
+  /** A request waits here no more; the keeper is told unless it decided so itself. */
+  remove(
+    request: RequestId,
+    { isTold = true }: { isTold?: boolean } = {},
+  ): void {
+    if (!this.#described.delete(request)) return;
+    if (isTold) this.#withdrawn.set(request, Infinity);
+  }
+
   /** An attempt in this cell ended. */
   learned(lesson: AttemptLesson): void {
     this.#lessons.push(lesson);
@@ -79,14 +126,19 @@
       wantsAnswer: boolean;
       now: Milliseconds;
     },
-  ): Omit<PlaceAsk, "host" | "incarnation" | "inFlight" | "wishes"> {
+  ): AskingPart {
     if (keeper !== this.#keeper) this.#turnTo(keeper);
     const sequence = ++this.#sequence;
     if (wantsAnswer) this.#unanswered.push({ sequence, sentAt: now });
     this.#sentAt = now;
+    const isListing = this.#isListing;
+    this.#isListing = false;
     return {
       cell: this.cell,
       sequence,
+      described: this.#untold(this.#described, sequence),
+      withdrawn: this.#untold(this.#withdrawn, sequence),
+      ...isListing && { waiting: [...this.#described.keys()] },
       lessons: [...this.#lessons],
       lessonsFrom: this.#lessonsFrom,
       verdictsSeen: this.#verdictsSeen,
@@ -100,8 +152,16 @@
     if (answer.incarnation !== this.#keeperIncarnation) {
       this.#keeperIncarnation = answer.incarnation;
       this.#verdictsSeen = 0;
+      this.#describeAnew();
     }
     this.#silentKeepers = 0;
+    this.#answered = Math.max(this.#answered, answer.sequence);
+    for (const [request, sequence] of this.#withdrawn) {
+      if (sequence <= this.#answered) this.#withdrawn.delete(request);
+    }
+    for (const request of answer.unknown) {
+      if (this.#described.has(request)) this.#described.set(request, Infinity);
+    }
     this.#unanswered = this.#unanswered.filter(({ sequence }) =>
       sequence > answer.sequence
     );
@@ -122,21 +182,23 @@
 
   /** What is due, by what this host has to do with the cell. */
   due(
-    { isWaiting, hasWork, now }: {
-      isWaiting: boolean;
-      hasWork: boolean;
-      now: Milliseconds;
-    },
+    { hasWork, now }: { hasWork: boolean; now: Milliseconds },
   ): AskingDue {
     const sinceSent = now - this.#sentAt;
+    const sinceListed = now - this.#listedAt;
     const [oldest] = this.#unanswered;
     if (oldest !== undefined) {
       if (now - oldest.sentAt >= SILENCE_MS) return "passed-over";
       return sinceSent >= REPEAT_MS ? "ask" : "nothing";
     }
-    if (isWaiting && sinceSent >= POLL_MS) return "ask";
+    if (this.isWaiting && sinceListed >= POLL_MS) {
+      this.#listedAt = now;
+      this.#isListing = true;
+      return "ask";
+    }
     if (hasWork && sinceSent >= CONFIRM_MS) return "ask";
-    return !hasWork && sinceSent >= IDLE_MS ? "over" : "nothing";
+    const isBusy = hasWork || this.isWaiting;
+    return !isBusy && sinceSent >= IDLE_MS ? "over" : "nothing";
   }
 
   /** The keeper does not answer, or stops. */
@@ -151,10 +213,33 @@
     this.#unanswered = [];
   }
 
+  /** Requests of which the keeper may not know; from now on this ask tells of them. */
+  #untold(
+    requests: Map<RequestId, number>,
+    sequence: number,
+  ): RequestId[] {
+    const untold: RequestId[] = [];
+    for (const [request, told] of requests) {
+      if (told <= this.#answered) continue;
+      untold.push(request);
+      requests.set(request, Math.min(told, sequence));
+    }
+    return untold;
+  }
+
+  /** The keeper knows nothing of this host's requests. */
+  #describeAnew(): void {
+    for (const request of this.#described.keys()) {
+      this.#described.set(request, Infinity);
+    }
+    this.#withdrawn.clear();
+  }
+
   #turnTo(keeper: HostId): void {
     this.#keeper = keeper;
     this.#keeperIncarnation = undefined;
     this.#verdictsSeen = 0;
     this.#unanswered = [];
+    this.#describeAnew();
   }
 }
--- a/packages/admission/src/cellKeeper.ts
+++ b/packages/admission/src/cellKeeper.ts
@@ -59,7 +59,9 @@
   inFlight: ReadonlyMap<UpstreamId, UpstreamLoad>;
   /** Decisions that it has not seen yet. */
   unseen: UnseenVerdict[];
-  readonly waiting: Map<RequestId, PlaceWish>;
+  readonly waiting: Set<RequestId>;
+  /** Requests that it says wait and that are not known here. */
+  unknown: RequestId[];
   hasNews: boolean;
 }
 
@@ -136,7 +138,7 @@
     this.#learn(asker, ask, now);
     this.#count(ask.host, asker, now);
     this.#takeWishes(asker, ask, now);
-    this.#scheduler.review(now);
+    this.#scheduler.fill(this.cell.service, now);
     if (ask.wantsAnswer) asker.hasNews = true;
     this.#answer(now);
   }
@@ -161,7 +163,8 @@
       verdictCount: 0,
       inFlight: new Map(),
       unseen: [],
-      waiting: new Map(),
+      waiting: new Set(),
+      unknown: [],
       hasNews: false,
     };
     this.#askers.set(host, asker);
@@ -199,16 +202,16 @@
   }
 
   #takeWishes(asker: Asker, ask: PlaceAsk, now: Milliseconds): void {
-    const wanted = new Set(ask.wishes.map(({ request }) => request));
-    for (const request of [...asker.waiting.keys()]) {
-      if (!wanted.has(request)) this.#withdraw(asker, request);
-    }
+    for (const request of ask.withdrawn) this.#withdraw(asker, request);
     const decided = new Set(asker.unseen.map(({ request }) => request));
+    if (ask.waiting !== undefined) {
+      this.#compare(asker, ask.waiting, { wishes: ask.wishes, decided });
+    }
     for (const wish of ask.wishes) {
       if (asker.waiting.has(wish.request) || decided.has(wish.request)) {
         continue;
       }
-      asker.waiting.set(wish.request, wish);
+      asker.waiting.add(wish.request);
       const candidate = candidateOf(
         wish,
         this.#options.knowledge,
@@ -218,6 +221,26 @@
     }
   }
 
+  /** Compares what waits here for a host with all that it says waits. */
+  #compare(
+    asker: Asker,
+    told: readonly RequestId[],
+    { wishes, decided }: {
+      wishes: readonly PlaceWish[];
+      decided: ReadonlySet<RequestId>;
+    },
+  ): void {
+    const all = new Set(told);
+    for (const request of [...asker.waiting]) {
+      if (!all.has(request)) this.#withdraw(asker, request);
+    }
+    const described = new Set(wishes.map(({ request }) => request));
+    asker.unknown = told.filter((request) =>
+      !asker.waiting.has(request) && !decided.has(request) &&
+      !described.has(request)
+    );
+  }
+
   #decide(
     host: HostId,
     { asker, wish, verdict, now }: {
@@ -251,9 +274,7 @@
   }
 
   #withdrawAll(asker: Asker): void {
-    for (const request of [...asker.waiting.keys()]) {
-      this.#withdraw(asker, request);
-    }
+    for (const request of [...asker.waiting]) this.#withdraw(asker, request);
   }
 
   #withdraw(asker: Asker, request: RequestId): void {
@@ -279,6 +300,7 @@
       sequence: asker.sequence,
       lessonsSeen: asker.lessonsSeen,
       verdicts: asker.unseen,
+      unknown: asker.unknown.splice(0),
       pictures: [this.picture(now), ...otherPictures()],
       isLeaving: isLeaving(),
     };
--- a/packages/admission/src/cellMessages.ts
+++ b/packages/admission/src/cellMessages.ts
@@ -14,8 +14,9 @@
 import type { AttemptLesson } from "./upstreamKnowledge.ts";
 
 /**
- * All that a host has to say to the keeper of a cell: its work there, what waits and
- * what it learned. Each ask replaces the one before, so that a lost one does no harm.
+ * What a host has to say to the keeper of a cell: its work there, what began and ceased
+ * to wait, and what it learned. All of it is repeated until the keeper has answered, so
+ * that a lost ask does no harm.
  */
 export interface PlaceAsk {
   readonly host: HostId;
@@ -25,8 +26,12 @@
   readonly sequence: number;
   /** The host's work at the cell's upstreams. */
   readonly inFlight: ReadonlyMap<UpstreamId, UpstreamLoad>;
-  /** All requests of the host that wait there. */
+  /** Requests that wait there and of which the keeper may not know. */
   readonly wishes: readonly PlaceWish[];
+  /** Requests that wait there no more, although the keeper may think so. */
+  readonly withdrawn: readonly RequestId[];
+  /** Now and then: all requests of the host that wait there. */
+  readonly waiting?: readonly RequestId[];
   /** What ended attempts showed, oldest first; the first has number `lessonsFrom`. */
   readonly lessons: readonly AttemptLesson[];
   readonly lessonsFrom: number;
@@ -77,6 +82,8 @@
   /** Number of the last lesson that the keeper took in. */
   readonly lessonsSeen: number;
   readonly verdicts: readonly PlaceVerdict[];
+  /** Requests that the host says wait and that the keeper does not know. */
+  readonly unknown: readonly RequestId[];
   /** The cell itself, and others of its service that the keeper knows of. */
   readonly pictures: readonly CellPicture[];
   /** The keeper stops soon; hosts turn to the next one. */
--- a/packages/admission/src/placeScheduler.ts
+++ b/packages/admission/src/placeScheduler.ts
@@ -16,6 +16,11 @@
  * three words among hosts, some of another failure domain.
  */
 const REFILL_MS: Milliseconds = 8;
+/**
+ * Requests looked at for the places that are free: in a long line of those that would
+ * rather wait for another engine, looking at all would take longer than a place is free.
+ */
+const MAXIMUM_LOOKS = 48;
 /** Assumed residence of a request before any was seen. */
 const FIRST_RESIDENCE_MS: Milliseconds = 300;
 const RESIDENCE_WEIGHT = 0.05;
@@ -112,7 +117,7 @@
       return refuse(candidate, "line-too-long", { line, now });
     }
     line.push(candidate, now);
-    this.#fill(candidate.service, now);
+    this.fill(candidate.service, now);
   }
 
   /** Takes back a candidate that still waits. */
@@ -132,7 +137,7 @@
       for (const candidate of line.takeUseless(now)) {
         refuse(candidate, "waited-out", { line, now });
       }
-      this.#fill(service, now);
+      this.fill(service, now);
     }
   }
 
@@ -156,13 +161,13 @@
   }
 
   /** Fills free places in order of the line. */
-  #fill(service: ServiceId, now: Milliseconds): void {
+  fill(service: ServiceId, now: Milliseconds): void {
     const { line } = this.#stateOf(service);
     if (line.size === 0) return;
     const upstreams = this.#upstreams.of(service);
     let left = this.#placement.freePlaces(upstreams, now);
     if (left <= 0) return;
-    for (const candidate of line.inOrder(now)) {
+    for (const candidate of line.inOrder(now).slice(0, MAXIMUM_LOOKS)) {
       if (left <= 0) return;
       const upstream = this.#placement.pick(upstreams, candidate, now);
       if (upstream === undefined) continue;
--- a/packages/admission/src/placeSeeker.ts
+++ b/packages/admission/src/placeSeeker.ts
@@ -141,7 +141,7 @@
   withdraw(service: ServiceId, request: RequestId, now: Milliseconds): void {
     const seeking = this.#seeking.get(request);
     if (seeking === undefined) return;
-    this.#seeking.delete(request);
+    this.#close(seeking);
     this.#alone.withdraw(service, request);
     for (const key of seeking.cells) this.#ask(key, now);
   }
@@ -198,7 +198,7 @@
     const asking = this.#askings.get(cellKeyOf(cell));
     if (asking === undefined) return;
     const work = this.#workAt(cell);
-    if (work.size > 0 || this.#wishesIn(asking.key).length > 0) {
+    if (work.size > 0 || asking.isWaiting) {
       this.#ask(asking.key, now);
     }
   }
@@ -221,9 +221,7 @@
   tick(now: Milliseconds): void {
     for (const asking of [...this.#askings.values()]) {
       const { key, cell } = asking;
-      const isWaiting = this.#wishesIn(key).length > 0;
-      const hasWork = isWaiting || this.#workAt(cell).size > 0;
-      const due = asking.due({ isWaiting, hasWork, now });
+      const due = asking.due({ hasWork: this.#workAt(cell).size > 0, now });
       if (due === "passed-over") this.#passOver(asking, "silent", now);
       else if (due === "ask") this.#ask(key, now);
       else if (due === "over") this.#askings.delete(key);
@@ -238,8 +236,8 @@
       const known = new Set(
         this.#cells.ofService(seeking.wish.service).map(cellKeyOf),
       );
-      for (const key of seeking.cells) {
-        if (!known.has(key)) seeking.cells.delete(key);
+      for (const key of [...seeking.cells]) {
+        if (!known.has(key)) this.#leave(seeking, key);
       }
       if (seeking.cells.size > 0) continue;
       const cell = this.#choose(seeking.wish, now);
@@ -311,7 +309,7 @@
   #spread({ key, cell }: CellAsking, now: Milliseconds): void {
     const cells = this.#cells.ofService(cell.service);
     if (cells.length < CELLS_AT_ONCE) return;
-    for (const seeking of this.#wishesIn(key)) {
+    for (const seeking of this.#seekingIn(key)) {
       if (seeking.cells.size >= CELLS_AT_ONCE) continue;
       const others = cells.filter((other) =>
         !seeking.cells.has(cellKeyOf(other))
@@ -323,9 +321,10 @@
   }
 
   #seekIn(cell: Cell, seeking: Seeking, now: Milliseconds): void {
-    const { key } = this.#askingOf(cell);
-    seeking.cells.add(key);
-    this.#ask(key, now);
+    const asking = this.#askingOf(cell);
+    seeking.cells.add(asking.key);
+    asking.add(seeking.wish.request);
+    this.#ask(asking.key, now);
   }
 
   #take(
@@ -348,9 +347,10 @@
       // of their words.
       const excluded = new Set([...seeking.wish.excluded, decision.upstream]);
       seeking.wish = { ...seeking.wish, excluded };
+      this.#askings.get(key)?.add(request);
       return this.#ask(key, now);
     }
-    this.#close(seeking);
+    this.#close(seeking, key);
     seeking.decide({ ...decision, upstream });
     for (const other of seeking.cells) {
       if (other !== key) this.#ask(other, now);
@@ -366,7 +366,7 @@
       now: Milliseconds;
     },
   ): void {
-    seeking.cells.delete(key);
+    this.#leave(seeking, key, { isTold: false });
     if (seeking.cells.size > 0) return;
     const other = decision.reason === "no-other-upstream"
       ? this.#cellWithOther(seeking.wish)
@@ -388,7 +388,7 @@
 
   #decideAlone(seeking: Seeking, now: Milliseconds): void {
     seeking.isAlone = true;
-    seeking.cells.clear();
+    for (const key of [...seeking.cells]) this.#leave(seeking, key);
     const candidate = candidateOf(
       seeking.wish,
       this.#options.knowledge,
@@ -400,8 +400,23 @@
     this.#alone.submit(candidate, now);
   }
 
-  #close({ wish }: Seeking): void {
+  /** A request seeks no more; `decidedBy` is the cell whose keeper knows that. */
+  #close({ wish, cells }: Seeking, decidedBy?: CellKey): void {
     this.#seeking.delete(wish.request);
+    for (const key of cells) {
+      const isTold = key !== decidedBy;
+      this.#askings.get(key)?.remove(wish.request, { isTold });
+    }
+  }
+
+  /** A request waits in a cell no more. */
+  #leave(
+    seeking: Seeking,
+    key: CellKey,
+    { isTold = true }: { isTold?: boolean } = {},
+  ): void {
+    seeking.cells.delete(key);
+    this.#askings.get(key)?.remove(seeking.wish.request, { isTold });
   }
 
   #passOver(
@@ -420,7 +435,7 @@
       keeper === host;
     if (!isAlone) return this.#ask(key, now);
     onKeeper({ cell: key, kind: "alone", keeper });
-    for (const seeking of this.#wishesIn(key)) {
+    for (const seeking of this.#seekingIn(key)) {
       this.#decideAlone(seeking, now);
     }
     asking.giveUp();
@@ -435,13 +450,15 @@
     if (asking === undefined) return;
     const { host, incarnation, send } = this.#options;
     const keeper = this.#keeperOf(asking.cell, now);
-    const ask = asking.compose({ keeper, wantsAnswer, now });
+    const { described, ...ask } = asking.compose({ keeper, wantsAnswer, now });
     send(keeper, {
       ...ask,
       host,
       incarnation,
       inFlight: this.#workAt(asking.cell),
-      wishes: this.#wishesIn(key).map(({ wish }) => wish),
+      wishes: described.flatMap((request) =>
+        this.#seeking.get(request)?.wish ?? []
+      ),
     });
   }
 
@@ -482,12 +499,9 @@
     return work;
   }
 
-  #wishesIn(key: CellKey): Seeking[] {
-    const wishes: Seeking[] = [];
-    for (const seeking of this.#seeking.values()) {
-      if (seeking.cells.has(key)) wishes.push(seeking);
-    }
-    return wishes;
+  #seekingIn(key: CellKey): Seeking[] {
+    const requests = [...this.#askings.get(key)?.waiting ?? []];
+    return requests.flatMap((request) => this.#seeking.get(request) ?? []);
   }
 
   #askingOf(cell: Cell): CellAsking {
--- a/packages/admission/src/waitingLine.ts
+++ b/packages/admission/src/waitingLine.ts
@@ -134,21 +134,28 @@
 
   /** The requests in the order in which they should start. */
   inOrder(now: Milliseconds): Item[] {
-    const passing = this.passing(now);
     const others = this.#inTurn(now);
+    const passing = this.#passing(others, now);
     if (passing.length === 0) return others;
     const isPassing = new Set(passing);
     return [...passing, ...others.filter((item) => !isPassing.has(item))];
   }
 
-  /** Short work that may be started before all that is more urgent, here and elsewhere. */
-  passing(now: Milliseconds): Item[] {
-    const onTime = this.#inTurn(now).filter((item) => !isLate(item, now));
-    return this.#room.passing(onTime);
+  /** Short work that may be started before all that is more urgent. */
+  #passing(inTurn: readonly Item[], now: Milliseconds): Item[] {
+    return this.#room.passing(inTurn.filter((item) => !isLate(item, now)));
   }
 
   #inTurn(now: Milliseconds): Item[] {
-    return [...this.#items].sort((left, right) => compare(left, right, now));
+    const ranked = this.#items.map((item) => ({
+      item,
+      rank: rankOf(item, now),
+      turn: turnOf(item, now),
+    }));
+    ranked.sort((left, right) =>
+      left.rank - right.rank || left.turn - right.turn
+    );
+    return ranked.map(({ item }) => item);
   }
 
   #outlookAs(late: boolean, item: Waiter, now: Milliseconds): Outlook {
@@ -188,8 +195,10 @@
 
 function compare(left: Waiter, right: Waiter, now: Milliseconds): number {
   const rank = rankOf(left, now) - rankOf(right, now);
-  if (rank !== 0) return rank;
-  return isLate(left, now) || isBegun(left)
-    ? left.since - right.since
-    : left.onTimeUntil - right.onTimeUntil;
+  return rank !== 0 ? rank : turnOf(left, now) - turnOf(right, now);
+}
+
+/** Order within a rank: earliest due first, what is late or begun by its arrival. */
+function turnOf(item: Waiter, now: Milliseconds): Milliseconds {
+  return isLate(item, now) || isBegun(item) ? item.since : item.onTimeUntil;
 }
--- a/packages/admission/tests/cells.test.ts
+++ b/packages/admission/tests/cells.test.ts
@@ -379,3 +379,37 @@
   }
   t.is(fleet.changes, 0);
 });
+
+test("a waiting request is described to its keeper once, however long it waits", (t) => {
+  // A long line at a busy host: every end and every new request is an ask. If each of
+  // them described all that waits, the keeper would spend its processor on reading the
+  // same requests over and over, answer late, and be taken for dead at the worst time.
+  const { fleet, timer, others: [host] } = createFleet({ loss: 0.02 });
+  seek(host!, buildWish("running"), { timer });
+  for (let count = 0; count < 200; count++) {
+    const arrivedAt = timer.now();
+    const wish = buildWish(`q${count}`, {
+      arrivedAt,
+      patience: 60_000,
+      target: 60_000,
+    });
+    seek(host!, wish, { timer });
+    timer.advance(5);
+  }
+  t.true(fleet.described < 1.3 * 200, `${fleet.described}`);
+});
+
+test("a keeper that starts anew is told again of all that waits", (t) => {
+  // The keeper's process ends and is back within a tenth of a second, under the same
+  // name and with an empty line. Hosts that described their requests to the former one
+  // would wait for places that nobody keeps for them.
+  const { timer, keeper, others: [host, busy] } = createFleet();
+  seek(busy!, buildWish("running"), { timer, work: 400 });
+  timer.advance(20);
+  const wish = buildWish("waiting", { arrivedAt: 20, patience: 60_000 });
+  const seen = seek(host!, wish, { timer });
+  timer.advance(100);
+  keeper.restart();
+  timer.advance(600);
+  t.is(seen.verdict?.kind, "place");
+});
--- a/packages/admission/tests/helpers/virtualFleet.ts
+++ b/packages/admission/tests/helpers/virtualFleet.ts
@@ -69,12 +69,12 @@
       knowledge: this.knowledge,
       random: this.#random,
       candidates: () => fleet.candidates,
-      send: (keeper, ask) =>
-        fleet.carry(
-          this.host,
-          keeper,
-          (other, now) => other.keeperOf(ask.cell).hear(ask, now),
-        ),
+      send: (keeper, ask) => {
+        fleet.described += ask.wishes.length;
+        fleet.carry(this.host, keeper, (other, now) => {
+          other.keeperOf(ask.cell).hear(ask, now);
+        });
+      },
       onKeeper: () => fleet.changes++,
     });
   }
@@ -122,6 +122,8 @@
   candidates: readonly KeeperCandidate[];
   /** Keepers passed over. */
   changes = 0;
+  /** Requests that asks described. */
+  described = 0;
   /** Datagrams that were sent. */
   sent = 0;
   /** Pairs `from>to` whose datagrams vanish. */
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -135,6 +135,8 @@
     ask.lessonsFrom,
     ask.verdictsSeen,
     ask.wantsAnswer,
+    ask.withdrawn,
+    ...ask.waiting === undefined ? [] : [ask.waiting],
   ],
   read: (row, now) => {
     const cell = readCell(row[2]);
@@ -157,6 +159,8 @@
       lessonsFrom: numberOf(row[7]),
       verdictsSeen: numberOf(row[8]),
       wantsAnswer: row[9] === true,
+      withdrawn: textsOf<RequestId>(row[10]),
+      ...row[11] !== undefined && { waiting: textsOf<RequestId>(row[11]) },
     };
   },
 };
@@ -172,6 +176,7 @@
     answer.verdicts.map(packVerdict),
     answer.pictures.map((picture) => packPicture(picture, now)),
     answer.isLeaving,
+    answer.unknown,
   ],
   read: (row, now) => ({
     host: asId<HostId>(textOf(row[0])),
@@ -183,6 +188,7 @@
     verdicts: rowsOf(row[6]).map(readVerdict),
     pictures: rowsOf(row[7]).map((picture) => readPicture(picture, now)),
     isLeaving: row[8] === true,
+    unknown: textsOf<RequestId>(row[9]),
   }),
 };
 
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -212,6 +212,8 @@
       lessonsFrom: 3,
       verdictsSeen: 5,
       wantsAnswer: true,
+      withdrawn: [asId<RequestId>("gone")],
+      waiting: [asId<RequestId>("q"), asId<RequestId>("other")],
     },
   },
   {
@@ -245,6 +247,7 @@
         },
       ],
       pictures: [{ cell: CELL, places: 40, free: 3, waiting: 0, at: NOW - 20 }],
+      unknown: [asId<RequestId>("other")],
       isLeaving: false,
     },
   },
