--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -59,6 +59,7 @@
   PlaceVerdict,
 } from "./cellMessages.ts";
 export { CellKeeper, type CellKeeperOptions } from "./cellKeeper.ts";
+export { KeeperChoice } from "./keeperChoice.ts";
 export { type KeeperCandidate, keeperOrder } from "./keeperOrder.ts";
 export {
   type KeeperChange,
--- a/packages/admission/src/placeSeeker.ts
+++ b/packages/admission/src/placeSeeker.ts
@@ -11,27 +11,18 @@
 import { CellAsking, type KeeperSilence } from "./cellAsking.ts";
 import { CellMap } from "./cellMap.ts";
 import { type Cell, type CellKey, cellKeyOf } from "./cells.ts";
-import type {
-  CellPicture,
-  PlaceAnswer,
-  PlaceAsk,
-  PlaceVerdict,
-} from "./cellMessages.ts";
-import { type KeeperCandidate, keeperOrder } from "./keeperOrder.ts";
+import type { PlaceAnswer, PlaceAsk, PlaceVerdict } from "./cellMessages.ts";
+import { CellPictures } from "./cellPictures.ts";
+import { KeeperChoice } from "./keeperChoice.ts";
+import type { KeeperCandidate } from "./keeperOrder.ts";
 import { PlaceScheduler, type Verdict } from "./placeScheduler.ts";
 import { candidateOf, type PlaceWish } from "./placeWish.ts";
 import type { Upstream } from "./types.ts";
 import type { UpstreamDirectory } from "./upstreamDirectory.ts";
 import type { AttemptLesson, UpstreamKnowledge } from "./upstreamKnowledge.ts";
 
-/** A keeper that was silent or stops is passed over for so long. */
-const PASSED_OVER_MS: Milliseconds = 3_000;
 /** Keepers that may be silent in a row before a host decides alone. */
 const SILENT_KEEPERS = 2;
-/** A picture older than this says nothing about free places. */
-const PICTURE_MS: Milliseconds = 1_000;
-/** Share of all places that must be free for a service to count as idle. */
-const IDLE_SHARE = 0.25;
 /** Cells that one request waits in at most. */
 const CELLS_AT_ONCE = 2;
 
@@ -65,12 +56,6 @@
   isAlone: boolean;
 }
 
-/** The keepers of a cell in order, among the candidates that it was worked out from. */
-interface KnownOrder {
-  readonly candidates: readonly KeeperCandidate[];
-  readonly order: readonly HostId[];
-}
-
 /**
  * Seeks places for the requests of one host: asks the keepers of cells, passes over
  * silent ones, and decides alone when none answers.
@@ -86,14 +71,14 @@
   readonly #seeking = new Map<RequestId, Seeking>();
   readonly #cells: CellMap;
   readonly #askings = new Map<CellKey, CellAsking>();
-  readonly #pictures = new Map<CellKey, CellPicture>();
-  readonly #passedOver = new Map<HostId, Milliseconds>();
-  readonly #orders = new Map<CellKey, KnownOrder>();
+  readonly #pictures = new CellPictures();
+  readonly #keepers: KeeperChoice;
 
   constructor(options: PlaceSeekerOptions) {
     const { directory, knowledge, random } = options;
     this.#options = options;
     this.#cells = new CellMap(directory);
+    this.#keepers = new KeeperChoice(options);
     this.#alone = new PlaceScheduler({
       upstreams: directory,
       knowledge,
@@ -181,12 +166,12 @@
   hear(answer: PlaceAnswer, now: Milliseconds): void {
     const { incarnation } = this.#options;
     if (answer.to !== incarnation) return;
-    for (const picture of answer.pictures) this.#see(picture);
+    for (const picture of answer.pictures) this.#pictures.see(picture);
     const key = cellKeyOf(answer.cell);
     const asking = this.#askings.get(key);
     const fresh = asking?.hear(answer);
     if (asking === undefined || fresh === undefined) return;
-    this.#passedOver.delete(answer.host);
+    this.#keepers.noteAnswer(answer.host);
     for (const verdict of fresh) this.#take(verdict, key, now);
     const hasOther = answer.host !== this.#options.host;
     if (answer.isLeaving && hasOther) this.#passOver(asking, "leaving", now);
@@ -203,18 +188,9 @@
     }
   }
 
-  /** A peer says that a keeper was silent. */
-  hearSilent(keeper: HostId, until: Milliseconds): void {
-    if (keeper === this.#options.host) return;
-    this.#passedOver.set(keeper, until);
-  }
-
-  /** Keepers that this host passes over, and until when. */
-  passedOver(now: Milliseconds): ReadonlyMap<HostId, Milliseconds> {
-    for (const [host, until] of this.#passedOver) {
-      if (until <= now) this.#passedOver.delete(host);
-    }
-    return this.#passedOver;
+  /** Who keeps which cell, as this host sees it. */
+  get keepers(): KeeperChoice {
+    return this.#keepers;
   }
 
   /** Repeats what went unanswered, confirms work, and looks for dead keepers. */
@@ -248,16 +224,7 @@
 
   /** Whether places of a service are free to spare and nobody waits, as last heard. */
   isIdle(service: ServiceId, now: Milliseconds): boolean {
-    let places = 0;
-    let free = 0;
-    for (const cell of this.#cells.ofService(service)) {
-      const picture = this.#pictureOf(cellKeyOf(cell), now);
-      if (picture === undefined) continue;
-      if (picture.waiting > 0) return false;
-      places += picture.places;
-      free += picture.free;
-    }
-    return free > IDLE_SHARE * places;
+    return this.#pictures.areIdle(this.#cells.ofService(service), now);
   }
 
   /** Whether a service has an upstream in reach besides those left out. */
@@ -279,9 +246,10 @@
     const cells = this.#cells.ofService(wish.service);
     const home = this.#homeOf(cells);
     if (home === undefined || cells.length === 1) return home;
-    const picture = this.#pictureOf(cellKeyOf(home), now);
+    const picture = this.#pictures.of(home, now);
     if (picture === undefined || picture.free > 0) return home;
-    return this.#roomiest(cells, now) ?? home;
+    const { random } = this.#options;
+    return this.#pictures.roomiest(cells, { random, now }) ?? home;
   }
 
   /** A cell of this host's failure domain; hosts of one domain spread over its cells. */
@@ -292,19 +260,6 @@
     return choice.length === 1 ? choice[0] : this.#cells.pickFor(host, choice);
   }
 
-  /** A cell drawn by the free places that were seen; `undefined` without any. */
-  #roomiest(cells: readonly Cell[], now: Milliseconds): Cell | undefined {
-    const free = cells.map((cell) =>
-      this.#pictureOf(cellKeyOf(cell), now)?.free ?? 0
-    );
-    let draw = this.#options.random.float() *
-      free.reduce((sum, count) => sum + count, 0);
-    return cells.find((_, index) => {
-      draw -= free[index]!;
-      return draw < 0;
-    });
-  }
-
   /** Requests that wait at a keeper wait in one other cell as well. */
   #spread({ key, cell }: CellAsking, now: Milliseconds): void {
     const cells = this.#cells.ofService(cell.service);
@@ -314,8 +269,9 @@
       const others = cells.filter((other) =>
         !seeking.cells.has(cellKeyOf(other))
       );
-      const other = this.#roomiest(others, now) ??
-        this.#options.random.pick(others);
+      const { random } = this.#options;
+      const other = this.#pictures.roomiest(others, { random, now }) ??
+        random.pick(others);
       this.#seekIn(other, seeking, now);
     }
   }
@@ -426,9 +382,7 @@
   ): void {
     const { keeper, key } = asking;
     const { host, onKeeper } = this.#options;
-    if (keeper !== undefined && keeper !== host) {
-      this.#passedOver.set(keeper, now + PASSED_OVER_MS);
-    }
+    if (keeper !== undefined) this.#keepers.passOver(keeper, now);
     onKeeper({ cell: key, kind, keeper });
     asking.notePassedOver(kind);
     const isAlone = asking.silentKeepers >= SILENT_KEEPERS ||
@@ -449,7 +403,7 @@
     const asking = this.#askings.get(key);
     if (asking === undefined) return;
     const { host, incarnation, send } = this.#options;
-    const keeper = this.#keeperOf(asking.cell, now);
+    const keeper = this.#keepers.keeperOf(asking.cell, now);
     const { described, ...ask } = asking.compose({ keeper, wantsAnswer, now });
     send(keeper, {
       ...ask,
@@ -462,28 +416,6 @@
     });
   }
 
-  /** The first in order that is not passed over; this host when there is none. */
-  #keeperOf(cell: Cell, now: Milliseconds): HostId {
-    const passedOver = this.passedOver(now);
-    const first = this.#orderOf(cell).find((host) => !passedOver.has(host));
-    return first ?? this.#options.host;
-  }
-
-  #orderOf(cell: Cell): readonly HostId[] {
-    const key = cellKeyOf(cell);
-    const candidates = this.#options.candidates();
-    const known = this.#orders.get(key);
-    if (known?.candidates === candidates) return known.order;
-    const order = keeperOrder(cell, candidates);
-    this.#orders.set(key, { candidates, order });
-    return order;
-  }
-
-  /** Who keeps a cell, as this host sees it. */
-  keeperOf(cell: Cell, now: Milliseconds): HostId {
-    return this.#keeperOf(cell, now);
-  }
-
   /** The cells of a service. */
   cellsOf(service: ServiceId): readonly Cell[] {
     return this.#cells.ofService(service);
@@ -513,20 +445,4 @@
     }
     return asking;
   }
-
-  #see(picture: CellPicture): void {
-    const key = cellKeyOf(picture.cell);
-    const known = this.#pictures.get(key);
-    if (known === undefined || known.at <= picture.at) {
-      this.#pictures.set(key, picture);
-    }
-  }
-
-  #pictureOf(key: CellKey, now: Milliseconds): CellPicture | undefined {
-    const picture = this.#pictures.get(key);
-    if (picture === undefined || now - picture.at > PICTURE_MS) {
-      return undefined;
-    }
-    return picture;
-  }
 }
--- a/packages/admission/tests/helpers/virtualFleet.ts
+++ b/packages/admission/tests/helpers/virtualFleet.ts
@@ -184,7 +184,8 @@
         host,
         other.host,
         ({ seeker }, now) =>
-          seeker.keeperOf(cell, now) === host && seeker.report(cell, now),
+          seeker.keepers.keeperOf(cell, now) === host &&
+          seeker.report(cell, now),
       );
     }
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,13 +31,15 @@
 import type { Shown } from "./operatorPort.ts";
 import { type OperatorAddresses, OperatorPorts } from "./operatorPorts.ts";
 import type { ListenError } from "./listenError.ts";
-import { PeerBook, type PeerChange } from "./peerBook.ts";
+import { PeerBook } from "./peerBook.ts";
 import { type ChannelError, PeerChannel } from "./peerChannel.ts";
+import { PeerLog } from "./peerLog.ts";
 import type { PeerMessage } from "./peerMessage.ts";
 import type { ListChange } from "./peerWord.ts";
 import { keeperChangeOf, PlaceDesk } from "./placeDesk.ts";
 import { PolicyState } from "./policyState.ts";
 import { StoreSharing } from "./storeSharing.ts";
+import { connectionShare } from "./connectionShare.ts";
 import { UpstreamConnections } from "./upstreamConnections.ts";
 import { UpstreamNews } from "./upstreamNews.ts";
 import { UsageDesk } from "./usageDesk.ts";
@@ -60,11 +62,6 @@
 /** Time before the platform's kill by which the process ends by itself. */
 const STOP_MARGIN_MS: Milliseconds = 600;
 const STOP_CHECK_MS: Milliseconds = 50;
-const FALLBACK_CONNECTIONS = 64;
-/** Peers that come and go are logged together so often. */
-const PEER_LOG_MS: Milliseconds = 1_000;
-/** Peers that such a line names. */
-const NAMED_PEERS = 8;
 
 /** Where a host listens; all are `ip:port`. */
 export interface GatewayAddresses extends OperatorAddresses {
@@ -110,8 +107,7 @@
   readonly #desk: PlaceDesk;
   readonly #usage: UsageDesk;
   readonly #startedAt: Milliseconds;
-  readonly #peerChanges: PeerChange[] = [];
-  #loggedPeersAt: Milliseconds = -Infinity;
+  readonly #peerLog: PeerLog;
   #nextTick: TimerSubscription | undefined;
   #nextSlowTick: TimerSubscription | undefined;
   #isTickSoon = false;
@@ -129,6 +125,7 @@
       seeds,
     });
     this.parts = this.#createParts();
+    this.#peerLog = new PeerLog(this.parts);
     this.#front = new CallerFront(this.parts);
     this.#operatorPorts = new OperatorPorts({
       shown: this.#shown(),
@@ -300,7 +297,7 @@
       retries: new RetryBudget(this.#options.retryBudget),
       crashes: new CrashBook(),
       connections: new UpstreamConnections(() =>
-        connectionsOf(policies, hostCount())
+        connectionShare(policies, hostCount())
       ),
       tellCrash: (crash) => this.#talk.tellCrash(crash),
       dropReplaced: (upstream) => this.upstreams.dropReplaced(upstream),
@@ -333,7 +330,8 @@
         this.parts.log.write("keeper_passed_over", keeperChangeOf(change));
         const { keeper } = change;
         if (change.kind !== "silent" || keeper === undefined) return;
-        const until = this.parts.places.passedOver(timer.now()).get(keeper);
+        const until = this.parts.places.keepers
+          .passedOver(timer.now()).get(keeper);
         if (until !== undefined) this.#talk.tellSilent(keeper, until);
       },
     });
@@ -367,7 +365,8 @@
         this.sharing.hearOf(peer, { listRevision, now: timer.now() }),
       onChange: (change) => this.takeChange(change),
       onLeft: (upstream) => this.upstreams.takeLeft(upstream),
-      onSilent: (host, until) => this.parts.places.hearSilent(host, until),
+      onSilent: (host, until) =>
+        this.parts.places.keepers.hearSilent(host, until),
       listRevision: () => this.sharing.listRevision,
       canRead: () => this.sharing.canRead,
     });
@@ -468,25 +467,7 @@
     this.upstreams.expire();
     this.sharing.tick(now);
     this.#usage.tick(now);
-    this.#peerChanges.push(...this.#talk.tick());
-    this.#logPeers(now);
-  }
-
-  /** One line a second at most, however many hosts start or die together. */
-  #logPeers(now: Milliseconds): void {
-    if (this.#peerChanges.length === 0) return;
-    if (now - this.#loggedPeersAt < PEER_LOG_MS) return;
-    this.#loggedPeersAt = now;
-    const changes = this.#peerChanges.splice(0);
-    const named = (kind: PeerChange["kind"]): string =>
-      changes.filter((change) => change.kind === kind)
-        .map(({ host }) => host).slice(0, NAMED_PEERS).join(",");
-    this.parts.log.write("peers_changed", {
-      changes: changes.length,
-      found: named("found"),
-      lost: named("lost"),
-      peers: this.#book.aliveCount,
-    });
+    this.#peerLog.note(this.#talk.tick(), this.#book.aliveCount);
   }
 
   #sleep(span: Milliseconds): Promise<void> {
@@ -495,14 +476,3 @@
     });
   }
 }
-
-/** Connections that this host may have to one upstream, of what all may have. */
-function connectionsOf(policies: PolicyState, hosts: number): number {
-  const services = policies.index?.policy.services ?? [];
-  let least = Infinity;
-  for (const { maximumConnections } of services) {
-    least = Math.min(least, maximumConnections);
-  }
-  if (!Number.isFinite(least)) return FALLBACK_CONNECTIONS;
-  return Math.max(1, Math.floor(least / hosts));
-}
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -2,30 +2,19 @@
 import type { Buffer } from "node:buffer";
 import {
   asId,
-  asTier,
   type ClientAccountId,
   type Digest,
-  type FailureDomain,
   type HostId,
   type Incarnation,
   type Milliseconds,
   type RequestId,
-  type ServiceId,
   type UpstreamId,
 } from "@wasabivane/common";
 import type {
-  AttemptLesson,
   Cell,
   CellPicture,
   PlaceAnswer,
   PlaceAsk,
-  PlaceDecision,
-  PlaceRefusal,
-  PlaceVerdict,
-  PlaceWish,
-  RouteId,
-  Upstream,
-  UpstreamOutcome,
   UsageReport,
 } from "@wasabivane/admission";
 import { Packr } from "msgpackr";
@@ -38,7 +27,25 @@
   textOf,
   textsOf,
 } from "./messageFields.ts";
-import type { ListChange, PeerMention, PeerWord } from "./peerWord.ts";
+import type { PeerWord } from "./peerWord.ts";
+import {
+  packCell,
+  packLesson,
+  packPicture,
+  packVerdict,
+  packWish,
+  readCell,
+  readLesson,
+  readPicture,
+  readVerdict,
+  readWish,
+} from "./placeRows.ts";
+import {
+  packChange,
+  packMention,
+  readChange,
+  readMention,
+} from "./wordRows.ts";
 
 const FORMAT = 5;
 
@@ -294,215 +301,6 @@
   return err({ kind: "malformed-message", detail });
 }
 
-function packMention(mention: PeerMention): Row {
-  return [
-    mention.host,
-    mention.incarnation,
-    mention.address,
-    mention.failureDomain,
-    Math.round(mention.age),
-    Math.round(mention.silence),
-    mention.isLeaving,
-    mention.canRead,
-  ];
-}
-
-function readMention(row: Row): PeerMention {
-  return {
-    host: asId<HostId>(textOf(row[0])),
-    incarnation: asId<Incarnation>(textOf(row[1])),
-    address: textOf(row[2]),
-    failureDomain: asId<FailureDomain>(textOf(row[3])),
-    age: numberOf(row[4]),
-    silence: numberOf(row[5]),
-    isLeaving: row[6] === true,
-    canRead: row[7] === true,
-  };
-}
-
-function packChange({ from, to, upstreams, removed }: ListChange): Row {
-  const rows = upstreams.map((upstream) => [
-    upstream.upstream,
-    upstream.name,
-    upstream.bornAt,
-    upstream.service,
-    upstream.address,
-    upstream.failureDomain,
-    upstream.slots,
-    upstream.isLeaving,
-  ]);
-  return [from, to, rows, removed];
-}
-
-function readChange([from, to, upstreams, removed]: Row): ListChange {
-  return {
-    from: numberOf(from),
-    to: numberOf(to),
-    upstreams: rowsOf(upstreams).map(readUpstream),
-    removed: listOf(removed).map(textOf),
-  };
-}
-
-function readUpstream(row: Row): Upstream {
-  return {
-    upstream: asId<UpstreamId>(textOf(row[0])),
-    name: textOf(row[1]),
-    bornAt: numberOf(row[2]),
-    service: asId<ServiceId>(textOf(row[3])),
-    address: textOf(row[4]),
-    failureDomain: asId<FailureDomain>(textOf(row[5])),
-    slots: numberOf(row[6]),
-    isLeaving: row[7] === true,
-  };
-}
-
-function packCell({ service, failureDomain, index, count }: Cell): Row {
-  return [service, failureDomain ?? "", index, count];
-}
-
-function readCell(value: unknown): Cell {
-  const [service, failureDomain, index, count] = listOf(value);
-  const domain = textOf(failureDomain);
-  return {
-    service: asId<ServiceId>(textOf(service)),
-    failureDomain: domain === "" ? undefined : asId<FailureDomain>(domain),
-    index: numberOf(index),
-    count: numberOf(count),
-  };
-}
-
-function packWish(wish: PlaceWish, now: Milliseconds): Row {
-  return [
-    wish.request,
-    wish.route,
-    wish.tier,
-    Math.round(now - wish.arrivedAt),
-    wish.target,
-    Math.round(wish.deadline - now),
-    Math.round(wish.patience),
-    wish.promptTokens,
-    wish.expectedTokens,
-    wish.pauseTarget,
-    wish.parts.map(({ part, tokens }) => [part, tokens]),
-    [...wish.excluded],
-    wish.isContinuation,
-    wish.failureDomain,
-  ];
-}
-
-function readWish(row: Row, service: ServiceId, now: Milliseconds): PlaceWish {
-  return {
-    request: asId<RequestId>(textOf(row[0])),
-    service,
-    route: asId<RouteId>(textOf(row[1])),
-    tier: asTier(numberOf(row[2])),
-    arrivedAt: now - numberOf(row[3]),
-    target: numberOf(row[4]),
-    deadline: now + numberOf(row[5]),
-    patience: numberOf(row[6]),
-    promptTokens: numberOf(row[7]),
-    expectedTokens: numberOf(row[8]),
-    pauseTarget: numberOf(row[9]),
-    parts: rowsOf(row[10]).map(([part, tokens]) => ({
-      part: textOf(part),
-      tokens: numberOf(tokens),
-    })),
-    excluded: new Set(textsOf<UpstreamId>(row[11])),
-    isContinuation: row[12] === true,
-    failureDomain: asId<FailureDomain>(textOf(row[13])),
-  };
-}
-
-function packLesson(
-  { upstream, outcome, residence, times }: AttemptLesson,
-): Row {
-  const rows = times === undefined ? [] : [
-    times.route,
-    times.expectedTokens,
-    times.promptTokens,
-    Math.round(times.latency),
-    times.events,
-    times.latePauses,
-  ];
-  return [upstream, outcome, Math.round(residence), rows];
-}
-
-function readLesson(row: Row, service: ServiceId): AttemptLesson {
-  const times = listOf(row[3]);
-  const read = times.length === 0 ? {} : {
-    times: {
-      route: asId<RouteId>(textOf(times[0])),
-      expectedTokens: numberOf(times[1]),
-      promptTokens: numberOf(times[2]),
-      latency: numberOf(times[3]),
-      events: numberOf(times[4]),
-      latePauses: numberOf(times[5]),
-    },
-  };
-  return {
-    upstream: asId<UpstreamId>(textOf(row[0])),
-    service,
-    outcome: textOf(row[1]) as UpstreamOutcome,
-    residence: numberOf(row[2]),
-    ...read,
-  };
-}
-
-function packVerdict({ number, request, decision }: PlaceVerdict): Row {
-  if (decision.kind === "place") {
-    const { upstream, inFlight, unreadTokens } = decision;
-    return [number, request, "", upstream, inFlight, unreadTokens];
-  }
-  const { reason, outlook: { ahead, startsPerSecond, wait } } = decision;
-  return [number, request, reason, ahead, startsPerSecond ?? -1, wait];
-}
-
-function readVerdict(row: Row): PlaceVerdict {
-  return {
-    number: numberOf(row[0]),
-    request: asId<RequestId>(textOf(row[1])),
-    decision: readDecision(textOf(row[2]), row),
-  };
-}
-
-function readDecision(reason: string, row: Row): PlaceDecision {
-  if (reason === "") {
-    return {
-      kind: "place",
-      upstream: asId<UpstreamId>(textOf(row[3])),
-      inFlight: numberOf(row[4]),
-      unreadTokens: numberOf(row[5]),
-    };
-  }
-  const pace = numberOf(row[4]);
-  return {
-    kind: "refuse",
-    reason: reason as PlaceRefusal,
-    outlook: {
-      ahead: numberOf(row[3]),
-      startsPerSecond: pace < 0 ? undefined : pace,
-      wait: numberOf(row[5]),
-    },
-  };
-}
-
-function packPicture(
-  { cell, places, free, waiting, at }: CellPicture,
-  now: Milliseconds,
-): Row {
-  return [packCell(cell), places, free, waiting, Math.round(now - at)];
-}
-
-function readPicture(row: Row, now: Milliseconds): CellPicture {
-  return {
-    cell: readCell(row[0]),
-    places: numberOf(row[1]),
-    free: numberOf(row[2]),
-    waiting: numberOf(row[3]),
-    at: now - numberOf(row[4]),
-  };
-}
-
 function readSums(value: unknown): Map<ClientAccountId, number> {
   return new Map(
     rowsOf(value).map(([account, sum]) => [
--- a/packages/gateway/src/placeDesk.ts
+++ b/packages/gateway/src/placeDesk.ts
@@ -80,7 +80,7 @@
   hearCall({ host, cell }: KeeperCall): void {
     const { seeker } = this.#options;
     const now = this.#now();
-    if (seeker.keeperOf(cell, now) === host) seeker.report(cell, now);
+    if (seeker.keepers.keeperOf(cell, now) === host) seeker.report(cell, now);
   }
 
   /** Takes in how full other cells are. */
@@ -168,7 +168,7 @@
     this.#pictures.set(key, picture);
     const others = seeker.cellsOf(keeper.cell.service)
       .filter((cell) => cellKeyOf(cell) !== key)
-      .map((cell) => seeker.keeperOf(cell, now));
+      .map((cell) => seeker.keepers.keeperOf(cell, now));
     for (const host of this.#draw(others)) {
       send(host, { kind: "pictures", pictures: [picture] });
     }
