Count work that no host tells of, by the engines' own reports

To the keeper of the other five the engines looked half empty: at 7 of 8 places believed taken, first events came 1,078 ms after sending (median, first kind, seconds 8 to 12; 93 ms in the calm seconds before). What hosts had learned of slow answers used to shut their doors there; since they no longer do, nothing held the fleet back.

Change: upstreams say in their answers how many requests they have; what is more than hosts tell of counts as taken, as a mean that fades in 1.5 s.

--- a/packages/admission/src/cellAsking.ts
+++ b/packages/admission/src/cellAsking.ts
@@ -3,6 +3,7 @@
   Incarnation,
   Milliseconds,
   RequestId,
+  UpstreamId,
 } from "@wasabivane/common";
 import { type Cell, type CellKey, cellKeyOf } from "./cells.ts";
 import type { PlaceAnswer, PlaceAsk, PlaceVerdict } from "./cellMessages.ts";
@@ -56,6 +57,7 @@
   #verdictsSeen = 0;
   #lessons: AttemptLesson[] = [];
   #lessonsFrom = 1;
+  readonly #reports = new Map<UpstreamId, number>();
   /** Requests that wait here: the ask that first described each to this keeper. */
   readonly #described = new Map<RequestId, number>();
   /** Requests that wait here no more: the ask that first said so. */
@@ -111,6 +113,11 @@
     if (isTold) this.#withdrawn.set(request, Infinity);
   }
 
+  /** An upstream of the cell said how many requests it has. */
+  reported(upstream: UpstreamId, requests: number): void {
+    this.#reports.set(upstream, requests);
+  }
+
   /** An attempt in this cell ended. */
   learned(lesson: AttemptLesson): void {
     this.#lessons.push(lesson);
@@ -132,6 +139,8 @@
     if (wantsAnswer) this.#unanswered.push({ sequence, sentAt: now });
     this.#sentAt = now;
     const isListing = this.#isListing;
+    const reports = [...this.#reports];
+    this.#reports.clear();
     this.#isListing = false;
     return {
       cell: this.cell,
@@ -139,6 +148,7 @@
       described: this.#untold(this.#described, sequence),
       withdrawn: this.#untold(this.#withdrawn, sequence),
       ...isListing && { waiting: [...this.#described.keys()] },
+      reports,
       lessons: [...this.#lessons],
       lessonsFrom: this.#lessonsFrom,
       verdictsSeen: this.#verdictsSeen,
--- a/packages/admission/src/cellKeeper.ts
+++ b/packages/admission/src/cellKeeper.ts
@@ -130,6 +130,10 @@
     const asker = this.#askerOf(ask, now);
     if (ask.sequence <= asker.sequence) return;
     asker.sequence = ask.sequence;
+    // Before the host's work is counted anew: the upstream had what has ended since.
+    for (const [upstream, requests] of ask.reports) {
+      this.#scheduler.load.report(upstream, requests, now);
+    }
     asker.heardAt = now;
     asker.inFlight = ask.inFlight;
     asker.unseen = asker.unseen.filter(({ number }) =>
--- a/packages/admission/src/cellMessages.ts
+++ b/packages/admission/src/cellMessages.ts
@@ -32,6 +32,8 @@
   readonly withdrawn: readonly RequestId[];
   /** Now and then: all requests of the host that wait there. */
   readonly waiting?: readonly RequestId[];
+  /** What upstreams said a moment ago of all requests that they had. */
+  readonly reports: readonly (readonly [UpstreamId, number])[];
   /** What ended attempts showed, oldest first; the first has number `lessonsFrom`. */
   readonly lessons: readonly AttemptLesson[];
   readonly lessonsFrom: number;
--- a/packages/admission/src/fleetLoad.ts
+++ b/packages/admission/src/fleetLoad.ts
@@ -3,6 +3,11 @@
 /** Requests of a silent peer count until then: upstreams drop those of a dead one within seconds. */
 const PEER_FORGET_MS: Milliseconds = 2_000;
 
+/** Weight of the newest report of an upstream; a few show work that nobody tells of. */
+const REPORT_WEIGHT = 0.25;
+/** Without reports, work that nobody tells of is taken to fade in about this time. */
+const UNTOLD_MEMORY_MS: Milliseconds = 1_500;
+
 /** Work at one upstream. */
 export interface UpstreamLoad {
   readonly requests: number;
@@ -17,6 +22,12 @@
   readonly inFlight: ReadonlyMap<UpstreamId, UpstreamLoad>;
 }
 
+/** Requests at an upstream that no host tells of, as a mean of its reports. */
+interface UntoldLoad {
+  readonly requests: number;
+  readonly at: Milliseconds;
+}
+
 interface PeerLoad extends HostLoad {
   readonly heardAt: Milliseconds;
 }
@@ -27,12 +38,17 @@
  *
  * Answers the load pattern of many hosts before few upstreams. Each sees only
  * its own few requests; without the others' counts several hosts fill the same
- * upstream while another idles, and the engines queue or reject what was sent.
+ * upstream while another idles, and the engines queue or reject what was sent. Hosts
+ * that are cut off go on sending and tell nobody: an upstream's own report shows that
+ * it has more than is known of, and what it has more counts as taken.
  */
 export class FleetLoad {
   readonly #own = new Map<UpstreamId, UpstreamLoad>();
   readonly #others = new Map<UpstreamId, UpstreamLoad>();
   readonly #peers = new Map<HostId, PeerLoad>();
+  readonly #untold = new Map<UpstreamId, UntoldLoad>();
+  /** Time of the last call that told it. */
+  #now: Milliseconds = 0;
 
   /** Counts a request in that this host sends. */
   begin(upstream: UpstreamId, promptTokens = 0): void {
@@ -51,6 +67,7 @@
 
   /** Takes a peer's word. */
   hear(peer: HostId, load: HostLoad, now: Milliseconds): void {
+    this.#now = Math.max(this.#now, now);
     const former = this.#peers.get(peer);
     if (former !== undefined) this.#addAll(former, -1);
     this.#peers.set(peer, { ...load, heardAt: now });
@@ -64,6 +81,7 @@
 
   /** Forgets peers that have been silent; true when one was forgotten. */
   expire(now: Milliseconds): boolean {
+    this.#now = Math.max(this.#now, now);
     let isChanged = false;
     for (const [peer, load] of this.#peers) {
       if (now - load.heardAt < PEER_FORGET_MS) continue;
@@ -76,10 +94,30 @@
 
   /** Requests at the upstream from all hosts. */
   total(upstream: UpstreamId): number {
+    return this.#told(upstream) + Math.floor(this.#untoldAt(upstream));
+  }
+
+  /** An upstream says how many requests it has, running and waiting. */
+  report(upstream: UpstreamId, requests: number, now: Milliseconds): void {
+    this.#now = Math.max(this.#now, now);
+    const more = requests - this.#told(upstream);
+    const known = this.#untoldAt(upstream);
+    const mean = Math.max(0, known + REPORT_WEIGHT * (more - known));
+    this.#untold.set(upstream, { requests: mean, at: now });
+  }
+
+  #told(upstream: UpstreamId): number {
     const own = this.#own.get(upstream) ?? NO_LOAD;
     return own.requests + (this.#others.get(upstream) ?? NO_LOAD).requests;
   }
 
+  #untoldAt(upstream: UpstreamId): number {
+    const untold = this.#untold.get(upstream);
+    if (untold === undefined) return 0;
+    const age = this.#now - untold.at;
+    return untold.requests * Math.exp(-Math.max(0, age) / UNTOLD_MEMORY_MS);
+  }
+
   /** Prompt tokens from all hosts that the upstream has yet to read. */
   unreadTokens(upstream: UpstreamId): number {
     const own = this.#own.get(upstream) ?? NO_LOAD;
--- a/packages/admission/src/placeSeeker.ts
+++ b/packages/admission/src/placeSeeker.ts
@@ -150,6 +150,14 @@
     }
   }
 
+  /** An upstream said how many requests it has; the keeper hears of it with the next ask. */
+  noteLoad(upstream: Upstream, requests: number, now: Milliseconds): void {
+    this.#alone.load.report(upstream.upstream, requests, now);
+    const cell = this.#cells.of(upstream);
+    if (cell === undefined) return;
+    this.#askingOf(cell).reported(upstream.upstream, requests);
+  }
+
   /** A request ended at an upstream. */
   end(upstream: Upstream, lesson: AttemptLesson, now: Milliseconds): void {
     this.#alone.load.end(upstream.upstream);
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -75,6 +75,8 @@
   readonly promptTokens: number;
   /** How long it is borne that nothing comes; `undefined`: for as long as it takes. */
   readonly patience: SilencePatience | undefined;
+  /** Told how many requests the upstream has, where its answer says so. */
+  readonly onLoad: (requests: number) => void;
   /** Told of a running stream's mean time for an event, now and then. */
   readonly onPace?: (pace: Milliseconds) => void;
   readonly listener: AttemptListener;
@@ -146,6 +148,7 @@
   head(status: number, fields: FieldValues): void {
     if (this.#isOver) return;
     const says = this.#options.dialect.readAnswer(status, fields);
+    if (says.load !== undefined) this.#options.onLoad(says.load);
     if (status === MISDIRECTED) {
       return this.#end({ outcome: "replaced", detail: `status ${status}` });
     }
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -99,6 +99,8 @@
     pauseTarget: route.pauseTarget,
     promptTokens,
     patience: silencePatience({ ...send, promptTokens }),
+    onLoad: (requests) =>
+      parts.places.noteLoad(upstream, requests, timer.now()),
     onPace: (duration) =>
       knowledge.speed.observe({
         service,
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -38,6 +38,8 @@
   readonly isNotRun: boolean;
   /** The answer bears the upstream's own mark. */
   readonly isSealed: boolean;
+  /** Requests that the upstream has, running and waiting; `undefined` where it does not say. */
+  readonly load: number | undefined;
 }
 
 /** The bytes of a policy are not a policy. */
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -143,6 +143,7 @@
     ask.verdictsSeen,
     ask.wantsAnswer,
     ask.withdrawn,
+    ask.reports,
     ...ask.waiting === undefined ? [] : [ask.waiting],
   ],
   read: (row, now) => {
@@ -167,7 +168,11 @@
       verdictsSeen: numberOf(row[8]),
       wantsAnswer: row[9] === true,
       withdrawn: textsOf<RequestId>(row[10]),
-      ...row[11] !== undefined && { waiting: textsOf<RequestId>(row[11]) },
+      reports: rowsOf(row[11]).map(([upstream, requests]) => [
+        asId<UpstreamId>(textOf(upstream)),
+        numberOf(requests),
+      ]),
+      ...row[12] !== undefined && { waiting: textsOf<RequestId>(row[12]) },
     };
   },
 };
--- a/packages/gateway/tests/helpers/plainDialect.ts
+++ b/packages/gateway/tests/helpers/plainDialect.ts
@@ -51,6 +51,7 @@
       attempt: fieldOf(fields, "id"),
       isNotRun: fieldOf(fields, "not-run") !== undefined,
       isSealed: fieldOf(fields, "mark") !== undefined,
+      load: undefined,
     };
   }
 
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -213,6 +213,7 @@
       verdictsSeen: 5,
       wantsAnswer: true,
       withdrawn: [asId<RequestId>("gone")],
+      reports: [[asId<UpstreamId>("u1"), 4]],
       waiting: [asId<RequestId>("q"), asId<RequestId>("other")],
     },
   },
