Believe engines' reports sooner and longer

The replay is a test now; bounds are ours: a first tier that needs a third of the places must not be late by half.

--- a/packages/admission/src/fleetLoad.ts
+++ b/packages/admission/src/fleetLoad.ts
@@ -3,10 +3,14 @@
 /** Requests of a silent peer count until then: upstreams drop those of a dead one within seconds. */
 const PEER_FORGET_MS: Milliseconds = 2_000;
 
-/** Weight of the newest report of an upstream; a few show work that nobody tells of. */
-const REPORT_WEIGHT = 0.25;
-/** Without reports, work that nobody tells of is taken to fade in about this time. */
-const UNTOLD_MEMORY_MS: Milliseconds = 1_500;
+/** Weight of the newest report of an upstream; two or three show work that nobody tells of. */
+const REPORT_WEIGHT = 0.5;
+/**
+ * Without reports, work that nobody tells of is taken to fade in about this time, about
+ * as long as hosts are cut off. A full upstream gets nothing and says nothing; as soon as
+ * one place seems free, the next answer tells.
+ */
+const UNTOLD_MEMORY_MS: Milliseconds = 6_000;
 
 /** Work at one upstream. */
 export interface UpstreamLoad {
--- a/packages/admission/tests/cells.test.ts
+++ b/packages/admission/tests/cells.test.ts
@@ -413,3 +413,38 @@
   timer.advance(600);
   t.is(seen.verdict?.kind, "place");
 });
+
+test("hosts that are cut off from each other do not bury the engines in a burst", (t) => {
+  // Three of eight hosts reach callers and engines but no other host, while callers ask
+  // for more than the engines can run. Each part sees its own work only and fills every
+  // place; requests wait inside the engines, where no tier is seen, and the most urgent
+  // are late. Engines say what they have, and each part holds back for the others.
+  const load: Replay = {
+    hosts: 8,
+    engines: 13,
+    slots: 8,
+    speeds: [1],
+    duration: 8_000,
+    seed: 3,
+    areKeeping: true,
+    areLearning: true,
+    tiers: [
+      { tier: 1, rateAt: () => 100, work: 300, target: 150, patience: 2_000 },
+      { tier: 3, rateAt: () => 250, work: 600, target: 900, patience: 3_000 },
+    ],
+    onStart: (fleet) => {
+      const [first, second, third, ...rest] = fleet.hosts;
+      for (const lone of [first!, second!, third!]) {
+        for (const other of rest.concat(first!, second!, third!)) {
+          if (other === lone) continue;
+          fleet.cuts.add(`${lone.host}>${other.host}`);
+          fleet.cuts.add(`${other.host}>${lone.host}`);
+        }
+      }
+    },
+  };
+  const silent = shareOf(replayLoad(load), 1);
+  const reporting = shareOf(replayLoad({ ...load, areReporting: true }), 1);
+  t.true(silent.onTime < 0.1);
+  t.true(reporting.onTime > 0.5);
+});
--- a/packages/admission/tests/helpers/loadReplay.ts
+++ b/packages/admission/tests/helpers/loadReplay.ts
@@ -48,6 +48,8 @@
   readonly onStart?: (fleet: VirtualFleet, timer: VirtualTimer) => void;
   /** Time that an engine of speed 1 reads a prompt token; prompts are read in turn. */
   readonly tokenTime?: Milliseconds;
+  /** Whether engines say in their answers how many requests they have. */
+  readonly areReporting?: boolean;
   /** Whether hosts learn when first events come; otherwise they expect a constant. */
   readonly areLearning?: boolean;
 }
@@ -201,6 +203,10 @@
         started: () => {
           const now = timer.now();
           latency = now - sentAt;
+          if (replay.areReporting) {
+            const requests = engine.running + engine.waiting.length;
+            seeker.noteLoad(upstream, requests, now);
+          }
           seeker.endReading(upstream, promptTokens, now);
           if (now - since <= target) result.onTime++;
           else result.late++;
