--- a/packages/admission/src/fleetLoad.ts
+++ b/packages/admission/src/fleetLoad.ts
@@ -78,11 +78,6 @@
     this.#addAll(load, 1);
   }
 
-  /** Whether some host but this one has work anywhere. */
-  get hasPeers(): boolean {
-    return this.#peers.size > 0;
-  }
-
   /** Forgets peers that have been silent; true when one was forgotten. */
   expire(now: Milliseconds): boolean {
     this.#now = Math.max(this.#now, now);
