--- a/packages/admission/tests/cells.test.ts
+++ b/packages/admission/tests/cells.test.ts
@@ -59,6 +59,7 @@
     host: asId<HostId>(`h${index}`),
     failureDomain: DOMAINS[index % 5]!,
     age: index < 5 ? 1_000 : 60_000,
+    cores: 1,
   }));
   const order = keeperOrder(cell!, candidates);
   t.deepEqual(keeperOrder(cell!, candidates.toReversed()), order);
@@ -448,3 +449,20 @@
   t.true(silent.onTime < 0.1);
   t.true(reporting.onTime > 0.5);
 });
+
+test("a cell is kept by one of the larger machines near it", (t) => {
+  // A few hosts of a mixed fleet have four times the processor of the others. On a small
+  // one the work of keeping leaves too little for anything in a burst.
+  const [cell] = dealCells(PLANS, upstreamsIn(55, DOMAINS));
+  const candidates = Array.from({ length: 40 }, (_, index) => ({
+    host: asId<HostId>(`h${index}`),
+    failureDomain: DOMAINS[index % 5]!,
+    age: 60_000,
+    cores: index < 10 ? 1.35 : 0.324,
+  }));
+  const order = keeperOrder(cell!, candidates);
+  const sizes = order.slice(0, 8).map((host) =>
+    candidates.find((candidate) => candidate.host === host)!.cores
+  );
+  t.deepEqual(sizes.slice(0, 3), [1.35, 1.35, 0.324]);
+});
--- a/packages/admission/tests/helpers/virtualFleet.ts
+++ b/packages/admission/tests/helpers/virtualFleet.ts
@@ -146,6 +146,7 @@
       host,
       failureDomain,
       age: 60_000,
+      cores: 1,
     }));
     options.timer.every(TICK_MS, () => this.#tick());
   }
--- a/packages/gateway/src/fleetTalk.ts
+++ b/packages/gateway/src/fleetTalk.ts
@@ -49,6 +49,8 @@
   /** `ip:port` of this host's datagram port. */
   readonly address: string;
   readonly startedAt: Milliseconds;
+  /** Processor cores that this host may use. */
+  readonly cores: number;
   readonly send: (word: PeerWord, targets: readonly string[]) => void;
   /** A peer has a newer policy. */
   readonly onNewerPolicy: (peer: HostId) => void;
@@ -265,7 +267,8 @@
   }
 
   #self(now: Milliseconds): PeerMention {
-    const { parts, incarnation, address, startedAt, canRead } = this.#options;
+    const { parts, incarnation, address, startedAt, cores, canRead } =
+      this.#options;
     return {
       host: parts.host,
       incarnation,
@@ -275,6 +278,7 @@
       silence: 0,
       isLeaving: parts.isStopping(),
       canRead: canRead(),
+      cores,
     };
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -75,6 +75,8 @@
   readonly failureDomain: FailureDomain;
   readonly addresses: GatewayAddresses;
   readonly seeds: readonly string[];
+  /** Processor cores that this host may use, also a fraction of one. */
+  readonly cores: number;
   readonly readyPath: string;
   readonly freshness: FreshnessOptions;
   readonly retryBudget: RetryBudgetOptions;
@@ -115,13 +117,14 @@
   #stopsAt: Milliseconds = Infinity;
 
   constructor(options: GatewayOptions) {
-    const { host, incarnation, failureDomain, seeds, timer } = options;
+    const { host, incarnation, failureDomain, seeds, cores, timer } = options;
     this.#options = options;
     this.#startedAt = timer.now();
     this.#book = new PeerBook({
       host,
       failureDomain,
       startedAt: this.#startedAt,
+      cores,
       seeds,
     });
     this.parts = this.#createParts();
@@ -351,13 +354,14 @@
   }
 
   #createTalk(): FleetTalk {
-    const { incarnation, addresses, timer } = this.#options;
+    const { incarnation, addresses, cores, timer } = this.#options;
     return new FleetTalk({
       parts: this.parts,
       book: this.#book,
       incarnation,
       address: addresses.peers,
       startedAt: this.#startedAt,
+      cores,
       send: (word, targets) =>
         this.#channel.send({ kind: "word", word }, targets),
       onNewerPolicy: (peer) => void this.sharing.askPeer(peer),
--- a/packages/gateway/src/peerBook.ts
+++ b/packages/gateway/src/peerBook.ts
@@ -41,6 +41,7 @@
   sequence: number;
   isLeaving: boolean;
   canRead: boolean;
+  readonly cores: number;
   isLost: boolean;
   /** Its place in the order of readers. */
   readonly readerWeight: string;
@@ -57,6 +58,8 @@
   readonly host: HostId;
   readonly failureDomain: FailureDomain;
   readonly startedAt: Milliseconds;
+  /** Processor cores that this host may use. */
+  readonly cores: number;
   readonly seeds: readonly string[];
 }
 
@@ -124,6 +127,7 @@
       sequence: 0,
       isLeaving: mention.isLeaving,
       canRead: mention.canRead,
+      cores: mention.cores,
       isLost: now - heardAt > this.#lostAfter(),
       readerWeight: former?.readerWeight ?? rendezvousWeight(READER_KEY, host),
     });
@@ -202,13 +206,14 @@
     if (isSame && isFresh) return this.#candidates;
     this.#candidatesAt = now;
     this.#isLeaving = isLeaving;
-    const { host, failureDomain, startedAt } = this.#options;
+    const { host, failureDomain, startedAt, cores } = this.#options;
     const candidates: KeeperCandidate[] = isLeaving
       ? []
-      : [{ host, failureDomain, age: now - startedAt }];
-    for (const [peer, { failureDomain, startedAt, ...flags }] of this.#peers) {
-      if (flags.isLost || flags.isLeaving) continue;
-      candidates.push({ host: peer, failureDomain, age: now - startedAt });
+      : [{ host, failureDomain, age: now - startedAt, cores }];
+    for (const [peer, { failureDomain, startedAt, ...rest }] of this.#peers) {
+      if (rest.isLost || rest.isLeaving) continue;
+      const age = now - startedAt;
+      candidates.push({ host: peer, failureDomain, age, cores: rest.cores });
     }
     this.#hasYoung = candidates.some(({ age }) => age < YOUNG_MS);
     this.#candidates = candidates;
@@ -303,5 +308,6 @@
     silence: now - peer.heardAt,
     isLeaving: peer.isLeaving,
     canRead: peer.canRead,
+    cores: peer.cores,
   };
 }
--- a/packages/gateway/src/peerWord.ts
+++ b/packages/gateway/src/peerWord.ts
@@ -24,6 +24,8 @@
   readonly isLeaving: boolean;
   /** Whether it can read the platform's store. */
   readonly canRead: boolean;
+  /** Processor cores that it may use. */
+  readonly cores: number;
 }
 
 /** Changes of the list of upstreams between two revisions of the store. */
--- a/packages/gateway/src/wordRows.ts
+++ b/packages/gateway/src/wordRows.ts
@@ -22,6 +22,7 @@
     Math.round(mention.silence),
     mention.isLeaving,
     mention.canRead,
+    mention.cores,
   ];
 }
 
@@ -36,6 +37,7 @@
     silence: numberOf(row[5]),
     isLeaving: row[6] === true,
     canRead: row[7] === true,
+    cores: numberOf(row[8]),
   };
 }
 
--- a/packages/gateway/tests/fleetTalk.test.ts
+++ b/packages/gateway/tests/fleetTalk.test.ts
@@ -100,6 +100,7 @@
     host,
     failureDomain: DOMAIN,
     startedAt,
+    cores: 1,
     seeds: SEEDS.filter((other) => other !== name),
   });
   const talker: Talker = {
@@ -116,6 +117,7 @@
       incarnation: asId<Incarnation>(`${name} ${startedAt}`),
       address: name,
       startedAt,
+      cores: 1,
       send: (word, targets) => {
         const bytes = encodeMessage({ kind: "word", word }, timer.now());
         for (const target of targets) carry(bytes, target);
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -202,6 +202,7 @@
       peers: `127.0.0.1:${peers}`,
     },
     seeds,
+    cores: 1,
     readyPath: "/ready",
     freshness: { revocationBound, applyBound: 600_000 },
     retryBudget: { ratio: 0.2, slack: 50, window: 10_000 },
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -47,6 +47,7 @@
     silence: 0,
     isLeaving: false,
     canRead: true,
+    cores: 0.675,
     ...changes,
   };
 }
@@ -56,6 +57,7 @@
     host: SELF,
     failureDomain: WEST,
     startedAt: 0,
+    cores: 1,
     seeds,
   });
 }
--- a/packages/gateway/tests/storeSharing.test.ts
+++ b/packages/gateway/tests/storeSharing.test.ts
@@ -69,6 +69,7 @@
     host: parts.host,
     failureDomain: parts.failureDomain,
     startedAt: 0,
+    cores: 1,
     seeds: [],
   });
   const asked: string[] = [];
@@ -82,6 +83,7 @@
       silence: 0,
       isLeaving: false,
       canRead: true,
+      cores: 1,
     };
     book.hear(mention, 1, parts.timer.now());
   }
