Tell a host's own pause from its keeper's silence

Machines with a third of a core stand still when their share is used up; when they run again their timers come before what was read from the network, and answers that had long come looked missing.

Change: the time between two looks beyond 40 ms is not counted as the keeper's silence.

Test first: a host that stands still for 0.15 s after an ask passes its sound keeper over without the change.

--- a/packages/admission/src/cellAsking.ts
+++ b/packages/admission/src/cellAsking.ts
@@ -211,6 +211,17 @@
     return !isBusy && sinceSent >= IDLE_MS ? "over" : "nothing";
   }
 
+  /**
+   * This host itself stood still for so long. Answers that came meanwhile are still to be
+   * read; its own pause is not the keeper's silence.
+   */
+  excuse(pause: Milliseconds, now: Milliseconds): void {
+    this.#unanswered = this.#unanswered.map(({ sequence, sentAt }) => ({
+      sequence,
+      sentAt: Math.min(now, sentAt + pause),
+    }));
+  }
+
   /** The keeper does not answer, or stops. */
   notePassedOver(kind: KeeperSilence): void {
     if (kind === "silent") this.#silentKeepers++;
--- a/packages/admission/src/placeSeeker.ts
+++ b/packages/admission/src/placeSeeker.ts
@@ -23,6 +23,11 @@
 
 /** Keepers that may be silent in a row before a host decides alone. */
 const SILENT_KEEPERS = 2;
+/**
+ * Looks come every few milliseconds while an answer is due. After a longer time between
+ * two of them this host has stood still: small machines do when their share is used up.
+ */
+const OWN_PAUSE_MS: Milliseconds = 40;
 /** Cells that one request waits in at most. */
 const CELLS_AT_ONCE = 2;
 
@@ -73,6 +78,7 @@
   readonly #askings = new Map<CellKey, CellAsking>();
   readonly #pictures = new CellPictures();
   readonly #keepers: KeeperChoice;
+  #tickedAt: Milliseconds = -Infinity;
 
   constructor(options: PlaceSeekerOptions) {
     const { directory, knowledge, random } = options;
@@ -203,7 +209,10 @@
 
   /** Repeats what went unanswered, confirms work, and looks for dead keepers. */
   tick(now: Milliseconds): void {
+    const pause = now - this.#tickedAt;
+    this.#tickedAt = now;
     for (const asking of [...this.#askings.values()]) {
+      if (pause > OWN_PAUSE_MS) asking.excuse(pause, now);
       const { key, cell } = asking;
       const due = asking.due({ hasWork: this.#workAt(cell).size > 0, now });
       if (due === "passed-over") this.#passOver(asking, "silent", now);
--- a/packages/admission/tests/cells.test.ts
+++ b/packages/admission/tests/cells.test.ts
@@ -466,3 +466,15 @@
   );
   t.deepEqual(sizes.slice(0, 3), [1.35, 1.35, 0.324]);
 });
+
+test("a host that stood still does not take its keeper for dead", (t) => {
+  // A small machine has used up its share and stands still for 0.15 s right after an ask.
+  // The answer waits unread when it runs again, and its timers come first. Passing the
+  // sound keeper over would give the places anew by one that knows nothing.
+  const { fleet, timer, others: [host] } = createFleet();
+  const seen = seek(host!, buildWish("a"), { timer, work: 50 });
+  host!.standStill(150, timer);
+  timer.advance(400);
+  t.is(seen.verdict?.kind, "place");
+  t.is(fleet.changes, 0);
+});
--- a/packages/admission/tests/helpers/virtualFleet.ts
+++ b/packages/admission/tests/helpers/virtualFleet.ts
@@ -46,6 +46,8 @@
   readonly keepers = new Map<CellKey, CellKeeper>();
   /** It neither sends nor takes anything in. */
   isDead = false;
+  /** Words that came while it stood still; `undefined` while it runs. */
+  unread: (() => void)[] | undefined;
   readonly #fleet: VirtualFleet;
   readonly #directory: UpstreamDirectory;
   readonly #random: SeededRandom;
@@ -90,6 +92,18 @@
     return keeper;
   }
 
+  /** Stands still for a while; what comes meanwhile is read when it runs again. */
+  standStill(span: Milliseconds, timer: VirtualTimer): void {
+    this.unread = [];
+    timer.after(span, () => {
+      const unread = this.unread ?? [];
+      this.unread = undefined;
+      // Timers that are due run before what came over the network is read.
+      this.seeker.tick(timer.now());
+      for (const read of unread) read();
+    });
+  }
+
   /** Forgets everything, as after a restart. */
   restart(): void {
     this.keepers.clear();
@@ -172,9 +186,9 @@
     if (!isOwn && this.#random.float() < loss) return;
     timer.after(isOwn ? 0 : delay, () => {
       const host = this.named(to);
-      if (!host.isDead && !this.cuts.has(`${from}>${to}`)) {
-        take(host, timer.now());
-      }
+      if (host.isDead || this.cuts.has(`${from}>${to}`)) return;
+      if (host.unread === undefined) take(host, timer.now());
+      else host.unread.push(() => take(host, timer.now()));
     });
   }
 
@@ -209,7 +223,7 @@
   #tick(): void {
     const now = this.now();
     for (const host of this.hosts) {
-      if (host.isDead) continue;
+      if (host.isDead || host.unread !== undefined) continue;
       for (const keeper of host.keepers.values()) keeper.review(now);
       host.seeker.tick(now);
     }
