Wait for a slow keeper by what its answers take

Repeats every 30 ms made slow ones slower.

Change: a keeper counts as silent after four times what its answers took lately, 0.1 s at least and 0.4 s at most; asks are repeated after twice that.

Test first: answers that grow from 2 to 160 ms pass a sound keeper over without the change.

--- a/packages/admission/src/cellAsking.ts
+++ b/packages/admission/src/cellAsking.ts
@@ -9,14 +9,25 @@
 import type { PlaceAnswer, PlaceAsk, PlaceVerdict } from "./cellMessages.ts";
 import type { AttemptLesson } from "./upstreamKnowledge.ts";
 
-/** An answer takes a few milliseconds; a datagram that was lost is sent again then. */
+/** An answer takes a few milliseconds; a datagram that was lost is sent again then, */
 const REPEAT_MS: Milliseconds = 30;
+/** or after so many times what answers took lately: repeats make a slow keeper slower. */
+const REPEAT_FACTOR = 2;
 /**
- * A keeper that has not answered for so long is dead, cut off or too busy. Small
- * machines pause for most of a tenth of a second when their share is used up; the
- * shortest targets are a seventh of a second.
+ * A keeper that has not answered for so long is dead or cut off. Small machines pause
+ * for most of a tenth of a second when their share is used up; the shortest targets are
+ * a seventh of a second.
  */
 const SILENCE_MS: Milliseconds = 100;
+/**
+ * One that was slow already is waited for so many times what its answers took: in a
+ * burst all keepers are slow, and the next one knows nothing of the places besides.
+ */
+const SILENCE_FACTOR = 4;
+const LONGEST_SILENCE_MS: Milliseconds = 400;
+/** Weight of a faster answer in what answers take; a slower one counts half at once. */
+const FASTER_WEIGHT = 0.1;
+const SLOWER_WEIGHT = 0.5;
 /** All that waits is listed so often; a lost verdict costs no more. */
 const POLL_MS: Milliseconds = 100;
 /** Work is confirmed so often; keepers forget a host after two seconds. */
@@ -70,6 +81,8 @@
   #sentAt: Milliseconds = -Infinity;
   #listedAt: Milliseconds = -Infinity;
   #silentKeepers = 0;
+  /** What answers took lately. */
+  #answerTime: Milliseconds = 0;
 
   constructor(cell: Cell) {
     this.cell = cell;
@@ -157,8 +170,12 @@
   }
 
   /** Takes in an answer; gives back the verdicts that are new, or `undefined` for one that is not the keeper's. */
-  hear(answer: PlaceAnswer): PlaceVerdict[] | undefined {
+  hear(
+    answer: PlaceAnswer,
+    now: Milliseconds,
+  ): PlaceVerdict[] | undefined {
     if (answer.host !== this.#keeper) return undefined;
+    this.#noteTime(answer.sequence, now);
     if (answer.incarnation !== this.#keeperIncarnation) {
       this.#keeperIncarnation = answer.incarnation;
       this.#verdictsSeen = 0;
@@ -198,8 +215,13 @@
     const sinceListed = now - this.#listedAt;
     const [oldest] = this.#unanswered;
     if (oldest !== undefined) {
-      if (now - oldest.sentAt >= SILENCE_MS) return "passed-over";
-      return sinceSent >= REPEAT_MS ? "ask" : "nothing";
+      const silence = SILENCE_FACTOR * this.#answerTime;
+      const longest = Math.min(LONGEST_SILENCE_MS, silence);
+      if (now - oldest.sentAt >= Math.max(SILENCE_MS, longest)) {
+        return "passed-over";
+      }
+      const repeat = Math.max(REPEAT_MS, REPEAT_FACTOR * this.#answerTime);
+      return sinceSent >= repeat ? "ask" : "nothing";
     }
     if (this.isWaiting && sinceListed >= POLL_MS) {
       this.#listedAt = now;
@@ -234,6 +256,15 @@
     this.#unanswered = [];
   }
 
+  /** The oldest ask that an answer speaks of tells what answers take. */
+  #noteTime(sequence: number, now: Milliseconds): void {
+    const [oldest] = this.#unanswered;
+    if (oldest === undefined || oldest.sequence > sequence) return;
+    const took = now - oldest.sentAt;
+    const weight = took > this.#answerTime ? SLOWER_WEIGHT : FASTER_WEIGHT;
+    this.#answerTime += weight * (took - this.#answerTime);
+  }
+
   /** Requests of which the keeper may not know; from now on this ask tells of them. */
   #untold(
     requests: Map<RequestId, number>,
--- a/packages/admission/src/placeSeeker.ts
+++ b/packages/admission/src/placeSeeker.ts
@@ -183,7 +183,7 @@
     for (const picture of answer.pictures) this.#pictures.see(picture);
     const key = cellKeyOf(answer.cell);
     const asking = this.#askings.get(key);
-    const fresh = asking?.hear(answer);
+    const fresh = asking?.hear(answer, now);
     if (asking === undefined || fresh === undefined) return;
     this.#keepers.noteAnswer(answer.host);
     for (const verdict of fresh) this.#take(verdict, key, now);
--- a/packages/admission/tests/cells.test.ts
+++ b/packages/admission/tests/cells.test.ts
@@ -478,3 +478,20 @@
   t.is(seen.verdict?.kind, "place");
   t.is(fleet.changes, 0);
 });
+
+test("a keeper that grows slow in a burst is waited for longer than a dead one", (t) => {
+  // Answers of a busy keeper take longer and longer: 2, 20, 60, at last 160 ms. It knows
+  // every place; the next one in order knows none, and would be as slow.
+  const { fleet, timer, others: [host] } = createFleet({
+    upstreams: [buildUpstream(0, { slots: 100 })],
+  });
+  for (const delay of [1, 10, 30, 50, 80]) {
+    fleet.delay = delay;
+    for (let count = 0; count < 4; count++) {
+      const wish = buildWish(`q${delay}-${count}`, { arrivedAt: timer.now() });
+      seek(host!, wish, { timer, work: 20 });
+      timer.advance(200);
+    }
+  }
+  t.is(fleet.changes, 0);
+});
--- a/packages/admission/tests/helpers/virtualFleet.ts
+++ b/packages/admission/tests/helpers/virtualFleet.ts
@@ -134,6 +134,8 @@
 export class VirtualFleet {
   readonly hosts: readonly VirtualHost[];
   candidates: readonly KeeperCandidate[];
+  /** One way between two hosts. */
+  delay: Milliseconds;
   /** Keepers passed over. */
   changes = 0;
   /** Requests that asks described. */
@@ -150,6 +152,7 @@
 
   constructor(options: FleetOptions) {
     this.#options = options;
+    this.delay = options.delay ?? 1;
     this.#random = new SeededRandom(options.seed);
     this.hosts = Array.from(
       { length: options.hosts },
@@ -179,7 +182,8 @@
     to: HostId,
     take: (host: VirtualHost, now: Milliseconds) => void,
   ): void {
-    const { timer, delay = 1, loss = 0 } = this.#options;
+    const { timer, loss = 0 } = this.#options;
+    const { delay } = this;
     if (this.named(from).isDead) return;
     const isOwn = from === to;
     if (!isOwn) this.sent++;
