--- a/packages/admission/src/cellKeeper.ts
+++ b/packages/admission/src/cellKeeper.ts
@@ -24,8 +24,9 @@
 import type { UpstreamKnowledge } from "./upstreamKnowledge.ts";
 
 /**
- * A place that was given and that its host does not speak of is free again: the host
- * repeats its ask every tenth of a second, so it is gone or has turned elsewhere.
+ * A place that was given and that its host does not speak of is free again: while
+ * something waits the host asks every tenth of a second, so it is gone or has turned
+ * elsewhere.
  */
 const VERDICT_MS: Milliseconds = 1_200;
 /** A host that says nothing for so long waits here no more; it confirms twice a second. */
@@ -79,8 +80,9 @@
  * tier 3 starts at another. One host that all ask knows every place and every waiting
  * request of its cell.
  *
- * Nothing here has to survive. Asks are whole and repeated, so that a keeper that
- * starts or takes over knows each host's work and wishes by that host's first ask.
+ * Nothing here has to survive. A host describes its work with each ask and lists what
+ * waits ten times a second, so that a keeper that starts or takes over knows both by
+ * the host's first asks.
  * Two keepers of one cell, while hosts disagree on who lives, fill it twice at most:
  * engines reject what they cannot take, and the request is asked for again.
  */
--- a/packages/admission/src/placeSeeker.ts
+++ b/packages/admission/src/placeSeeker.ts
@@ -67,8 +67,8 @@
  *
  * A request asks the nearest cell that was seen with a free place. Where it has to
  * wait, it also waits in one other cell and takes what comes first; the other keeper
- * learns that from the next ask. No request waits for a dead keeper longer than a
- * tenth of a second, a fraction of the shortest target.
+ * learns that from the next ask. A dead keeper costs the first request that asks it a
+ * tenth of a second, less than the shortest target; others hear of it.
  */
 export class PlaceSeeker {
   readonly #options: PlaceSeekerOptions;
@@ -207,6 +207,11 @@
     return this.#keepers;
   }
 
+  /** The cells of a service. */
+  cellsOf(service: ServiceId): readonly Cell[] {
+    return this.#cells.ofService(service);
+  }
+
   /** Repeats what went unanswered, confirms work, and looks for dead keepers. */
   tick(now: Milliseconds): void {
     const pause = now - this.#tickedAt;
@@ -433,11 +438,6 @@
     });
   }
 
-  /** The cells of a service. */
-  cellsOf(service: ServiceId): readonly Cell[] {
-    return this.#cells.ofService(service);
-  }
-
   #workAt(
     cell: Cell,
   ): Map<UpstreamId, { requests: number; unreadTokens: number }> {
