--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,7 +28,7 @@
 import { FleetTalk } from "./fleetTalk.ts";
 import { GatewayMetrics } from "./gatewayMetrics.ts";
 import type { GatewayParts } from "./gatewayParts.ts";
-import type { Shown } from "./operatorPort.ts";
+import type { Shown } from "./operatorPages.ts";
 import { type OperatorAddresses, OperatorPorts } from "./operatorPorts.ts";
 import type { ListenError } from "./listenError.ts";
 import { PeerBook } from "./peerBook.ts";
@@ -172,15 +172,8 @@
       directory.size > 0 && policies.freshness.mayTrustKeys(elapsed.now());
   }
 
-  /**
-   * Opens the ports, those of operators and the balancer after `operatorsAfter`: until
-   * a host has read what it serves by, it is not ready, and loading the libraries of
-   * those ports first holds its first answers up on small machines.
-   */
-  async start(
-    { operatorsAfter = Promise.resolve() }: { operatorsAfter?: Promise<void> } =
-      {},
-  ): Promise<Result<void, ListenError | ChannelError>> {
+  /** Opens the ports, the callers' one first. */
+  async start(): Promise<Result<void, ListenError | ChannelError>> {
     const { addresses } = this.#options;
     const opened = await this.#channel.open(addresses.peers);
     if (opened.isErr()) return err(opened.error);
@@ -189,7 +182,6 @@
     this.#planTick();
     this.#planSlowTick();
     this.parts.log.write("started", { peers: addresses.peers });
-    await operatorsAfter;
     return await this.#operatorPorts.open();
   }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -26,7 +26,7 @@
 } from "./peerMessage.ts";
 export type { ListChange, PeerMention, PeerWord } from "./peerWord.ts";
 export { PolicyState } from "./policyState.ts";
-export type { Belief, FetchError, KnownBelief } from "./operatorPort.ts";
-export { askBelief } from "./operatorPorts.ts";
+export type { Belief, FetchError, KnownBelief } from "./operatorPages.ts";
+export { askBelief } from "./operatorPages.ts";
 export { StoreSharing, type StoreSharingOptions } from "./storeSharing.ts";
 export { StandardOutput } from "./standardOutput.ts";
--- a/packages/gateway/src/operatorPort.ts
+++ b/packages/gateway/src/operatorPages.ts
@@ -1,13 +1,9 @@
-import type { Server } from "node:http";
-import { serve } from "@hono/node-server";
-import { Hono } from "hono";
 import { Pool } from "undici";
 import type { Milliseconds } from "@wasabivane/common";
 import type { KeptUpstream, Upstream } from "@wasabivane/admission";
 import { Packr } from "msgpackr";
 import { err, ok, type Result } from "neverthrow";
-import type { ListenError } from "./listenError.ts";
-import { splitAddress } from "./peerChannel.ts";
+import type { Page } from "./pages.ts";
 
 const packr = new Packr({ useRecords: false });
 
@@ -50,50 +46,38 @@
 }
 
 /** Answers the balancer's question. */
-export function readinessApp({ isReady }: Shown, path: string): Hono {
-  return new Hono()
-    .get(path, (context) => context.body(null, isReady() ? 200 : 503));
+export function readinessPage({ isReady }: Shown, path: string): Page {
+  return { path, answer: () => ({ status: isReady() ? 200 : 503 }) };
 }
 
 /** Answers the scraper. */
-export function metricsApp({ metricsText }: Shown, path: string): Hono {
-  return new Hono()
-    .get(path, async (context) => context.text(await metricsText()));
+export function metricsPage({ metricsText }: Shown, path: string): Page {
+  return {
+    path,
+    answer: async () => ({
+      status: 200,
+      type: "text/plain; charset=UTF-8",
+      body: await metricsText(),
+    }),
+  };
 }
 
 /** Gives peers what this host believes. */
-export function beliefApp({ belief }: Shown): Hono {
-  return new Hono().get(
-    BELIEF_PATH,
-    (context) => {
+export function beliefPage({ belief }: Shown): Page {
+  return {
+    path: BELIEF_PATH,
+    answer: (query) => {
       const known = {
-        policyVersion: Number(context.req.query("policy") ?? 0),
-        listRevision: Number(context.req.query("list") ?? 0),
+        policyVersion: Number(query.get("policy") ?? 0),
+        listRevision: Number(query.get("list") ?? 0),
       };
-      return context.body(new Uint8Array(packr.pack(belief(known))));
+      return { status: 200, body: packr.pack(belief(known)) };
     },
-  );
-}
-
-/** Listens for an app at `ip:port`. */
-export function listenApp(
-  app: Hono,
-  address: string,
-): Promise<Result<Server, ListenError>> {
-  const { ip, port } = splitAddress(address);
-  return new Promise((resolve) => {
-    const server = serve(
-      { fetch: app.fetch, hostname: ip, port },
-      () => resolve(ok(server)),
-    ) as Server;
-    server.on("error", (error) => {
-      resolve(err({ kind: "cannot-listen", detail: error.message }));
-    });
-  });
+  };
 }
 
 /** Reads what a peer believes. */
-export async function fetchBelief(
+export async function askBelief(
   address: string,
   { policyVersion, listRevision }: KnownBelief,
 ): Promise<Result<Belief, FetchError>> {
--- a/packages/gateway/src/operatorPorts.ts
+++ b/packages/gateway/src/operatorPorts.ts
@@ -1,7 +1,13 @@
 import type { Server } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import type { ListenError } from "./listenError.ts";
-import type { Belief, FetchError, KnownBelief, Shown } from "./operatorPort.ts";
+import {
+  beliefPage,
+  metricsPage,
+  readinessPage,
+  type Shown,
+} from "./operatorPages.ts";
+import { listenWith } from "./pages.ts";
 
 /** Where a host shows itself; all are `ip:port`. */
 export interface OperatorAddresses {
@@ -12,11 +18,7 @@
   readonly metrics?: { readonly address: string; readonly path: string };
 }
 
-/**
- * The ports beside the callers' one. A host that starts anew first serves callers:
- * the library behind these ports is loaded after that, which lets callers in a
- * fifth of a second sooner on the small machines.
- */
+/** The ports beside the callers' one. */
 export class OperatorPorts {
   readonly #shown: Shown;
   readonly #addresses: OperatorAddresses;
@@ -36,23 +38,20 @@
   }
 
   async open(): Promise<Result<void, ListenError>> {
-    const { beliefApp, listenApp, metricsApp, readinessApp } = await import(
-      "./operatorPort.ts"
-    );
     const { readiness, peers, metrics } = this.#addresses;
-    const apps = [
+    const pages = [
       {
-        app: readinessApp(this.#shown, this.#readyPath),
+        page: readinessPage(this.#shown, this.#readyPath),
         address: readiness,
       },
-      { app: beliefApp(this.#shown), address: peers },
+      { page: beliefPage(this.#shown), address: peers },
     ];
     if (metrics !== undefined) {
       const { address, path } = metrics;
-      apps.push({ app: metricsApp(this.#shown, path), address });
+      pages.push({ page: metricsPage(this.#shown, path), address });
     }
-    for (const { app, address } of apps) {
-      const server = await listenApp(app, address);
+    for (const { page, address } of pages) {
+      const server = await listenWith(page, address);
       if (server.isErr()) return err(server.error);
       this.#servers.push(server.value);
     }
@@ -63,12 +62,3 @@
     for (const server of this.#servers.splice(0)) server.close();
   }
 }
-
-/** Reads what a peer believes. */
-export async function askBelief(
-  address: string,
-  known: KnownBelief,
-): Promise<Result<Belief, FetchError>> {
-  const { fetchBelief } = await import("./operatorPort.ts");
-  return await fetchBelief(address, known);
-}
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -1,8 +1,12 @@
 import type { HostId, Milliseconds } from "@wasabivane/common";
 import type { Result } from "neverthrow";
 import type { GatewayParts } from "./gatewayParts.ts";
-import type { Belief, FetchError, KnownBelief } from "./operatorPort.ts";
-import { askBelief } from "./operatorPorts.ts";
+import {
+  askBelief,
+  type Belief,
+  type FetchError,
+  type KnownBelief,
+} from "./operatorPages.ts";
 import type { PeerBook } from "./peerBook.ts";
 import type { UpstreamNews } from "./upstreamNews.ts";
 
