Send prompts where their subject was read, also when every place is taken

Cause: requests about one document go to whichever place is free, and each engine reads the document again. What an upstream holds was worth less than one place more or less there; a place that came free went to the next in line; hosts sent the same document to the cell of their own domain.

Change: a request waits for a place where its prompt is held, up to twice the time that reading it again takes, while it stays on time; a place that comes free goes to a request as urgent and due by so much later, if its prompt is held there; all hosts send prompts with a common second part to one cell.

--- a/packages/admission/src/cellMap.ts
+++ b/packages/admission/src/cellMap.ts
@@ -1,4 +1,4 @@
-import type { HostId, ServiceId, UpstreamId } from "@wasabivane/common";
+import type { ServiceId, UpstreamId } from "@wasabivane/common";
 import { type Cell, cellKeyOf, dealCells, isInCell } from "./cells.ts";
 import { hashWeight } from "./hashWeight.ts";
 import type { Upstream } from "./types.ts";
@@ -41,12 +41,12 @@
     return upstream !== undefined && isInCell(cell, upstream);
   }
 
-  /** One of some cells for a host; hosts spread evenly over them. */
-  pickFor(host: HostId, cells: readonly Cell[]): Cell | undefined {
+  /** One of some cells for a host or a part of a prompt; these spread evenly over them. */
+  pickFor(name: string, cells: readonly Cell[]): Cell | undefined {
     let best: Cell | undefined;
     let greatest = -1;
     for (const cell of cells) {
-      const weight = hashWeight(cellKeyOf(cell), host);
+      const weight = hashWeight(cellKeyOf(cell), name);
       if (weight <= greatest) continue;
       greatest = weight;
       best = cell;
--- a/packages/admission/src/placeScheduler.ts
+++ b/packages/admission/src/placeScheduler.ts
@@ -9,7 +9,12 @@
 import { PromptMemory } from "./promptMemory.ts";
 import type { Upstream } from "./types.ts";
 import type { UpstreamKnowledge } from "./upstreamKnowledge.ts";
-import { type Outlook, type Waiter, WaitingLine } from "./waitingLine.ts";
+import {
+  isDueWithin,
+  type Outlook,
+  type Waiter,
+  WaitingLine,
+} from "./waitingLine.ts";
 
 /**
  * Time from an answer's end until the next request of the line is at its upstream:
@@ -172,16 +177,47 @@
     const upstreams = this.#upstreams.of(service);
     let left = this.#placement.freePlaces(upstreams, now);
     if (left <= 0) return;
-    for (const candidate of line.inOrder(now).slice(0, MAXIMUM_LOOKS)) {
+    const order = line.inOrder(now).slice(0, MAXIMUM_LOOKS);
+    for (let next = order.shift(); next !== undefined; next = order.shift()) {
       if (left <= 0) return;
-      const upstream = this.#placement.pick(upstreams, candidate, now);
+      const upstream = this.#placement.pick(upstreams, next, now);
       if (upstream === undefined) continue;
+      const chosen = this.#bestReader(upstream, { next, order, now });
+      if (chosen !== next) {
+        order.splice(order.indexOf(chosen), 1);
+        order.unshift(next);
+      }
       // A verdict may end a request at once and fill places anew from within; who
       // was placed meanwhile must not be placed twice.
-      if (line.start(candidate.request, now) === undefined) continue;
+      if (line.start(chosen.request, now) === undefined) continue;
       left--;
-      this.#place(candidate, upstream, now);
+      this.#place(chosen, upstream, now);
+    }
+  }
+
+  /**
+   * Who gets the place that the next in order would take: one that is as urgent and
+   * due only a little later, if the upstream holds more of its prompt. When every place
+   * is taken, one comes free at a time, seldom where the next one's prompt is held.
+   */
+  #bestReader(
+    upstream: Upstream,
+    { next, order, now }: {
+      next: Candidate;
+      order: readonly Candidate[];
+      now: Milliseconds;
+    },
+  ): Candidate {
+    let best = next;
+    let mostSaved = 0;
+    for (const other of order) {
+      const saved = this.#placement.savedBy(upstream, { next, other, now });
+      if (saved <= mostSaved) continue;
+      if (!isDueWithin(saved, { first: next, other, now })) continue;
+      best = other;
+      mostSaved = saved;
     }
+    return best;
   }
 
   #place(
--- a/packages/admission/src/placeSeeker.ts
+++ b/packages/admission/src/placeSeeker.ts
@@ -32,6 +32,11 @@
 const TELL_MS: Milliseconds = 40;
 /** and what only saves the keeper a repetition by then. */
 const SEEN_MS: Milliseconds = 80;
+/**
+ * The first part of a prompt is often common to all requests of a kind: read everywhere
+ * soon, it is no reason to go anywhere. The last is the request's own.
+ */
+const FIRST_SUBJECT = 1;
 /** Cells that one request waits in at most. */
 const CELLS_AT_ONCE = 2;
 
@@ -270,7 +275,7 @@
   /** The nearest cell with a free place; without one the nearest of all. */
   #choose(wish: PlaceWish, now: Milliseconds): Cell | undefined {
     const cells = this.#cells.ofService(wish.service);
-    const home = this.#homeOf(cells);
+    const home = this.#homeOf(cells, wish);
     if (home === undefined || cells.length === 1) return home;
     const picture = this.#pictures.of(home, now);
     if (picture === undefined || picture.free > 0) return home;
@@ -278,9 +283,14 @@
     return this.#pictures.roomiest(cells, { random, now }) ?? home;
   }
 
-  /** A cell of this host's failure domain; hosts of one domain spread over its cells. */
-  #homeOf(cells: readonly Cell[]): Cell | undefined {
+  /**
+   * The cell where all hosts send prompts that begin alike; otherwise one of this host's
+   * failure domain, over whose cells its hosts spread.
+   */
+  #homeOf(cells: readonly Cell[], { parts }: PlaceWish): Cell | undefined {
     const { failureDomain, host } = this.#options;
+    const [shared] = parts.slice(0, -1).slice(FIRST_SUBJECT).toReversed();
+    if (shared !== undefined) return this.#cells.pickFor(shared.part, cells);
     const near = cells.filter((cell) => cell.failureDomain === failureDomain);
     const choice = near.length > 0 ? near : cells;
     return choice.length === 1 ? choice[0] : this.#cells.pickFor(host, choice);
--- a/packages/admission/src/placement.ts
+++ b/packages/admission/src/placement.ts
@@ -17,7 +17,12 @@
  * An upstream that holds the whole prompt costs so much less than one that holds
  * nothing of it: what is read again takes its time from the streams beside it.
  */
-const HELD_DISCOUNT = 0.4;
+const HELD_DISCOUNT = 0.75;
+/**
+ * A request waits for an upstream that holds its prompt up to so many times what reading
+ * it again would take: once for its own first event, once for the streams beside it.
+ */
+const READING_WORTH = 2;
 /** An upstream that fails every request costs so many times more than one that fails none. */
 const FAILURE_COST = 4;
 /** An upstream whose first event takes all the time to the target costs twice one that answers at once. */
@@ -36,6 +41,8 @@
 export interface Wish {
   /** Where the host is that sends it. */
   readonly failureDomain: FailureDomain;
+  /** When it arrived. */
+  readonly since: Milliseconds;
   /** Prompt tokens that have to be read before its first event. */
   readonly promptTokens: number;
   /** Its first event, or its whole plain answer, is on time until then. */
@@ -102,6 +109,7 @@
     let best: Upstream | undefined;
     let leastCost = Infinity;
     let isBestGood = false;
+    let bestHeld = 0;
     for (const upstream of upstreams) {
       if (excluded?.has(upstream.upstream)) continue;
       if (this.#freeAt(upstream, now) <= 0) continue;
@@ -118,8 +126,13 @@
       leastCost = cost;
       best = upstream;
       isBestGood = isGood;
+      bestHeld = held;
+    }
+    if (best === undefined) return undefined;
+    if (this.#shouldWaitForReader(wish, { best, bestHeld, now })) {
+      return undefined;
     }
-    if (best === undefined || isBestGood) return best;
+    if (isBestGood) return best;
     return this.#couldBeGood(upstreams, wish, now) ? undefined : best;
   }
 
@@ -142,6 +155,58 @@
     });
   }
 
+  /**
+   * What it is worth that an upstream gets another request than the next one, because
+   * it holds more of its prompt; 0 where it does not or the other had better not go there.
+   */
+  savedBy(
+    upstream: Upstream,
+    { next, other, now }: { next: Wish; other: Wish; now: Milliseconds },
+  ): Milliseconds {
+    const { prompts } = this.#options;
+    const id = upstream.upstream;
+    if (other.excluded?.has(id)) return 0;
+    const held = prompts.held(id, other.parts, now);
+    const more = held - prompts.held(id, next.parts, now);
+    if (more <= 0) return 0;
+    const latency = this.#latencyAt(upstream, other.promptTokens - held);
+    if (!this.#isGood(upstream, { wish: other, latency, now })) return 0;
+    return this.#worthOfReading(upstream, more);
+  }
+
+  /** What it costs, for itself and those beside it, that an upstream reads so much. */
+  #worthOfReading(
+    { service, upstream }: Upstream,
+    promptTokens: number,
+  ): Milliseconds {
+    const { firstEvents } = this.#options.knowledge;
+    return READING_WORTH *
+      firstEvents.reading(service, { upstream, promptTokens });
+  }
+
+  /** Whether a place that is likely free soon, where the prompt is held, is worth waiting for. */
+  #shouldWaitForReader(
+    wish: Wish,
+    { best, bestHeld, now }: {
+      best: Upstream;
+      bestHeld: number;
+      now: Milliseconds;
+    },
+  ): boolean {
+    const { prompts, knowledge, load } = this.#options;
+    const { parts, excluded, since } = wish;
+    let most = bestHeld;
+    for (const reader of prompts.readersOf(parts)) {
+      const isOut = load.total(reader) === 0 || excluded?.has(reader) ||
+        knowledge.health.isEjected(reader, now);
+      if (!isOut) most = Math.max(most, prompts.held(reader, parts, now));
+    }
+    if (most === bestHeld) return false;
+    const span = this.#worthOfReading(best, most - bestHeld);
+    const latency = this.#latencyAt(best, wish.promptTokens);
+    return now < since + span && now + span + latency <= wish.dueAt;
+  }
+
   #isGood(
     { service, upstream }: Upstream,
     { wish, latency, now }: {
--- a/packages/admission/src/promptMemory.ts
+++ b/packages/admission/src/promptMemory.ts
@@ -5,6 +5,7 @@
 const KEPT_MS: Milliseconds = 20_000;
 /** Parts remembered of one upstream: about what its memory holds of usual prompts. */
 const MAXIMUM_PARTS = 512;
+const NOBODY: ReadonlySet<UpstreamId> = new Set();
 
 /**
  * Which parts of prompts each upstream has read, as far as whoever places requests
@@ -16,6 +17,7 @@
  */
 export class PromptMemory {
   readonly #read = new Map<UpstreamId, Map<string, Milliseconds>>();
+  readonly #readers = new Map<string, Set<UpstreamId>>();
 
   /** A prompt of these parts goes to an upstream. */
   note(
@@ -29,13 +31,24 @@
     for (const { part } of parts) {
       read.delete(part);
       read.set(part, now);
+      this.#noteReader(part, upstream);
     }
     for (const oldest of read.keys()) {
       if (read.size <= MAXIMUM_PARTS) return;
       read.delete(oldest);
+      this.#forgetReader(oldest, upstream);
     }
   }
 
+  /** Upstreams that have read the longest beginning of a prompt which any has read. */
+  readersOf(parts: readonly PromptPart[]): ReadonlySet<UpstreamId> {
+    for (const { part } of parts.toReversed()) {
+      const readers = this.#readers.get(part);
+      if (readers !== undefined) return readers;
+    }
+    return NOBODY;
+  }
+
   /** Tokens of the longest beginning of a prompt that an upstream likely holds. */
   held(
     upstream: UpstreamId,
@@ -55,6 +68,20 @@
 
   /** An upstream is gone, and what it held with it. */
   forget(upstream: UpstreamId): void {
+    const read = this.#read.get(upstream);
     this.#read.delete(upstream);
+    for (const part of read?.keys() ?? []) this.#forgetReader(part, upstream);
+  }
+
+  #noteReader(part: string, upstream: UpstreamId): void {
+    const readers = this.#readers.get(part) ?? new Set();
+    readers.add(upstream);
+    this.#readers.set(part, readers);
+  }
+
+  #forgetReader(part: string, upstream: UpstreamId): void {
+    const readers = this.#readers.get(part);
+    readers?.delete(upstream);
+    if (readers?.size === 0) this.#readers.delete(part);
   }
 }
--- a/packages/admission/src/waitingLine.ts
+++ b/packages/admission/src/waitingLine.ts
@@ -175,6 +175,15 @@
   }
 }
 
+/** Whether a request is as urgent as another one and due at most so long after it. */
+export function isDueWithin(
+  span: Milliseconds,
+  { first, other, now }: { first: Waiter; other: Waiter; now: Milliseconds },
+): boolean {
+  return rankOf(first, now) === rankOf(other, now) &&
+    turnOf(other, now) <= turnOf(first, now) + span;
+}
+
 function isBegun({ isContinuation }: Waiter): boolean {
   return isContinuation === true;
 }
--- a/packages/admission/tests/helpers/loadReplay.ts
+++ b/packages/admission/tests/helpers/loadReplay.ts
@@ -8,7 +8,7 @@
   SeededRandom,
   VirtualTimer,
 } from "@wasabivane/common";
-import type { RouteId, Upstream } from "@wasabivane/admission";
+import type { PromptPart, RouteId, Upstream } from "@wasabivane/admission";
 import { buildUpstream, PLANS, WEST } from "./build.ts";
 import { VirtualFleet, type VirtualHost } from "./virtualFleet.ts";
 
@@ -25,6 +25,8 @@
   readonly patience: Milliseconds;
   /** Draws the length of a prompt; without it there is nothing to read. */
   readonly promptTokens?: (random: Random) => number;
+  /** Draws the shared parts that a prompt begins with; engines keep what they read. */
+  readonly sharedParts?: (random: Random) => readonly PromptPart[];
 }
 
 /** A load before a fleet of hosts and engines. */
@@ -60,12 +62,17 @@
   onTime: number;
   late: number;
   refused: number;
+  /** Tokens of shared parts of the prompts that were placed, */
+  sharedTokens: number;
+  /** and of those that some engine had read, but not the one that got them. */
+  readAgain: number;
 }
 
 interface Engine {
   readonly upstream: Upstream;
   readonly speed: number;
   running: number;
+  readonly held: Set<string>;
   /** When all prompts that were sent are read. */
   readUntil: Milliseconds;
   readonly waiting: (() => void)[];
@@ -88,7 +95,14 @@
   replay.onStart?.(fleet, timer);
   const results = new Map<number, TierResult>();
   for (const { tier } of replay.tiers) {
-    results.set(tier, { asked: 0, onTime: 0, late: 0, refused: 0 });
+    results.set(tier, {
+      asked: 0,
+      onTime: 0,
+      late: 0,
+      refused: 0,
+      sharedTokens: 0,
+      readAgain: 0,
+    });
   }
   for (const tier of replay.tiers) {
     scheduleArrivals(tier, { replay, timer, random, fleet, engines, results });
@@ -107,6 +121,7 @@
     }),
     speed: speeds[index % speeds.length]!,
     running: 0,
+    held: new Set(),
     readUntil: 0,
     waiting: [],
   }));
@@ -150,6 +165,7 @@
     target,
     patience,
     promptTokens: drawTokens,
+    sharedParts: drawParts,
   }: ReplayedTier,
   { replay, random, timer, host, engines, results }: {
     replay: Replay;
@@ -163,7 +179,9 @@
   const since = timer.now();
   const result = results.get(tier)!;
   const work = typeof drawWork === "number" ? drawWork : drawWork(random);
-  const promptTokens = drawTokens?.(random) ?? 0;
+  const ownTokens = drawTokens?.(random) ?? 0;
+  const sharedParts = drawParts?.(random) ?? [];
+  const promptTokens = ownTokens + tokensOf(sharedParts);
   const { seeker, knowledge } = host;
   result.asked++;
   seeker.submit(
@@ -181,7 +199,9 @@
       promptTokens,
       expectedTokens: Math.round(work),
       pauseTarget: 0,
-      parts: [],
+      parts: sharedParts.length === 0
+        ? []
+        : [...sharedParts, { part: name, tokens: ownTokens }],
       excluded: new Set(),
       isContinuation: false,
     },
@@ -196,10 +216,17 @@
       seeker.begin(upstream.upstream, promptTokens);
       const sentAt = timer.now();
       let latency = 0;
+      const unheld = sharedParts.filter(({ part }) => !engine.held.has(part));
+      const again = unheld.filter(({ part }) =>
+        engines.some(({ held }) => held.has(part))
+      );
+      result.sharedTokens += tokensOf(sharedParts);
+      result.readAgain += tokensOf(again);
+      for (const { part } of unheld) engine.held.add(part);
       run(engine, {
         timer,
         work,
-        reading: promptTokens * (replay.tokenTime ?? 0),
+        reading: (ownTokens + tokensOf(unheld)) * (replay.tokenTime ?? 0),
         started: () => {
           const now = timer.now();
           latency = now - sentAt;
@@ -237,6 +264,10 @@
   );
 }
 
+function tokensOf(parts: readonly PromptPart[]): number {
+  return parts.reduce((sum, { tokens }) => sum + tokens, 0);
+}
+
 function run(
   engine: Engine,
   { timer, work, reading, started, ended }: {
--- a/packages/admission/tests/prompts.test.ts
+++ b/packages/admission/tests/prompts.test.ts
@@ -1,3 +1,4 @@
+import { asId, type FailureDomain } from "@wasabivane/common";
 import test from "ava";
 import type { PlaceScheduler, PromptPart } from "@wasabivane/admission";
 import {
@@ -5,6 +6,7 @@
   buildScheduler,
   buildUpstream,
 } from "./helpers/build.ts";
+import { type Replay, replayLoad } from "./helpers/loadReplay.ts";
 
 const UPSTREAMS = 13;
 const OWN_TOKENS = 600;
@@ -90,3 +92,73 @@
   }
   t.true(later.size > 1 || !later.has(first));
 });
+
+const PREFACE: PromptPart = { part: "preface", tokens: 400 };
+const SUBJECTS = 400;
+
+/** Requests about many subjects, each of which a few requests have in common. */
+const SUBJECT_LOAD: Replay = {
+  hosts: 20,
+  engines: 20,
+  slots: 5,
+  speeds: [0.8, 1.2],
+  duration: 20_000,
+  seed: 3,
+  areKeeping: true,
+  areLearning: true,
+  tokenTime: 1 / 60,
+  tiers: [{
+    tier: 1,
+    rateAt: () => 110,
+    work: 450,
+    target: 1_000,
+    patience: 3_000,
+    promptTokens: () => 600,
+    sharedParts: (random) => [PREFACE, {
+      part: `subject ${Math.floor(SUBJECTS * random.float())}`,
+      tokens: 4_000,
+    }],
+  }],
+};
+
+/** Share of the shared tokens that are read again, and of the requests on time. */
+function subjectsAt(
+  rate: number,
+  changes: Partial<Replay> = {},
+): { again: number; onTime: number } {
+  const [tier] = SUBJECT_LOAD.tiers;
+  const replay = { ...SUBJECT_LOAD, ...changes };
+  const results = replayLoad({
+    ...replay,
+    tiers: [{ ...tier!, rateAt: () => rate }],
+  });
+  const { asked, onTime, sharedTokens, readAgain } = results.get(1)!;
+  return { again: readAgain / sharedTokens, onTime: onTime / asked };
+}
+
+test("a subject is seldom read again while places are free", (t) => {
+  // Callers ask about documents that many of them have in common. Each engine that gets
+  // one for the first time reads it, and holds up the streams beside it.
+  const { again, onTime } = subjectsAt(110);
+  t.true(again < 0.1);
+  t.true(onTime > 0.98);
+});
+
+test("a subject is seldom enough read again when every place is taken", (t) => {
+  // In a lasting burst one place comes free at a time. Whoever is next in line would get
+  // it, wherever its document was read, and a quarter of what engines do would be reading
+  // what others hold.
+  const { again, onTime } = subjectsAt(260);
+  t.true(again < 0.4);
+  t.true(onTime > 0.55);
+});
+
+test("a subject is seldom read again where a service has many cells", (t) => {
+  const domains = ["a", "b", "c"].map((name) => asId<FailureDomain>(name));
+  const { again, onTime } = subjectsAt(200, {
+    engines: 40,
+    failureDomains: domains,
+  });
+  t.true(again < 0.15);
+  t.true(onTime > 0.98);
+});
