Look at lines and asks when something is due

Cause: a host looked at its asks every 10 ms while any of its requests waited or a keeper was to be told something, in a burst a hundred times a second, although keepers tell by themselves and what is to be told has a time.

Change: only unanswered asks, a line of its own and deciding alone are looked at every 10 ms; else the next look is when something has to be told or listed.

--- a/packages/admission/src/cellAsking.ts
+++ b/packages/admission/src/cellAsking.ts
@@ -153,9 +153,10 @@
     this.#tellBy = Math.min(this.#tellBy, at);
   }
 
-  /** Whether an answer is due or something is to be told. */
-  get isOpen(): boolean {
-    return this.isUnanswered || this.#tellBy < Infinity;
+  /** When something is to be told or listed at the latest; `Infinity` if nothing is. */
+  get tellAt(): Milliseconds {
+    const listAt = this.isWaiting ? this.#listedAt + CONFIRM_MS : Infinity;
+    return Math.min(this.#tellBy, listAt);
   }
 
   /** The next ask, but for what the host knows itself. */
--- a/packages/admission/src/placeSeeker.ts
+++ b/packages/admission/src/placeSeeker.ts
@@ -51,6 +51,8 @@
   /** The hosts that live, this one included. */
   readonly candidates: () => readonly KeeperCandidate[];
   readonly send: (keeper: HostId, ask: PlaceAsk) => void;
+  /** A keeper is to be told something in a while; see {@link PlaceSeeker.tellAt}. */
+  readonly onTelling: () => void;
   /** Something changed about who keeps a cell. */
   readonly onKeeper: (change: KeeperChange) => void;
 }
@@ -115,15 +117,22 @@
     return total;
   }
 
-  /** Whether an answer is due or a request waits. */
+  /** Whether an answer is due or this host decides alone, so that it looks often. */
   get isBusy(): boolean {
-    if (this.#seeking.size > 0) return true;
-    for (const { isOpen } of this.#askings.values()) {
-      if (isOpen) return true;
+    if (this.#alone.waitingTotal > 0) return true;
+    for (const { isUnanswered } of this.#askings.values()) {
+      if (isUnanswered) return true;
     }
     return false;
   }
 
+  /** When a keeper is to be told something at the latest; `Infinity` if nothing is. */
+  get tellAt(): Milliseconds {
+    let at = Infinity;
+    for (const { tellAt } of this.#askings.values()) at = Math.min(at, tellAt);
+    return at;
+  }
+
   /** Seeks a place; the verdict may come before the call returns. */
   submit(
     wish: PlaceWish,
@@ -160,7 +169,9 @@
     this.#alone.load.endReading(upstream.upstream, promptTokens);
     if (promptTokens <= 0) return;
     const cell = this.#cells.of(upstream);
-    if (cell !== undefined) this.#askingOf(cell).tellBy(now + TELL_MS);
+    if (cell === undefined) return;
+    this.#askingOf(cell).tellBy(now + TELL_MS);
+    this.#options.onTelling();
   }
 
   /** An upstream said how many requests it has; the keeper hears of it with the next ask. */
@@ -193,7 +204,10 @@
     const fresh = asking?.hear(answer, now);
     if (asking === undefined || fresh === undefined) return;
     this.#keepers.noteAnswer(answer.host);
-    if (fresh.length > 0) asking.tellBy(now + SEEN_MS);
+    if (fresh.length > 0) {
+      asking.tellBy(now + SEEN_MS);
+      this.#options.onTelling();
+    }
     for (const verdict of fresh) this.#take(verdict, key, now);
     const hasOther = answer.host !== this.#options.host;
     if (answer.isLeaving && hasOther) this.#passOver(asking, "leaving", now);
--- a/packages/admission/tests/cells.test.ts
+++ b/packages/admission/tests/cells.test.ts
@@ -403,6 +403,23 @@
   t.true(fleet!.sent / asked < 10, `${fleet!.sent / asked}`);
 });
 
+test("a host whose request waits in a keeper's line has nothing to look at meanwhile", (t) => {
+  // In a burst requests wait for a second and more. Looking at them a hundred times a
+  // second would take a small machine what it needs for the answers that are under way.
+  const { timer, others: [host, other] } = createFleet();
+  seek(other!, buildWish("running"), { timer, work: 400 });
+  timer.advance(20);
+  const wish = buildWish("waiting", { arrivedAt: 20, patience: 60_000 });
+  const seen = seek(host!, wish, { timer });
+  t.true(host!.seeker.isBusy);
+  timer.advance(20);
+  t.false(host!.seeker.isBusy);
+  t.true(host!.seeker.tellAt - timer.now() > 200);
+  timer.advance(400);
+  t.is(seen.verdict?.kind, "place");
+  t.true(host!.seeker.tellAt - timer.now() <= 80);
+});
+
 test("cells are named alike wherever they are dealt", (t) => {
   const cells = dealCells(PLANS, upstreamsIn(55, DOMAINS)).map(cellKeyOf);
   const others = dealCells(PLANS, upstreamsIn(55, DOMAINS).toReversed());
--- a/packages/admission/tests/helpers/virtualFleet.ts
+++ b/packages/admission/tests/helpers/virtualFleet.ts
@@ -77,6 +77,7 @@
           other.keeperOf(ask.cell).hear(ask, now);
         });
       },
+      onTelling: () => {},
       onKeeper: () => fleet.changes++,
     });
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -44,12 +44,6 @@
 import { UpstreamNews } from "./upstreamNews.ts";
 import { UsageDesk } from "./usageDesk.ts";
 
-/** How often lines and asks are looked at while something waits, */
-const TICK_MS: Milliseconds = 10;
-/** while this host keeps a cell, for whose places others wait, */
-const KEEPER_TICK_MS: Milliseconds = 100;
-/** and while it has nothing to do: each look costs a small machine a part of its processor. */
-const IDLE_TICK_MS: Milliseconds = 200;
 /** How often peers, usage and grace times are looked at, */
 const SLOW_TICK_MS: Milliseconds = 100;
 /** and in a fleet of more than so many hosts, whose words are rarer. */
@@ -112,7 +106,7 @@
   readonly #peerLog: PeerLog;
   #nextTick: TimerSubscription | undefined;
   #nextSlowTick: TimerSubscription | undefined;
-  #isTickSoon = false;
+  #nextTickAt: Milliseconds = Infinity;
   #isClosed = false;
   #stopsAt: Milliseconds = Infinity;
 
@@ -320,6 +314,7 @@
         this.#desk.ask(keeper, ask);
         this.#planTick();
       },
+      onTelling: () => this.#planTick(),
       onKeeper: (change) => {
         this.parts.metrics.count(`keeper_${change.kind}`);
         this.parts.log.write("keeper_passed_over", keeperChangeOf(change));
@@ -436,14 +431,15 @@
   /** Plans the next look, sooner when something begins to wait. */
   #planTick(): void {
     if (this.#isClosed) return;
-    if (this.#nextTick !== undefined && this.#isTickSoon) return;
+    const { timer } = this.#options;
+    const now = timer.now();
+    const wait = this.#desk.nextLook(now);
+    if (this.#nextTick !== undefined && this.#nextTickAt <= now + wait) return;
     this.#nextTick?.cancel();
-    this.#isTickSoon = this.#desk.isBusy;
-    const idle = this.#desk.keptCount > 0 ? KEEPER_TICK_MS : IDLE_TICK_MS;
-    const wait = this.#isTickSoon ? TICK_MS : idle;
-    this.#nextTick = this.#options.timer.after(wait, () => {
+    this.#nextTickAt = now + wait;
+    this.#nextTick = timer.after(wait, () => {
       this.#nextTick = undefined;
-      this.#desk.tick(this.#options.timer.now());
+      this.#desk.tick(timer.now());
       this.#planTick();
     });
   }
--- a/packages/gateway/src/placeDesk.ts
+++ b/packages/gateway/src/placeDesk.ts
@@ -13,6 +13,12 @@
 import type { GatewayParts } from "./gatewayParts.ts";
 import type { KeeperCall, PeerMessage } from "./peerMessage.ts";
 
+/** How often lines and asks are looked at while something waits, */
+const BUSY_LOOK_MS: Milliseconds = 10;
+/** while this host keeps a cell, for whose places others wait, */
+const KEEPER_LOOK_MS: Milliseconds = 100;
+/** and while it has nothing to do: each look costs a small machine a part of its processor. */
+const IDLE_LOOK_MS: Milliseconds = 200;
 /** How often keepers of one service tell each other how full their cells are. */
 const PICTURE_MS: Milliseconds = 100;
 /** Keepers that one tells; in a large service each tells some, drawn anew each time. */
@@ -51,9 +57,15 @@
     return this.#keepers.size;
   }
 
-  /** Whether lines or answers have to be looked at soon. */
-  get isBusy(): boolean {
-    if (this.#options.seeker.isBusy) return true;
+  /** Time until lines and answers have to be looked at again. */
+  nextLook(now: Milliseconds): Milliseconds {
+    const { seeker } = this.#options;
+    if (seeker.isBusy || this.#hasLine()) return BUSY_LOOK_MS;
+    const idle = this.#keepers.size > 0 ? KEEPER_LOOK_MS : IDLE_LOOK_MS;
+    return Math.min(idle, Math.max(BUSY_LOOK_MS, seeker.tellAt - now));
+  }
+
+  #hasLine(): boolean {
     for (const { isWaiting } of this.#keepers.values()) {
       if (isWaiting) return true;
     }
