--- a/packages/admission/src/placeSeeker.ts
+++ b/packages/admission/src/placeSeeker.ts
@@ -9,6 +9,7 @@
   UpstreamId,
 } from "@wasabivane/common";
 import { CellAsking, type KeeperSilence } from "./cellAsking.ts";
+import { CellChoice } from "./cellChoice.ts";
 import { CellMap } from "./cellMap.ts";
 import { type Cell, type CellKey, cellKeyOf } from "./cells.ts";
 import type { PlaceAnswer, PlaceAsk, PlaceVerdict } from "./cellMessages.ts";
@@ -32,11 +33,6 @@
 const TELL_MS: Milliseconds = 40;
 /** and what only saves the keeper a repetition by then. */
 const SEEN_MS: Milliseconds = 80;
-/**
- * The first part of a prompt is often common to all requests of a kind: read everywhere
- * soon, it is no reason to go anywhere. The last is the request's own.
- */
-const FIRST_SUBJECT = 1;
 /** Cells that one request waits in at most. */
 const CELLS_AT_ONCE = 2;
 
@@ -88,6 +84,7 @@
   readonly #cells: CellMap;
   readonly #askings = new Map<CellKey, CellAsking>();
   readonly #pictures = new CellPictures();
+  readonly #choice: CellChoice;
   readonly #keepers: KeeperChoice;
   #tickedAt: Milliseconds = -Infinity;
 
@@ -95,6 +92,11 @@
     const { directory, knowledge, random } = options;
     this.#options = options;
     this.#cells = new CellMap(directory);
+    this.#choice = new CellChoice({
+      ...options,
+      cells: this.#cells,
+      pictures: this.#pictures,
+    });
     this.#keepers = new KeeperChoice(options);
     this.#alone = new PlaceScheduler({
       upstreams: directory,
@@ -141,7 +143,7 @@
   ): void {
     const seeking = { wish, decide, cells: new Set<CellKey>(), isAlone: false };
     this.#seeking.set(wish.request, seeking);
-    const cell = this.#choose(wish, now);
+    const cell = this.#choice.first(wish, now);
     if (cell === undefined) this.#decideAlone(seeking, now);
     else this.#seekIn(cell, seeking, now);
   }
@@ -211,7 +213,7 @@
     for (const verdict of fresh) this.#take(verdict, key, now);
     const hasOther = answer.host !== this.#options.host;
     if (answer.isLeaving && hasOther) this.#passOver(asking, "leaving", now);
-    this.#spread(asking, now);
+    this.#spread(key, now);
   }
 
   /** The keeper of a cell has just begun and asks for what hosts do there. */
@@ -261,7 +263,7 @@
         if (!known.has(key)) this.#leave(seeking, key);
       }
       if (seeking.cells.size > 0) continue;
-      const cell = this.#choose(seeking.wish, now);
+      const cell = this.#choice.first(seeking.wish, now);
       if (cell !== undefined) this.#seekIn(cell, seeking, now);
     }
     if (this.#alone.waitingTotal > 0) this.#alone.review(now);
@@ -286,43 +288,13 @@
     );
   }
 
-  /** The nearest cell with a free place; without one the nearest of all. */
-  #choose(wish: PlaceWish, now: Milliseconds): Cell | undefined {
-    const cells = this.#cells.ofService(wish.service);
-    const home = this.#homeOf(cells, wish);
-    if (home === undefined || cells.length === 1) return home;
-    const picture = this.#pictures.of(home, now);
-    if (picture === undefined || picture.free > 0) return home;
-    const { random } = this.#options;
-    return this.#pictures.roomiest(cells, { random, now }) ?? home;
-  }
-
-  /**
-   * The cell where all hosts send prompts that begin alike; otherwise one of this host's
-   * failure domain, over whose cells its hosts spread.
-   */
-  #homeOf(cells: readonly Cell[], { parts }: PlaceWish): Cell | undefined {
-    const { failureDomain, host } = this.#options;
-    const [shared] = parts.slice(0, -1).slice(FIRST_SUBJECT).toReversed();
-    if (shared !== undefined) return this.#cells.pickFor(shared.part, cells);
-    const near = cells.filter((cell) => cell.failureDomain === failureDomain);
-    const choice = near.length > 0 ? near : cells;
-    return choice.length === 1 ? choice[0] : this.#cells.pickFor(host, choice);
-  }
-
   /** Requests that wait at a keeper wait in one other cell as well. */
-  #spread({ key, cell }: CellAsking, now: Milliseconds): void {
-    const cells = this.#cells.ofService(cell.service);
-    if (cells.length < CELLS_AT_ONCE) return;
+  #spread(key: CellKey, now: Milliseconds): void {
     for (const seeking of this.#seekingIn(key)) {
-      if (seeking.cells.size >= CELLS_AT_ONCE) continue;
-      const others = cells.filter((other) =>
-        !seeking.cells.has(cellKeyOf(other))
-      );
-      const { random } = this.#options;
-      const other = this.#pictures.roomiest(others, { random, now }) ??
-        random.pick(others);
-      this.#seekIn(other, seeking, now);
+      const { wish, cells: held } = seeking;
+      if (held.size >= CELLS_AT_ONCE) continue;
+      const other = this.#choice.another(wish, { held, now });
+      if (other !== undefined) this.#seekIn(other, seeking, now);
     }
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,6 @@
   type Milliseconds,
   type Random,
   type Timer,
-  type TimerSubscription,
 } from "@wasabivane/common";
 import {
   CrashBook,
@@ -31,6 +30,7 @@
 import type { Shown } from "./operatorPages.ts";
 import { type OperatorAddresses, OperatorPorts } from "./operatorPorts.ts";
 import type { ListenError } from "./listenError.ts";
+import { Looks } from "./looks.ts";
 import { PeerBook } from "./peerBook.ts";
 import { type ChannelError, PeerChannel } from "./peerChannel.ts";
 import { PeerLog } from "./peerLog.ts";
@@ -44,11 +44,6 @@
 import { UpstreamNews } from "./upstreamNews.ts";
 import { UsageDesk } from "./usageDesk.ts";
 
-/** How often peers, usage and grace times are looked at, */
-const SLOW_TICK_MS: Milliseconds = 100;
-/** and in a fleet of more than so many hosts, whose words are rarer. */
-const LARGE_FLEET_TICK_MS: Milliseconds = 200;
-const LARGE_FLEET = 16;
 /** The balancer asks every second and gives up after two misses. */
 const UNREADY_SPREAD_MS: Milliseconds = 2_500;
 /** Part of a short grace after which no new connections are taken, so that the rest is left for answers. */
@@ -104,10 +99,7 @@
   readonly #usage: UsageDesk;
   readonly #startedAt: Milliseconds;
   readonly #peerLog: PeerLog;
-  #nextTick: TimerSubscription | undefined;
-  #nextSlowTick: TimerSubscription | undefined;
-  #nextTickAt: Milliseconds = Infinity;
-  #isClosed = false;
+  readonly #looks: Looks;
   #stopsAt: Milliseconds = Infinity;
 
   constructor(options: GatewayOptions) {
@@ -146,6 +138,12 @@
       sendReport: (to, usage) => this.#sendTo(to, { kind: "usage", usage }),
       sendSums: (to, sums) => this.#sendTo(to, { kind: "sums", sums }),
     });
+    this.#looks = new Looks({
+      timer,
+      desk: this.#desk,
+      hosts: () => this.#book.aliveCount,
+      review: (now) => this.#review(now),
+    });
     this.#talk = this.#createTalk();
     this.upstreams = new UpstreamNews(this.parts, {
       tellLeft: (upstream) => this.#talk.tellLeft(upstream),
@@ -173,8 +171,7 @@
     if (opened.isErr()) return err(opened.error);
     const listening = await this.#front.listen(addresses.callers);
     if (listening.isErr()) return err(listening.error);
-    this.#planTick();
-    this.#planSlowTick();
+    this.#looks.start();
     this.parts.log.write("started", { peers: addresses.peers });
     return await this.#operatorPorts.open();
   }
@@ -244,9 +241,7 @@
   async close(): Promise<void> {
     this.#front.stopListening();
     this.#front.closeAll();
-    this.#isClosed = true;
-    this.#nextTick?.cancel();
-    this.#nextSlowTick?.cancel();
+    this.#looks.close();
     this.#operatorPorts.close();
     this.upstreams.close();
     this.#talk.close();
@@ -312,9 +307,9 @@
       candidates: () => this.#candidates(),
       send: (keeper, ask) => {
         this.#desk.ask(keeper, ask);
-        this.#planTick();
+        this.#looks.plan();
       },
-      onTelling: () => this.#planTick(),
+      onTelling: () => this.#looks.plan(),
       onKeeper: (change) => {
         this.parts.metrics.count(`keeper_${change.kind}`);
         this.parts.log.write("keeper_passed_over", keeperChangeOf(change));
@@ -370,7 +365,7 @@
         return this.#talk.hear(message.word);
       case "ask":
         this.#desk.hearAsk(message.ask);
-        return this.#planTick();
+        return this.#looks.plan();
       case "answer":
         return this.#desk.hearAnswer(message.answer);
       case "call":
@@ -428,34 +423,7 @@
     return metrics.text();
   }
 
-  /** Plans the next look, sooner when something begins to wait. */
-  #planTick(): void {
-    if (this.#isClosed) return;
-    const { timer } = this.#options;
-    const now = timer.now();
-    const wait = this.#desk.nextLook(now);
-    if (this.#nextTick !== undefined && this.#nextTickAt <= now + wait) return;
-    this.#nextTick?.cancel();
-    this.#nextTickAt = now + wait;
-    this.#nextTick = timer.after(wait, () => {
-      this.#nextTick = undefined;
-      this.#desk.tick(timer.now());
-      this.#planTick();
-    });
-  }
-
-  #planSlowTick(): void {
-    if (this.#isClosed) return;
-    const isLarge = this.#book.aliveCount >= LARGE_FLEET;
-    const wait = isLarge ? LARGE_FLEET_TICK_MS : SLOW_TICK_MS;
-    this.#nextSlowTick = this.#options.timer.after(wait, () => {
-      this.#slowTick();
-      this.#planSlowTick();
-    });
-  }
-
-  #slowTick(): void {
-    const now = this.#options.timer.now();
+  #review(now: Milliseconds): void {
     this.upstreams.expire();
     this.sharing.tick(now);
     this.#usage.tick(now);
