Wait only for a full engine that is still there, and leave short work its room

Cause, found by reading: a request also waited for an engine that held its prompt and had a free place that it did not want, or that had left the list: up to twice the time of reading, for nothing. A place that the room for short work pays for could go to long work of the same tier whose prompt was held there.

Change: only engines of the list without a free place are waited for; a request that passes more urgent ones keeps its place. The first has a test that fails before; the second has none of its own.

--- a/packages/admission/src/placeScheduler.ts
+++ b/packages/admission/src/placeScheduler.ts
@@ -208,6 +208,9 @@
       now: Milliseconds;
     },
   ): Candidate {
+    // The room for short work is its own: nobody else takes the place that it pays for.
+    const isPassing = order.some(({ tier }) => tier < next.tier);
+    if (isPassing) return next;
     let best = next;
     let mostSaved = 0;
     for (const other of order) {
--- a/packages/admission/src/placement.ts
+++ b/packages/admission/src/placement.ts
@@ -129,7 +129,7 @@
       bestHeld = held;
     }
     if (best === undefined) return undefined;
-    if (this.#shouldWaitForReader(wish, { best, bestHeld, now })) {
+    if (this.#shouldWaitForReader(wish, { upstreams, best, bestHeld, now })) {
       return undefined;
     }
     if (isBestGood) return best;
@@ -187,24 +187,29 @@
   /** Whether a place that is likely free soon, where the prompt is held, is worth waiting for. */
   #shouldWaitForReader(
     wish: Wish,
-    { best, bestHeld, now }: {
+    { upstreams, best, bestHeld, now }: {
+      upstreams: readonly Upstream[];
       best: Upstream;
       bestHeld: number;
       now: Milliseconds;
     },
   ): boolean {
-    const { prompts, knowledge, load } = this.#options;
-    const { parts, excluded, since } = wish;
+    const { prompts, knowledge } = this.#options;
+    const { parts, excluded } = wish;
+    const readers = prompts.readersOf(parts);
+    if (readers.size === 0) return false;
     let most = bestHeld;
-    for (const reader of prompts.readersOf(parts)) {
-      const isOut = load.total(reader) === 0 || excluded?.has(reader) ||
-        knowledge.health.isEjected(reader, now);
-      if (!isOut) most = Math.max(most, prompts.held(reader, parts, now));
+    for (const upstream of upstreams) {
+      const id = upstream.upstream;
+      if (!readers.has(id) || excluded?.has(id)) continue;
+      const isFull = !knowledge.health.isEjected(id, now) &&
+        this.#freeAt(upstream, now) <= 0;
+      if (isFull) most = Math.max(most, prompts.held(id, parts, now));
     }
     if (most === bestHeld) return false;
     const span = this.#worthOfReading(best, most - bestHeld);
     const latency = this.#latencyAt(best, wish.promptTokens);
-    return now < since + span && now + span + latency <= wish.dueAt;
+    return now < wish.since + span && now + span + latency <= wish.dueAt;
   }
 
   #isGood(
--- a/packages/admission/tests/prompts.test.ts
+++ b/packages/admission/tests/prompts.test.ts
@@ -1,10 +1,16 @@
 import { asId, type FailureDomain } from "@wasabivane/common";
 import test from "ava";
-import type { PlaceScheduler, PromptPart } from "@wasabivane/admission";
+import type {
+  Candidate,
+  PlaceScheduler,
+  PromptPart,
+  Verdict,
+} from "@wasabivane/admission";
 import {
   buildCandidate,
   buildScheduler,
   buildUpstream,
+  PLANS,
 } from "./helpers/build.ts";
 import { type Replay, replayLoad } from "./helpers/loadReplay.ts";
 
@@ -93,6 +99,51 @@
   t.true(later.size > 1 || !later.has(first));
 });
 
+test("a request waits a moment for a full engine that holds its prompt, not for a free one", (t) => {
+  // Two engines of one place. The second request's document is held by the first engine:
+  // while that one is full the request waits as long as reading would take; once it has
+  // left the list, or has a place free, there is nothing to wait for.
+  const upstreams = [0, 1].map((index) => buildUpstream(index, { slots: 1 }));
+  const { scheduler, knowledge, directory, begin } = buildScheduler(upstreams);
+  for (let tokens = 0; tokens <= 6_000; tokens += 300) {
+    for (const { upstream } of upstreams) {
+      knowledge.firstEvents.observe({
+        service: PLANS,
+        upstream,
+        promptTokens: tokens,
+        duration: 20 + tokens / 50,
+      });
+    }
+  }
+  const prompt = (own: string): PromptPart[] => [
+    { part: "document", tokens: 5_000 },
+    { part: own, tokens: 100 },
+  ];
+  const submit = (name: string, now: number): Candidate & {
+    verdict: Verdict | undefined;
+  } => {
+    const candidate = buildCandidate(name, {
+      parts: prompt(name),
+      promptTokens: 5_100,
+      since: now,
+      onTimeUntil: now + 2_000,
+      usefulUntil: now + 5_000,
+    });
+    scheduler.submit(candidate, now);
+    return candidate;
+  };
+  const first = submit("first", 0).verdict;
+  if (first?.kind !== "place") return t.fail();
+  begin(first.upstream.upstream);
+  const second = submit("second", 10);
+  t.is(second.verdict, undefined);
+  scheduler.review(100);
+  t.is(second.verdict, undefined);
+  directory.remove(first.upstream.upstream);
+  scheduler.review(110);
+  t.is(second.verdict?.kind, "place");
+});
+
 const PREFACE: PromptPart = { part: "preface", tokens: 400 };
 const SUBJECTS = 400;
 
