Forget what engines that have left had read

Cause, found by reading: nothing told a keeper's memory of prompts that an upstream was gone. Change: the memory holds 256 upstreams, the least recently used goes. Who holds a prompt is called holder throughout, reader is who reads the store.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -45,6 +45,7 @@
   UpstreamKnowledge,
 } from "./upstreamKnowledge.ts";
 export { CellMap } from "./cellMap.ts";
+export { PromptMemory } from "./promptMemory.ts";
 export {
   type Cell,
   type CellKey,
--- a/packages/admission/src/placeScheduler.ts
+++ b/packages/admission/src/placeScheduler.ts
@@ -182,7 +182,7 @@
       if (left <= 0) return;
       const upstream = this.#placement.pick(upstreams, next, now);
       if (upstream === undefined) continue;
-      const chosen = this.#bestReader(upstream, { next, order, now });
+      const chosen = this.#bestFor(upstream, { next, order, now });
       if (chosen !== next) {
         order.splice(order.indexOf(chosen), 1);
         order.unshift(next);
@@ -200,7 +200,7 @@
    * due only a little later, if the upstream holds more of its prompt. When every place
    * is taken, one comes free at a time, seldom where the next one's prompt is held.
    */
-  #bestReader(
+  #bestFor(
     upstream: Upstream,
     { next, order, now }: {
       next: Candidate;
--- a/packages/admission/src/placement.ts
+++ b/packages/admission/src/placement.ts
@@ -129,7 +129,7 @@
       bestHeld = held;
     }
     if (best === undefined) return undefined;
-    if (this.#shouldWaitForReader(wish, { upstreams, best, bestHeld, now })) {
+    if (this.#shouldWaitForHolder(wish, { upstreams, best, bestHeld, now })) {
       return undefined;
     }
     if (isBestGood) return best;
@@ -185,7 +185,7 @@
   }
 
   /** Whether a place that is likely free soon, where the prompt is held, is worth waiting for. */
-  #shouldWaitForReader(
+  #shouldWaitForHolder(
     wish: Wish,
     { upstreams, best, bestHeld, now }: {
       upstreams: readonly Upstream[];
@@ -196,12 +196,12 @@
   ): boolean {
     const { prompts, knowledge } = this.#options;
     const { parts, excluded } = wish;
-    const readers = prompts.readersOf(parts);
-    if (readers.size === 0) return false;
+    const holders = prompts.holdersOf(parts);
+    if (holders.size === 0) return false;
     let most = bestHeld;
     for (const upstream of upstreams) {
       const id = upstream.upstream;
-      if (!readers.has(id) || excluded?.has(id)) continue;
+      if (!holders.has(id) || excluded?.has(id)) continue;
       const isFull = !knowledge.health.isEjected(id, now) &&
         this.#freeAt(upstream, now) <= 0;
       if (isFull) most = Math.max(most, prompts.held(id, parts, now));
--- a/packages/admission/src/promptMemory.ts
+++ b/packages/admission/src/promptMemory.ts
@@ -5,6 +5,8 @@
 const KEPT_MS: Milliseconds = 20_000;
 /** Parts remembered of one upstream: about what its memory holds of usual prompts. */
 const MAXIMUM_PARTS = 512;
+/** Upstreams remembered: more than a cell has; those that left are the first to go. */
+const MAXIMUM_UPSTREAMS = 256;
 const NOBODY: ReadonlySet<UpstreamId> = new Set();
 
 /**
@@ -17,7 +19,7 @@
  */
 export class PromptMemory {
   readonly #read = new Map<UpstreamId, Map<string, Milliseconds>>();
-  readonly #readers = new Map<string, Set<UpstreamId>>();
+  readonly #holders = new Map<string, Set<UpstreamId>>();
 
   /** A prompt of these parts goes to an upstream. */
   note(
@@ -26,25 +28,24 @@
     now: Milliseconds,
   ): void {
     if (parts.length === 0) return;
-    const read = this.#read.get(upstream) ?? new Map<string, Milliseconds>();
-    this.#read.set(upstream, read);
+    const read = this.#readAt(upstream);
     for (const { part } of parts) {
       read.delete(part);
       read.set(part, now);
-      this.#noteReader(part, upstream);
+      this.#noteHolder(part, upstream);
     }
     for (const oldest of read.keys()) {
       if (read.size <= MAXIMUM_PARTS) return;
       read.delete(oldest);
-      this.#forgetReader(oldest, upstream);
+      this.#forgetHolder(oldest, upstream);
     }
   }
 
   /** Upstreams that have read the longest beginning of a prompt which any has read. */
-  readersOf(parts: readonly PromptPart[]): ReadonlySet<UpstreamId> {
+  holdersOf(parts: readonly PromptPart[]): ReadonlySet<UpstreamId> {
     for (const { part } of parts.toReversed()) {
-      const readers = this.#readers.get(part);
-      if (readers !== undefined) return readers;
+      const holders = this.#holders.get(part);
+      if (holders !== undefined) return holders;
     }
     return NOBODY;
   }
@@ -66,22 +67,31 @@
     return tokens;
   }
 
-  /** An upstream is gone, and what it held with it. */
-  forget(upstream: UpstreamId): void {
+  #forget(upstream: UpstreamId): void {
     const read = this.#read.get(upstream);
     this.#read.delete(upstream);
-    for (const part of read?.keys() ?? []) this.#forgetReader(part, upstream);
+    for (const part of read?.keys() ?? []) this.#forgetHolder(part, upstream);
+  }
+
+  /** What an upstream has read; it is the last to be forgotten now. */
+  #readAt(upstream: UpstreamId): Map<string, Milliseconds> {
+    const read = this.#read.get(upstream) ?? new Map<string, Milliseconds>();
+    this.#read.delete(upstream);
+    this.#read.set(upstream, read);
+    const [oldest] = this.#read.keys();
+    if (this.#read.size > MAXIMUM_UPSTREAMS) this.#forget(oldest!);
+    return read;
   }
 
-  #noteReader(part: string, upstream: UpstreamId): void {
-    const readers = this.#readers.get(part) ?? new Set();
-    readers.add(upstream);
-    this.#readers.set(part, readers);
+  #noteHolder(part: string, upstream: UpstreamId): void {
+    const holders = this.#holders.get(part) ?? new Set();
+    holders.add(upstream);
+    this.#holders.set(part, holders);
   }
 
-  #forgetReader(part: string, upstream: UpstreamId): void {
-    const readers = this.#readers.get(part);
-    readers?.delete(upstream);
-    if (readers?.size === 0) this.#readers.delete(part);
+  #forgetHolder(part: string, upstream: UpstreamId): void {
+    const holders = this.#holders.get(part);
+    holders?.delete(upstream);
+    if (holders?.size === 0) this.#holders.delete(part);
   }
 }
--- a/packages/admission/tests/prompts.test.ts
+++ b/packages/admission/tests/prompts.test.ts
@@ -1,10 +1,11 @@
-import { asId, type FailureDomain } from "@wasabivane/common";
+import { asId, type FailureDomain, type UpstreamId } from "@wasabivane/common";
 import test from "ava";
-import type {
-  Candidate,
-  PlaceScheduler,
-  PromptPart,
-  Verdict,
+import {
+  type Candidate,
+  type PlaceScheduler,
+  PromptMemory,
+  type PromptPart,
+  type Verdict,
 } from "@wasabivane/admission";
 import {
   buildCandidate,
@@ -99,6 +100,21 @@
   t.true(later.size > 1 || !later.has(first));
 });
 
+test("upstreams that have left are forgotten, however many there were", (t) => {
+  // Engines restart thousands of times a day, each time under another id. A keeper that
+  // remembered what each of them had read would run out of memory within days.
+  const memory = new PromptMemory();
+  const parts = [{ part: "document", tokens: 100 }];
+  const ids = Array.from(
+    { length: 2_000 },
+    (_, index) => asId<UpstreamId>(`u${index}`),
+  );
+  for (const [index, id] of ids.entries()) memory.note(id, parts, index);
+  t.is(memory.held(ids[0]!, parts, 2_000), 0);
+  t.is(memory.held(ids.at(-1)!, parts, 2_000), 100);
+  t.true(memory.holdersOf(parts).size <= 256);
+});
+
 test("a request waits a moment for a full engine that holds its prompt, not for a free one", (t) => {
   // Two engines of one place. The second request's document is held by the first engine:
   // while that one is full the request waits as long as reading would take; once it has
