--- a/packages/admission/tests/prompts.test.ts
+++ b/packages/admission/tests/prompts.test.ts
@@ -160,6 +160,34 @@
   t.is(second.verdict?.kind, "place");
 });
 
+test("long work does not take the place that the room for short work pays for", (t) => {
+  // A long answer of the first tier has earned a little room for short work of the third.
+  // Another request of the third tier is as due, its document is held where the place is,
+  // but its answer is long: it would pass the first tier on a room that is not its own.
+  const { scheduler, knowledge, begin, end } = buildScheduler([
+    buildUpstream(0, { slots: 1 }),
+  ]);
+  const { upstream } = buildUpstream(0);
+  for (let tokens = 0; tokens <= 6_000; tokens += 300) {
+    const sample = { promptTokens: tokens, duration: 20 + tokens / 50 };
+    knowledge.firstEvents.observe({ service: PLANS, upstream, ...sample });
+  }
+  const document = { part: "document", tokens: 5_000 };
+  const due = { onTimeUntil: 9_000, usefulUntil: 20_000 };
+  const long = { ...due, hold: 1_000, parts: [document], promptTokens: 5_000 };
+  scheduler.submit(buildCandidate("running", long), 0);
+  begin(upstream);
+  const urgent = buildCandidate("urgent", { ...due, hold: 1_000 });
+  const short = buildCandidate("short", { ...due, tier: 3, hold: 100 });
+  const other = buildCandidate("other", { ...long, tier: 3 });
+  for (const candidate of [urgent, short, other]) {
+    scheduler.submit(candidate, 10);
+  }
+  end(upstream, 50);
+  t.is(short.verdict?.kind, "place");
+  t.is(other.verdict, undefined);
+});
+
 const PREFACE: PromptPart = { part: "preface", tokens: 400 };
 const SUBJECTS = 400;
 
