--- a/packages/admission/tests/prompts.test.ts
+++ b/packages/admission/tests/prompts.test.ts
@@ -5,6 +5,7 @@
   type PlaceScheduler,
   PromptMemory,
   type PromptPart,
+  type UpstreamKnowledge,
   type Verdict,
 } from "@wasabivane/admission";
 import {
@@ -115,22 +116,24 @@
   t.true(memory.holdersOf(parts).size <= 256);
 });
 
+/** An upstream was seen to read 50 tokens a millisecond. */
+function learnReading(
+  { firstEvents }: UpstreamKnowledge,
+  upstream: UpstreamId,
+): void {
+  for (let promptTokens = 0; promptTokens <= 6_000; promptTokens += 300) {
+    const duration = 20 + promptTokens / 50;
+    firstEvents.observe({ service: PLANS, upstream, promptTokens, duration });
+  }
+}
+
 test("a request waits a moment for a full engine that holds its prompt, not for a free one", (t) => {
   // Two engines of one place. The second request's document is held by the first engine:
   // while that one is full the request waits as long as reading would take; once it has
   // left the list, or has a place free, there is nothing to wait for.
   const upstreams = [0, 1].map((index) => buildUpstream(index, { slots: 1 }));
   const { scheduler, knowledge, directory, begin } = buildScheduler(upstreams);
-  for (let tokens = 0; tokens <= 6_000; tokens += 300) {
-    for (const { upstream } of upstreams) {
-      knowledge.firstEvents.observe({
-        service: PLANS,
-        upstream,
-        promptTokens: tokens,
-        duration: 20 + tokens / 50,
-      });
-    }
-  }
+  for (const { upstream } of upstreams) learnReading(knowledge, upstream);
   const prompt = (own: string): PromptPart[] => [
     { part: "document", tokens: 5_000 },
     { part: own, tokens: 100 },
@@ -168,10 +171,7 @@
     buildUpstream(0, { slots: 1 }),
   ]);
   const { upstream } = buildUpstream(0);
-  for (let tokens = 0; tokens <= 6_000; tokens += 300) {
-    const sample = { promptTokens: tokens, duration: 20 + tokens / 50 };
-    knowledge.firstEvents.observe({ service: PLANS, upstream, ...sample });
-  }
+  learnReading(knowledge, upstream);
   const document = { part: "document", tokens: 5_000 };
   const due = { onTimeUntil: 9_000, usefulUntil: 20_000 };
   const long = { ...due, hold: 1_000, parts: [document], promptTokens: 5_000 };
