--- a/packages/admission/src/placement.ts
+++ b/packages/admission/src/placement.ts
@@ -61,6 +61,14 @@
   readonly excluded?: ReadonlySet<UpstreamId>;
 }
 
+/** An upstream where a request could start. */
+interface Option {
+  readonly upstream: Upstream;
+  /** Tokens of the prompt that it likely holds. */
+  readonly held: number;
+  readonly isGood: boolean;
+}
+
 /** What {@link Placement} reads. */
 export interface PlacementOptions {
   readonly load: FleetLoad;
@@ -105,35 +113,40 @@
     wish: Wish,
     now: Milliseconds,
   ): Upstream | undefined {
+    const best = this.#bestFree(upstreams, wish, now);
+    if (best === undefined) return undefined;
+    if (this.#shouldWaitForHolder(wish, { upstreams, best, now })) {
+      return undefined;
+    }
+    if (best.isGood) return best.upstream;
+    return this.#couldBeGood(upstreams, wish, now) ? undefined : best.upstream;
+  }
+
+  #bestFree(
+    upstreams: readonly Upstream[],
+    wish: Wish,
+    now: Milliseconds,
+  ): Option | undefined {
     const { excluded, parts, promptTokens } = wish;
-    let best: Upstream | undefined;
+    let best: Option | undefined;
     let leastCost = Infinity;
-    let isBestGood = false;
-    let bestHeld = 0;
     for (const upstream of upstreams) {
       if (excluded?.has(upstream.upstream)) continue;
       if (this.#freeAt(upstream, now) <= 0) continue;
       const held = this.#options.prompts.held(upstream.upstream, parts, now);
       const latency = this.#latencyAt(upstream, promptTokens - held);
       const isGood = this.#isGood(upstream, { wish, latency, now });
-      if (isBestGood && !isGood) continue;
+      if (best?.isGood && !isGood) continue;
       const cost = this.#costOf(upstream, {
         heldShare: Math.min(1, held / Math.max(1, promptTokens)),
         latencyShare: latency / wish.target,
         failureDomain: wish.failureDomain,
       });
-      if (cost >= leastCost && isGood === isBestGood) continue;
+      if (cost >= leastCost && isGood === best?.isGood) continue;
       leastCost = cost;
-      best = upstream;
-      isBestGood = isGood;
-      bestHeld = held;
-    }
-    if (best === undefined) return undefined;
-    if (this.#shouldWaitForHolder(wish, { upstreams, best, bestHeld, now })) {
-      return undefined;
+      best = { upstream, held, isGood };
     }
-    if (isBestGood) return best;
-    return this.#couldBeGood(upstreams, wish, now) ? undefined : best;
+    return best;
   }
 
   /** Whether the request would be good if a place came free now at some upstream. */
@@ -187,10 +200,9 @@
   /** Whether a place that is likely free soon, where the prompt is held, is worth waiting for. */
   #shouldWaitForHolder(
     wish: Wish,
-    { upstreams, best, bestHeld, now }: {
+    { upstreams, best, now }: {
       upstreams: readonly Upstream[];
-      best: Upstream;
-      bestHeld: number;
+      best: Option;
       now: Milliseconds;
     },
   ): boolean {
@@ -198,7 +210,7 @@
     const { parts, excluded } = wish;
     const holders = prompts.holdersOf(parts);
     if (holders.size === 0) return false;
-    let most = bestHeld;
+    let most = best.held;
     for (const upstream of upstreams) {
       const id = upstream.upstream;
       if (!holders.has(id) || excluded?.has(id)) continue;
@@ -206,9 +218,9 @@
         this.#freeAt(upstream, now) <= 0;
       if (isFull) most = Math.max(most, prompts.held(id, parts, now));
     }
-    if (most === bestHeld) return false;
-    const span = this.#worthOfReading(best, most - bestHeld);
-    const latency = this.#latencyAt(best, wish.promptTokens);
+    if (most === best.held) return false;
+    const span = this.#worthOfReading(best.upstream, most - best.held);
+    const latency = this.#latencyAt(best.upstream, wish.promptTokens);
     return now < wish.since + span && now + span + latency <= wish.dueAt;
   }
 
