Keep the host alive whatever is asked of its operators' ports

Change: the path is compared and never parsed, a failing page is told as 500, every error of the port is taken, HEAD is answered.

--- a/packages/gateway/src/pages.ts
+++ b/packages/gateway/src/pages.ts
@@ -5,8 +5,8 @@
 import { splitAddress } from "./peerChannel.ts";
 
 const NOT_FOUND: PageAnswer = { status: 404 };
-/** The address is needed only for the library to read the query. */
-const BASE_URL = "http://host";
+const FAILED: PageAnswer = { status: 500 };
+const METHODS: readonly (string | undefined)[] = ["GET", "HEAD"];
 
 /** What a {@link Page} answers. */
 export interface PageAnswer {
@@ -24,7 +24,7 @@
 }
 
 /**
- * Listens at `ip:port` and answers GET under the path of a page.
+ * Listens at `ip:port` and answers GET and HEAD under the path of a page.
  *
  * A web framework would serve the same: with it, a host takes a sixth of a second of a
  * small machine's processor at its start and 2 MB more, for the runtime's whole
@@ -36,13 +36,15 @@
 ): Promise<Result<Server, ListenError>> {
   const { ip, port } = splitAddress(address);
   const server = createServer((request, response) => {
-    const url = new URL(request.url ?? "/", BASE_URL);
-    const isAsked = request.method === "GET" && url.pathname === page.path;
+    // Anybody may write anything here: what is no path is only compared, never parsed.
+    const [path, query] = (request.url ?? "").split("?", 2);
+    const isAsked = METHODS.includes(request.method) && path === page.path;
     if (!isAsked) return send(response, NOT_FOUND);
-    void answerWith(page, url.searchParams, response);
+    void answerWith(page, new URLSearchParams(query), response);
   });
   return new Promise((resolve) => {
-    server.once("error", (error) => {
+    // Errors may come later too, as when descriptors run out; they end nothing.
+    server.on("error", (error) => {
       resolve(err({ kind: "cannot-listen", detail: error.message }));
     });
     server.listen(port, ip, () => resolve(ok(server)));
@@ -54,7 +56,11 @@
   query: URLSearchParams,
   response: ServerResponse,
 ): Promise<void> {
-  send(response, await page.answer(query));
+  try {
+    send(response, await page.answer(query));
+  } catch {
+    send(response, FAILED);
+  }
 }
 
 function send(
