Keep the host alive when its callers' port cannot take a connection

Cause, found while looking for the like of the fault before: the callers' port also took only the first error that its server tells; a second one, as when descriptors run out or a caller is gone before it is accepted, had nobody to take it and ended the host. Change: both kinds of port listen by one function, which takes every error. The test of the page's port covers it; the system's refusal itself was not played.

--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -8,7 +8,7 @@
 import type { Socket } from "node:net";
 import type { Digest, Milliseconds } from "@wasabivane/common";
 import type { CallerLimits, Route } from "@wasabivane/admission";
-import { err, ok, type Result } from "neverthrow";
+import { ok, type Result } from "neverthrow";
 import { CallerAnswer } from "./callerAnswer.ts";
 import type { LogValues } from "./decisionLog.ts";
 import { Exchange } from "./exchange.ts";
@@ -21,8 +21,8 @@
   type Refusal,
   unitsOf,
 } from "./intake.ts";
+import { listenAt } from "./listenAt.ts";
 import type { ListenError } from "./listenError.ts";
-import { splitAddress } from "./peerChannel.ts";
 import { type BodyError, readBody } from "./requestBody.ts";
 
 /** Hard bound of the parser; the policy's own bound is checked by request. */
@@ -64,14 +64,10 @@
     return this.#busy.size;
   }
 
-  listen(address: string): Promise<Result<void, ListenError>> {
-    const { ip, port } = splitAddress(address);
-    return new Promise((resolve) => {
-      this.#server.once("error", (error) => {
-        resolve(err({ kind: "cannot-listen", detail: error.message }));
-      });
-      this.#server.listen(port, ip, BACKLOG, () => resolve(ok(undefined)));
-    });
+  async listen(address: string): Promise<Result<void, ListenError>> {
+    const server = this.#server;
+    const listening = await listenAt(server, address, { backlog: BACKLOG });
+    return listening.map(() => undefined);
   }
 
   /** Takes no new connections; those that stand are served on. */
--- a/packages/gateway/src/pages.ts
+++ b/packages/gateway/src/pages.ts
@@ -1,8 +1,8 @@
 import type { Buffer } from "node:buffer";
 import { createServer, type Server, type ServerResponse } from "node:http";
-import { err, ok, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
+import { listenAt } from "./listenAt.ts";
 import type { ListenError } from "./listenError.ts";
-import { splitAddress } from "./peerChannel.ts";
 
 const NOT_FOUND: PageAnswer = { status: 404 };
 const FAILED: PageAnswer = { status: 500 };
@@ -34,7 +34,6 @@
   page: Page,
   address: string,
 ): Promise<Result<Server, ListenError>> {
-  const { ip, port } = splitAddress(address);
   const server = createServer((request, response) => {
     // Anybody may write anything here: what is no path is only compared, never parsed.
     const [path, query] = (request.url ?? "").split("?", 2);
@@ -42,13 +41,7 @@
     if (!isAsked) return send(response, NOT_FOUND);
     void answerWith(page, new URLSearchParams(query), response);
   });
-  return new Promise((resolve) => {
-    // Errors may come later too, as when descriptors run out; they end nothing.
-    server.on("error", (error) => {
-      resolve(err({ kind: "cannot-listen", detail: error.message }));
-    });
-    server.listen(port, ip, () => resolve(ok(server)));
-  });
+  return listenAt(server, address);
 }
 
 async function answerWith(
