Keep lines sorted, and look for a cell's members once

Each request that came or was refused had its place counted by ranking the whole line, each look sorted it anew, and each decision hashed the names of all upstreams of the service to find those of the cell. Keepers of busy cells spend most of a core so.

Change: requests stand in one sorted queue for each rank and move once, when they become late. The members of a cell, the cell of an upstream and what a keeper tells of how full its cell is are worked out when something changed or once a turn. Only the requests that are looked at are put in order. Silent hosts are looked for ten times a second.

A test compares the line with one that is sorted anew at each look; it passes on the code before as well.

--- a/packages/admission/src/cellKeeper.ts
+++ b/packages/admission/src/cellKeeper.ts
@@ -6,7 +6,8 @@
   RequestId,
   UpstreamId,
 } from "@wasabivane/common";
-import { type Cell, isInCell } from "./cells.ts";
+import { CellMembers } from "./cellMembers.ts";
+import type { Cell } from "./cells.ts";
 import type {
   CellPicture,
   PlaceAnswer,
@@ -115,10 +116,7 @@
     this.#options = options;
     this.#askedAt = now;
     this.#scheduler = new PlaceScheduler({
-      upstreams: {
-        of: (service) =>
-          upstreams.of(service).filter((upstream) => isInCell(cell, upstream)),
-      },
+      upstreams: new CellMembers(cell, upstreams),
       knowledge,
       random,
     });
@@ -331,16 +329,21 @@
   }
 
   #answer(now: Milliseconds): void {
+    let pictures: readonly CellPicture[] | undefined;
     for (const [host, asker] of this.#askers) {
       if (!asker.hasNews) continue;
       asker.hasNews = false;
       asker.repeatAt = now + asker.repeatSpan;
-      this.#options.send(host, this.#answerTo(asker, now));
+      pictures ??= [this.picture(now), ...this.#options.otherPictures()];
+      this.#options.send(host, this.#answerTo(asker, pictures));
     }
   }
 
-  #answerTo(asker: Asker, now: Milliseconds): PlaceAnswer {
-    const { host, incarnation, cell, otherPictures, isLeaving } = this.#options;
+  #answerTo(
+    asker: Asker,
+    pictures: readonly CellPicture[],
+  ): PlaceAnswer {
+    const { host, incarnation, cell, isLeaving } = this.#options;
     return {
       host,
       incarnation,
@@ -350,7 +353,7 @@
       lessonsSeen: asker.lessonsSeen,
       verdicts: asker.unseen,
       unknown: asker.unknown.splice(0),
-      pictures: [this.picture(now), ...otherPictures()],
+      pictures,
       isLeaving: isLeaving(),
     };
   }
--- a/packages/admission/src/cellMap.ts
+++ b/packages/admission/src/cellMap.ts
@@ -17,6 +17,9 @@
   #version = -1;
   readonly #cells = new Map<ServiceId, readonly Cell[]>();
   readonly #places = new Map<CellKey, number>();
+  readonly #cellOf = new Map<UpstreamId, Cell | undefined>();
+  /** Whether a cell holds an upstream never changes: both are told apart by what counts. */
+  readonly #holds = new WeakMap<Cell, Map<UpstreamId, boolean>>();
 
   constructor(directory: UpstreamDirectory) {
     this.#directory = directory;
@@ -24,11 +27,7 @@
 
   /** The cells of a service. */
   ofService(service: ServiceId): readonly Cell[] {
-    if (this.#version !== this.#directory.version) {
-      this.#cells.clear();
-      this.#places.clear();
-      this.#version = this.#directory.version;
-    }
+    this.#forgetOld();
     let cells = this.#cells.get(service);
     if (cells === undefined) {
       cells = dealCells(service, this.#directory.of(service));
@@ -39,15 +38,29 @@
 
   /** The cell of an upstream; `undefined` for one of a failure domain without a cell. */
   of(upstream: Upstream): Cell | undefined {
-    return this.ofService(upstream.service).find((cell) =>
+    const { upstream: id, service } = upstream;
+    this.#forgetOld();
+    if (this.#cellOf.has(id)) return this.#cellOf.get(id);
+    const found = this.ofService(service).find((cell) =>
       isInCell(cell, upstream)
     );
+    this.#cellOf.set(id, found);
+    return found;
   }
 
   /** Whether a cell holds an upstream, also one that has left the directory since. */
   holds(cell: Cell, id: UpstreamId): boolean {
+    let known = this.#holds.get(cell);
+    if (known === undefined) {
+      known = new Map();
+      this.#holds.set(cell, known);
+    }
+    const isHeld = known.get(id);
+    if (isHeld !== undefined) return isHeld;
     const upstream = this.#directory.lastKnown(id);
-    return upstream !== undefined && isInCell(cell, upstream);
+    if (upstream === undefined) return false;
+    known.set(id, isInCell(cell, upstream));
+    return known.get(id)!;
   }
 
   /**
@@ -67,6 +80,14 @@
     return best;
   }
 
+  #forgetOld(): void {
+    if (this.#version === this.#directory.version) return;
+    this.#version = this.#directory.version;
+    this.#cells.clear();
+    this.#places.clear();
+    this.#cellOf.clear();
+  }
+
   #placesIn(cell: Cell): number {
     const key = cellKeyOf(cell);
     let places = this.#places.get(key);
--- a/packages/admission/src/fleetLoad.ts
+++ b/packages/admission/src/fleetLoad.ts
@@ -2,6 +2,8 @@
 
 /** Requests of a silent peer count until then: upstreams drop those of a dead one within seconds. */
 const PEER_FORGET_MS: Milliseconds = 2_000;
+/** Silence is looked for so often: a small part of the time after which it counts. */
+const SILENCE_CHECK_MS: Milliseconds = 100;
 
 /** Weight of the newest report of an upstream; two or three show work that nobody tells of. */
 const REPORT_WEIGHT = 0.5;
@@ -53,6 +55,7 @@
   readonly #untold = new Map<UpstreamId, UntoldLoad>();
   /** Time of the last call that told it. */
   #now: Milliseconds = 0;
+  #checkedAt: Milliseconds = -Infinity;
 
   /** Counts a request in that this host sends. */
   begin(upstream: UpstreamId, promptTokens = 0): void {
@@ -81,6 +84,8 @@
   /** Forgets peers that have been silent; true when one was forgotten. */
   expire(now: Milliseconds): boolean {
     this.#now = Math.max(this.#now, now);
+    if (now - this.#checkedAt < SILENCE_CHECK_MS) return false;
+    this.#checkedAt = now;
     let isChanged = false;
     for (const [peer, load] of this.#peers) {
       if (now - load.heardAt < PEER_FORGET_MS) continue;
--- a/packages/admission/src/placeScheduler.ts
+++ b/packages/admission/src/placeScheduler.ts
@@ -177,7 +177,7 @@
     const upstreams = this.#upstreams.of(service);
     let left = this.#placement.freePlaces(upstreams, now);
     if (left <= 0) return;
-    const order = line.inOrder(now).slice(0, MAXIMUM_LOOKS);
+    const order = line.inOrder(now, MAXIMUM_LOOKS);
     for (let next = order.shift(); next !== undefined; next = order.shift()) {
       if (left <= 0) return;
       const upstream = this.#placement.pick(upstreams, next, now);
--- a/packages/admission/src/placeSeeker.ts
+++ b/packages/admission/src/placeSeeker.ts
@@ -220,8 +220,7 @@
   report(cell: Cell, now: Milliseconds): void {
     const asking = this.#askings.get(cellKeyOf(cell));
     if (asking === undefined) return;
-    const work = this.#workAt(cell);
-    if (work.size === 0 && !asking.isWaiting) return;
+    if (!this.#hasWorkAt(cell) && !asking.isWaiting) return;
     asking.listNext();
     this.#ask(asking.key, now);
   }
@@ -243,7 +242,7 @@
     for (const asking of [...this.#askings.values()]) {
       if (pause > OWN_PAUSE_MS) asking.excuse(pause, now);
       const { key, cell } = asking;
-      const due = asking.due({ hasWork: this.#workAt(cell).size > 0, now });
+      const due = asking.due({ hasWork: this.#hasWorkAt(cell), now });
       if (due === "passed-over") this.#passOver(asking, "silent", now);
       else if (due === "ask") this.#ask(key, now);
       else if (due === "tell") this.#ask(key, now, { wantsAnswer: false });
@@ -438,6 +437,13 @@
     });
   }
 
+  #hasWorkAt(cell: Cell): boolean {
+    for (const upstream of this.#alone.load.ownInFlight().keys()) {
+      if (this.#cells.holds(cell, upstream)) return true;
+    }
+    return false;
+  }
+
   #workAt(
     cell: Cell,
   ): Map<UpstreamId, { requests: number; unreadTokens: number }> {
--- a/packages/admission/src/shortRoom.ts
+++ b/packages/admission/src/shortRoom.ts
@@ -44,15 +44,13 @@
 
   /** Those of the given requests, in their order, that may pass more urgent ones now. */
   passing<Item extends Work>(items: readonly Item[]): Item[] {
-    let room = this.#room;
-    const passing: Item[] = [];
-    for (const item of items) {
-      if (item.hold > room) continue;
-      if (PASSING_RATIO * item.hold > this.#leastAbove(item.tier)) continue;
-      room -= item.hold;
-      passing.push(item);
-    }
-    return passing;
+    const turn = this.takeTurn();
+    return items.filter((item) => turn.mayPass(item.tier) && turn.take(item));
+  }
+
+  /** One look at what may pass: what is taken in it leaves less room for the rest. */
+  takeTurn(): PassingTurn {
+    return new PassingTurn(this.#room, (tier) => this.#leastAbove(tier));
   }
 
   /** Least usual time in a place among the more urgent tiers; 0 where there is none. */
@@ -64,3 +62,27 @@
     return Number.isFinite(least) ? least : 0;
   }
 }
+
+/** See {@link ShortRoom.takeTurn}. */
+export class PassingTurn {
+  #room: Milliseconds;
+  readonly #leastAbove: (tier: Tier) => Milliseconds;
+
+  constructor(room: Milliseconds, leastAbove: (tier: Tier) => Milliseconds) {
+    this.#room = room;
+    this.#leastAbove = leastAbove;
+  }
+
+  /** Whether work of a tier can pass at all now. */
+  mayPass(tier: Tier): boolean {
+    return this.#room > 0 && this.#leastAbove(tier) > 0;
+  }
+
+  /** Whether this work passes; it takes its room then. */
+  take({ tier, hold }: Work): boolean {
+    if (hold > this.#room) return false;
+    if (PASSING_RATIO * hold > this.#leastAbove(tier)) return false;
+    this.#room -= hold;
+    return true;
+  }
+}
--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -3,6 +3,7 @@
 
 /** Upstreams remembered, a day's releases of a large fleet among them. */
 const MAXIMUM_SEEN = 2_000;
+const NONE: readonly Upstream[] = [];
 
 interface Entry {
   upstream: Upstream;
@@ -115,9 +116,9 @@
     return gone;
   }
 
-  /** Upstreams of a service that may get work. */
+  /** Upstreams of a service that may get work; the same list until something changes. */
   of(service: ServiceId): readonly Upstream[] {
-    return this.#byService.get(service) ?? [];
+    return this.#byService.get(service) ?? NONE;
   }
 
   get(upstream: UpstreamId): Upstream | undefined {
--- a/packages/admission/src/waitingLine.ts
+++ b/packages/admission/src/waitingLine.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds, RequestId, Tier } from "@wasabivane/common";
 import { ShortRoom } from "./shortRoom.ts";
+import { SortedQueue } from "./sortedQueue.ts";
 import { type Rank, StartRates } from "./startRates.ts";
 
 /** How often the pace of a line is held against its late requests; it changes slowly. */
@@ -36,6 +37,14 @@
   readonly wait: Milliseconds;
 }
 
+/** A request of the line, and where in its queue it stands. */
+interface Queued<Item> {
+  readonly item: Item;
+  readonly rank: Rank;
+  readonly turn: Milliseconds;
+  readonly order: number;
+}
+
 /**
  * Orders the requests that wait for one service: the most urgent tier first; within
  * it those that go on with begun work; then those that can still be on time, earliest
@@ -52,18 +61,26 @@
  * break off.
  */
 export class WaitingLine<Item extends Waiter> {
-  readonly #items: Item[] = [];
+  readonly #queued = new Map<RequestId, Queued<Item>>();
+  /** By rank; those of a rank are in the order in which they should start. */
+  readonly #queues = new Map<Rank, SortedQueue<Item>>();
   readonly #rates = new StartRates();
   readonly #room = new ShortRoom();
+  #pushed = 0;
+  /** Before this time no request of the line is of no use any more. */
+  #uselessFrom: Milliseconds = Infinity;
   #pacedAt: Milliseconds = -Infinity;
 
   get size(): number {
-    return this.#items.length;
+    return this.#queued.size;
   }
 
   push(item: Item, now: Milliseconds): void {
     this.#rates.pass(this.size > 0, now);
-    this.#items.push(item);
+    this.remove(item.request);
+    this.#add(item, this.#pushed++, now);
+    if (isBegun(item)) return;
+    this.#uselessFrom = Math.min(this.#uselessFrom, item.usefulUntil);
   }
 
   /** Takes out a request that starts. */
@@ -72,14 +89,16 @@
     const item = this.remove(request);
     if (item === undefined) return undefined;
     this.#rates.count(rankOf(item, now));
-    const isPassing = this.#items.some(({ tier }) => tier < item.tier);
-    this.#room.noteStart(item, isPassing);
+    this.#room.noteStart(item, this.#hasAbove(item.tier));
     return item;
   }
 
   remove(request: RequestId): Item | undefined {
-    const index = this.#items.findIndex((item) => item.request === request);
-    return index < 0 ? undefined : this.#items.splice(index, 1)[0];
+    const queued = this.#queued.get(request);
+    if (queued === undefined) return undefined;
+    this.#queued.delete(request);
+    this.#queues.get(queued.rank)!.remove(queued.turn, queued.order);
+    return queued.item;
   }
 
   /**
@@ -88,26 +107,36 @@
    */
   takeUseless(now: Milliseconds): Item[] {
     this.#rates.pass(this.size > 0, now);
-    const useless = this.#items.filter((item) =>
-      !isBegun(item) && item.usefulUntil <= now
-    );
-    for (const { request } of useless) this.remove(request);
-    return [...useless, ...this.#takeOutpaced(now)];
+    return [...this.#takeExpired(now), ...this.#takeOutpaced(now)];
+  }
+
+  #takeExpired(now: Milliseconds): Item[] {
+    if (now < this.#uselessFrom) return [];
+    const expired: Item[] = [];
+    this.#uselessFrom = Infinity;
+    for (const { item } of this.#queued.values()) {
+      if (isBegun(item)) continue;
+      if (item.usefulUntil <= now) expired.push(item);
+      else this.#uselessFrom = Math.min(this.#uselessFrom, item.usefulUntil);
+    }
+    for (const { request } of expired) this.remove(request);
+    return expired;
   }
 
   /** Takes out late requests that will not start in time behind those before them. */
   #takeOutpaced(now: Milliseconds): Item[] {
     if (now - this.#pacedAt < PACE_CHECK_MS) return [];
     this.#pacedAt = now;
+    this.#noteLate(now);
     const outpaced: Item[] = [];
-    const ahead = new Map<Rank, number>();
-    for (const item of this.inOrder(now)) {
-      if (!isLate(item, now)) continue;
-      const rank = rankOf(item, now);
-      const count = ahead.get(rank) ?? 0;
-      const startsAt = now + this.#rates.waitBehind(count, rank);
-      if (startsAt > item.usefulUntil) outpaced.push(item);
-      else ahead.set(rank, count + 1);
+    for (const rank of this.#ranks()) {
+      if (!isRankOfLate(rank)) continue;
+      let ahead = 0;
+      for (const item of this.#queues.get(rank)!.items) {
+        const startsAt = now + this.#rates.waitBehind(ahead, rank);
+        if (startsAt > item.usefulUntil) outpaced.push(item);
+        else ahead++;
+      }
     }
     for (const { request } of outpaced) this.remove(request);
     return outpaced;
@@ -125,53 +154,92 @@
 
   /** What the line promises a request, waiting or not. */
   outlook(item: Waiter, now: Milliseconds): Outlook {
-    const outlook = this.#outlookAs(isLate(item, now), item, now);
-    const willBeLate = now + outlook.wait > item.onTimeUntil;
-    if (isLate(item, now) || !willBeLate) return outlook;
-    const asLate = this.#outlookAs(true, item, now);
-    return { ...asLate, wait: item.onTimeUntil - now + asLate.wait };
+    this.#noteLate(now);
+    const rank = rankOf(item, now);
+    const ahead = this.#aheadOf(item, rank, now);
+    const startsPerSecond = this.#rates.perSecond(rank);
+    const wait = this.#rates.waitBehind(ahead, rank);
+    const willBeLate = now + wait > item.onTimeUntil;
+    if (isRankOfLate(rank) || isBegun(item) || !willBeLate) {
+      return { ahead, startsPerSecond, wait };
+    }
+    return {
+      ahead: 0,
+      startsPerSecond: this.#rates.perSecond(rank + LATE - ON_TIME),
+      wait: item.onTimeUntil - now,
+    };
   }
 
-  /** The requests in the order in which they should start. */
-  inOrder(now: Milliseconds): Item[] {
-    const others = this.#inTurn(now);
-    const passing = this.#passing(others, now);
-    if (passing.length === 0) return others;
-    const isPassing = new Set(passing);
-    return [...passing, ...others.filter((item) => !isPassing.has(item))];
+  /** The requests in the order in which they should start, the first `most` of them. */
+  inOrder(now: Milliseconds, most = Infinity): Item[] {
+    this.#noteLate(now);
+    const ranks = this.#ranks();
+    const order = this.#passing(ranks);
+    const isPassing = new Set(order);
+    for (const rank of ranks) {
+      for (const item of this.#queues.get(rank)!.items) {
+        if (order.length >= most) return order;
+        if (!isPassing.has(item)) order.push(item);
+      }
+    }
+    return order;
   }
 
   /** Short work that may be started before all that is more urgent. */
-  #passing(inTurn: readonly Item[], now: Milliseconds): Item[] {
-    return this.#room.passing(inTurn.filter((item) => !isLate(item, now)));
-  }
-
-  #inTurn(now: Milliseconds): Item[] {
-    const ranked = this.#items.map((item) => ({
-      item,
-      rank: rankOf(item, now),
-      turn: turnOf(item, now),
-    }));
-    ranked.sort((left, right) =>
-      left.rank - right.rank || left.turn - right.turn
-    );
-    return ranked.map(({ item }) => item);
-  }
-
-  #outlookAs(late: boolean, item: Waiter, now: Milliseconds): Outlook {
-    const rank = rankOf(item, now, late);
-    let ahead = 0;
-    for (const other of this.#items) {
-      if (other.request === item.request || rankOf(other, now) !== rank) {
-        continue;
+  #passing(ranks: readonly Rank[]): Item[] {
+    const turn = this.#room.takeTurn();
+    const passing: Item[] = [];
+    for (const rank of ranks) {
+      const mayPass = !isRankOfLate(rank) && turn.mayPass(tierOf(rank));
+      if (!mayPass) continue;
+      for (const item of this.#queues.get(rank)!.items) {
+        if (turn.take(item)) passing.push(item);
       }
-      if (compare(other, item, now) <= 0) ahead++;
     }
-    return {
-      ahead,
-      startsPerSecond: this.#rates.perSecond(rank),
-      wait: this.#rates.waitBehind(ahead, rank),
-    };
+    return passing;
+  }
+
+  #add(item: Item, order: number, now: Milliseconds): void {
+    const rank = rankOf(item, now);
+    const turn = turnOf(item, now);
+    let queue = this.#queues.get(rank);
+    if (queue === undefined) {
+      queue = new SortedQueue();
+      this.#queues.set(rank, queue);
+    }
+    queue.add(item, turn, order);
+    this.#queued.set(item.request, { item, rank, turn, order });
+  }
+
+  /** Requests that have become late go to the queue of those. */
+  #noteLate(now: Milliseconds): void {
+    for (const [rank, queue] of this.#queues) {
+      if (!isRankOfPunctual(rank)) continue;
+      for (let [item] = queue.items; item; [item] = queue.items) {
+        if (!isLate(item, now)) break;
+        const { order } = this.#queued.get(item.request)!;
+        this.remove(item.request);
+        this.#add(item, order, now);
+      }
+    }
+  }
+
+  #ranks(): Rank[] {
+    return [...this.#queues.keys()].toSorted((left, right) => left - right);
+  }
+
+  #hasAbove(tier: Tier): boolean {
+    for (const [rank, { size }] of this.#queues) {
+      if (size > 0 && rank < PLACES * tier) return true;
+    }
+    return false;
+  }
+
+  /** Others of its rank whose turn comes no later. */
+  #aheadOf(item: Waiter, rank: Rank, now: Milliseconds): number {
+    const count = this.#queues.get(rank)?.countUpTo(turnOf(item, now)) ?? 0;
+    const isCounted = this.#queued.get(item.request)?.rank === rank;
+    return isCounted ? count - 1 : count;
   }
 }
 
@@ -193,18 +261,21 @@
   return !isBegun(item) && item.onTimeUntil <= now;
 }
 
-function rankOf(
-  item: Waiter,
-  now: Milliseconds,
-  late = isLate(item, now),
-): Rank {
-  const place = isBegun(item) ? BEGUN : late ? LATE : ON_TIME;
+function rankOf(item: Waiter, now: Milliseconds): Rank {
+  const place = isBegun(item) ? BEGUN : isLate(item, now) ? LATE : ON_TIME;
   return PLACES * item.tier + place;
 }
 
-function compare(left: Waiter, right: Waiter, now: Milliseconds): number {
-  const rank = rankOf(left, now) - rankOf(right, now);
-  return rank !== 0 ? rank : turnOf(left, now) - turnOf(right, now);
+function tierOf(rank: Rank): Tier {
+  return Math.floor(rank / PLACES) as Tier;
+}
+
+function isRankOfLate(rank: Rank): boolean {
+  return rank % PLACES === LATE;
+}
+
+function isRankOfPunctual(rank: Rank): boolean {
+  return rank % PLACES === ON_TIME;
 }
 
 /** Order within a rank: earliest due first, what is late or begun by its arrival. */
--- /dev/null
+++ b/packages/admission/tests/waitingLine.test.ts
@@ -0,0 +1,83 @@
+import { asId, asTier, type RequestId } from "@wasabivane/common";
+import { type Waiter, WaitingLine } from "@wasabivane/admission";
+import test from "ava";
+import fc from "fast-check";
+
+const BEGUN = 0;
+const ON_TIME = 1;
+const LATE = 2;
+
+function placeOf(item: Waiter, now: number): number {
+  if (item.isContinuation === true) return BEGUN;
+  return item.onTimeUntil <= now ? LATE : ON_TIME;
+}
+
+function turnOf(item: Waiter, now: number): number {
+  return placeOf(item, now) === ON_TIME ? item.onTimeUntil : item.since;
+}
+
+/** The order of the line, worked out anew each time. */
+function sortedAnew(items: readonly Waiter[], now: number): Waiter[] {
+  return items.toSorted((left, right) =>
+    left.tier - right.tier ||
+    placeOf(left, now) - placeOf(right, now) ||
+    turnOf(left, now) - turnOf(right, now)
+  );
+}
+
+function isEqual(item: Waiter, other: Waiter, now: number): boolean {
+  return item.tier === other.tier &&
+    placeOf(item, now) === placeOf(other, now);
+}
+
+const waiters = fc.record({
+  tier: fc.integer({ min: 0, max: 2 }).map(asTier),
+  since: fc.integer({ min: 0, max: 40 }),
+  onTimeUntil: fc.integer({ min: 0, max: 400 }),
+  usefulUntil: fc.integer({ min: 200, max: 900 }),
+  // Work of one length never passes more urgent work.
+  hold: fc.constant(300),
+  isContinuation: fc.boolean(),
+});
+
+const steps = fc.array(
+  fc.record({
+    after: fc.integer({ min: 0, max: 30 }),
+    pushed: fc.option(waiters, { nil: undefined }),
+    takenOut: fc.option(fc.nat({ max: 50 }), { nil: undefined }),
+  }),
+  { maxLength: 60 },
+);
+
+test("the line stands as if it were sorted anew at each look", (t) => {
+  fc.assert(
+    fc.property(steps, (taken) => {
+      const line = new WaitingLine<Waiter>();
+      let items: Waiter[] = [];
+      let now = 0;
+      for (const [index, { after, pushed, takenOut }] of taken.entries()) {
+        now += after;
+        if (pushed !== undefined) {
+          const item = { ...pushed, request: asId<RequestId>(`r${index}`) };
+          items.push(item);
+          line.push(item, now);
+        }
+        const gone = items[takenOut ?? -1];
+        if (gone !== undefined) {
+          items = items.filter((item) => item !== gone);
+          line.remove(gone.request);
+        }
+        const expected = sortedAnew(items, now);
+        t.deepEqual(line.inOrder(now), expected);
+        for (const item of items) {
+          const ahead = items.filter((other) =>
+            other !== item && isEqual(item, other, now) &&
+            turnOf(other, now) <= turnOf(item, now)
+          );
+          t.is(line.outlook(item, now).ahead, ahead.length);
+        }
+      }
+    }),
+    { seed: 5, numRuns: 200 },
+  );
+});
