Tell ends without asking for an answer, and list what waits along with other asks

Change: an end is told at once but asks for an answer only where the host has nothing else to say there; otherwise the next answer confirms it, or one that is asked for after 200 ms. A list goes along with any ask once the last one is 250 ms old.

A lost end is told again within 200 ms; a test cuts the message and fails when that is taken out. The bound of the test of overload falls from 10 to 8.5 messages, what its comment counts.

--- a/packages/admission/src/cellAsking.ts
+++ b/packages/admission/src/cellAsking.ts
@@ -34,6 +34,13 @@
  * a host after one and a half seconds.
  */
 const CONFIRM_MS: Milliseconds = 500;
+/** An ask that goes out anyway lists what waits if the last list is older than this. */
+const LIST_WITH_ASK_MS: Milliseconds = 250;
+/**
+ * What ended is told at once and needs no answer; one is asked for when so much time has
+ * gone by without any, as the telling may be lost and the place would look taken.
+ */
+const CONFIRM_END_MS: Milliseconds = 200;
 /** A cell that this host has no business with is forgotten. */
 const IDLE_MS: Milliseconds = 2_000;
 /** Lessons that are kept for a keeper that does not answer. */
@@ -69,6 +76,8 @@
   #sequence = 0;
   #verdictsSeen = 0;
   #lessons: AttemptLesson[] = [];
+  /** When the oldest lesson that the keeper has not confirmed was told; `Infinity` without any. */
+  #unconfirmedSince: Milliseconds = Infinity;
   #lessonsFrom = 1;
   readonly #reports = new Map<UpstreamId, number>();
   /** Requests that wait here: the ask that first described each to this keeper. */
@@ -136,8 +145,9 @@
   }
 
   /** An attempt in this cell ended. */
-  learned(lesson: AttemptLesson): void {
+  learned(lesson: AttemptLesson, now: Milliseconds): void {
     this.#lessons.push(lesson);
+    this.#unconfirmedSince = Math.min(this.#unconfirmedSince, now);
     if (this.#lessons.length <= MAXIMUM_LESSONS) return;
     this.#lessons.shift();
     this.#lessonsFrom++;
@@ -156,7 +166,8 @@
   /** When something is to be told or listed at the latest; `Infinity` if nothing is. */
   get tellAt(): Milliseconds {
     const listAt = this.isWaiting ? this.#listedAt + CONFIRM_MS : Infinity;
-    return Math.min(this.#tellBy, listAt);
+    const confirmAt = this.#unconfirmedSince + CONFIRM_END_MS;
+    return Math.min(this.#tellBy, listAt, confirmAt);
   }
 
   /** The next ask, but for what the host knows itself. */
@@ -172,7 +183,9 @@
     if (wantsAnswer) this.#unanswered.push({ sequence, sentAt: now });
     this.#sentAt = now;
     this.#tellBy = Infinity;
-    const isListing = this.#isListing;
+    const isListing = this.#isListing ||
+      (this.isWaiting && now - this.#listedAt >= LIST_WITH_ASK_MS);
+    if (isListing) this.#listedAt = now;
     const reports = [...this.#reports];
     this.#reports.clear();
     this.#isListing = false;
@@ -218,6 +231,7 @@
       this.#lessons.splice(0, known);
       this.#lessonsFrom = answer.lessonsSeen + 1;
     }
+    this.#unconfirmedSince = this.#lessons.length > 0 ? now : Infinity;
     const fresh = answer.verdicts.filter(({ number }) =>
       number > this.#verdictsSeen
     );
@@ -245,10 +259,10 @@
       return sinceSent >= repeat ? "ask" : told;
     }
     if (this.isWaiting && now - this.#listedAt >= CONFIRM_MS) {
-      this.#listedAt = now;
       this.#isListing = true;
       return "ask";
     }
+    if (now - this.#unconfirmedSince >= CONFIRM_END_MS) return "ask";
     if (hasWork && sinceSent >= CONFIRM_MS) return "ask";
     const isBusy = hasWork || this.isWaiting;
     return !isBusy && sinceSent >= IDLE_MS ? "over" : told;
--- a/packages/admission/src/placeSeeker.ts
+++ b/packages/admission/src/placeSeeker.ts
@@ -190,8 +190,11 @@
     const cell = this.#cells.of(upstream);
     if (cell !== undefined) {
       const asking = this.#askingOf(cell);
-      asking.learned(lesson);
-      this.#ask(asking.key, now);
+      asking.learned(lesson, now);
+      // With more to say soon, the answer to that confirms this as well.
+      const isLast = !asking.isWaiting && !this.#hasWorkAt(cell);
+      this.#ask(asking.key, now, { wantsAnswer: isLast });
+      this.#options.onTelling();
     }
     if (this.#alone.waitingTotal > 0) this.#alone.review(now);
   }
--- a/packages/admission/tests/cells.test.ts
+++ b/packages/admission/tests/cells.test.ts
@@ -376,11 +376,28 @@
     for (const result of results.values()) asked += result.asked;
     return fleet!.sent / asked;
   };
-  // An ask, its answer, the first event, the end and its answer; besides, work is
-  // confirmed, and a keeper that begins calls each host once.
+  // An ask, its answer, the first event and the end; one answer confirms several ends.
+  // Besides, a keeper that begins calls each host once.
   for (const hosts of [20, 120, 240]) t.true(words(hosts) < 6);
 });
 
+test("an end whose message is lost is told again soon", (t) => {
+  // Guards against a place that looks taken until its host has something else to say.
+  const { timer, fleet, keeper, others: [host, other] } = createFleet({
+    upstreams: [buildUpstream(0, { slots: 2 })],
+  });
+  seek(host!, buildWish("long"), { timer, work: 5_000 });
+  seek(host!, buildWish("short"), { timer, work: 150 });
+  timer.advance(145);
+  const cut = `${host!.host}>${keeper.host}`;
+  fleet.cuts.add(cut);
+  timer.advance(30);
+  fleet.cuts.delete(cut);
+  const seen = seek(other!, buildWish("next", { arrivedAt: 175 }), { timer });
+  timer.advance(250);
+  t.is(seen.verdict?.kind, "place");
+});
+
 test("in lasting overload a request that waits costs a few words more", (t) => {
   // Callers ask for more than the engines can run, and most requests wait in two cells.
   // If each host asked for news of them ten times a second, keepers would be buried in
@@ -399,8 +416,8 @@
   });
   for (const result of results.values()) asked += result.asked;
   // Two asks and their answers, the decision, the withdrawal from the other cell, the
-  // first event, the end and its answer; besides, waiting is confirmed now and then.
-  t.true(fleet!.sent / asked < 10, `${fleet!.sent / asked}`);
+  // first event and the end; what waits is listed along with them.
+  t.true(fleet!.sent / asked < 8.5, `${fleet!.sent / asked}`);
 });
 
 test("a host whose request waits in a keeper's line has nothing to look at meanwhile", (t) => {
