Send nothing to evacuated failure domains, and little to cold upstreams

Cause: op/evacuate/ and warmupLeftMs were read nowhere.

Change, evacuation: it belongs to the list of upstreams and its revision. Whoever reads the store hears of it by the one watch and by each full reading; a change carries all evacuated domains to peers, a fetched belief carries them too, so that a host that joins, restarts, rests or cannot read the store knows them as surely as the list. Upstreams of such a domain stay listed and get no work: keepers do not see them, a place granted there is given back, requests that wait go to other cells, and with nothing left in a service they are refused at once with a time to return. What runs there ends in peace. A reading that is older than what peers told changes nothing.

Change, cold upstreams: entries tell how long one is cold, the policy how many starts a second it bears then, the settings by how much all hosts together may exceed that. One that is new counts as cold for a second, one that was ejected for three after it gets work again. Warm ones come first. An entry that changes only by its warming up no longer rebuilds the directory.

--- a/packages/admission/src/cellKeeper.ts
+++ b/packages/admission/src/cellKeeper.ts
@@ -22,6 +22,8 @@
   type Verdict,
 } from "./placeScheduler.ts";
 import { candidateOf, type PlaceWish } from "./placeWish.ts";
+import { KeeperStartLimit } from "./startLimit.ts";
+import type { Upstream } from "./types.ts";
 import type { UpstreamKnowledge } from "./upstreamKnowledge.ts";
 
 /**
@@ -55,6 +57,10 @@
   readonly upstreams: UpstreamSource;
   readonly knowledge: UpstreamKnowledge;
   readonly random: Random;
+  /** Starts in one second that a cold upstream bears; `undefined` where it bears any. */
+  readonly coldStartsOf: (upstream: Upstream) => number | undefined;
+  /** Hosts that live as far as is known, this one included. */
+  readonly hostCount: () => number;
   readonly send: (to: HostId, answer: PlaceAnswer) => void;
   /** Calls back once after a while. */
   readonly after: (span: Milliseconds, callback: () => void) => void;
@@ -112,13 +118,18 @@
   #isTurnPlanned = false;
 
   constructor(options: CellKeeperOptions, now: Milliseconds) {
-    const { cell, upstreams, knowledge, random } = options;
+    const { cell, upstreams, knowledge, random, coldStartsOf } = options;
     this.#options = options;
     this.#askedAt = now;
     this.#scheduler = new PlaceScheduler({
       upstreams: new CellMembers(cell, upstreams),
       knowledge,
       random,
+      starts: new KeeperStartLimit({
+        coldStartsOf,
+        warmth: knowledge.warmth,
+        isCutOff: (now) => this.#isCutOff(now),
+      }),
     });
   }
 
@@ -172,6 +183,15 @@
     this.#answer(now);
   }
 
+  #isCutOff(now: Milliseconds): boolean {
+    const { host, hostCount } = this.#options;
+    if (hostCount() <= 1) return false;
+    for (const [asker, { heardAt }] of this.#askers) {
+      if (asker !== host && now - heardAt < SILENT_MS) return false;
+    }
+    return true;
+  }
+
   /** Decides at once, or together with what comes in the next milliseconds. */
   #planTurn(now: Milliseconds): void {
     if (this.#isTurnPlanned) return;
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -9,6 +9,13 @@
 export { type KeptUpstream, UpstreamDirectory } from "./upstreamDirectory.ts";
 export { upstreamLife } from "./upstreamLife.ts";
 export { FleetLoad, type HostLoad, type UpstreamLoad } from "./fleetLoad.ts";
+export {
+  KeeperStartLimit,
+  LoneStartLimit,
+  StartLimit,
+  type StartLimitOptions,
+} from "./startLimit.ts";
+export { UpstreamWarmth } from "./upstreamWarmth.ts";
 export { type LossNotice, UpstreamHealth } from "./upstreamHealth.ts";
 export { type PauseSample, UpstreamPauses } from "./upstreamPauses.ts";
 export { type SpeedSample, UpstreamSpeed } from "./upstreamSpeed.ts";
--- a/packages/admission/src/placeScheduler.ts
+++ b/packages/admission/src/placeScheduler.ts
@@ -7,6 +7,7 @@
 import { FleetLoad } from "./fleetLoad.ts";
 import { Placement, type Wish } from "./placement.ts";
 import { PromptMemory } from "./promptMemory.ts";
+import type { StartLimit } from "./startLimit.ts";
 import type { Upstream } from "./types.ts";
 import type { UpstreamKnowledge } from "./upstreamKnowledge.ts";
 import {
@@ -42,7 +43,9 @@
   | "line-too-long"
   | "waited-out"
   /** It was sent to every upstream of the service before. */
-  | "no-other-upstream";
+  | "no-other-upstream"
+  /** Every upstream of the service is in a failure domain that operators have evacuated. */
+  | "evacuated";
 
 /** What was decided about a {@link Candidate}. */
 export type Verdict =
@@ -71,6 +74,7 @@
   readonly upstreams: UpstreamSource;
   readonly knowledge: UpstreamKnowledge;
   readonly random: Random;
+  readonly starts: StartLimit;
 }
 
 interface ServiceLine {
@@ -96,18 +100,21 @@
 export class PlaceScheduler {
   readonly load = new FleetLoad();
   readonly #upstreams: UpstreamSource;
+  readonly #starts: StartLimit;
   readonly #prompts = new PromptMemory();
   readonly #placement: Placement;
   readonly #services = new Map<ServiceId, ServiceLine>();
 
   constructor(options: PlaceSchedulerOptions) {
-    const { upstreams, knowledge, random } = options;
+    const { upstreams, knowledge, random, starts } = options;
     this.#upstreams = upstreams;
+    this.#starts = starts;
     this.#placement = new Placement({
       load: this.load,
       knowledge,
       prompts: this.#prompts,
       random,
+      starts,
       limitOf: (upstream) => this.#limitOf(upstream),
     });
   }
@@ -230,6 +237,7 @@
   ): void {
     const id = upstream.upstream;
     this.#prompts.note(id, parts, now);
+    this.#starts.noteStart(upstream, now);
     decide({
       kind: "place",
       upstream,
--- a/packages/admission/src/placeSeeker.ts
+++ b/packages/admission/src/placeSeeker.ts
@@ -18,6 +18,7 @@
 import type { KeeperCandidate } from "./keeperOrder.ts";
 import { PlaceScheduler, type Verdict } from "./placeScheduler.ts";
 import { candidateOf, type PlaceWish } from "./placeWish.ts";
+import { LoneStartLimit } from "./startLimit.ts";
 import type { Upstream } from "./types.ts";
 import type { UpstreamDirectory } from "./upstreamDirectory.ts";
 import type { AttemptLesson, UpstreamKnowledge } from "./upstreamKnowledge.ts";
@@ -33,6 +34,8 @@
 const TELL_MS: Milliseconds = 40;
 /** and what only saves the keeper a repetition by then. */
 const SEEN_MS: Milliseconds = 80;
+/** An evacuation lasts for seconds at least; callers come back no sooner than this. */
+const EVACUATED_RETURN_MS: Milliseconds = 1_000;
 /** Cells that one request waits in at most. */
 const CELLS_AT_ONCE = 2;
 
@@ -46,6 +49,8 @@
   readonly random: Random;
   /** The hosts that live, this one included. */
   readonly candidates: () => readonly KeeperCandidate[];
+  /** Starts in one second that a cold upstream bears; `undefined` where it bears any. */
+  readonly coldStartsOf: (upstream: Upstream) => number | undefined;
   readonly send: (keeper: HostId, ask: PlaceAsk) => void;
   /** A keeper is to be told something in a while; see {@link PlaceSeeker.tellAt}. */
   readonly onTelling: () => void;
@@ -102,6 +107,12 @@
       upstreams: directory,
       knowledge,
       random,
+      starts: new LoneStartLimit({
+        coldStartsOf: options.coldStartsOf,
+        warmth: knowledge.warmth,
+        hosts: () => options.candidates().length,
+        random,
+      }),
     });
   }
 
@@ -143,6 +154,9 @@
   ): void {
     const seeking = { wish, decide, cells: new Set<CellKey>(), isAlone: false };
     this.#seeking.set(wish.request, seeking);
+    if (this.#options.directory.isEvacuated(wish.service)) {
+      return this.#refuseEvacuated(seeking, now);
+    }
     const cell = this.#choice.first(wish, now);
     if (cell === undefined) this.#decideAlone(seeking, now);
     else this.#seekIn(cell, seeking, now);
@@ -257,6 +271,10 @@
   /** Upstreams have changed: requests may have to be asked for in other cells. */
   review(now: Milliseconds): void {
     for (const seeking of [...this.#seeking.values()]) {
+      if (this.#options.directory.isEvacuated(seeking.wish.service)) {
+        this.#refuseEvacuated(seeking, now);
+        continue;
+      }
       if (seeking.isAlone || !this.#seeking.has(seeking.wish.request)) continue;
       const known = new Set(
         this.#cells.ofService(seeking.wish.service).map(cellKeyOf),
@@ -358,6 +376,17 @@
     seeking.decide(decision);
   }
 
+  /** Nothing may be sent to any upstream of its service until operators say so. */
+  #refuseEvacuated(seeking: Seeking, now: Milliseconds): void {
+    const { wish, decide } = seeking;
+    this.withdraw(wish.service, wish.request, now);
+    decide({
+      kind: "refuse",
+      reason: "evacuated",
+      outlook: { ahead: 0, startsPerSecond: 0, wait: EVACUATED_RETURN_MS },
+    });
+  }
+
   /** A cell that holds an upstream which has not got the request. */
   #cellWithOther({ service, excluded }: PlaceWish): Cell | undefined {
     const upstream = this.#options.directory.of(service).find((candidate) =>
--- a/packages/admission/src/placement.ts
+++ b/packages/admission/src/placement.ts
@@ -6,6 +6,7 @@
 } from "@wasabivane/common";
 import type { FleetLoad } from "./fleetLoad.ts";
 import type { PromptMemory } from "./promptMemory.ts";
+import type { StartLimit } from "./startLimit.ts";
 import type { PromptPart, Upstream } from "./types.ts";
 import type { UpstreamKnowledge } from "./upstreamKnowledge.ts";
 
@@ -30,6 +31,8 @@
 /** A last place may be taken by a peer at the same moment; so many times dearer. */
 const LAST_PLACE_FACTOR = 1.6;
 const LAST_BUT_ONE_FACTOR = 1.15;
+/** A cold upstream takes longer for each request; warm ones come first. */
+const COLD_FACTOR = 2;
 /** Greatest chance of a late pause with which a place still counts as good. */
 const GOOD_PAUSE_RISK = 0.15;
 /** Answers may take so many times as long as expected; callers' hints are often far off. */
@@ -75,6 +78,7 @@
   readonly knowledge: UpstreamKnowledge;
   readonly prompts: PromptMemory;
   readonly random: Random;
+  readonly starts: StartLimit;
   /** Requests that an upstream may have from all hosts together. */
   readonly limitOf: (upstream: Upstream) => number;
 }
@@ -128,6 +132,7 @@
     now: Milliseconds,
   ): Option | undefined {
     const { excluded, parts, promptTokens } = wish;
+    const { knowledge } = this.#options;
     let best: Option | undefined;
     let leastCost = Infinity;
     for (const upstream of upstreams) {
@@ -141,6 +146,7 @@
         heldShare: Math.min(1, held / Math.max(1, promptTokens)),
         latencyShare: latency / wish.target,
         failureDomain: wish.failureDomain,
+        isCold: knowledge.warmth.isCold(upstream.upstream, now),
       });
       if (cost >= leastCost && isGood === best?.isGood) continue;
       leastCost = cost;
@@ -257,17 +263,19 @@
   }
 
   #freeAt(upstream: Upstream, now: Milliseconds): number {
-    const { load, knowledge, limitOf } = this.#options;
+    const { load, knowledge, limitOf, starts } = this.#options;
     if (knowledge.health.isEjected(upstream.upstream, now)) return 0;
+    if (!starts.isOpen(upstream, now)) return 0;
     return Math.max(0, limitOf(upstream) - load.total(upstream.upstream));
   }
 
   #costOf(
     upstream: Upstream,
-    { heldShare, latencyShare, failureDomain }: {
+    { heldShare, latencyShare, failureDomain, isCold }: {
       heldShare: number;
       latencyShare: number;
       failureDomain: FailureDomain;
+      isCold: boolean;
     },
   ): number {
     const { load, random, limitOf } = this.#options;
@@ -279,6 +287,7 @@
     cost *= 1 + FAILURE_COST * health.failureShare(id);
     if (upstream.failureDomain !== failureDomain) cost *= OTHER_DOMAIN_FACTOR;
     cost *= 1 + LATENCY_COST * latencyShare;
+    if (isCold) cost *= COLD_FACTOR;
     cost *= scarcityOf(limit - load.total(id));
     cost *= 1 - HELD_DISCOUNT * heldShare;
     return cost * (1 + JITTER * random.float());
--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -51,6 +51,8 @@
   readonly service: ServiceId;
   /** Connections that one upstream takes from all hosts together. */
   readonly maximumConnections: number;
+  /** Starts a second that a cold upstream bears; `undefined` where it bears any. */
+  readonly coldStartsPerSecond: number | undefined;
 }
 
 /** What a client account may use over all hosts. */
@@ -106,6 +108,8 @@
   readonly failureDomain: FailureDomain;
   readonly slots: number;
   readonly isLeaving: boolean;
+  /** How much longer it takes little work after a start, when its entry was written. */
+  readonly coldFor: Milliseconds;
 }
 
 /** A part of a prompt, in order; engines keep parts that they have read. */
--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -1,4 +1,9 @@
-import type { Milliseconds, ServiceId, UpstreamId } from "@wasabivane/common";
+import type {
+  FailureDomain,
+  Milliseconds,
+  ServiceId,
+  UpstreamId,
+} from "@wasabivane/common";
 import type { Upstream } from "./types.ts";
 
 /** Upstreams remembered, a day's releases of a large fleet among them. */
@@ -23,6 +28,9 @@
  * stays left for this process, whatever an older reading says later: a stale page
  * would otherwise bring back an upstream that stops any moment. For the same reason
  * an older life never takes the place of a younger one of its name.
+ *
+ * Upstreams of an evacuated failure domain stay listed and get no work until the
+ * evacuation is taken back.
  */
 export class UpstreamDirectory {
   readonly #entries = new Map<UpstreamId, Entry>();
@@ -30,6 +38,9 @@
   /** The youngest life of each name that was listed. */
   readonly #lives = new Map<string, Upstream>();
   readonly #byService = new Map<ServiceId, Upstream[]>();
+  #evacuated: ReadonlySet<FailureDomain> = new Set();
+  /** Services whose upstreams are all in evacuated failure domains. */
+  readonly #evacuatedServices = new Set<ServiceId>();
   /** All that were listed, for the work that those who left still do. */
   readonly #seen = new Map<UpstreamId, Upstream>();
   #version = 0;
@@ -45,6 +56,13 @@
     }
     this.#lives.set(upstream.name, upstream);
     this.#remember(upstream);
+    const known = this.#entries.get(upstream.upstream);
+    const isSame = known !== undefined && known.keptUntil === undefined &&
+      !this.#left.has(upstream.upstream) && isAlike(known.upstream, upstream);
+    if (isSame) {
+      known.upstream = upstream;
+      return undefined;
+    }
     if (upstream.isLeaving) this.#left.add(upstream.upstream);
     if (this.#left.has(upstream.upstream)) {
       this.#entries.delete(upstream.upstream);
@@ -84,10 +102,30 @@
     return true;
   }
 
-  /** The life that may get work of the upstream that the platform calls so. */
+  /** The failure domains whose upstreams get no work. */
+  get evacuated(): ReadonlySet<FailureDomain> {
+    return this.#evacuated;
+  }
+
+  /** Replaces the failure domains whose upstreams get no work; true when they differ. */
+  evacuate(domains: ReadonlySet<FailureDomain>): boolean {
+    const isSame = domains.size === this.#evacuated.size &&
+      [...domains].every((domain) => this.#evacuated.has(domain));
+    if (isSame) return false;
+    this.#evacuated = new Set(domains);
+    this.#rebuild();
+    return true;
+  }
+
+  /** Whether all upstreams of a service are in evacuated failure domains. */
+  isEvacuated(service: ServiceId): boolean {
+    return this.#evacuatedServices.has(service);
+  }
+
+  /** The listed life of the upstream that the platform calls so. */
   named(name: string): Upstream | undefined {
     const life = this.#lives.get(name);
-    return life === undefined ? undefined : this.get(life.upstream);
+    return life === undefined ? undefined : this.listed(life.upstream);
   }
 
   /** Makes the directory equal to a full reading of the store; gives back who is gone. */
@@ -121,11 +159,19 @@
     return this.#byService.get(service) ?? NONE;
   }
 
+  /** An upstream that may get work. */
   get(upstream: UpstreamId): Upstream | undefined {
+    const listed = this.listed(upstream);
+    if (listed === undefined) return undefined;
+    return this.#evacuated.has(listed.failureDomain) ? undefined : listed;
+  }
+
+  /** An upstream that is listed, in an evacuated failure domain or not. */
+  listed(upstream: UpstreamId): Upstream | undefined {
     return this.#entries.get(upstream)?.upstream;
   }
 
-  /** Every upstream that may get work. */
+  /** Every upstream that is listed. */
   all(): Upstream[] {
     return [...this.#entries.values()].map(({ upstream }) => upstream);
   }
@@ -170,10 +216,27 @@
   #rebuild(): void {
     this.#version++;
     this.#byService.clear();
+    this.#evacuatedServices.clear();
     for (const { upstream } of this.#entries.values()) {
-      const list = this.#byService.get(upstream.service) ?? [];
+      const { service, failureDomain } = upstream;
+      if (this.#evacuated.has(failureDomain)) {
+        this.#evacuatedServices.add(service);
+        continue;
+      }
+      const list = this.#byService.get(service) ?? [];
       list.push(upstream);
-      this.#byService.set(upstream.service, list);
+      this.#byService.set(service, list);
+    }
+    for (const service of this.#byService.keys()) {
+      this.#evacuatedServices.delete(service);
     }
   }
 }
+
+/** Whether two entries of one life differ in nothing that decides about its work. */
+function isAlike(left: Upstream, right: Upstream): boolean {
+  return left.bornAt === right.bornAt && left.service === right.service &&
+    left.address === right.address && left.slots === right.slots &&
+    left.failureDomain === right.failureDomain &&
+    left.isLeaving === right.isLeaving;
+}
--- a/packages/admission/src/upstreamHealth.ts
+++ b/packages/admission/src/upstreamHealth.ts
@@ -70,7 +70,12 @@
   }
 
   isEjected(upstream: UpstreamId, now: Milliseconds): boolean {
-    return (this.#health.get(upstream)?.ejectedUntil ?? 0) > now;
+    return this.ejectedUntil(upstream) > now;
+  }
+
+  /** When an ejection is over, or was; 0 where there was none. */
+  ejectedUntil(upstream: UpstreamId): Milliseconds {
+    return this.#health.get(upstream)?.ejectedUntil ?? 0;
   }
 
   /** Share of recent requests that did not end whole, 0 to 1. */
--- a/packages/admission/src/upstreamKnowledge.ts
+++ b/packages/admission/src/upstreamKnowledge.ts
@@ -5,6 +5,7 @@
 import { UpstreamHealth } from "./upstreamHealth.ts";
 import { UpstreamPauses } from "./upstreamPauses.ts";
 import { UpstreamSpeed } from "./upstreamSpeed.ts";
+import { UpstreamWarmth } from "./upstreamWarmth.ts";
 
 /** What one attempt showed of its upstream. */
 export interface AttemptLesson {
@@ -39,13 +40,19 @@
   readonly firstEvents = new FirstEventModel(this.speed);
   readonly answerTimes = new AnswerTimeModel(this.speed);
   readonly pauses = new UpstreamPauses(this.speed);
+  readonly warmth = new UpstreamWarmth();
 
   /** Takes in what an attempt showed; true when its upstream is ejected by it. */
   learn(lesson: AttemptLesson, now: Milliseconds): boolean {
     if (lesson.outcome === "whole" && lesson.times !== undefined) {
       this.#learnTimes(lesson, lesson.times);
     }
-    return this.health.observe(lesson.upstream, lesson.outcome, now);
+    const { upstream, outcome } = lesson;
+    const isEjected = this.health.observe(upstream, outcome, now);
+    if (isEjected) {
+      this.warmth.noteLost(upstream, this.health.ejectedUntil(upstream));
+    }
+    return isEjected;
   }
 
   /** An upstream is gone for good. */
@@ -53,6 +60,7 @@
     this.health.forget(upstream);
     this.speed.forget(upstream);
     this.pauses.forget(upstream);
+    this.warmth.forget(upstream);
   }
 
   /** A stream shows its speed by its pauses, a plain answer by its whole time. */
--- a/packages/admission/tests/helpers/build.ts
+++ b/packages/admission/tests/helpers/build.ts
@@ -10,6 +10,7 @@
 } from "@wasabivane/common";
 import {
   type Candidate,
+  KeeperStartLimit,
   PlaceScheduler,
   type PlaceWish,
   type PromptPart,
@@ -37,6 +38,7 @@
     failureDomain: WEST,
     slots: 2,
     isLeaving: false,
+    coldFor: 0,
     ...changes,
   };
 }
@@ -121,6 +123,11 @@
     upstreams: directory,
     knowledge,
     random: new SeededRandom(seed),
+    starts: new KeeperStartLimit({
+      coldStartsOf: () => undefined,
+      warmth: knowledge.warmth,
+      isCutOff: () => false,
+    }),
   });
   return {
     scheduler,
--- a/packages/admission/tests/helpers/loadReplay.ts
+++ b/packages/admission/tests/helpers/loadReplay.ts
@@ -52,6 +52,12 @@
   readonly tokenTime?: Milliseconds;
   /** Whether engines say in their answers how many requests they have. */
   readonly areReporting?: boolean;
+  /** Between the seeds of two hosts; near seeds begin with like numbers. */
+  readonly seedStep?: number;
+  /** Starts in one second that a cold engine bears. */
+  readonly coldStarts?: number;
+  /** Told of each request that is sent. */
+  readonly onSend?: (upstream: Upstream, at: Milliseconds) => void;
   /** Whether hosts learn when first events come; otherwise they expect a constant. */
   readonly areLearning?: boolean;
 }
@@ -90,6 +96,8 @@
     failureDomains: replay.failureDomains ?? [WEST],
     seed: replay.seed,
     loss: replay.loss ?? 0,
+    ...replay.seedStep !== undefined && { seedStep: replay.seedStep },
+    ...replay.coldStarts !== undefined && { coldStarts: replay.coldStarts },
   });
   if (!replay.areKeeping) fleet.candidates = [];
   replay.onStart?.(fleet, timer);
@@ -215,6 +223,7 @@
       const engine = engines.find((item) => item.upstream === upstream)!;
       seeker.begin(upstream.upstream, promptTokens);
       const sentAt = timer.now();
+      replay.onSend?.(upstream, sentAt);
       let latency = 0;
       const unheld = sharedParts.filter(({ part }) => !engine.held.has(part));
       const again = unheld.filter(({ part }) =>
--- a/packages/admission/tests/helpers/virtualFleet.ts
+++ b/packages/admission/tests/helpers/virtualFleet.ts
@@ -35,6 +35,10 @@
   readonly delay?: Milliseconds;
   /** Share of datagrams that get lost. */
   readonly loss?: number;
+  /** Between the seeds of two hosts; near seeds begin with like numbers. */
+  readonly seedStep?: number;
+  /** Starts in one second that a cold upstream bears. */
+  readonly coldStarts?: number;
 }
 
 /** One host with the real seeker and the real keepers. */
@@ -49,8 +53,9 @@
   /** Words that came while it stood still; `undefined` while it runs. */
   unread: (() => void)[] | undefined;
   readonly #fleet: VirtualFleet;
-  readonly #directory: UpstreamDirectory;
+  readonly directory: UpstreamDirectory;
   readonly #random: SeededRandom;
+  readonly #coldStarts: number | undefined;
 
   constructor(
     fleet: VirtualFleet,
@@ -58,19 +63,22 @@
   ) {
     const { failureDomains, seed, upstreams } = options;
     this.#fleet = fleet;
+    this.#coldStarts = options.coldStarts;
     this.host = asId<HostId>(`h${index}`);
     this.failureDomain = failureDomains[index % failureDomains.length]!;
-    this.#random = new SeededRandom(seed + index + 1);
-    this.#directory = new UpstreamDirectory();
-    for (const upstream of upstreams) this.#directory.set(upstream);
+    const seedStep = options.seedStep ?? 1;
+    this.#random = new SeededRandom(seed + Math.imul(index + 1, seedStep));
+    this.directory = new UpstreamDirectory();
+    for (const upstream of upstreams) this.directory.set(upstream);
     this.seeker = new PlaceSeeker({
       host: this.host,
       incarnation: asId<Incarnation>("1"),
       failureDomain: this.failureDomain,
-      directory: this.#directory,
+      directory: this.directory,
       knowledge: this.knowledge,
       random: this.#random,
       candidates: () => fleet.candidates,
+      coldStartsOf: () => options.coldStarts,
       send: (keeper, ask) => {
         fleet.described += ask.wishes.length;
         fleet.carry(this.host, keeper, (other, now) => {
@@ -116,9 +124,11 @@
       host: this.host,
       incarnation: asId<Incarnation>("1"),
       cell,
-      upstreams: this.#directory,
+      upstreams: this.directory,
       knowledge: this.knowledge,
       random: this.#random,
+      coldStartsOf: () => this.#coldStarts,
+      hostCount: () => this.#fleet.candidates.length,
       send: (to, answer) =>
         this.#fleet.carry(
           this.host,
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -20,6 +20,7 @@
   "upstream_left",
   "upstream_malformed",
   "upstream_ejected",
+  "domains_evacuated",
   "crash_confirmed",
   "request_refused",
   "request_sent",
--- a/packages/gateway/src/fleetTalk.ts
+++ b/packages/gateway/src/fleetTalk.ts
@@ -165,7 +165,7 @@
   ): void {
     const { parts: { directory, crashes }, onLeft, onSilent } = this.#options;
     for (const upstream of left) {
-      if (directory.get(upstream) !== undefined) onLeft(upstream);
+      if (directory.listed(upstream) !== undefined) onLeft(upstream);
     }
     for (const [fingerprint, upstream, age] of told) {
       const crash = { fingerprint, upstream, at: now - age };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
   RetryBudget,
   type RetryBudgetOptions,
   SignsOfLife,
+  type Upstream,
   UpstreamDirectory,
   UpstreamKnowledge,
 } from "@wasabivane/admission";
@@ -57,6 +58,12 @@
   readonly callers: string;
 }
 
+/** Starts in a second: so many times those that the policy names, and so many more. */
+export interface ColdTolerance {
+  readonly factor: number;
+  readonly slack: number;
+}
+
 /** What a {@link Gateway} is built from. */
 export interface GatewayOptions {
   readonly host: HostId;
@@ -71,6 +78,8 @@
   readonly retryBudget: RetryBudgetOptions;
   /** By how much all hosts together may exceed a quota. */
   readonly quotaTolerance: QuotaTolerance;
+  /** By how much all hosts together may exceed the starts that a cold upstream bears. */
+  readonly coldTolerance: ColdTolerance;
   /** From the order to stop to the kill. */
   readonly stopGrace: Milliseconds;
   readonly dialect: Dialect;
@@ -195,9 +204,12 @@
    * vanish are kept until `keepUntil` where they may have lapsed with the store.
    */
   takeChange(change: ListChange, keepUntil?: Milliseconds): void {
-    const { upstreams, removed, to } = change;
+    const { upstreams, removed, evacuated, to } = change;
     for (const upstream of upstreams) this.upstreams.take(upstream);
     for (const name of removed) this.upstreams.drop(name, keepUntil);
+    if (evacuated !== undefined) {
+      this.upstreams.takeEvacuated(new Set(evacuated));
+    }
     this.sharing.noteListRevision(to);
     const isTold = keepUntil === undefined || removed.length === 0;
     if (isTold) this.#talk.tellChange(change);
@@ -277,6 +289,7 @@
       knowledge,
       signs: new SignsOfLife(),
       places: this.#createSeeker(directory, knowledge),
+      coldStartsOf: (upstream) => this.#coldStartsOf(upstream),
       quotas: new QuotaBook(this.#options.quotaTolerance),
       retries: new RetryBudget(this.#options.retryBudget),
       crashes: new CrashBook(),
@@ -292,6 +305,13 @@
     };
   }
 
+  #coldStartsOf({ service }: Upstream): number | undefined {
+    const { coldTolerance: { factor, slack } } = this.#options;
+    const index = this.parts.policies.index;
+    const perSecond = index?.service(service)?.coldStartsPerSecond;
+    return perSecond === undefined ? undefined : perSecond * factor + slack;
+  }
+
   #createSeeker(
     directory: UpstreamDirectory,
     knowledge: UpstreamKnowledge,
@@ -305,6 +325,7 @@
       knowledge,
       random,
       candidates: () => this.#candidates(),
+      coldStartsOf: (upstream) => this.#coldStartsOf(upstream),
       send: (keeper, ask) => {
         this.#desk.ask(keeper, ask);
         this.#looks.plan();
@@ -406,6 +427,7 @@
           ? directory.all()
           : [],
         kept: directory.kept(this.parts.timer.now()),
+        evacuated: [...directory.evacuated],
         listRevision: this.sharing.listRevision,
       }),
     };
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -14,6 +14,7 @@
   QuotaBook,
   RetryBudget,
   SignsOfLife,
+  Upstream,
   UpstreamDirectory,
   UpstreamKnowledge,
 } from "@wasabivane/admission";
@@ -41,6 +42,8 @@
   readonly signs: SignsOfLife;
   /** Where requests of this host seek their places. */
   readonly places: PlaceSeeker;
+  /** Starts in one second that a cold upstream bears over all hosts; `undefined` for any. */
+  readonly coldStartsOf: (upstream: Upstream) => number | undefined;
   readonly quotas: QuotaBook;
   readonly retries: RetryBudget;
   readonly crashes: CrashBook;
--- a/packages/gateway/src/operatorPages.ts
+++ b/packages/gateway/src/operatorPages.ts
@@ -1,5 +1,5 @@
 import { Pool } from "undici";
-import type { Milliseconds } from "@wasabivane/common";
+import type { FailureDomain, Milliseconds } from "@wasabivane/common";
 import type { KeptUpstream, Upstream } from "@wasabivane/admission";
 import { Packr } from "msgpackr";
 import { err, ok, type Result } from "neverthrow";
@@ -28,6 +28,8 @@
   readonly upstreams: readonly Upstream[];
   /** Those of them whose entries lapsed and that are gone unless they come back. */
   readonly kept: readonly KeptUpstream[];
+  /** Evacuated failure domains as of that revision. */
+  readonly evacuated: readonly FailureDomain[];
   /** Revision of the store up to which these are all. */
   readonly listRevision: number;
 }
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -47,7 +47,7 @@
   readMention,
 } from "./wordRows.ts";
 
-const FORMAT = 5;
+const FORMAT = 6;
 
 /** A keeper has begun to keep a cell and asks hosts for what they do there. */
 export interface KeeperCall {
--- a/packages/gateway/src/peerWord.ts
+++ b/packages/gateway/src/peerWord.ts
@@ -35,6 +35,8 @@
   readonly upstreams: readonly Upstream[];
   /** Names of those that are listed no more. */
   readonly removed: readonly string[];
+  /** All evacuated failure domains after the change; `undefined` where they stay the same. */
+  readonly evacuated?: readonly FailureDomain[] | undefined;
 }
 
 /** All that a host tells a peer at once; each word replaces the one before. */
--- a/packages/gateway/src/placeDesk.ts
+++ b/packages/gateway/src/placeDesk.ts
@@ -132,7 +132,7 @@
   /** Begins to keep a cell, and asks all hosts for what they do there. */
   #begin(cell: Cell): CellKeeper {
     const { incarnation, sendToAll } = this.#options;
-    const { host, directory, knowledge, random, ...parts } = this
+    const { host, directory, knowledge, random, coldStartsOf, ...parts } = this
       .#options.parts();
     const key = cellKeyOf(cell);
     parts.log.write("cell_kept", { cell: key });
@@ -144,6 +144,8 @@
       upstreams: directory,
       knowledge,
       random,
+      coldStartsOf,
+      hostCount: parts.hostCount,
       send: (to, answer) => this.#answer(to, answer),
       after: (span, callback) => parts.timer.after(span, callback),
       now: () => this.#now(),
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -185,11 +185,12 @@
    * nothing: what it names besides has left since, and no later word would say so.
    */
   #takeBelief(
-    { policy, proofAge, upstreams, kept, listRevision }: Belief,
+    { policy, proofAge, upstreams, kept, evacuated, listRevision }: Belief,
     askedAt: Milliseconds,
   ): void {
     const { takePolicy, upstreams: news, parts } = this.#options;
     if (listRevision > this.#listRevision) {
+      news.takeEvacuated(new Set(evacuated));
       news.takeAll(upstreams);
       const now = parts.timer.now();
       for (const { name, left } of kept) news.drop(name, now + left);
--- a/packages/gateway/src/upstreamNews.ts
+++ b/packages/gateway/src/upstreamNews.ts
@@ -1,4 +1,5 @@
 import type {
+  FailureDomain,
   Milliseconds,
   TimerSubscription,
   UpstreamId,
@@ -26,11 +27,12 @@
   /** Takes in what the store says of one upstream. */
   take(upstream: Upstream): void {
     const { directory, log, reviewPlaces } = this.#parts;
-    const known = directory.get(upstream.upstream);
+    const known = directory.listed(upstream.upstream);
     if (upstream.isLeaving) this.#leave(upstream.upstream);
     const former = directory.set(upstream);
+    this.#hearWarmth(upstream);
     if (former !== undefined) this.#forget(former, "started again");
-    const isListed = directory.get(upstream.upstream) !== undefined;
+    const isListed = directory.listed(upstream.upstream) !== undefined;
     if (known === undefined && isListed) {
       log.write("upstream_listed", {
         upstream: upstream.upstream,
@@ -81,6 +83,7 @@
     for (const { upstream, isLeaving } of upstreams) {
       if (isLeaving) this.#leave(upstream);
     }
+    for (const upstream of upstreams) this.#hearWarmth(upstream);
     for (const gone of directory.replaceAll(upstreams, keepUntil)) {
       this.#forget(gone, "not listed");
     }
@@ -92,6 +95,17 @@
     reviewPlaces();
   }
 
+  /**
+   * Takes in which failure domains are evacuated. Requests that wait look for places
+   * elsewhere at once; what runs there ends in peace.
+   */
+  takeEvacuated(domains: ReadonlySet<FailureDomain>): void {
+    const { directory, log, reviewPlaces } = this.#parts;
+    if (!directory.evacuate(domains)) return;
+    log.write("domains_evacuated", { domains: [...domains].join(",") });
+    reviewPlaces();
+  }
+
   /** Ends the time for which entries were kept that did not come back. */
   expire(): void {
     const { directory, timer, reviewPlaces } = this.#parts;
@@ -104,8 +118,13 @@
     for (const grace of this.#graces) grace.cancel();
   }
 
+  #hearWarmth({ upstream, coldFor }: Upstream): void {
+    const { knowledge, timer } = this.#parts;
+    knowledge.warmth.hear(upstream, { coldFor, now: timer.now() });
+  }
+
   #leave(upstream: UpstreamId, why = "announced"): void {
-    const known = this.#parts.directory.get(upstream);
+    const known = this.#parts.directory.listed(upstream);
     if (!this.#parts.directory.leave(upstream)) return;
     this.#tellLeft(upstream);
     if (known !== undefined) this.#forget(known, why);
--- a/packages/gateway/src/wordRows.ts
+++ b/packages/gateway/src/wordRows.ts
@@ -42,7 +42,9 @@
 }
 
 /** A change of the list of upstreams. */
-export function packChange({ from, to, upstreams, removed }: ListChange): Row {
+export function packChange(
+  { from, to, upstreams, removed, evacuated }: ListChange,
+): Row {
   const rows = upstreams.map((upstream) => [
     upstream.upstream,
     upstream.name,
@@ -52,17 +54,23 @@
     upstream.failureDomain,
     upstream.slots,
     upstream.isLeaving,
+    upstream.coldFor,
   ]);
-  return [from, to, rows, removed];
+  const row = [from, to, rows, removed];
+  return evacuated === undefined ? row : [...row, evacuated];
 }
 
 /** Reads what {@link packChange} made. */
-export function readChange([from, to, upstreams, removed]: Row): ListChange {
+export function readChange(
+  [from, to, upstreams, removed, evacuated]: Row,
+): ListChange {
   return {
     from: numberOf(from),
     to: numberOf(to),
     upstreams: rowsOf(upstreams).map(readUpstream),
     removed: listOf(removed).map(textOf),
+    ...evacuated !== undefined &&
+      { evacuated: listOf(evacuated).map(readFailureDomain) },
   };
 }
 
@@ -76,5 +84,10 @@
     failureDomain: asId<FailureDomain>(textOf(row[5])),
     slots: numberOf(row[6]),
     isLeaving: row[7] === true,
+    coldFor: numberOf(row[8]),
   };
 }
+
+function readFailureDomain(value: unknown): FailureDomain {
+  return asId<FailureDomain>(textOf(value));
+}
--- a/packages/gateway/tests/fleetTalk.test.ts
+++ b/packages/gateway/tests/fleetTalk.test.ts
@@ -149,6 +149,7 @@
   address: "10.0.0.1:1",
   failureDomain: DOMAIN,
   slots: 4,
+  coldFor: 0,
   isLeaving: false,
 };
 
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -122,7 +122,11 @@
   return {
     version,
     routes,
-    services: [{ service: SERVICE, maximumConnections: 100 }],
+    services: [{
+      service: SERVICE,
+      maximumConnections: 100,
+      coldStartsPerSecond: undefined,
+    }],
     accounts: [{ account: asId("family"), apiKeys: ["k"] }],
     limits: {
       maximumHeaderBytes: 16_384,
@@ -204,6 +208,7 @@
     freshness: { revocationBound, applyBound: 600_000 },
     retryBudget: { ratio: 0.2, slack: 50, window: 10_000 },
     quotaTolerance: { overrun: 0.25, slack: 0, span: 8_000 },
+    coldTolerance: { factor: 1, slack: 0 },
     stopGrace,
     dialect: new PlainDialect(),
     timer,
@@ -240,6 +245,7 @@
       address,
       failureDomain: asId<FailureDomain>("west"),
       slots,
+      coldFor: 0,
       isLeaving: false,
     });
   }
--- a/packages/gateway/tests/storeSharing.test.ts
+++ b/packages/gateway/tests/storeSharing.test.ts
@@ -36,6 +36,7 @@
     address: "127.0.0.1:9",
     failureDomain: asId<FailureDomain>("west"),
     slots: 4,
+    coldFor: 0,
     isLeaving: false,
   };
 }
@@ -46,6 +47,7 @@
     proofAge: 0,
     upstreams: names.map(upstreamNamed),
     kept: [],
+    evacuated: [],
     listRevision,
   };
 }
