Refuse at the door what a host that is behind cannot serve

Cause: on hosts of 0.12 cores a burst takes more than the processor gives.

Change: timers that run anyway tell how late they come. The least lateness of the last tenth of a second, of four timers at least, is a standing backlog; one stall is none. While there is one, requests are refused before anything of them is looked at but their route: the least urgent tier first, evenly, as many as the lag of the moment and the share of the last seconds ask for. A request that is read late is counted from when it came, so that the deadline handed on is what is left. A host that is behind looks at what has come in before it sends, so that callers who left are seen.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -15,6 +15,8 @@
   StartLimit,
   type StartLimitOptions,
 } from "./startLimit.ts";
+export { HostLag } from "./hostLag.ts";
+export { LoadShedding, type LoadSheddingOptions } from "./loadShedding.ts";
 export { UpstreamWarmth } from "./upstreamWarmth.ts";
 export { type LossNotice, UpstreamHealth } from "./upstreamHealth.ts";
 export { type PauseSample, UpstreamPauses } from "./upstreamPauses.ts";
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -128,6 +128,7 @@
       } as const;
       return this.#refuse(request, answer, refusal);
     }
+    if (this.#shouldShed(request)) return this.#shed(request, answer);
     const admitted = this.#admit(request);
     if (admitted.isErr()) return this.#refuse(request, answer, admitted.error);
     const limits = this.#parts.policies.index!.policy.limits;
@@ -166,8 +167,27 @@
     return stopsAt() - timer.now() < LEAST_SERVING_MS;
   }
 
+  /** Looked at before anything else of a request is, as refusing must cost next to nothing. */
+  #shouldShed({ headers, url }: IncomingMessage): boolean {
+    const { policies, shedding, timer } = this.#parts;
+    const route = policies.index?.route(headers.host ?? "", pathOf(url ?? ""));
+    return route !== undefined && shedding.shouldShed(route.tier, timer.now());
+  }
+
+  /** Refuses without reading on; no line of its own, as lines would keep the host behind. */
+  #shed(request: IncomingMessage, answer: CallerAnswer): void {
+    const { metrics, shedding, timer } = this.#parts;
+    metrics.count("refused_host-behind");
+    answer.refuse({
+      status: 503,
+      reason: "host-behind",
+      retryAfter: shedding.returnAfter(timer.now()),
+    });
+    request.resume();
+  }
+
   #admit(request: IncomingMessage): Result<Admitted, Refusal> {
-    const { policies, dialect, random, timer, elapsed } = this.#parts;
+    const { policies, dialect, random, timer, elapsed, lag } = this.#parts;
     return admit({
       path: pathOf(request.url ?? ""),
       fields: request.headers,
@@ -176,7 +196,8 @@
       policies,
       dialect,
       random,
-      now: timer.now(),
+      // It came while this host was busy with others; its caller's time runs since then.
+      now: timer.now() - lag.standing,
       elapsedNow: elapsed.now(),
     });
   }
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -23,6 +23,7 @@
   "domains_evacuated",
   "crash_confirmed",
   "request_refused",
+  "requests_shed",
   "request_sent",
   "request_sent_again",
   "request_ended",
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -29,6 +29,8 @@
 
 /** A caller whose request has not run comes back after about this time. */
 const NOT_RUN_RETURN_MS: Milliseconds = 250;
+/** A host that is less behind than this sends at once. */
+const LAG_BEFORE_LOOK_MS: Milliseconds = 20;
 
 type Place = Extract<Verdict, { kind: "place" }>;
 
@@ -149,7 +151,7 @@
 
   #onVerdict(verdict: Verdict): void {
     if (this.#isOver) return;
-    if (verdict.kind === "place") return this.#send(verdict);
+    if (verdict.kind === "place") return this.#sendInTurn(verdict);
     const { outlook, reason } = verdict;
     if (this.#options.answer.hasStarted) {
       return this.#cut(reason, { excluded: this.#sends.excluded.size });
@@ -171,6 +173,19 @@
     );
   }
 
+  /**
+   * A host that is behind has yet to read that some callers have left. It looks at what
+   * has come in before it sends, so that no upstream works for nobody.
+   */
+  #sendInTurn(place: Place): void {
+    const { parts: { timer, lag } } = this.#options;
+    if (lag.standing < LAG_BEFORE_LOOK_MS) return this.#send(place);
+    timer.after(0, () =>
+      timer.after(0, () => {
+        if (!this.#isOver) this.#send(place);
+      }));
+  }
+
   #send({ upstream, inFlight, unreadTokens }: Place): void {
     const { parts, admitted, request } = this.#options;
     const now = this.#now();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,7 +10,9 @@
 import {
   CrashBook,
   type FreshnessOptions,
+  HostLag,
   type KeeperCandidate,
+  LoadShedding,
   PlaceSeeker,
   QuotaBook,
   type QuotaTolerance,
@@ -52,6 +54,7 @@
 /** Time before the platform's kill by which the process ends by itself. */
 const STOP_MARGIN_MS: Milliseconds = 600;
 const STOP_CHECK_MS: Milliseconds = 50;
+const SHED_NOTE_MS: Milliseconds = 1_000;
 
 /** Where a host listens; all are `ip:port`. */
 export interface GatewayAddresses extends OperatorAddresses {
@@ -80,6 +83,8 @@
   readonly quotaTolerance: QuotaTolerance;
   /** By how much all hosts together may exceed the starts that a cold upstream bears. */
   readonly coldTolerance: ColdTolerance;
+  /** A host that is less behind its own work takes every request. */
+  readonly lowestLag?: Milliseconds;
   /** From the order to stop to the kill. */
   readonly stopGrace: Milliseconds;
   readonly dialect: Dialect;
@@ -110,6 +115,7 @@
   readonly #peerLog: PeerLog;
   readonly #looks: Looks;
   #stopsAt: Milliseconds = Infinity;
+  #shedNotedAt: Milliseconds = -Infinity;
 
   constructor(options: GatewayOptions) {
     const { host, incarnation, failureDomain, seeds, cores, timer } = options;
@@ -150,6 +156,7 @@
     this.#looks = new Looks({
       timer,
       desk: this.#desk,
+      lag: this.parts.lag,
       hosts: () => this.#book.aliveCount,
       review: (now) => this.#review(now),
     });
@@ -266,9 +273,10 @@
   }
 
   #createParts(): GatewayParts {
-    const { host, failureDomain, timer, random, dialect, output } =
+    const { host, failureDomain, timer, random, dialect, output, lowestLag } =
       this.#options;
     const directory = new UpstreamDirectory();
+    const lag = new HostLag();
     const knowledge = new UpstreamKnowledge();
     const hostCount = (): number => this.#book.aliveCount + 1;
     const policies = new PolicyState({
@@ -293,6 +301,12 @@
       quotas: new QuotaBook(this.#options.quotaTolerance),
       retries: new RetryBudget(this.#options.retryBudget),
       crashes: new CrashBook(),
+      lag,
+      shedding: new LoadShedding({
+        lag,
+        random,
+        ...lowestLag !== undefined && { lowestLag },
+      }),
       connections: new UpstreamConnections(() =>
         connectionShare(policies, hostCount())
       ),
@@ -449,9 +463,25 @@
     this.upstreams.expire();
     this.sharing.tick(now);
     this.#usage.tick(now);
+    this.#noteShed(now);
     this.#peerLog.note(this.#talk.tick(), this.#book.aliveCount);
   }
 
+  /** One line a second says how many requests were refused because this host is behind. */
+  #noteShed(now: Milliseconds): void {
+    if (now - this.#shedNotedAt < SHED_NOTE_MS) return;
+    this.#shedNotedAt = now;
+    const { shedding, lag, log, metrics } = this.parts;
+    const requests = shedding.takeCount();
+    metrics.set("lag_ms", Math.round(lag.peak(now)));
+    if (requests === 0) return;
+    log.write("requests_shed", {
+      requests,
+      share: Math.round(shedding.share * 100) / 100,
+      lag: Math.round(lag.standing),
+    });
+  }
+
   #sleep(span: Milliseconds): Promise<void> {
     return new Promise((resolve) => {
       this.parts.timer.after(span, resolve);
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -10,6 +10,8 @@
 import type {
   Crash,
   CrashBook,
+  HostLag,
+  LoadShedding,
   PlaceSeeker,
   QuotaBook,
   RetryBudget,
@@ -47,6 +49,9 @@
   readonly quotas: QuotaBook;
   readonly retries: RetryBudget;
   readonly crashes: CrashBook;
+  /** How far this host is behind its own work. */
+  readonly lag: HostLag;
+  readonly shedding: LoadShedding;
   readonly connections: UpstreamConnections;
   /** Tells the peers that a request crashed an upstream. */
   readonly tellCrash: (crash: Crash) => void;
--- a/packages/gateway/src/intake.ts
+++ b/packages/gateway/src/intake.ts
@@ -27,6 +27,7 @@
   | "body-too-large"
   | "body-too-slow"
   | "over-quota"
+  | "host-behind"
   | "convicted"
   | PlaceRefusal
   | "not-run-upstream"
--- a/packages/gateway/src/looks.ts
+++ b/packages/gateway/src/looks.ts
@@ -3,6 +3,7 @@
   Timer,
   TimerSubscription,
 } from "@wasabivane/common";
+import type { HostLag } from "@wasabivane/admission";
 import type { PlaceDesk } from "./placeDesk.ts";
 
 /** How often peers, usage and grace times are looked at, */
@@ -15,6 +16,8 @@
 export interface LooksOptions {
   readonly timer: Timer;
   readonly desk: PlaceDesk;
+  /** Told how late the looks come. */
+  readonly lag: HostLag;
   /** Other hosts that live. */
   readonly hosts: () => number;
   /** Looks at all that changes slowly. */
@@ -47,7 +50,7 @@
   /** Plans the next look at lines and asks, sooner when something begins to wait. */
   plan(): void {
     if (this.#isClosed) return;
-    const { timer, desk } = this.#options;
+    const { timer, desk, lag } = this.#options;
     const now = timer.now();
     const at = now + desk.nextLook(now);
     if (this.#next !== undefined && this.#nextAt <= at) return;
@@ -55,6 +58,7 @@
     this.#nextAt = at;
     this.#next = timer.after(at - now, () => {
       this.#next = undefined;
+      lag.observe(timer.now() - at, timer.now());
       desk.tick(timer.now());
       this.plan();
     });
@@ -62,9 +66,11 @@
 
   #planReview(): void {
     if (this.#isClosed) return;
-    const { timer, hosts, review } = this.#options;
+    const { timer, hosts, review, lag } = this.#options;
     const span = hosts() >= LARGE_FLEET ? LARGE_FLEET_REVIEW_MS : REVIEW_MS;
+    const at = timer.now() + span;
     this.#nextReview = timer.after(span, () => {
+      lag.observe(timer.now() - at, timer.now());
       review(timer.now());
       this.#planReview();
     });
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -209,6 +209,8 @@
     retryBudget: { ratio: 0.2, slack: 50, window: 10_000 },
     quotaTolerance: { overrun: 0.25, slack: 0, span: 8_000 },
     coldTolerance: { factor: 1, slack: 0 },
+    // Tests run beside each other; a busy machine must not make them fail.
+    lowestLag: Infinity,
     stopGrace,
     dialect: new PlainDialect(),
     timer,
