Keep engines busy before slow hosts, and start early enough while a line stands

The keeper reckoned with 8 ms.

Change: hosts tell keepers what their answers take; an upstream gets as many requests more as that is of the time for which they stay, half its places at most. While a line stands, a request is due sooner by what nine in ten first events of its route are later than expected, half its target at most.

--- a/packages/admission/src/cellAsking.ts
+++ b/packages/admission/src/cellAsking.ts
@@ -28,6 +28,8 @@
 /** Weight of a faster answer in what answers take; a slower one counts half at once. */
 const FASTER_WEIGHT = 0.1;
 const SLOWER_WEIGHT = 0.5;
+/** Weight of an answer in the mean that is told to the keeper. */
+const MEAN_WEIGHT = 0.2;
 /**
  * Work is confirmed and all that waits is listed so often. Keepers repeat what a host
  * has not seen, so that a list finds only what a keeper has lost altogether; they forget
@@ -94,8 +96,9 @@
   #tellBy: Milliseconds = Infinity;
   #listedAt: Milliseconds = -Infinity;
   #silentKeepers = 0;
-  /** What answers took lately. */
+  /** What answers took lately, slow ones counting most. */
   #answerTime: Milliseconds = 0;
+  #meanAnswerTime: Milliseconds = 0;
 
   constructor(cell: Cell) {
     this.cell = cell;
@@ -200,6 +203,7 @@
       lessonsFrom: this.#lessonsFrom,
       verdictsSeen: this.#verdictsSeen,
       wantsAnswer,
+      answerTime: this.#meanAnswerTime,
     };
   }
 
@@ -298,6 +302,7 @@
     const took = now - oldest.sentAt;
     const weight = took > this.#answerTime ? SLOWER_WEIGHT : FASTER_WEIGHT;
     this.#answerTime += weight * (took - this.#answerTime);
+    this.#meanAnswerTime += MEAN_WEIGHT * (took - this.#meanAnswerTime);
   }
 
   /** Requests of which the keeper may not know; from now on this ask tells of them. */
--- a/packages/admission/src/cellKeeper.ts
+++ b/packages/admission/src/cellKeeper.ts
@@ -168,6 +168,7 @@
     asker.unseen = asker.unseen.filter(({ number }) =>
       number > ask.verdictsSeen
     );
+    this.#scheduler.noteTurnaround(ask.answerTime);
     this.#learn(asker, ask, now);
     this.#count(ask.host, asker, now);
     this.#takeWishes(asker, ask, now);
--- a/packages/admission/src/cellMessages.ts
+++ b/packages/admission/src/cellMessages.ts
@@ -40,6 +40,8 @@
   /** Number of the last verdict of this keeper that the host took in; 0 before any. */
   readonly verdictsSeen: number;
   readonly wantsAnswer: boolean;
+  /** What answers of the keeper take lately, on the mean; 0 before any. */
+  readonly answerTime: Milliseconds;
 }
 
 /** What a keeper decided about one wish. */
--- a/packages/admission/src/placeScheduler.ts
+++ b/packages/admission/src/placeScheduler.ts
@@ -18,10 +18,13 @@
 } from "./waitingLine.ts";
 
 /**
- * Time from an answer's end until the next request of the line is at its upstream:
- * three words among hosts, some of another failure domain.
+ * Least time from an answer's end until the next request of the line is at its upstream:
+ * three messages among hosts, some of another failure domain.
  */
-const REFILL_MS: Milliseconds = 8;
+const LEAST_REFILL_MS: Milliseconds = 8;
+const REFILL_WEIGHT = 0.02;
+/** Requests that wait at an upstream know no tiers; so many of its places at most. */
+const MOST_AHEAD_SHARE = 0.5;
 /**
  * Requests looked at for the places that are free: in a long line of those that would
  * rather wait for another engine, looking at all would take longer than a place is free.
@@ -34,6 +37,8 @@
 /** A request that wants an upstream. */
 export interface Candidate extends Waiter, Wish {
   readonly service: ServiceId;
+  /** By how much it starts sooner than need be while the line stands, to be on time likely. */
+  readonly margin?: Milliseconds;
   /** Called once unless the candidate is withdrawn. */
   readonly decide: (verdict: Verdict) => void;
 }
@@ -103,6 +108,8 @@
   readonly #starts: StartLimit;
   readonly #prompts = new PromptMemory();
   readonly #placement: Placement;
+  /** What it takes to fill a place that came free, on the mean. */
+  #refill: Milliseconds = LEAST_REFILL_MS;
   readonly #services = new Map<ServiceId, ServiceLine>();
 
   constructor(options: PlaceSchedulerOptions) {
@@ -134,7 +141,7 @@
     if (line.isHopeless(candidate, now)) {
       return refuse(candidate, "line-too-long", { line, now });
     }
-    line.push(candidate, now);
+    line.push(line.isStanding ? withMargin(candidate) : candidate, now);
   }
 
   /** Takes back a candidate that still waits. */
@@ -148,6 +155,15 @@
     state.residence += RESIDENCE_WEIGHT * (residence - state.residence);
   }
 
+  /**
+   * A host says what it takes to be answered: from an end that it tells to a start that
+   * it is told of. Hosts that are slow themselves leave places empty for so long.
+   */
+  noteTurnaround(span: Milliseconds): void {
+    if (span <= 0) return;
+    this.#refill += REFILL_WEIGHT * (span - this.#refill);
+  }
+
   /** Looks at every line again: upstreams or hosts' work have changed, or time went by. */
   review(now: Milliseconds): void {
     for (const [service, { line }] of this.#services) {
@@ -259,8 +275,10 @@
   #limitOf({ service, slots }: Upstream): number {
     const residence = this.#services.get(service)?.residence ??
       FIRST_RESIDENCE_MS;
-    const onTheWay = slots * REFILL_MS / Math.max(residence, 1);
-    return slots + Math.min(slots, Math.floor(onTheWay));
+    const refill = Math.max(LEAST_REFILL_MS, this.#refill);
+    const onTheWay = slots * refill / Math.max(residence, 1);
+    const most = Math.max(1, MOST_AHEAD_SHARE * slots);
+    return slots + Math.floor(Math.min(most, onTheWay));
   }
 
   #stateOf(service: ServiceId): ServiceLine {
@@ -276,6 +294,12 @@
   }
 }
 
+/** The candidate, due sooner by its margin. */
+function withMargin(candidate: Candidate): Candidate {
+  const { onTimeUntil, margin = 0 } = candidate;
+  return { ...candidate, onTimeUntil: onTimeUntil - margin };
+}
+
 function refuse(
   candidate: Candidate,
   reason: PlaceRefusal,
--- a/packages/admission/src/placeWish.ts
+++ b/packages/admission/src/placeWish.ts
@@ -11,6 +11,8 @@
 import type { PromptPart, RouteId } from "./types.ts";
 import type { UpstreamKnowledge } from "./upstreamKnowledge.ts";
 
+/** Part of the target that a margin takes at most: a belief must not make all late. */
+const MOST_MARGIN_SHARE = 0.5;
 /** Shortest time in a place that is told apart from none. */
 const LEAST_HOLD_MS: Milliseconds = 1;
 
@@ -57,7 +59,16 @@
     dueAt: arrivedAt + target,
     hold: Math.max(LEAST_HOLD_MS, latency + answering),
     answering,
-    ...startBounds({ arrivedAt, target, patience: wish.patience, latency }),
+    ...startBounds({
+      arrivedAt,
+      target,
+      patience: wish.patience,
+      latency,
+    }),
+    margin: Math.min(
+      knowledge.margins.of(route),
+      MOST_MARGIN_SHARE * target,
+    ),
     decide,
   };
 }
--- a/packages/admission/src/startLimit.ts
+++ b/packages/admission/src/startLimit.ts
@@ -8,11 +8,11 @@
  * Part of the starts that a cold upstream bears which one keeper gives it: while hosts
  * disagree on who keeps its cell, two keepers give theirs.
  */
-const KEEPER_COLD_SHARE = 0.45;
+const KEEPER_COLD_SHARE = 0.4;
 /** Part that is left to all hosts which decide alone. */
 const LONE_COLD_SHARE = 0.1;
 /** An upstream may turn cold unheard; a warm one gets this part of what a cold one bears. */
-const KEEPER_WARM_SHARE = 0.85;
+const KEEPER_WARM_SHARE = 0.7;
 
 /** What a {@link StartLimit} reads. */
 export interface StartLimitOptions {
--- a/packages/admission/src/startRates.ts
+++ b/packages/admission/src/startRates.ts
@@ -37,9 +37,14 @@
     this.#starts.set(rank, (this.#starts.get(rank) ?? 0) + 1);
   }
 
+  /** Whether the line was occupied for long enough to tell its pace. */
+  get isKnown(): boolean {
+    return this.#occupied >= LEAST_OCCUPIED_MS;
+  }
+
   /** Starts a second; `undefined` before the line was occupied for long enough. */
   perSecond(rank: Rank): number | undefined {
-    if (this.#occupied < LEAST_OCCUPIED_MS) return undefined;
+    if (!this.isKnown) return undefined;
     return (this.#starts.get(rank) ?? 0) * 1_000 / this.#occupied;
   }
 
--- a/packages/admission/src/upstreamKnowledge.ts
+++ b/packages/admission/src/upstreamKnowledge.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds, ServiceId, UpstreamId } from "@wasabivane/common";
 import { AnswerTimeModel } from "./answerTimeModel.ts";
+import { LatencyMargin } from "./latencyMargin.ts";
 import { FirstEventModel } from "./firstEventModel.ts";
 import type { RouteId, UpstreamOutcome } from "./types.ts";
 import { UpstreamHealth } from "./upstreamHealth.ts";
@@ -25,6 +26,8 @@
   readonly expectedTokens: number;
   /** Tokens that the upstream read before the first event, those ahead included. */
   readonly promptTokens: number;
+  /** Tokens of its own prompt. */
+  readonly ownTokens: number;
   /** To the first event, or to the whole plain answer. */
   readonly latency: Milliseconds;
   /** Events of a stream; 0 for a plain answer. */
@@ -38,6 +41,7 @@
   readonly health = new UpstreamHealth();
   readonly speed = new UpstreamSpeed();
   readonly firstEvents = new FirstEventModel(this.speed);
+  readonly margins = new LatencyMargin();
   readonly answerTimes = new AnswerTimeModel(this.speed);
   readonly pauses = new UpstreamPauses(this.speed);
   readonly warmth = new UpstreamWarmth();
@@ -66,10 +70,15 @@
   /** A stream shows its speed by its pauses, a plain answer by its whole time. */
   #learnTimes(
     { service, upstream, residence }: AttemptLesson,
-    { route, expectedTokens, promptTokens, latency, events, latePauses }:
+    { route, expectedTokens, promptTokens, latency, events, ...times }:
       AnswerTimes,
   ): void {
     const duration = residence - latency;
+    const { ownTokens, latePauses } = times;
+    const expected = this.firstEvents.expected(service, {
+      promptTokens: ownTokens,
+    });
+    this.margins.observe(route, latency - expected);
     this.firstEvents.observe({
       service,
       upstream,
--- a/packages/admission/src/waitingLine.ts
+++ b/packages/admission/src/waitingLine.ts
@@ -75,6 +75,11 @@
     return this.#queued.size;
   }
 
+  /** Whether something has waited for a good part of the last seconds. */
+  get isStanding(): boolean {
+    return this.#rates.isKnown;
+  }
+
   push(item: Item, now: Milliseconds): void {
     this.#rates.pass(this.size > 0, now);
     this.remove(item.request);
--- a/packages/admission/tests/cells.test.ts
+++ b/packages/admission/tests/cells.test.ts
@@ -264,6 +264,7 @@
         latency: 0,
         events: 0,
         latePauses: 0,
+        ownTokens: 0,
       },
     };
     host.seeker.begin(upstream.upstream, 0);
--- a/packages/admission/tests/helpers/loadReplay.ts
+++ b/packages/admission/tests/helpers/loadReplay.ts
@@ -44,6 +44,8 @@
   readonly failureDomains?: readonly FailureDomain[];
   /** Share of datagrams that get lost. */
   readonly loss?: number;
+  /** One way between two hosts. */
+  readonly delay?: Milliseconds;
   /** Draws the failure domain's number to whose hosts a request comes; any host without it. */
   readonly hostOf?: (random: Random) => number;
   /** Told of the fleet before anything happens. */
@@ -96,6 +98,7 @@
     failureDomains: replay.failureDomains ?? [WEST],
     seed: replay.seed,
     loss: replay.loss ?? 0,
+    ...replay.delay !== undefined && { delay: replay.delay },
     ...replay.seedStep !== undefined && { seedStep: replay.seedStep },
     ...replay.coldStarts !== undefined && { coldStarts: replay.coldStarts },
   });
@@ -262,6 +265,7 @@
               latency: replay.areLearning ? latency : 0,
               events: 0,
               latePauses: 0,
+              ownTokens: promptTokens,
             },
           };
           knowledge.learn(lesson, now);
--- a/packages/gateway/src/attemptLessons.ts
+++ b/packages/gateway/src/attemptLessons.ts
@@ -1,7 +1,7 @@
 import type { Digest, Milliseconds, UpstreamId } from "@wasabivane/common";
 import type { AnswerTimes, AttemptLesson } from "@wasabivane/admission";
 import type { Attempt, AttemptEnd } from "./attempt.ts";
-import { expectedTokensOf } from "./attemptPlan.ts";
+import { expectedTokensOf, promptTokensOf } from "./attemptPlan.ts";
 import type { GatewayParts } from "./gatewayParts.ts";
 import type { Admitted } from "./intake.ts";
 
@@ -50,6 +50,7 @@
     route: admitted.route.route,
     expectedTokens: expectedTokensOf(admitted),
     promptTokens,
+    ownTokens: promptTokensOf(admitted),
     latency: firstEventAt === undefined ? residence : firstEventAt - startedAt,
     events: firstEventAt === undefined ? 0 : Math.max(1, eventCount),
     latePauses,
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -47,7 +47,7 @@
   readMention,
 } from "./wordRows.ts";
 
-const FORMAT = 6;
+const FORMAT = 7;
 
 /** A keeper has begun to keep a cell and asks hosts for what they do there. */
 export interface KeeperCall {
@@ -144,6 +144,7 @@
     ask.wantsAnswer,
     ask.withdrawn,
     ask.reports,
+    Math.round(ask.answerTime),
     ...ask.waiting === undefined ? [] : [ask.waiting],
   ],
   read: (row, now) => {
@@ -172,7 +173,8 @@
         asId<UpstreamId>(textOf(upstream)),
         numberOf(requests),
       ]),
-      ...row[12] !== undefined && { waiting: textsOf<RequestId>(row[12]) },
+      answerTime: numberOf(row[12]),
+      ...row[13] !== undefined && { waiting: textsOf<RequestId>(row[13]) },
     };
   },
 };
--- a/packages/gateway/src/placeRows.ts
+++ b/packages/gateway/src/placeRows.ts
@@ -104,6 +104,7 @@
     Math.round(times.latency),
     times.events,
     times.latePauses,
+    times.ownTokens,
   ];
   return [upstream, outcome, Math.round(residence), rows];
 }
@@ -119,6 +120,7 @@
       latency: numberOf(times[3]),
       events: numberOf(times[4]),
       latePauses: numberOf(times[5]),
+      ownTokens: numberOf(times[6]),
     },
   };
   return {
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -204,6 +204,7 @@
             latency: 90,
             events: 9,
             latePauses: 1,
+            ownTokens: 60,
           },
         },
         {
@@ -216,6 +217,7 @@
       lessonsFrom: 3,
       verdictsSeen: 5,
       wantsAnswer: true,
+      answerTime: 12,
       withdrawn: [asId<RequestId>("gone")],
       reports: [[asId<UpstreamId>("u1"), 4]],
       waiting: [asId<RequestId>("q"), asId<RequestId>("other")],
