Hand on what is left of a caller's time, not what is left since it was read

Change: three times the peak lag is taken off the time that a caller says it has, half of it at most. Test: a host that stood still hands on no more than half.

--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -33,6 +33,8 @@
 const FIRST_HEADER_TIMEOUT_MS: Milliseconds = 3_000;
 const FIRST_IDLE_TIMEOUT_MS: Milliseconds = 15_000;
 const BACKLOG = 1_024;
+/** A new connection is taken, its bytes are read and parsed in a turn of the loop each. */
+const TURNS_TO_READ = 3;
 /** Most answers are whole within this time; a host that ends sooner takes none. */
 const LEAST_SERVING_MS: Milliseconds = 1_500;
 
@@ -199,6 +201,7 @@
       // It came while this host was busy with others; its caller's time runs since then.
       now: timer.now() - lag.standing,
       elapsedNow: elapsed.now(),
+      readingDelay: TURNS_TO_READ * lag.peak(timer.now()),
     });
   }
 
--- a/packages/gateway/src/intake.ts
+++ b/packages/gateway/src/intake.ts
@@ -73,8 +73,12 @@
   readonly now: Milliseconds;
   /** Clock of proofs of freshness; it counts time in which the machine was suspended. */
   readonly elapsedNow: Milliseconds;
+  /** How long the request may have waited to be read. */
+  readonly readingDelay: Milliseconds;
 }
 
+/** A belief about this host's delay takes no more of a caller's time than leaves this share. */
+const LEAST_LEFT_SHARE = 0.5;
 /** A host without a usable policy expects to have one after about this time; callers return spread around it. */
 const POLICY_RETRY_MS: Milliseconds = 600;
 
@@ -104,11 +108,23 @@
     account,
     says,
     arrivedAt: now,
-    deadline: now + Math.min(says.timeLeft ?? route.timeout, route.timeout),
+    deadline: deadlineOf(says.timeLeft ?? route.timeout, { route, options }),
     policyVersion: index.policy.version,
   }));
 }
 
+/** The caller's time runs since it sent the request; some of it is always left. */
+function deadlineOf(
+  timeLeft: Milliseconds,
+  { route, options: { now, readingDelay } }: {
+    route: Route;
+    options: IntakeOptions;
+  },
+): Milliseconds {
+  const left = Math.max(timeLeft - readingDelay, LEAST_LEFT_SHARE * timeLeft);
+  return now + Math.min(left, route.timeout);
+}
+
 /** Tokens or requests that a request takes of its account's quota. */
 export function unitsOf(account: ClientAccount, says: CallerSays): number {
   if (account.quota?.unit !== "tokens") return 1;
--- /dev/null
+++ b/packages/gateway/tests/busyHost.test.ts
@@ -0,0 +1,50 @@
+import test from "ava";
+import { ask, goodHead, startGateway, startUpstream } from "./helpers/fleet.ts";
+
+const STALL_MS = 2_000;
+const TIME_LEFT_MS = 20_000;
+const LAG_MS = 300;
+
+test("a host that is behind hands on no more time than its callers have left", async (t) => {
+  // Guards against upstreams that work on after the caller's deadline, since the host
+  // counted from when it came to read the request.
+  const upstream = await startUpstream((received) => {
+    received.socket.write(goodHead(received, { "content-length": 2 }) + "ok");
+  });
+  const fleet = await startGateway({
+    upstreams: [upstream],
+    route: { timeout: TIME_LEFT_MS },
+  });
+  const { lag, timer } = fleet.gateway.parts;
+  const headers = { "time-left": String(TIME_LEFT_MS) };
+  await ask(fleet.url, { headers });
+  lag.observe(100 * STALL_MS, timer.now());
+  await ask(fleet.url, { headers });
+  const [before, after] = upstream.received.map((received) =>
+    Number(received.field("time-left"))
+  );
+  t.true(before! > 0.7 * TIME_LEFT_MS);
+  t.true(after! <= 0.5 * TIME_LEFT_MS);
+  await fleet.close();
+});
+
+test("what a host that is behind refuses is not run, and says when to come back", async (t) => {
+  // Guards against refusals at the door that reach an upstream or leave callers without a time.
+  const upstream = await startUpstream((received) => {
+    received.socket.write(goodHead(received, { "content-length": 2 }) + "ok");
+  });
+  const fleet = await startGateway({ upstreams: [upstream], lowestLag: 15 });
+  const { lag, timer } = fleet.gateway.parts;
+  const now = timer.now();
+  for (const at of [0, 60, 120, 180]) lag.observe(LAG_MS, now + at);
+  const seen = [];
+  for (let index = 0; index < 8; index++) seen.push(await ask(fleet.url));
+  const refused = seen.filter(({ status }) => status === 503);
+  t.true(refused.length > 0);
+  t.is(upstream.received.length, seen.length - refused.length);
+  for (const { body, headers } of refused) {
+    t.is(JSON.parse(body).reason, "host-behind");
+    t.true(Number(headers["retry-after"]) > 0);
+  }
+  await fleet.close();
+});
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -161,6 +161,8 @@
   /** Whether the host reads policy and upstreams itself. */
   readonly isReading?: boolean;
   readonly host?: string;
+  /** Lag from which on requests are refused. */
+  readonly lowestLag?: number;
 }
 
 /** Starts a gateway before the given upstreams. */
@@ -184,6 +186,8 @@
     seeds = [],
     isReading = true,
     host = "host",
+    // Tests run beside each other; a busy machine must not make them fail.
+    lowestLag = Infinity,
   }: GatewayStart,
 ): Promise<RunningGateway | undefined> {
   const lines: Record<string, unknown>[] = [];
@@ -209,8 +213,7 @@
     retryBudget: { ratio: 0.2, slack: 50, window: 10_000 },
     quotaTolerance: { overrun: 0.25, slack: 0, span: 8_000 },
     coldTolerance: { factor: 1, slack: 0 },
-    // Tests run beside each other; a busy machine must not make them fail.
-    lowestLag: Infinity,
+    lowestLag,
     stopGrace,
     dialect: new PlainDialect(),
     timer,
