Look at the caller's deadline right before a request leaves

Change: the deadline is compared with the clock when the place comes, after the look at what has come in, and once more when the connection stands and the first byte would leave. A request that did not leave is refused as not run. One in ten requests that are refused unread has a line with its id.

Tests: an attempt whose connection stands after the deadline is not sent and ends as not sent; a request that is not wanted leaves no byte at the upstream.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -66,6 +66,8 @@
   readonly connections: UpstreamConnections;
   readonly dialect: Dialect;
   readonly timer: Timer;
+  /** When the caller's time is over; nothing is sent any more. */
+  readonly deadline: Milliseconds;
   /** The request's id, which the answer must repeat. */
   readonly attempt: string;
   readonly isStreaming: boolean;
@@ -141,6 +143,15 @@
     this.#call?.resume();
   }
 
+  /** A connection may take long on a busy host; its caller may have no time left by then. */
+  isWanted(): boolean {
+    if (this.#isOver) return false;
+    const { timer, deadline } = this.#options;
+    if (timer.now() < deadline) return true;
+    this.#end({ outcome: "cancelled", detail: "too late to send" });
+    return false;
+  }
+
   sent(): void {
     this.#wasSent = true;
   }
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -94,6 +94,7 @@
     connections,
     dialect,
     timer,
+    deadline: admitted.deadline,
     attempt: says.attempt,
     isStreaming: route.isStreaming,
     pauseTarget: route.pauseTarget,
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -33,6 +33,8 @@
 const FIRST_HEADER_TIMEOUT_MS: Milliseconds = 3_000;
 const FIRST_IDLE_TIMEOUT_MS: Milliseconds = 15_000;
 const BACKLOG = 1_024;
+/** One in so many requests that are refused unread has a line of its own. */
+const SHED_BY_LINE = 10;
 /** A new connection is taken, its bytes are read and parsed in a turn of the loop each. */
 const TURNS_TO_READ = 3;
 /** Most answers are whole within this time; a host that ends sooner takes none. */
@@ -46,6 +48,7 @@
   readonly #busy = new Set<Socket>();
   /** Connections that this side has closed; nothing can be answered on them. */
   readonly #closed = new WeakSet<Socket>();
+  #shedCount = 0;
 
   constructor(parts: GatewayParts) {
     this.#parts = parts;
@@ -176,15 +179,19 @@
     return route !== undefined && shedding.shouldShed(route.tier, timer.now());
   }
 
-  /** Refuses without reading on; no line of its own, as lines would keep the host behind. */
+  /** Refuses without reading on. A line for each would keep the host behind; all are counted. */
   #shed(request: IncomingMessage, answer: CallerAnswer): void {
     const { metrics, shedding, timer } = this.#parts;
-    metrics.count("refused_host-behind");
-    answer.refuse({
+    const refusal = {
       status: 503,
       reason: "host-behind",
       retryAfter: shedding.returnAfter(timer.now()),
-    });
+    } as const;
+    if (this.#shedCount++ % SHED_BY_LINE === 0) {
+      return this.#refuse(request, answer, refusal);
+    }
+    metrics.count("refused_host-behind");
+    answer.refuse(refusal);
     request.resume();
   }
 
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -131,6 +131,7 @@
       fingerprint: request.fingerprint,
     });
     if (this.#isOver || this.#isStopped) return;
+    if (end.outcome === "cancelled") return this.#passDeadline();
     if (end.outcome === "whole") this.#deliver(end);
     else this.#recover(attempt, end);
   }
@@ -151,6 +152,10 @@
 
   #onVerdict(verdict: Verdict): void {
     if (this.#isOver) return;
+    // On a busy host the timer of the deadline may run later than this.
+    if (this.#now() >= this.#options.admitted.deadline) {
+      return this.#passDeadline();
+    }
     if (verdict.kind === "place") return this.#sendInTurn(verdict);
     const { outlook, reason } = verdict;
     if (this.#options.answer.hasStarted) {
@@ -182,6 +187,9 @@
     if (lag.standing < LAG_BEFORE_LOOK_MS) return this.#send(place);
     timer.after(0, () =>
       timer.after(0, () => {
+        if (this.#now() >= this.#options.admitted.deadline) {
+          return this.#passDeadline();
+        }
         if (!this.#isOver) this.#send(place);
       }));
   }
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -24,6 +24,8 @@
 
 /** What happens to an {@link UpstreamCall}; `failed` or `ended` comes last, once. */
 export interface UpstreamListener {
+  /** Asked right before the first byte leaves; when false, nothing is sent. */
+  isWanted(): boolean;
   /** Bytes of the request may have left from now on. */
   sent(): void;
   head(status: number, fields: FieldValues): void;
@@ -125,8 +127,9 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
-    if (this.#isAborted) controller.abort(new Error("The host ended the call"));
-    else this.#listener.sent();
+    const isSent = !this.#isAborted && this.#listener.isWanted();
+    if (isSent) this.#listener.sent();
+    else controller.abort(new Error("The host ended the call"));
   }
 
   onResponseStart(
--- /dev/null
+++ b/packages/gateway/tests/lateSends.test.ts
@@ -0,0 +1,99 @@
+import { Buffer } from "node:buffer";
+import { asId, type UpstreamId, VirtualTimer } from "@wasabivane/common";
+import test from "ava";
+import { Attempt, type AttemptEnd } from "../src/attempt.ts";
+import {
+  UpstreamConnections,
+  type UpstreamListener,
+} from "../src/upstreamConnections.ts";
+import { PlainDialect } from "./helpers/plainDialect.ts";
+import { goodHead, startUpstream } from "./helpers/fleet.ts";
+
+const DEADLINE_MS = 400;
+const CALL = {
+  method: "POST",
+  path: "/",
+  fields: [["host", "plans.example"]],
+  body: Buffer.from("{}"),
+} as const;
+
+/** Connections that have one open only after a while. */
+class SlowConnections extends UpstreamConnections {
+  listener: UpstreamListener | undefined;
+
+  override send(_call: unknown, listener: UpstreamListener): {
+    abort(): void;
+    pause(): void;
+    resume(): void;
+  } {
+    this.listener = listener;
+    return { abort: () => {}, pause: () => {}, resume: () => {} };
+  }
+}
+
+test("a request whose caller has no time left when its connection stands is not sent", (t) => {
+  // Guards against upstreams that get work for callers who left while a busy host connected.
+  for (const connectingTakes of [DEADLINE_MS - 1, DEADLINE_MS + 1]) {
+    const timer = new VirtualTimer();
+    const connections = new SlowConnections(() => 1);
+    const ends: AttemptEnd[] = [];
+    const attempt = new Attempt({
+      upstream: {
+        upstream: asId<UpstreamId>("u"),
+        name: "u",
+        bornAt: 0,
+        service: asId("plans"),
+        address: "127.0.0.1:9",
+        failureDomain: asId("west"),
+        slots: 1,
+        isLeaving: false,
+        coldFor: 0,
+      },
+      call: { ...CALL, address: "127.0.0.1:9" },
+      connections,
+      dialect: new PlainDialect(),
+      timer,
+      deadline: DEADLINE_MS,
+      attempt: "a",
+      isStreaming: false,
+      pauseTarget: 0,
+      promptTokens: 0,
+      patience: undefined,
+      onLoad: () => {},
+      listener: {
+        streamStarted: () => {},
+        events: () => {},
+        ended: (end) => ends.push(end),
+      },
+    });
+    attempt.start();
+    timer.advance(connectingTakes);
+    const isInTime = connectingTakes < DEADLINE_MS;
+    t.is(connections.listener!.isWanted(), isInTime);
+    t.deepEqual(
+      ends.map(({ outcome, wasSent }) => [outcome, wasSent]),
+      isInTime ? [] : [["cancelled", false]],
+    );
+  }
+});
+
+test("nothing of a request that is not wanted any more reaches the upstream", async (t) => {
+  // Guards against a library that has written the head by the time it is told.
+  const upstream = await startUpstream((received) => {
+    received.socket.write(goodHead(received, { "content-length": 2 }) + "ok");
+  });
+  const connections = new UpstreamConnections(() => 4);
+  const listener = {
+    isWanted: () => false,
+    sent: () => t.fail(),
+    head: () => t.fail(),
+    data: () => {},
+    ended: () => t.fail(),
+    failed: () => {},
+  };
+  connections.send({ ...CALL, address: upstream.address }, listener);
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  t.is(upstream.received.length, 0);
+  await connections.close();
+  upstream.close();
+});
