Refuse on arrival what the line cannot start while it is on time

Cause: the pace of a line was kept for each rank apart, and late ones have a rank of their own, which reads 0 while everything that starts is on time.

Change: the pace of a request that can still be on time is that of its tier, all ranks together, and those ahead of it include begun work. Where the line has stood long enough to know its pace and others are ahead, a request that would start too late for an answer on time is refused at once, with the time to return that the pace says.

--- a/packages/admission/src/startRates.ts
+++ b/packages/admission/src/startRates.ts
@@ -42,19 +42,21 @@
     return this.#occupied >= LEAST_OCCUPIED_MS;
   }
 
-  /** Starts a second; `undefined` before the line was occupied for long enough. */
-  perSecond(rank: Rank): number | undefined {
+  /** Starts a second of some ranks; `undefined` before the line was occupied for long enough. */
+  perSecond(ranks: readonly Rank[]): number | undefined {
     if (!this.isKnown) return undefined;
-    return (this.#starts.get(rank) ?? 0) * 1_000 / this.#occupied;
+    let starts = 0;
+    for (const rank of ranks) starts += this.#starts.get(rank) ?? 0;
+    return starts * 1_000 / this.#occupied;
   }
 
   /**
-   * Time until a request with so many of its rank ahead is the next one; 0 while
-   * nothing is known. The next one of a rank may start any moment, when an upstream
+   * Time until a request with so many of these ranks ahead is the next one; 0 while
+   * nothing is known. The next one may start any moment, when an upstream
    * returns for instance, and is never given up for a pace of the past.
    */
-  waitBehind(ahead: number, rank: Rank): Milliseconds {
-    const rate = this.perSecond(rank);
+  waitBehind(ahead: number, ranks: readonly Rank[]): Milliseconds {
+    const rate = this.perSecond(ranks);
     if (rate === undefined) return 0;
     const least = 1_000 / MEMORY_MS;
     return ahead * 1_000 / Math.max(rate, least);
--- a/packages/admission/src/waitingLine.ts
+++ b/packages/admission/src/waitingLine.ts
@@ -138,7 +138,7 @@
       if (!isRankOfLate(rank)) continue;
       let ahead = 0;
       for (const item of this.#queues.get(rank)!.items) {
-        const startsAt = now + this.#rates.waitBehind(ahead, rank);
+        const startsAt = now + this.#rates.waitBehind(ahead, [rank]);
         if (startsAt > item.usefulUntil) outpaced.push(item);
         else ahead++;
       }
@@ -148,30 +148,40 @@
   }
 
   /**
-   * Whether a request, waiting or not, will start too late at the pace of the line.
-   * With nobody ahead it may start at once and is never refused for a belief.
+   * Whether a request, waiting or not, will start too late at the pace of the line: for
+   * any use, or for an answer on time while it could still be. With nobody ahead it may
+   * start at once and is never refused for a belief.
    */
   isHopeless(item: Waiter, now: Milliseconds): boolean {
     if (isBegun(item)) return false;
     const { ahead, wait } = this.outlook(item, now);
-    return ahead > 0 && now + wait > item.usefulUntil;
+    if (ahead === 0) return false;
+    const until = isLate(item, now) ? item.usefulUntil : item.onTimeUntil;
+    return now + wait > until;
   }
 
   /** What the line promises a request, waiting or not. */
   outlook(item: Waiter, now: Milliseconds): Outlook {
     this.#noteLate(now);
     const rank = rankOf(item, now);
-    const ahead = this.#aheadOf(item, rank, now);
-    const startsPerSecond = this.#rates.perSecond(rank);
-    const wait = this.#rates.waitBehind(ahead, rank);
-    const willBeLate = now + wait > item.onTimeUntil;
-    if (isRankOfLate(rank) || isBegun(item) || !willBeLate) {
-      return { ahead, startsPerSecond, wait };
+    if (isRankOfLate(rank)) {
+      const ahead = this.#aheadOf(item, rank, now);
+      const startsPerSecond = this.#rates.perSecond([rank]);
+      return {
+        ahead,
+        startsPerSecond,
+        wait: this.#rates.waitBehind(ahead, [rank]),
+      };
     }
+    const ranks = ranksOf(item.tier);
+    const begun = isBegun(item)
+      ? 0
+      : this.#queues.get(ranks[BEGUN]!)?.size ?? 0;
+    const ahead = begun + this.#aheadOf(item, rank, now);
     return {
-      ahead: 0,
-      startsPerSecond: this.#rates.perSecond(rank + LATE - ON_TIME),
-      wait: item.onTimeUntil - now,
+      ahead,
+      startsPerSecond: this.#rates.perSecond(ranks),
+      wait: this.#rates.waitBehind(ahead, ranks),
     };
   }
 
@@ -271,6 +281,11 @@
   return PLACES * item.tier + place;
 }
 
+/** All ranks of a tier, by their place in it. */
+function ranksOf(tier: Tier): Rank[] {
+  return [BEGUN, ON_TIME, LATE].map((place) => PLACES * tier + place);
+}
+
 function tierOf(rank: Rank): Tier {
   return Math.floor(rank / PLACES) as Tier;
 }
--- a/packages/admission/tests/waitingLine.test.ts
+++ b/packages/admission/tests/waitingLine.test.ts
@@ -25,9 +25,14 @@
   );
 }
 
-function isEqual(item: Waiter, other: Waiter, now: number): boolean {
-  return item.tier === other.tier &&
-    placeOf(item, now) === placeOf(other, now);
+/** Whether another one of its tier starts before it; of late ones, only late ones count. */
+function isAhead(other: Waiter, item: Waiter, now: number): boolean {
+  if (item.tier !== other.tier) return false;
+  const place = placeOf(item, now);
+  if (placeOf(other, now) !== place) {
+    return place === ON_TIME && placeOf(other, now) === BEGUN;
+  }
+  return turnOf(other, now) <= turnOf(item, now);
 }
 
 const waiters = fc.record({
@@ -71,8 +76,7 @@
         t.deepEqual(line.inOrder(now), expected);
         for (const item of items) {
           const ahead = items.filter((other) =>
-            other !== item && isEqual(item, other, now) &&
-            turnOf(other, now) <= turnOf(item, now)
+            other !== item && isAhead(other, item, now)
           );
           t.is(line.outlook(item, now).ahead, ahead.length);
         }
