--- a/packages/admission/src/cellAsking.ts
+++ b/packages/admission/src/cellAsking.ts
@@ -7,7 +7,7 @@
 } from "@wasabivane/common";
 import { type Cell, type CellKey, cellKeyOf } from "./cells.ts";
 import type { PlaceAnswer, PlaceAsk, PlaceVerdict } from "./cellMessages.ts";
-import type { AttemptLesson } from "./upstreamKnowledge.ts";
+import type { AttemptObservation } from "./upstreamKnowledge.ts";
 
 /** An answer takes a few milliseconds; a datagram that was lost is sent again then, */
 const REPEAT_MS: Milliseconds = 30;
@@ -45,7 +45,7 @@
 const CONFIRM_END_MS: Milliseconds = 200;
 /** A cell that this host has no business with is forgotten. */
 const IDLE_MS: Milliseconds = 2_000;
-/** Lessons that are kept for a keeper that does not answer. */
+/** Observations that are kept for a keeper that does not answer. */
 const MAXIMUM_LESSONS = 16;
 
 /** Why a keeper is passed over. */
@@ -77,10 +77,10 @@
   #keeperIncarnation: Incarnation | undefined;
   #sequence = 0;
   #verdictsSeen = 0;
-  #lessons: AttemptLesson[] = [];
-  /** When the oldest lesson that the keeper has not confirmed was told; `Infinity` without any. */
+  #observations: AttemptObservation[] = [];
+  /** When the oldest observation that the keeper has not confirmed was told; `Infinity` without any. */
   #unconfirmedSince: Milliseconds = Infinity;
-  #lessonsFrom = 1;
+  #observationsFrom = 1;
   readonly #reports = new Map<UpstreamId, number>();
   /** Requests that wait here: the ask that first described each to this keeper. */
   readonly #described = new Map<RequestId, number>();
@@ -148,12 +148,12 @@
   }
 
   /** An attempt in this cell ended. */
-  learned(lesson: AttemptLesson, now: Milliseconds): void {
-    this.#lessons.push(lesson);
+  learned(observation: AttemptObservation, now: Milliseconds): void {
+    this.#observations.push(observation);
     this.#unconfirmedSince = Math.min(this.#unconfirmedSince, now);
-    if (this.#lessons.length <= MAXIMUM_LESSONS) return;
-    this.#lessons.shift();
-    this.#lessonsFrom++;
+    if (this.#observations.length <= MAXIMUM_LESSONS) return;
+    this.#observations.shift();
+    this.#observationsFrom++;
   }
 
   /** The next ask lists all that waits: the keeper may have lost it. */
@@ -199,8 +199,8 @@
       withdrawn: this.#untold(this.#withdrawn, sequence),
       ...isListing && { waiting: [...this.#described.keys()] },
       reports,
-      lessons: [...this.#lessons],
-      lessonsFrom: this.#lessonsFrom,
+      observations: [...this.#observations],
+      observationsFrom: this.#observationsFrom,
       verdictsSeen: this.#verdictsSeen,
       wantsAnswer,
       answerTime: this.#meanAnswerTime,
@@ -230,12 +230,12 @@
     this.#unanswered = this.#unanswered.filter(({ sequence }) =>
       sequence > answer.sequence
     );
-    const known = answer.lessonsSeen - this.#lessonsFrom + 1;
+    const known = answer.observationsSeen - this.#observationsFrom + 1;
     if (known > 0) {
-      this.#lessons.splice(0, known);
-      this.#lessonsFrom = answer.lessonsSeen + 1;
+      this.#observations.splice(0, known);
+      this.#observationsFrom = answer.observationsSeen + 1;
     }
-    this.#unconfirmedSince = this.#lessons.length > 0 ? now : Infinity;
+    this.#unconfirmedSince = this.#observations.length > 0 ? now : Infinity;
     const fresh = answer.verdicts.filter(({ number }) =>
       number > this.#verdictsSeen
     );
--- a/packages/admission/src/cellChoice.ts
+++ b/packages/admission/src/cellChoice.ts
@@ -5,7 +5,7 @@
   Random,
 } from "@wasabivane/common";
 import type { CellMap } from "./cellMap.ts";
-import type { CellPictures } from "./cellPictures.ts";
+import type { CellSnapshots } from "./cellSnapshots.ts";
 import { type Cell, type CellKey, cellKeyOf } from "./cells.ts";
 import type { PlaceWish } from "./placeWish.ts";
 
@@ -20,7 +20,7 @@
   readonly host: HostId;
   readonly failureDomain: FailureDomain;
   readonly cells: CellMap;
-  readonly pictures: CellPictures;
+  readonly snapshots: CellSnapshots;
   readonly random: Random;
 }
 
@@ -34,13 +34,13 @@
 
   /** The home cell of a request, or one with free places if that was seen without any. */
   first(wish: PlaceWish, now: Milliseconds): Cell | undefined {
-    const { pictures, random } = this.#options;
+    const { snapshots, random } = this.#options;
     const cells = this.#options.cells.ofService(wish.service);
     const home = this.#homeOf(cells, wish);
     if (home === undefined || cells.length === 1) return home;
-    const picture = pictures.of(home, now);
-    if (picture === undefined || picture.free > 0) return home;
-    return pictures.roomiest(cells, { random, now }) ?? home;
+    const snapshot = snapshots.of(home, now);
+    if (snapshot === undefined || snapshot.free > 0) return home;
+    return snapshots.roomiest(cells, { random, now }) ?? home;
   }
 
   /** One more cell for a request that waits in some; `undefined` if there is none. */
@@ -48,12 +48,12 @@
     { service }: PlaceWish,
     { held, now }: { held: ReadonlySet<CellKey>; now: Milliseconds },
   ): Cell | undefined {
-    const { cells, pictures, random } = this.#options;
+    const { cells, snapshots, random } = this.#options;
     const others = cells.ofService(service).filter((cell) =>
       !held.has(cellKeyOf(cell))
     );
     if (others.length === 0) return undefined;
-    return pictures.roomiest(others, { random, now }) ?? random.pick(others);
+    return snapshots.roomiest(others, { random, now }) ?? random.pick(others);
   }
 
   /**
--- a/packages/admission/src/cellKeeper.ts
+++ b/packages/admission/src/cellKeeper.ts
@@ -9,7 +9,7 @@
 import { CellMembers } from "./cellMembers.ts";
 import type { Cell } from "./cells.ts";
 import type {
-  CellPicture,
+  CellSnapshot,
   PlaceAnswer,
   PlaceAsk,
   PlaceDecision,
@@ -65,8 +65,8 @@
   /** Calls back once after a while. */
   readonly after: (span: Milliseconds, callback: () => void) => void;
   readonly now: () => Milliseconds;
-  /** Pictures of the other cells of the service. */
-  readonly otherPictures: () => readonly CellPicture[];
+  /** Snapshots of the other cells of the service. */
+  readonly otherSnapshots: () => readonly CellSnapshot[];
   readonly isLeaving: () => boolean;
 }
 
@@ -75,7 +75,7 @@
   readonly incarnation: Incarnation;
   sequence: number;
   heardAt: Milliseconds;
-  lessonsSeen: number;
+  observationsSeen: number;
   verdictCount: number;
   inFlight: ReadonlyMap<UpstreamId, UpstreamLoad>;
   /** Decisions that it has not seen yet. */
@@ -148,7 +148,7 @@
   }
 
   /** How full the cell is. */
-  picture(now: Milliseconds): CellPicture {
+  snapshot(now: Milliseconds): CellSnapshot {
     const { cell } = this.#options;
     return { cell, at: now, ...this.#scheduler.counts(cell.service, now) };
   }
@@ -219,7 +219,7 @@
       incarnation,
       sequence: 0,
       heardAt: now,
-      lessonsSeen: 0,
+      observationsSeen: 0,
       verdictCount: 0,
       inFlight: new Map(),
       unseen: [],
@@ -235,17 +235,20 @@
 
   #learn(asker: Asker, ask: PlaceAsk, now: Milliseconds): void {
     const { knowledge, host } = this.#options;
-    const { lessons, lessonsFrom } = ask;
-    for (const [index, lesson] of lessons.entries()) {
-      if (lessonsFrom + index <= asker.lessonsSeen) continue;
-      if (lesson.outcome === "whole") {
-        this.#scheduler.noteResidence(lesson.service, lesson.residence);
+    const { observations, observationsFrom } = ask;
+    for (const [index, observation] of observations.entries()) {
+      if (observationsFrom + index <= asker.observationsSeen) continue;
+      if (observation.outcome === "whole") {
+        this.#scheduler.noteResidence(
+          observation.service,
+          observation.residence,
+        );
       }
       // What this host did itself it has learned already.
-      if (ask.host !== host) knowledge.learn(lesson, now);
+      if (ask.host !== host) knowledge.learn(observation, now);
     }
-    const last = lessonsFrom + lessons.length - 1;
-    asker.lessonsSeen = Math.max(asker.lessonsSeen, last);
+    const last = observationsFrom + observations.length - 1;
+    asker.observationsSeen = Math.max(asker.observationsSeen, last);
   }
 
   /** Counts a host's work: what it tells, and places that it has not seen yet. */
@@ -350,19 +353,19 @@
   }
 
   #answer(now: Milliseconds): void {
-    let pictures: readonly CellPicture[] | undefined;
+    let snapshots: readonly CellSnapshot[] | undefined;
     for (const [host, asker] of this.#askers) {
       if (!asker.hasNews) continue;
       asker.hasNews = false;
       asker.repeatAt = now + asker.repeatSpan;
-      pictures ??= [this.picture(now), ...this.#options.otherPictures()];
-      this.#options.send(host, this.#answerTo(asker, pictures));
+      snapshots ??= [this.snapshot(now), ...this.#options.otherSnapshots()];
+      this.#options.send(host, this.#answerTo(asker, snapshots));
     }
   }
 
   #answerTo(
     asker: Asker,
-    pictures: readonly CellPicture[],
+    snapshots: readonly CellSnapshot[],
   ): PlaceAnswer {
     const { host, incarnation, cell, isLeaving } = this.#options;
     return {
@@ -371,10 +374,10 @@
       cell,
       to: asker.incarnation,
       sequence: asker.sequence,
-      lessonsSeen: asker.lessonsSeen,
+      observationsSeen: asker.observationsSeen,
       verdicts: asker.unseen,
       unknown: asker.unknown.splice(0),
-      pictures,
+      snapshots,
       isLeaving: isLeaving(),
     };
   }
--- a/packages/admission/src/cellMessages.ts
+++ b/packages/admission/src/cellMessages.ts
@@ -11,7 +11,7 @@
 import type { PlaceRefusal } from "./placeScheduler.ts";
 import type { PlaceWish } from "./placeWish.ts";
 import type { Outlook } from "./waitingLine.ts";
-import type { AttemptLesson } from "./upstreamKnowledge.ts";
+import type { AttemptObservation } from "./upstreamKnowledge.ts";
 
 /**
  * What a host has to say to the keeper of a cell: its work there, what began and ceased
@@ -34,9 +34,9 @@
   readonly waiting?: readonly RequestId[];
   /** What upstreams said a moment ago of all requests that they had. */
   readonly reports: readonly (readonly [UpstreamId, number])[];
-  /** What ended attempts showed, oldest first; the first has number `lessonsFrom`. */
-  readonly lessons: readonly AttemptLesson[];
-  readonly lessonsFrom: number;
+  /** What ended attempts showed, oldest first; the first has number `observationsFrom`. */
+  readonly observations: readonly AttemptObservation[];
+  readonly observationsFrom: number;
   /** Number of the last verdict of this keeper that the host took in; 0 before any. */
   readonly verdictsSeen: number;
   readonly wantsAnswer: boolean;
@@ -66,7 +66,7 @@
 }
 
 /** How full a cell was when its keeper looked last. */
-export interface CellPicture {
+export interface CellSnapshot {
   readonly cell: Cell;
   readonly places: number;
   readonly free: number;
@@ -83,13 +83,13 @@
   /** Incarnation and ask of the host that this answers. */
   readonly to: Incarnation;
   readonly sequence: number;
-  /** Number of the last lesson that the keeper took in. */
-  readonly lessonsSeen: number;
+  /** Number of the last observation that the keeper took in. */
+  readonly observationsSeen: number;
   readonly verdicts: readonly PlaceVerdict[];
   /** Requests that the host says wait and that the keeper does not know. */
   readonly unknown: readonly RequestId[];
   /** The cell itself, and others of its service that the keeper knows of. */
-  readonly pictures: readonly CellPicture[];
+  readonly snapshots: readonly CellSnapshot[];
   /** The keeper stops soon; hosts turn to the next one. */
   readonly isLeaving: boolean;
 }
--- a/packages/admission/src/cellPictures.ts
+++ b/packages/admission/src/cellSnapshots.ts
@@ -1,32 +1,32 @@
 import type { Milliseconds, Random } from "@wasabivane/common";
 import { type Cell, type CellKey, cellKeyOf } from "./cells.ts";
-import type { CellPicture } from "./cellMessages.ts";
+import type { CellSnapshot } from "./cellMessages.ts";
 
-/** A picture older than this says nothing about free places. */
-const PICTURE_MS: Milliseconds = 1_000;
+/** A snapshot older than this says nothing about free places. */
+const SNAPSHOT_MS: Milliseconds = 1_000;
 /** Share of all places that must be free for cells to count as idle. */
 const IDLE_SHARE = 0.25;
 
 /** How full cells were when their keepers told last. */
-export class CellPictures {
-  readonly #pictures = new Map<CellKey, CellPicture>();
+export class CellSnapshots {
+  readonly #snapshots = new Map<CellKey, CellSnapshot>();
 
-  /** Takes in a picture unless a newer one is known. */
-  see(picture: CellPicture): void {
-    const key = cellKeyOf(picture.cell);
-    const known = this.#pictures.get(key);
-    if (known === undefined || known.at <= picture.at) {
-      this.#pictures.set(key, picture);
+  /** Takes in a snapshot unless a newer one is known. */
+  see(snapshot: CellSnapshot): void {
+    const key = cellKeyOf(snapshot.cell);
+    const known = this.#snapshots.get(key);
+    if (known === undefined || known.at <= snapshot.at) {
+      this.#snapshots.set(key, snapshot);
     }
   }
 
-  /** The picture of a cell; `undefined` without one that is new enough. */
-  of(cell: Cell, now: Milliseconds): CellPicture | undefined {
-    const picture = this.#pictures.get(cellKeyOf(cell));
-    if (picture === undefined || now - picture.at > PICTURE_MS) {
+  /** The snapshot of a cell; `undefined` without one that is new enough. */
+  of(cell: Cell, now: Milliseconds): CellSnapshot | undefined {
+    const snapshot = this.#snapshots.get(cellKeyOf(cell));
+    if (snapshot === undefined || now - snapshot.at > SNAPSHOT_MS) {
       return undefined;
     }
-    return picture;
+    return snapshot;
   }
 
   /** Whether nobody waits in these cells and places are free to spare. */
@@ -34,11 +34,11 @@
     let places = 0;
     let free = 0;
     for (const cell of cells) {
-      const picture = this.of(cell, now);
-      if (picture === undefined) continue;
-      if (picture.waiting > 0) return false;
-      places += picture.places;
-      free += picture.free;
+      const snapshot = this.of(cell, now);
+      if (snapshot === undefined) continue;
+      if (snapshot.waiting > 0) return false;
+      places += snapshot.places;
+      free += snapshot.free;
     }
     return free > IDLE_SHARE * places;
   }
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -50,7 +50,7 @@
 export { candidateOf, type PlaceWish } from "./placeWish.ts";
 export {
   type AnswerTimes,
-  type AttemptLesson,
+  type AttemptObservation,
   UpstreamKnowledge,
 } from "./upstreamKnowledge.ts";
 export { CellMap } from "./cellMap.ts";
@@ -63,7 +63,7 @@
   isInCell,
 } from "./cells.ts";
 export type {
-  CellPicture,
+  CellSnapshot,
   PlaceAnswer,
   PlaceAsk,
   PlaceDecision,
--- a/packages/admission/src/placeSeeker.ts
+++ b/packages/admission/src/placeSeeker.ts
@@ -13,7 +13,7 @@
 import { CellMap } from "./cellMap.ts";
 import { type Cell, type CellKey, cellKeyOf } from "./cells.ts";
 import type { PlaceAnswer, PlaceAsk, PlaceVerdict } from "./cellMessages.ts";
-import { CellPictures } from "./cellPictures.ts";
+import { CellSnapshots } from "./cellSnapshots.ts";
 import { KeeperChoice } from "./keeperChoice.ts";
 import type { KeeperCandidate } from "./keeperOrder.ts";
 import { PlaceScheduler, type Verdict } from "./placeScheduler.ts";
@@ -21,7 +21,10 @@
 import { LoneStartLimit } from "./startLimit.ts";
 import type { Upstream } from "./types.ts";
 import type { UpstreamDirectory } from "./upstreamDirectory.ts";
-import type { AttemptLesson, UpstreamKnowledge } from "./upstreamKnowledge.ts";
+import type {
+  AttemptObservation,
+  UpstreamKnowledge,
+} from "./upstreamKnowledge.ts";
 
 /** Keepers that may be silent in a row before a host decides alone. */
 const SILENT_KEEPERS = 2;
@@ -88,7 +91,7 @@
   readonly #seeking = new Map<RequestId, Seeking>();
   readonly #cells: CellMap;
   readonly #askings = new Map<CellKey, CellAsking>();
-  readonly #pictures = new CellPictures();
+  readonly #snapshots = new CellSnapshots();
   readonly #choice: CellChoice;
   readonly #keepers: KeeperChoice;
   #tickedAt: Milliseconds = -Infinity;
@@ -100,7 +103,7 @@
     this.#choice = new CellChoice({
       ...options,
       cells: this.#cells,
-      pictures: this.#pictures,
+      snapshots: this.#snapshots,
     });
     this.#keepers = new KeeperChoice(options);
     this.#alone = new PlaceScheduler({
@@ -199,12 +202,16 @@
   }
 
   /** A request ended at an upstream. */
-  end(upstream: Upstream, lesson: AttemptLesson, now: Milliseconds): void {
+  end(
+    upstream: Upstream,
+    observation: AttemptObservation,
+    now: Milliseconds,
+  ): void {
     this.#alone.load.end(upstream.upstream);
     const cell = this.#cells.of(upstream);
     if (cell !== undefined) {
       const asking = this.#askingOf(cell);
-      asking.learned(lesson, now);
+      asking.learned(observation, now);
       // With more to say soon, the answer to that confirms this as well.
       const isLast = !asking.isWaiting && !this.#hasWorkAt(cell);
       this.#ask(asking.key, now, { wantsAnswer: isLast });
@@ -217,7 +224,7 @@
   hear(answer: PlaceAnswer, now: Milliseconds): void {
     const { incarnation } = this.#options;
     if (answer.to !== incarnation) return;
-    for (const picture of answer.pictures) this.#pictures.see(picture);
+    for (const snapshot of answer.snapshots) this.#snapshots.see(snapshot);
     const key = cellKeyOf(answer.cell);
     const asking = this.#askings.get(key);
     const fresh = asking?.hear(answer, now);
@@ -291,7 +298,7 @@
 
   /** Whether places of a service are free to spare and nobody waits, as last heard. */
   isIdle(service: ServiceId, now: Milliseconds): boolean {
-    return this.#pictures.areIdle(this.#cells.ofService(service), now);
+    return this.#snapshots.areIdle(this.#cells.ofService(service), now);
   }
 
   /** Whether a service has an upstream in reach besides those left out. */
--- a/packages/admission/src/upstreamKnowledge.ts
+++ b/packages/admission/src/upstreamKnowledge.ts
@@ -9,7 +9,7 @@
 import { UpstreamWarmth } from "./upstreamWarmth.ts";
 
 /** What one attempt showed of its upstream. */
-export interface AttemptLesson {
+export interface AttemptObservation {
   readonly upstream: UpstreamId;
   readonly service: ServiceId;
   readonly outcome: UpstreamOutcome;
@@ -47,11 +47,11 @@
   readonly warmth = new UpstreamWarmth();
 
   /** Takes in what an attempt showed; true when its upstream is ejected by it. */
-  learn(lesson: AttemptLesson, now: Milliseconds): boolean {
-    if (lesson.outcome === "whole" && lesson.times !== undefined) {
-      this.#learnTimes(lesson, lesson.times);
+  learn(observation: AttemptObservation, now: Milliseconds): boolean {
+    if (observation.outcome === "whole" && observation.times !== undefined) {
+      this.#learnTimes(observation, observation.times);
     }
-    const { upstream, outcome } = lesson;
+    const { upstream, outcome } = observation;
     const isEjected = this.health.observe(upstream, outcome, now);
     if (isEjected) {
       this.warmth.noteLost(upstream, this.health.ejectedUntil(upstream));
@@ -69,7 +69,7 @@
 
   /** A stream shows its speed by its pauses, a plain answer by its whole time. */
   #learnTimes(
-    { service, upstream, residence }: AttemptLesson,
+    { service, upstream, residence }: AttemptObservation,
     { route, expectedTokens, promptTokens, latency, events, ...times }:
       AnswerTimes,
   ): void {
--- a/packages/admission/tests/cells.test.ts
+++ b/packages/admission/tests/cells.test.ts
@@ -133,13 +133,13 @@
     host.seeker.begin(upstream.upstream, 0);
     if (!Number.isFinite(work)) return;
     timer.after(work, () => {
-      const lesson = {
+      const observation = {
         upstream: upstream.upstream,
         service: PLANS,
         outcome: "whole" as const,
         residence: work,
       };
-      host.seeker.end(upstream, lesson, timer.now());
+      host.seeker.end(upstream, observation, timer.now());
     });
   }, timer.now());
   return seen;
@@ -252,7 +252,7 @@
   const { timer, keeper, others } = createFleet({ upstreams });
   for (const [index, host] of others.entries()) {
     const upstream = upstreams[index % 2]!;
-    const lesson = {
+    const observation = {
       upstream: upstream.upstream,
       service: PLANS,
       outcome: "whole" as const,
@@ -268,7 +268,7 @@
       },
     };
     host.seeker.begin(upstream.upstream, 0);
-    host.seeker.end(upstream, lesson, timer.now());
+    host.seeker.end(upstream, observation, timer.now());
   }
   timer.advance(50);
   const { speed } = keeper.knowledge;
--- a/packages/admission/tests/helpers/loadReplay.ts
+++ b/packages/admission/tests/helpers/loadReplay.ts
@@ -253,7 +253,7 @@
         ended: () => {
           const now = timer.now();
           noteEnding?.(work, true);
-          const lesson = {
+          const observation = {
             upstream: upstream.upstream,
             service: upstream.service,
             outcome: "whole" as const,
@@ -268,8 +268,8 @@
               ownTokens: promptTokens,
             },
           };
-          knowledge.learn(lesson, now);
-          seeker.end(upstream, lesson, now);
+          knowledge.learn(observation, now);
+          seeker.end(upstream, observation, now);
         },
       });
     },
--- a/packages/admission/tests/helpers/virtualFleet.ts
+++ b/packages/admission/tests/helpers/virtualFleet.ts
@@ -12,7 +12,7 @@
   CellKeeper,
   type CellKey,
   cellKeyOf,
-  type CellPicture,
+  type CellSnapshot,
   type KeeperCandidate,
   PlaceSeeker,
   type Upstream,
@@ -21,7 +21,7 @@
 } from "@wasabivane/admission";
 
 const TICK_MS: Milliseconds = 10;
-const PICTURE_MS: Milliseconds = 100;
+const SNAPSHOT_MS: Milliseconds = 100;
 
 /** How hosts of a {@link VirtualFleet} stand to each other. */
 export interface FleetOptions {
@@ -137,7 +137,7 @@
         ),
       after: (span, callback) => this.#fleet.after(span, callback),
       now: () => this.#fleet.now(),
-      otherPictures: () => this.#fleet.picturesBeside(cell),
+      otherSnapshots: () => this.#fleet.snapshotsBeside(cell),
       isLeaving: () => false,
     }, this.#fleet.now());
   }
@@ -160,8 +160,8 @@
   readonly #options: FleetOptions;
   readonly #random: SeededRandom;
   readonly #byName: ReadonlyMap<HostId, VirtualHost>;
-  #pictures: readonly CellPicture[] = [];
-  #picturesAt: Milliseconds = -Infinity;
+  #snapshots: readonly CellSnapshot[] = [];
+  #snapshotsAt: Milliseconds = -Infinity;
 
   constructor(options: FleetOptions) {
     this.#options = options;
@@ -227,17 +227,17 @@
   }
 
   /** What live keepers of the other cells saw a moment ago. */
-  picturesBeside(cell: Cell): CellPicture[] {
+  snapshotsBeside(cell: Cell): CellSnapshot[] {
     const now = this.now();
-    if (now - this.#picturesAt >= PICTURE_MS) {
-      this.#picturesAt = now;
-      this.#pictures = this.hosts.filter(({ isDead }) => !isDead).flatMap((
+    if (now - this.#snapshotsAt >= SNAPSHOT_MS) {
+      this.#snapshotsAt = now;
+      this.#snapshots = this.hosts.filter(({ isDead }) => !isDead).flatMap((
         { keepers },
-      ) => [...keepers.values()].map((keeper) => keeper.picture(now)));
+      ) => [...keepers.values()].map((keeper) => keeper.snapshot(now)));
     }
     const key = cellKeyOf(cell);
-    return this.#pictures.filter((picture) =>
-      cellKeyOf(picture.cell) !== key && picture.cell.service === cell.service
+    return this.#snapshots.filter((snapshot) =>
+      cellKeyOf(snapshot.cell) !== key && snapshot.cell.service === cell.service
     );
   }
 
--- a/packages/gateway/src/attemptLessons.ts
+++ b/packages/gateway/src/attemptObservations.ts
@@ -1,12 +1,12 @@
 import type { Digest, Milliseconds, UpstreamId } from "@wasabivane/common";
-import type { AnswerTimes, AttemptLesson } from "@wasabivane/admission";
+import type { AnswerTimes, AttemptObservation } from "@wasabivane/admission";
 import type { Attempt, AttemptEnd } from "./attempt.ts";
 import { expectedTokensOf, promptTokensOf } from "./attemptPlan.ts";
 import type { GatewayParts } from "./gatewayParts.ts";
 import type { Admitted } from "./intake.ts";
 
 /** What an attempt was about. */
-export interface LessonContext {
+export interface ObservationContext {
   readonly parts: GatewayParts;
   readonly admitted: Admitted;
   readonly fingerprint: Digest;
@@ -16,7 +16,8 @@
 /** Takes in what one attempt showed of its upstream: speed, health, crashes, a free place. */
 export function learnFrom(
   attempt: Attempt,
-  { parts, admitted, fingerprint, end: { outcome, wasSent } }: LessonContext,
+  { parts, admitted, fingerprint, end: { outcome, wasSent } }:
+    ObservationContext,
 ): void {
   const { service } = admitted;
   const { upstream } = attempt.upstream;
@@ -27,18 +28,18 @@
   }
   if (outcome === "replaced") parts.dropReplaced(upstream);
   if (outcome === "unreachable") confirmCrashes(upstream, parts);
-  const lesson: AttemptLesson = {
+  const observation: AttemptObservation = {
     upstream,
     service,
     outcome,
     residence,
     ...outcome === "whole" && { times: timesOf(attempt, admitted, residence) },
   };
-  if (parts.knowledge.learn(lesson, now)) {
+  if (parts.knowledge.learn(observation, now)) {
     parts.metrics.count("upstream_ejected");
     parts.log.write("upstream_ejected", { upstream, outcome, service });
   }
-  parts.places.end(attempt.upstream, lesson, now);
+  parts.places.end(attempt.upstream, observation, now);
 }
 
 function timesOf(
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -21,7 +21,7 @@
 } from "./attemptPlan.ts";
 import type { CallerAnswer } from "./callerAnswer.ts";
 import type { LogEvent, LogValues } from "./decisionLog.ts";
-import { learnFrom } from "./attemptLessons.ts";
+import { learnFrom } from "./attemptObservations.ts";
 import type { GatewayParts } from "./gatewayParts.ts";
 import { accountName, type Admitted, type Refusal } from "./intake.ts";
 import { isNotRun, RequestSends } from "./requestSends.ts";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -223,7 +223,7 @@
     else this.#talk.touch();
   }
 
-  /** The store's picture is the newest as of a moment of the elapsed clock. */
+  /** What is known of the store is the newest as of a moment of the elapsed clock. */
   provePolicy(provenAt: Milliseconds): void {
     this.parts.policies.freshness.prove(provenAt);
   }
@@ -405,8 +405,8 @@
         return this.#desk.hearAnswer(message.answer);
       case "call":
         return this.#desk.hearCall(message.call);
-      case "pictures":
-        return this.#desk.hearPictures(message.pictures);
+      case "snapshots":
+        return this.#desk.hearSnapshots(message.snapshots);
       case "usage":
         return this.#usage.hearReport(message.usage, now);
       case "sums":
--- a/packages/gateway/src/peerBook.ts
+++ b/packages/gateway/src/peerBook.ts
@@ -47,7 +47,7 @@
   readonly readerWeight: string;
 }
 
-/** Something changed in the picture of a peer. */
+/** Something changed about a peer. */
 export interface PeerChange {
   readonly host: HostId;
   readonly kind: "found" | "lost";
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -12,7 +12,7 @@
 } from "@wasabivane/common";
 import type {
   Cell,
-  CellPicture,
+  CellSnapshot,
   PlaceAnswer,
   PlaceAsk,
   UsageReport,
@@ -29,13 +29,13 @@
 import type { PeerWord } from "./peerWord.ts";
 import {
   packCell,
-  packLesson,
-  packPicture,
+  packObservation,
+  packSnapshot,
   packVerdict,
   packWish,
   readCell,
-  readLesson,
-  readPicture,
+  readObservation,
+  readSnapshot,
   readVerdict,
   readWish,
 } from "./placeRows.ts";
@@ -69,7 +69,7 @@
   | { readonly kind: "ask"; readonly ask: PlaceAsk }
   | { readonly kind: "answer"; readonly answer: PlaceAnswer }
   | { readonly kind: "call"; readonly call: KeeperCall }
-  | { readonly kind: "pictures"; readonly pictures: readonly CellPicture[] }
+  | { readonly kind: "snapshots"; readonly snapshots: readonly CellSnapshot[] }
   | { readonly kind: "usage"; readonly usage: UsageReport }
   | { readonly kind: "sums"; readonly sums: UsageSums };
 
@@ -136,8 +136,8 @@
       unreadTokens,
     ]),
     ask.wishes.map((wish) => packWish(wish, now)),
-    ask.lessons.map(packLesson),
-    ask.lessonsFrom,
+    ask.observations.map(packObservation),
+    ask.observationsFrom,
     ask.verdictsSeen,
     ask.wantsAnswer,
     ask.withdrawn,
@@ -162,8 +162,10 @@
         ]),
       ),
       wishes: rowsOf(row[5]).map((wish) => readWish(wish, cell.service, now)),
-      lessons: rowsOf(row[6]).map((lesson) => readLesson(lesson, cell.service)),
-      lessonsFrom: numberOf(row[7]),
+      observations: rowsOf(row[6]).map((observation) =>
+        readObservation(observation, cell.service)
+      ),
+      observationsFrom: numberOf(row[7]),
       verdictsSeen: numberOf(row[8]),
       wantsAnswer: row[9] === true,
       withdrawn: textsOf<RequestId>(row[10]),
@@ -184,9 +186,9 @@
     packCell(answer.cell),
     answer.to,
     answer.sequence,
-    answer.lessonsSeen,
+    answer.observationsSeen,
     answer.verdicts.map(packVerdict),
-    answer.pictures.map((picture) => packPicture(picture, now)),
+    answer.snapshots.map((snapshot) => packSnapshot(snapshot, now)),
     answer.isLeaving,
     answer.unknown,
   ],
@@ -196,9 +198,9 @@
     cell: readCell(row[2]),
     to: asId<Incarnation>(textOf(row[3])),
     sequence: numberOf(row[4]),
-    lessonsSeen: numberOf(row[5]),
+    observationsSeen: numberOf(row[5]),
     verdicts: rowsOf(row[6]).map(readVerdict),
-    pictures: rowsOf(row[7]).map((picture) => readPicture(picture, now)),
+    snapshots: rowsOf(row[7]).map((snapshot) => readSnapshot(snapshot, now)),
     isLeaving: row[8] === true,
     unknown: textsOf<RequestId>(row[9]),
   }),
@@ -212,9 +214,11 @@
   }),
 };
 
-const PICTURES: Codec<readonly CellPicture[]> = {
-  pack: (pictures, now) => pictures.map((picture) => packPicture(picture, now)),
-  read: (row, now) => rowsOf(row).map((picture) => readPicture(picture, now)),
+const SNAPSHOTS: Codec<readonly CellSnapshot[]> = {
+  pack: (snapshots, now) =>
+    snapshots.map((snapshot) => packSnapshot(snapshot, now)),
+  read: (row, now) =>
+    rowsOf(row).map((snapshot) => readSnapshot(snapshot, now)),
 };
 
 const USAGE: Codec<UsageReport> = {
@@ -273,8 +277,8 @@
       return ANSWER.pack(message.answer, now);
     case "call":
       return CALL.pack(message.call, now);
-    case "pictures":
-      return PICTURES.pack(message.pictures, now);
+    case "snapshots":
+      return SNAPSHOTS.pack(message.snapshots, now);
     case "usage":
       return USAGE.pack(message.usage, now);
     case "sums":
@@ -296,8 +300,8 @@
       return ok({ kind, answer: ANSWER.read(body, now) });
     case "call":
       return ok({ kind, call: CALL.read(body, now) });
-    case "pictures":
-      return ok({ kind, pictures: PICTURES.read(body, now) });
+    case "snapshots":
+      return ok({ kind, snapshots: SNAPSHOTS.read(body, now) });
     case "usage":
       return ok({ kind, usage: USAGE.read(body, now) });
     case "sums":
--- a/packages/gateway/src/placeDesk.ts
+++ b/packages/gateway/src/placeDesk.ts
@@ -4,7 +4,7 @@
   CellKeeper,
   type CellKey,
   cellKeyOf,
-  type CellPicture,
+  type CellSnapshot,
   type KeeperChange,
   type PlaceAnswer,
   type PlaceAsk,
@@ -20,11 +20,11 @@
 /** and while it has nothing to do: each look costs a small machine a part of its processor. */
 const IDLE_LOOK_MS: Milliseconds = 200;
 /** How often keepers of one service tell each other how full their cells are. */
-const PICTURE_MS: Milliseconds = 100;
+const SNAPSHOT_MS: Milliseconds = 100;
 /** Keepers that one tells; in a large service each tells some, drawn anew each time. */
-const PICTURES_TO = 8;
-/** A picture of another cell is passed on for so long. */
-const PICTURE_AGE_MS: Milliseconds = 400;
+const SNAPSHOTS_TO = 8;
+/** A snapshot of another cell is passed on for so long. */
+const SNAPSHOT_AGE_MS: Milliseconds = 400;
 
 /** What a {@link PlaceDesk} needs besides the shared parts. */
 export interface PlaceDeskOptions {
@@ -42,7 +42,7 @@
 export class PlaceDesk {
   readonly #options: PlaceDeskOptions;
   readonly #keepers = new Map<CellKey, CellKeeper>();
-  readonly #pictures = new Map<CellKey, CellPicture>();
+  readonly #snapshots = new Map<CellKey, CellSnapshot>();
   /** Words of this host to itself, taken one after the other. */
   readonly #own: (() => void)[] = [];
   #isTakingOwn = false;
@@ -96,9 +96,9 @@
   }
 
   /** Takes in how full other cells are. */
-  hearPictures(pictures: readonly CellPicture[]): void {
-    for (const picture of pictures) {
-      this.#pictures.set(cellKeyOf(picture.cell), picture);
+  hearSnapshots(snapshots: readonly CellSnapshot[]): void {
+    for (const snapshot of snapshots) {
+      this.#snapshots.set(cellKeyOf(snapshot.cell), snapshot);
     }
   }
 
@@ -109,9 +109,11 @@
       else keeper.review(now);
     }
     this.#options.seeker.tick(now);
-    if (now - this.#toldAt < PICTURE_MS) return;
+    if (now - this.#toldAt < SNAPSHOT_MS) return;
     this.#toldAt = now;
-    for (const keeper of this.#keepers.values()) this.#tellPicture(keeper, now);
+    for (const keeper of this.#keepers.values()) {
+      this.#tellSnapshot(keeper, now);
+    }
   }
 
   /** Upstreams have changed. */
@@ -149,7 +151,7 @@
       send: (to, answer) => this.#answer(to, answer),
       after: (span, callback) => parts.timer.after(span, callback),
       now: () => this.#now(),
-      otherPictures: () => this.#picturesBeside(cell),
+      otherSnapshots: () => this.#snapshotsBeside(cell),
       isLeaving: parts.isStopping,
     }, this.#now());
   }
@@ -168,34 +170,34 @@
     this.#isTakingOwn = false;
   }
 
-  #picturesBeside(cell: Cell): CellPicture[] {
+  #snapshotsBeside(cell: Cell): CellSnapshot[] {
     const key = cellKeyOf(cell);
     const now = this.#now();
-    return [...this.#pictures].filter(([other, picture]) =>
-      other !== key && picture.cell.service === cell.service &&
-      now - picture.at < PICTURE_AGE_MS
-    ).map(([, picture]) => picture);
+    return [...this.#snapshots].filter(([other, snapshot]) =>
+      other !== key && snapshot.cell.service === cell.service &&
+      now - snapshot.at < SNAPSHOT_AGE_MS
+    ).map(([, snapshot]) => snapshot);
   }
 
-  #tellPicture(keeper: CellKeeper, now: Milliseconds): void {
+  #tellSnapshot(keeper: CellKeeper, now: Milliseconds): void {
     const { seeker, send } = this.#options;
-    const picture = keeper.picture(now);
+    const snapshot = keeper.snapshot(now);
     const key = cellKeyOf(keeper.cell);
-    this.#pictures.set(key, picture);
+    this.#snapshots.set(key, snapshot);
     const others = seeker.cellsOf(keeper.cell.service)
       .filter((cell) => cellKeyOf(cell) !== key)
       .map((cell) => seeker.keepers.keeperOf(cell, now));
     for (const host of this.#draw(others)) {
-      send(host, { kind: "pictures", pictures: [picture] });
+      send(host, { kind: "snapshots", snapshots: [snapshot] });
     }
   }
 
   #draw(hosts: readonly HostId[]): Set<HostId> {
     const { random } = this.#options.parts();
     const distinct = [...new Set(hosts)].filter((host) => host !== this.#host);
-    if (distinct.length <= PICTURES_TO) return new Set(distinct);
+    if (distinct.length <= SNAPSHOTS_TO) return new Set(distinct);
     return new Set(
-      Array.from({ length: PICTURES_TO }, () => random.pick(distinct)),
+      Array.from({ length: SNAPSHOTS_TO }, () => random.pick(distinct)),
     );
   }
 
--- a/packages/gateway/src/placeRows.ts
+++ b/packages/gateway/src/placeRows.ts
@@ -1,4 +1,4 @@
-/** Rows of asks and answers: cells, wishes, lessons, verdicts and pictures. */
+/** Rows of asks and answers: cells, wishes, observations, verdicts and snapshots. */
 import {
   asId,
   asTier,
@@ -9,9 +9,9 @@
   type UpstreamId,
 } from "@wasabivane/common";
 import type {
-  AttemptLesson,
+  AttemptObservation,
   Cell,
-  CellPicture,
+  CellSnapshot,
   PlaceDecision,
   PlaceRefusal,
   PlaceVerdict,
@@ -94,8 +94,8 @@
 }
 
 /** What an attempt showed; its times only where the answer came whole. */
-export function packLesson(
-  { upstream, outcome, residence, times }: AttemptLesson,
+export function packObservation(
+  { upstream, outcome, residence, times }: AttemptObservation,
 ): Row {
   const rows = times === undefined ? [] : [
     times.route,
@@ -109,8 +109,11 @@
   return [upstream, outcome, Math.round(residence), rows];
 }
 
-/** Reads what {@link packLesson} made. */
-export function readLesson(row: Row, service: ServiceId): AttemptLesson {
+/** Reads what {@link packObservation} made. */
+export function readObservation(
+  row: Row,
+  service: ServiceId,
+): AttemptObservation {
   const times = listOf(row[3]);
   const read = times.length === 0 ? {} : {
     times: {
@@ -173,15 +176,15 @@
 }
 
 /** How full a cell was; its time crosses as an age. */
-export function packPicture(
-  { cell, places, free, waiting, at }: CellPicture,
+export function packSnapshot(
+  { cell, places, free, waiting, at }: CellSnapshot,
   now: Milliseconds,
 ): Row {
   return [packCell(cell), places, free, waiting, Math.round(now - at)];
 }
 
-/** Reads what {@link packPicture} made. */
-export function readPicture(row: Row, now: Milliseconds): CellPicture {
+/** Reads what {@link packSnapshot} made. */
+export function readSnapshot(row: Row, now: Milliseconds): CellSnapshot {
   return {
     cell: readCell(row[0]),
     places: numberOf(row[1]),
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -196,7 +196,7 @@
       for (const { name, left } of kept) news.drop(name, now + left);
       this.noteListRevision(listRevision);
     }
-    // The peer's proof speaks of its whole picture; it serves a host that holds it.
+    // The peer's proof speaks of its policy and list together; it serves a host that holds both.
     if (policy.length === 0) return;
     const isWhole = listRevision >= this.#listRevision;
     takePolicy(policy, isWhole ? askedAt - proofAge : -Infinity);
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -191,7 +191,7 @@
         excluded: new Set([asId<UpstreamId>("u2")]),
         isContinuation: true,
       }],
-      lessons: [
+      observations: [
         {
           upstream: asId<UpstreamId>("u1"),
           service: CELL.service,
@@ -214,7 +214,7 @@
           residence: 1,
         },
       ],
-      lessonsFrom: 3,
+      observationsFrom: 3,
       verdictsSeen: 5,
       wantsAnswer: true,
       answerTime: 12,
@@ -231,7 +231,7 @@
       cell: { ...CELL, failureDomain: undefined },
       to: asId<Incarnation>("1"),
       sequence: 9,
-      lessonsSeen: 4,
+      observationsSeen: 4,
       verdicts: [
         {
           number: 6,
@@ -253,15 +253,21 @@
           },
         },
       ],
-      pictures: [{ cell: CELL, places: 40, free: 3, waiting: 0, at: NOW - 20 }],
+      snapshots: [{
+        cell: CELL,
+        places: 40,
+        free: 3,
+        waiting: 0,
+        at: NOW - 20,
+      }],
       unknown: [asId<RequestId>("other")],
       isLeaving: false,
     },
   },
   { kind: "call", call: { host: asId<HostId>("k"), cell: CELL } },
   {
-    kind: "pictures",
-    pictures: [{ cell: CELL, places: 40, free: 0, waiting: 9, at: NOW }],
+    kind: "snapshots",
+    snapshots: [{ cell: CELL, places: 40, free: 0, waiting: 9, at: NOW }],
   },
   {
     kind: "usage",
