Let the share that a host refuses shrink with time, not with arrivals

Cause: in a trial build that tells its lag a host's share stood at 0.59 to 0.80 for as long as nothing came, and took five seconds of arrivals to go: the first callers after a burst were refused by hosts that idled.

Change: the share shrinks by 0.4 a second that has passed. The new test fails before.

--- a/packages/admission/src/loadShedding.ts
+++ b/packages/admission/src/loadShedding.ts
@@ -10,7 +10,7 @@
 /** How often the share that is refused in the long run is adjusted, and by how much. */
 const ADJUST_MS: Milliseconds = 50;
 const GROWTH = 0.06;
-const DECAY = 0.01;
+const DECAY = 0.02;
 /** Some requests are always taken; without them nothing would show that there is room again. */
 const MOST_SHED = 0.95;
 /** Weight of the newest request in the mix of tiers. */
@@ -86,9 +86,10 @@
   #adjust(now: Milliseconds): void {
     const { lag: { standing }, lowestLag = LOWEST_LAG_MS } = this.#options;
     const excess = (standing - lowestLag) / (HIGHEST_LAG_MS - LOWEST_LAG_MS);
-    if (now - this.#adjustedAt >= ADJUST_MS) {
+    const steps = Math.floor((now - this.#adjustedAt) / ADJUST_MS);
+    if (steps > 0) {
       this.#adjustedAt = now;
-      const step = excess > 0 ? GROWTH * Math.min(1, excess) : -DECAY;
+      const step = excess > 0 ? GROWTH * Math.min(1, excess) : -DECAY * steps;
       this.#base = Math.min(MOST_SHED, Math.max(0, this.#base + step));
     }
     this.#share = Math.min(MOST_SHED, this.#base + Math.max(0, excess));
--- a/packages/admission/tests/loadShedding.test.ts
+++ b/packages/admission/tests/loadShedding.test.ts
@@ -120,3 +120,17 @@
   for (const at of [400, 410]) starting.observe(300, at);
   t.is(starting.standing, 0);
 });
+
+test("a host that has been idle since takes what comes", (t) => {
+  // Guards against a share that only arrivals let shrink: the first after a pause was refused.
+  const lag = new HostLag();
+  const shedding = new LoadShedding({ lag, random: new SeededRandom(1) });
+  for (let at = 0; at < 2_000; at += 50) {
+    lag.observe(200, at);
+    shedding.shouldShed(LAST, at);
+  }
+  t.true(shedding.share > 0.9);
+  for (let at = 7_000; at < 7_200; at += 20) lag.observe(0, at);
+  t.false(shedding.shouldShed(LAST, 7_200));
+  t.is(shedding.share, 0);
+});
