Forget starts at upstreams that left

Cause, by reading the diff: the limits of starts and what cells hold are remembered by upstream, and a release makes new ones for good.

Change: beyond 256 upstreams those without a start in the last second, or warm ones, are forgotten; what cells hold is worked out anew when the list changes. A test fails before.

--- a/packages/admission/src/cellMap.ts
+++ b/packages/admission/src/cellMap.ts
@@ -18,8 +18,8 @@
   readonly #cells = new Map<ServiceId, readonly Cell[]>();
   readonly #places = new Map<CellKey, number>();
   readonly #cellOf = new Map<UpstreamId, Cell | undefined>();
-  /** Whether a cell holds an upstream never changes: both are told apart by what counts. */
-  readonly #holds = new WeakMap<Cell, Map<UpstreamId, boolean>>();
+  /** Which upstreams a cell holds, those that have left the directory among them. */
+  #holds = new WeakMap<Cell, Map<UpstreamId, boolean>>();
 
   constructor(directory: UpstreamDirectory) {
     this.#directory = directory;
@@ -50,6 +50,7 @@
 
   /** Whether a cell holds an upstream, also one that has left the directory since. */
   holds(cell: Cell, id: UpstreamId): boolean {
+    this.#forgetOld();
     let known = this.#holds.get(cell);
     if (known === undefined) {
       known = new Map();
@@ -86,6 +87,7 @@
     this.#cells.clear();
     this.#places.clear();
     this.#cellOf.clear();
+    this.#holds = new WeakMap();
   }
 
   #placesIn(cell: Cell): number {
--- a/packages/admission/src/startLimit.ts
+++ b/packages/admission/src/startLimit.ts
@@ -14,6 +14,9 @@
 /** An upstream may turn cold unheard; a warm one gets this part of what a cold one bears. */
 const KEEPER_WARM_SHARE = 0.7;
 
+/** Upstreams remembered; those that left are looked for when there are more. */
+const MAXIMUM_UPSTREAMS = 256;
+
 /** What a {@link StartLimit} reads. */
 export interface StartLimitOptions {
   /** Starts in one second that a cold upstream bears over all hosts; `undefined` for any. */
@@ -61,6 +64,11 @@
     this.#isCutOff = options.isCutOff;
   }
 
+  /** Upstreams whose starts are remembered. */
+  get size(): number {
+    return this.#starts.size;
+  }
+
   override isOpen(upstream: Upstream, now: Milliseconds): boolean {
     const coldStarts = this.options.coldStartsOf(upstream);
     if (coldStarts === undefined) return true;
@@ -81,6 +89,13 @@
     while (starts.length > 0 && now - starts[0]! >= SPAN_MS) starts.shift();
     starts.push(now);
     this.#starts.set(upstream.upstream, starts);
+    if (this.#starts.size > MAXIMUM_UPSTREAMS) this.#forgetOld(now);
+  }
+
+  #forgetOld(now: Milliseconds): void {
+    for (const [upstream, starts] of this.#starts) {
+      if (now - starts.at(-1)! >= SPAN_MS) this.#starts.delete(upstream);
+    }
   }
 }
 
@@ -118,9 +133,18 @@
     // Hosts that begin together must not all send at once.
     const gap = this.#gapOf(coldStarts) * this.#random.float();
     this.#openAt.set(id, now + gap);
+    if (this.#openAt.size > MAXIMUM_UPSTREAMS) this.#forgetWarm(now);
     return false;
   }
 
+  #forgetWarm(now: Milliseconds): void {
+    for (const upstream of this.#openAt.keys()) {
+      if (!this.options.warmth.isCold(upstream, now)) {
+        this.#openAt.delete(upstream);
+      }
+    }
+  }
+
   override noteStart(upstream: Upstream, now: Milliseconds): void {
     const { upstream: id } = upstream;
     const coldStarts = this.options.coldStartsOf(upstream);
--- a/packages/admission/tests/coldUpstreams.test.ts
+++ b/packages/admission/tests/coldUpstreams.test.ts
@@ -146,6 +146,22 @@
   t.false(warmth.isCold(upstream, 4_000));
 });
 
+test("starts at upstreams that left are forgotten", (t) => {
+  // Guards against a memory that grows with each release of a service.
+  const warmth = new UpstreamWarmth();
+  const limit = new KeeperStartLimit({
+    coldStartsOf: () => 1,
+    warmth,
+    isCutOff: () => false,
+  });
+  for (let index = 0; index < 1_000; index++) {
+    limit.noteStart(buildUpstream(index), 10 * index);
+  }
+  t.true(limit.isOpen(buildUpstream(0), 10_000));
+  t.false(limit.isOpen(buildUpstream(999), 10_000));
+  t.true(limit.size < 400);
+});
+
 test("upstreams of a service without a limit take any number of starts", (t) => {
   const options = {
     coldStartsOf: () => undefined,
