--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,23 +1,16 @@
 import {
   ElapsedClock,
-  type FailureDomain,
   type HostId,
-  type Incarnation,
   type Milliseconds,
-  type Random,
-  type Timer,
 } from "@wasabivane/common";
 import {
   CrashBook,
-  type FreshnessOptions,
   HostLag,
   type KeeperCandidate,
   LoadShedding,
   PlaceSeeker,
   QuotaBook,
-  type QuotaTolerance,
   RetryBudget,
-  type RetryBudgetOptions,
   SignsOfLife,
   type Upstream,
   UpstreamDirectory,
@@ -25,13 +18,13 @@
 } from "@wasabivane/admission";
 import { err, type Result } from "neverthrow";
 import { CallerFront } from "./callerFront.ts";
-import { DecisionLog, type LogOutput } from "./decisionLog.ts";
-import type { Dialect } from "./dialect.ts";
+import { DecisionLog } from "./decisionLog.ts";
 import { FleetTalk } from "./fleetTalk.ts";
 import { GatewayMetrics } from "./gatewayMetrics.ts";
+import type { GatewayOptions } from "./gatewayOptions.ts";
 import type { GatewayParts } from "./gatewayParts.ts";
 import type { Shown } from "./operatorPages.ts";
-import { type OperatorAddresses, OperatorPorts } from "./operatorPorts.ts";
+import { OperatorPorts } from "./operatorPorts.ts";
 import type { ListenError } from "./listenError.ts";
 import { Looks } from "./looks.ts";
 import { PeerBook } from "./peerBook.ts";
@@ -56,43 +49,6 @@
 const STOP_CHECK_MS: Milliseconds = 50;
 const SHED_NOTE_MS: Milliseconds = 1_000;
 
-/** Where a host listens; all are `ip:port`. */
-export interface GatewayAddresses extends OperatorAddresses {
-  readonly callers: string;
-}
-
-/** Starts in a second: so many times those that the policy names, and so many more. */
-export interface ColdTolerance {
-  readonly factor: number;
-  readonly slack: number;
-}
-
-/** What a {@link Gateway} is built from. */
-export interface GatewayOptions {
-  readonly host: HostId;
-  readonly incarnation: Incarnation;
-  readonly failureDomain: FailureDomain;
-  readonly addresses: GatewayAddresses;
-  readonly seeds: readonly string[];
-  /** Processor cores that this host may use, also a fraction of one. */
-  readonly cores: number;
-  readonly readyPath: string;
-  readonly freshness: FreshnessOptions;
-  readonly retryBudget: RetryBudgetOptions;
-  /** By how much all hosts together may exceed a quota. */
-  readonly quotaTolerance: QuotaTolerance;
-  /** By how much all hosts together may exceed the starts that a cold upstream bears. */
-  readonly coldTolerance: ColdTolerance;
-  /** A host that is less behind its own work takes every request. */
-  readonly lowestLag?: Milliseconds;
-  /** From the order to stop to the kill. */
-  readonly stopGrace: Milliseconds;
-  readonly dialect: Dialect;
-  readonly timer: Timer;
-  readonly random: Random;
-  readonly output: LogOutput;
-}
-
 /**
  * One entry host: callers on one side, upstreams on the other, peers beside it.
  * Whoever reads the platform hands in policies and upstreams.
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,11 +9,8 @@
   type LogValues,
 } from "./decisionLog.ts";
 export { EventFrames } from "./eventFrames.ts";
-export {
-  Gateway,
-  type GatewayAddresses,
-  type GatewayOptions,
-} from "./gateway.ts";
+export { Gateway } from "./gateway.ts";
+export type { GatewayAddresses, GatewayOptions } from "./gatewayOptions.ts";
 export { FleetTalk } from "./fleetTalk.ts";
 export type { GatewayParts } from "./gatewayParts.ts";
 export { GatewayMetrics } from "./gatewayMetrics.ts";
