Refuse what lay unread behind long turns of the loop

The runtime (libuv 1.46) takes one connection in a turn, whatever the turn takes; measured: 20 connections, 20 turns. Ruled out: timers of deadlines (checked against the clock now), the queue before connections.

Change: turns that take a connection each, four or more one after the other, mean that more wait. With turns of 100 ms and more in the last 5 s the first request on such a connection is refused unread, as not run, with a time to return; a connection brings it once.

Tests: 12 callers connect while a host stands still; those that are not served are told so and none of theirs reaches the upstream.

--- a/packages/admission/src/hostLag.ts
+++ b/packages/admission/src/hostLag.ts
@@ -12,6 +12,11 @@
 /** Samples older than this say nothing; an idle host's timers run seldom. */
 const OLDEST_MS: Milliseconds = 1_500;
 
+/** A timer that is so late was held up by a long turn of the loop. */
+const LONG_TURN_MS: Milliseconds = 100;
+/** What came in during long turns may have waited for about so long. */
+const AFTERMATH_MS: Milliseconds = 5_000;
+
 /** One lateness that was observed. */
 interface Sample {
   readonly late: Milliseconds;
@@ -31,6 +36,7 @@
 export class HostLag {
   #peak: Milliseconds = 0;
   #peakAt: Milliseconds = -Infinity;
+  #longTurnAt: Milliseconds = -Infinity;
   readonly #samples: Sample[] = [];
 
   /** A timer ran so much later than planned. */
@@ -38,6 +44,7 @@
     const late = Math.max(0, lateness);
     this.#peak = Math.max(late, this.peak(now));
     this.#peakAt = now;
+    if (late >= LONG_TURN_MS) this.#longTurnAt = now;
     this.#samples.push({ late, at: now });
     while (this.#isOutdated(this.#samples[0]!, now)) this.#samples.shift();
   }
@@ -48,6 +55,11 @@
     return this.#peak * Math.exp(-age / MEMORY_MS);
   }
 
+  /** Whether turns were so long lately that what came in meanwhile may still wait. */
+  hadLongTurns(now: Milliseconds): boolean {
+    return now - this.#longTurnAt < AFTERMATH_MS;
+  }
+
   /** The least lateness of the last span; 0 as long as too few timers have run. */
   get standing(): Milliseconds {
     if (this.#samples.length < LEAST_SAMPLES) return 0;
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -15,6 +15,7 @@
   StartLimit,
   type StartLimitOptions,
 } from "./startLimit.ts";
+export { ConnectionBacklog } from "./connectionBacklog.ts";
 export { HostLag } from "./hostLag.ts";
 export { LoadShedding, type LoadSheddingOptions } from "./loadShedding.ts";
 export { UpstreamWarmth } from "./upstreamWarmth.ts";
--- a/packages/admission/tests/loadShedding.test.ts
+++ b/packages/admission/tests/loadShedding.test.ts
@@ -5,7 +5,11 @@
   type Tier,
   VirtualTimer,
 } from "@wasabivane/common";
-import { HostLag, LoadShedding } from "@wasabivane/admission";
+import {
+  ConnectionBacklog,
+  HostLag,
+  LoadShedding,
+} from "@wasabivane/admission";
 import test from "ava";
 
 /** Processor time of a request in each of its steps, and of one that is refused at once. */
@@ -134,3 +138,18 @@
   t.false(shedding.shouldShed(LAST, 7_200));
   t.is(shedding.share, 0);
 });
+
+test("connections that are taken in turn after turn have waited", (t) => {
+  // Guards against requests that lay unread for seconds and are sent on for callers who left.
+  const backlog = new ConnectionBacklog();
+  const standing = [1, 2, 3, 4, 5].map(() => {
+    backlog.noteTaken();
+    const { isStanding } = backlog;
+    backlog.endTurn();
+    return isStanding;
+  });
+  t.deepEqual(standing, [false, false, false, true, true]);
+  t.false(backlog.endTurn());
+  backlog.noteTaken();
+  t.false(backlog.isStanding);
+});
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -7,7 +7,11 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { Digest, Milliseconds } from "@wasabivane/common";
-import type { CallerLimits, Route } from "@wasabivane/admission";
+import {
+  type CallerLimits,
+  ConnectionBacklog,
+  type Route,
+} from "@wasabivane/admission";
 import { ok, type Result } from "neverthrow";
 import { CallerAnswer } from "./callerAnswer.ts";
 import type { LogValues } from "./decisionLog.ts";
@@ -48,6 +52,10 @@
   readonly #busy = new Set<Socket>();
   /** Connections that this side has closed; nothing can be answered on them. */
   readonly #closed = new WeakSet<Socket>();
+  /** Connections that waited to be taken, by nobody knows how long; nothing came on them yet. */
+  readonly #waited = new WeakSet<Socket>();
+  readonly #backlog = new ConnectionBacklog();
+  #isWatchingTurns = false;
   #shedCount = 0;
 
   constructor(parts: GatewayParts) {
@@ -99,12 +107,27 @@
 
   #track(socket: Socket): void {
     this.#sockets.add(socket);
+    this.#noteTaken(socket);
     socket.on("close", () => {
       this.#sockets.delete(socket);
       this.#busy.delete(socket);
     });
   }
 
+  #noteTaken(socket: Socket): void {
+    const { lag, timer } = this.#parts;
+    this.#backlog.noteTaken();
+    const hasWaited = this.#backlog.isStanding && lag.hadLongTurns(timer.now());
+    if (hasWaited) this.#waited.add(socket);
+    if (this.#isWatchingTurns) return;
+    this.#isWatchingTurns = true;
+    const endTurn = (): void => {
+      this.#isWatchingTurns = this.#backlog.endTurn();
+      if (this.#isWatchingTurns) setImmediate(endTurn);
+    };
+    setImmediate(endTurn);
+  }
+
   #applyLimits({ headerTimeout, idleTimeout }: CallerLimits): void {
     this.#server.headersTimeout = headerTimeout;
     this.#server.keepAliveTimeout = idleTimeout;
@@ -133,6 +156,8 @@
       } as const;
       return this.#refuse(request, answer, refusal);
     }
+    // Its caller's time may be over by now, and nothing here can tell.
+    if (this.#waited.delete(socket)) return this.#shed(request, answer);
     if (this.#shouldShed(request)) return this.#shed(request, answer);
     const admitted = this.#admit(request);
     if (admitted.isErr()) return this.#refuse(request, answer, admitted.error);
--- a/packages/gateway/tests/busyHost.test.ts
+++ b/packages/gateway/tests/busyHost.test.ts
@@ -28,6 +28,29 @@
   await fleet.close();
 });
 
+test("what lay unread behind long turns is refused, not sent on", async (t) => {
+  // Guards against upstreams that get requests whose callers left while the host stood still.
+  const upstream = await startUpstream((received) => {
+    received.socket.write(goodHead(received, { "content-length": 2 }) + "ok");
+  });
+  const fleet = await startGateway({ upstreams: [upstream] });
+  const { lag, timer } = fleet.gateway.parts;
+  lag.observe(LAG_MS, timer.now());
+  const asked = Array.from({ length: 12 }, () => ask(fleet.url));
+  // All of them connect while the host stands still.
+  await new Promise((resolve) => setTimeout(resolve, 0));
+  const until = timer.now() + LAG_MS;
+  while (timer.now() < until);
+  const seen = await Promise.all(asked);
+  const served = seen.filter(({ status }) => status === 200);
+  const refused = seen.filter(({ body }) => body.includes("host-behind"));
+  t.is(served.length + refused.length, seen.length);
+  t.true(refused.length > 0);
+  t.is(upstream.received.length, served.length);
+  t.is((await ask(fleet.url)).status, 200);
+  await fleet.close();
+});
+
 test("what a host that is behind refuses is not run, and says when to come back", async (t) => {
   // Guards against refusals at the door that reach an upstream or leave callers without a time.
   const upstream = await startUpstream((received) => {
