--- a/apps/ctl/src/requestExplanation.ts
+++ b/apps/ctl/src/requestExplanation.ts
@@ -10,6 +10,8 @@
   "store_regained",
   "store_history_lost",
   "policy_adopted",
+  "policy_announced",
+  "snapshot_fetch_failed",
   "peers_changed",
   "keeper_passed_over",
   "stopping",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -79,6 +79,7 @@
   readonly #periodicChecks: PeriodicChecks;
   #stopsAt: Milliseconds = Infinity;
   #shedLoggedAt: Milliseconds = -Infinity;
+  #announcedVersion = 0;
 
   constructor(options: GatewayOptions) {
     const { host, incarnation, failureDomain, seeds, cores, timer } = options;
@@ -165,6 +166,7 @@
         log.write("policy_adopted", {
           version: policies.version,
           former: previousVersion,
+          reading: this.storeSharing.isReading,
         });
         this.#gossip.scheduleMessage();
       },
@@ -357,7 +359,10 @@
       cores,
       send: (gossip, targets) =>
         this.#channel.send({ kind: "word", gossip }, targets),
-      onNewerPolicy: (peer) => void this.storeSharing.fetchFromPeer(peer),
+      onNewerPolicy: (peer, version) => {
+        this.#logAnnouncedPolicy(peer, version);
+        void this.storeSharing.fetchFromPeer(peer);
+      },
       onListRevision: (peer, listRevision) =>
         this.storeSharing.receiveListRevision(peer, {
           listRevision,
@@ -373,6 +378,20 @@
     });
   }
 
+  /** Logs the first announcement of a policy that this host does not have. */
+  #logAnnouncedPolicy(peer: HostId, version: number): void {
+    if (version <= this.#announcedVersion) return;
+    this.#announcedVersion = version;
+    const { policies, elapsed, log } = this.context;
+    log.write("policy_announced", {
+      peer,
+      version,
+      policy: policies.version,
+      proofAge: Math.round(policies.freshness.age(elapsed.now())),
+      reading: this.storeSharing.isReading,
+    });
+  }
+
   #receive(message: PeerMessage): void {
     const now = this.#options.timer.now();
     switch (message.kind) {
--- a/packages/gateway/src/gossipProtocol.ts
+++ b/packages/gateway/src/gossipProtocol.ts
@@ -74,7 +74,7 @@
   readonly cores: number;
   readonly send: (message: GossipMessage, targets: readonly string[]) => void;
   /** Called when a peer has a newer policy. */
-  readonly onNewerPolicy: (peer: HostId) => void;
+  readonly onNewerPolicy: (peer: HostId, version: number) => void;
   /** Called with the store revision up to which a peer knows all upstreams. */
   readonly onListRevision: (peer: HostId, listRevision: number) => void;
   /** Called with a change that follows on this host's list revision. */
@@ -237,7 +237,9 @@
       const known = this.#options.listRevision();
       if (change.from <= known && known < change.to) onListChange(change);
     }
-    if (policyVersion > policies.version) onNewerPolicy(sender.host);
+    if (policyVersion > policies.version) {
+      onNewerPolicy(sender.host, policyVersion);
+    }
     onListRevision(sender.host, message.listRevision);
     const isSame = policyVersion === policies.version &&
       message.listRevision === this.#options.listRevision();
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -184,7 +184,12 @@
     this.#pendingFetches.delete(peer);
     fetched.match(
       (snapshot) => this.#applySnapshot(snapshot, requestedAt),
-      ({ detail }) => context.log.write("policy_rejected", { peer, detail }),
+      ({ detail }) =>
+        context.log.write("snapshot_fetch_failed", {
+          peer,
+          detail,
+          took: Math.round(context.elapsed.now() - requestedAt),
+        }),
     );
   }
 
