--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,7 +33,7 @@
 import type { PeerMessage } from "./peerMessage.ts";
 import type { UpstreamListChange } from "./gossipMessage.ts";
 import { CellRouter, coordinatorChangeValues } from "./cellRouter.ts";
-import { PolicyState } from "./policyState.ts";
+import { type PolicyProof, PolicyState } from "./policyState.ts";
 import { StoreSharing } from "./storeSharing.ts";
 import { connectionShare } from "./connectionShare.ts";
 import { UpstreamConnections } from "./upstreamConnections.ts";
@@ -133,7 +133,7 @@
       peers: this.#peers,
       upstreamUpdates: this.upstreamUpdates,
       applyBound: options.freshness.applyBound,
-      adoptPolicy: (bytes, confirmedAt) => this.adoptPolicy(bytes, confirmedAt),
+      adoptPolicy: (bytes, proof) => this.adoptPolicy(bytes, proof),
     });
   }
 
@@ -156,11 +156,11 @@
     return await this.#operatorServers.open();
   }
 
-  /** Adopts a policy that was current at `confirmedAt` on the elapsed clock. */
-  adoptPolicy(bytes: Uint8Array, confirmedAt: Milliseconds): void {
+  /** Adopts a policy with its proof, unless it is older. */
+  adoptPolicy(bytes: Uint8Array, proof: PolicyProof): void {
     const { policies, log } = this.context;
     const previousVersion = policies.version;
-    policies.adopt(bytes, confirmedAt).match(
+    policies.adopt(bytes, proof).match(
       (adoption) => {
         if (adoption !== "adopted") return;
         log.write("policy_adopted", {
@@ -191,12 +191,9 @@
     else this.#gossip.scheduleMessage();
   }
 
-  /**
-   * Confirms that policy and upstreams were current at `confirmedAt` on the
-   * elapsed clock.
-   */
-  confirmPolicy(confirmedAt: Milliseconds): void {
-    this.context.policies.freshness.confirm(confirmedAt);
+  /** Confirms that policy and upstreams are as the proof says. */
+  confirmPolicy(proof: PolicyProof): void {
+    this.context.policies.confirm(proof);
   }
 
   /** Replaces the seed addresses. */
@@ -435,6 +432,7 @@
         policy: policies.version > known.policyVersion
           ? policies.bytes
           : new Uint8Array(),
+        policyRevision: policies.revision,
         proofAge: policies.freshness.age(elapsed.now()),
         upstreams: this.storeSharing.listRevision > known.listRevision
           ? directory.all()
--- a/packages/gateway/src/gossipMessage.ts
+++ b/packages/gateway/src/gossipMessage.ts
@@ -49,6 +49,8 @@
   readonly sequence: number;
   /** 0 without a policy. */
   readonly policyVersion: number;
+  /** Store revision up to which no newer policy was written. */
+  readonly policyRevision: number;
   /**
    * Store revision up to which the sender knows all upstreams; 0 if it does
    * not.
--- a/packages/gateway/src/gossipProtocol.ts
+++ b/packages/gateway/src/gossipProtocol.ts
@@ -241,9 +241,10 @@
       onNewerPolicy(sender.host, policyVersion);
     }
     onListRevision(sender.host, message.listRevision);
-    const isSame = policyVersion === policies.version &&
-      message.listRevision === this.#options.listRevision();
-    if (!isSame || confirmationAge === undefined) return;
+    if (policyVersion !== policies.version) return;
+    policies.advanceRevision(message.policyRevision);
+    const hasSameList = message.listRevision === this.#options.listRevision();
+    if (!hasSameList || confirmationAge === undefined) return;
     policies.freshness.confirm(
       elapsed.now() - confirmationAge - MAXIMUM_TRANSIT_MS,
     );
@@ -308,6 +309,7 @@
       sender: this.#createOwnRecord(now),
       sequence: ++this.#sequence,
       policyVersion: policies.version,
+      policyRevision: policies.revision,
       listRevision: listRevision(),
       confirmationAge: Number.isFinite(confirmationAge)
         ? confirmationAge
--- a/packages/gateway/src/operatorEndpoints.ts
+++ b/packages/gateway/src/operatorEndpoints.ts
@@ -27,6 +27,8 @@
 export interface StoreSnapshot {
   /** Bytes of the current policy; empty if the requesting host has it. */
   readonly policy: Uint8Array;
+  /** Store revision up to which no newer policy was written. */
+  readonly policyRevision: number;
   /** Time since policy and list were confirmed current. */
   readonly proofAge: Milliseconds;
   /** All upstreams; empty if the requesting host has the same list. */
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -46,7 +46,7 @@
   encodePeerRecord,
 } from "./gossipRows.ts";
 
-const FORMAT_VERSION = 8;
+const FORMAT_VERSION = 9;
 const TEXT_DECODER = new TextDecoder();
 
 /**
@@ -103,6 +103,7 @@
     message.unresponsiveHosts.map(([host, span]) => [host, Math.round(span)]),
     message.peerRecords.map(encodePeerRecord),
     message.peerCount,
+    message.policyRevision,
   ],
   decode: (row) => {
     const confirmationAge = expectNumber(row[4]);
@@ -125,6 +126,7 @@
       ]),
       peerRecords: expectRows(row[9]).map(decodePeerRecord),
       peerCount: expectNumber(row[10]),
+      policyRevision: expectNumber(row[11]),
     };
   },
 };
--- a/packages/gateway/src/policyState.ts
+++ b/packages/gateway/src/policyState.ts
@@ -7,6 +7,14 @@
 import { ok, type Result } from "neverthrow";
 import type { Dialect, PolicyError } from "./dialect.ts";
 
+/** When a policy was known to be the newest in the store. */
+export interface PolicyProof {
+  /** Time on the elapsed clock; -Infinity if unknown. */
+  readonly confirmedAt: Milliseconds;
+  /** Store revision. */
+  readonly revision: number;
+}
+
 /** The result of adopting a policy. */
 export type Adoption = "adopted" | "same" | "older";
 
@@ -23,6 +31,7 @@
   readonly #listeners: PolicyListener[] = [];
   #index: PolicyIndex | undefined;
   #bytes: Uint8Array = new Uint8Array();
+  #revision = 0;
 
   constructor(
     { dialect, bounds }: { dialect: Dialect; bounds: PolicyFreshnessOptions },
@@ -46,18 +55,34 @@
     return this.#index?.policy.version ?? 0;
   }
 
+  /** Store revision up to which no newer policy was written. */
+  get revision(): number {
+    return this.#revision;
+  }
+
   addListener(listener: PolicyListener): void {
     this.#listeners.push(listener);
   }
 
-  /** Adopts a policy that was current at `confirmedAt`, unless it is older. */
+  /** Confirms the current policy; older proofs have no effect. */
+  confirm({ confirmedAt, revision }: PolicyProof): void {
+    this.freshness.confirm(confirmedAt);
+    this.advanceRevision(revision);
+  }
+
+  /** Raises the store revision up to which no newer policy was written. */
+  advanceRevision(revision: number): void {
+    this.#revision = Math.max(this.#revision, revision);
+  }
+
+  /** Adopts a policy with its proof, unless it is older. */
   adopt(
     bytes: Uint8Array,
-    confirmedAt: Milliseconds,
+    proof: PolicyProof,
   ): Result<Adoption, PolicyError> {
     return this.#dialect.decodePolicy(bytes).andThen((policy) => {
       if (policy.version < this.version) return ok("older" as const);
-      this.freshness.confirm(confirmedAt);
+      this.confirm(proof);
       if (policy.version === this.version) return ok("same" as const);
       this.#index = new PolicyIndex(policy);
       this.#bytes = bytes;
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -7,6 +7,7 @@
   type SnapshotVersions,
   type StoreSnapshot,
 } from "./operatorEndpoints.ts";
+import type { PolicyProof } from "./policyState.ts";
 import type { PeerDirectory } from "./peerDirectory.ts";
 import type { UpstreamUpdates } from "./upstreamUpdates.ts";
 
@@ -45,8 +46,8 @@
   readonly upstreamUpdates: UpstreamUpdates;
   /** Time within which a published policy must take effect. */
   readonly applyBound: Milliseconds;
-  /** Adopts a policy that was current at `confirmedAt` on the elapsed clock. */
-  readonly adoptPolicy: (bytes: Uint8Array, confirmedAt: Milliseconds) => void;
+  /** Adopts a policy with its proof, unless it is older. */
+  readonly adoptPolicy: (bytes: Uint8Array, proof: PolicyProof) => void;
   /**
    * Fetches what is newer than the known versions from the peer at `ip:port`.
    */
@@ -198,16 +199,17 @@
    * have left.
    */
   #applySnapshot(
-    { policy, proofAge, upstreams, kept, evacuated, listRevision }:
-      StoreSnapshot,
+    snapshot: StoreSnapshot,
     requestedAt: Milliseconds,
   ): void {
     const { adoptPolicy, upstreamUpdates, context } = this.#options;
+    const { policy, policyRevision, upstreams, evacuated, listRevision } =
+      snapshot;
     if (listRevision > this.#listRevision) {
       upstreamUpdates.applyEvacuation(new Set(evacuated));
       upstreamUpdates.applyAll(upstreams);
       const now = context.timer.now();
-      for (const { name, left } of kept) {
+      for (const { name, left } of snapshot.kept) {
         upstreamUpdates.remove(name, now + left);
       }
       this.advanceListRevision(listRevision);
@@ -215,6 +217,9 @@
     // The peer's confirmation covers its policy and list together.
     if (policy.length === 0) return;
     const hasCurrentList = listRevision >= this.#listRevision;
-    adoptPolicy(policy, hasCurrentList ? requestedAt - proofAge : -Infinity);
+    const confirmedAt = hasCurrentList
+      ? requestedAt - snapshot.proofAge
+      : -Infinity;
+    adoptPolicy(policy, { confirmedAt, revision: policyRevision });
   }
 }
--- a/packages/gateway/tests/forwarding.test.ts
+++ b/packages/gateway/tests/forwarding.test.ts
@@ -117,8 +117,9 @@
     new TextEncoder().encode(JSON.stringify(
       buildPolicy({ version, routes: [buildRoute({ prefix })] }),
     ));
-  gateway.adoptPolicy(bytesOf(5, "/new/"), 0);
-  gateway.adoptPolicy(bytesOf(4, "/old/"), 0);
+  const proof = { confirmedAt: 0, revision: 1 };
+  gateway.adoptPolicy(bytesOf(5, "/new/"), proof);
+  gateway.adoptPolicy(bytesOf(4, "/old/"), proof);
   const { index } = gateway.context.policies;
   t.truthy(index!.route("plans.example", "/new/x"));
   t.is(index!.route("plans.example", "/old/x"), undefined);
--- a/packages/gateway/tests/gossipProtocol.test.ts
+++ b/packages/gateway/tests/gossipProtocol.test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import {
   asId,
   ElapsedClock,
@@ -147,6 +148,8 @@
   return gossipHost;
 }
 
+const POLICY = { routes: [], services: [], accounts: [] };
+
 const UPSTREAM = {
   upstream: asId<UpstreamId>("u1"),
   name: "u1",
@@ -218,6 +221,24 @@
   t.true(oldest < 0.6 * BOUNDS.applyBound, `${oldest}`);
 });
 
+test("the revision of a policy reaches the hosts that have it and no others", (t) => {
+  // Guards against a host that takes its outdated policy for the newest one.
+  const { hosts, timer } = startGossipHosts(24);
+  timer.runUntil(3_000);
+  const [first, outdated] = hosts;
+  const proof = { confirmedAt: -Infinity, revision: 9 };
+  for (const { context } of hosts) {
+    const version = context === outdated!.context ? 1 : 2;
+    const bytes = Buffer.from(JSON.stringify({ ...POLICY, version }));
+    context.policies.adopt(bytes, { ...proof, revision: 5 })._unsafeUnwrap();
+  }
+  first!.context.policies.confirm(proof);
+  timer.advance(2_000);
+  const others = hosts.filter((host) => host !== outdated);
+  t.true(others.every(({ context }) => context.policies.revision === 9));
+  t.is(outdated!.context.policies.revision, 5);
+});
+
 test("the traffic that a host receives does not grow with the fleet", (t) => {
   const rates = (count: number): { messages: number; bytes: number } => {
     const { hosts, timer } = startGossipHosts(count);
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -246,7 +246,10 @@
   if (!isReading) return result;
   const policy = buildPolicy({ routes: [buildRoute(route)] });
   const now = gateway.context.elapsed.now();
-  gateway.adoptPolicy(Buffer.from(JSON.stringify(policy)), now);
+  gateway.adoptPolicy(Buffer.from(JSON.stringify(policy)), {
+    confirmedAt: now,
+    revision: 1,
+  });
   for (const [index, { address }] of upstreams.entries()) {
     gateway.upstreamUpdates.apply({
       upstream: asId<UpstreamId>(`u${index}`),
--- a/packages/gateway/tests/outdatedPolicy.test.ts
+++ b/packages/gateway/tests/outdatedPolicy.test.ts
@@ -28,6 +28,7 @@
     },
     sequence: 1,
     policyVersion,
+    policyRevision: 2,
     listRevision: 1,
     confirmationAge: 0,
     leavingUpstreams: [],
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -145,6 +145,7 @@
       sender: createRecord("a"),
       sequence: 7,
       policyVersion: 12,
+      policyRevision: 40,
       listRevision: 41,
       confirmationAge: 40,
       leavingUpstreams: [asId<UpstreamId>("u3")],
--- a/packages/gateway/tests/snapshotFetch.test.ts
+++ b/packages/gateway/tests/snapshotFetch.test.ts
@@ -10,6 +10,7 @@
 
 const SNAPSHOT: StoreSnapshot = {
   policy: new Uint8Array(100_000),
+  policyRevision: 1,
   proofAge: 0,
   upstreams: [],
   kept: [],
--- a/packages/gateway/tests/storeSharing.test.ts
+++ b/packages/gateway/tests/storeSharing.test.ts
@@ -47,6 +47,7 @@
 ): StoreSnapshot {
   return {
     policy: Buffer.from(JSON.stringify(buildPolicy())),
+    policyRevision: listRevision,
     proofAge: 0,
     upstreams: names.map(createUpstream),
     kept: [],
@@ -100,7 +101,7 @@
     peers,
     upstreamUpdates,
     applyBound: APPLY_BOUND,
-    adoptPolicy: (bytes, at) => host.gateway.adoptPolicy(bytes, at),
+    adoptPolicy: (bytes, proof) => host.gateway.adoptPolicy(bytes, proof),
     requestSnapshot: (address) => {
       fetchedFrom.push(address);
       return answers[address]!;
@@ -190,7 +191,8 @@
   });
   t.true(sharing.shouldReadStore);
   sharing.advanceListRevision(1);
-  host.gateway.confirmPolicy(host.gateway.context.elapsed.now());
+  const confirmedAt = host.gateway.context.elapsed.now();
+  host.gateway.confirmPolicy({ confirmedAt, revision: 1 });
   t.false(sharing.shouldReadStore);
   await host.close();
 });
@@ -200,7 +202,7 @@
   const { host, sharing } = await startSharing({});
   const { elapsed } = host.gateway.context;
   sharing.advanceListRevision(1);
-  host.gateway.confirmPolicy(elapsed.now());
+  host.gateway.confirmPolicy({ confirmedAt: elapsed.now(), revision: 1 });
   t.false(sharing.shouldReadStore);
   await new Promise((resolve) => setTimeout(resolve, 700));
   t.true(sharing.shouldReadStore);
