Give up a fetch from a peer when it stalls, not when it takes long

Cause: a fetch had 400 ms in all. A policy of 1,300 routes is 330 KB, a third of a second of a link of 10 Mbit/s for one host alone; with some twenty at once each fetch was aborted before its end, and the next began from nothing, so that the links were full and nobody got anything. A time limit for a whole transfer assumes a size and a share of the link.

A peer has 400 ms to begin its response, and then a second for each further chunk (StallTimeout, on the timer service). A peer that is lost still frees the fetch as fast as before, one that falls silent midway within a second.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./prefixDigests.ts";
 export * from "./random.ts";
 export * from "./rendezvous.ts";
+export * from "./stallTimeout.ts";
 export * from "./systemTimer.ts";
 export * from "./timer.ts";
 export * from "./virtualTimer.ts";
--- a/packages/gateway/src/operatorEndpoints.ts
+++ b/packages/gateway/src/operatorEndpoints.ts
@@ -1,5 +1,11 @@
 import { Pool } from "undici";
-import type { FailureDomain, Milliseconds } from "@wasabivane/common";
+import {
+  type FailureDomain,
+  type Milliseconds,
+  readBody,
+  StallTimeout,
+  type Timer,
+} from "@wasabivane/common";
 import type { LapsedUpstream, Upstream } from "@wasabivane/admission";
 import { Packr } from "msgpackr";
 import { err, ok, type Result } from "neverthrow";
@@ -9,7 +15,10 @@
 
 /** Path of the store snapshot. */
 const SNAPSHOT_PATH = "/belief";
-const FETCH_TIMEOUT_MS: Milliseconds = 400;
+/** Time until a peer begins to respond. */
+const RESPONSE_TIMEOUT_MS: Milliseconds = 400;
+/** Time between two chunks of a response, which share the peer's link. */
+const CHUNK_TIMEOUT_MS: Milliseconds = 1_000;
 
 /**
  * The versions that a requesting host has; contents that are not newer are
@@ -99,16 +108,20 @@
 /** Fetches the snapshot of the peer at `ip:port`. */
 export async function fetchSnapshot(
   address: string,
-  { policyVersion, listRevision }: SnapshotVersions,
+  { policyVersion, listRevision, timer }: SnapshotVersions & { timer: Timer },
 ): Promise<Result<StoreSnapshot, FetchError>> {
   const pool = new Pool(`http://${address}`);
+  const timeout = new StallTimeout(timer, RESPONSE_TIMEOUT_MS);
   try {
     const response = await pool.request({
       method: "GET",
       path: `${SNAPSHOT_PATH}?policy=${policyVersion}&list=${listRevision}`,
-      signal: AbortSignal.timeout(FETCH_TIMEOUT_MS),
+      signal: timeout.signal,
+    });
+    const bytes = await readBody(response.body, {
+      timeout,
+      span: CHUNK_TIMEOUT_MS,
     });
-    const bytes = new Uint8Array(await response.body.arrayBuffer());
     if (response.statusCode !== 200) {
       return err({
         kind: "no-snapshot",
@@ -119,6 +132,7 @@
   } catch (thrown) {
     return err({ kind: "unreachable", detail: String(thrown) });
   } finally {
+    timeout.cancel();
     void pool.destroy();
   }
 }
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -171,7 +171,8 @@
     const {
       peers,
       context,
-      requestSnapshot = fetchSnapshot,
+      requestSnapshot = (ip, known) =>
+        fetchSnapshot(ip, { ...known, timer: context.timer }),
     } = this.#options;
     const address = peers.addressOf(peer);
     if (address === undefined || this.#pendingFetches.has(peer)) return;
