Deny nothing by a policy that is known to be outdated

Cause: a host asked a peer for a newer version and otherwise went on as if it had heard nothing; only the age of its last proof ended denials (0.6 of the bound) and keys (0.65 of the revocation bound, which is longer than the bound for policies).

A host remembers the newest version that a peer announced. While it has an older one it answers 503 where it would have denied, and once its last proof is older than the bound for policies it serves nothing by it and is not ready. Up to then no newer policy can have been acknowledged for that long.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -79,7 +79,6 @@
   readonly #periodicChecks: PeriodicChecks;
   #stopsAt: Milliseconds = Infinity;
   #shedLoggedAt: Milliseconds = -Infinity;
-  #announcedVersion = 0;
 
   constructor(options: GatewayOptions) {
     const { host, incarnation, failureDomain, seeds, cores, timer } = options;
@@ -140,8 +139,10 @@
   /** Whether the load balancer may send callers to this host. */
   get isReady(): boolean {
     const { policies, directory, elapsed } = this.context;
+    const now = elapsed.now();
     return !this.#isStopping && policies.index !== undefined &&
-      directory.size > 0 && policies.freshness.isKeyTrusted(elapsed.now());
+      directory.size > 0 && policies.freshness.isKeyTrusted(now) &&
+      policies.isInForce(now);
   }
 
   /** Opens all ports. */
@@ -357,7 +358,7 @@
       send: (gossip, targets) =>
         this.#channel.send({ kind: "word", gossip }, targets),
       onNewerPolicy: (peer, version) => {
-        this.#logAnnouncedPolicy(peer, version);
+        this.#recordAnnouncement(peer, version);
         void this.storeSharing.fetchFromPeer(peer);
       },
       onListRevision: (peer, listRevision) =>
@@ -375,11 +376,9 @@
     });
   }
 
-  /** Logs the first announcement of a policy that this host does not have. */
-  #logAnnouncedPolicy(peer: HostId, version: number): void {
-    if (version <= this.#announcedVersion) return;
-    this.#announcedVersion = version;
+  #recordAnnouncement(peer: HostId, version: number): void {
     const { policies, elapsed, log } = this.context;
+    if (!policies.recordAnnouncement(version)) return;
     log.write("policy_announced", {
       peer,
       version,
--- a/packages/gateway/src/policyState.ts
+++ b/packages/gateway/src/policyState.ts
@@ -28,15 +28,18 @@
 export class PolicyState {
   readonly freshness: PolicyFreshness;
   readonly #dialect: Dialect;
+  readonly #applyBound: Milliseconds;
   readonly #listeners: PolicyListener[] = [];
   #index: PolicyIndex | undefined;
   #bytes: Uint8Array = new Uint8Array();
   #revision = 0;
+  #announcedVersion = 0;
 
   constructor(
     { dialect, bounds }: { dialect: Dialect; bounds: PolicyFreshnessOptions },
   ) {
     this.#dialect = dialect;
+    this.#applyBound = bounds.applyBound;
     this.freshness = new PolicyFreshness(bounds);
   }
 
@@ -75,6 +78,32 @@
     this.#revision = Math.max(this.#revision, revision);
   }
 
+  /**
+   * Records that a peer has a version; returns whether it is the newest one that
+   * this host has heard of.
+   */
+  recordAnnouncement(version: number): boolean {
+    const isNewest = version > Math.max(this.version, this.#announcedVersion);
+    if (isNewest) this.#announcedVersion = version;
+    return isNewest;
+  }
+
+  /**
+   * Whether unknown routes and keys may be denied: a newer version that a peer
+   * has may contain them.
+   */
+  isDenialAllowed(now: Milliseconds): boolean {
+    return !this.#isOutdated && this.freshness.isDenialAllowed(now);
+  }
+
+  /**
+   * Whether requests may be served. An outdated policy is in force until the time
+   * within which a newer one must take its place.
+   */
+  isInForce(now: Milliseconds): boolean {
+    return !this.#isOutdated || this.freshness.age(now) <= this.#applyBound;
+  }
+
   /** Adopts a policy with its proof, unless it is older. */
   adopt(
     bytes: Uint8Array,
@@ -90,4 +119,9 @@
       return ok("adopted" as const);
     });
   }
+
+  /** Whether a peer has a newer version. */
+  get #isOutdated(): boolean {
+    return this.#announcedVersion > this.version;
+  }
 }
--- a/packages/gateway/src/requestAdmission.ts
+++ b/packages/gateway/src/requestAdmission.ts
@@ -99,6 +99,9 @@
   const { policies, dialect, now } = options;
   const index = policies.index;
   if (index === undefined) return err(retryLater("no-policy", options));
+  if (!policies.isInForce(options.elapsedNow)) {
+    return err(retryLater("policy-behind", options));
+  }
   if (headerBytes(head.headerLines) > index.policy.limits.maximumHeaderBytes) {
     return err({ status: 431, reason: "fields-too-large" });
   }
@@ -181,7 +184,7 @@
   options: AdmissionOptions,
 ): Refusal {
   const { policies, elapsedNow } = options;
-  return policies.freshness.isDenialAllowed(elapsedNow)
+  return policies.isDenialAllowed(elapsedNow)
     ? { status, reason }
     : retryLater("policy-behind", options);
 }
--- a/packages/gateway/tests/outdatedPolicy.test.ts
+++ b/packages/gateway/tests/outdatedPolicy.test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import { createSocket } from "node:dgram";
 import {
   asId,
@@ -5,9 +6,19 @@
   type HostId,
   type Incarnation,
 } from "@wasabivane/common";
-import { encodeMessage, type GossipMessage } from "@wasabivane/gateway";
+import {
+  encodeMessage,
+  type GossipMessage,
+  PolicyState,
+} from "@wasabivane/gateway";
 import test from "ava";
-import { sendRequest, startGateway, waitUntil } from "./helpers/fleet.ts";
+import {
+  buildPolicy,
+  sendRequest,
+  startGateway,
+  waitUntil,
+} from "./helpers/fleet.ts";
+import { PlainDialect } from "./helpers/plainDialect.ts";
 
 /** Nothing listens there, so that no snapshot can be fetched. */
 const UNREACHABLE_ADDRESS = "127.0.0.1:9";
@@ -47,7 +58,7 @@
   socket.close();
 }
 
-test.failing("a host denies no route while a peer has a newer policy", async (t) => {
+test("a host denies no route while a peer has a newer policy", async (t) => {
   // Guards against a 404 for a route that was added, from a host that has yet to fetch
   // the policy with it.
   const host = await startGateway({ upstreams: [] });
@@ -62,3 +73,20 @@
   );
   t.is((await sendRequest(host.url, { path: "/added/" })).status, 503);
 });
+
+test("an outdated policy is not served by beyond the bound for a newer one", (t) => {
+  // Guards against a host that runs requests by routes and keys that were dropped.
+  const bounds = { revocationBound: 5_000, applyBound: 2_000 };
+  const policies = new PolicyState({ dialect: new PlainDialect(), bounds });
+  const adopt = (version: number): void => {
+    const bytes = Buffer.from(JSON.stringify(buildPolicy({ version })));
+    policies.adopt(bytes, { confirmedAt: 0, revision: 1 })._unsafeUnwrap();
+  };
+  adopt(1);
+  t.true(policies.isInForce(2_001));
+  t.true(policies.recordAnnouncement(2));
+  t.true(policies.isInForce(2_000));
+  t.false(policies.isInForce(2_001));
+  adopt(2);
+  t.true(policies.isInForce(2_001));
+});
