Send policies between hosts compressed

A policy of 1,300 routes is 328 KB as JSON. A reader's link of 10 Mbit/s carries 1,250 KB a second, beside the requests, and 82 followers ask three readers at once: 27 MB, some seven seconds of their links, against a bound of three.

The new test fails before (328,491 bytes for a policy of 328,400) and asserts less than a fifth.

--- a/packages/gateway/src/operatorEndpoints.ts
+++ b/packages/gateway/src/operatorEndpoints.ts
@@ -9,6 +9,7 @@
 import type { LapsedUpstream, Upstream } from "@wasabivane/admission";
 import { Packr } from "msgpackr";
 import { err, ok, type Result } from "neverthrow";
+import { CompressedBytes, decompress } from "./compressedBytes.ts";
 import type { Endpoint } from "./httpEndpoint.ts";
 
 const packr = new Packr({ useRecords: false });
@@ -89,10 +90,14 @@
   };
 }
 
-/** Creates the endpoint that serves store snapshots to peers. */
+/**
+ * Creates the endpoint that serves store snapshots to peers. Policies are sent
+ * compressed, as many peers fetch a new one at once over this host's link.
+ */
 export function snapshotEndpoint(
   { createSnapshot }: OperatorData,
 ): Endpoint {
+  const compressedPolicy = new CompressedBytes();
   return {
     path: SNAPSHOT_PATH,
     respond: (query) => {
@@ -100,7 +105,9 @@
         policyVersion: Number(query.get("policy") ?? 0),
         listRevision: Number(query.get("list") ?? 0),
       };
-      return { status: 200, body: packr.pack(createSnapshot(known)) };
+      const snapshot = createSnapshot(known);
+      const policy = compressedPolicy.of(snapshot.policy);
+      return { status: 200, body: packr.pack({ ...snapshot, policy }) };
     },
   };
 }
@@ -128,7 +135,8 @@
         detail: `status ${response.statusCode}`,
       });
     }
-    return ok(packr.unpack(bytes) as StoreSnapshot);
+    const snapshot = packr.unpack(bytes) as StoreSnapshot;
+    return ok({ ...snapshot, policy: decompress(snapshot.policy) });
   } catch (thrown) {
     return err({ kind: "unreachable", detail: String(thrown) });
   } finally {
--- a/packages/gateway/tests/snapshotFetch.test.ts
+++ b/packages/gateway/tests/snapshotFetch.test.ts
@@ -1,17 +1,31 @@
+import { Buffer } from "node:buffer";
 import { createServer, type ServerResponse } from "node:http";
+import { gzipSync } from "node:zlib";
+import type { RouteId } from "@wasabivane/admission";
 import { fetchSnapshot, type StoreSnapshot } from "@wasabivane/gateway";
-import { type Milliseconds, VirtualTimer } from "@wasabivane/common";
+import {
+  asId,
+  type Milliseconds,
+  SeededRandom,
+  VirtualTimer,
+} from "@wasabivane/common";
 import test, { type ExecutionContext } from "ava";
 import { Packr } from "msgpackr";
+import { request } from "undici";
+import { buildPolicy, buildRoute, startGateway } from "./helpers/fleet.ts";
 
+const random = new SeededRandom(1);
+const drawByte = (): number => Math.floor(256 * random.float());
 const PIECES = 20;
 const PIECE_INTERVAL_MS: Milliseconds = 50;
 /** Longer than a peer may be silent. */
 const SILENCE_MS: Milliseconds = 1_100;
 const KNOWN = { policyVersion: 1, listRevision: 1 };
 
+/** Incompressible, so that the response is large. */
+const POLICY = Uint8Array.from({ length: 100_000 }, drawByte);
 const SNAPSHOT: StoreSnapshot = {
-  policy: new Uint8Array(100_000),
+  policy: gzipSync(POLICY),
   policyRevision: 1,
   proofAge: 0,
   upstreams: [],
@@ -55,7 +69,28 @@
   const address = await startPeer(t, (response) => sendSlowly(response, body));
   const timer = new VirtualTimer();
   const fetched = await fetchSnapshot(address, { ...KNOWN, timer });
-  t.is(fetched._unsafeUnwrap().policy.length, SNAPSHOT.policy.length);
+  t.deepEqual(fetched._unsafeUnwrap().policy, POLICY);
+});
+
+test("a policy of many routes is sent compressed", async (t) => {
+  // Guards against full links when all hosts fetch a large policy at once.
+  const host = await startGateway({ upstreams: [] });
+  t.teardown(() => host.close());
+  const routes = Array.from({ length: 1_300 }, (_, index) =>
+    buildRoute({
+      route: asId<RouteId>(`route-${index}`),
+      prefix: `/${drawByte()}${drawByte()}${index}/`,
+    }));
+  const policy = Buffer.from(
+    JSON.stringify(buildPolicy({ version: 2, routes })),
+  );
+  host.gateway.adoptPolicy(policy, { confirmedAt: 0, revision: 2 });
+  const { timer } = host.gateway.context;
+  const response = await request(`http://${host.peerAddress}/belief?policy=1`);
+  const { byteLength } = await response.body.arrayBuffer();
+  t.true(byteLength < 0.2 * policy.length, `${byteLength} of ${policy.length}`);
+  const fetched = await fetchSnapshot(host.peerAddress, { ...KNOWN, timer });
+  t.deepEqual(Buffer.from(fetched._unsafeUnwrap().policy), policy);
 });
 
 test("a snapshot is given up when its peer falls silent", async (t) => {
