Show that delayed messages make confirmations look younger

A confirmation passed on counts as 20 ms older whatever its time on a link or unread in a busy host, and each host passes on the youngest that it hears.

--- a/packages/gateway/tests/gossipProtocol.test.ts
+++ b/packages/gateway/tests/gossipProtocol.test.ts
@@ -48,7 +48,7 @@
 /** Starts hosts within 0.3 s of each other that know three seeds. */
 function startGossipHosts(
   count: number,
-  { loss = 0, seed = 1 } = {},
+  { loss = 0, seed = 1, transit = { delay: TRANSIT_MS } } = {},
 ): { hosts: GossipHost[]; timer: VirtualTimer } {
   const timer = new VirtualTimer();
   const random = new SeededRandom(seed);
@@ -56,7 +56,7 @@
   const byName = new Map<string, GossipHost>();
   const deliver = (bytes: Uint8Array, target: string): void => {
     if (random.float() < loss) return;
-    timer.after(TRANSIT_MS, () => {
+    timer.after(transit.delay, () => {
       const host = byName.get(target);
       if (host === undefined) return;
       host.receivedCount++;
@@ -239,6 +239,25 @@
   t.is(outdated!.context.policies.revision, 5);
 });
 
+test.failing("a confirmation does not look younger after delayed messages", (t) => {
+  // Guards against a host on a congested link that takes an outdated policy for the
+  // newest one.
+  const transit = { delay: TRANSIT_MS };
+  const { hosts, timer } = startGossipHosts(24, { transit });
+  timer.runUntil(6_000);
+  transit.delay = 1_500;
+  const { policies, elapsed } = hosts[0]!.context;
+  const confirmedAt = elapsed.now();
+  policies.freshness.confirm(confirmedAt);
+  timer.advance(8_000);
+  const latest = Math.max(
+    ...hosts.map(({ context }) =>
+      timer.now() - context.policies.freshness.age(context.elapsed.now())
+    ),
+  );
+  t.true(latest <= confirmedAt, `${latest - confirmedAt} ms younger`);
+});
+
 test("the traffic that a host receives does not grow with the fleet", (t) => {
   const rates = (count: number): { messages: number; bytes: number } => {
     const { hosts, timer } = startGossipHosts(count);
