Read and log the limits that upstreams name

The logs of the ignored limits could not tell whether a host was named a limit, which one, or whether all hosts knew: nothing read the header.

The dialect reads it from each response; a host remembers it, logs upstream_limited when it begins, changes or ends, and passes it on to the coordinator of the cell with the upstream's load report, so that the limit of an upstream is known to where its requests are placed. No decision changes; a response from another upstream at the address (421) no longer counts as a report of this one.

--- a/packages/admission/src/cellCoordinator.ts
+++ b/packages/admission/src/cellCoordinator.ts
@@ -169,9 +169,7 @@
     if (update.sequence <= hostState.sequence) return;
     hostState.sequence = update.sequence;
     // Reports refer to the load before this update, so they are applied first.
-    for (const [upstream, requests] of update.reports) {
-      this.#scheduler.load.recordReport(upstream, requests, now);
-    }
+    this.#recordReports(update, now);
     hostState.lastUpdateAt = now;
     hostState.inFlight = update.inFlight;
     hostState.unacknowledged = hostState.unacknowledged.filter(({ number }) =>
@@ -249,6 +247,24 @@
     return hostState;
   }
 
+  #recordReports(
+    { host: reporter, reports }: CellUpdate,
+    now: Milliseconds,
+  ): void {
+    const { stats, host, upstreams, cell } = this.#options;
+    for (const [upstream, { requests, startsPerSecond }] of reports) {
+      if (requests !== undefined) {
+        this.#scheduler.load.recordReport(upstream, requests, now);
+      }
+      // This host has already recorded what it was told itself.
+      if (reporter === host) continue;
+      const isListed = upstreams.of(cell.service).some((listed) =>
+        listed.upstream === upstream
+      );
+      if (isListed) stats.rateLimits.record(upstream, startsPerSecond, now);
+    }
+  }
+
   #recordObservations(
     hostState: HostState,
     update: CellUpdate,
--- a/packages/admission/src/cellMessages.ts
+++ b/packages/admission/src/cellMessages.ts
@@ -16,6 +16,17 @@
 import type { QueueEstimate } from "./requestQueue.ts";
 import type { AttemptObservation } from "./upstreamStats.ts";
 
+/** What an upstream reports of itself in a response. */
+export interface UpstreamReport {
+  /** Requests that run or wait there; `undefined` if not reported. */
+  readonly requests: number | undefined;
+  /**
+   * Requests per second that it takes from all hosts together; `undefined` if it
+   * names no limit.
+   */
+  readonly startsPerSecond: number | undefined;
+}
+
 /**
  * Update of a host for the coordinator of a cell: its load there, its new,
  * waiting and withdrawn requests, and its observations. Everything is repeated
@@ -35,8 +46,8 @@
   readonly withdrawn: readonly RequestId[];
   /** All waiting requests of the host; included from time to time. */
   readonly waiting?: readonly RequestId[];
-  /** Total request counts that upstreams reported recently. */
-  readonly reports: readonly (readonly [UpstreamId, number])[];
+  /** What upstreams reported in their latest responses. */
+  readonly reports: readonly (readonly [UpstreamId, UpstreamReport])[];
   /**
    * Results of ended attempts, oldest first; the first has the number
    * `firstObservation`.
--- a/packages/admission/src/cellSession.ts
+++ b/packages/admission/src/cellSession.ts
@@ -10,6 +10,7 @@
   CellReply,
   CellUpdate,
   NumberedDecision,
+  UpstreamReport,
 } from "./cellMessages.ts";
 import type { AttemptObservation } from "./upstreamStats.ts";
 
@@ -104,7 +105,7 @@
    */
   #unconfirmedSince: Milliseconds = Infinity;
   #firstObservation = 1;
-  readonly #reports = new Map<UpstreamId, number>();
+  readonly #reports = new Map<UpstreamId, UpstreamReport>();
   /**
    * Waiting requests, with the sequence of the update that first described each
    * to this coordinator.
@@ -171,9 +172,9 @@
     if (shouldNotify) this.#withdrawnIn.set(request, Infinity);
   }
 
-  /** Records how many requests an upstream of the cell reported. */
-  setUpstreamReport(upstream: UpstreamId, requests: number): void {
-    this.#reports.set(upstream, requests);
+  /** Records what an upstream of the cell reported. */
+  setUpstreamReport(upstream: UpstreamId, report: UpstreamReport): void {
+    this.#reports.set(upstream, report);
   }
 
   /** Records the result of an attempt in this cell. */
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -18,6 +18,7 @@
   StartLimit,
   type StartLimitOptions,
 } from "./startLimit.ts";
+export { UpstreamRateLimits } from "./upstreamRateLimits.ts";
 export { ConnectionBacklog } from "./connectionBacklog.ts";
 export { EventLoopLag } from "./eventLoopLag.ts";
 export { LoadShedder, type LoadShedderOptions } from "./loadShedder.ts";
@@ -94,6 +95,7 @@
   CellSnapshot,
   CellUpdate,
   NumberedDecision,
+  UpstreamReport,
 } from "./cellMessages.ts";
 export {
   CellCoordinator,
--- a/packages/admission/src/placementClient.ts
+++ b/packages/admission/src/placementClient.ts
@@ -16,6 +16,7 @@
   CellReply,
   CellUpdate,
   NumberedDecision,
+  UpstreamReport,
 } from "./cellMessages.ts";
 import { CellSnapshots } from "./cellSnapshots.ts";
 import { CoordinatorSelector } from "./coordinatorSelector.ts";
@@ -48,6 +49,8 @@
  * the coordinator.
  */
 const PREFILL_REPORT_MS: Milliseconds = 40;
+/** Delay within which a changed limit of an upstream is reported. */
+const LIMIT_REPORT_MS: Milliseconds = 40;
 /**
  * Delay within which decisions are acknowledged, which only saves the
  * coordinator a resend.
@@ -233,19 +236,26 @@
     this.#options.onSendScheduled();
   }
 
-  /**
-   * Records how many requests an upstream reported; the next update passes it
-   * on.
-   */
-  recordUpstreamLoad(
-    upstream: Upstream,
-    requests: number,
+  /** Records what an upstream reported; the next update passes it on. */
+  recordUpstreamReport(
+    { upstream, ...rest }: Upstream,
+    report: UpstreamReport,
     now: Milliseconds,
   ): void {
-    this.#localScheduler.load.recordReport(upstream.upstream, requests, now);
-    const cell = this.#cells.cellOf(upstream);
+    const { requests, startsPerSecond } = report;
+    if (requests !== undefined) {
+      this.#localScheduler.load.recordReport(upstream, requests, now);
+    }
+    const cell = this.#cells.cellOf({ upstream, ...rest });
     if (cell === undefined) return;
-    this.#sessionOf(cell).setUpstreamReport(upstream.upstream, requests);
+    const { rateLimits } = this.#options.stats;
+    const isLimitChanged = rateLimits.of(upstream) !== startsPerSecond;
+    rateLimits.record(upstream, startsPerSecond, now);
+    const session = this.#sessionOf(cell);
+    session.setUpstreamReport(upstream, report);
+    if (!isLimitChanged) return;
+    session.sendBy(now + LIMIT_REPORT_MS);
+    this.#options.onSendScheduled();
   }
 
   /** Records the end of a request at an upstream. */
@@ -297,6 +307,7 @@
     if (session === undefined) return;
     if (!this.#hasLoadAt(cell) && !session.hasWaiting) return;
     session.scheduleListing();
+    this.#reportLimits(session);
     this.#sendUpdate(session.key, now);
   }
 
@@ -582,6 +593,19 @@
     });
   }
 
+  /** Reports the limits that upstreams of the cell have named to this host. */
+  #reportLimits(session: CellSession): void {
+    const { rateLimits } = this.#options.stats;
+    for (const upstream of rateLimits.upstreams()) {
+      if (!this.#cells.hasUpstream(session.cell, upstream)) continue;
+      const startsPerSecond = rateLimits.of(upstream);
+      session.setUpstreamReport(upstream, {
+        requests: undefined,
+        startsPerSecond,
+      });
+    }
+  }
+
   #hasLoadAt(cell: Cell): boolean {
     for (const upstream of this.#localScheduler.load.ownInFlight().keys()) {
       if (this.#cells.hasUpstream(cell, upstream)) return true;
--- a/packages/admission/src/upstreamStats.ts
+++ b/packages/admission/src/upstreamStats.ts
@@ -4,6 +4,7 @@
 import { FirstEventModel } from "./firstEventModel.ts";
 import type { RouteId, UpstreamOutcome } from "./types.ts";
 import { UpstreamHealth } from "./upstreamHealth.ts";
+import { UpstreamRateLimits } from "./upstreamRateLimits.ts";
 import { PauseRiskModel } from "./pauseRiskModel.ts";
 import { UpstreamSpeed } from "./upstreamSpeed.ts";
 import { UpstreamWarmup } from "./upstreamWarmup.ts";
@@ -48,6 +49,7 @@
   readonly responseDurations = new ResponseDurationModel(this.speed);
   readonly pauseRisks = new PauseRiskModel(this.speed);
   readonly warmup = new UpstreamWarmup();
+  readonly rateLimits = new UpstreamRateLimits();
 
   /** Records an attempt; returns whether it ejects the upstream. */
   record(observation: AttemptObservation, now: Milliseconds): boolean {
@@ -68,6 +70,7 @@
     this.speed.forget(upstream);
     this.pauseRisks.forget(upstream);
     this.warmup.forget(upstream);
+    this.rateLimits.forget(upstream);
   }
 
   /**
--- a/packages/admission/tests/helpers/loadReplay.ts
+++ b/packages/admission/tests/helpers/loadReplay.ts
@@ -67,6 +67,14 @@
   readonly prefillTimePerToken?: Milliseconds;
   /** Whether upstreams report their number of requests. */
   readonly isReportingLoad?: boolean;
+  /**
+   * Returns the requests per second that an upstream names in a response;
+   * `undefined` for none.
+   */
+  readonly namedLimitOf?: (
+    upstream: Upstream,
+    at: Milliseconds,
+  ) => number | undefined;
   /**
    * Difference between the seeds of two hosts; close seeds start with similar
    * numbers.
@@ -279,10 +287,12 @@
         onFirstEvent: () => {
           const now = timer.now();
           latency = now - sentAt;
-          if (replay.isReportingLoad) {
-            const requests = simulated.running + simulated.waiting.length;
-            client.recordUpstreamLoad(upstream, requests, now);
-          }
+          const requests = replay.isReportingLoad
+            ? simulated.running + simulated.waiting.length
+            : undefined;
+          const startsPerSecond = replay.namedLimitOf?.(upstream, now);
+          const report = { requests, startsPerSecond };
+          client.recordUpstreamReport(upstream, report, now);
           client.endPrefill(upstream, promptTokens, now);
           if (now - since <= target) result.onTime++;
           else result.late++;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -4,7 +4,11 @@
   Timer,
   TimerSubscription,
 } from "@wasabivane/common";
-import type { Upstream, UpstreamOutcome } from "@wasabivane/admission";
+import type {
+  Upstream,
+  UpstreamOutcome,
+  UpstreamReport,
+} from "@wasabivane/admission";
 import type { Dialect } from "./dialect.ts";
 import { EventStreamSplitter } from "./eventStreamSplitter.ts";
 import type { HeaderValues } from "./headers.ts";
@@ -95,8 +99,8 @@
   readonly promptTokens: number;
   /** `undefined` to wait without limit. */
   readonly silenceTimeouts: SilenceTimeouts | undefined;
-  /** Called with the upstream's request count when its response reports one. */
-  readonly onLoad: (requests: number) => void;
+  /** Called with what the upstream reports in the head of its response. */
+  readonly onReport: (report: UpstreamReport) => void;
   /**
    * Called from time to time with the mean interval between a stream's events.
    */
@@ -185,10 +189,11 @@
   head(status: number, headers: HeaderValues): void {
     if (this.#isEnded) return;
     const metadata = this.#options.dialect.parseResponse(status, headers);
-    if (metadata.load !== undefined) this.#options.onLoad(metadata.load);
     if (status === STATUS_MISDIRECTED) {
       return this.#end({ outcome: "replaced", detail: `status ${status}` });
     }
+    const { load, startsPerSecond } = metadata;
+    this.#options.onReport({ requests: load, startsPerSecond });
     if (metadata.hasNotRun) {
       return this.#end({ outcome: "not-run", detail: `status ${status}` });
     }
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -15,6 +15,7 @@
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { AdmittedRequest } from "./requestAdmission.ts";
 import { computeSilenceTimeouts } from "./computeSilenceTimeouts.ts";
+import { recordUpstreamReport } from "./recordUpstreamReport.ts";
 
 /** A caller's request with its body read completely. */
 export interface BufferedRequest {
@@ -102,12 +103,7 @@
     pauseTarget: route.pauseTarget,
     promptTokens,
     silenceTimeouts: computeSilenceTimeouts({ ...inputs, promptTokens }),
-    onLoad: (requests) =>
-      context.placementClient.recordUpstreamLoad(
-        upstream,
-        requests,
-        timer.now(),
-      ),
+    onReport: (report) => recordUpstreamReport(upstream, report, context),
     onEventInterval: (duration) =>
       upstreamStats.speed.observe({
         service,
--- a/packages/gateway/src/cellRows.ts
+++ b/packages/gateway/src/cellRows.ts
@@ -18,6 +18,7 @@
   PlacementRequest,
   RouteId,
   UpstreamOutcome,
+  UpstreamReport,
 } from "@wasabivane/admission";
 import {
   expectArray,
@@ -185,6 +186,30 @@
   };
 }
 
+/** Encodes what an upstream reported. */
+export function encodeReport(
+  [upstream, { requests, startsPerSecond }]: readonly [
+    UpstreamId,
+    UpstreamReport,
+  ],
+): Row {
+  const row = [upstream, requests ?? -1];
+  return startsPerSecond === undefined ? row : [...row, startsPerSecond];
+}
+
+/** Decodes the row of {@link encodeReport}. */
+export function decodeReport(
+  [upstream, requests, startsPerSecond]: Row,
+): [UpstreamId, UpstreamReport] {
+  const count = expectNumber(requests);
+  return [asId<UpstreamId>(expectString(upstream)), {
+    requests: count < 0 ? undefined : count,
+    startsPerSecond: startsPerSecond === undefined
+      ? undefined
+      : expectNumber(startsPerSecond),
+  }];
+}
+
 /** Encodes a cell snapshot; its time is sent as an age. */
 export function encodeSnapshot(
   { cell, capacity, free, waiting, at }: CellSnapshot,
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -22,6 +22,7 @@
   "upstream_left",
   "upstream_malformed",
   "upstream_ejected",
+  "upstream_limited",
   "domains_evacuated",
   "crash_confirmed",
   "request_refused",
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -46,6 +46,11 @@
    * reported.
    */
   readonly load: number | undefined;
+  /**
+   * Requests per second that the upstream takes from all hosts together;
+   * `undefined` if it names no limit.
+   */
+  readonly startsPerSecond: number | undefined;
 }
 
 /** The error for policy bytes that cannot be decoded. */
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -32,11 +32,13 @@
   decodeDecision,
   decodeObservation,
   decodePlacementRequest,
+  decodeReport,
   decodeSnapshot,
   encodeCell,
   encodeDecision,
   encodeObservation,
   encodePlacementRequest,
+  encodeReport,
   encodeSnapshot,
 } from "./cellRows.ts";
 import {
@@ -46,7 +48,7 @@
   encodePeerRecord,
 } from "./gossipRows.ts";
 
-const FORMAT_VERSION = 9;
+const FORMAT_VERSION = 10;
 const TEXT_DECODER = new TextDecoder();
 
 /**
@@ -150,7 +152,7 @@
     update.decisionsSeen,
     update.wantsReply,
     update.withdrawn,
-    update.reports,
+    update.reports.map(encodeReport),
     Math.round(update.replyTime),
     ...update.waiting === undefined ? [] : [update.waiting],
   ],
@@ -180,10 +182,7 @@
       decisionsSeen: expectNumber(row[8]),
       wantsReply: row[9] === true,
       withdrawn: expectIds<RequestId>(row[10]),
-      reports: expectRows(row[11]).map(([upstream, requests]) => [
-        asId<UpstreamId>(expectString(upstream)),
-        expectNumber(requests),
-      ]),
+      reports: expectRows(row[11]).map(decodeReport),
       replyTime: expectNumber(row[12]),
       ...row[13] !== undefined && { waiting: expectIds<RequestId>(row[13]) },
     };
--- a/packages/gateway/tests/helpers/plainDialect.ts
+++ b/packages/gateway/tests/helpers/plainDialect.ts
@@ -55,6 +55,7 @@
       hasNotRun: headerValue(headers, "not-run") !== undefined,
       isSealed: headerValue(headers, "mark") !== undefined,
       load: undefined,
+      startsPerSecond: undefined,
     };
   }
 
--- a/packages/gateway/tests/lateSends.test.ts
+++ b/packages/gateway/tests/lateSends.test.ts
@@ -59,7 +59,7 @@
       pauseTarget: 0,
       promptTokens: 0,
       silenceTimeouts: undefined,
-      onLoad: () => {},
+      onReport: () => {},
       listener: {
         onStreamStart: () => {},
         onEvents: () => {},
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -229,7 +229,10 @@
       wantsReply: true,
       replyTime: 12,
       withdrawn: [asId<RequestId>("gone")],
-      reports: [[asId<UpstreamId>("u1"), 4]],
+      reports: [
+        [asId<UpstreamId>("u1"), { requests: 4, startsPerSecond: undefined }],
+        [asId<UpstreamId>("u2"), { requests: undefined, startsPerSecond: 2.7 }],
+      ],
       waiting: [asId<RequestId>("q"), asId<RequestId>("other")],
     },
   },
