Trust a host again after its suspension

Found while reading the transit of confirmations once more: records of a host that others pass on keep the age that it had before it was suspended, and fed the estimate of its fastest message, so that its own messages looked late for the rest of its life. With its readers suspended once, a fleet would have read the store with every host from then on.

Only a host's own messages count now; others' records stand in before there are any.

--- a/packages/common/src/stallTimeout.ts
+++ b/packages/common/src/stallTimeout.ts
@@ -42,7 +42,7 @@
 }
 
 /** Reads a body; each of its chunks restarts the timeout. */
-export async function readBody(
+export async function collectBody(
   body: AsyncIterable<Uint8Array>,
   { timeout, span }: { timeout: StallTimeout; span: Milliseconds },
 ): Promise<Buffer> {
--- a/packages/gateway/src/gossipProtocol.ts
+++ b/packages/gateway/src/gossipProtocol.ts
@@ -181,7 +181,6 @@
     const { sender } = message;
     const now = context.timer.now();
     if (!peers.recordMessage(sender, message.sequence, now)) return;
-    // Before the records of others, which may contain one of the sender.
     const transit = peers.transitOf(sender.host);
     for (const record of message.peerRecords) peers.mergeRecord(record, now);
     const isDiscovering =
--- a/packages/gateway/src/operatorEndpoints.ts
+++ b/packages/gateway/src/operatorEndpoints.ts
@@ -1,8 +1,8 @@
 import { Pool } from "undici";
 import {
+  collectBody,
   type FailureDomain,
   type Milliseconds,
-  readBody,
   StallTimeout,
   type Timer,
 } from "@wasabivane/common";
@@ -125,7 +125,7 @@
       path: `${SNAPSHOT_PATH}?policy=${policyVersion}&list=${listRevision}`,
       signal: timeout.signal,
     });
-    const bytes = await readBody(response.body, {
+    const bytes = await collectBody(response.body, {
       timeout,
       span: CHUNK_TIMEOUT_MS,
     });
--- a/packages/gateway/src/peerDirectory.ts
+++ b/packages/gateway/src/peerDirectory.ts
@@ -54,7 +54,8 @@
   readonly readerWeight: string;
   readonly transitEstimator: TransitEstimator;
   /**
-   * Extra time in transit of the last record of it; `undefined` after the first.
+   * Extra time in transit of its last message; `undefined` if nothing was known
+   * of it before.
    */
   transit: Milliseconds | undefined;
 }
@@ -116,7 +117,9 @@
     const isSame = previous?.incarnation === sender.incarnation;
     if (isSame && sequence <= previous.sequence) return false;
     if (!this.mergeRecord(sender, now)) return false;
-    this.#peers.get(sender.host)!.sequence = sequence;
+    const peer = this.#peers.get(sender.host)!;
+    peer.sequence = sequence;
+    peer.transit = estimateTransit(peer, { sender, isKnown: isSame, now });
     this.#seeds.delete(sender.address);
     return true;
   }
@@ -132,14 +135,12 @@
     const startedAt = now - age;
     const previous = this.#peers.get(host);
     if (previous?.incarnation === incarnation) {
-      previous.transit = previous.transitEstimator.observe(age, now);
       this.#refresh(previous, record, lastHeardAt);
       return true;
     }
     const isOlder = previous !== undefined &&
       startedAt < previous.startedAt + MINIMUM_RESTART_MS;
     if (isOlder) return false;
-    const transitEstimator = new TransitEstimator();
     this.#peers.set(host, {
       incarnation,
       address: record.address,
@@ -153,8 +154,8 @@
       isLost: now - lastHeardAt > this.#lostAfter(),
       readerWeight: previous?.readerWeight ??
         rendezvousWeight(READER_KEY, host),
-      transitEstimator,
-      transit: transitEstimator.observe(age, now),
+      transitEstimator: new TransitEstimator(),
+      transit: undefined,
     });
     this.#candidatesAt = -Infinity;
     this.#changes.push({ host, kind: "found" });
@@ -270,8 +271,8 @@
   }
 
   /**
-   * Returns by how much the last record of a host was delayed more than its
-   * fastest one; `undefined` if there was no earlier one.
+   * Returns by how much the last message of a host was delayed more than its
+   * fastest one; `undefined` if nothing was known of the host before.
    */
   transitOf(host: HostId): Milliseconds | undefined {
     return this.#peers.get(host)?.transit;
@@ -336,6 +337,23 @@
   }
 }
 
+/**
+ * Compares a message with earlier ones of the same sender. Records from other
+ * hosts stand in before there are any; they do not tell of a suspension.
+ */
+function estimateTransit(
+  { transitEstimator, startedAt }: Peer,
+  { sender: { age }, isKnown, now }: {
+    sender: PeerRecord;
+    isKnown: boolean;
+    now: Milliseconds;
+  },
+): Milliseconds | undefined {
+  const transit = transitEstimator.observe(age, now);
+  if (transit !== undefined || !isKnown) return transit;
+  return Math.max(0, now - age - startedAt);
+}
+
 function createRecord(
   host: HostId,
   { incarnation, address, failureDomain, ...peer }: Peer,
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -119,6 +119,27 @@
   t.true(directory.recordMessage(restarted, 2, 10_100));
 });
 
+test("a host that was suspended is soon trusted again although others know its former age", (t) => {
+  // Guards against hosts that all read the store after their readers were suspended.
+  const directory = createDirectory();
+  const suspension = 3_000;
+  const second = 1_000;
+  for (let at = 0; at < 60; at++) {
+    const now = at * second;
+    const age = 5_000 + now;
+    directory.mergeRecord(createRecord("a", { age }), now);
+    const lost = at < 10 ? 0 : suspension;
+    directory.recordMessage(
+      createRecord("a", { age: age - lost }),
+      at + 1,
+      now,
+    );
+    if (at === 9) t.is(directory.transitOf(asId<HostId>("a")), 0);
+    if (at === 10) t.is(directory.transitOf(asId<HostId>("a")), suspension);
+  }
+  t.is(directory.transitOf(asId<HostId>("a")), 0);
+});
+
 test("a stopping host may not coordinate a cell, and one known from others' records may", (t) => {
   const directory = createDirectory();
   directory.recordMessage(createRecord("a"), 1, 0);
