Give each request of a test its own id

Cause: the test sends all twelve at once with the id q1. Waiting requests are kept by id, so a second one that waits takes the place of the first, which is answered at its deadline; on an idle machine the first has its slot before the second is read. Callers have an id for each attempt, so the test was wrong, not the host.

--- a/packages/gateway/tests/busyHost.test.ts
+++ b/packages/gateway/tests/busyHost.test.ts
@@ -46,7 +46,10 @@
   const host = await startGateway({ upstreams: [upstream] });
   const { lag, timer } = host.gateway.context;
   lag.observe(LAG_MS, timer.now());
-  const requests = Array.from({ length: 12 }, () => sendRequest(host.url));
+  const requests = Array.from(
+    { length: 12 },
+    (_, index) => sendRequest(host.url, { headers: { id: `q${index}` } }),
+  );
   // Blocks the event loop after all callers have started to connect.
   await new Promise((resolve) => setTimeout(resolve, 0));
   const until = timer.now() + LAG_MS;
