--- a/packages/admission/src/startLimit.ts
+++ b/packages/admission/src/startLimit.ts
@@ -100,10 +100,10 @@
     const named = this.options.rateLimits.of(upstream);
     const startedAt = this.#startedAt.get(upstream);
     if (named === undefined || startedAt === undefined) return true;
-    const lowest = Math.max(MINIMUM_PER_SECOND, named);
+    const total = Math.max(MINIMUM_PER_SECOND, named);
     const perSecond = this.#isPartitioned(now)
-      ? LOCAL_NAMED_SHARE * lowest / this.#hostCount()
-      : COORDINATOR_NAMED_SHARE * lowest;
+      ? LOCAL_NAMED_SHARE * total / this.#hostCount()
+      : COORDINATOR_NAMED_SHARE * total;
     return now - startedAt >= WINDOW_MS / perSecond;
   }
 
