Read and log that upstreams say they leave

The logs of the leaving upstream could not tell whether a host was told, when, or by which upstream: nothing read Server-Leaving, and the store's word is the only one that was logged.

The dialect reads it from each response; a host counts such responses and logs upstream_leaving while it still uses the upstream.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -4,12 +4,8 @@
   Timer,
   TimerSubscription,
 } from "@wasabivane/common";
-import type {
-  Upstream,
-  UpstreamOutcome,
-  UpstreamReport,
-} from "@wasabivane/admission";
-import type { Dialect } from "./dialect.ts";
+import type { Upstream, UpstreamOutcome } from "@wasabivane/admission";
+import type { Dialect, ResponseMetadata } from "./dialect.ts";
 import { EventStreamSplitter } from "./eventStreamSplitter.ts";
 import type { HeaderValues } from "./headers.ts";
 import type {
@@ -100,7 +96,7 @@
   /** `undefined` to wait without limit. */
   readonly silenceTimeouts: SilenceTimeouts | undefined;
   /** Called with what the upstream reports in the head of its response. */
-  readonly onReport: (report: UpstreamReport) => void;
+  readonly onReport: (metadata: ResponseMetadata) => void;
   /**
    * Called from time to time with the mean interval between a stream's events.
    */
@@ -192,8 +188,7 @@
     if (status === STATUS_MISDIRECTED) {
       return this.#end({ outcome: "replaced", detail: `status ${status}` });
     }
-    const { load, startsPerSecond } = metadata;
-    this.#options.onReport({ requests: load, startsPerSecond });
+    this.#options.onReport(metadata);
     if (metadata.hasNotRun) {
       return this.#end({ outcome: "not-run", detail: `status ${status}` });
     }
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -103,7 +103,7 @@
     pauseTarget: route.pauseTarget,
     promptTokens,
     silenceTimeouts: computeSilenceTimeouts({ ...inputs, promptTokens }),
-    onReport: (report) => recordUpstreamReport(upstream, report, context),
+    onReport: (metadata) => recordUpstreamReport(upstream, metadata, context),
     onEventInterval: (duration) =>
       upstreamStats.speed.observe({
         service,
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -20,6 +20,7 @@
   "upstreams_read",
   "upstream_listed",
   "upstream_left",
+  "upstream_leaving",
   "upstream_malformed",
   "upstream_ejected",
   "upstream_limited",
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -51,6 +51,8 @@
    * `undefined` if it names no limit.
    */
   readonly startsPerSecond: number | undefined;
+  /** Whether the upstream states that it is leaving. */
+  readonly isLeaving: boolean;
 }
 
 /** The error for policy bytes that cannot be decoded. */
--- a/packages/gateway/src/recordUpstreamReport.ts
+++ b/packages/gateway/src/recordUpstreamReport.ts
@@ -1,18 +1,29 @@
-import type { Upstream, UpstreamReport } from "@wasabivane/admission";
+import type { Upstream } from "@wasabivane/admission";
+import type { ResponseMetadata } from "./dialect.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 
 /**
  * Records what an upstream reported, and logs when the limit that it names
- * begins, changes or ends.
+ * begins, changes or ends, and when it states that it is leaving.
  */
 export function recordUpstreamReport(
   upstream: Upstream,
-  report: UpstreamReport,
-  { placementClient, upstreamStats, timer, log }: GatewayContext,
+  metadata: ResponseMetadata,
+  context: GatewayContext,
+): void {
+  recordLimit(upstream, metadata, context);
+  if (metadata.isLeaving) recordLeaving(upstream, context);
+}
+
+function recordLimit(
+  upstream: Upstream,
+  { load, startsPerSecond: named }: ResponseMetadata,
+  { placementClient, upstreamStats: { rateLimits }, timer, log }:
+    GatewayContext,
 ): void {
-  const { rateLimits } = upstreamStats;
   const id = upstream.upstream;
   const previous = rateLimits.of(id);
+  const report = { requests: load, startsPerSecond: named };
   placementClient.recordUpstreamReport(upstream, report, timer.now());
   const startsPerSecond = rateLimits.of(id);
   if (startsPerSecond === previous) return;
@@ -22,3 +33,12 @@
     former: previous,
   });
 }
+
+function recordLeaving(
+  { upstream }: Upstream,
+  { directory, metrics, log }: GatewayContext,
+): void {
+  metrics.count("upstream_leaving_responses");
+  const isListed = directory.findListed(upstream) !== undefined;
+  if (isListed) log.write("upstream_leaving", { upstream });
+}
--- a/packages/gateway/tests/helpers/plainDialect.ts
+++ b/packages/gateway/tests/helpers/plainDialect.ts
@@ -57,6 +57,7 @@
       isSealed: headerValue(headers, "mark") !== undefined,
       load: undefined,
       startsPerSecond: limit === undefined ? undefined : Number(limit),
+      isLeaving: headerValue(headers, "leaving") !== undefined,
     };
   }
 
