--- /dev/null
+++ b/packages/gateway/tests/leavingUpstreams.test.ts
@@ -0,0 +1,83 @@
+import test from "ava";
+import {
+  type RawUpstream,
+  responseHead,
+  type RunningGateway,
+  sendRequest,
+  startGateway,
+  startUpstream,
+} from "./helpers/fleet.ts";
+
+const REQUESTS = 8;
+const MANY_REQUESTS = 18;
+
+function startResponding(
+  headers: Record<string, string>,
+): Promise<RawUpstream> {
+  return startUpstream((received) => {
+    const head = responseHead(received, { "content-length": 2, ...headers });
+    received.socket.write(`${head}ok`);
+  });
+}
+
+/** Starts an upstream that says it leaves when it turns requests away. */
+function startRejecting(): Promise<RawUpstream> {
+  return startUpstream((received) => {
+    const id = received.header("id");
+    received.socket.write(
+      `HTTP/1.1 503 Service Unavailable\r\nid: ${id}\r\nnot-run: 1\r\n` +
+        "leaving: 1\r\ncontent-length: 0\r\n\r\n",
+    );
+  });
+}
+
+async function sendInTurn(
+  { url }: RunningGateway,
+  count: number,
+): Promise<(number | undefined)[]> {
+  const statuses: (number | undefined)[] = [];
+  for (let index = 0; index < count; index++) {
+    const headers = { id: `q${index}`, "time-left": "500" };
+    statuses.push((await sendRequest(url, { headers })).status);
+  }
+  return statuses;
+}
+
+test.failing("an upstream that says it leaves gets no further requests while the store lists it", async (t) => {
+  // Guards against a statement of leaving that only the store can make.
+  for (
+    const start of [() => startResponding({ leaving: "1" }), startRejecting]
+  ) {
+    const leaving = await start();
+    const other = await startResponding({});
+    const host = await startGateway({ upstreams: [leaving, other] });
+    t.teardown(() => host.close());
+    const statuses = await sendInTurn(host, REQUESTS);
+    t.true(statuses.every((status) => status === 200));
+    t.true(leaving.received.length <= 1, `${leaving.received.length}`);
+    const said = host.lines.filter(({ event }) => event === "upstream_leaving");
+    t.true(said.length <= 1);
+  }
+});
+
+test.failing("requests are refused as not run once the last upstream says it leaves", async (t) => {
+  // Guards against a leaving upstream that serves as the last resort.
+  const leaving = await startResponding({ leaving: "1" });
+  const host = await startGateway({ upstreams: [leaving] });
+  t.teardown(() => host.close());
+  t.deepEqual(await sendInTurn(host, 2), [200, 503]);
+  t.is(leaving.received.length, 1);
+});
+
+test.failing("each of many upstreams that leave at once gets one request at most", async (t) => {
+  // Guards against statements that get lost among others of the same moment.
+  const leaving = await Promise.all(
+    Array.from({ length: 5 }, () => startResponding({ leaving: "1" })),
+  );
+  const other = await startResponding({});
+  const host = await startGateway({ upstreams: [...leaving, other] });
+  t.teardown(() => host.close());
+  const statuses = await sendInTurn(host, MANY_REQUESTS);
+  t.true(statuses.every((status) => status === 200));
+  t.true(leaving.every(({ received }) => received.length <= 1));
+});
