Believe a response only if it belongs to the request

A late refusal of another request, at the point where the response was due, was taken for a refusal of this one: the caller of a request that may run once was told "not run" while the upstream still ran it. What such a response said of the upstream (its load, its limit) was passed on to all hosts.

Cause: the head was read for what the upstream says, and for "not run", before it was checked to be the response to this request and to bear the seal.

Both are checked first now. A rejection without any id is still one, since an upstream may reject what it has not read; a response with another id is never. Two tests fail before (503 for 502, and upstream_limited) and pass now.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -188,25 +188,34 @@
     if (status === STATUS_MISDIRECTED) {
       return this.#end({ outcome: "replaced", detail: `status ${status}` });
     }
+    const flaw = this.#findFlaw(status, metadata);
+    if (flaw !== undefined) {
+      return this.#end({ outcome: "broken", detail: flaw });
+    }
     this.#options.onReport(metadata);
     if (metadata.hasNotRun) {
       return this.#end({ outcome: "not-run", detail: `status ${status}` });
     }
-    if (metadata.requestId !== this.#options.requestId) {
-      return this.#end({
-        outcome: "broken",
-        detail: "response to another request",
-      });
-    }
-    if (isSuccess(status) && !metadata.isSealed) {
-      return this.#end({
-        outcome: "broken",
-        detail: "response without a seal",
-      });
-    }
     this.#head = { status, headers };
   }
 
+  /**
+   * Returns why a response is not the upstream's response to this request;
+   * `undefined` if it is. A rejection may come without the request's id, since
+   * the upstream may reject a request that it has not read.
+   */
+  #findFlaw(
+    status: number,
+    { requestId, hasNotRun, isSealed }: ResponseMetadata,
+  ): string | undefined {
+    const isUnnamed = hasNotRun && requestId === undefined;
+    if (!isUnnamed && requestId !== this.#options.requestId) {
+      return "response to another request";
+    }
+    const isAccepted = hasNotRun || isSealed || !isSuccess(status);
+    return isAccepted ? undefined : "response without a seal";
+  }
+
   data(chunk: Buffer): void {
     if (this.#isEnded || this.#head === undefined) return;
     if (this.#isEventStream()) this.#forwardEvents(chunk);
--- a/packages/gateway/tests/brokenResponses.test.ts
+++ b/packages/gateway/tests/brokenResponses.test.ts
@@ -95,3 +95,31 @@
   t.truthy(seen.headers["retry-after"]);
   await host.close();
 });
+
+test("a late refusal of another request is not taken for a refusal of this one", async (t) => {
+  // Guards against a request that is refused as not run and still runs.
+  const confused = await startUpstream((received) => {
+    received.socket.write(
+      "HTTP/1.1 503 Service Unavailable\r\nid: before\r\nnot-run: 1\r\n" +
+        "content-length: 0\r\n\r\n",
+    );
+  });
+  const host = await startGateway({
+    upstreams: [confused],
+    route: { repeatability: "at-most-once" },
+  });
+  t.teardown(() => host.close());
+  t.is((await sendRequest(host.url)).status, 502);
+});
+
+test("a response to another request says nothing about the upstream it came from", async (t) => {
+  // Guards against a late response that limits an upstream over all hosts.
+  const confused = await startUpstream((received) => {
+    const headers = { id: "before", limit: "0.1", "content-length": 2 };
+    received.socket.write(`${responseHead(received, headers)}ok`);
+  });
+  const host = await startGateway({ upstreams: [confused] });
+  t.teardown(() => host.close());
+  t.is((await sendRequest(host.url)).status, 502);
+  t.is(host.lines.find(({ event }) => event === "upstream_limited"), undefined);
+});
