Send nothing to an upstream that goes out of use while connecting

A request for which a connection was being opened, or that waited for one of the host's connections, was sent although its upstream had meanwhile said that it leaves (or lost its entry, or had its failure domain evacuated).

Cause: a decision to send is taken in three places at three times, and the last one looked at the deadline only.

It looks the upstream up once more. What was not sent is placed again and counts neither as an attempt nor against the upstream; after four of these, unreachable ones included, the request is refused as not run. The new test fails before (the request reaches the upstream) and passes now, for requests that may run once and for those that may be repeated.

--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -132,6 +132,8 @@
   | "whole"
   /** No connection could be opened; nothing was sent. */
   | "unreachable"
+  /** The upstream went out of use while connecting; nothing was sent. */
+  | "unsent"
   /** The upstream reported that it did not run the request. */
   | "not-run"
   /**
--- a/packages/admission/src/upstreamHealth.ts
+++ b/packages/admission/src/upstreamHealth.ts
@@ -46,7 +46,7 @@
     outcome: UpstreamOutcome,
     now: Milliseconds,
   ): boolean {
-    if (outcome === "cancelled") return false;
+    if (outcome === "cancelled" || outcome === "unsent") return false;
     const health = this.#healthOf(upstream);
     const isFailure = outcome !== "whole";
     health.failureShare += FAILURE_WEIGHT *
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -83,6 +83,8 @@
   readonly timer: Timer;
   /** Time after which nothing is sent. */
   readonly deadline: Milliseconds;
+  /** Whether the upstream may receive requests; checked before sending. */
+  readonly isUsable: () => boolean;
   /** Request id that the response must repeat. */
   readonly requestId: string;
   readonly isStreaming: boolean;
@@ -169,13 +171,21 @@
     this.#call?.resume();
   }
 
-  /** Checks the deadline once more, as connecting may have taken long. */
+  /**
+   * Checks deadline and upstream once more, as connecting may have taken long.
+   */
   shouldSend(): boolean {
     if (this.#isEnded) return false;
-    const { timer, deadline } = this.#options;
-    if (timer.now() < deadline) return true;
-    this.#end({ outcome: "cancelled", detail: "deadline passed before send" });
-    return false;
+    const { timer, deadline, isUsable } = this.#options;
+    if (timer.now() >= deadline) {
+      this.#end({
+        outcome: "cancelled",
+        detail: "deadline passed before send",
+      });
+    } else if (!isUsable()) {
+      this.#end({ outcome: "unsent", detail: "upstream out of use" });
+    }
+    return !this.#isEnded;
   }
 
   sent(): void {
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -98,6 +98,7 @@
     dialect,
     timer,
     deadline: admitted.deadline,
+    isUsable: () => context.directory.get(upstream.upstream) !== undefined,
     requestId: metadata.requestId,
     isStreaming: route.isStreaming,
     pauseTarget: route.pauseTarget,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -28,7 +28,7 @@
   type AdmittedRequest,
   type Refusal,
 } from "./requestAdmission.ts";
-import { isNotRun, RetryState } from "./retryState.ts";
+import { isNotRun, RetryState, wasNotSent } from "./retryState.ts";
 import { RequestTimings } from "./requestTimings.ts";
 
 /** Mean retry delay given to callers whose request did not run. */
@@ -294,7 +294,7 @@
       ),
     });
     if (!shouldRetry) return this.#fail(end, upstream);
-    if (outcome !== "unreachable") {
+    if (!wasNotSent(outcome)) {
       this.#log("request_failed", { upstream, outcome, detail, next: "again" });
     }
     this.#requestSlot();
@@ -443,6 +443,6 @@
 
 /** Maps the outcome of a failed attempt to the reason given to the caller. */
 function lossReason(outcome: UpstreamOutcome): Refusal["reason"] {
-  if (outcome === "unreachable") return "unreachable-upstream";
+  if (wasNotSent(outcome)) return "unreachable-upstream";
   return isNotRun(outcome) ? "not-run-upstream" : "upstream-lost";
 }
--- a/packages/gateway/src/retryState.ts
+++ b/packages/gateway/src/retryState.ts
@@ -4,10 +4,10 @@
 import type { AdmittedRequest } from "./requestAdmission.ts";
 
 /**
- * Unreachable upstreams after which a request is refused; they do not count as
- * attempts.
+ * Upstreams that nothing could be sent to after which a request is refused; they
+ * do not count as attempts.
  */
-const MAXIMUM_UNREACHABLE = 4;
+const MAXIMUM_UNSENT = 4;
 
 /**
  * Tracks the attempts of one request and decides about retries, by the
@@ -19,7 +19,7 @@
   readonly #context: GatewayContext;
   readonly #admitted: AdmittedRequest;
   #count = 0;
-  #unreachable = 0;
+  #unsent = 0;
   #mayHaveRun = false;
 
   constructor(
@@ -88,10 +88,10 @@
     },
   ): boolean {
     this.excluded.add(upstream);
-    if (outcome === "unreachable") {
+    if (wasNotSent(outcome)) {
       this.#count--;
-      this.#unreachable++;
-      return this.#unreachable < MAXIMUM_UNREACHABLE;
+      this.#unsent++;
+      return this.#unsent < MAXIMUM_UNSENT;
     }
     const hasNotRun = isNotRun(outcome);
     if (!hasNotRun) this.#mayHaveRun = true;
@@ -116,6 +116,11 @@
   }
 }
 
+/** Returns whether an outcome means that nothing of the request was sent. */
+export function wasNotSent(outcome: UpstreamOutcome): boolean {
+  return outcome === "unreachable" || outcome === "unsent";
+}
+
 /**
  * Returns whether an outcome means that the upstream did not run the request.
  */
--- a/packages/gateway/tests/lateSends.test.ts
+++ b/packages/gateway/tests/lateSends.test.ts
@@ -54,6 +54,7 @@
       dialect: new PlainDialect(),
       timer,
       deadline: DEADLINE_MS,
+      isUsable: () => true,
       requestId: "a",
       isStreaming: false,
       pauseTarget: 0,
--- a/packages/gateway/tests/leavingUpstreams.test.ts
+++ b/packages/gateway/tests/leavingUpstreams.test.ts
@@ -10,6 +10,7 @@
   startUpstream,
   waitUntil,
 } from "./helpers/fleet.ts";
+import type { UpstreamConnections } from "../src/upstreamConnections.ts";
 
 const LEAVING = asId<UpstreamId>("u0");
 const REQUESTS = 8;
@@ -47,6 +48,24 @@
   return statuses;
 }
 
+/** Holds a host's first call to an upstream until it is released. */
+function holdFirstCall(
+  { gateway: { context } }: RunningGateway,
+): { address: string | undefined; release: () => void } {
+  const { connections } = context;
+  const held = { address: undefined as string | undefined, release: () => {} };
+  const send: UpstreamConnections["send"] = (call, listener) => {
+    if (held.address !== undefined) return connections.send(call, listener);
+    held.address = call.address;
+    held.release = () => void connections.send(call, listener);
+    return { abort: () => {}, pause: () => {}, resume: () => {} };
+  };
+  Object.assign(context, {
+    connections: { send, close: () => connections.close() },
+  });
+  return held;
+}
+
 function isUsed({ gateway }: RunningGateway): boolean {
   return gateway.context.directory.get(LEAVING) !== undefined;
 }
@@ -113,3 +132,23 @@
   t.true(isUsed(host));
   t.is(host.lines.find(({ event }) => event === "upstream_leaving"), undefined);
 });
+
+test("a request is sent elsewhere if its upstream leaves while it is connecting", async (t) => {
+  // Guards against decisions that are older than the word of the upstream.
+  for (const repeatability of ["idempotent", "at-most-once"] as const) {
+    const upstreams = [await startResponding({}), await startResponding({})];
+    const host = await startGateway({ upstreams, route: { repeatability } });
+    t.teardown(() => host.close());
+    const held = holdFirstCall(host);
+    const response = sendRequest(host.url);
+    await waitUntil(() => held.address !== undefined);
+    const index = upstreams.findIndex(({ address }) =>
+      address === held.address
+    );
+    const leaving = asId<UpstreamId>(`u${index}`);
+    host.gateway.upstreamUpdates.reportLeaving(leaving, "peer");
+    held.release();
+    t.is((await response).status, 200);
+    t.is(upstreams[index]!.received.length, 0);
+  }
+});
