Tell operators of response headers that no part knows

Class: what an upstream says reaches a decision only if a part reads it, and nothing told of the rest. Retry-After is not among the known names on this code.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -97,8 +97,11 @@
   readonly promptTokens: number;
   /** `undefined` to wait without limit. */
   readonly silenceTimeouts: SilenceTimeouts | undefined;
-  /** Called with what the upstream reports in the head of its response. */
-  readonly onReport: (metadata: ResponseMetadata) => void;
+  /** Called with the head of the upstream's response to this request. */
+  readonly onReport: (
+    metadata: ResponseMetadata,
+    headers: HeaderValues,
+  ) => void;
   /**
    * Called from time to time with the mean interval between a stream's events.
    */
@@ -202,7 +205,7 @@
     if (flaw !== undefined) {
       return this.#end({ outcome: "broken", detail: flaw });
     }
-    this.#options.onReport(metadata);
+    this.#options.onReport(metadata, headers);
     if (metadata.hasNotRun) {
       return this.#end({ outcome: "not-run", detail: `status ${status}` });
     }
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -104,7 +104,10 @@
     pauseTarget: route.pauseTarget,
     promptTokens,
     silenceTimeouts: computeSilenceTimeouts({ ...inputs, promptTokens }),
-    onReport: (metadata) => recordUpstreamReport(upstream, metadata, context),
+    onReport: (metadata, headers) => {
+      recordUpstreamReport(upstream, metadata, context);
+      context.unknownHeaders.check(upstream.upstream, headers);
+    },
     onEventInterval: (duration) =>
       upstreamStats.speed.observe({
         service,
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -22,6 +22,7 @@
   "upstream_left",
   "upstream_leaving",
   "upstream_reinstated",
+  "upstream_header_unknown",
   "upstream_malformed",
   "upstream_ejected",
   "upstream_limited",
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -66,6 +66,11 @@
  * gateway's types.
  */
 export abstract class Dialect {
+  /**
+   * Lower-case names of the response headers that upstreams are known to send,
+   * whether or not they are read.
+   */
+  abstract readonly responseHeaders: ReadonlySet<string>;
   abstract parseRequest(headers: HeaderValues): RequestMetadata | undefined;
   /** Returns the caller's headers with reserved ones removed or replaced. */
   abstract buildUpstreamHeaders(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,6 +36,7 @@
 import { type PolicyProof, PolicyState } from "./policyState.ts";
 import { StoreSharing } from "./storeSharing.ts";
 import { connectionShare } from "./connectionShare.ts";
+import { UnknownHeaders } from "./unknownHeaders.ts";
 import { UpstreamConnections } from "./upstreamConnections.ts";
 import { UpstreamUpdates } from "./upstreamUpdates.ts";
 import { UsageSync } from "./usageSync.ts";
@@ -253,6 +254,8 @@
       dialect,
       bounds: this.#options.freshness,
     });
+    const log = new DecisionLog({ output, timer, host });
+    const metrics = new GatewayMetrics();
     return {
       host,
       failureDomain,
@@ -260,8 +263,13 @@
       elapsed: new ElapsedClock(timer),
       random,
       dialect,
-      log: new DecisionLog({ output, timer, host }),
-      metrics: new GatewayMetrics(),
+      log,
+      metrics,
+      unknownHeaders: new UnknownHeaders({
+        known: dialect.responseHeaders,
+        metrics,
+        log,
+      }),
       policies,
       directory,
       upstreamStats,
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -24,6 +24,7 @@
 import type { Dialect } from "./dialect.ts";
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
 import type { PolicyState } from "./policyState.ts";
+import type { UnknownHeaders } from "./unknownHeaders.ts";
 import type { UpstreamConnections } from "./upstreamConnections.ts";
 
 /** Holds the objects that the components of one process share. */
@@ -36,6 +37,7 @@
   readonly dialect: Dialect;
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
+  readonly unknownHeaders: UnknownHeaders;
   readonly policies: PolicyState;
   readonly directory: UpstreamDirectory;
   /** Statistics of how upstreams have served requests. */
--- a/packages/gateway/tests/helpers/plainDialect.ts
+++ b/packages/gateway/tests/helpers/plainDialect.ts
@@ -14,6 +14,14 @@
 
 /** Uses short header names, and JSON as the policy format. */
 export class PlainDialect extends Dialect {
+  override readonly responseHeaders = new Set([
+    "id",
+    "leaving",
+    "limit",
+    "mark",
+    "not-run",
+  ]);
+
   override parseRequest(headers: HeaderValues): RequestMetadata | undefined {
     const id = headerValue(headers, "id");
     if (id === undefined) return undefined;
