Read and log the time of rest that upstreams ask for

The logs of the ignored time of rest could not tell whether a host was asked, for how long, or what it sent in that time: nothing read Retry-After of an upstream's 503.

A host counts such responses and logs upstream_resting. No decision changes: with hypothesis A request_sent to that upstream goes on from the host that logs it, with B only from others, with C it ends within half a second.

--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -26,6 +26,7 @@
   "upstream_malformed",
   "upstream_ejected",
   "upstream_limited",
+  "upstream_resting",
   "domains_evacuated",
   "crash_confirmed",
   "request_refused",
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -1,4 +1,4 @@
-import type { RequestId } from "@wasabivane/common";
+import type { Milliseconds, RequestId } from "@wasabivane/common";
 import type { Policy, PromptPart } from "@wasabivane/admission";
 import type { Result } from "neverthrow";
 import type { HeaderLine, HeaderValues } from "./headers.ts";
@@ -53,6 +53,11 @@
   readonly startsPerSecond: number | undefined;
   /** Whether the upstream states that it is leaving. */
   readonly isLeaving: boolean;
+  /**
+   * Time for which the upstream, as it turns the request away, wants no other
+   * one from this host; `undefined` if it names none.
+   */
+  readonly restFor: Milliseconds | undefined;
 }
 
 /** The error for policy bytes that cannot be decoded. */
--- a/packages/gateway/src/recordUpstreamReport.ts
+++ b/packages/gateway/src/recordUpstreamReport.ts
@@ -12,6 +12,7 @@
   context: GatewayContext,
 ): void {
   recordLimit(upstream, metadata, context);
+  recordRest(upstream, metadata, context);
   if (!metadata.isLeaving) return;
   context.metrics.count("upstream_leaving_responses");
   context.reportLeaving(upstream.upstream);
@@ -35,3 +36,13 @@
     former: previous,
   });
 }
+
+function recordRest(
+  { upstream }: Upstream,
+  { restFor }: ResponseMetadata,
+  { metrics, log }: GatewayContext,
+): void {
+  if (restFor === undefined) return;
+  metrics.count("upstream_rest_responses");
+  log.write("upstream_resting", { upstream, restFor });
+}
--- a/packages/gateway/tests/helpers/plainDialect.ts
+++ b/packages/gateway/tests/helpers/plainDialect.ts
@@ -20,6 +20,7 @@
     "limit",
     "mark",
     "not-run",
+    "rest",
   ]);
 
   override parseRequest(headers: HeaderValues): RequestMetadata | undefined {
@@ -59,6 +60,7 @@
     headers: HeaderValues,
   ): ResponseMetadata {
     const limit = headerValue(headers, "limit");
+    const rest = headerValue(headers, "rest");
     return {
       requestId: headerValue(headers, "id"),
       hasNotRun: headerValue(headers, "not-run") !== undefined,
@@ -66,6 +68,7 @@
       load: undefined,
       startsPerSecond: limit === undefined ? undefined : Number(limit),
       isLeaving: headerValue(headers, "leaving") !== undefined,
+      restFor: rest === undefined ? undefined : Number(rest),
     };
   }
 
