--- /dev/null
+++ b/packages/gateway/tests/restingUpstreams.test.ts
@@ -0,0 +1,67 @@
+import test from "ava";
+import {
+  type RawUpstream,
+  responseHead,
+  type RunningGateway,
+  sendRequest,
+  startGateway,
+  startUpstream,
+} from "./helpers/fleet.ts";
+
+const REQUESTS = 8;
+/** Long enough for requests that are sent together to fill the slots. */
+const SERVICE_MS = 30;
+const LONG_REST_MS = 60_000;
+
+function startServing(): Promise<RawUpstream> {
+  return startUpstream((received) => {
+    const head = responseHead(received, { "content-length": 2 });
+    setTimeout(() => received.socket.write(`${head}ok`), SERVICE_MS);
+  });
+}
+
+/** Starts an upstream that turns all requests away and asks for rest. */
+function startResting(restFor = LONG_REST_MS): Promise<RawUpstream> {
+  return startUpstream((received) => {
+    const id = received.header("id");
+    received.socket.write(
+      `HTTP/1.1 503 Service Unavailable\r\nid: ${id}\r\nnot-run: 1\r\n` +
+        `rest: ${restFor}\r\ncontent-length: 0\r\n\r\n`,
+    );
+  });
+}
+
+function sendOne(
+  { url }: RunningGateway,
+  id: string,
+): ReturnType<typeof sendRequest> {
+  return sendRequest(url, { headers: { id, "time-left": "2000" } });
+}
+
+test.failing("an upstream gets nothing from a host in the time of rest that it asked for", async (t) => {
+  // Guards against requests that an overloaded upstream has to reject.
+  const resting = await startResting();
+  const other = await startServing();
+  const host = await startGateway({ upstreams: [resting, other], slots: 2 });
+  t.teardown(() => host.close());
+  while (resting.received.length === 0) await sendOne(host, "first");
+  const responses = await Promise.all(
+    Array.from({ length: REQUESTS }, (_, index) => sendOne(host, `q${index}`)),
+  );
+  t.true(responses.every(({ status }) => status === 200));
+  t.is(resting.received.length, 1);
+});
+
+test.failing("requests are refused as not run while all upstreams rest", async (t) => {
+  // Guards against the last upstream that gets what the others do not want, and
+  // against grants that are turned down again and again.
+  const upstreams = [await startResting(), await startResting()];
+  const host = await startGateway({ upstreams });
+  t.teardown(() => host.close());
+  for (let count = 0; count < REQUESTS; count++) {
+    const { status, headers } = await sendOne(host, `q${count}`);
+    t.is(status, 503);
+    t.true(Number(headers["retry-after"]) > 0);
+  }
+  t.true(upstreams.every(({ received }) => received.length <= 1));
+});
