Share simple upstreams among the gateway's tests

The tests of limited, leaving and resting upstreams each had their own copy of an upstream that serves or rejects all requests. No test checks less.

--- a/packages/gateway/tests/leavingUpstreams.test.ts
+++ b/packages/gateway/tests/leavingUpstreams.test.ts
@@ -1,41 +1,19 @@
 import { asId, type UpstreamId } from "@wasabivane/common";
 import test from "ava";
 import {
-  type RawUpstream,
-  responseHead,
   type RunningGateway,
   sendRequest,
   startGateway,
   startHostPair,
-  startUpstream,
   waitUntil,
 } from "./helpers/fleet.ts";
 import { holdFirstCall } from "./helpers/heldCalls.ts";
+import { startRejecting, startServing } from "./helpers/simpleUpstreams.ts";
 
 const LEAVING = asId<UpstreamId>("u0");
 const REQUESTS = 8;
 const MANY_REQUESTS = 18;
 
-function startResponding(
-  headers: Record<string, string>,
-): Promise<RawUpstream> {
-  return startUpstream((received) => {
-    const head = responseHead(received, { "content-length": 2, ...headers });
-    received.socket.write(`${head}ok`);
-  });
-}
-
-/** Starts an upstream that says it leaves when it turns requests away. */
-function startRejecting(): Promise<RawUpstream> {
-  return startUpstream((received) => {
-    const id = received.header("id");
-    received.socket.write(
-      `HTTP/1.1 503 Service Unavailable\r\nid: ${id}\r\nnot-run: 1\r\n` +
-        "leaving: 1\r\ncontent-length: 0\r\n\r\n",
-    );
-  });
-}
-
 async function sendInTurn(
   { url }: RunningGateway,
   count: number,
@@ -55,10 +33,13 @@
 test("an upstream that says it leaves gets no further requests while the store lists it", async (t) => {
   // Guards against a statement of leaving that only the store can make.
   for (
-    const start of [() => startResponding({ leaving: "1" }), startRejecting]
+    const start of [
+      () => startServing({ leaving: "1" }),
+      () => startRejecting({ leaving: "1" }),
+    ]
   ) {
     const leaving = await start();
-    const other = await startResponding({});
+    const other = await startServing({});
     const host = await startGateway({ upstreams: [leaving, other] });
     t.teardown(() => host.close());
     const statuses = await sendInTurn(host, REQUESTS);
@@ -71,7 +52,7 @@
 
 test("requests are refused as not run once the last upstream says it leaves", async (t) => {
   // Guards against a leaving upstream that serves as the last resort.
-  const leaving = await startResponding({ leaving: "1" });
+  const leaving = await startServing({ leaving: "1" });
   const host = await startGateway({ upstreams: [leaving] });
   t.teardown(() => host.close());
   t.deepEqual(await sendInTurn(host, 2), [200, 503]);
@@ -81,9 +62,9 @@
 test("each of many upstreams that leave at once gets one request at most", async (t) => {
   // Guards against statements that get lost among others of the same moment.
   const leaving = await Promise.all(
-    Array.from({ length: 5 }, () => startResponding({ leaving: "1" })),
+    Array.from({ length: 5 }, () => startServing({ leaving: "1" })),
   );
-  const other = await startResponding({});
+  const other = await startServing({});
   const host = await startGateway({ upstreams: [...leaving, other] });
   t.teardown(() => host.close());
   const statuses = await sendInTurn(host, MANY_REQUESTS);
@@ -92,7 +73,7 @@
 });
 test("hosts inform each other that an upstream says it leaves", async (t) => {
   // Guards against one request from each host to an upstream that is leaving.
-  const leaving = await startResponding({ leaving: "1" });
+  const leaving = await startServing({ leaving: "1" });
   const { reader, follower, close } = await startHostPair([leaving]);
   t.teardown(close);
   t.is((await sendRequest(reader.url)).status, 200);
@@ -103,11 +84,7 @@
 test("a response to another request says nothing about the upstream it came from", async (t) => {
   // Guards against a late response, or that of another upstream, which would
   // take a healthy upstream out of use on all hosts.
-  const confused = await startUpstream((received) => {
-    const id = `${received.header("id")}-before`;
-    const headers = { id, leaving: "1", "content-length": 2 };
-    received.socket.write(`${responseHead(received, headers)}ok`);
-  });
+  const confused = await startServing({ id: "before", leaving: "1" });
   const host = await startGateway({ upstreams: [confused] });
   t.teardown(() => host.close());
   t.is((await sendRequest(host.url)).status, 502);
@@ -118,7 +95,7 @@
 test("a request is sent elsewhere if its upstream leaves while it is connecting", async (t) => {
   // Guards against decisions that are older than the word of the upstream.
   for (const repeatability of ["idempotent", "at-most-once"] as const) {
-    const upstreams = [await startResponding({}), await startResponding({})];
+    const upstreams = [await startServing({}), await startServing({})];
     const host = await startGateway({ upstreams, route: { repeatability } });
     t.teardown(() => host.close());
     const held = holdFirstCall(host);
--- a/packages/gateway/tests/limitedUpstreams.test.ts
+++ b/packages/gateway/tests/limitedUpstreams.test.ts
@@ -1,29 +1,15 @@
 import test from "ava";
-import {
-  type RawUpstream,
-  responseHead,
-  sendRequest,
-  startGateway,
-  startUpstream,
-} from "./helpers/fleet.ts";
+import { sendRequest, startGateway } from "./helpers/fleet.ts";
+import { startServing } from "./helpers/simpleUpstreams.ts";
 
 /** So low that one start uses it up for the whole test. */
 const NAMED_PER_SECOND = 0.01;
 const REQUESTS = 8;
 
-function startResponding(
-  headers: Record<string, string>,
-): Promise<RawUpstream> {
-  return startUpstream((received) => {
-    const head = responseHead(received, { "content-length": 2, ...headers });
-    received.socket.write(`${head}ok`);
-  });
-}
-
 test("requests go to other upstreams while one names a limit", async (t) => {
   // Guards against a limit that is read from no response or reaches no decision.
-  const limited = await startResponding({ limit: String(NAMED_PER_SECOND) });
-  const other = await startResponding({});
+  const limited = await startServing({ limit: String(NAMED_PER_SECOND) });
+  const other = await startServing({});
   const host = await startGateway({ upstreams: [limited, other] });
   t.teardown(() => host.close());
   for (let count = 0; count < REQUESTS; count++) {
--- a/packages/gateway/tests/restingUpstreams.test.ts
+++ b/packages/gateway/tests/restingUpstreams.test.ts
@@ -1,37 +1,18 @@
 import test from "ava";
 import {
-  type RawUpstream,
-  responseHead,
   type RunningGateway,
   sendRequest,
   startGateway,
-  startUpstream,
   waitUntil,
 } from "./helpers/fleet.ts";
 import { holdFirstCall } from "./helpers/heldCalls.ts";
+import { startRejecting, startServing } from "./helpers/simpleUpstreams.ts";
 
 const REQUESTS = 8;
 /** Long enough for requests that are sent together to fill the slots. */
 const SERVICE_MS = 30;
 const LONG_REST_MS = 60_000;
-
-function startServing(): Promise<RawUpstream> {
-  return startUpstream((received) => {
-    const head = responseHead(received, { "content-length": 2 });
-    setTimeout(() => received.socket.write(`${head}ok`), SERVICE_MS);
-  });
-}
-
-/** Starts an upstream that turns all requests away and asks for rest. */
-function startResting(restFor = LONG_REST_MS): Promise<RawUpstream> {
-  return startUpstream((received) => {
-    const id = received.header("id");
-    received.socket.write(
-      `HTTP/1.1 503 Service Unavailable\r\nid: ${id}\r\nnot-run: 1\r\n` +
-        `rest: ${restFor}\r\ncontent-length: 0\r\n\r\n`,
-    );
-  });
-}
+const RESTING = { rest: String(LONG_REST_MS) };
 
 function sendOne(
   { url }: RunningGateway,
@@ -42,8 +23,8 @@
 
 test("an upstream gets nothing from a host in the time of rest that it asked for", async (t) => {
   // Guards against requests that an overloaded upstream has to reject.
-  const resting = await startResting();
-  const other = await startServing();
+  const resting = await startRejecting(RESTING);
+  const other = await startServing({}, { delay: SERVICE_MS });
   const host = await startGateway({ upstreams: [resting, other], slots: 2 });
   t.teardown(() => host.close());
   while (resting.received.length === 0) await sendOne(host, "first");
@@ -57,7 +38,10 @@
 test("requests are refused as not run while all upstreams rest", async (t) => {
   // Guards against the last upstream that gets what the others do not want, and
   // against grants that are turned down again and again.
-  const upstreams = [await startResting(), await startResting()];
+  const upstreams = [
+    await startRejecting(RESTING),
+    await startRejecting(RESTING),
+  ];
   const host = await startGateway({ upstreams });
   t.teardown(() => host.close());
   for (let count = 0; count < REQUESTS; count++) {
