Call the time that upstreams ask for a backoff

The code used the words of the record ("rest"), which collide with "the remaining part" all over. The usual term is a backoff; the log event is upstream_backoff and the reason of a refusal "backoff". The placement client's two questions about it (when the first backoff ends, and until when a start is of use) move to where their data is. No decision changes; the tests check what they did.

--- a/packages/admission/src/cellCoordinator.ts
+++ b/packages/admission/src/cellCoordinator.ts
@@ -27,7 +27,7 @@
 } from "./placementRequest.ts";
 import { CoordinatorStartLimit } from "./startLimit.ts";
 import type { Upstream } from "./types.ts";
-import { UpstreamRests } from "./upstreamRests.ts";
+import { UpstreamBackoffs } from "./upstreamBackoffs.ts";
 import type { UpstreamStats } from "./upstreamStats.ts";
 
 /**
@@ -87,8 +87,8 @@
   observationsSeen: number;
   decisionCount: number;
   inFlight: ReadonlyMap<UpstreamId, UpstreamLoad>;
-  /** Upstreams that want nothing from the host. */
-  readonly rests: UpstreamRests;
+  /** Upstreams that the host backs off from. */
+  readonly backoffs: UpstreamBackoffs;
   /** Decisions that the host has not acknowledged. */
   unacknowledged: UnacknowledgedDecision[];
   readonly waiting: Set<RequestId>;
@@ -177,7 +177,7 @@
     this.#recordReports(update, now);
     hostState.lastUpdateAt = now;
     hostState.inFlight = update.inFlight;
-    hostState.rests.replaceAll(update.rests);
+    hostState.backoffs.replaceAll(update.backoffs);
     hostState.unacknowledged = hostState.unacknowledged.filter(({ number }) =>
       number > update.decisionsSeen
     );
@@ -242,7 +242,7 @@
       observationsSeen: 0,
       decisionCount: 0,
       inFlight: new Map(),
-      rests: new UpstreamRests(),
+      backoffs: new UpstreamBackoffs(),
       unacknowledged: [],
       waiting: new Set(),
       unknownRequests: [],
@@ -347,8 +347,8 @@
             now,
           }),
       );
-      const { rests } = hostState;
-      this.#scheduler.enqueue({ ...pending, rests }, now);
+      const { backoffs } = hostState;
+      this.#scheduler.enqueue({ ...pending, backoffs }, now);
     }
   }
 
--- a/packages/admission/src/cellMessages.ts
+++ b/packages/admission/src/cellMessages.ts
@@ -14,7 +14,7 @@
 import type { PlacementRefusal } from "./requestScheduler.ts";
 import type { PlacementRequest } from "./placementRequest.ts";
 import type { QueueEstimate } from "./requestQueue.ts";
-import type { UpstreamRest } from "./upstreamRests.ts";
+import type { UpstreamBackoff } from "./upstreamBackoffs.ts";
 import type { AttemptObservation } from "./upstreamStats.ts";
 
 /** What an upstream reports of itself in a response. */
@@ -47,8 +47,8 @@
   readonly withdrawn: readonly RequestId[];
   /** All waiting requests of the host; included from time to time. */
   readonly waiting?: readonly RequestId[];
-  /** Upstreams of the cell that want nothing from the host for a time. */
-  readonly rests: readonly UpstreamRest[];
+  /** Upstreams of the cell that the host backs off from. */
+  readonly backoffs: readonly UpstreamBackoff[];
   /** What upstreams reported in their latest responses. */
   readonly reports: readonly (readonly [UpstreamId, UpstreamReport])[];
   /**
--- a/packages/admission/src/cellSession.ts
+++ b/packages/admission/src/cellSession.ts
@@ -76,7 +76,7 @@
 export interface UpdatePart extends
   Omit<
     CellUpdate,
-    "host" | "incarnation" | "inFlight" | "requests" | "rests"
+    "host" | "incarnation" | "inFlight" | "requests" | "backoffs"
   > {
   /** Requests that the update must describe. */
   readonly described: readonly RequestId[];
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -19,7 +19,7 @@
   type StartLimitOptions,
 } from "./startLimit.ts";
 export { UpstreamRateLimits } from "./upstreamRateLimits.ts";
-export { type UpstreamRest, UpstreamRests } from "./upstreamRests.ts";
+export { type UpstreamBackoff, UpstreamBackoffs } from "./upstreamBackoffs.ts";
 export { ConnectionBacklog } from "./connectionBacklog.ts";
 export { EventLoopLag } from "./eventLoopLag.ts";
 export { LoadShedder, type LoadShedderOptions } from "./loadShedder.ts";
--- a/packages/admission/src/placement.ts
+++ b/packages/admission/src/placement.ts
@@ -8,7 +8,7 @@
 import type { PrefixCacheIndex } from "./prefixCacheIndex.ts";
 import type { StartLimit } from "./startLimit.ts";
 import type { PromptPart, Upstream } from "./types.ts";
-import type { UpstreamRests } from "./upstreamRests.ts";
+import type { UpstreamBackoffs } from "./upstreamBackoffs.ts";
 import type { UpstreamStats } from "./upstreamStats.ts";
 
 /** Cost of an idle upstream, as a share of the cost of a full one. */
@@ -85,8 +85,8 @@
   readonly parts: readonly PromptPart[];
   /** Upstreams that it was sent to before. */
   readonly excluded?: ReadonlySet<UpstreamId>;
-  /** Upstreams that want nothing from the host that sends it. */
-  readonly rests?: UpstreamRests;
+  /** Upstreams that its host backs off from. */
+  readonly backoffs?: UpstreamBackoffs;
 }
 
 /** An upstream at which a request could start. */
@@ -363,12 +363,12 @@
 
 /** Whether a request may not be sent to an upstream now. */
 function isUnavailable(
-  { excluded, rests }: PlacementCriteria,
+  { excluded, backoffs }: PlacementCriteria,
   upstream: UpstreamId,
   now: Milliseconds,
 ): boolean {
   return excluded?.has(upstream) === true ||
-    rests?.isResting(upstream, now) === true;
+    backoffs?.has(upstream, now) === true;
 }
 
 function scarcityOf(free: number): number {
--- a/packages/admission/src/placementClient.ts
+++ b/packages/admission/src/placementClient.ts
@@ -28,12 +28,13 @@
 } from "./requestScheduler.ts";
 import {
   createPendingRequest,
+  latestStart,
   type PlacementRequest,
 } from "./placementRequest.ts";
 import { LocalStartLimit } from "./startLimit.ts";
 import type { Upstream } from "./types.ts";
 import type { UpstreamDirectory } from "./upstreamDirectory.ts";
-import { UpstreamRests } from "./upstreamRests.ts";
+import { UpstreamBackoffs } from "./upstreamBackoffs.ts";
 import type { AttemptObservation, UpstreamStats } from "./upstreamStats.ts";
 
 /**
@@ -121,7 +122,7 @@
   readonly #snapshots = new CellSnapshots();
   readonly #selector: CellSelector;
   readonly #coordinators: CoordinatorSelector;
-  readonly #rests = new UpstreamRests();
+  readonly #backoffs = new UpstreamBackoffs();
   #tickedAt: Milliseconds = -Infinity;
 
   constructor(options: PlacementClientOptions) {
@@ -204,7 +205,7 @@
     if (this.#options.directory.isEvacuated(placementRequest.service)) {
       return this.#refuseEvacuated(waitingRequest, now);
     }
-    if (this.#refuseIfResting(waitingRequest, now)) return;
+    if (this.#refuseIfBackedOff(waitingRequest, now)) return;
     const cell = this.#selector.selectFirst(placementRequest, now);
     if (cell === undefined) this.#scheduleLocally(waitingRequest, now);
     else this.#queueIn(cell, waitingRequest, now);
@@ -264,28 +265,28 @@
   }
 
   /**
-   * Records that an upstream wants nothing from this host for a time; the next
+   * Records that this host must send an upstream nothing for a time; the next
    * update passes it on. Requests for which it was the last one are refused.
    */
-  recordRest(
+  recordBackoff(
     { upstream, service }: Upstream,
-    restFor: Milliseconds,
+    retryAfter: Milliseconds,
     now: Milliseconds,
   ): void {
-    this.#rests.record([upstream, now + restFor], now);
+    this.#backoffs.record([upstream, now + retryAfter], now);
     for (const waitingRequest of [...this.#waiting.values()]) {
       const { placementRequest } = waitingRequest;
       const isConcerned = placementRequest.service === service &&
         this.#waiting.has(placementRequest.request);
       if (!isConcerned) continue;
-      this.#refuseIfResting(waitingRequest, now);
+      this.#refuseIfBackedOff(waitingRequest, now);
     }
   }
 
   /** Whether this host may send requests to an upstream now. */
   isUsable(upstream: UpstreamId, now: Milliseconds): boolean {
     const isListed = this.#options.directory.get(upstream) !== undefined;
-    return isListed && !this.#rests.isResting(upstream, now);
+    return isListed && !this.#backoffs.has(upstream, now);
   }
 
   /** Records the end of a request at an upstream. */
@@ -427,7 +428,7 @@
   ): boolean {
     const { directory, stats } = this.#options;
     return directory.of(service).some(({ upstream }) =>
-      !excluded.has(upstream) && !this.#rests.isResting(upstream, now) &&
+      !excluded.has(upstream) && !this.#backoffs.has(upstream, now) &&
       !stats.health.isEjected(upstream, now)
     );
   }
@@ -484,8 +485,8 @@
       this.#sessions.get(key)?.add(request);
       return this.#sendUpdate(key, now);
     }
-    if (this.#rests.isResting(decision.upstream, now)) {
-      // Granted before the coordinator learned of the rest.
+    if (this.#backoffs.has(decision.upstream, now)) {
+      // Granted before the coordinator learned of the backoff.
       this.#sessions.get(key)?.add(request);
       return this.#sendUpdate(key, now);
     }
@@ -527,50 +528,31 @@
   }
 
   /**
-   * Refuses a request if every upstream that it could go to rests for longer
-   * than a start is of use; returns whether it did.
+   * Refuses a request if this host backs off from every upstream that it could
+   * go to, for longer than a start is of use; returns whether it did.
    */
-  #refuseIfResting(
+  #refuseIfBackedOff(
     waitingRequest: WaitingRequest,
     now: Milliseconds,
   ): boolean {
     const { placementRequest } = waitingRequest;
-    const restsUntil = this.#restsUntil(placementRequest, now);
-    if (restsUntil === undefined) return false;
-    const { stats } = this.#options;
-    const { usefulUntil } = createPendingRequest(
-      placementRequest,
-      stats,
-      () => {},
+    const { service, excluded } = placementRequest;
+    const { directory, stats } = this.#options;
+    const usable = directory.of(service).filter(({ upstream }) =>
+      !excluded.has(upstream)
     );
-    const startBy = placementRequest.isContinuation
-      ? placementRequest.deadline
-      : usefulUntil;
-    if (restsUntil <= startBy) return false;
-    const wait = restsUntil - now;
-    this.#refuse(waitingRequest, { reason: "resting", wait, now });
+    const endsAt = this.#backoffs.firstEnd(usable, now);
+    const isInTime = endsAt === undefined ||
+      endsAt <= latestStart(placementRequest, stats);
+    if (isInTime) return false;
+    this.#refuse(waitingRequest, {
+      reason: "backoff",
+      wait: endsAt - now,
+      now,
+    });
     return true;
   }
 
-  /**
-   * Returns when the first upstream that the request could go to has rested;
-   * `undefined` if one is not resting or there is none.
-   */
-  #restsUntil(
-    { service, excluded }: PlacementRequest,
-    now: Milliseconds,
-  ): Milliseconds | undefined {
-    const available = this.#options.directory.of(service).filter((
-      { upstream },
-    ) => !excluded.has(upstream));
-    const isResting = available.length > 0 &&
-      this.#rests.coverAll(available, now);
-    if (!isResting) return undefined;
-    return Math.min(
-      ...available.map(({ upstream }) => this.#rests.untilOf(upstream)),
-    );
-  }
-
   /** Withdraws a request and refuses it without a coordinator's decision. */
   #refuse(
     { placementRequest, decide }: WaitingRequest,
@@ -611,7 +593,7 @@
         waitingRequest.decide(decision);
       },
     );
-    this.#localScheduler.submit({ ...pending, rests: this.#rests }, now);
+    this.#localScheduler.submit({ ...pending, backoffs: this.#backoffs }, now);
   }
 
   /**
@@ -683,7 +665,7 @@
       host,
       incarnation,
       inFlight: this.#loadAt(session.cell),
-      rests: this.#rests.active(now).filter(([upstream]) =>
+      backoffs: this.#backoffs.active(now).filter(([upstream]) =>
         this.#cells.hasUpstream(session.cell, upstream)
       ),
       requests: described.flatMap((request) =>
--- a/packages/admission/src/placementRequest.ts
+++ b/packages/admission/src/placementRequest.ts
@@ -84,3 +84,12 @@
     decide,
   };
 }
+
+/** Returns the latest start of a request that is of use to its caller. */
+export function latestStart(
+  request: PlacementRequest,
+  stats: UpstreamStats,
+): Milliseconds {
+  if (request.isContinuation) return request.deadline;
+  return createPendingRequest(request, stats, () => {}).usefulUntil;
+}
--- a/packages/admission/src/requestScheduler.ts
+++ b/packages/admission/src/requestScheduler.ts
@@ -52,8 +52,8 @@
   | "waited-out"
   /** It was already sent to every upstream of the service. */
   | "no-other-upstream"
-  /** Every upstream of the service wants nothing from the host for too long. */
-  | "resting"
+  /** Its host backs off from every upstream of the service for too long. */
+  | "backoff"
   /** Every upstream of the service is in an evacuated failure domain. */
   | "evacuated";
 
@@ -214,7 +214,7 @@
     if (left <= 0) return;
     const order = queue.inOrder(now, {
       maximum: MAXIMUM_CONSIDERED,
-      canStart: ({ rests }) => !rests?.coverAll(upstreams, now),
+      canStart: ({ backoffs }) => !backoffs?.coverAll(upstreams, now),
     });
     for (let next = order.shift(); next !== undefined; next = order.shift()) {
       if (left <= 0) return;
--- a/packages/admission/tests/helpers/loadReplay.ts
+++ b/packages/admission/tests/helpers/loadReplay.ts
@@ -93,7 +93,7 @@
    * Returns for how long an upstream that turns requests away wants none from
    * the host; `undefined` if it takes them.
    */
-  readonly restOf?: (
+  readonly backoffOf?: (
     upstream: Upstream,
     at: Milliseconds,
   ) => Milliseconds | undefined;
@@ -283,10 +283,14 @@
         client.begin(upstream.upstream, promptTokens);
         const sentAt = timer.now();
         replay.onSend?.(upstream, sentAt, host);
-        const restFor = replay.restOf?.(upstream, sentAt);
-        if (restFor !== undefined) {
+        const retryAfter = replay.backoffOf?.(upstream, sentAt);
+        if (retryAfter !== undefined) {
           timer.after(replay.delay ?? 1, () => {
-            reject(host, upstream, { promptTokens, restFor, now: timer.now() });
+            reject(host, upstream, {
+              promptTokens,
+              retryAfter,
+              now: timer.now(),
+            });
             submit(new Set([...excluded, upstream.upstream]));
           });
           return;
@@ -351,9 +355,9 @@
 function reject(
   { client, stats }: VirtualHost,
   { upstream, service, ...rest }: Upstream,
-  { promptTokens, restFor, now }: {
+  { promptTokens, retryAfter, now }: {
     promptTokens: number;
-    restFor: Milliseconds;
+    retryAfter: Milliseconds;
     now: Milliseconds;
   },
 ): void {
@@ -364,7 +368,7 @@
     outcome: "not-run" as const,
     residence: 0,
   };
-  client.recordRest(rejecting, restFor, now);
+  client.recordBackoff(rejecting, retryAfter, now);
   client.endPrefill(rejecting, promptTokens, now);
   stats.record(observation, now);
   client.end(rejecting, observation, now);
--- a/packages/admission/tests/upstreamRests.test.ts
+++ b/packages/admission/tests/upstreamBackoffs.test.ts
@@ -8,7 +8,7 @@
 import {
   createUpstreamId,
   type PlacementDecision,
-  UpstreamRests,
+  UpstreamBackoffs,
 } from "@wasabivane/admission";
 import test from "ava";
 import { buildPlacementRequest, buildUpstream, WEST } from "./helpers/build.ts";
@@ -16,13 +16,13 @@
 import { halve } from "./helpers/partition.ts";
 import { VirtualFleet, type VirtualHost } from "./helpers/virtualFleet.ts";
 
-const RESTING = buildUpstream(0).upstream;
-const REST_MS: Milliseconds = 3_000;
-const RESTS_FROM: Milliseconds = 2_000;
-const RESTS_UNTIL: Milliseconds = 14_000;
+const BUSY = buildUpstream(0).upstream;
+const BACKOFF_MS: Milliseconds = 3_000;
+const BUSY_FROM: Milliseconds = 2_000;
+const BUSY_UNTIL: Milliseconds = 14_000;
 /** Time after a rejection in which requests are still on their way. */
 const IN_TRANSIT_MS: Milliseconds = 500;
-/** Requests that may arrive from one host in the rest of that time. */
+/** Requests that may arrive from one host in the remaining time. */
 const ALLOWED = 2;
 
 /** Short requests that keep most slots of six upstreams busy. */
@@ -41,24 +41,24 @@
   ],
 };
 
-function isRestTime(at: Milliseconds): boolean {
-  return at >= RESTS_FROM && at < RESTS_UNTIL;
+function isBusyAt(at: Milliseconds): boolean {
+  return at >= BUSY_FROM && at < BUSY_UNTIL;
 }
 
 /**
  * Replays the load while the first upstream rejects all requests; returns the
  * times of its requests by host.
  */
-function replayRest(
+function replayBackoff(
   changes: Partial<Replay> = {},
 ): Map<HostId, Milliseconds[]> {
   const sends = new Map<HostId, Milliseconds[]>();
   replayLoad({
     ...LOAD,
-    restOf: ({ upstream }, at) =>
-      upstream === RESTING && isRestTime(at) ? REST_MS : undefined,
+    backoffOf: ({ upstream }, at) =>
+      upstream === BUSY && isBusyAt(at) ? BACKOFF_MS : undefined,
     onSend: ({ upstream }, at, { host }) => {
-      if (upstream === RESTING && isRestTime(at)) {
+      if (upstream === BUSY && isBusyAt(at)) {
         sends.set(host, [...sends.get(host) ?? [], at]);
       }
     },
@@ -67,12 +67,13 @@
   return sends;
 }
 
-/** Returns the most requests that one host sends in a time of rest. */
-function mostInRest(sends: ReadonlyMap<HostId, Milliseconds[]>): number {
+/** Returns the most requests that one host sends in the time of one backoff. */
+function mostInBackoff(sends: ReadonlyMap<HostId, Milliseconds[]>): number {
   const counts = [...sends.values()].flatMap((times) =>
     times.map((from) =>
       times.filter((at) =>
-        at > from + IN_TRANSIT_MS && at < Math.min(from + REST_MS, RESTS_UNTIL)
+        at > from + IN_TRANSIT_MS &&
+        at < Math.min(from + BACKOFF_MS, BUSY_UNTIL)
       ).length
     )
   );
@@ -91,47 +92,47 @@
   })
 ) {
   test(`hosts ${title} leave an upstream alone for the time that it asks for`, (t) => {
-    // Guards against a rest that only some of the ways to an upstream respect.
-    const sends = replayRest(changes);
+    // Guards against a backoff that only some of the ways to an upstream respect.
+    const sends = replayBackoff(changes);
     t.true(sends.size > LOAD.hosts / 2, `${sends.size}`);
-    t.true(mostInRest(sends) <= ALLOWED, `${mostInRest(sends)}`);
+    t.true(mostInBackoff(sends) <= ALLOWED, `${mostInBackoff(sends)}`);
   });
 }
 
-test("requests are refused at once while all upstreams rest, and served after", (t) => {
+test("requests are refused at once while a host backs off from all upstreams, and served after", (t) => {
   // Guards against grants that are turned down again and again, and against
   // callers who wait in vain.
   const { timer, fleet: { hosts: [host] } } = createFleet({ upstreams: 2 });
   for (const upstream of host!.directory.all()) {
-    host!.client.recordRest(upstream, REST_MS, timer.now());
+    host!.client.recordBackoff(upstream, BACKOFF_MS, timer.now());
   }
   const decisions = submit(host!, { count: 40, timer });
   t.true(decisions.every(({ kind }) => kind === "refuse"));
   for (const decision of decisions) {
-    t.true(decision.kind === "refuse" && decision.reason === "resting");
-    t.true(decision.kind === "refuse" && decision.estimate.wait === REST_MS);
+    t.true(decision.kind === "refuse" && decision.reason === "backoff");
+    t.true(decision.kind === "refuse" && decision.estimate.wait === BACKOFF_MS);
   }
-  timer.advance(REST_MS);
+  timer.advance(BACKOFF_MS);
   const later = submit(host!, { count: 2, timer });
   timer.advance(100);
   t.deepEqual(later.map(({ kind }) => kind), ["place", "place"]);
 });
 
-test("waiting requests are refused when the last upstream asks for rest", (t) => {
+test("waiting requests are refused when the last upstream asks for a backoff", (t) => {
   // Guards against callers who wait for a slot that they cannot get.
   const { timer, fleet: { hosts: [host] } } = createFleet({ upstreams: 1 });
   const decisions = submit(host!, { count: 4, timer });
   timer.advance(50);
   t.is(decisions.length, 1);
-  host!.client.recordRest(buildUpstream(0), REST_MS, timer.now());
+  host!.client.recordBackoff(buildUpstream(0), BACKOFF_MS, timer.now());
   t.is(decisions.length, 4);
   t.is(host!.client.waitingTotal, 0);
 });
 
-test("a request waits for a rest that ends in time", (t) => {
-  // Guards against refusals for a rest of a fraction of a second.
+test("a request waits for a backoff that ends in time", (t) => {
+  // Guards against refusals for a backoff of a fraction of a second.
   const { timer, fleet: { hosts: [host] } } = createFleet({ upstreams: 1 });
-  host!.client.recordRest(buildUpstream(0), 300, timer.now());
+  host!.client.recordBackoff(buildUpstream(0), 300, timer.now());
   const decisions = submit(host!, { count: 1, timer });
   timer.advance(290);
   t.is(decisions.length, 0);
@@ -139,12 +140,12 @@
   t.is(decisions[0]?.kind, "place");
 });
 
-test("other hosts use an upstream that rests from one", (t) => {
+test("other hosts use an upstream that one host backs off from", (t) => {
   // Guards against one host's rejection that takes an upstream from all.
   const { timer, fleet: { hosts: [host, other] } } = createFleet({
     upstreams: 1,
   });
-  host!.client.recordRest(buildUpstream(0), 1_000, timer.now());
+  host!.client.recordBackoff(buildUpstream(0), 1_000, timer.now());
   // More requests of the first host wait than a scheduler considers at a time.
   const waiting = submit(host!, { count: 60, timer });
   timer.advance(50);
@@ -154,16 +155,16 @@
   t.is(decisions[0]?.kind, "place");
 });
 
-test("a rest that ends earlier does not shorten a known one", (t) => {
-  const rests = new UpstreamRests();
-  rests.record([RESTING, 3_000], 0);
-  rests.record([RESTING, 1_000], 0);
-  t.true(rests.isResting(RESTING, 2_999));
-  t.false(rests.isResting(RESTING, 3_000));
-  rests.record([RESTING, 5_000], 0);
-  t.deepEqual(rests.active(4_999), [[RESTING, 5_000]]);
-  t.deepEqual(rests.active(5_000), []);
-  t.false(rests.isResting(createUpstreamId("u0", 1_000), 0));
+test("a backoff that ends earlier does not shorten a known one", (t) => {
+  const backoffs = new UpstreamBackoffs();
+  backoffs.record([BUSY, 3_000], 0);
+  backoffs.record([BUSY, 1_000], 0);
+  t.true(backoffs.has(BUSY, 2_999));
+  t.false(backoffs.has(BUSY, 3_000));
+  backoffs.record([BUSY, 5_000], 0);
+  t.deepEqual(backoffs.active(4_999), [[BUSY, 5_000]]);
+  t.deepEqual(backoffs.active(5_000), []);
+  t.false(backoffs.has(createUpstreamId("u0", 1_000), 0));
 });
 
 function createFleet(
--- a/packages/gateway/src/cellRows.ts
+++ b/packages/gateway/src/cellRows.ts
@@ -17,9 +17,9 @@
   PlacementRefusal,
   PlacementRequest,
   RouteId,
+  UpstreamBackoff,
   UpstreamOutcome,
   UpstreamReport,
-  UpstreamRest,
 } from "@wasabivane/admission";
 import {
   expectArray,
@@ -212,21 +212,21 @@
 }
 
 /**
- * Encodes the rest of an upstream; its end is sent as the time left, rounded up
- * so that it does not end early.
+ * Encodes a backoff; its end is sent as the time left, rounded up so that it does
+ * not end early.
  */
-export function encodeRest(
-  [upstream, until]: UpstreamRest,
+export function encodeBackoff(
+  [upstream, until]: UpstreamBackoff,
   now: Milliseconds,
 ): Row {
   return [upstream, Math.ceil(until - now)];
 }
 
-/** Decodes the row of {@link encodeRest}. */
-export function decodeRest(
+/** Decodes the row of {@link encodeBackoff}. */
+export function decodeBackoff(
   [upstream, left]: Row,
   now: Milliseconds,
-): UpstreamRest {
+): UpstreamBackoff {
   return [asId<UpstreamId>(expectString(upstream)), now + expectNumber(left)];
 }
 
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -26,7 +26,7 @@
   "upstream_malformed",
   "upstream_ejected",
   "upstream_limited",
-  "upstream_resting",
+  "upstream_backoff",
   "domains_evacuated",
   "crash_confirmed",
   "request_refused",
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -54,10 +54,10 @@
   /** Whether the upstream states that it is leaving. */
   readonly isLeaving: boolean;
   /**
-   * Time for which the upstream, as it turns the request away, wants no other
-   * one from this host; `undefined` if it names none.
+   * Time for which this host must back off from the upstream, which turned the
+   * request away; `undefined` if it names none.
    */
-  readonly restFor: Milliseconds | undefined;
+  readonly retryAfter: Milliseconds | undefined;
 }
 
 /** The error for policy bytes that cannot be decoded. */
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -28,19 +28,19 @@
 } from "./rowValues.ts";
 import type { GossipMessage } from "./gossipMessage.ts";
 import {
+  decodeBackoff,
   decodeCell,
   decodeDecision,
   decodeObservation,
   decodePlacementRequest,
   decodeReport,
-  decodeRest,
   decodeSnapshot,
+  encodeBackoff,
   encodeCell,
   encodeDecision,
   encodeObservation,
   encodePlacementRequest,
   encodeReport,
-  encodeRest,
   encodeSnapshot,
 } from "./cellRows.ts";
 import {
@@ -156,7 +156,7 @@
     update.withdrawn,
     update.reports.map(encodeReport),
     Math.round(update.replyTime),
-    update.rests.map((rest) => encodeRest(rest, now)),
+    update.backoffs.map((backoff) => encodeBackoff(backoff, now)),
     ...update.waiting === undefined ? [] : [update.waiting],
   ],
   decode: (row, now) => {
@@ -187,7 +187,9 @@
       withdrawn: expectIds<RequestId>(row[10]),
       reports: expectRows(row[11]).map(decodeReport),
       replyTime: expectNumber(row[12]),
-      rests: expectRows(row[13]).map((rest) => decodeRest(rest, now)),
+      backoffs: expectRows(row[13]).map((backoff) =>
+        decodeBackoff(backoff, now)
+      ),
       ...row[14] !== undefined && { waiting: expectIds<RequestId>(row[14]) },
     };
   },
--- a/packages/gateway/src/recordUpstreamReport.ts
+++ b/packages/gateway/src/recordUpstreamReport.ts
@@ -5,7 +5,7 @@
 /**
  * Records what an upstream reported, and logs when the limit that it names
  * begins, changes or ends. One that says it is leaving gets no more requests, one
- * that asks for rest none from this host for that time.
+ * that names a backoff none from this host for that time.
  */
 export function recordUpstreamReport(
   upstream: Upstream,
@@ -13,7 +13,7 @@
   context: GatewayContext,
 ): void {
   recordLimit(upstream, metadata, context);
-  recordRest(upstream, metadata, context);
+  recordBackoff(upstream, metadata, context);
   if (!metadata.isLeaving) return;
   context.metrics.count("upstream_leaving_responses");
   context.reportLeaving(upstream.upstream);
@@ -38,13 +38,13 @@
   });
 }
 
-function recordRest(
+function recordBackoff(
   upstream: Upstream,
-  { restFor }: ResponseMetadata,
+  { retryAfter }: ResponseMetadata,
   { placementClient, timer, metrics, log }: GatewayContext,
 ): void {
-  if (restFor === undefined) return;
-  metrics.count("upstream_rest_responses");
-  log.write("upstream_resting", { upstream: upstream.upstream, restFor });
-  placementClient.recordRest(upstream, restFor, timer.now());
+  if (retryAfter === undefined) return;
+  metrics.count("upstream_backoff_responses");
+  log.write("upstream_backoff", { upstream: upstream.upstream, retryAfter });
+  placementClient.recordBackoff(upstream, retryAfter, timer.now());
 }
--- a/packages/gateway/tests/helpers/plainDialect.ts
+++ b/packages/gateway/tests/helpers/plainDialect.ts
@@ -20,7 +20,7 @@
     "limit",
     "mark",
     "not-run",
-    "rest",
+    "retry-after",
   ]);
 
   override parseRequest(headers: HeaderValues): RequestMetadata | undefined {
@@ -60,7 +60,7 @@
     headers: HeaderValues,
   ): ResponseMetadata {
     const limit = headerValue(headers, "limit");
-    const rest = headerValue(headers, "rest");
+    const backoff = headerValue(headers, "retry-after");
     return {
       requestId: headerValue(headers, "id"),
       hasNotRun: headerValue(headers, "not-run") !== undefined,
@@ -68,7 +68,7 @@
       load: undefined,
       startsPerSecond: limit === undefined ? undefined : Number(limit),
       isLeaving: headerValue(headers, "leaving") !== undefined,
-      restFor: rest === undefined ? undefined : Number(rest),
+      retryAfter: backoff === undefined ? undefined : Number(backoff),
     };
   }
 
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -250,7 +250,7 @@
       wantsReply: true,
       replyTime: 12,
       withdrawn: [asId<RequestId>("gone")],
-      rests: [[asId<UpstreamId>("u2"), NOW + 3_000]],
+      backoffs: [[asId<UpstreamId>("u2"), NOW + 3_000]],
       reports: [
         [asId<UpstreamId>("u1"), { requests: 4, startsPerSecond: undefined }],
         [asId<UpstreamId>("u2"), { requests: undefined, startsPerSecond: 2.7 }],
--- a/packages/gateway/tests/restingUpstreams.test.ts
+++ b/packages/gateway/tests/upstreamBackoffs.test.ts
@@ -11,8 +11,8 @@
 const REQUESTS = 8;
 /** Long enough for requests that are sent together to fill the slots. */
 const SERVICE_MS = 30;
-const LONG_REST_MS = 60_000;
-const RESTING = { rest: String(LONG_REST_MS) };
+const LONG_BACKOFF_MS = 60_000;
+const BUSY = { "retry-after": String(LONG_BACKOFF_MS) };
 
 function sendOne(
   { url }: RunningGateway,
@@ -21,26 +21,26 @@
   return sendRequest(url, { headers: { id, "time-left": "2000" } });
 }
 
-test("an upstream gets nothing from a host in the time of rest that it asked for", async (t) => {
+test("a host sends nothing to an upstream for as long as it asked for", async (t) => {
   // Guards against requests that an overloaded upstream has to reject.
-  const resting = await startRejecting(RESTING);
+  const busy = await startRejecting(BUSY);
   const other = await startServing({}, { delay: SERVICE_MS });
-  const host = await startGateway({ upstreams: [resting, other], slots: 2 });
+  const host = await startGateway({ upstreams: [busy, other], slots: 2 });
   t.teardown(() => host.close());
-  while (resting.received.length === 0) await sendOne(host, "first");
+  while (busy.received.length === 0) await sendOne(host, "first");
   const responses = await Promise.all(
     Array.from({ length: REQUESTS }, (_, index) => sendOne(host, `q${index}`)),
   );
   t.true(responses.every(({ status }) => status === 200));
-  t.is(resting.received.length, 1);
+  t.is(busy.received.length, 1);
 });
 
-test("requests are refused as not run while all upstreams rest", async (t) => {
+test("requests are refused as not run while all upstreams ask for a backoff", async (t) => {
   // Guards against the last upstream that gets what the others do not want, and
   // against grants that are turned down again and again.
   const upstreams = [
-    await startRejecting(RESTING),
-    await startRejecting(RESTING),
+    await startRejecting(BUSY),
+    await startRejecting(BUSY),
   ];
   const host = await startGateway({ upstreams });
   t.teardown(() => host.close());
@@ -52,7 +52,7 @@
   t.true(upstreams.every(({ received }) => received.length <= 1));
 });
 
-test("a request is sent elsewhere if its upstream asks for rest while it is connecting", async (t) => {
+test("a request is sent elsewhere if its upstream asks for a backoff while it is connecting", async (t) => {
   // Guards against a request that was on its way to a connection.
   const upstreams = [await startServing(), await startServing()];
   const host = await startGateway({ upstreams });
@@ -64,7 +64,7 @@
   const asking = directory.all().find(({ address }) =>
     address === held.address
   );
-  placementClient.recordRest(asking!, LONG_REST_MS, timer.now());
+  placementClient.recordBackoff(asking!, LONG_BACKOFF_MS, timer.now());
   held.release();
   t.is((await response).status, 200);
   t.is(
