Refuse requests that wait when the last other upstream goes out of use

Found on reading the change: a request that waited for one upstream while its host backed off from all others waited on when that one left, until it was too late to start, although no start in time was possible.

The check that new requests get is made at each review of the queues, too. The new test fails before (1 of 4 decided) and passes now.

--- a/packages/admission/src/placementClient.ts
+++ b/packages/admission/src/placementClient.ts
@@ -386,6 +386,7 @@
         this.#refuseEvacuated(waitingRequest, now);
         continue;
       }
+      if (this.#refuseIfBackedOff(waitingRequest, now)) continue;
       if (
         waitingRequest.isLocal ||
         !this.#waiting.has(waitingRequest.placementRequest.request)
--- a/packages/admission/tests/upstreamBackoffs.test.ts
+++ b/packages/admission/tests/upstreamBackoffs.test.ts
@@ -129,6 +129,18 @@
   t.is(host!.client.waitingTotal, 0);
 });
 
+test("waiting requests are refused when the last other upstream goes out of use", (t) => {
+  // Guards against callers who wait for an upstream that is leaving.
+  const { timer, fleet: { hosts: [host] } } = createFleet({ upstreams: 2 });
+  host!.client.recordBackoff(buildUpstream(0), BACKOFF_MS, timer.now());
+  const decisions = submit(host!, { count: 4, timer });
+  timer.advance(50);
+  t.is(decisions.length, 1);
+  host!.directory.reportLeaving(buildUpstream(1).upstream, timer.now());
+  host!.client.review(timer.now());
+  t.is(decisions.length, 4);
+});
+
 test("a request waits for a backoff that ends in time", (t) => {
   // Guards against refusals for a backoff of a fraction of a second.
   const { timer, fleet: { hosts: [host] } } = createFleet({ upstreams: 1 });
