--- a/apps/entry/src/boundedTag.ts
+++ b/apps/entry/src/boundedTag.ts
@@ -14,7 +14,8 @@
 }
 
 /**
- * Limits the cardinality of a metric tag. In each interval the first distinct
+ * Limits the cardinality of a metric tag, since a metrics daemon keeps a series
+ * for each value of each histogram. In each interval the first distinct
  * values are reported as they are and all others as {@link OTHER_TAG_VALUE}.
  * The set of reported values starts empty in each interval, so that every value
  * has a chance to be reported.
--- a/packages/admission/src/cells.ts
+++ b/packages/admission/src/cells.ts
@@ -4,7 +4,8 @@
 
 /**
  * Target number of slots in a cell. Larger cells can overload their
- * coordinator; in smaller ones free slots of one cell stay unused while
+ * coordinator in a burst: its replies come late, and hosts schedule locally. In
+ * smaller ones free slots of one cell stay unused while
  * requests queue in another.
  */
 const TARGET_CELL_SLOTS = 120;
--- a/packages/admission/src/drawWatchDuration.ts
+++ b/packages/admission/src/drawWatchDuration.ts
@@ -10,7 +10,8 @@
  * Longest watch of a host whose peers also read the store and share their
  * confirmations. Durations are drawn at random, because a change ends the
  * watches of all hosts at once and equal durations would keep them
- * synchronized.
+ * synchronized. Stays below the share of the bound for which a confirmation is
+ * valid.
  */
 const SHARED_DURATION_SHARE = 0.6;
 /** Bounds the time until a dead connection is noticed. */
--- a/packages/admission/src/upstreamHealth.ts
+++ b/packages/admission/src/upstreamHealth.ts
@@ -9,7 +9,7 @@
 const CONSECUTIVE_BREAKS = 2;
 /** Failures of many requests within this time count as one loss. */
 const SAME_LOSS_MS: Milliseconds = 300;
-/** Weight of the newest outcome in the failure share. */
+/** Weight of the newest outcome in the failure share, over about 12 of them. */
 const FAILURE_WEIGHT = 0.08;
 
 interface Health {
--- a/packages/coordination/src/configurationGossip.ts
+++ b/packages/coordination/src/configurationGossip.ts
@@ -9,16 +9,20 @@
 
 /**
  * Number of hosts that read the platform; the others receive changes from
- * peers, so that reads do not grow with the fleet.
+ * peers, so that reads do not grow with the fleet. Two survive the loss of one.
  */
 export const PLATFORM_READERS = 2;
 /** Maximum duration of one long poll. */
 export const LONG_POLL_WAIT_MS: Milliseconds = 1_000;
 /**
- * Time since its last successful read within which a host counts as a reader.
+ * Time since its last successful read within which a host counts as a reader:
+ * three long polls, so that one lost response makes no other host read.
  */
 export const READ_FRESHNESS_MS: Milliseconds = 3_000;
-/** Additional wait per rank before a host starts to read. */
+/**
+ * Additional wait per rank before a host starts to read; exceeds the time in which
+ * it hears that the one before it has read.
+ */
 export const READ_STAGGER_MS: Milliseconds = 250;
 /**
  * How long announcements of a peer are ignored after it failed to send what it
--- a/packages/decisions/src/accountLimits.ts
+++ b/packages/decisions/src/accountLimits.ts
@@ -21,7 +21,7 @@
  * rates, and counts of waiting and running requests. A scheduler that may use
  * only a share of the pool's capacity grants only that share of the limits. The
  * balance of a bucket may become negative, so that a request larger than the
- * burst can run.
+ * burst can run and the rate still holds over any longer time.
  */
 export class AccountLimits {
   readonly #usages = new Map<ClientAccountId, AccountUsage>();
--- a/packages/decisions/src/outlierDetector.ts
+++ b/packages/decisions/src/outlierDetector.ts
@@ -9,7 +9,9 @@
 
 /** Consecutive errors that eject; a single one may be the request's fault. */
 const ERROR_LIMIT = 3;
+/** Short, so that a restart of a few seconds is noticed soon. */
 const MINIMUM_EJECTION_MS = 1_000;
+/** A dead upstream costs two requests a minute. */
 const MAXIMUM_EJECTION_MS = 30_000;
 /** Failures within this time are reports of the same loss. */
 const DUPLICATE_FAILURE_MS = 500;
@@ -22,7 +24,8 @@
 }
 
 /**
- * Ejects failing upstreams, based on the outcomes of real requests. A lost or
+ * Ejects failing upstreams, based on the outcomes of real requests; a dead one
+ * fails fastest of all and would attract all requests. A lost or
  * refused connection ejects at once, other errors only after several in a row.
  * The ejection time doubles with each consecutive ejection. At most the given
  * share of the upstreams is ejected, since the rest must carry the load and a
--- a/packages/decisions/src/outputLengthEstimator.ts
+++ b/packages/decisions/src/outputLengthEstimator.ts
@@ -1,5 +1,6 @@
 import type { ClientAccountId, Tier } from "@wasabivane/common";
 
+/** Quarters of a doubling keep a quantile within 19 %. */
 const BUCKETS_PER_DOUBLING = 4;
 /** Covers lengths up to 2^17 tokens. */
 const BUCKETS = 17 * BUCKETS_PER_DOUBLING;
@@ -35,6 +36,9 @@
  * request arrives. The distribution of a client account and tier falls back to
  * that of the tier and then to a log-uniform prior up to the caller's limit,
  * weighted by the number of responses observed.
+ *
+ * The caller's limit alone would either make every short request look long, or
+ * start long ones too late.
  */
 export class OutputLengthEstimator {
   readonly #accounts = new Map<string, Histogram>();
--- a/packages/decisions/src/prefixCacheIndex.ts
+++ b/packages/decisions/src/prefixCacheIndex.ts
@@ -18,7 +18,10 @@
 export const TOKENS_PER_BLOCK = PREFIX_BLOCK_BYTES / BYTES_PER_TOKEN;
 
 const DEFAULT_MAXIMUM_BLOCKS = 400_000;
-/** Lifetime of entries older than an event gap, which may hide an eviction. */
+/**
+ * Lifetime of entries older than an event gap, which may hide an eviction: about
+ * the time in which a busy engine replaces its cache.
+ */
 const UNCERTAIN_ENTRY_TTL_MS = 30_000;
 const ENTRY_TTL_MS = 300_000;
 /** Minimum age at which an entry is renewed. */
--- a/packages/gateway/src/gossipProtocol.ts
+++ b/packages/gateway/src/gossipProtocol.ts
@@ -14,7 +14,10 @@
   UpstreamListChange,
 } from "./gossipMessage.ts";
 
-/** Random peers that each message is sent to. */
+/**
+ * Random peers that each message is sent to. An update that each host forwards
+ * once reaches 98 in 100 hosts.
+ */
 const FANOUT = 4;
 /**
  * Minimum interval between messages with updates; later updates are batched.
--- a/packages/gateway/src/peerChannel.ts
+++ b/packages/gateway/src/peerChannel.ts
@@ -25,7 +25,8 @@
 
 /**
  * Sends and receives datagrams among hosts. Messages are self-contained and
- * repeated by their senders, so losses are tolerated.
+ * repeated by their senders, so losses are tolerated, and no stalled connection
+ * holds back the newest one.
  */
 export class PeerChannel {
   readonly #socket: Socket = createSocket("udp4");
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -15,7 +15,8 @@
 const STORE_READERS = 3;
 /**
  * Age of the last confirmation, as a share of `applyBound`, at which the first
- * follower reads the store.
+ * follower reads the store. The others follow by rank, so that not all read at
+ * once.
  */
 const FIRST_STALE_SHARE = 0.35;
 /** Share at which all remaining followers read the store. */
