Charge other hosts for the usage of the host that adds it up

Cause: that host reports to its own ledger with the map that its limiter goes on changing. The ledger kept the map, so that the sum before a report already held what was new in it, and the difference was 0: its usage counted for nobody, and what it saw of the others was too low by the same. Reports of other hosts are decoded from datagrams, so only this one was concerned.

--- a/packages/admission/src/usageLedger.ts
+++ b/packages/admission/src/usageLedger.ts
@@ -46,9 +46,11 @@
 
   /** Applies a host's total usage since its start. */
   applyUsage(
-    { host, incarnation, used }: UsageReport,
+    { host, incarnation, used: reported }: UsageReport,
     now: Milliseconds,
   ): void {
+    // The report of this host itself holds the map that its limiter changes.
+    const used = new Map(reported);
     const known = this.#hosts.get(host);
     if (known === undefined) {
       // Earlier usage was charged through the previous ledger.
