Log which coordinator placed a request, and whether its upstream was cold

No line or counter told the three hypotheses about flooded cold upstreams apart: late arrivals, more coordinators than assumed, hosts that do not know that the upstream is cold. request_sent now names the coordinator (keeper) and an upstream that is warming up (cold); warmup_starts and warmup_starts_alone count such starts by who decided them. No decision changes.

--- a/packages/admission/src/placementClient.ts
+++ b/packages/admission/src/placementClient.ts
@@ -492,7 +492,12 @@
       return this.#sendUpdate(key, now);
     }
     this.#remove(waitingRequest, key);
-    waitingRequest.decide({ ...decision, upstream });
+    const coordinator = this.#sessions.get(key)?.coordinator;
+    waitingRequest.decide({
+      ...decision,
+      upstream,
+      ...coordinator !== undefined && { coordinator },
+    });
     for (const other of waitingRequest.cells) {
       if (other !== key) this.#sendUpdate(other, now, { wantsReply: false });
     }
--- a/packages/admission/src/requestScheduler.ts
+++ b/packages/admission/src/requestScheduler.ts
@@ -1,4 +1,5 @@
 import type {
+  HostId,
   Milliseconds,
   Random,
   RequestId,
@@ -62,6 +63,8 @@
   | {
     readonly kind: "place";
     readonly upstream: Upstream;
+    /** Coordinator that made the decision; `undefined` if this host did. */
+    readonly coordinator?: HostId;
     /** Other requests at the upstream, as far as the scheduler knows. */
     readonly inFlight: number;
     /**
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,5 +1,10 @@
 import type { Buffer } from "node:buffer";
-import type { Milliseconds, Tier, TimerSubscription } from "@wasabivane/common";
+import type {
+  HostId,
+  Milliseconds,
+  Tier,
+  TimerSubscription,
+} from "@wasabivane/common";
 import {
   computeRetryDelay,
   type PlacementDecision,
@@ -211,7 +216,7 @@
   }
 
   #send(
-    { upstream, inFlight, pendingPrefillTokens }: AssignedSlot,
+    { upstream, coordinator, inFlight, pendingPrefillTokens }: AssignedSlot,
   ): void {
     const { context, admitted, request } = this.#options;
     const now = this.#now();
@@ -244,11 +249,29 @@
         sends: this.#retryState.count,
         inFlight,
         slots: upstream.slots,
+        keeper: coordinator,
+        cold: this.#countWarmupStart(upstream, coordinator) || undefined,
       },
     );
     this.#attempt.start();
   }
 
+  /**
+   * Counts a start at an upstream that is warming up, by who decided it;
+   * returns whether it is one.
+   */
+  #countWarmupStart(
+    { upstream }: Upstream,
+    coordinator: HostId | undefined,
+  ): boolean {
+    const { upstreamStats, metrics } = this.#options.context;
+    if (!upstreamStats.warmup.isWarmingUp(upstream, this.#now())) return false;
+    metrics.count(
+      coordinator === undefined ? "warmup_starts_alone" : "warmup_starts",
+    );
+    return true;
+  }
+
   #beginPrefill(upstream: Upstream): void {
     const { context, admitted } = this.#options;
     this.#prefillUpstream = upstream;
