--- a/packages/admission/tests/upstreamWarmup.test.ts
+++ b/packages/admission/tests/upstreamWarmup.test.ts
@@ -2,12 +2,13 @@
 import {
   CoordinatorStartLimit,
   LocalStartLimit,
+  rankCoordinators,
   UpstreamRateLimits,
   UpstreamWarmup,
 } from "@wasabivane/admission";
-import { SeededRandom } from "@wasabivane/common";
+import { SeededRandom, type VirtualTimer } from "@wasabivane/common";
 import test from "ava";
-import { buildUpstream, WEST } from "./helpers/build.ts";
+import { buildUpstream, PLANS, WEST } from "./helpers/build.ts";
 import { type Replay, replayLoad } from "./helpers/loadReplay.ts";
 import type { VirtualFleet } from "./helpers/virtualFleet.ts";
 
@@ -55,14 +56,14 @@
 /** Replays the burst; all upstreams restart at {@link RETURNED_AT}. */
 function replayReturn(
   changes: Partial<Replay> = {},
-  onReturn: (fleet: VirtualFleet) => void = () => {},
+  onReturn: (fleet: VirtualFleet, timer: VirtualTimer) => void = () => {},
 ): number {
   const sends = new Map<UpstreamId, Milliseconds[]>();
   replayLoad({
     ...BURST,
     onStart: (fleet, timer) => {
       timer.after(RETURNED_AT, () => {
-        onReturn(fleet);
+        onReturn(fleet, timer);
         for (const { stats, directory } of fleet.hosts) {
           for (const { upstream } of directory.all()) {
             const now = timer.now();
@@ -120,6 +121,84 @@
   t.true(starts <= START_RATE_LIMIT);
 });
 
+/** Hosts of a large site. */
+const LARGE_FLEET = 68;
+
+/**
+ * Splits the hosts into groups that each pass over another number of the
+ * coordinators that rank first, for the rest of the replay.
+ */
+function disagreeOnCoordinator(
+  { hosts, candidates }: VirtualFleet,
+  groups: number,
+): void {
+  for (const [index, { client }] of hosts.entries()) {
+    const [cell] = client.cellsOf(PLANS);
+    const ranking = rankCoordinators(cell!, candidates);
+    for (const passedOver of ranking.slice(0, index % groups)) {
+      client.coordinators.skipUntil(passedOver, Infinity);
+    }
+  }
+}
+
+for (const groups of [3, 8]) {
+  test.failing(`hosts that use ${groups} coordinators of one cell together respect the start rate of an upstream that is warming up`, (t) => {
+    // Guards against coordinators that each grant a share of the rate, while
+    // hosts that pass over unresponsive ones use any number of them.
+    const starts = replayReturn(
+      { hosts: LARGE_FLEET },
+      (fleet) => disagreeOnCoordinator(fleet, groups),
+    );
+    t.true(starts <= START_RATE_LIMIT);
+  });
+}
+
+test.failing("coordinators that replace each other within a second together respect the start rate of an upstream that is warming up", (t) => {
+  // Guards against a coordinator that knows no starts of those before it.
+  const starts = replayReturn({ hosts: LARGE_FLEET }, (fleet) => {
+    const [cell] = fleet.hosts[0]!.client.cellsOf(PLANS);
+    const ranking = rankCoordinators(cell!, fleet.candidates);
+    for (const [index, passedOver] of ranking.slice(0, 6).entries()) {
+      fleet.after(250 * index, () => {
+        for (const { client } of fleet.hosts) {
+          client.coordinators.skipUntil(passedOver, Infinity);
+        }
+      });
+    }
+  });
+  t.true(starts <= START_RATE_LIMIT);
+});
+
+test("hosts with other cells together respect the start rate of an upstream that is warming up", (t) => {
+  // Guards against upstreams that belong to two cells, each with a coordinator,
+  // while hosts know different numbers of upstreams.
+  const starts = replayReturn(
+    {
+      hosts: LARGE_FLEET,
+      upstreams: 16,
+      tiers: [{ ...BURST.tiers[0]!, rateAt: () => 1_200 }],
+    },
+    ({ hosts }) => {
+      for (const [index, { directory }] of hosts.entries()) {
+        if (index % 2 === 0) continue;
+        directory.remove(buildUpstream(14).upstream);
+        directory.remove(buildUpstream(15).upstream);
+      }
+    },
+  );
+  t.true(starts <= START_RATE_LIMIT);
+});
+
+test("hosts that resume after a second together respect the start rate of an upstream that is warming up", (t) => {
+  // Guards against decisions of more than a second that are sent in one.
+  const starts = replayReturn({ hosts: LARGE_FLEET }, (fleet, timer) => {
+    for (const [index, host] of fleet.hosts.entries()) {
+      if (index % 3 === 0) host.suspend(1_000, timer);
+    }
+  });
+  t.true(starts <= START_RATE_LIMIT);
+});
+
 test("any upstream gets no more starts than it could take while warming up", (t) => {
   // Guards against an upstream that restarts before its entry says so.
   const sends = new Map<UpstreamId, Milliseconds[]>();
