Ignore reports of a silent coordinator at hosts that it has just replied to

Callers: requests wait or are refused while upstreams are idle, as the hosts of a cell use three to eight coordinators at once, each with a part of the queue.

Cause: a host that gets no reply for 100 ms reports its coordinator, and all hosts pass it over for 3 s, also those that it replies to. One host with a slow link or processor so moves all hosts from one coordinator to the next; each takes that back by itself, so that they disagree.

Change: a host ignores such a report if the coordinator has replied to it within 400 ms. A dead coordinator is still passed over after the first report, or after 100 ms of a host's own.

Test, one host of twelve that gets no replies: before, the other hosts use five coordinators within 2 s; now one.

--- a/packages/admission/src/coordinatorSelector.ts
+++ b/packages/admission/src/coordinatorSelector.ts
@@ -7,6 +7,8 @@
 
 /** How long an unresponsive or stopping coordinator is skipped. */
 const SKIP_MS: Milliseconds = 3_000;
+/** Time after a reply within which reports of peers are ignored. */
+const RECENT_REPLY_MS: Milliseconds = 400;
 
 /** Dependencies and settings of a {@link CoordinatorSelector}. */
 export interface CoordinatorSelectorOptions {
@@ -34,6 +36,7 @@
 export class CoordinatorSelector {
   readonly #options: CoordinatorSelectorOptions;
   readonly #skipped = new Map<HostId, Milliseconds>();
+  readonly #repliedAt = new Map<HostId, Milliseconds>();
   readonly #rankings = new Map<CellKey, CachedRanking>();
 
   constructor(options: CoordinatorSelectorOptions) {
@@ -63,16 +66,30 @@
     this.skipUntil(coordinator, now + SKIP_MS);
   }
 
-  /** Skips a coordinator that a peer reported as unresponsive. */
+  /**
+   * Skips a coordinator that a peer reports as unresponsive, unless it has just
+   * replied to this host. Only the peer or its network may be slow, and each
+   * host that follows its report uses another coordinator than the rest.
+   */
+  applyReport(
+    coordinator: HostId,
+    { until, now }: { until: Milliseconds; now: Milliseconds },
+  ): void {
+    const repliedAt = this.#repliedAt.get(coordinator) ?? -Infinity;
+    if (now - repliedAt >= RECENT_REPLY_MS) this.skipUntil(coordinator, until);
+  }
+
+  /** Skips a coordinator until a given time or its next reply. */
   skipUntil(coordinator: HostId, until: Milliseconds): void {
     if (coordinator !== this.#options.host) {
       this.#skipped.set(coordinator, until);
     }
   }
 
-  /** Stops skipping a coordinator that has replied. */
-  clearSkip(coordinator: HostId): void {
+  /** Records a reply of a coordinator and stops skipping it. */
+  recordReply(coordinator: HostId, now: Milliseconds): void {
     this.#skipped.delete(coordinator);
+    this.#repliedAt.set(coordinator, now);
   }
 
   /** Returns the coordinators that this host skips, and until when. */
--- a/packages/admission/src/placementClient.ts
+++ b/packages/admission/src/placementClient.ts
@@ -317,7 +317,7 @@
     const session = this.#sessions.get(key);
     const newDecisions = session?.receive(reply, now);
     if (session === undefined || newDecisions === undefined) return;
-    this.#coordinators.clearSkip(reply.host);
+    this.#coordinators.recordReply(reply.host, now);
     if (newDecisions.length > 0) {
       session.sendBy(now + ACKNOWLEDGE_MS);
       this.#options.onSendScheduled();
--- a/packages/admission/tests/cells.test.ts
+++ b/packages/admission/tests/cells.test.ts
@@ -101,7 +101,12 @@
  * cell and the other hosts.
  */
 function createFleet(
-  { hosts = 5, upstreams = [buildUpstream(0, { slots: 1 })], loss = 0 } = {},
+  {
+    hosts = 5,
+    upstreams = [buildUpstream(0, { slots: 1 })],
+    loss = 0,
+    isReporting = false,
+  } = {},
 ): {
   fleet: VirtualFleet;
   timer: VirtualTimer;
@@ -116,6 +121,7 @@
     failureDomains: [WEST],
     seed: 5,
     loss,
+    isReporting,
   });
   const [cell] = partitionIntoCells(PLANS, upstreams);
   const coordinator = fleet.findHost(
@@ -515,6 +521,61 @@
   t.is(fleet.coordinatorChanges, 0);
 });
 
+test("a host that gets no replies does not move the others to another coordinator", (t) => {
+  // Guards against one slow host whose reports make all hosts use one
+  // coordinator after another.
+  const upstreams = [buildUpstream(0, { slots: 100 })];
+  const { fleet, timer, coordinator, others: [cutOff, ...others] } =
+    createFleet({ hosts: 12, upstreams, isReporting: true });
+  const [cell] = partitionIntoCells(PLANS, upstreams);
+  for (const { host } of fleet.hosts) {
+    fleet.cuts.add(`${host}>${cutOff!.host}`);
+  }
+  const coordinators = new Set<HostId>();
+  for (let count = 0; count < 200; count++) {
+    for (const host of [cutOff!, ...others]) {
+      const placementRequest = buildPlacementRequest(`${host.host}-${count}`, {
+        arrivedAt: timer.now(),
+      });
+      submit(host, placementRequest, { timer, work: 20 });
+    }
+    timer.advance(10);
+    for (const { client } of others) {
+      coordinators.add(client.coordinators.coordinatorOf(cell!, timer.now()));
+    }
+  }
+  t.true(fleet.coordinatorChanges > 0);
+  t.deepEqual([...coordinators], [coordinator.host]);
+});
+
+test("hosts leave a coordinator that replies to none of them", (t) => {
+  // Guards against reports that are ignored although the coordinator is dead.
+  const upstreams = [buildUpstream(0, { slots: 100 })];
+  const { fleet, timer, coordinator, others } = createFleet({
+    hosts: 12,
+    upstreams,
+    isReporting: true,
+  });
+  const [cell] = partitionIntoCells(PLANS, upstreams);
+  submit(others[0]!, buildPlacementRequest("before"), { timer });
+  timer.advance(20);
+  coordinator.isDead = true;
+  timer.advance(500);
+  const placementRequest = buildPlacementRequest("after", {
+    arrivedAt: timer.now(),
+  });
+  const seen = submit(others[0]!, placementRequest, { timer });
+  timer.advance(200);
+  t.is(seen.decision?.kind, "place");
+  const now = timer.now();
+  t.true(fleet.coordinatorChanges <= 2);
+  t.true(
+    others.every(({ client }) =>
+      client.coordinators.coordinatorOf(cell!, now) !== coordinator.host
+    ),
+  );
+});
+
 test("a waiting request is described to its coordinator once", (t) => {
   // Guards against updates that describe all waiting requests and overload the
   // coordinator.
--- a/packages/admission/tests/helpers/virtualFleet.ts
+++ b/packages/admission/tests/helpers/virtualFleet.ts
@@ -22,6 +22,8 @@
 
 const TICK_MS: Milliseconds = 10;
 const SNAPSHOT_MS: Milliseconds = 100;
+/** Time for which a reported coordinator is skipped. */
+const REPORT_MS: Milliseconds = 3_000;
 
 /** Configuration of a {@link VirtualFleet}. */
 export interface FleetOptions {
@@ -42,6 +44,8 @@
   readonly seedStep?: number;
   /** Starts per second that an upstream can take while warming up. */
   readonly coldStarts?: number;
+  /** Whether hosts report unresponsive coordinators to all others. */
+  readonly isReporting?: boolean;
 }
 
 /** One host with its client and the cells that it coordinates. */
@@ -91,7 +95,11 @@
         });
       },
       onSendScheduled: () => {},
-      onCoordinatorChange: () => fleet.coordinatorChanges++,
+      onCoordinatorChange: ({ kind, coordinator }) => {
+        fleet.coordinatorChanges++;
+        const isReported = options.isReporting === true && kind === "silent";
+        if (isReported) fleet.reportUnresponsive(this.host, coordinator!);
+      },
     });
   }
 
@@ -222,6 +230,20 @@
     });
   }
 
+  /** Reports an unresponsive coordinator to all other hosts. */
+  reportUnresponsive(reporter: HostId, coordinator: HostId): void {
+    const until = this.now() + REPORT_MS;
+    for (const { host } of this.hosts) {
+      if (host === reporter) continue;
+      this.deliver(
+        reporter,
+        host,
+        ({ client }, now) =>
+          client.coordinators.applyReport(coordinator, { until, now }),
+      );
+    }
+  }
+
   announce(host: HostId, cell: Cell): void {
     for (const other of this.hosts) {
       if (other.host === host) continue;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -380,7 +380,10 @@
       onUpstreamLeaving: (upstream) =>
         this.upstreamUpdates.reportLeaving(upstream, "peer"),
       onUnresponsiveHost: (host, until) =>
-        this.context.placementClient.coordinators.skipUntil(host, until),
+        this.context.placementClient.coordinators.applyReport(host, {
+          until,
+          now: this.#options.timer.now(),
+        }),
       listRevision: () => this.storeSharing.listRevision,
       isStoreReachable: () => this.storeSharing.isStoreReachable,
     });
