Keep to limits that upstreams name with any number of coordinators

The same cause as at cold upstreams, found by looking: each coordinator of a cell used 0.7 of the limit that an upstream names, on the assumption of two of them.

Callers: an upstream that asks for few requests gets several times as many, and may fail those that it has.

Change: only the coordinator that ranks first uses that share. All others are held to what is left to hosts that schedule locally, the first start included.

Tests, starts in 4 s of 20 allowed, 20 hosts: 3 coordinators 21 before, 7 now; 8 coordinators 55 before, 9 now. One coordinator 7, as before.

--- a/packages/admission/src/startLimit.ts
+++ b/packages/admission/src/startLimit.ts
@@ -15,12 +15,12 @@
 /** Share used at other upstreams, which may have restarted unnoticed. */
 const COORDINATOR_WARM_SHARE = 0.7;
 /**
- * Share of the rate that an upstream names which one coordinator uses. Two of
- * them and all hosts that schedule locally stay within one and a half times
- * that rate.
+ * Share of the rate that an upstream names which the coordinator that ranks
+ * first uses. One in each part of a partition, and all hosts that schedule
+ * locally, stay within one and a half times that rate.
  */
 const COORDINATOR_NAMED_SHARE = 0.7;
-/** Share left to all hosts that schedule locally together. */
+/** Share left to all other hosts together. */
 const LOCAL_NAMED_SHARE = 0.1;
 /** Stands for lower named rates, as only a response can end a limit. */
 const MINIMUM_PER_SECOND = 0.25;
@@ -66,6 +66,8 @@
  * warming up, therefore, only the one that ranks first starts requests, and only
  * once the starts of the one before it are out of the window. A coordinator that
  * receives updates from no other host is partitioned and starts nothing there.
+ * At upstreams that name a limit, all others share what is left to hosts that
+ * schedule locally.
  */
 export class CoordinatorStartLimit extends StartLimit {
   readonly #starts = new Map<UpstreamId, Milliseconds[]>();
@@ -106,12 +108,18 @@
 
   #isWithinNamedRate({ upstream }: Upstream, now: Milliseconds): boolean {
     const named = this.options.rateLimits.of(upstream);
+    if (named === undefined) return true;
+    const isSole = this.#isSole(now);
     const startedAt = this.#startedAt.get(upstream);
-    if (named === undefined || startedAt === undefined) return true;
+    if (startedAt === undefined) {
+      // Any number of other coordinators may be about to start their first one.
+      if (!isSole) this.#startedAt.set(upstream, now);
+      return isSole;
+    }
     const total = Math.max(MINIMUM_PER_SECOND, named);
-    const perSecond = this.#isPartitioned(now)
-      ? LOCAL_NAMED_SHARE * total / this.#hostCount()
-      : COORDINATOR_NAMED_SHARE * total;
+    const perSecond = isSole
+      ? COORDINATOR_NAMED_SHARE * total
+      : LOCAL_NAMED_SHARE * total / this.#hostCount();
     return now - startedAt >= WINDOW_MS / perSecond;
   }
 
--- a/packages/admission/tests/helpers/partition.ts
+++ b/packages/admission/tests/helpers/partition.ts
@@ -1,3 +1,5 @@
+import { rankCoordinators } from "@wasabivane/admission";
+import { PLANS } from "./build.ts";
 import type { VirtualFleet } from "./virtualFleet.ts";
 
 /** Drops all messages between the first and the second half of the hosts. */
@@ -11,6 +13,23 @@
   cut(fleet, (index, other) => index !== other);
 }
 
+/**
+ * Splits the hosts into groups that each pass over another number of the
+ * coordinators that rank first, for the rest of the replay.
+ */
+export function disagreeOnCoordinator(
+  { hosts, candidates }: VirtualFleet,
+  groups: number,
+): void {
+  for (const [index, { client }] of hosts.entries()) {
+    const [cell] = client.cellsOf(PLANS);
+    const ranking = rankCoordinators(cell!, candidates);
+    for (const passedOver of ranking.slice(0, index % groups)) {
+      client.coordinators.skipUntil(passedOver, Infinity);
+    }
+  }
+}
+
 function cut(
   { hosts, cuts }: VirtualFleet,
   isCut: (index: number, other: number) => boolean,
--- a/packages/admission/tests/namedLimits.test.ts
+++ b/packages/admission/tests/namedLimits.test.ts
@@ -2,7 +2,7 @@
 import test from "ava";
 import { buildUpstream, WEST } from "./helpers/build.ts";
 import { type Replay, replayLoad } from "./helpers/loadReplay.ts";
-import { halve, isolate } from "./helpers/partition.ts";
+import { disagreeOnCoordinator, halve, isolate } from "./helpers/partition.ts";
 
 /** Requests per second that the first upstream takes from all hosts. */
 const NAMED_PER_SECOND = 2.5;
@@ -113,3 +113,20 @@
   const most = busiestWindow(starts);
   t.true(most <= ALLOWED, `${most} of ${ALLOWED}`);
 });
+
+for (const groups of [3, 8]) {
+  test(`hosts that use ${groups} coordinators of one cell together keep to the limit of an upstream`, (t) => {
+    // Guards against coordinators that each use the whole limit while hosts
+    // pass over different ones.
+    const starts = replayLimit({
+      onStart: (fleet, timer) => {
+        timer.after(
+          NAMED_AT + SETTLING_MS,
+          () => disagreeOnCoordinator(fleet, groups),
+        );
+      },
+    });
+    const most = busiestWindow(starts);
+    t.true(most <= ALLOWED, `${most} of ${ALLOWED}`);
+  });
+}
--- a/packages/admission/tests/upstreamWarmup.test.ts
+++ b/packages/admission/tests/upstreamWarmup.test.ts
@@ -10,6 +10,7 @@
 import test from "ava";
 import { buildUpstream, PLANS, WEST } from "./helpers/build.ts";
 import { type Replay, replayLoad } from "./helpers/loadReplay.ts";
+import { disagreeOnCoordinator } from "./helpers/partition.ts";
 import type { VirtualFleet } from "./helpers/virtualFleet.ts";
 
 /**
@@ -124,23 +125,6 @@
 /** Hosts of a large site. */
 const LARGE_FLEET = 68;
 
-/**
- * Splits the hosts into groups that each pass over another number of the
- * coordinators that rank first, for the rest of the replay.
- */
-function disagreeOnCoordinator(
-  { hosts, candidates }: VirtualFleet,
-  groups: number,
-): void {
-  for (const [index, { client }] of hosts.entries()) {
-    const [cell] = client.cellsOf(PLANS);
-    const ranking = rankCoordinators(cell!, candidates);
-    for (const passedOver of ranking.slice(0, index % groups)) {
-      client.coordinators.skipUntil(passedOver, Infinity);
-    }
-  }
-}
-
 for (const groups of [3, 8]) {
   test(`hosts that use ${groups} coordinators of one cell together respect the start rate of an upstream that is warming up`, (t) => {
     // Guards against coordinators that each grant a share of the rate, while
