Let the second in rank start requests at cold upstreams while the first is silent

Callers: with the host that ranks first dead, a failure domain that returns got no requests for as long as its upstreams count as cold, as only that host may start any and the others notice its loss after 1.5 to 12 s.

Change: the second in rank is in charge, too, once the first has not replied to it for a second. Two coordinators, in charge by rank, are what the shares allow for.

--- a/packages/admission/src/cellCoordinator.ts
+++ b/packages/admission/src/cellCoordinator.ts
@@ -70,8 +70,8 @@
   readonly coldStartsOf: (upstream: Upstream) => number | undefined;
   /** Number of hosts believed alive, including this one. */
   readonly hostCount: () => number;
-  /** Returns for how long this host has ranked first for the cell. */
-  readonly timeAsFirst: (now: Milliseconds) => Milliseconds;
+  /** Returns for how long this host has been in charge of the cell. */
+  readonly timeInCharge: (now: Milliseconds) => Milliseconds;
   readonly send: (to: HostId, reply: CellReply) => void;
   /** Calls back once after the given time. */
   readonly after: (span: Milliseconds, callback: () => void) => void;
@@ -145,7 +145,7 @@
         rateLimits: stats.rateLimits,
         hostCount: options.hostCount,
         isPartitioned: (now) => this.#isPartitioned(now),
-        timeAsFirst: options.timeAsFirst,
+        timeInCharge: options.timeInCharge,
       }),
     });
   }
--- a/packages/admission/src/coordinatorSelector.ts
+++ b/packages/admission/src/coordinatorSelector.ts
@@ -21,12 +21,13 @@
 
 /**
  * Ranked hosts of a cell, the candidates that the ranking was computed from, and
- * since when the same host has ranked first.
+ * since when the same host has ranked first, and the same two in front.
  */
 interface CachedRanking {
   readonly candidates: readonly CoordinatorCandidate[];
   readonly ranking: readonly HostId[];
   readonly firstSince: Milliseconds;
+  readonly secondSince: Milliseconds;
 }
 
 /**
@@ -37,6 +38,8 @@
   readonly #options: CoordinatorSelectorOptions;
   readonly #skipped = new Map<HostId, Milliseconds>();
   readonly #repliedAt = new Map<HostId, Milliseconds>();
+  /** Hosts that have not replied since they were skipped, and since when. */
+  readonly #unresponsiveSince = new Map<HostId, Milliseconds>();
   readonly #rankings = new Map<CellKey, CachedRanking>();
 
   constructor(options: CoordinatorSelectorOptions) {
@@ -52,18 +55,24 @@
   }
 
   /**
-   * Returns for how long this host has ranked first for a cell; 0 if it does
-   * not. Unlike the coordinator, the rank does not depend on who is skipped, so
-   * connected hosts agree on it.
+   * Returns for how long this host has been in charge of a cell; 0 if it is not.
+   * The host that ranks first is, and the second while the first does not reply
+   * to it. Unlike the coordinators that hosts use, these are two at most, as
+   * connected hosts agree on the ranking.
    */
-  timeAsFirst(cell: Cell, now: Milliseconds): Milliseconds {
-    const { ranking, firstSince } = this.#rankingOf(cell, now);
-    return ranking[0] === this.#options.host ? now - firstSince : 0;
+  timeInCharge(cell: Cell, now: Milliseconds): Milliseconds {
+    const { host } = this.#options;
+    const { ranking, firstSince, secondSince } = this.#rankingOf(cell, now);
+    const [first, second] = ranking;
+    if (first === host) return now - firstSince;
+    if (first === undefined || second !== host) return 0;
+    const unresponsiveSince = this.#unresponsiveSince.get(first) ?? now;
+    return now - Math.max(unresponsiveSince, secondSince);
   }
 
   /** Skips a coordinator that is unresponsive or stops. */
   skip(coordinator: HostId, now: Milliseconds): void {
-    this.skipUntil(coordinator, now + SKIP_MS);
+    this.skipUntil(coordinator, { until: now + SKIP_MS, now });
   }
 
   /**
@@ -76,19 +85,25 @@
     { until, now }: { until: Milliseconds; now: Milliseconds },
   ): void {
     const repliedAt = this.#repliedAt.get(coordinator) ?? -Infinity;
-    if (now - repliedAt >= RECENT_REPLY_MS) this.skipUntil(coordinator, until);
+    if (now - repliedAt < RECENT_REPLY_MS) return;
+    this.skipUntil(coordinator, { until, now });
   }
 
   /** Skips a coordinator until a given time or its next reply. */
-  skipUntil(coordinator: HostId, until: Milliseconds): void {
-    if (coordinator !== this.#options.host) {
-      this.#skipped.set(coordinator, until);
-    }
+  skipUntil(
+    coordinator: HostId,
+    { until, now }: { until: Milliseconds; now: Milliseconds },
+  ): void {
+    if (coordinator === this.#options.host) return;
+    this.#skipped.set(coordinator, until);
+    if (this.#unresponsiveSince.has(coordinator)) return;
+    this.#unresponsiveSince.set(coordinator, now);
   }
 
   /** Records a reply of a coordinator and stops skipping it. */
   recordReply(coordinator: HostId, now: Milliseconds): void {
     this.#skipped.delete(coordinator);
+    this.#unresponsiveSince.delete(coordinator);
     this.#repliedAt.set(coordinator, now);
   }
 
@@ -107,8 +122,16 @@
     if (cached?.candidates === candidates) return cached;
     const ranking = rankCoordinators(cell, candidates);
     const isNewFirst = cached !== undefined && cached.ranking[0] !== ranking[0];
-    const firstSince = isNewFirst ? now : cached?.firstSince ?? -Infinity;
-    const current = { candidates, ranking, firstSince };
+    const isNewSecond = cached !== undefined &&
+      cached.ranking[1] !== ranking[1];
+    const current = {
+      candidates,
+      ranking,
+      firstSince: isNewFirst ? now : cached?.firstSince ?? -Infinity,
+      secondSince: isNewFirst || isNewSecond
+        ? now
+        : cached?.secondSince ?? -Infinity,
+    };
     this.#rankings.set(key, current);
     return current;
   }
--- a/packages/admission/src/placementClient.ts
+++ b/packages/admission/src/placementClient.ts
@@ -348,15 +348,15 @@
   }
 
   /**
-   * Returns for how long this host has ranked first for a cell; 0 if it does
+   * Returns for how long this host has been in charge of a cell; 0 if it is
    * not, or if the service is partitioned into other cells now.
    */
-  timeAsFirst(cell: Cell, now: Milliseconds): Milliseconds {
+  timeInCharge(cell: Cell, now: Milliseconds): Milliseconds {
     const key = cellKeyOf(cell);
     const isCurrent = this.#cells.cellsOf(cell.service).some((current) =>
       cellKeyOf(current) === key
     );
-    return isCurrent ? this.#coordinators.timeAsFirst(cell, now) : 0;
+    return isCurrent ? this.#coordinators.timeInCharge(cell, now) : 0;
   }
 
   /** Returns the cells of a service. */
--- a/packages/admission/src/startLimit.ts
+++ b/packages/admission/src/startLimit.ts
@@ -6,8 +6,8 @@
 /** Window in which starts are counted. */
 const WINDOW_MS: Milliseconds = 1_000;
 /**
- * Share of an upstream's warm-up start rate that the coordinator which ranks
- * first uses, as there is one in each part of a partition.
+ * Share of an upstream's warm-up start rate that a coordinator in charge uses,
+ * as there may be two of them.
  */
 const COORDINATOR_WARMUP_SHARE = 0.4;
 /** Share left to all hosts that schedule locally together. */
@@ -15,9 +15,9 @@
 /** Share used at other upstreams, which may have restarted unnoticed. */
 const COORDINATOR_WARM_SHARE = 0.7;
 /**
- * Share of the rate that an upstream names which the coordinator that ranks
- * first uses. One in each part of a partition, and all hosts that schedule
- * locally, stay within one and a half times that rate.
+ * Share of the rate that an upstream names which a coordinator in charge uses.
+ * Two of them and all hosts that schedule locally stay within one and a half
+ * times that rate.
  */
 const COORDINATOR_NAMED_SHARE = 0.7;
 /** Share left to all other hosts together. */
@@ -63,9 +63,9 @@
 /**
  * Start limit of a coordinator. Hosts that pass over unresponsive coordinators
  * use any number of them for one cell at the same time. At upstreams that are
- * warming up, therefore, only the one that ranks first starts requests, and only
- * once the starts of the one before it are out of the window. A coordinator that
- * receives updates from no other host is partitioned and starts nothing there.
+ * warming up, therefore, only those in charge start requests, and only once the
+ * starts of the one before are out of the window. A coordinator that receives
+ * updates from no other host is partitioned and starts nothing there.
  * At upstreams that name a limit, all others share what is left to hosts that
  * schedule locally.
  */
@@ -74,7 +74,7 @@
   /** Last starts at upstreams that name a limit. */
   readonly #startedAt = new Map<UpstreamId, Milliseconds>();
   readonly #isPartitioned: (now: Milliseconds) => boolean;
-  readonly #timeAsFirst: (now: Milliseconds) => Milliseconds;
+  readonly #timeInCharge: (now: Milliseconds) => Milliseconds;
   readonly #hostCount: () => number;
 
   constructor(
@@ -82,17 +82,17 @@
       /** Whether no other host sends updates although there are several. */
       readonly isPartitioned: (now: Milliseconds) => boolean;
       /**
-       * Returns for how long this host has ranked first for the cell; 0 if it
-       * does not.
+       * Returns for how long this host has been in charge of the cell; 0 if it
+       * is not.
        */
-      readonly timeAsFirst: (now: Milliseconds) => Milliseconds;
+      readonly timeInCharge: (now: Milliseconds) => Milliseconds;
       /** Number of hosts believed alive, including this one. */
       readonly hostCount: () => number;
     },
   ) {
     super(options);
     this.#isPartitioned = options.isPartitioned;
-    this.#timeAsFirst = options.timeAsFirst;
+    this.#timeInCharge = options.timeInCharge;
     this.#hostCount = options.hostCount;
   }
 
@@ -109,15 +109,15 @@
   #isWithinNamedRate({ upstream }: Upstream, now: Milliseconds): boolean {
     const named = this.options.rateLimits.of(upstream);
     if (named === undefined) return true;
-    const isSole = this.#isSole(now);
+    const isInCharge = this.#isInCharge(now);
     const startedAt = this.#startedAt.get(upstream);
     if (startedAt === undefined) {
       // Any number of other coordinators may be about to start their first one.
-      if (!isSole) this.#startedAt.set(upstream, now);
-      return isSole;
+      if (!isInCharge) this.#startedAt.set(upstream, now);
+      return isInCharge;
     }
     const total = Math.max(MINIMUM_PER_SECOND, named);
-    const perSecond = isSole
+    const perSecond = isInCharge
       ? COORDINATOR_NAMED_SHARE * total
       : LOCAL_NAMED_SHARE * total / this.#hostCount();
     return now - startedAt >= WINDOW_MS / perSecond;
@@ -127,7 +127,7 @@
     const coldStarts = this.options.coldStartsOf(upstream);
     if (coldStarts === undefined) return true;
     const isWarmingUp = this.options.warmup.isWarmingUp(upstream.upstream, now);
-    if (isWarmingUp && !this.#isSole(now)) return false;
+    if (isWarmingUp && !this.#isInCharge(now)) return false;
     const share = isWarmingUp
       ? COORDINATOR_WARMUP_SHARE
       : COORDINATOR_WARM_SHARE;
@@ -139,9 +139,9 @@
     return earlier === undefined || now - earlier >= WINDOW_MS;
   }
 
-  /** Whether no other coordinator of the cell starts requests, or just did. */
-  #isSole(now: Milliseconds): boolean {
-    return this.#timeAsFirst(now) >= WINDOW_MS && !this.#isPartitioned(now);
+  /** Whether this coordinator may use the share of one in charge. */
+  #isInCharge(now: Milliseconds): boolean {
+    return this.#timeInCharge(now) >= WINDOW_MS && !this.#isPartitioned(now);
   }
 
   override recordStart(upstream: Upstream, now: Milliseconds): void {
--- a/packages/admission/tests/helpers/build.ts
+++ b/packages/admission/tests/helpers/build.ts
@@ -128,7 +128,7 @@
       warmup: stats.warmup,
       rateLimits: stats.rateLimits,
       isPartitioned: () => false,
-      timeAsFirst: () => Infinity,
+      timeInCharge: () => Infinity,
       hostCount: () => 1,
     }),
   });
--- a/packages/admission/tests/helpers/partition.ts
+++ b/packages/admission/tests/helpers/partition.ts
@@ -18,14 +18,16 @@
  * coordinators that rank first, for the rest of the replay.
  */
 export function disagreeOnCoordinator(
-  { hosts, candidates }: VirtualFleet,
+  fleet: VirtualFleet,
   groups: number,
 ): void {
+  const { hosts, candidates } = fleet;
+  const now = fleet.now();
   for (const [index, { client }] of hosts.entries()) {
     const [cell] = client.cellsOf(PLANS);
     const ranking = rankCoordinators(cell!, candidates);
     for (const passedOver of ranking.slice(0, index % groups)) {
-      client.coordinators.skipUntil(passedOver, Infinity);
+      client.coordinators.skipUntil(passedOver, { until: Infinity, now });
     }
   }
 }
--- a/packages/admission/tests/helpers/virtualFleet.ts
+++ b/packages/admission/tests/helpers/virtualFleet.ts
@@ -142,7 +142,7 @@
       random: this.#random,
       coldStartsOf: () => this.#coldStarts,
       hostCount: () => this.#fleet.candidates.length,
-      timeAsFirst: (now) => this.client.timeAsFirst(cell, now),
+      timeInCharge: (now) => this.client.timeInCharge(cell, now),
       send: (to, reply) =>
         this.#fleet.deliver(
           this.host,
--- a/packages/admission/tests/upstreamWarmup.test.ts
+++ b/packages/admission/tests/upstreamWarmup.test.ts
@@ -145,7 +145,10 @@
     for (const [index, passedOver] of ranking.slice(0, 6).entries()) {
       fleet.after(250 * index, () => {
         for (const { client } of fleet.hosts) {
-          client.coordinators.skipUntil(passedOver, Infinity);
+          client.coordinators.skipUntil(passedOver, {
+            until: Infinity,
+            now: fleet.now(),
+          });
         }
       });
     }
@@ -188,6 +191,18 @@
   t.true(starts <= START_RATE_LIMIT);
 });
 
+test("upstreams that are warming up get requests while the host that ranks first is dead", (t) => {
+  // Guards against upstreams that nobody uses after their return, until all
+  // hosts have noticed a loss.
+  const starts = replayReturn({ hosts: LARGE_FLEET }, (fleet) => {
+    const [cell] = fleet.hosts[0]!.client.cellsOf(PLANS);
+    const [first] = rankCoordinators(cell!, fleet.candidates);
+    fleet.findHost(first!).isDead = true;
+  });
+  t.true(starts <= START_RATE_LIMIT);
+  t.true(starts > 0.3 * START_RATE_LIMIT);
+});
+
 test("hosts that resume after a second together respect the start rate of an upstream that is warming up", (t) => {
   // Guards against decisions of more than a second that are sent in one.
   const starts = replayReturn({ hosts: LARGE_FLEET }, (fleet, timer) => {
@@ -243,7 +258,7 @@
     warmup,
     rateLimits: new UpstreamRateLimits(),
     isPartitioned: () => false,
-    timeAsFirst: () => Infinity,
+    timeInCharge: () => Infinity,
     hostCount: () => 1,
   });
   for (let index = 0; index < 1_000; index++) {
@@ -265,7 +280,7 @@
     new CoordinatorStartLimit({
       ...options,
       isPartitioned: () => true,
-      timeAsFirst: () => 0,
+      timeInCharge: () => 0,
       hostCount: () => 5,
     }),
     new LocalStartLimit({
--- a/packages/gateway/src/cellRouter.ts
+++ b/packages/gateway/src/cellRouter.ts
@@ -170,7 +170,7 @@
       random,
       coldStartsOf,
       hostCount: context.hostCount,
-      timeAsFirst: (now) => context.placementClient.timeAsFirst(cell, now),
+      timeInCharge: (now) => context.placementClient.timeInCharge(cell, now),
       send: (to, reply) => this.#sendReply(to, reply),
       after: (span, callback) => context.timer.after(span, callback),
       now: () => this.#now(),
