--- a/packages/admission/tests/upstreamWarmup.test.ts
+++ b/packages/admission/tests/upstreamWarmup.test.ts
@@ -224,6 +224,20 @@
   t.true(busiestSecond(sends) <= START_RATE_LIMIT);
 });
 
+test.failing("any upstream gets no more starts from three coordinators than it could take while warming up", (t) => {
+  // Guards against an upstream that restarts before its entry says so, while
+  // hosts pass over different coordinators.
+  const sends = new Map<UpstreamId, Milliseconds[]>();
+  replayLoad({
+    ...BURST,
+    hosts: LARGE_FLEET,
+    onStart: (fleet) => disagreeOnCoordinator(fleet, 3),
+    onSend: ({ upstream }, at) =>
+      sends.set(upstream, [...sends.get(upstream) ?? [], at]),
+  });
+  t.true(busiestSecond(sends) <= START_RATE_LIMIT);
+});
+
 test("an upstream that was lost counts as warming up when it is used again", (t) => {
   // Guards against a restart under the same name that is not listed yet.
   const warmup = new UpstreamWarmup();
