Bound what hosts remember of coordinators' replies

Hosts that are replaced under new names would have left a time each for good, and a coordinator that is not in charge a start time for each limit that has ended, so that each of them could have started one request at once when the next one began. No other behaviour changes.

--- a/packages/admission/src/coordinatorSelector.ts
+++ b/packages/admission/src/coordinatorSelector.ts
@@ -9,6 +9,8 @@
 const SKIP_MS: Milliseconds = 3_000;
 /** Time after a reply within which reports of peers are ignored. */
 const RECENT_REPLY_MS: Milliseconds = 400;
+/** Hosts whose replies are remembered. */
+const MAXIMUM_REMEMBERED = 1_024;
 
 /** Dependencies and settings of a {@link CoordinatorSelector}. */
 export interface CoordinatorSelectorOptions {
@@ -19,14 +21,14 @@
   readonly candidates: () => readonly CoordinatorCandidate[];
 }
 
-/**
- * Ranked hosts of a cell, the candidates that the ranking was computed from, and
- * since when the same host has ranked first, and the same two in front.
- */
+/** Ranked hosts of a cell. */
 interface CachedRanking {
+  /** Candidates that it was computed from. */
   readonly candidates: readonly CoordinatorCandidate[];
   readonly ranking: readonly HostId[];
+  /** Since when the same host has ranked first. */
   readonly firstSince: Milliseconds;
+  /** Since when the same two hosts have ranked first and second. */
   readonly secondSince: Milliseconds;
 }
 
@@ -97,14 +99,14 @@
     if (coordinator === this.#options.host) return;
     this.#skipped.set(coordinator, until);
     if (this.#unresponsiveSince.has(coordinator)) return;
-    this.#unresponsiveSince.set(coordinator, now);
+    remember(this.#unresponsiveSince, { host: coordinator, now });
   }
 
   /** Records a reply of a coordinator and stops skipping it. */
   recordReply(coordinator: HostId, now: Milliseconds): void {
     this.#skipped.delete(coordinator);
     this.#unresponsiveSince.delete(coordinator);
-    this.#repliedAt.set(coordinator, now);
+    remember(this.#repliedAt, { host: coordinator, now });
   }
 
   /** Returns the coordinators that this host skips, and until when. */
@@ -136,3 +138,15 @@
     return current;
   }
 }
+
+/** Sets a time, and drops the oldest one if there are too many. */
+function remember(
+  times: Map<HostId, Milliseconds>,
+  { host, now }: { host: HostId; now: Milliseconds },
+): void {
+  times.delete(host);
+  times.set(host, now);
+  if (times.size <= MAXIMUM_REMEMBERED) return;
+  const [oldest] = times.keys();
+  times.delete(oldest!);
+}
--- a/packages/admission/src/startLimit.ts
+++ b/packages/admission/src/startLimit.ts
@@ -108,7 +108,10 @@
 
   #isWithinNamedRate({ upstream }: Upstream, now: Milliseconds): boolean {
     const named = this.options.rateLimits.of(upstream);
-    if (named === undefined) return true;
+    if (named === undefined) {
+      this.#startedAt.delete(upstream);
+      return true;
+    }
     const isInCharge = this.#isInCharge(now);
     const startedAt = this.#startedAt.get(upstream);
     if (startedAt === undefined) {
