--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -235,6 +235,9 @@
       listener: this,
     }));
     this.#beginPrefill(upstream);
+    const { warmup } = context.upstreamStats;
+    const isWarmingUp = warmup.isWarmingUp(upstream.upstream, now);
+    if (isWarmingUp) this.#countWarmupStart(coordinator);
     this.#log(
       this.#retryState.count === 1 ? "request_sent" : "request_sent_again",
       {
@@ -250,26 +253,18 @@
         inFlight,
         slots: upstream.slots,
         keeper: coordinator,
-        cold: this.#countWarmupStart(upstream, coordinator) || undefined,
+        cold: isWarmingUp || undefined,
       },
     );
     this.#attempt.start();
   }
 
-  /**
-   * Counts a start at an upstream that is warming up, by who decided it;
-   * returns whether it is one.
-   */
-  #countWarmupStart(
-    { upstream }: Upstream,
-    coordinator: HostId | undefined,
-  ): boolean {
-    const { upstreamStats, metrics } = this.#options.context;
-    if (!upstreamStats.warmup.isWarmingUp(upstream, this.#now())) return false;
-    metrics.count(
-      coordinator === undefined ? "warmup_starts_alone" : "warmup_starts",
-    );
-    return true;
+  /** Counts a start at an upstream that is warming up, by who decided it. */
+  #countWarmupStart(coordinator: HostId | undefined): void {
+    const name = coordinator === undefined
+      ? "warmup_starts_alone"
+      : "warmup_starts";
+    this.#options.context.metrics.count(name);
   }
 
   #beginPrefill(upstream: Upstream): void {
