Log what keeps the slots of a cell empty, and who reported an ejected upstream

Callers were refused as too many while upstreams had empty slots, and no line said why: only the host that fails logs an ejection, and a coordinator did not tell what it takes the slots for.

cell_slots says it once a second while there is a queue; upstream_ejected names the reporter at the coordinator; slots_unused and slots_unused_ms count grants to which nothing could be sent.

--- a/packages/admission/src/cellCoordinator.ts
+++ b/packages/admission/src/cellCoordinator.ts
@@ -28,7 +28,8 @@
 import { CoordinatorStartLimit } from "./startLimit.ts";
 import type { Upstream } from "./types.ts";
 import { UpstreamBackoffs } from "./upstreamBackoffs.ts";
-import type { UpstreamStats } from "./upstreamStats.ts";
+import type { SlotUse } from "./placement.ts";
+import type { AttemptObservation, UpstreamStats } from "./upstreamStats.ts";
 
 /**
  * Updates within this time are decided in one batch, with one reply for each
@@ -79,6 +80,17 @@
   /** Snapshots of the other cells of the service. */
   readonly otherSnapshots: () => readonly CellSnapshot[];
   readonly isLeaving: () => boolean;
+  /** Called when an upstream is ejected for all hosts. */
+  readonly onEjection?: (ejection: Ejection) => void;
+}
+
+/** An ejection for all hosts, and the host whose attempt caused it. */
+export interface Ejection extends
+  Pick<
+    AttemptObservation,
+    "upstream" | "service" | "outcome"
+  > {
+  readonly reporter: HostId;
 }
 
 /** What the coordinator knows about one host. */
@@ -170,6 +182,11 @@
     return { cell, at: now, ...this.#scheduler.counts(cell.service, now) };
   }
 
+  /** Returns what the slots of the cell are used for. */
+  slotUse(now: Milliseconds): SlotUse {
+    return this.#scheduler.slotUse(this.cell.service, now);
+  }
+
   /** Applies an update; replies go to every host that a decision concerns. */
   receive(update: CellUpdate, now: Milliseconds): void {
     this.#lastUpdateAt = now;
@@ -280,7 +297,7 @@
     update: CellUpdate,
     now: Milliseconds,
   ): void {
-    const { stats, host } = this.#options;
+    const { stats, host, onEjection } = this.#options;
     const { observations, firstObservation } = update;
     for (const [index, observation] of observations.entries()) {
       if (firstObservation + index <= hostState.observationsSeen) continue;
@@ -291,7 +308,11 @@
         );
       }
       // This host has already recorded its own observations.
-      if (update.host !== host) stats.record(observation, now);
+      if (update.host === host) continue;
+      if (!stats.record(observation, now)) continue;
+      const { upstream, service, outcome } = observation;
+      const reporter = update.host;
+      onEjection?.({ upstream, service, outcome, reporter });
     }
     const last = firstObservation + observations.length - 1;
     hostState.observationsSeen = Math.max(hostState.observationsSeen, last);
--- a/packages/admission/src/placement.ts
+++ b/packages/admission/src/placement.ts
@@ -97,6 +97,17 @@
   readonly isSuitable: boolean;
 }
 
+/** What the slots of a group of upstreams are used for. */
+export interface SlotUse {
+  /** Slots with a request. */
+  readonly taken: number;
+  /** Empty slots of ejected upstreams. */
+  readonly ejected: number;
+  /** Empty slots of upstreams where nothing may start now. */
+  readonly limited: number;
+  readonly free: number;
+}
+
 /** Dependencies of a {@link Placement}. */
 export interface PlacementOptions {
   readonly load: FleetLoad;
@@ -139,6 +150,23 @@
     return free;
   }
 
+  /** Returns what the slots of the upstreams are used for. */
+  slotUse(upstreams: readonly Upstream[], now: Milliseconds): SlotUse {
+    const { load, limitOf, starts, stats } = this.#options;
+    const use = { taken: 0, ejected: 0, limited: 0, free: 0 };
+    for (const upstream of upstreams) {
+      const limit = limitOf(upstream);
+      const taken = Math.min(limit, load.total(upstream.upstream));
+      use.taken += taken;
+      const remaining = limit - taken;
+      if (stats.health.isEjected(upstream.upstream, now)) {
+        use.ejected += remaining;
+      } else if (!starts.isOpen(upstream, now)) use.limited += remaining;
+      else use.free += remaining;
+    }
+    return use;
+  }
+
   /**
    * Returns the best upstream with a free slot, or `undefined` if the request
    * should wait.
--- a/packages/admission/src/requestScheduler.ts
+++ b/packages/admission/src/requestScheduler.ts
@@ -6,7 +6,11 @@
   ServiceId,
 } from "@wasabivane/common";
 import { FleetLoad } from "./fleetLoad.ts";
-import { Placement, type PlacementCriteria } from "./placement.ts";
+import {
+  Placement,
+  type PlacementCriteria,
+  type SlotUse,
+} from "./placement.ts";
 import { PrefixCacheIndex } from "./prefixCacheIndex.ts";
 import type { StartLimit } from "./startLimit.ts";
 import type { Upstream } from "./types.ts";
@@ -208,6 +212,11 @@
     };
   }
 
+  /** Returns what the slots of a service are used for. */
+  slotUse(service: ServiceId, now: Milliseconds): SlotUse {
+    return this.#placement.slotUse(this.#upstreams.of(service), now);
+  }
+
   /** Fills free slots in queue order. */
   fillSlots(service: ServiceId, now: Milliseconds): void {
     const { queue } = this.#queueOf(service);
--- a/packages/gateway/src/cellRouter.ts
+++ b/packages/gateway/src/cellRouter.ts
@@ -28,6 +28,8 @@
 /** Maximum age of a forwarded snapshot of another cell. */
 const MAXIMUM_SNAPSHOT_AGE_MS: Milliseconds = 400;
 
+const SLOT_LOG_INTERVAL_MS: Milliseconds = 1_000;
+
 /** Options of a {@link CellRouter}. */
 export interface CellRouterOptions {
   readonly context: () => GatewayContext;
@@ -50,6 +52,7 @@
   readonly #localMessages: (() => void)[] = [];
   #isDelivering = false;
   #snapshotsSentAt: Milliseconds = -Infinity;
+  #slotsLoggedAt: Milliseconds = -Infinity;
 
   constructor(options: CellRouterOptions) {
     this.#options = options;
@@ -120,6 +123,7 @@
       else coordinator.review(now);
     }
     this.#options.placementClient.tick(now);
+    this.#logSlotUse(now);
     if (now - this.#snapshotsSentAt < SNAPSHOT_INTERVAL_MS) return;
     this.#snapshotsSentAt = now;
     for (const coordinator of this.#coordinators.values()) {
@@ -176,6 +180,10 @@
       now: () => this.#now(),
       otherSnapshots: () => this.#snapshotsOfOthers(cell),
       isLeaving: context.isStopping,
+      onEjection: ({ reporter, ...ejection }) => {
+        context.metrics.count("upstream_ejected_by_report");
+        context.log.write("upstream_ejected", { ...ejection, reporter });
+      },
     }, this.#now());
   }
 
@@ -220,6 +228,17 @@
     }
   }
 
+  /** Logs what the slots of cells with a queue are used for. */
+  #logSlotUse(now: Milliseconds): void {
+    if (now - this.#slotsLoggedAt < SLOT_LOG_INTERVAL_MS) return;
+    this.#slotsLoggedAt = now;
+    const { log } = this.#options.context();
+    for (const [cell, coordinator] of this.#coordinators) {
+      if (!coordinator.hasWaiting) continue;
+      log.write("cell_slots", { cell, ...coordinator.slotUse(now) });
+    }
+  }
+
   #drawRecipients(hosts: readonly HostId[]): Set<HostId> {
     const { random } = this.#options.context();
     const distinct = [...new Set(hosts)].filter((host) => host !== this.#host);
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -16,6 +16,7 @@
   "store_history_lost",
   "peers_changed",
   "cell_kept",
+  "cell_slots",
   "keeper_passed_over",
   "upstreams_read",
   "upstream_listed",
--- a/packages/gateway/src/recordAttempt.ts
+++ b/packages/gateway/src/recordAttempt.ts
@@ -7,6 +7,7 @@
 import { expectedTokensOf, promptTokensOf } from "./attemptPlan.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { AdmittedRequest } from "./requestAdmission.ts";
+import { wasNotSent } from "./retryState.ts";
 
 /** The request and the outcome that an attempt is recorded with. */
 export interface AttemptRecord {
@@ -33,6 +34,10 @@
   }
   if (outcome === "replaced") context.removeReplaced(upstream);
   if (outcome === "unreachable") confirmCrashes(upstream, context);
+  if (wasNotSent(outcome)) {
+    context.metrics.count("slots_unused");
+    context.metrics.count("slots_unused_ms", Math.round(residence));
+  }
   const observation: AttemptObservation = {
     upstream,
     service,
