--- a/packages/admission/tests/helpers/loadReplay.ts
+++ b/packages/admission/tests/helpers/loadReplay.ts
@@ -13,6 +13,10 @@
 import { buildUpstream, PLANS, WEST } from "./build.ts";
 import { VirtualFleet, type VirtualHost } from "./virtualFleet.ts";
 
+const CONNECT_TIMEOUT_MS: Milliseconds = 250;
+/** Upstreams at which a request is tried before it is refused. */
+const MAXIMUM_TRIES = 4;
+
 /** The requests of one tier. */
 export interface ReplayedTier {
   readonly tier: number;
@@ -20,8 +24,12 @@
   readonly rateAt: (at: Milliseconds) => number;
   /** Time at an upstream of speed 1; constant or drawn. */
   readonly work: Milliseconds | ((random: Random) => Milliseconds);
-  /** Called at the end of each request. */
-  readonly onEnd?: (work: Milliseconds, isServed: boolean) => void;
+  /** Called at the end of each request, with the host that had it. */
+  readonly onEnd?: (
+    work: Milliseconds,
+    isServed: boolean,
+    host: VirtualHost,
+  ) => void;
   readonly target: Milliseconds;
   readonly usefulWithin: Milliseconds;
   /** Draws the length of a prompt; 0 if absent. */
@@ -97,6 +105,12 @@
     upstream: Upstream,
     at: Milliseconds,
   ) => Milliseconds | undefined;
+  /** Whether a host can connect to an upstream; always if absent. */
+  readonly canConnect?: (
+    host: VirtualHost,
+    upstream: Upstream,
+    at: Milliseconds,
+  ) => boolean;
   /**
    * Whether hosts learn the time to the first event; otherwise they assume a
    * constant.
@@ -248,7 +262,11 @@
   const promptTokens = ownTokens + tokensOf(sharedParts);
   const { client, stats } = host;
   result.submitted++;
-  const submit = (excluded: ReadonlySet<UpstreamId>): void =>
+  const submit = (excluded: ReadonlySet<UpstreamId>): void => {
+    if (excluded.size >= MAXIMUM_TRIES) {
+      result.refused++;
+      return onEnd?.(work, false, host);
+    }
     client.submit(
       {
         request: asId<RequestId>(name),
@@ -273,7 +291,7 @@
       (decision) => {
         if (decision.kind === "refuse") {
           result.refused++;
-          onEnd?.(work, false);
+          onEnd?.(work, false, host);
           return;
         }
         const { upstream, pendingPrefillTokens } = decision;
@@ -295,6 +313,13 @@
           });
           return;
         }
+        if (replay.canConnect?.(host, upstream, sentAt) === false) {
+          timer.after(CONNECT_TIMEOUT_MS, () => {
+            failToConnect(host, upstream, { promptTokens, now: timer.now() });
+            submit(new Set([...excluded, upstream.upstream]));
+          });
+          return;
+        }
         let latency = 0;
         const uncached = sharedParts.filter(({ part }) =>
           !simulated.cachedParts.has(part)
@@ -325,7 +350,7 @@
           },
           onEnd: () => {
             const now = timer.now();
-            onEnd?.(work, true);
+            onEnd?.(work, true, host);
             const observation = {
               upstream: upstream.upstream,
               service: upstream.service,
@@ -348,9 +373,27 @@
       },
       timer.now(),
     );
+  };
   submit(new Set());
 }
 
+/** Ends an attempt for which no connection could be opened. */
+function failToConnect(
+  { client, stats }: VirtualHost,
+  upstream: Upstream,
+  { promptTokens, now }: { promptTokens: number; now: Milliseconds },
+): void {
+  const observation = {
+    upstream: upstream.upstream,
+    service: upstream.service,
+    outcome: "unreachable" as const,
+    residence: CONNECT_TIMEOUT_MS,
+  };
+  client.endPrefill(upstream, promptTokens, now);
+  stats.record(observation, now);
+  client.end(upstream, observation, now);
+}
+
 /** Ends an attempt that its upstream turned away. */
 function reject(
   { client, stats }: VirtualHost,
