Send brittle upstreams no more than they have room for, over all hosts

Upstreams may say in each response that they fail once they turn away more than N requests a second for want of room (Server-Brittle), and nothing read it. Slots are filled by a view that may be shared by several coordinators, by the halves of a partition, or by hosts that schedule alone, so a full upstream got what each of them took for free.

The tolerance of a service now goes to coordinators with the other reports of upstreams. While it holds, an upstream gets no more than its slots, none is started for 1.5 s once a third of N was turned away, coordinators in charge space their starts by the time in which they would learn of a rejection, and all others together start 0.3 N a second at most.

Gossip format 12.

--- a/packages/admission/src/cellCoordinator.ts
+++ b/packages/admission/src/cellCoordinator.ts
@@ -162,8 +162,7 @@
       random,
       starts: new CoordinatorStartLimit({
         coldStartsOf,
-        warmup: stats.warmup,
-        rateLimits: stats.rateLimits,
+        stats,
         hostCount: options.hostCount,
         isPartitioned: (now) => this.#isPartitioned(now),
         timeInCharge: options.timeInCharge,
@@ -289,7 +288,8 @@
     now: Milliseconds,
   ): void {
     const { stats, host, upstreams, cell } = this.#options;
-    for (const [upstream, { requests, startsPerSecond }] of reports) {
+    for (const [upstream, report] of reports) {
+      const { requests, startsPerSecond, rejectionsPerSecond } = report;
       if (requests !== undefined) {
         this.#scheduler.load.recordReport(upstream, requests, now);
       }
@@ -298,7 +298,9 @@
       const isListed = upstreams.of(cell.service).some((listed) =>
         listed.upstream === upstream
       );
-      if (isListed) stats.rateLimits.record(upstream, startsPerSecond, now);
+      if (!isListed) continue;
+      stats.rateLimits.record(upstream, startsPerSecond, now);
+      stats.tolerances.record(cell.service, rejectionsPerSecond, now);
     }
   }
 
@@ -317,8 +319,8 @@
           observation.residence,
         );
       }
-      // This host has already recorded the timings of its own responses.
-      if (update.host !== host) stats.recordTimes(observation);
+      // This host has already recorded its own responses.
+      if (update.host !== host) stats.recordResponse(observation, now);
       if (!this.#recordOutcome(hostState, observation, now)) continue;
       const { upstream, service, outcome } = observation;
       const reporter = update.host;
--- a/packages/admission/src/cellMessages.ts
+++ b/packages/admission/src/cellMessages.ts
@@ -26,6 +26,11 @@
    * names no limit.
    */
   readonly startsPerSecond: number | undefined;
+  /**
+   * Requests that it can turn away in a second without failing; absent if it
+   * names no number.
+   */
+  readonly rejectionsPerSecond?: number;
 }
 
 /**
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -58,6 +58,7 @@
   type StartBounds,
 } from "./callerTimeouts.ts";
 export { DirectLinks, type LinkEnd } from "./directLinks.ts";
+export { RejectionTolerances } from "./rejectionTolerances.ts";
 export { LinkFailures } from "./linkFailures.ts";
 export { UpstreamActivity } from "./upstreamActivity.ts";
 export {
--- a/packages/admission/src/placementClient.ts
+++ b/packages/admission/src/placementClient.ts
@@ -142,8 +142,7 @@
       random,
       starts: new LocalStartLimit({
         coldStartsOf: options.coldStartsOf,
-        warmup: stats.warmup,
-        rateLimits: stats.rateLimits,
+        stats,
         hosts: () => options.candidates().length,
         random,
       }),
@@ -249,18 +248,21 @@
     report: UpstreamReport,
     now: Milliseconds,
   ): void {
-    const { requests, startsPerSecond } = report;
+    const { requests, startsPerSecond, rejectionsPerSecond } = report;
+    const { rateLimits, tolerances } = this.#options.stats;
+    const isToleranceChanged =
+      tolerances.of(rest.service) !== rejectionsPerSecond;
+    tolerances.record(rest.service, rejectionsPerSecond, now);
     if (requests !== undefined) {
       this.#localScheduler.load.recordReport(upstream, requests, now);
     }
     const cell = this.#cells.cellOf({ upstream, ...rest });
     if (cell === undefined) return;
-    const { rateLimits } = this.#options.stats;
     const isLimitChanged = rateLimits.of(upstream) !== startsPerSecond;
     rateLimits.record(upstream, startsPerSecond, now);
     const session = this.#sessionOf(cell);
     session.setUpstreamReport(upstream, report);
-    if (!isLimitChanged) return;
+    if (!isLimitChanged && !isToleranceChanged) return;
     session.sendBy(now + LIMIT_REPORT_MS);
     this.#options.onSendScheduled();
   }
@@ -716,13 +718,15 @@
 
   /** Reports the limits that upstreams of the cell have named to this host. */
   #reportLimits(session: CellSession): void {
-    const { rateLimits } = this.#options.stats;
+    const { rateLimits, tolerances } = this.#options.stats;
     for (const upstream of rateLimits.upstreams()) {
       if (!this.#cells.hasUpstream(session.cell, upstream)) continue;
       const startsPerSecond = rateLimits.of(upstream);
+      const rejectionsPerSecond = tolerances.of(session.cell.service);
       session.setUpstreamReport(upstream, {
         requests: undefined,
         startsPerSecond,
+        ...rejectionsPerSecond !== undefined && { rejectionsPerSecond },
       });
     }
   }
--- a/packages/admission/src/requestScheduler.ts
+++ b/packages/admission/src/requestScheduler.ts
@@ -12,6 +12,7 @@
   type SlotUse,
 } from "./placement.ts";
 import { PrefixCacheIndex } from "./prefixCacheIndex.ts";
+import type { RejectionTolerances } from "./rejectionTolerances.ts";
 import type { StartLimit } from "./startLimit.ts";
 import type { Upstream } from "./types.ts";
 import type { UpstreamHealth } from "./upstreamHealth.ts";
@@ -123,6 +124,7 @@
   readonly load = new FleetLoad();
   readonly #upstreams: UpstreamSource;
   readonly #starts: StartLimit;
+  readonly #tolerances: RejectionTolerances;
   readonly #prefixCaches = new PrefixCacheIndex();
   readonly #placement: Placement;
   /** Mean time to fill a slot that has become free. */
@@ -133,6 +135,7 @@
     const { upstreams, stats, health, random, starts } = options;
     this.#upstreams = upstreams;
     this.#starts = starts;
+    this.#tolerances = stats.tolerances;
     this.#placement = new Placement({
       load: this.load,
       stats,
@@ -307,9 +310,10 @@
   /**
    * Returns how many requests an upstream may have. A slot stays empty while
    * the next request is on its way, so upstreams with short requests get some
-   * more than their slots.
+   * more than their slots, unless they fail when they turn requests away.
    */
   #limitOf({ service, slots }: Upstream): number {
+    if (this.#tolerances.of(service) !== undefined) return slots;
     const residence = this.#queues.get(service)?.residence ??
       INITIAL_RESIDENCE_MS;
     const refillTime = Math.max(MINIMUM_REFILL_MS, this.#refillTime);
--- a/packages/admission/src/startLimit.ts
+++ b/packages/admission/src/startLimit.ts
@@ -1,7 +1,6 @@
 import type { Milliseconds, Random, UpstreamId } from "@wasabivane/common";
 import type { Upstream } from "./types.ts";
-import type { UpstreamRateLimits } from "./upstreamRateLimits.ts";
-import type { UpstreamWarmup } from "./upstreamWarmup.ts";
+import type { UpstreamStats } from "./upstreamStats.ts";
 
 /** Window in which starts are counted. */
 const WINDOW_MS: Milliseconds = 1_000;
@@ -22,6 +21,13 @@
 const COORDINATOR_NAMED_SHARE = 0.7;
 /** Share left to all other hosts together. */
 const LOCAL_NAMED_SHARE = 0.1;
+/**
+ * Share of the rejections that an upstream tolerates which all hosts without
+ * knowledge of the others' requests may cause together.
+ */
+const UNSURE_STARTS_SHARE = 0.3;
+/** Time within which a coordinator learns of a rejection. */
+const FEEDBACK_MS: Milliseconds = 20;
 /** Stands for lower named rates, as only a response can end a limit. */
 const MINIMUM_PER_SECOND = 0.25;
 
@@ -35,8 +41,7 @@
    * up; `undefined` if unlimited.
    */
   readonly coldStartsOf: (upstream: Upstream) => number | undefined;
-  readonly warmup: UpstreamWarmup;
-  readonly rateLimits: UpstreamRateLimits;
+  readonly stats: Pick<UpstreamStats, "warmup" | "rateLimits" | "tolerances">;
 }
 
 /**
@@ -71,6 +76,8 @@
  */
 export class CoordinatorStartLimit extends StartLimit {
   readonly #starts = new Map<UpstreamId, Milliseconds[]>();
+  /** Last starts at upstreams that tolerate few rejections. */
+  readonly #toleratedStarts = new Map<UpstreamId, Milliseconds>();
   /** Last starts at upstreams that name a limit. */
   readonly #startedAt = new Map<UpstreamId, Milliseconds>();
   readonly #isPartitioned: (now: Milliseconds) => boolean;
@@ -103,11 +110,32 @@
 
   override isOpen(upstream: Upstream, now: Milliseconds): boolean {
     return this.#isWithinNamedRate(upstream, now) &&
-      this.#isWithinWarmupRate(upstream, now);
+      this.#isWithinWarmupRate(upstream, now) &&
+      this.#isWithinTolerance(upstream, now);
+  }
+
+  /**
+   * Whether a request that finds the upstream full does no harm. Several
+   * coordinators do not know of each other's requests, so those that are not in
+   * charge start fewer than an upstream may turn away, and those in charge start
+   * few until they would know of a rejection.
+   */
+  #isWithinTolerance(upstream: Upstream, now: Milliseconds): boolean {
+    const { tolerances } = this.options.stats;
+    const tolerated = tolerances.of(upstream.service);
+    if (tolerated === undefined) return true;
+    if (tolerances.isExhausted(upstream, now)) return false;
+    const startedAt = this.#toleratedStarts.get(upstream.upstream);
+    if (startedAt === undefined) return true;
+    const perSecond = UNSURE_STARTS_SHARE * tolerated / this.#hostCount();
+    const gap = this.#isInCharge(now)
+      ? FEEDBACK_MS / tolerances.limitOf(tolerated)
+      : WINDOW_MS / perSecond;
+    return now - startedAt >= gap;
   }
 
   #isWithinNamedRate({ upstream }: Upstream, now: Milliseconds): boolean {
-    const named = this.options.rateLimits.of(upstream);
+    const named = this.options.stats.rateLimits.of(upstream);
     if (named === undefined) {
       this.#startedAt.delete(upstream);
       return true;
@@ -129,7 +157,10 @@
   #isWithinWarmupRate(upstream: Upstream, now: Milliseconds): boolean {
     const coldStarts = this.options.coldStartsOf(upstream);
     if (coldStarts === undefined) return true;
-    const isWarmingUp = this.options.warmup.isWarmingUp(upstream.upstream, now);
+    const isWarmingUp = this.options.stats.warmup.isWarmingUp(
+      upstream.upstream,
+      now,
+    );
     if (isWarmingUp && !this.#isInCharge(now)) return false;
     const share = isWarmingUp
       ? COORDINATOR_WARMUP_SHARE
@@ -149,6 +180,7 @@
 
   override recordStart(upstream: Upstream, now: Milliseconds): void {
     this.#recordNamedStart(upstream, now);
+    this.#recordToleratedStart(upstream, now);
     if (this.options.coldStartsOf(upstream) === undefined) return;
     const starts = this.#starts.get(upstream.upstream) ?? [];
     while (starts.length > 0 && now - starts[0]! >= WINDOW_MS) starts.shift();
@@ -157,13 +189,23 @@
     if (this.#starts.size > MAXIMUM_UPSTREAMS) this.#dropOutdated(now);
   }
 
+  #recordToleratedStart(
+    { upstream, service }: Upstream,
+    now: Milliseconds,
+  ): void {
+    if (this.options.stats.tolerances.of(service) === undefined) {
+      return this.#toleratedStarts.clear();
+    }
+    this.#toleratedStarts.set(upstream, now);
+  }
+
   #recordNamedStart({ upstream }: Upstream, now: Milliseconds): void {
-    if (this.options.rateLimits.of(upstream) === undefined) {
+    if (this.options.stats.rateLimits.of(upstream) === undefined) {
       this.#startedAt.delete(upstream);
     } else this.#startedAt.set(upstream, now);
     if (this.#startedAt.size <= MAXIMUM_UPSTREAMS) return;
     for (const known of this.#startedAt.keys()) {
-      if (this.options.rateLimits.of(known) === undefined) {
+      if (this.options.stats.rateLimits.of(known) === undefined) {
         this.#startedAt.delete(known);
       }
     }
@@ -204,6 +246,7 @@
       this.#openAt.delete(id);
       return true;
     }
+    if (this.options.stats.tolerances.isExhausted(upstream, now)) return false;
     const openAt = this.#openAt.get(id);
     if (openAt !== undefined) return now >= openAt;
     // Spreads the first starts of hosts that begin at the same time.
@@ -214,7 +257,7 @@
   }
 
   #dropUnlimited(now: Milliseconds): void {
-    const { warmup, rateLimits } = this.options;
+    const { warmup, rateLimits } = this.options.stats;
     for (const upstream of this.#openAt.keys()) {
       const isLimited = warmup.isWarmingUp(upstream, now) ||
         rateLimits.of(upstream) !== undefined;
@@ -234,14 +277,19 @@
    * `undefined` if unlimited.
    */
   #rateOf(upstream: Upstream, now: Milliseconds): number | undefined {
-    const { coldStartsOf, warmup, rateLimits } = this.options;
+    const { coldStartsOf, stats } = this.options;
+    const { warmup, rateLimits, tolerances } = stats;
     const id = upstream.upstream;
     const coldStarts = warmup.isWarmingUp(id, now)
       ? coldStartsOf(upstream)
       : undefined;
     const named = rateLimits.of(id);
-    if (coldStarts === undefined && named === undefined) return undefined;
+    const tolerated = tolerances.of(upstream.service);
+    const isUnlimited = coldStarts === undefined && named === undefined &&
+      tolerated === undefined;
+    if (isUnlimited) return undefined;
     return Math.min(
+      UNSURE_STARTS_SHARE * (tolerated ?? Infinity),
       LOCAL_WARMUP_SHARE * (coldStarts ?? Infinity),
       LOCAL_NAMED_SHARE * Math.max(MINIMUM_PER_SECOND, named ?? Infinity),
     );
--- a/packages/admission/src/upstreamStats.ts
+++ b/packages/admission/src/upstreamStats.ts
@@ -3,6 +3,7 @@
 import { LatencyMargin } from "./latencyMargin.ts";
 import { FirstEventModel } from "./firstEventModel.ts";
 import { LinkFailures } from "./linkFailures.ts";
+import { RejectionTolerances } from "./rejectionTolerances.ts";
 import type { RouteId, UpstreamOutcome } from "./types.ts";
 import { UpstreamHealth } from "./upstreamHealth.ts";
 import { UpstreamRateLimits } from "./upstreamRateLimits.ts";
@@ -53,13 +54,14 @@
   readonly pauseRisks = new PauseRiskModel(this.speed);
   readonly warmup = new UpstreamWarmup();
   readonly rateLimits = new UpstreamRateLimits();
+  readonly tolerances = new RejectionTolerances();
 
   /**
    * Records an attempt of this host; returns whether it ejects the upstream for
    * this host.
    */
   record(observation: AttemptObservation, now: Milliseconds): boolean {
-    this.recordTimes(observation);
+    this.recordResponse(observation, now);
     const { upstream, outcome } = observation;
     this.links.observe(upstream, outcome, now);
     const isEjected = this.health.observe(upstream, outcome, now);
@@ -69,11 +71,12 @@
     return isEjected;
   }
 
-  /** Records the timings of a complete response to any host. */
-  recordTimes(observation: AttemptObservation): void {
-    const { outcome, times } = observation;
-    if (outcome !== "whole" || times === undefined) return;
-    this.#recordTimes(observation, times);
+  /** Records what a response to any host shows. */
+  recordResponse(observation: AttemptObservation, now: Milliseconds): void {
+    const { upstream, outcome, times } = observation;
+    if (outcome === "not-run") this.tolerances.recordRejection(upstream, now);
+    const isComplete = outcome === "whole" && times !== undefined;
+    if (isComplete) this.#recordTimes(observation, times);
   }
 
   /** Drops the statistics of an upstream that is gone for good. */
@@ -83,6 +86,7 @@
     this.pauseRisks.forget(upstream);
     this.warmup.forget(upstream);
     this.rateLimits.forget(upstream);
+    this.tolerances.forget(upstream);
   }
 
   /**
--- a/packages/admission/tests/helpers/build.ts
+++ b/packages/admission/tests/helpers/build.ts
@@ -126,8 +126,7 @@
     random: new SeededRandom(seed),
     starts: new CoordinatorStartLimit({
       coldStartsOf: () => undefined,
-      warmup: stats.warmup,
-      rateLimits: stats.rateLimits,
+      stats,
       isPartitioned: () => false,
       timeInCharge: () => Infinity,
       hostCount: () => 1,
--- a/packages/admission/tests/helpers/loadReplay.ts
+++ b/packages/admission/tests/helpers/loadReplay.ts
@@ -105,6 +105,18 @@
     upstream: Upstream,
     at: Milliseconds,
   ) => Milliseconds | undefined;
+  /**
+   * Upstreams that reject what they have no room for and name the rejections
+   * per second that they tolerate; they queue any number if absent.
+   */
+  readonly brittle?: {
+    readonly rejectionsPerSecond: number;
+    /** Requests that wait at an upstream at most. */
+    readonly maximumQueue: number;
+    readonly from: Milliseconds;
+    readonly until: Milliseconds;
+    readonly onReject: (upstream: Upstream, at: Milliseconds) => void;
+  };
   /** Whether a host can connect to an upstream; always if absent. */
   readonly canConnect?: (
     host: VirtualHost,
@@ -320,6 +332,25 @@
           });
           return;
         }
+        const brittle = isBrittle(replay, sentAt) ? replay.brittle : undefined;
+        const hasRoom = brittle === undefined ||
+          simulated.running + simulated.waiting.length <
+            upstream.slots + brittle.maximumQueue;
+        if (!hasRoom) {
+          brittle.onReject(upstream, sentAt);
+          timer.after(replay.delay ?? 1, () => {
+            const now = timer.now();
+            const { rejectionsPerSecond } = brittle;
+            client.recordUpstreamReport(upstream, {
+              requests: undefined,
+              startsPerSecond: undefined,
+              rejectionsPerSecond,
+            }, now);
+            reject(host, upstream, { promptTokens, now });
+            submit(new Set([...excluded, upstream.upstream]));
+          });
+          return;
+        }
         let latency = 0;
         const uncached = sharedParts.filter(({ part }) =>
           !simulated.cachedParts.has(part)
@@ -342,7 +373,13 @@
               ? simulated.running + simulated.waiting.length
               : undefined;
             const startsPerSecond = replay.namedLimitOf?.(upstream, now);
-            const report = { requests, startsPerSecond };
+            const report = {
+              requests,
+              startsPerSecond,
+              ...isBrittle(replay, now) && {
+                rejectionsPerSecond: replay.brittle!.rejectionsPerSecond,
+              },
+            };
             client.recordUpstreamReport(upstream, report, now);
             client.endPrefill(upstream, promptTokens, now);
             if (now - since <= target) result.onTime++;
@@ -400,7 +437,7 @@
   { upstream, service, ...rest }: Upstream,
   { promptTokens, retryAfter, now }: {
     promptTokens: number;
-    retryAfter: Milliseconds;
+    retryAfter?: Milliseconds;
     now: Milliseconds;
   },
 ): void {
@@ -411,12 +448,18 @@
     outcome: "not-run" as const,
     residence: 0,
   };
-  client.recordBackoff(rejecting, retryAfter, now);
+  if (retryAfter !== undefined) {
+    client.recordBackoff(rejecting, retryAfter, now);
+  }
   client.endPrefill(rejecting, promptTokens, now);
   stats.record(observation, now);
   client.end(rejecting, observation, now);
 }
 
+function isBrittle({ brittle }: Replay, at: Milliseconds): boolean {
+  return brittle !== undefined && at >= brittle.from && at < brittle.until;
+}
+
 function tokensOf(parts: readonly PromptPart[]): number {
   return parts.reduce((sum, { tokens }) => sum + tokens, 0);
 }
--- a/packages/admission/tests/upstreamWarmup.test.ts
+++ b/packages/admission/tests/upstreamWarmup.test.ts
@@ -3,7 +3,7 @@
   CoordinatorStartLimit,
   LocalStartLimit,
   rankCoordinators,
-  UpstreamRateLimits,
+  UpstreamStats,
   UpstreamWarmup,
 } from "@wasabivane/admission";
 import { SeededRandom, type VirtualTimer } from "@wasabivane/common";
@@ -266,11 +266,9 @@
 
 test("starts at former upstreams are dropped", (t) => {
   // Guards against memory that grows with each release of a service.
-  const warmup = new UpstreamWarmup();
   const limit = new CoordinatorStartLimit({
     coldStartsOf: () => 1,
-    warmup,
-    rateLimits: new UpstreamRateLimits(),
+    stats: new UpstreamStats(),
     isPartitioned: () => false,
     timeInCharge: () => Infinity,
     hostCount: () => 1,
@@ -286,8 +284,7 @@
 test("upstreams of a service without a limit get any number of starts", (t) => {
   const options = {
     coldStartsOf: () => undefined,
-    warmup: new UpstreamWarmup(),
-    rateLimits: new UpstreamRateLimits(),
+    stats: new UpstreamStats(),
   };
   const upstream = buildUpstream(0);
   const limits = [
--- a/packages/gateway/src/cellRows.ts
+++ b/packages/gateway/src/cellRows.ts
@@ -187,27 +187,35 @@
   };
 }
 
+/** Returns a number, of which a negative one stands for none. */
+function expectOptional(value: unknown): number | undefined {
+  const number = expectNumber(value);
+  return number < 0 ? undefined : number;
+}
+
 /** Encodes what an upstream reported. */
 export function encodeReport(
-  [upstream, { requests, startsPerSecond }]: readonly [
+  [upstream, { requests, startsPerSecond, rejectionsPerSecond }]: readonly [
     UpstreamId,
     UpstreamReport,
   ],
 ): Row {
   const row = [upstream, requests ?? -1];
+  if (rejectionsPerSecond !== undefined) {
+    return [...row, startsPerSecond ?? -1, rejectionsPerSecond];
+  }
   return startsPerSecond === undefined ? row : [...row, startsPerSecond];
 }
 
 /** Decodes the row of {@link encodeReport}. */
 export function decodeReport(
-  [upstream, requests, startsPerSecond]: Row,
+  [upstream, requests, startsPerSecond = -1, rejectionsPerSecond]: Row,
 ): [UpstreamId, UpstreamReport] {
-  const count = expectNumber(requests);
   return [asId<UpstreamId>(expectString(upstream)), {
-    requests: count < 0 ? undefined : count,
-    startsPerSecond: startsPerSecond === undefined
-      ? undefined
-      : expectNumber(startsPerSecond),
+    requests: expectOptional(requests),
+    startsPerSecond: expectOptional(startsPerSecond),
+    ...rejectionsPerSecond !== undefined &&
+      { rejectionsPerSecond: expectNumber(rejectionsPerSecond) },
   }];
 }
 
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -51,6 +51,11 @@
    * `undefined` if it names no limit.
    */
   readonly startsPerSecond: number | undefined;
+  /**
+   * Requests that the upstream can turn away in a second without failing;
+   * absent if it names no number.
+   */
+  readonly rejectionsPerSecond?: number;
   /** Whether the upstream states that it is leaving. */
   readonly isLeaving: boolean;
   /**
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -50,7 +50,7 @@
   encodePeerRecord,
 } from "./gossipRows.ts";
 
-const FORMAT_VERSION = 11;
+const FORMAT_VERSION = 12;
 const TEXT_DECODER = new TextDecoder();
 
 /**
--- a/packages/gateway/src/recordUpstreamReport.ts
+++ b/packages/gateway/src/recordUpstreamReport.ts
@@ -3,8 +3,8 @@
 import type { GatewayContext } from "./gatewayContext.ts";
 
 /**
- * Records what an upstream reported, and logs when the limit that it names
- * begins, changes or ends. One that says it is leaving gets no more requests, one
+ * Records what an upstream reported, and logs when the limits that it names
+ * begin, change or end. One that says it is leaving gets no more requests, one
  * that names a backoff none from this host for that time.
  */
 export function recordUpstreamReport(
@@ -21,14 +21,26 @@
 
 function recordLimit(
   upstream: Upstream,
-  { load, startsPerSecond: named }: ResponseMetadata,
-  { placementClient, upstreamStats: { rateLimits }, timer, log }:
-    GatewayContext,
+  { load, startsPerSecond: named, rejectionsPerSecond }: ResponseMetadata,
+  { placementClient, upstreamStats, timer, log }: GatewayContext,
 ): void {
-  const id = upstream.upstream;
+  const { rateLimits, tolerances } = upstreamStats;
+  const { upstream: id, service } = upstream;
   const previous = rateLimits.of(id);
-  const report = { requests: load, startsPerSecond: named };
+  const tolerated = tolerances.of(service);
+  const report = {
+    requests: load,
+    startsPerSecond: named,
+    ...rejectionsPerSecond !== undefined && { rejectionsPerSecond },
+  };
   placementClient.recordUpstreamReport(upstream, report, timer.now());
+  if (tolerances.of(service) !== tolerated) {
+    log.write("upstreams_brittle", {
+      service,
+      rejectionsPerSecond: tolerances.of(service),
+      former: tolerated,
+    });
+  }
   const startsPerSecond = rateLimits.of(id);
   if (startsPerSecond === previous) return;
   log.write("upstream_limited", {
--- a/packages/gateway/tests/helpers/plainDialect.ts
+++ b/packages/gateway/tests/helpers/plainDialect.ts
@@ -61,7 +61,9 @@
   ): ResponseMetadata {
     const limit = headerValue(headers, "limit");
     const backoff = headerValue(headers, "retry-after");
+    const tolerated = headerValue(headers, "brittle");
     return {
+      ...tolerated !== undefined && { rejectionsPerSecond: Number(tolerated) },
       requestId: headerValue(headers, "id"),
       hasNotRun: headerValue(headers, "not-run") !== undefined,
       isSealed: headerValue(headers, "mark") !== undefined,
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -254,6 +254,11 @@
       reports: [
         [asId<UpstreamId>("u1"), { requests: 4, startsPerSecond: undefined }],
         [asId<UpstreamId>("u2"), { requests: undefined, startsPerSecond: 2.7 }],
+        [asId<UpstreamId>("u3"), {
+          requests: 1,
+          startsPerSecond: undefined,
+          rejectionsPerSecond: 4,
+        }],
       ],
       waiting: [asId<RequestId>("q"), asId<RequestId>("other")],
     },
