Do not take an upstream that was silent for a moment for a restarted one

A sound upstream may fall silent for a second or so and go on. Two timeouts in a row eject it for 0.4 s, at a host and at coordinators, and each ejection made it count as warming up: for three more seconds it got the few starts that a cold upstream takes.

A silence now ejects as before, but is no sign of a restart; a failed connection or a broken response still is.

--- a/packages/admission/src/cellCoordinator.ts
+++ b/packages/admission/src/cellCoordinator.ts
@@ -338,9 +338,10 @@
    */
   #recordOutcome(
     { links }: HostState,
-    { upstream, outcome }: AttemptObservation,
+    observation: AttemptObservation,
     now: Milliseconds,
   ): boolean {
+    const { upstream, outcome } = observation;
     links.observe(upstream, outcome, now);
     if (links.isCutOff(now)) return false;
     if (outcome === "unreachable" && !this.#isConfirmed(upstream, now)) {
@@ -349,7 +350,7 @@
     const isEjected = this.#health.observe(upstream, outcome, now);
     if (isEjected) {
       const until = this.#health.ejectedUntil(upstream);
-      this.#options.stats.warmup.recordLoss(upstream, until);
+      this.#options.stats.recordEjection(observation, until);
     }
     return isEjected;
   }
--- a/packages/admission/src/upstreamStats.ts
+++ b/packages/admission/src/upstreamStats.ts
@@ -66,11 +66,22 @@
     this.links.observe(upstream, outcome, now);
     const isEjected = this.health.observe(upstream, outcome, now);
     if (isEjected && !this.links.isCutOff(now)) {
-      this.warmup.recordLoss(upstream, this.health.ejectedUntil(upstream));
+      this.recordEjection(observation, this.health.ejectedUntil(upstream));
     }
     return isEjected;
   }
 
+  /**
+   * Records that an upstream is used again at the given time. It may have
+   * restarted, unless it was only silent: then it goes on as before.
+   */
+  recordEjection(
+    { upstream, outcome }: Pick<AttemptObservation, "upstream" | "outcome">,
+    until: Milliseconds,
+  ): void {
+    if (outcome !== "silent") this.warmup.recordLoss(upstream, until);
+  }
+
   /** Records what a response to any host shows. */
   recordResponse(observation: AttemptObservation, now: Milliseconds): void {
     const { upstream, outcome, times } = observation;
