Stop asking peers for a relay once one of them reaches the upstream no more

A connection to an upstream that is down was tried at three peers in turn, each of which waited for its own timeout, while the request held a slot. A peer now tells an upstream that it cannot reach from a relay that it refuses: the first such answer settles that the upstream is lost, and does not keep the peer from being asked for others. A peer that has just failed at several upstreams itself refuses. Before, a host without traffic of its own would have been asked as long as no link of it was known to be broken.

--- a/packages/gateway/src/relayClient.ts
+++ b/packages/gateway/src/relayClient.ts
@@ -12,6 +12,7 @@
   decodeRelayMessage,
   encodeRelayMessage,
   relayPathOf,
+  STATUS_UNREACHABLE,
 } from "./relayMessage.ts";
 import { RelayedSocket } from "./relayedSocket.ts";
 
@@ -31,9 +32,11 @@
 }
 
 /** The error if no peer could relay. */
-export interface RelayError {
-  readonly kind: "no-relay";
-}
+export type RelayError =
+  /** None was willing to, or there is none. */
+  | { readonly kind: "no-relay" }
+  /** A peer could not reach the upstream either. */
+  | { readonly kind: "unreachable" };
 
 /** Options of a {@link RelayClient}. */
 export interface RelayClientOptions {
@@ -66,8 +69,8 @@
     upstream: UpstreamId,
   ): Promise<Result<RelayedSocket, RelayError>> {
     for (const peer of this.#selectPeers()) {
-      const socket = await this.#openAt(peer, upstream);
-      if (socket !== undefined) return ok(socket);
+      const opened = await this.#openAt(peer, upstream);
+      if (opened.isOk() || opened.error.kind === "unreachable") return opened;
     }
     return err({ kind: "no-relay" });
   }
@@ -100,25 +103,33 @@
   #openAt(
     { host, address }: RelayPeer,
     upstream: UpstreamId,
-  ): Promise<RelayedSocket | undefined> {
+  ): Promise<Result<RelayedSocket, RelayError>> {
     const { timer } = this.#options;
     const webSocket = new WebSocket(`ws://${address}${relayPathOf(upstream)}`, {
       perMessageDeflate: false,
     });
     return new Promise((resolve) => {
-      const fail = (): void => {
+      const settle = (result: Result<RelayedSocket, RelayError>): void => {
         timeout.cancel();
+        resolve(result);
+      };
+      const fail = (): void => {
         this.#refusedUntil.set(host, timer.now() + REFUSED_MS);
-        resolve(undefined);
+        settle(err({ kind: "no-relay" }));
       };
       const timeout = timer.after(OPEN_TIMEOUT_MS, () => webSocket.terminate());
-      webSocket.once("error", fail);
+      webSocket.on("error", () => {});
       webSocket.once("close", fail);
       webSocket.once("open", () => {
-        timeout.cancel();
-        webSocket.off("error", fail);
         webSocket.off("close", fail);
-        resolve(this.#wrap(webSocket, upstream));
+        settle(ok(this.#wrap(webSocket, upstream)));
+      });
+      webSocket.once("unexpected-response", (request, { statusCode }) => {
+        webSocket.off("close", fail);
+        if (statusCode === STATUS_UNREACHABLE) {
+          settle(err({ kind: "unreachable" }));
+        } else fail();
+        request.destroy();
       });
     });
   }
--- a/packages/gateway/src/relayMessage.ts
+++ b/packages/gateway/src/relayMessage.ts
@@ -3,6 +3,9 @@
 /** Path at which a host accepts relays; the query names the upstream. */
 export const RELAY_PATH = "/relay";
 
+/** Status of a peer that reaches the upstream no more than this host does. */
+export const STATUS_UNREACHABLE = 502;
+
 /** Message between the two hosts of a relay. */
 export type RelayMessage =
   /** The upstream wants no requests from the host that it answered. */
--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/relayServer.ts
@@ -12,6 +12,7 @@
   encodeRelayMessage,
   RELAY_PATH,
   type RelayMessage,
+  STATUS_UNREACHABLE,
 } from "./relayMessage.ts";
 import { hasEndedNormally } from "./resetDetector.ts";
 import { UPSTREAM_ENDED } from "./relayedSocket.ts";
@@ -80,12 +81,14 @@
       this.#canServe(upstream, request.socket.remoteAddress ?? "");
     if (!isAccepted) {
       metrics.count("relays_refused");
-      return refuse(socket);
+      return refuse(socket, "503 Service Unavailable");
     }
     this.#pending++;
     this.#connect(upstream, (connection) => {
       this.#pending--;
-      if (connection === undefined) return refuse(socket);
+      if (connection === undefined) {
+        return refuse(socket, `${STATUS_UNREACHABLE} Bad Gateway`);
+      }
       this.#webSockets.handleUpgrade(request, socket, head, (webSocket) => {
         this.#relay(upstream, connection, webSocket);
       });
@@ -113,13 +116,14 @@
 
   #canServe({ upstream, service }: Upstream, ip: string): boolean {
     const { context, isPeer } = this.#options;
-    const { placementClient, timer, lag, shedding, directLinks } = context();
+    const { placementClient, timer, lag, shedding, ...rest } = context();
     const now = timer.now();
+    const isCutOff = rest.upstreamStats.links.isCutOff(now) ||
+      rest.directLinks.isServiceBroken(service, now);
     const isBusy = lag.sustained > MAXIMUM_LAG_MS || shedding.share > 0 ||
       this.#relays.size + this.#pending >= MAXIMUM_RELAYS;
-    return !this.#isStopping && !isBusy && isPeer(ip) &&
-      placementClient.isUsable(upstream, now) &&
-      !directLinks.isServiceBroken(service, now);
+    return !this.#isStopping && !isBusy && !isCutOff && isPeer(ip) &&
+      placementClient.isUsable(upstream, now);
   }
 
   #connect(
@@ -194,6 +198,6 @@
   }
 }
 
-function refuse(socket: Duplex): void {
-  socket.end("HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\r\n");
+function refuse(socket: Duplex, status: string): void {
+  socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\n\r\n`);
 }
--- a/packages/gateway/tests/cutOffHosts.test.ts
+++ b/packages/gateway/tests/cutOffHosts.test.ts
@@ -191,10 +191,14 @@
 }
 
 test("an upstream that no host reaches is refused as not run", async (t) => {
+  // Guards against a lost upstream that is taken for a broken link.
   const { cutOff } = await startCutPair(t, [await unreachable()]);
   const { status, headers } = await sendTo(cutOff, "q");
   t.is(status, 503);
   t.true(Number(headers["retry-after"]) > 0);
+  const { directory, directLinks, timer } = cutOff.gateway.context;
+  const [upstream] = directory.all();
+  t.false(directLinks.isBroken(upstream!, timer.now()));
 });
 
 test("a host whose links work again sends without a peer", async (t) => {
