Close what a relay leaves open when its peer goes away while it is set up

A peer that left between the connection to the upstream and the handshake left that connection open; the timer for a connection that takes long was not cancelled once it was established. Found on reading; no run shows either.

--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/relayServer.ts
@@ -89,10 +89,11 @@
       if (connection === undefined) {
         return refuse(socket, `${STATUS_UNREACHABLE} Bad Gateway`);
       }
+      if (socket.destroyed) return void connection.destroy();
+      socket.once("close", () => connection.destroy());
       this.#webSockets.handleUpgrade(request, socket, head, (webSocket) => {
         this.#relay(upstream, connection, webSocket);
       });
-      if (socket.destroyed) connection.destroy();
     });
   }
 
--- a/packages/gateway/src/upstreamDialer.ts
+++ b/packages/gateway/src/upstreamDialer.ts
@@ -1,5 +1,10 @@
 import type { Socket } from "node:net";
-import type { Milliseconds, Timer, UpstreamId } from "@wasabivane/common";
+import type {
+  Milliseconds,
+  Timer,
+  TimerSubscription,
+  UpstreamId,
+} from "@wasabivane/common";
 import type { DirectLinks, LinkEnd, Upstream } from "@wasabivane/admission";
 import type { Result } from "neverthrow";
 import type { buildConnector } from "undici";
@@ -93,6 +98,7 @@
   readonly #connectorOptions: ConnectorOptions;
   readonly #callback: ConnectorCallback;
   #isDone = false;
+  #relayTimer: TimerSubscription | undefined;
   #directError: Error | undefined;
   /** Whether this host has failed to connect. */
   #hasFailed = false;
@@ -118,8 +124,11 @@
       this.#directError = new Error("The link to the upstream is broken");
       return this.#startRelay();
     }
+    this.#relayTimer = timer.after(
+      USUAL_CONNECT_MS,
+      () => this.#startRelay(),
+    );
     this.#startDirect();
-    timer.after(USUAL_CONNECT_MS, () => this.#startRelay());
   }
 
   #startDirect(): void {
@@ -170,16 +179,21 @@
 
   #succeed(socket: Socket): void {
     if (this.#isDone) return void socket.destroy();
-    this.#isDone = true;
+    this.#finish();
     this.#callback(null, socket);
   }
 
   #failIfOver(): void {
     const isOver = this.#directError !== undefined && this.#relay === "failed";
     if (this.#isDone || !isOver) return;
-    this.#isDone = true;
+    this.#finish();
     this.#callback(this.#directError!, null);
   }
+
+  #finish(): void {
+    this.#isDone = true;
+    this.#relayTimer?.cancel();
+  }
 }
 
 function addressOf({ hostname, port }: ConnectorOptions): string {
