--- a/packages/admission/tests/silentUpstreams.test.ts
+++ b/packages/admission/tests/silentUpstreams.test.ts
@@ -1,5 +1,5 @@
 import { type Milliseconds, VirtualTimer } from "@wasabivane/common";
-import { UpstreamStats } from "@wasabivane/admission";
+import { type AttemptObservation, UpstreamStats } from "@wasabivane/admission";
 import test from "ava";
 import { buildUpstream, PLANS, WEST } from "./helpers/build.ts";
 import { VirtualFleet } from "./helpers/virtualFleet.ts";
@@ -8,13 +8,13 @@
 /** Ends the first ejection of an upstream. */
 const EJECTION_MS: Milliseconds = 400;
 
-function silence() {
+function silence(): AttemptObservation {
   return {
     upstream: U0,
     service: PLANS,
     outcome: "silent",
     residence: 1_000,
-  } as const;
+  };
 }
 
 test("an upstream that was silent for a while is not taken for restarted", (t) => {
