--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,6 @@
   ElapsedClock,
   type HostId,
   type Milliseconds,
-  type UpstreamId,
 } from "@wasabivane/common";
 import {
   type CoordinatorCandidate,
@@ -19,9 +18,6 @@
   UpstreamStats,
 } from "@wasabivane/admission";
 import { err, type Result } from "neverthrow";
-import { RelayClient } from "./relayClient.ts";
-import { RelayServer } from "./relayServer.ts";
-import { type LinkChange, UpstreamDialer } from "./upstreamDialer.ts";
 import { CallerServer } from "./callerServer.ts";
 import { DecisionLog } from "./decisionLog.ts";
 import { GossipProtocol } from "./gossipProtocol.ts";
@@ -33,7 +29,7 @@
 import type { ListenError } from "./listenError.ts";
 import { PeriodicChecks } from "./periodicChecks.ts";
 import { PeerDirectory } from "./peerDirectory.ts";
-import { type ChannelError, PeerChannel, splitAddress } from "./peerChannel.ts";
+import { type ChannelError, PeerChannel } from "./peerChannel.ts";
 import { PeerLog } from "./peerLog.ts";
 import type { PeerMessage } from "./peerMessage.ts";
 import type { UpstreamListChange } from "./gossipMessage.ts";
@@ -43,6 +39,7 @@
 import { connectionShare } from "./connectionShare.ts";
 import { UnknownHeaders } from "./unknownHeaders.ts";
 import { UpstreamConnections } from "./upstreamConnections.ts";
+import { UpstreamLinks } from "./upstreamLinks.ts";
 import { UpstreamUpdates } from "./upstreamUpdates.ts";
 import { UsageSync } from "./usageSync.ts";
 
@@ -80,9 +77,7 @@
   readonly #operatorServers: OperatorServers;
   readonly #cellRouter: CellRouter;
   readonly #usageSync: UsageSync;
-  readonly #relayClient: RelayClient;
-  readonly #relayServer: RelayServer;
-  readonly #dialer: UpstreamDialer;
+  readonly #links: UpstreamLinks;
   readonly #startedAt: Milliseconds;
   readonly #peerLog: PeerLog;
   readonly #periodicChecks: PeriodicChecks;
@@ -102,10 +97,12 @@
       seeds,
     });
     this.context = this.#createContext();
-    this.#relayClient = this.#createRelayClient();
-    this.#relayServer = this.#createRelayServer();
-    this.#dialer = this.#createDialer();
-    this.context.connections.setConnector(this.#dialer.connector);
+    this.#links = new UpstreamLinks({
+      context: this.context,
+      peers: this.#peers,
+      connectTimeout: options.connectTimeout,
+      maximumLag: options.lowestLag,
+    });
     this.#peerLog = new PeerLog(this.context);
     this.#callerServer = new CallerServer(this.context);
     this.#operatorServers = new OperatorServers({
@@ -113,7 +110,7 @@
       addresses: options.addresses,
       readinessPath: options.readinessPath,
       onPeerUpgrade: (request, socket, head) =>
-        this.#relayServer.handleUpgrade(request, socket, head),
+        this.#links.handleUpgrade(request, socket, head),
     });
     this.#channel = this.#createChannel();
     this.#cellRouter = new CellRouter({
@@ -231,7 +228,7 @@
     this.#stopsAt = end;
     log.write("stopping", { open: this.#callerServer.openRequests });
     const maximumWait = MAXIMUM_UNREADY_SHARE * this.#options.shutdownGrace;
-    this.#relayServer.stop();
+    this.#links.stop();
     await this.#sleep(Math.min(UNREADY_WAIT_MS, maximumWait));
     this.#callerServer.stopListening();
     this.#callerServer.closeIdle();
@@ -251,7 +248,7 @@
     this.#callerServer.closeAll();
     this.#periodicChecks.close();
     this.#operatorServers.close();
-    this.#relayServer.close();
+    this.#links.close();
     this.upstreamUpdates.close();
     this.#gossip.close();
     await this.context.connections.close();
@@ -259,7 +256,7 @@
   }
 
   get #hasOpenWork(): boolean {
-    return this.#callerServer.openRequests > 0 || this.#relayServer.size > 0;
+    return this.#callerServer.openRequests > 0 || this.#links.relayCount > 0;
   }
 
   get #isStopping(): boolean {
@@ -316,10 +313,8 @@
       directLinks: new DirectLinks({
         countUpstreams: (service) => directory.of(service).length,
       }),
-      announceBackoff: (upstream, span) => {
-        this.#relayClient.announceBackoff(upstream, span);
-        this.#relayServer.announceBackoff(upstream, span);
-      },
+      announceBackoff: (upstream, span) =>
+        this.#links.announceBackoff(upstream, span),
       announceCrash: (crash) => this.#gossip.announceCrash(crash),
       removeReplaced: (upstream) =>
         this.upstreamUpdates.removeReplaced(upstream),
@@ -375,81 +370,6 @@
     });
   }
 
-  #createRelayClient(): RelayClient {
-    const { failureDomain, timer, random, connectTimeout } = this.#options;
-    return new RelayClient({
-      failureDomain,
-      timer,
-      random,
-      connectTimeout,
-      peers: () => this.#peers.relayPeers(),
-      onStopping: (upstream) => this.#closeIdleConnections(upstream),
-      onBackoff: (id, span) => {
-        const upstream = this.context.directory.get(id);
-        if (upstream === undefined) return;
-        this.context.placementClient.recordBackoff(upstream, span, timer.now());
-      },
-    });
-  }
-
-  #createRelayServer(): RelayServer {
-    const { connectTimeout, lowestLag } = this.#options;
-    return new RelayServer({
-      context: () => this.context,
-      connectTimeout,
-      maximumLag: lowestLag,
-      isPeer: (ip) =>
-        this.#peers.aliveAddresses().some((address) =>
-          splitAddress(address).ip === ip
-        ),
-      onUnreachable: ({ upstream, service }) => {
-        const { placementClient, timer } = this.context;
-        const outcome = "unreachable";
-        const observation = {
-          upstream,
-          service,
-          outcome,
-          residence: 0,
-        } as const;
-        placementClient.report(observation, timer.now());
-      },
-    });
-  }
-
-  #createDialer(): UpstreamDialer {
-    const { directory, connections, directLinks } = this.context;
-    return new UpstreamDialer({
-      timer: this.#options.timer,
-      links: directLinks,
-      connectDirectly: connections.directConnector,
-      openRelay: (upstream) => this.#relayClient.open(upstream),
-      findUpstream: (address) =>
-        directory.all().find((upstream) => upstream.address === address),
-      onLinkChange: (change) => this.#handleLinkChange(change),
-    });
-  }
-
-  /**
-   * Closes the connections that are idle: they are dead if links are broken, and
-   * take a detour if links work again.
-   */
-  #handleLinkChange({ upstream, service, isBroken, isAll }: LinkChange): void {
-    const { directory, log, metrics } = this.context;
-    const event = isBroken ? "links_broken" : "links_restored";
-    metrics.count(event);
-    log.write(event, { upstream, service, all: isAll });
-    if (!isAll) return this.#closeIdleConnections(upstream);
-    for (const other of directory.of(service)) {
-      this.#closeIdleConnections(other.upstream);
-    }
-  }
-
-  #closeIdleConnections(id: UpstreamId): void {
-    const { directory, connections } = this.context;
-    const upstream = directory.get(id);
-    if (upstream !== undefined) connections.forget(upstream.address);
-  }
-
   #createChannel(): PeerChannel {
     const { timer } = this.#options;
     return new PeerChannel({
@@ -573,14 +493,14 @@
     metrics.set("waiting", placementClient.waitingTotal);
     metrics.set("kept_cells", this.#cellRouter.cellCount);
     metrics.set("open_requests", this.#callerServer.openRequests);
-    metrics.set("open_relays", this.#relayServer.size);
+    metrics.set("open_relays", this.#links.relayCount);
     return metrics.text();
   }
 
   #runMaintenance(now: Milliseconds): void {
     this.upstreamUpdates.expire();
     this.storeSharing.tick(now);
-    this.#dialer.tick((upstream) => this.context.directory.get(upstream));
+    this.#links.tick();
     this.#usageSync.tick(now);
     this.#logShedRequests(now);
     this.#peerLog.add(this.#gossip.tick(), this.#peers.aliveCount);
--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/relayServer.ts
@@ -30,7 +30,7 @@
 
 /** Options of a {@link RelayServer}. */
 export interface RelayServerOptions {
-  readonly context: () => GatewayContext;
+  readonly context: GatewayContext;
   /** Time for a connection to an upstream. */
   readonly connectTimeout?: Milliseconds | undefined;
   /** Event-loop lag above which a host has no time for the work of others. */
@@ -79,7 +79,7 @@
     socket.on("error", () => {});
     const [path, query] = (request.url ?? "").split("?", 2);
     const id = new URLSearchParams(query).get("upstream") ?? "";
-    const { directory, metrics } = this.#options.context();
+    const { directory, metrics } = this.#options.context;
     const upstream = directory.get(asId<UpstreamId>(id));
     const isAccepted = path === RELAY_PATH && upstream !== undefined &&
       this.#canServe(upstream, request.socket.remoteAddress ?? "");
@@ -122,7 +122,7 @@
   #canServe({ upstream, service }: Upstream, ip: string): boolean {
     const { context, isPeer, maximumLag = DEFAULT_MAXIMUM_LAG_MS } =
       this.#options;
-    const { placementClient, timer, lag, shedding, ...rest } = context();
+    const { placementClient, timer, lag, shedding, ...rest } = context;
     const now = timer.now();
     const isCutOff = rest.upstreamStats.links.isCutOff(now) ||
       rest.directLinks.isServiceBroken(service, now);
@@ -138,7 +138,7 @@
   ): void {
     const { context, connectTimeout = DEFAULT_CONNECT_TIMEOUT_MS } =
       this.#options;
-    const { timer } = context();
+    const { timer } = context;
     const { ip, port } = splitAddress(upstream.address);
     const connection = connect({ host: ip, port, noDelay: true });
     let isDone = false;
@@ -157,7 +157,7 @@
   }
 
   #relay(upstream: Upstream, connection: Socket, webSocket: WebSocket): void {
-    const { metrics } = this.#options.context();
+    const { metrics } = this.#options.context;
     const relay = { upstream, webSocket };
     this.#relays.add(relay);
     metrics.count("relays_served");
@@ -192,7 +192,7 @@
   #receive({ upstream }: Relay, text: string): void {
     const message = decodeRelayMessage(text);
     if (message?.kind !== "backoff") return;
-    const { placementClient, timer } = this.#options.context();
+    const { placementClient, timer } = this.#options.context;
     placementClient.recordBackoff(upstream, message.span, timer.now());
     this.announceBackoff(upstream.upstream, message.span);
   }
