--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/relayServer.ts
@@ -2,7 +2,12 @@
 import type { IncomingMessage } from "node:http";
 import { connect, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
-import { asId, type Milliseconds, type UpstreamId } from "@wasabivane/common";
+import {
+  asId,
+  type Milliseconds,
+  type ServiceId,
+  type UpstreamId,
+} from "@wasabivane/common";
 import type { Upstream } from "@wasabivane/admission";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { GatewayContext } from "./gatewayContext.ts";
@@ -120,16 +125,24 @@
   }
 
   #canServe({ upstream, service }: Upstream, ip: string): boolean {
-    const { context, isPeer, maximumLag = DEFAULT_MAXIMUM_LAG_MS } =
-      this.#options;
-    const { placementClient, timer, lag, shedding, ...rest } = context;
-    const now = timer.now();
-    const isCutOff = rest.upstreamStats.links.isCutOff(now) ||
-      rest.directLinks.isServiceBroken(service, now);
-    const isBusy = lag.sustained > maximumLag || shedding.share > 0 ||
+    const { isPeer, context: { placementClient, timer } } = this.#options;
+    return !this.#isStopping && isPeer(ip) && !this.#isBusy() &&
+      !this.#isCutOff(service) &&
+      placementClient.isUsable(upstream, timer.now());
+  }
+
+  #isBusy(): boolean {
+    const { context, maximumLag = DEFAULT_MAXIMUM_LAG_MS } = this.#options;
+    const { lag, shedding } = context;
+    return lag.sustained > maximumLag || shedding.share > 0 ||
       this.#relays.size + this.#pending >= MAXIMUM_RELAYS;
-    return !this.#isStopping && !isBusy && !isCutOff && isPeer(ip) &&
-      placementClient.isUsable(upstream, now);
+  }
+
+  #isCutOff(service: ServiceId): boolean {
+    const { upstreamStats, directLinks, timer } = this.#options.context;
+    const now = timer.now();
+    return upstreamStats.links.isCutOff(now) ||
+      directLinks.isServiceBroken(service, now);
   }
 
   #connect(
