Use the usual terms in the comments of relays and tolerances

Readers of the code met words that stand for nothing in the field, and the log event upstreams_brittle had the name of a header. Cause: the wording was not read apart from the issue. The event is rejections_limited now, comments speak of backoff; nothing else changes.

--- a/packages/admission/src/rejectionTolerances.ts
+++ b/packages/admission/src/rejectionTolerances.ts
@@ -62,7 +62,7 @@
     return this.#named.get(service)?.rejectionsPerSecond;
   }
 
-  /** Whether an upstream has turned away so many that it needs a rest. */
+  /** Whether an upstream has turned away so many that nothing more should start there. */
   isExhausted(
     { upstream, service }: { upstream: UpstreamId; service: ServiceId },
     now: Milliseconds,
@@ -73,7 +73,7 @@
       this.limitOf(tolerated);
   }
 
-  /** Returns the rejections after which an upstream needs a rest. */
+  /** Returns the rejections after which nothing more starts at an upstream. */
   limitOf(tolerated: number): number {
     return Math.max(1, Math.floor(REJECTION_SHARE * tolerated));
   }
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -29,7 +29,7 @@
   "links_broken",
   "links_restored",
   "upstream_limited",
-  "upstreams_brittle",
+  "rejections_limited",
   "upstream_backoff",
   "domains_evacuated",
   "crash_confirmed",
--- a/packages/gateway/src/recordUpstreamReport.ts
+++ b/packages/gateway/src/recordUpstreamReport.ts
@@ -35,7 +35,7 @@
   };
   placementClient.recordUpstreamReport(upstream, report, timer.now());
   if (tolerances.of(service) !== tolerated) {
-    log.write("upstreams_brittle", {
+    log.write("rejections_limited", {
       service,
       rejectionsPerSecond: tolerances.of(service),
       former: tolerated,
--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/relayServer.ts
@@ -106,7 +106,7 @@
     });
   }
 
-  /** Tells the peers whose relays go to an upstream that it wants a rest. */
+  /** Tells the peers whose relays go to an upstream to back off from it. */
   announceBackoff(upstream: UpstreamId, span: Milliseconds): void {
     this.#announce({ kind: "backoff", span }, upstream);
   }
@@ -201,7 +201,7 @@
     });
   }
 
-  /** The upstream saw this host answered, so this host has to rest as well. */
+  /** The upstream has answered this host, so it has to back off as well. */
   #receive({ upstream }: Relay, text: string): void {
     const message = decodeRelayMessage(text);
     if (message?.kind !== "backoff") return;
--- a/packages/gateway/src/upstreamLinks.ts
+++ b/packages/gateway/src/upstreamLinks.ts
@@ -128,8 +128,8 @@
   }
 
   /**
-   * Closes the connections that are idle: they are dead if links are broken, and
-   * take a detour if links work again.
+   * Closes the connections that are idle: they no longer work if links are broken,
+   * and go through peers without need if links work again.
    */
   #handleLinkChange({ upstream, service, isBroken, isAll }: LinkChange): void {
     const { directory, log, metrics } = this.#options.context;
--- a/packages/gateway/tests/brittleUpstreams.test.ts
+++ b/packages/gateway/tests/brittleUpstreams.test.ts
@@ -8,7 +8,7 @@
   const host = await startGateway({ upstreams: [brittle] });
   t.teardown(() => host.close());
   t.is((await sendRequest(host.url)).status, 200);
-  const line = host.lines.find(({ event }) => event === "upstreams_brittle");
+  const line = host.lines.find(({ event }) => event === "rejections_limited");
   t.is(line?.rejectionsPerSecond, 3);
   const { upstreamStats, directory } = host.gateway.context;
   const [upstream] = directory.all();
