Log which request was running when a response broke off

Callers saw upstreams end one after another under one request.

crash_suspected names the request, its fingerprint and the upstream; refusals of a quarantined request name the fingerprint; crashes_suspected and crashes_confirmed count both halves. No decision changes.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -298,7 +298,7 @@
     ) {
       this.#refundQuota(admitted);
       const refusal = { status: 503, reason: "convicted" } as const;
-      return this.#refuse(request, callerResponse, refusal);
+      return this.#refuse(request, callerResponse, refusal, { fingerprint });
     }
     const exchange = new Exchange({
       context: this.#context,
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -32,6 +32,7 @@
   "rejections_limited",
   "upstream_backoff",
   "domains_evacuated",
+  "crash_suspected",
   "crash_confirmed",
   "request_refused",
   "requests_shed",
--- a/packages/gateway/src/recordAttempt.ts
+++ b/packages/gateway/src/recordAttempt.ts
@@ -31,6 +31,12 @@
   const residence = now - attempt.startedAt;
   if (outcome === "broken" && wasSent) {
     context.crashes.recordBrokenResponse({ fingerprint, upstream, at: now });
+    context.metrics.count("crashes_suspected");
+    context.log.write("crash_suspected", {
+      id: admitted.metadata.requestId,
+      upstream,
+      fingerprint,
+    });
   }
   if (outcome === "replaced") context.removeReplaced(upstream);
   if (outcome === "unreachable") confirmCrashes(upstream, context);
@@ -71,9 +77,10 @@
 
 function confirmCrashes(
   upstream: UpstreamId,
-  { crashes, log, announceCrash, timer }: GatewayContext,
+  { crashes, log, metrics, announceCrash, timer }: GatewayContext,
 ): void {
   for (const crash of crashes.confirmCrashes(upstream, timer.now())) {
+    metrics.count("crashes_confirmed");
     log.write("crash_confirmed", { upstream, fingerprint: crash.fingerprint });
     announceCrash(crash);
   }
