Check whether an upstream has crashed as soon as a response from it breaks off

Callers saw all upstreams of a service end one after another under copies of one request, and their own requests break off there.

Cause: a broken response counted as a crash only if the same host then failed to connect to the same upstream within 1.5 s.

Change: the host connects to the upstream at once. If that fails, it connects to up to three others: one that it reaches shows that its links work and the upstream is down; if it reaches none, a peer decides. A retry of a request that is already suspect waits for the result, and a request is checked once more right before it is sent, so copies that waited do not run after the third crash.

Sound requests that ran at the same upstreams: a complete response clears them; they are not blamed if another request explains all their crashes, nor, up to five crashes, if upstreams crash without them. Each further crash doubles the quarantine, so that its end costs one upstream, not three.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -50,7 +50,11 @@
 export { UsageLedger } from "./usageLedger.ts";
 export { type QuotaTolerance } from "./quotaBucket.ts";
 export { RetryBudget, type RetryBudgetOptions } from "./retryBudget.ts";
-export { type Crash, PoisonRequestDetector } from "./poisonRequestDetector.ts";
+export {
+  type Completion,
+  type Crash,
+  PoisonRequestDetector,
+} from "./poisonRequestDetector.ts";
 export {
   computeRetryDelay,
   computeStartBounds,
--- a/packages/admission/src/poisonRequestDetector.ts
+++ b/packages/admission/src/poisonRequestDetector.ts
@@ -7,9 +7,23 @@
 const CONFIRMATION_MS: Milliseconds = 1_500;
 /** Number of crashes after which a request is not sent to another upstream. */
 const QUARANTINE_CRASHES = 3;
-/** How long a crash is remembered. */
-const RETENTION_MS: Milliseconds = 60_000;
+/** The same while upstreams crash without the request as well. */
+const DOUBTFUL_QUARANTINE_CRASHES = 5;
+/** Share of all crashes that a request must have had a part in. */
+const MINIMUM_SHARE = 2 / 3;
+/** Time before a request's first crash in which others count for that share. */
+const SHARE_WINDOW_MS: Milliseconds = 10_000;
+/** First quarantine; each further crash doubles it. */
+const FIRST_QUARANTINE_MS: Milliseconds = 60_000;
+/** Longest quarantine, and how long a crash is remembered. */
+const RETENTION_MS: Milliseconds = 3_600_000;
+/**
+ * Crashes this close to their end are not learned from peers, whose clocks
+ * differ, so that hosts do not pass them on for ever.
+ */
+const RETENTION_MARGIN_MS: Milliseconds = 10_000;
 const MAXIMUM_FINGERPRINTS = 2_000;
+const MAXIMUM_UPSTREAMS = 2_000;
 
 /** A crash of an upstream while it ran a request with this fingerprint. */
 export interface Crash {
@@ -18,16 +32,34 @@
   readonly at: Milliseconds;
 }
 
+/** A complete response to a request that had been running during crashes. */
+export interface Completion {
+  readonly fingerprint: Digest;
+  readonly at: Milliseconds;
+}
+
+interface RequestRecord {
+  /** Crashes since the last complete response. */
+  readonly crashes: Map<UpstreamId, Milliseconds>;
+  lastCrashAt: Milliseconds;
+  completedAt: Milliseconds;
+}
+
 /**
  * Detects poison requests, which crash every upstream that runs them.
  *
  * Callers repeat such a request at any host and would take down one upstream
  * after another. A broken response counts as a crash only if the upstream is
- * found down right after; hosts share confirmed crashes.
+ * found down right after; hosts share confirmed crashes. Other requests that ran
+ * at the same upstreams are told apart by their next complete response, by
+ * crashing at no upstream but those of another request, and by the crashes that
+ * they had no part in.
  */
 export class PoisonRequestDetector {
   readonly #broken: Crash[] = [];
-  readonly #crashes = new Map<Digest, Map<UpstreamId, Milliseconds>>();
+  readonly #records = new Map<Digest, RequestRecord>();
+  /** When each upstream crashed, under any request. */
+  readonly #crashedAt = new Map<UpstreamId, Milliseconds>();
 
   /** Records that the response to a request broke off. */
   recordBrokenResponse(crash: Crash): void {
@@ -45,31 +77,132 @@
       if (crash.upstream === upstream) confirmed.push(crash);
       else this.#broken.push(crash);
     }
-    for (const crash of confirmed) this.recordCrash(crash);
-    return confirmed;
+    return confirmed.filter((crash) => this.#add(crash));
+  }
+
+  /** Records a crash that a peer has confirmed; returns whether it was new. */
+  recordCrash(crash: Crash, now: Milliseconds): boolean {
+    const isEnding = now - crash.at > RETENTION_MS - RETENTION_MARGIN_MS;
+    return !isEnding && this.#add(crash);
+  }
+
+  /**
+   * Records a complete response, which shows that a request does not crash its
+   * upstream; returns whether crashes had been attributed to the request.
+   */
+  recordCompletion({ fingerprint, at }: Completion): boolean {
+    const record = this.#records.get(fingerprint);
+    if (record === undefined || at <= record.completedAt) return false;
+    record.completedAt = at;
+    let isCleared = false;
+    for (const [upstream, crashedAt] of record.crashes) {
+      if (crashedAt <= at) isCleared = record.crashes.delete(upstream);
+    }
+    return isCleared;
+  }
+
+  /** Returns the last complete response that cleared a request of crashes. */
+  completionOf(fingerprint: Digest): Completion | undefined {
+    const at = this.#records.get(fingerprint)?.completedAt ?? -Infinity;
+    return Number.isFinite(at) ? { fingerprint, at } : undefined;
   }
 
-  /** Records a crash seen here or by a peer; returns whether it was new. */
-  recordCrash({ fingerprint, upstream, at }: Crash): boolean {
-    const crashes = this.#crashes.get(fingerprint) ?? new Map();
-    const isNew = !crashes.has(upstream);
-    this.#crashes.delete(fingerprint);
-    this.#crashes.set(fingerprint, crashes.set(upstream, at));
-    if (this.#crashes.size <= MAXIMUM_FINGERPRINTS) return isNew;
-    const [oldest] = this.#crashes.keys();
-    this.#crashes.delete(oldest!);
-    return isNew;
+  /** Whether an upstream has crashed since the request last completed. */
+  isSuspect(fingerprint: Digest, now: Milliseconds): boolean {
+    return this.#crashCount(fingerprint, now) > 0;
   }
 
   /**
    * Whether a request has crashed so many upstreams that it must not run again.
    */
   isQuarantined(fingerprint: Digest, now: Milliseconds): boolean {
-    const crashes = this.#crashes.get(fingerprint);
-    if (crashes === undefined) return false;
-    for (const [upstream, at] of crashes) {
-      if (now - at > RETENTION_MS) crashes.delete(upstream);
+    return this.quarantineLeft(fingerprint, now) > 0;
+  }
+
+  /** Returns for how long a request must not run. */
+  quarantineLeft(fingerprint: Digest, now: Milliseconds): Milliseconds {
+    const count = this.#crashCount(fingerprint, now);
+    if (count < QUARANTINE_CRASHES) return 0;
+    const record = this.#records.get(fingerprint)!;
+    if (this.#isExplained(record) || this.#isDoubtful(record)) return 0;
+    const span = FIRST_QUARANTINE_MS * 2 ** (count - QUARANTINE_CRASHES);
+    const until = record.lastCrashAt + Math.min(span, RETENTION_MS);
+    return Math.max(0, until - now);
+  }
+
+  /** Returns the known crashes, those of requests in quarantine first. */
+  crashes(now: Milliseconds): Crash[] {
+    const quarantined: Crash[] = [];
+    const others: Crash[] = [];
+    for (const [fingerprint, { crashes }] of this.#records) {
+      if (this.#crashCount(fingerprint, now) === 0) continue;
+      const isQuarantined = this.isQuarantined(fingerprint, now);
+      const list = isQuarantined ? quarantined : others;
+      for (const [upstream, at] of crashes) {
+        list.push({ fingerprint, upstream, at });
+      }
+    }
+    return [...quarantined, ...others];
+  }
+
+  #add({ fingerprint, upstream, at }: Crash): boolean {
+    const record = this.#records.get(fingerprint) ?? {
+      crashes: new Map(),
+      lastCrashAt: -Infinity,
+      completedAt: -Infinity,
+    };
+    if (at <= record.completedAt || record.crashes.has(upstream)) return false;
+    record.crashes.set(upstream, at);
+    this.#crashedAt.set(upstream, at);
+    if (this.#crashedAt.size > MAXIMUM_UPSTREAMS) {
+      this.#crashedAt.delete([...this.#crashedAt.keys()][0]!);
+    }
+    record.lastCrashAt = Math.max(record.lastCrashAt, at);
+    this.#records.delete(fingerprint);
+    this.#records.set(fingerprint, record);
+    if (this.#records.size > MAXIMUM_FINGERPRINTS) this.#dropOldest();
+    return true;
+  }
+
+  /** Keeps requests in quarantine, which are few, for longer than others. */
+  #dropOldest(): void {
+    const isKept = ({ crashes }: RequestRecord): boolean =>
+      crashes.size >= QUARANTINE_CRASHES;
+    const oldest = [...this.#records].find(([, record]) => !isKept(record)) ??
+      [...this.#records][0]!;
+    this.#records.delete(oldest[0]);
+  }
+
+  #crashCount(fingerprint: Digest, now: Milliseconds): number {
+    const record = this.#records.get(fingerprint);
+    if (record === undefined) return 0;
+    if (now - record.lastCrashAt > RETENTION_MS) record.crashes.clear();
+    return record.crashes.size;
+  }
+
+  /** Whether too many upstreams have crashed without the request to blame it. */
+  #isDoubtful({ crashes, lastCrashAt }: RequestRecord): boolean {
+    if (crashes.size >= DOUBTFUL_QUARANTINE_CRASHES) return false;
+    const since = Math.min(...crashes.values()) - SHARE_WINDOW_MS;
+    let total = 0;
+    for (const at of this.#crashedAt.values()) {
+      if (at >= since && at <= lastCrashAt) total++;
+    }
+    return crashes.size < MINIMUM_SHARE * total;
+  }
+
+  /**
+   * Whether another request was running during all crashes of this one and
+   * during more, so that this one was only there at the same time.
+   */
+  #isExplained({ crashes }: RequestRecord): boolean {
+    for (const other of this.#records.values()) {
+      if (other.crashes.size <= crashes.size) continue;
+      const hasAll = [...crashes.keys()].every((upstream) =>
+        other.crashes.has(upstream)
+      );
+      if (hasAll) return true;
     }
-    return crashes.size >= QUARANTINE_CRASHES;
+    return false;
   }
 }
--- a/packages/admission/tests/policyAndUpstreams.test.ts
+++ b/packages/admission/tests/policyAndUpstreams.test.ts
@@ -93,7 +93,7 @@
     fingerprint,
     upstream: asId<UpstreamId>("u2"),
     at: 8_000,
-  });
+  }, 8_000);
   t.true(book.isQuarantined(fingerprint, 8_000));
   t.false(book.isQuarantined(fingerprint, 100_000));
 });
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -99,7 +99,8 @@
     timer,
     deadline: admitted.deadline,
     isUsable: () =>
-      context.placementClient.isUsable(upstream.upstream, timer.now()),
+      context.placementClient.isUsable(upstream.upstream, timer.now()) &&
+      !context.crashes.isQuarantined(request.fingerprint, timer.now()),
     requestId: metadata.requestId,
     isStreaming: route.isStreaming,
     pauseTarget: route.pauseTarget,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -306,16 +306,27 @@
     const shouldRetry = this.#retryState.takeRetry(upstream, {
       outcome,
       hasStarted: response.hasStarted,
-      isQuarantined: context.crashes.isQuarantined(
-        request.fingerprint,
-        this.#now(),
-      ),
+      isQuarantined: this.#isQuarantined(),
     });
     if (!shouldRetry) return this.#fail(end, upstream);
     if (!wasNotSent(outcome)) {
       this.#log("request_failed", { upstream, outcome, detail, next: "again" });
     }
-    this.#requestSlot();
+    const { crashes, crashChecks } = context;
+    if (!crashes.isSuspect(request.fingerprint, this.#now())) {
+      return this.#requestSlot();
+    }
+    // The upstream just left may be the one too many that this request crashed.
+    crashChecks.whenSettled(upstream, () => {
+      if (this.#isFinished) return;
+      if (this.#isQuarantined()) this.#fail(end, upstream);
+      else this.#requestSlot();
+    });
+  }
+
+  #isQuarantined(): boolean {
+    const { context, request } = this.#options;
+    return context.crashes.isQuarantined(request.fingerprint, this.#now());
   }
 
   #fail(
@@ -335,15 +346,15 @@
       );
       return this.#finish(`status-${upstreamResponse.status}`);
     }
-    this.#refuse(
-      this.#retryState.mayHaveRun
-        ? { status: 502, reason: lossReason(outcome) }
-        : {
-          status: 503,
-          reason: lossReason(outcome),
-          retryAfter: this.#drawRetryDelay(),
-        },
-    );
+    const { crashes } = this.#options.context;
+    const { fingerprint } = this.#options.request;
+    const quarantine = crashes.quarantineLeft(fingerprint, this.#now());
+    const reason = quarantine > 0 ? "convicted" : lossReason(outcome);
+    if (this.#retryState.mayHaveRun) {
+      return this.#refuse({ status: 502, reason });
+    }
+    const retryAfter = quarantine > 0 ? quarantine : this.#drawRetryDelay();
+    this.#refuse({ status: 503, reason, retryAfter });
   }
 
   #onDeadline(): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 } from "@wasabivane/admission";
 import { err, type Result } from "neverthrow";
 import { CallerServer } from "./callerServer.ts";
+import { CrashChecks } from "./crashChecks.ts";
 import { DecisionLog } from "./decisionLog.ts";
 import { GossipProtocol } from "./gossipProtocol.ts";
 import { GatewayMetrics } from "./gatewayMetrics.ts";
@@ -300,6 +301,10 @@
       quotas: new QuotaLimiter(this.#options.quotaTolerance),
       retries: new RetryBudget(this.#options.retryBudget),
       crashes: new PoisonRequestDetector(),
+      crashChecks: new CrashChecks({
+        context: () => this.context,
+        probe: (upstream) => this.#links.probe(upstream),
+      }),
       lag,
       shedding: new LoadShedder({
         lag,
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -21,6 +21,7 @@
   UpstreamDirectory,
   UpstreamStats,
 } from "@wasabivane/admission";
+import type { CrashChecks } from "./crashChecks.ts";
 import type { DecisionLog } from "./decisionLog.ts";
 import type { Dialect } from "./dialect.ts";
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
@@ -55,6 +56,7 @@
   readonly quotas: QuotaLimiter;
   readonly retries: RetryBudget;
   readonly crashes: PoisonRequestDetector;
+  readonly crashChecks: CrashChecks;
   readonly lag: EventLoopLag;
   readonly shedding: LoadShedder;
   readonly connections: UpstreamConnections;
--- a/packages/gateway/src/gossipProtocol.ts
+++ b/packages/gateway/src/gossipProtocol.ts
@@ -213,7 +213,7 @@
     }
     for (const [fingerprint, upstream, age] of reportedCrashes) {
       const crash = { fingerprint, upstream, at: now - age };
-      if (crashes.recordCrash(crash)) this.announceCrash(crash);
+      if (crashes.recordCrash(crash, now)) this.announceCrash(crash);
     }
     for (const [host, span] of unresponsiveHosts) {
       if (this.#unresponsiveHosts.has(host)) continue;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -37,5 +37,6 @@
 } from "./operatorEndpoints.ts";
 export { fetchSnapshot } from "./operatorEndpoints.ts";
 export { TransitEstimator } from "./transitEstimator.ts";
+export { UpstreamProbe, type UpstreamState } from "./upstreamProbe.ts";
 export { StoreSharing, type StoreSharingOptions } from "./storeSharing.ts";
 export { StandardOutput } from "./standardOutput.ts";
--- a/packages/gateway/src/recordAttempt.ts
+++ b/packages/gateway/src/recordAttempt.ts
@@ -1,7 +1,8 @@
-import type { Digest, Milliseconds, UpstreamId } from "@wasabivane/common";
+import type { Digest, Milliseconds } from "@wasabivane/common";
 import type {
   AttemptObservation,
   ResponseTimings,
+  UpstreamOutcome,
 } from "@wasabivane/admission";
 import type { Attempt, AttemptEnd } from "./attempt.ts";
 import { expectedTokensOf, promptTokensOf } from "./attemptPlan.ts";
@@ -9,6 +10,9 @@
 import type { AdmittedRequest } from "./requestAdmission.ts";
 import { wasNotSent } from "./retryState.ts";
 
+/** Outcomes of a request that may have crashed its upstream. */
+const CRASH_SIGNS: ReadonlySet<UpstreamOutcome> = new Set(["broken", "silent"]);
+
 /** The request and the outcome that an attempt is recorded with. */
 export interface AttemptRecord {
   readonly context: GatewayContext;
@@ -23,23 +27,15 @@
  */
 export function recordAttempt(
   attempt: Attempt,
-  { context, admitted, fingerprint, end: { outcome, wasSent } }: AttemptRecord,
+  { context, admitted, fingerprint, end }: AttemptRecord,
 ): void {
+  const { outcome } = end;
   const { service } = admitted;
   const { upstream } = attempt.upstream;
   const now = context.timer.now();
   const residence = now - attempt.startedAt;
-  if (outcome === "broken" && wasSent) {
-    context.crashes.recordBrokenResponse({ fingerprint, upstream, at: now });
-    context.metrics.count("crashes_suspected");
-    context.log.write("crash_suspected", {
-      id: admitted.metadata.requestId,
-      upstream,
-      fingerprint,
-    });
-  }
+  recordCrashSigns(attempt, { context, admitted, fingerprint, end });
   if (outcome === "replaced") context.removeReplaced(upstream);
-  if (outcome === "unreachable") confirmCrashes(upstream, context);
   if (wasNotSent(outcome)) {
     context.metrics.count("slots_unused");
     context.metrics.count("slots_unused_ms", Math.round(residence));
@@ -75,13 +71,27 @@
   };
 }
 
-function confirmCrashes(
-  upstream: UpstreamId,
-  { crashes, log, metrics, announceCrash, timer }: GatewayContext,
+/** Records what an outcome tells about crashes of the upstream. */
+function recordCrashSigns(
+  { upstream }: Attempt,
+  { context, admitted, fingerprint, end: { outcome, wasSent } }: AttemptRecord,
 ): void {
-  for (const crash of crashes.confirmCrashes(upstream, timer.now())) {
-    metrics.count("crashes_confirmed");
-    log.write("crash_confirmed", { upstream, fingerprint: crash.fingerprint });
-    announceCrash(crash);
+  const { crashes, crashChecks, timer } = context;
+  if (wasSent && CRASH_SIGNS.has(outcome)) {
+    const { requestId } = admitted.metadata;
+    crashChecks.start({ requestId, fingerprint, upstream });
   }
+  if (hasEnded(outcome, context)) crashChecks.confirm(upstream.upstream);
+  if (outcome !== "whole") return;
+  crashes.recordCompletion({ fingerprint, at: timer.now() });
+}
+
+/** Whether an outcome shows that the upstream, not this host's link, is gone. */
+function hasEnded(
+  outcome: UpstreamOutcome,
+  { upstreamStats, timer }: GatewayContext,
+): boolean {
+  if (outcome === "replaced") return true;
+  return outcome === "unreachable" &&
+    !upstreamStats.links.isCutOff(timer.now());
 }
--- a/packages/gateway/src/retryState.ts
+++ b/packages/gateway/src/retryState.ts
@@ -91,7 +91,7 @@
     if (wasNotSent(outcome)) {
       this.#count--;
       this.#unsent++;
-      return this.#unsent < MAXIMUM_UNSENT;
+      return this.#unsent < MAXIMUM_UNSENT && !isQuarantined;
     }
     const hasNotRun = isNotRun(outcome);
     if (!hasNotRun) this.#mayHaveRun = true;
--- a/packages/gateway/src/upstreamLinks.ts
+++ b/packages/gateway/src/upstreamLinks.ts
@@ -9,6 +9,7 @@
 import { RelayClient } from "./relayClient.ts";
 import { RelayServer } from "./relayServer.ts";
 import { type LinkChange, UpstreamDialer } from "./upstreamDialer.ts";
+import { UpstreamProbe, type UpstreamState } from "./upstreamProbe.ts";
 
 /** Options of {@link UpstreamLinks}. */
 export interface UpstreamLinksOptions {
@@ -29,12 +30,14 @@
   readonly #relayClient: RelayClient;
   readonly #relayServer: RelayServer;
   readonly #dialer: UpstreamDialer;
+  readonly #probe: UpstreamProbe;
 
   constructor(options: UpstreamLinksOptions) {
     this.#options = options;
     this.#relayClient = this.#createRelayClient();
     this.#relayServer = this.#createRelayServer();
     this.#dialer = this.#createDialer();
+    this.#probe = this.#createProbe();
     options.context.connections.setConnector(this.#dialer.connector);
   }
 
@@ -54,6 +57,11 @@
     this.#relayServer.announceBackoff(upstream, span);
   }
 
+  /** Finds out whether an upstream accepts connections. */
+  probe(upstream: Upstream): Promise<UpstreamState> {
+    return this.#probe.probe(upstream);
+  }
+
   /** Tries broken links again, at intervals. */
   tick(): void {
     const { directory } = this.#options.context;
@@ -117,6 +125,20 @@
     });
   }
 
+  #createProbe(): UpstreamProbe {
+    const { timer, random, directory, connections, upstreamStats } =
+      this.#options.context;
+    return new UpstreamProbe({
+      timer,
+      random,
+      connectDirectly: connections.directConnector,
+      openRelay: (upstream) => this.#relayClient.open(upstream),
+      upstreams: () => directory.all(),
+      isEjected: (upstream, now) =>
+        upstreamStats.health.isEjected(upstream, now),
+    });
+  }
+
   #reportUnreachable({ upstream, service }: Upstream): void {
     const { placementClient, timer } = this.#options.context;
     placementClient.report({
--- /dev/null
+++ b/packages/gateway/src/upstreamProbe.ts
@@ -0,0 +1,94 @@
+import type {
+  Milliseconds,
+  Random,
+  Timer,
+  UpstreamId,
+} from "@wasabivane/common";
+import type { Upstream } from "@wasabivane/admission";
+import type { Result } from "neverthrow";
+import type { buildConnector } from "undici";
+import type { RelayError } from "./relayClient.ts";
+import type { RelayedSocket } from "./relayedSocket.ts";
+
+/** Other upstreams that are tried to learn whether this host has links at all. */
+const CONTROLS = 3;
+
+/** Whether an upstream accepts connections. */
+export type UpstreamState = "up" | "down" | "unknown";
+
+/** Options of an {@link UpstreamProbe}. */
+export interface UpstreamProbeOptions {
+  readonly timer: Timer;
+  readonly random: Random;
+  /** Connects from this host. */
+  readonly connectDirectly: buildConnector.connector;
+  /** Connects through a peer. */
+  readonly openRelay: (
+    upstream: UpstreamId,
+  ) => Promise<Result<RelayedSocket, RelayError>>;
+  /** Returns the upstreams that are in use. */
+  readonly upstreams: () => readonly Upstream[];
+  readonly isEjected: (upstream: UpstreamId, now: Milliseconds) => boolean;
+}
+
+/**
+ * Finds out whether an upstream accepts connections. A failed connection shows
+ * that it does not only if this host reaches another upstream, or if a peer
+ * fails to connect as well.
+ */
+export class UpstreamProbe {
+  readonly #options: UpstreamProbeOptions;
+
+  constructor(options: UpstreamProbeOptions) {
+    this.#options = options;
+  }
+
+  async probe(upstream: Upstream): Promise<UpstreamState> {
+    if (await this.#connects(upstream)) return "up";
+    if (await this.#reachesOthers(upstream)) return "down";
+    const relay = await this.#options.openRelay(upstream.upstream);
+    return relay.match(
+      (socket) => {
+        socket.destroy();
+        return "up";
+      },
+      ({ kind }) => kind === "unreachable" ? "down" : "unknown",
+    );
+  }
+
+  async #reachesOthers(upstream: Upstream): Promise<boolean> {
+    const controls = this.#selectControls(upstream);
+    const connected = await Promise.all(
+      controls.map((control) => this.#connects(control)),
+    );
+    return connected.includes(true);
+  }
+
+  /** Prefers upstreams that have not failed, as several may be down. */
+  #selectControls({ upstream }: Upstream): Upstream[] {
+    const { upstreams, isEjected, timer, random } = this.#options;
+    const now = timer.now();
+    return upstreams()
+      .filter((other) => other.upstream !== upstream)
+      .map((other) => ({
+        other,
+        order: random.float() + (isEjected(other.upstream, now) ? 1 : 0),
+      }))
+      .toSorted((left, right) => left.order - right.order)
+      .slice(0, CONTROLS)
+      .map(({ other }) => other);
+  }
+
+  #connects({ address }: Upstream): Promise<boolean> {
+    const [hostname = "", port = ""] = address.split(":");
+    return new Promise((resolve) =>
+      this.#options.connectDirectly(
+        { hostname, port, protocol: "http:" },
+        (error, socket) => {
+          socket?.destroy();
+          resolve(error === null);
+        },
+      )
+    );
+  }
+}
