Tell hosts that missed it which requests have crashed upstreams

Callers saw a request that the fleet refuses end further upstreams through a host that had just started.

Cause: confirmed crashes were announced for three seconds. A host that starts, was frozen or was cut off from its peers in that time never heard of them; so did a host that a complete response at another one should have corrected.

Complete responses that clear a request are announced, too, and again to a peer that still reports the crashes before it. Gossip format 13.

Test (fails with no crashes in heartbeats): a host that joins 3.5 s after the crashes refuses both copies; before, each ended an upstream.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -321,6 +321,8 @@
       announceBackoff: (upstream, span) =>
         this.#links.announceBackoff(upstream, span),
       announceCrash: (crash) => this.#gossip.announceCrash(crash),
+      announceCompletion: (completion) =>
+        this.#gossip.announceCompletion(completion),
       removeReplaced: (upstream) =>
         this.upstreamUpdates.removeReplaced(upstream),
       reportLeaving: (upstream) =>
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -8,6 +8,7 @@
   UpstreamId,
 } from "@wasabivane/common";
 import type {
+  Completion,
   Crash,
   DirectLinks,
   EventLoopLag,
@@ -72,6 +73,8 @@
   ) => void;
   /** Announces to peers that a request crashed an upstream. */
   readonly announceCrash: (crash: Crash) => void;
+  /** Announces to peers that a request does not crash its upstream. */
+  readonly announceCompletion: (completion: Completion) => void;
   /** Removes an upstream whose address now belongs to another one. */
   readonly removeReplaced: (upstream: UpstreamId) => void;
   /** Takes an upstream out of use that says in a response that it is leaving. */
--- a/packages/gateway/src/gossipMessage.ts
+++ b/packages/gateway/src/gossipMessage.ts
@@ -62,6 +62,8 @@
   readonly leavingUpstreams: readonly UpstreamId[];
   /** Request fingerprint, crashed upstream and age of recent crashes. */
   readonly crashes: readonly (readonly [Digest, UpstreamId, Milliseconds])[];
+  /** Requests that have completed since they were blamed for crashes, and when. */
+  readonly completions: readonly (readonly [Digest, Milliseconds])[];
   /** The latest changes of the upstream list, oldest first. */
   readonly listChanges: readonly UpstreamListChange[];
   /** Unresponsive hosts and for how long they are skipped. */
--- a/packages/gateway/src/gossipProtocol.ts
+++ b/packages/gateway/src/gossipProtocol.ts
@@ -1,11 +1,10 @@
 import type {
-  Digest,
   HostId,
   Incarnation,
   Milliseconds,
   UpstreamId,
 } from "@wasabivane/common";
-import type { Crash } from "@wasabivane/admission";
+import type { Completion, Crash } from "@wasabivane/admission";
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { PeerChange, PeerDirectory } from "./peerDirectory.ts";
 import type {
@@ -43,6 +42,8 @@
 const MAXIMUM_ROWS = 24;
 /** Changed upstreams in a message; for larger changes, peers fetch the list. */
 const MAXIMUM_CHANGED_UPSTREAMS = 6;
+/** Earlier crashes in a heartbeat, for hosts that missed their announcement. */
+const HEARTBEAT_CRASHES = 6;
 /** Peer records in a heartbeat. */
 const HEARTBEAT_RECORDS = 8;
 /**
@@ -108,6 +109,8 @@
   #isClosed = false;
   #leavingUpstreams: Update<UpstreamId>[] = [];
   #crashes: Update<Crash>[] = [];
+  #completions: Update<Completion>[] = [];
+  #crashOffset = 0;
   #listChanges: Update<UpstreamListChange>[] = [];
   readonly #unresponsiveHosts = new Map<HostId, Milliseconds>();
   #confirmedAt: Milliseconds = -Infinity;
@@ -136,6 +139,12 @@
     this.scheduleMessage();
   }
 
+  /** Announces that a request does not crash its upstream. */
+  announceCompletion(completion: Completion): void {
+    this.#completions.push(this.#createUpdate(completion));
+    this.scheduleMessage();
+  }
+
   /** Announces a change of the upstream list. */
   announceListChange(change: UpstreamListChange): void {
     if (
@@ -197,6 +206,7 @@
     {
       leavingUpstreams,
       crashes: reportedCrashes,
+      completions,
       unresponsiveHosts,
     }: GossipMessage,
     now: Milliseconds,
@@ -211,9 +221,14 @@
         onUpstreamLeaving(upstream);
       }
     }
+    for (const [fingerprint, age] of completions) {
+      const completion = { fingerprint, at: now - age };
+      if (crashes.recordCompletion(completion)) {
+        this.announceCompletion(completion);
+      }
+    }
     for (const [fingerprint, upstream, age] of reportedCrashes) {
-      const crash = { fingerprint, upstream, at: now - age };
-      if (crashes.recordCrash(crash, now)) this.announceCrash(crash);
+      this.#applyCrash({ fingerprint, upstream, at: now - age }, now);
     }
     for (const [host, span] of unresponsiveHosts) {
       if (this.#unresponsiveHosts.has(host)) continue;
@@ -222,6 +237,17 @@
     }
   }
 
+  #applyCrash(crash: Crash, now: Milliseconds): void {
+    const { crashes } = this.#options.context;
+    if (crashes.recordCrash(crash, now)) return this.announceCrash(crash);
+    const completion = crashes.completionOf(crash.fingerprint);
+    const isRefuted = completion !== undefined && crash.at <= completion.at;
+    const isAnnounced = this.#completions.some(({ value }) =>
+      value.fingerprint === crash.fingerprint
+    );
+    if (isRefuted && !isAnnounced) this.announceCompletion(completion);
+  }
+
   /**
    * Adopts the peer's confirmation only when this host has the same policy and
    * list: with an outdated list it would keep sending to upstreams that have
@@ -311,6 +337,7 @@
     const { policies, elapsed } = context;
     const confirmationAge = policies.freshness.age(elapsed.now());
     this.#expireUpdates(now);
+    const isHeartbeat = recordCount > 0;
     return {
       sender: this.#createOwnRecord(now),
       sequence: ++this.#sequence,
@@ -323,9 +350,16 @@
       leavingUpstreams: this.#leavingUpstreams.slice(-MAXIMUM_ROWS).map((
         { value },
       ) => value),
-      crashes: this.#crashes.slice(-MAXIMUM_ROWS).map(({ value }) => [
-        value.fingerprint as Digest,
-        value.upstream,
+      crashes: [
+        ...this.#takeEarlierCrashes(isHeartbeat ? HEARTBEAT_CRASHES : 0, now),
+        ...this.#crashes.slice(-MAXIMUM_ROWS).map(({ value }) => value),
+      ].map(({ fingerprint, upstream, at }) => [
+        fingerprint,
+        upstream,
+        now - at,
+      ]),
+      completions: this.#completions.slice(-MAXIMUM_ROWS).map(({ value }) => [
+        value.fingerprint,
         now - value.at,
       ]),
       listChanges: this.#latestChanges(),
@@ -370,11 +404,21 @@
     return newest;
   }
 
+  /** Returns up to `count` known crashes, rotating through them. */
+  #takeEarlierCrashes(count: number, now: Milliseconds): Crash[] {
+    if (count === 0) return [];
+    const known = this.#options.context.crashes.crashes(now);
+    const first = this.#crashOffset < known.length ? this.#crashOffset : 0;
+    this.#crashOffset = first + count;
+    return known.slice(first, first + count);
+  }
+
   #expireUpdates(now: Milliseconds): void {
     const isCurrent = ({ until }: { until: Milliseconds }): boolean =>
       until > now;
     this.#leavingUpstreams = this.#leavingUpstreams.filter(isCurrent);
     this.#crashes = this.#crashes.filter(isCurrent);
+    this.#completions = this.#completions.filter(isCurrent);
     this.#listChanges = this.#listChanges.filter(isCurrent);
     for (const [host, until] of this.#unresponsiveHosts) {
       if (until <= now) this.#unresponsiveHosts.delete(host);
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -50,7 +50,7 @@
   encodePeerRecord,
 } from "./gossipRows.ts";
 
-const FORMAT_VERSION = 12;
+const FORMAT_VERSION = 13;
 const TEXT_DECODER = new TextDecoder();
 
 /**
@@ -108,6 +108,7 @@
     message.peerRecords.map(encodePeerRecord),
     message.peerCount,
     message.policyRevision,
+    message.completions,
   ],
   decode: (row) => {
     const confirmationAge = expectNumber(row[4]);
@@ -131,6 +132,10 @@
       peerRecords: expectRows(row[9]).map(decodePeerRecord),
       peerCount: expectNumber(row[10]),
       policyRevision: expectNumber(row[11]),
+      completions: expectRows(row[12]).map(([fingerprint, age]) => [
+        asId<Digest>(expectString(fingerprint)),
+        expectNumber(age),
+      ]),
     };
   },
 };
--- a/packages/gateway/src/recordAttempt.ts
+++ b/packages/gateway/src/recordAttempt.ts
@@ -76,14 +76,15 @@
   { upstream }: Attempt,
   { context, admitted, fingerprint, end: { outcome, wasSent } }: AttemptRecord,
 ): void {
-  const { crashes, crashChecks, timer } = context;
+  const { crashes, crashChecks, timer, announceCompletion } = context;
   if (wasSent && CRASH_SIGNS.has(outcome)) {
     const { requestId } = admitted.metadata;
     crashChecks.start({ requestId, fingerprint, upstream });
   }
   if (hasEnded(outcome, context)) crashChecks.confirm(upstream.upstream);
   if (outcome !== "whole") return;
-  crashes.recordCompletion({ fingerprint, at: timer.now() });
+  const completion = { fingerprint, at: timer.now() };
+  if (crashes.recordCompletion(completion)) announceCompletion(completion);
 }
 
 /** Whether an outcome shows that the upstream, not this host's link, is gone. */
--- a/packages/gateway/tests/outdatedPolicy.test.ts
+++ b/packages/gateway/tests/outdatedPolicy.test.ts
@@ -44,6 +44,7 @@
     confirmationAge: 0,
     leavingUpstreams: [],
     crashes: [],
+    completions: [],
     listChanges: [],
     unresponsiveHosts: [],
     peerCount: 1,
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -171,6 +171,7 @@
       confirmationAge: 40,
       leavingUpstreams: [asId<UpstreamId>("u3")],
       crashes: [[asId<Digest>("f"), asId<UpstreamId>("u4"), 20]],
+      completions: [],
       listChanges: [{
         from: 40,
         to: 41,
--- a/packages/gateway/tests/poisonRequests.test.ts
+++ b/packages/gateway/tests/poisonRequests.test.ts
@@ -8,6 +8,7 @@
 import {
   BROKEN,
   countCrashed,
+  joinFleet,
   POISON,
   startFleet,
   startFragiles,
@@ -89,3 +90,18 @@
   ]);
   t.deepEqual(served.slice(1), bodies);
 });
+
+test.serial("a host that starts after the crashes refuses the request that caused them", async (t) => {
+  // Guards against a host that lets it run as it missed the announcements.
+  const upstreams = await startFragiles(UPSTREAMS);
+  const fleet = await startFleet(t, upstreams, { ...AT_MOST_ONCE, hosts: 3 });
+  await sendCopies(fleet, { count: 6 });
+  const crashed = countCrashed(upstreams);
+  // Longer than crashes are announced.
+  await sleep(3_500);
+  const late = await joinFleet(fleet, upstreams, AT_MOST_ONCE);
+  t.teardown(() => late.close());
+  await sleep(PAUSE_MS);
+  t.deepEqual(await sendCopies([late], { count: 2 }), [503, 503]);
+  t.is(countCrashed(upstreams), crashed);
+});
