Keep a request in quarantine when its route is renamed

Callers saw the same request end three more upstreams after a change of the policy, since its fingerprint held the name of the route, and policies split and rename routes. It now holds the host name that the caller sent, beside account, method, path and body, which are the caller's own.

A refused request is told when it may come back (Retry-After), as it has not run.

Test (failed before: 502, a fourth upstream ended): three upstreams end, then the policy names the route anew, and the copy is refused with 503 and Retry-After.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -290,14 +290,15 @@
     const method = request.method ?? "GET";
     const path = request.url ?? "/";
     const fingerprint = fingerprintOf(admitted, { method, path, body });
-    if (
-      this.#context.crashes.isQuarantined(
-        fingerprint,
-        this.#context.timer.now(),
-      )
-    ) {
+    const { crashes, timer } = this.#context;
+    const retryAfter = crashes.quarantineLeft(fingerprint, timer.now());
+    if (retryAfter > 0) {
       this.#refundQuota(admitted);
-      const refusal = { status: 503, reason: "convicted" } as const;
+      const refusal = {
+        status: 503,
+        reason: "convicted",
+        retryAfter,
+      } as const;
       return this.#refuse(request, callerResponse, refusal, { fingerprint });
     }
     const exchange = new Exchange({
@@ -361,14 +362,15 @@
 }
 
 /**
- * Returns a digest that is the same whenever one caller sends the same request.
+ * Returns a digest that is the same whenever one caller sends the same request,
+ * also through another route of a newer policy.
  */
 function fingerprintOf(
   { account, route }: { account: AdmittedRequest["account"]; route: Route },
   { method, path, body }: { method: string; path: string; body: Buffer },
 ): Digest {
   return createHash("sha1")
-    .update(`${accountName(account)}\n${route.route}\n${method} ${path}\n`)
+    .update(`${accountName(account)}\n${route.host}\n${method} ${path}\n`)
     .update(body)
     .digest("base64")
     .slice(0, 16) as Digest;
--- a/packages/gateway/tests/poisonRequests.test.ts
+++ b/packages/gateway/tests/poisonRequests.test.ts
@@ -1,6 +1,10 @@
+import { Buffer } from "node:buffer";
 import { setTimeout as sleep } from "node:timers/promises";
+import { asId } from "@wasabivane/common";
 import test from "ava";
 import {
+  buildPolicy,
+  buildRoute,
   type GatewayStartOptions,
   type RunningGateway,
   sendRequest,
@@ -105,3 +109,21 @@
   t.deepEqual(await sendCopies([late], { count: 2 }), [503, 503]);
   t.is(countCrashed(upstreams), crashed);
 });
+
+test.serial("a request in quarantine stays there when its route is renamed", async (t) => {
+  // Guards against three more upstreams that end with each policy.
+  const upstreams = await startFragiles(UPSTREAMS);
+  const fleet = await startFleet(t, upstreams, { ...AT_MOST_ONCE, hosts: 1 });
+  await sendCopies(fleet, { count: 3 });
+  const { gateway, url } = fleet[0]!;
+  const routes = [buildRoute({ ...AT_MOST_ONCE.route, route: asId("other") })];
+  const policy = buildPolicy({ version: 2, routes });
+  gateway.adoptPolicy(Buffer.from(JSON.stringify(policy)), {
+    confirmedAt: gateway.context.elapsed.now(),
+    revision: 2,
+  });
+  const response = await sendRequest(url, { body: POISON });
+  t.is(response.status, 503);
+  t.truthy(response.headers["retry-after"]);
+  t.is(countCrashed(upstreams), 3);
+});
