Order what the store says by its era before its revision

Callers' requests reached an upstream two seconds after the store had accepted that it leaves, through hosts that follow others.

Cause: the store came back from a copy, its revisions went back and were given out again, and hosts compare bare numbers. Everything that was written below the revision known before was dropped by followers, by hosts whose watch was answered with what came after it, and in favour of the list with the higher, former revision.

The same class: a revision that the store has not reached, from wherever, kept all hosts from its changes. A host's own read, asked for after that revision was known, refutes it, and peers that repeat it are not believed until the store is there.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -410,7 +410,11 @@
           listRevision,
           now: timer.now(),
         }),
-      onListChange: (change) => this.applyListChange(change),
+      onListChange: (change) => {
+        if (this.storeSharing.isPlausible(change.to)) {
+          this.applyListChange(change);
+        }
+      },
       onUpstreamLeaving: (upstream) =>
         this.upstreamUpdates.reportLeaving(upstream, "peer"),
       onUnresponsiveHost: (host, until) =>
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -38,5 +38,15 @@
 export { fetchSnapshot } from "./operatorEndpoints.ts";
 export { TransitEstimator } from "./transitEstimator.ts";
 export { UpstreamProbe, type UpstreamState } from "./upstreamProbe.ts";
-export { StoreSharing, type StoreSharingOptions } from "./storeSharing.ts";
+export {
+  StoreSharing,
+  type StoreSharingOptions,
+  type UpstreamList,
+} from "./storeSharing.ts";
+export {
+  eraOf,
+  joinRevision,
+  splitRevision,
+  type StorePosition,
+} from "./storeRevision.ts";
 export { StandardOutput } from "./standardOutput.ts";
--- a/packages/gateway/src/policyState.ts
+++ b/packages/gateway/src/policyState.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import type { Milliseconds } from "@wasabivane/common";
 import {
   PolicyFreshness,
@@ -73,6 +74,11 @@
     this.advanceRevision(revision);
   }
 
+  /** Sets the store revision where a higher one has turned out to be wrong. */
+  correctRevision(revision: number): void {
+    this.#revision = Math.min(this.#revision, revision);
+  }
+
   /** Raises the store revision up to which no newer policy was written. */
   advanceRevision(revision: number): void {
     this.#revision = Math.max(this.#revision, revision);
@@ -109,6 +115,10 @@
     bytes: Uint8Array,
     proof: PolicyProof,
   ): Result<Adoption, PolicyError> {
+    if (Buffer.compare(bytes, this.#bytes) === 0) {
+      this.confirm(proof);
+      return ok("same" as const);
+    }
     return this.#dialect.decodePolicy(bytes).andThen((policy) => {
       if (policy.version < this.version) return ok("older" as const);
       this.confirm(proof);
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -1,4 +1,5 @@
-import type { HostId, Milliseconds } from "@wasabivane/common";
+import type { FailureDomain, HostId, Milliseconds } from "@wasabivane/common";
+import type { Upstream } from "@wasabivane/admission";
 import type { Result } from "neverthrow";
 import type { GatewayContext } from "./gatewayContext.ts";
 import {
@@ -8,6 +9,7 @@
   type StoreSnapshot,
 } from "./operatorEndpoints.ts";
 import type { PolicyProof } from "./policyState.ts";
+import { eraOf } from "./storeRevision.ts";
 import type { PeerDirectory } from "./peerDirectory.ts";
 import type { UpstreamUpdates } from "./upstreamUpdates.ts";
 
@@ -40,6 +42,16 @@
 /** More than one, so that a hung peer does not block fetches from others. */
 const MAXIMUM_CONCURRENT_FETCHES = 2;
 
+/** All upstreams and evacuations at one revision of the store. */
+export interface UpstreamList {
+  readonly upstreams: readonly Upstream[];
+  readonly evacuated: readonly FailureDomain[];
+  /** Joined store revision. */
+  readonly revision: number;
+  /** Until when missing entries are used, as they may have lapsed. */
+  readonly keepUntil?: Milliseconds | undefined;
+}
+
 /** Options of a {@link StoreSharing}. */
 export interface StoreSharingOptions {
   readonly context: GatewayContext;
@@ -73,6 +85,11 @@
   /** Whether the last read of the store failed, or there was none yet. */
   #isStoreLost = true;
   #listRevision = 0;
+  /**
+   * Lowest revision that the store has shown to be wrong, by being at a lower
+   * one.
+   */
+  #refutedRevision = Infinity;
   /** Time at which a peer first announced a newer list than this host has. */
   #behindSince: Milliseconds | undefined;
   readonly #pendingFetches = new Set<HostId>();
@@ -126,12 +143,53 @@
     this.#behindSince = undefined;
   }
 
+  /** Whether the store may have reached a revision that a peer tells of. */
+  isPlausible(revision: number): boolean {
+    return revision < this.#refutedRevision;
+  }
+
+  /**
+   * Applies the list of the store itself. `knownBefore` is the revision that was
+   * known when it was requested: if the store is not even there, that one is
+   * wrong, and peers that tell of it are not believed.
+   */
+  applyStoreList(list: UpstreamList, knownBefore: number): void {
+    const { revision } = list;
+    if (revision >= this.#refutedRevision) this.#refutedRevision = Infinity;
+    if (revision < knownBefore) {
+      this.#refutedRevision = Math.min(knownBefore, this.#refutedRevision);
+      this.#listRevision = 0;
+    }
+    // A peer may have sent a newer list during the read.
+    if (revision >= this.#listRevision) this.#applyList(list, "store");
+  }
+
+  #applyList(
+    { upstreams, evacuated, revision, keepUntil }: UpstreamList,
+    by: "store" | "peer",
+  ): void {
+    const { upstreamUpdates } = this.#options;
+    this.#recordEra(eraOf(revision), by);
+    upstreamUpdates.applyEvacuation(new Set(evacuated));
+    upstreamUpdates.applyAll(upstreams, keepUntil);
+    this.advanceListRevision(revision);
+  }
+
+  #recordEra(era: number, by: "store" | "peer"): void {
+    const former = eraOf(this.#listRevision);
+    const { log, metrics } = this.#options.context;
+    metrics.set("store_era", era);
+    if (former === 0 || era <= former) return;
+    log.write("store_era_changed", { former, era, by });
+  }
+
   /** Handles a peer's list revision, and fetches the list if it is newer. */
   receiveListRevision(
     peer: HostId,
     { listRevision, now }: { listRevision: number; now: Milliseconds },
   ): void {
     if (listRevision <= this.#listRevision) return;
+    if (!this.isPlausible(listRevision)) return;
     this.#behindSince ??= now;
     const isAwaitingOwnWatch = this.#isReading &&
       now - this.#behindSince < OWN_WATCH_MS;
@@ -207,14 +265,13 @@
     const { adoptPolicy, upstreamUpdates, context } = this.#options;
     const { policy, policyRevision, upstreams, evacuated, listRevision } =
       snapshot;
-    if (listRevision > this.#listRevision) {
-      upstreamUpdates.applyEvacuation(new Set(evacuated));
-      upstreamUpdates.applyAll(upstreams);
+    const isNewer = listRevision > this.#listRevision;
+    if (isNewer && this.isPlausible(listRevision)) {
+      this.#applyList({ upstreams, evacuated, revision: listRevision }, "peer");
       const now = context.timer.now();
       for (const { name, left } of snapshot.kept) {
         upstreamUpdates.remove(name, now + left);
       }
-      this.advanceListRevision(listRevision);
     }
     // The peer's confirmation covers its policy and list together.
     if (policy.length === 0) return;
--- a/packages/gateway/tests/storeSharing.test.ts
+++ b/packages/gateway/tests/storeSharing.test.ts
@@ -11,9 +11,11 @@
 import type { Upstream } from "@wasabivane/admission";
 import {
   type FetchError,
+  joinRevision,
   PeerDirectory,
   StoreSharing,
   type StoreSnapshot,
+  type UpstreamList,
 } from "@wasabivane/gateway";
 import test from "ava";
 import { err, ok, type Result } from "neverthrow";
@@ -208,3 +210,22 @@
   t.true(sharing.shouldReadStore);
   await host.close();
 });
+
+test("a list of a former era that arrives late is ignored", async (t) => {
+  // Guards against the list of before a restore, which brings back what has left.
+  const { host, sharing, names } = await startSharing({});
+  const former = joinRevision({ era: 1, revision: 900 });
+  const restored = joinRevision({ era: 2, revision: 40 });
+  const listOf = (revision: number, name: string): UpstreamList => ({
+    upstreams: [createUpstream(name)],
+    evacuated: [],
+    revision,
+  });
+  sharing.applyStoreList(listOf(former, "u1"), 0);
+  sharing.applyStoreList(listOf(restored, "u2"), former);
+  t.is(sharing.listRevision, restored);
+  sharing.applyStoreList(listOf(former + 1, "u3"), former);
+  t.is(sharing.listRevision, restored);
+  t.false(names().includes("u3"));
+  await host.close();
+});
