--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -9,7 +9,11 @@
   PolicyFreshness,
   type PolicyFreshnessOptions,
 } from "./policyFreshness.ts";
-export { type LapsedUpstream, UpstreamDirectory } from "./upstreamDirectory.ts";
+export {
+  type LapsedUpstream,
+  type ReplacementOptions,
+  UpstreamDirectory,
+} from "./upstreamDirectory.ts";
 export { createUpstreamId } from "./createUpstreamId.ts";
 export { FleetLoad, type HostLoad, type UpstreamLoad } from "./fleetLoad.ts";
 export {
--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -20,6 +20,23 @@
   keptUntil?: Milliseconds;
 }
 
+/** How {@link UpstreamDirectory.replaceAll} treats what may be outdated. */
+export interface ReplacementOptions {
+  /** Until when entries that are missing are used. */
+  readonly keepUntil?: Milliseconds | undefined;
+  /**
+   * Until when entries that were removed before are not used, unless they change;
+   * set for a list from a copy of the store, which may hold them still.
+   */
+  readonly distrustUntil?: Milliseconds | undefined;
+}
+
+/** An entry that a copy of the store has brought back. */
+interface Returned {
+  readonly upstream: Upstream;
+  readonly distrustedUntil: Milliseconds;
+}
+
 /** An upstream whose entry lapsed and which is still used for a while. */
 export interface LapsedUpstream {
   readonly name: string;
@@ -43,6 +60,12 @@
   /** The latest listed incarnation of each name. */
   readonly #incarnations = new Map<string, Upstream>();
   readonly #byService = new Map<ServiceId, Upstream[]>();
+  /** Entries that were removed and are listed again, by name; not used. */
+  readonly #returned = new Map<string, Returned>();
+  /** Evacuations that the store lists. */
+  #listedEvacuations: ReadonlySet<FailureDomain> = new Set();
+  /** Evacuations that a copy of the store lacks, and until when they hold. */
+  readonly #retainedEvacuations = new Map<FailureDomain, Milliseconds>();
   #evacuated: ReadonlySet<FailureDomain> = new Set();
   /** Services whose upstreams are all in evacuated failure domains. */
   readonly #evacuatedServices = new Set<ServiceId>();
@@ -62,6 +85,7 @@
       return undefined;
     }
     this.#incarnations.set(upstream.name, upstream);
+    this.#returned.delete(upstream.name);
     this.#remember(upstream);
     const known = this.#entries.get(upstream.upstream);
     const isSame = known !== undefined && known.keptUntil === undefined &&
@@ -159,12 +183,39 @@
     return this.#evacuated;
   }
 
-  /** Replaces the evacuated failure domains; returns whether they changed. */
-  evacuate(domains: ReadonlySet<FailureDomain>): boolean {
-    const isSame = domains.size === this.#evacuated.size &&
-      [...domains].every((domain) => this.#evacuated.has(domain));
+  /** The evacuated failure domains that the store lists. */
+  get listedEvacuations(): ReadonlySet<FailureDomain> {
+    return this.#listedEvacuations;
+  }
+
+  /**
+   * Replaces the evacuated failure domains; returns whether they changed. With
+   * `retainUntil`, those that are no longer listed stay evacuated until then, as
+   * a copy of the store may lack them.
+   */
+  evacuate(
+    domains: ReadonlySet<FailureDomain>,
+    retainUntil?: Milliseconds,
+  ): boolean {
+    if (retainUntil !== undefined) {
+      for (const domain of this.#evacuated) {
+        this.#retainedEvacuations.set(domain, retainUntil);
+      }
+    }
+    for (const domain of domains) this.#retainedEvacuations.delete(domain);
+    this.#listedEvacuations = new Set(domains);
+    return this.#updateEvacuations();
+  }
+
+  #updateEvacuations(): boolean {
+    const evacuated = new Set([
+      ...this.#listedEvacuations,
+      ...this.#retainedEvacuations.keys(),
+    ]);
+    const isSame = evacuated.size === this.#evacuated.size &&
+      [...evacuated].every((domain) => this.#evacuated.has(domain));
     if (isSame) return false;
-    this.#evacuated = new Set(domains);
+    this.#evacuated = evacuated;
     this.#rebuild();
     return true;
   }
@@ -186,19 +237,60 @@
    */
   replaceAll(
     upstreams: readonly Upstream[],
-    keepUntil?: Milliseconds,
+    { keepUntil, distrustUntil }: ReplacementOptions = {},
   ): Upstream[] {
     const listedNames = new Set(upstreams.map(({ name }) => name));
     const gone = this.all().filter(({ name, upstream }) =>
       !listedNames.has(name) && this.remove(upstream, keepUntil)
     );
+    for (const name of this.#returned.keys()) {
+      if (!listedNames.has(name)) this.#returned.delete(name);
+    }
     for (const upstream of upstreams) {
+      if (this.#distrust(upstream, distrustUntil)) continue;
       const former = this.set(upstream);
       if (former !== undefined) gone.push(former);
     }
     return gone;
   }
 
+  /** Keeps an entry aside that was removed before; returns whether it was. */
+  #distrust(
+    upstream: Upstream,
+    distrustUntil: Milliseconds | undefined,
+  ): boolean {
+    const { name, upstream: id } = upstream;
+    const wasRemoved = this.#remembered.has(id) && !this.#entries.has(id) &&
+      !this.#leaving.has(id);
+    const distrustedUntil = this.#returned.get(name)?.distrustedUntil ??
+      (wasRemoved ? distrustUntil : undefined);
+    if (distrustedUntil === undefined) return false;
+    this.#returned.set(name, { upstream, distrustedUntil });
+    return true;
+  }
+
+  /** Drops an entry that was removed before and is now removed again. */
+  dropReturned(name: string): void {
+    this.#returned.delete(name);
+  }
+
+  /**
+   * Ends the distrust of what a copy of the store holds or lacks; returns
+   * whether that changed anything.
+   */
+  expireRestored(now: Milliseconds): boolean {
+    let isChanged = false;
+    for (const { upstream, distrustedUntil } of this.#returned.values()) {
+      if (distrustedUntil > now) continue;
+      this.set(upstream);
+      isChanged = true;
+    }
+    for (const [domain, until] of this.#retainedEvacuations) {
+      if (until <= now) this.#retainedEvacuations.delete(domain);
+    }
+    return this.#updateEvacuations() || isChanged;
+  }
+
   /** Drops lapsed entries that were not listed again, and returns them. */
   expireLapsed(now: Milliseconds): Upstream[] {
     const gone: Upstream[] = [];
--- a/packages/admission/tests/policyAndUpstreams.test.ts
+++ b/packages/admission/tests/policyAndUpstreams.test.ts
@@ -44,7 +44,7 @@
   const directory = new UpstreamDirectory();
   directory.set(buildUpstream(0));
   directory.set(buildUpstream(1));
-  t.deepEqual(directory.replaceAll([], 1_500), []);
+  t.deepEqual(directory.replaceAll([], { keepUntil: 1_500 }), []);
   t.is(directory.of(PLANS).length, 2);
   directory.set(buildUpstream(0));
   t.deepEqual(directory.expireLapsed(1_400), []);
@@ -52,6 +52,26 @@
   t.deepEqual(directory.of(PLANS).map(({ upstream }) => upstream), [U0]);
 });
 
+test("what a copy of the store holds or lacks is distrusted for a while only", (t) => {
+  // Guards against a live upstream, or a domain, that is out of use for ever.
+  const directory = new UpstreamDirectory();
+  const west = new Set([buildUpstream(0).failureDomain]);
+  directory.set(buildUpstream(0));
+  directory.remove(U0);
+  directory.replaceAll([buildUpstream(0)], { distrustUntil: 1_000 });
+  t.is(directory.size, 0);
+  directory.evacuate(west);
+  directory.evacuate(new Set(), 1_000);
+  t.deepEqual([directory.evacuated, directory.listedEvacuations], [
+    west,
+    new Set(),
+  ]);
+  t.false(directory.expireRestored(999));
+  t.true(directory.expireRestored(1_000));
+  t.is(directory.size, 1);
+  t.is(directory.evacuated.size, 0);
+});
+
 test("without an outage a removed upstream is dropped at once", (t) => {
   const directory = new UpstreamDirectory();
   directory.set(buildUpstream(0));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,7 +35,7 @@
 import type { PeerMessage } from "./peerMessage.ts";
 import type { UpstreamListChange } from "./gossipMessage.ts";
 import { CellRouter, coordinatorChangeValues } from "./cellRouter.ts";
-import { type PolicyProof, PolicyState } from "./policyState.ts";
+import { type Adoption, type PolicyProof, PolicyState } from "./policyState.ts";
 import { StoreSharing } from "./storeSharing.ts";
 import { connectionShare } from "./connectionShare.ts";
 import { UnknownHeaders } from "./unknownHeaders.ts";
@@ -146,6 +146,7 @@
       peers: this.#peers,
       upstreamUpdates: this.upstreamUpdates,
       applyBound: options.freshness.applyBound,
+      entryLease: options.entryLease,
       adoptPolicy: (bytes, proof) => this.adoptPolicy(bytes, proof),
     });
   }
@@ -171,24 +172,35 @@
     return await this.#operatorServers.open();
   }
 
-  /** Adopts a policy with its proof, unless it is older. */
-  adoptPolicy(bytes: Uint8Array, proof: PolicyProof): void {
+  /**
+   * Adopts a policy with its proof, unless it is older; returns `undefined` if it
+   * cannot be decoded.
+   */
+  adoptPolicy(bytes: Uint8Array, proof: PolicyProof): Adoption | undefined {
     const { policies, log } = this.context;
     const previousVersion = policies.version;
-    policies.adopt(bytes, proof).match(
+    return policies.adopt(bytes, proof).match(
       (adoption) => {
-        if (adoption !== "adopted") return;
-        log.write("policy_adopted", {
-          version: policies.version,
-          former: previousVersion,
-          reading: this.storeSharing.isReading,
-        });
-        this.#gossip.scheduleMessage();
+        if (adoption === "adopted") this.#announcePolicy(previousVersion);
+        return adoption;
+      },
+      ({ detail }) => {
+        log.write("policy_rejected", { detail });
+        return undefined;
       },
-      ({ detail }) => log.write("policy_rejected", { detail }),
     );
   }
 
+  #announcePolicy(previousVersion: number): void {
+    const { policies, log } = this.context;
+    log.write("policy_adopted", {
+      version: policies.version,
+      former: previousVersion,
+      reading: this.storeSharing.isReading,
+    });
+    this.#gossip.scheduleMessage();
+  }
+
   /**
    * Applies a change of the upstream list. Removed entries are kept until
    * `keepUntil` if they may have lapsed during a store outage.
@@ -488,7 +500,7 @@
           ? directory.all()
           : [],
         kept: directory.lapsed(this.context.timer.now()),
-        evacuated: [...directory.evacuated],
+        evacuated: [...directory.listedEvacuations],
         listRevision: this.storeSharing.listRevision,
       }),
     };
--- a/packages/gateway/src/gatewayOptions.ts
+++ b/packages/gateway/src/gatewayOptions.ts
@@ -50,6 +50,8 @@
   readonly warmupTolerance: WarmupTolerance;
   /** Time for a connection to an upstream, from this host or a peer. */
   readonly connectTimeout?: Milliseconds;
+  /** Time after which the store drops an upstream's entry that is not renewed. */
+  readonly entryLease?: Milliseconds;
   /** Event-loop lag below which no request is shed and no relay refused. */
   readonly lowestLag?: Milliseconds;
   /** Time from the stop signal to the kill. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -29,7 +29,7 @@
   PeerRecord,
   UpstreamListChange,
 } from "./gossipMessage.ts";
-export { type PolicyProof, PolicyState } from "./policyState.ts";
+export { type Adoption, type PolicyProof, PolicyState } from "./policyState.ts";
 export type {
   FetchError,
   SnapshotVersions,
--- a/packages/gateway/src/policyState.ts
+++ b/packages/gateway/src/policyState.ts
@@ -64,6 +64,11 @@
     return this.#revision;
   }
 
+  /** The newest version that this host has or has heard of. */
+  get newestVersion(): number {
+    return Math.max(this.version, this.#announcedVersion);
+  }
+
   addListener(listener: PolicyListener): void {
     this.#listeners.push(listener);
   }
@@ -89,7 +94,7 @@
    * this host has heard of.
    */
   recordAnnouncement(version: number): boolean {
-    const isNewest = version > Math.max(this.version, this.#announcedVersion);
+    const isNewest = version > this.newestVersion;
     if (isNewest) this.#announcedVersion = version;
     return isNewest;
   }
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -42,6 +42,13 @@
 /** More than one, so that a hung peer does not block fetches from others. */
 const MAXIMUM_CONCURRENT_FETCHES = 2;
 
+/**
+ * Time after a restore of the store within which operators and upstreams write
+ * again what its copy lacks.
+ */
+const RENEWAL_MS: Milliseconds = 2_000;
+const DEFAULT_ENTRY_LEASE_MS: Milliseconds = 6_000;
+
 /** All upstreams and evacuations at one revision of the store. */
 export interface UpstreamList {
   readonly upstreams: readonly Upstream[];
@@ -59,6 +66,8 @@
   readonly upstreamUpdates: UpstreamUpdates;
   /** Time within which a published policy must take effect. */
   readonly applyBound: Milliseconds;
+  /** Time after which the store drops an entry that is not renewed. */
+  readonly entryLease?: Milliseconds | undefined;
   /** Adopts a policy with its proof, unless it is older. */
   readonly adoptPolicy: (bytes: Uint8Array, proof: PolicyProof) => void;
   /**
@@ -90,6 +99,10 @@
    * one.
    */
   #refutedRevision = Infinity;
+  /** Until when entries that a restored store lacks may be written again. */
+  #renewedBy: Milliseconds = -Infinity;
+  /** Until when a restored store may list entries of upstreams that are gone. */
+  #distrustUntil: Milliseconds = -Infinity;
   /** Time at which a peer first announced a newer list than this host has. */
   #behindSince: Milliseconds | undefined;
   readonly #pendingFetches = new Set<HostId>();
@@ -164,23 +177,38 @@
     if (revision >= this.#listRevision) this.#applyList(list, "store");
   }
 
+  /** Replaces the list; an entry or evacuation that a copy lacks is kept a while. */
   #applyList(
     { upstreams, evacuated, revision, keepUntil }: UpstreamList,
     by: "store" | "peer",
   ): void {
-    const { upstreamUpdates } = this.#options;
-    this.#recordEra(eraOf(revision), by);
-    upstreamUpdates.applyEvacuation(new Set(evacuated));
-    upstreamUpdates.applyAll(upstreams, keepUntil);
+    const { upstreamUpdates, context } = this.#options;
+    const now = context.timer.now();
+    const isRestored = this.#recordEra(eraOf(revision), by);
+    const ifAhead = (time: Milliseconds): Milliseconds | undefined =>
+      time > now ? time : undefined;
+    upstreamUpdates.applyEvacuation(
+      new Set(evacuated),
+      isRestored ? this.#distrustUntil : undefined,
+    );
+    upstreamUpdates.applyAll(upstreams, {
+      keepUntil: keepUntil ?? ifAhead(this.#renewedBy),
+      distrustUntil: ifAhead(this.#distrustUntil),
+    });
     this.advanceListRevision(revision);
   }
 
-  #recordEra(era: number, by: "store" | "peer"): void {
+  /** Returns whether the store has come back from a copy since the last list. */
+  #recordEra(era: number, by: "store" | "peer"): boolean {
     const former = eraOf(this.#listRevision);
     const { log, metrics } = this.#options.context;
     metrics.set("store_era", era);
-    if (former === 0 || era <= former) return;
+    if (former === 0 || era <= former) return false;
     log.write("store_era_changed", { former, era, by });
+    const { context, entryLease = DEFAULT_ENTRY_LEASE_MS } = this.#options;
+    this.#renewedBy = context.timer.now() + RENEWAL_MS;
+    this.#distrustUntil = this.#renewedBy + entryLease;
+    return true;
   }
 
   /** Handles a peer's list revision, and fetches the list if it is newer. */
--- a/packages/gateway/src/upstreamUpdates.ts
+++ b/packages/gateway/src/upstreamUpdates.ts
@@ -4,7 +4,7 @@
   TimerSubscription,
   UpstreamId,
 } from "@wasabivane/common";
-import type { Upstream } from "@wasabivane/admission";
+import type { ReplacementOptions, Upstream } from "@wasabivane/admission";
 import type { GatewayContext } from "./gatewayContext.ts";
 
 /**
@@ -80,6 +80,7 @@
    */
   remove(name: string, keepUntil?: Milliseconds): void {
     const { directory, log } = this.#context;
+    directory.dropReturned(name);
     const known = directory.findByName(name);
     if (known === undefined) return;
     if (directory.remove(known.upstream, keepUntil)) {
@@ -89,37 +90,51 @@
   }
 
   /** Replaces the list with a full read of all upstreams. */
-  applyAll(upstreams: readonly Upstream[], keepUntil?: Milliseconds): void {
+  applyAll(
+    upstreams: readonly Upstream[],
+    options: ReplacementOptions = {},
+  ): void {
     const { directory, reviewQueues, log } = this.#context;
     for (const { upstream, isLeaving } of upstreams) {
       if (isLeaving) this.#markLeaving(upstream);
     }
     for (const upstream of upstreams) this.#updateWarmup(upstream);
-    for (const removed of directory.replaceAll(upstreams, keepUntil)) {
+    for (const removed of directory.replaceAll(upstreams, options)) {
       this.#discard(removed, "not listed");
     }
     log.write("upstreams_read", {
       listed: upstreams.length,
       known: directory.size,
-      kept: keepUntil !== undefined,
+      kept: options.keepUntil !== undefined,
     });
     reviewQueues();
   }
 
   /**
-   * Replaces the set of evacuated failure domains. Queued requests move
-   * elsewhere; running ones finish there.
+   * Replaces the set of evacuated failure domains; those that are missing are
+   * retained until `retainUntil`. Queued requests move elsewhere; running ones
+   * finish there.
    */
-  applyEvacuation(domains: ReadonlySet<FailureDomain>): void {
-    const { directory, log, reviewQueues } = this.#context;
-    if (!directory.evacuate(domains)) return;
-    log.write("domains_evacuated", { domains: [...domains].join(",") });
+  applyEvacuation(
+    domains: ReadonlySet<FailureDomain>,
+    retainUntil?: Milliseconds,
+  ): void {
+    const { directory, reviewQueues } = this.#context;
+    if (!directory.evacuate(domains, retainUntil)) return;
+    this.#logEvacuations();
     reviewQueues();
   }
 
+  #logEvacuations(): void {
+    const { directory, log } = this.#context;
+    const domains = [...directory.evacuated].join(",");
+    log.write("domains_evacuated", { domains });
+  }
+
   /**
-   * Removes lapsed upstreams that were not listed again in time, and reinstates
-   * those that were falsely reported to be leaving.
+   * Removes lapsed upstreams that were not listed again in time, applies what
+   * was held back after the store was restored, and reinstates upstreams that
+   * were falsely reported to be leaving.
    */
   expire(): void {
     const { directory, timer, log, reviewQueues } = this.#context;
@@ -127,11 +142,14 @@
     for (const upstream of removed) {
       this.#discard(upstream, "did not come back");
     }
+    const isRestored = directory.expireRestored(timer.now());
+    if (isRestored) this.#logEvacuations();
     const reinstated = this.#reinstate();
     for (const upstream of reinstated) {
       log.write("upstream_reinstated", { upstream });
     }
-    if (removed.length + reinstated.length > 0) reviewQueues();
+    const isChanged = isRestored || removed.length + reinstated.length > 0;
+    if (isChanged) reviewQueues();
   }
 
   #reinstate(): UpstreamId[] {
--- a/packages/gateway/tests/storeSharing.test.ts
+++ b/packages/gateway/tests/storeSharing.test.ts
@@ -229,3 +229,21 @@
   t.false(names().includes("u3"));
   await host.close();
 });
+
+test("an upstream that a peer's list of a new era lacks stays out of use when the store lists it", async (t) => {
+  // Guards against a removed upstream that returns with the second list.
+  const { host, sharing, names } = await startSharing({});
+  const former = joinRevision({ era: 1, revision: 900 });
+  const restored = joinRevision({ era: 2, revision: 40 });
+  const list = (revision: number, listed: readonly string[]): UpstreamList => ({
+    upstreams: listed.map(createUpstream),
+    evacuated: [],
+    revision,
+  });
+  sharing.applyStoreList(list(former, ["u1", "u2"]), 0);
+  sharing.applyStoreList(list(former + 1, ["u1"]), former);
+  sharing.applyStoreList(list(restored, ["u1"]), former + 1);
+  sharing.applyStoreList(list(restored + 1, ["u1", "u2"]), restored);
+  t.deepEqual(names(), ["u1"]);
+  await host.close();
+});
