Let a restarted upstream in at once although its former entry is distrusted

Found by reading: while an entry that a copy of the store has brought back is distrusted, a full list that names a newer incarnation under the same name was held back as well, for up to the lease of an entry. On the way: a refuted revision is forgotten as soon as the store has passed it, also by a watch; domains_evacuated is logged only if the domains changed; the operators' tool shows store_era_changed.

--- a/apps/ctl/src/requestExplanation.ts
+++ b/apps/ctl/src/requestExplanation.ts
@@ -9,6 +9,7 @@
   "store_lost",
   "store_regained",
   "store_history_lost",
+  "store_era_changed",
   "policy_adopted",
   "policy_announced",
   "snapshot_fetch_failed",
--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -262,10 +262,9 @@
     const { name, upstream: id } = upstream;
     const wasRemoved = this.#remembered.has(id) && !this.#entries.has(id) &&
       !this.#leaving.has(id);
-    const distrustedUntil = this.#returned.get(name)?.distrustedUntil ??
-      (wasRemoved ? distrustUntil : undefined);
-    if (distrustedUntil === undefined) return false;
-    this.#returned.set(name, { upstream, distrustedUntil });
+    if (this.#returned.get(name)?.upstream.upstream === id) return true;
+    if (!wasRemoved || distrustUntil === undefined) return false;
+    this.#returned.set(name, { upstream, distrustedUntil: distrustUntil });
     return true;
   }
 
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -151,6 +151,7 @@
 
   /** Raises the store revision up to which all upstreams are known. */
   advanceListRevision(revision: number): void {
+    if (revision >= this.#refutedRevision) this.#refutedRevision = Infinity;
     if (revision <= this.#listRevision) return;
     this.#listRevision = revision;
     this.#behindSince = undefined;
@@ -168,7 +169,6 @@
    */
   applyStoreList(list: UpstreamList, knownBefore: number): void {
     const { revision } = list;
-    if (revision >= this.#refutedRevision) this.#refutedRevision = Infinity;
     if (revision < knownBefore) {
       this.#refutedRevision = Math.min(knownBefore, this.#refutedRevision);
       this.#listRevision = 0;
--- a/packages/gateway/src/upstreamUpdates.ts
+++ b/packages/gateway/src/upstreamUpdates.ts
@@ -142,8 +142,9 @@
     for (const upstream of removed) {
       this.#discard(upstream, "did not come back");
     }
+    const { evacuated } = directory;
     const isRestored = directory.expireRestored(timer.now());
-    if (isRestored) this.#logEvacuations();
+    if (directory.evacuated !== evacuated) this.#logEvacuations();
     const reinstated = this.#reinstate();
     for (const upstream of reinstated) {
       log.write("upstream_reinstated", { upstream });
