Move what hosts tell each other of crashes into a part of its own

No behaviour changes. The gossip protocol decides when and to whom messages go; CrashNews keeps what they say of crashes and of requests that have completed.

--- a/packages/gateway/src/gossipMessage.ts
+++ b/packages/gateway/src/gossipMessage.ts
@@ -1,6 +1,5 @@
 /** Types of the gossip messages among hosts. */
 import type {
-  Digest,
   FailureDomain,
   HostId,
   Incarnation,
@@ -8,6 +7,7 @@
   UpstreamId,
 } from "@wasabivane/common";
 import type { Upstream } from "@wasabivane/admission";
+import type { CrashRows } from "./crashNews.ts";
 
 /** The state of a host, as gossiped by itself or a peer. */
 export interface PeerRecord {
@@ -42,7 +42,7 @@
 }
 
 /** A host's periodic message to its peers; each supersedes the previous one. */
-export interface GossipMessage {
+export interface GossipMessage extends CrashRows {
   /** The sender. */
   readonly sender: PeerRecord;
   /** Increases with each message of an incarnation. */
@@ -60,10 +60,6 @@
   readonly confirmationAge: Milliseconds | undefined;
   /** Upstreams that announced that they are leaving. */
   readonly leavingUpstreams: readonly UpstreamId[];
-  /** Request fingerprint, crashed upstream and age of recent crashes. */
-  readonly crashes: readonly (readonly [Digest, UpstreamId, Milliseconds])[];
-  /** Requests that have completed since they were blamed for crashes, and when. */
-  readonly completions: readonly (readonly [Digest, Milliseconds])[];
   /** The latest changes of the upstream list, oldest first. */
   readonly listChanges: readonly UpstreamListChange[];
   /** Unresponsive hosts and for how long they are skipped. */
--- a/packages/gateway/src/gossipProtocol.ts
+++ b/packages/gateway/src/gossipProtocol.ts
@@ -5,6 +5,7 @@
   UpstreamId,
 } from "@wasabivane/common";
 import type { Completion, Crash } from "@wasabivane/admission";
+import { CrashNews } from "./crashNews.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { PeerChange, PeerDirectory } from "./peerDirectory.ts";
 import type {
@@ -42,8 +43,6 @@
 const MAXIMUM_ROWS = 24;
 /** Changed upstreams in a message; for larger changes, peers fetch the list. */
 const MAXIMUM_CHANGED_UPSTREAMS = 6;
-/** Earlier crashes in a heartbeat, for hosts that missed their announcement. */
-const HEARTBEAT_CRASHES = 6;
 /** Peer records in a heartbeat. */
 const HEARTBEAT_RECORDS = 8;
 /**
@@ -108,15 +107,17 @@
   #isScheduled = false;
   #isClosed = false;
   #leavingUpstreams: Update<UpstreamId>[] = [];
-  #crashes: Update<Crash>[] = [];
-  #completions: Update<Completion>[] = [];
-  #crashOffset = 0;
+  readonly #crashNews: CrashNews;
   #listChanges: Update<UpstreamListChange>[] = [];
   readonly #unresponsiveHosts = new Map<HostId, Milliseconds>();
   #confirmedAt: Milliseconds = -Infinity;
 
   constructor(options: GossipProtocolOptions) {
     this.#options = options;
+    this.#crashNews = new CrashNews({
+      crashes: options.context.crashes,
+      onNews: () => this.scheduleMessage(),
+    });
   }
 
   /** Schedules a message to peers after a change on this host. */
@@ -134,15 +135,15 @@
     this.scheduleMessage();
   }
 
+  /** Announces that a request has crashed an upstream. */
   announceCrash(crash: Crash): void {
-    this.#crashes.push(this.#createUpdate(crash));
-    this.scheduleMessage();
+    this.#crashNews.announceCrash(crash, this.#options.context.timer.now());
   }
 
   /** Announces that a request does not crash its upstream. */
   announceCompletion(completion: Completion): void {
-    this.#completions.push(this.#createUpdate(completion));
-    this.scheduleMessage();
+    const now = this.#options.context.timer.now();
+    this.#crashNews.announceCompletion(completion, now);
   }
 
   /** Announces a change of the upstream list. */
@@ -203,16 +204,11 @@
   }
 
   #applyReports(
-    {
-      leavingUpstreams,
-      crashes: reportedCrashes,
-      completions,
-      unresponsiveHosts,
-    }: GossipMessage,
+    { leavingUpstreams, unresponsiveHosts, ...crashRows }: GossipMessage,
     now: Milliseconds,
   ): void {
     const {
-      context: { directory, crashes },
+      context: { directory },
       onUpstreamLeaving,
       onUnresponsiveHost,
     } = this.#options;
@@ -221,15 +217,7 @@
         onUpstreamLeaving(upstream);
       }
     }
-    for (const [fingerprint, age] of completions) {
-      const completion = { fingerprint, at: now - age };
-      if (crashes.recordCompletion(completion)) {
-        this.announceCompletion(completion);
-      }
-    }
-    for (const [fingerprint, upstream, age] of reportedCrashes) {
-      this.#applyCrash({ fingerprint, upstream, at: now - age }, now);
-    }
+    this.#crashNews.apply(crashRows, now);
     for (const [host, span] of unresponsiveHosts) {
       if (this.#unresponsiveHosts.has(host)) continue;
       onUnresponsiveHost(host, now + span);
@@ -237,17 +225,6 @@
     }
   }
 
-  #applyCrash(crash: Crash, now: Milliseconds): void {
-    const { crashes } = this.#options.context;
-    if (crashes.recordCrash(crash, now)) return this.announceCrash(crash);
-    const completion = crashes.completionOf(crash.fingerprint);
-    const isRefuted = completion !== undefined && crash.at <= completion.at;
-    const isAnnounced = this.#completions.some(({ value }) =>
-      value.fingerprint === crash.fingerprint
-    );
-    if (isRefuted && !isAnnounced) this.announceCompletion(completion);
-  }
-
   /**
    * Adopts the peer's confirmation only when this host has the same policy and
    * list: with an outdated list it would keep sending to upstreams that have
@@ -337,7 +314,6 @@
     const { policies, elapsed } = context;
     const confirmationAge = policies.freshness.age(elapsed.now());
     this.#expireUpdates(now);
-    const isHeartbeat = recordCount > 0;
     return {
       sender: this.#createOwnRecord(now),
       sequence: ++this.#sequence,
@@ -350,18 +326,7 @@
       leavingUpstreams: this.#leavingUpstreams.slice(-MAXIMUM_ROWS).map((
         { value },
       ) => value),
-      crashes: [
-        ...this.#takeEarlierCrashes(isHeartbeat ? HEARTBEAT_CRASHES : 0, now),
-        ...this.#crashes.slice(-MAXIMUM_ROWS).map(({ value }) => value),
-      ].map(({ fingerprint, upstream, at }) => [
-        fingerprint,
-        upstream,
-        now - at,
-      ]),
-      completions: this.#completions.slice(-MAXIMUM_ROWS).map(({ value }) => [
-        value.fingerprint,
-        now - value.at,
-      ]),
+      ...this.#crashNews.createRows(now, recordCount > 0),
       listChanges: this.#latestChanges(),
       unresponsiveHosts: [...this.#unresponsiveHosts].slice(-MAXIMUM_ROWS)
         .map(([host, until]) => [host, until - now]),
@@ -404,21 +369,10 @@
     return newest;
   }
 
-  /** Returns up to `count` known crashes, rotating through them. */
-  #takeEarlierCrashes(count: number, now: Milliseconds): Crash[] {
-    if (count === 0) return [];
-    const known = this.#options.context.crashes.crashes(now);
-    const first = this.#crashOffset < known.length ? this.#crashOffset : 0;
-    this.#crashOffset = first + count;
-    return known.slice(first, first + count);
-  }
-
   #expireUpdates(now: Milliseconds): void {
     const isCurrent = ({ until }: { until: Milliseconds }): boolean =>
       until > now;
     this.#leavingUpstreams = this.#leavingUpstreams.filter(isCurrent);
-    this.#crashes = this.#crashes.filter(isCurrent);
-    this.#completions = this.#completions.filter(isCurrent);
     this.#listChanges = this.#listChanges.filter(isCurrent);
     for (const [host, until] of this.#unresponsiveHosts) {
       if (until <= now) this.#unresponsiveHosts.delete(host);
