Move evacuations, returned upstreams and the store's policy into parts of their own

No behaviour changes. The directory keeps the entries; Evacuations and ReturnedUpstreams keep what a copy of the store lacks and brings back.

--- /dev/null
+++ b/packages/admission/src/returnedUpstreams.ts
@@ -0,0 +1,46 @@
+import type { Milliseconds } from "@wasabivane/common";
+import type { Upstream } from "./types.ts";
+
+/** An entry that a copy of the store has brought back. */
+interface Returned {
+  readonly upstream: Upstream;
+  readonly distrustedUntil: Milliseconds;
+}
+
+/**
+ * Upstreams that were removed and that a copy of the store lists again. They are
+ * probably gone, and are not used until their entry changes, or for as long as
+ * the store keeps the entry of an upstream that is gone.
+ */
+export class ReturnedUpstreams {
+  readonly #byName = new Map<string, Returned>();
+
+  /** Whether this incarnation of an upstream is distrusted. */
+  has({ name, upstream }: Upstream): boolean {
+    return this.#byName.get(name)?.upstream.upstream === upstream;
+  }
+
+  add(upstream: Upstream, distrustedUntil: Milliseconds): void {
+    this.#byName.set(upstream.name, { upstream, distrustedUntil });
+  }
+
+  delete(name: string): void {
+    this.#byName.delete(name);
+  }
+
+  /** Drops the upstreams that are no longer listed. */
+  deleteUnlisted(listedNames: ReadonlySet<string>): void {
+    for (const name of this.#byName.keys()) {
+      if (!listedNames.has(name)) this.#byName.delete(name);
+    }
+  }
+
+  /** Removes and returns those that are no longer distrusted. */
+  takeExpired(now: Milliseconds): Upstream[] {
+    const expired = [...this.#byName.values()]
+      .filter(({ distrustedUntil }) => distrustedUntil <= now)
+      .map(({ upstream }) => upstream);
+    for (const { name } of expired) this.#byName.delete(name);
+    return expired;
+  }
+}
--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -4,7 +4,9 @@
   ServiceId,
   UpstreamId,
 } from "@wasabivane/common";
+import { Evacuations } from "./evacuations.ts";
 import { LeavingReports, type StoreListing } from "./leavingReports.ts";
+import { ReturnedUpstreams } from "./returnedUpstreams.ts";
 import type { Upstream } from "./types.ts";
 
 /** Upstreams remembered at most in each collection, also after they left. */
@@ -31,12 +33,6 @@
   readonly distrustUntil?: Milliseconds | undefined;
 }
 
-/** An entry that a copy of the store has brought back. */
-interface Returned {
-  readonly upstream: Upstream;
-  readonly distrustedUntil: Milliseconds;
-}
-
 /** An upstream whose entry lapsed and which is still used for a while. */
 export interface LapsedUpstream {
   readonly name: string;
@@ -60,13 +56,8 @@
   /** The latest listed incarnation of each name. */
   readonly #incarnations = new Map<string, Upstream>();
   readonly #byService = new Map<ServiceId, Upstream[]>();
-  /** Entries that were removed and are listed again, by name; not used. */
-  readonly #returned = new Map<string, Returned>();
-  /** Evacuations that the store lists. */
-  #listedEvacuations: ReadonlySet<FailureDomain> = new Set();
-  /** Evacuations that a copy of the store lacks, and until when they hold. */
-  readonly #retainedEvacuations = new Map<FailureDomain, Milliseconds>();
-  #evacuated: ReadonlySet<FailureDomain> = new Set();
+  readonly #returned = new ReturnedUpstreams();
+  readonly #evacuations = new Evacuations();
   /** Services whose upstreams are all in evacuated failure domains. */
   readonly #evacuatedServices = new Set<ServiceId>();
   /**
@@ -180,12 +171,12 @@
 
   /** Failure domains whose upstreams receive no requests. */
   get evacuated(): ReadonlySet<FailureDomain> {
-    return this.#evacuated;
+    return this.#evacuations.domains;
   }
 
   /** The evacuated failure domains that the store lists. */
   get listedEvacuations(): ReadonlySet<FailureDomain> {
-    return this.#listedEvacuations;
+    return this.#evacuations.listed;
   }
 
   /**
@@ -197,27 +188,9 @@
     domains: ReadonlySet<FailureDomain>,
     retainUntil?: Milliseconds,
   ): boolean {
-    if (retainUntil !== undefined) {
-      for (const domain of this.#evacuated) {
-        this.#retainedEvacuations.set(domain, retainUntil);
-      }
-    }
-    for (const domain of domains) this.#retainedEvacuations.delete(domain);
-    this.#listedEvacuations = new Set(domains);
-    return this.#updateEvacuations();
-  }
-
-  #updateEvacuations(): boolean {
-    const evacuated = new Set([
-      ...this.#listedEvacuations,
-      ...this.#retainedEvacuations.keys(),
-    ]);
-    const isSame = evacuated.size === this.#evacuated.size &&
-      [...evacuated].every((domain) => this.#evacuated.has(domain));
-    if (isSame) return false;
-    this.#evacuated = evacuated;
-    this.#rebuild();
-    return true;
+    const isChanged = this.#evacuations.replace(domains, retainUntil);
+    if (isChanged) this.#rebuild();
+    return isChanged;
   }
 
   /** Whether all upstreams of a service are in evacuated failure domains. */
@@ -243,28 +216,26 @@
     const gone = this.all().filter(({ name, upstream }) =>
       !listedNames.has(name) && this.remove(upstream, keepUntil)
     );
-    for (const name of this.#returned.keys()) {
-      if (!listedNames.has(name)) this.#returned.delete(name);
-    }
+    this.#returned.deleteUnlisted(listedNames);
     for (const upstream of upstreams) {
-      if (this.#distrust(upstream, distrustUntil)) continue;
+      if (this.#shouldDistrust(upstream, distrustUntil)) continue;
       const former = this.set(upstream);
       if (former !== undefined) gone.push(former);
     }
     return gone;
   }
 
-  /** Keeps an entry aside that was removed before; returns whether it was. */
-  #distrust(
+  /** Whether an entry was removed before, and may be that of a copy. */
+  #shouldDistrust(
     upstream: Upstream,
     distrustUntil: Milliseconds | undefined,
   ): boolean {
-    const { name, upstream: id } = upstream;
+    if (this.#returned.has(upstream)) return true;
+    const { upstream: id } = upstream;
     const wasRemoved = this.#remembered.has(id) && !this.#entries.has(id) &&
       !this.#leaving.has(id);
-    if (this.#returned.get(name)?.upstream.upstream === id) return true;
     if (!wasRemoved || distrustUntil === undefined) return false;
-    this.#returned.set(name, { upstream, distrustedUntil: distrustUntil });
+    this.#returned.add(upstream, distrustUntil);
     return true;
   }
 
@@ -278,16 +249,11 @@
    * whether that changed anything.
    */
   expireRestored(now: Milliseconds): boolean {
-    let isChanged = false;
-    for (const { upstream, distrustedUntil } of this.#returned.values()) {
-      if (distrustedUntil > now) continue;
-      this.set(upstream);
-      isChanged = true;
-    }
-    for (const [domain, until] of this.#retainedEvacuations) {
-      if (until <= now) this.#retainedEvacuations.delete(domain);
-    }
-    return this.#updateEvacuations() || isChanged;
+    const upstreams = this.#returned.takeExpired(now);
+    for (const upstream of upstreams) this.set(upstream);
+    const isChanged = this.#evacuations.expire(now);
+    if (isChanged) this.#rebuild();
+    return isChanged || upstreams.length > 0;
   }
 
   /** Drops lapsed entries that were not listed again, and returns them. */
@@ -312,7 +278,7 @@
   get(upstream: UpstreamId): Upstream | undefined {
     const listed = this.findListed(upstream);
     if (listed === undefined) return undefined;
-    const isUsed = !this.#evacuated.has(listed.failureDomain) &&
+    const isUsed = !this.#evacuations.domains.has(listed.failureDomain) &&
       !this.#reports.has(upstream);
     return isUsed ? listed : undefined;
   }
@@ -378,7 +344,7 @@
     for (const { upstream } of this.#entries.values()) {
       const { service, failureDomain } = upstream;
       if (this.#reports.has(upstream.upstream)) continue;
-      if (this.#evacuated.has(failureDomain)) {
+      if (this.#evacuations.domains.has(failureDomain)) {
         this.#evacuatedServices.add(service);
         continue;
       }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -38,6 +38,7 @@
 export { fetchSnapshot } from "./operatorEndpoints.ts";
 export { TransitEstimator } from "./transitEstimator.ts";
 export { UpstreamProbe, type UpstreamState } from "./upstreamProbe.ts";
+export { type PolicyReading, StorePolicy } from "./storePolicy.ts";
 export {
   StoreSharing,
   type StoreSharingOptions,
