--- a/packages/admission/src/poisonRequestDetector.ts
+++ b/packages/admission/src/poisonRequestDetector.ts
@@ -180,7 +180,10 @@
     return record.crashes.size;
   }
 
-  /** Whether too many upstreams have crashed without the request to blame it. */
+  /**
+   * Whether so many upstreams have crashed without the request that its crashes
+   * may be a coincidence.
+   */
   #isDoubtful({ crashes, lastCrashAt }: RequestRecord): boolean {
     if (crashes.size >= DOUBTFUL_QUARANTINE_CRASHES) return false;
     const since = Math.min(...crashes.values()) - SHARE_WINDOW_MS;
--- a/packages/gateway/src/crashChecks.ts
+++ b/packages/gateway/src/crashChecks.ts
@@ -18,8 +18,8 @@
 }
 
 /**
- * Checks after a broken response whether the upstream has crashed. On a quiet
- * host no request would find out, and one that does may be another host's.
+ * Checks after a broken response whether the upstream has crashed. Later requests
+ * do not show it in time, as hosts avoid an upstream whose responses break off.
  */
 export class CrashChecks {
   readonly #options: CrashChecksOptions;
--- a/packages/gateway/src/crashNews.ts
+++ b/packages/gateway/src/crashGossip.ts
@@ -16,7 +16,7 @@
 export interface CrashRows {
   /** Request fingerprint, crashed upstream and age of crashes. */
   readonly crashes: readonly (readonly [Digest, UpstreamId, Milliseconds])[];
-  /** Requests that have completed since they were blamed for crashes. */
+  /** Requests that have completed since crashes were attributed to them. */
   readonly completions: readonly (readonly [Digest, Milliseconds])[];
 }
 
@@ -25,33 +25,33 @@
   readonly until: Milliseconds;
 }
 
-/** Options of {@link CrashNews}. */
-export interface CrashNewsOptions {
+/** Options of {@link CrashGossip}. */
+export interface CrashGossipOptions {
   readonly crashes: PoisonRequestDetector;
   /** Called when there is something to announce. */
-  readonly onNews: () => void;
+  readonly onUpdate: () => void;
 }
 
 /** Spreads which requests have crashed upstreams, and which have not. */
-export class CrashNews {
-  readonly #options: CrashNewsOptions;
+export class CrashGossip {
+  readonly #options: CrashGossipOptions;
   #crashes: Announcement<Crash>[] = [];
   #completions: Announcement<Completion>[] = [];
   #offset = 0;
 
-  constructor(options: CrashNewsOptions) {
+  constructor(options: CrashGossipOptions) {
     this.#options = options;
   }
 
   announceCrash(crash: Crash, now: Milliseconds): void {
     this.#crashes.push({ value: crash, until: now + LIFETIME_MS });
-    this.#options.onNews();
+    this.#options.onUpdate();
   }
 
   /** Announces that a request does not crash its upstream. */
   announceCompletion(completion: Completion, now: Milliseconds): void {
     this.#completions.push({ value: completion, until: now + LIFETIME_MS });
-    this.#options.onNews();
+    this.#options.onUpdate();
   }
 
   /** Applies a peer's rows, and passes on what was new. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -316,7 +316,7 @@
     if (!crashes.isSuspect(request.fingerprint, this.#now())) {
       return this.#requestSlot();
     }
-    // The upstream just left may be the one too many that this request crashed.
+    // The failed attempt may have been the crash that ends all retries.
     crashChecks.whenSettled(upstream, () => {
       if (this.#isFinished) return;
       if (this.#isQuarantined()) this.#fail(end, upstream);
--- a/packages/gateway/src/gossipMessage.ts
+++ b/packages/gateway/src/gossipMessage.ts
@@ -7,7 +7,7 @@
   UpstreamId,
 } from "@wasabivane/common";
 import type { Upstream } from "@wasabivane/admission";
-import type { CrashRows } from "./crashNews.ts";
+import type { CrashRows } from "./crashGossip.ts";
 
 /** The state of a host, as gossiped by itself or a peer. */
 export interface PeerRecord {
--- a/packages/gateway/src/gossipProtocol.ts
+++ b/packages/gateway/src/gossipProtocol.ts
@@ -5,7 +5,7 @@
   UpstreamId,
 } from "@wasabivane/common";
 import type { Completion, Crash } from "@wasabivane/admission";
-import { CrashNews } from "./crashNews.ts";
+import { CrashGossip } from "./crashGossip.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { PeerChange, PeerDirectory } from "./peerDirectory.ts";
 import type {
@@ -107,16 +107,16 @@
   #isScheduled = false;
   #isClosed = false;
   #leavingUpstreams: Update<UpstreamId>[] = [];
-  readonly #crashNews: CrashNews;
+  readonly #crashGossip: CrashGossip;
   #listChanges: Update<UpstreamListChange>[] = [];
   readonly #unresponsiveHosts = new Map<HostId, Milliseconds>();
   #confirmedAt: Milliseconds = -Infinity;
 
   constructor(options: GossipProtocolOptions) {
     this.#options = options;
-    this.#crashNews = new CrashNews({
+    this.#crashGossip = new CrashGossip({
       crashes: options.context.crashes,
-      onNews: () => this.scheduleMessage(),
+      onUpdate: () => this.scheduleMessage(),
     });
   }
 
@@ -137,13 +137,13 @@
 
   /** Announces that a request has crashed an upstream. */
   announceCrash(crash: Crash): void {
-    this.#crashNews.announceCrash(crash, this.#options.context.timer.now());
+    this.#crashGossip.announceCrash(crash, this.#options.context.timer.now());
   }
 
   /** Announces that a request does not crash its upstream. */
   announceCompletion(completion: Completion): void {
     const now = this.#options.context.timer.now();
-    this.#crashNews.announceCompletion(completion, now);
+    this.#crashGossip.announceCompletion(completion, now);
   }
 
   /** Announces a change of the upstream list. */
@@ -217,7 +217,7 @@
         onUpstreamLeaving(upstream);
       }
     }
-    this.#crashNews.apply(crashRows, now);
+    this.#crashGossip.apply(crashRows, now);
     for (const [host, span] of unresponsiveHosts) {
       if (this.#unresponsiveHosts.has(host)) continue;
       onUnresponsiveHost(host, now + span);
@@ -326,7 +326,7 @@
       leavingUpstreams: this.#leavingUpstreams.slice(-MAXIMUM_ROWS).map((
         { value },
       ) => value),
-      ...this.#crashNews.createRows(now, recordCount > 0),
+      ...this.#crashGossip.createRows(now, recordCount > 0),
       listChanges: this.#latestChanges(),
       unresponsiveHosts: [...this.#unresponsiveHosts].slice(-MAXIMUM_ROWS)
         .map(([host, until]) => [host, until - now]),
--- a/packages/gateway/tests/upstreamProbe.test.ts
+++ b/packages/gateway/tests/upstreamProbe.test.ts
@@ -55,7 +55,8 @@
 });
 
 test("a host that reaches no upstream takes none for crashed by itself", async (t) => {
-  // Guards against requests that are blamed for the host's own broken links.
+  // Guards against crashes that are attributed to requests although the host has
+  // lost its links.
   t.is(await probe([], "no-relay"), "unknown");
   t.is(await probe([], "open"), "up");
   t.is(await probe([], "unreachable"), "down");
