--- a/packages/admission/src/relistedUpstreams.ts
+++ b/packages/admission/src/relistedUpstreams.ts
@@ -2,9 +2,9 @@
 import type { Upstream } from "./types.ts";
 
 /** An entry that a copy of the store has brought back. */
-interface Returned {
+interface Relisted {
   readonly upstream: Upstream;
-  readonly distrustedUntil: Milliseconds;
+  readonly ignoredUntil: Milliseconds;
 }
 
 /**
@@ -12,16 +12,16 @@
  * probably gone, and are not used until their entry changes, or for as long as
  * the store keeps the entry of an upstream that is gone.
  */
-export class ReturnedUpstreams {
-  readonly #byName = new Map<string, Returned>();
+export class RelistedUpstreams {
+  readonly #byName = new Map<string, Relisted>();
 
-  /** Whether this incarnation of an upstream is distrusted. */
+  /** Whether this incarnation of an upstream is ignored. */
   has({ name, upstream }: Upstream): boolean {
     return this.#byName.get(name)?.upstream.upstream === upstream;
   }
 
-  add(upstream: Upstream, distrustedUntil: Milliseconds): void {
-    this.#byName.set(upstream.name, { upstream, distrustedUntil });
+  add(upstream: Upstream, ignoredUntil: Milliseconds): void {
+    this.#byName.set(upstream.name, { upstream, ignoredUntil });
   }
 
   delete(name: string): void {
@@ -35,10 +35,10 @@
     }
   }
 
-  /** Removes and returns those that are no longer distrusted. */
+  /** Removes and returns those that are no longer ignored. */
   takeExpired(now: Milliseconds): Upstream[] {
     const expired = [...this.#byName.values()]
-      .filter(({ distrustedUntil }) => distrustedUntil <= now)
+      .filter(({ ignoredUntil }) => ignoredUntil <= now)
       .map(({ upstream }) => upstream);
     for (const { name } of expired) this.#byName.delete(name);
     return expired;
--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -6,7 +6,7 @@
 } from "@wasabivane/common";
 import { Evacuations } from "./evacuations.ts";
 import { LeavingReports, type StoreListing } from "./leavingReports.ts";
-import { ReturnedUpstreams } from "./returnedUpstreams.ts";
+import { RelistedUpstreams } from "./relistedUpstreams.ts";
 import type { Upstream } from "./types.ts";
 
 /** Upstreams remembered at most in each collection, also after they left. */
@@ -30,7 +30,7 @@
    * Until when entries that were removed before are not used, unless they change;
    * set for a list from a copy of the store, which may hold them still.
    */
-  readonly distrustUntil?: Milliseconds | undefined;
+  readonly ignoreRemovedUntil?: Milliseconds | undefined;
 }
 
 /** An upstream whose entry lapsed and which is still used for a while. */
@@ -56,7 +56,7 @@
   /** The latest listed incarnation of each name. */
   readonly #incarnations = new Map<string, Upstream>();
   readonly #byService = new Map<ServiceId, Upstream[]>();
-  readonly #returned = new ReturnedUpstreams();
+  readonly #relisted = new RelistedUpstreams();
   readonly #evacuations = new Evacuations();
   /** Services whose upstreams are all in evacuated failure domains. */
   readonly #evacuatedServices = new Set<ServiceId>();
@@ -76,7 +76,7 @@
       return undefined;
     }
     this.#incarnations.set(upstream.name, upstream);
-    this.#returned.delete(upstream.name);
+    this.#relisted.delete(upstream.name);
     this.#remember(upstream);
     const known = this.#entries.get(upstream.upstream);
     const isSame = known !== undefined && known.keptUntil === undefined &&
@@ -210,15 +210,15 @@
    */
   replaceAll(
     upstreams: readonly Upstream[],
-    { keepUntil, distrustUntil }: ReplacementOptions = {},
+    { keepUntil, ignoreRemovedUntil }: ReplacementOptions = {},
   ): Upstream[] {
     const listedNames = new Set(upstreams.map(({ name }) => name));
     const gone = this.all().filter(({ name, upstream }) =>
       !listedNames.has(name) && this.remove(upstream, keepUntil)
     );
-    this.#returned.deleteUnlisted(listedNames);
+    this.#relisted.deleteUnlisted(listedNames);
     for (const upstream of upstreams) {
-      if (this.#shouldDistrust(upstream, distrustUntil)) continue;
+      if (this.#shouldIgnore(upstream, ignoreRemovedUntil)) continue;
       const former = this.set(upstream);
       if (former !== undefined) gone.push(former);
     }
@@ -226,30 +226,30 @@
   }
 
   /** Whether an entry was removed before, and may be that of a copy. */
-  #shouldDistrust(
+  #shouldIgnore(
     upstream: Upstream,
-    distrustUntil: Milliseconds | undefined,
+    ignoreRemovedUntil: Milliseconds | undefined,
   ): boolean {
-    if (this.#returned.has(upstream)) return true;
+    if (this.#relisted.has(upstream)) return true;
     const { upstream: id } = upstream;
     const wasRemoved = this.#remembered.has(id) && !this.#entries.has(id) &&
       !this.#leaving.has(id);
-    if (!wasRemoved || distrustUntil === undefined) return false;
-    this.#returned.add(upstream, distrustUntil);
+    if (!wasRemoved || ignoreRemovedUntil === undefined) return false;
+    this.#relisted.add(upstream, ignoreRemovedUntil);
     return true;
   }
 
   /** Drops an entry that was removed before and is now removed again. */
-  dropReturned(name: string): void {
-    this.#returned.delete(name);
+  dropRelisted(name: string): void {
+    this.#relisted.delete(name);
   }
 
   /**
-   * Ends the distrust of what a copy of the store holds or lacks; returns
-   * whether that changed anything.
+   * Applies what a copy of the store lists or lacks once it has had time to be
+   * corrected; returns whether that changed anything.
    */
   expireRestored(now: Milliseconds): boolean {
-    const upstreams = this.#returned.takeExpired(now);
+    const upstreams = this.#relisted.takeExpired(now);
     for (const upstream of upstreams) this.set(upstream);
     const isChanged = this.#evacuations.expire(now);
     if (isChanged) this.#rebuild();
--- a/packages/admission/tests/policyAndUpstreams.test.ts
+++ b/packages/admission/tests/policyAndUpstreams.test.ts
@@ -52,13 +52,13 @@
   t.deepEqual(directory.of(PLANS).map(({ upstream }) => upstream), [U0]);
 });
 
-test("what a copy of the store holds or lacks is distrusted for a while only", (t) => {
+test("what a copy of the store lists or lacks is applied after a while", (t) => {
   // Guards against a live upstream, or a domain, that is out of use for ever.
   const directory = new UpstreamDirectory();
   const west = new Set([buildUpstream(0).failureDomain]);
   directory.set(buildUpstream(0));
   directory.remove(U0);
-  directory.replaceAll([buildUpstream(0)], { distrustUntil: 1_000 });
+  directory.replaceAll([buildUpstream(0)], { ignoreRemovedUntil: 1_000 });
   t.is(directory.size, 0);
   directory.evacuate(west);
   directory.evacuate(new Set(), 1_000);
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -102,7 +102,7 @@
   /** Until when entries that a restored store lacks may be written again. */
   #renewedBy: Milliseconds = -Infinity;
   /** Until when a restored store may list entries of upstreams that are gone. */
-  #distrustUntil: Milliseconds = -Infinity;
+  #ignoreRemovedUntil: Milliseconds = -Infinity;
   /** Time at which a peer first announced a newer list than this host has. */
   #behindSince: Milliseconds | undefined;
   readonly #pendingFetches = new Set<HostId>();
@@ -189,11 +189,11 @@
       time > now ? time : undefined;
     upstreamUpdates.applyEvacuation(
       new Set(evacuated),
-      isRestored ? this.#distrustUntil : undefined,
+      isRestored ? this.#ignoreRemovedUntil : undefined,
     );
     upstreamUpdates.applyAll(upstreams, {
       keepUntil: keepUntil ?? ifAhead(this.#renewedBy),
-      distrustUntil: ifAhead(this.#distrustUntil),
+      ignoreRemovedUntil: ifAhead(this.#ignoreRemovedUntil),
     });
     this.advanceListRevision(revision);
   }
@@ -207,7 +207,7 @@
     log.write("store_era_changed", { former, era, by });
     const { context, entryLease = DEFAULT_ENTRY_LEASE_MS } = this.#options;
     this.#renewedBy = context.timer.now() + RENEWAL_MS;
-    this.#distrustUntil = this.#renewedBy + entryLease;
+    this.#ignoreRemovedUntil = this.#renewedBy + entryLease;
     return true;
   }
 
--- a/packages/gateway/src/upstreamUpdates.ts
+++ b/packages/gateway/src/upstreamUpdates.ts
@@ -80,7 +80,7 @@
    */
   remove(name: string, keepUntil?: Milliseconds): void {
     const { directory, log } = this.#context;
-    directory.dropReturned(name);
+    directory.dropRelisted(name);
     const known = directory.findByName(name);
     if (known === undefined) return;
     if (directory.remove(known.upstream, keepUntil)) {
