--- a/packages/gateway/src/crashChecks.ts
+++ b/packages/gateway/src/crashChecks.ts
@@ -71,7 +71,9 @@
   async #run(upstream: Upstream): Promise<void> {
     const id = upstream.upstream;
     const state = await this.#options.probe(upstream);
-    this.#options.context().metrics.count(`crash_checks_${state}`);
+    const { metrics, log } = this.#options.context();
+    metrics.count(`crash_checks_${state}`);
+    log.write("crash_checked", { upstream: id, state });
     if (state === "down") this.confirm(id);
     const callbacks = this.#running.get(id) ?? [];
     this.#running.delete(id);
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -34,6 +34,7 @@
   "upstream_backoff",
   "domains_evacuated",
   "crash_suspected",
+  "crash_checked",
   "crash_confirmed",
   "request_refused",
   "requests_shed",
--- a/packages/gateway/src/retryState.ts
+++ b/packages/gateway/src/retryState.ts
@@ -97,11 +97,13 @@
     if (!hasNotRun) this.#mayHaveRun = true;
     if (!hasNotRun && !this.#isRepeatable(hasStarted)) return false;
     if (!this.#hasAttemptsLeft() || isQuarantined) return false;
-    const { retries, timer, hostCount } = this.#context;
-    return retries.takeRetry(this.#admitted.service, {
+    const { retries, timer, hostCount, metrics } = this.#context;
+    const isTaken = retries.takeRetry(this.#admitted.service, {
       hosts: hostCount(),
       now: timer.now(),
     });
+    metrics.count(isTaken ? "retries_taken" : "retries_over_budget");
+    return isTaken;
   }
 
   /** Returns whether a request that may have run can be retried. */
