--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -11,7 +11,7 @@
   SystemTimer,
   type UpstreamId,
 } from "@wasabivane/common";
-import type { Policy, Route, RouteId } from "@wasabivane/admission";
+import type { Policy, Route, RouteId, Upstream } from "@wasabivane/admission";
 import { Gateway, type LogOutput } from "@wasabivane/gateway";
 import { freePorts } from "./freePorts.ts";
 import { PlainDialect } from "./plainDialect.ts";
@@ -254,22 +254,30 @@
     revision: 1,
   });
   for (const [index, { address }] of upstreams.entries()) {
-    gateway.upstreamUpdates.apply({
-      upstream: asId<UpstreamId>(`u${index}`),
-      name: `u${index}`,
-      bornAt: 0,
-      service: SERVICE,
-      address,
-      failureDomain: asId<FailureDomain>("west"),
-      slots,
-      coldFor: 0,
-      isLeaving: false,
-    });
+    gateway.upstreamUpdates.apply(buildEntry(`u${index}`, { address, slots }));
   }
   gateway.storeSharing.advanceListRevision(1);
   return result;
 }
 
+/** Builds the store's entry of an upstream. */
+export function buildEntry(
+  name: string,
+  { address, slots = 4 }: { address: string; slots?: number },
+): Upstream {
+  return {
+    upstream: asId<UpstreamId>(name),
+    name,
+    bornAt: 0,
+    service: SERVICE,
+    address,
+    failureDomain: asId<FailureDomain>("west"),
+    slots,
+    coldFor: 0,
+    isLeaving: false,
+  };
+}
+
 /** The response to one request as its caller received it. */
 export interface ReceivedResponse {
   readonly status: number | undefined;
@@ -282,12 +290,15 @@
 /** Sends a request to a gateway as a caller. */
 export async function sendRequest(
   url: string,
-  { path = "/a/1", method = "POST", headers = {}, body = "hello" }: {
-    path?: string;
-    method?: string;
-    headers?: Readonly<Record<string, string>>;
-    body?: string;
-  } = {},
+  { path = "/a/1", method = "POST", headers = {}, body = "hello", leavesAfter }:
+    {
+      path?: string;
+      method?: string;
+      headers?: Readonly<Record<string, string>>;
+      body?: string;
+      /** When the caller gives up. */
+      leavesAfter?: number;
+    } = {},
 ): Promise<ReceivedResponse> {
   const { request } = await import("undici");
   let status: number | undefined;
@@ -298,6 +309,9 @@
       method: method as "POST",
       headers: { host: "plans.example", id: "q1", key: "k", ...headers },
       body: method === "POST" ? body : null,
+      signal: leavesAfter === undefined
+        ? null
+        : AbortSignal.timeout(leavesAfter),
     });
     status = response.statusCode;
     responseHeaders = response.headers;
--- a/packages/gateway/tests/poisonRequests.test.ts
+++ b/packages/gateway/tests/poisonRequests.test.ts
@@ -6,20 +6,19 @@
   buildPolicy,
   buildRoute,
   type GatewayStartOptions,
-  type RunningGateway,
   sendRequest,
 } from "./helpers/fleet.ts";
 import {
   BROKEN,
   countCrashed,
   joinFleet,
+  PAUSE_MS,
   POISON,
+  sendCopies,
   startFleet,
   startFragiles,
 } from "./helpers/fragileUpstreams.ts";
 
-/** Pause between two copies of a request; callers wait before they repeat one. */
-const PAUSE_MS = 400;
 const UPSTREAMS = 12;
 /** Crashes after which a request is refused, and copies that may run besides. */
 const MAXIMUM_CRASHES = 3 + 3;
@@ -28,21 +27,6 @@
   route: { repeatability: "at-most-once" },
 };
 
-/** Sends copies of a request, one after the other, to the hosts in turn. */
-async function sendCopies(
-  fleet: readonly RunningGateway[],
-  { body = POISON, count = UPSTREAMS }: { body?: string; count?: number } = {},
-): Promise<(number | undefined)[]> {
-  const statuses: (number | undefined)[] = [];
-  for (let copy = 0; copy < count; copy++) {
-    const { url } = fleet[copy % fleet.length]!;
-    const headers = { id: `copy-${copy}` };
-    statuses.push((await sendRequest(url, { body, headers })).status);
-    await sleep(PAUSE_MS);
-  }
-  return statuses;
-}
-
 test.serial("a request that crashes each upstream that runs it ends few of them on idle hosts", async (t) => {
   // Guards against a poison request that takes down one upstream after another,
   // as no host sends anything to an upstream that has just crashed.
--- /dev/null
+++ b/packages/gateway/tests/slowCrashes.test.ts
@@ -0,0 +1,76 @@
+import test from "ava";
+import {
+  buildEntry,
+  type GatewayStartOptions,
+  type RunningGateway,
+} from "./helpers/fleet.ts";
+import {
+  countCrashed,
+  countPoisonRuns,
+  sendCopies,
+  startFleet,
+  startFragiles,
+} from "./helpers/fragileUpstreams.ts";
+
+const UPSTREAMS = 12;
+/** Crashes after which a request is refused, and copies that may run besides. */
+const MAXIMUM_CRASHES = 3 + 3;
+
+const AT_MOST_ONCE: Partial<GatewayStartOptions> = {
+  route: { repeatability: "at-most-once" },
+};
+
+for (const lingersFor of [50, 600]) {
+  test
+    .serial.failing(
+      `a request is refused whose upstreams end ${lingersFor} ms after their responses break off`,
+      async (t) => {
+        // Guards against a check that looks while the process still accepts.
+        const upstreams = await startFragiles(UPSTREAMS, { lingersFor });
+        const fleet = await startFleet(t, upstreams, {
+          ...AT_MOST_ONCE,
+          hosts: 4,
+        });
+        await sendCopies(fleet);
+        const crashed = countCrashed(upstreams);
+        t.true(crashed <= MAXIMUM_CRASHES, `${crashed} upstreams crashed`);
+      },
+    );
+}
+
+test
+  .serial.failing(
+    "a request is refused whose callers leave before its upstreams end",
+    async (t) => {
+      // Guards against crashes that show in no broken response.
+      const upstreams = await startFragiles(UPSTREAMS, { runTime: 400 });
+      const fleet = await startFleet(t, upstreams, {
+        ...AT_MOST_ONCE,
+        hosts: 4,
+      });
+      await sendCopies(fleet, { leavesAfter: 380 });
+      const crashed = countCrashed(upstreams);
+      t.true(crashed <= MAXIMUM_CRASHES, `${crashed} upstreams crashed`);
+    },
+  );
+
+test
+  .serial.failing(
+    "a request is refused whose upstreams are replaced at once",
+    async (t) => {
+      // Guards against the next process at an address that passes for the crashed one.
+      const fleet: RunningGateway[] = [];
+      let incarnation = 0;
+      const onReplaced = (address: string): void => {
+        const entry = buildEntry(`next-${incarnation++}`, { address });
+        for (const { gateway } of fleet) gateway.upstreamUpdates.apply(entry);
+      };
+      const upstreams = await startFragiles(UPSTREAMS, { onReplaced });
+      fleet.push(
+        ...await startFleet(t, upstreams, { ...AT_MOST_ONCE, hosts: 4 }),
+      );
+      await sendCopies(fleet);
+      const runs = countPoisonRuns(upstreams);
+      t.true(runs <= MAXIMUM_CRASHES, `${runs} upstreams crashed`);
+    },
+  );
