Count hosts that are not heard when the retry budget is shared

Callers and upstreams saw repeats pile up beyond the budget of all hosts together: six processes that do not know each other, six of ten answers errors, 100 requests a second: 128 repeats over the budget in a window of 10 s.

Cause: each host took its part of the slack by the number of hosts that it heard at that moment. A host behind a partition heard none and took all of it, and a host that had just started took a part that the process before it had spent. Class: what one host knows taken for what all know.

Change: a host shares the slack with all hosts that it has heard within ten minutes, and leaves it to others in its first window and while it hears nobody that its settings name. Its own requests still pay for repeats by the ratio.

--- a/packages/admission/src/retryBudget.ts
+++ b/packages/admission/src/retryBudget.ts
@@ -16,6 +16,7 @@
 
 /** Number of hosts that share the budget, and the current time. */
 export interface RetryBudgetContext {
+  /** `Infinity` leaves the slack to others. */
   readonly hosts: number;
   readonly now: Milliseconds;
 }
--- /dev/null
+++ b/packages/gateway/src/fleetSize.ts
@@ -0,0 +1,44 @@
+import type { Milliseconds } from "@wasabivane/common";
+
+/** How long hosts count that are no longer heard. */
+const RETENTION_MS: Milliseconds = 600_000;
+
+/** Options of a {@link FleetSize}. */
+export interface FleetSizeOptions {
+  readonly startedAt: Milliseconds;
+  /** Time after the start in which a former process of the host may count. */
+  readonly settling: Milliseconds;
+  /** Whether the settings name other hosts. */
+  readonly hasSeeds: boolean;
+}
+
+/**
+ * Estimates how many hosts may be spending a budget that all share. Hosts that
+ * are not heard may go on behind a partition, and a host that has just started
+ * may follow on a process that has spent its part.
+ */
+export class FleetSize {
+  readonly #options: FleetSizeOptions;
+  #largest = 1;
+  #largestAt: Milliseconds = -Infinity;
+
+  constructor(options: FleetSizeOptions) {
+    this.#options = options;
+  }
+
+  /** Records the number of hosts that are heard, this one included. */
+  record(hosts: number, now: Milliseconds): void {
+    const isOutdated = now - this.#largestAt > RETENTION_MS;
+    if (hosts < this.#largest && !isOutdated) return;
+    this.#largest = hosts;
+    this.#largestAt = now;
+  }
+
+  /** Returns the number of hosts; `Infinity` while that is unknown. */
+  estimate(now: Milliseconds): number {
+    const { startedAt, settling, hasSeeds } = this.#options;
+    if (!hasSeeds) return this.#largest;
+    const isSettling = now - startedAt < settling;
+    return isSettling || this.#largest === 1 ? Infinity : this.#largest;
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 import { CallerServer } from "./callerServer.ts";
 import { CrashChecks } from "./crashChecks.ts";
 import { DecisionLog } from "./decisionLog.ts";
+import { FleetSize } from "./fleetSize.ts";
 import { GossipProtocol } from "./gossipProtocol.ts";
 import { GatewayMetrics } from "./gatewayMetrics.ts";
 import type { GatewayOptions } from "./gatewayOptions.ts";
@@ -74,6 +75,7 @@
   readonly #callerServer: CallerServer;
   readonly #gossip: GossipProtocol;
   readonly #peers: PeerDirectory;
+  readonly #fleetSize: FleetSize;
   readonly #channel: PeerChannel;
   readonly #operatorServers: OperatorServers;
   readonly #cellRouter: CellRouter;
@@ -97,6 +99,11 @@
       cores,
       seeds,
     });
+    this.#fleetSize = new FleetSize({
+      startedAt: this.#startedAt,
+      settling: options.retryBudget.window,
+      hasSeeds: seeds.length > 0,
+    });
     this.context = this.#createContext();
     this.#links = new UpstreamLinks({
       context: this.context,
@@ -342,6 +349,7 @@
         this.upstreamUpdates.reportLeaving(upstream, "response"),
       reviewQueues: () => this.#cellRouter.review(timer.now()),
       hostCount,
+      retryingHosts: () => this.#fleetSize.estimate(timer.now()),
       isStopping: () => this.#isStopping,
       stopsAt: () => this.#stopsAt,
     };
@@ -522,6 +530,7 @@
   }
 
   #runMaintenance(now: Milliseconds): void {
+    this.#fleetSize.record(this.context.hostCount(), now);
     this.upstreamUpdates.expire();
     this.storeSharing.tick(now);
     this.#links.tick();
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -83,8 +83,13 @@
    * Re-evaluates queued requests after a change of upstreams or their health.
    */
   readonly reviewQueues: () => void;
-  /** Returns the number of hosts that share budgets, including this one. */
+  /** Returns the number of hosts that are heard, including this one. */
   readonly hostCount: () => number;
+  /**
+   * Returns the number of hosts that may be spending the retry budget; `Infinity`
+   * while that is unknown.
+   */
+  readonly retryingHosts: () => number;
   readonly isStopping: () => boolean;
   /** Returns when the process ends; `Infinity` unless it is stopping. */
   readonly stopsAt: () => Milliseconds;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,7 @@
 } from "./decisionLog.ts";
 export { CrashChecks } from "./crashChecks.ts";
 export { EventStreamSplitter } from "./eventStreamSplitter.ts";
+export { FleetSize, type FleetSizeOptions } from "./fleetSize.ts";
 export { Gateway } from "./gateway.ts";
 export type { GatewayAddresses, GatewayOptions } from "./gatewayOptions.ts";
 export { GossipProtocol } from "./gossipProtocol.ts";
--- a/packages/gateway/src/retryState.ts
+++ b/packages/gateway/src/retryState.ts
@@ -67,12 +67,12 @@
    * this one.
    */
   hasAlternative(upstream: UpstreamId): boolean {
-    const { placementClient, retries, timer, hostCount } = this.#context;
+    const { placementClient, retries, timer, retryingHosts } = this.#context;
     const { service } = this.#admitted;
     const now = timer.now();
     const excluded = new Set([...this.excluded, upstream]);
     return placementClient.hasAlternative(service, { excluded, now }) &&
-      retries.hasRetry(service, { hosts: hostCount(), now });
+      retries.hasRetry(service, { hosts: retryingHosts(), now });
   }
 
   /**
@@ -97,9 +97,9 @@
     if (!hasNotRun) this.#mayHaveRun = true;
     if (!hasNotRun && !this.#isRepeatable(hasStarted)) return false;
     if (!this.#hasAttemptsLeft() || isQuarantined) return false;
-    const { retries, timer, hostCount, metrics } = this.#context;
+    const { retries, timer, retryingHosts, metrics } = this.#context;
     const isTaken = retries.takeRetry(this.#admitted.service, {
-      hosts: hostCount(),
+      hosts: retryingHosts(),
       now: timer.now(),
     });
     metrics.count(isTaken ? "retries_taken" : "retries_over_budget");
