Quarantine a request after one crash at a host that hears no peers

Callers saw one request end twelve of twelve upstream processes at four hosts that do not know each other, five copies later than 3 s after the third end.

Cause: such a host waits for three crashes of its own, as it cannot hear of those that its peers have seen; hosts times three is more than there are upstreams. Class: what one host knows taken for what all know, as with the retry budget.

Change: while a host hears none of the hosts that its settings name, a new copy of a request is refused after one crash there, for a minute, twice as long after each further one. Retries within a request keep the limit of three, so a sound request that was on a crashed upstream goes on elsewhere, and is cleared by its complete response.

--- a/packages/admission/src/poisonRequestDetector.ts
+++ b/packages/admission/src/poisonRequestDetector.ts
@@ -2,6 +2,8 @@
 
 /** Number of crashes after which a request is not sent to another upstream. */
 const QUARANTINE_CRASHES = 3;
+/** The same at a host that cannot hear of the crashes that others see. */
+const ALONE_QUARANTINE_CRASHES = 1;
 /** The same while upstreams crash without the request as well. */
 const DOUBTFUL_QUARANTINE_CRASHES = 5;
 /** Share of all crashes that a request must have had a part in. */
@@ -33,6 +35,12 @@
   readonly at: Milliseconds;
 }
 
+/** Options of {@link PoisonRequestDetector.quarantineLeft}. */
+export interface QuarantineOptions {
+  /** Whether this host hears none of its peers. */
+  readonly isAlone?: boolean;
+}
+
 interface RequestRecord {
   /** Crashes since the last complete response. */
   readonly crashes: Map<UpstreamId, Milliseconds>;
@@ -94,12 +102,17 @@
   }
 
   /** Returns for how long a request must not run. */
-  quarantineLeft(fingerprint: Digest, now: Milliseconds): Milliseconds {
+  quarantineLeft(
+    fingerprint: Digest,
+    now: Milliseconds,
+    { isAlone = false }: QuarantineOptions = {},
+  ): Milliseconds {
     const count = this.#crashCount(fingerprint, now);
-    if (count < QUARANTINE_CRASHES) return 0;
+    const minimum = isAlone ? ALONE_QUARANTINE_CRASHES : QUARANTINE_CRASHES;
+    if (count < minimum) return 0;
     const record = this.#records.get(fingerprint)!;
     if (this.#isExplained(record) || this.#isDoubtful(record)) return 0;
-    const span = FIRST_QUARANTINE_MS * 2 ** (count - QUARANTINE_CRASHES);
+    const span = FIRST_QUARANTINE_MS * 2 ** (count - minimum);
     const until = record.lastCrashAt + Math.min(span, RETENTION_MS);
     return Math.max(0, until - now);
   }
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -290,8 +290,10 @@
     const method = request.method ?? "GET";
     const path = request.url ?? "/";
     const fingerprint = fingerprintOf(admitted, { method, path, body });
-    const { crashes, timer } = this.#context;
-    const retryAfter = crashes.quarantineLeft(fingerprint, timer.now());
+    const { crashes, timer, isAlone } = this.#context;
+    const retryAfter = crashes.quarantineLeft(fingerprint, timer.now(), {
+      isAlone: isAlone(),
+    });
     if (retryAfter > 0) {
       this.#refundQuota(admitted);
       const refusal = {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -349,6 +349,8 @@
         this.upstreamUpdates.reportLeaving(upstream, "response"),
       reviewQueues: () => this.#cellRouter.review(timer.now()),
       hostCount,
+      isAlone: () =>
+        this.#options.seeds.length > 0 && this.#peers.aliveCount === 0,
       retryingHosts: () => this.#fleetSize.estimate(timer.now()),
       isStopping: () => this.#isStopping,
       stopsAt: () => this.#stopsAt,
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -85,6 +85,8 @@
   readonly reviewQueues: () => void;
   /** Returns the number of hosts that are heard, including this one. */
   readonly hostCount: () => number;
+  /** Whether this host hears none of the hosts that its settings name. */
+  readonly isAlone: () => boolean;
   /**
    * Returns the number of hosts that may be spending the retry budget; `Infinity`
    * while that is unknown.
