Keep planned ends and listed predecessors from counting as crashes

Three ways in which a sound request could have counted as the cause of a crash, or a crash be missed: an upstream that says in a response that it leaves was looked at for 9 s and found down after its planned end; an entry of a former upstream that is listed again made its successor at the address count as ended, so that its next broken response was a crash; a caller that left replaced the looks after a broken response.

Now nothing is confirmed about an upstream that is listed but receives no requests; only an upstream that was never listed before succeeds another one; a look after a caller that left is added to those that are due.

Tests, all three failing before: crashChecks.test.ts (two), slowCrashes.test.ts (one).

--- a/packages/gateway/src/crashChecks.ts
+++ b/packages/gateway/src/crashChecks.ts
@@ -93,9 +93,9 @@
     if (!this.#suspect(request)) return;
     if (this.#replaced.has(upstream)) return this.confirm(upstream);
     const watch = this.#watch(request.upstream);
+    watch.extend(LIFETIME_MS);
     if (watch.isDueWithin(LOOK_AFTER_ABORT_MS)) return;
-    const looks = this.#takeAbortLook() ? [LOOK_AFTER_ABORT_MS] : [];
-    watch.schedule(looks, { settling: 0, lifetime: LIFETIME_MS });
+    if (this.#takeAbortLook()) watch.addLook(LOOK_AFTER_ABORT_MS);
   }
 
   /** Records that an upstream has completed a request. */
@@ -124,6 +124,7 @@
   confirm(upstream: UpstreamId): void {
     const { crashes, metrics, log, announceCrash, timer } = this.#options
       .context();
+    if (this.#isLeaving(upstream)) return this.#end(upstream);
     const now = timer.now();
     for (const crash of this.#suspicions.take(upstream)) {
       if (!crashes.recordCrash(crash, now)) continue;
@@ -162,6 +163,13 @@
     return true;
   }
 
+  /** Whether an upstream may end as planned, although the store lists it. */
+  #isLeaving(upstream: UpstreamId): boolean {
+    const { directory } = this.#options.context();
+    return directory.findListed(upstream) !== undefined &&
+      directory.get(upstream) === undefined;
+  }
+
   #takeAbortLook(): boolean {
     const now = this.#options.context().timer.now();
     if (now - this.#abortLookAt < ABORT_LOOK_INTERVAL_MS) return false;
--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -48,12 +48,25 @@
     this.#proceed();
   }
 
+  /** Keeps the watch for this time, with the looks that are due. */
+  extend(lifetime: Milliseconds): void {
+    const now = this.#options.timer.now();
+    this.#expiresAt = Math.max(this.#expiresAt, now + lifetime);
+    this.#proceed();
+  }
+
   /** Whether a look is due within this time. */
   isDueWithin(span: Milliseconds): boolean {
     const [next] = this.#dueTimes;
     return next !== undefined && next - this.#options.timer.now() <= span;
   }
 
+  /** Adds a look before those that are due. */
+  addLook(delay: Milliseconds): void {
+    this.#dueTimes.unshift(this.#options.timer.now() + delay);
+    this.#proceed();
+  }
+
   /** Calls back after a look that shows more than a moment's state, or the end. */
   whenSettled(callback: () => void): void {
     if (this.#options.timer.now() > this.#settlesAt) callback();
--- a/packages/gateway/src/upstreamUpdates.ts
+++ b/packages/gateway/src/upstreamUpdates.ts
@@ -33,7 +33,7 @@
     const { directory, log, reviewQueues } = this.#context;
     const known = directory.findListed(upstream.upstream);
     if (upstream.isLeaving) this.#markLeaving(upstream.upstream);
-    if (known === undefined) this.#reportPredecessors([upstream]);
+    this.#reportPredecessors([upstream]);
     const previous = directory.set(upstream);
     this.#updateWarmup(upstream);
     if (previous !== undefined) this.#discard(previous, "started again");
@@ -180,16 +180,20 @@
     if (known !== undefined) this.#discard(known, why);
   }
 
-  /** Reports upstreams whose addresses others have been listed with. */
+  /** Reports the upstreams whose addresses new ones are listed with. */
   #reportPredecessors(upstreams: readonly Upstream[]): void {
     const { directory, crashChecks } = this.#context;
+    const isNew = ({ upstream, isLeaving }: Upstream): boolean =>
+      !isLeaving && directory.lastKnown(upstream) === undefined;
     const successors = new Map(
-      upstreams.map(({ address, upstream }) => [address, upstream]),
+      upstreams.filter(isNew).map(({ address, name }) => [address, name]),
     );
+    if (successors.size === 0) return;
     for (const known of directory.all()) {
       const successor = successors.get(known.address);
-      const isSame = successor === undefined || successor === known.upstream;
-      if (!isSame) crashChecks.handleDeparture(known, "replaced");
+      // Incarnations of one name replace each other in the directory.
+      if (successor === undefined || successor === known.name) continue;
+      crashChecks.handleDeparture(known, "replaced");
     }
   }
 
--- a/packages/gateway/tests/crashChecks.test.ts
+++ b/packages/gateway/tests/crashChecks.test.ts
@@ -17,6 +17,8 @@
   readonly confirmed: Crash[] = [];
   looks = 0;
   downFrom = Infinity;
+  /** Whether a response has said that the upstream leaves. */
+  isLeaving = false;
   /** Whether looks stay without a result. */
   isProbeStuck = false;
   readonly checks = new CrashChecks({
@@ -26,7 +28,10 @@
   readonly #context = {
     timer: this.timer,
     crashes: new PoisonRequestDetector(),
-    directory: { get: () => UPSTREAM },
+    directory: {
+      get: () => this.isLeaving ? undefined : UPSTREAM,
+      findListed: () => UPSTREAM,
+    },
     metrics: { count: () => {} },
     log: { write: () => {} },
     announceCrash: (crash: Crash) => this.confirmed.push(crash),
@@ -107,6 +112,29 @@
   t.is(host.confirmed.length, 0);
 });
 
+test("an upstream that says in a response that it leaves has not crashed", async (t) => {
+  // Guards against planned ends that count against a request that broke before.
+  const host = new CheckedHost();
+  host.downFrom = 3_000;
+  host.checks.recordBreak(REQUEST);
+  await host.advance(1_000);
+  host.isLeaving = true;
+  await host.advance(10_000);
+  t.is(host.confirmed.length, 0);
+});
+
+test("callers that leave do not keep a broken response from being looked into", async (t) => {
+  const host = new CheckedHost();
+  host.downFrom = 3_000;
+  host.checks.recordBreak(REQUEST);
+  await host.advance(2_000);
+  const other = { ...REQUEST, fingerprint: asId<Digest>("g") };
+  host.checks.recordAbort(other);
+  host.checks.recordAbort(other);
+  await host.advance(2_500);
+  t.true(host.confirmed.some(({ fingerprint }) => fingerprint === "f"));
+});
+
 test("an upstream whose entry lapses is looked at once more", async (t) => {
   // Guards against a process that hangs, and is killed between two looks.
   const host = new CheckedHost();
--- a/packages/gateway/tests/slowCrashes.test.ts
+++ b/packages/gateway/tests/slowCrashes.test.ts
@@ -6,6 +6,7 @@
   startGateway,
 } from "./helpers/fleet.ts";
 import {
+  BROKEN,
   countCrashed,
   countPoisonRuns,
   sendCopies,
@@ -95,3 +96,24 @@
   const crashed = countCrashed(upstreams);
   t.true(crashed <= MAXIMUM_CRASHES, `${crashed} upstreams crashed`);
 });
+
+test.serial("an upstream has not ended because its predecessor is listed again", async (t) => {
+  // Guards against breaks that count as crashes although the upstream is up.
+  const [upstream] = await startFragiles(1);
+  const [host] = await startFleet(t, [upstream!], {
+    ...AT_MOST_ONCE,
+    hosts: 1,
+  });
+  const { context, upstreamUpdates } = host!.gateway;
+  const { address } = upstream!;
+  const entries = [
+    buildEntry("next", { address }),
+    buildEntry("u0", { address, slots: 5 }),
+  ];
+  for (const entry of entries) upstreamUpdates.apply(entry);
+  upstreamUpdates.applyAll(entries);
+  await sendCopies([host!], { body: BROKEN, count: 3 });
+  const crashed = context.crashes.crashes(context.timer.now())
+    .map(({ upstream }) => upstream as string);
+  t.false(crashed.includes("next"));
+});
