--- a/packages/gateway/tests/crashChecks.test.ts
+++ b/packages/gateway/tests/crashChecks.test.ts
@@ -125,7 +125,7 @@
 
 test("callers that leave do not keep a broken response from being looked into", async (t) => {
   const host = new CheckedHost();
-  host.downFrom = 3_000;
+  host.downFrom = 3_500;
   host.checks.recordBreak(REQUEST);
   await host.advance(2_000);
   const other = { ...REQUEST, fingerprint: asId<Digest>("g") };
