Let only recent crashes of peers tell that an upstream is down

Found by reading. A host that has just started hears of crashes up to an hour old. Where an upstream has the same id again, an old one would have confirmed that it crashed under a request that has just ended there.

--- a/packages/admission/src/poisonRequestDetector.ts
+++ b/packages/admission/src/poisonRequestDetector.ts
@@ -53,16 +53,19 @@
  *
  * Callers repeat such a request at any host and would take down one upstream
  * after another. Hosts share the crashes that they have confirmed. Other requests
- * that ran at the same upstreams are told apart by their next complete response, by
- * crashing at no upstream but those of another request, and by the crashes that
- * they had no part in.
+ * that ran at the same upstreams are told apart by their next complete response,
+ * by crashing at no upstream but those of another request, and by the crashes
+ * that they had no part in.
  */
 export class PoisonRequestDetector {
   readonly #records = new Map<Digest, RequestRecord>();
   /** When each upstream crashed, under any request. */
   readonly #crashedAt = new Map<UpstreamId, Milliseconds>();
 
-  /** Records a crash that this host or a peer has confirmed; returns whether it was new. */
+  /**
+   * Records a crash that this host or a peer has confirmed; returns whether it
+   * was new.
+   */
   recordCrash(crash: Crash, now: Milliseconds): boolean {
     const isEnding = now - crash.at > RETENTION_MS - RETENTION_MARGIN_MS;
     return !isEnding && this.#add(crash);
--- a/packages/gateway/src/crashGossip.ts
+++ b/packages/gateway/src/crashGossip.ts
@@ -9,6 +9,8 @@
 const LIFETIME_MS: Milliseconds = 3_000;
 /** Announcements of one kind in a message. */
 const MAXIMUM_ROWS = 24;
+/** Age up to which a crash tells of an upstream that is in use now. */
+const RECENT_CRASH_MS: Milliseconds = 15_000;
 /** Earlier crashes in a heartbeat, for hosts that missed their announcement. */
 const HEARTBEAT_CRASHES = 6;
 
@@ -30,7 +32,7 @@
   readonly crashes: PoisonRequestDetector;
   /** Called when there is something to announce. */
   readonly onUpdate: () => void;
-  /** Called when a peer has found an upstream down. */
+  /** Called when a peer has just found an upstream down. */
   readonly onCrash: (upstream: UpstreamId) => void;
 }
 
@@ -94,7 +96,9 @@
     const { crashes } = this.#options;
     if (crashes.recordCrash(crash, now)) {
       this.announceCrash(crash, now);
-      return this.#options.onCrash(crash.upstream);
+      const isRecent = now - crash.at < RECENT_CRASH_MS;
+      if (isRecent) this.#options.onCrash(crash.upstream);
+      return;
     }
     const completion = crashes.completionOf(crash.fingerprint);
     const isRefuted = completion !== undefined && crash.at <= completion.at;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,6 +11,7 @@
   type LogOutput,
   type LogValues,
 } from "./decisionLog.ts";
+export { CrashGossip } from "./crashGossip.ts";
 export { CrashChecks } from "./crashChecks.ts";
 export { EventStreamSplitter } from "./eventStreamSplitter.ts";
 export { FleetSize, type FleetSizeOptions } from "./fleetSize.ts";
