--- a/packages/admission/src/poisonRequestDetector.ts
+++ b/packages/admission/src/poisonRequestDetector.ts
@@ -114,7 +114,8 @@
     const minimum = isAlone ? ALONE_QUARANTINE_CRASHES : QUARANTINE_CRASHES;
     if (count < minimum) return 0;
     const record = this.#records.get(fingerprint)!;
-    if (this.#isExplained(record) || this.#isDoubtful(record)) return 0;
+    if (this.#isExplained(record)) return 0;
+    if (!isAlone && this.#isDoubtful(record)) return 0;
     const span = FIRST_QUARANTINE_MS * 2 ** (count - minimum);
     const until = record.lastCrashAt + Math.min(span, RETENTION_MS);
     return Math.max(0, until - now);
--- a/packages/admission/tests/poisonRequests.test.ts
+++ b/packages/admission/tests/poisonRequests.test.ts
@@ -112,3 +112,14 @@
   t.true(detector.isQuarantined(POISON, 9_000));
   t.true(detector.isQuarantined(other, 9_000));
 });
+
+test("a host that hears no peers refuses a request after one of many crashes", (t) => {
+  // Guards against upstreams that crash meanwhile and hide a poison request there.
+  const detector = new PoisonRequestDetector();
+  for (let index = 0; index < 4; index++) {
+    recordCrashes(detector, asId<Digest>(`other-${index}`), [index]);
+  }
+  recordCrashes(detector, POISON, [4]);
+  t.is(detector.quarantineLeft(POISON, 4_000), 0);
+  t.is(detector.quarantineLeft(POISON, 4_000, { isAlone: true }), MINUTE_MS);
+});
