--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -12,6 +12,7 @@
   type UpstreamId,
 } from "@wasabivane/common";
 import type { Policy, Route, RouteId, Upstream } from "@wasabivane/admission";
+import type { ExecutionContext } from "ava";
 import { Gateway, type LogOutput } from "@wasabivane/gateway";
 import { freePorts } from "./freePorts.ts";
 import { PlainDialect } from "./plainDialect.ts";
@@ -20,6 +21,7 @@
 const MAXIMUM_ATTEMPTS = 5;
 /** Long enough for tests that run in parallel on a busy machine. */
 const CONNECT_TIMEOUT_MS = 20_000;
+const HOSTS_APART = 4;
 const SERVICE = asId<ServiceId>("plans");
 
 /** A request that a {@link RawUpstream} received. */
@@ -260,6 +262,28 @@
   return result;
 }
 
+/** Nothing listens there. */
+const UNUSED_ADDRESS = "127.0.0.1:1";
+
+/** Starts hosts whose settings name peers that they never hear. */
+export async function startHostsApart(
+  t: ExecutionContext,
+  upstreams: readonly RawUpstream[],
+  options: Partial<GatewayStartOptions> = {},
+): Promise<RunningGateway[]> {
+  const hosts = await Promise.all(
+    Array.from({ length: HOSTS_APART }, (_, index) =>
+      startGateway({
+        ...options,
+        upstreams,
+        host: `apart-${index}`,
+        seeds: [UNUSED_ADDRESS],
+      })),
+  );
+  t.teardown(() => Promise.all(hosts.map((host) => host.close())));
+  return hosts;
+}
+
 /** Builds the store's entry of an upstream. */
 export function buildEntry(
   name: string,
--- a/packages/gateway/tests/quotasApart.test.ts
+++ b/packages/gateway/tests/quotasApart.test.ts
@@ -6,12 +6,10 @@
   responseHead,
   type RunningGateway,
   sendRequest,
-  startGateway,
+  startHostsApart,
   startUpstream,
 } from "./helpers/fleet.ts";
 
-/** Nothing listens there. */
-const UNUSED_ADDRESS = "127.0.0.1:1";
 const BURST = 10;
 const REQUESTS_PER_HOST = 20;
 
@@ -39,15 +37,7 @@
     const head = responseHead(received, { "content-length": 0 });
     received.socket.write(head);
   });
-  const hosts = await Promise.all(
-    Array.from({ length: 4 }, (_, index) =>
-      startGateway({
-        upstreams: [upstream],
-        host: `apart-${index}`,
-        seeds: [UNUSED_ADDRESS],
-      })),
-  );
-  t.teardown(() => Promise.all(hosts.map((host) => host.close())));
+  const hosts = await startHostsApart(t, [upstream]);
   for (const host of hosts) {
     limitAccount(host);
     for (let sent = 0; sent < REQUESTS_PER_HOST; sent++) {
--- a/packages/gateway/tests/retryBudget.test.ts
+++ b/packages/gateway/tests/retryBudget.test.ts
@@ -6,11 +6,10 @@
   type RunningGateway,
   sendRequest,
   startGateway,
+  startHostsApart,
   startUpstream,
 } from "./helpers/fleet.ts";
 
-/** Nothing listens there. */
-const UNUSED_ADDRESS = "127.0.0.1:1";
 const RETRY_RATIO = 0.2;
 const RETRY_SLACK = 50;
 const SETTLING_MS: Milliseconds = 10_000;
@@ -52,15 +51,7 @@
 test("hosts that do not hear each other keep the retry budget together", async (t) => {
   // Guards against hosts that each take the whole slack for themselves.
   const upstreams = await startFailingPair();
-  const hosts = await Promise.all(
-    Array.from({ length: 4 }, (_, index) =>
-      startGateway({
-        upstreams,
-        host: `apart-${index}`,
-        seeds: [UNUSED_ADDRESS],
-      })),
-  );
-  t.teardown(() => Promise.all(hosts.map((host) => host.close())));
+  const hosts = await startHostsApart(t, upstreams);
   await Promise.all(hosts.map((host) => sendRequests(host, 40)));
   const repeats = countRepeats(upstreams);
   const allowed = RETRY_RATIO * 160 + RETRY_SLACK;
--- a/packages/gateway/tests/slowCrashes.test.ts
+++ b/packages/gateway/tests/slowCrashes.test.ts
@@ -3,7 +3,7 @@
   buildEntry,
   type GatewayStartOptions,
   type RunningGateway,
-  startGateway,
+  startHostsApart,
 } from "./helpers/fleet.ts";
 import {
   BROKEN,
@@ -15,8 +15,6 @@
 } from "./helpers/fragileUpstreams.ts";
 
 const UPSTREAMS = 12;
-/** Nothing listens there. */
-const UNUSED_ADDRESS = "127.0.0.1:1";
 /** Crashes after which a request is refused, and copies that may run besides. */
 const MAXIMUM_CRASHES = 3 + 3;
 
@@ -82,16 +80,7 @@
 test.serial("hosts that hear no peers each let a request end one upstream", async (t) => {
   // Guards against hosts that wait for crashes which peers cannot tell them.
   const upstreams = await startFragiles(UPSTREAMS);
-  const fleet = await Promise.all(
-    Array.from({ length: 4 }, (_, index) =>
-      startGateway({
-        ...AT_MOST_ONCE,
-        upstreams,
-        host: `apart-${index}`,
-        seeds: [UNUSED_ADDRESS],
-      })),
-  );
-  t.teardown(() => Promise.all(fleet.map((host) => host.close())));
+  const fleet = await startHostsApart(t, upstreams, AT_MOST_ONCE);
   await sendCopies(fleet);
   const crashed = countCrashed(upstreams);
   t.true(crashed <= MAXIMUM_CRASHES, `${crashed} upstreams crashed`);
