Log how responses without a length or chunks ended

A response that neither has a length nor comes in chunks ends only with its connection, and request_ended said "whole" for it wherever that happened. request_ended and request_failed now say "unframed" and how many bytes of an incomplete event were left over, so that the three hypotheses of docs/incidents/stream-truncated-within-an-event.md can be told apart in a log. No decision changes.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -8,6 +8,7 @@
 import type { Dialect, ResponseMetadata } from "./dialect.ts";
 import { EventStreamSplitter } from "./eventStreamSplitter.ts";
 import type { HeaderValues } from "./headers.ts";
+import { framingOf, type ResponseFraming } from "./responseFraming.ts";
 import type {
   RunningCall,
   UpstreamCall,
@@ -43,6 +44,10 @@
   readonly detail: string;
   /** Whether any bytes of the request may have been sent. */
   readonly wasSent: boolean;
+  /** `undefined` before the response's head. */
+  readonly framing: ResponseFraming | undefined;
+  /** Size of an incomplete event at the end of a stream. */
+  readonly partialBytes: number;
   /** The complete response, where it was buffered. */
   readonly response?: ResponseHead & { readonly body: Buffer };
 }
@@ -125,6 +130,7 @@
   readonly #buffered: Buffer[] = [];
   #bufferedBytes = 0;
   #head: ResponseHead | undefined;
+  #framing: ResponseFraming | undefined;
   #wasSent = false;
   #isEnded = false;
   #hasStarted = false;
@@ -210,6 +216,8 @@
       return this.#end({ outcome: "not-run", detail: `status ${status}` });
     }
     this.#head = { status, headers };
+    const { method } = this.#options.call;
+    this.#framing = framingOf({ method, status, headers });
   }
 
   /**
@@ -341,7 +349,9 @@
     this.#end({ outcome: "silent", detail: `no data for ${span} ms` });
   }
 
-  #end(end: Omit<AttemptEnd, "wasSent">): void {
+  #end(
+    end: Pick<AttemptEnd, "outcome" | "detail" | "response">,
+  ): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
     this.#silenceTimer?.cancel();
@@ -349,7 +359,12 @@
       end.outcome === "whole" ||
       end.outcome === "unreachable";
     if (!isCallFinished) this.#call?.abort();
-    this.#options.listener.onEnd({ ...end, wasSent: this.#wasSent });
+    this.#options.listener.onEnd({
+      ...end,
+      wasSent: this.#wasSent,
+      framing: this.#framing,
+      partialBytes: this.#splitter.remainder.length,
+    });
   }
 }
 
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -284,7 +284,8 @@
   }
 
   /** Forwards the complete response, or ends the stream. */
-  #deliver({ response }: AttemptEnd): void {
+  #deliver(end: AttemptEnd): void {
+    const { response } = end;
     const caller = this.#options.response;
     this.#timings.recordFirstByte(this.#now());
     if (response === undefined) caller.finish();
@@ -292,6 +293,7 @@
     else caller.sendComplete(response.status, response.headers, response.body);
     this.#finish(
       response === undefined ? "whole" : `status-${response.status}`,
+      describeFraming(end),
     );
   }
 
@@ -310,7 +312,13 @@
     });
     if (!shouldRetry) return this.#fail(end, upstream);
     if (!wasNotSent(outcome)) {
-      this.#log("request_failed", { upstream, outcome, detail, next: "again" });
+      this.#log("request_failed", {
+        upstream,
+        outcome,
+        detail,
+        next: "again",
+        ...describeFraming(end),
+      });
     }
     const { crashes, crashChecks } = context;
     if (!crashes.isSuspect(request.fingerprint, this.#now())) {
@@ -329,12 +337,16 @@
     return context.crashes.isQuarantined(request.fingerprint, this.#now());
   }
 
-  #fail(
-    { outcome, detail, response: upstreamResponse }: AttemptEnd,
-    upstream: Upstream["upstream"],
-  ): void {
+  #fail(end: AttemptEnd, upstream: Upstream["upstream"]): void {
+    const { outcome, detail, response: upstreamResponse } = end;
     const { response } = this.#options;
-    this.#log("request_failed", { upstream, outcome, detail, next: "give-up" });
+    this.#log("request_failed", {
+      upstream,
+      outcome,
+      detail,
+      next: "give-up",
+      ...describeFraming(end),
+    });
     if (response.hasStarted) return this.#cut(outcome);
     if (
       upstreamResponse !== undefined && shouldForward(upstreamResponse.status)
@@ -416,7 +428,7 @@
     attempt.abort("cancelled", detail);
   }
 
-  #finish(ending: string): void {
+  #finish(ending: string, values: LogValues = {}): void {
     if (this.#isFinished) return;
     this.#isFinished = true;
     this.#deadlineTimer?.cancel();
@@ -431,7 +443,11 @@
       total: this.#timings.total(now),
     });
     if (ending !== "caller-left") {
-      this.#log("request_ended", { ending, ...this.#timings.logValues(now) });
+      this.#log("request_ended", {
+        ending,
+        ...values,
+        ...this.#timings.logValues(now),
+      });
     }
     onEnd({
       hasRun: this.#retryState.mayHaveRun ||
@@ -459,6 +475,12 @@
   }
 }
 
+/** Describes the end of a response that ended only with its connection. */
+function describeFraming({ framing, partialBytes }: AttemptEnd): LogValues {
+  if (framing !== "connection") return {};
+  return { unframed: true, partial: partialBytes };
+}
+
 function roundDuration(
   span: Milliseconds | undefined,
 ): Milliseconds | undefined {
