--- /dev/null
+++ b/packages/gateway/tests/unframedResponses.test.ts
@@ -0,0 +1,204 @@
+import test, { type ExecutionContext } from "ava";
+import type { Route } from "@wasabivane/admission";
+import {
+  type ReceivedRequest,
+  responseHead,
+  sendRequest,
+  startGateway,
+  startUpstream,
+} from "./helpers/fleet.ts";
+
+const STREAM = { isStreaming: true, target: 300, pauseTarget: 200 } as const;
+const EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const NEXT_EVENT = "id: 3\ndata: c\n\n";
+const CRLF_EVENT = NEXT_EVENT.replaceAll("\n", "\r\n");
+
+/** Incomplete events, by where they end. */
+const PARTIAL_EVENTS: Readonly<Record<string, string>> = {
+  "after one byte": "i",
+  "in the id": "id: ",
+  "after the line of the id": "id: 3\n",
+  "in the data": "id: 3\ndata: hal",
+  "before the blank line": NEXT_EVENT.slice(0, -1),
+  "in the data of a CRLF event": CRLF_EVENT.slice(0, -6),
+  "before the blank line of a CRLF event": CRLF_EVENT.slice(0, -2),
+  "in the blank line of a CRLF event": CRLF_EVENT.slice(0, -1),
+  "in a comment": ": ke",
+};
+
+/** Answers without a length or chunks, and ends the connection. */
+function endUnframed({ received, body }: {
+  received: ReceivedRequest;
+  body: string;
+}): void {
+  const headers = { connection: "close", "content-type": "text/event-stream" };
+  received.socket.end(responseHead(received, headers) + body);
+}
+
+/** Starts a host whose upstreams break `first` off and complete the rest. */
+async function startBreaking(
+  t: ExecutionContext,
+  { first, ...route }: { first: string } & Partial<Route>,
+) {
+  const respond = (received: ReceivedRequest): void => {
+    const last = received.header("last-event-id");
+    const isFirst = upstreams.reduce(
+      (total, upstream) => total + upstream.received.length,
+      0,
+    ) === 1;
+    if (isFirst) return endUnframed({ received, body: first });
+    const body = last === undefined ? EVENTS + NEXT_EVENT : NEXT_EVENT;
+    endUnframed({ received, body });
+  };
+  const upstreams = await Promise.all([
+    startUpstream(respond),
+    startUpstream(respond),
+  ]);
+  const host = await startGateway({
+    upstreams,
+    route: { ...STREAM, ...route },
+  });
+  t.teardown(() => host.close());
+  return { host, upstreams };
+}
+
+for (const [place, partial] of Object.entries(PARTIAL_EVENTS)) {
+  test.failing(`an at-most-once stream that ends ${place} with its connection is cut`, async (t) => {
+    // Guards against a truncated stream that the caller takes for a complete one.
+    const { host } = await startBreaking(t, {
+      first: EVENTS + partial,
+      repeatability: "at-most-once",
+    });
+    const { status, body, isComplete } = await sendRequest(host.url);
+    t.deepEqual([status, isComplete], [200, false]);
+    t.true(EVENTS.startsWith(body));
+  });
+
+  test.failing(`a resumable stream that ends ${place} with its connection goes on elsewhere`, async (t) => {
+    // Guards against a truncated stream, and against bytes that come twice.
+    const { host } = await startBreaking(t, {
+      first: EVENTS + partial,
+      repeatability: "resumable",
+    });
+    const { body, isComplete } = await sendRequest(host.url);
+    t.deepEqual([body, isComplete], [EVENTS + NEXT_EVENT, true]);
+  });
+}
+
+for (const [name, first] of [["empty", ""], ["partial", "id: 1\nda"]]) {
+  test.failing(`an at-most-once stream that ends with its connection before an event (${name}) is no success`, async (t) => {
+    // Guards against a success that has no event.
+    const { host } = await startBreaking(t, {
+      first: first!,
+      repeatability: "at-most-once",
+    });
+    t.is((await sendRequest(host.url)).status, 502);
+  });
+
+  test.failing(`a resumable stream that ends with its connection before an event (${name}) begins elsewhere`, async (t) => {
+    // Guards against a success that has no event although another upstream has it.
+    const { host } = await startBreaking(t, {
+      first: first!,
+      repeatability: "resumable",
+    });
+    const { body, isComplete } = await sendRequest(host.url);
+    t.deepEqual([body, isComplete], [EVENTS + NEXT_EVENT, true]);
+  });
+}
+
+test("a stream of whole events that ends with its connection is complete after one run", async (t) => {
+  for (const repeatability of ["at-most-once", "resumable"] as const) {
+    const { host, upstreams } = await startBreaking(t, {
+      first: EVENTS,
+      repeatability,
+    });
+    const { body, isComplete } = await sendRequest(host.url);
+    t.deepEqual([body, isComplete], [EVENTS, true]);
+    t.is(upstreams.flatMap(({ received }) => received).length, 1);
+  }
+});
+
+for (const framing of ["length", "chunks"] as const) {
+  test(`the last event of a stream framed by its ${framing} needs no blank line`, async (t) => {
+    // Guards against a sound stream that is cut since its upstream ends it tersely.
+    const body = EVENTS + NEXT_EVENT.slice(0, -1);
+    const upstream = await startUpstream((received) => {
+      const headers: Record<string, string | number> = framing === "length"
+        ? { "content-length": body.length }
+        : { "transfer-encoding": "chunked" };
+      const size = body.length.toString(16);
+      const bytes = framing === "length"
+        ? body
+        : `${size}\r\n${body}\r\n0\r\n\r\n`;
+      received.socket.end(responseHead(received, headers) + bytes);
+    });
+    const host = await startGateway({
+      upstreams: [upstream],
+      route: { ...STREAM, repeatability: "at-most-once" },
+    });
+    t.teardown(() => host.close());
+    const seen = await sendRequest(host.url);
+    t.deepEqual([seen.body, seen.isComplete], [body, true]);
+  });
+}
+
+test("a response that ends before its length or its final chunk is not complete", async (t) => {
+  // Guards against the end of the connection taken for that of the response.
+  const bodies: { headers: Record<string, string | number>; bytes: string }[] =
+    [
+      { headers: { "content-length": 100 }, bytes: EVENTS },
+      { headers: { "transfer-encoding": "chunked" }, bytes: "5\r\nid: 1\r\n" },
+    ];
+  for (const { headers, bytes } of bodies) {
+    const upstream = await startUpstream((received) => {
+      const head = responseHead(received, { ...headers, connection: "close" });
+      received.socket.end(head + bytes);
+    });
+    const host = await startGateway({
+      upstreams: [upstream],
+      route: { ...STREAM, repeatability: "at-most-once" },
+    });
+    t.teardown(() => host.close());
+    const { status, isComplete } = await sendRequest(host.url);
+    t.false(status === 200 && isComplete);
+  }
+});
+
+/** Starts two upstreams, the first of which ends between two events. */
+async function startCrashing(t: ExecutionContext, route: Partial<Route>) {
+  const crash = (received: ReceivedRequest): void => {
+    if (received.header("last-event-id") !== undefined) {
+      return endUnframed({ received, body: NEXT_EVENT });
+    }
+    received.socket.write(responseHead(received, { connection: "close" }));
+    received.socket.write(
+      EVENTS,
+      () =>
+        upstreams.find(({ received: [first] }) => first !== undefined)!.close(),
+    );
+  };
+  const upstreams = await Promise.all([
+    startUpstream(crash),
+    startUpstream(crash),
+  ]);
+  const host = await startGateway({
+    upstreams,
+    route: { ...STREAM, ...route },
+  });
+  t.teardown(() => host.close());
+  return host;
+}
+
+test.failing("an at-most-once stream that ends between events with its upstream's process is cut", async (t) => {
+  // Guards against a truncated stream that the caller takes for a complete one.
+  const host = await startCrashing(t, { repeatability: "at-most-once" });
+  const { body, isComplete } = await sendRequest(host.url);
+  t.deepEqual([body, isComplete], [EVENTS, false]);
+});
+
+test.failing("a resumable stream that ends between events with its upstream's process goes on elsewhere", async (t) => {
+  // Guards against a truncated stream although another upstream has the rest.
+  const host = await startCrashing(t, { repeatability: "resumable" });
+  const { body, isComplete } = await sendRequest(host.url);
+  t.deepEqual([body, isComplete], [EVENTS + NEXT_EVENT, true]);
+});
