Check that the upstream still listens where only its connection ends a stream

A process that crashes closes its connections by FIN wherever its streams are, also between two events, and there the bytes look like those of a whole stream: callers got it framed as complete. Nothing in the response tells the two apart, but a crashed process no longer listens. At the end of a stream with neither a length nor chunks the host now connects once; if the address refuses, the stream was broken off, and goes on elsewhere or is cut. An upstream that announced its end may exit right after its last response, so it is not looked at; a connection that fails for another reason shows nothing, and the stream is complete.

Two tests failed before and pass now; a third shows that the last stream of a leaving upstream stays complete. Cost: one connection for each such stream, which has used up its own; none for other framings. Not told: a process that closes a connection between events and goes on listening, or whose successor listens at once.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -90,6 +90,11 @@
   readonly deadline: Milliseconds;
   /** Whether the upstream may receive requests; checked before sending. */
   readonly isUsable: () => boolean;
+  /**
+   * Finds out whether the upstream has crashed; asked at the end of a stream that
+   * nothing but the end of its connection shows to be complete.
+   */
+  readonly hasCrashed: () => Promise<boolean>;
   /** Request id that the response must repeat. */
   readonly requestId: string;
   readonly isStreaming: boolean;
@@ -319,6 +324,23 @@
       const detail = "connection ended within an event";
       return this.#end({ outcome: "broken", detail });
     }
+    if (this.#framing === "connection" && this.#isEventStream()) {
+      this.#silenceTimer?.cancel();
+      return void this.#endUnlessCrashed();
+    }
+    this.#completeStream();
+  }
+
+  async #endUnlessCrashed(): Promise<void> {
+    if (!await this.#options.hasCrashed()) return this.#completeStream();
+    this.#end({
+      outcome: "broken",
+      detail: "connection ended with the upstream",
+    });
+  }
+
+  #completeStream(): void {
+    if (this.#isEnded) return;
     this.#startStream();
     const { remainder } = this.#splitter;
     if (remainder.length > 0) {
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -101,6 +101,7 @@
     isUsable: () =>
       context.placementClient.isUsable(upstream.upstream, timer.now()) &&
       !context.crashes.isQuarantined(request.fingerprint, timer.now()),
+    hasCrashed: () => hasCrashed(upstream, context),
     requestId: metadata.requestId,
     isStreaming: route.isStreaming,
     pauseTarget: route.pauseTarget,
@@ -120,6 +121,18 @@
   };
 }
 
+/**
+ * Whether an upstream's process has just ended without having announced it. One
+ * that has may end right after its last response.
+ */
+async function hasCrashed(
+  upstream: Upstream,
+  { directory, isRefusing }: GatewayContext,
+): Promise<boolean> {
+  const isInUse = directory.get(upstream.upstream) !== undefined;
+  return isInUse && await isRefusing(upstream);
+}
+
 /** Returns the prompt tokens that the caller declared, or 0. */
 export function promptTokensOf({ metadata }: AdmittedRequest): number {
   return metadata.tokens?.prompt ?? 0;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -325,6 +325,7 @@
         context: () => this.context,
         probe: (upstream) => this.#links.probe(upstream),
       }),
+      isRefusing: (upstream) => this.#links.isRefusing(upstream),
       lag,
       shedding: new LoadShedder({
         lag,
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -58,6 +58,8 @@
   readonly retries: RetryBudget;
   readonly crashes: PoisonRequestDetector;
   readonly crashChecks: CrashChecks;
+  /** Whether nothing listens at an upstream's address any more. */
+  readonly isRefusing: (upstream: Upstream) => Promise<boolean>;
   readonly lag: EventLoopLag;
   readonly shedding: LoadShedder;
   readonly connections: UpstreamConnections;
--- a/packages/gateway/src/upstreamLinks.ts
+++ b/packages/gateway/src/upstreamLinks.ts
@@ -62,6 +62,11 @@
     return this.#probe.probe(upstream);
   }
 
+  /** See {@link UpstreamProbe.isRefusing}. */
+  isRefusing(upstream: Upstream): Promise<boolean> {
+    return this.#probe.isRefusing(upstream);
+  }
+
   /** Tries broken links again, at intervals. */
   tick(): void {
     const { directory } = this.#options.context;
--- a/packages/gateway/src/upstreamProbe.ts
+++ b/packages/gateway/src/upstreamProbe.ts
@@ -12,6 +12,8 @@
 
 /** Other upstreams that are tried to learn whether this host has links at all. */
 const CONTROLS = 3;
+/** Error code if nothing listens at an address. */
+const REFUSED = "ECONNREFUSED";
 
 /** Whether an upstream accepts connections. */
 export type UpstreamState = "up" | "down" | "unknown";
@@ -56,6 +58,15 @@
     );
   }
 
+  /**
+   * Whether nothing listens at an upstream's address any more. A host that cannot
+   * connect for another reason does not know, so this is false then.
+   */
+  async isRefusing({ address }: Upstream): Promise<boolean> {
+    const error = await this.#connect(address);
+    return (error as NodeJS.ErrnoException | null)?.code === REFUSED;
+  }
+
   async #reachesOthers(upstream: Upstream): Promise<boolean> {
     const controls = this.#selectControls(upstream);
     const connected = await Promise.all(
@@ -79,14 +90,19 @@
       .map(({ other }) => other);
   }
 
-  #connects({ address }: Upstream): Promise<boolean> {
+  async #connects({ address }: Upstream): Promise<boolean> {
+    return await this.#connect(address) === null;
+  }
+
+  /** Connects once; returns the error, if any. */
+  #connect(address: string): Promise<Error | null> {
     const [hostname = "", port = ""] = address.split(":");
     return new Promise((resolve) =>
       this.#options.connectDirectly(
         { hostname, port, protocol: "http:" },
         (error, socket) => {
           socket?.destroy();
-          resolve(error === null);
+          resolve(error);
         },
       )
     );
--- a/packages/gateway/tests/unframedResponses.test.ts
+++ b/packages/gateway/tests/unframedResponses.test.ts
@@ -1,8 +1,10 @@
 import test, { type ExecutionContext } from "ava";
 import type { Route } from "@wasabivane/admission";
 import {
+  type RawUpstream,
   type ReceivedRequest,
   responseHead,
+  type RunningGateway,
   sendRequest,
   startGateway,
   startUpstream,
@@ -39,7 +41,7 @@
 async function startBreaking(
   t: ExecutionContext,
   { first, ...route }: { first: string } & Partial<Route>,
-) {
+): Promise<{ host: RunningGateway; upstreams: readonly RawUpstream[] }> {
   const respond = (received: ReceivedRequest): void => {
     const last = received.header("last-event-id");
     const isFirst = upstreams.reduce(
@@ -164,17 +166,20 @@
   }
 });
 
-/** Starts two upstreams, the first of which ends between two events. */
-async function startCrashing(t: ExecutionContext, route: Partial<Route>) {
+/** Starts two upstreams of which the one that is used ends between two events. */
+async function startCrashing(
+  t: ExecutionContext,
+  { isLeaving = false, ...route }: { isLeaving?: boolean } & Partial<Route>,
+): Promise<RunningGateway> {
   const crash = (received: ReceivedRequest): void => {
     if (received.header("last-event-id") !== undefined) {
       return endUnframed({ received, body: NEXT_EVENT });
     }
-    received.socket.write(responseHead(received, { connection: "close" }));
+    const head: Record<string, string> = { connection: "close" };
+    if (isLeaving) head["leaving"] = "1";
     received.socket.write(
-      EVENTS,
-      () =>
-        upstreams.find(({ received: [first] }) => first !== undefined)!.close(),
+      responseHead(received, head) + EVENTS,
+      () => upstreams.find(({ received: [used] }) => used)!.close(),
     );
   };
   const upstreams = await Promise.all([
@@ -189,16 +194,26 @@
   return host;
 }
 
-test.failing("an at-most-once stream that ends between events with its upstream's process is cut", async (t) => {
+test("an at-most-once stream that ends between events with its upstream's process is cut", async (t) => {
   // Guards against a truncated stream that the caller takes for a complete one.
   const host = await startCrashing(t, { repeatability: "at-most-once" });
   const { body, isComplete } = await sendRequest(host.url);
   t.deepEqual([body, isComplete], [EVENTS, false]);
 });
 
-test.failing("a resumable stream that ends between events with its upstream's process goes on elsewhere", async (t) => {
+test("a resumable stream that ends between events with its upstream's process goes on elsewhere", async (t) => {
   // Guards against a truncated stream although another upstream has the rest.
   const host = await startCrashing(t, { repeatability: "resumable" });
   const { body, isComplete } = await sendRequest(host.url);
   t.deepEqual([body, isComplete], [EVENTS + NEXT_EVENT, true]);
 });
+
+test("the last stream of an upstream that leaves is complete", async (t) => {
+  // Guards against a sound stream that is cut since its upstream ends as planned.
+  const host = await startCrashing(t, {
+    isLeaving: true,
+    repeatability: "at-most-once",
+  });
+  const { body, isComplete } = await sendRequest(host.url);
+  t.deepEqual([body, isComplete], [EVENTS, true]);
+});
