Test streams that end while their callers read slowly

The end of a stream without a length or chunks is noticed behind the bytes that come first, also where the caller's connection is congested: whole streams are complete, and those that end within an event are cut after their whole events.

--- a/packages/gateway/tests/unframedResponses.test.ts
+++ b/packages/gateway/tests/unframedResponses.test.ts
@@ -12,6 +12,7 @@
 
 const STREAM = { isStreaming: true, target: 300, pauseTarget: 200 } as const;
 const EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const SLOW_READER_MS = 300;
 const NEXT_EVENT = "id: 3\ndata: c\n\n";
 const CRLF_EVENT = NEXT_EVENT.replaceAll("\n", "\r\n");
 
@@ -120,6 +121,31 @@
   }
 });
 
+for (
+  const [end, partial] of [["whole", ""], ["within an event", "id: 9\nda"]]
+) {
+  test(`a stream that ends ${end} while its caller reads slowly is ${partial ? "cut" : "complete"}`, async (t) => {
+    // Guards against an end that is noticed before the bytes that come first.
+    const event = `id: 1\ndata: ${"x".repeat(4 * 1_024 * 1_024)}\n\n`;
+    const { host } = await startBreaking(t, {
+      first: event + event + partial,
+      repeatability: "at-most-once",
+    });
+    const { request } = await import("undici");
+    const { body } = await request(`${host.url}/a/1`, {
+      headers: { host: "plans.example", id: "q1", key: "k" },
+    });
+    await new Promise((resolve) => setTimeout(resolve, SLOW_READER_MS));
+    let bytes = 0;
+    const read = (async () => {
+      for await (const part of body) bytes += part.length;
+    })();
+    if (partial) await t.throwsAsync(read);
+    else await read;
+    t.is(bytes, 2 * event.length);
+  });
+}
+
 for (const framing of ["length", "chunks"] as const) {
   test(`the last event of a stream framed by its ${framing} needs no blank line`, async (t) => {
     // Guards against a sound stream that is cut since its upstream ends it tersely.
