Wait for a process to end before looking whether its upstream listens

The host now waits 20 ms. Events are not held back; only the end of a stream without a length or chunks is.

--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -44,6 +44,8 @@
   readonly listener: AttemptListener;
 }
 
+/** A process that ends may close its connections some time before its listener. */
+const PROCESS_END_MS: Milliseconds = 20;
 /** Prompt parts used for placement; shared ones come first. */
 const MAXIMUM_PROMPT_PARTS = 8;
 
@@ -127,8 +129,11 @@
  */
 async function hasCrashed(
   upstream: Upstream,
-  { directory, isRefusing }: GatewayContext,
+  { directory, isRefusing, timer }: GatewayContext,
 ): Promise<boolean> {
+  await new Promise<void>((resolve) => {
+    timer.after(PROCESS_END_MS, resolve);
+  });
   const isInUse = directory.get(upstream.upstream) !== undefined;
   return isInUse && await isRefusing(upstream);
 }
