Log the software version of upstreams, and which streams are taken up

Upstreams of several software versions may serve side by side, and a stream may go on only at the version that began it. The logs told neither version nor whether a request takes a stream up. The version of an entry is now decoded and passed among hosts (gossip format 14) and logged where a request is sent, with the last event and the request that the caller names as the stream's beginning. No decision changes.

--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -16,6 +16,12 @@
 /** Identifies a route of the policy. */
 export type RouteId = Branded<string, "RouteId">;
 
+/**
+ * Version of an upstream's software, without an order; neither that of a model's
+ * weights nor that of the policy. Empty if the platform publishes none.
+ */
+export type SoftwareVersion = Branded<string, "SoftwareVersion">;
+
 /** Whether and how a request that may have run can be sent again. */
 export type Repeatability = "idempotent" | "at-most-once" | "resumable";
 
@@ -116,6 +122,7 @@
   readonly address: string;
   readonly failureDomain: FailureDomain;
   readonly slots: number;
+  readonly softwareVersion: SoftwareVersion;
   readonly isLeaving: boolean;
   /** Remaining warm-up time when its entry was written. */
   readonly coldFor: Milliseconds;
--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -366,5 +366,6 @@
   return left.bornAt === right.bornAt && left.service === right.service &&
     left.address === right.address && left.slots === right.slots &&
     left.failureDomain === right.failureDomain &&
+    left.softwareVersion === right.softwareVersion &&
     left.isLeaving === right.isLeaving;
 }
--- a/packages/admission/tests/helpers/build.ts
+++ b/packages/admission/tests/helpers/build.ts
@@ -39,6 +39,7 @@
     slots: 2,
     isLeaving: false,
     coldFor: 0,
+    softwareVersion: asId("1"),
     ...changes,
   };
 }
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -18,6 +18,8 @@
   readonly promptParts: readonly PromptPart[];
   /** Id of the last event that the caller has received, to resume a stream. */
   readonly lastEventId: number | undefined;
+  /** Id of the request that brought the first event of a stream to resume. */
+  readonly resumes: RequestId | undefined;
 }
 
 /** Metadata that a host adds to the request it sends to an upstream. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -242,6 +242,9 @@
       this.#retryState.count === 1 ? "request_sent" : "request_sent_again",
       {
         upstream: upstream.upstream,
+        version: upstream.softwareVersion || undefined,
+        lastEvent: this.#lastEventId,
+        resumes: admitted.metadata.resumes,
         waited: Math.round(this.#timings.waited),
         promptTokens: admitted.metadata.tokens?.prompt,
         outputTokens: admitted.metadata.tokens?.output,
--- a/packages/gateway/src/gossipRows.ts
+++ b/packages/gateway/src/gossipRows.ts
@@ -7,7 +7,7 @@
   type ServiceId,
   type UpstreamId,
 } from "@wasabivane/common";
-import type { Upstream } from "@wasabivane/admission";
+import type { SoftwareVersion, Upstream } from "@wasabivane/admission";
 import {
   expectArray,
   expectNumber,
@@ -61,6 +61,7 @@
     upstream.slots,
     upstream.isLeaving,
     upstream.coldFor,
+    upstream.softwareVersion,
   ]);
   const row = [from, to, rows, removed];
   return evacuated === undefined ? row : [...row, evacuated];
@@ -91,6 +92,7 @@
     slots: expectNumber(row[6]),
     isLeaving: row[7] === true,
     coldFor: expectNumber(row[8]),
+    softwareVersion: asId<SoftwareVersion>(expectString(row[9])),
   };
 }
 
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -50,7 +50,7 @@
   encodePeerRecord,
 } from "./gossipRows.ts";
 
-const FORMAT_VERSION = 13;
+const FORMAT_VERSION = 14;
 const TEXT_DECODER = new TextDecoder();
 
 /**
--- a/packages/gateway/tests/gossipProtocol.test.ts
+++ b/packages/gateway/tests/gossipProtocol.test.ts
@@ -13,6 +13,7 @@
 } from "@wasabivane/common";
 import {
   PoisonRequestDetector,
+  type SoftwareVersion,
   UpstreamDirectory,
 } from "@wasabivane/admission";
 import {
@@ -159,6 +160,7 @@
   failureDomain: DOMAIN,
   slots: 4,
   coldFor: 0,
+  softwareVersion: asId<SoftwareVersion>("1"),
   isLeaving: false,
 };
 
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -298,6 +298,7 @@
     failureDomain: asId<FailureDomain>("west"),
     slots,
     coldFor: 0,
+    softwareVersion: asId("1"),
     isLeaving: false,
   };
 }
--- a/packages/gateway/tests/helpers/plainDialect.ts
+++ b/packages/gateway/tests/helpers/plainDialect.ts
@@ -27,6 +27,7 @@
     const id = headerValue(headers, "id");
     if (id === undefined) return undefined;
     const timeLeft = headerValue(headers, "time-left");
+    const resumes = headerValue(headers, "resumes");
     const lastEvent = headerValue(headers, "last-event-id");
     return {
       requestId: asId<RequestId>(id),
@@ -36,6 +37,7 @@
       expectedTokens: undefined,
       promptParts: [],
       lastEventId: lastEvent === undefined ? undefined : Number(lastEvent),
+      resumes: resumes === undefined ? undefined : asId<RequestId>(resumes),
     };
   }
 
--- a/packages/gateway/tests/lateSends.test.ts
+++ b/packages/gateway/tests/lateSends.test.ts
@@ -48,6 +48,7 @@
         slots: 1,
         isLeaving: false,
         coldFor: 0,
+        softwareVersion: asId("1"),
       },
       call: { ...CALL, address: "127.0.0.1:9" },
       connections,
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -11,7 +11,7 @@
   type ServiceId,
   type UpstreamId,
 } from "@wasabivane/common";
-import type { Cell, RouteId } from "@wasabivane/admission";
+import type { Cell, RouteId, SoftwareVersion } from "@wasabivane/admission";
 import {
   decodeMessage,
   encodeMessage,
@@ -185,6 +185,7 @@
           slots: 4,
           isLeaving: false,
           coldFor: 1_500,
+          softwareVersion: asId<SoftwareVersion>("1.1"),
         }],
         removed: ["u6"],
         evacuated: [WEST],
--- a/packages/gateway/tests/storeSharing.test.ts
+++ b/packages/gateway/tests/storeSharing.test.ts
@@ -39,6 +39,7 @@
     failureDomain: asId<FailureDomain>("west"),
     slots: 4,
     coldFor: 0,
+    softwareVersion: asId("1"),
     isLeaving: false,
   };
 }
--- a/packages/gateway/tests/upstreamProbe.test.ts
+++ b/packages/gateway/tests/upstreamProbe.test.ts
@@ -22,6 +22,7 @@
     failureDomain: asId<FailureDomain>("west"),
     slots: 1,
     coldFor: 0,
+    softwareVersion: asId("1"),
     isLeaving: false,
   };
 }
