--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -160,6 +160,8 @@
   readonly upstreams: readonly RawUpstream[];
   readonly route?: Partial<Route>;
   readonly slots?: number;
+  /** Software version of each upstream; the same one by default. */
+  readonly versions?: readonly string[];
   readonly shutdownGrace?: number;
   /** Time within which a revoked key must stop working. */
   readonly revocationBound?: number;
@@ -191,6 +193,7 @@
     upstreams,
     route = {},
     slots = 4,
+    versions = [],
     shutdownGrace = 3_000,
     revocationBound = 600_000,
     seeds = [],
@@ -256,7 +259,10 @@
     revision: 1,
   });
   for (const [index, { address }] of upstreams.entries()) {
-    gateway.upstreamUpdates.apply(buildEntry(`u${index}`, { address, slots }));
+    const version = versions[index] ?? "1";
+    gateway.upstreamUpdates.apply(
+      buildEntry(`u${index}`, { address, slots, version }),
+    );
   }
   gateway.storeSharing.advanceListRevision(1);
   return result;
@@ -287,7 +293,11 @@
 /** Builds the store's entry of an upstream. */
 export function buildEntry(
   name: string,
-  { address, slots = 4 }: { address: string; slots?: number },
+  { address, slots = 4, version = "1" }: {
+    address: string;
+    slots?: number;
+    version?: string;
+  },
 ): Upstream {
   return {
     upstream: asId<UpstreamId>(name),
@@ -298,7 +308,7 @@
     failureDomain: asId<FailureDomain>("west"),
     slots,
     coldFor: 0,
-    softwareVersion: asId("1"),
+    softwareVersion: asId(version),
     isLeaving: false,
   };
 }
