Test where streams began, and look at each service once for each check

Fourteen tests in virtual time: a service with one version needs no message; three messages of under 100 bytes for each stream otherwise; any host finds the version after the host that had the stream is lost, half are found after six of twenty hosts were lost and four started; lost replies are asked for again; what nobody knows stays unknown; streams under way when a second version appears are told of; records are dropped. A check looks at each service once, not at each stream.

--- /dev/null
+++ b/packages/admission/tests/versionHistory.test.ts
@@ -0,0 +1,93 @@
+import { asId } from "@wasabivane/common";
+import {
+  type SoftwareVersion,
+  UpstreamDirectory,
+  VersionHistory,
+} from "@wasabivane/admission";
+import test from "ava";
+import { buildUpstream, PLANS } from "./helpers/build.ts";
+
+const STREAM_AGE_MS = 30_000;
+
+interface ListedVersions {
+  readonly directory: UpstreamDirectory;
+  readonly list: { isCurrent: boolean };
+  readonly history: VersionHistory;
+  add(index: number, version: string): void;
+  only(now: number): string | undefined;
+}
+
+/** A history, with the directory and the state that it reads. */
+function createHistory(
+  { completeSince }: { completeSince: number },
+): ListedVersions {
+  const directory = new UpstreamDirectory();
+  const list = { isCurrent: true };
+  const history = new VersionHistory({
+    directory,
+    maximumStreamAge: () => STREAM_AGE_MS,
+    completeSince,
+    isCurrent: () => list.isCurrent,
+  });
+  const add = (index: number, version: string): void => {
+    directory.set({
+      ...buildUpstream(index),
+      softwareVersion: asId<SoftwareVersion>(version),
+    });
+  };
+  const only = (now: number): string | undefined =>
+    history.onlyVersion(PLANS, now);
+  return { directory, list, history, add, only };
+}
+
+test("a host that has just started does not know the version of all streams", (t) => {
+  // Guards against streams of a version that left before the host started.
+  const { add, only } = createHistory({ completeSince: 0 });
+  add(0, "a");
+  t.is(only(STREAM_AGE_MS - 1), undefined);
+  t.is(only(STREAM_AGE_MS), "a");
+});
+
+test("at the first start of all hosts no stream can have begun before", (t) => {
+  const { add, only } = createHistory({ completeSince: -Infinity });
+  t.is(only(0), undefined);
+  add(0, "a");
+  t.is(only(0), "a");
+});
+
+test("a version that has left counts as long as its streams can go on", (t) => {
+  // Guards against streams that outlive the last upstream of their version.
+  const { directory, add, history, only } = createHistory({
+    completeSince: -Infinity,
+  });
+  add(0, "a");
+  add(1, "b");
+  t.is(only(0), undefined);
+  directory.remove(buildUpstream(0).upstream);
+  history.update(1_000);
+  t.is(only(1_000 + STREAM_AGE_MS - 1), undefined);
+  t.is(only(1_000 + STREAM_AGE_MS), "b");
+});
+
+test("what came and went while the list was outdated is not known", (t) => {
+  // Guards against a host that was cut off and guesses.
+  const { add, list, history, only } = createHistory({
+    completeSince: -Infinity,
+  });
+  add(0, "a");
+  t.is(only(0), "a");
+  list.isCurrent = false;
+  t.is(only(100), undefined);
+  list.isCurrent = true;
+  history.update(200);
+  t.is(only(100 + STREAM_AGE_MS - 1), undefined);
+  t.is(only(100 + STREAM_AGE_MS), "a");
+});
+
+test("an upstream that keeps its name and changes its version counts as two", (t) => {
+  const { add, only } = createHistory({ completeSince: -Infinity });
+  add(0, "a");
+  t.is(only(0), "a");
+  add(0, "b");
+  t.is(only(100), undefined);
+});
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -32,6 +32,8 @@
   PeerRecord,
   UpstreamListChange,
 } from "./gossipMessage.ts";
+export { StreamOrigins, type StreamOriginsOptions } from "./streamOrigins.ts";
+export type { StreamOrigin } from "./streamOriginTable.ts";
 export { type Adoption, type PolicyProof, PolicyState } from "./policyState.ts";
 export type {
   FetchError,
--- a/packages/gateway/src/streamOrigins.ts
+++ b/packages/gateway/src/streamOrigins.ts
@@ -137,11 +137,17 @@
     const oldest = now - maximumStreamAge();
     this.#own.expire(oldest);
     this.#shared.expire(oldest);
-    if (this.#own.size === 0) return;
-    const records = this.#own.entries().filter(([, { service }]) =>
-      this.#mayHaveOthers(service)
+    if (this.#own.size > 0) this.#share(this.#selectUnshared(), now);
+  }
+
+  /** Returns own streams of services that may have streams of other versions. */
+  #selectUnshared(): StreamOriginRecords {
+    const records = this.#own.entries();
+    const services = new Set(records.map(([, { service }]) => service));
+    const several = new Set(
+      [...services].filter((service) => this.#mayHaveOthers(service)),
     );
-    this.#share(records, now);
+    return records.filter(([, { service }]) => several.has(service));
   }
 
   /** Gives up all queries. */
--- /dev/null
+++ b/packages/gateway/tests/streamOrigins.test.ts
@@ -0,0 +1,209 @@
+import {
+  asId,
+  type HostId,
+  type RequestId,
+  type ServiceId,
+  VirtualTimer,
+} from "@wasabivane/common";
+import {
+  type SoftwareVersion,
+  UpstreamDirectory,
+  VersionHistory,
+} from "@wasabivane/admission";
+import {
+  encodeMessage,
+  type PeerMessage,
+  type StreamOrigin,
+  StreamOrigins,
+} from "@wasabivane/gateway";
+import test from "ava";
+import { buildEntry } from "./helpers/fleet.ts";
+
+const SERVICE = asId<ServiceId>("plans");
+const STREAM_AGE_MS = 30_000;
+const HOP_MS = 1;
+const HOSTS = 7;
+
+/** Hosts that exchange messages in virtual time. */
+class OriginFleet {
+  readonly timer = new VirtualTimer();
+  readonly directory = new UpstreamDirectory();
+  readonly hosts = new Map<HostId, StreamOrigins>();
+  readonly sent: PeerMessage[] = [];
+  /** Whether a message is lost on its way. */
+  isLost: (message: PeerMessage) => boolean = () => false;
+
+  constructor({ versions, hostCount = HOSTS }: {
+    versions: readonly string[];
+    hostCount?: number;
+  }) {
+    for (const version of versions) this.list(version);
+    for (let index = 0; index < hostCount; index++) this.start(`h${index}`);
+  }
+
+  list(version: string): void {
+    this.directory.set(
+      buildEntry(`u-${version}`, { address: "127.0.0.1:1", version }),
+    );
+  }
+
+  /** Starts a host with an empty memory. */
+  start(name: string): StreamOrigins {
+    const host = asId<HostId>(name);
+    const { timer, directory } = this;
+    const maximumStreamAge = (): number => STREAM_AGE_MS;
+    const origins = new StreamOrigins({
+      host,
+      timer,
+      maximumStreamAge,
+      versions: new VersionHistory({
+        directory,
+        maximumStreamAge,
+        completeSince: timer.now() === 0 ? -Infinity : timer.now(),
+        isCurrent: () => true,
+      }),
+      hosts: () => [...this.hosts.keys()],
+      send: (to, message) => this.#deliver(to, message),
+    });
+    this.hosts.set(host, origins);
+    return origins;
+  }
+
+  stop(name: string): void {
+    this.hosts.delete(asId<HostId>(name));
+  }
+
+  at(name: string): StreamOrigins {
+    return this.hosts.get(asId<HostId>(name))!;
+  }
+
+  /** Returns the version that a host finds; undefined if it does not know. */
+  async resolve(name: string, resumes: string): Promise<string | undefined> {
+    const found = this.at(name).resolve({
+      request: asId<RequestId>(`take-up-${resumes}`),
+      resumes: asId<RequestId>(resumes),
+      service: SERVICE,
+    });
+    this.timer.advance(500);
+    return (await found)?.softwareVersion;
+  }
+
+  #deliver(to: HostId, message: PeerMessage): void {
+    this.sent.push(message);
+    if (this.isLost(message)) return;
+    this.timer.after(HOP_MS, () => {
+      const host = this.hosts.get(to);
+      if (message.kind === "begun") host?.keep(message.records);
+      if (message.kind === "seek") host?.reply(message.query);
+      if (message.kind === "origin") host?.receive(message.reply);
+    });
+  }
+}
+
+function originAt(version: string): StreamOrigin {
+  return {
+    service: SERVICE,
+    softwareVersion: asId<SoftwareVersion>(version),
+  };
+}
+
+function begin(fleet: OriginFleet, { host, ids, version }: {
+  host: string;
+  ids: readonly string[];
+  version: string;
+}): void {
+  for (const id of ids) {
+    fleet.at(host).begin(asId<RequestId>(id), originAt(version));
+  }
+  fleet.timer.advance(10);
+}
+
+const IDS = Array.from({ length: 40 }, (_, index) => `q${index}`);
+
+test("a service with one version needs no message", async (t) => {
+  // Guards against a cost of streams that need no record.
+  const fleet = new OriginFleet({ versions: ["a"] });
+  begin(fleet, { host: "h0", ids: IDS, version: "a" });
+  for (const id of IDS) t.is(await fleet.resolve("h3", id), "a");
+  t.is(fleet.sent.length, 0);
+});
+
+test("a host that has just started asks hosts that know the only version", async (t) => {
+  // Guards against a restart after which streams do not go on.
+  const fleet = new OriginFleet({ versions: ["a"] });
+  begin(fleet, { host: "h0", ids: IDS, version: "a" });
+  fleet.timer.advance(1_000);
+  fleet.start("h3");
+  for (const id of IDS) t.is(await fleet.resolve("h3", id), "a");
+});
+
+test("each stream costs three messages while its service has several versions", (t) => {
+  const fleet = new OriginFleet({ versions: ["a", "b"] });
+  begin(fleet, { host: "h0", ids: IDS, version: "a" });
+  t.is(fleet.sent.length, 3 * IDS.length);
+  const bytes = fleet.sent.map((message) => encodeMessage(message, 0).length);
+  t.true(Math.max(...bytes) < 100);
+});
+
+test("any host finds a stream's version although the host that had it is lost", async (t) => {
+  const fleet = new OriginFleet({ versions: ["a", "b"] });
+  begin(fleet, { host: "h0", ids: IDS, version: "b" });
+  fleet.stop("h0");
+  for (const [index, id] of IDS.entries()) {
+    t.is(await fleet.resolve(`h${1 + index % 6}`, id), "b");
+  }
+});
+
+test("half of the streams are found although hosts were lost and others started", async (t) => {
+  // Guards against records whose keepers change with the fleet.
+  const fleet = new OriginFleet({ versions: ["a", "b"], hostCount: 20 });
+  begin(fleet, { host: "h0", ids: IDS, version: "b" });
+  for (const host of ["h0", "h1", "h2", "h3", "h4", "h5"]) fleet.stop(host);
+  for (const host of ["n0", "n1", "n2", "n3"]) fleet.start(host);
+  let found = 0;
+  for (const id of IDS) {
+    const version = await fleet.resolve("n0", id);
+    t.true(version === undefined || version === "b");
+    if (version !== undefined) found++;
+  }
+  t.true(found >= IDS.length / 2, `${found} of ${IDS.length}`);
+});
+
+test("a lost reply is asked for again", async (t) => {
+  const fleet = new OriginFleet({ versions: ["a", "b"] });
+  begin(fleet, { host: "h0", ids: IDS, version: "a" });
+  let replies = 0;
+  fleet.isLost = ({ kind }) => kind === "origin" && replies++ < 6;
+  t.is(await fleet.resolve("h1", "q39"), "a");
+});
+
+test("a stream that nobody knows stays unknown, also where hosts do not reply", async (t) => {
+  // Guards against a host that guesses.
+  const fleet = new OriginFleet({ versions: ["a", "b"] });
+  t.is(await fleet.resolve("h1", "unknown"), undefined);
+  fleet.isLost = () => true;
+  t.is(await fleet.resolve("h1", "unknown"), undefined);
+});
+
+test("streams under way when a second version appears go on at theirs", async (t) => {
+  // Guards against streams that began before records were needed.
+  const fleet = new OriginFleet({ versions: ["a"] });
+  begin(fleet, { host: "h0", ids: IDS, version: "a" });
+  fleet.list("b");
+  fleet.at("h0").tick();
+  fleet.timer.advance(10);
+  fleet.stop("h0");
+  for (const id of IDS) t.is(await fleet.resolve("h2", id), "a");
+});
+
+test("records are dropped once no stream of theirs can go on", (t) => {
+  // Guards against memory that grows with the streams served.
+  const fleet = new OriginFleet({ versions: ["a", "b"] });
+  begin(fleet, { host: "h0", ids: IDS, version: "a" });
+  const kept = (): number =>
+    [...fleet.hosts.values()].reduce((total, { size }) => total + size, 0);
+  t.is(kept(), 4 * IDS.length);
+  fleet.timer.advance(STREAM_AGE_MS + 1);
+  for (const host of fleet.hosts.values()) host.tick();
+  t.is(kept(), 0);
+});
