Keep streams that wait for their version from holding back other requests

Found by reading: continuations go first and never count as late, and a scheduler considers 48 queued requests. With more than that bound to a version whose upstreams are full, free slots of other versions stayed empty, and streams whose version had left waited until their deadline. Requests bound to a version without a free slot are now passed over, and refused when its last upstream leaves.

--- a/packages/admission/src/requestQueue.ts
+++ b/packages/admission/src/requestQueue.ts
@@ -110,6 +110,14 @@
     return entry.item;
   }
 
+  /** Removes and returns the requests for which a condition holds. */
+  removeWhere(holds: (item: Item) => boolean): Item[] {
+    const items = [...this.#entries.values()].map(({ item }) => item)
+      .filter(holds);
+    for (const { request } of items) this.remove(request);
+    return items;
+  }
+
   /**
    * Removes and returns the requests that have expired, and late ones that
    * cannot start in time at the current rates.
--- a/packages/admission/src/requestScheduler.ts
+++ b/packages/admission/src/requestScheduler.ts
@@ -15,7 +15,7 @@
 import { PrefixCacheIndex } from "./prefixCacheIndex.ts";
 import type { RejectionTolerances } from "./rejectionTolerances.ts";
 import type { StartLimit } from "./startLimit.ts";
-import type { Upstream } from "./types.ts";
+import type { SoftwareVersion, Upstream } from "./types.ts";
 import type { UpstreamHealth } from "./upstreamHealth.ts";
 import type { UpstreamStats } from "./upstreamStats.ts";
 import {
@@ -197,6 +197,12 @@
       for (const pending of queue.removeUnservable(now)) {
         refuse(pending, "waited-out", { queue, now });
       }
+      const stranded = queue.removeWhere((pending) =>
+        pending.softwareVersion !== undefined && this.#hasNoAlternative(pending)
+      );
+      for (const pending of stranded) {
+        refuse(pending, "no-other-upstream", { queue, now });
+      }
       this.fillSlots(service, now);
     }
   }
@@ -232,9 +238,11 @@
     const upstreams = this.#upstreams.of(service);
     let left = this.#placement.freeSlots(upstreams, now);
     if (left <= 0) return;
+    const hasFreeSlot = this.#createVersionCheck(upstreams, now);
     const order = queue.inOrder(now, {
       maximum: MAXIMUM_CONSIDERED,
-      canStart: ({ backoffs }) => !backoffs?.coverAll(upstreams, now),
+      canStart: ({ backoffs, softwareVersion }) =>
+        hasFreeSlot(softwareVersion) && !backoffs?.coverAll(upstreams, now),
     });
     for (let next = order.shift(); next !== undefined; next = order.shift()) {
       if (left <= 0) return;
@@ -253,6 +261,26 @@
     }
   }
 
+  /** Returns a check for free slots at a version, which looks once at each. */
+  #createVersionCheck(
+    upstreams: readonly Upstream[],
+    now: Milliseconds,
+  ): (softwareVersion: SoftwareVersion | undefined) => boolean {
+    const checked = new Map<SoftwareVersion, boolean>();
+    return (softwareVersion) => {
+      if (softwareVersion === undefined) return true;
+      let hasFree = checked.get(softwareVersion);
+      if (hasFree === undefined) {
+        const ofVersion = upstreams.filter((upstream) =>
+          isEligible(upstream, { softwareVersion })
+        );
+        hasFree = this.#placement.freeSlots(ofVersion, now) > 0;
+        checked.set(softwareVersion, hasFree);
+      }
+      return hasFree;
+    };
+  }
+
   /**
    * Returns the request that gets the slot that the next in order would take:
    * an equally urgent one that is due only slightly later, if the upstream has
