Take no list for current that a watch has not confirmed for 4 s

Found by reading: a host may show that a service has had one version only while its list was current, and that was taken from the bound on revoked keys. Where operators set that to minutes, a host that was cut off would have guessed for as long. Watches confirm the list within 3 s. Also: the messages about where streams began are decoded as they were encoded, and looking through a queue copies nothing.

--- a/packages/admission/src/requestQueue.ts
+++ b/packages/admission/src/requestQueue.ts
@@ -112,10 +112,12 @@
 
   /** Removes and returns the requests for which a condition holds. */
   removeWhere(holds: (item: Item) => boolean): Item[] {
-    const items = [...this.#entries.values()].map(({ item }) => item)
-      .filter(holds);
-    for (const { request } of items) this.remove(request);
-    return items;
+    const removed: Item[] = [];
+    for (const { item } of this.#entries.values()) {
+      if (holds(item)) removed.push(item);
+    }
+    for (const { request } of removed) this.remove(request);
+    return removed;
   }
 
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -58,6 +58,8 @@
 const STOP_MARGIN_MS: Milliseconds = 600;
 const STOP_CHECK_MS: Milliseconds = 50;
 const SHED_LOG_MS: Milliseconds = 1_000;
+/** Watches of the store confirm the list of upstreams more often. */
+const MAXIMUM_LIST_AGE_MS: Milliseconds = 4_000;
 /**
  * Longest time from the first event of a stream until a caller takes it up, as a
  * multiple of the longest time for a response, over which it may retry.
@@ -382,8 +384,12 @@
         directory,
         maximumStreamAge,
         completeSince: isFirstStart ? -Infinity : timer.now(),
-        isCurrent: () =>
-          policies.freshness.isKeyTrusted(this.context.elapsed.now()),
+        isCurrent: () => {
+          const { freshness } = policies;
+          const now = this.context.elapsed.now();
+          return freshness.isKeyTrusted(now) &&
+            freshness.age(now) <= MAXIMUM_LIST_AGE_MS;
+        },
       }),
       hosts: () => this.#candidates().map((candidate) => candidate.host),
       send: (to, message) => this.#sendTo(to, message),
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -328,6 +328,30 @@
       others: new Map([[asId<ClientAccountId>("family"), 99]]),
     },
   },
+  {
+    kind: "begun",
+    records: [[asId<RequestId>("q"), {
+      service: CELL.service,
+      softwareVersion: asId<SoftwareVersion>("1.1"),
+    }]],
+  },
+  {
+    kind: "seek",
+    query: {
+      host: asId<HostId>("a"),
+      request: asId<RequestId>("r"),
+      resumes: asId<RequestId>("q"),
+      service: CELL.service,
+    },
+  },
+  {
+    kind: "origin",
+    reply: {
+      host: asId<HostId>("b"),
+      request: asId<RequestId>("r"),
+      origin: undefined,
+    },
+  },
 ];
 
 for (const message of MESSAGES) {
