Let a reset plain response fail at the product's own entry host, too

Found while looking for the cause of the truncated streams elsewhere: a plain response without a length whose connection is reset was relayed as complete, since the HTTP library takes ECONNRESET for its end. The gateway's detector moves to packages/common, unchanged but that it leaves the end of TLS streams alone, and the entry host's HTTP client lets such responses fail.

--- a/apps/entry/src/httpUpstreamClient.ts
+++ b/apps/entry/src/httpUpstreamClient.ts
@@ -1,8 +1,9 @@
 import { Buffer } from "node:buffer";
 import { Agent, buildConnector, type Dispatcher } from "undici";
 import { err, ok, type Result } from "neverthrow";
-import type { Nonce } from "@wasabivane/common";
+import { type Nonce, ResetDetector } from "@wasabivane/common";
 import { NONCE_HEADER } from "./constants.ts";
+import { failResets } from "./resetGuard.ts";
 import {
   UpstreamClient,
   type UpstreamRequest,
@@ -28,16 +29,19 @@
  * are never retried here.
  */
 export class HttpUpstreamClient extends UpstreamClient {
-  readonly #agent: Agent;
+  readonly #agent: Dispatcher;
   /** Closes each connection after its first response. */
-  readonly #singleUseAgent: Agent;
+  readonly #singleUseAgent: Dispatcher;
+  readonly #resetDetector = new ResetDetector();
   readonly #connectErrors = new WeakSet<object>();
 
   constructor(options: HttpUpstreamClientOptions = {}) {
     super();
     const connect = this.#createConnector(options);
-    this.#agent = createAgent({ pipelining: 1, connect });
-    this.#singleUseAgent = createAgent({ pipelining: 0, connect });
+    const guard = failResets(this.#resetDetector);
+    this.#agent = createAgent({ pipelining: 1, connect }).compose(guard);
+    this.#singleUseAgent = createAgent({ pipelining: 0, connect })
+      .compose(guard);
   }
 
   override async send(
@@ -111,8 +115,9 @@
     });
     return (options, callback) =>
       connect(options, (...result) => {
-        const [error] = result;
+        const [error, socket] = result;
         if (error !== null) this.#connectErrors.add(error);
+        if (socket) this.#resetDetector.watch(socket);
         callback(...result);
       });
   }
--- a/apps/entry/tests/unframedPlainResponses.test.ts
+++ b/apps/entry/tests/unframedPlainResponses.test.ts
@@ -2,7 +2,7 @@
 import { bearer, startEntryFixture } from "./helpers/entryFixture.ts";
 import { startScriptedUpstream } from "./helpers/scriptedUpstream.ts";
 
-test.failing("a plain response without a length whose connection is reset is not relayed as complete", async (t) => {
+test("a plain response without a length whose connection is reset is not relayed as complete", async (t) => {
   // Guards against a truncated document that the caller takes for a complete one.
   const plainService = await startScriptedUpstream(({ outgoing, nonce }) => {
     const { socket } = outgoing;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./metrics.ts";
 export * from "./prefixDigests.ts";
 export * from "./random.ts";
+export * from "./resetDetector.ts";
 export * from "./rendezvous.ts";
 export * from "./stallTimeout.ts";
 export * from "./systemTimer.ts";
--- a/packages/gateway/src/resetDetector.ts
+++ b/packages/common/src/resetDetector.ts
@@ -1,11 +1,6 @@
 import { Buffer } from "node:buffer";
 import { readSync } from "node:fs";
 import type { Socket } from "node:net";
-import type { Milliseconds } from "@wasabivane/common";
-import { buildConnector } from "undici";
-
-/** Shorter than the retransmission of a lost SYN packet. */
-export const DEFAULT_CONNECT_TIMEOUT_MS: Milliseconds = 250;
 
 const PROBE = Buffer.alloc(1);
 
@@ -26,24 +21,12 @@
  */
 export class ResetDetector {
   isReset = false;
-  readonly connector: buildConnector.connector;
-
-  constructor(
-    { connectTimeout = DEFAULT_CONNECT_TIMEOUT_MS }: {
-      connectTimeout?: Milliseconds | undefined;
-    } = {},
-  ) {
-    const connect = buildConnector({ timeout: connectTimeout });
-    this.connector = (options, callback) =>
-      connect(options, (...result) => {
-        const [, socket] = result;
-        if (socket) this.#watch(socket);
-        callback(...result);
-      });
-  }
 
-  #watch(socket: Socket): void {
+  /** Watches a socket that has just been connected. */
+  watch(socket: Socket): void {
     socket.prependListener("error", () => this.#markReset());
+    // The end of a TLS stream need not be that of its connection.
+    if ("encrypted" in socket) return;
     socket.prependListener("end", () => {
       if (!hasEndedNormally(socket)) this.#markReset();
     });
--- a/packages/gateway/src/relayClient.ts
+++ b/packages/gateway/src/relayClient.ts
@@ -15,7 +15,7 @@
   STATUS_UNREACHABLE,
 } from "./relayMessage.ts";
 import { RelayedSocket } from "./relayedSocket.ts";
-import { DEFAULT_CONNECT_TIMEOUT_MS } from "./resetDetector.ts";
+import { DEFAULT_CONNECT_TIMEOUT_MS } from "./watchedConnector.ts";
 
 /** Peers that are asked for one relay, one after the other. */
 const MAXIMUM_PEERS = 3;
--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/relayServer.ts
@@ -4,6 +4,7 @@
 import type { Duplex } from "node:stream";
 import {
   asId,
+  hasEndedNormally,
   type Milliseconds,
   type ServiceId,
   type UpstreamId,
@@ -19,10 +20,7 @@
   type RelayMessage,
   STATUS_UNREACHABLE,
 } from "./relayMessage.ts";
-import {
-  DEFAULT_CONNECT_TIMEOUT_MS,
-  hasEndedNormally,
-} from "./resetDetector.ts";
+import { DEFAULT_CONNECT_TIMEOUT_MS } from "./watchedConnector.ts";
 import { UPSTREAM_ENDED } from "./relayedSocket.ts";
 
 /** Relays at the same time, which bounds the work that a host takes over. */
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -1,8 +1,8 @@
 import type { Buffer } from "node:buffer";
-import type { Milliseconds } from "@wasabivane/common";
+import { type Milliseconds, ResetDetector } from "@wasabivane/common";
 import { type buildConnector, type Dispatcher, Pool } from "undici";
 import type { HeaderLine, HeaderValues } from "./headers.ts";
-import { ResetDetector } from "./resetDetector.ts";
+import { createWatchedConnector } from "./watchedConnector.ts";
 
 /** Keep-alive timeout if the upstream announces none. */
 const KEEP_ALIVE_MS: Milliseconds = 8_000;
@@ -51,7 +51,9 @@
  */
 export class UpstreamConnections {
   readonly #pools = new Map<string, Pool>();
-  readonly #resetDetector: ResetDetector;
+  readonly #resetDetector = new ResetDetector();
+  /** Connects from this host. */
+  readonly directConnector: buildConnector.connector;
   readonly #maximumConnections: () => number;
   #connector: buildConnector.connector;
 
@@ -61,13 +63,8 @@
     options: { connectTimeout?: Milliseconds | undefined } = {},
   ) {
     this.#maximumConnections = maximumConnections;
-    this.#resetDetector = new ResetDetector(options);
-    this.#connector = this.#resetDetector.connector;
-  }
-
-  /** Connects from this host. */
-  get directConnector(): buildConnector.connector {
-    return this.#resetDetector.connector;
+    this.directConnector = createWatchedConnector(this.#resetDetector, options);
+    this.#connector = this.directConnector;
   }
 
   /** Replaces how connections are opened; open ones stay. */
