--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,7 +16,6 @@
   UpstreamActivity,
   UpstreamDirectory,
   UpstreamStats,
-  VersionHistory,
 } from "@wasabivane/admission";
 import { err, type Result } from "neverthrow";
 import { CallerServer } from "./callerServer.ts";
@@ -39,7 +38,7 @@
 import { CellRouter, coordinatorChangeValues } from "./cellRouter.ts";
 import { type Adoption, type PolicyProof, PolicyState } from "./policyState.ts";
 import { StoreSharing } from "./storeSharing.ts";
-import { StreamOrigins } from "./streamOrigins.ts";
+import { createStreamOrigins } from "./createStreamOrigins.ts";
 import { connectionShare } from "./connectionShare.ts";
 import { UnknownHeaders } from "./unknownHeaders.ts";
 import { UpstreamConnections } from "./upstreamConnections.ts";
@@ -58,13 +57,6 @@
 const STOP_MARGIN_MS: Milliseconds = 600;
 const STOP_CHECK_MS: Milliseconds = 50;
 const SHED_LOG_MS: Milliseconds = 1_000;
-/** Watches of the store confirm the list of upstreams more often. */
-const MAXIMUM_LIST_AGE_MS: Milliseconds = 4_000;
-/**
- * Longest time from the first event of a stream until a caller takes it up, as a
- * multiple of the longest time for a response, over which it may retry.
- */
-const STREAM_AGE_FACTOR = 2;
 
 /**
  * Runs one entry host, which forwards callers' requests to upstreams and
@@ -297,8 +289,9 @@
   #createContext(): GatewayContext {
     const { host, failureDomain, timer, random, dialect, output, lowestLag } =
       this.#options;
-    const { connectTimeout } = this.#options;
+    const { connectTimeout, isFirstStart = false } = this.#options;
     const directory = new UpstreamDirectory();
+    const elapsed = new ElapsedClock(timer);
     const lag = new EventLoopLag();
     const upstreamStats = new UpstreamStats();
     const hostCount = (): number => this.#peers.aliveCount + 1;
@@ -312,7 +305,7 @@
       host,
       failureDomain,
       timer,
-      elapsed: new ElapsedClock(timer),
+      elapsed,
       random,
       dialect,
       log,
@@ -336,7 +329,16 @@
         probe: (upstream) => this.#links.probe(upstream),
       }),
       isRefusing: (upstream) => this.#links.isRefusing(upstream),
-      streamOrigins: this.#createStreamOrigins(directory, policies),
+      streamOrigins: createStreamOrigins({
+        host,
+        directory,
+        policies,
+        elapsed,
+        timer,
+        isFirstStart,
+        hosts: () => this.#candidates().map((candidate) => candidate.host),
+        send: (to, message) => this.#sendTo(to, message),
+      }),
       lag,
       shedding: new LoadShedder({
         lag,
@@ -369,33 +371,6 @@
     };
   }
 
-  #createStreamOrigins(
-    directory: UpstreamDirectory,
-    policies: PolicyState,
-  ): StreamOrigins {
-    const { host, timer, isFirstStart = false } = this.#options;
-    const maximumStreamAge = (): Milliseconds =>
-      STREAM_AGE_FACTOR * policies.longestTimeout;
-    return new StreamOrigins({
-      host,
-      timer,
-      maximumStreamAge,
-      versions: new VersionHistory({
-        directory,
-        maximumStreamAge,
-        completeSince: isFirstStart ? -Infinity : timer.now(),
-        isCurrent: () => {
-          const { freshness } = policies;
-          const now = this.context.elapsed.now();
-          return freshness.isKeyTrusted(now) &&
-            freshness.age(now) <= MAXIMUM_LIST_AGE_MS;
-        },
-      }),
-      hosts: () => this.#candidates().map((candidate) => candidate.host),
-      send: (to, message) => this.#sendTo(to, message),
-    });
-  }
-
   #coldStartsOf({ service }: Upstream): number | undefined {
     const { warmupTolerance: { factor, slack } } = this.#options;
     const index = this.context.policies.index;
