Name the prompt parts of requests that may have crashed an upstream

No log told what the requests under which upstreams end have in common but account, path and body, so the hypotheses of docs/incidents/prompt-part-crashes could not be told apart. crash_suspected now lists digests of the shared parts. What identifies a request is in one place (requestTraits.ts).

--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -1,6 +1,5 @@
 import type { Buffer } from "node:buffer";
 import type {
-  Digest,
   FailureDomain,
   Milliseconds,
   UpstreamId,
@@ -17,6 +16,7 @@
 import type { AdmittedRequest } from "./requestAdmission.ts";
 import { computeSilenceTimeouts } from "./computeSilenceTimeouts.ts";
 import { recordUpstreamReport } from "./recordUpstreamReport.ts";
+import type { RequestTraits } from "./requestTraits.ts";
 
 /** A caller's request with its body read completely. */
 export interface BufferedRequest {
@@ -24,7 +24,7 @@
   readonly path: string;
   readonly headerLines: readonly HeaderLine[];
   readonly body: Buffer;
-  readonly fingerprint: Digest;
+  readonly traits: RequestTraits;
 }
 
 /** Inputs of {@link planAttempt}. */
@@ -106,7 +106,7 @@
     deadline: admitted.deadline,
     isUsable: () =>
       context.placementClient.isUsable(upstream.upstream, timer.now()) &&
-      !context.crashes.isQuarantined(request.fingerprint, timer.now()),
+      !context.crashes.isQuarantined(request.traits.fingerprint, timer.now()),
     hasCrashed: () => hasCrashed(upstream, context),
     requestId: metadata.requestId,
     isStreaming: route.isStreaming,
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -1,4 +1,3 @@
-import { createHash } from "node:crypto";
 import {
   createServer,
   type IncomingMessage,
@@ -6,12 +5,8 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { Digest, Milliseconds } from "@wasabivane/common";
-import {
-  type CallerLimits,
-  ConnectionBacklog,
-  type Route,
-} from "@wasabivane/admission";
+import type { Milliseconds } from "@wasabivane/common";
+import { type CallerLimits, ConnectionBacklog } from "@wasabivane/admission";
 import { ok, type Result } from "neverthrow";
 import { CallerResponse } from "./callerResponse.ts";
 import type { LogValues } from "./decisionLog.ts";
@@ -25,6 +20,7 @@
   quotaUnits,
   type Refusal,
 } from "./requestAdmission.ts";
+import { traitsOf } from "./requestTraits.ts";
 import { bindToOrigin } from "./streamTakeUp.ts";
 import { listenAt } from "./listenAt.ts";
 import type { ListenError } from "./listenError.ts";
@@ -297,7 +293,8 @@
   ): void {
     const method = request.method ?? "GET";
     const path = request.url ?? "/";
-    const fingerprint = fingerprintOf(admitted, { method, path, body });
+    const traits = traitsOf(admitted, { method, path, body });
+    const { fingerprint } = traits;
     const { crashes, timer, isAlone } = this.#context;
     const retryAfter = crashes.quarantineLeft(fingerprint, timer.now(), {
       isAlone: isAlone(),
@@ -319,7 +316,7 @@
         path,
         headerLines: pairHeaders(request.rawHeaders),
         body,
-        fingerprint,
+        traits,
       },
       response: callerResponse,
       onEnd: ({ hasRun }) => {
@@ -370,18 +367,3 @@
   const query = url.indexOf("?");
   return query < 0 ? url : url.slice(0, query);
 }
-
-/**
- * Returns a digest that is the same whenever one caller sends the same request,
- * also through another route of a newer policy.
- */
-function fingerprintOf(
-  { account, route }: { account: AdmittedRequest["account"]; route: Route },
-  { method, path, body }: { method: string; path: string; body: Buffer },
-): Digest {
-  return createHash("sha1")
-    .update(`${accountName(account)}\n${route.host}\n${method} ${path}\n`)
-    .update(body)
-    .digest("base64")
-    .slice(0, 16) as Digest;
-}
--- a/packages/gateway/src/crashChecks.ts
+++ b/packages/gateway/src/crashChecks.ts
@@ -1,7 +1,8 @@
-import type { Digest, Milliseconds, UpstreamId } from "@wasabivane/common";
+import type { Milliseconds, UpstreamId } from "@wasabivane/common";
 import { CrashSuspicions, type Upstream } from "@wasabivane/admission";
 import { CrashWatch } from "./crashWatch.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
+import type { RequestTraits } from "./requestTraits.ts";
 import type { UpstreamState } from "./upstreamProbe.ts";
 
 /**
@@ -29,8 +30,9 @@
 /** A request that ended at an upstream without a complete response. */
 export interface UnfinishedRequest {
   readonly requestId: string;
-  readonly fingerprint: Digest;
+  readonly traits: RequestTraits;
   readonly upstream: Upstream;
+  readonly sentAt: Milliseconds;
 }
 
 /** Why an upstream is no longer used. */
@@ -75,11 +77,17 @@
 
   /** Records a request whose response broke off or stopped. */
   recordBreak(request: UnfinishedRequest): void {
-    const { requestId, fingerprint, upstream: { upstream } } = request;
+    const { requestId, traits, upstream: { upstream } } = request;
+    const { fingerprint, parts } = traits;
     if (!this.#suspect(request)) return;
     const { metrics, log } = this.#options.context();
     metrics.count("crashes_suspected");
-    log.write("crash_suspected", { id: requestId, upstream, fingerprint });
+    log.write("crash_suspected", {
+      id: requestId,
+      upstream,
+      fingerprint,
+      parts: parts.join(","),
+    });
     if (this.#replaced.has(upstream)) return this.confirm(upstream);
     this.#watch(request.upstream).schedule(LOOKS_AFTER_BREAK_MS, {
       settling: SETTLING_MS,
@@ -154,7 +162,7 @@
 
   /** Returns whether there is something to find out. */
   #suspect(
-    { fingerprint, upstream: { upstream } }: UnfinishedRequest,
+    { traits: { fingerprint }, upstream: { upstream } }: UnfinishedRequest,
   ): boolean {
     const { directory, timer } = this.#options.context();
     const isInUse = directory.get(upstream) !== undefined;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -166,7 +166,7 @@
       end,
       context,
       admitted,
-      fingerprint: request.fingerprint,
+      traits: request.traits,
     });
     if (this.#isFinished || this.#isAborted) return;
     if (end.outcome === "cancelled") return this.#onDeadline();
@@ -350,7 +350,7 @@
       });
     }
     const { crashes, crashChecks } = context;
-    if (!crashes.isSuspect(request.fingerprint, this.#now())) {
+    if (!crashes.isSuspect(request.traits.fingerprint, this.#now())) {
       return this.#requestSlot();
     }
     // The failed attempt may have been the crash that ends all retries.
@@ -363,7 +363,10 @@
 
   #isQuarantined(): boolean {
     const { context, request } = this.#options;
-    return context.crashes.isQuarantined(request.fingerprint, this.#now());
+    return context.crashes.isQuarantined(
+      request.traits.fingerprint,
+      this.#now(),
+    );
   }
 
   #fail(end: AttemptEnd, upstream: Upstream["upstream"]): void {
@@ -388,7 +391,7 @@
       return this.#finish(`status-${upstreamResponse.status}`);
     }
     const { crashes } = this.#options.context;
-    const { fingerprint } = this.#options.request;
+    const { fingerprint } = this.#options.request.traits;
     const quarantine = crashes.quarantineLeft(fingerprint, this.#now());
     const reason = quarantine > 0 ? "convicted" : lossReason(outcome);
     if (this.#retryState.mayHaveRun) {
--- a/packages/gateway/src/recordAttempt.ts
+++ b/packages/gateway/src/recordAttempt.ts
@@ -1,4 +1,4 @@
-import type { Digest, Milliseconds } from "@wasabivane/common";
+import type { Milliseconds } from "@wasabivane/common";
 import type {
   AttemptObservation,
   ResponseTimings,
@@ -8,6 +8,7 @@
 import { expectedTokensOf, promptTokensOf } from "./attemptPlan.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { AdmittedRequest } from "./requestAdmission.ts";
+import type { RequestTraits } from "./requestTraits.ts";
 import { wasNotSent } from "./retryState.ts";
 
 /** Outcomes of a request that may have crashed its upstream. */
@@ -17,7 +18,7 @@
 export interface AttemptRecord {
   readonly context: GatewayContext;
   readonly admitted: AdmittedRequest;
-  readonly fingerprint: Digest;
+  readonly traits: RequestTraits;
   readonly end: AttemptEnd;
 }
 
@@ -27,14 +28,14 @@
  */
 export function recordAttempt(
   attempt: Attempt,
-  { context, admitted, fingerprint, end }: AttemptRecord,
+  { context, admitted, traits, end }: AttemptRecord,
 ): void {
   const { outcome } = end;
   const { service } = admitted;
   const { upstream } = attempt.upstream;
   const now = context.timer.now();
   const residence = now - attempt.startedAt;
-  recordCrashSigns(attempt, { context, admitted, fingerprint, end });
+  recordCrashSigns(attempt, { context, admitted, traits, end });
   if (outcome === "replaced") context.removeReplaced(upstream);
   if (wasNotSent(outcome)) {
     context.metrics.count("slots_unused");
@@ -74,11 +75,12 @@
 /** Records what an outcome tells about crashes of the upstream. */
 function recordCrashSigns(
   { upstream, startedAt }: Attempt,
-  { context, admitted, fingerprint, end: { outcome, wasSent } }: AttemptRecord,
+  { context, admitted, traits, end: { outcome, wasSent } }: AttemptRecord,
 ): void {
   const { crashes, crashChecks, timer, announceCompletion } = context;
   const { requestId } = admitted.metadata;
-  const request = { requestId, fingerprint, upstream };
+  const { fingerprint } = traits;
+  const request = { requestId, traits, upstream, sentAt: startedAt };
   if (wasSent && CRASH_SIGNS.has(outcome)) crashChecks.recordBreak(request);
   if (wasSent && outcome === "cancelled") crashChecks.recordAbort(request);
   if (hasEnded(outcome, context)) crashChecks.confirm(upstream.upstream);
--- a/packages/gateway/tests/crashChecks.test.ts
+++ b/packages/gateway/tests/crashChecks.test.ts
@@ -5,10 +5,17 @@
 import { buildEntry } from "./helpers/fleet.ts";
 
 const UPSTREAM = buildEntry("u0", { address: "u0:1" });
+const TRAITS = {
+  fingerprint: asId<Digest>("f"),
+  account: asId<Digest>("a"),
+  parts: [],
+};
+const OTHER_TRAITS = { ...TRAITS, fingerprint: asId<Digest>("g") };
 const REQUEST = {
   requestId: "q",
-  fingerprint: asId<Digest>("f"),
+  traits: TRAITS,
   upstream: UPSTREAM,
+  sentAt: 0,
 };
 
 /** Checks of one host whose upstreams are down from a time on. */
@@ -96,7 +103,7 @@
   const host = new CheckedHost();
   host.isProbeStuck = true;
   host.checks.recordBreak(REQUEST);
-  host.checks.recordBreak({ ...REQUEST, fingerprint: asId<Digest>("g") });
+  host.checks.recordBreak({ ...REQUEST, traits: OTHER_TRAITS });
   host.checks.handleDeparture(UPSTREAM, "started again");
   await host.advance(50);
   t.is(host.confirmed.length, 2);
@@ -128,7 +135,7 @@
   host.downFrom = 3_500;
   host.checks.recordBreak(REQUEST);
   await host.advance(2_000);
-  const other = { ...REQUEST, fingerprint: asId<Digest>("g") };
+  const other = { ...REQUEST, traits: OTHER_TRAITS };
   host.checks.recordAbort(other);
   host.checks.recordAbort(other);
   await host.advance(2_500);
