--- a/packages/gateway/tests/helpers/plainDialect.ts
+++ b/packages/gateway/tests/helpers/plainDialect.ts
@@ -12,6 +12,12 @@
 } from "@wasabivane/gateway";
 import { ok, type Result } from "neverthrow";
 
+/** Parses `PART,PART`. */
+function parseParts(text: string | undefined): RequestMetadata["promptParts"] {
+  if (text === undefined) return [];
+  return text.split(",").map((part) => ({ part, tokens: 10 }));
+}
+
 /** Uses short header names, and JSON as the policy format. */
 export class PlainDialect extends Dialect {
   override readonly responseHeaders = new Set([
@@ -35,7 +41,7 @@
       timeLeft: timeLeft === undefined ? undefined : Number(timeLeft),
       tokens: undefined,
       expectedTokens: undefined,
-      promptParts: [],
+      promptParts: parseParts(headerValue(headers, "parts")),
       lastEventId: lastEvent === undefined ? undefined : Number(lastEvent),
       resumes: resumes === undefined ? undefined : asId<RequestId>(resumes),
     };
