Count crashes of parts that hang their upstreams, and let new hosts listen first

Upstreams that hang until they are killed: 20 ended, 9 requests arrived later than 3 s after the fifth. Crashes counted only if their request was sent after the crash before, and a process that hangs for 2.5 s ends under requests sent long before.

A host that had started 2.6 s ago convicted two sound parts, as it knew of no completions; 3 sound requests were refused until its peers objected. In its first 3 s a host that hears peers now leaves it to them.

--- a/packages/admission/src/partRecord.ts
+++ b/packages/admission/src/partRecord.ts
@@ -2,6 +2,9 @@
 import type { PartCrash } from "./partCrash.ts";
 import type { SoftwareVersion } from "./types.ts";
 
+/** Time between crashes that have not been one outage. */
+const SEPARATE_MS: Milliseconds = 100;
+
 /** A crash while requests with a part were running at the upstream. */
 export interface CrashWithPart {
   readonly at: Milliseconds;
@@ -52,21 +55,28 @@
 }
 
 /**
- * Counts the crashes whose requests were sent after the crash counted before.
- * Requests that were under way at once may all have been ended by one outage.
+ * Counts the crashes one after the other: each with a request that was sent after
+ * the crash counted before, or clearly later than its request and crashing clearly
+ * later. Requests that broke off at once may all have been ended by one outage.
  */
 export function countGenerations(crashes: Iterable<CrashWithPart>): number {
   const ordered = [...crashes].toSorted((left, right) => left.at - right.at);
-  let countedAt = -Infinity;
+  let counted: CrashWithPart | undefined;
   let count = 0;
-  for (const { at, sentAt } of ordered) {
-    if (sentAt < countedAt) continue;
-    countedAt = at;
+  for (const crash of ordered) {
+    if (counted !== undefined && !isAfter(crash, counted)) continue;
+    counted = crash;
     count++;
   }
   return count;
 }
 
+function isAfter(crash: CrashWithPart, earlier: CrashWithPart): boolean {
+  if (crash.sentAt >= earlier.at) return true;
+  return crash.at >= earlier.at + SEPARATE_MS &&
+    crash.sentAt >= earlier.sentAt + SEPARATE_MS;
+}
+
 /** Returns the generations of all crashes of a part. */
 export function generationsOf({ crashes }: PartRecord): number {
   return crashes.size < 2 ? crashes.size : countGenerations(crashes.values());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -62,6 +62,8 @@
 const SHED_LOG_MS: Milliseconds = 1_000;
 /** Time until all hosts have told what they saw of a crash. */
 const CRASH_REPORT_MS: Milliseconds = 60;
+/** Time after the start in which a host knows little of what has completed. */
+const CRASH_SETTLING_MS: Milliseconds = 3_000;
 /** Time from one host's chance to try convicted parts again to the next one's. */
 const TRIAL_INTERVAL_MS: Milliseconds = 2_000;
 
@@ -398,9 +400,12 @@
     });
   }
 
+  /** A host that has just started leaves it to those that saw more. */
   #assessCrashesSoon(): void {
     const { timer } = this.#options;
-    timer.after(CRASH_REPORT_MS, () => {
+    const age = timer.now() - this.#startedAt;
+    const settling = this.#isAlone() ? 0 : CRASH_SETTLING_MS - age;
+    timer.after(Math.max(CRASH_REPORT_MS, settling), () => {
       this.context.partCrashes.assess(timer.now());
     });
   }
