Close connections unread while more come than a host can serve

Callers saw, while most new connections went to one host: answers seconds late, and connections that were not established within a second. The host saw nothing: each iteration of its event loop is short and accepts one connection, so those that wait grow in the listener's queue (of 1,024), for up to two seconds.

Change: after 0.2 s in which each iteration accepted a connection, the host closes new ones unread until an iteration accepts none. The caller sees that nothing was read and turns to another host; what is read is served at once.

Why it works: a queue that never empties shows in no lag, but in accepts without a pause; closing costs far less than serving, so the queue is gone soon.

--- a/packages/admission/src/connectionBacklog.ts
+++ b/packages/admission/src/connectionBacklog.ts
@@ -1,8 +1,12 @@
+import type { Milliseconds } from "@wasabivane/common";
+
 /**
  * Consecutive event-loop iterations with an accepted connection that indicate a
  * backlog.
  */
 const BACKLOG_ITERATIONS = 4;
+/** Time after which a backlog does not clear by itself. */
+const MAXIMUM_SPAN_MS: Milliseconds = 200;
 
 /**
  * Detects whether connections wait to be accepted.
@@ -15,11 +19,15 @@
 export class ConnectionBacklog {
   #iterations = 0;
   #hasAccepted = false;
+  /** When the first of these iterations was. */
+  #since: Milliseconds = 0;
 
   /** Records that a connection was accepted in this iteration. */
-  recordAccept(): void {
-    if (!this.#hasAccepted) this.#iterations++;
+  recordAccept(now: Milliseconds): void {
+    if (this.#hasAccepted) return;
     this.#hasAccepted = true;
+    if (this.#iterations === 0) this.#since = now;
+    this.#iterations++;
   }
 
   /**
@@ -35,4 +43,12 @@
   get hasBacklog(): boolean {
     return this.#iterations >= BACKLOG_ITERATIONS;
   }
+
+  /**
+   * Whether more connections come than this host can serve, so that those which
+   * wait have to go elsewhere until none does.
+   */
+  isOverrun(now: Milliseconds): boolean {
+    return this.hasBacklog && now - this.#since >= MAXIMUM_SPAN_MS;
+  }
 }
--- a/packages/admission/tests/loadShedding.test.ts
+++ b/packages/admission/tests/loadShedding.test.ts
@@ -153,13 +153,47 @@
   // connection was not accepted.
   const backlog = new ConnectionBacklog();
   const hasWaited = [1, 2, 3, 4, 5].map(() => {
-    backlog.recordAccept();
+    backlog.recordAccept(0);
     const { hasBacklog } = backlog;
     backlog.endIteration();
     return hasBacklog;
   });
   t.deepEqual(hasWaited, [false, false, false, true, true]);
   t.false(backlog.endIteration());
-  backlog.recordAccept();
+  backlog.recordAccept(0);
   t.false(backlog.hasBacklog);
 });
+
+/** New connections per second, of which a host can serve two thirds. */
+const SURGE_PER_SECOND = 900;
+const SERVICE_MS: Milliseconds = 1_000 / 600;
+const CLOSE_MS: Milliseconds = 0.2;
+const SURGE_MS: Milliseconds = 8_000;
+const MAXIMUM_WAIT_MS: Milliseconds = 300;
+
+test("a host that gets more connections than it can serve closes the rest unread, and serves the others soon", (t) => {
+  // Guards against connections that wait unseen before they are accepted: the
+  // event loop is never late, as each of its iterations is short.
+  const backlog = new ConnectionBacklog();
+  const waits: Milliseconds[] = [];
+  let now: Milliseconds = 0;
+  let accepted = 0;
+  while (now < SURGE_MS) {
+    const arrivedAt = accepted / SURGE_PER_SECOND * 1_000;
+    if (arrivedAt > now) {
+      now = arrivedAt;
+      backlog.endIteration();
+    }
+    accepted++;
+    backlog.recordAccept(now);
+    if (backlog.isOverrun(now)) now += CLOSE_MS;
+    else {
+      waits.push(now - arrivedAt);
+      now += SERVICE_MS;
+    }
+    backlog.endIteration();
+  }
+  const capacity = SURGE_MS / SERVICE_MS;
+  t.true(waits.length > 0.75 * capacity, `${waits.length} served`);
+  t.true(Math.max(...waits) < MAXIMUM_WAIT_MS, `${Math.max(...waits)} ms`);
+});
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -112,17 +112,27 @@
   }
 
   #track(socket: Socket): void {
-    this.#sockets.add(socket);
     this.#recordAccept(socket);
+    if (this.#acceptBacklog.isOverrun(this.#context.timer.now())) {
+      return this.#closeUnread(socket);
+    }
+    this.#sockets.add(socket);
     socket.on("close", () => {
       this.#sockets.delete(socket);
       this.#busySockets.delete(socket);
     });
   }
 
+  /** The caller sees that nothing was read, and turns to another host. */
+  #closeUnread(socket: Socket): void {
+    this.#context.metrics.count("connections_closed_unread");
+    this.#closedSockets.add(socket);
+    socket.destroy();
+  }
+
   #recordAccept(socket: Socket): void {
     const { lag, timer } = this.#context;
-    this.#acceptBacklog.recordAccept();
+    this.#acceptBacklog.recordAccept(timer.now());
     const hasWaited = this.#acceptBacklog.hasBacklog &&
       lag.hasRecentLongIteration(timer.now());
     if (hasWaited) this.#delayedSockets.add(socket);
