Count a response without framing as complete only once its upstream is seen up

Such a broken response looks complete, and cleared its part after a second in which nothing had shown the upstream down. Two tests of the check, failing before.

--- a/packages/admission/src/crashSuspicions.ts
+++ b/packages/admission/src/crashSuspicions.ts
@@ -32,6 +32,11 @@
     return this.#byUpstream.has(upstream);
   }
 
+  /** Returns the suspicions about an upstream. */
+  of(upstream: UpstreamId): readonly CrashSuspicion[] {
+    return this.#byUpstream.get(upstream) ?? [];
+  }
+
   /** Removes and returns the suspicions about an upstream. */
   take(upstream: UpstreamId): readonly CrashSuspicion[] {
     const suspicions = this.#byUpstream.get(upstream) ?? [];
@@ -39,22 +44,23 @@
     return suspicions;
   }
 
-  /** Drops one suspicion; returns whether it was there. */
-  remove(suspicion: CrashSuspicion): boolean {
+  /** Drops one suspicion. */
+  remove(suspicion: CrashSuspicion): void {
     const { upstream } = suspicion;
-    const known = this.#byUpstream.get(upstream);
-    if (known === undefined || !known.includes(suspicion)) return false;
-    const left = known.filter((other) => other !== suspicion);
-    this.#set(upstream, left);
-    return true;
+    const known = this.#byUpstream.get(upstream) ?? [];
+    this.#set(upstream, known.filter((other) => other !== suspicion));
   }
 
-  /** Drops what an upstream has outlived that completes a request. */
-  refute(upstream: UpstreamId, startedAt: Milliseconds): void {
-    const known = this.#byUpstream.get(upstream);
-    if (known === undefined) return;
-    const left = known.filter(({ at }) => startedAt - at < OUTLIVED_MS);
-    this.#set(upstream, left);
+  /** Drops and returns what an upstream has outlived that completes a request. */
+  refute(
+    upstream: UpstreamId,
+    startedAt: Milliseconds,
+  ): readonly CrashSuspicion[] {
+    const known = this.#byUpstream.get(upstream) ?? [];
+    const isOutlived = ({ at }: CrashSuspicion): boolean =>
+      startedAt - at >= OUTLIVED_MS;
+    this.#set(upstream, known.filter((other) => !isOutlived(other)));
+    return known.filter(isOutlived);
   }
 
   #set(upstream: UpstreamId, left: CrashSuspicion[]): void {
--- a/packages/admission/src/partCrashEvidence.ts
+++ b/packages/admission/src/partCrashEvidence.ts
@@ -23,6 +23,11 @@
 const LIMITS: Limits = { generations: 3, odds: 1e6 };
 /** For a part that is new to a host which cannot hear what others see. */
 const ALONE_LIMITS: Limits = { generations: 2, odds: 1e3 };
+/**
+ * Other requests that must have completed, as a host that has just started does
+ * not know which parts are sound.
+ */
+const MINIMUM_OTHERS = 10;
 /** For a part that has been sound. */
 const TRUSTED_LIMITS: Limits = { generations: 5, odds: 1e2 };
 /**
@@ -162,8 +167,11 @@
     const limits = isAlone ? ALONE_LIMITS : LIMITS;
     const generations = generationsOf(record);
     if (generations < limits.generations) return false;
+    const since = firstCrashAt(record);
+    const others = this.#shares.completionsSince(since - USUAL_WINDOW_MS);
+    if (others < MINIMUM_OTHERS) return false;
     const share = this.#shares.apartFrom(part, {
-      since: firstCrashAt(record),
+      since,
       window: USUAL_WINDOW_MS,
       isExplained: (parts) => isExplained(parts) || this.#hasNewSuspect(parts),
     });
--- a/packages/admission/src/partRecord.ts
+++ b/packages/admission/src/partRecord.ts
@@ -2,7 +2,9 @@
 import type { PartCrash } from "./partCrash.ts";
 import type { SoftwareVersion } from "./types.ts";
 
-/** Time between crashes that have not been one outage. */
+/** Time for which an upstream hung under a request that crashed it. */
+const HANG_MS: Milliseconds = 1_500;
+/** Time between upstreams that hang, and have not been one outage. */
 const SEPARATE_MS: Milliseconds = 100;
 
 /** A crash while requests with a part were running at the upstream. */
@@ -56,8 +58,9 @@
 
 /**
  * Counts the crashes one after the other: each with a request that was sent after
- * the crash counted before, or clearly later than its request and crashing clearly
- * later. Requests that broke off at once may all have been ended by one outage.
+ * the crash counted before. Requests that broke off at once may all have been
+ * ended by one outage. Where upstreams hang first, requests and crashes at
+ * different times are enough.
  */
 export function countGenerations(crashes: Iterable<CrashWithPart>): number {
   const ordered = [...crashes].toSorted((left, right) => left.at - right.at);
@@ -73,7 +76,8 @@
 
 function isAfter(crash: CrashWithPart, earlier: CrashWithPart): boolean {
   if (crash.sentAt >= earlier.at) return true;
-  return crash.at >= earlier.at + SEPARATE_MS &&
+  const hasHung = crash.at >= crash.sentAt + HANG_MS;
+  return hasHung && crash.at >= earlier.at + SEPARATE_MS &&
     crash.sentAt >= earlier.sentAt + SEPARATE_MS;
 }
 
--- a/packages/admission/tests/partCrashDetector.test.ts
+++ b/packages/admission/tests/partCrashDetector.test.ts
@@ -141,6 +141,13 @@
   t.deepEqual(fixture.convicted, []);
 });
 
+test("a host at which nothing has completed convicts nothing", (t) => {
+  // Guards against a host that starts during outages, and blames what all share.
+  const fixture = new Fixture();
+  for (let index = 0; index < 20; index++) fixture.crash([["all", "document"]]);
+  t.deepEqual(fixture.convicted, []);
+});
+
 test("a new part is no suspect while most other requests break off as well", (t) => {
   // Guards against a conversation that met one outage after the other.
   const fixture = new Fixture();
@@ -247,7 +254,7 @@
   // Guards against hosts apart that each wait for crashes of their own.
   const fixture = new Fixture();
   fixture.isAlone = true;
-  fixture.completeOthers();
+  fixture.completeOthers(60);
   fixture.crash([["all", "bad"]]);
   fixture.complete(["all"]);
   fixture.crash([["all", "bad"]]);
--- a/packages/gateway/src/crashChecks.ts
+++ b/packages/gateway/src/crashChecks.ts
@@ -32,8 +32,6 @@
 const MAXIMUM_REPLACED = 500;
 /** An upstream that is up so long after a response has not crashed under it. */
 const OUTLIVED_MS: Milliseconds = 1_000;
-/** Look after a response that may have ended with its upstream. */
-const LOOK_AFTER_END_MS: Milliseconds = 150;
 
 /** A request that ended at an upstream without a complete response. */
 export interface UnfinishedRequest {
@@ -77,8 +75,8 @@
   readonly #watches = new Map<UpstreamId, CrashWatch>();
   /** Upstreams whose addresses now belong to others. */
   readonly #replaced = new Set<UpstreamId>();
-  /** Suspicions that have proved true. */
-  readonly #confirmed = new WeakSet<CrashSuspicion>();
+  /** What to do once upstreams have outlived responses that seem complete. */
+  readonly #unframedEnds = new WeakMap<CrashSuspicion, () => void>();
   #abortLookAt: Milliseconds = -Infinity;
 
   constructor(options: CrashChecksOptions) {
@@ -118,28 +116,25 @@
 
   /**
    * Records a complete response that only the end of its connection shows to be
-   * complete. Calls back if its upstream outlives it.
+   * complete. Calls back once its upstream has outlived it.
    */
   recordUnframedEnd(request: UnfinishedRequest, onOutlived: () => void): void {
     const { upstream } = request.upstream;
     const suspicion = this.#suspect(request);
     if (suspicion === undefined) return onOutlived();
     if (this.#replaced.has(upstream)) return this.confirm(upstream);
+    this.#unframedEnds.set(suspicion, onOutlived);
     const watch = this.#watch(request.upstream);
-    watch.extend(OUTLIVED_MS);
-    if (!watch.isDueWithin(LOOK_AFTER_END_MS) && this.#takeAbortLook()) {
-      watch.addLook(LOOK_AFTER_END_MS);
-    }
-    this.#options.context().timer.after(OUTLIVED_MS, () => {
-      this.#suspicions.remove(suspicion);
-      if (!this.#confirmed.has(suspicion)) onOutlived();
-    });
+    watch.extend(LIFETIME_MS);
+    if (watch.isDueWithin(OUTLIVED_MS)) return;
+    if (this.#takeAbortLook()) watch.addLook(OUTLIVED_MS);
   }
 
   /** Records that an upstream has completed a request. */
   recordCompletion(upstream: UpstreamId, startedAt: Milliseconds): void {
     if (!this.#suspicions.has(upstream)) return;
-    this.#suspicions.refute(upstream, startedAt);
+    const outlived = this.#suspicions.refute(upstream, startedAt);
+    for (const suspicion of outlived) this.#settleUnframed(suspicion);
     if (!this.#suspicions.has(upstream)) this.#end(upstream);
   }
 
@@ -153,7 +148,11 @@
       this.#addReplaced(upstream);
       return this.confirm(upstream);
     }
-    if (why === "announced") return this.#end(upstream);
+    if (why === "announced") {
+      const suspicions = this.#suspicions.take(upstream);
+      for (const suspicion of suspicions) this.#settleUnframed(suspicion);
+      return this.#end(upstream);
+    }
     if (!this.#suspicions.has(upstream)) return;
     this.#watch(known).schedule([0], { settling: 0, lifetime: 0 });
   }
@@ -165,7 +164,7 @@
     if (this.#isLeaving(upstream)) return this.#end(upstream);
     const now = timer.now();
     for (const crash of this.#suspicions.take(upstream)) {
-      this.#confirmed.add(crash);
+      this.#unframedEnds.delete(crash);
       this.#recordParts(crash);
       if (!crashes.recordCrash(crash, now)) continue;
       const { fingerprint } = crash;
@@ -259,6 +258,23 @@
     metrics.count(`crash_checks_${state}`);
     log.write("crash_checked", { upstream, state });
     if (state === "down") this.confirm(upstream);
+    if (state === "up") this.#settleOutlived(upstream);
+  }
+
+  #settleOutlived(upstream: UpstreamId): void {
+    const { timer } = this.#options.context();
+    const outlivedBefore = timer.now() - OUTLIVED_MS;
+    for (const suspicion of this.#suspicions.of(upstream)) {
+      if (suspicion.at <= outlivedBefore) this.#settleUnframed(suspicion);
+    }
+  }
+
+  #settleUnframed(suspicion: CrashSuspicion): void {
+    const onOutlived = this.#unframedEnds.get(suspicion);
+    if (onOutlived === undefined) return;
+    this.#unframedEnds.delete(suspicion);
+    this.#suspicions.remove(suspicion);
+    onOutlived();
   }
 
   #end(upstream: UpstreamId): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -400,12 +400,11 @@
     });
   }
 
-  /** A host that has just started leaves it to those that saw more. */
   #assessCrashesSoon(): void {
     const { timer } = this.#options;
     const age = timer.now() - this.#startedAt;
-    const settling = this.#isAlone() ? 0 : CRASH_SETTLING_MS - age;
-    timer.after(Math.max(CRASH_REPORT_MS, settling), () => {
+    const delay = Math.max(CRASH_REPORT_MS, CRASH_SETTLING_MS - age);
+    timer.after(delay, () => {
       this.context.partCrashes.assess(timer.now());
     });
   }
--- a/packages/gateway/tests/crashChecks.test.ts
+++ b/packages/gateway/tests/crashChecks.test.ts
@@ -109,6 +109,27 @@
   t.is(host.confirmed.length, 2);
 });
 
+for (const downFrom of [100, 700]) {
+  test(`a response that ends with its connection is no completion if the upstream is down ${downFrom} ms later`, async (t) => {
+    // Guards against requests that are cleared as they crash their upstream.
+    const host = new CheckedHost();
+    host.downFrom = downFrom;
+    host.checks.recordUnframedEnd(REQUEST, () => t.fail());
+    await host.advance(10_000);
+    t.is(host.confirmed.length, 1);
+  });
+}
+
+test("a response that ends with its connection is a completion once its upstream has outlived it", async (t) => {
+  const host = new CheckedHost();
+  let isComplete = false;
+  host.checks.recordUnframedEnd(REQUEST, () => (isComplete = true));
+  await host.advance(900);
+  t.false(isComplete);
+  await host.advance(300);
+  t.true(isComplete);
+});
+
 test("an upstream that leaves as announced has not crashed", async (t) => {
   const host = new CheckedHost();
   host.downFrom = 300;
--- a/packages/gateway/tests/gossipProtocol.test.ts
+++ b/packages/gateway/tests/gossipProtocol.test.ts
@@ -304,6 +304,15 @@
   parts: [asId<Digest>("bad-00000000"), asId<Digest>("all-00000000")],
 };
 
+function completeOtherRequests({ partCrashes, timer }: GatewayContext): void {
+  for (let index = 0; index < 50; index++) {
+    partCrashes.recordOwnCompletion([asId<Digest>(`sound-${index}`)], {
+      at: timer.now(),
+      softwareVersion: asId<SoftwareVersion>("v1"),
+    });
+  }
+}
+
 /** Upstreams crash one after the other under requests with a part in common. */
 function startPartCrashes(
   { hosts, timer }: { hosts: readonly GossipHost[]; timer: VirtualTimer },
@@ -342,6 +351,7 @@
     const { hosts, timer } = startGossipHosts(count, { loss: 0.02 });
     timer.runUntil(7_000);
     for (const host of hosts) host.receivedBytes = 0;
+    for (const { context } of hosts) completeOtherRequests(context);
     startPartCrashes({ hosts, timer });
     timer.advance(3_000);
     const refusing = hosts.filter(({ context: { partCrashes } }) =>
