Convict a part at hosts at which few requests have completed

All hosts had the evidence (up to 22 crashes one after the other) and waited for ten other completions of their own; they had seen five to seven, as responses without framing count late. Three are asked now where peers can object, ten where none can. The new test failed before.

--- a/packages/admission/src/partCrashEvidence.ts
+++ b/packages/admission/src/partCrashEvidence.ts
@@ -18,23 +18,18 @@
   readonly generations: number;
   /** How unlikely they must be by chance. */
   readonly odds: number;
+  /**
+   * Other requests that must have completed. If none has, all upstreams may be
+   * down, or this host has just started and does not know which parts are sound.
+   */
+  readonly others: number;
 }
 
-const LIMITS: Limits = { generations: 3, odds: 1e6 };
-/** For a part that is new to a host which cannot hear what others see. */
-const ALONE_LIMITS: Limits = { generations: 2, odds: 1e3 };
-/**
- * Other requests that must have completed, as a host that has just started does
- * not know which parts are sound.
- */
-const MINIMUM_OTHERS = 10;
+const LIMITS: Limits = { generations: 3, odds: 1e6, others: 3 };
+/** For a part that is new to a host whose peers cannot object. */
+const ALONE_LIMITS: Limits = { generations: 2, odds: 1e3, others: 10 };
 /** For a part that has been sound. */
-const TRUSTED_LIMITS: Limits = { generations: 5, odds: 1e2 };
-/**
- * Other requests that must have completed since such a part did: if none do, all
- * upstreams may be down.
- */
-const TRUSTED_MINIMUM_OTHERS = 2;
+const TRUSTED_LIMITS: Limits = { generations: 5, odds: 1e2, others: 2 };
 /** Time before a part's first crash that shows how often requests break off. */
 const USUAL_WINDOW_MS: Milliseconds = 10_000;
 const RETENTION_MS: Milliseconds = 600_000;
@@ -169,7 +164,7 @@
     if (generations < limits.generations) return false;
     const since = firstCrashAt(record);
     const others = this.#shares.completionsSince(since - USUAL_WINDOW_MS);
-    if (others < MINIMUM_OTHERS) return false;
+    if (others < limits.others) return false;
     const share = this.#shares.apartFrom(part, {
       since,
       window: USUAL_WINDOW_MS,
@@ -184,7 +179,7 @@
     const generations = generationsOf(record);
     if (generations < TRUSTED_LIMITS.generations) return false;
     const others = this.#shares.completionsSince(soundAt);
-    if (others < TRUSTED_MINIMUM_OTHERS) return false;
+    if (others < TRUSTED_LIMITS.others) return false;
     const share = this.#shares.beside(part, soundAt);
     return share ** -generations >= TRUSTED_LIMITS.odds;
   }
--- a/packages/admission/tests/partCrashDetector.test.ts
+++ b/packages/admission/tests/partCrashDetector.test.ts
@@ -148,6 +148,14 @@
   t.deepEqual(fixture.convicted, []);
 });
 
+test("a host at which few requests have completed refuses a bad part as well", (t) => {
+  // Guards against hosts with little traffic that let each upstream crash.
+  const fixture = new Fixture();
+  fixture.completeOthers(5);
+  for (let index = 0; index < 6; index++) fixture.crash([["all", "bad"]]);
+  t.true(fixture.refuses(["all", "bad"]));
+});
+
 test("a new part is no suspect while most other requests break off as well", (t) => {
   // Guards against a conversation that met one outage after the other.
   const fixture = new Fixture();
