Keep few crashes of each part

Anyone may send any part: at a flood of new ones (eight requests with 31 new parts at each of 3,000 crashes) a crash took 23 ms to record, as the part that all of them share kept every crash. Forty are kept now, more than convict it: 2.4 ms, 10 MB for all tables.

--- a/packages/admission/src/partRecord.ts
+++ b/packages/admission/src/partRecord.ts
@@ -2,6 +2,8 @@
 import type { PartCrash } from "./partCrash.ts";
 import type { SoftwareVersion } from "./types.ts";
 
+/** Crashes of one part that are kept; fewer convict it. */
+const MAXIMUM_CRASHES = 40;
 /** Time for which an upstream hung under a request that crashed it. */
 const HANG_MS: Milliseconds = 1_500;
 /** Time between upstreams that hang, and have not been one outage. */
@@ -47,6 +49,7 @@
       accounts: new Set([account]),
       companions: new Set(companions),
     });
+    dropOldestCrash(record);
     return true;
   }
   const size = known.accounts.size + known.companions.size;
@@ -56,6 +59,12 @@
   return known.accounts.size + known.companions.size > size;
 }
 
+function dropOldestCrash({ crashes }: PartRecord): void {
+  if (crashes.size <= MAXIMUM_CRASHES) return;
+  const [oldest] = crashes.keys();
+  crashes.delete(oldest!);
+}
+
 /**
  * Counts the crashes one after the other: each with a request that was sent after
  * the crash counted before. Requests that broke off at once may all have been
