--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,10 +7,8 @@
   type CoordinatorCandidate,
   DirectLinks,
   EventLoopLag,
-  hashWeight,
   LoadShedder,
   type PartConviction,
-  PartCrashDetector,
   PlacementClient,
   PoisonRequestDetector,
   QuotaLimiter,
@@ -41,6 +39,7 @@
 import { CellRouter, coordinatorChangeValues } from "./cellRouter.ts";
 import { type Adoption, type PolicyProof, PolicyState } from "./policyState.ts";
 import { StoreSharing } from "./storeSharing.ts";
+import { createPartCrashDetector } from "./createPartCrashDetector.ts";
 import { createStreamOrigins } from "./createStreamOrigins.ts";
 import { connectionShare } from "./connectionShare.ts";
 import { UnknownHeaders } from "./unknownHeaders.ts";
@@ -60,12 +59,6 @@
 const STOP_MARGIN_MS: Milliseconds = 600;
 const STOP_CHECK_MS: Milliseconds = 50;
 const SHED_LOG_MS: Milliseconds = 1_000;
-/** Time until all hosts have told what they saw of a crash. */
-const CRASH_REPORT_MS: Milliseconds = 60;
-/** Time after the start in which a host knows little of what has completed. */
-const CRASH_SETTLING_MS: Milliseconds = 3_000;
-/** Time from one host's chance to try convicted parts again to the next one's. */
-const TRIAL_INTERVAL_MS: Milliseconds = 2_000;
 
 /**
  * Runs one entry host, which forwards callers' requests to upstreams and
@@ -333,7 +326,14 @@
       quotas: new QuotaLimiter(this.#options.quotaTolerance),
       retries: new RetryBudget(this.#options.retryBudget),
       crashes: new PoisonRequestDetector(),
-      partCrashes: this.#createPartCrashDetector(),
+      partCrashes: createPartCrashDetector({
+        host,
+        timer,
+        startedAt: this.#startedAt,
+        hosts: () => this.#candidates().map((candidate) => candidate.host),
+        isAlone: () => this.#isAlone(),
+        onConviction: (conviction) => this.#announceConviction(conviction),
+      }),
       crashChecks: new CrashChecks({
         context: () => this.context,
         probe: (upstream) => this.#links.probe(upstream),
@@ -387,28 +387,6 @@
     return this.#options.seeds.length > 0 && this.#peers.aliveCount === 0;
   }
 
-  #createPartCrashDetector(): PartCrashDetector {
-    return new PartCrashDetector({
-      isAlone: () => this.#isAlone(),
-      trialDelay: (key) =>
-        TRIAL_INTERVAL_MS * rankOf(this.#options.host, {
-          key,
-          hosts: this.#candidates().map(({ host }) => host),
-        }),
-      onEvidence: () => this.#assessCrashesSoon(),
-      onConviction: (conviction) => this.#announceConviction(conviction),
-    });
-  }
-
-  #assessCrashesSoon(): void {
-    const { timer } = this.#options;
-    const age = timer.now() - this.#startedAt;
-    const delay = Math.max(CRASH_REPORT_MS, CRASH_SETTLING_MS - age);
-    timer.after(delay, () => {
-      this.context.partCrashes.assess(timer.now());
-    });
-  }
-
   #announceConviction(conviction: PartConviction): void {
     const { metrics, log } = this.context;
     const { parts, account } = conviction;
@@ -630,12 +608,3 @@
     });
   }
 }
-
-/** Returns the position of a host among all in an order that the key draws. */
-function rankOf(
-  own: HostId,
-  { key, hosts }: { key: string; hosts: readonly HostId[] },
-): number {
-  const weight = hashWeight(key, own);
-  return hosts.filter((host) => hashWeight(key, host) > weight).length;
-}
