--- a/packages/gateway/tests/helpers/partTraffic.ts
+++ b/packages/gateway/tests/helpers/partTraffic.ts
@@ -20,8 +20,8 @@
 
 /** Crashes after which no request with the part may reach an upstream. */
 const TOLERATED_CRASHES = 5;
-/** Time for hosts in touch to learn of them. */
-const CONTACT_MS: Milliseconds = 3_000;
+/** Time for hosts to learn of them. */
+const LEARNING_MS: Milliseconds = 3_000;
 const SENDS_OF_A_BAD_REQUEST = 3;
 const REPEAT_DELAY_MS: Milliseconds = 150;
 const CALM_MS: Milliseconds = 2_000;
@@ -49,12 +49,12 @@
 export interface PartTrafficReport {
   /** Crashes under the bad part. */
   readonly crashes: number;
-  /** Its arrivals later than the contact time after the fifth crash. */
+  /** Its arrivals later than the learning time after the fifth crash. */
   readonly lateArrivals: number;
   /** Share of sound requests served at the first attempt before it comes. */
   readonly servedBefore: number;
   /**
-   * The same from twice the contact time after the fifth crash, or the last one,
+   * The same from twice the learning time after the fifth crash, or the last one,
    * until it comes no more.
    */
   readonly servedAfter: number;
@@ -274,10 +274,12 @@
   const last = crashes[TOLERATED_CRASHES - 1] ?? crashes.at(-1) ?? startedAt;
   const fifth = crashes[TOLERATED_CRASHES - 1] ?? Infinity;
   const before = outcomes.filter(({ sentAt }) => sentAt < startedAt);
-  const after = outcomes.filter(({ sentAt }) => sentAt > last + 2 * CONTACT_MS);
+  const after = outcomes.filter(({ sentAt }) =>
+    sentAt > last + 2 * LEARNING_MS
+  );
   return {
     crashes: crashes.length,
-    lateArrivals: arrivals.filter((at) => at > fifth + CONTACT_MS).length,
+    lateArrivals: arrivals.filter((at) => at > fifth + LEARNING_MS).length,
     servedBefore: servedShare(before),
     servedAfter: servedShare(after),
     soundConvicted: outcomes.filter(({ isConvicted }) => isConvicted).length,
