Log connections closed unread and callers that left before a send

The hypotheses of docs/incidents/callers-that-left need to tell a host that is behind after one stall (peakLag) from one that is behind all the time (lag), and what it closed unread from what it read for callers that had left. requests_shed now has all of these, and is also written in a second without refusals.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -45,6 +45,14 @@
 /** A host that ends sooner than this refuses new requests. */
 const MINIMUM_SERVING_MS: Milliseconds = 1_500;
 
+/** Work that a host was spared, or that it could not do. */
+export interface UnservedCounts {
+  /** Connections closed before their request was read. */
+  readonly closedUnread: number;
+  /** Requests whose callers had left before anything was sent. */
+  readonly leftUnsent: number;
+}
+
 /** Accepts callers' connections and answers each request exactly once. */
 export class CallerServer {
   readonly #context: GatewayContext;
@@ -60,6 +68,8 @@
   readonly #acceptBacklog = new ConnectionBacklog();
   #isCountingIterations = false;
   #shedCount = 0;
+  #closedUnread = 0;
+  #leftUnsent = 0;
 
   constructor(context: GatewayContext) {
     this.#context = context;
@@ -82,6 +92,17 @@
     return this.#busySockets.size;
   }
 
+  /** Returns what was not served since the last call. */
+  takeCounts(): UnservedCounts {
+    const counts = {
+      closedUnread: this.#closedUnread,
+      leftUnsent: this.#leftUnsent,
+    };
+    this.#closedUnread = 0;
+    this.#leftUnsent = 0;
+    return counts;
+  }
+
   async listen(address: string): Promise<Result<void, ListenError>> {
     const server = this.#server;
     const listening = await listenAt(server, address, {
@@ -126,6 +147,7 @@
   /** The caller sees that nothing was read, and turns to another host. */
   #closeUnread(socket: Socket): void {
     this.#context.metrics.count("connections_closed_unread");
+    this.#closedUnread++;
     this.#closedSockets.add(socket);
     socket.destroy();
   }
@@ -214,7 +236,10 @@
     }
     const bound = await bindToOrigin(admitted.value, this.#context);
     // The caller may have left meanwhile.
-    if (response.destroyed) return this.#refundQuota(admitted.value);
+    if (response.destroyed) {
+      this.#countLeftUnsent();
+      return this.#refundQuota(admitted.value);
+    }
     if (bound.isErr()) {
       this.#refundQuota(admitted.value);
       return this.#refuse(request, callerResponse, bound.error);
@@ -333,6 +358,7 @@
       response: callerResponse,
       onEnd: ({ hasRun }) => {
         if (!hasRun) this.#refundQuota(admitted);
+        if (!hasRun && response.destroyed) this.#countLeftUnsent();
       },
     });
     response.once("close", () => {
@@ -341,6 +367,11 @@
     exchange.start();
   }
 
+  #countLeftUnsent(): void {
+    this.#context.metrics.count("callers_left_unsent");
+    this.#leftUnsent++;
+  }
+
   #refundQuota({ account, metadata }: AdmittedRequest): void {
     if (account?.quota === undefined) return;
     this.#context.quotas.refund(account.account, quotaUnits(account, metadata));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -587,18 +587,22 @@
     this.#peerLog.add(this.#gossip.tick(), this.#peers.aliveCount);
   }
 
-  /** Logs the number of shed requests, at most once a second. */
+  /** Logs how many requests were not served, and why; at most once a second. */
   #logShedRequests(now: Milliseconds): void {
     if (now - this.#shedLoggedAt < SHED_LOG_MS) return;
     this.#shedLoggedAt = now;
     const { shedding, lag, log, metrics } = this.context;
     const requests = shedding.takeCount();
+    const { closedUnread, leftUnsent } = this.#callerServer.takeCounts();
     metrics.set("lag_ms", Math.round(lag.peak(now)));
-    if (requests === 0) return;
+    if (requests + closedUnread + leftUnsent === 0) return;
     log.write("requests_shed", {
       requests,
+      closedUnread,
+      leftUnsent,
       share: Math.round(shedding.share * 100) / 100,
       lag: Math.round(lag.sustained),
+      peakLag: Math.round(lag.peak(now)),
     });
   }
 
