Look for a caller's close before each send

Callers saw nothing, as they had left: their requests reached upstreams up to 1.7 s after they had closed, and ran there for nobody.

Cause: a close lies behind the request that it follows, so a host that was held up reads the request first. It was sent in the same step unless the event loop had lagged for some time; that figure is a minimum over a window, hence small right after one long stall. The end of the input reached the exchange only with the end of the response, some iterations later.

Change: a placed request is sent after the event loop has polled once more (afterNextPoll), and the end of the caller's input ends the exchange. The same cause elsewhere: a new connection to an upstream may open long after its request was placed, and a relay reads its peer's bytes before the peer's close; both now wait for a poll as well.

Why it works: one poll reads what the kernel had for a socket, its end included, so a close that arrived before the request was read is known before the send.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -11,6 +11,7 @@
 import { CallerResponse } from "./callerResponse.ts";
 import type { LogValues } from "./decisionLog.ts";
 import { Exchange } from "./exchange.ts";
+import { hasCallerLeft, onCallerLeave } from "./callerDeparture.ts";
 import { pairHeaders } from "./headers.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 import {
@@ -235,8 +236,7 @@
       });
     }
     const bound = await bindToOrigin(admitted.value, this.#context);
-    // The caller may have left meanwhile.
-    if (response.destroyed) {
+    if (hasCallerLeft(request, response)) {
       this.#countLeftUnsent();
       return this.#refundQuota(admitted.value);
     }
@@ -358,12 +358,12 @@
       response: callerResponse,
       onEnd: ({ hasRun }) => {
         if (!hasRun) this.#refundQuota(admitted);
-        if (!hasRun && response.destroyed) this.#countLeftUnsent();
+        if (!hasRun && hasCallerLeft(request, response)) {
+          this.#countLeftUnsent();
+        }
       },
     });
-    response.once("close", () => {
-      if (!response.writableFinished) exchange.handleCallerClose();
-    });
+    onCallerLeave(request, response, () => exchange.handleCallerClose());
     exchange.start();
   }
 
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -13,6 +13,7 @@
   type Upstream,
   type UpstreamOutcome,
 } from "@wasabivane/admission";
+import { afterNextPoll } from "./afterNextPoll.ts";
 import {
   Attempt,
   type AttemptEnd,
@@ -41,8 +42,6 @@
 
 /** Mean retry delay given to callers whose request did not run. */
 const NOT_RUN_RETRY_MS: Milliseconds = 250;
-/** Event-loop lag below which a request is sent at once. */
-const YIELD_LAG_MS: Milliseconds = 20;
 
 type AssignedSlot = Extract<PlacementDecision, { kind: "place" }>;
 
@@ -197,7 +196,7 @@
       return this.#onDeadline();
     }
     if (decision.kind === "place") {
-      return this.#sendAfterPendingEvents(decision);
+      return this.#sendUnlessLeft(decision);
     }
     const { estimate, reason } = decision;
     if (this.#options.response.hasStarted) {
@@ -221,19 +220,17 @@
   }
 
   /**
-   * Under lag, lets the event loop process closed connections first, so that no
-   * upstream works for a caller that has left.
+   * Looks for the caller's close first, so that no upstream works for a caller
+   * that left while this host was behind.
    */
-  #sendAfterPendingEvents(slot: AssignedSlot): void {
-    const { context: { timer, lag } } = this.#options;
-    if (lag.sustained < YIELD_LAG_MS) return this.#send(slot);
-    timer.after(0, () =>
-      timer.after(0, () => {
-        if (this.#now() >= this.#options.admitted.deadline) {
-          return this.#onDeadline();
-        }
-        if (!this.#isFinished) this.#send(slot);
-      }));
+  #sendUnlessLeft(slot: AssignedSlot): void {
+    afterNextPoll(() => {
+      if (this.#isFinished) return;
+      if (this.#now() >= this.#options.admitted.deadline) {
+        return this.#onDeadline();
+      }
+      this.#send(slot);
+    });
   }
 
   #send(
--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/relayServer.ts
@@ -12,6 +12,7 @@
 import type { Upstream } from "@wasabivane/admission";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { GatewayContext } from "./gatewayContext.ts";
+import { afterNextPoll } from "./afterNextPoll.ts";
 import { splitAddress } from "./peerChannel.ts";
 import {
   decodeRelayMessage,
@@ -190,7 +191,11 @@
     });
     webSocket.on("message", (data, isBinary) => {
       if (!isBinary) return this.#receive(relay, String(data));
-      if (!connection.write(data as Buffer)) webSocket.pause();
+      // The peer may have closed the relay behind these bytes.
+      afterNextPoll(() => {
+        if (webSocket.readyState !== webSocket.OPEN) return;
+        if (!connection.write(data as Buffer)) webSocket.pause();
+      });
     });
     webSocket.on("error", () => connection.destroy());
     webSocket.on("close", () => {
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import { type Milliseconds, ResetDetector } from "@wasabivane/common";
 import { type buildConnector, type Dispatcher, Pool } from "undici";
+import { afterNextPoll } from "./afterNextPoll.ts";
 import type { HeaderLine, HeaderValues } from "./headers.ts";
 import { createWatchedConnector } from "./watchedConnector.ts";
 
@@ -103,13 +104,24 @@
     await Promise.all(pools.map((pool) => pool.destroy()));
   }
 
+  /**
+   * A connection may be established long after its request was placed, so callers
+   * that left meanwhile are looked for before it is used.
+   */
   #createConnector(): buildConnector.connector {
     const connector = this.#connector;
     return (options, callback) =>
       connector(options, (...result) => {
-        const [, socket] = result;
-        if (socket) this.#watchEnd(socket);
-        callback(...result);
+        const [error, socket] = result;
+        if (error !== null) return callback(...result);
+        this.#watchEnd(socket);
+        afterNextPoll(() => {
+          if (!socket.destroyed && !socket.readableEnded) {
+            return callback(null, socket);
+          }
+          socket.destroy();
+          callback(new Error("The connection closed before its use"), null);
+        });
       });
   }
 
--- a/packages/gateway/tests/helpers/callersApart.ts
+++ b/packages/gateway/tests/helpers/callersApart.ts
@@ -28,7 +28,7 @@
   send: async ({ texts, awaited }) => {
     await Promise.all(sockets.map((socket, index) => new Promise((resolve) => {
       if (awaited) socket.once("data", resolve);
-      socket.write(texts[index], () => awaited || resolve());
+      socket.write(texts[index], "latin1", () => awaited || resolve());
     })));
   },
   leave: async ({ departure }) => {
--- a/packages/gateway/tests/leftCallers.test.ts
+++ b/packages/gateway/tests/leftCallers.test.ts
@@ -14,9 +14,11 @@
   type RunningGateway,
   sendRequest,
   startGateway,
+  startHostPair,
   startUpstream,
   waitUntil,
 } from "./helpers/fleet.ts";
+import { relayPathOf } from "../src/relayMessage.ts";
 import { startServing } from "./helpers/simpleUpstreams.ts";
 
 const CALLERS = 6;
@@ -70,8 +72,7 @@
 }
 
 for (const departure of DEPARTURES) {
-  const testQueue = departure === "reset" ? test.serial : test.serial.failing;
-  testQueue(
+  test.serial(
     `requests in the accept queue whose callers left are not sent (${departure})`,
     async (t) => {
       // Guards against requests that are read, and sent, before the close behind them.
@@ -86,8 +87,7 @@
     },
   );
 
-  if (departure !== "close") continue;
-  test.serial.failing(
+  test.serial(
     `requests unread on kept connections whose callers left are not sent (${departure})`,
     async (t) => {
       // Guards against requests that are read, and sent, before the close behind them.
@@ -165,6 +165,71 @@
   );
 });
 
+test.serial("a request whose caller left while a connection was opened is not sent", async (t) => {
+  // Guards against a new connection and a close that are seen in one step.
+  const upstream = await startServing();
+  const scene = await startScene(t, [upstream]);
+  const { connections } = scene.host.gateway.context;
+  let hasLeft = false;
+  connections.setConnector((options, callback) =>
+    connections.directConnector(options, (...result) => {
+      if (!hasLeft) {
+        scene.callers.runDuringStall([{ kind: "leave", departure: "close" }]);
+      }
+      hasLeft = true;
+      callback(...result);
+    })
+  );
+  await scene.callers.run([
+    { kind: "open", port: scene.port, count: 1 },
+    { kind: "send", texts: [requestText("left")] },
+  ]);
+  await waitUntil(() => hasLeft);
+  await finish(t, scene);
+  t.deepEqual(idsOf(upstream), ["last"]);
+});
+
+/** Returns the bytes of a WebSocket's binary frame with a mask of zeros. */
+function frameOf(text: string): string {
+  const head = [0x82, 0x80 | text.length, 0, 0, 0, 0];
+  return String.fromCharCode(...head) + text;
+}
+
+test.serial("a request in a relay whose peer closed it unread is not passed on", async (t) => {
+  // Guards against a relay that reads bytes, and passes them on, before the close
+  // behind them.
+  const upstream = await startServing();
+  const hosts = await startHostPair([upstream]);
+  const callers = new CallersApart();
+  t.teardown(async () => {
+    await callers.close();
+    await hosts.close();
+  });
+  const { gateway, peerAddress } = hosts.reader;
+  await waitUntil(() => gateway.context.hostCount() === 2);
+  const id = gateway.context.directory.all()[0]!.upstream;
+  const upgrade = [
+    `GET ${relayPathOf(id)} HTTP/1.1`,
+    "host: peer.example",
+    "connection: upgrade",
+    "upgrade: websocket",
+    "sec-websocket-version: 13",
+    "sec-websocket-key: AAAAAAAAAAAAAAAAAAAAAA==",
+    "\r\n",
+  ].join("\r\n");
+  const port = Number(peerAddress.split(":")[1]);
+  await callers.run([
+    { kind: "open", port, count: 1 },
+    { kind: "send", texts: [upgrade], awaited: true },
+  ]);
+  callers.runDuringStall([
+    { kind: "send", texts: [frameOf(requestText("relayed"))] },
+    { kind: "leave", departure: "close" },
+  ]);
+  t.is((await sendRequest(hosts.reader.url)).status, 200);
+  t.deepEqual(idsOf(upstream), ["q1"]);
+});
+
 test.serial("work for callers that left while the host stood still ends", async (t) => {
   // Guards against upstreams that go on working for nobody.
   const { upstream, held } = await startHolding(t);
