Reset all waiting connections at once where they cannot all be served

Callers saw hosts that answered nothing for seconds, and less and less served the more came: 172 responses a second of some 1,100 at 2,400 requests a second beside six busy processes.

Cause: while connections waited without a pause, each was accepted and closed unread, until none waited. Where callers come faster than that, none ever is served, and refusing takes the processor time of serving; all hosts do so at the same time, as callers turn to the others.

Change: a host that sees such a backlog opens its listener anew. The kernel resets all that wait, and the next ones have waited for a few iterations only.

The test failed before (24 responses in 300 iterations, 293 now).

Why it works: what is not served costs the host next to nothing, however much comes, and what it accepts is fresh.

--- a/packages/admission/src/connectionBacklog.ts
+++ b/packages/admission/src/connectionBacklog.ts
@@ -43,6 +43,12 @@
     return this.#iterations > 0;
   }
 
+  /** Starts anew once nothing waits. */
+  reset(): void {
+    this.#iterations = 0;
+    this.#hasAccepted = false;
+  }
+
   /** Whether the last accepted connection had to wait behind others. */
   get hasBacklog(): boolean {
     return this.#iterations >= BACKLOG_ITERATIONS;
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -8,6 +8,7 @@
 import type { Milliseconds } from "@wasabivane/common";
 import { type CallerLimits, ConnectionBacklog } from "@wasabivane/admission";
 import { ok, type Result } from "neverthrow";
+import { CallerListener } from "./callerListener.ts";
 import { CallerResponse } from "./callerResponse.ts";
 import type { LogValues } from "./decisionLog.ts";
 import { Exchange } from "./exchange.ts";
@@ -24,7 +25,6 @@
 import { quarantineOfNew } from "./quarantine.ts";
 import { traitsOf } from "./requestTraits.ts";
 import { bindToOrigin } from "./streamTakeUp.ts";
-import { listenAt } from "./listenAt.ts";
 import type { ListenError } from "./listenError.ts";
 import { type BodyError, readBody } from "./requestBody.ts";
 
@@ -35,7 +35,6 @@
 /** Timeouts until the first policy is read. */
 const INITIAL_HEADER_TIMEOUT_MS: Milliseconds = 3_000;
 const INITIAL_IDLE_TIMEOUT_MS: Milliseconds = 15_000;
-const ACCEPT_BACKLOG = 1_024;
 /** Only one in this many shed requests is logged on its own. */
 const SHED_LOG_SAMPLE = 10;
 /**
@@ -48,8 +47,8 @@
 
 /** Work that a host was spared, or that it could not do. */
 export interface UnservedCounts {
-  /** Connections closed before their request was read. */
-  readonly closedUnread: number;
+  /** How often all connections that waited to be accepted were reset. */
+  readonly queueDrops: number;
   /** Requests whose callers had left before anything was sent. */
   readonly leftUnsent: number;
 }
@@ -58,6 +57,7 @@
 export class CallerServer {
   readonly #context: GatewayContext;
   readonly #server: Server;
+  readonly #listener: CallerListener;
   readonly #sockets = new Set<Socket>();
   readonly #busySockets = new Set<Socket>();
   /** Connections closed by this host; requests on them cannot be answered. */
@@ -69,7 +69,7 @@
   readonly #acceptBacklog = new ConnectionBacklog();
   #isCountingIterations = false;
   #shedCount = 0;
-  #closedUnread = 0;
+  #queueDrops = 0;
   #leftUnsent = 0;
 
   constructor(context: GatewayContext) {
@@ -82,6 +82,7 @@
       connectionsCheckingInterval: HEADER_CHECK_MS,
       noDelay: true,
     }, (request, response) => void this.#serve(request, response));
+    this.#listener = new CallerListener(this.#server, context.timer);
     this.#server.on("connection", (socket) => this.#track(socket));
     context.policies.addListener(({ policy }) =>
       this.#applyLimits(policy.limits)
@@ -96,25 +97,21 @@
   /** Returns what was not served since the last call. */
   takeCounts(): UnservedCounts {
     const counts = {
-      closedUnread: this.#closedUnread,
+      queueDrops: this.#queueDrops,
       leftUnsent: this.#leftUnsent,
     };
-    this.#closedUnread = 0;
+    this.#queueDrops = 0;
     this.#leftUnsent = 0;
     return counts;
   }
 
-  async listen(address: string): Promise<Result<void, ListenError>> {
-    const server = this.#server;
-    const listening = await listenAt(server, address, {
-      backlog: ACCEPT_BACKLOG,
-    });
-    return listening.map(() => undefined);
+  listen(address: string): Promise<Result<void, ListenError>> {
+    return this.#listener.listen(address);
   }
 
   /** Stops accepting connections; open ones are still served. */
   stopListening(): void {
-    this.#server.close();
+    this.#listener.stop();
   }
 
   /** Closes connections without a request in progress. */
@@ -136,7 +133,7 @@
   #track(socket: Socket): void {
     this.#recordAccept(socket);
     if (this.#acceptBacklog.isOverrun(this.#context.timer.now())) {
-      return this.#closeUnread(socket);
+      this.#dropWaiting();
     }
     this.#sockets.add(socket);
     socket.on("close", () => {
@@ -145,12 +142,15 @@
     });
   }
 
-  /** The caller sees that nothing was read, and turns to another host. */
-  #closeUnread(socket: Socket): void {
-    this.#context.metrics.count("connections_closed_unread");
-    this.#closedUnread++;
-    this.#closedSockets.add(socket);
-    socket.destroy();
+  /**
+   * The callers see that nothing was read, and turn to other hosts. Those that
+   * come next have not waited.
+   */
+  #dropWaiting(): void {
+    this.#context.metrics.count("accept_queue_drops");
+    this.#queueDrops++;
+    this.#listener.dropWaiting();
+    this.#acceptBacklog.reset();
   }
 
   #recordAccept(socket: Socket): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -593,12 +593,12 @@
     this.#shedLoggedAt = now;
     const { shedding, lag, log, metrics } = this.context;
     const requests = shedding.takeCount();
-    const { closedUnread, leftUnsent } = this.#callerServer.takeCounts();
+    const { queueDrops, leftUnsent } = this.#callerServer.takeCounts();
     metrics.set("lag_ms", Math.round(lag.peak(now)));
-    if (requests + closedUnread + leftUnsent === 0) return;
+    if (requests + queueDrops + leftUnsent === 0) return;
     log.write("requests_shed", {
       requests,
-      closedUnread,
+      queueDrops,
       leftUnsent,
       share: Math.round(shedding.share * 100) / 100,
       lag: Math.round(lag.sustained),
--- a/packages/gateway/tests/acceptQueue.test.ts
+++ b/packages/gateway/tests/acceptQueue.test.ts
@@ -23,30 +23,29 @@
   });
 }
 
-test
-  .serial.failing(
-    "a host whose accept queue never runs empty serves callers",
-    async (t) => {
-      // Guards against a host in overload that closes all connections unread.
-      const host = await startGateway({
-        upstreams: [await startServing()],
-        slots: CALLERS,
-        route: { target: 20_000, timeout: 60_000 },
-      });
-      const callers = new CallersApart();
-      t.teardown(async () => {
-        await callers.close();
-        await host.close();
-      });
-      const texts = Array.from(
-        { length: CALLERS },
-        (_, i) => requestText(`p${i}`),
-      );
-      const port = Number(new URL(host.url).port);
-      await callers.run([{ kind: "press", port, texts }]);
-      await slowDown(ITERATIONS);
-      const served = await callers.run([]);
-      t.log({ served });
-      t.true(served >= LEAST_SERVED);
-    },
-  );
+test.serial(
+  "a host whose accept queue never runs empty serves callers",
+  async (t) => {
+    // Guards against a host in overload that closes all connections unread.
+    const host = await startGateway({
+      upstreams: [await startServing()],
+      slots: CALLERS,
+      route: { target: 20_000, timeout: 60_000 },
+    });
+    const callers = new CallersApart();
+    t.teardown(async () => {
+      await callers.close();
+      await host.close();
+    });
+    const texts = Array.from(
+      { length: CALLERS },
+      (_, i) => requestText(`p${i}`),
+    );
+    const port = Number(new URL(host.url).port);
+    await callers.run([{ kind: "press", port, texts }]);
+    await slowDown(ITERATIONS);
+    const served = await callers.run([]);
+    t.log({ served });
+    t.true(served >= LEAST_SERVED);
+  },
+);
