Serve requests that waited to be accepted, with what time may be left

Cause: a connection that was accepted in a backlog, after any long iteration in the last 5 s, was refused, since its caller might have left. Refusing it costs about what serving does, and the caller comes back.

Those that have not are served; what they may have waited, the time since the accept queue was last empty, is taken off their deadline.

--- a/packages/admission/src/connectionBacklog.ts
+++ b/packages/admission/src/connectionBacklog.ts
@@ -62,4 +62,9 @@
     return this.#iterations >= OVERRUN_ITERATIONS &&
       now - this.#since >= OVERRUN_SPAN_MS;
   }
+
+  /** Longest time for which the last accepted connection may have waited. */
+  longestWait(now: Milliseconds): Milliseconds {
+    return this.hasBacklog ? now - this.#since : 0;
+  }
 }
--- a/packages/admission/src/eventLoopLag.ts
+++ b/packages/admission/src/eventLoopLag.ts
@@ -12,11 +12,6 @@
 /** Samples older than this are dropped; timers of an idle host run rarely. */
 const MAXIMUM_SAMPLE_AGE_MS: Milliseconds = 1_500;
 
-/** Lateness of a timer that indicates a long iteration of the event loop. */
-const LONG_ITERATION_MS: Milliseconds = 100;
-/** How long input may wait that arrived during long iterations. */
-const LONG_ITERATION_EFFECT_MS: Milliseconds = 5_000;
-
 /** One measured lateness. */
 interface Sample {
   readonly late: Milliseconds;
@@ -34,7 +29,6 @@
 export class EventLoopLag {
   #peak: Milliseconds = 0;
   #peakAt: Milliseconds = -Infinity;
-  #longIterationAt: Milliseconds = -Infinity;
   readonly #samples: Sample[] = [];
 
   /** Records how much later than planned a timer ran. */
@@ -42,7 +36,6 @@
     const late = Math.max(0, lateness);
     this.#peak = Math.max(late, this.peak(now));
     this.#peakAt = now;
-    if (late >= LONG_ITERATION_MS) this.#longIterationAt = now;
     this.#samples.push({ late, at: now });
     while (this.#isOutdated(this.#samples[0]!, now)) this.#samples.shift();
   }
@@ -53,11 +46,6 @@
     return this.#peak * Math.exp(-age / PEAK_DECAY_MS);
   }
 
-  /** Whether recent iterations were so long that input may still wait. */
-  hasRecentLongIteration(now: Milliseconds): boolean {
-    return now - this.#longIterationAt < LONG_ITERATION_EFFECT_MS;
-  }
-
   /** Minimum lateness over the last window; 0 until enough timers have run. */
   get sustained(): Milliseconds {
     if (this.#samples.length < MINIMUM_SAMPLES) return 0;
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -63,9 +63,10 @@
   /** Connections closed by this host; requests on them cannot be answered. */
   readonly #closedSockets = new WeakSet<Socket>();
   /**
-   * Connections that waited in the accept queue and have not had a request yet.
+   * How long connections that have not had a request yet may have waited in the
+   * accept queue.
    */
-  readonly #delayedSockets = new WeakSet<Socket>();
+  readonly #waits = new WeakMap<Socket, Milliseconds>();
   readonly #acceptBacklog = new ConnectionBacklog();
   #isCountingIterations = false;
   #shedCount = 0;
@@ -154,11 +155,9 @@
   }
 
   #recordAccept(socket: Socket): void {
-    const { lag, timer } = this.#context;
-    this.#acceptBacklog.recordAccept(timer.now());
-    const hasWaited = this.#acceptBacklog.hasBacklog &&
-      lag.hasRecentLongIteration(timer.now());
-    if (hasWaited) this.#delayedSockets.add(socket);
+    const now = this.#context.timer.now();
+    this.#acceptBacklog.recordAccept(now);
+    this.#waits.set(socket, this.#acceptBacklog.longestWait(now));
     if (this.#isCountingIterations) return;
     this.#isCountingIterations = true;
     const endIteration = (): void => {
@@ -198,10 +197,6 @@
       } as const;
       return this.#refuse(request, callerResponse, refusal);
     }
-    // The caller's deadline may have passed in the accept queue.
-    if (this.#delayedSockets.delete(socket)) {
-      return this.#shed(request, callerResponse);
-    }
     if (this.#shouldShed(request)) return this.#shed(request, callerResponse);
     const admitted = this.#admit(request);
     if (admitted.isErr()) {
@@ -297,10 +292,20 @@
       // The request arrived while the event loop was busy.
       now: timer.now() - lag.sustained,
       elapsedNow: elapsed.now(),
-      readingDelay: ITERATIONS_TO_READ * lag.peak(timer.now()),
+      readingDelay: Math.max(
+        this.#takeWait(request.socket),
+        ITERATIONS_TO_READ * lag.peak(timer.now()),
+      ),
     });
   }
 
+  /** Only the first request of a connection waited with it. */
+  #takeWait(socket: Socket): Milliseconds {
+    const wait = this.#waits.get(socket) ?? 0;
+    this.#waits.delete(socket);
+    return wait;
+  }
+
   #chargeQuota(
     { account, metadata, service }: AdmittedRequest,
   ): Result<void, Refusal> {
