Close connections whose bytes go on without being part of a response

Callers of other requests saw slow responses while one upstream sent interim heads, blank lines or a chunk extension without end: the host read them, as fast as they came, until the route's time was over, or for as long as the connection lasted where they followed a whole response.

Cause: the HTTP library limits a head's size, but skips these without a callback or a limit.

Change: what is read of a connection between two parts of responses is limited to 128 KB (overheadLimit.ts); a final head or a part of a body starts anew.

Tests, one for each place, bytes sent until the connection is closed: interim heads, blank lines before a head and a chunk extension went on until the deadline (504, 708 MB in one second of a chunk extension); blank lines after a whole response 4.9 GB. Now 0.2 to 0.3 MB each. Before a head, in a header, in headers, trailers, and garbage after a whole response were bounded and stay so; a plain body is read as fast as its caller reads (8 MB with the kernel's buffers).

Why it works: every byte is counted where it is read, whatever the parser makes of it, and only what a request can use resets the count.

--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -4,13 +4,13 @@
 import { type buildConnector, type Dispatcher, Pool } from "undici";
 import { afterNextPoll } from "./afterNextPoll.ts";
 import type { HeaderLine, HeaderValues } from "./headers.ts";
+import { MAXIMUM_HEADER_BYTES, OverheadLimits } from "./overheadLimit.ts";
 import { createWatchedConnector } from "./watchedConnector.ts";
 
 /** Keep-alive timeout if the upstream announces none. */
 const KEEP_ALIVE_MS: Milliseconds = 8_000;
 /** Deducted from an announced keep-alive timeout. */
 const KEEP_ALIVE_MARGIN_MS: Milliseconds = 1_000;
-const MAXIMUM_HEADER_BYTES = 32 * 1_024;
 const MINIMUM_CONNECTIONS = 4;
 /** A code that the HTTP library does not take for the end of a response. */
 const RESET_CODE = "ERR_CONNECTION_RESET";
@@ -57,6 +57,7 @@
   readonly #pools = new Map<string, Pool>();
   readonly #paused = new Set<DispatchedCall>();
   readonly #resetDetector = new ResetDetector();
+  readonly #overheadLimits = new OverheadLimits();
   /** Connects from this host. */
   readonly directConnector: buildConnector.connector;
   readonly #maximumConnections: () => number;
@@ -81,6 +82,7 @@
     const dispatched = new DispatchedCall(listener, {
       resetDetector: this.#resetDetector,
       paused: this.#paused,
+      overheadLimits: this.#overheadLimits,
     });
     this.#poolOf(call.address).dispatch({
       method: call.method as Dispatcher.HttpMethod,
@@ -115,6 +117,7 @@
         const [error, socket] = result;
         if (error !== null) return callback(...result);
         this.#watchEnd(socket);
+        this.#overheadLimits.watch(socket);
         afterNextPoll(() => {
           if (!socket.destroyed && !socket.readableEnded) {
             return callback(null, socket);
@@ -162,6 +165,7 @@
   readonly resetDetector: ResetDetector;
   /** Calls whose responses are not read for the moment. */
   readonly paused: Set<DispatchedCall>;
+  readonly overheadLimits: OverheadLimits;
 }
 
 /** Adapts the HTTP library's callbacks to an {@link UpstreamListener}. */
@@ -213,6 +217,7 @@
     headers: HeaderValues,
   ): void {
     if (status < 200 || this.#isAborted) return;
+    this.#state.overheadLimits.recordProgress();
     this.#listener.head(status, headers);
   }
 
@@ -220,7 +225,9 @@
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    if (!this.#isAborted) this.#listener.data(chunk);
+    if (this.#isAborted) return;
+    this.#state.overheadLimits.recordProgress();
+    this.#listener.data(chunk);
   }
 
   onResponseEnd(): void {
