Cut a stream within an event that does not end

Cause: the splitter joined what it held of the event with each chunk and searched all of it again, and nothing limited the event's size.

Change: a chunk is searched with the two bytes before it, and joined with the others once it completes an event; an event of over 5 MB, more than any request, ends the attempt as broken.

Why it works: the work for an event grows with its size, which is limited.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -6,7 +6,7 @@
 } from "@wasabivane/common";
 import type { Upstream, UpstreamOutcome } from "@wasabivane/admission";
 import type { Dialect, ResponseMetadata } from "./dialect.ts";
-import { EventStreamSplitter } from "./eventStreamSplitter.ts";
+import { type EventFrame, EventStreamSplitter } from "./eventStreamSplitter.ts";
 import type { HeaderValues } from "./headers.ts";
 import { framingOf, type ResponseFraming } from "./responseFraming.ts";
 import type {
@@ -21,6 +21,8 @@
  * streamed.
  */
 const MAXIMUM_BUFFERED_BYTES = 1_024 * 1_024;
+/** Size above which an event is taken for one that does not end. */
+const MAXIMUM_EVENT_BYTES = 5 * 1_024 * 1_024;
 /**
  * Events before the first speed report; each further report needs twice as
  * many.
@@ -275,7 +277,12 @@
 
   #forwardEvents(chunk: Buffer): void {
     const frames = this.#splitter.push(chunk);
-    if (frames.length === 0) return;
+    if (frames.length > 0) this.#forwardFrames(frames);
+    if (this.#splitter.remainderBytes <= MAXIMUM_EVENT_BYTES) return;
+    this.#end({ outcome: "broken", detail: "event exceeds the size limit" });
+  }
+
+  #forwardFrames(frames: readonly EventFrame[]): void {
     this.#startStream();
     this.eventCount += frames.length;
     this.#recordEvent();
@@ -342,8 +349,8 @@
   #completeStream(): void {
     if (this.#isEnded) return;
     this.#startStream();
-    const { remainder } = this.#splitter;
-    if (remainder.length > 0) {
+    const { remainder, remainderBytes } = this.#splitter;
+    if (remainderBytes > 0) {
       this.#options.listener.onEvents(remainder, undefined);
     }
     this.#end({ outcome: "whole", detail: "end of stream" });
@@ -351,7 +358,7 @@
 
   #isTruncated(): boolean {
     if (this.#framing !== "connection" || !this.#isEventStream()) return false;
-    return !this.#hasStarted || this.#splitter.remainder.length > 0;
+    return !this.#hasStarted || this.#splitter.remainderBytes > 0;
   }
 
   #buffer(chunk: Buffer): void {
@@ -395,7 +402,7 @@
       ...end,
       wasSent: this.#wasSent,
       framing: this.#framing,
-      partialBytes: this.#splitter.remainder.length,
+      partialBytes: this.#splitter.remainderBytes,
     });
   }
 }
--- a/packages/gateway/src/eventStreamSplitter.ts
+++ b/packages/gateway/src/eventStreamSplitter.ts
@@ -2,6 +2,9 @@
 
 const NEW_LINE = 0x0a;
 const ID_LINE = /^id: ?(\d+)\r?$/m;
+/** The end of an event, `\n\r\n` at the longest, may begin so long before a chunk. */
+const SEAM_BYTES = 2;
+const NO_BYTES = Buffer.alloc(0);
 
 /** A complete event of a stream, including its closing blank line. */
 export interface EventFrame {
@@ -15,17 +18,25 @@
  * partial event.
  */
 export class EventStreamSplitter {
-  #remainder: Buffer = Buffer.alloc(0);
+  /** The trailing incomplete event. */
+  #chunks: Buffer[] = [];
+  #remainderBytes = 0;
+  /** Its last bytes. */
+  #tail = NO_BYTES;
 
   /** Bytes of the trailing incomplete event. */
   get remainder(): Buffer {
-    return this.#remainder;
+    return Buffer.concat(this.#chunks);
+  }
+
+  /** Size of the trailing incomplete event. */
+  get remainderBytes(): number {
+    return this.#remainderBytes;
   }
 
   push(chunk: Buffer): EventFrame[] {
-    const bytes = this.#remainder.length === 0
-      ? chunk
-      : Buffer.concat([this.#remainder, chunk]);
+    const bytes = this.#join(chunk);
+    if (bytes === undefined) return [];
     const frames: EventFrame[] = [];
     let start = 0;
     let end = endOfEvent(bytes, start);
@@ -35,9 +46,34 @@
       start = end;
       end = endOfEvent(bytes, start);
     }
-    this.#remainder = bytes.subarray(start);
+    this.#chunks = [];
+    this.#remainderBytes = 0;
+    this.#tail = NO_BYTES;
+    this.#keep(bytes.subarray(start));
     return frames;
   }
+
+  /**
+   * Returns the incomplete event with a chunk; `undefined` if the chunk does not
+   * complete it, so that a long event is not searched and copied for each chunk.
+   */
+  #join(chunk: Buffer): Buffer | undefined {
+    if (this.#chunks.length === 0) return chunk;
+    const seam = Buffer.concat([this.#tail, chunk]);
+    if (endOfEvent(seam, 0) > 0) return Buffer.concat([...this.#chunks, chunk]);
+    this.#keep(chunk);
+    return undefined;
+  }
+
+  #keep(bytes: Buffer): void {
+    if (bytes.length === 0) return;
+    this.#chunks.push(bytes);
+    this.#remainderBytes += bytes.length;
+    this.#tail = Buffer.concat([
+      this.#tail,
+      bytes.subarray(-SEAM_BYTES),
+    ]).subarray(-SEAM_BYTES);
+  }
 }
 
 /** Returns the position after the blank line that closes the event, or -1. */
--- a/packages/gateway/tests/bytesWithoutEnd.test.ts
+++ b/packages/gateway/tests/bytesWithoutEnd.test.ts
@@ -159,6 +159,19 @@
   });
 }
 
+test.serial("a stream whose event does not end is cut", async (t) => {
+  // Guards against a host that keeps and searches an event of any size.
+  const flood = await startFlood(
+    (received) => `${responseHead(received)}id: 1\ndata: x\n\ndata: `,
+    "x",
+  );
+  const scene = await startScene(t, flood, { route: { isStreaming: true } });
+  const { isComplete, body } = await sendRequest(scene.host.url);
+  t.false(isComplete);
+  t.is(body, "id: 1\ndata: x\n\n");
+  await checkBounds(t, scene);
+});
+
 test.serial("a plain body without end is read no faster than its caller reads, and ends with the route's time", async (t) => {
   // Guards against bodies that fill a host's memory.
   const flood = await startFlood(
