Poll again where a process stood still between a poll and a send

Cause: a busy host is as likely stopped within an iteration of its event loop as at its poll. What it found in the poll is as old as the standstill when it goes on.

Change: a poll whose result is used over 200 ms later is repeated, three times at most, so that hosts with long iterations still send (afterFreshPoll). Relays pass on what they received meanwhile in order.

Why it works: only the few microseconds between the check and the write are left, where a close cannot be seen by any process.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -13,7 +13,7 @@
   type Upstream,
   type UpstreamOutcome,
 } from "@wasabivane/admission";
-import { afterNextPoll } from "./afterNextPoll.ts";
+import { afterFreshPoll } from "./afterFreshPoll.ts";
 import {
   Attempt,
   type AttemptEnd,
@@ -224,7 +224,7 @@
    * that left while this host was behind.
    */
   #sendUnlessLeft(slot: AssignedSlot): void {
-    afterNextPoll(() => {
+    afterFreshPoll(this.#options.context.timer, () => {
       if (this.#isFinished) return;
       if (this.#now() >= this.#options.admitted.deadline) {
         return this.#onDeadline();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -355,10 +355,11 @@
         random,
         ...lowestLag !== undefined && { lowestLag },
       }),
-      connections: new UpstreamConnections(
-        () => connectionShare(policies, hostCount()),
-        { connectTimeout },
-      ),
+      connections: new UpstreamConnections({
+        maximumConnections: () => connectionShare(policies, hostCount()),
+        timer,
+        connectTimeout,
+      }),
       directLinks: new DirectLinks({
         countUpstreams: (service) => directory.of(service).length,
       }),
--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/relayServer.ts
@@ -1,4 +1,4 @@
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { connect, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
@@ -12,7 +12,7 @@
 import type { Upstream } from "@wasabivane/admission";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { GatewayContext } from "./gatewayContext.ts";
-import { afterNextPoll } from "./afterNextPoll.ts";
+import { afterFreshPoll } from "./afterFreshPoll.ts";
 import { splitAddress } from "./peerChannel.ts";
 import {
   decodeRelayMessage,
@@ -169,7 +169,7 @@
   }
 
   #relay(upstream: Upstream, connection: Socket, webSocket: WebSocket): void {
-    const { metrics } = this.#options.context;
+    const { metrics, timer } = this.#options.context;
     const relay = { upstream, webSocket };
     this.#relays.add(relay);
     metrics.count("relays_served");
@@ -189,13 +189,17 @@
     connection.on("close", () => {
       webSocket.close(isEnded ? UPSTREAM_ENDED : UPSTREAM_FAILED);
     });
+    const received: Buffer[] = [];
+    const passOn = (): void => {
+      const bytes = Buffer.concat(received.splice(0));
+      // The peer may have closed the relay behind these bytes.
+      if (webSocket.readyState !== webSocket.OPEN) return;
+      if (!connection.write(bytes)) webSocket.pause();
+    };
     webSocket.on("message", (data, isBinary) => {
       if (!isBinary) return this.#receive(relay, String(data));
-      // The peer may have closed the relay behind these bytes.
-      afterNextPoll(() => {
-        if (webSocket.readyState !== webSocket.OPEN) return;
-        if (!connection.write(data as Buffer)) webSocket.pause();
-      });
+      received.push(data as Buffer);
+      if (received.length === 1) afterFreshPoll(timer, passOn);
     });
     webSocket.on("error", () => connection.destroy());
     webSocket.on("close", () => {
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -1,8 +1,12 @@
 import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
-import { type Milliseconds, ResetDetector } from "@wasabivane/common";
+import {
+  type Milliseconds,
+  ResetDetector,
+  type Timer,
+} from "@wasabivane/common";
 import { type buildConnector, type Dispatcher, Pool } from "undici";
-import { afterNextPoll } from "./afterNextPoll.ts";
+import { afterFreshPoll } from "./afterFreshPoll.ts";
 import type { HeaderLine, HeaderValues } from "./headers.ts";
 import { MAXIMUM_HEADER_BYTES, OverheadLimits } from "./overheadLimit.ts";
 import { createWatchedConnector } from "./watchedConnector.ts";
@@ -49,6 +53,14 @@
   resume(): void;
 }
 
+/** Options of {@link UpstreamConnections}. */
+export interface UpstreamConnectionsOptions {
+  /** Returns this host's limit for one upstream. */
+  readonly maximumConnections: () => number;
+  readonly timer: Timer;
+  readonly connectTimeout?: Milliseconds | undefined;
+}
+
 /**
  * Pools connections to upstreams, without pipelining, retries or response
  * timeouts; the sender decides how long to wait.
@@ -61,15 +73,17 @@
   /** Connects from this host. */
   readonly directConnector: buildConnector.connector;
   readonly #maximumConnections: () => number;
+  readonly #timer: Timer;
   #connector: buildConnector.connector;
 
-  /** `maximumConnections` returns this host's limit for one upstream. */
   constructor(
-    maximumConnections: () => number,
-    options: { connectTimeout?: Milliseconds | undefined } = {},
+    { maximumConnections, timer, connectTimeout }: UpstreamConnectionsOptions,
   ) {
     this.#maximumConnections = maximumConnections;
-    this.directConnector = createWatchedConnector(this.#resetDetector, options);
+    this.#timer = timer;
+    this.directConnector = createWatchedConnector(this.#resetDetector, {
+      connectTimeout,
+    });
     this.#connector = this.directConnector;
   }
 
@@ -118,7 +132,7 @@
         if (error !== null) return callback(...result);
         this.#watchEnd(socket);
         this.#overheadLimits.watch(socket);
-        afterNextPoll(() => {
+        afterFreshPoll(this.#timer, () => {
           if (!socket.destroyed && !socket.readableEnded) {
             return callback(null, socket);
           }
--- a/packages/gateway/tests/lateSends.test.ts
+++ b/packages/gateway/tests/lateSends.test.ts
@@ -1,5 +1,10 @@
 import { Buffer } from "node:buffer";
-import { asId, type UpstreamId, VirtualTimer } from "@wasabivane/common";
+import {
+  asId,
+  SystemTimer,
+  type UpstreamId,
+  VirtualTimer,
+} from "@wasabivane/common";
 import test from "ava";
 import { Attempt, type AttemptEnd } from "../src/attempt.ts";
 import {
@@ -35,7 +40,10 @@
   // Guards against upstreams that work for callers who have left.
   for (const connectingTakes of [DEADLINE_MS - 1, DEADLINE_MS + 1]) {
     const timer = new VirtualTimer();
-    const connections = new HeldConnections(() => 1);
+    const connections = new HeldConnections({
+      maximumConnections: () => 1,
+      timer,
+    });
     const ends: AttemptEnd[] = [];
     const attempt = new Attempt({
       upstream: {
@@ -87,7 +95,10 @@
       responseHead(received, { "content-length": 2 }) + "ok",
     );
   });
-  const connections = new UpstreamConnections(() => 4);
+  const connections = new UpstreamConnections({
+    maximumConnections: () => 4,
+    timer: new SystemTimer(),
+  });
   const listener = {
     shouldSend: () => false,
     sent: () => t.fail(),
