Take the wait of a connection off its first request only

Found by reading: the time that a connection may have waited to be accepted was kept until a request was admitted, so that one after a shed request had it taken off its deadline. It is taken when the first request is read.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -177,6 +177,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const { socket } = request;
+    const wait = this.#takeWait(socket);
     // The caller sees the close and resends the request to another host.
     if (this.#closedSockets.has(socket)) return void socket.destroy();
     this.#busySockets.add(socket);
@@ -198,7 +199,7 @@
       return this.#refuse(request, callerResponse, refusal);
     }
     if (this.#shouldShed(request)) return this.#shed(request, callerResponse);
-    const admitted = this.#admit(request);
+    const admitted = this.#admit(request, wait);
     if (admitted.isErr()) {
       return this.#refuse(request, callerResponse, admitted.error);
     }
@@ -279,7 +280,11 @@
     request.resume();
   }
 
-  #admit(request: IncomingMessage): Result<AdmittedRequest, Refusal> {
+  /** Admits a request that may have waited for so long to be accepted. */
+  #admit(
+    request: IncomingMessage,
+    wait: Milliseconds,
+  ): Result<AdmittedRequest, Refusal> {
     const { policies, dialect, random, timer, elapsed, lag } = this.#context;
     return admitRequest({
       path: pathOf(request.url ?? ""),
@@ -293,7 +298,7 @@
       now: timer.now() - lag.sustained,
       elapsedNow: elapsed.now(),
       readingDelay: Math.max(
-        this.#takeWait(request.socket),
+        wait,
         ITERATIONS_TO_READ * lag.peak(timer.now()),
       ),
     });
