Carry account, fingerprint, slowdown and return time in cell messages

Cause: coordinators do not know which client account a request belongs to, whether a refused request comes again, or how long work takes at an upstream at the moment.

Change: optional fields in placement requests, upstream reports and refusals, and their encoding; message format 16. Nothing reads them yet.

--- a/packages/admission/src/cellMessages.ts
+++ b/packages/admission/src/cellMessages.ts
@@ -31,6 +31,11 @@
    * names no number.
    */
   readonly rejectionsPerSecond?: number;
+  /**
+   * How long work takes there at the moment, as a multiple of the usual time;
+   * absent if it does not say.
+   */
+  readonly slowdown?: number;
 }
 
 /**
@@ -81,6 +86,8 @@
     readonly kind: "refuse";
     readonly reason: PlacementRefusal;
     readonly estimate: QueueEstimate;
+    /** When its caller should return; absent if nothing is reserved for it. */
+    readonly retryAfter?: Milliseconds;
   };
 
 /** A numbered decision; resent until the host acknowledges it. */
--- a/packages/admission/src/placementRequest.ts
+++ b/packages/admission/src/placementRequest.ts
@@ -1,4 +1,6 @@
 import type {
+  ClientAccountId,
+  Digest,
   FailureDomain,
   Milliseconds,
   RequestId,
@@ -50,6 +52,10 @@
   readonly softwareVersion?: SoftwareVersion | undefined;
   /** Whether an upstream may have started it. */
   readonly isContinuation: boolean;
+  /** Absent if its route needs no account. */
+  readonly account?: ClientAccountId;
+  /** The same whenever its caller sends the same request again. */
+  readonly fingerprint?: Digest;
 }
 
 /**
--- a/packages/admission/src/requestScheduler.ts
+++ b/packages/admission/src/requestScheduler.ts
@@ -84,6 +84,8 @@
     readonly reason: PlacementRefusal;
     /** State of the queue when the decision was made. */
     readonly estimate: QueueEstimate;
+    /** When its caller should return; absent if nothing is reserved for it. */
+    readonly retryAfter?: Milliseconds;
   };
 
 /** Provides the upstreams of a service that accept requests. */
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -1,5 +1,6 @@
 import type { Buffer } from "node:buffer";
 import type {
+  Digest,
   FailureDomain,
   Milliseconds,
   UpstreamId,
@@ -54,8 +55,9 @@
 /** Describes a request for placement at an upstream. */
 export function createPlacementRequest(
   admitted: AdmittedRequest,
-  { failureDomain, excluded, softwareVersion, isContinuation }: {
+  { failureDomain, fingerprint, excluded, softwareVersion, isContinuation }: {
     failureDomain: FailureDomain;
+    fingerprint: Digest;
     excluded: ReadonlySet<UpstreamId>;
     /** Version that began its stream; `undefined` before. */
     softwareVersion: SoftwareVersion | undefined;
@@ -81,6 +83,8 @@
     excluded: new Set(excluded),
     softwareVersion,
     isContinuation,
+    ...account !== undefined && { account: account.account },
+    fingerprint,
   };
 }
 
--- a/packages/gateway/src/cellRows.ts
+++ b/packages/gateway/src/cellRows.ts
@@ -2,6 +2,8 @@
 import {
   asId,
   asTier,
+  type ClientAccountId,
+  type Digest,
   type FailureDomain,
   type Milliseconds,
   type RequestId,
@@ -70,7 +72,9 @@
     [...request.excluded],
     request.isContinuation,
     request.failureDomain,
-    ...request.softwareVersion === undefined ? [] : [request.softwareVersion],
+    request.softwareVersion ?? "",
+    request.account ?? "",
+    request.fingerprint ?? "",
   ];
 }
 
@@ -99,8 +103,11 @@
     excluded: new Set(expectIds<UpstreamId>(row[11])),
     isContinuation: row[12] === true,
     failureDomain: asId<FailureDomain>(expectString(row[13])),
-    ...row[14] !== undefined &&
+    ...row[14] !== "" &&
       { softwareVersion: asId<SoftwareVersion>(expectString(row[14])) },
+    ...row[15] !== "" &&
+      { account: asId<ClientAccountId>(expectString(row[15])) },
+    ...row[16] !== "" && { fingerprint: asId<Digest>(expectString(row[16])) },
   };
 }
 
@@ -157,8 +164,17 @@
     const { upstream, inFlight, pendingPrefillTokens } = decision;
     return [number, request, "", upstream, inFlight, pendingPrefillTokens];
   }
-  const { reason, estimate: { ahead, startsPerSecond, wait } } = decision;
-  return [number, request, reason, ahead, startsPerSecond ?? -1, wait];
+  const { reason, estimate, retryAfter } = decision;
+  const { ahead, startsPerSecond, wait } = estimate;
+  return [
+    number,
+    request,
+    reason,
+    ahead,
+    startsPerSecond ?? -1,
+    wait,
+    ...retryAfter === undefined ? [] : [Math.round(retryAfter)],
+  ];
 }
 
 /** Decodes the row of {@link encodeDecision}. */
@@ -188,6 +204,7 @@
       startsPerSecond: rate < 0 ? undefined : rate,
       wait: expectNumber(row[5]),
     },
+    ...row[6] !== undefined && { retryAfter: expectNumber(row[6]) },
   };
 }
 
@@ -199,27 +216,37 @@
 
 /** Encodes what an upstream reported. */
 export function encodeReport(
-  [upstream, { requests, startsPerSecond, rejectionsPerSecond }]: readonly [
-    UpstreamId,
-    UpstreamReport,
-  ],
+  [upstream, report]: readonly [UpstreamId, UpstreamReport],
 ): Row {
-  const row = [upstream, requests ?? -1];
-  if (rejectionsPerSecond !== undefined) {
-    return [...row, startsPerSecond ?? -1, rejectionsPerSecond];
-  }
-  return startsPerSecond === undefined ? row : [...row, startsPerSecond];
+  const { requests, startsPerSecond, rejectionsPerSecond, slowdown } = report;
+  const row = [
+    upstream,
+    requests ?? -1,
+    startsPerSecond ?? -1,
+    rejectionsPerSecond ?? -1,
+    slowdown ?? -1,
+  ];
+  while (row.at(-1) === -1 && row.length > 2) row.pop();
+  return row;
 }
 
 /** Decodes the row of {@link encodeReport}. */
 export function decodeReport(
-  [upstream, requests, startsPerSecond = -1, rejectionsPerSecond]: Row,
+  [
+    upstream,
+    requests,
+    startsPerSecond = -1,
+    rejectionsPerSecond = -1,
+    slowdown = -1,
+  ]: Row,
 ): [UpstreamId, UpstreamReport] {
+  const tolerated = expectOptional(rejectionsPerSecond);
+  const factor = expectOptional(slowdown);
   return [asId<UpstreamId>(expectString(upstream)), {
     requests: expectOptional(requests),
     startsPerSecond: expectOptional(startsPerSecond),
-    ...rejectionsPerSecond !== undefined &&
-      { rejectionsPerSecond: expectNumber(rejectionsPerSecond) },
+    ...tolerated !== undefined && { rejectionsPerSecond: tolerated },
+    ...factor !== undefined && { slowdown: factor },
   }];
 }
 
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -48,6 +48,11 @@
    * reported.
    */
   readonly load: number | undefined;
+  /**
+   * How long work takes at the upstream at the moment, as a multiple of the
+   * usual time; absent if it does not say.
+   */
+  readonly slowdown?: number;
   /**
    * Requests per second that the upstream takes from all hosts together;
    * `undefined` if it names no limit.
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -62,7 +62,7 @@
   type StreamOriginReply,
 } from "./streamOriginMessage.ts";
 
-const FORMAT_VERSION = 15;
+const FORMAT_VERSION = 16;
 const TEXT_DECODER = new TextDecoder();
 
 /**
