--- a/packages/admission/src/cellMessages.ts
+++ b/packages/admission/src/cellMessages.ts
@@ -86,7 +86,7 @@
     readonly kind: "refuse";
     readonly reason: PlacementRefusal;
     readonly estimate: QueueEstimate;
-    /** When its caller should return; absent if nothing is reserved for it. */
+    /** After which time its caller should return; absent if not decided here. */
     readonly retryAfter?: Milliseconds;
   };
 
--- a/packages/admission/src/requestScheduler.ts
+++ b/packages/admission/src/requestScheduler.ts
@@ -84,7 +84,7 @@
     readonly reason: PlacementRefusal;
     /** State of the queue when the decision was made. */
     readonly estimate: QueueEstimate;
-    /** When its caller should return; absent if nothing is reserved for it. */
+    /** After which time its caller should return; absent if not decided here. */
     readonly retryAfter?: Milliseconds;
   };
 
