Send peers what changed in the upstream list

A host that heard of a newer list fetched all upstreams, so a start of many hosts before many upstreams that register one after the other cost hosts times upstreams times changes. Hosts now remember the last change of up to 1,024 upstreams and answer with the difference where that reaches back to the requested revision in the same era. A difference that does not follow on the receiver's list is ignored and the whole list is fetched. Several peers that announce the same revision are asked one after the other, the next one after 100 ms or a failure, and fetches begin 50 ms apart at least, as most changes arrive by gossip meanwhile.

The test of a hanging fetch waits for the second fetch, which now begins after 100 ms; the schedule's own tests check that bound in virtual time.

--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -246,11 +246,18 @@
 
   /**
    * Applies what a copy of the store lists or lacks once it has had time to be
-   * corrected; returns whether that changed anything.
+   * corrected; returns whether that changed anything, and calls `onListed` with
+   * each upstream that is used again.
    */
-  expireRestored(now: Milliseconds): boolean {
+  expireRestored(
+    now: Milliseconds,
+    onListed: (upstream: Upstream) => void = () => {},
+  ): boolean {
     const upstreams = this.#relisted.takeExpired(now);
-    for (const upstream of upstreams) this.set(upstream);
+    for (const upstream of upstreams) {
+      this.set(upstream);
+      onListed(upstream);
+    }
     const isChanged = this.#evacuations.expire(now);
     if (isChanged) this.#rebuild();
     return isChanged || upstreams.length > 0;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -216,14 +216,10 @@
    * `keepUntil` if they may have lapsed during a store outage.
    */
   applyListChange(change: UpstreamListChange, keepUntil?: Milliseconds): void {
-    const { upstreams, removed, evacuated, to } = change;
-    for (const upstream of upstreams) this.upstreamUpdates.apply(upstream);
-    for (const name of removed) this.upstreamUpdates.remove(name, keepUntil);
-    if (evacuated !== undefined) {
-      this.upstreamUpdates.applyEvacuation(new Set(evacuated));
-    }
-    this.storeSharing.advanceListRevision(to);
-    const shouldAnnounce = keepUntil === undefined || removed.length === 0;
+    this.upstreamUpdates.applyChange(change, keepUntil);
+    this.storeSharing.recordChange(change);
+    const shouldAnnounce = keepUntil === undefined ||
+      change.removed.length === 0;
     if (shouldAnnounce) this.#gossip.announceListChange(change);
     else this.#gossip.scheduleMessage();
   }
@@ -273,6 +269,7 @@
     this.#operatorServers.close();
     this.#links.close();
     this.upstreamUpdates.close();
+    this.storeSharing.close();
     this.context.crashChecks.close();
     this.context.streamOrigins.close();
     this.#gossip.close();
@@ -463,9 +460,9 @@
       cores,
       send: (gossip, targets) =>
         this.#channel.send({ kind: "word", gossip }, targets),
-      onNewerPolicy: (peer, version) => {
-        this.#recordAnnouncement(peer, version);
-        void this.storeSharing.fetchFromPeer(peer);
+      onNewerPolicy: (peer, versions) => {
+        this.#recordAnnouncement(peer, versions.policyVersion);
+        this.storeSharing.receivePolicyVersion(peer, versions);
       },
       onListRevision: (peer, listRevision) =>
         this.storeSharing.receiveListRevision(peer, {
@@ -542,23 +539,10 @@
   }
 
   #createOperatorData(): OperatorData {
-    const { policies, elapsed, directory } = this.context;
     return {
       isReady: () => this.isReady,
       metricsText: () => this.#metricsText(),
-      createSnapshot: (known) => ({
-        policy: policies.version > known.policyVersion
-          ? policies.bytes
-          : new Uint8Array(),
-        policyRevision: policies.revision,
-        proofAge: policies.freshness.age(elapsed.now()),
-        upstreams: this.storeSharing.listRevision > known.listRevision
-          ? directory.all()
-          : [],
-        kept: directory.lapsed(this.context.timer.now()),
-        evacuated: [...directory.listedEvacuations],
-        listRevision: this.storeSharing.listRevision,
-      }),
+      createSnapshot: (known) => this.storeSharing.createSnapshot(known),
     };
   }
 
@@ -579,7 +563,7 @@
 
   #runMaintenance(now: Milliseconds): void {
     this.#fleetSize.record(this.context.hostCount(), now);
-    this.upstreamUpdates.expire();
+    this.storeSharing.recordListed(this.upstreamUpdates.expire());
     this.storeSharing.tick(now);
     this.#links.tick();
     this.context.streamOrigins.tick();
--- a/packages/gateway/src/gossipProtocol.ts
+++ b/packages/gateway/src/gossipProtocol.ts
@@ -14,6 +14,7 @@
 import { CrashGossip } from "./crashGossip.ts";
 import { PartCrashGossip } from "./partCrashGossip.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
+import type { SnapshotVersions } from "./operatorEndpoints.ts";
 import type { PeerChange, PeerDirectory } from "./peerDirectory.ts";
 import type {
   GossipMessage,
@@ -83,8 +84,8 @@
   /** Processor cores available to this host. */
   readonly cores: number;
   readonly send: (message: GossipMessage, targets: readonly string[]) => void;
-  /** Called when a peer has a newer policy. */
-  readonly onNewerPolicy: (peer: HostId, version: number) => void;
+  /** Called with the versions of a peer that has a newer policy. */
+  readonly onNewerPolicy: (peer: HostId, versions: SnapshotVersions) => void;
   /** Called with the store revision up to which a peer knows all upstreams. */
   readonly onListRevision: (peer: HostId, listRevision: number) => void;
   /** Called with a change that follows on this host's list revision. */
@@ -276,7 +277,8 @@
       if (change.from <= known && known < change.to) onListChange(change);
     }
     if (policyVersion > policies.version) {
-      onNewerPolicy(sender.host, policyVersion);
+      const { listRevision } = message;
+      onNewerPolicy(sender.host, { policyVersion, listRevision });
     }
     onListRevision(sender.host, message.listRevision);
     if (policyVersion !== policies.version) return;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,11 +15,23 @@
 export { CrashChecks } from "./crashChecks.ts";
 export { EventStreamSplitter } from "./eventStreamSplitter.ts";
 export { FleetSize, type FleetSizeOptions } from "./fleetSize.ts";
+export {
+  type Announcement,
+  FetchSchedule,
+  type FetchScheduleOptions,
+} from "./fetchSchedule.ts";
 export { Gateway } from "./gateway.ts";
 export type { GatewayAddresses, GatewayOptions } from "./gatewayOptions.ts";
 export { GossipProtocol } from "./gossipProtocol.ts";
 export type { GatewayContext } from "./gatewayContext.ts";
 export { GatewayMetrics } from "./gatewayMetrics.ts";
+export {
+  changeBetween,
+  type DifferenceOptions,
+  type ListDifference,
+  ListHistory,
+  type Replacement,
+} from "./listHistory.ts";
 export { PeerDirectory } from "./peerDirectory.ts";
 export { splitAddress } from "./peerChannel.ts";
 export {
--- a/packages/gateway/src/operatorEndpoints.ts
+++ b/packages/gateway/src/operatorEndpoints.ts
@@ -10,6 +10,7 @@
 import { Packr } from "msgpackr";
 import { err, ok, type Result } from "neverthrow";
 import { CompressedBytes, decompress } from "./compressedBytes.ts";
+import type { UpstreamListChange } from "./gossipMessage.ts";
 import type { Endpoint } from "./httpEndpoint.ts";
 
 const packr = new Packr({ useRecords: false });
@@ -22,11 +23,12 @@
 const CHUNK_TIMEOUT_MS: Milliseconds = 1_000;
 
 /**
- * The versions that a requesting host has; contents that are not newer are
- * omitted.
+ * The versions that a host has; a requesting host is not sent what is not newer.
  */
 export interface SnapshotVersions {
+  /** 0 without a policy. */
   readonly policyVersion: number;
+  /** Joined store revision; 0 requests the whole list. */
   readonly listRevision: number;
 }
 
@@ -41,11 +43,19 @@
   readonly policyRevision: number;
   /** Time since policy and list were confirmed current. */
   readonly proofAge: Milliseconds;
-  /** All upstreams; empty if the requesting host has the same list. */
+  /**
+   * All upstreams; empty if the requesting host has the same list, or is sent
+   * the change.
+   */
   readonly upstreams: readonly Upstream[];
   /**
-   * Upstreams whose entries lapsed and that are removed unless they are listed
-   * again.
+   * What changed since the list of the requesting host; `undefined` if it is sent
+   * the whole list.
+   */
+  readonly change?: UpstreamListChange | undefined;
+  /**
+   * Upstreams among those sent whose entries lapsed and that are removed unless
+   * they are listed again.
    */
   readonly kept: readonly LapsedUpstream[];
   /** Evacuated failure domains as of `listRevision`. */
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -1,14 +1,13 @@
 import type { FailureDomain, HostId, Milliseconds } from "@wasabivane/common";
 import type { Upstream } from "@wasabivane/admission";
-import type { Result } from "neverthrow";
+import { FetchSchedule } from "./fetchSchedule.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
-import {
-  type FetchError,
-  fetchSnapshot,
-  type SnapshotVersions,
-  type StoreSnapshot,
-} from "./operatorEndpoints.ts";
+import type { UpstreamListChange } from "./gossipMessage.ts";
+import { changeBetween, ListHistory } from "./listHistory.ts";
+import type { SnapshotVersions, StoreSnapshot } from "./operatorEndpoints.ts";
 import type { PolicyProof } from "./policyState.ts";
+import { createSnapshot } from "./createSnapshot.ts";
+import { SnapshotFetcher, type SnapshotRequest } from "./snapshotFetcher.ts";
 import { eraOf } from "./storeRevision.ts";
 import type { PeerDirectory } from "./peerDirectory.ts";
 import type { UpstreamUpdates } from "./upstreamUpdates.ts";
@@ -39,8 +38,6 @@
  * peer.
  */
 const OWN_WATCH_MS: Milliseconds = 300;
-/** More than one, so that a hung peer does not block fetches from others. */
-const MAXIMUM_CONCURRENT_FETCHES = 2;
 
 /**
  * Time after a restore of the store within which operators and upstreams write
@@ -73,10 +70,7 @@
   /**
    * Fetches what is newer than the known versions from the peer at `ip:port`.
    */
-  readonly requestSnapshot?: (
-    address: string,
-    known: SnapshotVersions,
-  ) => Promise<Result<StoreSnapshot, FetchError>>;
+  readonly requestSnapshot?: SnapshotRequest;
 }
 
 /**
@@ -105,13 +99,26 @@
   #ignoreRemovedUntil: Milliseconds = -Infinity;
   /** Time at which a peer first announced a newer list than this host has. */
   #behindSince: Milliseconds | undefined;
-  readonly #pendingFetches = new Set<HostId>();
+  readonly #history = new ListHistory();
+  readonly #fetches: FetchSchedule;
+  readonly #fetcher: SnapshotFetcher;
   readonly #startedAt: Milliseconds;
   #fetchedAt: Milliseconds = -Infinity;
 
   constructor(options: StoreSharingOptions) {
     this.#options = options;
     this.#startedAt = options.context.timer.now();
+    this.#fetches = new FetchSchedule({
+      timer: options.context.timer,
+      isNewer: (versions) => this.#isNewer(versions),
+      fetch: (peer) => this.#fetcher.fetch(peer),
+    });
+    this.#fetcher = new SnapshotFetcher({
+      ...options,
+      listRevision: () => this.#listRevision,
+      apply: (snapshot, requestedAt) =>
+        this.#applySnapshot(snapshot, requestedAt),
+    });
   }
 
   /** Whether this host reads the store successfully. */
@@ -149,14 +156,38 @@
     return this.#listRevision;
   }
 
-  /** Raises the store revision up to which all upstreams are known. */
+  /**
+   * Raises the store revision up to which all upstreams are known, after changes
+   * that cannot be sent to peers as a difference.
+   */
   advanceListRevision(revision: number): void {
+    if (revision > this.#listRevision) this.#history.restart(revision);
+    this.#raiseListRevision(revision);
+  }
+
+  /** Records a change of the list that has been applied. */
+  recordChange(change: UpstreamListChange): void {
+    if (change.to > this.#listRevision) {
+      this.#history.record(change, this.#listRevision);
+    }
+    this.#raiseListRevision(change.to);
+  }
+
+  #raiseListRevision(revision: number): void {
     if (revision >= this.#refutedRevision) this.#refutedRevision = Infinity;
     if (revision <= this.#listRevision) return;
     this.#listRevision = revision;
     this.#behindSince = undefined;
   }
 
+  /**
+   * Records upstreams that this host uses only now although its revision covers
+   * them.
+   */
+  recordListed(upstreams: readonly Upstream[]): void {
+    this.#history.addToAll(upstreams);
+  }
+
   /** Whether the store may have reached a revision that a peer tells of. */
   isPlausible(revision: number): boolean {
     return revision < this.#refutedRevision;
@@ -174,7 +205,13 @@
       this.#listRevision = 0;
     }
     // A peer may have sent a newer list during the read.
-    if (revision >= this.#listRevision) this.#applyList(list, "store");
+    if (revision < this.#listRevision) return;
+    this.#applyList(list, "store");
+    const isRefuted = revision < knownBefore &&
+      eraOf(revision) === eraOf(knownBefore);
+    // A peer's list at a refuted revision may not be what the store had there.
+    this.#history.restart(isRefuted ? knownBefore + 1 : revision);
+    this.#raiseListRevision(revision);
   }
 
   /** Replaces the list; an entry or evacuation that a copy lacks is kept a while. */
@@ -195,7 +232,6 @@
       keepUntil: keepUntil ?? ifAhead(this.#renewedBy),
       ignoreRemovedUntil: ifAhead(this.#ignoreRemovedUntil),
     });
-    this.advanceListRevision(revision);
   }
 
   /** Returns whether the store has come back from a copy since the last list. */
@@ -216,12 +252,22 @@
     peer: HostId,
     { listRevision, now }: { listRevision: number; now: Milliseconds },
   ): void {
-    if (listRevision <= this.#listRevision) return;
-    if (!this.isPlausible(listRevision)) return;
+    const announced = { peer, policyVersion: 0, listRevision };
+    if (!this.#isNewer(announced)) return;
     this.#behindSince ??= now;
     const isAwaitingOwnWatch = this.#isReading &&
       now - this.#behindSince < OWN_WATCH_MS;
-    if (!isAwaitingOwnWatch) void this.fetchFromPeer(peer);
+    if (!isAwaitingOwnWatch) this.#fetches.announce(announced);
+  }
+
+  /** Handles a peer's newer policy, and fetches it. */
+  receivePolicyVersion(peer: HostId, versions: SnapshotVersions): void {
+    this.#fetches.announce({ peer, ...versions });
+  }
+
+  #isNewer({ policyVersion, listRevision }: SnapshotVersions): boolean {
+    if (policyVersion > this.#options.context.policies.version) return true;
+    return listRevision > this.#listRevision && this.isPlausible(listRevision);
   }
 
   /** Reports whether a read of the store succeeded. */
@@ -255,58 +301,83 @@
 
   /** Fetches the store's contents from a peer and applies them. */
   async fetchFromPeer(peer: HostId): Promise<void> {
-    const {
-      peers,
-      context,
-      requestSnapshot = (ip, known) =>
-        fetchSnapshot(ip, { ...known, timer: context.timer }),
-    } = this.#options;
-    const address = peers.addressOf(peer);
-    if (address === undefined || this.#pendingFetches.has(peer)) return;
-    if (this.#pendingFetches.size >= MAXIMUM_CONCURRENT_FETCHES) return;
-    this.#pendingFetches.add(peer);
-    const requestedAt = context.elapsed.now();
-    const fetched = await requestSnapshot(address, {
-      policyVersion: context.policies.version,
+    const announced = { peer, policyVersion: 0, listRevision: 0 };
+    await this.#fetches.fetchFrom(announced);
+  }
+
+  /** Cancels what is to be fetched later. */
+  close(): void {
+    this.#fetches.close();
+  }
+
+  /** Returns this host's contents of the store, for a peer. */
+  createSnapshot(known: SnapshotVersions): StoreSnapshot {
+    return createSnapshot({
+      context: this.#options.context,
+      history: this.#history,
       listRevision: this.#listRevision,
+      known,
     });
-    this.#pendingFetches.delete(peer);
-    fetched.match(
-      (snapshot) => this.#applySnapshot(snapshot, requestedAt),
-      ({ detail }) =>
-        context.log.write("snapshot_fetch_failed", {
-          peer,
-          detail,
-          took: Math.round(context.elapsed.now() - requestedAt),
-        }),
-    );
   }
 
   /**
    * Ignores a list that is not newer, since it would bring back upstreams that
-   * have left.
+   * have left. Returns false for a difference that does not follow on the list.
    */
-  #applySnapshot(
-    snapshot: StoreSnapshot,
-    requestedAt: Milliseconds,
-  ): void {
-    const { adoptPolicy, upstreamUpdates, context } = this.#options;
-    const { policy, policyRevision, upstreams, evacuated, listRevision } =
-      snapshot;
+  #applySnapshot(snapshot: StoreSnapshot, requestedAt: Milliseconds): boolean {
+    const { adoptPolicy } = this.#options;
+    const { policy, policyRevision, listRevision, change } = snapshot;
     const isNewer = listRevision > this.#listRevision;
     if (isNewer && this.isPlausible(listRevision)) {
-      this.#applyList({ upstreams, evacuated, revision: listRevision }, "peer");
-      const now = context.timer.now();
-      for (const { name, left } of snapshot.kept) {
-        upstreamUpdates.remove(name, now + left);
-      }
+      if (change !== undefined && !this.#follows(change)) return false;
+      this.#applyUpstreams(snapshot);
     }
     // The peer's confirmation covers its policy and list together.
-    if (policy.length === 0) return;
+    if (policy.length === 0) return true;
     const hasCurrentList = listRevision >= this.#listRevision;
     const confirmedAt = hasCurrentList
       ? requestedAt - snapshot.proofAge
       : -Infinity;
     adoptPolicy(policy, { confirmedAt, revision: policyRevision });
+    return true;
+  }
+
+  /** Whether a difference misses no change after this host's list. */
+  #follows({ from, to }: UpstreamListChange): boolean {
+    return from <= this.#listRevision &&
+      eraOf(to) === eraOf(this.#listRevision);
+  }
+
+  #applyUpstreams(snapshot: StoreSnapshot): void {
+    const { upstreamUpdates, context } = this.#options;
+    const { change, kept } = snapshot;
+    if (change === undefined) {
+      context.metrics.count("whole_lists_fetched");
+      this.#applyPeerList(snapshot);
+    } else {
+      context.metrics.count("list_changes_fetched");
+      upstreamUpdates.applyChange(change);
+      this.recordChange(change);
+    }
+    const now = context.timer.now();
+    for (const { name, left } of kept) upstreamUpdates.remove(name, now + left);
+  }
+
+  /**
+   * Replaces the list by that of a peer. The history goes on, or hosts that have
+   * fetched a whole list would have to send whole lists to others.
+   */
+  #applyPeerList(
+    { upstreams, evacuated, kept, listRevision }: StoreSnapshot,
+  ): void {
+    const known = this.#listRevision;
+    const change = changeBetween(this.#options.context.directory.all(), {
+      from: known,
+      to: listRevision,
+      upstreams,
+      kept,
+    });
+    this.#applyList({ upstreams, evacuated, revision: listRevision }, "peer");
+    this.recordChange(change);
   }
 }
--- a/packages/gateway/src/upstreamUpdates.ts
+++ b/packages/gateway/src/upstreamUpdates.ts
@@ -7,6 +7,7 @@
 import type { ReplacementOptions, Upstream } from "@wasabivane/admission";
 import type { Departure } from "./crashChecks.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
+import type { UpstreamListChange } from "./gossipMessage.ts";
 
 /**
  * Delay before the connections of a removed upstream close, so that responses
@@ -30,24 +31,44 @@
 
   /** Adds or updates one upstream from its store entry. */
   apply(upstream: Upstream): void {
-    const { directory, log, reviewQueues } = this.#context;
-    const known = directory.findListed(upstream.upstream);
-    if (upstream.isLeaving) this.#markLeaving(upstream.upstream);
-    this.#reportPredecessors([upstream]);
-    const previous = directory.set(upstream);
-    this.#updateWarmup(upstream);
-    if (previous !== undefined) this.#discard(previous, "started again");
-    const isListed = directory.findListed(upstream.upstream) !== undefined;
-    if (known === undefined && isListed) {
-      log.write("upstream_listed", {
-        upstream: upstream.upstream,
-        service: upstream.service,
-        slots: upstream.slots,
-      });
+    this.#applyEntries([upstream]);
+  }
+
+  /**
+   * Applies a change of the list. Removed entries are kept until `keepUntil` if
+   * they may have lapsed during a store outage.
+   */
+  applyChange(
+    { upstreams, removed, evacuated }: UpstreamListChange,
+    keepUntil?: Milliseconds,
+  ): void {
+    if (upstreams.length > 0) this.#applyEntries(upstreams);
+    for (const name of removed) this.remove(name, keepUntil);
+    if (evacuated !== undefined) this.applyEvacuation(new Set(evacuated));
+  }
+
+  #applyEntries(upstreams: readonly Upstream[]): void {
+    const { directory, reviewQueues } = this.#context;
+    for (const { upstream, isLeaving } of upstreams) {
+      if (isLeaving) this.#markLeaving(upstream);
+    }
+    this.#reportPredecessors(upstreams);
+    for (const upstream of upstreams) {
+      const known = directory.findListed(upstream.upstream);
+      const previous = directory.set(upstream);
+      this.#updateWarmup(upstream);
+      if (previous !== undefined) this.#discard(previous, "started again");
+      if (known === undefined) this.#logListed(upstream);
     }
     reviewQueues();
   }
 
+  #logListed({ upstream, service, slots }: Upstream): void {
+    const { directory, log } = this.#context;
+    if (directory.findListed(upstream) === undefined) return;
+    log.write("upstream_listed", { upstream, service, slots });
+  }
+
   /** Logs an entry that cannot be decoded and removes its upstream. */
   rejectEntry(name: string, detail: string): void {
     const { metrics, log } = this.#context;
@@ -137,16 +158,21 @@
   /**
    * Removes lapsed upstreams that were not listed again in time, applies what
    * was held back after the store was restored, and reinstates upstreams that
-   * were falsely reported to be leaving.
+   * were falsely reported to be leaving. Returns those that the store has listed
+   * before and that are used only now.
    */
-  expire(): void {
+  expire(): Upstream[] {
     const { directory, timer, log, reviewQueues } = this.#context;
     const removed = directory.expireLapsed(timer.now());
     for (const upstream of removed) {
       this.#discard(upstream, "did not come back");
     }
     const { evacuated } = directory;
-    const isRestored = directory.expireRestored(timer.now());
+    const listed: Upstream[] = [];
+    const isRestored = directory.expireRestored(
+      timer.now(),
+      (upstream) => listed.push(upstream),
+    );
     if (directory.evacuated !== evacuated) this.#logEvacuations();
     const reinstated = this.#reinstate();
     for (const upstream of reinstated) {
@@ -154,6 +180,7 @@
     }
     const isChanged = isRestored || removed.length + reinstated.length > 0;
     if (isChanged) reviewQueues();
+    return listed;
   }
 
   #reinstate(): UpstreamId[] {
--- a/packages/gateway/tests/storeSharing.test.ts
+++ b/packages/gateway/tests/storeSharing.test.ts
@@ -23,6 +23,7 @@
   buildPolicy,
   type RunningGateway,
   startGateway,
+  waitUntil,
 } from "./helpers/fleet.ts";
 
 const APPLY_BOUND: Milliseconds = 2_000;
@@ -59,11 +60,15 @@
   };
 }
 
+type Answer = Promise<Result<StoreSnapshot, FetchError>>;
+
 /** A host, the peers that it fetched from, and the names of its upstreams. */
 interface SharingHost {
   readonly host: RunningGateway;
   readonly sharing: StoreSharing;
   readonly fetchedFrom: readonly string[];
+  /** List revisions that it fetched with. */
+  readonly fetchedWith: readonly number[];
   readonly names: () => string[];
 }
 
@@ -72,7 +77,7 @@
  * its values.
  */
 async function startSharing(
-  answers: Readonly<Record<string, Promise<Result<StoreSnapshot, FetchError>>>>,
+  answers: Readonly<Record<string, Answer | ((known: number) => Answer)>>,
   { hasPolicy = true } = {},
 ): Promise<SharingHost> {
   const host = await startGateway({ upstreams: [], isReading: hasPolicy });
@@ -85,6 +90,7 @@
     seeds: [],
   });
   const fetchedFrom: string[] = [];
+  const fetchedWith: number[] = [];
   for (const peer of Object.keys(answers)) {
     const record = {
       host: asId<HostId>(peer),
@@ -105,17 +111,19 @@
     upstreamUpdates,
     applyBound: APPLY_BOUND,
     adoptPolicy: (bytes, proof) => host.gateway.adoptPolicy(bytes, proof),
-    requestSnapshot: (address) => {
+    requestSnapshot: (address, { listRevision }) => {
       fetchedFrom.push(address);
-      return answers[address]!;
+      fetchedWith.push(listRevision);
+      const answer = answers[address]!;
+      return typeof answer === "function" ? answer(listRevision) : answer;
     },
   });
   const names = (): string[] =>
     context.directory.all().map(({ name }) => name).sort();
-  return { host, sharing, fetchedFrom, names };
+  return { host, sharing, fetchedFrom, fetchedWith, names };
 }
 
-const NEVER = new Promise<Result<StoreSnapshot, FetchError>>(() => {});
+const NEVER: Answer = new Promise(() => {});
 
 test("an outdated list from a peer does not bring an upstream back", async (t) => {
   // Guards against requests to an upstream that has left.
@@ -144,7 +152,9 @@
   const now = host.gateway.context.timer.now();
   sharing.receiveListRevision(asId<HostId>("p0"), { listRevision: 11, now });
   sharing.receiveListRevision(asId<HostId>("p1"), { listRevision: 11, now });
-  await new Promise((resolve) => setTimeout(resolve, 50));
+  t.deepEqual(fetchedFrom, ["p0"]);
+  await waitUntil(() => fetchedFrom.length === 2);
+  await waitUntil(() => sharing.listRevision === 11);
   t.deepEqual(fetchedFrom, ["p0", "p1"]);
   t.deepEqual(names(), ["u1"]);
   await host.close();
@@ -248,3 +258,143 @@
   t.deepEqual(names(), ["u1"]);
   await host.close();
 });
+
+/** A peer's answer that has only what changed since a revision. */
+function createDifference(
+  from: number,
+  { to, changed = [], removed = [], kept = [] }: {
+    to: number;
+    changed?: readonly string[];
+    removed?: readonly string[];
+    kept?: readonly string[];
+  },
+): StoreSnapshot {
+  const upstreams = [...changed, ...kept].map(createUpstream);
+  return {
+    ...createSnapshot(to, []),
+    change: { from, to, upstreams, removed, evacuated: [] },
+    kept: kept.map((name) => ({ name, left: 60_000 })),
+  };
+}
+
+async function startWithList(
+  names: readonly string[],
+  answers: Parameters<typeof startSharing>[0],
+): Promise<SharingHost> {
+  const started = await startSharing(answers);
+  started.sharing.followReaders();
+  started.sharing.applyStoreList({
+    upstreams: names.map(createUpstream),
+    evacuated: [],
+    revision: 10,
+  }, 0);
+  return started;
+}
+
+const PEER = asId<HostId>("p0");
+
+test("a difference adds and removes upstreams, and is passed on", async (t) => {
+  const { host, sharing, names } = await startWithList(["u1", "u2"], {
+    p0: (known) =>
+      Promise.resolve(ok(createDifference(known, {
+        to: 14,
+        changed: ["u3"],
+        removed: ["u1"],
+      }))),
+  });
+  await sharing.fetchFromPeer(PEER);
+  t.deepEqual(names(), ["u2", "u3"]);
+  t.is(sharing.listRevision, 14);
+  const { change, upstreams } = sharing.createSnapshot({
+    policyVersion: 1,
+    listRevision: 10,
+  });
+  t.deepEqual(change?.upstreams.map(({ name }) => name), ["u3"]);
+  t.deepEqual(change?.removed, ["u1"]);
+  t.is(upstreams.length, 0);
+  await host.close();
+});
+
+test("a difference that does not follow on the list is replaced by the whole list", async (t) => {
+  // Guards against a list that lacks the changes in between for good.
+  const { host, sharing, fetchedWith, names } = await startWithList(["u1"], {
+    p0: (known) =>
+      Promise.resolve(ok(
+        known === 0
+          ? createSnapshot(14, ["u2", "u3"])
+          : createDifference(12, { to: 14, changed: ["u3"] }),
+      )),
+  });
+  await sharing.fetchFromPeer(PEER);
+  t.deepEqual(fetchedWith, [10, 0]);
+  t.deepEqual(names(), ["u2", "u3"]);
+  t.is(sharing.listRevision, 14);
+  await host.close();
+});
+
+test("a difference that arrives after newer changes is ignored", async (t) => {
+  // Guards against an upstream that has left and comes back.
+  const { host, sharing, names } = await startWithList(["u1"], {
+    p0: () => {
+      host.gateway.upstreamUpdates.remove("u1");
+      sharing.recordChange({
+        from: 10,
+        to: 15,
+        upstreams: [],
+        removed: ["u1"],
+      });
+      const late = createDifference(10, { to: 14, changed: ["u1"] });
+      return Promise.resolve(ok(late));
+    },
+  });
+  await sharing.fetchFromPeer(PEER);
+  t.deepEqual(names(), []);
+  t.is(sharing.listRevision, 15);
+  await host.close();
+});
+
+test("an upstream that lapsed is passed on as lapsed in a difference", async (t) => {
+  // Guards against a lapsed upstream that followers drop at once or keep for good.
+  const { host, sharing } = await startWithList(["u1", "u2"], {
+    p0: (known) =>
+      Promise.resolve(ok(createDifference(known, { to: 14, kept: ["u2"] }))),
+  });
+  await sharing.fetchFromPeer(PEER);
+  const { directory } = host.gateway.context;
+  t.deepEqual(directory.lapsed(0).map(({ name }) => name), ["u2"]);
+  const passedOn = sharing.createSnapshot({
+    policyVersion: 1,
+    listRevision: 10,
+  });
+  t.deepEqual(passedOn.kept.map(({ name }) => name), ["u2"]);
+  await host.close();
+});
+
+test("a host that has fetched the whole list sends differences to others", async (t) => {
+  // Guards against whole lists that each fetch one from the other.
+  const { host, sharing } = await startWithList(["u1", "u2"], {
+    p0: Promise.resolve(ok(createSnapshot(14, ["u2", "u3"]))),
+  });
+  await sharing.fetchFromPeer(PEER);
+  const { change } = sharing.createSnapshot({
+    policyVersion: 1,
+    listRevision: 10,
+  });
+  t.deepEqual(change?.upstreams.map(({ name }) => name), ["u3"]);
+  t.deepEqual(change?.removed, ["u1"]);
+  await host.close();
+});
+
+test("a host whose revision the store has refuted sends whole lists to peers with that one", async (t) => {
+  // Guards against differences from a revision that the store never had.
+  const { host, sharing } = await startWithList(["u1"], {});
+  sharing.applyStoreList({ upstreams: [], evacuated: [], revision: 8 }, 10);
+  const newer = { upstreams: [createUpstream("u4")], removed: [] };
+  sharing.recordChange({ from: 8, to: 12, ...newer });
+  const known = { policyVersion: 1, listRevision: 10 };
+  t.is(sharing.createSnapshot(known).change, undefined);
+  sharing.recordChange({ from: 12, to: 13, ...newer });
+  const later = { policyVersion: 1, listRevision: 12 };
+  t.not(sharing.createSnapshot(later).change, undefined);
+  await host.close();
+});
