List upstreams by service once for all changes of a read

Each change of one upstream grouped all upstreams by service, so a list of n upstreams took n * n steps. The groups are now built when they are read next.

--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -65,6 +65,8 @@
    */
   readonly #remembered = new Map<UpstreamId, Upstream>();
   #version = 0;
+  /** Whether the lists of services are as the entries are. */
+  #isIndexed = true;
 
   /**
    * Applies an entry of the store; returns the previous incarnation of its name
@@ -98,7 +100,7 @@
     const isReplaced = former !== undefined &&
       former.upstream !== upstream.upstream &&
       this.#entries.delete(former.upstream);
-    this.#rebuild();
+    this.#recordChange();
     return isReplaced ? former : undefined;
   }
 
@@ -116,7 +118,7 @@
       return false;
     }
     this.#entries.delete(upstream);
-    this.#rebuild();
+    this.#recordChange();
     return true;
   }
 
@@ -130,7 +132,7 @@
     this.#reports.delete(upstream);
     this.#entries.delete(upstream);
     this.#dropOldest(this.#leaving);
-    this.#rebuild();
+    this.#recordChange();
     return true;
   }
 
@@ -142,7 +144,7 @@
     if (this.#leaving.has(upstream)) return false;
     const report = this.#reports.add(upstream, now);
     if (report === "final") return this.markLeaving(upstream);
-    if (report === "first") this.#rebuild();
+    if (report === "first") this.#recordChange();
     return report === "first";
   }
 
@@ -159,7 +161,7 @@
       isCurrent,
       now,
     });
-    if (reinstated.length > 0) this.#rebuild();
+    if (reinstated.length > 0) this.#recordChange();
     return reinstated;
   }
 
@@ -189,12 +191,13 @@
     retainUntil?: Milliseconds,
   ): boolean {
     const isChanged = this.#evacuations.replace(domains, retainUntil);
-    if (isChanged) this.#rebuild();
+    if (isChanged) this.#recordChange();
     return isChanged;
   }
 
   /** Whether all upstreams of a service are in evacuated failure domains. */
   isEvacuated(service: ServiceId): boolean {
+    this.#index();
     return this.#evacuatedServices.has(service);
   }
 
@@ -259,7 +262,7 @@
       onListed(upstream);
     }
     const isChanged = this.#evacuations.expire(now);
-    if (isChanged) this.#rebuild();
+    if (isChanged) this.#recordChange();
     return isChanged || upstreams.length > 0;
   }
 
@@ -278,6 +281,7 @@
    * changes.
    */
   of(service: ServiceId): readonly Upstream[] {
+    this.#index();
     return this.#byService.get(service) ?? NO_UPSTREAMS;
   }
 
@@ -324,6 +328,7 @@
   }
 
   services(): Iterable<ServiceId> {
+    this.#index();
     return this.#byService.keys();
   }
 
@@ -344,8 +349,15 @@
     }
   }
 
-  #rebuild(): void {
+  #recordChange(): void {
     this.#version++;
+    this.#isIndexed = false;
+  }
+
+  /** Lists the upstreams by service; once for all changes since the last use. */
+  #index(): void {
+    if (this.#isIndexed) return;
+    this.#isIndexed = true;
     this.#byService.clear();
     this.#evacuatedServices.clear();
     for (const { upstream } of this.#entries.values()) {
