Remember all listed upstreams, however many there are

The directory remembered 2,000 upstreams and dropped the oldest one that was not listed, which at more than 2,000 listed ones was the new upstream itself: 1,000 of 3,000 were unknown, so that each further update treated them as new. Each update also searched all remembered upstreams. The bound now counts upstreams that are not listed. The test finds none unknown; 1,000 before.

--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -9,7 +9,7 @@
 import { RelistedUpstreams } from "./relistedUpstreams.ts";
 import type { Upstream } from "./types.ts";
 
-/** Upstreams remembered at most in each collection, also after they left. */
+/** Upstreams remembered at most in each collection after they left. */
 const MAXIMUM_REMEMBERED = 2_000;
 const NO_UPSTREAMS: readonly Upstream[] = [];
 
@@ -79,7 +79,7 @@
     }
     this.#incarnations.set(upstream.name, upstream);
     this.#relisted.delete(upstream.name);
-    this.#remember(upstream);
+    this.#remembered.set(upstream.upstream, upstream);
     const known = this.#entries.get(upstream.upstream);
     const isSame = known !== undefined && known.keptUntil === undefined &&
       !this.#leaving.has(upstream.upstream) &&
@@ -100,6 +100,8 @@
     const isReplaced = former !== undefined &&
       former.upstream !== upstream.upstream &&
       this.#entries.delete(former.upstream);
+    const formerCount = this.#remembered.size - this.#entries.size;
+    if (formerCount > MAXIMUM_REMEMBERED) this.#dropOldest(this.#remembered);
     this.#recordChange();
     return isReplaced ? former : undefined;
   }
@@ -131,7 +133,8 @@
     this.#leaving.add(upstream);
     this.#reports.delete(upstream);
     this.#entries.delete(upstream);
-    this.#dropOldest(this.#leaving);
+    const isFull = this.#leaving.size > MAXIMUM_REMEMBERED;
+    if (isFull) this.#dropOldest(this.#leaving);
     this.#recordChange();
     return true;
   }
@@ -332,16 +335,10 @@
     return this.#byService.keys();
   }
 
-  #remember(upstream: Upstream): void {
-    this.#remembered.set(upstream.upstream, upstream);
-    this.#dropOldest(this.#remembered);
-  }
-
-  /** Drops the oldest upstream that is not listed if there are too many. */
+  /** Drops the oldest upstream that is not listed. */
   #dropOldest(
     known: Set<UpstreamId> | Map<UpstreamId, unknown>,
   ): void {
-    if (known.size <= MAXIMUM_REMEMBERED) return;
     for (const id of known.keys()) {
       if (this.#entries.has(id)) continue;
       known.delete(id);
--- a/packages/admission/tests/policyAndUpstreams.test.ts
+++ b/packages/admission/tests/policyAndUpstreams.test.ts
@@ -72,6 +72,21 @@
   t.is(directory.evacuated.size, 0);
 });
 
+test("all listed upstreams are known, however many there are", (t) => {
+  // Guards against new upstreams of a large list that are taken for unknown.
+  const directory = new UpstreamDirectory();
+  const count = 3_000;
+  const upstreams = Array.from(
+    { length: count },
+    (_, index) => buildUpstream(index),
+  );
+  for (const upstream of upstreams) directory.set(upstream);
+  const unknown = upstreams.filter(({ upstream }) =>
+    directory.lastKnown(upstream) === undefined
+  );
+  t.is(unknown.length, 0);
+});
+
 test("without an outage a removed upstream is dropped at once", (t) => {
   const directory = new UpstreamDirectory();
   directory.set(buildUpstream(0));
