Let a host's first read of the store go before fetches from peers

Each host of a start read the store and, on the first message of a peer, transferred the whole list from it, too. Fetches now wait for the end of the first read, at most 300 ms.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -462,7 +462,10 @@
         this.#channel.send({ kind: "word", gossip }, targets),
       onNewerPolicy: (peer, versions) => {
         this.#recordAnnouncement(peer, versions.policyVersion);
-        this.storeSharing.receivePolicyVersion(peer, versions);
+        this.storeSharing.receivePolicyVersion(peer, {
+          ...versions,
+          now: timer.now(),
+        });
       },
       onListRevision: (peer, listRevision) =>
         this.storeSharing.receiveListRevision(peer, {
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -34,10 +34,10 @@
 /** Interval at which a host that cannot read the store fetches from a peer. */
 const PEER_FETCH_MS: Milliseconds = 1_000;
 /**
- * Time for a reader's own watch to deliver a change before it is fetched from a
- * peer.
+ * Time for a host's own watch or first read of the store to deliver what peers
+ * have before it is fetched from them.
  */
-const OWN_WATCH_MS: Milliseconds = 300;
+const OWN_READ_MS: Milliseconds = 300;
 
 /**
  * Time after a restore of the store within which operators and upstreams write
@@ -87,6 +87,8 @@
   #isFollowing = false;
   /** Whether the last read of the store failed, or there was none yet. */
   #isStoreLost = true;
+  /** Whether the first read of the store has ended, or is not waited for. */
+  #isFirstReadOver = false;
   #listRevision = 0;
   /**
    * Lowest revision that the store has shown to be wrong, by being at a lower
@@ -256,15 +258,24 @@
     if (!this.#isNewer(announced)) return;
     this.#behindSince ??= now;
     const isAwaitingOwnWatch = this.#isReading &&
-      now - this.#behindSince < OWN_WATCH_MS;
-    if (!isAwaitingOwnWatch) this.#fetches.announce(announced);
+      now - this.#behindSince < OWN_READ_MS;
+    if (isAwaitingOwnWatch || this.#isAwaitingFirstRead(now)) return;
+    this.#fetches.announce(announced);
   }
 
   /** Handles a peer's newer policy, and fetches it. */
-  receivePolicyVersion(peer: HostId, versions: SnapshotVersions): void {
+  receivePolicyVersion(
+    peer: HostId,
+    { now, ...versions }: SnapshotVersions & { now: Milliseconds },
+  ): void {
+    if (this.#isAwaitingFirstRead(now)) return;
     this.#fetches.announce({ peer, ...versions });
   }
 
+  #isAwaitingFirstRead(now: Milliseconds): boolean {
+    return !this.#isFirstReadOver && now - this.#startedAt < OWN_READ_MS;
+  }
+
   #isNewer({ policyVersion, listRevision }: SnapshotVersions): boolean {
     if (policyVersion > this.#options.context.policies.version) return true;
     return listRevision > this.#listRevision && this.isPlausible(listRevision);
@@ -272,6 +283,7 @@
 
   /** Reports whether a read of the store succeeded. */
   reportStoreRead(isReading: boolean, detail: string): void {
+    this.#isFirstReadOver = true;
     this.#isReading = isReading;
     this.#isFollowing = false;
     if (isReading !== this.#isStoreLost) return;
@@ -282,6 +294,7 @@
 
   /** Switches to following the peers that read the store. */
   followReaders(): void {
+    this.#isFirstReadOver = true;
     this.#isReading = false;
     this.#isFollowing = true;
   }
@@ -292,6 +305,7 @@
    */
   tick(now: Milliseconds): void {
     if (this.#isReading || this.#isFollowing) return;
+    if (this.#isAwaitingFirstRead(now)) return;
     if (now - this.#fetchedAt < PEER_FETCH_MS) return;
     this.#fetchedAt = now;
     const { peers, context } = this.#options;
--- a/packages/gateway/tests/storeSharing.test.ts
+++ b/packages/gateway/tests/storeSharing.test.ts
@@ -398,3 +398,23 @@
   t.not(sharing.createSnapshot(later).change, undefined);
   await host.close();
 });
+
+test("a host that has just started does not fetch from peers what its own read brings", async (t) => {
+  // Guards against each host of a start that transfers the whole list twice.
+  const { host, sharing, fetchedFrom } = await startSharing({
+    p0: Promise.resolve(ok(createSnapshot(11, ["u1"]))),
+  });
+  const now = host.gateway.context.timer.now();
+  const announce = (): void => {
+    const versions = { policyVersion: 2, listRevision: 11 };
+    sharing.receivePolicyVersion(PEER, { ...versions, now });
+    sharing.receiveListRevision(PEER, { listRevision: 11, now });
+    sharing.tick(now);
+  };
+  announce();
+  t.deepEqual(fetchedFrom, []);
+  sharing.reportStoreRead(false, "refused");
+  announce();
+  t.deepEqual(fetchedFrom, ["p0"]);
+  await host.close();
+});
