Index peers by state instead of scanning them for each message

Each message copied and counted all peers several times. Lists and counts of live peers, lost ones and readers are now made anew only after a change of a peer, and targets are drawn without a copy of all addresses.

--- a/packages/gateway/src/peerDirectory.ts
+++ b/packages/gateway/src/peerDirectory.ts
@@ -8,6 +8,7 @@
 } from "@wasabivane/common";
 import type { CoordinatorCandidate } from "@wasabivane/admission";
 import type { PeerRecord } from "./gossipMessage.ts";
+import { createPeerIndex, drawDistinct, type PeerIndex } from "./peerIndex.ts";
 import type { RelayPeer } from "./relayClient.ts";
 import { TransitEstimator } from "./transitEstimator.ts";
 
@@ -88,6 +89,8 @@
   readonly #peers = new Map<HostId, Peer>();
   readonly #seeds = new Map<string, Milliseconds>();
   readonly #changes: PeerChange[] = [];
+  /** `undefined` after a change. */
+  #index: PeerIndex<Peer> | undefined;
   #recordOffset = 0;
   #candidates: readonly CoordinatorCandidate[] = [];
   #candidatesAt: Milliseconds = -Infinity;
@@ -159,6 +162,7 @@
       transit: undefined,
     });
     this.#candidatesAt = -Infinity;
+    this.#index = undefined;
     this.#changes.push({ host, kind: "found" });
     return true;
   }
@@ -193,10 +197,12 @@
       if (!peer.isLost && silence > lostAfter) {
         peer.isLost = true;
         this.#candidatesAt = -Infinity;
+        this.#index = undefined;
         this.#changes.push({ host, kind: "lost" });
       }
       if (peer.isLost && silence > lostAfter + FORGET_MS) {
         this.#peers.delete(host);
+        this.#index = undefined;
       }
     }
     return this.#changes.splice(0);
@@ -204,28 +210,17 @@
 
   /** Number of live peers. */
   get aliveCount(): number {
-    let count = 0;
-    for (const { isLost } of this.#peers.values()) if (!isLost) count++;
-    return count;
+    return this.#indexed().alive.length;
   }
 
   /** Number of hosts that precede this one in the order of store readers. */
   get precedingReaderCount(): number {
-    let count = 0;
-    for (const peer of this.#peers.values()) {
-      if (peer.isLost || peer.isLeaving || !peer.isStoreReachable) continue;
-      if (peer.readerWeight > this.#readerWeight) count++;
-    }
-    return count;
+    return this.#indexed().precedingReaders;
   }
 
   /** Number of live peers that can read the store. */
   get storeReaderCount(): number {
-    let count = 0;
-    for (const { isLost, isStoreReachable } of this.#peers.values()) {
-      if (!isLost && isStoreReachable) count++;
-    }
-    return count;
+    return this.#indexed().storeReaders;
   }
 
   /**
@@ -258,7 +253,7 @@
 
   /** Returns a random live peer. */
   drawAlive(random: Random): HostId | undefined {
-    const alive = [...this.#peers].filter(([, { isLost }]) => !isLost);
+    const { alive } = this.#indexed();
     return alive.length === 0 ? undefined : random.pick(alive)[0];
   }
 
@@ -275,11 +270,7 @@
 
   /** Returns the addresses of all live peers. */
   aliveAddresses(): string[] {
-    const addresses: string[] = [];
-    for (const { isLost, address } of this.#peers.values()) {
-      if (!isLost) addresses.push(address);
-    }
-    return addresses;
+    return this.#indexed().alive.map(([, { address }]) => address);
   }
 
   /**
@@ -297,7 +288,7 @@
   /** Returns records of up to `count` live peers, rotating through them. */
   takeRecords(count: number, now: Milliseconds): PeerRecord[] {
     if (count === 0) return [];
-    const alive = [...this.#peers].filter(([, { isLost }]) => !isLost);
+    const { alive } = this.#indexed();
     const records: PeerRecord[] = [];
     for (let index = 0; index < Math.min(count, alive.length); index++) {
       const at = (this.#recordOffset + index) % alive.length;
@@ -318,6 +309,9 @@
     if (lastHeardAt < peer.lastHeardAt) return;
     if (peer.isLost) this.#changes.push({ host, kind: "found" });
     const isChanged = peer.isLost || peer.isLeaving !== isLeaving;
+    if (isChanged || peer.isStoreReachable !== isStoreReachable) {
+      this.#index = undefined;
+    }
     peer.lastHeardAt = lastHeardAt;
     peer.address = address;
     peer.isLeaving ||= isLeaving;
@@ -328,22 +322,19 @@
 
   /** Draws random live peers and one lost peer, in case it has returned. */
   #drawAddresses(count: number, random: Random): string[] {
-    const alive: string[] = [];
-    const lost: string[] = [];
-    for (const { isLost, address } of this.#peers.values()) {
-      (isLost ? lost : alive).push(address);
-    }
-    const drawn: string[] = [];
-    while (drawn.length < count && alive.length > 0) {
-      const at = Math.floor(random.float() * alive.length);
-      drawn.push(alive[at]!);
-      alive[at] = alive[alive.length - 1]!;
-      alive.pop();
-    }
-    if (lost.length > 0) drawn.push(random.pick(lost));
+    const { alive, lost } = this.#indexed();
+    const drawn = drawDistinct(alive, { count, random })
+      .map(([, { address }]) => address);
+    if (lost.length > 0) drawn.push(random.pick(lost).address);
     return drawn;
   }
 
+  /** Returns the peers by state, sorted anew only after a change. */
+  #indexed(): PeerIndex<Peer> {
+    this.#index ??= createPeerIndex(this.#peers, this.#readerWeight);
+    return this.#index;
+  }
+
   #lostAfter(): Milliseconds {
     return Math.max(MINIMUM_LOST_MS, LOST_PER_HOST_MS * this.#peers.size);
   }
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -152,6 +152,56 @@
   t.deepEqual(hosts(10), ["b", "self"]);
 });
 
+test("counts of peers follow each change of a peer", (t) => {
+  // Guards against hosts that rely on readers that are lost or stop.
+  const directory = createDirectory();
+  const first = Array.from({ length: 60 }, (_, index) => `h${index}`)
+    .find((host) => {
+      const alone = createDirectory();
+      alone.recordMessage(createRecord(host), 1, 0);
+      return alone.precedingReaderCount === 1;
+    })!;
+  const counts = (): number[] => [
+    directory.aliveCount,
+    directory.storeReaderCount,
+    directory.precedingReaderCount,
+  ];
+  t.deepEqual(counts(), [0, 0, 0]);
+  let sequence = 0;
+  const receive = (changes: Partial<PeerRecord>, now: number): void => {
+    directory.recordMessage(createRecord(first, changes), ++sequence, now);
+  };
+  receive({}, 0);
+  t.deepEqual(counts(), [1, 1, 1]);
+  receive({ isStoreReachable: false }, 100);
+  t.deepEqual(counts(), [1, 0, 0]);
+  receive({}, 200);
+  t.deepEqual(counts(), [1, 1, 1]);
+  directory.takeChanges(2_000);
+  t.deepEqual(counts(), [0, 0, 0]);
+  receive({}, 2_100);
+  t.deepEqual(counts(), [1, 1, 1]);
+  receive({ isLeaving: true }, 2_200);
+  t.deepEqual(counts(), [1, 1, 0]);
+  directory.takeChanges(90_000);
+  t.deepEqual(drawTargets(directory, 90_000), []);
+});
+
+test("a message goes to distinct peers", (t) => {
+  const directory = createDirectory();
+  for (let index = 0; index < 9; index++) {
+    directory.recordMessage(createRecord(`h${index}`), 1, 0);
+  }
+  const random = new SeededRandom(1);
+  const reached = new Set<string>();
+  for (let round = 0; round < 40; round++) {
+    const targets = directory.drawTargets({ count: 4, random, now: 0 });
+    t.is(new Set(targets).size, 4);
+    for (const target of targets) reached.add(target);
+  }
+  t.is(reached.size, 9);
+});
+
 const CELL: Cell = {
   service: asId<ServiceId>("plans"),
   failureDomain: WEST,
