--- a/packages/gateway/src/usageSync.ts
+++ b/packages/gateway/src/usageSync.ts
@@ -38,11 +38,19 @@
 /** Time for which an unresponsive aggregator is skipped. */
 const SKIP_MS: Milliseconds = 3_000;
 
+/** The hosts in the order in which they aggregate. */
+interface Ranking {
+  /** What it was computed from. */
+  readonly hosts: readonly CoordinatorCandidate[];
+  readonly order: readonly HostId[];
+}
+
 /** Options of a {@link UsageSync}. */
 export interface UsageSyncOptions {
   readonly host: HostId;
   readonly incarnation: Incarnation;
   readonly quotas: QuotaLimiter;
+  /** Returns the live hosts; the same array until it changes. */
   readonly candidates: () => readonly CoordinatorCandidate[];
   readonly sendReport: (to: HostId, usage: UsageReport) => void;
   readonly sendTotals: (to: HostId, totals: UsageTotals) => void;
@@ -60,6 +68,7 @@
   #unanswered = 0;
   #skipped: { host: HostId; until: Milliseconds } | undefined;
   #aggregatorHost: HostId | undefined;
+  #ranking: Ranking = { hosts: [], order: [] };
 
   constructor(options: UsageSyncOptions) {
     this.#options = options;
@@ -112,11 +121,19 @@
     }, now);
   }
 
+  #rank(hosts: readonly CoordinatorCandidate[]): readonly HostId[] {
+    if (this.#ranking.hosts !== hosts) {
+      const order = rankCoordinators(AGGREGATION_CELL, hosts);
+      this.#ranking = { hosts, order };
+    }
+    return this.#ranking.order;
+  }
+
   #chooseAggregator(
     hosts: readonly CoordinatorCandidate[],
     now: Milliseconds,
   ): HostId {
-    const order = rankCoordinators(AGGREGATION_CELL, hosts);
+    const order = this.#rank(hosts);
     if (
       this.#unanswered >= MAXIMUM_UNANSWERED &&
       this.#aggregatorHost !== undefined
