--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -9,7 +9,7 @@
 import { RelistedUpstreams } from "./relistedUpstreams.ts";
 import type { Upstream } from "./types.ts";
 
-/** Upstreams remembered at most in each collection, also after they left. */
+/** Upstreams remembered at most in each collection after they left. */
 const MAXIMUM_REMEMBERED = 2_000;
 const NO_UPSTREAMS: readonly Upstream[] = [];
 
@@ -65,6 +65,8 @@
    */
   readonly #remembered = new Map<UpstreamId, Upstream>();
   #version = 0;
+  /** Whether the lists of services are as the entries are. */
+  #isIndexed = true;
 
   /**
    * Applies an entry of the store; returns the previous incarnation of its name
@@ -77,7 +79,7 @@
     }
     this.#incarnations.set(upstream.name, upstream);
     this.#relisted.delete(upstream.name);
-    this.#remember(upstream);
+    this.#remembered.set(upstream.upstream, upstream);
     const known = this.#entries.get(upstream.upstream);
     const isSame = known !== undefined && known.keptUntil === undefined &&
       !this.#leaving.has(upstream.upstream) &&
@@ -98,7 +100,9 @@
     const isReplaced = former !== undefined &&
       former.upstream !== upstream.upstream &&
       this.#entries.delete(former.upstream);
-    this.#rebuild();
+    const formerCount = this.#remembered.size - this.#entries.size;
+    if (formerCount > MAXIMUM_REMEMBERED) this.#dropOldest(this.#remembered);
+    this.#recordChange();
     return isReplaced ? former : undefined;
   }
 
@@ -116,7 +120,7 @@
       return false;
     }
     this.#entries.delete(upstream);
-    this.#rebuild();
+    this.#recordChange();
     return true;
   }
 
@@ -129,8 +133,9 @@
     this.#leaving.add(upstream);
     this.#reports.delete(upstream);
     this.#entries.delete(upstream);
-    this.#dropOldest(this.#leaving);
-    this.#rebuild();
+    const isFull = this.#leaving.size > MAXIMUM_REMEMBERED;
+    if (isFull) this.#dropOldest(this.#leaving);
+    this.#recordChange();
     return true;
   }
 
@@ -142,7 +147,7 @@
     if (this.#leaving.has(upstream)) return false;
     const report = this.#reports.add(upstream, now);
     if (report === "final") return this.markLeaving(upstream);
-    if (report === "first") this.#rebuild();
+    if (report === "first") this.#recordChange();
     return report === "first";
   }
 
@@ -159,7 +164,7 @@
       isCurrent,
       now,
     });
-    if (reinstated.length > 0) this.#rebuild();
+    if (reinstated.length > 0) this.#recordChange();
     return reinstated;
   }
 
@@ -189,12 +194,13 @@
     retainUntil?: Milliseconds,
   ): boolean {
     const isChanged = this.#evacuations.replace(domains, retainUntil);
-    if (isChanged) this.#rebuild();
+    if (isChanged) this.#recordChange();
     return isChanged;
   }
 
   /** Whether all upstreams of a service are in evacuated failure domains. */
   isEvacuated(service: ServiceId): boolean {
+    this.#index();
     return this.#evacuatedServices.has(service);
   }
 
@@ -246,13 +252,20 @@
 
   /**
    * Applies what a copy of the store lists or lacks once it has had time to be
-   * corrected; returns whether that changed anything.
+   * corrected; returns whether that changed anything, and calls `onListed` with
+   * each upstream that is used again.
    */
-  expireRestored(now: Milliseconds): boolean {
+  expireRestored(
+    now: Milliseconds,
+    onListed: (upstream: Upstream) => void = () => {},
+  ): boolean {
     const upstreams = this.#relisted.takeExpired(now);
-    for (const upstream of upstreams) this.set(upstream);
+    for (const upstream of upstreams) {
+      this.set(upstream);
+      onListed(upstream);
+    }
     const isChanged = this.#evacuations.expire(now);
-    if (isChanged) this.#rebuild();
+    if (isChanged) this.#recordChange();
     return isChanged || upstreams.length > 0;
   }
 
@@ -271,6 +284,7 @@
    * changes.
    */
   of(service: ServiceId): readonly Upstream[] {
+    this.#index();
     return this.#byService.get(service) ?? NO_UPSTREAMS;
   }
 
@@ -317,19 +331,14 @@
   }
 
   services(): Iterable<ServiceId> {
+    this.#index();
     return this.#byService.keys();
   }
 
-  #remember(upstream: Upstream): void {
-    this.#remembered.set(upstream.upstream, upstream);
-    this.#dropOldest(this.#remembered);
-  }
-
-  /** Drops the oldest upstream that is not listed if there are too many. */
+  /** Drops the oldest upstream that is not listed. */
   #dropOldest(
     known: Set<UpstreamId> | Map<UpstreamId, unknown>,
   ): void {
-    if (known.size <= MAXIMUM_REMEMBERED) return;
     for (const id of known.keys()) {
       if (this.#entries.has(id)) continue;
       known.delete(id);
@@ -337,8 +346,15 @@
     }
   }
 
-  #rebuild(): void {
+  #recordChange(): void {
     this.#version++;
+    this.#isIndexed = false;
+  }
+
+  /** Lists the upstreams by service; once for all changes since the last use. */
+  #index(): void {
+    if (this.#isIndexed) return;
+    this.#isIndexed = true;
     this.#byService.clear();
     this.#evacuatedServices.clear();
     for (const { upstream } of this.#entries.values()) {
