Start requests of accounts by received work within a rank

Cause: the queue of a cell ordered requests of a rank by due time only, so an account that sends many times its share took the slots of all others.

Change: each rank groups its requests by account; the account that has received the least work goes first (start-time fair queueing). Estimates and refusals count the requests that start before in that order. With one account the order is unchanged.

--- /dev/null
+++ b/packages/admission/src/fairWalk.ts
@@ -0,0 +1,104 @@
+import type { Milliseconds } from "@wasabivane/common";
+import {
+  type AccountShare,
+  isTurnBefore,
+  type ShareTurn,
+} from "./accountShares.ts";
+import { SortedQueue } from "./sortedQueue.ts";
+
+/** Waiting requests of one account and rank. */
+export interface AccountQueue<Item> {
+  readonly share: AccountShare;
+  readonly items: SortedQueue<Item>;
+  /** Slot time of all items. */
+  work: Milliseconds;
+}
+
+/** What to do with a request in start order. */
+export type Visit = "start" | "skip" | "stop";
+
+/**
+ * Work that accounts will have received after the starts that are planned but
+ * not yet made.
+ */
+export type PlannedWork = Map<AccountShare, Milliseconds>;
+
+/** Position in the queue of an account. */
+interface Cursor<Item> extends ShareTurn {
+  readonly queue: AccountQueue<Item>;
+  readonly index: number;
+}
+
+/**
+ * One pass over the requests of a rank in start order. Its cost depends on the
+ * requests that are visited, not on the number of accounts.
+ */
+export class FairWalk<Item extends { readonly slotTime: Milliseconds }> {
+  /** Queues by received work. */
+  readonly #queues: readonly AccountQueue<Item>[];
+  readonly #planned: PlannedWork;
+  /** Cursors of accounts with planned starts. */
+  readonly #changed = new SortedQueue<Cursor<Item>>();
+  #nextQueue = 0;
+
+  constructor(queues: readonly AccountQueue<Item>[], planned: PlannedWork) {
+    this.#queues = queues;
+    this.#planned = planned;
+  }
+
+  /**
+   * Visits items, as if those with the result "start" had started, until a
+   * visit returns "stop" or none is left.
+   */
+  run(visit: (item: Item) => Visit): void {
+    for (let next = this.#next(); next; next = this.#next()) {
+      if (this.#visitAccount(next, visit) === "stop") return;
+    }
+  }
+
+  /** Returns the position of the account whose turn is next. */
+  #next(): Cursor<Item> | undefined {
+    for (;;) {
+      const queue = this.#queues[this.#nextQueue];
+      const [first] = this.#changed.items;
+      if (first !== undefined && !isNext(queue?.share, first)) {
+        this.#changed.remove(first.virtualTime, first.order);
+        return first;
+      }
+      if (queue === undefined) return undefined;
+      this.#nextQueue++;
+      const { virtualTime, order } = queue.share;
+      const planned = this.#planned.get(queue.share);
+      const cursor = { queue, index: 0, order };
+      if (planned === undefined) return { ...cursor, virtualTime };
+      this.#changed.add({ ...cursor, virtualTime: planned }, planned, order);
+    }
+  }
+
+  /** Visits the items of one account until another account is next. */
+  #visitAccount(
+    { queue, index, virtualTime, order }: Cursor<Item>,
+    visit: (item: Item) => Visit,
+  ): Visit {
+    const { items } = queue.items;
+    let work = virtualTime;
+    for (let at = index; at < items.length; at++) {
+      const visited = visit(items[at]!);
+      if (visited === "stop") return visited;
+      if (visited === "skip") continue;
+      work += items[at]!.slotTime;
+      this.#planned.set(queue.share, work);
+      const turn = { virtualTime: work, order };
+      const isOtherNext = isNext(this.#queues[this.#nextQueue]?.share, turn) ||
+        isNext(this.#changed.items[0], turn);
+      if (!isOtherNext) continue;
+      this.#changed.add({ queue, index: at + 1, ...turn }, work, order);
+      return "start";
+    }
+    return "skip";
+  }
+}
+
+function isNext(turn: ShareTurn | undefined, other: ShareTurn): boolean {
+  return turn !== undefined && isTurnBefore(turn, other);
+}
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -47,11 +47,8 @@
   type PlacementCriteria,
   type PlacementOptions,
 } from "./placement.ts";
-export {
-  type QueuedRequest,
-  type QueueEstimate,
-  RequestQueue,
-} from "./requestQueue.ts";
+export { type QueueEstimate, RequestQueue } from "./requestQueue.ts";
+export type { QueuedRequest } from "./requestRanks.ts";
 export {
   type OverQuota,
   QuotaLimiter,
--- a/packages/admission/src/requestQueue.ts
+++ b/packages/admission/src/requestQueue.ts
@@ -1,38 +1,25 @@
 import type { Milliseconds, RequestId, Tier } from "@wasabivane/common";
 import { BypassBudget } from "./bypassBudget.ts";
-import { SortedQueue } from "./sortedQueue.ts";
+import type { PlannedWork } from "./fairWalk.ts";
+import type { RequestsAhead } from "./rankQueue.ts";
+import {
+  isContinuation,
+  isLate,
+  isLateRank,
+  isOnTimeRank,
+  priorityOf,
+  type QueuedRequest,
+  rankOf,
+  ranksBefore,
+  ranksOf,
+  ranksWaitedFor,
+} from "./requestRanks.ts";
 import { type Rank, StartRates } from "./startRates.ts";
+import { type QueueEntry, TierQueue } from "./tierQueue.ts";
 
 /** Interval at which late requests are checked against the start rates. */
 const RATE_CHECK_INTERVAL_MS: Milliseconds = 100;
 
-/**
- * Order within a tier: continuations, requests that can be on time, late
- * requests.
- */
-const CONTINUATION = 0;
-const ON_TIME = 1;
-const LATE = 2;
-const RANKS_PER_TIER = 3;
-
-/** A request in a queue. */
-export interface QueuedRequest {
-  readonly request: RequestId;
-  readonly tier: Tier;
-  readonly since: Milliseconds;
-  /** Latest start for a response that is on time. */
-  readonly onTimeUntil: Milliseconds;
-  /** Latest start for a response that is of use to the caller. */
-  readonly usefulUntil: Milliseconds;
-  /** Expected time in a slot, above 0. */
-  readonly slotTime: Milliseconds;
-  /**
-   * Whether it continues work that an upstream has started and its caller still
-   * waits for.
-   */
-  readonly isContinuation?: boolean;
-}
-
 /** Expected course of a queued request, or of one that would join the queue. */
 export interface QueueEstimate {
   /** Number of requests that start before it unless it becomes late. */
@@ -43,19 +30,16 @@
   readonly wait: Milliseconds;
 }
 
-/** A queued request and its position. */
-interface QueueEntry<Item> {
-  readonly item: Item;
-  readonly rank: Rank;
-  readonly priority: Milliseconds;
-  readonly order: number;
-}
-
 /**
  * Queue of the requests that wait for one service, ordered by tier. Within a
- * tier, continuations come first, then requests that can still be on time by
- * their due time, then late requests by arrival. Short requests of lower tiers
- * can bypass others within a budget, see {@link BypassBudget}.
+ * tier, continuations come first, then requests that can still be on time, then
+ * late requests. Within each of these ranks, the account that has received the
+ * least work goes first, and within an account requests go by due time, or by
+ * arrival if they are late. Short requests of lower tiers can bypass others
+ * within a budget, see {@link BypassBudget}.
+ *
+ * Without the order by accounts, an account that sends far more than its share
+ * would take the slots of all others.
  *
  * In a burst above capacity, serving those first that can still be on time
  * keeps most requests on time, while order of arrival would make all of them
@@ -66,8 +50,8 @@
  */
 export class RequestQueue<Item extends QueuedRequest> {
   readonly #entries = new Map<RequestId, QueueEntry<Item>>();
-  /** Queues by rank, each in start order. */
-  readonly #queues = new Map<Rank, SortedQueue<Item>>();
+  /** Queues by tier, the most urgent one first. */
+  #tiers: ReadonlyMap<Tier, TierQueue<Item>> = new Map();
   readonly #rates = new StartRates();
   readonly #bypassBudget = new BypassBudget();
   #pushCount = 0;
@@ -87,7 +71,8 @@
   push(item: Item, now: Milliseconds): void {
     this.#rates.advance(this.size > 0, now);
     this.remove(item.request);
-    this.#add(item, this.#pushCount++, now);
+    const entry = this.#tierOf(item.tier).add(item, this.#pushCount++, now);
+    this.#entries.set(item.request, entry);
     if (isContinuation(item)) return;
     this.#nextExpiryAt = Math.min(this.#nextExpiryAt, item.usefulUntil);
   }
@@ -95,9 +80,14 @@
   /** Removes a request that starts. */
   start(request: RequestId, now: Milliseconds): Item | undefined {
     this.#rates.advance(this.size > 0, now);
-    const item = this.remove(request);
+    const item = this.#entries.get(request)?.item;
     if (item === undefined) return undefined;
-    this.#rates.recordStart(rankOf(item, now));
+    const rank = rankOf(item, now);
+    this.#rates.recordStart(rank);
+    for (const [tier, queue] of this.#tiers) {
+      if (tier >= item.tier) queue.recordStart(item, rank, now);
+    }
+    this.remove(request);
     this.#bypassBudget.recordStart(item, this.#hasMoreUrgent(item.tier));
     return item;
   }
@@ -106,7 +96,7 @@
     const entry = this.#entries.get(request);
     if (entry === undefined) return undefined;
     this.#entries.delete(request);
-    this.#queues.get(entry.rank)!.remove(entry.priority, entry.order);
+    this.#tierOf(entry.item.tier).remove(entry);
     return entry.item;
   }
 
@@ -126,6 +116,7 @@
    */
   removeUnservable(now: Milliseconds): Item[] {
     this.#rates.advance(this.size > 0, now);
+    for (const queue of this.#tiers.values()) queue.removeIdle(now);
     return [...this.#removeExpired(now), ...this.#removeProjectedLate(now)];
   }
 
@@ -150,19 +141,43 @@
     this.#ratesCheckedAt = now;
     this.#demoteLate(now);
     const projectedLate: Item[] = [];
-    for (const rank of this.#ranks()) {
-      if (!isLateRank(rank)) continue;
-      let ahead = 0;
-      for (const item of this.#queues.get(rank)!.items) {
-        const startsAt = now + this.#rates.estimateWait(ahead, [rank]);
-        if (startsAt > item.usefulUntil) projectedLate.push(item);
-        else ahead++;
+    for (const [tier, queue] of this.#tiers) {
+      for (const rank of ranksOf(tier)) {
+        if (!isLateRank(rank) || queue.sizeOf(rank) === 0) continue;
+        this.#projectRank(queue, { rank, now, projectedLate });
       }
     }
     for (const { request } of projectedLate) this.remove(request);
     return projectedLate;
   }
 
+  /** Adds the requests of a rank that cannot start in time. */
+  #projectRank(
+    queue: TierQueue<Item>,
+    { rank, now, projectedLate }: {
+      rank: Rank;
+      now: Milliseconds;
+      projectedLate: Item[];
+    },
+  ): void {
+    let all = 0;
+    const ownOf = new Map<Item["account"], number>();
+    queue.walk(rank, {
+      planned: new Map(),
+      visit: (item) => {
+        const own = ownOf.get(item.account) ?? 0;
+        const wait = this.#estimateWait(item, { all, own }, rank);
+        if (now + wait > item.usefulUntil) {
+          projectedLate.push(item);
+          return "skip";
+        }
+        all++;
+        ownOf.set(item.account, own + 1);
+        return "start";
+      },
+    });
+  }
+
   /**
    * Whether a request, queued or not, would start too late at the current
    * rates: after its response is of use, or too late to be on time while that
@@ -177,31 +192,76 @@
     return now + wait > until;
   }
 
+  /**
+   * Whether a request that is refused would have started in time if accounts
+   * had no shares.
+   */
+  isRefusedByShare(item: QueuedRequest, now: Milliseconds): boolean {
+    const queue = this.#tierOf(item.tier);
+    if (!queue.isShared) return false;
+    const rank = rankOf(item, now);
+    const isQueued = this.#entries.get(item.request)?.rank === rank;
+    const ahead = queue.countAheadUnshared(item, now) - (isQueued ? 1 : 0) +
+      this.#countBefore(queue, rank);
+    const wait = this.#rates.estimateWait(ahead, ranksWaitedFor(rank));
+    const until = isLate(item, now) ? item.usefulUntil : item.onTimeUntil;
+    return now + wait <= until;
+  }
+
   /** Returns the estimate for a request, queued or not. */
   estimate(item: QueuedRequest, now: Milliseconds): QueueEstimate {
     this.#demoteLate(now);
+    const queue = this.#tierOf(item.tier);
     const rank = rankOf(item, now);
-    if (isLateRank(rank)) {
-      const ahead = this.#aheadOf(item, rank, now);
-      const startsPerSecond = this.#rates.startsPerSecond([rank]);
-      return {
-        ahead,
-        startsPerSecond,
-        wait: this.#rates.estimateWait(ahead, [rank]),
-      };
-    }
-    const ranks = ranksOf(item.tier);
-    const continuations = isContinuation(item)
-      ? 0
-      : this.#queues.get(ranks[CONTINUATION]!)?.size ?? 0;
-    const ahead = continuations + this.#aheadOf(item, rank, now);
+    const entry = this.#entries.get(item.request);
+    const { all, own } = queue.countAhead(item, { entry, now });
+    const ahead = all + this.#countBefore(queue, rank);
     return {
       ahead,
-      startsPerSecond: this.#rates.startsPerSecond(ranks),
-      wait: this.#rates.estimateWait(ahead, ranks),
+      startsPerSecond: this.#rates.startsPerSecond(ranksWaitedFor(rank)),
+      wait: this.#estimateWait(item, { all: ahead, own }, rank),
     };
   }
 
+  /**
+   * Returns the expected wait behind other requests. An account with a backlog
+   * waits at least as long as its own requests take to start, since those of
+   * other accounts that arrive later go first.
+   */
+  #estimateWait(
+    { tier, account }: QueuedRequest,
+    { all, own }: RequestsAhead,
+    rank: Rank,
+  ): Milliseconds {
+    const ranks = ranksWaitedFor(rank);
+    const wait = this.#rates.estimateWait(all, ranks);
+    const ownRates = this.#tierOf(tier).ratesOf(account);
+    if (ownRates === undefined || own === 0) return wait;
+    return Math.max(wait, ownRates.estimateWait(own, ranks));
+  }
+
+  /** Returns the number of requests of the ranks before one, in its tier. */
+  #countBefore(queue: TierQueue<Item>, rank: Rank): number {
+    let count = 0;
+    for (const other of ranksBefore(rank)) count += queue.sizeOf(other);
+    return count;
+  }
+
+  /**
+   * Whether a request may take the slot of the first one: it is as urgent and
+   * due at most `span` after it, and its account has not received more work.
+   */
+  isDueWithin(
+    span: Milliseconds,
+    { first, other, now }: { first: Item; other: Item; now: Milliseconds },
+  ): boolean {
+    const isClose = rankOf(first, now) === rankOf(other, now) &&
+      priorityOf(other, now) <= priorityOf(first, now) + span;
+    if (!isClose || first.account === other.account) return isClose;
+    const queue = this.#tierOf(first.tier);
+    return queue.workOf(other.account) <= queue.workOf(first.account);
+  }
+
   /**
    * Returns the requests that can start now in start order, at most `maximum` of
    * them.
@@ -214,142 +274,73 @@
     } = {},
   ): Item[] {
     this.#demoteLate(now);
-    const ranks = this.#ranks();
-    const order = this.#selectBypassing(ranks, canStart);
+    const order = this.#selectBypassing(canStart);
     const isBypassing = new Set(order);
-    for (const rank of ranks) {
-      for (const item of this.#queues.get(rank)!.items) {
-        if (order.length >= maximum) return order;
-        if (!isBypassing.has(item) && canStart(item)) order.push(item);
+    for (const [tier, queue] of this.#tiers) {
+      const planned: PlannedWork = new Map();
+      for (const rank of ranksOf(tier)) {
+        queue.walk(rank, {
+          planned,
+          visit: (item) => {
+            if (order.length >= maximum) return "stop";
+            if (isBypassing.has(item) || !canStart(item)) return "skip";
+            order.push(item);
+            return "start";
+          },
+        });
       }
     }
     return order;
   }
 
   /** Returns the short requests that may start before more urgent ones. */
-  #selectBypassing(
-    ranks: readonly Rank[],
-    canStart: (item: Item) => boolean,
-  ): Item[] {
+  #selectBypassing(canStart: (item: Item) => boolean): Item[] {
     const selection = this.#bypassBudget.startSelection();
     const bypassing: Item[] = [];
-    for (const rank of ranks) {
-      const isAllowed = !isLateRank(rank) &&
-        selection.isTierAllowed(tierOf(rank));
-      if (!isAllowed) continue;
-      for (const item of this.#queues.get(rank)!.items) {
-        if (canStart(item) && selection.reserve(item)) bypassing.push(item);
+    for (const [tier, queue] of this.#tiers) {
+      if (!selection.isTierAllowed(tier)) continue;
+      const planned: PlannedWork = new Map();
+      for (const rank of ranksOf(tier)) {
+        if (isLateRank(rank)) continue;
+        queue.walk(rank, {
+          planned,
+          visit: (item) => {
+            if (!canStart(item) || !selection.reserve(item)) return "skip";
+            bypassing.push(item);
+            return "start";
+          },
+        });
       }
     }
     return bypassing;
   }
 
-  #add(item: Item, order: number, now: Milliseconds): void {
-    const rank = rankOf(item, now);
-    const priority = priorityOf(item, now);
-    let queue = this.#queues.get(rank);
-    if (queue === undefined) {
-      queue = new SortedQueue();
-      this.#queues.set(rank, queue);
-    }
-    queue.add(item, priority, order);
-    this.#entries.set(item.request, { item, rank, priority, order });
-  }
-
-  /** Moves requests that have become late to the queue of late requests. */
+  /** Moves requests that have become late to the rank of late requests. */
   #demoteLate(now: Milliseconds): void {
-    for (const [rank, queue] of this.#queues) {
-      if (!isOnTimeRank(rank)) continue;
-      for (let [item] = queue.items; item; [item] = queue.items) {
-        if (!isLate(item, now)) break;
-        const { order } = this.#entries.get(item.request)!;
-        this.remove(item.request);
-        this.#add(item, order, now);
+    for (const [tier, queue] of this.#tiers) {
+      for (const rank of ranksOf(tier)) {
+        if (!isOnTimeRank(rank)) continue;
+        for (const { request } of queue.itemsUpTo(now, rank)) {
+          const entry = this.#entries.get(request)!;
+          this.#entries.set(request, queue.move(entry, now));
+        }
       }
     }
   }
 
-  #ranks(): Rank[] {
-    return [...this.#queues.keys()].toSorted((left, right) => left - right);
+  #tierOf(tier: Tier): TierQueue<Item> {
+    const known = this.#tiers.get(tier);
+    if (known !== undefined) return known;
+    const added = new TierQueue<Item>(tier);
+    const tiers = [...this.#tiers, [tier, added] as const];
+    this.#tiers = new Map(tiers.toSorted(([left], [right]) => left - right));
+    return added;
   }
 
   #hasMoreUrgent(tier: Tier): boolean {
-    for (const [rank, { size }] of this.#queues) {
-      if (size > 0 && rank < RANKS_PER_TIER * tier) return true;
+    for (const [other, queue] of this.#tiers) {
+      if (other < tier && queue.size > 0) return true;
     }
     return false;
   }
-
-  /**
-   * Returns the number of other requests of its rank with an equal or lower
-   * priority value.
-   */
-  #aheadOf(item: QueuedRequest, rank: Rank, now: Milliseconds): number {
-    const count = this.#queues.get(rank)?.countUpTo(priorityOf(item, now)) ?? 0;
-    const isCounted = this.#entries.get(item.request)?.rank === rank;
-    return isCounted ? count - 1 : count;
-  }
-}
-
-/**
- * Whether a request is as urgent as another one and due at most `span` after
- * it.
- */
-export function isDueWithin(
-  span: Milliseconds,
-  { first, other, now }: {
-    first: QueuedRequest;
-    other: QueuedRequest;
-    now: Milliseconds;
-  },
-): boolean {
-  return rankOf(first, now) === rankOf(other, now) &&
-    priorityOf(other, now) <= priorityOf(first, now) + span;
-}
-
-function isContinuation({ isContinuation }: QueuedRequest): boolean {
-  return isContinuation === true;
-}
-
-/** Continuations never count as late. */
-function isLate(item: QueuedRequest, now: Milliseconds): boolean {
-  return !isContinuation(item) && item.onTimeUntil <= now;
-}
-
-function rankOf(item: QueuedRequest, now: Milliseconds): Rank {
-  const position = isContinuation(item)
-    ? CONTINUATION
-    : isLate(item, now)
-    ? LATE
-    : ON_TIME;
-  return RANKS_PER_TIER * item.tier + position;
-}
-
-/** Returns the ranks of a tier, by position in it. */
-function ranksOf(tier: Tier): Rank[] {
-  return [CONTINUATION, ON_TIME, LATE].map((position) =>
-    RANKS_PER_TIER * tier + position
-  );
-}
-
-function tierOf(rank: Rank): Tier {
-  return Math.floor(rank / RANKS_PER_TIER) as Tier;
-}
-
-function isLateRank(rank: Rank): boolean {
-  return rank % RANKS_PER_TIER === LATE;
-}
-
-function isOnTimeRank(rank: Rank): boolean {
-  return rank % RANKS_PER_TIER === ON_TIME;
-}
-
-/**
- * Returns the priority value within a rank: by due time, or by arrival for late
- * requests and continuations.
- */
-function priorityOf(item: QueuedRequest, now: Milliseconds): Milliseconds {
-  return isLate(item, now) || isContinuation(item)
-    ? item.since
-    : item.onTimeUntil;
 }
--- a/packages/admission/src/requestScheduler.ts
+++ b/packages/admission/src/requestScheduler.ts
@@ -18,12 +18,8 @@
 import type { SoftwareVersion, Upstream } from "./types.ts";
 import type { UpstreamHealth } from "./upstreamHealth.ts";
 import type { UpstreamStats } from "./upstreamStats.ts";
-import {
-  isDueWithin,
-  type QueuedRequest,
-  type QueueEstimate,
-  RequestQueue,
-} from "./requestQueue.ts";
+import { type QueueEstimate, RequestQueue } from "./requestQueue.ts";
+import type { QueuedRequest } from "./requestRanks.ts";
 
 /**
  * Minimum time from the end of a response until the next queued request is at
@@ -250,7 +246,7 @@
       if (left <= 0) return;
       const upstream = this.#placement.pick(upstreams, next, now);
       if (upstream === undefined) continue;
-      const chosen = this.#selectFor(upstream, { next, order, now });
+      const chosen = this.#selectFor(upstream, { next, order, queue, now });
       if (chosen !== next) {
         order.splice(order.indexOf(chosen), 1);
         order.unshift(next);
@@ -291,9 +287,10 @@
    */
   #selectFor(
     upstream: Upstream,
-    { next, order, now }: {
+    { next, order, queue, now }: {
       next: PendingRequest;
       order: readonly PendingRequest[];
+      queue: RequestQueue<PendingRequest>;
       now: Milliseconds;
     },
   ): PendingRequest {
@@ -309,7 +306,7 @@
         now,
       });
       if (saved <= mostSaved) continue;
-      if (!isDueWithin(saved, { first: next, other, now })) continue;
+      if (!queue.isDueWithin(saved, { first: next, other, now })) continue;
       best = other;
       mostSaved = saved;
     }
--- a/packages/admission/src/sortedQueue.ts
+++ b/packages/admission/src/sortedQueue.ts
@@ -37,6 +37,11 @@
     this.#keys.splice(index, 1);
   }
 
+  /** Returns the priority of the item at an index; `undefined` past the end. */
+  priorityAt(index: number): number | undefined {
+    return this.#keys[index]?.priority;
+  }
+
   /** Returns the number of items up to this priority. */
   countUpTo(priority: number): number {
     return this.#find(priority, Infinity);
--- /dev/null
+++ b/packages/admission/src/tierQueue.ts
@@ -0,0 +1,206 @@
+import type { ClientAccountId, Milliseconds, Tier } from "@wasabivane/common";
+import {
+  type AccountShare,
+  AccountShares,
+  type ShareTurn,
+} from "./accountShares.ts";
+import type { PlannedWork, Visit } from "./fairWalk.ts";
+import { type RankKey, RankQueue, type RequestsAhead } from "./rankQueue.ts";
+import {
+  priorityOf,
+  type QueuedRequest,
+  rankOf,
+  ranksOf,
+} from "./requestRanks.ts";
+import type { Rank, StartRates } from "./startRates.ts";
+
+/** A queued request and its position. */
+export interface QueueEntry<Item> extends RankKey {
+  readonly item: Item;
+  readonly rank: Rank;
+}
+
+/**
+ * Requests of one tier by rank, and what their accounts have received.
+ *
+ * The work of an account counts its starts in this tier and in more urgent
+ * ones. Starts in less urgent tiers do not count: an account that used spare
+ * capacity there would otherwise wait for accounts that did not need it.
+ */
+export class TierQueue<Item extends QueuedRequest> {
+  readonly #shares = new AccountShares();
+  readonly #ranks: ReadonlyMap<Rank, RankQueue<Item>>;
+
+  constructor(tier: Tier) {
+    this.#ranks = new Map(
+      ranksOf(tier).map((rank) => [rank, new RankQueue<Item>()]),
+    );
+  }
+
+  /** Whether several accounts wait or have started requests recently. */
+  get isShared(): boolean {
+    return this.#shares.size > 1;
+  }
+
+  /** Number of waiting requests. */
+  get size(): number {
+    let size = 0;
+    for (const queue of this.#ranks.values()) size += queue.size;
+    return size;
+  }
+
+  /** Returns the number of waiting requests of a rank. */
+  sizeOf(rank: Rank): number {
+    return this.#ranks.get(rank)!.size;
+  }
+
+  /** Adds a request that begins to wait. */
+  add(item: Item, order: number, now: Milliseconds): QueueEntry<Item> {
+    const share = this.#shares.of(item.account);
+    const work = this.#workOnEntry(share, rankOf(item, now));
+    this.#shares.recordWaiting(share, now);
+    if (work > share.virtualTime) this.#setWork(share, work);
+    return this.#insert(item, { share, order, now });
+  }
+
+  remove({ item, rank, ...key }: QueueEntry<Item>): void {
+    this.#ranks.get(rank)!.remove(item, key);
+    key.share.waiting--;
+  }
+
+  /** Moves a request to the rank that it has now. */
+  move(entry: QueueEntry<Item>, now: Milliseconds): QueueEntry<Item> {
+    const { item, rank, ...key } = entry;
+    this.#ranks.get(rank)!.remove(item, key);
+    return this.#insert(item, { ...key, now });
+  }
+
+  /** Returns the requests of a rank up to a priority value, in no order. */
+  itemsUpTo(priority: Milliseconds, rank: Rank): readonly Item[] {
+    return this.#ranks.get(rank)!.itemsUpTo(priority);
+  }
+
+  /**
+   * Records that a request of this tier or a more urgent one starts at the
+   * given rank.
+   */
+  recordStart(item: Item, rank: Rank, now: Milliseconds): void {
+    const share = this.#shares.of(item.account);
+    share.rates.advance(share.waiting > 0, now);
+    if (this.#ranks.has(rank)) share.rates.recordStart(rank);
+    share.activeAt = now;
+    for (const [other, queue] of this.#ranks) {
+      if (other >= rank) queue.clock = share.virtualTime;
+    }
+    this.#setWork(share, share.virtualTime + item.slotTime);
+  }
+
+  /** Visits the requests of a rank in start order. */
+  walk(
+    rank: Rank,
+    { planned, visit }: {
+      planned: PlannedWork;
+      visit: (item: Item) => Visit;
+    },
+  ): void {
+    this.#ranks.get(rank)!.walk(planned, visit);
+  }
+
+  /**
+   * Returns the numbers of requests of the same rank that start before one that
+   * is queued or would join.
+   */
+  countAhead(
+    item: QueuedRequest,
+    { entry, now }: {
+      entry: QueueEntry<Item> | undefined;
+      now: Milliseconds;
+    },
+  ): RequestsAhead {
+    const rank = rankOf(item, now);
+    const share = this.#shares.find(item.account);
+    return this.#ranks.get(rank)!.countAhead({
+      share,
+      turn: this.#turnOnEntry(share, rank),
+      priority: priorityOf(item, now),
+      isQueued: entry?.rank === rank,
+    });
+  }
+
+  /**
+   * Returns the number of other requests of its rank that would start before a
+   * request if accounts had no shares.
+   */
+  countAheadUnshared(item: QueuedRequest, now: Milliseconds): number {
+    const queue = this.#ranks.get(rankOf(item, now))!;
+    return queue.countUpTo(priorityOf(item, now));
+  }
+
+  /**
+   * Returns how fast the requests of an account start; `undefined` if it has no
+   * competitors or is unknown.
+   */
+  ratesOf(account: ClientAccountId | undefined): StartRates | undefined {
+    return this.isShared ? this.#shares.find(account)?.rates : undefined;
+  }
+
+  /** Returns the work that an account has received; 0 if it is unknown. */
+  workOf(account: ClientAccountId | undefined): Milliseconds {
+    return this.#shares.find(account)?.virtualTime ?? 0;
+  }
+
+  /** Drops the accounts that have been idle for some seconds. */
+  removeIdle(now: Milliseconds): void {
+    this.#shares.removeIdle(now);
+  }
+
+  #insert(
+    item: Item,
+    { share, order, now }: {
+      share: AccountShare;
+      order: number;
+      now: Milliseconds;
+    },
+  ): QueueEntry<Item> {
+    const rank = rankOf(item, now);
+    const key = { share, priority: priorityOf(item, now), order };
+    this.#ranks.get(rank)!.add(item, key);
+    return { item, rank, ...key };
+  }
+
+  /** Turn of an account if it waits in a rank, or when it would join there. */
+  #turnOnEntry(share: AccountShare | undefined, rank: Rank): ShareTurn {
+    const isWaiting = share !== undefined && share.waiting > 0;
+    return {
+      virtualTime: this.#workOnEntry(share, rank),
+      order: isWaiting ? share.order : -Infinity,
+    };
+  }
+
+  /**
+   * Returns the work that an account counts as received once it waits in a
+   * rank: at least that of the accounts it competes with, so that idle time
+   * earns no credit. Those that wait only in later ranks do not count, as they
+   * may have waited without any start for long.
+   */
+  #workOnEntry(share: AccountShare | undefined, rank: Rank): Milliseconds {
+    const received = share?.virtualTime ?? 0;
+    let least = Infinity;
+    for (const [other, queue] of this.#ranks) {
+      if (other > rank) continue;
+      if (share !== undefined && queue.has(share)) return received;
+      least = Math.min(least, queue.leastWork);
+    }
+    const floor = least === Infinity ? this.#ranks.get(rank)!.clock : least;
+    return Math.max(received, floor);
+  }
+
+  #setWork(share: AccountShare, work: Milliseconds): void {
+    const queues = [...this.#ranks.values()].filter((queue) =>
+      queue.has(share)
+    );
+    for (const queue of queues) queue.detach(share);
+    share.virtualTime = work;
+    for (const queue of queues) queue.attach(share);
+  }
+}
