--- a/packages/admission/src/requestQueue.ts
+++ b/packages/admission/src/requestQueue.ts
@@ -63,6 +63,15 @@
     return this.#entries.size;
   }
 
+  /** Number of accounts that wait or have started requests recently. */
+  get accountCount(): number {
+    let count = 0;
+    for (const queue of this.#tiers.values()) {
+      count = Math.max(count, queue.accountCount);
+    }
+    return count;
+  }
+
   /** Whether requests were waiting for a good part of the last seconds. */
   get isBacklogged(): boolean {
     return this.#rates.isKnown;
--- a/packages/admission/src/tierQueue.ts
+++ b/packages/admission/src/tierQueue.ts
@@ -37,6 +37,11 @@
     );
   }
 
+  /** Number of accounts that wait or have started requests recently. */
+  get accountCount(): number {
+    return this.#shares.size;
+  }
+
   /** Whether several accounts wait or have started requests recently. */
   get isShared(): boolean {
     return this.#shares.size > 1;
--- /dev/null
+++ b/packages/admission/tests/accountShares.test.ts
@@ -0,0 +1,332 @@
+import {
+  asId,
+  asTier,
+  type ClientAccountId,
+  type FailureDomain,
+  type Milliseconds,
+  type RequestId,
+} from "@wasabivane/common";
+import { type QueuedRequest, RequestQueue } from "@wasabivane/admission";
+import test from "ava";
+import fc from "fast-check";
+import {
+  type Replay,
+  type ReplayedTier,
+  replayLoad,
+} from "./helpers/loadReplay.ts";
+
+const WORK_MS: Milliseconds = 200;
+/** Six upstreams of four slots, with the time between two requests. */
+const CAPACITY_PER_SECOND = 117;
+const FLEET: Omit<Replay, "tiers"> = {
+  hosts: 4,
+  upstreams: 6,
+  slots: 4,
+  speeds: [1],
+  duration: 10_000,
+  seed: 11,
+  isCoordinated: true,
+};
+/** Share that an account under its share is served at least. */
+const SMALL_SHARE = 0.85;
+const DONE_SHARE = 0.85;
+
+type Kind = Partial<ReplayedTier> & {
+  /** Requests per second. */
+  readonly rate: number;
+  readonly length?: Milliseconds;
+};
+
+/** Requests of one account. */
+interface Served {
+  asked: number;
+  served: number;
+  /** Work of the served requests. */
+  work: Milliseconds;
+}
+
+/** Replays one kind of requests for each account, named by its key. */
+function replayAccounts(
+  kinds: Readonly<Record<string, Kind>>,
+  changes: Partial<Replay> = {},
+): Record<string, Served> {
+  const results: Record<string, Served> = {};
+  const tiers = Object.entries(kinds).map(([account, kind]) => {
+    const { rate, length = WORK_MS, ...rest } = kind;
+    const result = { asked: 0, served: 0, work: 0 };
+    results[account] = result;
+    return {
+      tier: 1,
+      account,
+      rateAt: () => rate,
+      work: () => {
+        result.asked++;
+        return length;
+      },
+      target: 500,
+      usefulWithin: 2_000,
+      onEnd: (work: Milliseconds, isServed: boolean) => {
+        if (!isServed) return;
+        result.served++;
+        result.work += work;
+      },
+      ...rest,
+    };
+  });
+  replayLoad({ ...FLEET, ...changes, tiers });
+  return results;
+}
+
+function shareServed({ asked, served }: Served): number {
+  return served / asked;
+}
+
+function doneShare(results: Record<string, Served>): number {
+  const served = Object.values(results).reduce(
+    (sum, { served }) => sum + served,
+    0,
+  );
+  return served / (CAPACITY_PER_SECOND * FLEET.duration / 1_000);
+}
+
+const UNEVEN = {
+  large: { rate: 300 },
+  b: { rate: 20 },
+  c: { rate: 20 },
+  d: { rate: 20 },
+};
+const SMALL = ["b", "c", "d"] as const;
+
+test("small accounts are served beside one that asks for far more than its share", (t) => {
+  // Guards against one account that takes the slots of all others.
+  const results = replayAccounts(UNEVEN);
+  t.log(results);
+  for (const name of SMALL) {
+    t.true(shareServed(results[name]!) >= SMALL_SHARE);
+  }
+  t.true(doneShare(results) >= DONE_SHARE);
+});
+
+test("small accounts are served beside a large one whose callers use one host", (t) => {
+  // Guards against shares that hold for hosts instead of accounts.
+  const results = replayAccounts({
+    ...UNEVEN,
+    large: { rate: 300, usesHost: ({ host }) => host === "h1" },
+  });
+  t.log(results);
+  for (const name of SMALL) {
+    t.true(shareServed(results[name]!) >= SMALL_SHARE);
+  }
+  t.true(doneShare(results) >= DONE_SHARE);
+});
+
+test("small accounts are served beside two large ones, which share the rest", (t) => {
+  // Guards against a second large account that is counted as a small one.
+  const results = replayAccounts({
+    large: { rate: 200 },
+    second: { rate: 150 },
+    b: { rate: 15 },
+    c: { rate: 15 },
+    d: { rate: 15 },
+  });
+  t.log(results);
+  for (const name of SMALL) {
+    t.true(shareServed(results[name]!) >= SMALL_SHARE);
+  }
+  t.true(doneShare(results) >= DONE_SHARE);
+  const rest = (CAPACITY_PER_SECOND - 45) * FLEET.duration / 1_000;
+  t.true(results["large"]!.served >= SMALL_SHARE * rest / 2);
+  t.true(results["second"]!.served >= SMALL_SHARE * rest / 2);
+});
+
+for (const index of [0, 1, 2, 3]) {
+  test(`small accounts are served while host ${index} of four is killed and returns`, (t) => {
+    // Guards against shares that are lost with a host or a coordinator.
+    const results = replayAccounts(UNEVEN, {
+      onStart: (fleet, timer) => {
+        const host = fleet.hosts[index]!;
+        timer.after(4_000, () => {
+          host.isDead = true;
+          timer.after(1_500, () => host.restart());
+        });
+      },
+    });
+    t.log(results);
+    for (const name of SMALL) t.true(shareServed(results[name]!) >= 0.7);
+  });
+}
+
+test("a replaced coordinator keeps the shares", (t) => {
+  // Guards against a new coordinator that favours the accounts with the longest
+  // queues.
+  const results = replayAccounts(UNEVEN, {
+    onStart: (fleet, timer) => {
+      timer.after(4_000, () => {
+        for (const host of fleet.hosts) {
+          if (host.coordinators.size > 0) host.isDead = true;
+        }
+      });
+    },
+  });
+  t.log(results);
+  for (const name of SMALL) {
+    t.true(shareServed(results[name]!) >= SMALL_SHARE);
+  }
+});
+
+test("the coordinators of two cells both keep the shares", (t) => {
+  // Guards against an account that takes a whole cell.
+  const results = replayAccounts(UNEVEN, {
+    failureDomains: ["a", "b"].map((name) => asId<FailureDomain>(name)),
+  });
+  t.log(results);
+  for (const name of SMALL) {
+    t.true(shareServed(results[name]!) >= SMALL_SHARE);
+  }
+  t.true(doneShare(results) >= DONE_SHARE);
+});
+
+test("all requests are served where capacity suffices", (t) => {
+  // Guards against shares that refuse requests although slots are free.
+  const results = replayAccounts({
+    large: { rate: 60 },
+    b: { rate: 5 },
+    c: { rate: 5 },
+    d: { rate: 5 },
+  });
+  t.log(results);
+  for (const result of Object.values(results)) {
+    t.is(result.served, result.asked);
+  }
+});
+
+test("an account alone gets all capacity, as without an account", (t) => {
+  // Guards against shares that limit an account without competitors.
+  const alone = replayAccounts({ large: { rate: 300 } });
+  const unnamed = replayAccounts({ "": { rate: 300 } });
+  t.log(alone);
+  t.true(doneShare(alone) >= DONE_SHARE);
+  t.deepEqual(alone["large"], unnamed[""]);
+});
+
+test("an idle account that begins to send does not starve the others", (t) => {
+  // Guards against an account that saves up credit while it sends nothing.
+  const results = replayAccounts({
+    usual: { rate: 100 },
+    b: { rate: 20 },
+    c: { rate: 20 },
+    idle: { rate: 300, from: 6_000 },
+  });
+  t.log(results);
+  t.true(shareServed(results["b"]!) >= SMALL_SHARE);
+  t.true(shareServed(results["c"]!) >= SMALL_SHARE);
+});
+
+test("accounts with requests of different sizes share the work, not the count", (t) => {
+  // Guards against an account that gets more work done with longer requests.
+  const results = replayAccounts({
+    short: { rate: 300, length: 100 },
+    long: { rate: 100, length: 800, target: 1_000 },
+  }, { isLearningLatency: true });
+  t.log(results);
+  const half = 24 * FLEET.duration / 2;
+  t.true(results["short"]!.work >= DONE_SHARE * half);
+  t.true(results["long"]!.work >= DONE_SHARE * half);
+});
+
+test("an account over its share keeps the precedence of its more urgent tier", (t) => {
+  // Guards against shares that start a lower tier before a higher one.
+  const results = replayAccounts({
+    urgent: { rate: 90, tier: 0 },
+    b: { rate: 20 },
+    large: { rate: 200 },
+  });
+  t.log(results);
+  t.true(shareServed(results["urgent"]!) >= 0.97);
+  t.true(shareServed(results["b"]!) > shareServed(results["large"]!));
+});
+
+/** Builds a queued request of one tier; all are of the same length. */
+function buildRequest(
+  name: string,
+  { account, ...changes }: Partial<Omit<QueuedRequest, "account">> & {
+    account: string;
+  },
+): QueuedRequest {
+  return {
+    request: asId<RequestId>(name),
+    tier: asTier(1),
+    since: 0,
+    onTimeUntil: 10_000,
+    usefulUntil: 20_000,
+    slotTime: 200,
+    account: asId<ClientAccountId>(account),
+    ...changes,
+  };
+}
+
+test("requests start in the order that the queue shows, with the estimated number before them", (t) => {
+  // Guards against estimates that do not follow the order of starts.
+  const steps = fc.array(
+    fc.record({
+      account: fc.constantFrom("a", "b", "c"),
+      due: fc.integer({ min: 1, max: 4 }).map((due) => 100 * due),
+      starts: fc.boolean(),
+    }),
+    { minLength: 1, maxLength: 60 },
+  );
+  fc.assert(
+    fc.property(steps, (taken) => {
+      const queue = new RequestQueue<QueuedRequest>();
+      for (const [index, { starts, account, due }] of taken.entries()) {
+        const onTimeUntil = due + index;
+        queue.push(buildRequest(`r${index}`, { account, onTimeUntil }), index);
+        const [first] = queue.inOrder(index, { maximum: 1 });
+        if (starts) queue.start(first!.request, index);
+      }
+      const order = queue.inOrder(60);
+      for (const [index, item] of order.entries()) {
+        t.is(queue.estimate(item, 60).ahead, index);
+      }
+      for (const item of order) {
+        t.is(queue.inOrder(60, { maximum: 1 })[0], item);
+        queue.start(item.request, 60);
+      }
+    }),
+    { seed: 3, numRuns: 200 },
+  );
+});
+
+test("a decision among 1,100 accounts visits only the requests it considers", (t) => {
+  // Guards against decisions whose cost grows with the number of accounts.
+  const queue = new RequestQueue<QueuedRequest>();
+  for (let index = 0; index < 3_300; index++) {
+    queue.push(
+      buildRequest(`r${index}`, { account: `a${index % 1_100}` }),
+      0,
+    );
+  }
+  let visits = 0;
+  const order = queue.inOrder(1, {
+    maximum: 48,
+    canStart: () => {
+      visits++;
+      return true;
+    },
+  });
+  t.is(new Set(order.map(({ account }) => account)).size, 48);
+  t.true(visits <= 48);
+  t.is(queue.accountCount, 1_100);
+});
+
+test("accounts that no longer wait or start requests are dropped", (t) => {
+  // Guards against state that grows with every account ever seen.
+  const queue = new RequestQueue<QueuedRequest>();
+  for (let index = 0; index < 100; index++) {
+    queue.push(buildRequest(`r${index}`, { account: `a${index}` }), 0);
+    queue.start(asId<RequestId>(`r${index}`), 0);
+  }
+  queue.push(buildRequest("waiting", { account: "b" }), 0);
+  queue.removeUnservable(6_000);
+  t.is(queue.accountCount, 1);
+});
--- a/packages/admission/tests/helpers/loadReplay.ts
+++ b/packages/admission/tests/helpers/loadReplay.ts
@@ -1,6 +1,7 @@
 import {
   asId,
   asTier,
+  type ClientAccountId,
   type FailureDomain,
   type Milliseconds,
   type Random,
@@ -17,11 +18,17 @@
 /** Upstreams at which a request is tried before it is refused. */
 const MAXIMUM_TRIES = 4;
 
-/** The requests of one tier. */
+/** The requests of one tier, or of one account in it. */
 export interface ReplayedTier {
   readonly tier: number;
+  /** Account of the requests; none if absent. */
+  readonly account?: string;
+  /** Whether a host gets such requests; any host if absent. */
+  readonly usesHost?: (host: VirtualHost) => boolean;
   /** Arrivals per second over all hosts at a given time. */
   readonly rateAt: (at: Milliseconds) => number;
+  /** When arrivals begin; at once if absent. */
+  readonly from?: Milliseconds;
   /** Time at an upstream of speed 1; constant or drawn. */
   readonly work: Milliseconds | ((random: Random) => Milliseconds);
   /** Called at the end of each request, with the host that had it. */
@@ -233,23 +240,26 @@
   const next = (): void => {
     const now = timer.now();
     if (now >= replay.duration) return;
-    const name = `${tier.tier}-${count++}`;
+    const name = `${tier.account ?? ""}${tier.tier}-${count++}`;
     const domain = replay.failureDomains?.[replay.hostOf?.(random) ?? -1];
     const host = random.pick(
-      fleet.hosts.filter(({ isDead, failureDomain }) =>
-        !isDead && (domain === undefined || failureDomain === domain)
+      fleet.hosts.filter((host) =>
+        !host.isDead && tier.usesHost?.(host) !== false &&
+        (domain === undefined || host.failureDomain === domain)
       ),
     );
     arrive(name, tier, { ...context, host });
     timer.after(random.exponential(1_000 / tier.rateAt(now)), next);
   };
-  timer.after(random.exponential(1_000 / tier.rateAt(0)), next);
+  const { from = 0 } = tier;
+  timer.after(from + random.exponential(1_000 / tier.rateAt(from)), next);
 }
 
 function arrive(
   name: string,
   {
     tier,
+    account,
     work: drawWork,
     onEnd,
     target,
@@ -299,6 +309,8 @@
           : [...sharedParts, { part: name, tokens: ownTokens }],
         excluded,
         isContinuation: false,
+        ...account !== undefined &&
+          { account: asId<ClientAccountId>(account) },
       },
       (decision) => {
         if (decision.kind === "refuse") {
