Log starts and refusals by account

A coordinator whose queue has two accounts or more writes a line a second, and a refusal says whether the request would have started in time without shares.

--- a/packages/admission/src/cellCoordinator.ts
+++ b/packages/admission/src/cellCoordinator.ts
@@ -6,6 +6,7 @@
   RequestId,
   UpstreamId,
 } from "@wasabivane/common";
+import type { AccountUse } from "./accountUse.ts";
 import { CellUpstreams } from "./cellUpstreams.ts";
 import type { Cell } from "./cells.ts";
 import type {
@@ -195,6 +196,11 @@
     return this.#scheduler.slotUse(this.cell.service, now);
   }
 
+  /** Returns starts and refusals by account since the last call. */
+  takeAccountUse(): readonly AccountUse[] {
+    return this.#scheduler.takeAccountUse(this.cell.service);
+  }
+
   /** Applies an update; replies go to every host that a decision concerns. */
   receive(update: CellUpdate, now: Milliseconds): void {
     this.#lastUpdateAt = now;
--- a/packages/admission/src/cellMessages.ts
+++ b/packages/admission/src/cellMessages.ts
@@ -13,7 +13,7 @@
 import type { UpstreamLoad } from "./fleetLoad.ts";
 import type { PlacementRefusal } from "./requestScheduler.ts";
 import type { PlacementRequest } from "./placementRequest.ts";
-import type { QueueEstimate } from "./requestQueue.ts";
+import type { QueueEstimate } from "./queueEstimator.ts";
 import type { UpstreamBackoff } from "./upstreamBackoffs.ts";
 import type { AttemptObservation } from "./upstreamStats.ts";
 
@@ -88,6 +88,8 @@
     readonly estimate: QueueEstimate;
     /** After which time its caller should return; absent if not decided here. */
     readonly retryAfter?: Milliseconds;
+    /** Present if it would have started in time without shares of accounts. */
+    readonly by?: "share";
   };
 
 /** A numbered decision; resent until the host acknowledges it. */
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -47,7 +47,9 @@
   type PlacementCriteria,
   type PlacementOptions,
 } from "./placement.ts";
-export { type QueueEstimate, RequestQueue } from "./requestQueue.ts";
+export type { AccountUse } from "./accountUse.ts";
+export type { QueueEstimate } from "./queueEstimator.ts";
+export { RequestQueue } from "./requestQueue.ts";
 export type { QueuedRequest } from "./requestRanks.ts";
 export {
   type OverQuota,
--- a/packages/admission/src/requestQueue.ts
+++ b/packages/admission/src/requestQueue.ts
@@ -1,35 +1,28 @@
 import type { Milliseconds, RequestId, Tier } from "@wasabivane/common";
+import { type AccountUse, AccountUseCounter } from "./accountUse.ts";
 import { BypassBudget } from "./bypassBudget.ts";
 import type { PlannedWork } from "./fairWalk.ts";
-import type { RequestsAhead } from "./rankQueue.ts";
+import {
+  type EstimatedRequest,
+  type QueueEstimate,
+  QueueEstimator,
+} from "./queueEstimator.ts";
 import {
   isContinuation,
-  isLate,
   isLateRank,
   isOnTimeRank,
+  latestStartOf,
   priorityOf,
   type QueuedRequest,
   rankOf,
-  ranksBefore,
   ranksOf,
-  ranksWaitedFor,
 } from "./requestRanks.ts";
-import { type Rank, StartRates } from "./startRates.ts";
+import { StartRates } from "./startRates.ts";
 import { type QueueEntry, TierQueue } from "./tierQueue.ts";
 
 /** Interval at which late requests are checked against the start rates. */
 const RATE_CHECK_INTERVAL_MS: Milliseconds = 100;
 
-/** Expected course of a queued request, or of one that would join the queue. */
-export interface QueueEstimate {
-  /** Number of requests that start before it unless it becomes late. */
-  readonly ahead: number;
-  /** Starts per second of requests like it; `undefined` while unknown. */
-  readonly startsPerSecond: number | undefined;
-  /** Expected time until it starts at that rate. */
-  readonly wait: Milliseconds;
-}
-
 /**
  * Queue of the requests that wait for one service, ordered by tier. Within a
  * tier, continuations come first, then requests that can still be on time, then
@@ -53,6 +46,8 @@
   /** Queues by tier, the most urgent one first. */
   #tiers: ReadonlyMap<Tier, TierQueue<Item>> = new Map();
   readonly #rates = new StartRates();
+  readonly #estimator = new QueueEstimator<Item>(this.#rates);
+  readonly #accountUse = new AccountUseCounter();
   readonly #bypassBudget = new BypassBudget();
   #pushCount = 0;
   /** No queued request expires before this time. */
@@ -97,6 +92,7 @@
       if (tier >= item.tier) queue.recordStart(item, rank, now);
     }
     this.remove(request);
+    this.#accountUse.recordStart(item.account);
     this.#bypassBudget.recordStart(item, this.#hasMoreUrgent(item.tier));
     return item;
   }
@@ -151,42 +147,14 @@
     this.#demoteLate(now);
     const projectedLate: Item[] = [];
     for (const [tier, queue] of this.#tiers) {
-      for (const rank of ranksOf(tier)) {
-        if (!isLateRank(rank) || queue.sizeOf(rank) === 0) continue;
-        this.#projectRank(queue, { rank, now, projectedLate });
-      }
+      projectedLate.push(
+        ...this.#estimator.projectedLate(tier, { queue, now }),
+      );
     }
     for (const { request } of projectedLate) this.remove(request);
     return projectedLate;
   }
 
-  /** Adds the requests of a rank that cannot start in time. */
-  #projectRank(
-    queue: TierQueue<Item>,
-    { rank, now, projectedLate }: {
-      rank: Rank;
-      now: Milliseconds;
-      projectedLate: Item[];
-    },
-  ): void {
-    let all = 0;
-    const ownOf = new Map<Item["account"], number>();
-    queue.walk(rank, {
-      planned: new Map(),
-      visit: (item) => {
-        const own = ownOf.get(item.account) ?? 0;
-        const wait = this.#estimateWait(item, { all, own }, rank);
-        if (now + wait > item.usefulUntil) {
-          projectedLate.push(item);
-          return "skip";
-        }
-        all++;
-        ownOf.set(item.account, own + 1);
-        return "start";
-      },
-    });
-  }
-
   /**
    * Whether a request, queued or not, would start too late at the current
    * rates: after its response is of use, or too late to be on time while that
@@ -197,8 +165,7 @@
     if (isContinuation(item)) return false;
     const { ahead, wait } = this.estimate(item, now);
     if (ahead === 0) return false;
-    const until = isLate(item, now) ? item.usefulUntil : item.onTimeUntil;
-    return now + wait > until;
+    return now + wait > latestStartOf(item, now);
   }
 
   /**
@@ -206,54 +173,32 @@
    * had no shares.
    */
   isRefusedByShare(item: QueuedRequest, now: Milliseconds): boolean {
-    const queue = this.#tierOf(item.tier);
-    if (!queue.isShared) return false;
-    const rank = rankOf(item, now);
-    const isQueued = this.#entries.get(item.request)?.rank === rank;
-    const ahead = queue.countAheadUnshared(item, now) - (isQueued ? 1 : 0) +
-      this.#countBefore(queue, rank);
-    const wait = this.#rates.estimateWait(ahead, ranksWaitedFor(rank));
-    const until = isLate(item, now) ? item.usefulUntil : item.onTimeUntil;
-    return now + wait <= until;
+    return this.#estimator.isRefusedByShare(this.#estimatedOf(item), now);
   }
 
   /** Returns the estimate for a request, queued or not. */
   estimate(item: QueuedRequest, now: Milliseconds): QueueEstimate {
     this.#demoteLate(now);
-    const queue = this.#tierOf(item.tier);
-    const rank = rankOf(item, now);
+    return this.#estimator.estimate(this.#estimatedOf(item), now);
+  }
+
+  #estimatedOf(item: QueuedRequest): EstimatedRequest<Item> {
     const entry = this.#entries.get(item.request);
-    const { all, own } = queue.countAhead(item, { entry, now });
-    const ahead = all + this.#countBefore(queue, rank);
-    return {
-      ahead,
-      startsPerSecond: this.#rates.startsPerSecond(ranksWaitedFor(rank)),
-      wait: this.#estimateWait(item, { all: ahead, own }, rank),
-    };
+    return { item, queue: this.#tierOf(item.tier), entry };
   }
 
-  /**
-   * Returns the expected wait behind other requests. An account with a backlog
-   * waits at least as long as its own requests take to start, since those of
-   * other accounts that arrive later go first.
-   */
-  #estimateWait(
-    { tier, account }: QueuedRequest,
-    { all, own }: RequestsAhead,
-    rank: Rank,
-  ): Milliseconds {
-    const ranks = ranksWaitedFor(rank);
-    const wait = this.#rates.estimateWait(all, ranks);
-    const ownRates = this.#tierOf(tier).ratesOf(account);
-    if (ownRates === undefined || own === 0) return wait;
-    return Math.max(wait, ownRates.estimateWait(own, ranks));
+  /** Records the refusal of a request, for {@link takeAccountUse}. */
+  recordRefusal({ account }: QueuedRequest): void {
+    this.#accountUse.recordRefusal(account);
   }
 
-  /** Returns the number of requests of the ranks before one, in its tier. */
-  #countBefore(queue: TierQueue<Item>, rank: Rank): number {
-    let count = 0;
-    for (const other of ranksBefore(rank)) count += queue.sizeOf(other);
-    return count;
+  /** Returns starts and refusals by account since the last call. */
+  takeAccountUse(): readonly AccountUse[] {
+    const waiting = new Map<Item["account"], number>();
+    for (const { item: { account } } of this.#entries.values()) {
+      waiting.set(account, (waiting.get(account) ?? 0) + 1);
+    }
+    return this.#accountUse.take(waiting);
   }
 
   /**
--- a/packages/admission/src/requestRanks.ts
+++ b/packages/admission/src/requestRanks.ts
@@ -46,6 +46,14 @@
   return !isContinuation(item) && item.onTimeUntil <= now;
 }
 
+/** Returns the latest start of a request that is as good as one now. */
+export function latestStartOf(
+  item: QueuedRequest,
+  now: Milliseconds,
+): Milliseconds {
+  return isLate(item, now) ? item.usefulUntil : item.onTimeUntil;
+}
+
 /** Returns the rank that a request has at a given time. */
 export function rankOf(item: QueuedRequest, now: Milliseconds): Rank {
   const position = isContinuation(item)
--- a/packages/admission/src/requestScheduler.ts
+++ b/packages/admission/src/requestScheduler.ts
@@ -18,7 +18,9 @@
 import type { SoftwareVersion, Upstream } from "./types.ts";
 import type { UpstreamHealth } from "./upstreamHealth.ts";
 import type { UpstreamStats } from "./upstreamStats.ts";
-import { type QueueEstimate, RequestQueue } from "./requestQueue.ts";
+import type { AccountUse } from "./accountUse.ts";
+import type { QueueEstimate } from "./queueEstimator.ts";
+import { RequestQueue } from "./requestQueue.ts";
 import type { QueuedRequest } from "./requestRanks.ts";
 
 /**
@@ -82,6 +84,8 @@
     readonly estimate: QueueEstimate;
     /** After which time its caller should return; absent if not decided here. */
     readonly retryAfter?: Milliseconds;
+    /** Present if it would have started in time without shares of accounts. */
+    readonly by?: "share";
   };
 
 /** Provides the upstreams of a service that accept requests. */
@@ -229,6 +233,11 @@
     return this.#placement.slotUse(this.#upstreams.of(service), now);
   }
 
+  /** Returns starts and refusals of a service by account since the last call. */
+  takeAccountUse(service: ServiceId): readonly AccountUse[] {
+    return this.#queues.get(service)?.queue.takeAccountUse() ?? [];
+  }
+
   /** Fills free slots in queue order. */
   fillSlots(service: ServiceId, now: Milliseconds): void {
     const { queue } = this.#queueOf(service);
@@ -375,5 +384,13 @@
   { queue, now }: { queue: RequestQueue<PendingRequest>; now: Milliseconds },
 ): void {
   const estimate = queue.estimate(pending, now);
-  pending.decide({ kind: "refuse", reason, estimate });
+  queue.recordRefusal(pending);
+  const isByShare = reason !== "no-other-upstream" &&
+    queue.isRefusedByShare(pending, now);
+  pending.decide({
+    kind: "refuse",
+    reason,
+    estimate,
+    ...isByShare && { by: "share" },
+  });
 }
--- a/packages/admission/src/tierQueue.ts
+++ b/packages/admission/src/tierQueue.ts
@@ -136,9 +136,16 @@
    * Returns the number of other requests of its rank that would start before a
    * request if accounts had no shares.
    */
-  countAheadUnshared(item: QueuedRequest, now: Milliseconds): number {
-    const queue = this.#ranks.get(rankOf(item, now))!;
-    return queue.countUpTo(priorityOf(item, now));
+  countAheadUnshared(
+    item: QueuedRequest,
+    { entry, now }: {
+      entry: QueueEntry<Item> | undefined;
+      now: Milliseconds;
+    },
+  ): number {
+    const rank = rankOf(item, now);
+    const upTo = this.#ranks.get(rank)!.countUpTo(priorityOf(item, now));
+    return entry?.rank === rank ? upTo - 1 : upTo;
   }
 
   /**
--- a/packages/admission/tests/accountShares.test.ts
+++ b/packages/admission/tests/accountShares.test.ts
@@ -81,12 +81,13 @@
   return served / asked;
 }
 
+function totalServed(results: Record<string, Served>): number {
+  return Object.values(results).reduce((sum, { served }) => sum + served, 0);
+}
+
 function doneShare(results: Record<string, Served>): number {
-  const served = Object.values(results).reduce(
-    (sum, { served }) => sum + served,
-    0,
-  );
-  return served / (CAPACITY_PER_SECOND * FLEET.duration / 1_000);
+  const capacity = CAPACITY_PER_SECOND * FLEET.duration / 1_000;
+  return totalServed(results) / capacity;
 }
 
 const UNEVEN = {
@@ -159,16 +160,20 @@
 test("a replaced coordinator keeps the shares", (t) => {
   // Guards against a new coordinator that favours the accounts with the longest
   // queues.
+  let dead = 0;
   const results = replayAccounts(UNEVEN, {
     onStart: (fleet, timer) => {
       timer.after(4_000, () => {
         for (const host of fleet.hosts) {
-          if (host.coordinators.size > 0) host.isDead = true;
+          if (host.coordinators.size === 0) continue;
+          host.isDead = true;
+          dead++;
         }
       });
     },
   });
   t.log(results);
+  t.is(dead, 1);
   for (const name of SMALL) {
     t.true(shareServed(results[name]!) >= SMALL_SHARE);
   }
@@ -176,14 +181,32 @@
 
 test("the coordinators of two cells both keep the shares", (t) => {
   // Guards against an account that takes a whole cell.
-  const results = replayAccounts(UNEVEN, {
+  let cells: number | undefined;
+  const results = replayAccounts({
+    large: { rate: 2_000 },
+    b: { rate: 130 },
+    c: { rate: 130 },
+    d: { rate: 130 },
+  }, {
+    // Enough slots for one cell in each failure domain.
+    upstreams: 40,
+    duration: 4_000,
     failureDomains: ["a", "b"].map((name) => asId<FailureDomain>(name)),
+    onStart: (fleet, timer) => {
+      timer.after(2_000, () => {
+        cells = new Set(
+          fleet.hosts.flatMap(({ coordinators }) => [...coordinators.keys()]),
+        ).size;
+      });
+    },
   });
   t.log(results);
+  t.is(cells, 2);
   for (const name of SMALL) {
     t.true(shareServed(results[name]!) >= SMALL_SHARE);
   }
-  t.true(doneShare(results) >= DONE_SHARE);
+  const capacity = CAPACITY_PER_SECOND * 40 / FLEET.upstreams * 4;
+  t.true(totalServed(results) >= DONE_SHARE * capacity);
 });
 
 test("all requests are served where capacity suffices", (t) => {
--- a/packages/gateway/src/cellRouter.ts
+++ b/packages/gateway/src/cellRouter.ts
@@ -10,6 +10,7 @@
   type CoordinatorChange,
   PlacementClient,
 } from "@wasabivane/admission";
+import { accountUseValues } from "./accountUseValues.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { CoordinatorAnnouncement, PeerMessage } from "./peerMessage.ts";
 
@@ -228,14 +229,18 @@
     }
   }
 
-  /** Logs what the slots of cells with a queue are used for. */
+  /** Logs what the slots of cells with a queue are used for, and by whom. */
   #logSlotUse(now: Milliseconds): void {
     if (now - this.#slotsLoggedAt < SLOT_LOG_INTERVAL_MS) return;
     this.#slotsLoggedAt = now;
     const { log } = this.#options.context();
     for (const [cell, coordinator] of this.#coordinators) {
+      const accounts = accountUseValues(coordinator.takeAccountUse());
       if (!coordinator.hasWaiting) continue;
       log.write("cell_slots", { cell, ...coordinator.slotUse(now) });
+      if (accounts !== undefined) {
+        log.write("cell_accounts", { cell, ...accounts });
+      }
     }
   }
 
--- a/packages/gateway/src/cellRows.ts
+++ b/packages/gateway/src/cellRows.ts
@@ -164,7 +164,10 @@
     const { upstream, inFlight, pendingPrefillTokens } = decision;
     return [number, request, "", upstream, inFlight, pendingPrefillTokens];
   }
-  const { reason, estimate, retryAfter } = decision;
+  const { reason, estimate, retryAfter, by } = decision;
+  const optional = by === undefined
+    ? retryAfter === undefined ? [] : [Math.round(retryAfter)]
+    : [retryAfter === undefined ? -1 : Math.round(retryAfter), by];
   const { ahead, startsPerSecond, wait } = estimate;
   return [
     number,
@@ -173,7 +176,7 @@
     ahead,
     startsPerSecond ?? -1,
     wait,
-    ...retryAfter === undefined ? [] : [Math.round(retryAfter)],
+    ...optional,
   ];
 }
 
@@ -196,6 +199,7 @@
     };
   }
   const rate = expectNumber(row[4]);
+  const retryAfter = expectOptional(row[6] ?? -1);
   return {
     kind: "refuse",
     reason: reason as PlacementRefusal,
@@ -204,7 +208,8 @@
       startsPerSecond: rate < 0 ? undefined : rate,
       wait: expectNumber(row[5]),
     },
-    ...row[6] !== undefined && { retryAfter: expectNumber(row[6]) },
+    ...retryAfter !== undefined && { retryAfter },
+    ...row[7] === "share" && { by: "share" },
   };
 }
 
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -18,6 +18,7 @@
   "peers_changed",
   "cell_kept",
   "cell_slots",
+  "cell_accounts",
   "keeper_passed_over",
   "upstreams_read",
   "upstream_listed",
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -199,7 +199,10 @@
     if (decision.kind === "place") {
       return this.#sendUnlessLeft(decision);
     }
-    const { estimate, reason } = decision;
+    const { estimate, reason, by } = decision;
+    if (by !== undefined) {
+      this.#options.context.metrics.count("refused_by_share");
+    }
     if (this.#options.response.hasStarted) {
       return this.#cut(reason, { excluded: this.#retryState.excluded.size });
     }
@@ -216,6 +219,7 @@
         service: this.#options.admitted.service,
         tier: this.#tier,
         target: this.#options.admitted.route.target,
+        by,
       },
     );
   }
@@ -424,6 +428,7 @@
   #refuse(refusal: Refusal, inputs: LogValues = {}): void {
     this.#log("request_refused", {
       ...inputs,
+      account: this.#options.admitted.account?.account,
       status: refusal.status,
       reason: refusal.reason,
       retryAfter: roundDuration(refusal.retryAfter),
