--- a/packages/admission/tests/accountShares.test.ts
+++ b/packages/admission/tests/accountShares.test.ts
@@ -320,6 +320,36 @@
   );
 });
 
+test("a refusal tells whether it is due to the shares of accounts", (t) => {
+  // Guards against logs that blame an account's share for a lack of capacity.
+  const queue = new RequestQueue<QueuedRequest>();
+  const push = (
+    count: number,
+    { account, onTimeUntil }: { account: string; onTimeUntil: Milliseconds },
+  ): void => {
+    for (let index = 0; index < count; index++) {
+      const name = `${account}-${onTimeUntil}-${index}`;
+      queue.push(buildRequest(name, { account, onTimeUntil }), 1_500);
+    }
+  };
+  // Twenty requests start per second, and ten are left.
+  for (let index = 0; index < 40; index++) {
+    const changes = { account: "large", onTimeUntil: 2_000 };
+    queue.push(buildRequest(`l${index}`, changes), 0);
+  }
+  for (let now = 50; now <= 1_500; now += 50) {
+    const [first] = queue.inOrder(now, { maximum: 1 });
+    queue.start(first!.request, now);
+  }
+  const item = buildRequest("item", { account: "large", onTimeUntil: 2_200 });
+  t.false(queue.shouldRefuse(item, 1_500));
+  push(20, { account: "small", onTimeUntil: 3_000 });
+  t.true(queue.shouldRefuse(item, 1_500));
+  t.true(queue.isRefusedByShare(item, 1_500));
+  push(10, { account: "large", onTimeUntil: 2_100 });
+  t.false(queue.isRefusedByShare(item, 1_500));
+});
+
 test("a decision among 1,100 accounts visits only the requests it considers", (t) => {
   // Guards against decisions whose cost grows with the number of accounts.
   const queue = new RequestQueue<QueuedRequest>();
--- a/packages/admission/tests/helpers/build.ts
+++ b/packages/admission/tests/helpers/build.ts
@@ -1,6 +1,7 @@
 import {
   asId,
   asTier,
+  type ClientAccountId,
   type FailureDomain,
   type Milliseconds,
   type RequestId,
@@ -60,8 +61,10 @@
     deadline = 60_000,
     responseDuration: duration = 0,
     pauseTarget = 0,
+    account,
   }: {
     tier?: number;
+    account?: string;
     since?: number;
     onTimeUntil?: number;
     usefulUntil?: number;
@@ -93,6 +96,7 @@
     isContinuation,
     slotTime,
     excluded: new Set(excluded.map((id) => asId<UpstreamId>(id))),
+    ...account !== undefined && { account: asId<ClientAccountId>(account) },
     decision: undefined as PlacementDecision | undefined,
     decide: (decision: PlacementDecision): void => {
       pending.decision = decision;
--- a/packages/admission/tests/prefixCaches.test.ts
+++ b/packages/admission/tests/prefixCaches.test.ts
@@ -195,6 +195,43 @@
   t.is(other.decision, undefined);
 });
 
+test("a cached prompt does not take the slot of an account that received less work", (t) => {
+  // Guards against an account whose prompts are cached everywhere and that
+  // takes the slots of others with them.
+  const placedFirst = (account: string): boolean => {
+    const { scheduler, stats, begin, end } = buildScheduler([
+      buildUpstream(0, { slots: 1 }),
+    ]);
+    const { upstream } = buildUpstream(0);
+    trainPrefill(stats, upstream);
+    const cached = {
+      account: "large",
+      parts: [{ part: "document", tokens: 5_000 }],
+      promptTokens: 5_000,
+      usefulUntil: 20_000,
+    };
+    scheduler.submit(
+      buildPendingRequest("running", { ...cached, onTimeUntil: 9_000 }),
+      0,
+    );
+    begin(upstream);
+    const next = buildPendingRequest("next", {
+      account,
+      onTimeUntil: 9_000,
+      usefulUntil: 20_000,
+    });
+    const other = buildPendingRequest("other", {
+      ...cached,
+      onTimeUntil: 9_010,
+    });
+    for (const pending of [next, other]) scheduler.submit(pending, 10);
+    end(upstream, 50);
+    return next.decision?.kind === "place";
+  };
+  t.true(placedFirst("small"));
+  t.false(placedFirst("large"));
+});
+
 const PREFACE: PromptPart = { part: "preface", tokens: 400 };
 const SUBJECTS = 400;
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
  */
 export * from "./dialect.ts";
 export * from "./headers.ts";
+export { accountUseValues } from "./accountUseValues.ts";
 export {
   DecisionLog,
   LOG_EVENTS,
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -315,6 +315,27 @@
             estimate: { ahead: 2, startsPerSecond: undefined, wait: 40 },
           },
         },
+        {
+          number: 8,
+          request: asId<RequestId>("s"),
+          decision: {
+            kind: "refuse",
+            reason: "line-too-long",
+            estimate: { ahead: 2, startsPerSecond: 3, wait: 40 },
+            by: "share",
+          },
+        },
+        {
+          number: 9,
+          request: asId<RequestId>("t"),
+          decision: {
+            kind: "refuse",
+            reason: "line-too-long",
+            estimate: { ahead: 2, startsPerSecond: 3, wait: 40 },
+            retryAfter: 700,
+            by: "share",
+          },
+        },
       ],
       snapshots: [{
         cell: CELL,
