--- a/packages/admission/src/bypassBudget.ts
+++ b/packages/admission/src/bypassBudget.ts
@@ -103,6 +103,11 @@
     return this.#budget > 0 && this.#lowestMeanAbove(tier) > 0;
   }
 
+  /** Returns the longest slot time with which a request of a tier may bypass. */
+  maximumSlotTime(tier: Tier): Milliseconds {
+    return Math.min(this.#budget, this.#lowestMeanAbove(tier) / BYPASS_RATIO);
+  }
+
   /** Whether the request may bypass others; reserves its slot time if so. */
   reserve({ tier, slotTime }: BypassCandidate): boolean {
     if (slotTime > this.#budget) return false;
--- a/packages/admission/src/fairWalk.ts
+++ b/packages/admission/src/fairWalk.ts
@@ -12,6 +12,8 @@
   readonly items: SortedQueue<Item>;
   /** Slot time of all items. */
   work: Milliseconds;
+  /** No item has a shorter slot time. */
+  leastSlotTime: Milliseconds;
 }
 
 /** What to do with a request in start order. */
@@ -23,6 +25,13 @@
  */
 export type PlannedWork = Map<AccountShare, Milliseconds>;
 
+/** Options of a {@link FairWalk}. */
+export interface FairWalkOptions {
+  readonly planned: PlannedWork;
+  /** Accounts with only longer requests may be left out. */
+  readonly maximumSlotTime?: Milliseconds;
+}
+
 /** Position in the queue of an account. */
 interface Cursor<Item> extends ShareTurn {
   readonly queue: AccountQueue<Item>;
@@ -37,13 +46,18 @@
   /** Queues by received work. */
   readonly #queues: readonly AccountQueue<Item>[];
   readonly #planned: PlannedWork;
+  readonly #maximumSlotTime: Milliseconds;
   /** Cursors of accounts with planned starts. */
   readonly #changed = new SortedQueue<Cursor<Item>>();
   #nextQueue = 0;
 
-  constructor(queues: readonly AccountQueue<Item>[], planned: PlannedWork) {
+  constructor(
+    queues: readonly AccountQueue<Item>[],
+    { planned, maximumSlotTime = Infinity }: FairWalkOptions,
+  ) {
     this.#queues = queues;
     this.#planned = planned;
+    this.#maximumSlotTime = maximumSlotTime;
   }
 
   /**
@@ -67,6 +81,7 @@
       }
       if (queue === undefined) return undefined;
       this.#nextQueue++;
+      if (queue.leastSlotTime > this.#maximumSlotTime) continue;
       const { virtualTime, order } = queue.share;
       const planned = this.#planned.get(queue.share);
       const cursor = { queue, index: 0, order };
@@ -81,20 +96,21 @@
     visit: (item: Item) => Visit,
   ): Visit {
     const { items } = queue.items;
+    const fresh = this.#queues[this.#nextQueue]?.share;
+    const [changed] = this.#changed.items;
     let work = virtualTime;
     for (let at = index; at < items.length; at++) {
       const visited = visit(items[at]!);
       if (visited === "stop") return visited;
       if (visited === "skip") continue;
       work += items[at]!.slotTime;
-      this.#planned.set(queue.share, work);
       const turn = { virtualTime: work, order };
-      const isOtherNext = isNext(this.#queues[this.#nextQueue]?.share, turn) ||
-        isNext(this.#changed.items[0], turn);
-      if (!isOtherNext) continue;
+      if (!isNext(fresh, turn) && !isNext(changed, turn)) continue;
+      this.#planned.set(queue.share, work);
       this.#changed.add({ queue, index: at + 1, ...turn }, work, order);
       return "start";
     }
+    if (work > virtualTime) this.#planned.set(queue.share, work);
     return "skip";
   }
 }
--- a/packages/admission/src/queueEstimator.ts
+++ b/packages/admission/src/queueEstimator.ts
@@ -5,9 +5,10 @@
   latestStartOf,
   type QueuedRequest,
   rankOf,
-  ranksBefore,
   ranksOf,
   ranksWaitedFor,
+  tierOf,
+  waitsFor,
 } from "./requestRanks.ts";
 import type { Rank, StartRates } from "./startRates.ts";
 import type { QueueEntry, TierQueue } from "./tierQueue.ts";
@@ -133,6 +134,8 @@
   rank: Rank,
 ): number {
   let count = 0;
-  for (const other of ranksBefore(rank)) count += queue.sizeOf(other);
+  for (const other of ranksOf(tierOf(rank))) {
+    if (waitsFor(rank, other)) count += queue.sizeOf(other);
+  }
   return count;
 }
--- a/packages/admission/src/rankQueue.ts
+++ b/packages/admission/src/rankQueue.ts
@@ -7,7 +7,7 @@
 import {
   type AccountQueue,
   FairWalk,
-  type PlannedWork,
+  type FairWalkOptions,
   type Visit,
 } from "./fairWalk.ts";
 import { SortedQueue } from "./sortedQueue.ts";
@@ -26,6 +26,8 @@
   readonly own: number;
 }
 
+const NONE: readonly never[] = [];
+
 /**
  * Queue of the requests of one rank. The account that has received the least
  * work goes first; within an account, requests go by priority value.
@@ -35,7 +37,7 @@
   clock: Milliseconds = 0;
   readonly #accounts = new Map<AccountShare, AccountQueue<Item>>();
   /** Queues of the accounts by received work. */
-  readonly #byWork = new SortedQueue<AccountQueue<Item>>();
+  readonly #byWork: AccountQueue<Item>[] = [];
   #size = 0;
   /** No item has a lower priority value. */
   #leastPriority: Milliseconds = Infinity;
@@ -46,7 +48,7 @@
 
   /** Least work that a waiting account has received; infinite if none waits. */
   get leastWork(): Milliseconds {
-    return this.#byWork.items[0]?.share.virtualTime ?? Infinity;
+    return this.#byWork[0]?.share.virtualTime ?? Infinity;
   }
 
   has(share: AccountShare): boolean {
@@ -56,12 +58,18 @@
   add(item: Item, { share, priority, order }: RankKey): void {
     let queue = this.#accounts.get(share);
     if (queue === undefined) {
-      queue = { share, items: new SortedQueue(), work: 0 };
+      queue = {
+        share,
+        items: new SortedQueue(),
+        work: 0,
+        leastSlotTime: Infinity,
+      };
       this.#accounts.set(share, queue);
-      this.attach(share);
+      this.#byWork.splice(this.#indexOf(share), 0, queue);
     }
     queue.items.add(item, priority, order);
     queue.work += item.slotTime;
+    queue.leastSlotTime = Math.min(queue.leastSlotTime, item.slotTime);
     this.#size++;
     this.#leastPriority = Math.min(this.#leastPriority, priority);
   }
@@ -72,27 +80,42 @@
     queue.work -= item.slotTime;
     this.#size--;
     if (queue.items.size > 0) return;
-    this.detach(share);
+    this.#byWork.splice(this.#indexOf(share), 1);
     this.#accounts.delete(share);
   }
 
   /** Takes an account out of the order before its virtual time changes. */
-  detach({ virtualTime, order }: AccountShare): void {
-    this.#byWork.remove(virtualTime, order);
+  detach(share: AccountShare): void {
+    const isOrdered = this.#accounts.size > 1 && this.has(share);
+    if (isOrdered) this.#byWork.splice(this.#indexOf(share), 1);
   }
 
   /** Puts an account back into the order. */
   attach(share: AccountShare): void {
-    const queue = this.#accounts.get(share)!;
-    this.#byWork.add(queue, share.virtualTime, share.order);
+    if (this.#accounts.size <= 1) return;
+    const queue = this.#accounts.get(share);
+    if (queue === undefined) return;
+    this.#byWork.splice(this.#indexOf(share), 0, queue);
+  }
+
+  /** Returns the index of the first account that is not before a turn. */
+  #indexOf(turn: ShareTurn): number {
+    let low = 0;
+    let high = this.#byWork.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      if (isTurnBefore(this.#byWork[middle]!.share, turn)) low = middle + 1;
+      else high = middle;
+    }
+    return low;
   }
 
   /** Returns the items up to a priority value, in no particular order. */
-  itemsUpTo(priority: Milliseconds): Item[] {
-    if (priority < this.#leastPriority) return [];
+  itemsUpTo(priority: Milliseconds): readonly Item[] {
+    if (priority < this.#leastPriority) return NONE;
     const found: Item[] = [];
     this.#leastPriority = Infinity;
-    for (const { items } of this.#byWork.items) {
+    for (const { items } of this.#byWork) {
       const count = items.countUpTo(priority);
       for (let index = 0; index < count; index++) {
         found.push(items.items[index]!);
@@ -106,7 +129,7 @@
   /** Returns the number of items of all accounts up to a priority value. */
   countUpTo(priority: Milliseconds): number {
     let count = 0;
-    for (const { items } of this.#byWork.items) {
+    for (const { items } of this.#byWork) {
       count += items.countUpTo(priority);
     }
     return count;
@@ -136,7 +159,7 @@
       order: turn.order,
     };
     let all = own;
-    for (const other of this.#byWork.items) {
+    for (const other of this.#byWork) {
       if (other === queue) continue;
       if (!isTurnBefore(other.share, ownTurn)) break;
       all += countBefore(ownTurn, other);
@@ -148,8 +171,8 @@
    * Visits the items in start order, as if those with the result "start" had
    * started, until a visit returns "stop".
    */
-  walk(planned: PlannedWork, visit: (item: Item) => Visit): void {
-    new FairWalk(this.#byWork.items, planned).run(visit);
+  walk(visit: (item: Item) => Visit, options: FairWalkOptions): void {
+    if (this.#size > 0) new FairWalk(this.#byWork, options).run(visit);
   }
 }
 
--- a/packages/admission/src/requestQueue.ts
+++ b/packages/admission/src/requestQueue.ts
@@ -233,6 +233,7 @@
     for (const [tier, queue] of this.#tiers) {
       const planned: PlannedWork = new Map();
       for (const rank of ranksOf(tier)) {
+        if (order.length >= maximum) return order;
         queue.walk(rank, {
           planned,
           visit: (item) => {
@@ -254,11 +255,14 @@
     for (const [tier, queue] of this.#tiers) {
       if (!selection.isTierAllowed(tier)) continue;
       const planned: PlannedWork = new Map();
+      const maximumSlotTime = selection.maximumSlotTime(tier);
       for (const rank of ranksOf(tier)) {
         if (isLateRank(rank)) continue;
         queue.walk(rank, {
           planned,
+          maximumSlotTime,
           visit: (item) => {
+            if (item.slotTime > maximumSlotTime) return "skip";
             if (!canStart(item) || !selection.reserve(item)) return "skip";
             bypassing.push(item);
             return "start";
--- a/packages/admission/src/requestRanks.ts
+++ b/packages/admission/src/requestRanks.ts
@@ -64,27 +64,33 @@
   return RANKS_PER_TIER * item.tier + position;
 }
 
+/** Ranks of the tiers that have been asked for. */
+const RANKS = new Map<Tier, readonly Rank[]>();
+
 /** Returns the ranks of a tier, the first one first. */
-export function ranksOf(tier: Tier): Rank[] {
-  return Array.from(
-    { length: RANKS_PER_TIER },
-    (_, position) => RANKS_PER_TIER * tier + position,
-  );
+export function ranksOf(tier: Tier): readonly Rank[] {
+  let ranks = RANKS.get(tier);
+  if (ranks === undefined) {
+    const first = RANKS_PER_TIER * tier;
+    ranks = Array.from(
+      { length: RANKS_PER_TIER },
+      (_, position) => first + position,
+    );
+    RANKS.set(tier, ranks);
+  }
+  return ranks;
 }
 
 /**
- * Returns the ranks of the tier of a request whose requests start before every
- * request of its own rank; none for late ones, whose start rate is measured by
- * itself.
+ * Whether a request of a rank waits for those of another rank of its tier. Late
+ * requests count only late ones, whose start rate is measured by itself.
  */
-export function ranksBefore(rank: Rank): Rank[] {
-  return isLateRank(rank)
-    ? []
-    : ranksOf(tierOf(rank)).filter((other) => other < rank);
+export function waitsFor(rank: Rank, other: Rank): boolean {
+  return other < rank && !isLateRank(rank);
 }
 
 /** Returns the ranks whose starts a request of a rank waits for. */
-export function ranksWaitedFor(rank: Rank): Rank[] {
+export function ranksWaitedFor(rank: Rank): readonly Rank[] {
   return isLateRank(rank) ? [rank] : ranksOf(tierOf(rank));
 }
 
--- a/packages/admission/src/tierQueue.ts
+++ b/packages/admission/src/tierQueue.ts
@@ -4,7 +4,7 @@
   AccountShares,
   type ShareTurn,
 } from "./accountShares.ts";
-import type { PlannedWork, Visit } from "./fairWalk.ts";
+import type { FairWalkOptions, Visit } from "./fairWalk.ts";
 import { type RankKey, RankQueue, type RequestsAhead } from "./rankQueue.ts";
 import {
   priorityOf,
@@ -100,15 +100,14 @@
     this.#setWork(share, share.virtualTime + item.slotTime);
   }
 
-  /** Visits the requests of a rank in start order. */
+  /** Visits the requests of a rank, see {@link RankQueue.walk}. */
   walk(
     rank: Rank,
-    { planned, visit }: {
-      planned: PlannedWork;
-      visit: (item: Item) => Visit;
+    { visit, ...options }: FairWalkOptions & {
+      readonly visit: (item: Item) => Visit;
     },
   ): void {
-    this.#ranks.get(rank)!.walk(planned, visit);
+    this.#ranks.get(rank)!.walk(visit, options);
   }
 
   /**
@@ -208,11 +207,8 @@
   }
 
   #setWork(share: AccountShare, work: Milliseconds): void {
-    const queues = [...this.#ranks.values()].filter((queue) =>
-      queue.has(share)
-    );
-    for (const queue of queues) queue.detach(share);
+    for (const queue of this.#ranks.values()) queue.detach(share);
     share.virtualTime = work;
-    for (const queue of queues) queue.attach(share);
+    for (const queue of this.#ranks.values()) queue.attach(share);
   }
 }
