--- a/packages/admission/src/fairWalk.ts
+++ b/packages/admission/src/fairWalk.ts
@@ -1,10 +1,10 @@
-import type { Milliseconds } from "@wasabivane/common";
+import { Heap, type Milliseconds } from "@wasabivane/common";
 import {
   type AccountShare,
   isTurnBefore,
   type ShareTurn,
 } from "./accountShares.ts";
-import { SortedQueue } from "./sortedQueue.ts";
+import type { SortedQueue } from "./sortedQueue.ts";
 
 /** Waiting requests of one account and rank. */
 export interface AccountQueue<Item> {
@@ -32,10 +32,11 @@
   readonly maximumSlotTime?: Milliseconds;
 }
 
-/** Position in the queue of an account. */
+/** Position in the queue of an account; moves on with the walk. */
 interface Cursor<Item> extends ShareTurn {
   readonly queue: AccountQueue<Item>;
-  readonly index: number;
+  index: number;
+  virtualTime: Milliseconds;
 }
 
 /**
@@ -48,7 +49,7 @@
   readonly #planned: PlannedWork;
   readonly #maximumSlotTime: Milliseconds;
   /** Cursors of accounts with planned starts. */
-  readonly #changed = new SortedQueue<Cursor<Item>>();
+  readonly #changed = new Heap<Cursor<Item>>(isTurnBefore);
   #nextQueue = 0;
 
   constructor(
@@ -74,44 +75,47 @@
   #next(): Cursor<Item> | undefined {
     for (;;) {
       const queue = this.#queues[this.#nextQueue];
-      const [first] = this.#changed.items;
+      const first = this.#changed.peek();
       if (first !== undefined && !isNext(queue?.share, first)) {
-        this.#changed.remove(first.virtualTime, first.order);
-        return first;
+        return this.#changed.pop();
       }
       if (queue === undefined) return undefined;
       this.#nextQueue++;
       if (queue.leastSlotTime > this.#maximumSlotTime) continue;
       const { virtualTime, order } = queue.share;
       const planned = this.#planned.get(queue.share);
-      const cursor = { queue, index: 0, order };
-      if (planned === undefined) return { ...cursor, virtualTime };
-      this.#changed.add({ ...cursor, virtualTime: planned }, planned, order);
+      const cursor = {
+        queue,
+        index: 0,
+        virtualTime: planned ?? virtualTime,
+        order,
+      };
+      if (planned === undefined) return cursor;
+      this.#changed.push(cursor);
     }
   }
 
   /** Visits the items of one account until another account is next. */
-  #visitAccount(
-    { queue, index, virtualTime, order }: Cursor<Item>,
-    visit: (item: Item) => Visit,
-  ): Visit {
-    const { items } = queue.items;
+  #visitAccount(cursor: Cursor<Item>, visit: (item: Item) => Visit): Visit {
+    const { share, items: { items } } = cursor.queue;
     const fresh = this.#queues[this.#nextQueue]?.share;
-    const [changed] = this.#changed.items;
-    let work = virtualTime;
-    for (let at = index; at < items.length; at++) {
-      const visited = visit(items[at]!);
+    const changed = this.#changed.peek();
+    const before = cursor.virtualTime;
+    let isOtherNext = false;
+    while (!isOtherNext && cursor.index < items.length) {
+      const item = items[cursor.index]!;
+      const visited = visit(item);
       if (visited === "stop") return visited;
+      cursor.index++;
       if (visited === "skip") continue;
-      work += items[at]!.slotTime;
-      const turn = { virtualTime: work, order };
-      if (!isNext(fresh, turn) && !isNext(changed, turn)) continue;
-      this.#planned.set(queue.share, work);
-      this.#changed.add({ queue, index: at + 1, ...turn }, work, order);
-      return "start";
+      cursor.virtualTime += item.slotTime;
+      isOtherNext = isNext(fresh, cursor) || isNext(changed, cursor);
     }
-    if (work > virtualTime) this.#planned.set(queue.share, work);
-    return "skip";
+    if (cursor.virtualTime > before) {
+      this.#planned.set(share, cursor.virtualTime);
+    }
+    if (isOtherNext) this.#changed.push(cursor);
+    return "start";
   }
 }
 
