--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -47,11 +47,10 @@
   type PlacementCriteria,
   type PlacementOptions,
 } from "./placement.ts";
-export {
-  type QueuedRequest,
-  type QueueEstimate,
-  RequestQueue,
-} from "./requestQueue.ts";
+export type { AccountUse } from "./accountUse.ts";
+export type { QueueEstimate } from "./queueEstimator.ts";
+export { RequestQueue } from "./requestQueue.ts";
+export type { QueuedRequest } from "./requestRanks.ts";
 export {
   type OverQuota,
   QuotaLimiter,
--- a/packages/admission/src/requestScheduler.ts
+++ b/packages/admission/src/requestScheduler.ts
@@ -18,12 +18,10 @@
 import type { SoftwareVersion, Upstream } from "./types.ts";
 import type { UpstreamHealth } from "./upstreamHealth.ts";
 import type { UpstreamStats } from "./upstreamStats.ts";
-import {
-  isDueWithin,
-  type QueuedRequest,
-  type QueueEstimate,
-  RequestQueue,
-} from "./requestQueue.ts";
+import type { AccountUse } from "./accountUse.ts";
+import type { QueueEstimate } from "./queueEstimator.ts";
+import { RequestQueue } from "./requestQueue.ts";
+import type { QueuedRequest } from "./requestRanks.ts";
 
 /**
  * Minimum time from the end of a response until the next queued request is at
@@ -86,6 +84,8 @@
     readonly estimate: QueueEstimate;
     /** After which time its caller should return; absent if not decided here. */
     readonly retryAfter?: Milliseconds;
+    /** Present if it would have started in time without shares of accounts. */
+    readonly by?: "share";
   };
 
 /** Provides the upstreams of a service that accept requests. */
@@ -233,6 +233,11 @@
     return this.#placement.slotUse(this.#upstreams.of(service), now);
   }
 
+  /** Returns starts and refusals of a service by account since the last call. */
+  takeAccountUse(service: ServiceId): readonly AccountUse[] {
+    return this.#queues.get(service)?.queue.takeAccountUse() ?? [];
+  }
+
   /** Fills free slots in queue order. */
   fillSlots(service: ServiceId, now: Milliseconds): void {
     const { queue } = this.#queueOf(service);
@@ -250,7 +255,7 @@
       if (left <= 0) return;
       const upstream = this.#placement.pick(upstreams, next, now);
       if (upstream === undefined) continue;
-      const chosen = this.#selectFor(upstream, { next, order, now });
+      const chosen = this.#selectFor(upstream, { next, order, queue, now });
       if (chosen !== next) {
         order.splice(order.indexOf(chosen), 1);
         order.unshift(next);
@@ -291,9 +296,10 @@
    */
   #selectFor(
     upstream: Upstream,
-    { next, order, now }: {
+    { next, order, queue, now }: {
       next: PendingRequest;
       order: readonly PendingRequest[];
+      queue: RequestQueue<PendingRequest>;
       now: Milliseconds;
     },
   ): PendingRequest {
@@ -309,7 +315,7 @@
         now,
       });
       if (saved <= mostSaved) continue;
-      if (!isDueWithin(saved, { first: next, other, now })) continue;
+      if (!queue.isDueWithin(saved, { first: next, other, now })) continue;
       best = other;
       mostSaved = saved;
     }
@@ -378,5 +384,13 @@
   { queue, now }: { queue: RequestQueue<PendingRequest>; now: Milliseconds },
 ): void {
   const estimate = queue.estimate(pending, now);
-  pending.decide({ kind: "refuse", reason, estimate });
+  queue.recordRefusal(pending);
+  const isByShare = reason !== "no-other-upstream" &&
+    queue.isRefusedByShare(pending, now);
+  pending.decide({
+    kind: "refuse",
+    reason,
+    estimate,
+    ...isByShare && { by: "share" },
+  });
 }
