Refuse requests by their head alone

A request over its quota was refused only after its body was read, with a log line for each refusal. Now the quota is checked on the head and charged after the body. Route, key and head are looked up once.

An overloaded host sheds, within a tier, requests of the accounts first that it has lately admitted most from.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -33,6 +33,7 @@
 export { ConnectionBacklog } from "./connectionBacklog.ts";
 export { EventLoopLag } from "./eventLoopLag.ts";
 export { LoadShedder, type LoadShedderOptions } from "./loadShedder.ts";
+export { type ArrivingRequest, RecentAdmissions } from "./recentAdmissions.ts";
 export { UpstreamWarmup } from "./upstreamWarmup.ts";
 export { type EjectionNotice, UpstreamHealth } from "./upstreamHealth.ts";
 export { PauseRiskModel, type PauseSample } from "./pauseRiskModel.ts";
@@ -55,6 +56,7 @@
 export {
   type OverQuota,
   QuotaLimiter,
+  type QuotaRequest,
   type UsageReport,
 } from "./quotaLimiter.ts";
 export { UsageLedger } from "./usageLedger.ts";
--- a/packages/admission/src/loadShedder.ts
+++ b/packages/admission/src/loadShedder.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds, Random, Tier } from "@wasabivane/common";
 import type { EventLoopLag } from "./eventLoopLag.ts";
+import { type ArrivingRequest, RecentAdmissions } from "./recentAdmissions.ts";
 
 /**
  * Lags between which the shed share rises from none to the maximum. Each step
@@ -18,6 +19,11 @@
  * Some requests are always admitted, as only they show that the lag is gone.
  */
 const MAXIMUM_SHARE = 0.95;
+/**
+ * Requests to shed that a tier defers until accounts with the mean of admissions
+ * or more send some; beyond it, any account's request is shed.
+ */
+const MAXIMUM_DEFERRED = 8;
 /** Weight of the newest request in the tier mix. */
 const TIER_MIX_WEIGHT = 0.02;
 /** Mean time after which a refused caller should retry. */
@@ -37,7 +43,8 @@
  *
  * Above its capacity a host that admits everything delays each request at every
  * step, and almost none is on time. The shed share grows quickly while the host
- * lags and shrinks slowly afterwards. The least urgent tiers are shed first.
+ * lags and shrinks slowly afterwards. The least urgent tiers are shed first, and
+ * within a tier the accounts that this host has lately admitted most from.
  */
 export class LoadShedder {
   readonly #options: LoadShedderOptions;
@@ -47,6 +54,7 @@
    * Accumulated share of shed requests by tier, which spreads refusals evenly.
    */
   readonly #accumulated = new Map<Tier, number>();
+  readonly #admissions = new RecentAdmissions();
   /** Long-term share, without the part due to the current lag. */
   #longTermShare = 0;
   #share = 0;
@@ -69,16 +77,30 @@
     return count;
   }
 
-  /** Returns whether to refuse a request of a tier that has just arrived. */
-  shouldShed(tier: Tier, now: Milliseconds): boolean {
+  /** Returns whether to refuse a request that has just arrived. */
+  shouldShed(request: ArrivingRequest, now: Milliseconds): boolean {
     this.#adjust(now);
-    this.#recordTier(tier);
-    if (this.#share <= 0) return false;
-    const accumulated = (this.#accumulated.get(tier) ?? 0) +
-      this.#shareOf(tier);
-    const isShed = accumulated >= 1;
-    this.#accumulated.set(tier, isShed ? accumulated - 1 : accumulated);
+    this.#recordTier(request.tier);
+    this.#admissions.recordArrival(request, now);
+    const isShed = this.#isInShare(request);
     if (isShed) this.#shedCount++;
+    else this.#admissions.recordAdmission(request);
+    return isShed;
+  }
+
+  /**
+   * Accounts below the mean are spared until more requests are deferred than the
+   * others are likely to make up for.
+   */
+  #isInShare(request: ArrivingRequest): boolean {
+    const { tier } = request;
+    const share = this.#shareOf(tier);
+    const former = this.#accumulated.get(tier) ?? 0;
+    // Requests that were deferred in the last overload are not shed in the next.
+    const accumulated = share > 0 ? former + share : former % 1;
+    const isShed = accumulated >= 1 + MAXIMUM_DEFERRED ||
+      accumulated >= 1 && this.#admissions.hasMeanOf(request);
+    this.#accumulated.set(tier, isShed ? accumulated - 1 : accumulated);
     return isShed;
   }
 
@@ -97,6 +119,7 @@
     const steps = Math.floor((now - this.#adjustedAt) / ADJUST_INTERVAL_MS);
     if (steps > 0) {
       this.#adjustedAt = now;
+      this.#admissions.refresh(now);
       const step = excess > 0
         ? GROWTH_STEP * Math.min(1, excess)
         : -DECAY_STEP * steps;
--- a/packages/admission/src/quotaLimiter.ts
+++ b/packages/admission/src/quotaLimiter.ts
@@ -21,6 +21,15 @@
 const MINIMUM_RETRY_MS: Milliseconds = 250;
 const MAXIMUM_RETRY_MS: Milliseconds = 4_000;
 
+/** The units that a request takes from its account's quota. */
+export interface QuotaRequest {
+  readonly account: ClientAccountId;
+  readonly quota: Quota;
+  readonly units: number;
+  /** Whether slots are free and no requests wait. */
+  readonly isIdle: boolean;
+}
+
 /** An account is over its quota. */
 export interface OverQuota {
   readonly retryAfter: Milliseconds;
@@ -68,26 +77,29 @@
    * Takes units for a request, or returns when to retry. The tolerance above
    * the quota is granted only if `isIdle`: slots are free and no requests wait.
    */
-  take(
-    { account, quota, units, isIdle }: {
-      account: ClientAccountId;
-      quota: Quota;
-      units: number;
-      isIdle: boolean;
-    },
+  take(request: QuotaRequest, now: Milliseconds): Result<void, OverQuota> {
+    return this.check(request, now).map(() => {
+      const { account, units } = request;
+      this.#buckets.get(account)!.take(units);
+      this.#used.set(account, (this.#used.get(account) ?? 0) + units);
+    });
+  }
+
+  /**
+   * Returns what {@link QuotaLimiter.take} would, and takes nothing. A request
+   * that passes may still be refused when it takes its units.
+   */
+  check(
+    { account, quota, isIdle }: Omit<QuotaRequest, "units">,
     now: Milliseconds,
   ): Result<void, OverQuota> {
     const bucket = this.#refill(account, quota, now);
+    if (bucket.isWithinQuota) return ok(undefined);
     const isToleranceAllowed = isIdle && !this.#hasUnresponsivePeer(now);
-    const isTolerated = isToleranceAllowed && bucket.isTolerated;
-    if (!bucket.isWithinQuota && !isTolerated) {
-      const refillTime = bucket.refillTime(isToleranceAllowed);
-      const wait = Math.max(MINIMUM_RETRY_MS, refillTime);
-      return err({ retryAfter: Math.min(MAXIMUM_RETRY_MS, wait) });
-    }
-    bucket.take(units);
-    this.#used.set(account, (this.#used.get(account) ?? 0) + units);
-    return ok(undefined);
+    if (isToleranceAllowed && bucket.isTolerated) return ok(undefined);
+    const refillTime = bucket.refillTime(isToleranceAllowed);
+    const wait = Math.max(MINIMUM_RETRY_MS, refillTime);
+    return err({ retryAfter: Math.min(MAXIMUM_RETRY_MS, wait) });
   }
 
   /** Refunds units of a request that did not run. */
--- a/packages/admission/tests/loadShedding.test.ts
+++ b/packages/admission/tests/loadShedding.test.ts
@@ -1,5 +1,7 @@
 import {
+  asId,
   asTier,
+  type ClientAccountId,
   type Milliseconds,
   SeededRandom,
   type Tier,
@@ -26,9 +28,14 @@
 const FIRST = asTier(1);
 const LAST = asTier(3);
 
+const LARGE = asId<ClientAccountId>("large");
+const SMALL = ["s1", "s2", "s3", "s4"].map((id) => asId<ClientAccountId>(id));
+
 interface Goodput {
   readonly all: number;
   readonly first: number;
+  /** Share of the requests of each account that is on time. */
+  readonly byAccount: ReadonlyMap<ClientAccountId | undefined, number>;
 }
 
 /**
@@ -54,13 +61,23 @@
  * Returns the responses per second that are on time when a host is offered a
  * multiple of its capacity.
  */
-function goodputAt(load: number, { isShedding = true } = {}): Goodput {
+function goodputAt(
+  load: number,
+  { isShedding = true, drawAccount = () => undefined }: {
+    isShedding?: boolean;
+    drawAccount?: (random: SeededRandom) => ClientAccountId | undefined;
+  } = {},
+): Goodput {
   const timer = new VirtualTimer();
   const random = new SeededRandom(7);
   const processor = new Processor(timer);
   const lag = new EventLoopLag();
   const shedder = new LoadShedder({ lag, random });
   const good = new Map<Tier, number>([[FIRST, 0], [LAST, 0]]);
+  const counts = new Map<
+    ClientAccountId | undefined,
+    { sent: number; good: number }
+  >();
   const scheduleTick = (): void => {
     const dueAt = timer.now() + TICK_MS;
     timer.after(TICK_MS, () =>
@@ -70,7 +87,10 @@
       }));
   };
   scheduleTick();
-  const serve = (tier: Tier, since: Milliseconds): void => {
+  const serve = (
+    { tier, since }: { tier: Tier; since: Milliseconds },
+    onTime: () => void,
+  ): void => {
     const step = (left: number): void =>
       processor.run(STEP_MS, () => {
         if (left > 1) {
@@ -78,18 +98,23 @@
         }
         if (timer.now() - since > TARGET_MS) return;
         good.set(tier, good.get(tier)! + 1);
+        onTime();
       });
     step(STEPS);
   };
   const arrive = (): void => {
     if (timer.now() >= DURATION_MS) return;
     const tier = random.float() < 0.2 ? FIRST : LAST;
+    const account = drawAccount(random);
+    const count = counts.get(account) ?? { sent: 0, good: 0 };
+    counts.set(account, count);
+    count.sent++;
     const since = timer.now();
     processor.run(0, () => {
-      if (isShedding && shedder.shouldShed(tier, timer.now())) {
+      if (isShedding && shedder.shouldShed({ tier, account }, timer.now())) {
         return processor.run(REFUSAL_MS, () => {});
       }
-      serve(tier, since);
+      serve({ tier, since }, () => count.good++);
     });
     timer.after(random.exponential(STEP_MS * STEPS / load), arrive);
   };
@@ -97,7 +122,10 @@
   timer.runUntil(DURATION_MS + 5_000);
   const perSecond = (count: number): number => count * 1_000 / DURATION_MS;
   const first = perSecond(good.get(FIRST)!);
-  return { all: first + perSecond(good.get(LAST)!), first };
+  const byAccount = new Map(
+    Array.from(counts, ([account, { sent, good }]) => [account, good / sent]),
+  );
+  return { all: first + perSecond(good.get(LAST)!), first, byAccount };
 }
 
 test("at several times its capacity a host serves as much as at its capacity, the first tier above all", (t) => {
@@ -118,6 +146,32 @@
   t.is(all, unshed);
 });
 
+test("an overloaded host sheds the requests of a large account before those of small ones", (t) => {
+  // Guards against small accounts that lose requests to the load of another one.
+  const drawAccount = (random: SeededRandom): ClientAccountId =>
+    random.float() < 0.8 ? LARGE : SMALL[Math.floor(random.float() * 4)]!;
+  const atOne = goodputAt(1);
+  // At these loads the small accounts ask for less than equal shares.
+  for (const load of [1.5, 2]) {
+    const { all, byAccount } = goodputAt(load, { drawAccount });
+    t.true(all >= 0.9 * atOne.all, `${load}: ${all} of ${atOne.all}`);
+    for (const account of SMALL) {
+      const share = byAccount.get(account)!;
+      t.true(share >= 0.85, `${load}: ${account} has ${share}`);
+    }
+  }
+});
+
+test("a host sheds requests of small accounts where there are no others", (t) => {
+  // Guards against a host that spares every account and serves none in time.
+  const drawAccount = (random: SeededRandom): ClientAccountId =>
+    SMALL[Math.floor(random.float() * 4)]!;
+  const { all, byAccount } = goodputAt(3, { drawAccount });
+  t.true(all >= 0.9 * goodputAt(1).all, `${all}`);
+  const shares = SMALL.map((account) => byAccount.get(account)!);
+  t.true(Math.max(...shares) - Math.min(...shares) < 0.1, `${shares}`);
+});
+
 test("a single stall is no sustained lag", (t) => {
   // Guards against refusals after the process was suspended by its CPU quota.
   const lag = new EventLoopLag();
@@ -140,11 +194,11 @@
   const shedder = new LoadShedder({ lag, random: new SeededRandom(1) });
   for (let at = 0; at < 2_000; at += 50) {
     lag.observe(200, at);
-    shedder.shouldShed(LAST, at);
+    shedder.shouldShed({ tier: LAST }, at);
   }
   t.true(shedder.share > 0.9);
   for (let at = 7_000; at < 7_200; at += 20) lag.observe(0, at);
-  t.false(shedder.shouldShed(LAST, 7_200));
+  t.false(shedder.shouldShed({ tier: LAST }, 7_200));
   t.is(shedder.share, 0);
 });
 
--- a/packages/admission/tests/quotasAndRetries.test.ts
+++ b/packages/admission/tests/quotasAndRetries.test.ts
@@ -154,6 +154,21 @@
   t.true(admitted > 10_000 * 8 * 0.3);
 });
 
+test("a check of a quota takes nothing and agrees with the charge that follows", (t) => {
+  // Guards against an account that is charged twice, or refused while it has units.
+  const book = new QuotaLimiter(NONE);
+  const request = { account: FAMILY, quota: QUOTA, units: 500, isIdle: false };
+  let taken = 0;
+  for (let now = 0; now < 2_000; now += 10) {
+    const checks = [book.check(request, now), book.check(request, now)];
+    const charge = book.take(request, now);
+    for (const check of checks) t.deepEqual(check, charge);
+    if (charge.isOk()) taken += request.units;
+  }
+  t.is(book.used().get(FAMILY), taken);
+  t.true(taken >= 2 * QUOTA.perSecond);
+});
+
 test("units of a request that did not run are refunded", (t) => {
   const book = new QuotaLimiter(NONE);
   t.true(
--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -6,7 +6,10 @@
   selectEndToEndHeaders,
   toHeaderLines,
 } from "./headers.ts";
-import type { Refusal } from "./requestAdmission.ts";
+import type { Refusal, RefusalReason } from "./requestAdmission.ts";
+
+/** Bodies of refusals so far, by reason. */
+const REFUSAL_BODIES = new Map<RefusalReason, string>();
 
 /**
  * Writes the response to one caller: either the upstream's, complete or visibly
@@ -69,19 +72,49 @@
     this.#response.end(body);
   }
 
-  /** Sends a refusal of this host. */
-  refuse({ status, reason, retryAfter }: Refusal): void {
-    const body = JSON.stringify({ reason });
-    const lines = ["content-type", "application/json"];
-    lines.push("content-length", String(body.length));
+  /** Whether the connection ends with a refusal in any case. */
+  isClosedBy({ status }: Refusal): boolean {
+    return this.#isStopping() || shouldClose(status);
+  }
+
+  /**
+   * Sends a refusal of this host, as the last response of the connection if
+   * `isLast`.
+   */
+  refuse(
+    refusal: Refusal,
+    { isLast = false }: { isLast?: boolean } = {},
+  ): void {
+    const isClosing = isLast || this.isClosedBy(refusal);
+    this.#response.end(this.#sendRefusalHead(refusal, isClosing));
+  }
+
+  /**
+   * Sends a refusal as the last response of a connection on which the body is
+   * still arriving, and leaves it to others to close the connection.
+   */
+  refuseUnread(refusal: Refusal): void {
+    this.#response.write(this.#sendRefusalHead(refusal, true));
+  }
+
+  /** Returns the body that belongs to the head. */
+  #sendRefusalHead(
+    { status, reason, retryAfter }: Refusal,
+    isClosing: boolean,
+  ): string {
+    const body = refusalBody(reason);
+    const lines = [
+      "content-type",
+      "application/json",
+      "content-length",
+      String(body.length),
+    ];
     if (retryAfter !== undefined) {
       lines.push("retry-after", formatSeconds(retryAfter));
     }
-    if (this.#isStopping() || shouldClose(status)) {
-      lines.push("connection", "close");
-    }
+    if (isClosing) lines.push("connection", "close");
     this.#response.writeHead(status, lines);
-    this.#response.end(body);
+    return body;
   }
 
   /**
@@ -95,6 +128,14 @@
   }
 }
 
+function refusalBody(reason: RefusalReason): string {
+  const known = REFUSAL_BODIES.get(reason);
+  if (known !== undefined) return known;
+  const body = JSON.stringify({ reason });
+  REFUSAL_BODIES.set(reason, body);
+  return body;
+}
+
 /** The unread rest of such a request must not be parsed as the next one. */
 function shouldClose(status: number): boolean {
   return status === 408 || status === 413;
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -6,11 +6,15 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { Milliseconds } from "@wasabivane/common";
-import { type CallerLimits, ConnectionBacklog } from "@wasabivane/admission";
-import { ok, type Result } from "neverthrow";
+import {
+  type CallerLimits,
+  ConnectionBacklog,
+  type OverQuota,
+  type QuotaRequest,
+} from "@wasabivane/admission";
+import { err, ok, type Result } from "neverthrow";
 import { CallerListener } from "./callerListener.ts";
 import { CallerResponse } from "./callerResponse.ts";
-import type { LogValues } from "./decisionLog.ts";
 import { Exchange } from "./exchange.ts";
 import { hasCallerLeft, onCallerLeave } from "./callerDeparture.ts";
 import { pairHeaders } from "./headers.ts";
@@ -20,9 +24,12 @@
   admitRequest,
   type AdmittedRequest,
   quotaUnits,
+  readHead,
   type Refusal,
+  type RequestHead,
 } from "./requestAdmission.ts";
 import { quarantineOfNew } from "./quarantine.ts";
+import { type Call, RefusalWriter } from "./refusalWriter.ts";
 import { traitsOf } from "./requestTraits.ts";
 import { bindToOrigin } from "./streamTakeUp.ts";
 import type { ListenError } from "./listenError.ts";
@@ -35,8 +42,6 @@
 /** Timeouts until the first policy is read. */
 const INITIAL_HEADER_TIMEOUT_MS: Milliseconds = 3_000;
 const INITIAL_IDLE_TIMEOUT_MS: Milliseconds = 15_000;
-/** Only one in this many shed requests is logged on its own. */
-const SHED_LOG_SAMPLE = 10;
 /**
  * Event-loop iterations from a new connection to its parsed request: accept,
  * read, parse.
@@ -68,13 +73,17 @@
    */
   readonly #waits = new WeakMap<Socket, Milliseconds>();
   readonly #acceptBacklog = new ConnectionBacklog();
+  readonly #refusals: RefusalWriter;
   #isCountingIterations = false;
-  #shedCount = 0;
   #queueDrops = 0;
   #leftUnsent = 0;
 
   constructor(context: GatewayContext) {
     this.#context = context;
+    this.#refusals = new RefusalWriter(
+      context,
+      (socket) => this.#closedSockets.add(socket),
+    );
     this.#server = createServer({
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
       headersTimeout: INITIAL_HEADER_TIMEOUT_MS,
@@ -82,7 +91,7 @@
       keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS,
       connectionsCheckingInterval: HEADER_CHECK_MS,
       noDelay: true,
-    }, (request, response) => void this.#serve(request, response));
+    }, (request, response) => this.#receive(request, response));
     this.#listener = new CallerListener(this.#server, context.timer);
     this.#server.on("connection", (socket) => this.#track(socket));
     context.policies.addListener(({ policy }) =>
@@ -172,37 +181,35 @@
     this.#server.keepAliveTimeout = idleTimeout;
   }
 
-  async #serve(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
+  /** Admits a request by its head alone, or refuses it. */
+  #receive(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
     const wait = this.#takeWait(socket);
     // The caller sees the close and resends the request to another host.
     if (this.#closedSockets.has(socket)) return void socket.destroy();
+    const { isStopping } = this.#context;
+    const callerResponse = new CallerResponse(response, isStopping);
+    const call = { request, response, callerResponse };
+    const head = readHead(request, this.#context);
+    const admitted = this.#admit(head, wait);
+    if (admitted.isErr()) {
+      return this.#refusals.refuse(call, admitted.error);
+    }
+    const withinQuota = this.#checkQuota(admitted.value);
+    if (withinQuota.isErr()) {
+      return this.#refuseOverQuota(call, withinQuota.error, admitted.value);
+    }
     this.#busySockets.add(socket);
     response.once("close", () => this.#busySockets.delete(socket));
     // The headers may have been sent without `connection: close`.
     response.once("finish", () => {
-      if (this.#context.isStopping()) this.#close(socket);
+      if (isStopping()) this.#close(socket);
     });
-    const callerResponse = new CallerResponse(
-      response,
-      this.#context.isStopping,
-    );
-    if (this.#isStoppingSoon()) {
-      const refusal = {
-        status: 503,
-        reason: "stopping",
-        retryAfter: 0,
-      } as const;
-      return this.#refuse(request, callerResponse, refusal);
-    }
-    if (this.#shouldShed(request)) return this.#shed(request, callerResponse);
-    const admitted = this.#admit(request, wait);
-    if (admitted.isErr()) {
-      return this.#refuse(request, callerResponse, admitted.error);
-    }
+    void this.#serve(call, admitted.value);
+  }
+
+  async #serve(call: Call, admitted: AdmittedRequest): Promise<void> {
+    const { request, response } = call;
     const limits = this.#context.policies.index!.policy.limits;
     const body = await readBody(request, {
       maximumBytes: limits.maximumBodyBytes,
@@ -211,42 +218,22 @@
     });
     if (body.isErr()) {
       if (body.error === "caller-left") return;
-      return this.#refuse(
-        request,
-        callerResponse,
-        createBodyRefusal(body.error),
-      );
+      return this.#refusals.refuse(call, createBodyRefusal(body.error));
     }
-    const charged = this.#chargeQuota(admitted.value);
+    const charged = this.#chargeQuota(admitted);
     if (charged.isErr()) {
-      const { service, account, metadata } = admitted.value;
-      return this.#refuse(request, callerResponse, charged.error, {
-        account: accountName(account),
-        units: quotaUnits(account!, metadata),
-        perSecond: account?.quota?.perSecond,
-        burst: account?.quota?.burst,
-        isIdle: this.#context.placementClient.isIdle(
-          service,
-          this.#context.timer.now(),
-        ),
-      });
+      return this.#refuseOverQuota(call, charged.error, admitted);
     }
-    const bound = await bindToOrigin(admitted.value, this.#context);
+    const bound = await bindToOrigin(admitted, this.#context);
     if (hasCallerLeft(request, response)) {
       this.#countLeftUnsent();
-      return this.#refundQuota(admitted.value);
+      return this.#refundQuota(admitted);
     }
     if (bound.isErr()) {
-      this.#refundQuota(admitted.value);
-      return this.#refuse(request, callerResponse, bound.error);
+      this.#refundQuota(admitted);
+      return this.#refusals.refuse(call, bound.error);
     }
-    this.#exchange({
-      admitted: bound.value,
-      request,
-      response,
-      callerResponse,
-      body: body.value,
-    });
+    this.#exchange(call, { admitted: bound.value, body: body.value });
   }
 
   #isStoppingSoon(): boolean {
@@ -254,56 +241,40 @@
     return stopsAt() - timer.now() < MINIMUM_SERVING_MS;
   }
 
-  /** Runs before any other check, so that shedding stays cheap. */
-  #shouldShed({ headers, url }: IncomingMessage): boolean {
-    const { policies, shedding, timer } = this.#context;
-    const route = policies.index?.route(headers.host ?? "", pathOf(url ?? ""));
-    return route !== undefined && shedding.shouldShed(route.tier, timer.now());
-  }
-
-  /**
-   * Refuses without reading the body; logs a sample only, since logging adds
-   * load.
-   */
-  #shed(request: IncomingMessage, callerResponse: CallerResponse): void {
-    const { metrics, shedding, timer } = this.#context;
-    const refusal = {
-      status: 503,
-      reason: "host-behind",
-      retryAfter: shedding.computeRetryDelay(timer.now()),
-    } as const;
-    if (this.#shedCount++ % SHED_LOG_SAMPLE === 0) {
-      return this.#refuse(request, callerResponse, refusal);
-    }
-    metrics.count("refused_host-behind");
-    callerResponse.refuse(refusal);
-    request.resume();
-  }
-
   /** Admits a request that may have waited for so long to be accepted. */
   #admit(
-    request: IncomingMessage,
+    head: RequestHead,
     wait: Milliseconds,
   ): Result<AdmittedRequest, Refusal> {
-    const { policies, dialect, random, timer, elapsed, lag } = this.#context;
-    return admitRequest({
-      path: pathOf(request.url ?? ""),
-      headers: request.headers,
-      headerLines: pairHeaders(request.rawHeaders),
-    }, {
+    const { policies, random, timer, elapsed, lag } = this.#context;
+    if (this.#isStoppingSoon()) {
+      return err({ status: 503, reason: "stopping", retryAfter: 0 });
+    }
+    const now = timer.now();
+    if (this.#shouldShed(head, now)) return err(this.#createShedRefusal(now));
+    return admitRequest(head, {
       policies,
-      dialect,
       random,
       // The request arrived while the event loop was busy.
-      now: timer.now() - lag.sustained,
+      now: now - lag.sustained,
       elapsedNow: elapsed.now(),
-      readingDelay: Math.max(
-        wait,
-        ITERATIONS_TO_READ * lag.peak(timer.now()),
-      ),
+      readingDelay: Math.max(wait, ITERATIONS_TO_READ * lag.peak(now)),
     });
   }
 
+  #shouldShed({ route, account }: RequestHead, now: Milliseconds): boolean {
+    if (route === undefined) return false;
+    return this.#context.shedding.shouldShed(
+      { tier: route.tier, account: account?.account },
+      now,
+    );
+  }
+
+  #createShedRefusal(now: Milliseconds): Refusal {
+    const retryAfter = this.#context.shedding.computeRetryDelay(now);
+    return { status: 503, reason: "host-behind", retryAfter };
+  }
+
   /** Only the first request of a connection waited with it. */
   #takeWait(socket: Socket): Milliseconds {
     const wait = this.#waits.get(socket) ?? 0;
@@ -311,32 +282,57 @@
     return wait;
   }
 
-  #chargeQuota(
+  /** Refuses a request over its quota; takes nothing from it. */
+  #checkQuota(admitted: AdmittedRequest): Result<void, Refusal> {
+    const request = this.#createQuotaRequest(admitted);
+    if (request === undefined) return ok(undefined);
+    const { quotas, timer } = this.#context;
+    return quotas.check(request, timer.now()).mapErr(createQuotaRefusal);
+  }
+
+  #chargeQuota(admitted: AdmittedRequest): Result<void, Refusal> {
+    const request = this.#createQuotaRequest(admitted);
+    if (request === undefined) return ok(undefined);
+    const { quotas, timer } = this.#context;
+    return quotas.take(request, timer.now()).mapErr(createQuotaRefusal);
+  }
+
+  #createQuotaRequest(
     { account, metadata, service }: AdmittedRequest,
-  ): Result<void, Refusal> {
-    if (account?.quota === undefined) return ok(undefined);
-    const { quotas, placementClient, timer } = this.#context;
-    return quotas.take({
+  ): QuotaRequest | undefined {
+    if (account?.quota === undefined) return undefined;
+    const { placementClient, timer } = this.#context;
+    return {
       account: account.account,
       quota: account.quota,
       units: quotaUnits(account, metadata),
       isIdle: placementClient.isIdle(service, timer.now()),
-    }, timer.now()).mapErr(({ retryAfter }) => ({
-      status: 429,
-      reason: "over-quota" as const,
-      retryAfter,
-    }));
+    };
+  }
+
+  #refuseOverQuota(
+    call: Call,
+    refusal: Refusal,
+    admitted: AdmittedRequest,
+  ): void {
+    this.#refusals.refuse(call, refusal, () => {
+      const { account, metadata, service } = admitted;
+      const { placementClient, timer } = this.#context;
+      return {
+        account: accountName(account),
+        units: quotaUnits(account!, metadata),
+        perSecond: account?.quota?.perSecond,
+        burst: account?.quota?.burst,
+        isIdle: placementClient.isIdle(service, timer.now()),
+      };
+    });
   }
 
   #exchange(
-    { admitted, request, response, callerResponse, body }: {
-      admitted: AdmittedRequest;
-      request: IncomingMessage;
-      response: ServerResponse;
-      callerResponse: CallerResponse;
-      body: Buffer;
-    },
+    call: Call,
+    { admitted, body }: { admitted: AdmittedRequest; body: Buffer },
   ): void {
+    const { request, response, callerResponse } = call;
     const method = request.method ?? "GET";
     const path = request.url ?? "/";
     const traits = traitsOf(admitted, { method, path, body });
@@ -348,10 +344,10 @@
         reason: "convicted",
         retryAfter,
       } as const;
-      return this.#refuse(request, callerResponse, refusal, {
+      return this.#refusals.refuse(call, refusal, () => ({
         fingerprint: traits.fingerprint,
         parts: traits.parts.join(","),
-      });
+      }));
     }
     const { partCrashes, timer } = this.#context;
     partCrashes.recordAdmission(traits, timer.now());
@@ -386,28 +382,10 @@
     if (account?.quota === undefined) return;
     this.#context.quotas.refund(account.account, quotaUnits(account, metadata));
   }
+}
 
-  #refuse(
-    request: IncomingMessage,
-    callerResponse: CallerResponse,
-    refusal: Refusal,
-    inputs: LogValues = {},
-  ): void {
-    const { log, metrics, policies, elapsed, dialect } = this.#context;
-    metrics.count(`refused_${refusal.reason}`);
-    log.write("request_refused", {
-      id: dialect.parseRequest(request.headers)?.requestId,
-      path: pathOf(request.url ?? ""),
-      status: refusal.status,
-      reason: refusal.reason,
-      retryAfter: refusal.retryAfter,
-      policy: policies.version,
-      proofAge: Math.round(policies.freshness.age(elapsed.now())),
-      ...inputs,
-    });
-    callerResponse.refuse(refusal);
-    request.resume();
-  }
+function createQuotaRefusal({ retryAfter }: OverQuota): Refusal {
+  return { status: 429, reason: "over-quota", retryAfter };
 }
 
 function createBodyRefusal(error: Exclude<BodyError, "caller-left">): Refusal {
@@ -415,8 +393,3 @@
     ? { status: 413, reason: error }
     : { status: 408, reason: error };
 }
-
-function pathOf(url: string): string {
-  const query = url.indexOf("?");
-  return query < 0 ? url : url.slice(0, query);
-}
--- a/packages/gateway/src/requestAdmission.ts
+++ b/packages/gateway/src/requestAdmission.ts
@@ -14,7 +14,7 @@
 } from "@wasabivane/admission";
 import { err, ok, type Result } from "neverthrow";
 import type { Dialect, RequestMetadata } from "./dialect.ts";
-import { type HeaderLine, headerValue, type HeaderValues } from "./headers.ts";
+import { headerValue, type HeaderValues } from "./headers.ts";
 import type { PolicyState } from "./policyState.ts";
 
 /** The reason for refusing a request, as sent to the caller. */
@@ -61,17 +61,49 @@
   readonly softwareVersion?: SoftwareVersion;
 }
 
-/** The path and headers of a request. */
+/** The head of a request, and what the current policy has for it. */
 export interface RequestHead {
-  readonly path: string;
-  readonly headers: HeaderValues;
-  readonly headerLines: readonly HeaderLine[];
+  /** Names and values of the headers, in turn. */
+  readonly rawHeaders: readonly string[];
+  readonly route: Route | undefined;
+  /** `undefined` without a route, or if it is malformed. */
+  readonly metadata: RequestMetadata | undefined;
+  /** The account that holds the request's key. */
+  readonly account: ClientAccount | undefined;
+}
+
+/** Looks up the route and the key of a request. */
+export function readHead(
+  { url = "", headers, rawHeaders }: {
+    readonly url?: string | undefined;
+    readonly headers: HeaderValues;
+    readonly rawHeaders: readonly string[];
+  },
+  { policies: { index }, dialect }: {
+    readonly policies: PolicyState;
+    readonly dialect: Dialect;
+  },
+): RequestHead {
+  const host = headerValue(headers, "host") ?? "";
+  const route = index?.route(host, pathOf(url));
+  const metadata = route === undefined
+    ? undefined
+    : dialect.parseRequest(headers);
+  const account = metadata?.apiKey === undefined
+    ? undefined
+    : index?.accountOfKey(metadata.apiKey);
+  return { rawHeaders, route, metadata, account };
+}
+
+/** Returns the path of a URL without its query. */
+export function pathOf(url: string): string {
+  const query = url.indexOf("?");
+  return query < 0 ? url : url.slice(0, query);
 }
 
 /** Options of {@link admitRequest}. */
 export interface AdmissionOptions {
   readonly policies: PolicyState;
-  readonly dialect: Dialect;
   readonly random: Random;
   /** Time of the request's arrival. */
   readonly now: Milliseconds;
@@ -92,7 +124,7 @@
 const POLICY_RETRY_MS: Milliseconds = 600;
 
 /**
- * Finds the route and client account of a request, or refuses it. Permanent
+ * Admits a request to its route for its client account, or refuses it. Permanent
  * refusals (no such route, no such key) require a policy that is confirmed
  * current; otherwise the caller is asked to retry.
  */
@@ -100,20 +132,21 @@
   head: RequestHead,
   options: AdmissionOptions,
 ): Result<AdmittedRequest, Refusal> {
-  const { policies, dialect, now } = options;
+  const { policies, now } = options;
   const index = policies.index;
   if (index === undefined) return err(retryLater("no-policy", options));
   if (!policies.isInForce(options.elapsedNow)) {
     return err(retryLater("policy-behind", options));
   }
-  if (headerBytes(head.headerLines) > index.policy.limits.maximumHeaderBytes) {
+  if (headerBytes(head.rawHeaders) > index.policy.limits.maximumHeaderBytes) {
     return err({ status: 431, reason: "fields-too-large" });
   }
-  const route = index.route(headerValue(head.headers, "host") ?? "", head.path);
+  const { route, metadata } = head;
   if (route === undefined) return err(deny(404, "no-route", options));
-  const metadata = dialect.parseRequest(head.headers);
   if (metadata === undefined) return err({ status: 400, reason: "malformed" });
-  return findAccount(metadata, { index, route, options }).map((account) => ({
+  return checkAccount(head.account, { index, route, options }).map((
+    account,
+  ) => ({
     route,
     service: pickTarget(route.targets, options.random),
     account,
@@ -160,8 +193,8 @@
   return account?.account ?? "anonymous";
 }
 
-function findAccount(
-  metadata: RequestMetadata,
+function checkAccount(
+  account: ClientAccount | undefined,
   { index, route, options }: {
     index: PolicyIndex;
     route: Route;
@@ -175,9 +208,6 @@
   if (!freshness.isKeyTrusted(options.elapsedNow)) {
     return err(retryLater("policy-behind", options));
   }
-  const account = metadata.apiKey === undefined
-    ? undefined
-    : index.accountOfKey(metadata.apiKey);
   if (account === undefined) return err(deny(401, "no-account", options));
   return ok(account);
 }
@@ -215,9 +245,12 @@
   return targets[targets.length - 1]!.service;
 }
 
-/** Returns the approximate size of the headers on the wire. */
-function headerBytes(lines: readonly HeaderLine[]): number {
-  let bytes = 0;
-  for (const [name, value] of lines) bytes += name.length + value.length + 4;
+/**
+ * Returns the approximate size of the headers on the wire, each with a colon, a
+ * space and a line end.
+ */
+function headerBytes(rawHeaders: readonly string[]): number {
+  let bytes = 2 * rawHeaders.length;
+  for (const text of rawHeaders) bytes += text.length;
   return bytes;
 }
--- a/packages/gateway/src/requestBody.ts
+++ b/packages/gateway/src/requestBody.ts
@@ -19,8 +19,9 @@
     timer: Timer;
   },
 ): Promise<Result<Buffer, BodyError>> {
-  if (hasNoBody(request)) return Promise.resolve(ok(NO_BODY));
-  if (Number(request.headers["content-length"] ?? 0) > maximumBytes) {
+  const length = bodyLength(request);
+  if (length === 0) return Promise.resolve(ok(NO_BODY));
+  if (length !== undefined && length > maximumBytes) {
     return Promise.resolve(err("body-too-large"));
   }
   return new Promise((resolve) => {
@@ -44,8 +45,11 @@
   });
 }
 
-function hasNoBody({ headers }: IncomingMessage): boolean {
-  if (headers["transfer-encoding"] !== undefined) return false;
-  const length = headers["content-length"];
-  return length === undefined || Number(length) === 0;
+/**
+ * Returns the length of a request's body by its head; `undefined` if the head does
+ * not tell it.
+ */
+export function bodyLength({ headers }: IncomingMessage): number | undefined {
+  if (headers["transfer-encoding"] !== undefined) return undefined;
+  return Number(headers["content-length"] ?? 0);
 }
