--- a/packages/admission/src/quotaLimiter.ts
+++ b/packages/admission/src/quotaLimiter.ts
@@ -26,7 +26,7 @@
   readonly account: ClientAccountId;
   readonly quota: Quota;
   readonly units: number;
-  /** Whether slots are free and no requests wait. */
+  /** Whether slots are free and no requests wait; read only above the quota. */
   readonly isIdle: boolean;
 }
 
@@ -90,12 +90,13 @@
    * that passes may still be refused when it takes its units.
    */
   check(
-    { account, quota, isIdle }: Omit<QuotaRequest, "units">,
+    request: Omit<QuotaRequest, "units">,
     now: Milliseconds,
   ): Result<void, OverQuota> {
-    const bucket = this.#refill(account, quota, now);
+    const bucket = this.#refill(request.account, request.quota, now);
     if (bucket.isWithinQuota) return ok(undefined);
-    const isToleranceAllowed = isIdle && !this.#hasUnresponsivePeer(now);
+    const isToleranceAllowed = request.isIdle &&
+      !this.#hasUnresponsivePeer(now);
     if (isToleranceAllowed && bucket.isTolerated) return ok(undefined);
     const refillTime = bucket.refillTime(isToleranceAllowed);
     const wait = Math.max(MINIMUM_RETRY_MS, refillTime);
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -306,7 +306,9 @@
       account: account.account,
       quota: account.quota,
       units: quotaUnits(account, metadata),
-      isIdle: placementClient.isIdle(service, timer.now()),
+      get isIdle() {
+        return placementClient.isIdle(service, timer.now());
+      },
     };
   }
 
