--- a/packages/admission/src/cellCoordinator.ts
+++ b/packages/admission/src/cellCoordinator.ts
@@ -289,7 +289,8 @@
   ): void {
     const { stats, host, upstreams, cell } = this.#options;
     for (const [upstream, report] of reports) {
-      const { requests, startsPerSecond, rejectionsPerSecond } = report;
+      const { requests, startsPerSecond, rejectionsPerSecond, slowdown } =
+        report;
       if (requests !== undefined) {
         this.#scheduler.load.recordReport(upstream, requests, now);
       }
@@ -301,6 +302,8 @@
       if (!isListed) continue;
       stats.rateLimits.record(upstream, startsPerSecond, now);
       stats.tolerances.record(cell.service, rejectionsPerSecond, now);
+      const { service } = cell;
+      stats.slowdowns.record({ service, upstream, slowdown }, now);
     }
   }
 
--- a/packages/admission/src/cellSession.ts
+++ b/packages/admission/src/cellSession.ts
@@ -12,6 +12,7 @@
   NumberedDecision,
   UpstreamReport,
 } from "./cellMessages.ts";
+import { decayedSlowdown, isSlowdown } from "./momentarySlowdown.ts";
 import type { AttemptObservation } from "./upstreamStats.ts";
 
 /** Shortest time after which an update without a reply is resent. */
@@ -58,6 +59,8 @@
 const ACKNOWLEDGEMENT_TIMEOUT_MS: Milliseconds = 200;
 /** A session without load or waiting requests is closed after this time. */
 const IDLE_MS: Milliseconds = 2_000;
+/** Relative change of a slowdown that is worth an update of its own. */
+const SLOWDOWN_CHANGE = 0.25;
 /** Unacknowledged observations that are kept at most. */
 const MAXIMUM_OBSERVATIONS = 16;
 
@@ -106,6 +109,11 @@
   #unconfirmedSince: Milliseconds = Infinity;
   #firstObservation = 1;
   readonly #reports = new Map<UpstreamId, UpstreamReport>();
+  /** Slowdowns that the coordinator was last told, and when. */
+  readonly #slowdownsTold = new Map<
+    UpstreamId,
+    { slowdown: number; at: Milliseconds }
+  >();
   /**
    * Waiting requests, with the sequence of the update that first described each
    * to this coordinator.
@@ -177,6 +185,22 @@
     this.#reports.set(upstream, report);
   }
 
+  /**
+   * Whether a slowdown differs enough from what the coordinator makes of the one
+   * that it was last told.
+   */
+  isSlowdownChanged(
+    upstream: UpstreamId,
+    { slowdown, now }: { slowdown: number | undefined; now: Milliseconds },
+  ): boolean {
+    if (slowdown === undefined || !isSlowdown(slowdown)) return false;
+    const told = this.#slowdownsTold.get(upstream);
+    const known = told === undefined
+      ? 1
+      : decayedSlowdown(told.slowdown, now - told.at);
+    return Math.abs(slowdown - known) >= SLOWDOWN_CHANGE * known;
+  }
+
   /** Records the result of an attempt in this cell. */
   addObservation(observation: AttemptObservation, now: Milliseconds): void {
     this.#observations.push(observation);
@@ -224,8 +248,7 @@
     const isListing = this.#isListingDue ||
       (this.hasWaiting && now - this.#listedAt >= EARLY_LISTING_MS);
     if (isListing) this.#listedAt = now;
-    const reports = [...this.#reports];
-    this.#reports.clear();
+    const reports = this.#takeReports(now);
     this.#isListingDue = false;
     return {
       cell: this.cell,
@@ -370,6 +393,17 @@
     return unacknowledged;
   }
 
+  /** Returns the reports for the next update. */
+  #takeReports(now: Milliseconds): [UpstreamId, UpstreamReport][] {
+    const reports = [...this.#reports];
+    this.#reports.clear();
+    for (const [upstream, { slowdown }] of reports) {
+      if (slowdown === undefined) continue;
+      this.#slowdownsTold.set(upstream, { slowdown, at: now });
+    }
+    return reports;
+  }
+
   /**
    * Has all waiting requests described again to a coordinator without state.
    */
@@ -385,6 +419,7 @@
     this.#coordinatorIncarnation = undefined;
     this.#decisionsSeen = 0;
     this.#pendingUpdates = [];
+    this.#slowdownsTold.clear();
     this.#describeAll();
   }
 }
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -36,6 +36,11 @@
 export { UpstreamWarmup } from "./upstreamWarmup.ts";
 export { type EjectionNotice, UpstreamHealth } from "./upstreamHealth.ts";
 export { PauseRiskModel, type PauseSample } from "./pauseRiskModel.ts";
+export {
+  MomentarySlowdown,
+  type ReportedSlowdown,
+  type WorkSample,
+} from "./momentarySlowdown.ts";
 export { type SpeedSample, UpstreamSpeed } from "./upstreamSpeed.ts";
 export {
   ResponseDurationModel,
--- a/packages/admission/src/placement.ts
+++ b/packages/admission/src/placement.ts
@@ -201,11 +201,16 @@
         parts,
         now,
       );
-      const latency = this.#latencyAt(upstream, promptTokens - cached);
+      const slowdown = stats.slowdowns.relative(upstream, now);
+      const latency = this.#latencyAt(upstream, {
+        promptTokens: promptTokens - cached,
+        now,
+      });
       const isSuitable = this.#isSuitable(upstream, { request, latency, now });
       if (best?.isSuitable && !isSuitable) continue;
       const cost = this.#costOf(upstream, {
         cachedShare: Math.min(1, cached / Math.max(1, promptTokens)),
+        slowdown,
         latencyShare: latency / request.target,
         failureDomain: request.failureDomain,
         isWarmingUp: stats.warmup.isWarmingUp(upstream.upstream, now),
@@ -223,16 +228,14 @@
     request: PlacementCriteria,
     now: Milliseconds,
   ): boolean {
-    const { health, stats: { firstEvents } } = this.#options;
+    const { health, stats: { firstEvents, slowdowns } } = this.#options;
     const { promptTokens } = request;
     return upstreams.some((upstream) => {
       const { service, upstream: id } = upstream;
       if (isUnavailable(request, upstream, now)) return false;
       if (health.isEjected(id, now)) return false;
-      const latency = firstEvents.expected(service, {
-        upstream: id,
-        promptTokens,
-      });
+      const latency = slowdowns.relative(upstream, now) *
+        firstEvents.expected(service, { upstream: id, promptTokens });
       return this.#isSuitable(upstream, { request, latency, now });
     });
   }
@@ -256,9 +259,12 @@
     const cached = prefixCaches.cachedTokens(id, other.parts, now);
     const additional = cached - prefixCaches.cachedTokens(id, next.parts, now);
     if (additional <= 0) return 0;
-    const latency = this.#latencyAt(upstream, other.promptTokens - cached);
+    const latency = this.#latencyAt(upstream, {
+      promptTokens: other.promptTokens - cached,
+      now,
+    });
     if (!this.#isSuitable(upstream, { request: other, latency, now })) return 0;
-    return this.#prefillCost(upstream, additional);
+    return this.#prefillCost(upstream, { promptTokens: additional, now });
   }
 
   /**
@@ -266,12 +272,10 @@
    * streams beside it.
    */
   #prefillCost(
-    { service, upstream }: Upstream,
-    promptTokens: number,
+    upstream: Upstream,
+    work: { promptTokens: number; now: Milliseconds },
   ): Milliseconds {
-    const { firstEvents } = this.#options.stats;
-    return PREFILL_WAIT_FACTOR *
-      firstEvents.prefillTime(service, { upstream, promptTokens });
+    return PREFILL_WAIT_FACTOR * this.#prefillTimeAt(upstream, work);
   }
 
   /**
@@ -304,26 +308,28 @@
       }
     }
     if (mostCached === best.cachedTokens) return false;
-    const span = this.#prefillCost(
-      best.upstream,
-      mostCached - best.cachedTokens,
-    );
-    const latency = this.#latencyAt(best.upstream, request.promptTokens);
+    const span = this.#prefillCost(best.upstream, {
+      promptTokens: mostCached - best.cachedTokens,
+      now,
+    });
+    const { promptTokens } = request;
+    const latency = this.#latencyAt(best.upstream, { promptTokens, now });
     return now < request.since + span && now + span + latency <= request.dueAt;
   }
 
   #isSuitable(
-    { service, upstream }: Upstream,
+    candidate: Upstream,
     { request, latency, now }: {
       request: PlacementCriteria;
       latency: Milliseconds;
       now: Milliseconds;
     },
   ): boolean {
-    const { load, stats: { speed, pauseRisks, firstEvents } } = this.#options;
+    const { load, stats: { speed, slowdowns, pauseRisks } } = this.#options;
+    const { service, upstream } = candidate;
     if (now + latency > request.dueAt) return false;
     const duration = request.responseDuration *
-      speed.slowness(service, upstream);
+      speed.slowness(service, upstream) * slowdowns.relative(candidate, now);
     if (now + latency + DURATION_MARGIN * duration > request.deadline) {
       return false;
     }
@@ -331,10 +337,7 @@
     const risk = pauseRisks.risk({ service, upstream, duration });
     if (risk > MAXIMUM_PAUSE_RISK) return false;
     const { promptTokens } = request;
-    const prefillTime = firstEvents.prefillTime(service, {
-      upstream,
-      promptTokens,
-    });
+    const prefillTime = this.#prefillTimeAt(candidate, { promptTokens, now });
     return prefillTime <= request.pauseTarget || load.total(upstream) === 0;
   }
 
@@ -344,14 +347,25 @@
    */
   #latencyAt(
     { service, upstream }: Upstream,
-    promptTokens: number,
+    { promptTokens, now }: { promptTokens: number; now: Milliseconds },
   ): Milliseconds {
     const { load, stats } = this.#options;
-    return stats.firstEvents.expected(service, {
+    const expected = stats.firstEvents.expected(service, {
       upstream,
       promptTokens: Math.max(0, promptTokens) +
         load.pendingPrefillTokens(upstream),
     });
+    return expected * stats.slowdowns.relative({ service, upstream }, now);
+  }
+
+  /** Returns the expected time in which the upstream processes the tokens. */
+  #prefillTimeAt(
+    { service, upstream }: Upstream,
+    { promptTokens, now }: { promptTokens: number; now: Milliseconds },
+  ): Milliseconds {
+    const { firstEvents, slowdowns } = this.#options.stats;
+    return firstEvents.prefillTime(service, { upstream, promptTokens }) *
+      slowdowns.relative({ service, upstream }, now);
   }
 
   #freeSlotsAt(upstream: Upstream, now: Milliseconds): number {
@@ -363,8 +377,9 @@
 
   #costOf(
     upstream: Upstream,
-    { cachedShare, latencyShare, failureDomain, isWarmingUp }: {
+    { cachedShare, slowdown, latencyShare, failureDomain, isWarmingUp }: {
       cachedShare: number;
+      slowdown: number;
       latencyShare: number;
       failureDomain: FailureDomain;
       isWarmingUp: boolean;
@@ -375,6 +390,7 @@
     const limit = limitOf(upstream);
     const fill = load.total(id) / limit;
     let cost = (IDLE_COST + fill) * speed.slowness(upstream.service, id);
+    cost *= slowdown;
     cost *= 1 + FAILURE_COST * health.failureShare(id);
     if (upstream.failureDomain !== failureDomain) cost *= OTHER_DOMAIN_FACTOR;
     cost *= 1 + LATENCY_COST * latencyShare;
--- a/packages/admission/src/placementClient.ts
+++ b/packages/admission/src/placementClient.ts
@@ -53,7 +53,7 @@
  * the coordinator.
  */
 const PREFILL_REPORT_MS: Milliseconds = 40;
-/** Delay within which a changed limit of an upstream is reported. */
+/** Delay within which a changed limit or slowdown of an upstream is reported. */
 const LIMIT_REPORT_MS: Milliseconds = 40;
 /**
  * Delay within which decisions are acknowledged, which only saves the
@@ -249,8 +249,9 @@
     report: UpstreamReport,
     now: Milliseconds,
   ): void {
-    const { requests, startsPerSecond, rejectionsPerSecond } = report;
-    const { rateLimits, tolerances } = this.#options.stats;
+    const { requests, startsPerSecond, rejectionsPerSecond, slowdown } = report;
+    const { rateLimits, tolerances, slowdowns } = this.#options.stats;
+    slowdowns.record({ service: rest.service, upstream, slowdown }, now);
     const isToleranceChanged =
       tolerances.of(rest.service) !== rejectionsPerSecond;
     tolerances.record(rest.service, rejectionsPerSecond, now);
@@ -262,8 +263,12 @@
     const isLimitChanged = rateLimits.of(upstream) !== startsPerSecond;
     rateLimits.record(upstream, startsPerSecond, now);
     const session = this.#sessionOf(cell);
+    const isSlowdownChanged = session.isSlowdownChanged(upstream, {
+      slowdown,
+      now,
+    });
     session.setUpstreamReport(upstream, report);
-    if (!isLimitChanged && !isToleranceChanged) return;
+    if (!isLimitChanged && !isToleranceChanged && !isSlowdownChanged) return;
     session.sendBy(now + LIMIT_REPORT_MS);
     this.#options.onSendScheduled();
   }
--- a/packages/admission/src/upstreamStats.ts
+++ b/packages/admission/src/upstreamStats.ts
@@ -3,12 +3,13 @@
 import { LatencyMargin } from "./latencyMargin.ts";
 import { FirstEventModel } from "./firstEventModel.ts";
 import { LinkFailures } from "./linkFailures.ts";
+import { MomentarySlowdown } from "./momentarySlowdown.ts";
 import { RejectionTolerances } from "./rejectionTolerances.ts";
 import type { RouteId, UpstreamOutcome } from "./types.ts";
 import { UpstreamHealth } from "./upstreamHealth.ts";
 import { UpstreamRateLimits } from "./upstreamRateLimits.ts";
 import { PauseRiskModel } from "./pauseRiskModel.ts";
-import { UpstreamSpeed } from "./upstreamSpeed.ts";
+import { type SpeedSample, UpstreamSpeed } from "./upstreamSpeed.ts";
 import { UpstreamWarmup } from "./upstreamWarmup.ts";
 
 /** What an attempt showed about its upstream. */
@@ -48,6 +49,8 @@
   readonly health = new UpstreamHealth();
   readonly links = new LinkFailures();
   readonly speed = new UpstreamSpeed();
+  /** How long work takes at the moment, as upstreams report it. */
+  readonly slowdowns = new MomentarySlowdown();
   readonly firstEvents = new FirstEventModel(this.speed);
   readonly latencyMargins = new LatencyMargin();
   readonly responseDurations = new ResponseDurationModel(this.speed);
@@ -87,13 +90,20 @@
     const { upstream, outcome, times } = observation;
     if (outcome === "not-run") this.tolerances.recordRejection(upstream, now);
     const isComplete = outcome === "whole" && times !== undefined;
-    if (isComplete) this.#recordTimes(observation, times);
+    if (isComplete) this.#recordTimes(observation, times, now);
+  }
+
+  /** Records the time per event of a stream that still runs. */
+  recordEventInterval(sample: SpeedSample, now: Milliseconds): void {
+    const duration = sample.duration / this.slowdowns.factor(sample, now);
+    this.speed.observe({ ...sample, duration });
   }
 
   /** Drops the statistics of an upstream that is gone for good. */
   forget(upstream: UpstreamId): void {
     this.health.forget(upstream);
     this.speed.forget(upstream);
+    this.slowdowns.forget(upstream);
     this.pauseRisks.forget(upstream);
     this.warmup.forget(upstream);
     this.rateLimits.forget(upstream);
@@ -102,40 +112,47 @@
 
   /**
    * Records the timings of a complete response. The speed is measured by the
-   * time per event of a stream, or by the total time of other responses.
+   * time per event of a stream, or by the total time of other responses. All
+   * times are divided by the slowdown that the upstream reported, so that the
+   * usual times are learned.
    */
   #recordTimes(
     { service, upstream, residence }: AttemptObservation,
     { route, expectedTokens, promptTokens, latency, events, ...timings }:
       ResponseTimings,
+    now: Milliseconds,
   ): void {
     const duration = residence - latency;
     const { ownTokens, latePauses } = timings;
+    const from = now - residence;
+    const work = { service, upstream };
+    const mean = this.slowdowns.mean(service, now);
+    const slowdown = this.slowdowns.during(work, { from, until: now });
+    const prefillSlowdown = this.slowdowns.during(work, {
+      from,
+      until: from + latency,
+    });
     const expected = this.firstEvents.expected(service, {
       promptTokens: ownTokens,
     });
     this.latencyMargins.observe(route, latency - expected);
     this.firstEvents.observe({
-      service,
-      upstream,
+      ...work,
       promptTokens,
-      duration: latency,
+      duration: latency * mean / prefillSlowdown,
     });
     this.responseDurations.observe({
+      ...work,
       route,
-      service,
-      upstream,
       expectedTokens,
-      duration,
+      duration: duration * mean / slowdown,
     });
     if (events > 0) {
-      this.pauseRisks.observe({ service, upstream, latePauses, duration });
+      this.pauseRisks.observe({ ...work, latePauses, duration });
     }
     if (events === 1) return;
-    this.speed.observe({
-      service,
-      upstream,
-      duration: events === 0 ? residence : duration / (events - 1),
-    });
+    const unit = events === 0 ? residence : duration / (events - 1);
+    this.speed.observe({ ...work, duration: unit / slowdown });
+    this.slowdowns.observe({ ...work, duration: unit, from, until: now });
   }
 }
--- a/packages/admission/tests/helpers/loadReplay.ts
+++ b/packages/admission/tests/helpers/loadReplay.ts
@@ -128,6 +128,18 @@
    * constant.
    */
   readonly isLearningLatency?: boolean;
+  /**
+   * Whether responses are plain: due when complete, with the report in front of
+   * the whole response.
+   */
+  readonly isPlain?: boolean;
+  /** Factor on the time of a request that starts at the given time. */
+  readonly slowdownOf?: (upstream: Upstream, at: Milliseconds) => number;
+  /** Returns the slowdown that an upstream reports; `undefined` for none. */
+  readonly reportedSlowdownOf?: (
+    upstream: Upstream,
+    at: Milliseconds,
+  ) => number | undefined;
 }
 
 /** Results of one tier. */
@@ -364,6 +376,8 @@
         run(simulated, {
           timer,
           work,
+          isPlain: replay.isPlain ?? false,
+          slowdownAt: (at) => replay.slowdownOf?.(upstream, at) ?? 1,
           prefillTime: (ownTokens + tokensOf(uncached)) *
             (replay.prefillTimePerToken ?? 0),
           onFirstEvent: () => {
@@ -373,12 +387,14 @@
               ? simulated.running + simulated.waiting.length
               : undefined;
             const startsPerSecond = replay.namedLimitOf?.(upstream, now);
+            const slowdown = replay.reportedSlowdownOf?.(upstream, now);
             const report = {
               requests,
               startsPerSecond,
               ...isBrittle(replay, now) && {
                 rejectionsPerSecond: replay.brittle!.rejectionsPerSecond,
               },
+              ...slowdown !== undefined && { slowdown },
             };
             client.recordUpstreamReport(upstream, report, now);
             client.endPrefill(upstream, promptTokens, now);
@@ -466,21 +482,26 @@
 
 function run(
   simulated: SimulatedUpstream,
-  { timer, work, prefillTime, onFirstEvent, onEnd }: {
+  { timer, work, isPlain, slowdownAt, prefillTime, onFirstEvent, onEnd }: {
     timer: VirtualTimer;
     work: Milliseconds;
+    isPlain: boolean;
+    slowdownAt: (at: Milliseconds) => number;
     prefillTime: Milliseconds;
     onFirstEvent: () => void;
     onEnd: () => void;
   },
 ): void {
   const begin = (): void => {
+    const now = timer.now();
+    const speed = simulated.speed / slowdownAt(now);
     simulated.running++;
-    const prefillFrom = Math.max(timer.now(), simulated.prefillUntil);
-    simulated.prefillUntil = prefillFrom + prefillTime / simulated.speed;
-    timer.after(simulated.prefillUntil - timer.now(), () => {
+    const prefillFrom = Math.max(now, simulated.prefillUntil);
+    simulated.prefillUntil = prefillFrom + prefillTime / speed;
+    const rest = work / speed;
+    timer.after(simulated.prefillUntil - now + (isPlain ? rest : 0), () => {
       onFirstEvent();
-      timer.after(work / simulated.speed, () => {
+      timer.after(isPlain ? 0 : rest, () => {
         simulated.running--;
         simulated.waiting.shift()?.();
         onEnd();
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -123,11 +123,11 @@
       context.unknownHeaders.check(upstream.upstream, headers);
     },
     onEventInterval: (duration) =>
-      upstreamStats.speed.observe({
+      upstreamStats.recordEventInterval({
         service,
         upstream: upstream.upstream,
         duration,
-      }),
+      }, timer.now()),
     listener,
   };
 }
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -53,6 +53,8 @@
    * usual time; absent if it does not say.
    */
   readonly slowdown?: number;
+  /** Whether some part of the upstream's report of its load is unreadable. */
+  readonly isLoadMalformed?: boolean;
   /**
    * Requests per second that the upstream takes from all hosts together;
    * `undefined` if it names no limit.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -42,6 +42,7 @@
 import { createPartCrashDetector } from "./createPartCrashDetector.ts";
 import { createStreamOrigins } from "./createStreamOrigins.ts";
 import { connectionShare } from "./connectionShare.ts";
+import { MalformedReports } from "./malformedReports.ts";
 import { UnknownHeaders } from "./unknownHeaders.ts";
 import { UpstreamConnections } from "./upstreamConnections.ts";
 import { UpstreamLinks } from "./upstreamLinks.ts";
@@ -317,6 +318,7 @@
         metrics,
         log,
       }),
+      malformedReports: new MalformedReports({ metrics, log }),
       policies,
       directory,
       upstreamStats,
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -29,6 +29,7 @@
 import type { DecisionLog } from "./decisionLog.ts";
 import type { Dialect } from "./dialect.ts";
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
+import type { MalformedReports } from "./malformedReports.ts";
 import type { PolicyState } from "./policyState.ts";
 import type { StreamOrigins } from "./streamOrigins.ts";
 import type { UnknownHeaders } from "./unknownHeaders.ts";
@@ -45,6 +46,8 @@
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
   readonly unknownHeaders: UnknownHeaders;
+  /** Load reports that could not be read whole. */
+  readonly malformedReports: MalformedReports;
   readonly policies: PolicyState;
   readonly directory: UpstreamDirectory;
   /** Statistics of how upstreams have served requests. */
--- a/packages/gateway/src/recordUpstreamReport.ts
+++ b/packages/gateway/src/recordUpstreamReport.ts
@@ -14,6 +14,9 @@
 ): void {
   recordLimit(upstream, metadata, context);
   recordBackoff(upstream, metadata, context);
+  if (metadata.isLoadMalformed) {
+    context.malformedReports.record(upstream.upstream);
+  }
   if (!metadata.isLeaving) return;
   context.metrics.count("upstream_leaving_responses");
   context.reportLeaving(upstream.upstream);
@@ -21,7 +24,8 @@
 
 function recordLimit(
   upstream: Upstream,
-  { load, startsPerSecond: named, rejectionsPerSecond }: ResponseMetadata,
+  { load, startsPerSecond: named, rejectionsPerSecond, slowdown }:
+    ResponseMetadata,
   { placementClient, upstreamStats, timer, log }: GatewayContext,
 ): void {
   const { rateLimits, tolerances } = upstreamStats;
@@ -32,6 +36,7 @@
     requests: load,
     startsPerSecond: named,
     ...rejectionsPerSecond !== undefined && { rejectionsPerSecond },
+    ...slowdown !== undefined && { slowdown },
   };
   placementClient.recordUpstreamReport(upstream, report, timer.now());
   if (tolerances.of(service) !== tolerated) {
--- a/packages/gateway/src/upstreamUpdates.ts
+++ b/packages/gateway/src/upstreamUpdates.ts
@@ -205,6 +205,7 @@
       connections,
       crashChecks,
       directory,
+      malformedReports,
       timer,
       log,
     } = this.#context;
@@ -212,6 +213,7 @@
     crashChecks.handleDeparture(known, why);
     upstreamStats.forget(upstream);
     upstreamActivity.forget(upstream);
+    malformedReports.forget(upstream);
     const closeTimer = timer.after(CONNECTION_CLOSE_DELAY_MS, () => {
       this.#pendingCloses.delete(closeTimer);
       const isUsed = directory.all().some((other) => other.address === address);
