--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -26,6 +26,7 @@
   "upstream_reinstated",
   "upstream_header_unknown",
   "upstream_malformed",
+  "load_report_malformed",
   "upstream_ejected",
   "links_broken",
   "links_restored",
