--- a/packages/admission/src/momentarySlowdown.ts
+++ b/packages/admission/src/momentarySlowdown.ts
@@ -1,56 +1,39 @@
 import type { Milliseconds, ServiceId, UpstreamId } from "@wasabivane/common";
 import { FigureTrust } from "./figureTrust.ts";
+import {
+  commonPart,
+  type Period,
+  RecentFigures,
+  weightAt,
+} from "./recentFigures.ts";
 
 /** Largest multiple of the usual time that an upstream can report. */
 const MAXIMUM_REPORTED = 100;
 /** Bounds of the effect of one figure. */
 const MINIMUM_SLOWDOWN = 0.25;
 const MAXIMUM_SLOWDOWN = 4;
-/**
- * Time for which a figure is taken as current. Exceeds the time to the next
- * response of an upstream that has some requests.
- */
-const HOLD_MS: Milliseconds = 400;
-/** Time constant with which an older figure decays to the usual time. */
-const DECAY_MS: Milliseconds = 300;
-/** Age at which a figure has no effect any more. */
-const RETENTION_MS: Milliseconds = 2_000;
-/** Figures kept for each upstream, and the least time between two of them. */
-const MAXIMUM_FIGURES = 16;
-const FIGURE_INTERVAL_MS: Milliseconds = 40;
 /** Time for which the mean of a service is not computed again. */
 const MEAN_LIFETIME_MS: Milliseconds = 5;
 /** Weight of a sample in the usual time of an upstream, and of a service. */
 const USUAL_WEIGHT = 0.05;
 
-/** What an upstream reported of itself. */
-export interface ReportedSlowdown {
+/** Work that is done at an upstream. */
+export interface UpstreamWork {
   readonly service: ServiceId;
   readonly upstream: UpstreamId;
+}
+
+/** What an upstream reported of itself. */
+export interface ReportedSlowdown extends UpstreamWork {
   /** Multiple of the usual time; `undefined` if it reports none. */
   readonly slowdown: number | undefined;
 }
 
-/** Time that an upstream took for one unit of work. */
-export interface WorkSample {
-  readonly service: ServiceId;
-  readonly upstream: UpstreamId;
+/** Measured duration of one unit of work of a response. */
+export interface WorkSample extends UpstreamWork {
   readonly duration: Milliseconds;
-  /** When the response began and ended. */
-  readonly from: Milliseconds;
-  readonly until: Milliseconds;
-}
-
-/** A period of time. */
-export interface Period {
-  readonly from: Milliseconds;
-  readonly until: Milliseconds;
-}
-
-interface Figure {
-  /** Natural logarithm of the slowdown. */
-  readonly value: number;
-  readonly at: Milliseconds;
+  /** When the response was in its slot. */
+  readonly period: Period;
 }
 
 /** A moving mean of logarithmic times. */
@@ -60,8 +43,8 @@
 }
 
 interface UpstreamState {
-  /** Figures that it reported, oldest first. */
-  readonly figures: Figure[];
+  /** Natural logarithms of the slowdowns that it reported. */
+  readonly figures: RecentFigures;
   readonly trust: FigureTrust;
   usual: UsualTime | undefined;
 }
@@ -72,6 +55,8 @@
   /** Those whose last figure may still have an effect. */
   readonly slowed: Set<UpstreamState>;
   readonly usual: UsualTime;
+  /** Natural logarithms of the mean factor. */
+  readonly means: RecentFigures;
   mean: number;
   meanAt: Milliseconds;
 }
@@ -98,69 +83,55 @@
     if (slowdown === undefined || !isSlowdown(slowdown)) return;
     const state = this.#serviceOf(service);
     const known = upstreamOf(state, upstream);
-    const { figures } = known;
-    const last = figures.at(-1);
-    const previous = figures.at(-2);
-    const isClose = last !== undefined && previous !== undefined &&
-      last.at - previous.at < FIGURE_INTERVAL_MS;
-    if (isClose) figures.pop();
-    figures.push({ value: Math.log(bounded(slowdown)), at: now });
-    if (figures.length > MAXIMUM_FIGURES) figures.shift();
+    known.figures.add(Math.log(bounded(slowdown)), now);
     state.slowed.add(known);
   }
 
   /** Returns the factor on the time of work at an upstream. */
-  factor(
-    { service, upstream }: Pick<WorkSample, "service" | "upstream">,
-    now: Milliseconds,
-  ): number {
-    return factorOf(this.#services.get(service)?.upstreams.get(upstream), now);
-  }
-
-  /** Returns the mean factor over the known upstreams of a service. */
-  mean(service: ServiceId, now: Milliseconds): number {
-    const state = this.#services.get(service);
-    if (state === undefined || state.slowed.size === 0) return 1;
-    const age = now - state.meanAt;
-    if (age < 0 || age >= MEAN_LIFETIME_MS) {
-      state.mean = computeMean(state, now);
-      state.meanAt = now;
-    }
-    return state.mean;
+  factor({ service, upstream }: UpstreamWork, now: Milliseconds): number {
+    const known = this.#services.get(service)?.upstreams.get(upstream);
+    return known === undefined ? 1 : factorOf(known, now);
   }
 
   /**
    * Returns the factor at an upstream relative to the mean of its service. A
    * slowdown of all upstreams leaves it at 1.
    */
-  relative(
-    work: Pick<WorkSample, "service" | "upstream">,
-    now: Milliseconds,
-  ): number {
-    return this.factor(work, now) / this.mean(work.service, now);
+  relative(work: UpstreamWork, now: Milliseconds): number {
+    return this.factor(work, now) / this.#mean(work.service, now);
   }
 
   /**
-   * Returns the factor that held for a whole period: that of its begin or its
-   * end, whichever is closer to 1. Work that ran partly at another speed is not
-   * explained by the figure at its end.
+   * Returns the factor that held for a whole period: that at its begin or at its
+   * end, whichever is closer to 1. A figure does not explain the time of work
+   * that partly ran at another speed.
    */
-  during(
-    { service, upstream }: Pick<WorkSample, "service" | "upstream">,
-    period: Period,
-  ): number {
+  during({ service, upstream }: UpstreamWork, period: Period): number {
     const known = this.#services.get(service)?.upstreams.get(upstream);
-    if (known === undefined || known.figures.length === 0) return 1;
-    return Math.exp(known.trust.value * reportedDuring(known, period));
+    if (known === undefined) return 1;
+    return Math.exp(known.trust.value * known.figures.valueDuring(period));
+  }
+
+  /** Returns the factor relative to the mean that held for a whole period. */
+  relativeDuring(work: UpstreamWork, { from, until }: Period): number {
+    this.#mean(work.service, until);
+    const state = this.#services.get(work.service);
+    const known = state?.upstreams.get(work.upstream);
+    const relativeAt = (at: Milliseconds): number =>
+      (known === undefined
+        ? 0
+        : known.trust.value * known.figures.valueAt(at)) -
+      (state?.means.valueAt(at) ?? 0);
+    return Math.exp(commonPart(relativeAt(from), relativeAt(until)));
   }
 
   /** Compares the time of a response with what the upstream reported. */
-  observe({ service, upstream, duration, ...period }: WorkSample): void {
+  observe({ service, upstream, duration, period }: WorkSample): void {
     if (duration <= 0) return;
     const state = this.#serviceOf(service);
     const known = upstreamOf(state, upstream);
     const time = Math.log(duration);
-    const reported = reportedDuring(known, period);
+    const reported = known.figures.valueDuring(period);
     known.usual ??= {
       value: state.usual.samples === 0 ? time : state.usual.value,
       samples: 0,
@@ -175,11 +146,23 @@
 
   forget(upstream: UpstreamId): void {
     for (const { upstreams, slowed } of this.#services.values()) {
-      const state = upstreams.get(upstream);
-      if (state === undefined) continue;
+      const known = upstreams.get(upstream);
+      if (known === undefined) continue;
       upstreams.delete(upstream);
-      slowed.delete(state);
+      slowed.delete(known);
+    }
+  }
+
+  /** Returns the mean factor over the known upstreams of a service. */
+  #mean(service: ServiceId, now: Milliseconds): number {
+    const state = this.#services.get(service);
+    if (state === undefined || state.slowed.size === 0) return 1;
+    if (now - state.meanAt >= MEAN_LIFETIME_MS) {
+      state.mean = computeMean(state, now);
+      state.meanAt = now;
+      state.means.add(Math.log(state.mean), now);
     }
+    return state.mean;
   }
 
   #serviceOf(service: ServiceId): ServiceState {
@@ -187,8 +170,9 @@
     if (state === undefined) {
       state = {
         upstreams: new Map(),
-        usual: { value: 0, samples: 0 },
         slowed: new Set(),
+        usual: { value: 0, samples: 0 },
+        means: new RecentFigures(),
         mean: 1,
         meanAt: -Infinity,
       };
@@ -215,51 +199,35 @@
   return Math.min(MAXIMUM_SLOWDOWN, Math.max(MINIMUM_SLOWDOWN, slowdown));
 }
 
-function weightAt(age: Milliseconds): number {
-  if (age <= HOLD_MS) return 1;
-  return age > RETENTION_MS ? 0 : Math.exp((HOLD_MS - age) / DECAY_MS);
+function factorOf(
+  { figures, trust }: UpstreamState,
+  now: Milliseconds,
+): number {
+  const value = figures.valueAt(now);
+  return value === 0 ? 1 : Math.exp(trust.value * value);
 }
 
+/** Returns the mean factor, and drops upstreams without an effect on it. */
 function computeMean(
   { upstreams, slowed }: ServiceState,
   now: Milliseconds,
 ): number {
   let excess = 0;
-  for (const state of slowed) {
-    const { value, at } = state.figures.at(-1)!;
-    if (value === 0 || now - at > RETENTION_MS) slowed.delete(state);
-    else excess += factorOf(state, now) - 1;
+  for (const known of slowed) {
+    if (known.figures.isOver(now)) slowed.delete(known);
+    else excess += factorOf(known, now) - 1;
   }
   return 1 + excess / upstreams.size;
 }
 
-function factorOf(state: UpstreamState | undefined, now: Milliseconds): number {
-  const last = state?.figures.at(-1);
-  if (state === undefined || last === undefined || last.value === 0) return 1;
-  const weight = weightAt(now - last.at);
-  return weight === 0 ? 1 : Math.exp(state.trust.value * last.value * weight);
-}
-
-/** Returns the logarithmic slowdown that was reported for a whole period. */
-function reportedDuring(
-  { figures }: UpstreamState,
-  { from, until }: Period,
-): number {
-  const first = reportedAt(figures, from);
-  const last = reportedAt(figures, until);
-  if (first * last <= 0) return 0;
-  return Math.abs(first) < Math.abs(last) ? first : last;
-}
-
-function reportedAt(figures: readonly Figure[], at: Milliseconds): number {
-  const figure = figures.findLast((candidate) => candidate.at <= at);
-  return figure === undefined ? 0 : figure.value * weightAt(at - figure.at);
-}
-
 function upstreamOf(state: ServiceState, upstream: UpstreamId): UpstreamState {
   let known = state.upstreams.get(upstream);
   if (known === undefined) {
-    known = { figures: [], trust: new FigureTrust(), usual: undefined };
+    known = {
+      figures: new RecentFigures(),
+      trust: new FigureTrust(),
+      usual: undefined,
+    };
     state.upstreams.set(upstream, known);
   }
   return known;
--- a/packages/admission/src/upstreamStats.ts
+++ b/packages/admission/src/upstreamStats.ts
@@ -124,14 +124,10 @@
   ): void {
     const duration = residence - latency;
     const { ownTokens, latePauses } = timings;
-    const from = now - residence;
     const work = { service, upstream };
-    const mean = this.slowdowns.mean(service, now);
-    const slowdown = this.slowdowns.during(work, { from, until: now });
-    const prefillSlowdown = this.slowdowns.during(work, {
-      from,
-      until: from + latency,
-    });
+    const period = { from: now - residence, until: now };
+    const { slowdowns } = this;
+    const beforeFirstEvent = { ...period, until: period.from + latency };
     const expected = this.firstEvents.expected(service, {
       promptTokens: ownTokens,
     });
@@ -139,20 +135,21 @@
     this.firstEvents.observe({
       ...work,
       promptTokens,
-      duration: latency * mean / prefillSlowdown,
+      duration: latency / slowdowns.relativeDuring(work, beforeFirstEvent),
     });
     this.responseDurations.observe({
       ...work,
       route,
       expectedTokens,
-      duration: duration * mean / slowdown,
+      duration: duration / slowdowns.relativeDuring(work, period),
     });
     if (events > 0) {
       this.pauseRisks.observe({ ...work, latePauses, duration });
     }
     if (events === 1) return;
     const unit = events === 0 ? residence : duration / (events - 1);
+    const slowdown = slowdowns.during(work, period);
     this.speed.observe({ ...work, duration: unit / slowdown });
-    this.slowdowns.observe({ ...work, duration: unit, from, until: now });
+    slowdowns.observe({ ...work, duration: unit, period });
   }
 }
