--- a/packages/admission/src/placement.ts
+++ b/packages/admission/src/placement.ts
@@ -298,6 +298,7 @@
     for (const upstream of upstreams) {
       const id = upstream.upstream;
       if (!caching.has(id) || isUnavailable(request, upstream, now)) continue;
+      if (this.#isSlowerThan(best, { upstream, request, now })) continue;
       const isFull = !health.isEjected(id, now) &&
         this.#freeSlotsAt(upstream, now) <= 0;
       if (isFull) {
@@ -317,6 +318,32 @@
     return now < request.since + span && now + span + latency <= request.dueAt;
   }
 
+  /**
+   * Whether an upstream that has more of the prompt cached is slowed down so
+   * much that its response would take longer than that of the best one.
+   */
+  #isSlowerThan(
+    best: UpstreamCandidate,
+    { upstream, request, now }: {
+      upstream: Upstream;
+      request: PlacementCriteria;
+      now: Milliseconds;
+    },
+  ): boolean {
+    const { prefixCaches, stats: { slowdowns } } = this.#options;
+    const { parts, promptTokens } = request;
+    const isSlowed = slowdowns.relative(upstream, now) >
+      slowdowns.relative(best.upstream, now);
+    if (!isSlowed) return false;
+    const id = upstream.upstream;
+    const cached = prefixCaches.cachedTokens(id, parts, now);
+    const responseTimeAt = (candidate: Upstream, tokens: number): number =>
+      this.#latencyAt(candidate, { promptTokens: promptTokens - tokens, now }) +
+      this.#durationAt(candidate, { request, now });
+    return responseTimeAt(upstream, cached) >
+      responseTimeAt(best.upstream, best.cachedTokens);
+  }
+
   #isSuitable(
     candidate: Upstream,
     { request, latency, now }: {
@@ -325,11 +352,10 @@
       now: Milliseconds;
     },
   ): boolean {
-    const { load, stats: { speed, slowdowns, pauseRisks } } = this.#options;
+    const { load, stats: { pauseRisks } } = this.#options;
     const { service, upstream } = candidate;
     if (now + latency > request.dueAt) return false;
-    const duration = request.responseDuration *
-      speed.slowness(service, upstream) * slowdowns.relative(candidate, now);
+    const duration = this.#durationAt(candidate, { request, now });
     if (now + latency + DURATION_MARGIN * duration > request.deadline) {
       return false;
     }
@@ -358,6 +384,16 @@
     return expected * stats.slowdowns.relative({ service, upstream }, now);
   }
 
+  /** Returns the expected time from the first event to the end. */
+  #durationAt(
+    { service, upstream }: Upstream,
+    { request, now }: { request: PlacementCriteria; now: Milliseconds },
+  ): Milliseconds {
+    const { speed, slowdowns } = this.#options.stats;
+    return request.responseDuration * speed.slowness(service, upstream) *
+      slowdowns.relative({ service, upstream }, now);
+  }
+
   /** Returns the expected time in which the upstream processes the tokens. */
   #prefillTimeAt(
     { service, upstream }: Upstream,
