--- a/packages/gateway/tests/helpers/plainDialect.ts
+++ b/packages/gateway/tests/helpers/plainDialect.ts
@@ -77,6 +77,7 @@
       isSealed: headerValue(headers, "mark") !== undefined,
       load: undefined,
       startsPerSecond: limit === undefined ? undefined : Number(limit),
+      isLoadMalformed: headerValue(headers, "malformed") !== undefined,
       isLeaving: headerValue(headers, "leaving") !== undefined,
       retryAfter: backoff === undefined ? undefined : Number(backoff),
     };
