--- a/packages/admission/src/cellCoordinator.ts
+++ b/packages/admission/src/cellCoordinator.ts
@@ -295,7 +295,8 @@
   ): void {
     const { stats, host, upstreams, cell } = this.#options;
     for (const [upstream, report] of reports) {
-      const { requests, startsPerSecond, rejectionsPerSecond } = report;
+      const { requests, startsPerSecond, rejectionsPerSecond, slowdown } =
+        report;
       if (requests !== undefined) {
         this.#scheduler.load.recordReport(upstream, requests, now);
       }
@@ -307,6 +308,8 @@
       if (!isListed) continue;
       stats.rateLimits.record(upstream, startsPerSecond, now);
       stats.tolerances.record(cell.service, rejectionsPerSecond, now);
+      const { service } = cell;
+      stats.slowdowns.record({ service, upstream, slowdown }, now);
     }
   }
 
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -37,6 +37,11 @@
 export { UpstreamWarmup } from "./upstreamWarmup.ts";
 export { type EjectionNotice, UpstreamHealth } from "./upstreamHealth.ts";
 export { PauseRiskModel, type PauseSample } from "./pauseRiskModel.ts";
+export {
+  MomentarySlowdown,
+  type ReportedSlowdown,
+  type WorkSample,
+} from "./momentarySlowdown.ts";
 export { type SpeedSample, UpstreamSpeed } from "./upstreamSpeed.ts";
 export {
   ResponseDurationModel,
--- a/packages/gateway/src/upstreamUpdates.ts
+++ b/packages/gateway/src/upstreamUpdates.ts
@@ -232,6 +232,7 @@
       connections,
       crashChecks,
       directory,
+      malformedReports,
       timer,
       log,
     } = this.#context;
@@ -239,6 +240,7 @@
     crashChecks.handleDeparture(known, why);
     upstreamStats.forget(upstream);
     upstreamActivity.forget(upstream);
+    malformedReports.forget(upstream);
     const closeTimer = timer.after(CONNECTION_CLOSE_DELAY_MS, () => {
       this.#pendingCloses.delete(closeTimer);
       const isUsed = directory.all().some((other) => other.address === address);
