--- a/packages/admission/tests/accountShares.test.ts
+++ b/packages/admission/tests/accountShares.test.ts
@@ -361,6 +361,23 @@
   t.is(queue.accountCount, 1_100);
 });
 
+test("starts and refusals are counted by account until they are taken", (t) => {
+  const queue = new RequestQueue<QueuedRequest>();
+  for (const name of ["a", "b", "c"]) {
+    queue.push(buildRequest(name, { account: name }), 0);
+  }
+  queue.start(asId<RequestId>("b"), 1);
+  queue.recordRefusal(queue.remove(asId<RequestId>("c"))!);
+  const counts = queue.takeAccountUse();
+  t.is(counts.length, 3);
+  const find = (name: string): unknown =>
+    counts.find(({ account }) => `${account}` === name);
+  t.like(find("a"), { starts: 0, refused: 0, waiting: 1 });
+  t.like(find("b"), { starts: 1, refused: 0, waiting: 0 });
+  t.like(find("c"), { starts: 0, refused: 1, waiting: 0 });
+  t.is(queue.takeAccountUse().length, 1);
+});
+
 test("accounts that no longer wait or start requests are dropped", (t) => {
   // Guards against state that grows with every account ever seen.
   const queue = new RequestQueue<QueuedRequest>();
