--- a/packages/admission/src/accountShares.ts
+++ b/packages/admission/src/accountShares.ts
@@ -4,24 +4,6 @@
 const RETENTION_MS: Milliseconds = 5_000;
 const REMOVAL_INTERVAL_MS: Milliseconds = 1_000;
 
-/**
- * Received work is compared in steps of this size. Accounts in the same step
- * start by due time: with smaller steps, a request of an account that sends
- * rarely would pass others that are due before it, and more of them would be
- * late.
- */
-const STEP_MS: Milliseconds = 500;
-
-/** Returns the step of received work. */
-export function stepOf(work: Milliseconds): number {
-  return Math.floor(work / STEP_MS);
-}
-
-/** Returns the work that is received before a step. */
-export function workBefore(step: number): Milliseconds {
-  return step * STEP_MS;
-}
-
 /** Place of a request among those of all accounts of its rank. */
 export interface Turn {
   /** Step of the work that its account has received by then. */
--- a/packages/admission/src/fairWalk.ts
+++ b/packages/admission/src/fairWalk.ts
@@ -1,11 +1,7 @@
 import { Heap, type Milliseconds } from "@wasabivane/common";
-import {
-  type AccountShare,
-  isTurnBefore,
-  stepOf,
-  type Turn,
-} from "./accountShares.ts";
+import { type AccountShare, isTurnBefore, type Turn } from "./accountShares.ts";
 import type { SortedQueue } from "./sortedQueue.ts";
+import type { WorkSteps } from "./workSteps.ts";
 
 /** Waiting requests of one account and rank, and the turn of the first one. */
 export interface AccountQueue<Item> extends Turn {
@@ -53,6 +49,7 @@
 export class FairWalk<Item extends { readonly slotTime: Milliseconds }> {
   /** Queues by turn. */
   readonly #queues: readonly AccountQueue<Item>[];
+  readonly #steps: WorkSteps;
   readonly #planned: PlannedWork;
   readonly #maximumSlotTime: Milliseconds;
   /** Cursors of accounts with visited requests or planned starts. */
@@ -60,10 +57,14 @@
   #nextQueue = 0;
 
   constructor(
-    queues: readonly AccountQueue<Item>[],
+    { queues, steps }: {
+      queues: readonly AccountQueue<Item>[];
+      steps: WorkSteps;
+    },
     { planned, maximumSlotTime = Infinity }: FairWalkOptions,
   ) {
     this.#queues = queues;
+    this.#steps = steps;
     this.#planned = planned;
     this.#maximumSlotTime = maximumSlotTime;
   }
@@ -95,7 +96,7 @@
         queue,
         index: 0,
         work: planned ?? share.virtualTime,
-        step: planned === undefined ? step : stepOf(planned),
+        step: planned === undefined ? step : this.#steps.of(planned),
         priority,
         order,
       };
@@ -118,7 +119,7 @@
       cursor.index++;
       if (visited === "start") cursor.work += item.slotTime;
       if (cursor.index === items.size) break;
-      cursor.step = stepOf(cursor.work);
+      cursor.step = this.#steps.of(cursor.work);
       const next = items.keyAt(cursor.index)!;
       cursor.priority = next.priority;
       cursor.order = next.order;
--- a/packages/admission/src/rankQueue.ts
+++ b/packages/admission/src/rankQueue.ts
@@ -1,11 +1,5 @@
 import type { Milliseconds } from "@wasabivane/common";
-import {
-  type AccountShare,
-  isTurnBefore,
-  stepOf,
-  type Turn,
-  workBefore,
-} from "./accountShares.ts";
+import { type AccountShare, isTurnBefore, type Turn } from "./accountShares.ts";
 import {
   type AccountQueue,
   FairWalk,
@@ -13,6 +7,7 @@
   type Visit,
 } from "./fairWalk.ts";
 import { SortedQueue } from "./sortedQueue.ts";
+import type { WorkSteps } from "./workSteps.ts";
 
 /** Key of a request in the queue of its account. */
 export interface RankKey {
@@ -31,6 +26,7 @@
 export class RankQueue<Item extends { readonly slotTime: Milliseconds }> {
   /** Received work of the account that started last from this or a prior rank. */
   clock: Milliseconds = 0;
+  readonly #steps: WorkSteps;
   readonly #accounts = new Map<AccountShare, AccountQueue<Item>>();
   /** Queues of the accounts by turn. */
   readonly #byTurn: AccountQueue<Item>[] = [];
@@ -38,6 +34,10 @@
   /** No item has a lower priority value. */
   #leastPriority: Milliseconds = Infinity;
 
+  constructor(steps: WorkSteps) {
+    this.#steps = steps;
+  }
+
   get size(): number {
     return this.#size;
   }
@@ -78,12 +78,20 @@
     if (queue !== undefined) this.#reorder(queue);
   }
 
+  /** Sorts all accounts again after the size of the steps has changed. */
+  sort(): void {
+    for (const queue of this.#byTurn) {
+      queue.step = this.#steps.of(queue.share.virtualTime);
+    }
+    this.#byTurn.sort((left, right) => isTurnBefore(left, right) ? -1 : 1);
+  }
+
   #join(key: RankKey): AccountQueue<Item> {
     const { share } = key;
     const queue = {
       ...key,
       items: new SortedQueue<Item>(),
-      step: stepOf(share.virtualTime),
+      step: this.#steps.of(share.virtualTime),
       work: 0,
       leastSlotTime: Infinity,
     };
@@ -93,7 +101,7 @@
   }
 
   #reorder(queue: AccountQueue<Item>): void {
-    const step = stepOf(queue.share.virtualTime);
+    const step = this.#steps.of(queue.share.virtualTime);
     const { priority, order } = queue.items.keyAt(0)!;
     if (step === queue.step && order === queue.order) return;
     const isAlone = this.#byTurn.length === 1;
@@ -158,11 +166,12 @@
     const upTo = queue?.items.countUpTo(priority) ?? 0;
     const own = isQueued ? upTo - 1 : upTo;
     const ownWork = queue === undefined ? 0 : own * meanSlotTime(queue);
-    const step = stepOf(work + ownWork);
+    const step = this.#steps.of(work + ownWork);
     let ahead = own;
     for (const other of this.#byTurn) {
       if (other.step > step) break;
-      if (other !== queue) ahead += countBefore(other, { step, priority });
+      if (other === queue) continue;
+      ahead += countBefore(other, { step, priority, steps: this.#steps });
     }
     return ahead;
   }
@@ -172,7 +181,9 @@
    * started, until a visit returns "stop".
    */
   walk(visit: (item: Item) => Visit, options: FairWalkOptions): void {
-    if (this.#size > 0) new FairWalk(this.#byTurn, options).run(visit);
+    if (this.#size === 0) return;
+    const queues = { queues: this.#byTurn, steps: this.#steps };
+    new FairWalk(queues, options).run(visit);
   }
 }
 
@@ -191,18 +202,21 @@
 /** Returns how many requests of an account start before a turn. */
 function countBefore(
   queue: AccountQueue<unknown>,
-  { step, priority }: Omit<Turn, "order">,
+  { step, priority, steps }: Omit<Turn, "order"> & { steps: WorkSteps },
 ): number {
   if (queue.step === step && queue.priority > priority) return 0;
-  const inSteps = countInSteps(queue, step);
+  const inSteps = countWithin(queue, steps.workBefore(step));
   if (inSteps === queue.items.size) return inSteps;
-  const withStep = countInSteps(queue, step + 1);
+  const withStep = countWithin(queue, steps.workBefore(step + 1));
   return Math.max(inSteps, Math.min(withStep, countUpTo(queue, priority)));
 }
 
-/** Returns how many requests of an account start before a step. */
-function countInSteps(queue: AccountQueue<unknown>, step: number): number {
-  const work = workBefore(step) - queue.share.virtualTime;
-  const count = Math.max(0, Math.ceil(work / meanSlotTime(queue)));
+/** Returns how many requests of an account start before it has received work. */
+function countWithin(
+  queue: AccountQueue<unknown>,
+  work: Milliseconds,
+): number {
+  const remaining = work - queue.share.virtualTime;
+  const count = Math.max(0, Math.ceil(remaining / meanSlotTime(queue)));
   return Math.min(queue.items.size, count);
 }
--- a/packages/admission/src/tierQueue.ts
+++ b/packages/admission/src/tierQueue.ts
@@ -1,5 +1,5 @@
 import type { ClientAccountId, Milliseconds, Tier } from "@wasabivane/common";
-import { type AccountShare, AccountShares, stepOf } from "./accountShares.ts";
+import { type AccountShare, AccountShares } from "./accountShares.ts";
 import type { FairWalkOptions, Visit } from "./fairWalk.ts";
 import { type RankKey, RankQueue } from "./rankQueue.ts";
 import {
@@ -9,6 +9,7 @@
   ranksOf,
 } from "./requestRanks.ts";
 import type { Rank } from "./startRates.ts";
+import { WorkSteps } from "./workSteps.ts";
 
 /** A queued request and its position. */
 export interface QueueEntry<Item> extends RankKey {
@@ -25,11 +26,12 @@
  */
 export class TierQueue<Item extends QueuedRequest> {
   readonly #shares = new AccountShares();
+  readonly #steps = new WorkSteps();
   readonly #ranks: ReadonlyMap<Rank, RankQueue<Item>>;
 
   constructor(tier: Tier) {
     this.#ranks = new Map(
-      ranksOf(tier).map((rank) => [rank, new RankQueue<Item>()]),
+      ranksOf(tier).map((rank) => [rank, new RankQueue<Item>(this.#steps)]),
     );
   }
 
@@ -93,6 +95,10 @@
       if (other >= rank) queue.clock = share.virtualTime;
     }
     this.#setWork(share, share.virtualTime + item.slotTime);
+    if (!this.#ranks.has(rank) || !this.#steps.recordStart(item.slotTime)) {
+      return;
+    }
+    for (const queue of this.#ranks.values()) queue.sort();
   }
 
   /** Visits the requests of a rank, see {@link RankQueue.walk}. */
@@ -151,7 +157,7 @@
     { than }: { than: ClientAccountId | undefined },
   ): boolean {
     const stepOfAccount = (account: ClientAccountId | undefined): number =>
-      stepOf(this.#shares.find(account)?.virtualTime ?? 0);
+      this.#steps.of(this.#shares.find(account)?.virtualTime ?? 0);
     return stepOfAccount(account) <= stepOfAccount(than);
   }
 
--- a/packages/admission/tests/accountShares.test.ts
+++ b/packages/admission/tests/accountShares.test.ts
@@ -203,6 +203,24 @@
   t.true(totalServed(results) >= DONE_SHARE * capacity);
 });
 
+test("small accounts are served beside large ones where requests and targets are short", (t) => {
+  // Guards against small accounts that wait until each large one has started
+  // several requests, which takes longer than their target with few slots.
+  const large = { rate: 60, length: 43, target: 199 };
+  const small = { ...large, rate: 5 };
+  const results = replayAccounts({
+    large,
+    second: large,
+    third: large,
+    b: small,
+    c: small,
+    d: small,
+  }, { upstreams: 3, slots: 1, isLearningLatency: true });
+  for (const name of SMALL) {
+    t.true(shareServed(results[name]!) >= SMALL_SHARE);
+  }
+});
+
 test("all requests are served where capacity suffices", (t) => {
   // Guards against shares that refuse requests although slots are free.
   const results = replayAccounts({
