--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -62,6 +62,13 @@
     registers: [this.#registry],
   });
 
+  /**
+   * Counts and values since the last text; several a message, which the library
+   * would look up by a text of their labels.
+   */
+  readonly #counts = new Map<string, number>();
+  readonly #values = new Map<string, number>();
+
   /** Records a finished request. */
   observe(sample: RequestSample): void {
     const labels = {
@@ -77,15 +84,19 @@
   }
 
   count(name: string, by = 1): void {
-    this.#events.inc({ name }, by);
+    this.#counts.set(name, (this.#counts.get(name) ?? 0) + by);
   }
 
   set(name: string, value: number): void {
-    this.#gauges.set({ name }, value);
+    this.#values.set(name, value);
   }
 
   /** Returns all metrics in the Prometheus text format. */
   text(): Promise<string> {
+    for (const [name, by] of this.#counts) this.#events.inc({ name }, by);
+    for (const [name, value] of this.#values) this.#gauges.set({ name }, value);
+    this.#counts.clear();
+    this.#values.clear();
     return this.#registry.metrics();
   }
 
