--- a/packages/gateway/tests/listHistory.test.ts
+++ b/packages/gateway/tests/listHistory.test.ts
@@ -15,7 +15,13 @@
 } from "@wasabivane/gateway";
 import test from "ava";
 import * as fc from "fast-check";
-import { buildEntry, startGateway } from "./helpers/fleet.ts";
+import {
+  buildEntry,
+  startGateway,
+  startHostPair,
+  startUpstream,
+  waitUntil,
+} from "./helpers/fleet.ts";
 
 const NOW = 1_000;
 const ADDRESS = "127.0.0.1:9";
@@ -239,3 +245,24 @@
   }
   t.is(fetched, CHANGES);
 });
+
+test("a change too large for a message reaches a follower as a difference", async (t) => {
+  // Guards against whole lists between hosts that have the same history.
+  const upstream = await startUpstream(() => {});
+  const { reader, follower, close } = await startHostPair([upstream]);
+  t.teardown(close);
+  const names = Array.from({ length: 10 }, (_, index) => `n${index}`);
+  reader.gateway.applyListChange({
+    from: 1,
+    to: 2,
+    upstreams: names.map((name) => buildEntry(name, { address: ADDRESS })),
+    removed: ["u0"],
+  });
+  const { storeSharing, context } = follower.gateway;
+  await waitUntil(() => storeSharing.listRevision === 2);
+  const listed = context.directory.all().map(({ name }) => name);
+  t.deepEqual(listed.toSorted(), names);
+  const text = await context.metrics.text();
+  t.regex(text, /name="list_changes_fetched"\} 1\n/);
+  t.regex(text, /name="whole_lists_fetched"\} 1\n/);
+});
