--- a/packages/admission/src/cellSession.ts
+++ b/packages/admission/src/cellSession.ts
@@ -13,6 +13,7 @@
   UpstreamReport,
 } from "./cellMessages.ts";
 import { decayedSlowdown, isSlowdown } from "./momentarySlowdown.ts";
+import { weightAt } from "./recentFigures.ts";
 import type { AttemptObservation } from "./upstreamStats.ts";
 
 /** Shortest time after which an update without a reply is resent. */
@@ -399,8 +400,14 @@
     this.#reports.clear();
     for (const [upstream, { slowdown }] of reports) {
       if (slowdown === undefined) continue;
+      // The map is ordered by time, so that old entries come first.
+      this.#slowdownsTold.delete(upstream);
       this.#slowdownsTold.set(upstream, { slowdown, at: now });
     }
+    for (const [upstream, { at }] of this.#slowdownsTold) {
+      if (weightAt(now - at) > 0) break;
+      this.#slowdownsTold.delete(upstream);
+    }
     return reports;
   }
 
