--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -56,11 +56,8 @@
 export { TransitEstimator } from "./transitEstimator.ts";
 export { UpstreamProbe, type UpstreamState } from "./upstreamProbe.ts";
 export { type PolicyReading, StorePolicy } from "./storePolicy.ts";
-export {
-  StoreSharing,
-  type StoreSharingOptions,
-  type UpstreamList,
-} from "./storeSharing.ts";
+export { StoreSharing, type StoreSharingOptions } from "./storeSharing.ts";
+export type { UpstreamList } from "./sharedList.ts";
 export {
   eraOf,
   joinRevision,
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -1,14 +1,12 @@
-import type { FailureDomain, HostId, Milliseconds } from "@wasabivane/common";
+import type { HostId, Milliseconds } from "@wasabivane/common";
 import type { Upstream } from "@wasabivane/admission";
 import { FetchSchedule } from "./fetchSchedule.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { UpstreamListChange } from "./gossipMessage.ts";
-import { changeBetween, ListHistory } from "./listHistory.ts";
 import type { SnapshotVersions, StoreSnapshot } from "./operatorEndpoints.ts";
 import type { PolicyProof } from "./policyState.ts";
-import { createSnapshot } from "./createSnapshot.ts";
+import { SharedList, type UpstreamList } from "./sharedList.ts";
 import { SnapshotFetcher, type SnapshotRequest } from "./snapshotFetcher.ts";
-import { eraOf } from "./storeRevision.ts";
 import type { PeerDirectory } from "./peerDirectory.ts";
 import type { UpstreamUpdates } from "./upstreamUpdates.ts";
 
@@ -39,23 +37,6 @@
  */
 const OWN_READ_MS: Milliseconds = 300;
 
-/**
- * Time after a restore of the store within which operators and upstreams write
- * again what its copy lacks.
- */
-const RENEWAL_MS: Milliseconds = 2_000;
-const DEFAULT_ENTRY_LEASE_MS: Milliseconds = 6_000;
-
-/** All upstreams and evacuations at one revision of the store. */
-export interface UpstreamList {
-  readonly upstreams: readonly Upstream[];
-  readonly evacuated: readonly FailureDomain[];
-  /** Joined store revision. */
-  readonly revision: number;
-  /** Until when missing entries are used, as they may have lapsed. */
-  readonly keepUntil?: Milliseconds | undefined;
-}
-
 /** Options of a {@link StoreSharing}. */
 export interface StoreSharingOptions {
   readonly context: GatewayContext;
@@ -89,19 +70,9 @@
   #isStoreLost = true;
   /** Whether the first read of the store has ended, or is not waited for. */
   #isFirstReadOver = false;
-  #listRevision = 0;
-  /**
-   * Lowest revision that the store has shown to be wrong, by being at a lower
-   * one.
-   */
-  #refutedRevision = Infinity;
-  /** Until when entries that a restored store lacks may be written again. */
-  #renewedBy: Milliseconds = -Infinity;
-  /** Until when a restored store may list entries of upstreams that are gone. */
-  #ignoreRemovedUntil: Milliseconds = -Infinity;
   /** Time at which a peer first announced a newer list than this host has. */
   #behindSince: Milliseconds | undefined;
-  readonly #history = new ListHistory();
+  readonly #list: SharedList;
   readonly #fetches: FetchSchedule;
   readonly #fetcher: SnapshotFetcher;
   readonly #startedAt: Milliseconds;
@@ -110,6 +81,10 @@
   constructor(options: StoreSharingOptions) {
     this.#options = options;
     this.#startedAt = options.context.timer.now();
+    this.#list = new SharedList({
+      ...options,
+      onAdvance: () => this.#behindSince = undefined,
+    });
     this.#fetches = new FetchSchedule({
       timer: options.context.timer,
       isNewer: (versions) => this.#isNewer(versions),
@@ -117,7 +92,7 @@
     });
     this.#fetcher = new SnapshotFetcher({
       ...options,
-      listRevision: () => this.#listRevision,
+      listRevision: () => this.#list.revision,
       apply: (snapshot, requestedAt) =>
         this.#applySnapshot(snapshot, requestedAt),
     });
@@ -137,7 +112,7 @@
   get shouldReadStore(): boolean {
     const { peers, applyBound, context } = this.#options;
     const { policies, elapsed, timer } = context;
-    if (this.#listRevision === 0) return true;
+    if (this.#list.revision === 0) return true;
     const confirmationAge = policies.freshness.age(elapsed.now());
     const rank = peers.precedingReaderCount - STORE_READERS;
     const isDiscovering = timer.now() - this.#startedAt < DISCOVERY_MS;
@@ -155,7 +130,7 @@
 
   /** Store revision up to which all upstreams are known; 0 if they are not. */
   get listRevision(): number {
-    return this.#listRevision;
+    return this.#list.revision;
   }
 
   /**
@@ -163,23 +138,12 @@
    * that cannot be sent to peers as a difference.
    */
   advanceListRevision(revision: number): void {
-    if (revision > this.#listRevision) this.#history.restart(revision);
-    this.#raiseListRevision(revision);
+    this.#list.advance(revision);
   }
 
   /** Records a change of the list that has been applied. */
   recordChange(change: UpstreamListChange): void {
-    if (change.to > this.#listRevision) {
-      this.#history.record(change, this.#listRevision);
-    }
-    this.#raiseListRevision(change.to);
-  }
-
-  #raiseListRevision(revision: number): void {
-    if (revision >= this.#refutedRevision) this.#refutedRevision = Infinity;
-    if (revision <= this.#listRevision) return;
-    this.#listRevision = revision;
-    this.#behindSince = undefined;
+    this.#list.recordChange(change);
   }
 
   /**
@@ -187,66 +151,20 @@
    * them.
    */
   recordListed(upstreams: readonly Upstream[]): void {
-    this.#history.addToAll(upstreams);
+    this.#list.recordListed(upstreams);
   }
 
   /** Whether the store may have reached a revision that a peer tells of. */
   isPlausible(revision: number): boolean {
-    return revision < this.#refutedRevision;
+    return this.#list.isPlausible(revision);
   }
 
   /**
-   * Applies the list of the store itself. `knownBefore` is the revision that was
-   * known when it was requested: if the store is not even there, that one is
-   * wrong, and peers that tell of it are not believed.
+   * Applies the list of the store itself; `knownBefore` is the revision that was
+   * known when it was requested.
    */
   applyStoreList(list: UpstreamList, knownBefore: number): void {
-    const { revision } = list;
-    if (revision < knownBefore) {
-      this.#refutedRevision = Math.min(knownBefore, this.#refutedRevision);
-      this.#listRevision = 0;
-    }
-    // A peer may have sent a newer list during the read.
-    if (revision < this.#listRevision) return;
-    this.#applyList(list, "store");
-    const isRefuted = revision < knownBefore &&
-      eraOf(revision) === eraOf(knownBefore);
-    // A peer's list at a refuted revision may not be what the store had there.
-    this.#history.restart(isRefuted ? knownBefore + 1 : revision);
-    this.#raiseListRevision(revision);
-  }
-
-  /** Replaces the list; an entry or evacuation that a copy lacks is kept a while. */
-  #applyList(
-    { upstreams, evacuated, revision, keepUntil }: UpstreamList,
-    by: "store" | "peer",
-  ): void {
-    const { upstreamUpdates, context } = this.#options;
-    const now = context.timer.now();
-    const isRestored = this.#recordEra(eraOf(revision), by);
-    const ifAhead = (time: Milliseconds): Milliseconds | undefined =>
-      time > now ? time : undefined;
-    upstreamUpdates.applyEvacuation(
-      new Set(evacuated),
-      isRestored ? this.#ignoreRemovedUntil : undefined,
-    );
-    upstreamUpdates.applyAll(upstreams, {
-      keepUntil: keepUntil ?? ifAhead(this.#renewedBy),
-      ignoreRemovedUntil: ifAhead(this.#ignoreRemovedUntil),
-    });
-  }
-
-  /** Returns whether the store has come back from a copy since the last list. */
-  #recordEra(era: number, by: "store" | "peer"): boolean {
-    const former = eraOf(this.#listRevision);
-    const { log, metrics } = this.#options.context;
-    metrics.set("store_era", era);
-    if (former === 0 || era <= former) return false;
-    log.write("store_era_changed", { former, era, by });
-    const { context, entryLease = DEFAULT_ENTRY_LEASE_MS } = this.#options;
-    this.#renewedBy = context.timer.now() + RENEWAL_MS;
-    this.#ignoreRemovedUntil = this.#renewedBy + entryLease;
-    return true;
+    this.#list.applyStoreList(list, knownBefore);
   }
 
   /** Handles a peer's list revision, and fetches the list if it is newer. */
@@ -278,7 +196,7 @@
 
   #isNewer({ policyVersion, listRevision }: SnapshotVersions): boolean {
     if (policyVersion > this.#options.context.policies.version) return true;
-    return listRevision > this.#listRevision && this.isPlausible(listRevision);
+    return this.#list.isNewer(listRevision);
   }
 
   /** Reports whether a read of the store succeeded. */
@@ -326,72 +244,21 @@
 
   /** Returns this host's contents of the store, for a peer. */
   createSnapshot(known: SnapshotVersions): StoreSnapshot {
-    return createSnapshot({
-      context: this.#options.context,
-      history: this.#history,
-      listRevision: this.#listRevision,
-      known,
-    });
+    return this.#list.createSnapshot(known);
   }
 
-  /**
-   * Ignores a list that is not newer, since it would bring back upstreams that
-   * have left. Returns false for a difference that does not follow on the list.
-   */
+  /** Returns false for a difference that does not follow on the list. */
   #applySnapshot(snapshot: StoreSnapshot, requestedAt: Milliseconds): boolean {
     const { adoptPolicy } = this.#options;
-    const { policy, policyRevision, listRevision, change } = snapshot;
-    const isNewer = listRevision > this.#listRevision;
-    if (isNewer && this.isPlausible(listRevision)) {
-      if (change !== undefined && !this.#follows(change)) return false;
-      this.#applyUpstreams(snapshot);
-    }
+    const { policy, policyRevision, listRevision } = snapshot;
+    if (!this.#list.applySnapshot(snapshot)) return false;
     // The peer's confirmation covers its policy and list together.
     if (policy.length === 0) return true;
-    const hasCurrentList = listRevision >= this.#listRevision;
+    const hasCurrentList = listRevision >= this.#list.revision;
     const confirmedAt = hasCurrentList
       ? requestedAt - snapshot.proofAge
       : -Infinity;
     adoptPolicy(policy, { confirmedAt, revision: policyRevision });
     return true;
   }
-
-  /** Whether a difference misses no change after this host's list. */
-  #follows({ from, to }: UpstreamListChange): boolean {
-    return from <= this.#listRevision &&
-      eraOf(to) === eraOf(this.#listRevision);
-  }
-
-  #applyUpstreams(snapshot: StoreSnapshot): void {
-    const { upstreamUpdates, context } = this.#options;
-    const { change, kept } = snapshot;
-    if (change === undefined) {
-      context.metrics.count("whole_lists_fetched");
-      this.#applyPeerList(snapshot);
-    } else {
-      context.metrics.count("list_changes_fetched");
-      upstreamUpdates.applyChange(change);
-      this.recordChange(change);
-    }
-    const now = context.timer.now();
-    for (const { name, left } of kept) upstreamUpdates.remove(name, now + left);
-  }
-
-  /**
-   * Replaces the list by that of a peer. The history goes on, or hosts that have
-   * fetched a whole list would have to send whole lists to others.
-   */
-  #applyPeerList(
-    { upstreams, evacuated, kept, listRevision }: StoreSnapshot,
-  ): void {
-    const known = this.#listRevision;
-    const change = changeBetween(this.#options.context.directory.all(), {
-      from: known,
-      to: listRevision,
-      upstreams,
-      kept,
-    });
-    this.#applyList({ upstreams, evacuated, revision: listRevision }, "peer");
-    this.recordChange(change);
-  }
 }
