Ignore late responses of upstreams that have left in the mean slowdown

Cause: responses that end after their upstream was dropped created its state again, which then counted in the mean of the service for good. After one round of restarts a slowdown of all six upstreams left a relative factor of 1.43 in place of 1 (found in review, by a script).

Change: upstreams that were dropped are ignored from then on; the latest 1,024 are remembered.

--- a/packages/admission/src/momentarySlowdown.ts
+++ b/packages/admission/src/momentarySlowdown.ts
@@ -16,6 +16,8 @@
 const MEAN_LIFETIME_MS: Milliseconds = 5;
 /** Weight of a sample in the usual time of an upstream, and of a service. */
 const USUAL_WEIGHT = 0.05;
+/** Upstreams that have left whose late responses are ignored. */
+const MAXIMUM_FORGOTTEN = 1_024;
 
 /** Work that is done at an upstream. */
 export interface UpstreamWork {
@@ -71,6 +73,11 @@
  */
 export class MomentarySlowdown {
   readonly #services = new Map<ServiceId, ServiceState>();
+  /**
+   * Upstreams that have left, the latest last. Their responses may still end, and
+   * must not count in the mean of the service again.
+   */
+  readonly #forgotten = new Set<UpstreamId>();
 
   /**
    * Records what an upstream reported; a figure that is not above 0 and at most
@@ -81,6 +88,7 @@
     now: Milliseconds,
   ): void {
     if (slowdown === undefined || !isSlowdown(slowdown)) return;
+    if (this.#forgotten.has(upstream)) return;
     const state = this.#serviceOf(service);
     const known = upstreamOf(state, upstream);
     known.figures.add(Math.log(bounded(slowdown)), now);
@@ -127,7 +135,7 @@
 
   /** Compares the time of a response with what the upstream reported. */
   observe({ service, upstream, duration, period }: WorkSample): void {
-    if (duration <= 0) return;
+    if (duration <= 0 || this.#forgotten.has(upstream)) return;
     const state = this.#serviceOf(service);
     const known = upstreamOf(state, upstream);
     const time = Math.log(duration);
@@ -144,7 +152,13 @@
     blend(state.usual, usualTime);
   }
 
+  /** Drops an upstream that has left, and ignores it from now on. */
   forget(upstream: UpstreamId): void {
+    this.#forgotten.add(upstream);
+    if (this.#forgotten.size > MAXIMUM_FORGOTTEN) {
+      const [oldest] = this.#forgotten;
+      this.#forgotten.delete(oldest!);
+    }
     for (const { upstreams, slowed } of this.#services.values()) {
       const known = upstreams.get(upstream);
       if (known === undefined) continue;
--- a/packages/admission/tests/momentarySlowdown.test.ts
+++ b/packages/admission/tests/momentarySlowdown.test.ts
@@ -198,6 +198,26 @@
   t.is(slowdowns.relative(FIRST, 20), 1);
 });
 
+test("late responses of upstreams that have left do not count in the mean", (t) => {
+  // Guards against restarts after which all upstreams seem slowed down.
+  const slowdowns = new MomentarySlowdown();
+  const workAt = (upstream: Upstream) => ({
+    service: PLANS,
+    upstream: upstream.upstream,
+  });
+  for (let index = 0; index < 12; index++) {
+    const work = workAt(buildUpstream(index));
+    slowdowns.record({ ...work, slowdown: SLOWDOWN }, 0);
+    if (index >= UPSTREAMS) continue;
+    slowdowns.forget(work.upstream);
+    const period = { from: 0, until: 100 };
+    slowdowns.observe({ ...work, duration: 100, period });
+    slowdowns.record({ ...work, slowdown: 1 }, 0);
+  }
+  const relative = slowdowns.relative(workAt(buildUpstream(UPSTREAMS)), 10);
+  t.true(Math.abs(relative - 1) < 0.01, `${relative}`);
+});
+
 test("the usual speed of an upstream is learned while it is slowed down", (t) => {
   // Guards against an upstream that counts as slow long after a slowdown.
   const { stats } = buildScheduler([]);
