Leave no slot empty in a queue for a slowdown of the moment

Cause: a request that no free upstream suited at its present speed waited for a full one that did.

Change: requests wait for that at most a quarter of their target; after it the upstream's usual speed decides.

--- a/packages/admission/src/placement.ts
+++ b/packages/admission/src/placement.ts
@@ -26,6 +26,11 @@
  * beside it.
  */
 const PREFILL_WAIT_FACTOR = 2;
+/**
+ * Share of its target for which a request waits for an upstream that is not
+ * slowed down at the moment.
+ */
+const MAXIMUM_SLOWDOWN_WAIT_SHARE = 0.25;
 /** Relative cost added at an upstream that fails every request. */
 const FAILURE_COST = 4;
 /** Relative cost added where the first event takes the whole target. */
@@ -179,6 +184,13 @@
       return undefined;
     }
     if (best.isSuitable) return best.upstream;
+    // In a queue, slots that stay empty for a slowdown of the moment cost more
+    // responses than it makes late.
+    const hasQueued = now - request.since >=
+      MAXIMUM_SLOWDOWN_WAIT_SHARE * request.target;
+    if (hasQueued && this.#isUsuallySuitable(best.upstream, request, now)) {
+      return best.upstream;
+    }
     return this.#isAnySuitable(upstreams, request, now)
       ? undefined
       : best.upstream;
@@ -201,12 +213,17 @@
         parts,
         now,
       );
-      const slowdown = stats.slowdowns.relative(upstream, now);
+      const slowdown = this.#slowdownAt(upstream, now);
       const latency = this.#latencyAt(upstream, {
         promptTokens: promptTokens - cached,
+        slowdown,
+      });
+      const isSuitable = this.#isSuitable(upstream, {
+        request,
+        latency,
+        slowdown,
         now,
       });
-      const isSuitable = this.#isSuitable(upstream, { request, latency, now });
       if (best?.isSuitable && !isSuitable) continue;
       const cost = this.#costOf(upstream, {
         cachedShare: Math.min(1, cached / Math.max(1, promptTokens)),
@@ -228,16 +245,34 @@
     request: PlacementCriteria,
     now: Milliseconds,
   ): boolean {
-    const { health, stats: { firstEvents, slowdowns } } = this.#options;
+    const { health, stats: { firstEvents } } = this.#options;
     const { promptTokens } = request;
     return upstreams.some((upstream) => {
       const { service, upstream: id } = upstream;
       if (isUnavailable(request, upstream, now)) return false;
       if (health.isEjected(id, now)) return false;
-      const latency = slowdowns.relative(upstream, now) *
+      const slowdown = this.#slowdownAt(upstream, now);
+      const latency = slowdown *
         firstEvents.expected(service, { upstream: id, promptTokens });
-      return this.#isSuitable(upstream, { request, latency, now });
+      return this.#isSuitable(upstream, { request, latency, slowdown, now });
+    });
+  }
+
+  /** Whether an upstream would suit a request at its usual speed. */
+  #isUsuallySuitable(
+    upstream: Upstream,
+    request: PlacementCriteria,
+    now: Milliseconds,
+  ): boolean {
+    const { prefixCaches } = this.#options;
+    const { parts, promptTokens } = request;
+    const cached = prefixCaches.cachedTokens(upstream.upstream, parts, now);
+    const slowdown = 1;
+    const latency = this.#latencyAt(upstream, {
+      promptTokens: promptTokens - cached,
+      slowdown,
     });
+    return this.#isSuitable(upstream, { request, latency, slowdown, now });
   }
 
   /**
@@ -259,12 +294,19 @@
     const cached = prefixCaches.cachedTokens(id, other.parts, now);
     const additional = cached - prefixCaches.cachedTokens(id, next.parts, now);
     if (additional <= 0) return 0;
+    const slowdown = this.#slowdownAt(upstream, now);
     const latency = this.#latencyAt(upstream, {
       promptTokens: other.promptTokens - cached,
+      slowdown,
+    });
+    const isSuitable = this.#isSuitable(upstream, {
+      request: other,
+      latency,
+      slowdown,
       now,
     });
-    if (!this.#isSuitable(upstream, { request: other, latency, now })) return 0;
-    return this.#prefillCost(upstream, { promptTokens: additional, now });
+    if (!isSuitable) return 0;
+    return this.#prefillCost(upstream, { promptTokens: additional, slowdown });
   }
 
   /**
@@ -273,7 +315,7 @@
    */
   #prefillCost(
     upstream: Upstream,
-    work: { promptTokens: number; now: Milliseconds },
+    work: { promptTokens: number; slowdown: number },
   ): Milliseconds {
     return PREFILL_WAIT_FACTOR * this.#prefillTimeAt(upstream, work);
   }
@@ -309,12 +351,13 @@
       }
     }
     if (mostCached === best.cachedTokens) return false;
+    const slowdown = this.#slowdownAt(best.upstream, now);
     const span = this.#prefillCost(best.upstream, {
       promptTokens: mostCached - best.cachedTokens,
-      now,
+      slowdown,
     });
     const { promptTokens } = request;
-    const latency = this.#latencyAt(best.upstream, { promptTokens, now });
+    const latency = this.#latencyAt(best.upstream, { promptTokens, slowdown });
     return now < request.since + span && now + span + latency <= request.dueAt;
   }
 
@@ -330,32 +373,36 @@
       now: Milliseconds;
     },
   ): boolean {
-    const { prefixCaches, stats: { slowdowns } } = this.#options;
+    const { prefixCaches } = this.#options;
     const { parts, promptTokens } = request;
-    const isSlowed = slowdowns.relative(upstream, now) >
-      slowdowns.relative(best.upstream, now);
-    if (!isSlowed) return false;
-    const id = upstream.upstream;
-    const cached = prefixCaches.cachedTokens(id, parts, now);
-    const responseTimeAt = (candidate: Upstream, tokens: number): number =>
-      this.#latencyAt(candidate, { promptTokens: promptTokens - tokens, now }) +
-      this.#durationAt(candidate, { request, now });
-    return responseTimeAt(upstream, cached) >
-      responseTimeAt(best.upstream, best.cachedTokens);
+    const slowdown = this.#slowdownAt(upstream, now);
+    const leastSlowdown = this.#slowdownAt(best.upstream, now);
+    if (slowdown <= leastSlowdown) return false;
+    const cached = prefixCaches.cachedTokens(upstream.upstream, parts, now);
+    const time = this.#latencyAt(upstream, {
+      promptTokens: promptTokens - cached,
+      slowdown,
+    }) + this.#durationAt(upstream, { request, slowdown });
+    const leastTime = this.#latencyAt(best.upstream, {
+      promptTokens: promptTokens - best.cachedTokens,
+      slowdown: leastSlowdown,
+    }) + this.#durationAt(best.upstream, { request, slowdown: leastSlowdown });
+    return time > leastTime;
   }
 
   #isSuitable(
     candidate: Upstream,
-    { request, latency, now }: {
+    { request, latency, slowdown, now }: {
       request: PlacementCriteria;
       latency: Milliseconds;
+      slowdown: number;
       now: Milliseconds;
     },
   ): boolean {
     const { load, stats: { pauseRisks } } = this.#options;
     const { service, upstream } = candidate;
     if (now + latency > request.dueAt) return false;
-    const duration = this.#durationAt(candidate, { request, now });
+    const duration = this.#durationAt(candidate, { request, slowdown });
     if (now + latency + DURATION_MARGIN * duration > request.deadline) {
       return false;
     }
@@ -363,7 +410,10 @@
     const risk = pauseRisks.risk({ service, upstream, duration });
     if (risk > MAXIMUM_PAUSE_RISK) return false;
     const { promptTokens } = request;
-    const prefillTime = this.#prefillTimeAt(candidate, { promptTokens, now });
+    const prefillTime = this.#prefillTimeAt(candidate, {
+      promptTokens,
+      slowdown,
+    });
     return prefillTime <= request.pauseTarget || load.total(upstream) === 0;
   }
 
@@ -373,7 +423,7 @@
    */
   #latencyAt(
     { service, upstream }: Upstream,
-    { promptTokens, now }: { promptTokens: number; now: Milliseconds },
+    { promptTokens, slowdown }: { promptTokens: number; slowdown: number },
   ): Milliseconds {
     const { load, stats } = this.#options;
     const expected = stats.firstEvents.expected(service, {
@@ -381,27 +431,32 @@
       promptTokens: Math.max(0, promptTokens) +
         load.pendingPrefillTokens(upstream),
     });
-    return expected * stats.slowdowns.relative({ service, upstream }, now);
+    return expected * slowdown;
+  }
+
+  /** Returns how long work takes now, relative to the service's upstreams. */
+  #slowdownAt(upstream: Upstream, now: Milliseconds): number {
+    return this.#options.stats.slowdowns.relative(upstream, now);
   }
 
   /** Returns the expected time from the first event to the end. */
   #durationAt(
     { service, upstream }: Upstream,
-    { request, now }: { request: PlacementCriteria; now: Milliseconds },
+    { request, slowdown }: { request: PlacementCriteria; slowdown: number },
   ): Milliseconds {
-    const { speed, slowdowns } = this.#options.stats;
+    const { speed } = this.#options.stats;
     return request.responseDuration * speed.slowness(service, upstream) *
-      slowdowns.relative({ service, upstream }, now);
+      slowdown;
   }
 
   /** Returns the expected time in which the upstream processes the tokens. */
   #prefillTimeAt(
     { service, upstream }: Upstream,
-    { promptTokens, now }: { promptTokens: number; now: Milliseconds },
+    { promptTokens, slowdown }: { promptTokens: number; slowdown: number },
   ): Milliseconds {
-    const { firstEvents, slowdowns } = this.#options.stats;
+    const { firstEvents } = this.#options.stats;
     return firstEvents.prefillTime(service, { upstream, promptTokens }) *
-      slowdowns.relative({ service, upstream }, now);
+      slowdown;
   }
 
   #freeSlotsAt(upstream: Upstream, now: Milliseconds): number {
