Keep the clock of account shares from going back

Cause: the start of a request set the clock of its rank and of later ranks to the work that its account had received. An account without received work that started in a more urgent tier, or with a continuation, set the clock back to 0, and a waiting continuation joined at the unset clock of its own rank. Accounts that joined afterwards began far behind a busy account and starved it.

Change: a tier has one clock for all its ranks, which never decreases.

Measured: a busy account and one that joins compete for 200 starts.

--- a/packages/admission/src/rankQueue.ts
+++ b/packages/admission/src/rankQueue.ts
@@ -24,8 +24,6 @@
  * about the same work, requests go by priority value.
  */
 export class RankQueue<Item extends { readonly slotTime: Milliseconds }> {
-  /** Received work of the account that started last from this or a prior rank. */
-  clock: Milliseconds = 0;
   readonly #steps: WorkSteps;
   readonly #accounts = new Map<AccountShare, AccountQueue<Item>>();
   /** Queues of the accounts by turn. */
--- a/packages/admission/src/tierQueue.ts
+++ b/packages/admission/src/tierQueue.ts
@@ -28,6 +28,12 @@
   readonly #shares = new AccountShares();
   readonly #steps = new WorkSteps();
   readonly #ranks: ReadonlyMap<Rank, RankQueue<Item>>;
+  /**
+   * Most work that an account had received when one of its requests started. It
+   * never decreases: an account with less work that starts out of turn, such as
+   * with a continuation, would otherwise give all newcomers a credit.
+   */
+  #clock: Milliseconds = 0;
 
   constructor(tier: Tier) {
     this.#ranks = new Map(
@@ -91,9 +97,7 @@
   recordStart(item: Item, rank: Rank, now: Milliseconds): void {
     const share = this.#shares.of(item.account);
     share.activeAt = now;
-    for (const [other, queue] of this.#ranks) {
-      if (other >= rank) queue.clock = share.virtualTime;
-    }
+    this.#clock = Math.max(this.#clock, share.virtualTime);
     this.#setWork(share, share.virtualTime + item.slotTime);
     if (!this.#ranks.has(rank) || !this.#steps.recordStart(item.slotTime)) {
       return;
@@ -194,8 +198,7 @@
       if (share !== undefined && queue.has(share)) return received;
       least = Math.min(least, queue.leastWork);
     }
-    const floor = least === Infinity ? this.#ranks.get(rank)!.clock : least;
-    return Math.max(received, floor);
+    return Math.max(received, least === Infinity ? this.#clock : least);
   }
 
   #setWork(share: AccountShare, work: Milliseconds): void {
--- a/packages/admission/tests/accountShares.test.ts
+++ b/packages/admission/tests/accountShares.test.ts
@@ -295,6 +295,74 @@
   };
 }
 
+/** A queue with a function that adds equal requests, and one that starts them. */
+function buildQueue(): {
+  queue: RequestQueue<QueuedRequest>;
+  add: (
+    account: string,
+    options?: Partial<QueuedRequest> & { count?: number },
+  ) => QueuedRequest[];
+  /** Starts the next requests and returns the accounts of one tier. */
+  startNext: (count: number, tier?: number) => string[];
+} {
+  const queue = new RequestQueue<QueuedRequest>();
+  let added = 0;
+  return {
+    queue,
+    add: (account, { count = 1, ...changes } = {}) =>
+      Array.from({ length: count }, () => {
+        const item = buildRequest(`r${added++}`, {
+          slotTime: 300,
+          ...changes,
+          account,
+        });
+        queue.push(item, 0);
+        return item;
+      }),
+    startNext: (count, tier = 1) => {
+      const accounts: string[] = [];
+      for (let index = 0; index < count; index++) {
+        const [first] = queue.inOrder(0, { maximum: 1 });
+        queue.start(first!.request, 0);
+        if (first!.tier === tier) accounts.push(`${first!.account}`);
+      }
+      return accounts;
+    },
+  };
+}
+
+/** What an account without received work does before others begin to wait. */
+const EVENTS: Readonly<
+  Record<string, (scene: ReturnType<typeof buildQueue>) => void>
+> = {
+  "no event": () => {},
+  "a start in a more urgent tier": ({ add, startNext }) => {
+    add("a", { tier: asTier(0) });
+    startNext(1);
+  },
+  "a waiting continuation": ({ add }) => {
+    add("a", { isContinuation: true });
+  },
+  "a start of a continuation": ({ add, startNext }) => {
+    add("a", { isContinuation: true });
+    startNext(1);
+  },
+};
+
+for (const [name, happen] of Object.entries(EVENTS)) {
+  test(`an account that joins shares equally with a busy one after ${name}`, (t) => {
+    // Guards against a clock that goes back, which gives newcomers a credit.
+    const scene = buildQueue();
+    scene.add("b", { count: 1_000 });
+    scene.startNext(1_000);
+    happen(scene);
+    scene.add("c", { count: 200 });
+    scene.add("b", { count: 200 });
+    const started = scene.startNext(200).filter((account) => account === "b");
+    t.true(started.length >= 95 && started.length <= 105, `${started.length}`);
+  });
+}
+
 test("requests start in the order that the queue shows, with the estimated number before them", (t) => {
   // Guards against estimates that do not follow the order of starts.
   const steps = fc.array(
