Test the shares of accounts across tiers

Cause: no test failed if starts counted in all tiers or only in their own, nor if the clock was left out.

Change: one test each for starts in a less urgent and in a more urgent tier. The tests of accounts that join cover the clock.

--- a/packages/admission/tests/accountShares.test.ts
+++ b/packages/admission/tests/accountShares.test.ts
@@ -302,7 +302,7 @@
     account: string,
     options?: Partial<QueuedRequest> & { count?: number },
   ) => QueuedRequest[];
-  /** Starts the next requests and returns the accounts of one tier. */
+  /** Starts the next requests, of one tier if given; returns their accounts. */
   startNext: (count: number, tier?: number) => string[];
 } {
   const queue = new RequestQueue<QueuedRequest>();
@@ -319,12 +319,14 @@
         queue.push(item, 0);
         return item;
       }),
-    startNext: (count, tier = 1) => {
+    startNext: (count, tier) => {
+      const canStart = (item: QueuedRequest): boolean =>
+        tier === undefined || item.tier === tier;
       const accounts: string[] = [];
       for (let index = 0; index < count; index++) {
-        const [first] = queue.inOrder(0, { maximum: 1 });
+        const [first] = queue.inOrder(0, { maximum: 1, canStart });
         queue.start(first!.request, 0);
-        if (first!.tier === tier) accounts.push(`${first!.account}`);
+        accounts.push(`${first!.account}`);
       }
       return accounts;
     },
@@ -363,6 +365,31 @@
   });
 }
 
+test("starts in a less urgent tier do not delay an account's urgent requests", (t) => {
+  // Guards against an account that pays in tier 0 for spare capacity of tier 2.
+  const { add, startNext } = buildQueue();
+  add("other", { tier: asTier(0), count: 40 });
+  add("both", { tier: asTier(2), count: 60 });
+  startNext(60, 2);
+  add("both", { tier: asTier(0), count: 40 });
+  const started = startNext(40, 0).filter((account) => account === "both");
+  t.true(started.length >= 18 && started.length <= 22, `${started.length}`);
+});
+
+test("starts in a more urgent tier count in a less urgent one", (t) => {
+  // Guards against an account that gets its share once more in each tier.
+  const { add, startNext } = buildQueue();
+  add("other", { tier: asTier(2), count: 80 });
+  add("both", { tier: asTier(2), count: 80 });
+  add("both", { tier: asTier(0), count: 40 });
+  startNext(40, 0);
+  const count = (accounts: string[]): number =>
+    accounts.filter((account) => account === "both").length;
+  const [first, next] = [count(startNext(40, 2)), count(startNext(40, 2))];
+  t.true(first <= 2, `${first}`);
+  t.true(next >= 18 && next <= 22, `${next}`);
+});
+
 test("requests start in the order that the queue shows, with the estimated number before them", (t) => {
   // Guards against estimates that do not follow the order of starts.
   const steps = fc.array(
