Answer refused HEAD requests whose body is still arriving

Cause: such a refusal is written without ending the response. Writing a body to a response to HEAD does nothing in Node.js, so the head stayed unsent and the caller saw the connection close without a response.

Change: the head of a response to HEAD is flushed.

--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -94,7 +94,10 @@
    * still arriving, and leaves it to others to close the connection.
    */
   refuseUnread(refusal: Refusal): void {
-    this.#response.write(this.#sendRefusalHead(refusal, true));
+    const body = this.#sendRefusalHead(refusal, true);
+    // A response to HEAD has no body, so writing one sends nothing.
+    if (this.#response.req.method === "HEAD") this.#response.flushHeaders();
+    else this.#response.write(body);
   }
 
   /** Returns the body that belongs to the head. */
--- a/packages/gateway/tests/refusals.test.ts
+++ b/packages/gateway/tests/refusals.test.ts
@@ -99,6 +99,16 @@
   caller.socket.destroy();
 });
 
+test("a refused HEAD request whose body is still arriving gets its response", async (t) => {
+  // Guards against a connection that closes without any response.
+  const { host } = await startOverQuota(t);
+  const caller = await openCaller(host);
+  caller.socket.write(headText(LONG_BODY_BYTES).replace("POST", "HEAD"));
+  await waitUntil(() => caller.isEnded || caller.error !== undefined);
+  t.regex(caller.received, /^HTTP\/1.1 429 [^]*connection: close\r\n\r\n$/);
+  caller.socket.destroy();
+});
+
 for (const [key, status] of [["k", 429], ["stolen", 401]] as const) {
   test(`a caller that is still sending gets its ${status} whole`, async (t) => {
     // Guards against a reset that destroys a response before it is read.
