Count callers whose refused request is still arriving as open

Cause: requests that are refused by their head were not among those that a stop waits for, so a host could end and reset the connection before the caller had read its refusal.

Change: a connection counts as busy while its refusal lingers.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -82,7 +82,11 @@
     this.#context = context;
     this.#refusals = new RefusalWriter(
       context,
-      (socket) => this.#closedSockets.add(socket),
+      (socket) => {
+        this.#closedSockets.add(socket);
+        // A stop before the caller has read its refusal could destroy it.
+        this.#busySockets.add(socket);
+      },
     );
     this.#server = createServer({
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
@@ -99,7 +103,10 @@
     );
   }
 
-  /** Number of requests without a complete response. */
+  /**
+   * Number of requests without a complete response, or whose refusal may not be
+   * read yet.
+   */
   get openRequests(): number {
     return this.#busySockets.size;
   }
--- a/packages/gateway/tests/refusals.test.ts
+++ b/packages/gateway/tests/refusals.test.ts
@@ -147,6 +147,23 @@
   t.regex(stalling.received, /^HTTP\/1.1 429 /);
 });
 
+test("a host that stops counts callers that are still sending a refused request as open", async (t) => {
+  // Guards against the end of a process that resets a connection whose refusal
+  // is not read yet.
+  const { host } = await startOverQuota(t);
+  const caller = await openCaller(host);
+  caller.socket.write(headText(LONG_BODY_BYTES));
+  await waitUntil(() => caller.isEnded);
+  const stopped = host.gateway.stop();
+  caller.socket.end(Buffer.alloc(LONG_BODY_BYTES));
+  await stopped;
+  const openAt = (event: string): unknown =>
+    host.lines.find((line) => line["event"] === event)?.["open"];
+  t.deepEqual([openAt("stopping"), openAt("stopped")], [1, 0]);
+  t.is(caller.error, undefined);
+  t.regex(caller.received, /^HTTP\/1.1 429 [^]*"}$/);
+});
+
 for (const length of [0, 5, 2_000]) {
   test(`a refused request with a body of ${length} bytes leaves its connection open`, async (t) => {
     // Guards against a new connection for each refusal.
