Count only refused requests as refused by share

Cause: the counter also included streams that were cut after their response had begun, which are no refusals.

Change: the count follows the branch that cuts a stream.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -200,12 +200,12 @@
       return this.#sendUnlessLeft(decision);
     }
     const { estimate, reason, by } = decision;
-    if (by !== undefined) {
-      this.#options.context.metrics.count("refused_by_share");
-    }
     if (this.#options.response.hasStarted) {
       return this.#cut(reason, { excluded: this.#retryState.excluded.size });
     }
+    if (by !== undefined) {
+      this.#options.context.metrics.count("refused_by_share");
+    }
     this.#refuse(
       this.#retryState.mayHaveRun
         ? { status: 502, reason: "upstream-lost" }
