Bound the count of requests ahead of an arrival

Cause: whether to refuse an arrival was decided from an exact count of the requests ahead of it, which visited every waiting account, also where rates were not known and the count did not matter.

Change: the decision counts only up to the number at which it is certain, and not at all where rates are unknown and the request is not overdue. A count ends at the first account whose turn is after the request. The same bound holds for the question whether a refusal is due to shares.

A decision with unchanged result is tested by a property (200 runs).

--- a/packages/admission/src/queueEstimator.ts
+++ b/packages/admission/src/queueEstimator.ts
@@ -54,6 +54,26 @@
     };
   }
 
+  /**
+   * Whether a request would start too late behind those ahead of it. Counts
+   * them only as far as that matters.
+   */
+  startsTooLate(
+    { item, queue, entry }: EstimatedRequest<Item>,
+    now: Milliseconds,
+  ): boolean {
+    const rank = rankOf(item, now);
+    const ranks = ranksWaitedFor(rank);
+    const latest = latestStartOf(item, now);
+    const enough = this.#rates.countBeyond(latest - now, ranks);
+    if (enough === Infinity) return false;
+    const before = countBefore(queue, rank);
+    const ahead = before +
+      queue.countAhead(item, { entry, now, enough: enough - before });
+    if (ahead === 0) return false;
+    return now + this.#rates.estimateWait(ahead, ranks) > latest;
+  }
+
   /**
    * Whether a request that is refused would have started in time if accounts
    * had no shares.
@@ -64,10 +84,14 @@
   ): boolean {
     if (!queue.isShared) return false;
     const rank = rankOf(item, now);
-    const ahead = queue.countAheadUnshared(item, { entry, now }) +
-      countBefore(queue, rank);
-    const wait = this.#rates.estimateWait(ahead, ranksWaitedFor(rank));
-    return now + wait <= latestStartOf(item, now);
+    const ranks = ranksWaitedFor(rank);
+    const latest = latestStartOf(item, now);
+    const enough = this.#rates.countBeyond(latest - now, ranks);
+    if (enough === Infinity) return true;
+    const before = countBefore(queue, rank);
+    const ahead = before +
+      queue.countAheadUnshared(item, { entry, now, enough: enough - before });
+    return now + this.#rates.estimateWait(ahead, ranks) <= latest;
   }
 
   /**
--- a/packages/admission/src/rankQueue.ts
+++ b/packages/admission/src/rankQueue.ts
@@ -138,10 +138,16 @@
     return found;
   }
 
-  /** Returns the number of items of all accounts up to a priority value. */
-  countUpTo(priority: Milliseconds): number {
+  /**
+   * Returns the number of items of all accounts up to a priority value; stops
+   * counting at `enough`.
+   */
+  countUpTo(priority: Milliseconds, enough: number): number {
     let count = 0;
-    for (const queue of this.#byTurn) count += countUpTo(queue, priority);
+    for (const queue of this.#byTurn) {
+      if (count >= enough) break;
+      count += countUpTo(queue, priority);
+    }
     return count;
   }
 
@@ -151,13 +157,15 @@
    * account, so that a step for each account suffices.
    */
   countAhead(
-    { share, work, priority, isQueued }: {
+    { share, work, priority, isQueued, enough }: {
       share: AccountShare | undefined;
       /** Work that its account has received before its first request. */
       work: Milliseconds;
       priority: Milliseconds;
       /** Whether the request itself is queued here. */
       isQueued: boolean;
+      /** Count at which to stop. */
+      enough: number;
     },
   ): number {
     const queue = share === undefined ? undefined : this.#accounts.get(share);
@@ -167,7 +175,7 @@
     const step = this.#steps.of(work + ownWork);
     let ahead = own;
     for (const other of this.#byTurn) {
-      if (other.step > step) break;
+      if (ahead >= enough || !canBeBefore(other, { step, priority })) break;
       if (other === queue) continue;
       ahead += countBefore(other, { step, priority, steps: this.#steps });
     }
@@ -197,12 +205,20 @@
   return queue.priority > priority ? 0 : queue.items.countUpTo(priority);
 }
 
+/** Whether a request of an account, or of one with a later turn, can be before. */
+function canBeBefore(
+  queue: AccountQueue<unknown>,
+  { step, priority }: Omit<Turn, "order">,
+): boolean {
+  return queue.step < step ||
+    queue.step === step && queue.priority <= priority;
+}
+
 /** Returns how many requests of an account start before a turn. */
 function countBefore(
   queue: AccountQueue<unknown>,
   { step, priority, steps }: Omit<Turn, "order"> & { steps: WorkSteps },
 ): number {
-  if (queue.step === step && queue.priority > priority) return 0;
   const inSteps = countWithin(queue, steps.workBefore(step));
   if (inSteps === queue.items.size) return inSteps;
   const withStep = countWithin(queue, steps.workBefore(step + 1));
--- a/packages/admission/src/requestQueue.ts
+++ b/packages/admission/src/requestQueue.ts
@@ -11,7 +11,6 @@
   isContinuation,
   isLateRank,
   isOnTimeRank,
-  latestStartOf,
   priorityOf,
   type QueuedRequest,
   rankOf,
@@ -163,9 +162,8 @@
    */
   shouldRefuse(item: QueuedRequest, now: Milliseconds): boolean {
     if (isContinuation(item)) return false;
-    const { ahead, wait } = this.estimate(item, now);
-    if (ahead === 0) return false;
-    return now + wait > latestStartOf(item, now);
+    this.#demoteLate(now);
+    return this.#estimator.startsTooLate(this.#estimatedOf(item), now);
   }
 
   /**
--- a/packages/admission/src/startRates.ts
+++ b/packages/admission/src/startRates.ts
@@ -61,9 +61,23 @@
    * start at any moment, whatever the rate.
    */
   estimateWait(ahead: number, ranks: readonly Rank[]): Milliseconds {
+    const rate = this.#usableRate(ranks);
+    return rate === undefined ? 0 : ahead * 1_000 / rate;
+  }
+
+  /**
+   * Returns a number of requests ahead whose starts surely take longer than a
+   * span; infinite while rates are unknown, unless the span is negative.
+   */
+  countBeyond(span: Milliseconds, ranks: readonly Rank[]): number {
+    if (span < 0) return 1;
+    const rate = this.#usableRate(ranks);
+    return rate === undefined ? Infinity : Math.ceil(span * rate / 1_000) + 1;
+  }
+
+  /** Returns the starts per second, at least one within the memory. */
+  #usableRate(ranks: readonly Rank[]): number | undefined {
     const rate = this.startsPerSecond(ranks);
-    if (rate === undefined) return 0;
-    const minimum = 1_000 / MEMORY_MS;
-    return ahead * 1_000 / Math.max(rate, minimum);
+    return rate === undefined ? undefined : Math.max(rate, 1_000 / MEMORY_MS);
   }
 }
--- a/packages/admission/src/tierQueue.ts
+++ b/packages/admission/src/tierQueue.ts
@@ -17,6 +17,15 @@
   readonly rank: Rank;
 }
 
+/** Options of a count of the requests ahead of another one. */
+interface CountOptions<Item> {
+  /** Entry of the request if it is queued. */
+  readonly entry: QueueEntry<Item> | undefined;
+  readonly now: Milliseconds;
+  /** Count from which a more exact one is not needed; infinite by default. */
+  readonly enough?: number;
+}
+
 /**
  * Requests of one tier by rank, and what their accounts have received.
  *
@@ -117,14 +126,11 @@
 
   /**
    * Returns the number of requests of the same rank that start before one that
-   * is queued or would join.
+   * is queued or would join; stops counting at `enough`.
    */
   countAhead(
     item: QueuedRequest,
-    { entry, now }: {
-      entry: QueueEntry<Item> | undefined;
-      now: Milliseconds;
-    },
+    { entry, now, enough = Infinity }: CountOptions<Item>,
   ): number {
     const rank = rankOf(item, now);
     const share = this.#shares.find(item.account);
@@ -133,23 +139,22 @@
       work: this.#workOnEntry(share, rank),
       priority: priorityOf(item, now),
       isQueued: entry?.rank === rank,
+      enough,
     });
   }
 
   /**
    * Returns the number of other requests of its rank that would start before a
-   * request if accounts had no shares.
+   * request if accounts had no shares; stops counting at `enough`.
    */
   countAheadUnshared(
     item: QueuedRequest,
-    { entry, now }: {
-      entry: QueueEntry<Item> | undefined;
-      now: Milliseconds;
-    },
+    { entry, now, enough = Infinity }: CountOptions<Item>,
   ): number {
     const rank = rankOf(item, now);
-    const upTo = this.#ranks.get(rank)!.countUpTo(priorityOf(item, now));
-    return entry?.rank === rank ? upTo - 1 : upTo;
+    const own = entry?.rank === rank ? 1 : 0;
+    const priority = priorityOf(item, now);
+    return this.#ranks.get(rank)!.countUpTo(priority, enough + own) - own;
   }
 
   /**
--- a/packages/admission/tests/accountShares.test.ts
+++ b/packages/admission/tests/accountShares.test.ts
@@ -9,6 +9,9 @@
 import { type QueuedRequest, RequestQueue } from "@wasabivane/admission";
 import test from "ava";
 import fc from "fast-check";
+import { AccountShare } from "../src/accountShares.ts";
+import { RankQueue } from "../src/rankQueue.ts";
+import { WorkSteps } from "../src/workSteps.ts";
 import {
   type Replay,
   type ReplayedTier,
@@ -452,6 +455,69 @@
   t.false(queue.isRefusedByShare(item, 1_500));
 });
 
+test("a refusal is decided as the estimate shows, with one or more accounts", (t) => {
+  // Guards against a count that ends before the refusal is certain.
+  const arrivals = fc.array(
+    fc.record({
+      account: fc.constantFrom("a", "b", "c"),
+      until: fc.integer({ min: 0, max: 3_000 }),
+      useful: fc.integer({ min: 0, max: 3_000 }),
+      tier: fc.integer({ min: 0, max: 1 }).map(asTier),
+      starts: fc.boolean(),
+    }),
+    { minLength: 20, maxLength: 80 },
+  );
+  const seen = new Set<boolean>();
+  fc.assert(
+    fc.property(arrivals, (taken) => {
+      const queue = new RequestQueue<QueuedRequest>();
+      for (const [index, arrival] of taken.entries()) {
+        const { until, useful, starts, ...rest } = arrival;
+        const now = 40 * index;
+        const onTimeUntil = now - 500 + until;
+        const usefulUntil = onTimeUntil + useful;
+        const item = buildRequest(`r${index}`, {
+          ...rest,
+          onTimeUntil,
+          usefulUntil,
+        });
+        const { ahead, wait } = queue.estimate(item, now);
+        const latest = onTimeUntil <= now ? usefulUntil : onTimeUntil;
+        const isTooLate = ahead > 0 && now + wait > latest;
+        seen.add(isTooLate);
+        t.is(queue.shouldRefuse(item, now), isTooLate);
+        queue.push(item, now);
+        const [first] = queue.inOrder(now, { maximum: 1 });
+        if (starts) queue.start(first!.request, now);
+      }
+    }),
+    { seed: 7, numRuns: 200 },
+  );
+  t.is(seen.size, 2);
+});
+
+test("a bounded count of the requests ahead visits only as many accounts", (t) => {
+  // Guards against arrivals whose cost grows with the number of accounts.
+  const queue = new RankQueue<QueuedRequest>(new WorkSteps());
+  const visited = new Set<AccountShare>();
+  for (let index = 0; index < 1_100; index++) {
+    const share = new AccountShare(asId<ClientAccountId>(`a${index}`));
+    const item = buildRequest(`r${index}`, { account: `a${index}` });
+    queue.add(item, { share, priority: 1, order: index });
+    Object.defineProperty(share, "virtualTime", {
+      get: () => {
+        visited.add(share);
+        return 0;
+      },
+    });
+  }
+  const options = { share: undefined, work: 0, priority: 2, isQueued: false };
+  t.is(queue.countAhead({ ...options, enough: 20 }), 20);
+  t.is(visited.size, 20);
+  t.is(queue.countAhead({ ...options, enough: Infinity }), 1_100);
+  t.is(queue.countUpTo(2, 20), 20);
+});
+
 test("a decision among 1,100 accounts visits only the requests it considers", (t) => {
   // Guards against decisions whose cost grows with the number of accounts.
   const queue = new RequestQueue<QueuedRequest>();
