Drop idle accounts of the local scheduler

Cause: a host reviewed its local queues only while requests waited there, and nobody took the counts by account. After it had scheduled locally, the shares and counts of all accounts stayed.

Change: once a second a tick reviews the local scheduler in any case and discards its counts.

--- a/packages/admission/src/placementClient.ts
+++ b/packages/admission/src/placementClient.ts
@@ -97,6 +97,9 @@
   readonly coordinator: HostId | undefined;
 }
 
+/** Interval at which idle accounts are dropped where nothing waits. */
+const ACCOUNT_CHECK_INTERVAL_MS: Milliseconds = 1_000;
+
 /** A request that waits for a slot, and the cells in which it waits. */
 interface WaitingRequest {
   placementRequest: PlacementRequest;
@@ -125,6 +128,7 @@
   readonly #coordinators: CoordinatorSelector;
   readonly #backoffs = new UpstreamBackoffs();
   #tickedAt: Milliseconds = -Infinity;
+  #accountsCheckedAt: Milliseconds = -Infinity;
 
   constructor(options: PlacementClientOptions) {
     const { directory, stats, random } = options;
@@ -155,6 +159,11 @@
     return this.#waiting.size;
   }
 
+  /** Number of accounts that wait or have started locally of late. */
+  get localAccountCount(): number {
+    return this.#localScheduler.accountCount;
+  }
+
   /** Number of this host's requests at upstreams. */
   get inFlightTotal(): number {
     let total = 0;
@@ -405,7 +414,12 @@
         this.#sendUpdate(key, now, { wantsReply: false });
       } else if (action === "close") this.#sessions.delete(key);
     }
-    if (this.#localScheduler.waitingTotal > 0) this.#localScheduler.review(now);
+    if (now - this.#accountsCheckedAt >= ACCOUNT_CHECK_INTERVAL_MS) {
+      this.#accountsCheckedAt = now;
+      this.#localScheduler.discardAccountUse(now);
+    } else if (this.#localScheduler.waitingTotal > 0) {
+      this.#localScheduler.review(now);
+    }
   }
 
   /** Queues requests in other cells if needed after upstreams have changed. */
--- a/packages/admission/src/requestScheduler.ts
+++ b/packages/admission/src/requestScheduler.ts
@@ -238,6 +238,22 @@
     return this.#queues.get(service)?.queue.takeAccountUse() ?? [];
   }
 
+  /** Number of accounts that wait or have started requests recently. */
+  get accountCount(): number {
+    let count = 0;
+    for (const { queue } of this.#queues.values()) count += queue.accountCount;
+    return count;
+  }
+
+  /**
+   * Reviews all queues and discards what was counted by account, which nobody
+   * takes from a scheduler without a log of its own.
+   */
+  discardAccountUse(now: Milliseconds): void {
+    this.review(now);
+    for (const service of this.#queues.keys()) this.takeAccountUse(service);
+  }
+
   /** Fills free slots in queue order. */
   fillSlots(service: ServiceId, now: Milliseconds): void {
     const { queue } = this.#queueOf(service);
--- a/packages/admission/tests/accountShares.test.ts
+++ b/packages/admission/tests/accountShares.test.ts
@@ -5,6 +5,7 @@
   type FailureDomain,
   type Milliseconds,
   type RequestId,
+  VirtualTimer,
 } from "@wasabivane/common";
 import { type QueuedRequest, RequestQueue } from "@wasabivane/admission";
 import test from "ava";
@@ -12,11 +13,20 @@
 import { AccountShare } from "../src/accountShares.ts";
 import { RankQueue } from "../src/rankQueue.ts";
 import { WorkSteps } from "../src/workSteps.ts";
+import {
+  buildPendingRequest,
+  buildPlacementRequest,
+  buildScheduler,
+  buildUpstream,
+  PLANS,
+  WEST,
+} from "./helpers/build.ts";
 import {
   type Replay,
   type ReplayedTier,
   replayLoad,
 } from "./helpers/loadReplay.ts";
+import { VirtualFleet } from "./helpers/virtualFleet.ts";
 
 const WORK_MS: Milliseconds = 200;
 /** Six upstreams of four slots, with the time between two requests. */
@@ -557,6 +567,48 @@
   t.is(queue.takeAccountUse().length, 1);
 });
 
+test("a host that schedules locally drops idle accounts", (t) => {
+  // Guards against state that grows with every account ever seen by a host that
+  // was isolated.
+  const timer = new VirtualTimer();
+  const fleet = new VirtualFleet({
+    timer,
+    hosts: 1,
+    upstreams: [buildUpstream(0, { slots: 200 })],
+    failureDomains: [WEST],
+    seed: 1,
+  });
+  const { host, client } = fleet.hosts[0]!;
+  // Its own coordinator does not answer, so it schedules locally.
+  fleet.cuts.add(`${host}>${host}`);
+  let placed = 0;
+  for (let index = 0; index < 100; index++) {
+    client.submit(
+      {
+        ...buildPlacementRequest(`r${index}`),
+        account: asId<ClientAccountId>(`a${index}`),
+      },
+      ({ kind }) => {
+        if (kind === "place") placed++;
+      },
+      0,
+    );
+  }
+  timer.advance(1_000);
+  t.is(placed, 100);
+  t.is(client.localAccountCount, 100);
+  timer.advance(10_000);
+  t.is(client.localAccountCount, 0);
+});
+
+test("a scheduler without a log discards what it counts by account", (t) => {
+  // Guards against counts that grow until a log line that is never written.
+  const { scheduler } = buildScheduler([buildUpstream(0)]);
+  scheduler.submit(buildPendingRequest("r", { account: "a" }), 0);
+  scheduler.discardAccountUse(1_000);
+  t.deepEqual(scheduler.takeAccountUse(PLANS), []);
+});
+
 test("accounts that no longer wait or start requests are dropped", (t) => {
   // Guards against state that grows with every account ever seen.
   const queue = new RequestQueue<QueuedRequest>();
