--- a/packages/gateway/tests/refusals.test.ts
+++ b/packages/gateway/tests/refusals.test.ts
@@ -99,6 +99,16 @@
   caller.socket.destroy();
 });
 
+test("a refused HEAD request whose body is still arriving gets its response", async (t) => {
+  // Guards against a connection that closes without any response.
+  const { host } = await startOverQuota(t);
+  const caller = await openCaller(host);
+  caller.socket.write(headText(LONG_BODY_BYTES).replace("POST", "HEAD"));
+  await waitUntil(() => caller.isEnded || caller.error !== undefined);
+  t.regex(caller.received, /^HTTP\/1.1 429 [^]*connection: close\r\n\r\n$/);
+  caller.socket.destroy();
+});
+
 for (const [key, status] of [["k", 429], ["stolen", 401]] as const) {
   test(`a caller that is still sending gets its ${status} whole`, async (t) => {
     // Guards against a reset that destroys a response before it is read.
@@ -137,6 +147,23 @@
   t.regex(stalling.received, /^HTTP\/1.1 429 /);
 });
 
+test("a host that stops counts callers that are still sending a refused request as open", async (t) => {
+  // Guards against the end of a process that resets a connection whose refusal
+  // is not read yet.
+  const { host } = await startOverQuota(t);
+  const caller = await openCaller(host);
+  caller.socket.write(headText(LONG_BODY_BYTES));
+  await waitUntil(() => caller.isEnded);
+  const stopped = host.gateway.stop();
+  caller.socket.end(Buffer.alloc(LONG_BODY_BYTES));
+  await stopped;
+  const openAt = (event: string): unknown =>
+    host.lines.find((line) => line["event"] === event)?.["open"];
+  t.deepEqual([openAt("stopping"), openAt("stopped")], [1, 0]);
+  t.is(caller.error, undefined);
+  t.regex(caller.received, /^HTTP\/1.1 429 [^]*"}$/);
+});
+
 for (const length of [0, 5, 2_000]) {
   test(`a refused request with a body of ${length} bytes leaves its connection open`, async (t) => {
     // Guards against a new connection for each refusal.
