Send whole lists to hosts that know of no differences

Hosts of the former version ignore the field and took the empty upstreams for a newer, empty list. Change: a request names that it accepts differences (changes=1); without it the newer list is sent whole.

--- a/packages/gateway/src/createSnapshot.ts
+++ b/packages/gateway/src/createSnapshot.ts
@@ -1,6 +1,6 @@
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { ListHistory } from "./listHistory.ts";
-import type { SnapshotVersions, StoreSnapshot } from "./operatorEndpoints.ts";
+import type { KnownVersions, StoreSnapshot } from "./operatorEndpoints.ts";
 
 /** Options of {@link createSnapshot}. */
 export interface SnapshotOptions {
@@ -9,7 +9,7 @@
   /** Joined store revision of this host's list. */
   readonly listRevision: number;
   /** What the requesting host has. */
-  readonly known: SnapshotVersions;
+  readonly known: KnownVersions;
 }
 
 /**
@@ -23,7 +23,8 @@
   const now = timer.now();
   const isNewer = listRevision > known.listRevision;
   const from = known.listRevision;
-  const difference = isNewer
+  const { acceptsChanges = true } = known;
+  const difference = isNewer && acceptsChanges
     ? history.difference({ from, to: listRevision, directory, now })
     : undefined;
   return {
--- a/packages/gateway/src/operatorEndpoints.ts
+++ b/packages/gateway/src/operatorEndpoints.ts
@@ -32,6 +32,12 @@
   readonly listRevision: number;
 }
 
+/** What a host that requests a snapshot has and understands. */
+export interface KnownVersions extends SnapshotVersions {
+  /** Whether it applies differences; otherwise a newer list is sent whole. */
+  readonly acceptsChanges?: boolean;
+}
+
 /**
  * A host's copy of the store's contents, for a peer that does not read the
  * store.
@@ -68,7 +74,7 @@
 export interface OperatorData {
   readonly isReady: () => boolean;
   readonly metricsText: () => Promise<string>;
-  readonly createSnapshot: (known: SnapshotVersions) => StoreSnapshot;
+  readonly createSnapshot: (known: KnownVersions) => StoreSnapshot;
 }
 
 /** The error for a snapshot that could not be fetched. */
@@ -114,6 +120,8 @@
       const known = {
         policyVersion: Number(query.get("policy") ?? 0),
         listRevision: Number(query.get("list") ?? 0),
+        // Hosts of former versions would take a difference for an empty list.
+        acceptsChanges: query.has("changes"),
       };
       const snapshot = createSnapshot(known);
       const policy = compressedPolicy.of(snapshot.policy);
@@ -128,11 +136,12 @@
   { policyVersion, listRevision, timer }: SnapshotVersions & { timer: Timer },
 ): Promise<Result<StoreSnapshot, FetchError>> {
   const pool = new Pool(`http://${address}`);
+  const query = `policy=${policyVersion}&list=${listRevision}&changes=1`;
   const timeout = new StallTimeout(timer, RESPONSE_TIMEOUT_MS);
   try {
     const response = await pool.request({
       method: "GET",
-      path: `${SNAPSHOT_PATH}?policy=${policyVersion}&list=${listRevision}`,
+      path: `${SNAPSHOT_PATH}?${query}`,
       signal: timeout.signal,
     });
     const bytes = await collectBody(response.body, {
--- a/packages/gateway/src/sharedList.ts
+++ b/packages/gateway/src/sharedList.ts
@@ -4,7 +4,7 @@
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { UpstreamListChange } from "./gossipMessage.ts";
 import { changeBetween, ListHistory } from "./listHistory.ts";
-import type { SnapshotVersions, StoreSnapshot } from "./operatorEndpoints.ts";
+import type { KnownVersions, StoreSnapshot } from "./operatorEndpoints.ts";
 import { eraOf } from "./storeRevision.ts";
 import type { UpstreamUpdates } from "./upstreamUpdates.ts";
 
@@ -159,7 +159,7 @@
   }
 
   /** Returns this host's contents of the store, for a peer. */
-  createSnapshot(known: SnapshotVersions): StoreSnapshot {
+  createSnapshot(known: KnownVersions): StoreSnapshot {
     return createSnapshot({
       context: this.#options.context,
       history: this.#history,
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -3,7 +3,11 @@
 import { FetchSchedule } from "./fetchSchedule.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { UpstreamListChange } from "./gossipMessage.ts";
-import type { SnapshotVersions, StoreSnapshot } from "./operatorEndpoints.ts";
+import type {
+  KnownVersions,
+  SnapshotVersions,
+  StoreSnapshot,
+} from "./operatorEndpoints.ts";
 import type { PolicyProof } from "./policyState.ts";
 import { SharedList, type UpstreamList } from "./sharedList.ts";
 import { SnapshotFetcher, type SnapshotRequest } from "./snapshotFetcher.ts";
@@ -243,7 +247,7 @@
   }
 
   /** Returns this host's contents of the store, for a peer. */
-  createSnapshot(known: SnapshotVersions): StoreSnapshot {
+  createSnapshot(known: KnownVersions): StoreSnapshot {
     return this.#list.createSnapshot(known);
   }
 
--- a/packages/gateway/tests/snapshotFetch.test.ts
+++ b/packages/gateway/tests/snapshotFetch.test.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import { createServer, type ServerResponse } from "node:http";
 import { gzipSync } from "node:zlib";
-import type { RouteId } from "@wasabivane/admission";
+import type { RouteId, Upstream } from "@wasabivane/admission";
 import { fetchSnapshot, type StoreSnapshot } from "@wasabivane/gateway";
 import {
   asId,
@@ -12,7 +12,12 @@
 import test, { type ExecutionContext } from "ava";
 import { Packr } from "msgpackr";
 import { request } from "undici";
-import { buildPolicy, buildRoute, startGateway } from "./helpers/fleet.ts";
+import {
+  buildEntry,
+  buildPolicy,
+  buildRoute,
+  startGateway,
+} from "./helpers/fleet.ts";
 
 const random = new SeededRandom(1);
 const drawByte = (): number => Math.floor(256 * random.float());
@@ -102,3 +107,30 @@
   const fetched = await fetchSnapshot(address, { ...KNOWN, timer });
   t.is(fetched._unsafeUnwrapErr().kind, "unreachable");
 });
+
+test("a host that knows of no differences is sent the whole newer list", async (t) => {
+  // Guards against hosts of a former version that take a difference for an empty
+  // list during an update of the fleet.
+  const { gateway, peerAddress, close } = await startGateway({ upstreams: [] });
+  t.teardown(close);
+  const entry = (name: string): Upstream =>
+    buildEntry(name, { address: "127.0.0.1:9" });
+  gateway.storeSharing.applyStoreList({
+    upstreams: [entry("u1")],
+    evacuated: [],
+    revision: 10,
+  }, 0);
+  const change = { upstreams: [entry("u2")], removed: [] };
+  gateway.applyListChange({ from: 10, to: 11, ...change });
+  const response = await request(
+    `http://${peerAddress}/belief?policy=1&list=10`,
+  );
+  const body = Buffer.from(await response.body.arrayBuffer());
+  const sent = new Packr({ useRecords: false }).unpack(body) as StoreSnapshot;
+  t.deepEqual(sent.upstreams.map(({ name }) => name), ["u1", "u2"]);
+  t.is(sent.change ?? undefined, undefined);
+  const { timer } = gateway.context;
+  const known = { policyVersion: 1, listRevision: 10, timer };
+  const fetched = await fetchSnapshot(peerAddress, known);
+  t.is(fetched._unsafeUnwrap().change?.upstreams.length, 1);
+});
