Ask other peers that announced a change when a fetch fails

Cause: the fetch schedule remembered one announcement. Peers that announced the same change were forgotten, so that after a failed fetch none of them was asked until it announced again. Change: the announcements of up to four peers are kept until they are no longer newer. The end of a fetch finds the next peer; one whose fetch failed is asked again once it announces again. Beyond four, those with the newest policy and the newest list stay.

--- a/packages/gateway/src/fetchSchedule.ts
+++ b/packages/gateway/src/fetchSchedule.ts
@@ -18,6 +18,8 @@
  * no fetch, and one fetch brings all others.
  */
 const FETCH_INTERVAL_MS: Milliseconds = 50;
+/** Enough for a successor where several fetches fail one after the other. */
+const MAXIMUM_WAITING_PEERS = 4;
 
 /** The versions that a peer has. */
 export interface Announcement extends SnapshotVersions {
@@ -41,13 +43,14 @@
 /**
  * Decides when newer contents of the store are fetched, and from which of the
  * peers that announce them. What a fetch under way will bring is not fetched
- * from another peer, unless the fetch is slow or fails.
+ * from another peer, unless the fetch is slow or fails. A peer whose fetch failed
+ * is asked again once it announces again.
  */
 export class FetchSchedule {
   readonly #options: FetchScheduleOptions;
   readonly #pending = new Map<HostId, PendingFetch>();
-  /** The newest announcement that no fetch was started for. */
-  #waiting: Announcement | undefined;
+  /** What peers announced and were not asked for since. */
+  readonly #waiting = new Map<HostId, Announcement>();
   #lastStartedAt: Milliseconds = -Infinity;
   #nextStart: TimerSubscription | undefined;
 
@@ -58,7 +61,7 @@
   /** Handles what a peer has, and fetches it if it is newer. */
   announce(announced: Announcement): void {
     if (!this.#options.isNewer(announced)) return;
-    if (this.#isPreferred(announced)) this.#waiting = announced;
+    this.#addWaiting(announced);
     this.#startDue();
   }
 
@@ -67,6 +70,7 @@
     const { timer, fetch } = this.#options;
     const { peer } = announced;
     if (this.#pending.has(peer) || this.#isFull) return;
+    this.#waiting.delete(peer);
     this.#lastStartedAt = timer.now();
     this.#pending.set(peer, { announced, startedAt: this.#lastStartedAt });
     await fetch(peer);
@@ -76,7 +80,7 @@
 
   /** Starts no further scheduled fetches. */
   close(): void {
-    this.#waiting = undefined;
+    this.#waiting.clear();
     this.#nextStart?.cancel();
   }
 
@@ -84,34 +88,73 @@
     return this.#pending.size >= MAXIMUM_CONCURRENT_FETCHES;
   }
 
-  /** Whether an announcement replaces the waiting one. */
-  #isPreferred(announced: Announcement): boolean {
-    const waiting = this.#waiting;
-    if (waiting === undefined) return true;
-    if (!covers(waiting, announced)) return true;
-    return this.#pending.has(waiting.peer) && covers(announced, waiting);
+  /** Adds what a peer has to what it announced before. */
+  #addWaiting(announced: Announcement): void {
+    const { peer } = announced;
+    const pending = this.#pending.get(peer);
+    if (pending !== undefined && covers(pending.announced, announced)) return;
+    const former = this.#waiting.get(peer) ?? announced;
+    this.#waiting.set(peer, {
+      peer,
+      policyVersion: Math.max(former.policyVersion, announced.policyVersion),
+      listRevision: Math.max(former.listRevision, announced.listRevision),
+    });
+    if (this.#waiting.size > MAXIMUM_WAITING_PEERS) this.#dropSurplus();
+  }
+
+  /** Drops the oldest announcement that is newest neither in policy nor list. */
+  #dropSurplus(): void {
+    const waiting = [...this.#waiting.values()];
+    const newestPolicy = maximumBy(waiting, (one) => one.policyVersion);
+    const newestList = maximumBy(waiting, (one) => one.listRevision);
+    const surplus = waiting.find((announced) =>
+      announced !== newestPolicy && announced !== newestList
+    );
+    if (surplus !== undefined) this.#waiting.delete(surplus.peer);
   }
 
   #startDue(): void {
-    const { timer, isNewer } = this.#options;
+    const { timer } = this.#options;
     this.#nextStart?.cancel();
-    const waiting = this.#waiting;
-    if (waiting === undefined) return;
-    if (!isNewer(waiting)) {
-      this.#waiting = undefined;
-      return;
-    }
+    this.#dropOutdated();
     // The end of a fetch under way starts the next one.
-    if (this.#pending.has(waiting.peer) || this.#isFull) return;
-    const wait = this.#startAt(waiting) - timer.now();
+    if (this.#isFull) return;
+    const next = this.#next();
+    if (next === undefined) return;
+    const wait = this.#startAt(next) - timer.now();
     if (wait > 0) {
       this.#nextStart = timer.after(wait, () => this.#startDue());
       return;
     }
-    this.#waiting = undefined;
-    void this.fetchFrom(waiting);
+    void this.fetchFrom(next);
+    this.#startDue();
+  }
+
+  #dropOutdated(): void {
+    for (const [peer, announced] of this.#waiting) {
+      if (!this.#options.isNewer(announced)) this.#waiting.delete(peer);
+    }
+  }
+
+  /** Returns the announcement to fetch first: the earliest, then the newest. */
+  #next(): Announcement | undefined {
+    let next: Announcement | undefined;
+    for (const announced of this.#waiting.values()) {
+      if (this.#pending.has(announced.peer)) continue;
+      if (next === undefined || this.#precedes(announced, next)) {
+        next = announced;
+      }
+    }
+    return next;
   }
 
+  #precedes(left: Announcement, right: Announcement): boolean {
+    const difference = this.#startAt(left) - this.#startAt(right);
+    if (difference !== 0) return difference < 0;
+    return covers(left, right) && !covers(right, left);
+  }
+
+  /** Returns when a fetch of what a peer announced may start. */
   #startAt(wanted: Announcement): Milliseconds {
     let startAt = this.#lastStartedAt + FETCH_INTERVAL_MS;
     for (const { announced, startedAt } of this.#pending.values()) {
@@ -127,3 +170,12 @@
   return left.policyVersion >= right.policyVersion &&
     left.listRevision >= right.listRevision;
 }
+
+function maximumBy(
+  announcements: readonly Announcement[],
+  valueOf: (announced: Announcement) => number,
+): Announcement {
+  return announcements.reduce((maximum, announced) =>
+    valueOf(announced) > valueOf(maximum) ? announced : maximum
+  );
+}
--- a/packages/gateway/tests/fetchSchedule.test.ts
+++ b/packages/gateway/tests/fetchSchedule.test.ts
@@ -114,3 +114,42 @@
   announce("a", 5);
   t.deepEqual(peers, ["a"]);
 });
+
+test("the other peers that announced a change are asked when fetches fail", async (t) => {
+  // Guards against a change that nobody is asked for until the next message.
+  const { timer, peers, announce, end } = createFixture();
+  announce("a", 5);
+  await end("a", 5);
+  timer.advance(10);
+  for (const peer of ["b", "c", "d"]) announce(peer, 6);
+  timer.advance(40);
+  t.deepEqual(peers, ["a", "b"]);
+  await end("b");
+  timer.advance(50);
+  t.deepEqual(peers, ["a", "b", "c"]);
+  await end("c");
+  timer.advance(50);
+  t.deepEqual(peers, ["a", "b", "c", "d"]);
+});
+
+test("a peer whose fetch failed is asked again once it announces again", async (t) => {
+  // Guards against fetches from a peer that is down, one after the other.
+  const { timer, peers, announce, end } = createFixture();
+  announce("a", 5);
+  announce("a", 5);
+  await end("a");
+  timer.advance(LONG_MS);
+  t.deepEqual(peers, ["a"]);
+  announce("a", 5);
+  t.deepEqual(peers, ["a", "a"]);
+});
+
+test("the newest list is fetched where more peers announce than are remembered", async (t) => {
+  const { timer, peers, announce, end } = createFixture();
+  announce("a", 5);
+  await end("a", 5);
+  announce("b", 9);
+  for (const peer of ["c", "d", "e", "f"]) announce(peer, 6);
+  timer.advance(50);
+  t.deepEqual(peers, ["a", "b"]);
+});
