Fetch a newer policy first, and keep one that comes with a refused difference

Cause: the announcement of a newer list, which tells of no policy, replaced that of a newer policy by another peer; with several announcements kept it still came first. A policy that came with a difference that does not follow on the list was dropped and had to come with the second fetch. Change: among fetches that may start, one with a newer policy comes first, and the other stays. A policy is adopted without a confirmation when its list is refused.

--- a/packages/gateway/src/fetchSchedule.ts
+++ b/packages/gateway/src/fetchSchedule.ts
@@ -136,7 +136,7 @@
     }
   }
 
-  /** Returns the announcement to fetch first: the earliest, then the newest. */
+  /** Returns the announcement to fetch first: the earliest, then the newest, by policy first. */
   #next(): Announcement | undefined {
     let next: Announcement | undefined;
     for (const announced of this.#waiting.values()) {
@@ -151,7 +151,15 @@
   #precedes(left: Announcement, right: Announcement): boolean {
     const difference = this.#startAt(left) - this.#startAt(right);
     if (difference !== 0) return difference < 0;
-    return covers(left, right) && !covers(right, left);
+    const newerPolicy = this.#newerPolicy(left) - this.#newerPolicy(right);
+    if (newerPolicy !== 0) return newerPolicy > 0;
+    return left.listRevision > right.listRevision;
+  }
+
+  /** Returns the version of an announced policy; 0 if this host has it. */
+  #newerPolicy({ policyVersion }: Announcement): number {
+    const isNewer = this.#options.isNewer({ policyVersion, listRevision: 0 });
+    return isNewer ? policyVersion : 0;
   }
 
   /** Returns when a fetch of what a peer announced may start. */
--- a/packages/gateway/src/storeSharing.ts
+++ b/packages/gateway/src/storeSharing.ts
@@ -255,14 +255,14 @@
   #applySnapshot(snapshot: StoreSnapshot, requestedAt: Milliseconds): boolean {
     const { adoptPolicy } = this.#options;
     const { policy, policyRevision, listRevision } = snapshot;
-    if (!this.#list.applySnapshot(snapshot)) return false;
+    const isApplied = this.#list.applySnapshot(snapshot);
+    if (policy.length === 0) return isApplied;
     // The peer's confirmation covers its policy and list together.
-    if (policy.length === 0) return true;
-    const hasCurrentList = listRevision >= this.#list.revision;
+    const hasCurrentList = isApplied && listRevision >= this.#list.revision;
     const confirmedAt = hasCurrentList
       ? requestedAt - snapshot.proofAge
       : -Infinity;
     adoptPolicy(policy, { confirmedAt, revision: policyRevision });
-    return true;
+    return isApplied;
   }
 }
--- a/packages/gateway/tests/fetchSchedule.test.ts
+++ b/packages/gateway/tests/fetchSchedule.test.ts
@@ -22,7 +22,8 @@
   let known = 0;
   const schedule = new FetchSchedule({
     timer,
-    isNewer: ({ listRevision }) => listRevision > known,
+    isNewer: ({ policyVersion, listRevision }) =>
+      policyVersion > 0 || listRevision > known,
     fetch: (peer) => {
       peers.push(peer);
       return new Promise((resolve) => ends.set(peer, resolve));
@@ -153,3 +154,24 @@
   timer.advance(50);
   t.deepEqual(peers, ["a", "b"]);
 });
+
+for (const order of [["p", "q"], ["q", "p"]]) {
+  test(`a newer policy is fetched before a newer list, announced as ${order}`, async (t) => {
+    // Guards against a policy that no peer is asked for, or late, where changes of
+    // the list are announced by peers that lack it.
+    const { timer, schedule, peers, announce, end } = createFixture();
+    announce("a", 5);
+    await end("a", 5);
+    const versions = [
+      { peer: asId<HostId>("p"), policyVersion: 2, listRevision: 5 },
+      { peer: asId<HostId>("q"), policyVersion: 0, listRevision: 6 },
+    ];
+    for (const name of order) {
+      schedule.announce(versions.find(({ peer }) => peer === name)!);
+    }
+    timer.advance(50);
+    t.deepEqual(peers, ["a", "p"]);
+    timer.advance(50);
+    t.deepEqual(peers, ["a", "p", "q"]);
+  });
+}
--- a/packages/gateway/tests/storeSharing.test.ts
+++ b/packages/gateway/tests/storeSharing.test.ts
@@ -418,3 +418,22 @@
   t.deepEqual(fetchedFrom, ["p0"]);
   await host.close();
 });
+
+test("a policy that comes with a difference that does not follow is adopted", async (t) => {
+  // Guards against a policy that waits for a second fetch, which may fail.
+  const failed = err({ kind: "unreachable", detail: "reset" } as const);
+  const { host, sharing, fetchedWith } = await startWithList(["u1"], {
+    p0: (known) =>
+      Promise.resolve(
+        known === 0 ? failed : ok({
+          ...createDifference(12, { to: 14 }),
+          policy: Buffer.from(JSON.stringify(buildPolicy({ version: 2 }))),
+        }),
+      ),
+  });
+  await sharing.fetchFromPeer(PEER);
+  t.deepEqual(fetchedWith, [10, 0]);
+  t.is(host.gateway.context.policies.version, 2);
+  t.is(sharing.listRevision, 10);
+  await host.close();
+});
