Leave held-back upstreams out of list differences

Cause: an upstream that a restored store lists, and that a host does not use for now, is not in its directory. If its name had changed, a difference told peers that it was removed. Change: differences skip the names that the directory holds back; their expiry adds them to all later differences. Whole lists have no held-back upstreams, as before.

--- a/packages/admission/src/relistedUpstreams.ts
+++ b/packages/admission/src/relistedUpstreams.ts
@@ -20,6 +20,11 @@
     return this.#byName.get(name)?.upstream.upstream === upstream;
   }
 
+  /** Whether an upstream with this name is ignored. */
+  hasName(name: string): boolean {
+    return this.#byName.has(name);
+  }
+
   add(upstream: Upstream, ignoredUntil: Milliseconds): void {
     this.#byName.set(upstream.name, { upstream, ignoredUntil });
   }
--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -245,6 +245,11 @@
     return true;
   }
 
+  /** Whether a copy of the store lists an upstream that is not used for now. */
+  isHeldBack(name: string): boolean {
+    return this.#relisted.hasName(name);
+  }
+
   /** Drops an entry that was removed before and is now removed again. */
   dropRelisted(name: string): void {
     this.#relisted.delete(name);
--- a/packages/gateway/src/listHistory.ts
+++ b/packages/gateway/src/listHistory.ts
@@ -90,7 +90,8 @@
     const removed: string[] = [];
     const names = new Set<string>();
     for (const [name, { revision, upstream }] of this.#changes) {
-      if (revision <= from) continue;
+      // A peer may use what this host holds back; its expiry is another change.
+      if (revision <= from || directory.isHeldBack(name)) continue;
       names.add(name);
       const current = directory.findByName(name) ?? leavingOnly(upstream);
       if (current === undefined) removed.push(name);
--- a/packages/gateway/tests/listHistory.test.ts
+++ b/packages/gateway/tests/listHistory.test.ts
@@ -165,6 +165,25 @@
   t.deepEqual(names, ["b", "c"]);
 });
 
+test("an upstream that is held back after a restore is not sent as removed", (t) => {
+  // Guards against peers that drop an upstream that the store lists and that
+  // this host does not use yet.
+  const host = new ListedHost(["a", "b"], 10);
+  host.change({ removed: ["b"] });
+  const listed = createUpstream("b");
+  const whole = [createUpstream("a"), listed];
+  host.directory.replaceAll(whole, { ignoreRemovedUntil: NOW });
+  host.history.record(
+    { from: 11, to: 12, upstreams: [listed], removed: [] },
+    11,
+  );
+  host.revision = 12;
+  const { change } = host.since(11)!;
+  t.deepEqual([change.upstreams, change.removed], [[], []]);
+  host.directory.expireRestored(NOW);
+  t.deepEqual(host.since(11)!.change.upstreams, [listed]);
+});
+
 test("differences in any order of fetches lead to the same list", (t) => {
   const step = fc.record({
     set: fc.array(fc.tuple(fc.nat(9), fc.integer({ min: 1, max: 4 }))),
