Refute list differences from another list of the same revision

Cause: where revisions repeat within an era, as with a store that tells none, a difference was applied to a list that was not the peer's at that revision, and an upstream that had left was used for good. A difference that does not lead to it is counted (list_differences_refuted), not applied, and replaced by the whole list. The value follows the list, not the directory, so that what hosts learn of upstreams otherwise refutes nothing; with a whole list a host adopts the peer's value. List changes by gossip carry no check value.

--- a/packages/gateway/src/createSnapshot.ts
+++ b/packages/gateway/src/createSnapshot.ts
@@ -1,4 +1,5 @@
 import type { GatewayContext } from "./gatewayContext.ts";
+import type { ListCheck } from "./listDigest.ts";
 import type { ListHistory } from "./listHistory.ts";
 import type { KnownVersions, StoreSnapshot } from "./operatorEndpoints.ts";
 
@@ -8,6 +9,7 @@
   readonly history: ListHistory;
   /** Joined store revision of this host's list. */
   readonly listRevision: number;
+  readonly listCheck: ListCheck | undefined;
   /** What the requesting host has. */
   readonly known: KnownVersions;
 }
@@ -17,7 +19,7 @@
  * where the history tells, and the whole list otherwise.
  */
 export function createSnapshot(
-  { context, history, listRevision, known }: SnapshotOptions,
+  { context, history, listRevision, listCheck, known }: SnapshotOptions,
 ): StoreSnapshot {
   const { policies, directory, elapsed, timer } = context;
   const now = timer.now();
@@ -38,5 +40,6 @@
     kept: difference?.kept ?? directory.lapsed(now),
     evacuated: [...directory.listedEvacuations],
     listRevision,
+    listCheck,
   };
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -26,6 +26,7 @@
 export { GossipProtocol } from "./gossipProtocol.ts";
 export type { GatewayContext } from "./gatewayContext.ts";
 export { GatewayMetrics } from "./gatewayMetrics.ts";
+export { type ListCheck, ListDigest } from "./listDigest.ts";
 export {
   changeBetween,
   type DifferenceOptions,
--- a/packages/gateway/src/operatorEndpoints.ts
+++ b/packages/gateway/src/operatorEndpoints.ts
@@ -12,6 +12,7 @@
 import { CompressedBytes, decompress } from "./compressedBytes.ts";
 import type { UpstreamListChange } from "./gossipMessage.ts";
 import type { Endpoint } from "./httpEndpoint.ts";
+import type { ListCheck } from "./listDigest.ts";
 
 const packr = new Packr({ useRecords: false });
 
@@ -68,6 +69,8 @@
   readonly evacuated: readonly FailureDomain[];
   /** Store revision of the upstream list. */
   readonly listRevision: number;
+  /** Check value of the list; `undefined` from hosts that do not know it. */
+  readonly listCheck?: ListCheck | undefined;
 }
 
 /** Data that a host serves to peers and operators. */
--- a/packages/gateway/src/sharedList.ts
+++ b/packages/gateway/src/sharedList.ts
@@ -3,6 +3,7 @@
 import { createSnapshot } from "./createSnapshot.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { UpstreamListChange } from "./gossipMessage.ts";
+import { ListDigest } from "./listDigest.ts";
 import { changeBetween, ListHistory } from "./listHistory.ts";
 import type { KnownVersions, StoreSnapshot } from "./operatorEndpoints.ts";
 import { eraOf } from "./storeRevision.ts";
@@ -42,6 +43,7 @@
 export class SharedList {
   readonly #options: SharedListOptions;
   readonly #history = new ListHistory();
+  readonly #digest = new ListDigest();
   #revision = 0;
   /**
    * Lowest revision that the store has shown to be wrong, by being at a lower
@@ -67,7 +69,10 @@
    * that cannot be sent to peers as a difference.
    */
   advance(revision: number): void {
-    if (revision > this.#revision) this.#history.restart(revision);
+    if (revision > this.#revision) {
+      this.#history.restart(revision);
+      this.#digest.clear();
+    }
     this.#raise(revision);
   }
 
@@ -75,6 +80,7 @@
   recordChange(change: UpstreamListChange): void {
     if (change.to > this.#revision) {
       this.#history.record(change, this.#revision);
+      this.#digest.apply(change);
     }
     this.#raise(change.to);
   }
@@ -118,6 +124,7 @@
     // A peer may have sent a newer list during the read.
     if (revision < this.#revision) return;
     this.#applyList(list, "store");
+    this.#digest.replace(list.upstreams);
     const isRefuted = revision < knownBefore &&
       eraOf(revision) === eraOf(knownBefore);
     // A peer's list at a refuted revision may not be what the store had there.
@@ -164,6 +171,7 @@
       context: this.#options.context,
       history: this.#history,
       listRevision: this.#revision,
+      listCheck: this.#digest.check,
       known,
     });
   }
@@ -171,12 +179,16 @@
   /**
    * Applies a peer's list or difference. Ignores one that is not newer, since it
    * would bring back upstreams that have left. Returns false for a difference
-   * that does not follow on the list.
+   * that does not follow on the list, or not lead to that of the peer.
    */
   applySnapshot(snapshot: StoreSnapshot): boolean {
     const { listRevision, change } = snapshot;
     if (!this.isNewer(listRevision)) return true;
     if (change !== undefined && !this.#follows(change)) return false;
+    if (this.#isRefuted(snapshot)) {
+      this.#options.context.metrics.count("list_differences_refuted");
+      return false;
+    }
     this.#applyUpstreams(snapshot);
     return true;
   }
@@ -187,6 +199,16 @@
       eraOf(to) === eraOf(this.#revision);
   }
 
+  /**
+   * Whether a difference leads to another list than the peer has. Where the store
+   * tells no era, two lists of one revision may differ.
+   */
+  #isRefuted({ change, kept, listCheck }: StoreSnapshot): boolean {
+    if (change === undefined || listCheck === undefined) return false;
+    const lapsed = kept.map(({ name }) => name);
+    return !this.#digest.leadsTo(listCheck, { change, lapsed });
+  }
+
   #applyUpstreams(snapshot: StoreSnapshot): void {
     const { upstreamUpdates, context } = this.#options;
     const { change, kept } = snapshot;
@@ -197,6 +219,10 @@
       context.metrics.count("list_changes_fetched");
       upstreamUpdates.applyChange(change);
       this.recordChange(change);
+      this.#digest.apply({
+        upstreams: [],
+        removed: kept.map(({ name }) => name),
+      });
     }
     const now = context.timer.now();
     for (const { name, left } of kept) upstreamUpdates.remove(name, now + left);
@@ -207,7 +233,7 @@
    * fetched a whole list would have to send whole lists to others.
    */
   #applyPeerList(
-    { upstreams, evacuated, kept, listRevision }: StoreSnapshot,
+    { upstreams, evacuated, kept, listRevision, listCheck }: StoreSnapshot,
   ): void {
     const known = this.#revision;
     const change = changeBetween(this.#options.context.directory.all(), {
@@ -218,5 +244,7 @@
     });
     this.#applyList({ upstreams, evacuated, revision: listRevision }, "peer");
     this.recordChange(change);
+    const lapsed = kept.map(({ name }) => name);
+    this.#digest.replace(upstreams, { lapsed, check: listCheck });
   }
 }
--- a/packages/gateway/tests/storeSharing.test.ts
+++ b/packages/gateway/tests/storeSharing.test.ts
@@ -437,3 +437,114 @@
   t.is(sharing.listRevision, 10);
   await host.close();
 });
+
+/**
+ * Starts a follower with a list at revision 10, and a peer with another one that
+ * applies a change after it.
+ */
+async function startWithPeer(
+  ownNames: readonly string[],
+  peerNames: readonly string[],
+): Promise<{
+  follower: SharingHost;
+  peerHost: RunningGateway;
+  apply: (change: PeerChange) => void;
+}> {
+  const { host, sharing } = await startWithList(peerNames, {});
+  const started = await startWithList(ownNames, {
+    p0: (listRevision) =>
+      Promise.resolve(
+        ok(sharing.createSnapshot({ policyVersion: 1, listRevision })),
+      ),
+  });
+  const apply = ({ keepUntil, ...changes }: PeerChange): void => {
+    const from = sharing.listRevision;
+    const change = {
+      upstreams: [],
+      removed: [],
+      ...changes,
+      from,
+      to: from + 1,
+    };
+    host.gateway.upstreamUpdates.applyChange(change, keepUntil);
+    sharing.recordChange(change);
+  };
+  const close = async (): Promise<void> => {
+    await host.close();
+    await started.host.close();
+  };
+  const follower = { ...started, host: { ...started.host, close } };
+  return { follower, peerHost: host, apply };
+}
+
+interface PeerChange {
+  readonly upstreams?: readonly Upstream[];
+  readonly removed?: readonly string[];
+  readonly keepUntil?: Milliseconds;
+}
+
+test("a difference from another list of the same revision is replaced by the whole list", async (t) => {
+  // Guards against an upstream that has left and is used for good, where a store
+  // that tells no era gives out revisions again.
+  const { follower, apply } = await startWithPeer(["u1", "u2"], ["u1"]);
+  const { host, sharing, fetchedWith, names } = follower;
+  t.teardown(() => host.close());
+  apply({ upstreams: [createUpstream("u3")] });
+  await sharing.fetchFromPeer(PEER);
+  t.deepEqual(names(), ["u1", "u3"]);
+  t.deepEqual(fetchedWith, [10, 0]);
+  t.is(sharing.listRevision, 11);
+  const text = await host.gateway.context.metrics.text();
+  t.regex(text, /name="list_differences_refuted"\} 1\n/);
+  apply({ upstreams: [createUpstream("u4")] });
+  await sharing.fetchFromPeer(PEER);
+  t.deepEqual(fetchedWith, [10, 0, 11]);
+});
+
+test("differences from the same list are not refuted", async (t) => {
+  // Guards against whole lists where upstreams leave, lapse or start again.
+  const listed = ["u1", "u2", "u3", "u4"];
+  const { follower, apply } = await startWithPeer(listed, listed);
+  const { host, sharing, fetchedWith, names } = follower;
+  t.teardown(() => host.close());
+  const { timer } = host.gateway.context;
+  const steps: PeerChange[] = [
+    { removed: ["u1"] },
+    { upstreams: [{ ...createUpstream("u2"), isLeaving: true }] },
+    { removed: ["u3"], keepUntil: timer.now() + 60_000 },
+    { upstreams: [createUpstream("u3")] },
+    {
+      upstreams: [{
+        ...createUpstream("u4"),
+        upstream: asId<UpstreamId>("u4-2"),
+        bornAt: 1,
+      }],
+      removed: ["u2"],
+    },
+  ];
+  for (const step of steps) {
+    apply(step);
+    await sharing.fetchFromPeer(PEER);
+  }
+  t.deepEqual(fetchedWith, [10, 11, 12, 13, 14]);
+  t.deepEqual(names(), ["u3", "u4"]);
+});
+
+test("differences after a whole list that lacks an upstream of the store are not refuted", async (t) => {
+  // Guards against a whole list at each change while a peer does not use an
+  // upstream that the store lists.
+  const { follower, peerHost, apply } = await startWithPeer(
+    ["u1", "u9"],
+    ["u1", "u2"],
+  );
+  const { host, sharing, fetchedWith, names } = follower;
+  t.teardown(() => host.close());
+  peerHost.gateway.upstreamUpdates.removeReplaced(asId<UpstreamId>("u2"));
+  apply({ upstreams: [createUpstream("u3")] });
+  await sharing.fetchFromPeer(PEER);
+  t.deepEqual(fetchedWith, [10, 0]);
+  apply({ upstreams: [createUpstream("u4")] });
+  await sharing.fetchFromPeer(PEER);
+  t.deepEqual(fetchedWith, [10, 0, 11]);
+  t.deepEqual(names(), ["u1", "u3", "u4"]);
+});
