--- a/packages/gateway/src/createSnapshot.ts
+++ b/packages/gateway/src/createSnapshot.ts
@@ -1,6 +1,7 @@
 import type { GatewayContext } from "./gatewayContext.ts";
+import type { ListCheck } from "./listDigest.ts";
 import type { ListHistory } from "./listHistory.ts";
-import type { SnapshotVersions, StoreSnapshot } from "./operatorEndpoints.ts";
+import type { KnownVersions, StoreSnapshot } from "./operatorEndpoints.ts";
 
 /** Options of {@link createSnapshot}. */
 export interface SnapshotOptions {
@@ -8,8 +9,9 @@
   readonly history: ListHistory;
   /** Joined store revision of this host's list. */
   readonly listRevision: number;
+  readonly listCheck: ListCheck | undefined;
   /** What the requesting host has. */
-  readonly known: SnapshotVersions;
+  readonly known: KnownVersions;
 }
 
 /**
@@ -17,13 +19,14 @@
  * where the history tells, and the whole list otherwise.
  */
 export function createSnapshot(
-  { context, history, listRevision, known }: SnapshotOptions,
+  { context, history, listRevision, listCheck, known }: SnapshotOptions,
 ): StoreSnapshot {
   const { policies, directory, elapsed, timer } = context;
   const now = timer.now();
   const isNewer = listRevision > known.listRevision;
   const from = known.listRevision;
-  const difference = isNewer
+  const { acceptsChanges = true } = known;
+  const difference = isNewer && acceptsChanges
     ? history.difference({ from, to: listRevision, directory, now })
     : undefined;
   return {
@@ -37,5 +40,6 @@
     kept: difference?.kept ?? directory.lapsed(now),
     evacuated: [...directory.listedEvacuations],
     listRevision,
+    listCheck,
   };
 }
