--- a/packages/admission/src/cellSelector.ts
+++ b/packages/admission/src/cellSelector.ts
@@ -5,26 +5,15 @@
   Random,
 } from "@wasabivane/common";
 import type { CellMap } from "./cellMap.ts";
-import type { CellSnapshot } from "./cellMessages.ts";
 import type { CellSnapshots } from "./cellSnapshots.ts";
 import { type Cell, type CellKey, cellKeyOf } from "./cells.ts";
-import {
-  createPendingRequest,
-  type PlacementRequest,
-} from "./placementRequest.ts";
-import type { UpstreamStats } from "./upstreamStats.ts";
+import type { PlacementRequest } from "./placementRequest.ts";
 
 /**
  * The first part of a prompt is often common to all requests of a kind, so it
  * does not bind a request to a cell; the last part is unique to the request.
  */
 const FIRST_DISTINCTIVE_PART = 1;
-/**
- * Share of the time left for a start on time that the expected wait in a full home
- * cell may take. The rest covers requests that arrive ahead and work that takes
- * longer than expected.
- */
-const MAXIMUM_WAIT_SHARE = 0.25;
 
 /** Dependencies and settings of a {@link CellSelector}. */
 export interface CellSelectorOptions {
@@ -32,7 +21,6 @@
   readonly failureDomain: FailureDomain;
   readonly cells: CellMap;
   readonly snapshots: CellSnapshots;
-  readonly stats: UpstreamStats;
   readonly random: Random;
 }
 
@@ -46,7 +34,7 @@
 
   /**
    * Returns the home cell of a request, or a cell with free slots if the home
-   * cell was last reported full and the request could start too late there.
+   * cell was last reported full.
    */
   selectFirst(
     placementRequest: PlacementRequest,
@@ -59,13 +47,11 @@
     if (home === undefined || cells.length === 1) return home;
     const snapshot = snapshots.get(home, now);
     if (snapshot === undefined || snapshot.free > 0) return home;
-    if (this.#isSoonEnough(snapshot, placementRequest, now)) return home;
     return snapshots.pickByFreeSlots(cells, { random, now }) ?? home;
   }
 
   /**
-   * Returns a further cell for a request that already waits in some: one with
-   * free slots, or else that with the shortest queue for its capacity;
+   * Returns a further cell for a request that already waits in some;
    * `undefined` if there is none.
    */
   selectAdditional(
@@ -77,26 +63,7 @@
       .filter((cell) => !joined.has(cellKeyOf(cell)));
     if (others.length === 0) return undefined;
     return snapshots.pickByFreeSlots(others, { random, now }) ??
-      snapshots.pickShortestQueue(others, { random, now });
-  }
-
-  /**
-   * Whether a request that has to wait in a cell starts there well before it would
-   * be late, if each slot serves its share of the requests that wait.
-   */
-  #isSoonEnough(
-    { waiting, capacity }: CellSnapshot,
-    placementRequest: PlacementRequest,
-    now: Milliseconds,
-  ): boolean {
-    if (capacity <= 0) return false;
-    const { slotTime, onTimeUntil } = createPendingRequest(
-      placementRequest,
-      this.#options.stats,
-      () => {},
-    );
-    const wait = (waiting + 1) * slotTime / capacity;
-    return wait <= MAXIMUM_WAIT_SHARE * (onTimeUntil - now);
+      random.pick(others);
   }
 
   /**
--- a/packages/admission/src/cellSnapshots.ts
+++ b/packages/admission/src/cellSnapshots.ts
@@ -2,10 +2,8 @@
 import { type Cell, type CellKey, cellKeyOf } from "./cells.ts";
 import type { CellSnapshot } from "./cellMessages.ts";
 
-/** Older snapshots say nothing about free slots and queues. */
-const MAXIMUM_SNAPSHOT_AGE_MS: Milliseconds = 400;
-/** Whether a service is idle changes more slowly than which cell is full. */
-const MAXIMUM_IDLE_AGE_MS: Milliseconds = 1_000;
+/** Older snapshots say nothing about free slots. */
+const MAXIMUM_SNAPSHOT_AGE_MS: Milliseconds = 1_000;
 /** Share of all slots that must be free for cells to count as idle. */
 const IDLE_FREE_SHARE = 0.25;
 
@@ -36,10 +34,8 @@
     let capacity = 0;
     let free = 0;
     for (const cell of cells) {
-      const snapshot = this.#snapshots.get(cellKeyOf(cell));
-      const isKnown = snapshot !== undefined &&
-        now - snapshot.at <= MAXIMUM_IDLE_AGE_MS;
-      if (!isKnown) continue;
+      const snapshot = this.get(cell, now);
+      if (snapshot === undefined) continue;
       if (snapshot.waiting > 0) return false;
       capacity += snapshot.capacity;
       free += snapshot.free;
@@ -62,20 +58,4 @@
       return draw < 0;
     });
   }
-
-  /**
-   * Draws one of the cells with the shortest queue for their capacity. Cells of
-   * which nothing is known come last.
-   */
-  pickShortestQueue(
-    cells: readonly Cell[],
-    { random, now }: { random: Random; now: Milliseconds },
-  ): Cell {
-    const lengths = cells.map((cell) => {
-      const { waiting = Infinity, capacity = 0 } = this.get(cell, now) ?? {};
-      return capacity > 0 ? waiting / capacity : Infinity;
-    });
-    const shortest = Math.min(...lengths);
-    return random.pick(cells.filter((_, index) => lengths[index] === shortest));
-  }
 }
