--- a/packages/gateway/tests/helpers/restartingUpstream.ts
+++ b/packages/gateway/tests/helpers/restartingUpstream.ts
@@ -1,8 +1,8 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import type { ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
 import type { EpochMilliseconds, Milliseconds } from "@wasabivane/common";
 import type { RawUpstream } from "./fleet.ts";
+import { freePorts } from "./freePorts.ts";
 
 /** Part of a prompt that crashes each upstream that begins to respond to it. */
 export const BAD_PART = "bad";
@@ -35,7 +35,8 @@
   readonly #index: number;
   #server: Server | undefined;
   #incarnation = 0;
-  #address = "127.0.0.1:0";
+  /** Reserved at the first start, as each restart listens there again. */
+  #port: number | undefined;
   #isClosed = false;
   /** When it has crashed under the bad part. */
   readonly crashedAt: EpochMilliseconds[] = [];
@@ -48,13 +49,13 @@
   }
 
   get address(): string {
-    return this.#address;
+    return `127.0.0.1:${this.#port ?? 0}`;
   }
 
   /** For {@link startGateway}, which lists its upstreams as `u0`, `u1` and so on. */
   get raw(): RawUpstream {
     return {
-      address: this.#address,
+      address: this.address,
       received: [],
       close: () => this.close(),
     };
@@ -66,12 +67,10 @@
       request.once("end", () => this.#serve(request, response));
     });
     this.#server = server;
-    const port = Number(this.#address.split(":")[1]);
+    this.#port ??= (await freePorts(1))[0];
     await new Promise<void>((resolve) =>
-      server.listen(port, "127.0.0.1", resolve)
+      server.listen(this.#port, "127.0.0.1", resolve)
     );
-    const address = server.address() as AddressInfo;
-    this.#address = `127.0.0.1:${address.port}`;
   }
 
   /** Ends the process, as it were, and starts the next one some time later. */
@@ -95,7 +94,7 @@
     await this.start();
     this.#incarnation++;
     const name = `u${this.#index}-${this.#incarnation}`;
-    this.#options.onRestart(name, this.#address);
+    this.#options.onRestart(name, this.address);
   }
 
   #serve(request: IncomingMessage, response: ServerResponse): void {
