Remove the fields of reservations, which are not in the code

Cause: placement requests carried a fingerprint of 16 bytes and refusals a time to return that nothing reads, as the reservations were not taken in.

--- a/packages/admission/src/cellMessages.ts
+++ b/packages/admission/src/cellMessages.ts
@@ -86,8 +86,6 @@
     readonly kind: "refuse";
     readonly reason: PlacementRefusal;
     readonly estimate: QueueEstimate;
-    /** After which time its caller should return; absent if not decided here. */
-    readonly retryAfter?: Milliseconds;
     /** Present if it would have started in time without shares of accounts. */
     readonly by?: "share";
   };
--- a/packages/admission/src/placementRequest.ts
+++ b/packages/admission/src/placementRequest.ts
@@ -1,6 +1,5 @@
 import type {
   ClientAccountId,
-  Digest,
   FailureDomain,
   Milliseconds,
   RequestId,
@@ -54,8 +53,6 @@
   readonly isContinuation: boolean;
   /** Absent if its route needs no account. */
   readonly account?: ClientAccountId;
-  /** The same whenever its caller sends the same request again. */
-  readonly fingerprint?: Digest;
 }
 
 /**
--- a/packages/admission/src/requestScheduler.ts
+++ b/packages/admission/src/requestScheduler.ts
@@ -82,8 +82,6 @@
     readonly reason: PlacementRefusal;
     /** State of the queue when the decision was made. */
     readonly estimate: QueueEstimate;
-    /** After which time its caller should return; absent if not decided here. */
-    readonly retryAfter?: Milliseconds;
     /** Present if it would have started in time without shares of accounts. */
     readonly by?: "share";
   };
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -1,6 +1,5 @@
 import type { Buffer } from "node:buffer";
 import type {
-  Digest,
   FailureDomain,
   Milliseconds,
   UpstreamId,
@@ -55,9 +54,8 @@
 /** Describes a request for placement at an upstream. */
 export function createPlacementRequest(
   admitted: AdmittedRequest,
-  { failureDomain, fingerprint, excluded, softwareVersion, isContinuation }: {
+  { failureDomain, excluded, softwareVersion, isContinuation }: {
     failureDomain: FailureDomain;
-    fingerprint: Digest;
     excluded: ReadonlySet<UpstreamId>;
     /** Version that began its stream; `undefined` before. */
     softwareVersion: SoftwareVersion | undefined;
@@ -84,7 +82,6 @@
     softwareVersion,
     isContinuation,
     ...account !== undefined && { account: account.account },
-    fingerprint,
   };
 }
 
--- a/packages/gateway/src/cellRows.ts
+++ b/packages/gateway/src/cellRows.ts
@@ -3,7 +3,6 @@
   asId,
   asTier,
   type ClientAccountId,
-  type Digest,
   type FailureDomain,
   type Milliseconds,
   type RequestId,
@@ -74,7 +73,6 @@
     request.failureDomain,
     request.softwareVersion ?? "",
     request.account ?? "",
-    request.fingerprint ?? "",
   ];
 }
 
@@ -107,7 +105,6 @@
       { softwareVersion: asId<SoftwareVersion>(expectString(row[14])) },
     ...row[15] !== "" &&
       { account: asId<ClientAccountId>(expectString(row[15])) },
-    ...row[16] !== "" && { fingerprint: asId<Digest>(expectString(row[16])) },
   };
 }
 
@@ -164,10 +161,7 @@
     const { upstream, inFlight, pendingPrefillTokens } = decision;
     return [number, request, "", upstream, inFlight, pendingPrefillTokens];
   }
-  const { reason, estimate, retryAfter, by } = decision;
-  const optional = by === undefined
-    ? retryAfter === undefined ? [] : [Math.round(retryAfter)]
-    : [retryAfter === undefined ? -1 : Math.round(retryAfter), by];
+  const { reason, estimate, by } = decision;
   const { ahead, startsPerSecond, wait } = estimate;
   return [
     number,
@@ -176,7 +170,7 @@
     ahead,
     startsPerSecond ?? -1,
     wait,
-    ...optional,
+    ...by === undefined ? [] : [by],
   ];
 }
 
@@ -199,7 +193,6 @@
     };
   }
   const rate = expectNumber(row[4]);
-  const retryAfter = expectOptional(row[6] ?? -1);
   return {
     kind: "refuse",
     reason: reason as PlacementRefusal,
@@ -208,8 +201,7 @@
       startsPerSecond: rate < 0 ? undefined : rate,
       wait: expectNumber(row[5]),
     },
-    ...retryAfter !== undefined && { retryAfter },
-    ...row[7] === "share" && { by: "share" },
+    ...row[6] === "share" && { by: "share" },
   };
 }
 
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -175,10 +175,9 @@
   }
 
   #requestSlot(): void {
-    const { context, admitted, request } = this.#options;
+    const { context, admitted } = this.#options;
     const placementRequest = createPlacementRequest(admitted, {
       failureDomain: context.failureDomain,
-      fingerprint: request.traits.fingerprint,
       excluded: this.#retryState.excluded,
       softwareVersion: this.#softwareVersion,
       isContinuation: this.#retryState.mayHaveRun,
