--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -61,17 +61,20 @@
   }
 
   /** Starts the store, the replicas and the hosts, and waits until all serve. */
-  async start({ routes, replicas, hosts = 3, graceS = 8 }) {
+  async start({ routes, replicas, hosts = 3, graceS = 8, quota }) {
     if (!existsSync(join(ROOT, "target/wasabivane.cjs"))) {
       throw new CannotRun("The program is not built");
     }
     const storeAddress = await this.store.start(`${this.#net}.200`);
-    this.store.write("op/config", createConfig(routes));
+    this.store.write("op/config", createConfig(routes, quota));
     for (const options of replicas) await this.startReplica(options);
     const ports = await freePorts(`${this.#net}.1`, 4);
     for (let index = 1; index <= hosts; index++) {
-      this.#startHost({ index, hosts, ports, storeAddress, graceS });
+      this.hosts.push(
+        this.#createHost({ index, hosts, ports, storeAddress, graceS }),
+      );
     }
+    for (const host of this.hosts) this.#startHost(host);
     for (const host of this.hosts) await this.#waitUntilReady(host);
     // Hosts find each other, and the store has been stable for `contactMs`.
     await sleep(3_500);
@@ -166,7 +169,7 @@
   }
 
   /** Sends a request and resolves with what the client saw. */
-  send(host, { id, path, method = "POST", deadlineMs, slowly, agent, body }) {
+  send(host, { id, path, method = "POST", deadlineMs, body, headers = {} }) {
     this.record(`client sends ${id} ${method} ${path} to ${host.name}`);
     return new Promise((resolve) => {
       let status;
@@ -186,12 +189,13 @@
         port: host.port,
         path,
         method,
-        agent: agent ?? new Agent({ keepAlive: false }),
+        agent: new Agent({ keepAlive: false }),
         headers: {
           host: HOST,
           "x-attempt-id": id,
           "x-deadline-ms": deadlineMs,
           "x-key": KEY,
+          ...headers,
           ...body !== undefined && { "content-length": body.length },
         },
       }, (response) => {
@@ -201,7 +205,6 @@
         response.on("data", (text) => received += text);
         response.once("close", () => end(response.complete));
         response.on("error", () => {});
-        slowly?.(response);
       });
       const timer = setTimeout(() => {
         call.destroy(new Error("deadline"));
@@ -228,39 +231,84 @@
     rmSync(this.#folder, { recursive: true, force: true });
   }
 
-  #startHost({ index, hosts, ports, storeAddress, graceS }) {
+  #createHost({ index, hosts, ports, storeAddress, graceS }) {
     const ip = `${this.#net}.${index}`;
     const name = `edge-hakata-${index}`;
     const settingsPath = join(this.#folder, `${name}.conf`);
-    const seeds = Array.from(
+    const ips = Array.from(
       { length: Math.min(3, hosts) },
-      (_, at) => `${this.#net}.${at + 1}:${ports[2]}`,
+      (_, at) => `${this.#net}.${at + 1}`,
     );
-    writeFileSync(
+    const writeSettings = (seedIps) =>
+      writeFileSync(
+        settingsPath,
+        createSettings({
+          name,
+          ip,
+          ports,
+          seeds: seedIps.map((seed) => `${seed}:${ports[2]}`),
+          storeAddress,
+          graceS,
+        }),
+      );
+    writeSettings(ips);
+    const logPath = join(this.#folder, `${name}.log`);
+    return {
+      name,
+      ip,
+      port: ports[0],
+      readyPort: ports[1],
       settingsPath,
-      createSettings({ name, ip, ports, seeds, storeAddress, graceS }),
-    );
+      writeSettings,
+      logPath,
+      readLog: () => readFileSync(logPath, "utf8"),
+    };
+  }
+
+  #startHost(host) {
     const [command, ...words] = readRunLine();
-    const log = openSync(join(this.#folder, `${name}.log`), "w");
+    const log = openSync(host.logPath, "a");
     const child = spawn(command, words, {
       cwd: ROOT,
       env: {
         PATH: process.env.PATH,
         HOME: process.env.HOME,
-        WASABIVANE_BOOT: settingsPath,
+        WASABIVANE_BOOT: host.settingsPath,
       },
       stdio: ["ignore", log, log],
     });
     this.#children.add(child);
-    const host = { name, ip, port: ports[0], readyPort: ports[1], child };
-    this.hosts.push(host);
+    host.child = child;
+    host.hasEnded = false;
     child.once("exit", (code, signal) => {
       this.#children.delete(child);
       host.hasEnded = true;
-      this.record(`${name} ended (${signal ?? code})`);
+      this.record(`${host.name} ended (${signal ?? code})`);
     });
-    host.readLog = () =>
-      readFileSync(join(this.#folder, `${name}.log`), "utf8");
+  }
+
+  /** Kills hosts, all at the same moment. */
+  async killHosts(hosts) {
+    for (const { name, child } of hosts) {
+      this.record(`${name} is killed (SIGKILL)`);
+      child.kill("SIGKILL");
+    }
+    await sleep(500);
+  }
+
+  /** Starts killed hosts again, as the platform does, and waits for them. */
+  async restartHosts(hosts) {
+    for (const host of hosts) {
+      this.record(`${host.name} starts again`);
+      this.#startHost(host);
+    }
+    for (const host of hosts) await this.#waitUntilReady(host);
+  }
+
+  /** Changes the settings files, as the platform does. */
+  setSeeds(hosts, seeds) {
+    this.record(`seeds are ${seeds.map(({ name }) => name).join(", ")} now`);
+    for (const host of hosts) host.writeSettings(seeds.map(({ ip }) => ip));
   }
 
   async #waitUntilReady(host) {
@@ -335,7 +383,7 @@
   return ports;
 }
 
-function createConfig(routes) {
+function createConfig(routes, quota = {}) {
   return {
     version: 1,
     routes: routes.map((route, index) => ({
@@ -364,7 +412,7 @@
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
     },
-    tenants: [{ name: "t-1", apiKeys: [KEY] }],
+    tenants: [{ name: "t-1", apiKeys: [KEY], ...quota }],
   };
 }
 
