--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -169,7 +169,10 @@
   }
 
   /** Sends a request and resolves with what the client saw. */
-  send(host, { id, path, method = "POST", deadlineMs, body, headers = {} }) {
+  send(host, request) {
+    const { id, path, method = "POST", deadlineMs, body, headers = {} } =
+      request;
+    const { agent = new Agent({ keepAlive: false }), onResponse } = request;
     this.record(`client sends ${id} ${method} ${path} to ${host.name}`);
     return new Promise((resolve) => {
       let status;
@@ -189,7 +192,7 @@
         port: host.port,
         path,
         method,
-        agent: new Agent({ keepAlive: false }),
+        agent,
         headers: {
           host: HOST,
           "x-attempt-id": id,
@@ -205,6 +208,7 @@
         response.on("data", (text) => received += text);
         response.once("close", () => end(response.complete));
         response.on("error", () => {});
+        onResponse?.(response);
       });
       const timer = setTimeout(() => {
         call.destroy(new Error("deadline"));
@@ -216,6 +220,19 @@
     });
   }
 
+  /** Kills a host that exceeds its memory, as the platform does. */
+  limitMemory(host, megabytes) {
+    const check = setInterval(() => {
+      if (host.hasEnded) return clearInterval(check);
+      const used = readMemory(host.child.pid);
+      host.peakMemory = Math.max(host.peakMemory ?? 0, used);
+      if (used <= megabytes) return;
+      this.record(`${host.name} uses ${used} MB, and is killed`);
+      host.child.kill("SIGKILL");
+    }, 100);
+    this.#beats.push(check);
+  }
+
   /** Ends everything that was started. */
   async stop() {
     for (const beat of this.#beats) clearInterval(beat);
@@ -360,6 +377,12 @@
   process.exit(code);
 }
 
+/** Returns the memory that a process uses, in MB. */
+function readMemory(pid) {
+  const text = readFileSync(`/proc/${pid}/status`, "utf8");
+  return Math.round(Number(/VmRSS:\s+(\d+)/.exec(text)?.[1] ?? 0) / 1_024);
+}
+
 function draw(count) {
   return Math.floor(Math.random() * count);
 }
--- a/review/lib/replica.mjs
+++ b/review/lib/replica.mjs
@@ -7,6 +7,8 @@
 import process from "node:process";
 import { plainBody, streamEvent } from "./bodies.mjs";
 
+const LONG_BYTES = 1_000_000;
+const CHUNK_BYTES = 65_536;
 const options = JSON.parse(process.argv[2]);
 const runs = new Set();
 
@@ -51,6 +53,22 @@
   next();
 }
 
+/** Sends a long answer as fast as the caller takes it. */
+function sendLong(response, id, length) {
+  writeHead(response, id, { type: "application/octet-stream", length });
+  const chunk = plainBody(id, CHUNK_BYTES);
+  let left = length;
+  const next = () => {
+    while (left > 0) {
+      const piece = chunk.subarray(0, left);
+      left -= piece.length;
+      if (!response.write(piece)) return void response.once("drain", next);
+    }
+    response.end();
+  };
+  next();
+}
+
 function respond(request, response, id) {
   const [, kind, size] = /\/(plain|stream)\/(\d+)$/.exec(request.url) ?? [];
   if (kind === "stream") {
@@ -63,6 +81,7 @@
     writeHead(response, id, { type: "text/event-stream" });
     return writePieces(response, events, options.eventMs);
   }
+  if (Number(size) > LONG_BYTES) return sendLong(response, id, Number(size));
   const body = plainBody(id, Number(size));
   const half = Math.ceil(body.length / 2);
   const pieces = options.pieceMs === 0
