--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -52,6 +52,9 @@
     this.#recordPath = fileURLToPath(new URL("record.txt", caseUrl));
     writeFileSync(this.#recordPath, "");
     process.once("exit", () => this.#killAll());
+    for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+      process.once(signal, () => process.exit(2));
+    }
   }
 
   /** Writes a line to the record. */
