--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # that runs the program, so they are only checked here.
 set -eu
 cd "$(dirname "$0")"
-for file in lib/*.mjs [1-5]/*.mjs; do
+for file in *.mjs [1-5]/*.mjs; do
   [ -e "$file" ] || continue
   node --check "$file"
 done
--- a/review/lib/fleet.mjs
+++ b/review/fleet.mjs
@@ -20,7 +20,7 @@
 
 export { sleep };
 
-const ROOT = fileURLToPath(new URL("../..", import.meta.url));
+const ROOT = fileURLToPath(new URL("..", import.meta.url));
 const REPLICA = fileURLToPath(new URL("replica.mjs", import.meta.url));
 const HEARTBEAT_MS = 1_200;
 export const KEY = "k-review-1";
