Keep a process up when nobody handles an error, and log why processes end

Callers of a host lost all their responses at once where any callback threw: the runtime ends the process with status 1 and a stack on standard error, while the last line of its log is an unrelated one. Logs could not tell an error from a failed start or from a lack of memory.

Errors that nobody handles are counted, and logged with where they were thrown; the process goes on, and what runs again and again survives an error in one run. A last line `ended` tells the exit code, `start_failed` a port, `memory_high` a full heap.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -98,7 +98,13 @@
       keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS,
       connectionsCheckingInterval: HEADER_CHECK_MS,
       noDelay: true,
-    }, (request, response) => this.#receive(request, response));
+    }, (request, response) => {
+      try {
+        this.#receive(request, response);
+      } catch (thrown) {
+        this.#abandon(response, thrown);
+      }
+    });
     this.#listener = new CallerListener(this.#server, context.timer);
     this.#server.on("connection", (socket) => this.#track(socket));
     context.policies.addListener(({ policy }) =>
@@ -231,7 +237,14 @@
       // The headers may have been sent without `connection: close`.
       if (isStopping() && !this.#busySockets.has(socket)) this.#close(socket);
     });
-    void this.#serve(call, admitted.value);
+    this.#serve(call, admitted.value)
+      .catch((thrown) => this.#abandon(response, thrown));
+  }
+
+  /** A closed connection promises nothing, and the caller does not wait. */
+  #abandon(response: ServerResponse, thrown: unknown): void {
+    this.#context.errors.record(thrown, "request");
+    response.destroy();
   }
 
   async #serve(call: Call, admitted: AdmittedRequest): Promise<void> {
--- a/packages/gateway/src/cellRouter.ts
+++ b/packages/gateway/src/cellRouter.ts
@@ -198,12 +198,13 @@
   #deliverLocally(message: () => void): void {
     this.#localMessages.push(message);
     if (this.#isDelivering) return;
+    const { errors } = this.#options.context();
     this.#isDelivering = true;
     for (
       let next = this.#localMessages.shift();
       next;
       next = this.#localMessages.shift()
-    ) next();
+    ) errors.guard("local message", next);
     this.#isDelivering = false;
   }
 
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -4,8 +4,11 @@
 /** Names of all log events. */
 export const LOG_EVENTS = [
   "started",
+  "start_failed",
   "stopping",
   "stopped",
+  "ended",
+  "memory_high",
   "settings_reloaded",
   "policy_adopted",
   "policy_announced",
@@ -51,6 +54,7 @@
   "caller_left",
   "lines_left_out",
   "internal_error",
+  "uncaught_error",
 ] as const;
 
 /** Name of a log event. */
--- a/packages/gateway/src/fetchSchedule.ts
+++ b/packages/gateway/src/fetchSchedule.ts
@@ -36,7 +36,7 @@
   readonly timer: Timer;
   /** Returns whether this host lacks one of the versions. */
   readonly isNewer: (versions: SnapshotVersions) => boolean;
-  /** Fetches from a peer; does not reject. */
+  /** Fetches from a peer. */
   readonly fetch: (peer: HostId) => Promise<void>;
 }
 
@@ -73,8 +73,11 @@
     this.#waiting.delete(peer);
     this.#lastStartedAt = timer.now();
     this.#pending.set(peer, { announced, startedAt: this.#lastStartedAt });
-    await fetch(peer);
-    this.#pending.delete(peer);
+    try {
+      await fetch(peer);
+    } finally {
+      this.#pending.delete(peer);
+    }
     this.#startDue();
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,6 +47,7 @@
 import { createStreamOrigins } from "./createStreamOrigins.ts";
 import { connectionShare } from "./connectionShare.ts";
 import { MalformedReports } from "./malformedReports.ts";
+import { UncaughtErrors } from "./uncaughtErrors.ts";
 import { UnknownHeaders } from "./unknownHeaders.ts";
 import { UpstreamConnections } from "./upstreamConnections.ts";
 import { UpstreamLinks } from "./upstreamLinks.ts";
@@ -156,6 +157,7 @@
     });
     this.#periodicChecks = new PeriodicChecks({
       timer,
+      errors: this.context.errors,
       cellRouter: this.#cellRouter,
       lag: this.context.lag,
       peerCount: () => this.#peers.aliveCount,
@@ -324,6 +326,7 @@
       dialect,
       log,
       metrics,
+      errors: new UncaughtErrors({ timer, metrics, log }),
       unknownHeaders: new UnknownHeaders({
         known: dialect.responseHeaders,
         metrics,
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -33,6 +33,7 @@
 import type { PolicyState } from "./policyState.ts";
 import type { QuotaGate } from "./quotaGate.ts";
 import type { StreamOrigins } from "./streamOrigins.ts";
+import type { UncaughtErrors } from "./uncaughtErrors.ts";
 import type { UnknownHeaders } from "./unknownHeaders.ts";
 import type { UpstreamConnections } from "./upstreamConnections.ts";
 
@@ -46,6 +47,8 @@
   readonly dialect: Dialect;
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
+  /** Errors that ended the work of one event. */
+  readonly errors: UncaughtErrors;
   readonly unknownHeaders: UnknownHeaders;
   /** Load reports that could not be read whole. */
   readonly malformedReports: MalformedReports;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,8 @@
 export { CrashGossip } from "./crashGossip.ts";
 export { CrashChecks } from "./crashChecks.ts";
 export { EventStreamSplitter } from "./eventStreamSplitter.ts";
+export { type MonitoredProcess, monitorProcess } from "./processMonitor.ts";
+export { UncaughtErrors } from "./uncaughtErrors.ts";
 export { FleetSize, type FleetSizeOptions } from "./fleetSize.ts";
 export {
   type Announcement,
--- a/packages/gateway/src/periodicChecks.ts
+++ b/packages/gateway/src/periodicChecks.ts
@@ -5,6 +5,7 @@
 } from "@wasabivane/common";
 import type { EventLoopLag } from "@wasabivane/admission";
 import type { CellRouter } from "./cellRouter.ts";
+import type { UncaughtErrors } from "./uncaughtErrors.ts";
 
 /** Interval of maintenance, such as heartbeats and usage reports. */
 const MAINTENANCE_MS: Milliseconds = 100;
@@ -16,9 +17,10 @@
 /** Options of {@link PeriodicChecks}. */
 export interface PeriodicChecksOptions {
   readonly timer: Timer;
-  readonly cellRouter: CellRouter;
+  readonly errors: Pick<UncaughtErrors, "guard">;
+  readonly cellRouter: Pick<CellRouter, "tick" | "timeToNextCheck">;
   /** Observes how late the timers run. */
-  readonly lag: EventLoopLag;
+  readonly lag: Pick<EventLoopLag, "observe">;
   /** Returns the number of live peers. */
   readonly peerCount: () => number;
   /** Runs the maintenance. */
@@ -27,7 +29,7 @@
 
 /**
  * Runs a host's periodic work: queue checks at a variable interval, and
- * maintenance.
+ * maintenance. An error in one run does not end the following ones.
  */
 export class PeriodicChecks {
   readonly #options: PeriodicChecksOptions;
@@ -57,7 +59,7 @@
    */
   schedule(): void {
     if (this.#isClosed) return;
-    const { timer, cellRouter, lag } = this.#options;
+    const { timer, errors, cellRouter, lag } = this.#options;
     const now = timer.now();
     const at = now + cellRouter.timeToNextCheck(now);
     if (this.#nextCheck !== undefined && this.#nextCheckAt <= at) return;
@@ -66,21 +68,21 @@
     this.#nextCheck = timer.after(at - now, () => {
       this.#nextCheck = undefined;
       lag.observe(timer.now() - at, timer.now());
-      cellRouter.tick(timer.now());
+      errors.guard("queue check", () => cellRouter.tick(timer.now()));
       this.schedule();
     });
   }
 
   #scheduleMaintenance(): void {
     if (this.#isClosed) return;
-    const { timer, peerCount, runMaintenance, lag } = this.#options;
+    const { timer, errors, peerCount, runMaintenance, lag } = this.#options;
     const span = peerCount() >= LARGE_FLEET_PEERS
       ? LARGE_FLEET_MAINTENANCE_MS
       : MAINTENANCE_MS;
     const at = timer.now() + span;
     this.#nextMaintenance = timer.after(span, () => {
       lag.observe(timer.now() - at, timer.now());
-      runMaintenance(timer.now());
+      errors.guard("maintenance", () => runMaintenance(timer.now()));
       this.#scheduleMaintenance();
     });
   }
