--- a/packages/gateway/src/peerChannel.ts
+++ b/packages/gateway/src/peerChannel.ts
@@ -1,5 +1,6 @@
 import type { Buffer } from "node:buffer";
 import { createSocket, type Socket } from "node:dgram";
+import type { Address } from "@wasabivane/common";
 import { err, ok, type Result } from "neverthrow";
 import { openPort, type OpenPortOptions } from "./openPort.ts";
 import {
@@ -56,7 +57,7 @@
       : err({ kind: "cannot-bind", detail: error.message });
   }
 
-  send(message: PeerMessage, targets: readonly string[]): void {
+  send(message: PeerMessage, targets: readonly Address[]): void {
     if (this.#isClosed) return;
     const { timer, onTraffic } = this.#options;
     const bytes = encodeMessage(message, timer.now());
