Resume a response only when no other one is being parsed

Callers that pipeline saw one response fail and another one stand still until its silence timeout: the runtime tells the response at the head of a caller's connection that it has drained while a later response of the same connection is written, so this host resumed the first upstream response inside the HTTP library's callback for the second. The library parses one response at a time and asserts that (currentParser === null); the first response then counted as resumed but its parser stayed paused.

A call resumes in a microtask, which runs when the library's call stack is left, unless it was paused again meanwhile. The end of a connection is no such callback and resumes at once.

--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -203,6 +203,7 @@
   #controller: Dispatcher.DispatchController | undefined;
   #socket: UpstreamSocket | undefined;
   #isAborted = false;
+  #isPaused = false;
   #hasConnectionEnded = false;
 
   constructor(listener: UpstreamListener, state: CallState) {
@@ -224,11 +225,17 @@
   }
 
   pause(): void {
-    if (!this.#hasConnectionEnded) this.#controller?.pause();
+    if (this.#hasConnectionEnded) return;
+    this.#isPaused = true;
+    this.#controller?.pause();
   }
 
+  /** Goes on once no response is being parsed, as the HTTP library parses one only. */
   resume(): void {
-    this.#guard(() => this.#controller?.resume());
+    this.#isPaused = false;
+    queueMicrotask(() => {
+      if (!this.#isPaused) this.#resumeNow();
+    });
   }
 
   /**
@@ -237,7 +244,8 @@
    */
   handleConnectionEnd(): void {
     this.#hasConnectionEnded = true;
-    this.resume();
+    this.#isPaused = false;
+    this.#resumeNow();
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -289,6 +297,10 @@
     if (!this.#isAborted) this.#fail(error.message);
   }
 
+  #resumeNow(): void {
+    this.#guard(() => this.#controller?.resume());
+  }
+
   #leaveSocket(): void {
     if (this.#socket?.receiver === this) this.#socket.receiver = undefined;
   }
--- a/packages/gateway/tests/pausedResponses.test.ts
+++ b/packages/gateway/tests/pausedResponses.test.ts
@@ -77,3 +77,47 @@
   await sleep(SETTLING_MS);
   t.is(chunks, before);
 });
+
+test("a response that is resumed while another one is read goes on, and so does the other", async (t) => {
+  // Guards against responses of pipelined requests that fail or stand still.
+  const upstream = await startUpstream((received) => {
+    const head = responseHead(received, { "content-length": 4 });
+    received.socket.write(`${head}ab`);
+  });
+  const connections = new UpstreamConnections({
+    maximumConnections: () => 8,
+    timer: new SystemTimer(),
+  });
+  t.teardown(async () => {
+    await connections.close();
+    upstream.close();
+  });
+  const outcomes: string[] = [];
+  const outcomeOf = (name: string): Partial<UpstreamListener> => ({
+    ended: () => outcomes.push(`${name} ended`),
+    failed: (detail) => outcomes.push(`${name} failed: ${detail}`),
+  });
+  let isPaused = false;
+  const first = connections.send(
+    callTo(upstream),
+    createListener({
+      ...outcomeOf("first"),
+      data: () => {
+        first.pause();
+        isPaused = true;
+      },
+    }),
+  );
+  await waitUntil(() => isPaused);
+  connections.send(
+    callTo(upstream),
+    createListener({ ...outcomeOf("second"), data: () => first.resume() }),
+  );
+  await waitUntil(() => upstream.received.length === 2);
+  for (const { socket } of upstream.received) socket.write("cd");
+  await waitUntil(() => {
+    if (outcomes.length > 0) first.resume();
+    return outcomes.length === 2;
+  });
+  t.deepEqual(outcomes.toSorted(), ["first ended", "second ended"]);
+});
