Keep the process when a relay breaks as it opens

Callers saw: all requests of a host were cut. Where a host's link to an upstream is broken it connects through a peer; if the relay's first frame was invalid and arrived together with the peer's acceptance, the relayed socket emitted `error` before anything listened, and the process ended.

Cause: the runtime handles queued events before promises, and the socket is handed on by a promise. Evidence: the new test failed before with an uncaught RangeError (WS_ERR_INVALID_OPCODE); it passes now, as the socket has a listener from its creation, and the connection fails like any other.

--- a/packages/gateway/src/relayedSocket.ts
+++ b/packages/gateway/src/relayedSocket.ts
@@ -19,6 +19,8 @@
   ) {
     super({ allowHalfOpen: false });
     this.#webSocket = webSocket;
+    // The relay may break before its user listens.
+    this.on("error", () => {});
     webSocket.on("message", (data: RawData, isBinary: boolean) => {
       if (!isBinary) return onControl(String(data));
       if (!this.push(data as Buffer)) webSocket.pause();
