Finish open requests when a host is told to stop twice

Callers saw: all requests of a host that was stopping were cut, and its process ended with status 0 long before its grace was over, after a second SIGTERM, or a SIGINT behind it.

Cause: a second `stop()` returned at once, so the program's signal handler went on to process.exit(0). Evidence: the new test failed before, as the second stop ended while a request was open. Each call now waits for the same shutdown.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -94,6 +94,7 @@
   readonly #quotaLog: QuotaLog;
   readonly #periodicChecks: PeriodicChecks;
   #stopsAt: Milliseconds = Infinity;
+  #shutdown: Promise<void> | undefined;
   #isClosed = false;
   #shedLoggedAt: Milliseconds = -Infinity;
 
@@ -254,10 +255,14 @@
   /**
    * Shuts down gracefully: reports not ready, serves requests that still arrive
    * with `connection: close`, then closes idle connections and waits for open
-   * requests.
+   * requests. Each call waits for the end of the same shutdown.
    */
-  async stop(): Promise<void> {
-    if (this.#isStopping) return;
+  stop(): Promise<void> {
+    this.#shutdown ??= this.#shutDown();
+    return this.#shutdown;
+  }
+
+  async #shutDown(): Promise<void> {
     const { timer, log } = this.context;
     const end = timer.now() + this.#options.shutdownGrace - STOP_MARGIN_MS;
     this.#stopsAt = end;
