--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -96,6 +96,7 @@
   readonly #periodicChecks: PeriodicChecks;
   #isListening = false;
   #stopsAt: Milliseconds = Infinity;
+  #shutdown: Promise<void> | undefined;
   #isClosed = false;
   #shedLoggedAt: Milliseconds = -Infinity;
 
@@ -262,10 +263,14 @@
   /**
    * Shuts down gracefully: reports not ready, serves requests that still arrive
    * with `connection: close`, then closes idle connections and waits for open
-   * requests.
+   * requests. Each call waits for the end of the same shutdown.
    */
-  async stop(): Promise<void> {
-    if (this.#isStopping) return;
+  stop(): Promise<void> {
+    this.#shutdown ??= this.#shutDown();
+    return this.#shutdown;
+  }
+
+  async #shutDown(): Promise<void> {
     const { timer, log } = this.context;
     const end = timer.now() + this.#options.shutdownGrace - STOP_MARGIN_MS;
     this.#stopsAt = end;
@@ -324,6 +329,7 @@
     });
     const log = new DecisionLog({ output, timer, host });
     const metrics = new GatewayMetrics();
+    const errors = new UncaughtErrors({ timer, metrics, log });
     const quotas = new QuotaLimiter();
     return {
       host,
@@ -334,7 +340,7 @@
       dialect,
       log,
       metrics,
-      errors: new UncaughtErrors({ timer, metrics, log }),
+      errors,
       unknownHeaders: new UnknownHeaders({
         known: dialect.responseHeaders,
         metrics,
@@ -388,6 +394,7 @@
         maximumConnections: () => connectionShare(policies, hostCount()),
         timer,
         connectTimeout,
+        onError: (thrown) => errors.record(thrown, "upstream connection"),
       }),
       directLinks: new DirectLinks({
         countUpstreams: (service) => directory.of(service).length,
