--- a/packages/gateway/tests/relayedSockets.test.ts
+++ b/packages/gateway/tests/relayedSockets.test.ts
@@ -35,7 +35,7 @@
     connectTimeout: 20_000,
     peers: () => [{
       host: asId("peer"),
-      address: `127.0.0.1:${port}`,
+      address: asId(`127.0.0.1:${port}`),
       failureDomain: asId("west"),
     }],
     onStopping: () => {},
