--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -4,8 +4,12 @@
 /** Names of all log events. */
 export const LOG_EVENTS = [
   "started",
+  "start_failed",
+  "port_in_use",
   "stopping",
   "stopped",
+  "ended",
+  "memory_high",
   "settings_reloaded",
   "policy_adopted",
   "policy_announced",
@@ -51,6 +55,7 @@
   "caller_left",
   "lines_left_out",
   "internal_error",
+  "uncaught_error",
 ] as const;
 
 /** Name of a log event. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,5 @@
 import {
+  type Address,
   ElapsedClock,
   type HostId,
   type Milliseconds,
@@ -19,7 +20,7 @@
   UpstreamDirectory,
   UpstreamStats,
 } from "@wasabivane/admission";
-import { err, type Result } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import { CallerServer } from "./callerServer.ts";
 import { CrashChecks } from "./crashChecks.ts";
 import { DecisionLog } from "./decisionLog.ts";
@@ -47,6 +48,7 @@
 import { createStreamOrigins } from "./createStreamOrigins.ts";
 import { connectionShare } from "./connectionShare.ts";
 import { MalformedReports } from "./malformedReports.ts";
+import { UncaughtErrors } from "./uncaughtErrors.ts";
 import { UnknownHeaders } from "./unknownHeaders.ts";
 import { UpstreamConnections } from "./upstreamConnections.ts";
 import { UpstreamLinks } from "./upstreamLinks.ts";
@@ -92,7 +94,9 @@
   readonly #peerLog: PeerLog;
   readonly #quotaLog: QuotaLog;
   readonly #periodicChecks: PeriodicChecks;
+  #isListening = false;
   #stopsAt: Milliseconds = Infinity;
+  #shutdown: Promise<void> | undefined;
   #isClosed = false;
   #shedLoggedAt: Milliseconds = -Infinity;
 
@@ -129,6 +133,7 @@
       readinessPath: options.readinessPath,
       onPeerUpgrade: (request, socket, head) =>
         this.#links.handleUpgrade(request, socket, head),
+      opening: { timer, log: this.context.log },
     });
     this.#channel = this.#createChannel();
     this.#cellRouter = new CellRouter({
@@ -156,6 +161,7 @@
     });
     this.#periodicChecks = new PeriodicChecks({
       timer,
+      errors: this.context.errors,
       cellRouter: this.#cellRouter,
       lag: this.context.lag,
       peerCount: () => this.#peers.aliveCount,
@@ -179,7 +185,8 @@
   get isReady(): boolean {
     const { policies, directory, elapsed } = this.context;
     const now = elapsed.now();
-    return !this.#isStopping && policies.index !== undefined &&
+    return this.#isListening && !this.#isStopping &&
+      policies.index !== undefined &&
       directory.size > 0 && policies.freshness.isKeyTrusted(now) &&
       policies.isInForce(now);
   }
@@ -189,11 +196,15 @@
     const { addresses } = this.#options;
     const opened = await this.#channel.open(addresses.peers);
     if (opened.isErr()) return err(opened.error);
+    const serving = await this.#operatorServers.open();
+    if (serving.isErr()) return err(serving.error);
+    // Last, as a start that fails would lose what callers have sent.
     const listening = await this.#callerServer.listen(addresses.callers);
     if (listening.isErr()) return err(listening.error);
+    this.#isListening = true;
     this.#periodicChecks.start();
     this.context.log.write("started", { peers: addresses.peers });
-    return await this.#operatorServers.open();
+    return ok(undefined);
   }
 
   /**
@@ -244,7 +255,7 @@
   }
 
   /** Replaces the seed addresses. */
-  setSeeds(seeds: readonly string[]): void {
+  setSeeds(seeds: readonly Address[]): void {
     this.#peers.setSeeds(seeds);
     this.context.log.write("settings_reloaded", { seeds: seeds.join(",") });
   }
@@ -252,10 +263,14 @@
   /**
    * Shuts down gracefully: reports not ready, serves requests that still arrive
    * with `connection: close`, then closes idle connections and waits for open
-   * requests.
+   * requests. Each call waits for the end of the same shutdown.
    */
-  async stop(): Promise<void> {
-    if (this.#isStopping) return;
+  stop(): Promise<void> {
+    this.#shutdown ??= this.#shutDown();
+    return this.#shutdown;
+  }
+
+  async #shutDown(): Promise<void> {
     const { timer, log } = this.context;
     const end = timer.now() + this.#options.shutdownGrace - STOP_MARGIN_MS;
     this.#stopsAt = end;
@@ -314,6 +329,7 @@
     });
     const log = new DecisionLog({ output, timer, host });
     const metrics = new GatewayMetrics();
+    const errors = new UncaughtErrors({ timer, metrics, log });
     const quotas = new QuotaLimiter();
     return {
       host,
@@ -324,6 +340,7 @@
       dialect,
       log,
       metrics,
+      errors,
       unknownHeaders: new UnknownHeaders({
         known: dialect.responseHeaders,
         metrics,
@@ -377,6 +394,7 @@
         maximumConnections: () => connectionShare(policies, hostCount()),
         timer,
         connectTimeout,
+        onError: (thrown) => errors.record(thrown, "upstream connection"),
       }),
       directLinks: new DirectLinks({
         countUpstreams: (service) => directory.of(service).length,
@@ -474,7 +492,8 @@
   #createChannel(): PeerChannel {
     const { timer } = this.#options;
     return new PeerChannel({
-      now: () => timer.now(),
+      timer,
+      log: this.context.log,
       onMessage: (message) => this.#receive(message),
       onMalformed: () => this.context.metrics.count("peer_words_malformed"),
       onTraffic: (direction, bytes) => {
