Take a version for the only one only once the store has confirmed it

Cause: a host that knows one version of a service for long bound each stream that is taken up to it without asking anybody. It went by the age of its list's last confirmation, up to 4 s. A host that is cut off, whose watch is slow or that stood still cannot know better within that time, while streams begin at a version milliseconds after it joins.

A stream began before it is taken up. So the only version counts once the list was as in the store at a time after the take-up came: the host asks the store, or one of the hosts that read it, for changes (listConfirmation.ts). A change that it brings makes the host ask its peers where the stream began; what nobody shows within a second is refused as not run. While no host that is heard reads the store, streams are told of to other hosts at once.

--- a/packages/gateway/src/createStreamOrigins.ts
+++ b/packages/gateway/src/createStreamOrigins.ts
@@ -5,6 +5,7 @@
   Timer,
 } from "@wasabivane/common";
 import { type UpstreamDirectory, VersionHistory } from "@wasabivane/admission";
+import type { ListConfirmation } from "./listConfirmation.ts";
 import type { PeerMessage } from "./peerMessage.ts";
 import type { PolicyState } from "./policyState.ts";
 import { StreamOrigins } from "./streamOrigins.ts";
@@ -24,7 +25,15 @@
 
 /** Creates the {@link StreamOrigins} of a host. */
 export function createStreamOrigins(
-  { directory, policies, elapsed, timer, isFirstStart, ...options }: {
+  {
+    directory,
+    policies,
+    elapsed,
+    timer,
+    isFirstStart,
+    confirmation,
+    ...options
+  }: {
     readonly host: HostId;
     readonly directory: UpstreamDirectory;
     readonly policies: PolicyState;
@@ -35,6 +44,7 @@
     /** Returns the live hosts, with or without this one. */
     readonly hosts: () => readonly HostId[];
     readonly send: (to: HostId, message: PeerMessage) => void;
+    readonly confirmation: () => ListConfirmation;
   },
 ): StreamOrigins {
   const maximumStreamAge = (): Milliseconds =>
@@ -53,5 +63,12 @@
         freshness.age(now) <= MAXIMUM_LIST_AGE_MS;
     },
   });
-  return new StreamOrigins({ ...options, timer, versions, maximumStreamAge });
+  return new StreamOrigins({
+    ...options,
+    timer,
+    versions,
+    maximumStreamAge,
+    confirmList: () => confirmation().confirm(),
+    isConfirmable: () => confirmation().isPossible,
+  });
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,7 @@
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { OperatorData } from "./operatorEndpoints.ts";
 import { OperatorServers } from "./operatorServers.ts";
+import { ListConfirmation } from "./listConfirmation.ts";
 import type { ListenError } from "./listenError.ts";
 import { PeriodicChecks } from "./periodicChecks.ts";
 import { PeerDirectory } from "./peerDirectory.ts";
@@ -78,6 +79,8 @@
    * peers if not.
    */
   readonly storeSharing: StoreSharing;
+  /** Shows that the upstream list is as in the store. */
+  readonly listConfirmation: ListConfirmation;
   readonly #options: GatewayOptions;
   readonly #callerServer: CallerServer;
   readonly #gossip: GossipProtocol;
@@ -173,6 +176,23 @@
       entryLease: options.entryLease,
       adoptPolicy: (bytes, proof) => this.adoptPolicy(bytes, proof),
     });
+    this.listConfirmation = new ListConfirmation({
+      host,
+      incarnation,
+      timer,
+      versions: () => ({
+        listRevision: this.storeSharing.listRevision,
+        policyVersion: this.context.policies.version,
+      }),
+      isReading: () => this.storeSharing.isReading,
+      readers: () => this.#peers.storeReaders,
+      send: (to, message) => this.#sendTo(to, message),
+      onNewer: (reader, versions) =>
+        this.storeSharing.receivePolicyVersion(reader, {
+          ...versions,
+          now: timer.now(),
+        }),
+    });
   }
 
   /** Whether the load balancer may send callers to this host. */
@@ -286,6 +306,7 @@
     this.storeSharing.close();
     this.context.crashChecks.close();
     this.context.streamOrigins.close();
+    this.listConfirmation.close();
     this.#gossip.close();
     await this.context.connections.close();
     this.#channel.close();
@@ -366,6 +387,7 @@
         isFirstStart,
         hosts: () => this.#candidates().map((candidate) => candidate.host),
         send: (to, message) => this.#sendTo(to, message),
+        confirmation: () => this.listConfirmation,
       }),
       lag,
       shedding: new LoadShedder({
@@ -562,6 +584,10 @@
         return this.context.streamOrigins.reply(message.query);
       case "origin":
         return this.context.streamOrigins.receive(message.reply);
+      case "confirm":
+        return void this.listConfirmation.reply(message.query);
+      case "confirmed":
+        return this.listConfirmation.receive(message.reply);
     }
   }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -34,6 +34,11 @@
   ListHistory,
   type Replacement,
 } from "./listHistory.ts";
+export {
+  ListConfirmation,
+  type ListConfirmationOptions,
+  type StoreCheck,
+} from "./listConfirmation.ts";
 export { PeerDirectory } from "./peerDirectory.ts";
 export { splitAddress } from "./peerChannel.ts";
 export {
--- a/packages/gateway/src/peerDirectory.ts
+++ b/packages/gateway/src/peerDirectory.ts
@@ -223,6 +223,11 @@
     return this.#indexed().storeReaders;
   }
 
+  /** Live peers that can read the store, in the order in which they do. */
+  get storeReaders(): readonly HostId[] {
+    return this.#indexed().orderedReaders;
+  }
+
   /**
    * Returns the hosts that may coordinate a cell; the same array until
    * something changes.
--- a/packages/gateway/src/peerIndex.ts
+++ b/packages/gateway/src/peerIndex.ts
@@ -15,6 +15,8 @@
   readonly lost: readonly Peer[];
   /** Number of live peers that can read the store. */
   readonly storeReaders: number;
+  /** Those of them that do not stop, the first to read first. */
+  readonly orderedReaders: readonly HostId[];
   /** Number of those that precede this host and do not stop. */
   readonly precedingReaders: number;
 }
@@ -27,13 +29,18 @@
   const entries = [...peers];
   const alive = entries.filter(([, { isLost }]) => !isLost);
   const readers = alive.filter(([, { isStoreReachable }]) => isStoreReachable);
-  const preceding = readers.filter(([, peer]) =>
-    !peer.isLeaving && peer.readerWeight > readerWeight
+  const staying = readers.filter(([, { isLeaving }]) => !isLeaving);
+  const preceding = staying.filter(([, peer]) =>
+    peer.readerWeight > readerWeight
+  );
+  const ordered = staying.toSorted(([, left], [, right]) =>
+    left.readerWeight < right.readerWeight ? 1 : -1
   );
   return {
     alive,
     lost: entries.flatMap(([, peer]) => peer.isLost ? [peer] : []),
     storeReaders: readers.length,
+    orderedReaders: ordered.map(([host]) => host),
     precedingReaders: preceding.length,
   };
 }
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -44,6 +44,14 @@
   encodeReport,
   encodeSnapshot,
 } from "./cellRows.ts";
+import {
+  type ConfirmationQuery,
+  type ConfirmationReply,
+  decodeConfirmationQuery,
+  decodeConfirmationReply,
+  encodeConfirmationQuery,
+  encodeConfirmationReply,
+} from "./confirmationMessage.ts";
 import {
   decodeListChange,
   decodePeerRecord,
@@ -86,7 +94,9 @@
   | { readonly kind: "grant"; readonly grant: GrantMessage }
   | { readonly kind: "begun"; readonly records: StreamOriginRecords }
   | { readonly kind: "seek"; readonly query: StreamOriginQuery }
-  | { readonly kind: "origin"; readonly reply: StreamOriginReply };
+  | { readonly kind: "origin"; readonly reply: StreamOriginReply }
+  | { readonly kind: "confirm"; readonly query: ConfirmationQuery }
+  | { readonly kind: "confirmed"; readonly reply: ConfirmationReply };
 
 /** The error for a datagram that cannot be decoded. */
 export interface MessageError {
@@ -360,6 +370,10 @@
       return encodeOriginQuery(message.query);
     case "origin":
       return encodeOriginReply(message.reply);
+    case "confirm":
+      return encodeConfirmationQuery(message.query);
+    case "confirmed":
+      return encodeConfirmationReply(message.reply);
   }
 }
 
@@ -392,6 +406,10 @@
       return ok({ kind, query: decodeOriginQuery(body) });
     case "origin":
       return ok({ kind, reply: decodeOriginReply(body) });
+    case "confirm":
+      return ok({ kind, query: decodeConfirmationQuery(body) });
+    case "confirmed":
+      return ok({ kind, reply: decodeConfirmationReply(body) });
     default:
       return malformed("Unknown message kind");
   }
--- a/packages/gateway/src/streamOrigins.ts
+++ b/packages/gateway/src/streamOrigins.ts
@@ -30,6 +30,13 @@
   readonly host: HostId;
   readonly timer: Timer;
   readonly versions: VersionHistory;
+  /**
+   * Returns whether the list of upstreams was as in the store at some time after
+   * the call.
+   */
+  readonly confirmList: () => Promise<boolean>;
+  /** Whether hosts can show that at present. */
+  readonly isConfirmable: () => boolean;
   /** Longest time for which a stream may go on. */
   readonly maximumStreamAge: () => Milliseconds;
   /** Returns the live hosts, with or without this one. */
@@ -54,7 +61,9 @@
  * A host keeps the origins of its own streams. While a service may have streams of
  * several versions it also tells a few hosts, chosen by the request's id, before
  * the first event reaches the caller. A host that does not know asks; what nobody
- * knows stays unknown.
+ * knows stays unknown. That a service has one version counts only once the list
+ * is confirmed after the stream was taken up: other hosts may have begun streams
+ * at a version that this one has yet to hear of.
  */
 export class StreamOrigins {
   readonly #options: StreamOriginsOptions;
@@ -96,9 +105,12 @@
   ): Promise<StreamOrigin | undefined> {
     const { host } = this.#options;
     const query = { host, request, resumes, service };
-    const known = this.#find(query);
-    if (known !== undefined) return Promise.resolve(known);
-    return new Promise((resolve) => this.#ask(query, resolve));
+    return new Promise((resolve) =>
+      this.#find(query, (known) => {
+        if (known === undefined) this.#ask(query, resolve);
+        else resolve(known);
+      })
+    );
   }
 
   /** Keeps the records of a peer. */
@@ -113,8 +125,9 @@
   reply(query: StreamOriginQuery): void {
     const { host, send } = this.#options;
     const { request } = query;
-    const origin = this.#find(query);
-    send(query.host, { kind: "origin", reply: { host, request, origin } });
+    this.#find(query, (origin) => {
+      send(query.host, { kind: "origin", reply: { host, request, origin } });
+    });
   }
 
   /** Applies a peer's reply; one that does not know leaves it to the others. */
@@ -158,17 +171,33 @@
   }
 
   #mayHaveOthers(service: ServiceId): boolean {
-    const { versions, timer } = this.#options;
-    return versions.onlyVersion(service, timer.now()) === undefined;
+    if (!this.#options.isConfirmable()) return true;
+    return this.#findOnly(service) === undefined;
   }
 
+  /** Calls back with what this host knows itself. */
   #find(
-    { resumes, service }: StreamOriginQuery,
-  ): StreamOrigin | undefined {
-    const recorded = resumes === undefined
-      ? undefined
-      : this.#own.get(resumes) ?? this.#shared.get(resumes);
-    if (recorded !== undefined) return recorded;
+    query: StreamOriginQuery,
+    onFound: (origin: StreamOrigin | undefined) => void,
+  ): void {
+    const recorded = this.#findRecorded(query);
+    const isSure = recorded !== undefined ||
+      this.#findOnly(query.service) === undefined;
+    if (isSure) return onFound(recorded);
+    void this.#options.confirmList().then((isConfirmed) => {
+      // The confirmation may have brought another version.
+      const only = isConfirmed ? this.#findOnly(query.service) : undefined;
+      onFound(this.#findRecorded(query) ?? only);
+    });
+  }
+
+  #findRecorded({ resumes }: StreamOriginQuery): StreamOrigin | undefined {
+    if (resumes === undefined) return undefined;
+    return this.#own.get(resumes) ?? this.#shared.get(resumes);
+  }
+
+  /** Returns where all streams of a service began, as far as this host knows. */
+  #findOnly(service: ServiceId): StreamOrigin | undefined {
     const { versions, timer } = this.#options;
     const softwareVersion = versions.onlyVersion(service, timer.now());
     return softwareVersion === undefined
--- a/packages/gateway/tests/streamAges.test.ts
+++ b/packages/gateway/tests/streamAges.test.ts
@@ -3,6 +3,7 @@
   asId,
   ElapsedClock,
   type HostId,
+  type Incarnation,
   type RequestId,
   type ServiceId,
   VirtualTimer,
@@ -11,6 +12,7 @@
 import test from "ava";
 import { createStreamOrigins } from "../src/createStreamOrigins.ts";
 import type { PeerMessage } from "../src/peerMessage.ts";
+import { ListConfirmation } from "../src/listConfirmation.ts";
 import { PolicyState } from "../src/policyState.ts";
 import type { StreamOrigins } from "../src/streamOrigins.ts";
 import { buildEntry, buildPolicy, buildRoute } from "./helpers/fleet.ts";
@@ -25,6 +27,16 @@
   readonly timer = new VirtualTimer();
   readonly directory = new UpstreamDirectory();
   readonly replies: PeerMessage[] = [];
+  readonly #confirmation = new ListConfirmation({
+    host: asId<HostId>("h0"),
+    incarnation: asId<Incarnation>("1"),
+    timer: this.timer,
+    versions: () => ({ listRevision: 1, policyVersion: 1 }),
+    isReading: () => true,
+    readers: () => [],
+    send: () => {},
+    onNewer: () => {},
+  });
   readonly origins: StreamOrigins;
   readonly #policies = new PolicyState({
     dialect: new PlainDialect(),
@@ -42,7 +54,9 @@
       isFirstStart: false,
       hosts: () => [asId<HostId>("h0"), asId<HostId>("h1")],
       send: (_, message) => void this.replies.push(message),
+      confirmation: () => this.#confirmation,
     });
+    this.#confirmation.setStoreCheck(() => Promise.resolve(true));
     this.directory.set(
       buildEntry("u", { address: "127.0.0.1:1", version: "new" }),
     );
@@ -69,13 +83,14 @@
   }
 
   /** Returns the version that this host tells a peer for a stream. */
-  tell(): string | undefined {
+  async tell(): Promise<string | undefined> {
     this.origins.reply({
       host: asId<HostId>("h1"),
       request: asId<RequestId>("take-up"),
       resumes: asId<RequestId>("q"),
       service: SERVICE,
     });
+    await new Promise((resolve) => setImmediate(resolve));
     const message = this.replies.pop();
     return message?.kind === "origin"
       ? message.reply.origin?.softwareVersion
@@ -83,24 +98,24 @@
   }
 }
 
-test("a host without a policy tells no version of streams that began before", (t) => {
+test("a host without a policy tells no version of streams that began before", async (t) => {
   // Guards against a stream of a version that has just left, continued at another.
   const host = new NewHost();
   host.timer.advance(100);
-  t.is(host.tell(), undefined);
+  t.is(await host.tell(), undefined);
 });
 
-test("a shorter response time does not shorten how long streams are looked back for", (t) => {
+test("a shorter response time does not shorten how long streams are looked back for", async (t) => {
   // Guards against the same where callers took the stream up more than once.
   const host = new NewHost();
   host.adopt(2_000);
   host.run(10_000);
-  t.is(host.tell(), undefined);
+  t.is(await host.tell(), undefined);
 });
 
-test("a host knows the only version once no stream can have begun before its start", (t) => {
+test("a host knows the only version once no stream can have begun before its start", async (t) => {
   const host = new NewHost();
   host.adopt(2_000);
   host.run(120_000);
-  t.is(host.tell(), "new");
+  t.is(await host.tell(), "new");
 });
--- a/packages/gateway/tests/streamOrigins.test.ts
+++ b/packages/gateway/tests/streamOrigins.test.ts
@@ -30,6 +30,9 @@
   readonly directory = new UpstreamDirectory();
   readonly hosts = new Map<HostId, StreamOrigins>();
   readonly sent: PeerMessage[] = [];
+  /** Whether hosts can show that their lists are current. */
+  isConfirmable = true;
+  confirmations = 0;
   /** Whether a message is lost on its way. */
   isLost: (message: PeerMessage) => boolean = () => false;
 
@@ -62,6 +65,11 @@
         completeSince: timer.now() === 0 ? -Infinity : timer.now(),
         isCurrent: () => true,
       }),
+      isConfirmable: () => this.isConfirmable,
+      confirmList: () => {
+        this.confirmations++;
+        return Promise.resolve(this.isConfirmable);
+      },
       hosts: () => [...this.hosts.keys()],
       send: (to, message) => this.#deliver(to, message),
     });
@@ -84,7 +92,10 @@
       resumes: asId<RequestId>(resumes),
       service: SERVICE,
     });
-    this.timer.advance(500);
+    for (let step = 0; step < 500; step++) {
+      this.timer.advance(1);
+      await Promise.resolve();
+    }
     return (await found)?.softwareVersion;
   }
 
@@ -124,8 +135,29 @@
   // Guards against a cost of streams that need no record.
   const fleet = new OriginFleet({ versions: ["a"] });
   begin(fleet, { host: "h0", ids: IDS, version: "a" });
+  t.is(fleet.confirmations, 0);
   for (const id of IDS) t.is(await fleet.resolve("h3", id), "a");
   t.is(fleet.sent.length, 0);
+  t.is(fleet.confirmations, IDS.length);
+});
+
+test("a host that cannot confirm its list asks, and does not take a version for the only one", async (t) => {
+  // Guards against streams of a version that this host has yet to hear of.
+  const fleet = new OriginFleet({ versions: ["a"] });
+  begin(fleet, { host: "h0", ids: ["q0"], version: "a" });
+  fleet.isConfirmable = false;
+  t.is(await fleet.resolve("h3", "unknown"), undefined);
+  fleet.at("h0").tick();
+  t.is(await fleet.resolve("h3", "q0"), "a");
+});
+
+test("streams are told of while no host can confirm its list", async (t) => {
+  // Guards against streams that cannot go on while the store is away.
+  const fleet = new OriginFleet({ versions: ["a"] });
+  fleet.isConfirmable = false;
+  begin(fleet, { host: "h0", ids: IDS, version: "a" });
+  fleet.stop("h0");
+  for (const id of IDS) t.is(await fleet.resolve("h2", id), "a");
 });
 
 test("a host that has just started asks hosts that know the only version", async (t) => {
