Count versions of upstreams that joined and began to leave between two lists

A host that hears nothing while an upstream of another version joins and begins to leave sees its entry first when it is leaving. The directory never listed it, so the host took the former version for the only one, although streams of the other can be taken up for a minute.

The history now hears of each entry that changes, also of upstreams that leave.

versionHistory.test.ts, 'a version that came and left between two lists counts', failed before with 'a' where undefined is expected.

--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -64,10 +64,16 @@
    * All upstreams that were listed, for requests that still run at former ones.
    */
   readonly #remembered = new Map<UpstreamId, Upstream>();
+  readonly #listeners: ((upstream: Upstream) => void)[] = [];
   #version = 0;
   /** Whether the lists of services are as the entries are. */
   #isIndexed = true;
 
+  /** Calls back with each entry that changes, also of upstreams that leave. */
+  addListener(listener: (upstream: Upstream) => void): void {
+    this.#listeners.push(listener);
+  }
+
   /**
    * Applies an entry of the store; returns the previous incarnation of its name
    * if this replaces it.
@@ -88,6 +94,7 @@
       known.upstream = upstream;
       return undefined;
     }
+    for (const listener of this.#listeners) listener(upstream);
     if (upstream.isLeaving) {
       this.#leaving.add(upstream.upstream);
       this.#reports.delete(upstream.upstream);
--- a/packages/admission/src/versionHistory.ts
+++ b/packages/admission/src/versionHistory.ts
@@ -25,10 +25,13 @@
   #directoryVersion = -1;
   /** When each version was listed last. */
   readonly #listedAt = new Map<ServiceId, Map<SoftwareVersion, Milliseconds>>();
+  /** Entries that came since the last update, some of which may be gone. */
+  readonly #seen: Upstream[] = [];
 
   constructor(options: VersionHistoryOptions) {
     this.#options = options;
     this.#completeSince = options.completeSince;
+    options.directory.addListener((upstream) => this.#seen.push(upstream));
   }
 
   /** Records changes of the directory; called often enough to see each version. */
@@ -38,7 +41,12 @@
     if (directory.version === this.#directoryVersion) return;
     this.#directoryVersion = directory.version;
     this.#endListings(now);
-    for (const upstream of directory.all()) this.#recordListing(upstream);
+    for (const upstream of this.#seen.splice(0)) {
+      this.#recordListing(upstream, now);
+    }
+    for (const upstream of directory.all()) {
+      this.#recordListing(upstream, Infinity);
+    }
   }
 
   /**
@@ -75,8 +83,11 @@
     }
   }
 
-  #recordListing({ service, softwareVersion }: Upstream): void {
+  #recordListing(
+    { service, softwareVersion }: Upstream,
+    until: Milliseconds,
+  ): void {
     const versions = this.#listedAt.get(service) ?? new Map();
-    this.#listedAt.set(service, versions.set(softwareVersion, Infinity));
+    this.#listedAt.set(service, versions.set(softwareVersion, until));
   }
 }
--- a/packages/admission/tests/versionHistory.test.ts
+++ b/packages/admission/tests/versionHistory.test.ts
@@ -91,3 +91,18 @@
   add(0, "b");
   t.is(only(100), undefined);
 });
+
+test("a version that came and left between two lists counts", (t) => {
+  // Guards against streams of an upstream that this host never saw ready, as it
+  // heard nothing while the upstream joined and began to leave.
+  const { directory, add, only } = createHistory({ completeSince: -Infinity });
+  add(0, "a");
+  t.is(only(0), "a");
+  directory.set({
+    ...buildUpstream(1),
+    softwareVersion: asId<SoftwareVersion>("b"),
+    isLeaving: true,
+  });
+  t.is(only(100), undefined);
+  t.is(only(100 + STREAM_AGE_MS), "a");
+});
