Do not continue a stream at the only version of a service that did not begin it

What callers see: a stream begins at a service with one version, the operator moves its route to another service with one version of its own, the caller takes the stream up at another host and gets the rest from the other service and version (ORDER).

Cause: a host without a record of the stream asked for the only version of the service that the route leads to now. The same holds for a route with several targets, of which another one may be drawn.

hostsOutOfStep.test.ts, 'a stream is not continued at the service that its route has been moved to', failed before with

- status: 200, version: 'v2' + status: 503, version: undefined

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -4,6 +4,7 @@
  * module accesses a clock, the network or a random source itself.
  */
 export * from "./types.ts";
+export { ServiceMixing } from "./serviceMixing.ts";
 export {
   VersionHistory,
   type VersionHistoryOptions,
--- a/packages/admission/src/versionHistory.ts
+++ b/packages/admission/src/versionHistory.ts
@@ -11,6 +11,11 @@
   readonly completeSince: Milliseconds;
   /** Whether the directory has all upstreams now. */
   readonly isCurrent: () => boolean;
+  /**
+   * Whether streams for which a service is asked may have begun at another one
+   * since a time.
+   */
+  readonly isMixed?: (service: ServiceId, since: Milliseconds) => boolean;
 }
 
 /**
@@ -60,6 +65,7 @@
     this.update(now);
     const since = now - this.#options.maximumStreamAge();
     if (this.#completeSince > since) return undefined;
+    if (this.#options.isMixed?.(service, since) === true) return undefined;
     const versions = [...this.#listedAt.get(service) ?? []]
       .filter(([, listedAt]) => listedAt > since);
     return versions.length === 1 ? versions[0]![0] : undefined;
--- a/packages/gateway/src/createStreamOrigins.ts
+++ b/packages/gateway/src/createStreamOrigins.ts
@@ -4,7 +4,11 @@
   Milliseconds,
   Timer,
 } from "@wasabivane/common";
-import { type UpstreamDirectory, VersionHistory } from "@wasabivane/admission";
+import {
+  ServiceMixing,
+  type UpstreamDirectory,
+  VersionHistory,
+} from "@wasabivane/admission";
 import type { ListConfirmation } from "./listConfirmation.ts";
 import type { PeerMessage } from "./peerMessage.ts";
 import type { PolicyState } from "./policyState.ts";
@@ -52,8 +56,11 @@
       MINIMUM_STREAM_AGE_MS,
       STREAM_AGE_FACTOR * policies.longestTimeout,
     );
+  const mixing = new ServiceMixing();
+  policies.addListener((index) => mixing.apply(index, timer.now()));
   const versions = new VersionHistory({
     directory,
+    isMixed: (service, since) => mixing.isMixed(service, since),
     maximumStreamAge,
     completeSince: isFirstStart ? -Infinity : timer.now(),
     isCurrent: () => {
