Wait for taken ports at the start, and serve without metrics

Operators saw: a host ended with exit code 2 at its start if one of its four ports was taken at that moment, by a process that was still ending, an outgoing connection or another program; callers whose requests it had accepted by then were cut, as their port opened before the operators' ones.

Now it serves once the first two are free again, and without metrics while the third stays taken.

The callers' port opens last, and a host is ready only with it. The metrics port is tried again each 5 s for good, as a host without metrics still serves; the log says metrics_unavailable.

--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -5,6 +5,7 @@
 export const LOG_EVENTS = [
   "started",
   "start_failed",
+  "metrics_unavailable",
   "stopping",
   "stopped",
   "ended",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,7 +19,7 @@
   UpstreamDirectory,
   UpstreamStats,
 } from "@wasabivane/admission";
-import { err, type Result } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import { CallerServer } from "./callerServer.ts";
 import { CrashChecks } from "./crashChecks.ts";
 import { DecisionLog } from "./decisionLog.ts";
@@ -31,6 +31,7 @@
 import type { OperatorData } from "./operatorEndpoints.ts";
 import { OperatorServers } from "./operatorServers.ts";
 import type { ListenError } from "./listenError.ts";
+import { openPort } from "./openPort.ts";
 import { PeriodicChecks } from "./periodicChecks.ts";
 import { PeerDirectory } from "./peerDirectory.ts";
 import { type ChannelError, PeerChannel } from "./peerChannel.ts";
@@ -94,6 +95,7 @@
   readonly #quotaLog: QuotaLog;
   readonly #periodicChecks: PeriodicChecks;
   #stopsAt: Milliseconds = Infinity;
+  #isListening = false;
   #shutdown: Promise<void> | undefined;
   #isClosed = false;
   #shedLoggedAt: Milliseconds = -Infinity;
@@ -126,11 +128,14 @@
     this.#quotaLog = new QuotaLog(this.context);
     this.#callerServer = new CallerServer(this.context);
     this.#operatorServers = new OperatorServers({
+      timer,
       data: this.#createOperatorData(),
       addresses: options.addresses,
       readinessPath: options.readinessPath,
       onPeerUpgrade: (request, socket, head) =>
         this.#links.handleUpgrade(request, socket, head),
+      onMetricsFailure: ({ detail }) =>
+        this.context.log.write("metrics_unavailable", { detail }),
     });
     this.#channel = this.#createChannel();
     this.#cellRouter = new CellRouter({
@@ -182,21 +187,32 @@
   get isReady(): boolean {
     const { policies, directory, elapsed } = this.context;
     const now = elapsed.now();
-    return !this.#isStopping && policies.index !== undefined &&
+    return this.#isListening && !this.#isStopping &&
+      policies.index !== undefined &&
       directory.size > 0 && policies.freshness.isKeyTrusted(now) &&
       policies.isInForce(now);
   }
 
   /** Opens all ports. */
   async start(): Promise<Result<void, ListenError | ChannelError>> {
-    const { addresses } = this.#options;
-    const opened = await this.#channel.open(addresses.peers);
+    const { addresses, timer } = this.#options;
+    const opened = await openPort(
+      () => this.#channel.open(addresses.peers),
+      timer,
+    );
     if (opened.isErr()) return err(opened.error);
-    const listening = await this.#callerServer.listen(addresses.callers);
+    // Callers come last, as a start that fails would lose their requests.
+    const serving = await this.#operatorServers.open();
+    if (serving.isErr()) return err(serving.error);
+    const listening = await openPort(
+      () => this.#callerServer.listen(addresses.callers),
+      timer,
+    );
     if (listening.isErr()) return err(listening.error);
+    this.#isListening = true;
     this.#periodicChecks.start();
     this.context.log.write("started", { peers: addresses.peers });
-    return await this.#operatorServers.open();
+    return ok(undefined);
   }
 
   /**
--- a/packages/gateway/src/operatorServers.ts
+++ b/packages/gateway/src/operatorServers.ts
@@ -1,4 +1,5 @@
 import type { Server } from "node:http";
+import type { Milliseconds, Timer } from "@wasabivane/common";
 import { err, ok, type Result } from "neverthrow";
 import type { ListenError } from "./listenError.ts";
 import {
@@ -12,6 +13,10 @@
   serveEndpoint,
   type UpgradeListener,
 } from "./httpEndpoint.ts";
+import { openPort } from "./openPort.ts";
+
+/** Time until a port for metrics that could not be opened is tried again. */
+const METRICS_RETRY_MS: Milliseconds = 5_000;
 
 /** Listen addresses for peers and operators, each `ip:port`. */
 export interface OperatorAddresses {
@@ -22,59 +27,72 @@
   readonly metrics?: { readonly address: string; readonly path: string };
 }
 
+/** Options of {@link OperatorServers}. */
+export interface OperatorServersOptions {
+  readonly timer: Timer;
+  readonly data: OperatorData;
+  readonly addresses: OperatorAddresses;
+  readonly readinessPath: string;
+  /** Handles upgrade requests of peers. */
+  readonly onPeerUpgrade: UpgradeListener;
+  /** Called each time that the port for metrics cannot be opened. */
+  readonly onMetricsFailure: (error: ListenError) => void;
+}
+
 /** Runs the HTTP servers for readiness, store snapshots and metrics. */
 export class OperatorServers {
-  readonly #data: OperatorData;
-  readonly #addresses: OperatorAddresses;
-  readonly #readinessPath: string;
-  readonly #onPeerUpgrade: UpgradeListener;
+  readonly #options: OperatorServersOptions;
   readonly #servers: Server[] = [];
+  #isClosed = false;
 
-  constructor(
-    { data, addresses, readinessPath, onPeerUpgrade }: {
-      data: OperatorData;
-      addresses: OperatorAddresses;
-      readinessPath: string;
-      /** Handles upgrade requests of peers. */
-      onPeerUpgrade: UpgradeListener;
-    },
-  ) {
-    this.#onPeerUpgrade = onPeerUpgrade;
-    this.#data = data;
-    this.#addresses = addresses;
-    this.#readinessPath = readinessPath;
+  constructor(options: OperatorServersOptions) {
+    this.#options = options;
   }
 
+  /** Opens all ports; a host whose port for metrics is taken serves without. */
   async open(): Promise<Result<void, ListenError>> {
-    const { readiness, peers, metrics } = this.#addresses;
+    const { data, addresses, readinessPath, onPeerUpgrade, timer } =
+      this.#options;
     const endpoints: {
       endpoint: Endpoint;
       address: string;
       onUpgrade?: UpgradeListener;
     }[] = [
       {
-        endpoint: readinessEndpoint(this.#data, this.#readinessPath),
-        address: readiness,
+        endpoint: readinessEndpoint(data, readinessPath),
+        address: addresses.readiness,
       },
       {
-        endpoint: snapshotEndpoint(this.#data),
-        address: peers,
-        onUpgrade: this.#onPeerUpgrade,
+        endpoint: snapshotEndpoint(data),
+        address: addresses.peers,
+        onUpgrade: onPeerUpgrade,
       },
     ];
-    if (metrics !== undefined) {
-      const { address, path } = metrics;
-      endpoints.push({ endpoint: metricsEndpoint(this.#data, path), address });
-    }
     for (const { endpoint, address, onUpgrade } of endpoints) {
-      const server = await serveEndpoint(endpoint, address, onUpgrade);
+      const server = await openPort(
+        () => serveEndpoint(endpoint, address, onUpgrade),
+        timer,
+      );
       if (server.isErr()) return err(server.error);
       this.#servers.push(server.value);
     }
+    await this.#openMetrics();
     return ok(undefined);
   }
 
+  async #openMetrics(): Promise<void> {
+    const { data, addresses: { metrics }, timer, onMetricsFailure } =
+      this.#options;
+    if (metrics === undefined || this.#isClosed) return;
+    const { address, path } = metrics;
+    const server = await serveEndpoint(metricsEndpoint(data, path), address);
+    if (server.isOk()) return void this.#servers.push(server.value);
+    onMetricsFailure(server.error);
+    timer.after(METRICS_RETRY_MS, () => void this.#openMetrics());
+  }
+
   close(): void {
+    this.#isClosed = true;
     for (const server of this.#servers.splice(0)) server.close();
   }
 }
--- a/packages/gateway/src/peerChannel.ts
+++ b/packages/gateway/src/peerChannel.ts
@@ -2,6 +2,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import type { Milliseconds } from "@wasabivane/common";
 import { err, ok, type Result } from "neverthrow";
+import { PORT_TAKEN, type PortError } from "./openPort.ts";
 import {
   decodeMessage,
   encodeMessage,
@@ -9,7 +10,7 @@
 } from "./peerMessage.ts";
 
 /** The error for an address that a channel cannot bind to. */
-export interface ChannelError {
+export interface ChannelError extends PortError {
   readonly kind: "cannot-bind";
   readonly detail: string;
 }
@@ -41,10 +42,13 @@
   open(address: string): Promise<Result<void, ChannelError>> {
     const { ip, port } = splitAddress(address);
     return new Promise((resolve) => {
-      this.#socket.once("error", (error) => {
-        resolve(err({ kind: "cannot-bind", detail: error.message }));
-      });
+      const onError = ({ code, message: detail }: NodeJS.ErrnoException) => {
+        const isTaken = code === PORT_TAKEN;
+        resolve(err({ kind: "cannot-bind", detail, isTaken }));
+      };
+      this.#socket.once("error", onError);
       this.#socket.bind(port, ip, () => {
+        this.#socket.off("error", onError);
         this.#socket.on(
           "error",
           (error) => this.#options.onMalformed(error.message),
