Send no messages to peers before their port is open

A host whose port for peers is taken while it starts sent messages meanwhile, as it reads the store. The runtime binds a socket that sends to a free port of its choice, so the host could not take its own one any more and never started.

--- a/packages/gateway/src/peerChannel.ts
+++ b/packages/gateway/src/peerChannel.ts
@@ -32,7 +32,8 @@
 export class PeerChannel {
   readonly #socket: Socket = createSocket("udp4");
   readonly #options: PeerChannelOptions;
-  #isClosed = false;
+  /** The runtime binds a socket that sends before it is bound to another port. */
+  #isOpen = false;
 
   constructor(options: PeerChannelOptions) {
     this.#options = options;
@@ -53,13 +54,14 @@
           "error",
           (error) => this.#options.onMalformed(error.message),
         );
+        this.#isOpen = true;
         resolve(ok(undefined));
       });
     });
   }
 
   send(message: PeerMessage, targets: readonly string[]): void {
-    if (this.#isClosed) return;
+    if (!this.#isOpen) return;
     const { now, onTraffic } = this.#options;
     const bytes = encodeMessage(message, now());
     for (const target of targets) {
@@ -70,7 +72,7 @@
   }
 
   close(): void {
-    this.#isClosed = true;
+    this.#isOpen = false;
     this.#socket.close();
   }
 
