--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,6 +33,7 @@
 import { OperatorServers } from "./operatorServers.ts";
 import { ListConfirmation } from "./listConfirmation.ts";
 import type { ListenError } from "./listenError.ts";
+import { openPort } from "./openPort.ts";
 import { PeriodicChecks } from "./periodicChecks.ts";
 import { PeerDirectory } from "./peerDirectory.ts";
 import { type ChannelError, PeerChannel } from "./peerChannel.ts";
@@ -131,12 +132,13 @@
     this.#quotaLog = new QuotaLog(this.context);
     this.#callerServer = new CallerServer(this.context);
     this.#operatorServers = new OperatorServers({
+      timer,
       data: this.#createOperatorData(),
       addresses: options.addresses,
       readinessPath: options.readinessPath,
       onPeerUpgrade: (request, socket, head) =>
         this.#links.handleUpgrade(request, socket, head),
-      opening: { timer, log: this.context.log },
+      log: this.context.log,
     });
     this.#channel = this.#createChannel();
     this.#cellRouter = new CellRouter({
@@ -213,13 +215,20 @@
 
   /** Opens all ports. */
   async start(): Promise<Result<void, ListenError | ChannelError>> {
-    const { addresses } = this.#options;
-    const opened = await this.#channel.open(addresses.peers);
+    const { addresses, timer } = this.#options;
+    const { log } = this.context;
+    const opened = await openPort(
+      () => this.#channel.open(addresses.peers),
+      { timer, log },
+    );
     if (opened.isErr()) return err(opened.error);
+    // Callers come last, as a start that fails would lose their requests.
     const serving = await this.#operatorServers.open();
     if (serving.isErr()) return err(serving.error);
-    // Last, as a start that fails would lose what callers have sent.
-    const listening = await this.#callerServer.listen(addresses.callers);
+    const listening = await openPort(
+      () => this.#callerServer.listen(addresses.callers),
+      { timer, log },
+    );
     if (listening.isErr()) return err(listening.error);
     this.#isListening = true;
     this.#periodicChecks.start();
@@ -514,8 +523,7 @@
   #createChannel(): PeerChannel {
     const { timer } = this.#options;
     return new PeerChannel({
-      timer,
-      log: this.context.log,
+      now: () => timer.now(),
       onMessage: (message) => this.#receive(message),
       onMalformed: () => this.context.metrics.count("peer_words_malformed"),
       onTraffic: (direction, bytes) => {
--- a/packages/gateway/src/openPort.ts
+++ b/packages/gateway/src/openPort.ts
@@ -1,29 +1,40 @@
 import { type Milliseconds, sleep, type Timer } from "@wasabivane/common";
+import type { Result } from "neverthrow";
 import type { DecisionLog } from "./decisionLog.ts";
 
-const RETRY_INTERVAL_MS: Milliseconds = 50;
-const MAXIMUM_TRIES = 60;
-const IN_USE = "EADDRINUSE";
+/** Time for which a port may stay taken, as by a process that is ending. */
+const PATIENCE_MS: Milliseconds = 5_000;
+const RETRY_MS: Milliseconds = 100;
 
-/** Options of {@link openPort}. */
+/** Code of the runtime's error for a port that is taken. */
+export const PORT_TAKEN = "EADDRINUSE";
+
+/** An error that may be over soon. */
+export interface PortError {
+  /** Whether another socket has the port. */
+  readonly isTaken: boolean;
+  readonly detail: string;
+}
+
+/** Dependencies of {@link openPort}. */
 export interface OpenPortOptions {
   readonly timer: Timer;
-  readonly log?: DecisionLog;
+  readonly log: DecisionLog;
 }
 
-/**
- * Opens a port, and returns the error if that fails. A port in use is tried for
- * three seconds, as a process that was killed holds it until the system has
- * freed what it had.
- */
-export async function openPort(
-  tryToOpen: () => Promise<NodeJS.ErrnoException | undefined>,
+/** Opens a port, again and again for a while if it is taken. */
+export async function openPort<Value, Failure extends PortError>(
+  open: () => Promise<Result<Value, Failure>>,
   { timer, log }: OpenPortOptions,
-): Promise<NodeJS.ErrnoException | undefined> {
-  for (let tries = 1;; tries++) {
-    const error = await tryToOpen();
-    if (error?.code !== IN_USE || tries >= MAXIMUM_TRIES) return error;
-    if (tries === 1) log?.write("port_in_use", { detail: error.message });
-    await sleep(timer, RETRY_INTERVAL_MS);
+): Promise<Result<Value, Failure>> {
+  const end = timer.now() + PATIENCE_MS;
+  let opened = await open();
+  if (opened.isErr() && opened.error.isTaken) {
+    log.write("port_in_use", { detail: opened.error.detail });
+  }
+  while (opened.isErr() && opened.error.isTaken && timer.now() < end) {
+    await sleep(timer, RETRY_MS);
+    opened = await open();
   }
+  return opened;
 }
