Take no version for the only one after upstreams may have come and gone unseen

By reading: a difference or a whole list that a peer or the store sends has only the last state of each name. An upstream that joined and left in between is in none, so its version was never seen, and the former one went on to count as the only one, also once the list was confirmed.

A removed name that was never listed, and a list that replaces another, now count as a time in which the list was not current: where streams began is told to other hosts for a minute, and asked for.

--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -64,11 +64,22 @@
    * All upstreams that were listed, for requests that still run at former ones.
    */
   readonly #remembered = new Map<UpstreamId, Upstream>();
+  #gaps = 0;
   readonly #listeners: ((upstream: Upstream) => void)[] = [];
   #version = 0;
   /** Whether the lists of services are as the entries are. */
   #isIndexed = true;
 
+  /** Number of times that upstreams may have come and gone unseen. */
+  get gaps(): number {
+    return this.#gaps;
+  }
+
+  /** Records that the store no longer lists a name. */
+  recordRemoval(name: string): void {
+    if (!this.#incarnations.has(name)) this.#gaps++;
+  }
+
   /** Calls back with each entry that changes, also of upstreams that leave. */
   addListener(listener: (upstream: Upstream) => void): void {
     this.#listeners.push(listener);
@@ -226,6 +237,7 @@
     { keepUntil, ignoreRemovedUntil }: ReplacementOptions = {},
   ): Upstream[] {
     const listedNames = new Set(upstreams.map(({ name }) => name));
+    if (this.#incarnations.size > 0) this.#gaps++;
     const gone = this.all().filter(({ name, upstream }) =>
       !listedNames.has(name) && this.remove(upstream, keepUntil)
     );
--- a/packages/admission/src/versionHistory.ts
+++ b/packages/admission/src/versionHistory.ts
@@ -28,6 +28,7 @@
   #completeSince: Milliseconds;
   #hasBeenCurrent = false;
   #directoryVersion = -1;
+  #gaps: number;
   /** When each version was listed last. */
   readonly #listedAt = new Map<ServiceId, Map<SoftwareVersion, Milliseconds>>();
   /** Entries that came since the last update, some of which may be gone. */
@@ -36,6 +37,7 @@
   constructor(options: VersionHistoryOptions) {
     this.#options = options;
     this.#completeSince = options.completeSince;
+    this.#gaps = options.directory.gaps;
     options.directory.addListener((upstream) => this.#seen.push(upstream));
   }
 
@@ -71,11 +73,14 @@
     return versions.length === 1 ? versions[0]![0] : undefined;
   }
 
-  /** What came and went while the list was not current is not known. */
+  /** What came and went unseen, or while the list was not current, is not known. */
   #checkCurrent(now: Milliseconds): void {
     const isCurrent = this.#options.isCurrent();
     if (!isCurrent && this.#hasBeenCurrent) this.#completeSince = now;
     this.#hasBeenCurrent ||= isCurrent;
+    const { gaps } = this.#options.directory;
+    if (gaps > this.#gaps) this.#completeSince = now;
+    this.#gaps = gaps;
   }
 
   /** Versions that are listed count as listed until now. */
--- a/packages/admission/tests/versionHistory.test.ts
+++ b/packages/admission/tests/versionHistory.test.ts
@@ -106,3 +106,16 @@
   t.is(only(100), undefined);
   t.is(only(100 + STREAM_AGE_MS), "a");
 });
+
+test("after a removal of an unknown upstream, and a list that replaces another, versions are not known", (t) => {
+  // Guards against streams of an upstream that came and left between two lists.
+  const { directory, add, only } = createHistory({ completeSince: -Infinity });
+  add(0, "a");
+  directory.recordRemoval(buildUpstream(0).name);
+  t.is(only(0), "a");
+  directory.recordRemoval("unknown");
+  t.is(only(100), undefined);
+  t.is(only(100 + STREAM_AGE_MS), "a");
+  directory.replaceAll(directory.all());
+  t.is(only(200 + STREAM_AGE_MS), undefined);
+});
--- a/packages/gateway/src/upstreamUpdates.ts
+++ b/packages/gateway/src/upstreamUpdates.ts
@@ -104,6 +104,7 @@
   remove(name: string, keepUntil?: Milliseconds): void {
     const { directory, log } = this.#context;
     directory.dropRelisted(name);
+    directory.recordRemoval(name);
     const known = directory.findByName(name);
     if (known === undefined) return;
     if (directory.remove(known.upstream, keepUntil)) {
