Let the test of a caller that reads nothing reach the end of the connection

The test of a host whose caller reads nothing sent an event of 16 MiB. Since events have a limit of 5 MiB the host ends such a response itself, so that the connection never ended while it was paused: the test passed on a copy of the code without the workaround that it guarded.

It sends 4.9 MiB now, and in all framings.

--- a/packages/gateway/tests/unframedResponses.test.ts
+++ b/packages/gateway/tests/unframedResponses.test.ts
@@ -21,8 +21,8 @@
 } as const;
 const EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 const SLOW_READER_MS = 300;
-/** More than the buffers of a connection hold. */
-const LARGE_EVENT_BYTES = 16 * 1_024 * 1_024;
+/** Less than an event may have, and more than a connection's buffers hold. */
+const LARGE_EVENT_BYTES = 4.9 * 1_024 * 1_024;
 const NEXT_EVENT = "id: 3\ndata: c\n\n";
 const CRLF_EVENT = NEXT_EVENT.replaceAll("\n", "\r\n");
 
@@ -160,37 +160,54 @@
   });
 }
 
-for (
-  const [end, close] of [["ends", "end"], [
-    "is reset",
-    "resetAndDestroy",
-  ]] as const
-) {
-  test(`a host survives a connection that ${end} while the caller of its response reads nothing`, async (t) => {
-    // Guards against an assertion of the HTTP library that ends the process.
-    const event = `id: 1\ndata: ${"x".repeat(LARGE_EVENT_BYTES)}\n\n`;
-    const upstream = await startUpstream((received) => {
-      const head = responseHead(received, { connection: "close" });
-      received.socket.write(head + event, () => received.socket[close]());
-    });
-    const host = await startGateway({
-      upstreams: [upstream],
-      route: { ...STREAM, repeatability: "at-most-once" },
+const ENDINGS = [["ends", "end"], ["is reset", "resetAndDestroy"]] as const;
+const LARGE_EVENT = `id: 1\ndata: ${"x".repeat(LARGE_EVENT_BYTES)}\n\n`;
+/** Responses that lack their end, where anything but the connection tells it. */
+const LARGE_RESPONSES = [
+  { framing: "its connection", headers: {}, size: "" },
+  {
+    framing: "a length",
+    headers: { "content-length": LARGE_EVENT.length + 1 },
+    size: "",
+  },
+  {
+    framing: "chunks",
+    headers: { "transfer-encoding": "chunked" },
+    size: `${(LARGE_EVENT.length + 1).toString(16)}\r\n`,
+  },
+] as const;
+
+for (const { framing, headers, size } of LARGE_RESPONSES) {
+  for (const [end, close] of ENDINGS) {
+    test(`a host survives a connection that ${end} while the caller of its response, framed by ${framing}, reads nothing`, async (t) => {
+      // Guards against an assertion of the HTTP library that ends the process.
+      const upstream = await startUpstream((received) => {
+        const closing = { connection: "close", ...headers };
+        const head = responseHead(received, closing);
+        received.socket.write(
+          head + size + LARGE_EVENT,
+          () => received.socket[close](),
+        );
+      });
+      const host = await startGateway({
+        upstreams: [upstream],
+        route: { ...STREAM, repeatability: "at-most-once" },
+      });
+      t.teardown(() => host.close());
+      const { hostname, port } = new URL(host.url);
+      const caller = connect(Number(port), hostname);
+      caller.write(
+        "GET /a/1 HTTP/1.1\r\nhost: plans.example\r\nid: q1\r\nkey: k\r\n\r\n",
+      );
+      await waitUntil(() =>
+        host.lines.some(({ event }) =>
+          event === "request_ended" || event === "request_cut"
+        )
+      );
+      caller.destroy();
+      t.true(host.gateway.isReady);
     });
-    t.teardown(() => host.close());
-    const { hostname, port } = new URL(host.url);
-    const caller = connect(Number(port), hostname);
-    caller.write(
-      "GET /a/1 HTTP/1.1\r\nhost: plans.example\r\nid: q1\r\nkey: k\r\n\r\n",
-    );
-    await waitUntil(() =>
-      host.lines.some(({ event }) =>
-        event === "request_ended" || event === "request_cut"
-      )
-    );
-    caller.destroy();
-    t.true(host.gateway.isReady);
-  });
+  }
 }
 
 for (const framing of ["length", "chunks"] as const) {
