Parse what the store, peers and settings say once, with ranges

What callers saw: one entry of another writer with a port that does not exist, an IP number above 255, or very many slots ended all hosts, or made them stand still, for as long as it was listed; under a live upstream's name, too.

Cause: addresses were checked by the number of digits, and `slots` was any positive integer. The HTTP library throws for a URL that it cannot read, and the number of a service's cells grows with the slots.

An upstream out of range is read as removed; the others of the message or list hold. A service has at most eight cells for an upstream, which changes nothing below 960 slots for each. One log line names the entry until it is sound again. Peers' figures are finite, revisions and counts whole, times since a peer was heard not negative.

--- a/packages/admission/src/cells.ts
+++ b/packages/admission/src/cells.ts
@@ -9,6 +9,8 @@
  * requests queue in another.
  */
 const TARGET_CELL_SLOTS = 120;
+/** Bounds the work that upstreams with many slots cause; most cells are empty then. */
+const MAXIMUM_CELLS_PER_UPSTREAM = 8;
 
 /** Identifies a {@link Cell}; equal on every host. */
 export type CellKey = Branded<string, "CellKey">;
@@ -50,13 +52,18 @@
   if (totalSlots(upstreams) <= TARGET_CELL_SLOTS) {
     return [{ service, failureDomain: undefined, index: 0, count: 1 }];
   }
-  const sizes = new Map<FailureDomain, number>();
-  for (const { failureDomain, slots } of upstreams) {
-    sizes.set(failureDomain, (sizes.get(failureDomain) ?? 0) + slots);
+  const members = new Map<FailureDomain, Upstream[]>();
+  for (const upstream of upstreams) {
+    const known = members.get(upstream.failureDomain);
+    if (known === undefined) members.set(upstream.failureDomain, [upstream]);
+    else known.push(upstream);
   }
-  return [...sizes].flatMap(([failureDomain, size]) => {
-    const count = 2 **
-      Math.max(0, Math.ceil(Math.log2(size / TARGET_CELL_SLOTS)));
+  return [...members].flatMap(([failureDomain, inDomain]) => {
+    const size = Math.min(
+      totalSlots(inDomain) / TARGET_CELL_SLOTS,
+      MAXIMUM_CELLS_PER_UPSTREAM * inDomain.length,
+    );
+    const count = 2 ** Math.max(0, Math.ceil(Math.log2(size)));
     return Array.from(
       { length: count },
       (_, index) => ({ service, failureDomain, index, count }),
--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -3,6 +3,7 @@
  * platform publishes them.
  */
 import type {
+  Address,
   Branded,
   ClientAccountId,
   EpochMilliseconds,
@@ -118,8 +119,7 @@
   /** Start time; 0 if unknown. */
   readonly bornAt: EpochMilliseconds;
   readonly service: ServiceId;
-  /** `ip:port`. */
-  readonly address: string;
+  readonly address: Address;
   readonly failureDomain: FailureDomain;
   readonly slots: number;
   readonly softwareVersion: SoftwareVersion;
--- a/packages/admission/tests/cells.test.ts
+++ b/packages/admission/tests/cells.test.ts
@@ -701,3 +701,15 @@
   }
   t.is(fleet.coordinatorChanges, 0);
 });
+
+test("the number of cells is bounded by that of upstreams, whatever their slots", (t) => {
+  // Guards against a list that takes all time or memory.
+  for (const slots of [65_535, 5_000_000, 2 ** 32, Number.MAX_SAFE_INTEGER]) {
+    const upstreams = [1, 2, 3].map((index) => buildUpstream(index, { slots }));
+    t.is(partitionIntoCells(PLANS, upstreams).length, 32);
+  }
+  const usual = [1, 2, 3].map((index) => buildUpstream(index, { slots: 960 }));
+  t.is(partitionIntoCells(PLANS, usual).length, 32);
+  const few = [1, 2, 3].map((index) => buildUpstream(index, { slots: 256 }));
+  t.is(partitionIntoCells(PLANS, few).length, 8);
+});
--- a/packages/admission/tests/helpers/build.ts
+++ b/packages/admission/tests/helpers/build.ts
@@ -1,4 +1,5 @@
 import {
+  type Address,
   asId,
   asTier,
   type ClientAccountId,
@@ -35,7 +36,7 @@
     name: `u${index}`,
     bornAt: 0,
     service: PLANS,
-    address: `127.0.0.1:${9_000 + index}`,
+    address: asId<Address>(`127.0.0.1:${9_000 + index}`),
     failureDomain: WEST,
     slots: 2,
     isLeaving: false,
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./address.ts";
 export * from "./blackboard.ts";
 export * from "./commandLine.ts";
 export * from "./commandOptions.ts";
--- a/packages/common/src/stallTimeout.ts
+++ b/packages/common/src/stallTimeout.ts
@@ -41,15 +41,27 @@
   }
 }
 
-/** Reads a body; each of its chunks restarts the timeout. */
+/**
+ * Reads a body; each of its chunks restarts the timeout. Throws a `RangeError` if
+ * it has more than `maximumBytes`.
+ */
 export async function collectBody(
   body: AsyncIterable<Uint8Array>,
-  { timeout, span }: { timeout: StallTimeout; span: Milliseconds },
+  { timeout, span, maximumBytes }: {
+    timeout: StallTimeout;
+    span: Milliseconds;
+    maximumBytes: number;
+  },
 ): Promise<Buffer> {
   const chunks: Uint8Array[] = [];
+  let bytes = 0;
   timeout.restart(span);
   for await (const chunk of body) {
     timeout.restart(span);
+    bytes += chunk.length;
+    if (bytes > maximumBytes) {
+      throw new RangeError(`The body exceeds ${maximumBytes} bytes`);
+    }
     chunks.push(chunk);
   }
   return Buffer.concat(chunks);
--- a/packages/gateway/src/cellRows.ts
+++ b/packages/gateway/src/cellRows.ts
@@ -26,12 +26,16 @@
 import {
   expectArray,
   expectIds,
+  expectInteger,
   expectNumber,
   expectRows,
   expectString,
   type Row,
 } from "./rowValues.ts";
 
+/** Cells of one service in one failure domain. */
+const MAXIMUM_CELLS = 2 ** 20;
+
 /** Encodes a cell; a missing failure domain becomes an empty string. */
 export function encodeCell(
   { service, failureDomain, index, count }: Cell,
@@ -46,8 +50,8 @@
   return {
     service: asId<ServiceId>(expectString(service)),
     failureDomain: domain === "" ? undefined : asId<FailureDomain>(domain),
-    index: expectNumber(index),
-    count: expectNumber(count),
+    index: expectInteger(index, { maximum: MAXIMUM_CELLS }),
+    count: expectInteger(count, { minimum: 1, maximum: MAXIMUM_CELLS }),
   };
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,5 @@
 import {
+  type Address,
   ElapsedClock,
   type HostId,
   type Milliseconds,
@@ -244,7 +245,7 @@
   }
 
   /** Replaces the seed addresses. */
-  setSeeds(seeds: readonly string[]): void {
+  setSeeds(seeds: readonly Address[]): void {
     this.#peers.setSeeds(seeds);
     this.context.log.write("settings_reloaded", { seeds: seeds.join(",") });
   }
--- a/packages/gateway/src/gatewayOptions.ts
+++ b/packages/gateway/src/gatewayOptions.ts
@@ -1,4 +1,5 @@
 import type {
+  Address,
   FailureDomain,
   HostId,
   Incarnation,
@@ -35,7 +36,7 @@
   readonly incarnation: Incarnation;
   readonly failureDomain: FailureDomain;
   readonly addresses: GatewayAddresses;
-  readonly seeds: readonly string[];
+  readonly seeds: readonly Address[];
   /** Whether no host has served a request before. */
   readonly isFirstStart?: boolean;
   /** Processor cores available to this host; may be fractional. */
--- a/packages/gateway/src/gossipMessage.ts
+++ b/packages/gateway/src/gossipMessage.ts
@@ -1,5 +1,6 @@
 /** Types of the gossip messages among hosts. */
 import type {
+  Address,
   FailureDomain,
   HostId,
   Incarnation,
@@ -14,8 +15,8 @@
 export interface PeerRecord {
   readonly host: HostId;
   readonly incarnation: Incarnation;
-  /** `ip:port` of its peer port. */
-  readonly address: string;
+  /** Address of its peer port. */
+  readonly address: Address;
   readonly failureDomain: FailureDomain;
   /** Time since its process started, in milliseconds. */
   readonly age: Milliseconds;
--- a/packages/gateway/src/gossipProtocol.ts
+++ b/packages/gateway/src/gossipProtocol.ts
@@ -1,4 +1,5 @@
 import type {
+  Address,
   HostId,
   Incarnation,
   Milliseconds,
@@ -79,11 +80,11 @@
   readonly peers: PeerDirectory;
   readonly incarnation: Incarnation;
   /** `ip:port` of this host's peer port. */
-  readonly address: string;
+  readonly address: Address;
   readonly startedAt: Milliseconds;
   /** Processor cores available to this host. */
   readonly cores: number;
-  readonly send: (message: GossipMessage, targets: readonly string[]) => void;
+  readonly send: (message: GossipMessage, targets: readonly Address[]) => void;
   /** Called with the versions of a peer that has a newer policy. */
   readonly onNewerPolicy: (peer: HostId, versions: SnapshotVersions) => void;
   /** Called with the store revision up to which a peer knows all upstreams. */
@@ -336,7 +337,7 @@
   }
 
   /** Sends peer records to a host that knows few peers. */
-  #sendPeerRecords(address: string, now: Milliseconds): void {
+  #sendPeerRecords(address: Address, now: Milliseconds): void {
     this.#options.send(this.#createMessage(now, DISCOVERY_RECORDS), [address]);
   }
 
--- a/packages/gateway/src/gossipRows.ts
+++ b/packages/gateway/src/gossipRows.ts
@@ -4,18 +4,19 @@
   type FailureDomain,
   type HostId,
   type Incarnation,
-  type ServiceId,
-  type UpstreamId,
 } from "@wasabivane/common";
-import type { SoftwareVersion, Upstream } from "@wasabivane/admission";
 import {
+  expectAddress,
   expectArray,
+  expectInteger,
   expectNumber,
   expectRows,
+  expectSpan,
   expectString,
   type Row,
 } from "./rowValues.ts";
 import type { PeerRecord, UpstreamListChange } from "./gossipMessage.ts";
+import { selectUpstreams, type UpstreamFields } from "./upstreamFields.ts";
 
 /** Encodes a peer record. */
 export function encodePeerRecord(record: PeerRecord): Row {
@@ -37,10 +38,10 @@
   return {
     host: asId<HostId>(expectString(row[0])),
     incarnation: asId<Incarnation>(expectString(row[1])),
-    address: expectString(row[2]),
+    address: expectAddress(row[2]),
     failureDomain: asId<FailureDomain>(expectString(row[3])),
     age: expectNumber(row[4]),
-    timeSinceHeard: expectNumber(row[5]),
+    timeSinceHeard: expectSpan(row[5]),
     isLeaving: row[6] === true,
     isStoreReachable: row[7] === true,
     cores: expectNumber(row[8]),
@@ -67,32 +68,38 @@
   return evacuated === undefined ? row : [...row, evacuated];
 }
 
-/** Decodes the row of {@link encodeListChange}. */
+/**
+ * Decodes the row of {@link encodeListChange}. An upstream that cannot be used is
+ * removed.
+ */
 export function decodeListChange(
-  [from, to, upstreams, removed, evacuated]: Row,
+  [from, to, rows, removed, evacuated]: Row,
 ): UpstreamListChange {
+  const { upstreams, rejected } = selectUpstreams(
+    expectRows(rows).map(upstreamFieldsOf),
+  );
   return {
-    from: expectNumber(from),
-    to: expectNumber(to),
-    upstreams: expectRows(upstreams).map(decodeUpstream),
-    removed: expectArray(removed).map(expectString),
+    from: expectInteger(from),
+    to: expectInteger(to),
+    upstreams,
+    removed: [...expectArray(removed).map(expectString), ...rejected],
     ...evacuated !== undefined &&
       { evacuated: expectArray(evacuated).map(decodeFailureDomain) },
   };
 }
 
-function decodeUpstream(row: Row): Upstream {
+function upstreamFieldsOf(row: Row): UpstreamFields {
   return {
-    upstream: asId<UpstreamId>(expectString(row[0])),
-    name: expectString(row[1]),
-    bornAt: expectNumber(row[2]),
-    service: asId<ServiceId>(expectString(row[3])),
-    address: expectString(row[4]),
-    failureDomain: asId<FailureDomain>(expectString(row[5])),
-    slots: expectNumber(row[6]),
-    isLeaving: row[7] === true,
-    coldFor: expectNumber(row[8]),
-    softwareVersion: asId<SoftwareVersion>(expectString(row[9])),
+    upstream: row[0],
+    name: row[1],
+    bornAt: row[2],
+    service: row[3],
+    address: row[4],
+    failureDomain: row[5],
+    slots: row[6],
+    isLeaving: row[7],
+    coldFor: row[8],
+    softwareVersion: row[9],
   };
 }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -56,6 +56,11 @@
 } from "./operatorEndpoints.ts";
 export { fetchSnapshot } from "./operatorEndpoints.ts";
 export { TransitEstimator } from "./transitEstimator.ts";
+export {
+  expectUpstream,
+  selectUpstreams,
+  type UpstreamFields,
+} from "./upstreamFields.ts";
 export { UpstreamProbe, type UpstreamState } from "./upstreamProbe.ts";
 export { type PolicyReading, StorePolicy } from "./storePolicy.ts";
 export { StoreSharing, type StoreSharingOptions } from "./storeSharing.ts";
@@ -63,6 +68,8 @@
 export {
   eraOf,
   joinRevision,
+  MAXIMUM_ERA,
+  MAXIMUM_REVISION,
   splitRevision,
   type StorePosition,
 } from "./storeRevision.ts";
--- a/packages/gateway/src/operatorEndpoints.ts
+++ b/packages/gateway/src/operatorEndpoints.ts
@@ -1,5 +1,6 @@
 import { Pool } from "undici";
 import {
+  type Address,
   collectBody,
   type FailureDomain,
   type Milliseconds,
@@ -13,6 +14,7 @@
 import type { UpstreamListChange } from "./gossipMessage.ts";
 import type { Endpoint } from "./httpEndpoint.ts";
 import type { ListCheck } from "./listDigest.ts";
+import { expectSnapshot } from "./snapshotValues.ts";
 
 const packr = new Packr({ useRecords: false });
 
@@ -22,6 +24,7 @@
 const RESPONSE_TIMEOUT_MS: Milliseconds = 400;
 /** Time between two chunks of a response, which share the peer's link. */
 const CHUNK_TIMEOUT_MS: Milliseconds = 1_000;
+const MAXIMUM_SNAPSHOT_BYTES = 64 * 1_024 * 1_024;
 
 /**
  * The versions that a host has; a requesting host is not sent what is not newer.
@@ -121,8 +124,8 @@
     path: SNAPSHOT_PATH,
     respond: (query) => {
       const known = {
-        policyVersion: Number(query.get("policy") ?? 0),
-        listRevision: Number(query.get("list") ?? 0),
+        policyVersion: versionIn(query, "policy"),
+        listRevision: versionIn(query, "list"),
         // Hosts of former versions would take a difference for an empty list.
         acceptsChanges: query.has("changes"),
       };
@@ -133,9 +136,15 @@
   };
 }
 
-/** Fetches the snapshot of the peer at `ip:port`. */
+/** Returns a version of a query; 0 if it names none. */
+function versionIn(query: URLSearchParams, name: string): number {
+  const version = Number(query.get(name) ?? 0);
+  return Number.isSafeInteger(version) && version >= 0 ? version : 0;
+}
+
+/** Fetches the snapshot of a peer. */
 export async function fetchSnapshot(
-  address: string,
+  address: Address,
   { policyVersion, listRevision, timer }: SnapshotVersions & { timer: Timer },
 ): Promise<Result<StoreSnapshot, FetchError>> {
   const pool = new Pool(`http://${address}`);
@@ -150,6 +159,7 @@
     const bytes = await collectBody(response.body, {
       timeout,
       span: CHUNK_TIMEOUT_MS,
+      maximumBytes: MAXIMUM_SNAPSHOT_BYTES,
     });
     if (response.statusCode !== 200) {
       return err({
@@ -157,7 +167,7 @@
         detail: `status ${response.statusCode}`,
       });
     }
-    const snapshot = packr.unpack(bytes) as StoreSnapshot;
+    const snapshot = expectSnapshot(packr.unpack(bytes));
     return ok({ ...snapshot, policy: decompress(snapshot.policy) });
   } catch (thrown) {
     return err({ kind: "unreachable", detail: String(thrown) });
--- a/packages/gateway/src/operatorServers.ts
+++ b/packages/gateway/src/operatorServers.ts
@@ -1,4 +1,5 @@
 import type { Server } from "node:http";
+import type { Address } from "@wasabivane/common";
 import { err, ok, type Result } from "neverthrow";
 import type { ListenError } from "./listenError.ts";
 import {
@@ -17,7 +18,7 @@
 export interface OperatorAddresses {
   readonly readiness: string;
   /** UDP port for peer messages, and TCP port for store snapshots and relays. */
-  readonly peers: string;
+  readonly peers: Address;
   /** `undefined` to serve no metrics. */
   readonly metrics?: { readonly address: string; readonly path: string };
 }
--- a/packages/gateway/src/peerChannel.ts
+++ b/packages/gateway/src/peerChannel.ts
@@ -1,6 +1,6 @@
 import type { Buffer } from "node:buffer";
 import { createSocket, type Socket } from "node:dgram";
-import type { Milliseconds } from "@wasabivane/common";
+import type { Address, Milliseconds } from "@wasabivane/common";
 import { err, ok, type Result } from "neverthrow";
 import {
   decodeMessage,
@@ -54,7 +54,7 @@
     });
   }
 
-  send(message: PeerMessage, targets: readonly string[]): void {
+  send(message: PeerMessage, targets: readonly Address[]): void {
     if (this.#isClosed) return;
     const { now, onTraffic } = this.#options;
     const bytes = encodeMessage(message, now());
--- a/packages/gateway/src/peerDirectory.ts
+++ b/packages/gateway/src/peerDirectory.ts
@@ -1,4 +1,5 @@
 import {
+  type Address,
   type FailureDomain,
   type HostId,
   type Incarnation,
@@ -41,7 +42,7 @@
 
 interface Peer {
   incarnation: Incarnation;
-  address: string;
+  address: Address;
   failureDomain: FailureDomain;
   startedAt: Milliseconds;
   /** Time at which any host last received a message from it. */
@@ -75,7 +76,7 @@
   readonly startedAt: Milliseconds;
   /** Processor cores available to this host. */
   readonly cores: number;
-  readonly seeds: readonly string[];
+  readonly seeds: readonly Address[];
 }
 
 /**
@@ -87,7 +88,7 @@
   readonly #options: PeerDirectoryOptions;
   readonly #readerWeight: string;
   readonly #peers = new Map<HostId, Peer>();
-  readonly #seeds = new Map<string, Milliseconds>();
+  readonly #seeds = new Map<Address, Milliseconds>();
   readonly #changes: PeerChange[] = [];
   /** `undefined` after a change. */
   #index: PeerIndex<Peer> | undefined;
@@ -104,7 +105,7 @@
   }
 
   /** Replaces the seed addresses. */
-  setSeeds(seeds: readonly string[]): void {
+  setSeeds(seeds: readonly Address[]): void {
     this.#seeds.clear();
     for (const address of seeds) this.#seeds.set(address, -Infinity);
   }
@@ -177,7 +178,7 @@
       random: Random;
       now: Milliseconds;
     },
-  ): string[] {
+  ): Address[] {
     const targets = this.#drawAddresses(count, random);
     for (const [address, sentAt] of this.#seeds) {
       if (now - sentAt < SEED_RETRY_MS) continue;
@@ -269,7 +270,7 @@
   }
 
   /** Returns the addresses of all live peers. */
-  aliveAddresses(): string[] {
+  aliveAddresses(): Address[] {
     return this.#indexed().alive.map(([, { address }]) => address);
   }
 
@@ -281,7 +282,7 @@
     return this.#peers.get(host)?.transit;
   }
 
-  addressOf(host: HostId): string | undefined {
+  addressOf(host: HostId): Address | undefined {
     return this.#peers.get(host)?.address;
   }
 
@@ -321,7 +322,7 @@
   }
 
   /** Draws random live peers and one lost peer, in case it has returned. */
-  #drawAddresses(count: number, random: Random): string[] {
+  #drawAddresses(count: number, random: Random): Address[] {
     const { alive, lost } = this.#indexed();
     const drawn = drawDistinct(alive, { count, random })
       .map(([, { address }]) => address);
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -21,10 +21,13 @@
 import {
   expectArray,
   expectIds,
+  expectInteger,
   expectNumber,
   expectRows,
+  expectSpan,
   expectString,
   type Row,
+  selectRows,
 } from "./rowValues.ts";
 import type { GrantMessage } from "./quotaSync.ts";
 import type { GossipMessage } from "./gossipMessage.ts";
@@ -123,9 +126,9 @@
     const confirmationAge = expectNumber(row[4]);
     return {
       sender: decodePeerRecord(expectArray(row[0])),
-      sequence: expectNumber(row[1]),
+      sequence: expectInteger(row[1]),
       policyVersion: expectNumber(row[2]),
-      listRevision: expectNumber(row[3]),
+      listRevision: expectInteger(row[3]),
       confirmationAge: confirmationAge < 0 ? undefined : confirmationAge,
       leavingUpstreams: expectIds<UpstreamId>(row[5]),
       crashes: expectRows(row[6]).map(([fingerprint, upstream, age]) => [
@@ -136,11 +139,11 @@
       listChanges: expectRows(row[7]).map(decodeListChange),
       unresponsiveHosts: expectRows(row[8]).map(([host, span]) => [
         asId<HostId>(expectString(host)),
-        expectNumber(span),
+        expectSpan(span),
       ]),
-      peerRecords: expectRows(row[9]).map(decodePeerRecord),
-      peerCount: expectNumber(row[10]),
-      policyRevision: expectNumber(row[11]),
+      peerRecords: selectRows(row[9], decodePeerRecord),
+      peerCount: expectInteger(row[10]),
+      policyRevision: expectInteger(row[11]),
       completions: expectRows(row[12]).map(([fingerprint, age]) => [
         asId<Digest>(expectString(fingerprint)),
         expectNumber(age),
@@ -190,8 +193,9 @@
           },
         ]),
       ),
-      requests: expectRows(row[5]).map((request) =>
-        decodePlacementRequest(request, cell.service, now)
+      requests: selectRows(
+        row[5],
+        (request) => decodePlacementRequest(request, cell.service, now),
       ),
       observations: expectRows(row[6]).map((observation) =>
         decodeObservation(observation, cell.service)
@@ -307,7 +311,7 @@
           { limit: expectNumber(limit), level: expectNumber(level) },
         ]),
       ),
-      hosts: expectNumber(hosts),
+      hosts: expectInteger(hosts, { minimum: 1 }),
       isSettled: isSettled === true,
     },
   }),
--- a/packages/gateway/src/relayClient.ts
+++ b/packages/gateway/src/relayClient.ts
@@ -1,4 +1,5 @@
 import type {
+  Address,
   FailureDomain,
   HostId,
   Milliseconds,
@@ -28,7 +29,7 @@
 export interface RelayPeer {
   readonly host: HostId;
   /** `ip:port`. */
-  readonly address: string;
+  readonly address: Address;
   readonly failureDomain: FailureDomain;
 }
 
--- a/packages/gateway/src/relayMessage.ts
+++ b/packages/gateway/src/relayMessage.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@wasabivane/common";
+import { expectNumber } from "./rowValues.ts";
 
 /** Path at which a host accepts relays; the query names the upstream. */
 export const RELAY_PATH = "/relay";
@@ -23,8 +24,7 @@
   try {
     const { kind, span } = JSON.parse(text) as Record<string, unknown>;
     if (kind === "stopping") return { kind };
-    const isBackoff = kind === "backoff" && Number.isFinite(span);
-    return isBackoff ? { kind, span: span as Milliseconds } : undefined;
+    return kind === "backoff" ? { kind, span: expectNumber(span) } : undefined;
   } catch {
     return undefined;
   }
--- a/packages/gateway/src/snapshotFetcher.ts
+++ b/packages/gateway/src/snapshotFetcher.ts
@@ -1,4 +1,4 @@
-import type { HostId, Milliseconds } from "@wasabivane/common";
+import type { Address, HostId, Milliseconds } from "@wasabivane/common";
 import type { Result } from "neverthrow";
 import type { GatewayContext } from "./gatewayContext.ts";
 import {
@@ -11,7 +11,7 @@
 
 /** Fetches what is newer than the known versions from the peer at `ip:port`. */
 export type SnapshotRequest = (
-  address: string,
+  address: Address,
   known: SnapshotVersions,
 ) => Promise<Result<StoreSnapshot, FetchError>>;
 
--- a/packages/gateway/src/storeRevision.ts
+++ b/packages/gateway/src/storeRevision.ts
@@ -9,6 +9,11 @@
 /** Exceeds the number of revisions in an era; leaves room for 8,191 eras. */
 const REVISIONS_PER_ERA = 2 ** 40;
 
+/** Highest revision that a store may be at. */
+export const MAXIMUM_REVISION = REVISIONS_PER_ERA - 1;
+/** Highest era whose revisions are exact numbers. */
+export const MAXIMUM_ERA = 8_190;
+
 /** A revision of the store, and the era in which it was given out. */
 export interface StorePosition {
   /** Increases each time the store comes back from a copy; 0 if unknown. */
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -1,6 +1,7 @@
 import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 import {
+  type Address,
   type Milliseconds,
   ResetDetector,
   type Timer,
@@ -23,7 +24,7 @@
 /** One request to an upstream. */
 export interface UpstreamCall {
   /** `ip:port`. */
-  readonly address: string;
+  readonly address: Address;
   readonly method: string;
   /** Path and query as the caller wrote them. */
   readonly path: string;
@@ -67,7 +68,7 @@
  * timeouts; the sender decides how long to wait.
  */
 export class UpstreamConnections {
-  readonly #pools = new Map<string, Pool>();
+  readonly #pools = new Map<Address, Pool>();
   readonly #paused = new Set<DispatchedCall>();
   readonly #resetDetector = new ResetDetector();
   readonly #overheadLimits = new OverheadLimits();
@@ -109,7 +110,7 @@
   }
 
   /** Closes the connections to an address once its responses are complete. */
-  forget(address: string): void {
+  forget(address: Address): void {
     const pool = this.#pools.get(address);
     this.#pools.delete(address);
     void pool?.close();
@@ -125,7 +126,7 @@
    * A connection may be established long after its request was placed, so callers
    * that left meanwhile are looked for before it is used.
    */
-  #createConnector(address: string): buildConnector.connector {
+  #createConnector(address: Address): buildConnector.connector {
     const connector = this.#connector;
     return (options, callback) =>
       connector(options, (...result) => {
@@ -149,7 +150,7 @@
    * library does not tell which call has the connection; others that have a length
    * stay paused, or they would grow while their callers read nothing.
    */
-  #watchEnd(socket: Socket, address: string): void {
+  #watchEnd(socket: Socket, address: Address): void {
     socket.prependListener("end", () => {
       for (const call of [...this.#paused]) {
         if (call.endsWithConnection(address)) call.resumeBriefly();
@@ -160,7 +161,7 @@
     });
   }
 
-  #poolOf(address: string): Pool {
+  #poolOf(address: Address): Pool {
     let pool = this.#pools.get(address);
     if (pool === undefined) {
       pool = new Pool(`http://${address}`, {
@@ -223,7 +224,7 @@
   }
 
   /** Whether the end of a connection to an address may be that of the response. */
-  endsWithConnection(address: string): boolean {
+  endsWithConnection(address: Address): boolean {
     return this.#call.address === address && this.#framing === "connection";
   }
 
--- a/packages/gateway/src/upstreamProbe.ts
+++ b/packages/gateway/src/upstreamProbe.ts
@@ -1,4 +1,5 @@
 import type {
+  Address,
   Milliseconds,
   Random,
   Timer,
@@ -105,7 +106,7 @@
   }
 
   /** Connects once; returns the error, if any. */
-  #connect(address: string): Promise<Error | null> {
+  #connect(address: Address): Promise<Error | null> {
     const [hostname = "", port = ""] = address.split(":");
     return new Promise((resolve) =>
       this.#options.connectDirectly(
--- a/packages/gateway/src/upstreamUpdates.ts
+++ b/packages/gateway/src/upstreamUpdates.ts
@@ -14,12 +14,16 @@
  * can finish.
  */
 const CONNECTION_CLOSE_DELAY_MS: Milliseconds = 30_000;
+const MAXIMUM_LOGGED_REJECTIONS = 1_000;
+const MAXIMUM_LOGGED_NAME_LENGTH = 200;
 
 /** Applies upstream changes from the store and from peers, and logs them. */
 export class UpstreamUpdates {
   readonly #context: GatewayContext;
   readonly #announceLeaving: (upstream: UpstreamId) => void;
   readonly #pendingCloses = new Set<TimerSubscription>();
+  /** Names of entries that were logged and have not been sound since. */
+  readonly #loggedRejections = new Set<string>();
 
   constructor(
     context: GatewayContext,
@@ -54,6 +58,7 @@
     }
     this.#reportPredecessors(upstreams);
     for (const upstream of upstreams) {
+      this.#loggedRejections.delete(upstream.name);
       const known = directory.findListed(upstream.upstream);
       const previous = directory.set(upstream);
       this.#updateWarmup(upstream);
@@ -69,14 +74,27 @@
     log.write("upstream_listed", { upstream, service, slots });
   }
 
-  /** Logs an entry that cannot be decoded and removes its upstream. */
+  /**
+   * Removes the upstream of an entry that cannot be used. Only the first of
+   * several such entries is logged, as upstreams write theirs at each heartbeat.
+   */
   rejectEntry(name: string, detail: string): void {
-    const { metrics, log } = this.#context;
+    const { metrics } = this.#context;
     metrics.count("upstream_entries_malformed");
-    log.write("upstream_malformed", { upstream: name, detail });
+    this.#logRejection(name, detail);
     this.remove(name);
   }
 
+  #logRejection(name: string, detail: string): void {
+    if (this.#loggedRejections.has(name)) return;
+    if (this.#loggedRejections.size >= MAXIMUM_LOGGED_REJECTIONS) {
+      this.#loggedRejections.clear();
+    }
+    this.#loggedRejections.add(name);
+    const upstream = name.slice(0, MAXIMUM_LOGGED_NAME_LENGTH);
+    this.#context.log.write("upstream_malformed", { upstream, detail });
+  }
+
   /**
    * Removes an upstream whose address now belongs to another one. It is not
    * added again, even if the store still lists this incarnation.
@@ -121,7 +139,10 @@
     for (const { upstream, isLeaving } of upstreams) {
       if (isLeaving) this.#markLeaving(upstream);
     }
-    for (const upstream of upstreams) this.#updateWarmup(upstream);
+    for (const upstream of upstreams) {
+      this.#loggedRejections.delete(upstream.name);
+      this.#updateWarmup(upstream);
+    }
     this.#reportPredecessors(upstreams);
     for (const removed of directory.replaceAll(upstreams, options)) {
       this.#discard(removed, "not listed");
--- a/packages/gateway/tests/cutOffHosts.test.ts
+++ b/packages/gateway/tests/cutOffHosts.test.ts
@@ -1,4 +1,5 @@
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { asId } from "@wasabivane/common";
 import test from "ava";
 import {
   type GatewayStartOptions,
@@ -272,7 +273,7 @@
   await new Promise<void>((resolve) => server.listen(port, UNUSED_IP, resolve));
   const { port: actual } = server.address() as AddressInfo;
   return {
-    address: `${UNUSED_IP}:${actual}`,
+    address: asId(`${UNUSED_IP}:${actual}`),
     received: [],
     freeze: () => {
       server.close();
--- a/packages/gateway/tests/gossipProtocol.test.ts
+++ b/packages/gateway/tests/gossipProtocol.test.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
 import {
+  type Address,
   asId,
   type Digest,
   ElapsedClock,
@@ -31,7 +32,7 @@
 import { PlainDialect } from "./helpers/plainDialect.ts";
 
 const DOMAIN = asId<FailureDomain>("west");
-const SEEDS = ["h0", "h1", "h2"];
+const SEEDS = ["h0", "h1", "h2"].map(addressOf);
 const TRANSIT_MS: Milliseconds = 2;
 const TICK_MS: Milliseconds = 100;
 const BOUNDS = { revocationBound: 5_000, applyBound: 4_000 };
@@ -48,6 +49,11 @@
   receivedBytes: number;
 }
 
+/** Returns the address of the host `hN`. */
+function addressOf(name: string): Address {
+  return asId<Address>(`10.0.0.1:${1 + Number(name.slice(1))}`);
+}
+
 /** Starts hosts within 0.3 s of each other that know three seeds. */
 function startGossipHosts(
   count: number,
@@ -56,11 +62,11 @@
   const timer = new VirtualTimer();
   const random = new SeededRandom(seed);
   const hosts: GossipHost[] = [];
-  const byName = new Map<string, GossipHost>();
+  const byAddress = new Map<string, GossipHost>();
   const deliver = (bytes: Uint8Array, target: string): void => {
     if (random.float() < loss) return;
     timer.after(transit.delay, () => {
-      const host = byName.get(target);
+      const host = byAddress.get(target);
       if (host === undefined) return;
       host.receivedCount++;
       host.receivedBytes += bytes.length;
@@ -72,7 +78,7 @@
     timer.after(300 * random.float(), () => {
       const host = createGossipHost(`h${index}`, { timer, deliver, seed });
       hosts.push(host);
-      byName.set(host.name, host);
+      byAddress.set(addressOf(host.name), host);
       timer.every(TICK_MS, () => void host.gossip.tick());
     });
   }
@@ -116,7 +122,7 @@
     failureDomain: DOMAIN,
     startedAt,
     cores: 1,
-    seeds: SEEDS.filter((other) => other !== name),
+    seeds: SEEDS.filter((other) => other !== addressOf(name)),
   });
   const gossipHost: GossipHost = {
     name,
@@ -130,7 +136,7 @@
       context,
       peers,
       incarnation: asId<Incarnation>(`${name} ${startedAt}`),
-      address: name,
+      address: addressOf(name),
       startedAt,
       cores: 1,
       send: (gossip, targets) => {
@@ -166,7 +172,7 @@
   name: "u1",
   bornAt: 0,
   service: asId<ServiceId>("plans"),
-  address: "10.0.0.1:1",
+  address: asId<Address>("10.0.0.1:1"),
   failureDomain: DOMAIN,
   slots: 4,
   coldFor: 0,
--- a/packages/gateway/tests/helpers/cutPair.ts
+++ b/packages/gateway/tests/helpers/cutPair.ts
@@ -1,4 +1,5 @@
 import process from "node:process";
+import { asId } from "@wasabivane/common";
 import type { ExecutionContext } from "ava";
 import {
   type GatewayStartOptions,
@@ -28,7 +29,11 @@
 /** An upstream at whose address nothing listens. */
 export async function unreachable(): Promise<RawUpstream> {
   const [port] = await freePorts(1);
-  return { address: `${UNUSED_IP}:${port}`, received: [], close: () => {} };
+  return {
+    address: asId(`${UNUSED_IP}:${port}`),
+    received: [],
+    close: () => {},
+  };
 }
 
 /** Starts a {@link CutPair} that knows the same upstreams. */
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import { createServer as createTcpServer, type Socket } from "node:net";
 import {
+  type Address,
   asId,
   asTier,
   type FailureDomain,
@@ -36,7 +37,7 @@
 
 /** An upstream whose responses are written by the test as raw bytes. */
 export interface RawUpstream {
-  readonly address: string;
+  readonly address: Address;
   readonly received: ReceivedRequest[];
   close(): void;
 }
@@ -74,7 +75,7 @@
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as { port: number };
   return {
-    address: `127.0.0.1:${port}`,
+    address: asId<Address>(`127.0.0.1:${port}`),
     received,
     close: () => {
       server.close();
@@ -149,7 +150,7 @@
   readonly gateway: Gateway;
   readonly url: string;
   /** `ip:port` for peers. */
-  readonly peerAddress: string;
+  readonly peerAddress: Address;
   /** `ip:port` of the readiness endpoint. */
   readonly readinessAddress: string;
   readonly lines: Record<string, unknown>[];
@@ -220,9 +221,9 @@
     addresses: {
       callers: `127.0.0.1:${callers}`,
       readiness: `127.0.0.1:${readiness}`,
-      peers: `127.0.0.1:${peers}`,
+      peers: asId<Address>(`127.0.0.1:${peers}`),
     },
-    seeds,
+    seeds: seeds.map(asId<Address>),
     cores: 1,
     readinessPath: "/ready",
     freshness: { revocationBound, applyBound: 600_000 },
@@ -245,7 +246,7 @@
   const result = {
     gateway,
     url: `http://127.0.0.1:${callers}`,
-    peerAddress: `127.0.0.1:${peers}`,
+    peerAddress: asId<Address>(`127.0.0.1:${peers}`),
     readinessAddress: `127.0.0.1:${readiness}`,
     lines,
     close: async () => {
@@ -307,7 +308,7 @@
     name,
     bornAt: 0,
     service: SERVICE,
-    address,
+    address: asId<Address>(address),
     failureDomain: asId<FailureDomain>("west"),
     slots,
     coldFor: 0,
--- a/packages/gateway/tests/helpers/restartingUpstream.ts
+++ b/packages/gateway/tests/helpers/restartingUpstream.ts
@@ -1,6 +1,10 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import type { ServerResponse } from "node:http";
-import type { EpochMilliseconds, Milliseconds } from "@wasabivane/common";
+import {
+  asId,
+  type EpochMilliseconds,
+  type Milliseconds,
+} from "@wasabivane/common";
 import type { RawUpstream } from "./fleet.ts";
 import { freePorts } from "./freePorts.ts";
 
@@ -55,7 +59,7 @@
   /** For {@link startGateway}, which lists its upstreams as `u0`, `u1` and so on. */
   get raw(): RawUpstream {
     return {
-      address: this.address,
+      address: asId(this.address),
       received: [],
       close: () => this.close(),
     };
--- a/packages/gateway/tests/listHistory.test.ts
+++ b/packages/gateway/tests/listHistory.test.ts
@@ -1,4 +1,5 @@
 import {
+  type Address,
   asId,
   type FailureDomain,
   type ServiceId,
@@ -24,7 +25,7 @@
 } from "./helpers/fleet.ts";
 
 const NOW = 1_000;
-const ADDRESS = "127.0.0.1:9";
+const ADDRESS = asId<Address>("127.0.0.1:9");
 
 function createUpstream(
   name: string,
--- a/packages/gateway/tests/outdatedPolicy.test.ts
+++ b/packages/gateway/tests/outdatedPolicy.test.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import { createSocket } from "node:dgram";
 import {
+  type Address,
   asId,
   type FailureDomain,
   type HostId,
@@ -21,7 +22,7 @@
 import { PlainDialect } from "./helpers/plainDialect.ts";
 
 /** Nothing listens there, so that no snapshot can be fetched. */
-const UNREACHABLE_ADDRESS = "127.0.0.1:9";
+const UNREACHABLE_ADDRESS = asId<Address>("127.0.0.1:9");
 
 /** Builds the message of a peer that has another policy version. */
 function createMessage(policyVersion: number): GossipMessage {
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -1,4 +1,5 @@
 import {
+  type Address,
   asId,
   asTier,
   type ClientAccountId,
@@ -41,7 +42,7 @@
   return {
     host: asId<HostId>(host),
     incarnation: asId<Incarnation>("1"),
-    address: `${host}:1`,
+    address: asId<Address>(`${host}:1`),
     failureDomain: WEST,
     age: 5_000,
     timeSinceHeard: 0,
@@ -58,7 +59,7 @@
     failureDomain: WEST,
     startedAt: 0,
     cores: 1,
-    seeds,
+    seeds: seeds.map(asId<Address>),
   });
 }
 
@@ -213,7 +214,7 @@
   {
     kind: "word",
     gossip: {
-      sender: createRecord("a"),
+      sender: createRecord("a", { address: asId("10.0.0.1:1") }),
       sequence: 7,
       policyVersion: 12,
       policyRevision: 40,
@@ -250,7 +251,7 @@
           name: "u5",
           bornAt: 3,
           service: CELL.service,
-          address: "10.0.0.3:80",
+          address: asId<Address>("10.0.0.3:80"),
           failureDomain: WEST,
           slots: 4,
           isLeaving: false,
@@ -263,7 +264,11 @@
       unresponsiveHosts: [[asId<HostId>("c"), 900]],
       peerCount: 9,
       peerRecords: [
-        createRecord("b", { timeSinceHeard: 120, isStoreReachable: false }),
+        createRecord("b", {
+          address: asId("10.0.0.2:1"),
+          timeSinceHeard: 120,
+          isStoreReachable: false,
+        }),
       ],
     },
   },
--- a/packages/gateway/tests/snapshotFetch.test.ts
+++ b/packages/gateway/tests/snapshotFetch.test.ts
@@ -4,6 +4,7 @@
 import type { RouteId, Upstream } from "@wasabivane/admission";
 import { fetchSnapshot, type StoreSnapshot } from "@wasabivane/gateway";
 import {
+  type Address,
   asId,
   type Milliseconds,
   SeededRandom,
@@ -43,7 +44,7 @@
 async function startPeer(
   t: ExecutionContext,
   respond: (response: ServerResponse) => void,
-): Promise<string> {
+): Promise<Address> {
   const server = createServer((_request, response) => respond(response));
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   t.teardown(() => {
@@ -51,7 +52,7 @@
     server.closeAllConnections();
   });
   const { port } = server.address() as { port: number };
-  return `127.0.0.1:${port}`;
+  return asId(`127.0.0.1:${port}`);
 }
 
 /** Sends a body in equal pieces at an interval, like a busy link. */
--- a/packages/gateway/tests/storeSharing.test.ts
+++ b/packages/gateway/tests/storeSharing.test.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
 import {
+  type Address,
   asId,
   type FailureDomain,
   type HostId,
@@ -36,7 +37,7 @@
     name,
     bornAt: 0,
     service: asId<ServiceId>("plans"),
-    address: "127.0.0.1:9",
+    address: asId("127.0.0.1:9"),
     failureDomain: asId<FailureDomain>("west"),
     slots: 4,
     coldFor: 0,
@@ -95,7 +96,7 @@
     const record = {
       host: asId<HostId>(peer),
       incarnation: asId<Incarnation>("1"),
-      address: peer,
+      address: asId<Address>(peer),
       failureDomain: context.failureDomain,
       age: 0,
       timeSinceHeard: 0,
--- a/packages/gateway/tests/upstreamProbe.test.ts
+++ b/packages/gateway/tests/upstreamProbe.test.ts
@@ -18,7 +18,7 @@
     name,
     bornAt: 0,
     service: asId<ServiceId>("plans"),
-    address: `${name}:1`,
+    address: asId(`${name}:1`),
     failureDomain: asId<FailureDomain>("west"),
     slots: 1,
     coldFor: 0,
