Keep a peer's odd address from ending an entry host

The peer stays a member, as views count the listed hosts, but messages to it are dropped and counted as `peer_messages_dropped`, like those to a peer that cannot be reached.

Evidence: the new test of webSocketLink threw `SyntaxError: Invalid URL: ws://127.0.0.1:70000/` before; it passes now. By reading, the bundle's own URLs, numbers and list lengths are checked by its schema; not run with odd bundles.

--- a/packages/coordination/src/outboundConnection.ts
+++ b/packages/coordination/src/outboundConnection.ts
@@ -110,7 +110,9 @@
   #dial(): void {
     const { identity, timer } = this.#options;
     const scheme = identity.secureContext() === undefined ? "ws" : "wss";
-    const socket = new WebSocket(`${scheme}://${this.address}/`, {
+    const url = `${scheme}://${this.address}/`;
+    if (!isPlainUrl(url)) return this.#dropQueue();
+    const socket = new WebSocket(url, {
       ...identity.secureContext(),
       checkServerIdentity: acceptAnyServerName,
       perMessageDeflate: false,
@@ -201,6 +203,10 @@
   #dropExpiredQueue(): void {
     const queuedFor = this.#options.timer.now() - this.#queuedSince;
     if (this.#queue.length === 0 || queuedFor < MAX_QUEUE_TIME_MS) return;
+    this.#dropQueue();
+  }
+
+  #dropQueue(): void {
     const dropped = this.#drainQueue().length;
     this.#options.metrics.count("peer_messages_dropped", dropped, {
       peer: this.#options.peer,
@@ -244,6 +250,11 @@
   }
 }
 
+/** Whether the WebSocket library takes a URL; it throws for others. */
+function isPlainUrl(url: string): boolean {
+  return URL.canParse(url) && !url.includes("#");
+}
+
 /**
  * Accepts any server name: the handshake authenticates the host, and the
  * certificate only has to be signed by the peers' CA. Node.js expects
--- a/packages/coordination/tests/webSocketLink.test.ts
+++ b/packages/coordination/tests/webSocketLink.test.ts
@@ -167,3 +167,25 @@
   });
   return { key: generated.private, cert: generated.cert, ca: ca.cert };
 }
+
+test("a peer whose address cannot be used gets no messages, and others do", async (t) => {
+  // Guards against a host that ends by one odd entry of the host list.
+  const { link: b } = createLink(B);
+  const seen: string[] = [];
+  subscribeMessage(b, NOTE, (_from, { text }) => seen.push(text));
+  const odd = ["127.0.0.1:70000", "999.1.1.1:80", "a b:1", "h#1:1", ":", "%"];
+  const peers = odd.map((address, index) =>
+    [asId<HostId>(`odd-${index}`), address] as const
+  );
+  const { link: a, metrics } = createLink(A, {
+    addresses: new Map([...peers, [B, await listen(b)]]),
+  });
+  for (const [to] of peers) {
+    t.notThrows(() => sendMessage(a, NOTE, { to, body: { text: "odd" } }));
+    t.is(metrics.counter("peer_messages_dropped", { peer: to }), 1);
+  }
+  sendMessage(a, NOTE, { to: B, body: { text: "sound" } });
+  await eventually(() => seen.length === 1);
+  a.close();
+  b.close();
+});
