--- a/packages/gateway/tests/oddRows.test.ts
+++ b/packages/gateway/tests/oddRows.test.ts
@@ -1,6 +1,12 @@
 import { Buffer } from "node:buffer";
 import process from "node:process";
-import { asId, type HostId, type Incarnation } from "@wasabivane/common";
+import {
+  asId,
+  asTier,
+  type HostId,
+  type Incarnation,
+} from "@wasabivane/common";
+import type { PlacementRequest } from "@wasabivane/admission";
 import {
   decodeMessage,
   encodeMessage,
@@ -115,6 +121,55 @@
   t.is(passOn(createWord({ sender }))!.sender.timeSinceHeard, 0);
 });
 
+test("a request whose figures a peer cannot send does not hide the others", (t) => {
+  // Guards against a host whose requests wait because of one odd header.
+  const request: PlacementRequest = {
+    request: asId("q1"),
+    service: asId("plans"),
+    failureDomain: asId("west"),
+    route: asId("r"),
+    tier: asTier(1),
+    arrivedAt: NOW,
+    target: 400,
+    deadline: NOW + 4_000,
+    firstByteTimeout: 2_000,
+    promptTokens: 100,
+    expectedTokens: 80,
+    pauseTarget: 250,
+    parts: [{ part: "x", tokens: 100 }],
+    excluded: new Set(),
+    isContinuation: false,
+  };
+  const odd = { ...request, parts: [{ part: "x", tokens: NaN }] };
+  const message: PeerMessage = {
+    kind: "ask",
+    update: {
+      host: asId("a"),
+      incarnation: asId("1"),
+      cell: {
+        service: asId("plans"),
+        failureDomain: undefined,
+        index: 0,
+        count: 1,
+      },
+      sequence: 1,
+      inFlight: new Map(),
+      requests: [odd, request],
+      observations: [],
+      firstObservation: 0,
+      decisionsSeen: 0,
+      wantsReply: true,
+      withdrawn: [],
+      reports: [],
+      replyTime: 1,
+      backoffs: [],
+    },
+  };
+  const decoded = decodeMessage(encodeMessage(message, NOW), NOW);
+  const read = decoded._unsafeUnwrap() as typeof message;
+  t.deepEqual(read.update.requests, [request]);
+});
+
 const oddValue = fc.oneof(
   fc.jsonValue(),
   fc.double(),
