Keep an outdated odd entry from removing a sound upstream

What callers saw: an upstream whose entry had been odd for a moment got no requests from a host until its entry changed again, if a peer told the host of the sound entry while the host read the store in full.

Cause: the entry of the read was rejected, and its upstream removed, while the read was being decoded, before its revision was compared with that of the list; the change back then counted as known.

--- a/packages/gateway/src/upstreamUpdates.ts
+++ b/packages/gateway/src/upstreamUpdates.ts
@@ -75,17 +75,11 @@
   }
 
   /**
-   * Removes the upstream of an entry that cannot be used. Only the first of
-   * several such entries is logged, as upstreams write theirs at each heartbeat.
+   * Reports an entry that cannot be used. Only the first of several is logged, as
+   * upstreams write theirs at each heartbeat.
    */
-  rejectEntry(name: string, detail: string): void {
-    const { metrics } = this.#context;
-    metrics.count("upstream_entries_malformed");
-    this.#logRejection(name, detail);
-    this.remove(name);
-  }
-
-  #logRejection(name: string, detail: string): void {
+  reportRejection(name: string, detail: string): void {
+    this.#context.metrics.count("upstream_entries_malformed");
     if (this.#loggedRejections.has(name)) return;
     if (this.#loggedRejections.size >= MAXIMUM_LOGGED_REJECTIONS) {
       this.#loggedRejections.clear();
