Keep a grant of quotas whose number of hosts is odd

The number of hosts in a grant only divides a rate. Out of range it made the whole grant an error since the rows have ranges, and as 0 an infinite rate before that; it is now moved into the range. Found by reading; the tests of peers, oddRows and quotaSync pass.

--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -20,6 +20,7 @@
 import { err, ok, type Result } from "neverthrow";
 import {
   expectArray,
+  expectHint,
   expectIds,
   expectInteger,
   expectNumber,
@@ -67,6 +68,7 @@
 } from "./streamOriginMessage.ts";
 
 const FORMAT_VERSION = 17;
+const MAXIMUM_HOSTS = 100_000;
 const TEXT_DECODER = new TextDecoder();
 
 /**
@@ -311,7 +313,7 @@
           { limit: expectNumber(limit), level: expectNumber(level) },
         ]),
       ),
-      hosts: expectInteger(hosts, { minimum: 1 }),
+      hosts: expectHint(hosts, { minimum: 1, maximum: MAXIMUM_HOSTS }),
       isSettled: isSettled === true,
     },
   }),
