--- a/packages/admission/src/versionHistory.ts
+++ b/packages/admission/src/versionHistory.ts
@@ -11,6 +11,11 @@
   readonly completeSince: Milliseconds;
   /** Whether the directory has all upstreams now. */
   readonly isCurrent: () => boolean;
+  /**
+   * Whether streams for which a service is asked may have begun at another one
+   * since a time.
+   */
+  readonly isMixed?: (service: ServiceId, since: Milliseconds) => boolean;
 }
 
 /**
@@ -23,12 +28,17 @@
   #completeSince: Milliseconds;
   #hasBeenCurrent = false;
   #directoryVersion = -1;
+  #gaps: number;
   /** When each version was listed last. */
   readonly #listedAt = new Map<ServiceId, Map<SoftwareVersion, Milliseconds>>();
+  /** Entries that came since the last update, some of which may be gone. */
+  readonly #seen: Upstream[] = [];
 
   constructor(options: VersionHistoryOptions) {
     this.#options = options;
     this.#completeSince = options.completeSince;
+    this.#gaps = options.directory.gaps;
+    options.directory.addListener((upstream) => this.#seen.push(upstream));
   }
 
   /** Records changes of the directory; called often enough to see each version. */
@@ -38,7 +48,12 @@
     if (directory.version === this.#directoryVersion) return;
     this.#directoryVersion = directory.version;
     this.#endListings(now);
-    for (const upstream of directory.all()) this.#recordListing(upstream);
+    for (const upstream of this.#seen.splice(0)) {
+      this.#recordListing(upstream, now);
+    }
+    for (const upstream of directory.all()) {
+      this.#recordListing(upstream, Infinity);
+    }
   }
 
   /**
@@ -52,16 +67,20 @@
     this.update(now);
     const since = now - this.#options.maximumStreamAge();
     if (this.#completeSince > since) return undefined;
+    if (this.#options.isMixed?.(service, since) === true) return undefined;
     const versions = [...this.#listedAt.get(service) ?? []]
       .filter(([, listedAt]) => listedAt > since);
     return versions.length === 1 ? versions[0]![0] : undefined;
   }
 
-  /** What came and went while the list was not current is not known. */
+  /** What came and went unseen, or while the list was not current, is not known. */
   #checkCurrent(now: Milliseconds): void {
     const isCurrent = this.#options.isCurrent();
     if (!isCurrent && this.#hasBeenCurrent) this.#completeSince = now;
     this.#hasBeenCurrent ||= isCurrent;
+    const { gaps } = this.#options.directory;
+    if (gaps > this.#gaps) this.#completeSince = now;
+    this.#gaps = gaps;
   }
 
   /** Versions that are listed count as listed until now. */
@@ -75,8 +94,11 @@
     }
   }
 
-  #recordListing({ service, softwareVersion }: Upstream): void {
+  #recordListing(
+    { service, softwareVersion }: Upstream,
+    until: Milliseconds,
+  ): void {
     const versions = this.#listedAt.get(service) ?? new Map();
-    this.#listedAt.set(service, versions.set(softwareVersion, Infinity));
+    this.#listedAt.set(service, versions.set(softwareVersion, until));
   }
 }
--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -6,6 +6,7 @@
   "started",
   "start_failed",
   "port_in_use",
+  "metrics_unavailable",
   "stopping",
   "stopped",
   "ended",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,7 +31,9 @@
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { OperatorData } from "./operatorEndpoints.ts";
 import { OperatorServers } from "./operatorServers.ts";
+import { ListConfirmation } from "./listConfirmation.ts";
 import type { ListenError } from "./listenError.ts";
+import { openPort } from "./openPort.ts";
 import { PeriodicChecks } from "./periodicChecks.ts";
 import { PeerDirectory } from "./peerDirectory.ts";
 import { type ChannelError, PeerChannel } from "./peerChannel.ts";
@@ -80,6 +82,8 @@
    * peers if not.
    */
   readonly storeSharing: StoreSharing;
+  /** Shows that the upstream list is as in the store. */
+  readonly listConfirmation: ListConfirmation;
   readonly #options: GatewayOptions;
   readonly #callerServer: CallerServer;
   readonly #gossip: GossipProtocol;
@@ -128,12 +132,13 @@
     this.#quotaLog = new QuotaLog(this.context);
     this.#callerServer = new CallerServer(this.context);
     this.#operatorServers = new OperatorServers({
+      timer,
       data: this.#createOperatorData(),
       addresses: options.addresses,
       readinessPath: options.readinessPath,
       onPeerUpgrade: (request, socket, head) =>
         this.#links.handleUpgrade(request, socket, head),
-      opening: { timer, log: this.context.log },
+      log: this.context.log,
     });
     this.#channel = this.#createChannel();
     this.#cellRouter = new CellRouter({
@@ -179,6 +184,23 @@
       entryLease: options.entryLease,
       adoptPolicy: (bytes, proof) => this.adoptPolicy(bytes, proof),
     });
+    this.listConfirmation = new ListConfirmation({
+      host,
+      incarnation,
+      timer,
+      versions: () => ({
+        listRevision: this.storeSharing.listRevision,
+        policyVersion: this.context.policies.version,
+      }),
+      isReading: () => this.storeSharing.isReading,
+      readers: () => this.#peers.storeReaders,
+      send: (to, message) => this.#sendTo(to, message),
+      onNewer: (reader, versions) =>
+        this.storeSharing.receivePolicyVersion(reader, {
+          ...versions,
+          now: timer.now(),
+        }),
+    });
   }
 
   /** Whether the load balancer may send callers to this host. */
@@ -193,13 +215,20 @@
 
   /** Opens all ports. */
   async start(): Promise<Result<void, ListenError | ChannelError>> {
-    const { addresses } = this.#options;
-    const opened = await this.#channel.open(addresses.peers);
+    const { addresses, timer } = this.#options;
+    const { log } = this.context;
+    const opened = await openPort(
+      () => this.#channel.open(addresses.peers),
+      { timer, log },
+    );
     if (opened.isErr()) return err(opened.error);
+    // Callers come last, as a start that fails would lose their requests.
     const serving = await this.#operatorServers.open();
     if (serving.isErr()) return err(serving.error);
-    // Last, as a start that fails would lose what callers have sent.
-    const listening = await this.#callerServer.listen(addresses.callers);
+    const listening = await openPort(
+      () => this.#callerServer.listen(addresses.callers),
+      { timer, log },
+    );
     if (listening.isErr()) return err(listening.error);
     this.#isListening = true;
     this.#periodicChecks.start();
@@ -301,6 +330,7 @@
     this.storeSharing.close();
     this.context.crashChecks.close();
     this.context.streamOrigins.close();
+    this.listConfirmation.close();
     this.#gossip.close();
     await this.context.connections.close();
     this.#channel.close();
@@ -383,6 +413,7 @@
         isFirstStart,
         hosts: () => this.#candidates().map((candidate) => candidate.host),
         send: (to, message) => this.#sendTo(to, message),
+        confirmation: () => this.listConfirmation,
       }),
       lag,
       shedding: new LoadShedder({
@@ -492,8 +523,7 @@
   #createChannel(): PeerChannel {
     const { timer } = this.#options;
     return new PeerChannel({
-      timer,
-      log: this.context.log,
+      now: () => timer.now(),
       onMessage: (message) => this.#receive(message),
       onMalformed: () => this.context.metrics.count("peer_words_malformed"),
       onTraffic: (direction, bytes) => {
@@ -581,6 +611,10 @@
         return this.context.streamOrigins.reply(message.query);
       case "origin":
         return this.context.streamOrigins.receive(message.reply);
+      case "confirm":
+        return void this.listConfirmation.reply(message.query);
+      case "confirmed":
+        return this.listConfirmation.receive(message.reply);
     }
   }
 
--- a/packages/gateway/src/listenAt.ts
+++ b/packages/gateway/src/listenAt.ts
@@ -1,37 +1,37 @@
 import type { Server } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import type { ListenError } from "./listenError.ts";
-import { openPort, type OpenPortOptions } from "./openPort.ts";
+import { PORT_TAKEN } from "./openPort.ts";
 import { splitAddress } from "./peerChannel.ts";
 
 /** The default of Node.js. */
 const DEFAULT_BACKLOG = 511;
 
-/** Options of {@link listenAt}. */
-export interface ListenOptions extends OpenPortOptions {
-  readonly backlog?: number;
-}
-
 /**
  * Listens at `ip:port`. Later errors, such as a failed accept, affect one
  * connection and are ignored.
  */
-export async function listenAt<Listening extends Server>(
+export function listenAt<Listening extends Server>(
   server: Listening,
   address: string,
-  { backlog = DEFAULT_BACKLOG, ...options }: ListenOptions,
+  { backlog = DEFAULT_BACKLOG }: { backlog?: number } = {},
 ): Promise<Result<Listening, ListenError>> {
   const { ip, port } = splitAddress(address);
-  server.on("error", () => {});
-  const error = await openPort(() =>
-    new Promise((resolve) => {
-      server.once("error", resolve);
-      server.listen(port, ip, backlog, () => {
-        server.off("error", resolve);
-        resolve(undefined);
-      });
-    }), options);
-  return error === undefined
-    ? ok(server)
-    : err({ kind: "cannot-listen", detail: error.message });
+  return new Promise((resolve) => {
+    const onError = ({ code, message: detail }: NodeJS.ErrnoException) => {
+      server.off("listening", onListening);
+      const isTaken = code === PORT_TAKEN;
+      resolve(err({ kind: "cannot-listen", detail, isTaken }));
+    };
+    const onListening = (): void => {
+      server.off("error", onError);
+      server.on("error", ignoreError);
+      resolve(ok(server));
+    };
+    server.once("error", onError);
+    server.once("listening", onListening);
+    server.listen(port, ip, backlog);
+  });
 }
+
+function ignoreError(): void {}
--- a/packages/gateway/src/peerChannel.ts
+++ b/packages/gateway/src/peerChannel.ts
@@ -1,8 +1,8 @@
 import type { Buffer } from "node:buffer";
 import { createSocket, type Socket } from "node:dgram";
-import type { Address } from "@wasabivane/common";
+import type { Address, Milliseconds } from "@wasabivane/common";
 import { err, ok, type Result } from "neverthrow";
-import { openPort, type OpenPortOptions } from "./openPort.ts";
+import { PORT_TAKEN, type PortError } from "./openPort.ts";
 import {
   decodeMessage,
   encodeMessage,
@@ -10,13 +10,14 @@
 } from "./peerMessage.ts";
 
 /** The error for an address that a channel cannot bind to. */
-export interface ChannelError {
+export interface ChannelError extends PortError {
   readonly kind: "cannot-bind";
   readonly detail: string;
 }
 
 /** Options of a {@link PeerChannel}. */
-export interface PeerChannelOptions extends OpenPortOptions {
+export interface PeerChannelOptions {
+  readonly now: () => Milliseconds;
   readonly onMessage: (message: PeerMessage) => void;
   readonly onMalformed: (detail: string) => void;
   /** Called for each datagram, to count traffic. */
@@ -31,36 +32,38 @@
 export class PeerChannel {
   readonly #socket: Socket = createSocket("udp4");
   readonly #options: PeerChannelOptions;
-  #isClosed = false;
+  /** The runtime binds a socket that sends before it is bound to another port. */
+  #isOpen = false;
 
   constructor(options: PeerChannelOptions) {
     this.#options = options;
     this.#socket.on("message", (bytes) => this.#receive(bytes));
   }
 
-  async open(address: string): Promise<Result<void, ChannelError>> {
+  open(address: string): Promise<Result<void, ChannelError>> {
     const { ip, port } = splitAddress(address);
-    this.#socket.on(
-      "error",
-      (error) => this.#options.onMalformed(error.message),
-    );
-    const error = await openPort(() =>
-      new Promise((resolve) => {
-        this.#socket.once("error", resolve);
-        this.#socket.bind(port, ip, () => {
-          this.#socket.off("error", resolve);
-          resolve(undefined);
-        });
-      }), this.#options);
-    return error === undefined
-      ? ok(undefined)
-      : err({ kind: "cannot-bind", detail: error.message });
+    return new Promise((resolve) => {
+      const onError = ({ code, message: detail }: NodeJS.ErrnoException) => {
+        const isTaken = code === PORT_TAKEN;
+        resolve(err({ kind: "cannot-bind", detail, isTaken }));
+      };
+      this.#socket.once("error", onError);
+      this.#socket.bind(port, ip, () => {
+        this.#socket.off("error", onError);
+        this.#socket.on(
+          "error",
+          (error) => this.#options.onMalformed(error.message),
+        );
+        this.#isOpen = true;
+        resolve(ok(undefined));
+      });
+    });
   }
 
   send(message: PeerMessage, targets: readonly Address[]): void {
-    if (this.#isClosed) return;
-    const { timer, onTraffic } = this.#options;
-    const bytes = encodeMessage(message, timer.now());
+    if (!this.#isOpen) return;
+    const { now, onTraffic } = this.#options;
+    const bytes = encodeMessage(message, now());
     for (const target of targets) {
       const { ip, port } = splitAddress(target);
       this.#socket.send(bytes, port, ip, ignoreSendError);
@@ -69,14 +72,14 @@
   }
 
   close(): void {
-    this.#isClosed = true;
+    this.#isOpen = false;
     this.#socket.close();
   }
 
   #receive(bytes: Buffer): void {
-    const { timer, onMessage, onMalformed, onTraffic } = this.#options;
+    const { now, onMessage, onMalformed, onTraffic } = this.#options;
     onTraffic("heard", bytes.length);
-    decodeMessage(bytes, timer.now()).match(
+    decodeMessage(bytes, now()).match(
       onMessage,
       ({ detail }) => onMalformed(detail),
     );
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -20,6 +20,7 @@
 import { err, ok, type Result } from "neverthrow";
 import {
   expectArray,
+  expectHint,
   expectIds,
   expectInteger,
   expectNumber,
@@ -47,6 +48,14 @@
   encodeReport,
   encodeSnapshot,
 } from "./cellRows.ts";
+import {
+  type ConfirmationQuery,
+  type ConfirmationReply,
+  decodeConfirmationQuery,
+  decodeConfirmationReply,
+  encodeConfirmationQuery,
+  encodeConfirmationReply,
+} from "./confirmationMessage.ts";
 import {
   decodeListChange,
   decodePeerRecord,
@@ -67,6 +76,7 @@
 } from "./streamOriginMessage.ts";
 
 const FORMAT_VERSION = 17;
+const MAXIMUM_HOSTS = 100_000;
 const TEXT_DECODER = new TextDecoder();
 
 /**
@@ -89,7 +99,9 @@
   | { readonly kind: "grant"; readonly grant: GrantMessage }
   | { readonly kind: "begun"; readonly records: StreamOriginRecords }
   | { readonly kind: "seek"; readonly query: StreamOriginQuery }
-  | { readonly kind: "origin"; readonly reply: StreamOriginReply };
+  | { readonly kind: "origin"; readonly reply: StreamOriginReply }
+  | { readonly kind: "confirm"; readonly query: ConfirmationQuery }
+  | { readonly kind: "confirmed"; readonly reply: ConfirmationReply };
 
 /** The error for a datagram that cannot be decoded. */
 export interface MessageError {
@@ -311,7 +323,7 @@
           { limit: expectNumber(limit), level: expectNumber(level) },
         ]),
       ),
-      hosts: expectInteger(hosts, { minimum: 1 }),
+      hosts: expectHint(hosts, { minimum: 1, maximum: MAXIMUM_HOSTS }),
       isSettled: isSettled === true,
     },
   }),
@@ -364,6 +376,10 @@
       return encodeOriginQuery(message.query);
     case "origin":
       return encodeOriginReply(message.reply);
+    case "confirm":
+      return encodeConfirmationQuery(message.query);
+    case "confirmed":
+      return encodeConfirmationReply(message.reply);
   }
 }
 
@@ -396,6 +412,10 @@
       return ok({ kind, query: decodeOriginQuery(body) });
     case "origin":
       return ok({ kind, reply: decodeOriginReply(body) });
+    case "confirm":
+      return ok({ kind, query: decodeConfirmationQuery(body) });
+    case "confirmed":
+      return ok({ kind, reply: decodeConfirmationReply(body) });
     default:
       return malformed("Unknown message kind");
   }
