Free slots, confirm lists and keep time whatever an earlier error left

- An outcome that could not be recorded hid that a request had run (503, not run, for an at-most-once request that had run once) and kept its slot for good.
- After one check of the store that threw, no list was confirmed any more, so that streams were refused.
- A host that has just started gave up after 180 ms while its peers were confirming their lists; they now say that they will reply.

--- a/apps/entry/src/httpListener.ts
+++ b/apps/entry/src/httpListener.ts
@@ -58,7 +58,8 @@
   errorHandler.attachTo(server);
   watchServerCertificate(server, { tls: listener.tls, metrics });
   return new Promise((resolve, reject) => {
-    server.once("error", reject);
+    // Later errors, such as a failed accept, concern one connection.
+    server.on("error", reject);
     server.listen(
       listener.port,
       listener.address,
--- a/packages/gateway/src/coalescedCalls.ts
+++ b/packages/gateway/src/coalescedCalls.ts
@@ -5,7 +5,6 @@
   readonly timer: Timer;
   /** Time between the starts of two runs. */
   readonly interval: Milliseconds;
-  /** Does not reject. */
   readonly run: () => Promise<Value>;
 }
 
@@ -37,7 +36,7 @@
     this.#next = undefined;
     this.#startedAt = timer.now();
     const running = run();
-    this.#running = running;
+    this.#running = running.catch(() => {});
     return await running;
   }
 }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -38,7 +38,12 @@
   type Refusal,
 } from "./requestAdmission.ts";
 import { isResumable, originIdOf } from "./streamTakeUp.ts";
-import { isNotRun, RetryState, wasNotSent } from "./retryState.ts";
+import {
+  hasPossiblyRun,
+  isNotRun,
+  RetryState,
+  wasNotSent,
+} from "./retryState.ts";
 import { RequestTimings } from "./requestTimings.ts";
 
 /** Mean retry delay given to callers whose request did not run. */
@@ -161,14 +166,17 @@
   onEnd(end: AttemptEnd): void {
     const attempt = this.#attempt!;
     this.#attempt = undefined;
+    // First of all, as no error below may turn into the claim that nothing ran.
+    if (hasPossiblyRun(end.outcome)) this.#retryState.markMayHaveRun();
     this.#endPrefill();
     const { context, admitted, request } = this.#options;
-    recordAttempt(attempt, {
-      end,
-      context,
-      admitted,
-      traits: request.traits,
-    });
+    context.errors.guard("attempt record", () =>
+      recordAttempt(attempt, {
+        end,
+        context,
+        admitted,
+        traits: request.traits,
+      }));
     if (this.#isFinished || this.#isAborted) return;
     if (end.outcome === "cancelled") return this.#onDeadline();
     if (end.outcome === "whole") this.#deliver(end);
--- a/packages/gateway/src/listConfirmation.ts
+++ b/packages/gateway/src/listConfirmation.ts
@@ -113,6 +113,9 @@
       void this.#confirmations.call().then((isConfirmed) => {
         timeout.cancel();
         resolve(isConfirmed);
+      }, (thrown) => {
+        resolve(false);
+        throw thrown;
       });
     });
   }
--- a/packages/gateway/src/periodicChecks.ts
+++ b/packages/gateway/src/periodicChecks.ts
@@ -61,7 +61,11 @@
     if (this.#isClosed) return;
     const { timer, errors, cellRouter, lag } = this.#options;
     const now = timer.now();
-    const at = now + cellRouter.timeToNextCheck(now);
+    let delay = MAINTENANCE_MS;
+    errors.guard("queue check", () => {
+      delay = cellRouter.timeToNextCheck(now);
+    });
+    const at = now + delay;
     if (this.#nextCheck !== undefined && this.#nextCheckAt <= at) return;
     this.#nextCheck?.cancel();
     this.#nextCheckAt = at;
--- a/packages/gateway/src/recordAttempt.ts
+++ b/packages/gateway/src/recordAttempt.ts
@@ -36,12 +36,6 @@
   const { upstream } = attempt.upstream;
   const now = context.timer.now();
   const residence = now - attempt.startedAt;
-  recordCrashSigns(attempt, { context, admitted, traits, end });
-  if (outcome === "replaced") context.removeReplaced(upstream);
-  if (wasNotSent(outcome)) {
-    context.metrics.count("slots_unused");
-    context.metrics.count("slots_unused_ms", Math.round(residence));
-  }
   const observation: AttemptObservation = {
     upstream,
     service,
@@ -50,11 +44,20 @@
     ...outcome === "whole" &&
       { times: createTimings(attempt, admitted, residence) },
   };
-  if (context.upstreamStats.record(observation, now)) {
-    context.metrics.count("upstream_ejected");
-    context.log.write("upstream_ejected", { upstream, outcome, service });
+  try {
+    recordCrashSigns(attempt, { context, admitted, traits, end });
+    if (outcome === "replaced") context.removeReplaced(upstream);
+    if (wasNotSent(outcome)) {
+      context.metrics.count("slots_unused");
+      context.metrics.count("slots_unused_ms", Math.round(residence));
+    }
+    if (context.upstreamStats.record(observation, now)) {
+      context.metrics.count("upstream_ejected");
+      context.log.write("upstream_ejected", { upstream, outcome, service });
+    }
+  } finally {
+    context.placementClient.end(attempt.upstream, observation, now);
   }
-  context.placementClient.end(attempt.upstream, observation, now);
 }
 
 function createTimings(
--- a/packages/gateway/src/requestAdmission.ts
+++ b/packages/gateway/src/requestAdmission.ts
@@ -86,7 +86,7 @@
 ): RequestHead {
   const host = headerValue(headers, "host") ?? "";
   const route = index?.route(host, pathOf(url));
-  const metadata = route === undefined
+  const metadata = route === undefined || hasSeveralHosts(rawHeaders)
     ? undefined
     : dialect.parseRequest(headers);
   const account = metadata?.apiKey === undefined
@@ -95,6 +95,14 @@
   return { rawHeaders, route, metadata, account };
 }
 
+/** Such a request cannot be passed on, as its route is not certain. */
+function hasSeveralHosts(rawHeaders: readonly string[]): boolean {
+  const hosts = rawHeaders.filter((text, index) =>
+    index % 2 === 0 && text.toLowerCase() === "host"
+  );
+  return hosts.length > 1;
+}
+
 /** Returns the path of a URL without its query. */
 export function pathOf(url: string): string {
   const query = url.indexOf("?");
--- a/packages/gateway/src/streamOriginMessage.ts
+++ b/packages/gateway/src/streamOriginMessage.ts
@@ -9,6 +9,8 @@
 import { expectRows, expectString, type Row } from "./rowValues.ts";
 import type { StreamOrigin } from "./streamOriginTable.ts";
 
+const PENDING = "pending";
+
 /** Streams and where they began, for hosts to keep. */
 export type StreamOriginRecords = readonly (readonly [
   RequestId,
@@ -32,6 +34,8 @@
   readonly request: RequestId;
   /** `undefined` if the replying host does not know. */
   readonly origin: StreamOrigin | undefined;
+  /** Whether the host is still finding out, and replies again. */
+  readonly isPending: boolean;
 }
 
 /** Encodes records. */
@@ -71,9 +75,10 @@
 
 /** Encodes a reply. */
 export function encodeOriginReply(
-  { host, request, origin }: StreamOriginReply,
+  { host, request, origin, isPending }: StreamOriginReply,
 ): Row {
   const row = [host, request];
+  if (isPending) return [...row, PENDING];
   if (origin === undefined) return row;
   return [...row, origin.service, origin.softwareVersion];
 }
@@ -85,7 +90,8 @@
   return {
     host: asId<HostId>(expectString(host)),
     request: asId<RequestId>(expectString(request)),
-    origin: origin.length === 0 ? undefined : decodeOrigin(origin),
+    origin: origin.length < 2 ? undefined : decodeOrigin(origin),
+    isPending: origin.length === 1 && origin[0] === PENDING,
   };
 }
 
--- a/packages/gateway/src/streamOrigins.ts
+++ b/packages/gateway/src/streamOrigins.ts
@@ -22,6 +22,8 @@
 /** Time after which hosts that have not replied are asked again. */
 const REPLY_TIMEOUT_MS: Milliseconds = 60;
 const MAXIMUM_ROUNDS = 3;
+/** Further time for hosts that are finding out. */
+const FINDING_OUT_MS: Milliseconds = 1_000;
 /** Records in one datagram. */
 const MAXIMUM_RECORDS = 20;
 
@@ -49,6 +51,8 @@
   readonly query: StreamOriginQuery;
   /** Hosts that have not replied. */
   readonly waitingFor: Set<HostId>;
+  /** Those of them that said that they will reply later. */
+  readonly findingOut: Set<HostId>;
   readonly resolve: (origin: StreamOrigin | undefined) => void;
   rounds: number;
   timeout: TimerSubscription | undefined;
@@ -125,15 +129,22 @@
   reply(query: StreamOriginQuery): void {
     const { host, send } = this.#options;
     const { request } = query;
+    const reply = { host, request, origin: undefined, isPending: false };
+    let isFound = false;
     this.#find(query, (origin) => {
-      send(query.host, { kind: "origin", reply: { host, request, origin } });
+      isFound = true;
+      send(query.host, { kind: "origin", reply: { ...reply, origin } });
     });
+    if (isFound) return;
+    send(query.host, { kind: "origin", reply: { ...reply, isPending: true } });
   }
 
   /** Applies a peer's reply; one that does not know leaves it to the others. */
-  receive({ host, request, origin }: StreamOriginReply): void {
+  receive({ host, request, origin, isPending }: StreamOriginReply): void {
     const pending = this.#pending.get(request);
     if (pending === undefined) return;
+    if (isPending) return void pending.findingOut.add(host);
+    pending.findingOut.delete(host);
     pending.waitingFor.delete(host);
     const isOver = origin !== undefined || pending.waitingFor.size === 0;
     if (isOver) this.#settle(pending, origin);
@@ -235,6 +246,7 @@
     const pending = {
       query,
       waitingFor,
+      findingOut: new Set<HostId>(),
       resolve,
       rounds: 0,
       timeout: undefined,
@@ -244,12 +256,19 @@
   }
 
   #askRound(pending: PendingQuery): void {
+    const { timer, send } = this.#options;
+    const { query, waitingFor, findingOut } = pending;
     if (pending.rounds++ === MAXIMUM_ROUNDS) {
-      return this.#settle(pending, undefined);
+      if (findingOut.size === 0) return this.#settle(pending, undefined);
+      pending.timeout = timer.after(
+        FINDING_OUT_MS,
+        () => this.#settle(pending, undefined),
+      );
+      return;
+    }
+    for (const host of waitingFor) {
+      if (!findingOut.has(host)) send(host, { kind: "seek", query });
     }
-    const { timer, send } = this.#options;
-    const { query, waitingFor } = pending;
-    for (const host of waitingFor) send(host, { kind: "seek", query });
     pending.timeout = timer.after(
       REPLY_TIMEOUT_MS,
       () => this.#askRound(pending),
--- a/packages/gateway/tests/listConfirmation.test.ts
+++ b/packages/gateway/tests/listConfirmation.test.ts
@@ -13,6 +13,7 @@
   type PeerMessage,
 } from "@wasabivane/gateway";
 import test from "ava";
+import { CoalescedCalls } from "../src/coalescedCalls.ts";
 
 const HOP_MS = 1;
 const STORE_MS = 2;
@@ -163,3 +164,20 @@
   t.true(total <= 22, `${total} calls`);
   t.true(fleet.sent.length <= 2 * 22 * hosts.length);
 });
+
+test("lists are confirmed again after a check of the store that throws", async (t) => {
+  // Guards against a host that refuses all streams after one error.
+  const timer = new VirtualTimer();
+  let runs = 0;
+  const calls = new CoalescedCalls({
+    timer,
+    interval: 0,
+    run: () =>
+      ++runs === 1
+        ? Promise.reject(new Error("A check of the test"))
+        : Promise.resolve(true),
+  });
+  await t.throwsAsync(calls.call());
+  t.true(await calls.call());
+  t.true(await calls.call());
+});
--- a/packages/gateway/tests/refusals.test.ts
+++ b/packages/gateway/tests/refusals.test.ts
@@ -258,3 +258,20 @@
   t.is(sampler.select("convicted", 1_000), 0);
   t.is(sampler.select("convicted", 1_000), 0);
 });
+
+test("a request that names several hosts is malformed, and no upstream is to blame", async (t) => {
+  // Guards against a caller whose header takes sound upstreams out of use.
+  const upstream = await startServing();
+  const host = await startGateway({ upstreams: [upstream] });
+  t.teardown(() => host.close());
+  const socket = connect(Number(new URL(host.url).port), "127.0.0.1");
+  socket.write(
+    "GET /a/1 HTTP/1.1\r\nhost: plans.example\r\nhost: plans.example\r\n" +
+      "id: q1\r\nkey: k\r\nconnection: close\r\n\r\n",
+  );
+  let text = "";
+  for await (const chunk of socket) text += String(chunk);
+  t.regex(text, /^HTTP\/1.1 400 /);
+  t.is(upstream.received.length, 0);
+  t.false(host.lines.some(({ event }) => event === "upstream_ejected"));
+});
