--- a/apps/entry/src/main.ts
+++ b/apps/entry/src/main.ts
@@ -7,7 +7,8 @@
 
 function whenStopped(): Promise<void> {
   return new Promise((resolve) => {
-    for (const signal of STOP_SIGNALS) process.once(signal, () => resolve());
+    // Kept, as a second signal would end the process before its requests.
+    for (const signal of STOP_SIGNALS) process.on(signal, () => resolve());
   });
 }
 
--- a/packages/gateway/src/cellRouter.ts
+++ b/packages/gateway/src/cellRouter.ts
@@ -119,9 +119,12 @@
 
   /** Checks all queues, and sends due updates and snapshots. */
   tick(now: Milliseconds): void {
+    const { errors } = this.#options.context();
     for (const [key, coordinator] of this.#coordinators) {
-      if (coordinator.isIdle(now)) this.#coordinators.delete(key);
-      else coordinator.review(now);
+      errors.guard("queue check", () => {
+        if (coordinator.isIdle(now)) this.#coordinators.delete(key);
+        else coordinator.review(now);
+      });
     }
     this.#options.placementClient.tick(now);
     this.#logSlotUse(now);
--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -96,8 +96,13 @@
     this.#isLooking = true;
     const startedAt = this.#options.timer.now();
     this.#dueTimes.shift();
-    const state = await this.#options.probe();
-    this.#isLooking = false;
+    let state: UpstreamState | undefined;
+    try {
+      state = await this.#options.probe();
+    } finally {
+      this.#isLooking = false;
+      if (state === undefined) this.#proceed();
+    }
     if (this.#isEnded) return;
     this.#options.onLook(state);
     if (this.#isEnded) return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -655,15 +655,19 @@
   }
 
   #runMaintenance(now: Milliseconds): void {
-    this.#fleetSize.record(this.context.hostCount(), now);
-    this.storeSharing.recordListed(this.upstreamUpdates.expire());
-    this.storeSharing.tick(now);
-    this.#links.tick();
-    this.context.streamOrigins.tick();
-    this.#quotaSync.tick(now);
-    this.#logShedRequests(now);
-    this.#quotaLog.tick(now);
-    this.#peerLog.add(this.#gossip.tick(), this.#peers.aliveCount);
+    // Heartbeats come first; an error in one step does not end the others.
+    const steps = [
+      () => this.#peerLog.add(this.#gossip.tick(), this.#peers.aliveCount),
+      () => this.#fleetSize.record(this.context.hostCount(), now),
+      () => this.storeSharing.recordListed(this.upstreamUpdates.expire()),
+      () => this.storeSharing.tick(now),
+      () => this.#links.tick(),
+      () => this.context.streamOrigins.tick(),
+      () => this.#quotaSync.tick(now),
+      () => this.#logShedRequests(now),
+      () => this.#quotaLog.tick(now),
+    ];
+    for (const step of steps) this.context.errors.guard("maintenance", step);
   }
 
   /** Logs how many requests were not served, and why; at most once a second. */
--- a/packages/gateway/src/retryState.ts
+++ b/packages/gateway/src/retryState.ts
@@ -133,3 +133,8 @@
 export function isNotRun(outcome: UpstreamOutcome): boolean {
   return outcome === "not-run" || outcome === "replaced";
 }
+
+/** Returns whether the upstream may have run the request of a finished attempt. */
+export function hasPossiblyRun(outcome: UpstreamOutcome): boolean {
+  return outcome !== "cancelled" && !wasNotSent(outcome) && !isNotRun(outcome);
+}
--- a/packages/gateway/src/uncaughtErrors.ts
+++ b/packages/gateway/src/uncaughtErrors.ts
@@ -87,11 +87,11 @@
 function describe(thrown: unknown): { message: string; stack: string } {
   if (!(thrown instanceof Error)) {
     return {
-      message: String(thrown).slice(0, MAXIMUM_MESSAGE_LENGTH),
+      message: textOf(thrown).slice(0, MAXIMUM_MESSAGE_LENGTH),
       stack: "",
     };
   }
-  const calls = (thrown.stack ?? "").split("\n")
+  const calls = textOf(thrown.stack).split("\n")
     .filter((line) => line.trimStart().startsWith("at "))
     .slice(0, MAXIMUM_CALLS)
     .map((line) => line.trim().slice("at ".length));
@@ -103,3 +103,12 @@
     stack: calls.join("; "),
   };
 }
+
+/** Any value may be thrown, also one without a text. */
+function textOf(value: unknown): string {
+  try {
+    return String(value);
+  } catch {
+    return "a value without a text";
+  }
+}
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -451,6 +451,7 @@
       host: asId<HostId>("b"),
       request: asId<RequestId>("r"),
       origin: undefined,
+      isPending: true,
     },
   },
 ];
--- a/packages/gateway/tests/streamOrigins.test.ts
+++ b/packages/gateway/tests/streamOrigins.test.ts
@@ -3,6 +3,7 @@
   type HostId,
   type RequestId,
   type ServiceId,
+  sleep,
   VirtualTimer,
 } from "@wasabivane/common";
 import {
@@ -33,6 +34,8 @@
   /** Whether hosts can show that their lists are current. */
   isConfirmable = true;
   confirmations = 0;
+  /** Time that a confirmation takes, each host's own. */
+  confirmationTime = 0;
   /** Whether a message is lost on its way. */
   isLost: (message: PeerMessage) => boolean = () => false;
 
@@ -68,7 +71,11 @@
       isConfirmable: () => this.isConfirmable,
       confirmList: () => {
         this.confirmations++;
-        return Promise.resolve(this.isConfirmable);
+        if (this.confirmationTime === 0) {
+          return Promise.resolve(this.isConfirmable);
+        }
+        return sleep(timer, this.confirmationTime)
+          .then(() => this.isConfirmable);
       },
       hosts: () => [...this.hosts.keys()],
       send: (to, message) => this.#deliver(to, message),
@@ -239,3 +246,14 @@
   for (const host of fleet.hosts.values()) host.tick();
   t.is(kept(), 0);
 });
+
+test("a host that has just started waits for peers that are confirming their list", async (t) => {
+  // Guards against streams that are refused while the store takes its time.
+  const fleet = new OriginFleet({ versions: ["a"] });
+  fleet.timer.advance(STREAM_AGE_MS);
+  fleet.start("new");
+  for (const confirmationTime of [20, 200, 450]) {
+    fleet.confirmationTime = confirmationTime;
+    t.is(await fleet.resolve("new", `s-${confirmationTime}`), "a");
+  }
+});
