--- a/packages/gateway/tests/closingResponses.test.ts
+++ b/packages/gateway/tests/closingResponses.test.ts
@@ -8,6 +8,7 @@
   waitUntil,
 } from "./helpers/fleet.ts";
 import { collectUncaughtErrors } from "./helpers/uncaughtErrors.ts";
+import { callTo, createListener } from "./helpers/upstreamCalls.ts";
 
 /** Long enough for the end of a connection to arrive. */
 const SETTLING_MS = 100;
@@ -60,25 +61,20 @@
         call.pause();
         isPaused = true;
       };
-      const call = connections.send({
-        address: upstream.address,
-        method: "GET",
-        path: "/",
-        headers: [],
-        body: undefined,
-      }, {
-        shouldSend: () => true,
-        sent: () => {},
-        head: () => {
-          if (pausedAt === "head") pause();
-        },
-        data: (chunk) => {
-          body += chunk.toString();
-          pause();
-        },
-        ended: () => (outcome = "ended"),
-        failed: () => (outcome = "failed"),
-      });
+      const call = connections.send(
+        callTo(upstream),
+        createListener({
+          head: () => {
+            if (pausedAt === "head") pause();
+          },
+          data: (chunk) => {
+            body += chunk.toString();
+            pause();
+          },
+          ended: () => (outcome = "ended"),
+          failed: () => (outcome = "failed"),
+        }),
+      );
       await waitUntil(() => isPaused);
       received!.socket.end();
       await sleep(SETTLING_MS);
--- a/packages/gateway/tests/pausedResponses.test.ts
+++ b/packages/gateway/tests/pausedResponses.test.ts
@@ -2,37 +2,16 @@
 import { SystemTimer } from "@wasabivane/common";
 import test from "ava";
 import {
-  type UpstreamCall,
   UpstreamConnections,
   type UpstreamListener,
 } from "../src/upstreamConnections.ts";
-import {
-  type RawUpstream,
-  responseHead,
-  startUpstream,
-  waitUntil,
-} from "./helpers/fleet.ts";
+import { responseHead, startUpstream, waitUntil } from "./helpers/fleet.ts";
+import { callTo, createListener } from "./helpers/upstreamCalls.ts";
 
 const LONG_BYTES = 16 * 1_024 * 1_024;
 const SETTLING_MS = 100;
 const ENDED_RESPONSES = 30;
 
-function callTo({ address }: RawUpstream): UpstreamCall {
-  return { address, method: "GET", path: "/", headers: [], body: undefined };
-}
-
-function createListener(changes: Partial<UpstreamListener>): UpstreamListener {
-  return {
-    shouldSend: () => true,
-    sent: () => {},
-    head: () => {},
-    data: () => {},
-    ended: () => {},
-    failed: () => {},
-    ...changes,
-  };
-}
-
 test("a paused response stays paused while others end with their connections", async (t) => {
   // Guards against a host that outgrows its memory beside callers that do not read.
   const long = await startUpstream((received) => {
--- a/packages/gateway/tests/relayedSockets.test.ts
+++ b/packages/gateway/tests/relayedSockets.test.ts
@@ -9,6 +9,7 @@
 import { UpstreamConnections } from "../src/upstreamConnections.ts";
 import { buildEntry, waitUntil } from "./helpers/fleet.ts";
 import { collectUncaughtErrors } from "./helpers/uncaughtErrors.ts";
+import { callTo, createListener } from "./helpers/upstreamCalls.ts";
 
 const WEB_SOCKET_GUID = "258EAFA5-E914-47DA-95CA-C5AB0DC85B11";
 /** A frame with a reserved opcode. */
@@ -61,20 +62,13 @@
     server.close();
   });
   let outcome: string | undefined;
-  connections.send({
-    address: upstream.address,
-    method: "GET",
-    path: "/",
-    headers: [],
-    body: undefined,
-  }, {
-    shouldSend: () => true,
-    sent: () => {},
-    head: () => {},
-    data: () => {},
-    ended: () => (outcome = "ended"),
-    failed: () => (outcome = "failed"),
-  });
+  connections.send(
+    callTo(upstream),
+    createListener({
+      ended: () => (outcome = "ended"),
+      failed: () => (outcome = "failed"),
+    }),
+  );
   await waitUntil(() => outcome !== undefined || uncaught.length > 0);
   t.deepEqual(uncaught, []);
   t.is(outcome, "failed");
--- a/packages/gateway/tests/throwingListeners.test.ts
+++ b/packages/gateway/tests/throwingListeners.test.ts
@@ -6,6 +6,7 @@
 } from "../src/upstreamConnections.ts";
 import { startUpstream, waitUntil } from "./helpers/fleet.ts";
 import { collectUncaughtErrors } from "./helpers/uncaughtErrors.ts";
+import { callTo, createListener } from "./helpers/upstreamCalls.ts";
 
 const HEAD = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n";
 
@@ -18,17 +19,11 @@
   ["failed", HEAD],
 ] as const;
 
-function createListener(
-  onEnd: (outcome: string) => void,
-): UpstreamListener {
-  return {
-    shouldSend: () => true,
-    sent: () => {},
-    head: () => {},
-    data: () => {},
+function createRecorder(onEnd: (outcome: string) => void): UpstreamListener {
+  return createListener({
     ended: () => onEnd("ended"),
     failed: () => onEnd("failed"),
-  };
+  });
 }
 
 for (const [part, text] of PARTS) {
@@ -53,16 +48,10 @@
       await connections.close();
       upstream.close();
     });
-    const call = {
-      address: upstream.address,
-      method: "GET",
-      path: "/",
-      headers: [],
-      body: undefined,
-    };
+    const call = callTo(upstream);
     const outcomes: string[] = [];
     connections.send(call, {
-      ...createListener((outcome) => outcomes.push(outcome)),
+      ...createRecorder((outcome) => outcomes.push(outcome)),
       [part]: () => {
         throw new Error("An error of the test");
       },
@@ -71,7 +60,7 @@
     isFirst = false;
     connections.send(
       call,
-      createListener((outcome) => outcomes.push(outcome)),
+      createRecorder((outcome) => outcomes.push(outcome)),
     );
     await waitUntil(() => outcomes.includes("ended") || uncaught.length > 0);
     t.deepEqual(uncaught, []);
