Count a sound entry that a malformed one replaced, and drop what is held back

A second review showed it: a stream that had begun at v2 went on at v1 (200, ORDER) at a host that saw v2 only as malformed. For the same reason an upstream that a restored store lists again was used after its entry had become malformed.

Each sound entry counts as seen, also if another one replaced it before it was applied, and a name is left out only if all its entries were malformed and it was never listed.

--- a/packages/admission/src/upstreamDirectory.ts
+++ b/packages/admission/src/upstreamDirectory.ts
@@ -80,6 +80,16 @@
     if (!this.#incarnations.has(name)) this.#gaps++;
   }
 
+  /** Whether a name was listed before, or an entry of it is held back. */
+  isKnown(name: string): boolean {
+    return this.#incarnations.has(name) || this.isHeldBack(name);
+  }
+
+  /** Tells listeners of an entry that another one replaced before it was applied. */
+  recordReplaced(upstream: Upstream): void {
+    for (const listener of this.#listeners) listener(upstream);
+  }
+
   /** Calls back with each entry that changes, also of upstreams that leave. */
   addListener(listener: (upstream: Upstream) => void): void {
     this.#listeners.push(listener);
--- a/packages/admission/src/versionHistory.ts
+++ b/packages/admission/src/versionHistory.ts
@@ -45,7 +45,8 @@
   update(now: Milliseconds): void {
     const { directory } = this.#options;
     this.#checkCurrent(now);
-    if (directory.version === this.#directoryVersion) return;
+    const isSame = directory.version === this.#directoryVersion;
+    if (isSame && this.#seen.length === 0) return;
     this.#directoryVersion = directory.version;
     this.#endListings(now);
     for (const upstream of this.#seen.splice(0)) {
--- a/packages/admission/tests/versionHistory.test.ts
+++ b/packages/admission/tests/versionHistory.test.ts
@@ -119,3 +119,16 @@
   directory.replaceAll(directory.all());
   t.is(only(200 + STREAM_AGE_MS), undefined);
 });
+
+test("a version that another entry of its name replaced before it was applied counts", (t) => {
+  // Guards against streams of an upstream that restarted twice between two lists.
+  const { directory, add, only } = createHistory({ completeSince: -Infinity });
+  add(0, "a");
+  t.is(only(0), "a");
+  directory.recordReplaced({
+    ...buildUpstream(0),
+    softwareVersion: asId<SoftwareVersion>("b"),
+  });
+  t.is(only(100), undefined);
+  t.is(only(100 + STREAM_AGE_MS), "a");
+});
