Refuse a stream whose version is not found while its caller has time left

The search ends after half of the caller's time, and once those that were confirming have replied, whatever the order of their messages. Both tests never ended before.

--- a/packages/gateway/src/listConfirmation.ts
+++ b/packages/gateway/src/listConfirmation.ts
@@ -113,9 +113,9 @@
       void this.#confirmations.call().then((isConfirmed) => {
         timeout.cancel();
         resolve(isConfirmed);
-      }, (thrown) => {
+      }, () => {
+        timeout.cancel();
         resolve(false);
-        throw thrown;
       });
     });
   }
--- a/packages/gateway/src/streamOriginMessage.ts
+++ b/packages/gateway/src/streamOriginMessage.ts
@@ -34,7 +34,7 @@
   readonly request: RequestId;
   /** `undefined` if the replying host does not know. */
   readonly origin: StreamOrigin | undefined;
-  /** Whether the host is still finding out, and replies again. */
+  /** Whether the host is confirming its list, and replies again. */
   readonly isPending: boolean;
 }
 
--- a/packages/gateway/src/streamOrigins.ts
+++ b/packages/gateway/src/streamOrigins.ts
@@ -22,8 +22,8 @@
 /** Time after which hosts that have not replied are asked again. */
 const REPLY_TIMEOUT_MS: Milliseconds = 60;
 const MAXIMUM_ROUNDS = 3;
-/** Further time for hosts that are finding out. */
-const FINDING_OUT_MS: Milliseconds = 1_000;
+/** Further time for hosts that are confirming their list. */
+const CONFIRMATION_WAIT_MS: Milliseconds = 1_000;
 /** Records in one datagram. */
 const MAXIMUM_RECORDS = 20;
 
@@ -51,8 +51,8 @@
   readonly query: StreamOriginQuery;
   /** Hosts that have not replied. */
   readonly waitingFor: Set<HostId>;
-  /** Those of them that said that they will reply later. */
-  readonly findingOut: Set<HostId>;
+  /** Those of them that are confirming their list, and reply after that. */
+  readonly confirming: Set<HostId>;
   readonly resolve: (origin: StreamOrigin | undefined) => void;
   rounds: number;
   timeout: TimerSubscription | undefined;
@@ -143,10 +143,16 @@
   receive({ host, request, origin, isPending }: StreamOriginReply): void {
     const pending = this.#pending.get(request);
     if (pending === undefined) return;
-    if (isPending) return void pending.findingOut.add(host);
-    pending.findingOut.delete(host);
+    if (isPending) {
+      // The final reply may have come first.
+      if (pending.waitingFor.has(host)) pending.confirming.add(host);
+      return;
+    }
+    pending.confirming.delete(host);
     pending.waitingFor.delete(host);
-    const isOver = origin !== undefined || pending.waitingFor.size === 0;
+    const isLate = pending.rounds > MAXIMUM_ROUNDS;
+    const isOver = origin !== undefined || pending.waitingFor.size === 0 ||
+      isLate && pending.confirming.size === 0;
     if (isOver) this.#settle(pending, origin);
   }
 
@@ -246,7 +252,7 @@
     const pending = {
       query,
       waitingFor,
-      findingOut: new Set<HostId>(),
+      confirming: new Set<HostId>(),
       resolve,
       rounds: 0,
       timeout: undefined,
@@ -257,17 +263,17 @@
 
   #askRound(pending: PendingQuery): void {
     const { timer, send } = this.#options;
-    const { query, waitingFor, findingOut } = pending;
+    const { query, waitingFor, confirming } = pending;
     if (pending.rounds++ === MAXIMUM_ROUNDS) {
-      if (findingOut.size === 0) return this.#settle(pending, undefined);
+      if (confirming.size === 0) return this.#settle(pending, undefined);
       pending.timeout = timer.after(
-        FINDING_OUT_MS,
+        CONFIRMATION_WAIT_MS,
         () => this.#settle(pending, undefined),
       );
       return;
     }
     for (const host of waitingFor) {
-      if (!findingOut.has(host)) send(host, { kind: "seek", query });
+      if (!confirming.has(host)) send(host, { kind: "seek", query });
     }
     pending.timeout = timer.after(
       REPLY_TIMEOUT_MS,
--- a/packages/gateway/src/streamTakeUp.ts
+++ b/packages/gateway/src/streamTakeUp.ts
@@ -1,10 +1,19 @@
 import type { Milliseconds, RequestId } from "@wasabivane/common";
 import { err, ok, type Result } from "neverthrow";
 import type { GatewayContext } from "./gatewayContext.ts";
+import type { StreamOrigin } from "./streamOriginTable.ts";
 import type { AdmittedRequest, Refusal } from "./requestAdmission.ts";
 
 /** Mean retry delay given to callers whose stream's version is not known. */
 const UNKNOWN_RETRY_MS: Milliseconds = 250;
+/** Share of a caller's time after which it is refused, so that it can try again. */
+const MAXIMUM_SEARCH_SHARE = 0.5;
+
+/** Parts of the context that {@link bindToOrigin} needs. */
+export interface TakeUpContext
+  extends Pick<GatewayContext, "random" | "timer"> {
+  readonly streamOrigins: Pick<GatewayContext["streamOrigins"], "resolve">;
+}
 
 /** Whether the stream of a request may go on after a break. */
 export function isResumable({ route }: AdmittedRequest): boolean {
@@ -22,14 +31,18 @@
  */
 export async function bindToOrigin(
   admitted: AdmittedRequest,
-  { streamOrigins, random }: GatewayContext,
+  { streamOrigins, random, timer }: TakeUpContext,
 ): Promise<Result<AdmittedRequest, Refusal>> {
   const { metadata: { requestId, resumes }, service, route } = admitted;
   if (!isTakeUp(admitted)) return ok(admitted);
-  const origin = await streamOrigins.resolve({
-    request: requestId,
-    resumes,
-    service,
+  const search = { request: requestId, resumes, service };
+  const span = MAXIMUM_SEARCH_SHARE * (admitted.deadline - timer.now());
+  const origin = await new Promise<StreamOrigin | undefined>((resolve) => {
+    const timeout = timer.after(span, () => resolve(undefined));
+    void streamOrigins.resolve(search).then((found) => {
+      timeout.cancel();
+      resolve(found);
+    });
   });
   const isAllowed = route.targets.some((target) =>
     target.service === origin?.service
--- a/packages/gateway/tests/streamOrigins.test.ts
+++ b/packages/gateway/tests/streamOrigins.test.ts
@@ -2,6 +2,7 @@
   asId,
   type HostId,
   type RequestId,
+  SeededRandom,
   type ServiceId,
   sleep,
   VirtualTimer,
@@ -18,7 +19,9 @@
   StreamOrigins,
 } from "@wasabivane/gateway";
 import test from "ava";
-import { buildEntry } from "./helpers/fleet.ts";
+import type { AdmittedRequest } from "../src/requestAdmission.ts";
+import { bindToOrigin } from "../src/streamTakeUp.ts";
+import { buildEntry, buildRoute } from "./helpers/fleet.ts";
 
 const SERVICE = asId<ServiceId>("plans");
 const STREAM_AGE_MS = 30_000;
@@ -257,3 +260,57 @@
     t.is(await fleet.resolve("new", `s-${confirmationTime}`), "a");
   }
 });
+
+test("a query ends once those that were confirming have replied, whatever the order of replies", async (t) => {
+  // Guards against refusals that come a second late beside a host that is lost.
+  const fleet = new OriginFleet({ versions: ["a", "b"], hostCount: 0 });
+  const asking = fleet.start("asking");
+  for (const name of ["confirming", "lost"]) fleet.start(name);
+  fleet.isLost = () => true;
+  const request = asId<RequestId>("take-up");
+  const found = asking.resolve({
+    request,
+    resumes: undefined,
+    service: SERVICE,
+  });
+  const reply = {
+    host: asId<HostId>("confirming"),
+    request,
+    origin: undefined,
+  };
+  asking.receive({ ...reply, isPending: true });
+  fleet.timer.advance(400);
+  asking.receive({ ...reply, isPending: false });
+  asking.receive({ ...reply, isPending: true });
+  t.is(await found, undefined);
+});
+
+test("a caller whose stream is searched for is refused while it has time to try again", async (t) => {
+  // Guards against a refusal that comes after the caller has left.
+  const timer = new VirtualTimer();
+  const admitted: AdmittedRequest = {
+    route: buildRoute({ isStreaming: true, repeatability: "resumable" }),
+    service: SERVICE,
+    account: undefined,
+    metadata: {
+      requestId: asId("take-up"),
+      apiKey: undefined,
+      timeLeft: 500,
+      tokens: undefined,
+      expectedTokens: undefined,
+      promptParts: [],
+      lastEventId: 3,
+      resumes: undefined,
+    },
+    arrivedAt: 0,
+    deadline: 500,
+    policyVersion: 1,
+  };
+  const bound = bindToOrigin(admitted, {
+    timer,
+    random: new SeededRandom(1),
+    streamOrigins: { resolve: () => new Promise(() => {}) },
+  });
+  timer.advance(250);
+  t.like((await bound)._unsafeUnwrapErr(), { status: 503 });
+});
