Free a slot whatever the end of its prefill throws, and record any error

An error at the end of the prefill kept the slot of its request for good (504, 503, 503 with one slot). An error whose name or message cannot be read ended the process as it was recorded, and an error after a look at an upstream ended the looks.

The test of periodic work counted errors with at least; it counts them exactly again.

--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -96,18 +96,15 @@
     this.#isLooking = true;
     const startedAt = this.#options.timer.now();
     this.#dueTimes.shift();
-    let state: UpstreamState | undefined;
     try {
-      state = await this.#options.probe();
+      const state = await this.#options.probe();
+      this.#isLooking = false;
+      if (!this.#isEnded) this.#options.onLook(state);
+      if (!this.#isEnded && startedAt >= this.#settlesAt) this.#flush();
     } finally {
       this.#isLooking = false;
-      if (state === undefined) this.#proceed();
+      this.#proceed();
     }
-    if (this.#isEnded) return;
-    this.#options.onLook(state);
-    if (this.#isEnded) return;
-    if (startedAt >= this.#settlesAt) this.#flush();
-    this.#proceed();
   }
 
   #flush(): void {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -166,10 +166,10 @@
   onEnd(end: AttemptEnd): void {
     const attempt = this.#attempt!;
     this.#attempt = undefined;
-    // First of all, as no error below may turn into the claim that nothing ran.
+    // Before all that may throw, as a later refusal says whether it may have run.
     if (hasPossiblyRun(end.outcome)) this.#retryState.markMayHaveRun();
-    this.#endPrefill();
     const { context, admitted, request } = this.#options;
+    context.errors.guard("prefill end", () => this.#endPrefill());
     context.errors.guard("attempt record", () =>
       recordAttempt(attempt, {
         end,
--- a/packages/gateway/src/uncaughtErrors.ts
+++ b/packages/gateway/src/uncaughtErrors.ts
@@ -84,31 +84,25 @@
   }
 }
 
+/** Any value may be thrown, also one whose fields cannot be read. */
 function describe(thrown: unknown): { message: string; stack: string } {
-  if (!(thrown instanceof Error)) {
+  try {
+    if (!(thrown instanceof Error)) {
+      return { message: shorten(String(thrown)), stack: "" };
+    }
+    const calls = (thrown.stack ?? "").split("\n")
+      .filter((line) => line.trimStart().startsWith("at "))
+      .slice(0, MAXIMUM_CALLS)
+      .map((line) => line.trim().slice("at ".length));
     return {
-      message: textOf(thrown).slice(0, MAXIMUM_MESSAGE_LENGTH),
-      stack: "",
+      message: shorten(`${thrown.name}: ${thrown.message}`),
+      stack: calls.join("; "),
     };
+  } catch {
+    return { message: "An error that cannot be described", stack: "" };
   }
-  const calls = textOf(thrown.stack).split("\n")
-    .filter((line) => line.trimStart().startsWith("at "))
-    .slice(0, MAXIMUM_CALLS)
-    .map((line) => line.trim().slice("at ".length));
-  return {
-    message: `${thrown.name}: ${thrown.message}`.slice(
-      0,
-      MAXIMUM_MESSAGE_LENGTH,
-    ),
-    stack: calls.join("; "),
-  };
 }
 
-/** Any value may be thrown, also one without a text. */
-function textOf(value: unknown): string {
-  try {
-    return String(value);
-  } catch {
-    return "a value without a text";
-  }
+function shorten(text: string): string {
+  return text.slice(0, MAXIMUM_MESSAGE_LENGTH);
 }
--- a/packages/gateway/tests/crashChecks.test.ts
+++ b/packages/gateway/tests/crashChecks.test.ts
@@ -2,7 +2,9 @@
 import { type Crash, PoisonRequestDetector } from "@wasabivane/admission";
 import { CrashChecks, type GatewayContext } from "@wasabivane/gateway";
 import test from "ava";
+import { CrashWatch } from "../src/crashWatch.ts";
 import { buildEntry } from "./helpers/fleet.ts";
+import { collectUncaughtErrors } from "./helpers/uncaughtErrors.ts";
 
 const UPSTREAM = buildEntry("u0", { address: "u0:1" });
 const TRAITS = {
@@ -197,3 +199,29 @@
   }
   t.true(host.looks <= 4 * 10 + 1, `${host.looks} looks in 10 s`);
 });
+
+test.serial("an upstream is looked at again after a look that throws", async (t) => {
+  // Guards against retries that wait until their deadline for the end of a look.
+  const timer = new VirtualTimer();
+  let looks = 0;
+  let settled = 0;
+  const watch = new CrashWatch({
+    timer,
+    probe: () =>
+      ++looks === 1
+        ? Promise.reject(new Error("A look of the test"))
+        : Promise.resolve("up"),
+    onLook: () => {},
+    onExpiry: () => {},
+  });
+  const uncaught = collectUncaughtErrors(t);
+  watch.schedule([10, 20, 30], { settling: 15, lifetime: 100 });
+  watch.whenSettled(() => settled++);
+  for (let step = 0; step < 50; step++) {
+    timer.advance(1);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  t.is(looks, 3);
+  t.is(settled, 1);
+  t.is(uncaught.length, 1);
+});
--- a/packages/gateway/tests/uncaughtErrors.test.ts
+++ b/packages/gateway/tests/uncaughtErrors.test.ts
@@ -68,13 +68,15 @@
   const { timer, errors } = createRecorder();
   let maintenances = 0;
   let ticks = 0;
+  let timeErrors = 0;
   const checks = new PeriodicChecks({
     timer,
     errors,
     cellRouter: {
       timeToNextCheck: () => {
-        if (ticks > 5) throw new Error("A time of the test");
-        return 50;
+        if (ticks <= 5) return 50;
+        timeErrors++;
+        throw new Error("A time of the test");
       },
       tick: () => {
         ticks++;
@@ -93,7 +95,8 @@
   checks.close();
   t.true(maintenances > 5);
   t.true(ticks > 10);
-  t.true(errors.count >= maintenances + ticks);
+  t.true(timeErrors > 0);
+  t.is(errors.count, maintenances + ticks + timeErrors);
 });
 
 test("peers are asked again after a fetch that throws", async (t) => {
@@ -162,33 +165,46 @@
   t.is((await sendRequest(host.url)).status, 200);
 });
 
-test("an outcome that cannot be recorded neither hides that a request ran nor keeps its slot", async (t) => {
-  // Guards against a refusal as not run of a request that has run.
-  const upstream = await startServing();
-  const host = await startGateway({
-    upstreams: [upstream],
-    slots: 1,
-    route: { repeatability: "at-most-once" },
+for (const part of ["record", "endPrefill"] as const) {
+  test(`an error in \`${part}\` at a request's end neither hides that it ran nor keeps its slot`, async (t) => {
+    // Guards against a refusal as not run of a request that has run.
+    const upstream = await startServing();
+    const host = await startGateway({
+      upstreams: [upstream],
+      slots: 1,
+      route: { repeatability: "at-most-once" },
+    });
+    t.teardown(() => host.close());
+    const { upstreamStats, placementClient, errors } = host.gateway.context;
+    const owner: Record<string, unknown> = Object(
+      part === "record" ? upstreamStats : placementClient,
+    );
+    owner[part] = () => {
+      delete owner[part];
+      throw new Error("An error of the test");
+    };
+    for (let index = 0; index < 4; index++) {
+      t.is((await sendRequest(host.url)).status, 200);
+    }
+    t.is(errors.count, 1);
   });
-  t.teardown(() => host.close());
-  const { upstreamStats, errors } = host.gateway.context;
-  const record = upstreamStats.record.bind(upstreamStats);
-  upstreamStats.record = () => {
-    upstreamStats.record = record;
-    throw new Error("An outcome of the test");
-  };
-  t.is((await sendRequest(host.url)).status, 200);
-  t.is(errors.count, 1);
-  for (let index = 0; index < 3; index++) {
-    t.is((await sendRequest(host.url)).status, 200);
-  }
-});
+}
 
 test("an error of any kind can be recorded", (t) => {
   // Guards against a value that ends the process as it is logged.
   const { errors } = createRecorder();
-  const odd = Object.assign(new Error("odd"), { stack: Object.create(null) });
-  for (const thrown of [Object.create(null), undefined, Symbol("s"), odd]) {
+  const fields = ["stack", "name", "message"].flatMap((field) =>
+    [Object.create(null), Symbol("s")].map((value) =>
+      Object.defineProperty(new Error("An error of the test"), field, { value })
+    )
+  );
+  const unreadable = Object.defineProperty(new Error(), "message", {
+    get: () => {
+      throw new Error("A getter of the test");
+    },
+  });
+  const values = [Object.create(null), undefined, Symbol("s")];
+  for (const thrown of [...values, ...fields, unreadable]) {
     t.notThrows(() => errors.record(thrown, "timer"));
   }
 });
