--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -156,10 +156,11 @@
 function createUpstreamHeaders(
   { context, admitted, request, upstream, now, lastEventId }: AttemptInputs,
 ): HeaderLine[] {
-  const { account, deadline } = admitted;
+  const { account, deadline, metadata } = admitted;
   return context.dialect.buildUpstreamHeaders(
     selectEndToEndHeaders(request.headerLines),
     {
+      requestId: metadata.requestId,
       upstream: upstream.name,
       account: account?.account,
       timeLeft: Math.max(1, Math.floor(deadline - now)),
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -24,6 +24,7 @@
 
 /** Metadata that a host adds to the request it sends to an upstream. */
 export interface UpstreamRequestMetadata {
+  readonly requestId: RequestId;
   /**
    * Name of the intended upstream; another one at its address must not run the
    * request.
--- a/packages/gateway/src/headers.ts
+++ b/packages/gateway/src/headers.ts
@@ -38,6 +38,14 @@
   return lines;
 }
 
+/** Whether a request names its host more than once, and so no certain route. */
+export function hasRepeatedHost(raw: readonly string[]): boolean {
+  const hosts = pairHeaders(raw).filter(([name]) =>
+    name.toLowerCase() === "host"
+  );
+  return hosts.length > 1;
+}
+
 /** Removes hop-by-hop headers, including those named by `connection`. */
 export function selectEndToEndHeaders(
   lines: readonly HeaderLine[],
--- a/packages/gateway/src/requestAdmission.ts
+++ b/packages/gateway/src/requestAdmission.ts
@@ -14,7 +14,7 @@
 } from "@wasabivane/admission";
 import { err, ok, type Result } from "neverthrow";
 import type { Dialect, RequestMetadata } from "./dialect.ts";
-import { headerValue, type HeaderValues } from "./headers.ts";
+import { hasRepeatedHost, headerValue, type HeaderValues } from "./headers.ts";
 import type { PolicyState } from "./policyState.ts";
 
 /** The reason for refusing a request, as sent to the caller. */
@@ -86,7 +86,7 @@
 ): RequestHead {
   const host = headerValue(headers, "host") ?? "";
   const route = index?.route(host, pathOf(url));
-  const metadata = route === undefined || hasSeveralHosts(rawHeaders)
+  const metadata = route === undefined || hasRepeatedHost(rawHeaders)
     ? undefined
     : dialect.parseRequest(headers);
   const account = metadata?.apiKey === undefined
@@ -95,14 +95,6 @@
   return { rawHeaders, route, metadata, account };
 }
 
-/** Such a request cannot be passed on, as its route is not certain. */
-function hasSeveralHosts(rawHeaders: readonly string[]): boolean {
-  const hosts = rawHeaders.filter((text, index) =>
-    index % 2 === 0 && text.toLowerCase() === "host"
-  );
-  return hosts.length > 1;
-}
-
 /** Returns the path of a URL without its query. */
 export function pathOf(url: string): string {
   const query = url.indexOf("?");
