Add a budget for the bytes of all items, and a collector of small chunks

Cause: what a host holds of what others send is bounded for each item only, and costs an object for each chunk that its sender makes. Change: MemoryBudget with leases that grow, and ByteCollector, which copies chunks into blocks of its own; nothing uses them yet.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./address.ts";
 export * from "./blackboard.ts";
+export * from "./byteCollector.ts";
 export * from "./commandLine.ts";
 export * from "./commandOptions.ts";
 export * from "./controller.ts";
@@ -8,6 +9,7 @@
 export * from "./heap.ts";
 export * from "./ids.ts";
 export * from "./peerLink.ts";
+export * from "./memoryBudget.ts";
 export * from "./metrics.ts";
 export * from "./prefixDigests.ts";
 export * from "./random.ts";
