Log the memory of the whole process, and read its limits from the settings

Cause: memory_high looked at the heap only, so a process that is killed for its buffers left the same record as one that is killed from outside.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import { FleetSize } from "./fleetSize.ts";
 import { GossipProtocol } from "./gossipProtocol.ts";
 import { GatewayMetrics } from "./gatewayMetrics.ts";
+import { createHostMemory } from "./hostMemory.ts";
 import type { GatewayOptions } from "./gatewayOptions.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { OperatorData } from "./operatorEndpoints.ts";
@@ -377,6 +378,7 @@
         log,
       }),
       malformedReports: new MalformedReports({ metrics, log }),
+      memory: createHostMemory(this.#options.memoryLimit),
       policies,
       directory,
       upstreamStats,
@@ -651,6 +653,9 @@
     metrics.set("open_requests", this.#callerServer.openRequests);
     metrics.set("stream_origins", this.context.streamOrigins.size);
     metrics.set("open_relays", this.#links.relayCount);
+    for (const [kind, { used }] of Object.entries(this.context.memory)) {
+      metrics.set(`held_${kind}_bytes`, used);
+    }
     return metrics.text();
   }
 
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -29,6 +29,7 @@
 import type { DecisionLog } from "./decisionLog.ts";
 import type { Dialect } from "./dialect.ts";
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
+import type { HostMemory } from "./hostMemory.ts";
 import type { MalformedReports } from "./malformedReports.ts";
 import type { PolicyState } from "./policyState.ts";
 import type { QuotaGate } from "./quotaGate.ts";
@@ -52,6 +53,8 @@
   readonly unknownHeaders: UnknownHeaders;
   /** Load reports that could not be read whole. */
   readonly malformedReports: MalformedReports;
+  /** Bounds what the process holds of what others send. */
+  readonly memory: HostMemory;
   readonly policies: PolicyState;
   readonly directory: UpstreamDirectory;
   /** Statistics of how upstreams have served requests. */
--- a/packages/gateway/src/gatewayOptions.ts
+++ b/packages/gateway/src/gatewayOptions.ts
@@ -57,6 +57,10 @@
   readonly entryLease?: Milliseconds;
   /** Event-loop lag below which no request is shed and no relay refused. */
   readonly lowestLag?: Milliseconds;
+  /** Bytes of memory that the process may use; no limit if absent. */
+  readonly memoryLimit?: number;
+  /** Connections that the process may have open; no limit if absent. */
+  readonly connectionLimit?: number;
   /** Time from the stop signal to the kill. */
   readonly shutdownGrace: Milliseconds;
   readonly dialect: Dialect;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,7 +15,12 @@
 export { CrashGossip } from "./crashGossip.ts";
 export { CrashChecks } from "./crashChecks.ts";
 export { EventStreamSplitter } from "./eventStreamSplitter.ts";
-export { type MonitoredProcess, monitorProcess } from "./processMonitor.ts";
+export { createHostMemory, type HostMemory } from "./hostMemory.ts";
+export {
+  type MemoryUse,
+  type MonitoredProcess,
+  monitorProcess,
+} from "./processMonitor.ts";
 export { UncaughtErrors } from "./uncaughtErrors.ts";
 export { FleetSize, type FleetSizeOptions } from "./fleetSize.ts";
 export {
--- a/packages/gateway/src/processMonitor.ts
+++ b/packages/gateway/src/processMonitor.ts
@@ -1,12 +1,14 @@
 import type { Milliseconds, Timer } from "@wasabivane/common";
 import type { DecisionLog } from "./decisionLog.ts";
 import type { GatewayMetrics } from "./gatewayMetrics.ts";
+import type { HostMemory } from "./hostMemory.ts";
 import type { UncaughtErrors } from "./uncaughtErrors.ts";
 
-const CHECK_INTERVAL_MS: Milliseconds = 1_000;
+/** A process that is flooded reaches its limit within a second. */
+const CHECK_INTERVAL_MS: Milliseconds = 250;
 const LOG_INTERVAL_MS: Milliseconds = 10_000;
-/** Share of the heap's limit from which its use is logged. */
-const HIGH_HEAP_SHARE = 0.85;
+/** Share of a limit from which the use of memory is logged. */
+const HIGH_SHARE = 0.85;
 
 /** The events of the runtime's process that are listened to. */
 export interface MonitoredProcess {
@@ -17,20 +19,29 @@
   on(event: "exit", listener: (code: number) => void): unknown;
 }
 
-/** Use of the runtime's heap, in bytes. */
-export interface HeapUse {
-  readonly used: number;
-  readonly limit: number;
+/** Use of memory, in bytes. */
+export interface MemoryUse {
+  /** Objects of the runtime. */
+  readonly heap: number;
+  /** The runtime ends the process at this size of the heap. */
+  readonly heapLimit: number;
+  /** Memory of the whole process. */
+  readonly resident: number;
+  /** Contents of buffers, outside the heap. */
+  readonly external: number;
 }
 
 /** Options of {@link monitorProcess}. */
 export interface ProcessMonitorOptions {
   readonly process: MonitoredProcess;
-  readonly heapUse: () => HeapUse;
+  readonly memoryUse: () => MemoryUse;
+  /** Bytes above which the process is killed; `Infinity` for no limit. */
+  readonly memoryLimit?: number;
   readonly context: {
     readonly timer: Timer;
     readonly log: DecisionLog;
     readonly metrics: GatewayMetrics;
+    readonly memory: HostMemory;
     readonly errors: UncaughtErrors;
   };
 }
@@ -41,8 +52,8 @@
  * memory, which a line `memory_high` precedes.
  */
 export function monitorProcess(options: ProcessMonitorOptions): void {
-  const { process, heapUse, context: { timer, log, metrics, errors } } =
-    options;
+  const { process, memoryUse, memoryLimit = Infinity, context } = options;
+  const { timer, log, metrics, errors, memory } = context;
   const startedAt = timer.now();
   let loggedAt: Milliseconds = -Infinity;
   process.on(
@@ -57,13 +68,25 @@
     });
   });
   timer.every(CHECK_INTERVAL_MS, () => {
-    const { used, limit } = heapUse();
+    const { heap, heapLimit, resident, external } = memoryUse();
     const now = timer.now();
-    metrics.set("heap_used_bytes", used);
-    metrics.set("heap_limit_bytes", limit);
-    const isHigh = used >= HIGH_HEAP_SHARE * limit;
+    metrics.set("heap_used_bytes", heap);
+    metrics.set("heap_limit_bytes", heapLimit);
+    metrics.set("resident_bytes", resident);
+    metrics.set("external_bytes", external);
+    const isHigh = heap >= HIGH_SHARE * heapLimit ||
+      resident >= HIGH_SHARE * memoryLimit;
     if (!isHigh || now - loggedAt < LOG_INTERVAL_MS) return;
     loggedAt = now;
-    log.write("memory_high", { used, limit });
+    log.write("memory_high", {
+      heap,
+      heapLimit,
+      resident,
+      external,
+      limit: memoryLimit === Infinity ? undefined : memoryLimit,
+      bodies: memory.bodies.used,
+      responses: memory.responses.used,
+      transfers: memory.transfers.used,
+    });
   });
 }
