Refuse a request of which nothing was sent as not run, whatever ended its attempts

What callers saw: 504 or 502 for a request that no upstream had received, as two upstreams that accept no connections were silent until a timeout; such a status says that the request may have run, so callers must not repeat it. Cause: the outcome alone told whether a request was sent, and a silence counts as one of a request that was. Change: retries, refusals and the record of a slot that was not used look at whether bytes were handed to a connection.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -11,7 +11,6 @@
   type QueueEstimate,
   type SoftwareVersion,
   type Upstream,
-  type UpstreamOutcome,
 } from "@wasabivane/admission";
 import { afterFreshPoll } from "./afterFreshPoll.ts";
 import {
@@ -38,12 +37,7 @@
   type Refusal,
 } from "./requestAdmission.ts";
 import { isResumable, originIdOf } from "./streamTakeUp.ts";
-import {
-  hasPossiblyRun,
-  isNotRun,
-  RetryState,
-  wasNotSent,
-} from "./retryState.ts";
+import { hasPossiblyRun, isNotRun, RetryState } from "./retryState.ts";
 import { RequestTimings } from "./requestTimings.ts";
 
 /** Mean retry delay given to callers whose request did not run. */
@@ -167,7 +161,7 @@
     const attempt = this.#attempt!;
     this.#attempt = undefined;
     // Before all that may throw, as a later refusal says whether it may have run.
-    if (hasPossiblyRun(end.outcome)) this.#retryState.markMayHaveRun();
+    if (hasPossiblyRun(end)) this.#retryState.markMayHaveRun();
     const { context, admitted, request } = this.#options;
     context.errors.guard("prefill end", () => this.#endPrefill());
     context.errors.guard("attempt record", () =>
@@ -343,15 +337,15 @@
    */
   #retryOrFail(attempt: Attempt, end: AttemptEnd): void {
     const { context, request, response } = this.#options;
-    const { outcome, detail } = end;
+    const { outcome, detail, wasSent } = end;
     const { upstream } = attempt.upstream;
     const shouldRetry = this.#retryState.takeRetry(upstream, {
-      outcome,
+      end,
       hasStarted: response.hasStarted,
       isQuarantined: this.#isQuarantined(),
     });
     if (!shouldRetry) return this.#fail(end, upstream);
-    if (!wasNotSent(outcome)) {
+    if (wasSent) {
       this.#log("request_failed", {
         upstream,
         outcome,
@@ -401,7 +395,7 @@
     }
     const { context, request } = this.#options;
     const quarantine = quarantineOf(request.traits, context);
-    const reason = quarantine > 0 ? "convicted" : lossReason(outcome);
+    const reason = quarantine > 0 ? "convicted" : lossReason(end);
     if (this.#retryState.mayHaveRun) {
       return this.#refuse({ status: 502, reason });
     }
@@ -529,7 +523,9 @@
 }
 
 /** Maps the outcome of a failed attempt to the reason given to the caller. */
-function lossReason(outcome: UpstreamOutcome): Refusal["reason"] {
-  if (wasNotSent(outcome)) return "unreachable-upstream";
+function lossReason(
+  { outcome, wasSent }: AttemptEnd,
+): Refusal["reason"] {
+  if (!wasSent) return "unreachable-upstream";
   return isNotRun(outcome) ? "not-run-upstream" : "upstream-lost";
 }
--- a/packages/gateway/src/recordAttempt.ts
+++ b/packages/gateway/src/recordAttempt.ts
@@ -10,7 +10,6 @@
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { AdmittedRequest } from "./requestAdmission.ts";
 import type { RequestTraits } from "./requestTraits.ts";
-import { wasNotSent } from "./retryState.ts";
 
 /** Outcomes of a request that may have crashed its upstream. */
 const CRASH_SIGNS: ReadonlySet<UpstreamOutcome> = new Set(["broken", "silent"]);
@@ -47,7 +46,7 @@
   try {
     recordCrashSigns(attempt, { context, admitted, traits, end });
     if (outcome === "replaced") context.removeReplaced(upstream);
-    if (wasNotSent(outcome)) {
+    if (!end.wasSent && outcome !== "cancelled") {
       context.metrics.count("slots_unused");
       context.metrics.count("slots_unused_ms", Math.round(residence));
     }
--- a/packages/gateway/src/retryState.ts
+++ b/packages/gateway/src/retryState.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds, UpstreamId } from "@wasabivane/common";
 import type { SoftwareVersion, UpstreamOutcome } from "@wasabivane/admission";
+import type { AttemptEnd } from "./attempt.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
 import type { AdmittedRequest } from "./requestAdmission.ts";
 
@@ -9,6 +10,9 @@
  */
 const MAXIMUM_UNSENT = 4;
 
+/** What the end of an attempt tells about the request itself. */
+type AttemptOutcome = Pick<AttemptEnd, "outcome" | "wasSent">;
+
 /**
  * Tracks the attempts of one request and decides about retries, by the
  * request's repeatability, its route's attempt limit and the shared retry
@@ -84,20 +88,20 @@
    */
   takeRetry(
     upstream: UpstreamId,
-    { outcome, hasStarted, isQuarantined }: {
-      outcome: UpstreamOutcome;
+    { end, hasStarted, isQuarantined }: {
+      end: AttemptOutcome;
       hasStarted: boolean;
       /** Whether the request is quarantined for crashing upstreams. */
       isQuarantined: boolean;
     },
   ): boolean {
     this.excluded.add(upstream);
-    if (wasNotSent(outcome)) {
+    if (!end.wasSent) {
       this.#count--;
       this.#unsent++;
       return this.#unsent < MAXIMUM_UNSENT && !isQuarantined;
     }
-    const hasNotRun = isNotRun(outcome);
+    const hasNotRun = isNotRun(end.outcome);
     if (!hasNotRun) this.#mayHaveRun = true;
     if (!hasNotRun && !this.#isRepeatable(hasStarted)) return false;
     if (!this.#hasAttemptsLeft() || isQuarantined) return false;
@@ -122,11 +126,6 @@
   }
 }
 
-/** Returns whether an outcome means that nothing of the request was sent. */
-export function wasNotSent(outcome: UpstreamOutcome): boolean {
-  return outcome === "unreachable" || outcome === "unsent";
-}
-
 /**
  * Returns whether an outcome means that the upstream did not run the request.
  */
@@ -135,6 +134,6 @@
 }
 
 /** Returns whether the upstream may have run the request of a finished attempt. */
-export function hasPossiblyRun(outcome: UpstreamOutcome): boolean {
-  return outcome !== "cancelled" && !wasNotSent(outcome) && !isNotRun(outcome);
+export function hasPossiblyRun({ outcome, wasSent }: AttemptOutcome): boolean {
+  return wasSent && outcome !== "cancelled" && !isNotRun(outcome);
 }
--- a/packages/gateway/tests/helpers/heldCalls.ts
+++ b/packages/gateway/tests/helpers/heldCalls.ts
@@ -18,3 +18,16 @@
   });
   return held;
 }
+
+/** Holds all calls of a host, as upstreams do that accept no connections. */
+export function holdAllCalls({ gateway: { context } }: RunningGateway): void {
+  const { connections } = context;
+  const send: UpstreamConnections["send"] = () => ({
+    abort: () => {},
+    pause: () => {},
+    resume: () => {},
+  });
+  Object.assign(context, {
+    connections: { send, close: () => connections.close() },
+  });
+}
--- a/packages/gateway/tests/lateSends.test.ts
+++ b/packages/gateway/tests/lateSends.test.ts
@@ -12,7 +12,13 @@
   type UpstreamListener,
 } from "../src/upstreamConnections.ts";
 import { PlainDialect } from "./helpers/plainDialect.ts";
-import { responseHead, startUpstream } from "./helpers/fleet.ts";
+import {
+  responseHead,
+  sendRequest,
+  startGateway,
+  startUpstream,
+} from "./helpers/fleet.ts";
+import { holdAllCalls } from "./helpers/heldCalls.ts";
 
 const DEADLINE_MS = 400;
 const CALL = {
@@ -113,3 +119,17 @@
   await connections.close();
   upstream.close();
 });
+
+test("a request of which nothing was sent at silent upstreams is refused as not run", async (t) => {
+  // Guards against callers that give up a request which they may repeat.
+  const upstreams = await Promise.all(
+    [1, 2].map(() => startUpstream(() => {})),
+  );
+  const host = await startGateway({
+    upstreams,
+    route: { target: 150, timeout: 1_500 },
+  });
+  t.teardown(() => host.close());
+  holdAllCalls(host);
+  t.is((await sendRequest(host.url)).status, 503);
+});
