Count bytes that are no payload over a whole response, and its small parts

An upstream that sends a response in chunks of one byte was read without end: each part reset the limit for bytes that are no response, so the five bytes of framing of each chunk were never counted. A host kept an object for each. Each byte of payload now allows for one byte of framing, beyond 128 KB; parts below eight bytes are counted likewise. Bytes that the HTTP library puts back at a pause are no longer counted twice.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -428,6 +428,7 @@
         timer,
         connectTimeout,
         onError: (thrown) => errors.record(thrown, "upstream connection"),
+        onExcess: () => metrics.count("upstream_excess_bytes"),
       }),
       directLinks: new DirectLinks({
         countUpstreams: (service) => directory.of(service).length,
--- a/packages/gateway/src/overheadLimit.ts
+++ b/packages/gateway/src/overheadLimit.ts
@@ -1,25 +1,40 @@
 /** Largest head of a response. */
 export const MAXIMUM_HEADER_BYTES = 32 * 1_024;
-/** Bytes of a connection between two parts of responses, heads included. */
+/** Bytes of a connection that may be no payload, heads included. */
 const MAXIMUM_OVERHEAD_BYTES = 4 * MAXIMUM_HEADER_BYTES;
+/** Mean size below which parts of a body cost more than their bytes. */
+const SMALL_PART_BYTES = 8;
 
 /**
- * Limits the bytes of a connection that go on without being part of a response,
- * such as interim heads, chunk extensions or blank lines, which the HTTP library
- * skips.
+ * Limits the bytes of a connection that are no payload, such as interim heads,
+ * chunk sizes and extensions or blank lines, and the number of parts in which a
+ * payload comes. Payload allows for as many bytes of framing, but not in advance.
  */
 export class OverheadLimit {
   #bytes = 0;
+  #smallPartBytes = 0;
 
   get isExceeded(): boolean {
-    return this.#bytes > MAXIMUM_OVERHEAD_BYTES;
+    return Math.max(this.#bytes, this.#smallPartBytes) > MAXIMUM_OVERHEAD_BYTES;
   }
 
+  /** Counts bytes that were read, or put back if there are fewer than none. */
   count(bytes: number): void {
-    this.#bytes += bytes;
+    this.#bytes = Math.max(0, this.#bytes + bytes);
   }
 
+  /** Records that what was counted holds a part of a body. */
+  recordPayload(bytes: number): void {
+    this.count(-2 * bytes);
+    this.#smallPartBytes = Math.max(
+      0,
+      this.#smallPartBytes + SMALL_PART_BYTES - bytes,
+    );
+  }
+
+  /** Begins anew with the next response. */
   reset(): void {
     this.#bytes = 0;
+    this.#smallPartBytes = 0;
   }
 }
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -66,6 +66,8 @@
   readonly connectTimeout?: Milliseconds | undefined;
   /** Called with what nobody handles; it ends one call at most. */
   readonly onError?: ((thrown: unknown) => void) | undefined;
+  /** Called when a connection is closed for too many bytes that are no payload. */
+  readonly onExcess?: (() => void) | undefined;
 }
 
 /**
@@ -81,15 +83,22 @@
   readonly #maximumConnections: () => number;
   readonly #timer: Timer;
   readonly #onError: (thrown: unknown) => void;
+  readonly #onExcess: () => void;
   #connector: buildConnector.connector;
 
   constructor(
-    { maximumConnections, timer, connectTimeout, onError = () => {} }:
-      UpstreamConnectionsOptions,
+    {
+      maximumConnections,
+      timer,
+      connectTimeout,
+      onError = () => {},
+      onExcess = () => {},
+    }: UpstreamConnectionsOptions,
   ) {
     this.#maximumConnections = maximumConnections;
     this.#timer = timer;
     this.#onError = onError;
+    this.#onExcess = onExcess;
     this.directConnector = createWatchedConnector(this.#resetDetector, {
       connectTimeout,
     });
@@ -159,6 +168,7 @@
         this.forget(address);
         this.#onError(thrown);
       },
+      onExcess: this.#onExcess,
     });
     socket.prependListener("error", (error: NodeJS.ErrnoException) => {
       if (error.code === "ECONNRESET") error.code = RESET_CODE;
@@ -265,7 +275,7 @@
     if (status < 200 || this.#isAborted) return;
     this.#socket = this.#state.sockets.current;
     if (this.#socket !== undefined) this.#socket.receiver = this;
-    this.#socket?.recordProgress();
+    this.#socket?.recordHead();
     this.#guard(() => this.#listener.head(status, headers));
   }
 
@@ -275,7 +285,7 @@
   ): void {
     // The library reports an empty chunk when a paused response goes on.
     if (this.#isAborted || chunk.length === 0) return;
-    this.#socket?.recordProgress();
+    this.#socket?.recordPayload(chunk.length);
     this.#guard(() => this.#listener.data(chunk));
   }
 
--- a/packages/gateway/src/upstreamSockets.ts
+++ b/packages/gateway/src/upstreamSockets.ts
@@ -11,6 +11,8 @@
 export interface UpstreamSocketsOptions {
   /** Called with what a listener of the connection threw. */
   readonly onError: (thrown: unknown) => void;
+  /** Called when a connection is closed for too many bytes that are no payload. */
+  readonly onExcess: () => void;
 }
 
 /** The connections of a host, and the one that is being read. */
@@ -26,6 +28,7 @@
   watch(socket: Duplex, options: UpstreamSocketsOptions): void {
     const watched = new UpstreamSocket(socket, options);
     const read = socket.read.bind(socket);
+    const unshift = socket.unshift.bind(socket);
     // The HTTP library parses what it reads before it reads from another one.
     socket.read = (size) => {
       this.#current = watched;
@@ -33,6 +36,10 @@
       if (chunk !== null) watched.countBytes(chunk.length);
       return chunk;
     };
+    socket.unshift = (chunk, encoding) => {
+      watched.countBytes(-chunk.length);
+      unshift(chunk, encoding);
+    };
   }
 }
 
@@ -42,25 +49,37 @@
   receiver: ResponseReceiver | undefined;
   readonly #socket: Duplex;
   readonly #overhead = new OverheadLimit();
+  readonly #onExcess: () => void;
 
   constructor(socket: Duplex, options: UpstreamSocketsOptions) {
     this.#socket = socket;
+    this.#onExcess = options.onExcess;
     this.#containErrors(options);
     socket.prependListener("end", () => this.receiver?.handleConnectionEnd());
   }
 
-  /** Counts bytes that may turn out to be no part of a response. */
+  /**
+   * Counts bytes that may turn out to be no part of a response. What was counted
+   * before has been parsed by then.
+   */
   countBytes(bytes: number): void {
+    if (this.#overhead.isExceeded && !this.#socket.destroyed) {
+      this.#onExcess();
+      this.#socket.destroy(new Error("Too many bytes that are no response"));
+    }
     this.#overhead.count(bytes);
-    if (!this.#overhead.isExceeded) return;
-    this.#socket.destroy(new Error("Too many bytes that are no response"));
   }
 
-  /** Records that what was just read held a final head or a part of a body. */
-  recordProgress(): void {
+  /** Records that what was just read held a final head. */
+  recordHead(): void {
     this.#overhead.reset();
   }
 
+  /** Records that what was just read held a part of a body. */
+  recordPayload(bytes: number): void {
+    this.#overhead.recordPayload(bytes);
+  }
+
   /** An assertion of the HTTP library fails one connection, not the process. */
   #containErrors({ onError }: UpstreamSocketsOptions): void {
     const socket = this.#socket;
--- a/packages/gateway/tests/bytesWithoutEnd.test.ts
+++ b/packages/gateway/tests/bytesWithoutEnd.test.ts
@@ -11,6 +11,7 @@
   startUpstream,
   waitUntil,
 } from "./helpers/fleet.ts";
+import { OverheadLimit } from "../src/overheadLimit.ts";
 import { startServing } from "./helpers/simpleUpstreams.ts";
 
 const MIB = 1_024 * 1_024;
@@ -159,6 +160,42 @@
   });
 }
 
+const CHUNKED = { "transfer-encoding": "chunked" };
+const ONE_BYTE_CHUNK = "1\r\nx\r\n";
+
+for (const isStreaming of [false, true]) {
+  const kind = isStreaming ? "an event" : "a plain response";
+  test.serial(`${kind} in chunks of one byte without end is not read on`, async (t) => {
+    // Guards against hosts that end while they hold one object for each byte.
+    const flood = await startFlood(
+      (received) =>
+        responseHead(received, CHUNKED) + "10\r\nid: 1\ndata: x\n\n:\r\n",
+      ONE_BYTE_CHUNK,
+    );
+    const scene = await startScene(t, flood, { route: { isStreaming } });
+    const { isComplete, status } = await sendRequest(scene.host.url);
+    t.true(!isComplete || status === 502);
+    await checkBounds(t, scene);
+  });
+}
+
+test("payload in small parts is bounded, and sound events go on without end", (t) => {
+  // Guards against a limit for the time between two parts, which one byte resets.
+  const partsUntilExcess = (size: number, framing: number): number => {
+    const limit = new OverheadLimit();
+    let parts = 0;
+    for (; parts < MIB && !limit.isExceeded; parts++) {
+      limit.count(size + framing);
+      limit.recordPayload(size);
+    }
+    return parts;
+  };
+  t.true(partsUntilExcess(1, 5) < 33_000);
+  t.true(partsUntilExcess(1, 0) < 33_000);
+  t.is(partsUntilExcess("data: x\n\n".length, 5), MIB);
+  t.is(partsUntilExcess(CHUNK_BYTES, 8), MIB);
+});
+
 test.serial("a stream whose event does not end is cut", async (t) => {
   // Guards against a host that keeps and searches an event of any size.
   const flood = await startFlood(
