Hold responses in blocks within a budget, and end streams of comments

An upstream that sends comments or blank lines without end kept a host busy: each of them was one frame with a search of its own and a copy. Incomplete events and plain responses were kept as a list of what was read, without a limit for all. The splitter now reads each byte once, wherever the chunks end, and returns all complete events of a chunk at once. A stream ends as broken after 128 KB of comments and blank lines beyond the bytes of its events. What is kept lies in blocks; beyond 64 KB for each response it is reserved in the budget of responses. Without memory a plain success is passed on as it comes, and anything else ends as broken. Counted as responses_over_*. Tests failed before: streams of blank lines and comments, memory of events and of plain responses; all pass now (0.26 MB read). A stream of comment lines ended before, too, after 5.4 MB; 0.26 MB now.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,15 +1,21 @@
-import { Buffer } from "node:buffer";
-import type {
-  Milliseconds,
-  Timer,
-  TimerSubscription,
+import type { Buffer } from "node:buffer";
+import {
+  ByteCollector,
+  MemoryBudget,
+  type Milliseconds,
+  type Timer,
+  type TimerSubscription,
 } from "@wasabivane/common";
 import type { Upstream, UpstreamOutcome } from "@wasabivane/admission";
 import type { Dialect, ResponseMetadata } from "./dialect.ts";
-import { type EventFrame, EventStreamSplitter } from "./eventStreamSplitter.ts";
+import {
+  type CompleteEvents,
+  EventStreamSplitter,
+} from "./eventStreamSplitter.ts";
 import type { HeaderValues } from "./headers.ts";
 import { isNotRunStatus } from "./notRunStatus.ts";
 import { framingOf, type ResponseFraming } from "./responseFraming.ts";
+import { ResponseLease } from "./responseLease.ts";
 import type {
   RunningCall,
   UpstreamCall,
@@ -24,6 +30,8 @@
 const MAXIMUM_BUFFERED_BYTES = 1_024 * 1_024;
 /** Size above which an event is taken for one that does not end. */
 const MAXIMUM_EVENT_BYTES = 5 * 1_024 * 1_024;
+/** Size above which comments and blank lines are taken for a fault. */
+const MAXIMUM_FILLER_BYTES = 128 * 1_024;
 /**
  * Events before the first speed report; each further report needs twice as
  * many.
@@ -41,6 +49,15 @@
   readonly headers: HeaderValues;
 }
 
+/** A limit that a response may exceed. */
+export type ResponseLimit = "event-size" | "comment-size" | "memory";
+
+const LIMIT_DETAILS: Readonly<Record<ResponseLimit, string>> = {
+  "event-size": "event exceeds the size limit",
+  "comment-size": "comments exceed the size limit",
+  memory: "no memory for the response",
+};
+
 /** The outcome of an attempt. */
 export interface AttemptEnd {
   readonly outcome: UpstreamOutcome;
@@ -89,6 +106,10 @@
   readonly connections: UpstreamConnections;
   readonly dialect: Dialect;
   readonly timer: Timer;
+  /** Bounds what all responses hold; no limit by default. */
+  readonly memory?: MemoryBudget;
+  /** Called when the response is ended by a limit. */
+  readonly onLimit?: (limit: ResponseLimit) => void;
   /** Time after which nothing is sent. */
   readonly deadline: Milliseconds;
   /** Whether the upstream may receive requests; checked before sending. */
@@ -135,15 +156,15 @@
   latePauses = 0;
   readonly #options: AttemptOptions;
   readonly #splitter = new EventStreamSplitter();
-  readonly #buffered: Buffer[] = [];
-  #bufferedBytes = 0;
+  readonly #buffered = new ByteCollector();
+  readonly #lease: ResponseLease;
   #head: ResponseHead | undefined;
   #framing: ResponseFraming | undefined;
   #wasSent = false;
   #isEnded = false;
   #hasStarted = false;
   /**
-   * A plain response exceeded the buffer and is streamed; it can no longer be
+   * A plain response exceeded the buffer or the memory and is streamed; it can no longer be
    * retried.
    */
   #isStreamingBody = false;
@@ -155,6 +176,7 @@
 
   constructor(options: AttemptOptions) {
     this.#options = options;
+    this.#lease = new ResponseLease(options.memory ?? new MemoryBudget());
     this.upstream = options.upstream;
     this.startedAt = options.timer.now();
     this.#lastEventAt = this.startedAt;
@@ -275,23 +297,26 @@
   }
 
   #forwardEvents(chunk: Buffer): void {
-    const frames = this.#splitter.push(chunk);
-    if (frames.length > 0) this.#forwardFrames(frames);
-    if (this.#splitter.remainderBytes <= MAXIMUM_EVENT_BYTES) return;
-    this.#end({ outcome: "broken", detail: "event exceeds the size limit" });
+    const events = this.#splitter.push(chunk);
+    if (events !== undefined) this.#forward(events);
+    const { remainderBytes, fillerBytes } = this.#splitter;
+    if (remainderBytes > MAXIMUM_EVENT_BYTES) this.#exceed("event-size");
+    else if (fillerBytes > MAXIMUM_FILLER_BYTES) this.#exceed("comment-size");
+    else if (!this.#lease.hold(remainderBytes)) this.#exceed("memory");
   }
 
-  #forwardFrames(frames: readonly EventFrame[]): void {
+  #forward({ bytes, count, lastId }: CompleteEvents): void {
     this.#startStream();
-    this.eventCount += frames.length;
+    this.eventCount += count;
     this.#recordEvent();
     this.#reportSpeed();
-    const bytes = frames.length === 1
-      ? frames[0]!.bytes
-      : Buffer.concat(frames.map((frame) => frame.bytes));
-    // A comment may follow the last event.
-    const last = frames.findLast(({ id }) => id !== undefined);
-    this.#options.listener.onEvents(bytes, last?.id);
+    this.#options.listener.onEvents(bytes, lastId);
+  }
+
+  #exceed(limit: ResponseLimit): void {
+    if (this.#isEnded) return;
+    this.#options.onLimit?.(limit);
+    this.#end({ outcome: "broken", detail: LIMIT_DETAILS[limit] });
   }
 
   #recordEvent(): void {
@@ -330,7 +355,7 @@
   #isTruncated(): boolean {
     return this.#isEventStream()
       ? !this.#hasStarted || this.#splitter.remainderBytes > 0
-      : this.#bufferedBytes === 0;
+      : !this.#isStreamingBody && this.#buffered.length === 0;
   }
 
   async #completeUnlessEnded(): Promise<void> {
@@ -347,7 +372,7 @@
       return this.#completeStream();
     }
     const head = this.#head!;
-    const body = Buffer.concat(this.#buffered);
+    const body = this.#buffered.take();
     this.#end({
       outcome: isFailure(head.status) ? "failed" : "whole",
       detail: `status ${head.status}`,
@@ -357,20 +382,29 @@
 
   #completeStream(): void {
     this.#startStream();
-    const { remainder, remainderBytes } = this.#splitter;
-    if (remainderBytes > 0) {
+    const remainder = this.#splitter.takeRemainder();
+    if (remainder.length > 0) {
       this.#options.listener.onEvents(remainder, undefined);
     }
     this.#end({ outcome: "whole", detail: "end of stream" });
   }
 
   #buffer(chunk: Buffer): void {
-    this.#buffered.push(Buffer.from(chunk));
-    this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes <= MAXIMUM_BUFFERED_BYTES) return;
+    this.#buffered.add(chunk);
+    const bytes = this.#buffered.length;
+    if (bytes > MAXIMUM_BUFFERED_BYTES) return this.#streamBody();
+    if (this.#lease.hold(bytes)) return;
+    if (isSuccess(this.#head!.status)) this.#streamBody();
+    else this.#exceed("memory");
+  }
+
+  /** Passes on what is buffered, and further parts as they come. */
+  #streamBody(): void {
     this.#isStreamingBody = true;
     this.#startStream();
-    this.#options.listener.onEvents(Buffer.concat(this.#buffered), undefined);
+    const bytes = this.#buffered.take();
+    this.#lease.release();
+    this.#options.listener.onEvents(bytes, undefined);
   }
 
   /** Rearms only on expiry, so that events of a stream need no timer each. */
@@ -397,6 +431,7 @@
     if (this.#isEnded) return;
     this.#isEnded = true;
     this.#silenceTimer?.cancel();
+    this.#lease.release();
     const isCallFinished = end.response !== undefined ||
       end.outcome === "whole" ||
       end.outcome === "unreachable";
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -91,7 +91,7 @@
 export function planAttempt(inputs: AttemptInputs): AttemptOptions {
   const { context, admitted, request, upstream, listener } = inputs;
   const { route, service, metadata } = admitted;
-  const { upstreamStats, connections, dialect, timer } = context;
+  const { upstreamStats, connections, dialect, timer, metrics } = context;
   const promptTokens = promptTokensOf(admitted) + inputs.pendingPrefillTokens;
   return {
     upstream,
@@ -105,6 +105,8 @@
     connections,
     dialect,
     timer,
+    memory: context.memory.responses,
+    onLimit: (limit) => metrics.count(`responses_over_${limit}`),
     deadline: admitted.deadline,
     isUsable: () =>
       context.placementClient.isUsable(upstream.upstream, timer.now()) &&
--- a/packages/gateway/src/eventStreamSplitter.ts
+++ b/packages/gateway/src/eventStreamSplitter.ts
@@ -1,93 +1,198 @@
 import { Buffer } from "node:buffer";
+import { ByteCollector } from "@wasabivane/common";
 
 const NEW_LINE = 0x0a;
-const ID_LINE = /^id: ?(\d+)\r?$/m;
-/** The end of an event, `\n\r\n` at the longest, may begin so long before a chunk. */
-const SEAM_BYTES = 2;
+const CARRIAGE_RETURN = 0x0d;
+const SPACE = 0x20;
+const DIGIT_0 = 0x30;
+const DIGIT_9 = 0x39;
+const COLON = 0x3a;
+const LETTER_D = 0x64;
+const LETTER_I = 0x69;
+/** Rests of lines above this size are searched by the runtime. */
+const LONG_REST_BYTES = 8;
 const NO_BYTES = Buffer.alloc(0);
 
-/** A complete event of a stream, including its closing blank line. */
-export interface EventFrame {
+/** Position within a line. */
+const enum Place {
+  Start,
+  /** Behind a carriage return that may be a blank line's. */
+  BlankReturn,
+  /** Where the line's kind is known. */
+  Rest,
+  IdLetter,
+  IdName,
+  IdColon,
+  IdSpace,
+  IdDigits,
+  IdReturn,
+}
+
+/** Complete events of a stream, including their closing blank lines. */
+export interface CompleteEvents {
   readonly bytes: Buffer;
-  readonly id: number | undefined;
+  /** Number of events; comments and blank lines are none. */
+  readonly count: number;
+  /** The last event id in them, if there is any. */
+  readonly lastId: number | undefined;
 }
 
 /**
- * Splits a `text/event-stream` into complete events, so that a stream that
+ * Splits a `text/event-stream` behind complete events, so that a stream that
  * breaks off within an event can be resumed at another upstream without a
  * partial event.
  */
 export class EventStreamSplitter {
-  /** The trailing incomplete event. */
-  #chunks: Buffer[] = [];
-  #remainderBytes = 0;
-  /** Its last bytes. */
-  #tail = NO_BYTES;
-
-  /** Bytes of the trailing incomplete event. */
-  get remainder(): Buffer {
-    return Buffer.concat(this.#chunks);
-  }
+  /** The trailing incomplete event: its first part as it came, and further ones. */
+  #first: Buffer = NO_BYTES;
+  readonly #further = new ByteCollector();
+  #place = Place.Start;
+  #id = 0;
+  /** Id in the incomplete event. */
+  #pendingId: number | undefined;
+  /** Whether the incomplete event has a line that is no comment. */
+  #hasField = false;
+  /** Bytes of comments and blank lines, less those of events since. */
+  #fillerBytes = 0;
 
   /** Size of the trailing incomplete event. */
   get remainderBytes(): number {
-    return this.#remainderBytes;
+    return this.#first.length + this.#further.length;
   }
 
-  push(chunk: Buffer): EventFrame[] {
-    const bytes = this.#join(chunk);
-    if (bytes === undefined) return [];
-    const frames: EventFrame[] = [];
-    let start = 0;
-    let end = endOfEvent(bytes, start);
-    while (end > 0) {
-      const event = bytes.subarray(start, end);
-      frames.push({ bytes: event, id: idOf(event) });
-      start = end;
-      end = endOfEvent(bytes, start);
+  /**
+   * Bytes of comments and blank lines beyond those of the events that came after
+   * or between them.
+   */
+  get fillerBytes(): number {
+    return this.#fillerBytes + (this.#hasField ? 0 : this.remainderBytes);
+  }
+
+  /** Takes the bytes of the trailing incomplete event out of the splitter. */
+  takeRemainder(): Buffer {
+    const first = this.#first;
+    this.#first = NO_BYTES;
+    return this.#further.length > 0 ? this.#further.take() : first;
+  }
+
+  /** Returns the events that a chunk completes; `undefined` if there are none. */
+  push(chunk: Buffer): CompleteEvents | undefined {
+    const { length } = chunk;
+    let place = this.#place;
+    let end = 0;
+    let count = 0;
+    let lastId: number | undefined;
+    for (let at = 0; at < length; at++) {
+      if (place === Place.Rest) {
+        at = endOfLine(chunk, at);
+        if (at < 0) break;
+      }
+      const byte = chunk[at]!;
+      if (byte !== NEW_LINE) {
+        place = this.#placeBehind(byte, place);
+        continue;
+      }
+      if (place === Place.Start || place === Place.BlankReturn) {
+        this.#countBlock(at + 1 - end + (end === 0 ? this.remainderBytes : 0));
+        if (this.#hasField) count++;
+        lastId = this.#pendingId ?? lastId;
+        this.#pendingId = undefined;
+        this.#hasField = false;
+        end = at + 1;
+      } else if (place === Place.IdDigits || place === Place.IdReturn) {
+        this.#pendingId = this.#id;
+      }
+      place = Place.Start;
     }
-    this.#chunks = [];
-    this.#remainderBytes = 0;
-    this.#tail = NO_BYTES;
-    this.#keep(bytes.subarray(start));
-    return frames;
+    this.#place = place;
+    return this.#split(chunk, { end, count, lastId });
   }
 
-  /**
-   * Returns the incomplete event with a chunk; `undefined` if the chunk does not
-   * complete it, so that a long event is not searched and copied for each chunk.
-   */
-  #join(chunk: Buffer): Buffer | undefined {
-    if (this.#chunks.length === 0) return chunk;
-    const seam = Buffer.concat([this.#tail, chunk]);
-    if (endOfEvent(seam, 0) > 0) return Buffer.concat([...this.#chunks, chunk]);
-    this.#keep(chunk);
-    return undefined;
+  /** Returns the place behind a byte that does not end its line. */
+  #placeBehind(byte: number, place: Place): Place {
+    switch (place) {
+      case Place.Start:
+        if (byte === CARRIAGE_RETURN) return Place.BlankReturn;
+        if (byte === COLON) return Place.Rest;
+        this.#hasField = true;
+        return byte === LETTER_I ? Place.IdLetter : Place.Rest;
+      case Place.BlankReturn:
+        this.#hasField = true;
+        return Place.Rest;
+      case Place.IdLetter:
+        return byte === LETTER_D ? Place.IdName : Place.Rest;
+      case Place.IdName:
+        this.#id = 0;
+        return byte === COLON ? Place.IdColon : Place.Rest;
+      case Place.IdColon:
+        if (byte === SPACE) return Place.IdSpace;
+        return this.#placeBehindDigit(byte);
+      case Place.IdDigits:
+        if (byte === CARRIAGE_RETURN) return Place.IdReturn;
+        return this.#placeBehindDigit(byte);
+      case Place.IdSpace:
+        return this.#placeBehindDigit(byte);
+      default:
+        return Place.Rest;
+    }
   }
 
-  #keep(bytes: Buffer): void {
-    if (bytes.length === 0) return;
-    this.#chunks.push(bytes);
-    this.#remainderBytes += bytes.length;
-    this.#tail = Buffer.concat([
-      this.#tail,
-      bytes.subarray(-SEAM_BYTES),
-    ]).subarray(-SEAM_BYTES);
+  #placeBehindDigit(byte: number): Place {
+    if (byte < DIGIT_0 || byte > DIGIT_9) return Place.Rest;
+    this.#id = 10 * this.#id + byte - DIGIT_0;
+    return Place.IdDigits;
   }
-}
 
-/** Returns the position after the blank line that closes the event, or -1. */
-function endOfEvent(bytes: Buffer, start: number): number {
-  let at = bytes.indexOf(NEW_LINE, start);
-  while (at >= 0 && at + 1 < bytes.length) {
-    if (bytes[at + 1] === NEW_LINE) return at + 2;
-    if (bytes[at + 1] === 0x0d && bytes[at + 2] === NEW_LINE) return at + 3;
-    at = bytes.indexOf(NEW_LINE, at + 1);
+  #countBlock(bytes: number): void {
+    const change = this.#hasField ? -bytes : bytes;
+    this.#fillerBytes = Math.max(0, this.#fillerBytes + change);
+  }
+
+  #split(
+    chunk: Buffer,
+    { end, count, lastId }: {
+      end: number;
+      count: number;
+      lastId: number | undefined;
+    },
+  ): CompleteEvents | undefined {
+    if (end === 0) {
+      this.#keep(chunk);
+      return undefined;
+    }
+    const isAll = end === chunk.length;
+    const bytes = this.#complete(isAll ? chunk : chunk.subarray(0, end));
+    if (!isAll) this.#keep(chunk.subarray(end));
+    return { bytes, count, lastId };
+  }
+
+  /** Returns the incomplete event with its last part. */
+  #complete(last: Buffer): Buffer {
+    if (this.#further.length > 0) {
+      this.#further.add(last);
+      return this.#further.take();
+    }
+    const first = this.takeRemainder();
+    return first.length > 0 ? Buffer.concat([first, last]) : last;
+  }
+
+  /** Copies all parts of an event but one that is alone. */
+  #keep(bytes: Buffer): void {
+    if (this.remainderBytes === 0) {
+      this.#first = bytes;
+      return;
+    }
+    this.#further.add(this.#first);
+    this.#first = NO_BYTES;
+    this.#further.add(bytes);
   }
-  return -1;
 }
 
-function idOf(event: Buffer): number | undefined {
-  const match = ID_LINE.exec(event.toString("latin1"));
-  return match === null ? undefined : Number(match[1]);
+/** Returns the position of the next line end, or -1. */
+function endOfLine(bytes: Buffer, start: number): number {
+  const stop = Math.min(bytes.length, start + LONG_REST_BYTES);
+  for (let at = start; at < stop; at++) {
+    if (bytes[at] === NEW_LINE) return at;
+  }
+  return bytes.indexOf(NEW_LINE, stop);
 }
--- a/packages/gateway/tests/bytesWithoutEnd.test.ts
+++ b/packages/gateway/tests/bytesWithoutEnd.test.ts
@@ -179,6 +179,28 @@
   });
 }
 
+const FILLINGS: Readonly<Record<string, string>> = {
+  "blank lines": "\n",
+  "comments": ": x\n\n",
+  "comment lines": ": x\n",
+};
+
+for (const [name, filling] of Object.entries(FILLINGS)) {
+  test.serial(`a stream of ${name} without end is cut`, async (t) => {
+    // Guards against hosts that are busy with what carries no event.
+    const flood = await startFlood(
+      (received) => `${responseHead(received)}id: 1\ndata: x\n\n`,
+      filling,
+    );
+    const scene = await startScene(t, flood, { route: { isStreaming: true } });
+    const { isComplete, body } = await sendRequest(scene.host.url);
+    t.false(isComplete);
+    t.true(body.startsWith("id: 1\ndata: x\n\n"));
+    t.true(body.length < MIB);
+    await checkBounds(t, scene);
+  });
+}
+
 test("payload in small parts is bounded, and sound events go on without end", (t) => {
   // Guards against a limit for the time between two parts, which one byte resets.
   const partsUntilExcess = (size: number, framing: number): number => {
--- /dev/null
+++ b/packages/gateway/tests/responseMemory.test.ts
@@ -0,0 +1,135 @@
+import { Buffer } from "node:buffer";
+import { setImmediate } from "node:timers/promises";
+import {
+  asId,
+  MemoryBudget,
+  type UpstreamId,
+  VirtualTimer,
+} from "@wasabivane/common";
+import test from "ava";
+import { Attempt, type AttemptEnd } from "../src/attempt.ts";
+import {
+  type RunningCall,
+  UpstreamConnections,
+  type UpstreamListener,
+} from "../src/upstreamConnections.ts";
+import { buildEntry } from "./helpers/fleet.ts";
+import { PlainDialect } from "./helpers/plainDialect.ts";
+import { callTo } from "./helpers/upstreamCalls.ts";
+
+const KIB = 1_024;
+const LIMIT_BYTES = 512 * KIB;
+const CHUNK = Buffer.alloc(16 * KIB, "x");
+
+/** Connections whose responses a test feeds to the listener. */
+class FedConnections extends UpstreamConnections {
+  listener: UpstreamListener | undefined;
+
+  override send(_call: unknown, listener: UpstreamListener): RunningCall {
+    this.listener = listener;
+    return { abort: () => {}, pause: () => {}, resume: () => {} };
+  }
+}
+
+/** A response that arrives in parts. */
+class FedResponse {
+  readonly ends: AttemptEnd[] = [];
+  forwardedBytes = 0;
+  readonly #listener: UpstreamListener;
+
+  constructor(
+    memory: MemoryBudget,
+    { isStreaming = false, status = 200 }: {
+      isStreaming?: boolean;
+      status?: number;
+    } = {},
+  ) {
+    const timer = new VirtualTimer();
+    const connections = new FedConnections({
+      maximumConnections: () => 1,
+      timer,
+    });
+    const upstream = buildEntry("u", { address: "127.0.0.1:9" });
+    new Attempt({
+      upstream,
+      call: callTo(upstream),
+      connections,
+      dialect: new PlainDialect(),
+      timer,
+      memory,
+      deadline: 1_000,
+      isUsable: () => true,
+      hasEnded: () => Promise.resolve(false),
+      requestId: asId<UpstreamId>("a"),
+      isStreaming,
+      pauseTarget: 0,
+      promptTokens: 0,
+      silenceTimeouts: undefined,
+      onReport: () => {},
+      listener: {
+        onStreamStart: () => {},
+        onEvents: (bytes) => (this.forwardedBytes += bytes.length),
+        onEnd: (end) => this.ends.push(end),
+      },
+    }).start();
+    this.#listener = connections.listener!;
+    this.#listener.shouldSend();
+    this.#listener.sent();
+    this.#listener.head(status, { id: "a", mark: "m" });
+  }
+
+  receive(bytes: number): void {
+    for (let sum = 0; sum < bytes; sum += CHUNK.length) {
+      this.#listener.data(CHUNK);
+    }
+  }
+
+  async finish(): Promise<void> {
+    this.#listener.data(Buffer.from("\n\n"));
+    this.#listener.ended();
+    await setImmediate();
+  }
+
+  get outcome(): string | undefined {
+    return this.ends[0]?.outcome;
+  }
+}
+
+test("incomplete events share a limit, and small ones always fit", async (t) => {
+  // Guards against hosts that outgrow their memory by many events at once.
+  const memory = new MemoryBudget({ limit: LIMIT_BYTES });
+  const responses = Array.from(
+    { length: 8 },
+    () => new FedResponse(memory, { isStreaming: true }),
+  );
+  for (const response of responses) response.receive(256 * KIB);
+  const kept = responses.filter(({ outcome }) => outcome === undefined);
+  t.is(kept.length, 2);
+  t.true(memory.used <= LIMIT_BYTES);
+  for (const { ends } of responses.filter(({ outcome }) => outcome)) {
+    t.like(ends, [{ outcome: "broken", detail: "no memory for the response" }]);
+  }
+  const small = new FedResponse(memory, { isStreaming: true });
+  small.receive(48 * KIB);
+  for (const response of [...kept, small]) {
+    await response.finish();
+    t.is(response.outcome, "whole");
+  }
+  t.is(small.forwardedBytes, 48 * KIB + 2);
+  t.is(memory.used, 0);
+});
+
+test("plain responses without memory are passed on as they come, and failures end", async (t) => {
+  // Guards against responses that are lost, or kept whole, for lack of memory.
+  const memory = new MemoryBudget({ limit: LIMIT_BYTES });
+  const other = memory.reserve(LIMIT_BYTES);
+  const success = new FedResponse(memory);
+  const failure = new FedResponse(memory, { status: 500 });
+  for (const response of [success, failure]) response.receive(256 * KIB);
+  t.is(success.forwardedBytes, 256 * KIB);
+  t.is(failure.outcome, "broken");
+  await success.finish();
+  t.is(success.outcome, "whole");
+  other?.release();
+  t.is(memory.used, 0);
+});
--- a/packages/gateway/tests/streams.test.ts
+++ b/packages/gateway/tests/streams.test.ts
@@ -134,16 +134,50 @@
 });
 
 test("events are split at blank lines wherever the chunks end", (t) => {
-  const frames = new EventStreamSplitter();
+  const splitter = new EventStreamSplitter();
   const completeEvents = formatEvent(1) + formatEvent(2) +
     "id: 3\r\ndata: x\r\n\r\n";
   const seen: [string, number | undefined][] = [];
   for (const byte of Buffer.from(completeEvents + "id: 4\nda")) {
-    for (const frame of frames.push(Buffer.from([byte]))) {
-      seen.push([frame.bytes.toString(), frame.id]);
+    const events = splitter.push(Buffer.from([byte]));
+    if (events !== undefined) {
+      t.is(events.count, 1);
+      seen.push([events.bytes.toString(), events.lastId]);
     }
   }
   t.is(seen.map(([text]) => text).join(""), completeEvents);
   t.deepEqual(seen.map(([, id]) => id), [1, 2, 3]);
-  t.is(frames.remainder.toString(), "id: 4\nda");
+  t.is(splitter.takeRemainder().toString(), "id: 4\nda");
+});
+
+test("events are counted, and their ids found, wherever the chunks end", (t) => {
+  // Guards against ids of incomplete events, and comments taken for events.
+  const text = "\n: x\n\nid:7\ndata: a\nid: 8x\nidea: 9\n\n\r\n:\r\n\r\n" +
+    `data: ${"y".repeat(300)}\nid: 12\r\n\r\nid: 13\ndata: z\n`;
+  const whole = text.lastIndexOf("id: 13");
+  for (let size = 1; size <= text.length; size++) {
+    const splitter = new EventStreamSplitter();
+    let complete = "";
+    let count = 0;
+    let lastId: number | undefined;
+    for (let at = 0; at < text.length; at += size) {
+      const events = splitter.push(Buffer.from(text.slice(at, at + size)));
+      complete += events?.bytes.toString() ?? "";
+      count += events?.count ?? 0;
+      lastId = events?.lastId ?? lastId;
+    }
+    t.deepEqual([complete, count, lastId], [text.slice(0, whole), 2, 12]);
+    t.is(splitter.takeRemainder().toString(), text.slice(whole));
+  }
+});
+
+test("comments and blank lines are counted until events outweigh them", (t) => {
+  // Guards against streams of comments, which look alive without an event.
+  const splitter = new EventStreamSplitter();
+  splitter.push(Buffer.from(": keep-alive\n\n\n\n: part"));
+  t.is(splitter.fillerBytes, ": keep-alive\n\n\n\n: part".length);
+  splitter.push(
+    Buffer.from("\n\ndata: an event that is longer than those\n\n"),
+  );
+  t.is(splitter.fillerBytes, 0);
 });
