Bound what callers have not read of their responses

A caller that read nothing of a finished response kept it in the host's memory for as long as its connection was open, and nothing bounded the sum of all. Unread bytes beyond 32 KB of each response are now reserved in the budget of responses; where they do not fit, the responses that are unread for longest are cut, visibly. The rest of a finished response of which nothing is read for the policy's idle timeout is cut, too; the socket's own timeout sees each part that the system takes. Counted as unread_responses_cut_idle and _memory.

--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -7,10 +7,18 @@
   toHeaderLines,
 } from "./headers.ts";
 import type { Refusal, RefusalReason } from "./requestAdmission.ts";
+import type { UnreadResponse, UnreadResponses } from "./unreadResponses.ts";
 
 /** Bodies of refusals so far, by reason. */
 const REFUSAL_BODIES = new Map<RefusalReason, string>();
 
+/** Options of a {@link CallerResponse}. */
+export interface CallerResponseOptions {
+  /** Whether the connection is to end behind the response. */
+  readonly shouldClose: () => boolean;
+  readonly unreadResponses: UnreadResponses;
+}
+
 /**
  * Writes the response to one caller: either the upstream's, complete or visibly
  * truncated, or a refusal of this host, never a mixture.
@@ -18,12 +26,18 @@
 export class CallerResponse {
   readonly #response: ServerResponse;
   readonly #shouldClose: () => boolean;
+  readonly #unreadResponses: UnreadResponses;
+  /** `undefined` while the caller's connection takes what is written. */
+  #unread: UnreadResponse | undefined;
   #isLast = false;
 
-  /** `shouldClose` tells whether the connection is to end behind the response. */
-  constructor(response: ServerResponse, shouldClose: () => boolean) {
+  constructor(
+    response: ServerResponse,
+    { shouldClose, unreadResponses }: CallerResponseOptions,
+  ) {
     this.#response = response;
     this.#shouldClose = shouldClose;
+    this.#unreadResponses = unreadResponses;
     response.sendDate = false;
   }
 
@@ -51,7 +65,9 @@
    * Writes body bytes; returns false when the caller's connection is congested.
    */
   write(bytes: Buffer): boolean {
-    return this.#response.write(bytes);
+    const isTaken = this.#response.write(bytes);
+    if (!isTaken) this.#trackUnread().recordWrite();
+    return isTaken;
   }
 
   /** Calls back once the write buffer has drained. */
@@ -60,7 +76,7 @@
   }
 
   finish(): void {
-    this.#response.end();
+    this.#end();
   }
 
   /**
@@ -74,7 +90,7 @@
       lines.push(["content-length", String(body.length)]);
     }
     this.#writeHead(status, lines.flat(), this.#shouldClose());
-    this.#response.end(body);
+    this.#end(body);
   }
 
   /** Whether the connection ends with a refusal in any case. */
@@ -91,7 +107,7 @@
     { isLast = false }: { isLast?: boolean } = {},
   ): void {
     const isClosing = isLast || this.isClosedBy(refusal);
-    this.#response.end(this.#sendRefusalHead(refusal, isClosing));
+    this.#end(this.#sendRefusalHead(refusal, isClosing));
   }
 
   /**
@@ -105,6 +121,26 @@
     else this.#response.write(body);
   }
 
+  #end(body?: Buffer | string): void {
+    const response = this.#response;
+    response.end(body);
+    if (response.writableLength > 0) this.#trackUnread().recordEnd();
+  }
+
+  #trackUnread(): UnreadResponse {
+    this.#unread ??= this.#unreadResponses.track(
+      this.#response,
+      () => this.#cutUnread(),
+    );
+    return this.#unread;
+  }
+
+  /** A response that waits for its turn would be kept until then. */
+  #cutUnread(): void {
+    this.cut();
+    if (this.#response.socket === null) this.#response.req.socket.destroy();
+  }
+
   /** Returns the body that belongs to the head. */
   #sendRefusalHead(
     { status, reason, retryAfter }: Refusal,
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -34,6 +34,7 @@
 import { bindToOrigin } from "./streamTakeUp.ts";
 import type { ListenError } from "./listenError.ts";
 import { type BodyError, readBody } from "./requestBody.ts";
+import { UnreadResponses } from "./unreadResponses.ts";
 
 /** Parser limit; the policy's own limit is checked for each request. */
 const MAXIMUM_HEADER_BYTES = 64 * 1_024;
@@ -77,6 +78,7 @@
   readonly #waits = new WeakMap<Socket, Milliseconds>();
   readonly #acceptBacklog = new ConnectionBacklog();
   readonly #refusals: RefusalWriter;
+  readonly #unreadResponses: UnreadResponses;
   #isCountingIterations = false;
   #queueDrops = 0;
   #leftUnsent = 0;
@@ -91,6 +93,12 @@
         this.#addBusy(socket);
       },
     );
+    this.#unreadResponses = new UnreadResponses({
+      budget: context.memory.responses,
+      idleTimeout: () => this.#server.keepAliveTimeout,
+      onCut: (reason) =>
+        context.metrics.count(`unread_responses_cut_${reason}`),
+    });
     this.#server = createServer({
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
       headersTimeout: INITIAL_HEADER_TIMEOUT_MS,
@@ -218,7 +226,11 @@
     const { isStopping } = this.#context;
     const callerResponse = new CallerResponse(
       response,
-      () => isStopping() && this.#latest.get(socket) === callerResponse,
+      {
+        shouldClose: () =>
+          isStopping() && this.#latest.get(socket) === callerResponse,
+        unreadResponses: this.#unreadResponses,
+      },
     );
     this.#latest.set(socket, callerResponse);
     const call = { request, response, callerResponse };
--- a/packages/gateway/src/responseLease.ts
+++ b/packages/gateway/src/responseLease.ts
@@ -9,15 +9,25 @@
 /** What one response holds of the budget for all responses. */
 export class ResponseLease {
   readonly #budget: MemoryBudget;
+  readonly #unreserved: number;
   #lease: MemoryLease | undefined;
 
-  constructor(budget: MemoryBudget) {
+  constructor(
+    budget: MemoryBudget,
+    { unreserved = UNRESERVED_BYTES }: { unreserved?: number } = {},
+  ) {
     this.#budget = budget;
+    this.#unreserved = unreserved;
+  }
+
+  /** Whether bytes are reserved. */
+  get isHolding(): boolean {
+    return this.#lease !== undefined && this.#lease.bytes > 0;
   }
 
   /** Sets what the response holds; returns false if that does not fit. */
   hold(bytes: number): boolean {
-    const reserved = bytes - UNRESERVED_BYTES;
+    const reserved = bytes - this.#unreserved;
     if (reserved <= 0) {
       this.release();
       return true;
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -179,6 +179,8 @@
   readonly lowestLag?: number;
   /** The system's timer by default. */
   readonly timer?: Timer;
+  /** The policy's limit for callers that neither send nor read. */
+  readonly idleTimeout?: number;
 }
 
 /** Starts a gateway in front of the given upstreams. */
@@ -206,6 +208,7 @@
     // Disables shedding by lag, as tests run in parallel on a busy machine.
     lowestLag = Infinity,
     timer = new SystemTimer(),
+    idleTimeout = 5_000,
   }: GatewayStartOptions,
 ): Promise<RunningGateway | undefined> {
   const lines: Record<string, unknown>[] = [];
@@ -256,7 +259,8 @@
   };
   gateway.storeSharing.reportStoreRead(isReading, "start");
   if (!isReading) return result;
-  const policy = buildPolicy({ routes: [buildRoute(route)] });
+  const basis = buildPolicy({ routes: [buildRoute(route)] });
+  const policy = { ...basis, limits: { ...basis.limits, idleTimeout } };
   const now = gateway.context.elapsed.now();
   gateway.adoptPolicy(Buffer.from(JSON.stringify(policy)), {
     confirmedAt: now,
