Bound what relays between hosts hold

A peer could send messages of 100 MB to a relay, on both sides, in any number of fragments, and as pings whose responses it does not read; a host kept each small message as an object, and a body of 4 MB was copied as a whole. 128 relays could hold 256 KB each for peers that do not read. Small messages are joined. What waits for an upstream is reserved in the budget of responses beyond 64 KB a relay, and a relay without memory is cut (counted as relays_cut_memory); what waits for peers is 4 MB for all relays.

--- a/packages/gateway/src/relayClient.ts
+++ b/packages/gateway/src/relayClient.ts
@@ -12,6 +12,7 @@
 import {
   decodeRelayMessage,
   encodeRelayMessage,
+  RELAY_LIMITS,
   relayPathOf,
   STATUS_UNREACHABLE,
 } from "./relayMessage.ts";
@@ -111,6 +112,7 @@
     const { timer, connectTimeout = DEFAULT_CONNECT_TIMEOUT_MS } =
       this.#options;
     const webSocket = new WebSocket(`ws://${address}${relayPathOf(upstream)}`, {
+      ...RELAY_LIMITS,
       perMessageDeflate: false,
     });
     return new Promise((resolve) => {
--- a/packages/gateway/src/relayMessage.ts
+++ b/packages/gateway/src/relayMessage.ts
@@ -7,6 +7,20 @@
 /** Status of a peer that reaches the upstream no more than this host does. */
 export const STATUS_UNREACHABLE = 502;
 
+/** Bytes of a connection that are sent in one message. */
+export const RELAY_PART_BYTES = 64 * 1_024;
+
+/**
+ * Limits of what the other host sends. A message may be a whole request with its
+ * body; nobody sends pings or fragments.
+ */
+export const RELAY_LIMITS = {
+  maxPayload: 5 * 1_024 * 1_024,
+  maxBufferedChunks: 8 * 1_024,
+  maxFragments: 16,
+  autoPong: false,
+} as const;
+
 /** Message between the two hosts of a relay. */
 export type RelayMessage =
   /** The upstream wants no requests from the host that it answered. */
--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/relayServer.ts
@@ -1,9 +1,10 @@
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { connect, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import {
   asId,
+  ByteCollector,
   hasEndedNormally,
   type Milliseconds,
   type ServiceId,
@@ -17,18 +18,24 @@
 import {
   decodeRelayMessage,
   encodeRelayMessage,
+  RELAY_LIMITS,
   RELAY_PATH,
   type RelayMessage,
   STATUS_UNREACHABLE,
 } from "./relayMessage.ts";
+import { ResponseLease } from "./responseLease.ts";
 import { DEFAULT_CONNECT_TIMEOUT_MS } from "./watchedConnector.ts";
 import { UPSTREAM_ENDED } from "./relayedSocket.ts";
 
 /** Relays at the same time, which bounds the work that a host takes over. */
 const MAXIMUM_RELAYS = 128;
 const DEFAULT_MAXIMUM_LAG_MS: Milliseconds = 20;
-/** Bytes on their way to a peer above which the upstream is not read. */
+/**
+ * Bytes on their way to peers above which upstreams are not read: of one relay,
+ * and of all of them.
+ */
 const MAXIMUM_PENDING_BYTES = 256 * 1_024;
+const MAXIMUM_PENDING_OF_ALL_BYTES = 4 * 1_024 * 1_024;
 /** Close code of a relay whose connection to the upstream failed. */
 const UPSTREAM_FAILED = 1011;
 
@@ -59,6 +66,7 @@
   readonly #options: RelayServerOptions;
   readonly #webSockets = new WebSocketServer({
     noServer: true,
+    ...RELAY_LIMITS,
     perMessageDeflate: false,
   });
   readonly #relays = new Set<Relay>();
@@ -169,43 +177,69 @@
   }
 
   #relay(upstream: Upstream, connection: Socket, webSocket: WebSocket): void {
-    const { metrics, timer } = this.#options.context;
     const relay = { upstream, webSocket };
     this.#relays.add(relay);
-    metrics.count("relays_served");
+    this.#options.context.metrics.count("relays_served");
+    this.#passToPeer(connection, webSocket);
+    this.#passToUpstream(relay, connection);
+    webSocket.on("error", () => connection.destroy());
+    webSocket.on("close", () => {
+      this.#relays.delete(relay);
+      connection.destroy();
+    });
+  }
+
+  /** Bytes on their way to the peer of one relay above which it is not sent more. */
+  get #pendingLimit(): number {
+    const share = MAXIMUM_PENDING_OF_ALL_BYTES / Math.max(1, this.size);
+    return Math.min(MAXIMUM_PENDING_BYTES, share);
+  }
+
+  #passToPeer(connection: Socket, webSocket: WebSocket): void {
     let isEnded = false;
     connection.on("data", (chunk) => {
       webSocket.send(chunk, () => {
-        if (webSocket.bufferedAmount < MAXIMUM_PENDING_BYTES) {
-          connection.resume();
-        }
+        if (webSocket.bufferedAmount < this.#pendingLimit) connection.resume();
       });
-      if (webSocket.bufferedAmount >= MAXIMUM_PENDING_BYTES) connection.pause();
+      if (webSocket.bufferedAmount >= this.#pendingLimit) connection.pause();
     });
-    connection.on("drain", () => webSocket.resume());
     connection.prependListener("end", () => {
       isEnded = hasEndedNormally(connection);
     });
     connection.on("close", () => {
       webSocket.close(isEnded ? UPSTREAM_ENDED : UPSTREAM_FAILED);
     });
-    const received: Buffer[] = [];
+  }
+
+  #passToUpstream(relay: Relay, connection: Socket): void {
+    const { webSocket } = relay;
+    const { metrics, timer, memory } = this.#options.context;
+    const received = new ByteCollector();
+    const lease = new ResponseLease(memory.responses);
+    const pendingBytes = (): number =>
+      received.length + connection.writableLength;
     const passOn = (): void => {
-      const bytes = Buffer.concat(received.splice(0));
+      const bytes = received.take();
       // The peer may have closed the relay behind these bytes.
       if (webSocket.readyState !== webSocket.OPEN) return;
       if (!connection.write(bytes)) webSocket.pause();
+      lease.hold(pendingBytes());
     };
+    connection.on("drain", () => {
+      lease.hold(pendingBytes());
+      webSocket.resume();
+    });
     webSocket.on("message", (data, isBinary) => {
       if (!isBinary) return this.#receive(relay, String(data));
-      received.push(data as Buffer);
-      if (received.length === 1) afterFreshPoll(timer, passOn);
-    });
-    webSocket.on("error", () => connection.destroy());
-    webSocket.on("close", () => {
-      this.#relays.delete(relay);
-      connection.destroy();
+      const isFirst = received.length === 0;
+      received.add(data as Buffer);
+      if (!lease.hold(pendingBytes())) {
+        metrics.count("relays_cut_memory");
+        return webSocket.terminate();
+      }
+      if (isFirst) afterFreshPoll(timer, passOn);
     });
+    webSocket.on("close", () => lease.release());
   }
 
   /** The upstream has answered this host, so it has to back off as well. */
--- a/packages/gateway/src/relayedSocket.ts
+++ b/packages/gateway/src/relayedSocket.ts
@@ -1,6 +1,11 @@
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { Duplex } from "node:stream";
+import { ByteCollector } from "@wasabivane/common";
 import type { RawData, WebSocket } from "ws";
+import { RELAY_PART_BYTES } from "./relayMessage.ts";
+
+/** Messages below this size are collected while they are read at once. */
+const SMALL_MESSAGE_BYTES = 1_024;
 
 /** Close code of a relay whose upstream ended the connection properly. */
 export const UPSTREAM_ENDED = 1000;
@@ -12,6 +17,8 @@
  */
 export class RelayedSocket extends Duplex {
   readonly #webSocket: WebSocket;
+  /** Bytes of small messages. */
+  readonly #small = new ByteCollector();
 
   constructor(
     webSocket: WebSocket,
@@ -23,10 +30,11 @@
     this.on("error", () => {});
     webSocket.on("message", (data: RawData, isBinary: boolean) => {
       if (!isBinary) return onControl(String(data));
-      if (!this.push(data as Buffer)) webSocket.pause();
+      this.#receive(data as Buffer);
     });
     webSocket.on("error", (error) => this.destroy(error));
     webSocket.on("close", (code) => {
+      this.#passOnSmall();
       if (code === UPSTREAM_ENDED) this.push(null);
       else this.destroy(new Error(`The relay closed with code ${code}`));
     });
@@ -37,6 +45,23 @@
     this.#webSocket.send(text);
   }
 
+  #receive(bytes: Buffer): void {
+    if (bytes.length >= SMALL_MESSAGE_BYTES) {
+      this.#passOnSmall();
+      return this.#passOn(bytes);
+    }
+    if (this.#small.length === 0) queueMicrotask(() => this.#passOnSmall());
+    this.#small.add(bytes);
+  }
+
+  #passOnSmall(): void {
+    if (this.#small.length > 0) this.#passOn(this.#small.take());
+  }
+
+  #passOn(bytes: Buffer): void {
+    if (!this.destroyed && !this.push(bytes)) this.#webSocket.pause();
+  }
+
   override _read(): void {
     this.#webSocket.resume();
   }
@@ -46,7 +71,17 @@
     _encoding: string,
     callback: (error?: Error | null) => void,
   ): void {
-    this.#webSocket.send(chunk, { binary: true }, callback);
+    this.#send(chunk, callback);
+  }
+
+  /** Sends a part after the other, so that neither host holds a copy of all. */
+  #send(bytes: Buffer, callback: (error?: Error | null) => void): void {
+    const part = bytes.subarray(0, RELAY_PART_BYTES);
+    const rest = bytes.subarray(RELAY_PART_BYTES);
+    this.#webSocket.send(part, { binary: true }, (error) => {
+      if (error || rest.length === 0) callback(error);
+      else this.#send(rest, callback);
+    });
   }
 
   override _destroy(
