Keep a response's only part as it came, and allow for parts of four bytes

Most responses and the ends of most reads come at once, and a block for each costs more than a copy. Plain responses of one part are no longer copied (not measured). A sound upstream may write an event of nine bytes and its blank line as two parts, so the limit for parts counts those below four bytes.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,6 +1,5 @@
 import type { Buffer } from "node:buffer";
 import {
-  ByteCollector,
   MemoryBudget,
   type Milliseconds,
   type Timer,
@@ -13,6 +12,7 @@
   EventStreamSplitter,
 } from "./eventStreamSplitter.ts";
 import type { HeaderValues } from "./headers.ts";
+import { HeldParts } from "./heldParts.ts";
 import { isNotRunStatus } from "./notRunStatus.ts";
 import { framingOf, type ResponseFraming } from "./responseFraming.ts";
 import { ResponseLease } from "./responseLease.ts";
@@ -156,7 +156,7 @@
   latePauses = 0;
   readonly #options: AttemptOptions;
   readonly #splitter = new EventStreamSplitter();
-  readonly #buffered = new ByteCollector();
+  readonly #buffered = new HeldParts();
   readonly #lease: ResponseLease;
   #head: ResponseHead | undefined;
   #framing: ResponseFraming | undefined;
--- a/packages/gateway/src/eventStreamSplitter.ts
+++ b/packages/gateway/src/eventStreamSplitter.ts
@@ -1,5 +1,5 @@
-import { Buffer } from "node:buffer";
-import { ByteCollector } from "@wasabivane/common";
+import type { Buffer } from "node:buffer";
+import { HeldParts } from "./heldParts.ts";
 
 const NEW_LINE = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
@@ -11,7 +11,6 @@
 const LETTER_I = 0x69;
 /** Rests of lines above this size are searched by the runtime. */
 const LONG_REST_BYTES = 8;
-const NO_BYTES = Buffer.alloc(0);
 
 /** Position within a line. */
 const enum Place {
@@ -43,9 +42,8 @@
  * partial event.
  */
 export class EventStreamSplitter {
-  /** The trailing incomplete event: its first part as it came, and further ones. */
-  #first: Buffer = NO_BYTES;
-  readonly #further = new ByteCollector();
+  /** The trailing incomplete event. */
+  readonly #remainder = new HeldParts();
   #place = Place.Start;
   #id = 0;
   /** Id in the incomplete event. */
@@ -57,7 +55,7 @@
 
   /** Size of the trailing incomplete event. */
   get remainderBytes(): number {
-    return this.#first.length + this.#further.length;
+    return this.#remainder.length;
   }
 
   /**
@@ -70,9 +68,7 @@
 
   /** Takes the bytes of the trailing incomplete event out of the splitter. */
   takeRemainder(): Buffer {
-    const first = this.#first;
-    this.#first = NO_BYTES;
-    return this.#further.length > 0 ? this.#further.take() : first;
+    return this.#remainder.take();
   }
 
   /** Returns the events that a chunk completes; `undefined` if there are none. */
@@ -157,35 +153,15 @@
     },
   ): CompleteEvents | undefined {
     if (end === 0) {
-      this.#keep(chunk);
+      if (chunk.length > 0) this.#remainder.add(chunk);
       return undefined;
     }
     const isAll = end === chunk.length;
-    const bytes = this.#complete(isAll ? chunk : chunk.subarray(0, end));
-    if (!isAll) this.#keep(chunk.subarray(end));
+    const last = isAll ? chunk : chunk.subarray(0, end);
+    const bytes = this.#remainder.takeWith(last);
+    if (!isAll) this.#remainder.add(chunk.subarray(end));
     return { bytes, count, lastId };
   }
-
-  /** Returns the incomplete event with its last part. */
-  #complete(last: Buffer): Buffer {
-    if (this.#further.length > 0) {
-      this.#further.add(last);
-      return this.#further.take();
-    }
-    const first = this.takeRemainder();
-    return first.length > 0 ? Buffer.concat([first, last]) : last;
-  }
-
-  /** Copies all parts of an event but one that is alone. */
-  #keep(bytes: Buffer): void {
-    if (this.remainderBytes === 0) {
-      this.#first = bytes;
-      return;
-    }
-    this.#further.add(this.#first);
-    this.#first = NO_BYTES;
-    this.#further.add(bytes);
-  }
 }
 
 /** Returns the position of the next line end, or -1. */
--- a/packages/gateway/src/overheadLimit.ts
+++ b/packages/gateway/src/overheadLimit.ts
@@ -3,7 +3,7 @@
 /** Bytes of a connection that may be no payload, heads included. */
 const MAXIMUM_OVERHEAD_BYTES = 4 * MAXIMUM_HEADER_BYTES;
 /** Mean size below which parts of a body cost more than their bytes. */
-const SMALL_PART_BYTES = 8;
+const SMALL_PART_BYTES = 4;
 
 /**
  * Limits the bytes of a connection that are no payload, such as interim heads,
