Blame no upstream for a response that this host has no memory for

A host that faulty upstreams keep without memory ended large events of sound ones as broken, and ejected these after a few. To the upstream's record such an end is now a request that the host aborted; the caller still sees a request that may have run. Unread responses of a connection that is closed already hold nothing. The test fails without the change (the upstream is ejected) and passes with it.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -68,6 +68,8 @@
   readonly framing: ResponseFraming | undefined;
   /** Size of an incomplete event at the end of a stream. */
   readonly partialBytes: number;
+  /** Whether this host had no memory for the response, which is no fault of it. */
+  readonly isOutOfMemory?: boolean;
   /** The complete response, where it was buffered. */
   readonly response?: ResponseHead & { readonly body: Buffer };
 }
@@ -316,7 +318,11 @@
   #exceed(limit: ResponseLimit): void {
     if (this.#isEnded) return;
     this.#options.onLimit?.(limit);
-    this.#end({ outcome: "broken", detail: LIMIT_DETAILS[limit] });
+    this.#end({
+      outcome: "broken",
+      detail: LIMIT_DETAILS[limit],
+      isOutOfMemory: limit === "memory",
+    });
   }
 
   #recordEvent(): void {
@@ -426,7 +432,10 @@
   }
 
   #end(
-    end: Pick<AttemptEnd, "outcome" | "detail" | "response">,
+    end: Pick<
+      AttemptEnd,
+      "outcome" | "detail" | "isOutOfMemory" | "response"
+    >,
   ): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
--- a/packages/gateway/src/recordAttempt.ts
+++ b/packages/gateway/src/recordAttempt.ts
@@ -31,7 +31,8 @@
   attempt: Attempt,
   { context, admitted, traits, end }: AttemptRecord,
 ): void {
-  const { outcome } = end;
+  // To the upstream, it is a request that this host aborted.
+  const outcome = end.isOutOfMemory === true ? "cancelled" : end.outcome;
   const { service } = admitted;
   const { upstream } = attempt.upstream;
   const now = context.timer.now();
@@ -45,7 +46,12 @@
       { times: createTimings(attempt, admitted, residence) },
   };
   try {
-    recordCrashSigns(attempt, { context, admitted, traits, end });
+    recordCrashSigns(attempt, {
+      context,
+      admitted,
+      traits,
+      end: { ...end, outcome },
+    });
     if (outcome === "replaced") context.removeReplaced(upstream);
     if (wasNotSent(outcome)) {
       context.metrics.count("slots_unused");
--- a/packages/gateway/src/unreadResponses.ts
+++ b/packages/gateway/src/unreadResponses.ts
@@ -81,6 +81,7 @@
     };
     socket.once("close", close);
     response.once("close", close);
+    if (socket.destroyed) this.#isClosed = true;
   }
 
   /** Whether bytes are reserved. */
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -177,6 +177,10 @@
   readonly host?: string;
   /** Event-loop lag from which requests are shed. */
   readonly lowestLag?: number;
+  /** Bytes; no limit by default. */
+  readonly memoryLimit?: number;
+  /** No limit by default. */
+  readonly connectionLimit?: number;
   /** The system's timer by default. */
   readonly timer?: Timer;
   /** The policy's limit for callers that neither send nor read. */
@@ -207,6 +211,8 @@
     host = "host",
     // Disables shedding by lag, as tests run in parallel on a busy machine.
     lowestLag = Infinity,
+    memoryLimit = Infinity,
+    connectionLimit = Infinity,
     timer = new SystemTimer(),
     idleTimeout = 5_000,
   }: GatewayStartOptions,
@@ -234,6 +240,8 @@
     quotaTolerance: { overrun: 0.25, slack: 0, span: 8_000 },
     warmupTolerance: { factor: 1, slack: 0 },
     lowestLag,
+    memoryLimit,
+    connectionLimit,
     connectTimeout: CONNECT_TIMEOUT_MS,
     shutdownGrace,
     dialect: new PlainDialect(),
--- a/packages/gateway/tests/responseMemory.test.ts
+++ b/packages/gateway/tests/responseMemory.test.ts
@@ -13,12 +13,19 @@
   UpstreamConnections,
   type UpstreamListener,
 } from "../src/upstreamConnections.ts";
-import { buildEntry } from "./helpers/fleet.ts";
+import {
+  buildEntry,
+  responseHead,
+  sendRequest,
+  startGateway,
+  startUpstream,
+} from "./helpers/fleet.ts";
 import { PlainDialect } from "./helpers/plainDialect.ts";
 import { callTo } from "./helpers/upstreamCalls.ts";
 
 const KIB = 1_024;
 const LIMIT_BYTES = 512 * KIB;
+const REQUESTS = 6;
 const CHUNK = Buffer.alloc(16 * KIB, "x");
 
 /** Connections whose responses a test feeds to the listener. */
@@ -133,3 +140,31 @@
   other?.release();
   t.is(memory.used, 0);
 });
+
+test("an upstream whose responses find no memory stays in use", async (t) => {
+  // Guards against a faulty upstream that has sound ones ejected.
+  const event = `data: ${"x".repeat(256 * KIB)}\n\n`;
+  const upstream = await startUpstream((received) => {
+    const headers = { "content-length": event.length };
+    received.socket.write(responseHead(received, headers) + event);
+  });
+  const host = await startGateway({
+    upstreams: [upstream],
+    memoryLimit: 8 * KIB * KIB,
+    route: { isStreaming: true, maximumAttempts: 1 },
+  });
+  t.teardown(() => host.close());
+  const { memory, metrics } = host.gateway.context;
+  const other = memory.responses.reserve(memory.responses.limit);
+  for (let count = 0; count < REQUESTS; count++) {
+    t.is((await sendRequest(host.url)).status, 502);
+  }
+  t.regex(
+    await metrics.text(),
+    new RegExp(`"responses_over_memory"} ${REQUESTS}\\b`),
+  );
+  t.false(host.lines.some(({ event }) => event === "upstream_ejected"));
+  other?.release();
+  const { body } = await sendRequest(host.url);
+  t.is(body.length, event.length);
+});
