--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -177,8 +177,14 @@
   readonly host?: string;
   /** Event-loop lag from which requests are shed. */
   readonly lowestLag?: number;
+  /** Bytes; no limit by default. */
+  readonly memoryLimit?: number;
+  /** No limit by default. */
+  readonly connectionLimit?: number;
   /** The system's timer by default. */
   readonly timer?: Timer;
+  /** The policy's limit for callers that neither send nor read. */
+  readonly idleTimeout?: number;
 }
 
 /** Starts a gateway in front of the given upstreams. */
@@ -205,7 +211,10 @@
     host = "host",
     // Disables shedding by lag, as tests run in parallel on a busy machine.
     lowestLag = Infinity,
+    memoryLimit = Infinity,
+    connectionLimit = Infinity,
     timer = new SystemTimer(),
+    idleTimeout = 5_000,
   }: GatewayStartOptions,
 ): Promise<RunningGateway | undefined> {
   const lines: Record<string, unknown>[] = [];
@@ -231,6 +240,8 @@
     quotaTolerance: { overrun: 0.25, slack: 0, span: 8_000 },
     warmupTolerance: { factor: 1, slack: 0 },
     lowestLag,
+    memoryLimit,
+    connectionLimit,
     connectTimeout: CONNECT_TIMEOUT_MS,
     shutdownGrace,
     dialect: new PlainDialect(),
@@ -256,7 +267,8 @@
   };
   gateway.storeSharing.reportStoreRead(isReading, "start");
   if (!isReading) return result;
-  const policy = buildPolicy({ routes: [buildRoute(route)] });
+  const basis = buildPolicy({ routes: [buildRoute(route)] });
+  const policy = { ...basis, limits: { ...basis.limits, idleTimeout } };
   const now = gateway.context.elapsed.now();
   gateway.adoptPolicy(Buffer.from(JSON.stringify(policy)), {
     confirmedAt: now,
