Lease the memory of a body before it is read, and bound its chunks

Callers that sent large bodies, each within its limit, and stalled, or that sent bodies in chunks of one byte, ended the process by its memory: every limit was one of a single body, and counted its bytes, while each chunk was kept as a buffer of its own.

The whole length of a body is leased of the budget for bodies before it is read; that of a chunked one as it grows. What does not fit is refused with 503.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -33,7 +33,9 @@
 import { traitsOf } from "./requestTraits.ts";
 import { bindToOrigin } from "./streamTakeUp.ts";
 import type { ListenError } from "./listenError.ts";
-import { type BodyError, readBody } from "./requestBody.ts";
+import { BodyLeases } from "./bodyLeases.ts";
+import { ParsingBudget } from "./parsingBudget.ts";
+import { type BodyError, readBody, type RequestBody } from "./requestBody.ts";
 
 /** Parser limit; the policy's own limit is checked for each request. */
 const MAXIMUM_HEADER_BYTES = 64 * 1_024;
@@ -50,6 +52,9 @@
 /** A host that ends sooner than this refuses new requests. */
 const MINIMUM_SERVING_MS: Milliseconds = 1_500;
 
+/** Shortest time after which there may be memory for a large body. */
+const MEMORY_RETRY_MS: Milliseconds = 250;
+
 /** Work that a host was spared, or that it could not do. */
 export interface UnservedCounts {
   /** How often all connections that waited to be accepted were reset. */
@@ -77,12 +82,20 @@
   readonly #waits = new WeakMap<Socket, Milliseconds>();
   readonly #acceptBacklog = new ConnectionBacklog();
   readonly #refusals: RefusalWriter;
+  readonly #bodyLeases: BodyLeases;
+  readonly #parsing: ParsingBudget;
   #isCountingIterations = false;
   #queueDrops = 0;
   #leftUnsent = 0;
 
   constructor(context: GatewayContext) {
     this.#context = context;
+    this.#bodyLeases = new BodyLeases({
+      budget: context.memory.bodies,
+      timer: context.timer,
+      metrics: context.metrics,
+    });
+    this.#parsing = new ParsingBudget(context.timer);
     this.#refusals = new RefusalWriter(
       context,
       (socket) => {
@@ -254,11 +267,14 @@
       maximumBytes: limits.maximumBodyBytes,
       idleTimeout: limits.idleTimeout,
       timer: this.#context.timer,
+      leases: this.#bodyLeases,
+      parsing: this.#parsing,
     });
     if (body.isErr()) {
       if (body.error === "caller-left") return;
-      return this.#refusals.refuse(call, createBodyRefusal(body.error));
+      return this.#refusals.refuse(call, this.#createBodyRefusal(body.error));
     }
+    releaseAtEnd(body.value, call);
     const charged = await this.#chargeQuota(admitted);
     if (charged.isErr()) {
       return this.#refuseOverQuota(call, charged.error, admitted);
@@ -314,6 +330,14 @@
     return { status: 503, reason: "host-behind", retryAfter };
   }
 
+  #createBodyRefusal(error: Exclude<BodyError, "caller-left">): Refusal {
+    if (error === "memory") {
+      const retryAfter = MEMORY_RETRY_MS * (1 + this.#context.random.float());
+      return { status: 503, reason: error, retryAfter };
+    }
+    return { status: error === "body-too-slow" ? 408 : 413, reason: error };
+  }
+
   /** Only the first request of a connection waited with it. */
   #takeWait(socket: Socket): Milliseconds {
     const wait = this.#waits.get(socket) ?? 0;
@@ -373,12 +397,12 @@
 
   #exchange(
     call: Call,
-    { admitted, body }: { admitted: AdmittedRequest; body: Buffer },
+    { admitted, body }: { admitted: AdmittedRequest; body: RequestBody },
   ): void {
     const { request, response, callerResponse } = call;
     const method = request.method ?? "GET";
     const path = request.url ?? "/";
-    const traits = traitsOf(admitted, { method, path, body });
+    const traits = traitsOf(admitted, { method, path, body: body.bytes });
     const retryAfter = quarantineOfNew(traits, this.#context);
     if (retryAfter > 0) {
       this.#refundQuota(admitted);
@@ -401,11 +425,12 @@
         method,
         path,
         headerLines: pairHeaders(request.rawHeaders),
-        body,
+        body: body.bytes,
         traits,
       },
       response: callerResponse,
       onEnd: ({ hasRun }) => {
+        body.lease?.release();
         if (!hasRun) this.#refundQuota(admitted);
         if (!hasRun && hasCallerLeft(request, response)) {
           this.#countLeftUnsent();
@@ -431,8 +456,19 @@
   return { status: 429, reason: "over-quota", retryAfter };
 }
 
-function createBodyRefusal(error: Exclude<BodyError, "caller-left">): Refusal {
-  return error === "body-too-large"
-    ? { status: 413, reason: error }
-    : { status: 408, reason: error };
+/** Whatever becomes of a request, its body is not needed after it. */
+function releaseAtEnd(
+  { lease }: RequestBody,
+  { request, response }: Call,
+): void {
+  if (lease === undefined) return;
+  const { socket } = request;
+  const release = (): void => {
+    socket.off("close", release);
+    lease.release();
+  };
+  response.once("close", release);
+  // A response that waits for earlier ones is not told of it.
+  socket.once("close", release);
+  if (socket.destroyed) release();
 }
--- a/packages/gateway/src/refusalSampler.ts
+++ b/packages/gateway/src/refusalSampler.ts
@@ -5,8 +5,8 @@
 const SAMPLE = 10;
 const PERIOD_MS: Milliseconds = 1_000;
 /**
- * Reasons that are found on the head of a request. Callers repeat such requests,
- * and a log line for each costs more than the refusal.
+ * Reasons that are found before a request is complete. Callers repeat such
+ * requests, and a log line for each costs more than the refusal.
  */
 const SAMPLED_REASONS: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
   "no-policy",
@@ -18,6 +18,8 @@
   "over-quota",
   "host-behind",
   "stopping",
+  "memory",
+  "body-fragmented",
 ]);
 
 interface ReasonCount {
@@ -28,8 +30,7 @@
 
 /**
  * Selects the refusals to log: of each reason the first one of every second and
- * then one in ten. Refusals of other reasons than those of a request's head are
- * all logged.
+ * then one in ten. Refusals of other reasons are all logged.
  */
 export class RefusalSampler {
   readonly #counts = new Map<RefusalReason, ReasonCount>();
--- a/packages/gateway/src/requestAdmission.ts
+++ b/packages/gateway/src/requestAdmission.ts
@@ -27,6 +27,8 @@
   | "fields-too-large"
   | "body-too-large"
   | "body-too-slow"
+  | "body-fragmented"
+  | "memory"
   | "over-quota"
   | "host-behind"
   | "convicted"
--- a/packages/gateway/tests/helpers/fleet.ts
+++ b/packages/gateway/tests/helpers/fleet.ts
@@ -177,6 +177,10 @@
   readonly host?: string;
   /** Event-loop lag from which requests are shed. */
   readonly lowestLag?: number;
+  /** Bytes; no limit by default. */
+  readonly memoryLimit?: number;
+  /** No limit by default. */
+  readonly connectionLimit?: number;
   /** The system's timer by default. */
   readonly timer?: Timer;
 }
@@ -205,6 +209,8 @@
     host = "host",
     // Disables shedding by lag, as tests run in parallel on a busy machine.
     lowestLag = Infinity,
+    memoryLimit = Infinity,
+    connectionLimit = Infinity,
     timer = new SystemTimer(),
   }: GatewayStartOptions,
 ): Promise<RunningGateway | undefined> {
@@ -231,6 +237,8 @@
     quotaTolerance: { overrun: 0.25, slack: 0, span: 8_000 },
     warmupTolerance: { factor: 1, slack: 0 },
     lowestLag,
+    memoryLimit,
+    connectionLimit,
     connectTimeout: CONNECT_TIMEOUT_MS,
     shutdownGrace,
     dialect: new PlainDialect(),
