Bound the requests that a connection pipelines

Callers that sent requests on a connection without waiting for responses left all others unserved: every request was admitted, refused or ignored at the cost of a full one, and reading never stopped.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -16,6 +16,7 @@
 import { CallerListener } from "./callerListener.ts";
 import { CallerResponse } from "./callerResponse.ts";
 import { Exchange } from "./exchange.ts";
+import { closeAfterClientError } from "./clientErrors.ts";
 import { hasCallerLeft, onCallerLeave } from "./callerDeparture.ts";
 import { pairHeaders } from "./headers.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
@@ -34,6 +35,7 @@
 import { bindToOrigin } from "./streamTakeUp.ts";
 import type { ListenError } from "./listenError.ts";
 import { BodyLeases } from "./bodyLeases.ts";
+import { PipelineLimits } from "./pipelineLimits.ts";
 import { ParsingBudget } from "./parsingBudget.ts";
 import { type BodyError, readBody, type RequestBody } from "./requestBody.ts";
 
@@ -55,6 +57,9 @@
 /** Shortest time after which there may be memory for a large body. */
 const MEMORY_RETRY_MS: Milliseconds = 250;
 
+/** Each pipelined request adds some to its connection. */
+const LISTENERS_PER_CONNECTION = 128;
+
 /** Work that a host was spared, or that it could not do. */
 export interface UnservedCounts {
   /** How often all connections that waited to be accepted were reset. */
@@ -84,6 +89,7 @@
   readonly #refusals: RefusalWriter;
   readonly #bodyLeases: BodyLeases;
   readonly #parsing: ParsingBudget;
+  readonly #pipelines: PipelineLimits;
   #isCountingIterations = false;
   #queueDrops = 0;
   #leftUnsent = 0;
@@ -96,6 +102,11 @@
       metrics: context.metrics,
     });
     this.#parsing = new ParsingBudget(context.timer);
+    this.#pipelines = new PipelineLimits({
+      timer: context.timer,
+      metrics: context.metrics,
+      parsing: this.#parsing,
+    });
     this.#refusals = new RefusalWriter(
       context,
       (socket) => {
@@ -120,6 +131,10 @@
     });
     this.#listener = new CallerListener(this.#server, context.timer);
     this.#server.on("connection", (socket) => this.#track(socket));
+    this.#server.on(
+      "clientError",
+      (error, socket) => this.#handleClientError(error, socket as Socket),
+    );
     context.policies.addListener(({ policy }) =>
       this.#applyLimits(policy.limits)
     );
@@ -185,6 +200,7 @@
       this.#dropWaiting();
     }
     this.#sockets.add(socket);
+    socket.setMaxListeners(LISTENERS_PER_CONNECTION);
     socket.on("close", () => {
       this.#sockets.delete(socket);
       this.#busySockets.delete(socket);
@@ -220,6 +236,17 @@
     this.#server.keepAliveTimeout = idleTimeout;
   }
 
+  #handleClientError(error: Error, socket: Socket): void {
+    // What is incomplete was not read on, and responses are due before it.
+    if (this.#pipelines.isOverrun(socket) && !socket.destroyed) return;
+    const hasStarted = this.#latest.get(socket)?.hasStarted === true;
+    const due = this.#pipelines.dueOf(socket);
+    closeAfterClientError(socket, {
+      error,
+      isTold: due === 0 || due === 1 && !hasStarted,
+    });
+  }
+
   /** Admits a request by its head alone, or refuses it. */
   #receive(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
@@ -227,7 +254,9 @@
     // The caller sees the close and resends the request to another host.
     if (this.#closedSockets.has(socket)) return void socket.destroy();
     // It is left unread as well if it crosses the end of the connection.
+    if (!this.#pipelines.receive(socket)) return;
     if (this.#latest.get(socket)?.isLast === true) return;
+    this.#pipelines.watch(socket, response);
     const { isStopping } = this.#context;
     const callerResponse = new CallerResponse(
       response,
@@ -238,6 +267,7 @@
     const head = readHead(request, this.#context);
     const admitted = this.#admit(head, wait);
     if (admitted.isErr()) {
+      this.#pipelines.recordRefusal(socket);
       return this.#refusals.refuse(call, admitted.error);
     }
     const withinQuota = this.#checkQuota(admitted.value);
--- a/packages/gateway/src/readHold.ts
+++ b/packages/gateway/src/readHold.ts
@@ -1,18 +1,12 @@
 import type { Socket } from "node:net";
 
-/**
- * Stops reading from a connection. The HTTP server resumes connections on its own,
- * after each message for instance.
- */
+/** Stops reading from a connection, though the HTTP server may resume it. */
 export class ReadHold {
   readonly #socket: Socket;
   #isHeld = false;
 
   constructor(socket: Socket) {
     this.#socket = socket;
-    socket.on("resume", () => {
-      if (this.#isHeld) socket.pause();
-    });
   }
 
   get isHeld(): boolean {
@@ -21,13 +15,20 @@
 
   /** Stops reading; what was read already is still parsed. */
   hold(): void {
+    if (this.#isHeld) return;
     this.#isHeld = true;
-    this.#socket.pause();
+    // The server resumes a connection after each message.
+    this.#socket.on("resume", this.#pause);
+    this.#pause();
   }
 
+  /** Reads on unless another hold remains. */
   release(): void {
     if (!this.#isHeld) return;
     this.#isHeld = false;
+    this.#socket.off("resume", this.#pause);
     this.#socket.resume();
   }
+
+  readonly #pause = (): void => void this.#socket.pause();
 }
--- a/packages/gateway/tests/requestBodies.test.ts
+++ b/packages/gateway/tests/requestBodies.test.ts
@@ -4,9 +4,11 @@
 import test, { type ExecutionContext } from "ava";
 import { ParsingBudget } from "../src/parsingBudget.ts";
 import {
+  responseHead,
   type RunningGateway,
   sendRequest,
   startGateway,
+  startUpstream,
   waitUntil,
 } from "./helpers/fleet.ts";
 import {
@@ -14,7 +16,6 @@
   postHead,
   type RawCaller,
 } from "./helpers/rawCaller.ts";
-import { startServing } from "./helpers/simpleUpstreams.ts";
 
 /** The longest body of the tests' policy. */
 const LARGE_BYTES = 100_000;
@@ -24,9 +25,14 @@
 const STALL_MS = 1_200;
 
 async function setUp(t: ExecutionContext): Promise<RunningGateway> {
-  const upstream = await startServing();
+  const upstream = await startUpstream((received) => {
+    if (received.header("held") !== undefined) return;
+    const head = responseHead(received, { "content-length": 2 });
+    received.socket.write(`${head}ok`);
+  });
   const host = await startGateway({
     upstreams: [upstream],
+    route: { target: 20_000, timeout: 60_000 },
     memoryLimit: MEMORY_LIMIT,
   });
   t.teardown(() => host.close());
@@ -37,6 +43,18 @@
   return gateway.context.memory.bodies.used;
 }
 
+/** Sends a large request whose upstream does not respond. */
+async function holdLargeBody(
+  t: ExecutionContext,
+  host: RunningGateway,
+): Promise<void> {
+  const caller = await connectCaller(host);
+  t.teardown(() => caller.socket.destroy());
+  const head = postHead(LARGE_BYTES).replace("\r\n\r\n", "\r\nheld: 1\r\n\r\n");
+  caller.socket.write(head + "x".repeat(LARGE_BYTES));
+  await waitUntil(() => usedBytes(host) === LARGE_BYTES);
+}
+
 async function startBody(
   t: ExecutionContext,
   { host, length, sent = 0 }: {
@@ -56,8 +74,7 @@
   // Guards against bodies that are each within their limit and together end the
   // process.
   const host = await setUp(t);
-  await startBody(t, { host, length: LARGE_BYTES, sent: 90_000 });
-  await waitUntil(() => usedBytes(host) >= LARGE_BYTES);
+  await holdLargeBody(t, host);
   const refused = await startBody(t, { host, length: LARGE_BYTES });
   await waitUntil(() => refused.isClosed());
   t.regex(refused.seen(), /^HTTP\/1.1 503 [^]*retry-after: 0\.[234]/);
@@ -70,8 +87,7 @@
 test("a chunked body takes memory as it grows, and is refused where it does not fit", async (t) => {
   // Guards against lengths that are not known and not counted.
   const host = await setUp(t);
-  await startBody(t, { host, length: LARGE_BYTES, sent: 1 });
-  await waitUntil(() => usedBytes(host) >= LARGE_BYTES);
+  await holdLargeBody(t, host);
   const chunked = await startBody(t, { host, length: "chunked" });
   const chunk = "1000\r\n" + "x".repeat(0x1000) + "\r\n";
   for (let sent = 0; sent < 20; sent++) chunked.socket.write(chunk);
