--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -16,6 +16,7 @@
 import { CallerListener } from "./callerListener.ts";
 import { CallerResponse } from "./callerResponse.ts";
 import { Exchange } from "./exchange.ts";
+import { closeAfterClientError } from "./clientErrors.ts";
 import { hasCallerLeft, onCallerLeave } from "./callerDeparture.ts";
 import { pairHeaders } from "./headers.ts";
 import type { GatewayContext } from "./gatewayContext.ts";
@@ -33,7 +34,10 @@
 import { traitsOf } from "./requestTraits.ts";
 import { bindToOrigin } from "./streamTakeUp.ts";
 import type { ListenError } from "./listenError.ts";
-import { type BodyError, readBody } from "./requestBody.ts";
+import { BodyLeases } from "./bodyLeases.ts";
+import { PipelineLimits } from "./pipelineLimits.ts";
+import { ParsingBudget } from "./parsingBudget.ts";
+import { type BodyError, readBody, type RequestBody } from "./requestBody.ts";
 import { UnreadResponses } from "./unreadResponses.ts";
 
 /** Parser limit; the policy's own limit is checked for each request. */
@@ -51,6 +55,12 @@
 /** A host that ends sooner than this refuses new requests. */
 const MINIMUM_SERVING_MS: Milliseconds = 1_500;
 
+/** Shortest time after which there may be memory for a large body. */
+const MEMORY_RETRY_MS: Milliseconds = 250;
+
+/** Each pipelined request adds some to its connection. */
+const LISTENERS_PER_CONNECTION = 128;
+
 /** Work that a host was spared, or that it could not do. */
 export interface UnservedCounts {
   /** How often all connections that waited to be accepted were reset. */
@@ -79,12 +89,26 @@
   readonly #acceptBacklog = new ConnectionBacklog();
   readonly #refusals: RefusalWriter;
   readonly #unreadResponses: UnreadResponses;
+  readonly #bodyLeases: BodyLeases;
+  readonly #parsing: ParsingBudget;
+  readonly #pipelines: PipelineLimits;
   #isCountingIterations = false;
   #queueDrops = 0;
   #leftUnsent = 0;
 
   constructor(context: GatewayContext) {
     this.#context = context;
+    this.#bodyLeases = new BodyLeases({
+      budget: context.memory.bodies,
+      timer: context.timer,
+      metrics: context.metrics,
+    });
+    this.#parsing = new ParsingBudget(context.timer);
+    this.#pipelines = new PipelineLimits({
+      timer: context.timer,
+      metrics: context.metrics,
+      parsing: this.#parsing,
+    });
     this.#refusals = new RefusalWriter(
       context,
       (socket) => {
@@ -115,6 +139,10 @@
     });
     this.#listener = new CallerListener(this.#server, context.timer);
     this.#server.on("connection", (socket) => this.#track(socket));
+    this.#server.on(
+      "clientError",
+      (error, socket) => this.#handleClientError(error, socket as Socket),
+    );
     context.policies.addListener(({ policy }) =>
       this.#applyLimits(policy.limits)
     );
@@ -180,6 +208,7 @@
       this.#dropWaiting();
     }
     this.#sockets.add(socket);
+    socket.setMaxListeners(LISTENERS_PER_CONNECTION);
     socket.on("close", () => {
       this.#sockets.delete(socket);
       this.#busySockets.delete(socket);
@@ -215,6 +244,17 @@
     this.#server.keepAliveTimeout = idleTimeout;
   }
 
+  #handleClientError(error: Error, socket: Socket): void {
+    // What is incomplete was not read on, and responses are due before it.
+    if (this.#pipelines.isOverrun(socket) && !socket.destroyed) return;
+    const hasStarted = this.#latest.get(socket)?.hasStarted === true;
+    const due = this.#pipelines.dueOf(socket);
+    closeAfterClientError(socket, {
+      error,
+      isTold: due === 0 || due === 1 && !hasStarted,
+    });
+  }
+
   /** Admits a request by its head alone, or refuses it. */
   #receive(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
@@ -222,7 +262,9 @@
     // The caller sees the close and resends the request to another host.
     if (this.#closedSockets.has(socket)) return void socket.destroy();
     // It is left unread as well if it crosses the end of the connection.
+    if (!this.#pipelines.receive(socket)) return;
     if (this.#latest.get(socket)?.isLast === true) return;
+    this.#pipelines.watch(socket, response);
     const { isStopping } = this.#context;
     const callerResponse = new CallerResponse(
       response,
@@ -237,6 +279,7 @@
     const head = readHead(request, this.#context);
     const admitted = this.#admit(head, wait);
     if (admitted.isErr()) {
+      this.#pipelines.recordRefusal(socket);
       return this.#refusals.refuse(call, admitted.error);
     }
     const withinQuota = this.#checkQuota(admitted.value);
@@ -266,11 +309,14 @@
       maximumBytes: limits.maximumBodyBytes,
       idleTimeout: limits.idleTimeout,
       timer: this.#context.timer,
+      leases: this.#bodyLeases,
+      parsing: this.#parsing,
     });
     if (body.isErr()) {
       if (body.error === "caller-left") return;
-      return this.#refusals.refuse(call, createBodyRefusal(body.error));
+      return this.#refusals.refuse(call, this.#createBodyRefusal(body.error));
     }
+    releaseAtEnd(body.value, call);
     const charged = await this.#chargeQuota(admitted);
     if (charged.isErr()) {
       return this.#refuseOverQuota(call, charged.error, admitted);
@@ -326,6 +372,14 @@
     return { status: 503, reason: "host-behind", retryAfter };
   }
 
+  #createBodyRefusal(error: Exclude<BodyError, "caller-left">): Refusal {
+    if (error === "memory") {
+      const retryAfter = MEMORY_RETRY_MS * (1 + this.#context.random.float());
+      return { status: 503, reason: error, retryAfter };
+    }
+    return { status: error === "body-too-slow" ? 408 : 413, reason: error };
+  }
+
   /** Only the first request of a connection waited with it. */
   #takeWait(socket: Socket): Milliseconds {
     const wait = this.#waits.get(socket) ?? 0;
@@ -385,12 +439,12 @@
 
   #exchange(
     call: Call,
-    { admitted, body }: { admitted: AdmittedRequest; body: Buffer },
+    { admitted, body }: { admitted: AdmittedRequest; body: RequestBody },
   ): void {
     const { request, response, callerResponse } = call;
     const method = request.method ?? "GET";
     const path = request.url ?? "/";
-    const traits = traitsOf(admitted, { method, path, body });
+    const traits = traitsOf(admitted, { method, path, body: body.bytes });
     const retryAfter = quarantineOfNew(traits, this.#context);
     if (retryAfter > 0) {
       this.#refundQuota(admitted);
@@ -413,11 +467,12 @@
         method,
         path,
         headerLines: pairHeaders(request.rawHeaders),
-        body,
+        body: body.bytes,
         traits,
       },
       response: callerResponse,
       onEnd: ({ hasRun }) => {
+        body.lease?.release();
         if (!hasRun) this.#refundQuota(admitted);
         if (!hasRun && hasCallerLeft(request, response)) {
           this.#countLeftUnsent();
@@ -443,8 +498,19 @@
   return { status: 429, reason: "over-quota", retryAfter };
 }
 
-function createBodyRefusal(error: Exclude<BodyError, "caller-left">): Refusal {
-  return error === "body-too-large"
-    ? { status: 413, reason: error }
-    : { status: 408, reason: error };
+/** Whatever becomes of a request, its body is not needed after it. */
+function releaseAtEnd(
+  { lease }: RequestBody,
+  { request, response }: Call,
+): void {
+  if (lease === undefined) return;
+  const { socket } = request;
+  const release = (): void => {
+    socket.off("close", release);
+    lease.release();
+  };
+  response.once("close", release);
+  // A response that waits for earlier ones is not told of it.
+  socket.once("close", release);
+  if (socket.destroyed) release();
 }
