--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -19,6 +19,7 @@
   "store_lost",
   "store_regained",
   "store_history_lost",
+  "store_too_large",
   "store_era_changed",
   "peers_changed",
   "cell_kept",
