Ask at each step of a request whether a host that stops can still serve it

Callers saw requests cut without an answer at the end of a planned stop, among them ones that may not be repeated. Whether the process ends too soon was looked at once, when the head was read: not when the body was whole, not after waiting for quota, the origin of a stream or a slot, and not before another attempt.

The serving window knows when the process ends and how long a request usually lasts: by its size and the deviations of its route, or a fifth of the route's timeout until one was served. It is asked at each of these steps, and tells requests that wait when their latest start is reached. One that has not run is answered 503 "stopping" and takes no quota, one that may have run 502. What still runs at the end without a started response is answered 504, and callers have 200 ms to read it.

--- a/packages/admission/src/upstreamStats.ts
+++ b/packages/admission/src/upstreamStats.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds, ServiceId, UpstreamId } from "@wasabivane/common";
+import { AttemptDurationModel } from "./attemptDurationModel.ts";
 import { ResponseDurationModel } from "./responseDurationModel.ts";
 import { LatencyMargin } from "./latencyMargin.ts";
 import { FirstEventModel } from "./firstEventModel.ts";
@@ -54,6 +55,8 @@
   readonly firstEvents = new FirstEventModel(this.speed);
   readonly latencyMargins = new LatencyMargin();
   readonly responseDurations = new ResponseDurationModel(this.speed);
+  /** How long whole attempts may take. */
+  readonly attemptDurations = new AttemptDurationModel(this);
   readonly pauseRisks = new PauseRiskModel(this.speed);
   readonly warmup = new UpstreamWarmup();
   readonly rateLimits = new UpstreamRateLimits();
@@ -127,6 +130,10 @@
     const work = { service, upstream };
     const period = { from: now - residence, until: now };
     const { slowdowns } = this;
+    this.attemptDurations.observe(
+      { route, service, promptTokens: ownTokens, expectedTokens },
+      residence,
+    );
     const beforeFirstEvent = { ...period, until: period.from + latency };
     const expected = this.firstEvents.expected(service, {
       promptTokens: ownTokens,
--- a/packages/gateway/src/attemptPlan.ts
+++ b/packages/gateway/src/attemptPlan.ts
@@ -43,6 +43,8 @@
   readonly canRetry: boolean;
   /** Returns whether another upstream and retry budget are available now. */
   readonly hasAlternative: () => boolean;
+  /** Returns whether it can still be served before the process ends. */
+  readonly hasTime: () => boolean;
   readonly listener: AttemptListener;
 }
 
@@ -107,6 +109,7 @@
     timer,
     deadline: admitted.deadline,
     isUsable: () =>
+      inputs.hasTime() &&
       context.placementClient.isUsable(upstream.upstream, timer.now()) &&
       !isQuarantined(request.traits, context),
     hasEnded: () => hasEnded(upstream, context),
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -30,6 +30,7 @@
 } from "./requestAdmission.ts";
 import { quarantineOfNew } from "./quarantine.ts";
 import { type Call, RefusalWriter } from "./refusalWriter.ts";
+import { STOPPING_REFUSAL } from "./servingWindow.ts";
 import { traitsOf } from "./requestTraits.ts";
 import { bindToOrigin } from "./streamTakeUp.ts";
 import type { ListenError } from "./listenError.ts";
@@ -249,21 +250,30 @@
 
   async #serve(call: Call, admitted: AdmittedRequest): Promise<void> {
     const { request, response } = call;
+    const { servingWindow } = this.#context;
     const limits = this.#context.policies.index!.policy.limits;
     const body = await readBody(request, {
       maximumBytes: limits.maximumBodyBytes,
       idleTimeout: limits.idleTimeout,
       timer: this.#context.timer,
+      watchTime: (onLatestStart) =>
+        servingWindow.watch(admitted, { onLatestStart }),
     });
     if (body.isErr()) {
       if (body.error === "caller-left") return;
       return this.#refusals.refuse(call, createBodyRefusal(body.error));
     }
+    if (!servingWindow.hasTimeFor(admitted)) {
+      return this.#refusals.refuse(call, STOPPING_REFUSAL);
+    }
     const charged = await this.#chargeQuota(admitted);
     if (charged.isErr()) {
       return this.#refuseOverQuota(call, charged.error, admitted);
     }
-    const bound = await bindToOrigin(admitted, this.#context);
+    const bound = await servingWindow.whileTimeFor(admitted, {
+      step: bindToOrigin(admitted, this.#context),
+      onOver: () => err(STOPPING_REFUSAL),
+    });
     if (hasCallerLeft(request, response)) {
       this.#countLeftUnsent();
       return this.#refundQuota(admitted);
@@ -276,8 +286,8 @@
   }
 
   #isStoppingSoon(): boolean {
-    const { stopsAt, timer } = this.#context;
-    return stopsAt() - timer.now() < MINIMUM_SERVING_MS;
+    const { servingWindow, timer } = this.#context;
+    return servingWindow.endsAt - timer.now() < MINIMUM_SERVING_MS;
   }
 
   /** Admits a request that may have waited for so long to be accepted. */
@@ -286,9 +296,7 @@
     wait: Milliseconds,
   ): Result<AdmittedRequest, Refusal> {
     const { policies, random, timer, elapsed, lag } = this.#context;
-    if (this.#isStoppingSoon()) {
-      return err({ status: 503, reason: "stopping", retryAfter: 0 });
-    }
+    if (this.#isStoppingSoon()) return err(STOPPING_REFUSAL);
     const now = timer.now();
     if (this.#shouldShed(head, now)) return err(this.#createShedRefusal(now));
     return admitRequest(head, {
@@ -298,7 +306,15 @@
       now: now - lag.sustained,
       elapsedNow: elapsed.now(),
       readingDelay: Math.max(wait, ITERATIONS_TO_READ * lag.peak(now)),
-    });
+    }).andThen((admitted) => this.#checkTime(admitted));
+  }
+
+  /** Refuses a request that would not be served before the process ends. */
+  #checkTime(admitted: AdmittedRequest): Result<AdmittedRequest, Refusal> {
+    const { servingWindow } = this.#context;
+    return servingWindow.hasTimeFor(admitted)
+      ? ok(admitted)
+      : err(STOPPING_REFUSAL);
   }
 
   #shouldShed({ route, account }: RequestHead, now: Milliseconds): boolean {
@@ -333,8 +349,12 @@
   ): Promise<Result<void, Refusal>> {
     const request = this.#createQuotaRequest(admitted);
     if (request === undefined) return ok(undefined);
-    const { quotaGate } = this.#context;
-    const charged = await quotaGate.charge(request, admitted.deadline);
+    const { quotaGate, servingWindow } = this.#context;
+    const latestStart = servingWindow.latestStart(admitted);
+    const charged = await quotaGate.charge(
+      request,
+      Math.min(admitted.deadline, latestStart),
+    );
     return charged.mapErr(createQuotaRefusal);
   }
 
@@ -432,6 +452,7 @@
 }
 
 function createBodyRefusal(error: Exclude<BodyError, "caller-left">): Refusal {
+  if (error === "stopping") return STOPPING_REFUSAL;
   return error === "body-too-large"
     ? { status: 413, reason: error }
     : { status: 408, reason: error };
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -37,6 +37,7 @@
   type AdmittedRequest,
   type Refusal,
 } from "./requestAdmission.ts";
+import { STOPPING_REFUSAL, type WindowListener } from "./servingWindow.ts";
 import { isResumable, originIdOf } from "./streamTakeUp.ts";
 import {
   hasPossiblyRun,
@@ -70,11 +71,12 @@
  * A request counts as not run only if nothing was sent or every upstream that
  * received it reported so.
  */
-export class Exchange implements AttemptListener {
+export class Exchange implements AttemptListener, WindowListener {
   readonly #options: ExchangeOptions;
   readonly #retryState: RetryState;
   readonly #timings: RequestTimings;
   #deadlineTimer: TimerSubscription | undefined;
+  #windowWatch: TimerSubscription | undefined;
   #attempt: Attempt | undefined;
   #lastEventId: number | undefined;
   /** Version that began the stream; `undefined` before its first event. */
@@ -103,9 +105,22 @@
       Math.max(0, span),
       () => this.#onDeadline(),
     );
+    this.#windowWatch = context.servingWindow.watch(admitted, this);
     this.#requestSlot();
   }
 
+  /** Refuses a request that waits; one that was sent may go on until the end. */
+  onLatestStart(): void {
+    if (this.#isFinished || this.#attempt !== undefined) return;
+    if (!this.#hasTime()) this.#endForStop();
+  }
+
+  /** Responds as long as the process can; a response that has started is cut. */
+  onProcessEnd(): void {
+    if (this.#isFinished || this.#options.response.hasStarted) return;
+    this.#endForStop();
+  }
+
   /**
    * Handles a connection closed by the caller: ends all work for the request.
    */
@@ -183,7 +198,24 @@
     else this.#retryOrFail(attempt, end);
   }
 
+  /** A stream that has started goes on until the process ends. */
+  #hasTime(): boolean {
+    const { context, admitted, response } = this.#options;
+    return response.hasStarted || context.servingWindow.hasTimeFor(admitted);
+  }
+
+  #endForStop(): void {
+    const status = this.#attempt === undefined ? 502 : 504;
+    this.#abortWork("stopping");
+    this.#refuse(
+      this.#retryState.mayHaveRun
+        ? { status, reason: "stopping" }
+        : STOPPING_REFUSAL,
+    );
+  }
+
   #requestSlot(): void {
+    if (!this.#hasTime()) return this.#endForStop();
     const { context, admitted } = this.#options;
     const placementRequest = createPlacementRequest(admitted, {
       failureDomain: context.failureDomain,
@@ -242,6 +274,7 @@
       if (this.#now() >= this.#options.admitted.deadline) {
         return this.#onDeadline();
       }
+      if (!this.#hasTime()) return this.#endForStop();
       this.#send(slot);
     });
   }
@@ -267,6 +300,7 @@
           upstream.upstream,
           this.#softwareVersion,
         ),
+      hasTime: () => this.#hasTime(),
       listener: this,
     }));
     this.#beginPrefill(upstream);
@@ -473,6 +507,7 @@
     if (this.#isFinished) return;
     this.#isFinished = true;
     this.#deadlineTimer?.cancel();
+    this.#windowWatch?.cancel();
     const { context, admitted, onEnd } = this.#options;
     const now = this.#now();
     context.metrics.observe({
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -46,6 +46,7 @@
 import { QuotaGate } from "./quotaGate.ts";
 import { QuotaLog } from "./quotaLog.ts";
 import { QuotaSync } from "./quotaSync.ts";
+import { ServingWindow } from "./servingWindow.ts";
 import { StoreSharing } from "./storeSharing.ts";
 import { createPartCrashDetector } from "./createPartCrashDetector.ts";
 import { createStreamOrigins } from "./createStreamOrigins.ts";
@@ -66,6 +67,8 @@
 const MAXIMUM_UNREADY_SHARE = 0.35;
 /** Time between the process's own end and the platform's kill. */
 const STOP_MARGIN_MS: Milliseconds = 600;
+/** Time for callers to read the last responses. */
+const LAST_RESPONSES_MS: Milliseconds = 200;
 const STOP_CHECK_MS: Milliseconds = 50;
 const SHED_LOG_MS: Milliseconds = 1_000;
 
@@ -100,7 +103,6 @@
   readonly #quotaLog: QuotaLog;
   readonly #periodicChecks: PeriodicChecks;
   #isListening = false;
-  #stopsAt: Milliseconds = Infinity;
   #shutdown: Promise<void> | undefined;
   #isClosed = false;
   #shedLoggedAt: Milliseconds = -Infinity;
@@ -301,21 +303,31 @@
   }
 
   async #shutDown(): Promise<void> {
-    const { timer, log } = this.context;
+    const { timer, log, servingWindow } = this.context;
     const end = timer.now() + this.#options.shutdownGrace - STOP_MARGIN_MS;
-    this.#stopsAt = end;
+    servingWindow.close(end);
     log.write("stopping", { open: this.#callerServer.openRequests });
     const maximumWait = MAXIMUM_UNREADY_SHARE * this.#options.shutdownGrace;
     this.#links.stop();
     await this.#sleep(Math.min(UNREADY_WAIT_MS, maximumWait));
     this.#callerServer.stopListening();
     this.#callerServer.closeIdle();
-    while (this.#hasOpenWork && timer.now() < end) {
-      await this.#sleep(STOP_CHECK_MS);
+    await this.#waitForWork(end);
+    const unfinished = this.#callerServer.openRequests;
+    servingWindow.end();
+    await this.#waitForWork(end + LAST_RESPONSES_MS);
+    const cut = this.#callerServer.openRequests;
+    log.write("stopped", { open: unfinished, cut });
+    await this.close();
+  }
+
+  /** Waits until there is no open work, at most until the given time. */
+  async #waitForWork(until: Milliseconds): Promise<void> {
+    const { timer } = this.context;
+    while (this.#hasOpenWork && timer.now() < until) {
+      await this.#sleep(Math.min(STOP_CHECK_MS, until - timer.now()));
       this.#callerServer.closeIdle();
     }
-    log.write("stopped", { open: this.#callerServer.openRequests });
-    await this.close();
   }
 
   /** Closes everything at once; open requests are cut. */
@@ -342,7 +354,7 @@
   }
 
   get #isStopping(): boolean {
-    return this.#stopsAt !== Infinity;
+    return this.context.servingWindow.isClosing;
   }
 
   #createContext(): GatewayContext {
@@ -449,7 +461,11 @@
       isAlone: () => this.#isAlone(),
       retryingHosts: () => this.#fleetSize.estimate(timer.now()),
       isStopping: () => this.#isStopping,
-      stopsAt: () => this.#stopsAt,
+      servingWindow: new ServingWindow({
+        timer,
+        stats: upstreamStats,
+        guard: (origin, work) => errors.guard(origin, work),
+      }),
     };
   }
 
--- a/packages/gateway/src/gatewayContext.ts
+++ b/packages/gateway/src/gatewayContext.ts
@@ -33,6 +33,7 @@
 import type { MalformedReports } from "./malformedReports.ts";
 import type { PolicyState } from "./policyState.ts";
 import type { QuotaGate } from "./quotaGate.ts";
+import type { ServingWindow } from "./servingWindow.ts";
 import type { StreamOrigins } from "./streamOrigins.ts";
 import type { UncaughtErrors } from "./uncaughtErrors.ts";
 import type { UnknownHeaders } from "./unknownHeaders.ts";
@@ -117,6 +118,6 @@
    */
   readonly retryingHosts: () => number;
   readonly isStopping: () => boolean;
-  /** Returns when the process ends; `Infinity` unless it is stopping. */
-  readonly stopsAt: () => Milliseconds;
+  /** Which requests can still be served before the process ends. */
+  readonly servingWindow: ServingWindow;
 }
--- a/packages/gateway/src/requestBody.ts
+++ b/packages/gateway/src/requestBody.ts
@@ -1,10 +1,18 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
-import type { Milliseconds, Timer } from "@wasabivane/common";
+import type {
+  Milliseconds,
+  Timer,
+  TimerSubscription,
+} from "@wasabivane/common";
 import { err, ok, type Result } from "neverthrow";
 
 /** The reason why a body could not be read. */
-export type BodyError = "body-too-large" | "body-too-slow" | "caller-left";
+export type BodyError =
+  | "body-too-large"
+  | "body-too-slow"
+  | "caller-left"
+  | "stopping";
 
 const NO_BODY = Buffer.alloc(0);
 
@@ -13,10 +21,12 @@
  */
 export function readBody(
   request: IncomingMessage,
-  { maximumBytes, idleTimeout, timer }: {
+  { maximumBytes, idleTimeout, timer, watchTime }: {
     maximumBytes: number;
     idleTimeout: Milliseconds;
     timer: Timer;
+    /** Calls back when the request could no longer be served. */
+    watchTime: (onOver: () => void) => TimerSubscription;
   },
 ): Promise<Result<Buffer, BodyError>> {
   const length = bodyLength(request);
@@ -28,8 +38,10 @@
     const chunks: Buffer[] = [];
     let bytes = 0;
     let idleTimer = timer.after(idleTimeout, () => end(err("body-too-slow")));
+    const watch = watchTime(() => end(err("stopping")));
     const end = (result: Result<Buffer, BodyError>): void => {
       idleTimer.cancel();
+      watch.cancel();
       request.removeAllListeners("data");
       resolve(result);
     };
