End a stop in its grace whatever is left to close

Two hosts had not ended at the end of their grace. The stop awaited the close of all upstream connections without a limit. It now ends 0.2 s before the grace does at the latest, and logs stop_overdue then. Not traced whether that was what those hosts waited for.

The test that connections that do not close hold up no stop failed before and passes now.

--- a/packages/gateway/src/decisionLog.ts
+++ b/packages/gateway/src/decisionLog.ts
@@ -9,6 +9,7 @@
   "metrics_unavailable",
   "stopping",
   "stopped",
+  "stop_overdue",
   "ended",
   "memory_high",
   "settings_reloaded",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -69,6 +69,8 @@
 const STOP_MARGIN_MS: Milliseconds = 600;
 /** Time for callers to read the last responses. */
 const LAST_RESPONSES_MS: Milliseconds = 200;
+/** Time between the end of the grace and the latest end of the process. */
+const HARD_STOP_MARGIN_MS: Milliseconds = 200;
 const STOP_CHECK_MS: Milliseconds = 50;
 const SHED_LOG_MS: Milliseconds = 1_000;
 
@@ -302,7 +304,20 @@
     return this.#shutdown;
   }
 
-  async #shutDown(): Promise<void> {
+  #shutDown(): Promise<void> {
+    const { timer, log } = this.context;
+    const span = this.#options.shutdownGrace - HARD_STOP_MARGIN_MS;
+    return new Promise((resolve, reject) => {
+      const hardEnd = timer.after(span, () => {
+        log.write("stop_overdue", { open: this.#callerServer.openRequests });
+        resolve();
+      });
+      this.#finishAndClose().then(resolve, reject)
+        .finally(() => hardEnd.cancel());
+    });
+  }
+
+  async #finishAndClose(): Promise<void> {
     const { timer, log, servingWindow } = this.context;
     const end = timer.now() + this.#options.shutdownGrace - STOP_MARGIN_MS;
     servingWindow.close(end);
@@ -345,8 +360,8 @@
     this.context.streamOrigins.close();
     this.listConfirmation.close();
     this.#gossip.close();
-    await this.context.connections.close();
     this.#channel.close();
+    await this.context.connections.close();
   }
 
   get #hasOpenWork(): boolean {
--- a/packages/gateway/tests/servingWindow.test.ts
+++ b/packages/gateway/tests/servingWindow.test.ts
@@ -181,3 +181,17 @@
   await until(5_800);
   t.regex(open.text(), /^HTTP\/1.1 200 /);
 });
+
+test("a stop ends in its grace though connections do not close", async (t) => {
+  // Guards against processes that have to be killed.
+  const upstream = await startUpstream(() => {});
+  const { host, timer, until } = await startStoppingHost(t, {
+    upstreams: [upstream],
+  });
+  host.gateway.context.connections.close = () => new Promise(() => {});
+  let hasStopped = false;
+  const startedAt = timer.now();
+  void host.gateway.stop().then(() => (hasStopped = true));
+  await until(startedAt + 7_900);
+  t.true(hasStopped);
+});
