--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -46,6 +46,7 @@
 import { QuotaGate } from "./quotaGate.ts";
 import { QuotaLog } from "./quotaLog.ts";
 import { QuotaSync } from "./quotaSync.ts";
+import { ServingWindow } from "./servingWindow.ts";
 import { StoreSharing } from "./storeSharing.ts";
 import { createPartCrashDetector } from "./createPartCrashDetector.ts";
 import { createStreamOrigins } from "./createStreamOrigins.ts";
@@ -66,6 +67,10 @@
 const MAXIMUM_UNREADY_SHARE = 0.35;
 /** Time between the process's own end and the platform's kill. */
 const STOP_MARGIN_MS: Milliseconds = 600;
+/** Time for callers to read the last responses. */
+const LAST_RESPONSES_MS: Milliseconds = 200;
+/** Time between the end of the grace and the latest end of the process. */
+const HARD_STOP_MARGIN_MS: Milliseconds = 200;
 const STOP_CHECK_MS: Milliseconds = 50;
 const SHED_LOG_MS: Milliseconds = 1_000;
 
@@ -100,7 +105,6 @@
   readonly #quotaLog: QuotaLog;
   readonly #periodicChecks: PeriodicChecks;
   #isListening = false;
-  #stopsAt: Milliseconds = Infinity;
   #shutdown: Promise<void> | undefined;
   #isClosed = false;
   #shedLoggedAt: Milliseconds = -Infinity;
@@ -300,22 +304,45 @@
     return this.#shutdown;
   }
 
-  async #shutDown(): Promise<void> {
+  #shutDown(): Promise<void> {
     const { timer, log } = this.context;
+    const span = this.#options.shutdownGrace - HARD_STOP_MARGIN_MS;
+    return new Promise((resolve, reject) => {
+      const hardEnd = timer.after(span, () => {
+        log.write("stop_overdue", { open: this.#callerServer.openRequests });
+        resolve();
+      });
+      this.#finishAndClose().then(resolve, reject)
+        .finally(() => hardEnd.cancel());
+    });
+  }
+
+  async #finishAndClose(): Promise<void> {
+    const { timer, log, servingWindow } = this.context;
     const end = timer.now() + this.#options.shutdownGrace - STOP_MARGIN_MS;
-    this.#stopsAt = end;
+    servingWindow.close(end);
     log.write("stopping", { open: this.#callerServer.openRequests });
     const maximumWait = MAXIMUM_UNREADY_SHARE * this.#options.shutdownGrace;
     this.#links.stop();
     await this.#sleep(Math.min(UNREADY_WAIT_MS, maximumWait));
     this.#callerServer.stopListening();
     this.#callerServer.closeIdle();
-    while (this.#hasOpenWork && timer.now() < end) {
-      await this.#sleep(STOP_CHECK_MS);
+    await this.#waitForWork(end);
+    const unfinished = this.#callerServer.openRequests;
+    servingWindow.end();
+    await this.#waitForWork(end + LAST_RESPONSES_MS);
+    const cut = this.#callerServer.openRequests;
+    log.write("stopped", { open: unfinished, cut });
+    await this.close();
+  }
+
+  /** Waits until there is no open work, at most until the given time. */
+  async #waitForWork(until: Milliseconds): Promise<void> {
+    const { timer } = this.context;
+    while (this.#hasOpenWork && timer.now() < until) {
+      await this.#sleep(Math.min(STOP_CHECK_MS, until - timer.now()));
       this.#callerServer.closeIdle();
     }
-    log.write("stopped", { open: this.#callerServer.openRequests });
-    await this.close();
   }
 
   /** Closes everything at once; open requests are cut. */
@@ -333,8 +360,8 @@
     this.context.streamOrigins.close();
     this.listConfirmation.close();
     this.#gossip.close();
-    await this.context.connections.close();
     this.#channel.close();
+    await this.context.connections.close();
   }
 
   get #hasOpenWork(): boolean {
@@ -342,7 +369,7 @@
   }
 
   get #isStopping(): boolean {
-    return this.#stopsAt !== Infinity;
+    return this.context.servingWindow.isClosing;
   }
 
   #createContext(): GatewayContext {
@@ -450,7 +477,11 @@
       isAlone: () => this.#isAlone(),
       retryingHosts: () => this.#fleetSize.estimate(timer.now()),
       isStopping: () => this.#isStopping,
-      stopsAt: () => this.#stopsAt,
+      servingWindow: new ServingWindow({
+        timer,
+        stats: upstreamStats,
+        guard: (origin, work) => errors.guard(origin, work),
+      }),
     };
   }
 
--- a/packages/gateway/src/requestBody.ts
+++ b/packages/gateway/src/requestBody.ts
@@ -21,6 +21,7 @@
   | "body-too-slow"
   | "body-fragmented"
   | "memory"
+  | "stopping"
   | "caller-left";
 
 /** A complete body. */
@@ -38,6 +39,8 @@
   readonly timer: Timer;
   readonly leases: BodyLeases;
   readonly parsing: ParsingBudget;
+  /** Calls back when the request could no longer be served. */
+  readonly watchTime: (onOver: () => void) => TimerSubscription;
 }
 
 const NO_BODY = Buffer.alloc(0);
@@ -93,6 +96,7 @@
   #chunks = 0;
   #tinyChunks = 0;
   #idleTimer: TimerSubscription | undefined;
+  #timeWatch: TimerSubscription | undefined;
   #receivedAt: Milliseconds;
   #hold: ReadHold | undefined;
   #cancelWait: (() => void) | undefined;
@@ -108,11 +112,12 @@
   }
 
   start(): void {
-    const { leases, length, maximumBytes } = this.#options;
+    const { leases, length, maximumBytes, watchTime } = this.#options;
     const bytes = length ?? Math.min(SMALL_BODY_BYTES, maximumBytes);
     this.#lease = leases.open(bytes, () => this.#fail("body-too-slow"));
     if (this.#lease === undefined) return this.#fail("memory");
     this.#startIdleTimer(this.#options.idleTimeout);
+    this.#timeWatch = watchTime(() => this.#fail("stopping"));
     this.#request.on("data", this.#receive);
     this.#request.once("end", this.#finish);
     this.#request.once("close", this.#leave);
@@ -183,6 +188,7 @@
   #end(result: Result<RequestBody, BodyError>): void {
     this.#hasEnded = true;
     this.#idleTimer?.cancel();
+    this.#timeWatch?.cancel();
     this.#cancelWait?.();
     this.#hold?.release();
     this.#request.off("data", this.#receive);
