Charge tiny chunks what they cost, and keep floods of requests waiting

A connection that pipelined without end came back at once with as much; now it ends the later the more of it was ignored, and 16 requests may be without a response.

--- a/packages/common/src/byteCollector.ts
+++ b/packages/common/src/byteCollector.ts
@@ -28,7 +28,8 @@
         chunk.length,
         start + block.length - this.#used,
       );
-      block.set(chunk.subarray(start, end), this.#used);
+      const isWhole = end - start === chunk.length;
+      block.set(isWhole ? chunk : chunk.subarray(start, end), this.#used);
       this.#used += end - start;
       start = end;
     }
--- a/packages/gateway/src/parsingBudget.ts
+++ b/packages/gateway/src/parsingBudget.ts
@@ -3,7 +3,7 @@
 /** Share of one core. */
 const SHARE = 0.05;
 /** Processor time that may be spent at once. */
-const BURST_MS: Milliseconds = 200;
+const BURST_MS: Milliseconds = 100;
 /** Time for a connection that goes on to be read. */
 const MINIMUM_WAIT_MS: Milliseconds = 5;
 
--- a/packages/gateway/src/pipelineLimits.ts
+++ b/packages/gateway/src/pipelineLimits.ts
@@ -6,7 +6,7 @@
 import { ReadHold } from "./readHold.ts";
 
 /** Requests of one connection that may be without a complete response. */
-const MAXIMUM_UNANSWERED = 32;
+const MAXIMUM_UNANSWERED = 16;
 /** Requests of all connections that may be kept without being answered. */
 const MAXIMUM_IGNORED = 8_192;
 /** Requests of one connection that may be refused by their head in a period. */
@@ -14,6 +14,9 @@
 const REFUSAL_PERIOD_MS: Milliseconds = 100;
 /** Estimated processor time for a request that is ignored. */
 const REQUEST_COST_MS: Milliseconds = 0.02;
+/** Time that a connection stays open for each request that is ignored. */
+const IGNORED_DELAY_MS: Milliseconds = 5;
+const MAXIMUM_DELAY_MS: Milliseconds = 5_000;
 /** Time for a caller to read its last responses. */
 const LINGER_MS: Milliseconds = 1_000;
 
@@ -153,8 +156,23 @@
       );
   }
 
-  /** The caller comes back no sooner than its connections may cost again. */
-  #end({ socket }: Pipeline): void {
+  /** The longer the more was sent, as the caller may come back with as much. */
+  #end(pipeline: Pipeline): void {
+    const { timer } = this.#options;
+    const { socket } = pipeline;
+    // What was read already is counted by then.
+    const counted = timer.after(0, () => {
+      const delay = IGNORED_DELAY_MS * pipeline.ignored;
+      const waiting = timer.after(
+        Math.min(MAXIMUM_DELAY_MS, delay),
+        () => this.#close(socket),
+      );
+      socket.once("close", () => waiting.cancel());
+    });
+    socket.once("close", () => counted.cancel());
+  }
+
+  #close(socket: Socket): void {
     const { timer, parsing } = this.#options;
     const close = (): void => {
       socket.end();
--- a/packages/gateway/src/requestBody.ts
+++ b/packages/gateway/src/requestBody.ts
@@ -49,7 +49,7 @@
 /** A body may have so many tiny chunks however much is spent on others. */
 const TINY_CHUNKS_ALLOWED = 1_024;
 /** Estimated processor time for a chunk. */
-const CHUNK_COST_MS: Milliseconds = 0.003;
+const CHUNK_COST_MS: Milliseconds = 0.006;
 
 /**
  * Reads a complete body, limited in size, in the number of its chunks and in the
--- a/packages/gateway/tests/floodedPipelines.test.ts
+++ b/packages/gateway/tests/floodedPipelines.test.ts
@@ -16,7 +16,7 @@
 import { startServing } from "./helpers/simpleUpstreams.ts";
 
 /** Requests that one connection may have without a response. */
-const PENDING = 32;
+const PENDING = 16;
 const FLOOD = 5_000;
 /** Longer than the header timeout and the interval of its check. */
 const SLOW_MS = 4_500;
