Bound the callers' connections of a process

Callers could open connections until the process had no descriptors left, and hold 64 KB of an incomplete head with each.

Callers get half of the connections that the process may have, and a tenth of its memory for 16 KB each and for incomplete heads (14.9 KB a connection were measured, and 1.1 times the bytes of a head). Beyond that a connection without a request in progress is closed: one with an incomplete head first, then the one whose last request is the longest ago. Admitted requests are not cut; if all have one, the new connection is closed.

connectionLimits.test.ts: all three fail without the limit (the call of ConnectionLimits.add left out), and pass with it.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -16,6 +16,7 @@
 import { CallerListener } from "./callerListener.ts";
 import { CallerResponse } from "./callerResponse.ts";
 import { Exchange } from "./exchange.ts";
+import { ConnectionLimits } from "./connectionLimits.ts";
 import { closeAfterClientError } from "./clientErrors.ts";
 import { hasCallerLeft, onCallerLeave } from "./callerDeparture.ts";
 import { pairHeaders } from "./headers.ts";
@@ -90,11 +91,16 @@
   readonly #bodyLeases: BodyLeases;
   readonly #parsing: ParsingBudget;
   readonly #pipelines: PipelineLimits;
+  readonly #connectionLimits: ConnectionLimits;
   #isCountingIterations = false;
   #queueDrops = 0;
   #leftUnsent = 0;
 
-  constructor(context: GatewayContext) {
+  constructor(
+    context: GatewayContext,
+    { connectionLimit = Infinity }: { connectionLimit?: number | undefined } =
+      {},
+  ) {
     this.#context = context;
     this.#bodyLeases = new BodyLeases({
       budget: context.memory.bodies,
@@ -107,6 +113,14 @@
       metrics: context.metrics,
       parsing: this.#parsing,
     });
+    this.#connectionLimits = new ConnectionLimits({
+      timer: context.timer,
+      metrics: context.metrics,
+      budget: context.memory.connections,
+      connectionLimit,
+      isBusy: (socket) =>
+        this.#busySockets.has(socket) || this.#pipelines.dueOf(socket) > 0,
+    });
     this.#refusals = new RefusalWriter(
       context,
       (socket) => {
@@ -205,6 +219,7 @@
       this.#sockets.delete(socket);
       this.#busySockets.delete(socket);
     });
+    this.#connectionLimits.add(socket);
   }
 
   /**
@@ -255,6 +270,7 @@
     if (this.#closedSockets.has(socket)) return void socket.destroy();
     // It is left unread as well if it crosses the end of the connection.
     if (!this.#pipelines.receive(socket)) return;
+    this.#connectionLimits.recordRequest(socket);
     if (this.#latest.get(socket)?.isLast === true) return;
     this.#pipelines.watch(socket, response);
     const { isStopping } = this.#context;
@@ -277,6 +293,7 @@
     this.#addBusy(socket);
     response.once("close", () => {
       this.#removeBusy(socket);
+      this.#connectionLimits.recordRequest(socket);
       // The headers may have been sent without `connection: close`.
       if (isStopping() && !this.#busySockets.has(socket)) this.#close(socket);
     });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -131,7 +131,9 @@
     });
     this.#peerLog = new PeerLog(this.context);
     this.#quotaLog = new QuotaLog(this.context);
-    this.#callerServer = new CallerServer(this.context);
+    this.#callerServer = new CallerServer(this.context, {
+      connectionLimit: options.connectionLimit,
+    });
     this.#operatorServers = new OperatorServers({
       timer,
       data: this.#createOperatorData(),
