--- a/packages/gateway/tests/refusals.test.ts
+++ b/packages/gateway/tests/refusals.test.ts
@@ -16,6 +16,9 @@
 import { startServing } from "./helpers/simpleUpstreams.ts";
 
 const LONG_BODY_BYTES = 120_000;
+/** More than systems keep for a connection. */
+const VERY_LONG_BODY_BYTES = 50_000_000;
+const READING_DELAY_MS = 300;
 const PIECE_BYTES = 6_000;
 const BURST = 8;
 /** Time in which a quota refills at first, and until it has. */
@@ -157,6 +160,22 @@
   t.regex(stalling.received, /^HTTP\/1.1 429 /);
 });
 
+test("a caller of which more arrives than is discarded has time to read its refusal", async (t) => {
+  // Guards against a reset that destroys a response while its caller sends.
+  const { host } = await startOverQuota(t);
+  const caller = await openCaller(host);
+  caller.socket.pause();
+  caller.socket.write(headText(VERY_LONG_BODY_BYTES));
+  caller.socket.write(Buffer.alloc(VERY_LONG_BODY_BYTES));
+  // Reads only once the host has discarded what it may.
+  await sleep(READING_DELAY_MS);
+  caller.socket.resume();
+  await waitUntil(() => caller.isEnded || caller.error !== undefined);
+  t.is(caller.error, undefined);
+  t.regex(caller.received, /^HTTP\/1.1 429 [^]*"}$/);
+  caller.socket.destroy();
+});
+
 test("a host that stops counts callers that are still sending a refused request as open", async (t) => {
   // Guards against the end of a process that resets a connection whose refusal
   // is not read yet.
