Bound connections and requests at the ports for readiness, peers and metrics

Anybody could pipeline requests without end there, hold connections for good and send bodies without end; the load balancer and peers were not answered meanwhile. A connection now gets four pending requests and is closed beyond them; of more than 256 connections the one that is idle for longest is closed, so that idle ones keep nobody out; bodies are not read; heads, requests and silent connections have limits of time; a refused upgrade lingers for a second.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -139,6 +139,7 @@
       readinessPath: options.readinessPath,
       onPeerUpgrade: (request, socket, head) =>
         this.#links.handleUpgrade(request, socket, head),
+      onDrop: () => this.context.metrics.count("operator_connections_dropped"),
       log: this.context.log,
     });
     this.#channel = this.#createChannel();
--- a/packages/gateway/src/httpEndpoint.ts
+++ b/packages/gateway/src/httpEndpoint.ts
@@ -5,11 +5,27 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import type { Milliseconds } from "@wasabivane/common";
 import type { Result } from "neverthrow";
+import { ConnectionLimiter } from "./connectionLimiter.ts";
 import { listenAt } from "./listenAt.ts";
 import type { ListenError } from "./listenError.ts";
 
+const DEFAULT_CONNECTIONS = 256;
+const SERVER_OPTIONS = {
+  maxHeaderSize: 8 * 1_024,
+  headersTimeout: 2_000,
+  requestTimeout: 4_000,
+  keepAliveTimeout: 5_000,
+  connectionsCheckingInterval: 500,
+};
+/** Time for which a connection may neither receive nor send. */
+const IDLE_TIMEOUT_MS: Milliseconds = 10_000;
+/** Time that a refused caller has to close its connection. */
+const LINGER_MS: Milliseconds = 1_000;
+
 const NOT_FOUND: EndpointResponse = { status: 404 };
 const FAILED: EndpointResponse = { status: 500 };
 const METHODS: readonly (string | undefined)[] = ["GET", "HEAD"];
@@ -36,17 +52,42 @@
   head: Buffer,
 ) => void;
 
+/** Options of {@link serveEndpoint}. */
+export interface ServeOptions {
+  readonly onUpgrade?: UpgradeListener | undefined;
+  /** Connections above which idle ones are closed; without upgraded ones. */
+  readonly maximumConnections?: number | undefined;
+  /** Called for each connection that is closed for a limit. */
+  readonly onDrop?: (() => void) | undefined;
+}
+
+/** An endpoint and the address `ip:port` where it is served. */
+export interface EndpointLocation {
+  readonly endpoint: Endpoint;
+  readonly address: string;
+}
+
 /**
  * Serves GET and HEAD requests for one endpoint at `ip:port`. Uses `node:http`
  * alone, since web frameworks load the runtime's `fetch` API, which slows down
- * the start.
+ * the start. Anybody may connect, so connections, heads, pending requests and
+ * times are bounded, and no body is read.
  */
 export function serveEndpoint(
-  endpoint: Endpoint,
-  address: string,
-  onUpgrade?: UpgradeListener,
+  { endpoint, address }: EndpointLocation,
+  {
+    onUpgrade,
+    maximumConnections = DEFAULT_CONNECTIONS,
+    onDrop = () => {},
+  }: ServeOptions = {},
 ): Promise<Result<Server, ListenError>> {
-  const server = createServer((request, response) => {
+  const server = createServer(SERVER_OPTIONS, (request, response) => {
+    if (!limiter.begin(request, response)) return;
+    // A body would be read to its end otherwise.
+    if (hasBody(request)) {
+      response.setHeader("connection", "close");
+      response.once("finish", () => request.destroy());
+    }
     // The path is compared but never parsed, since parsing an invalid one may
     // throw.
     const [path, query] = (request.url ?? "").split("?", 2);
@@ -54,10 +95,27 @@
     if (!isMatch) return send(response, NOT_FOUND);
     void respondWith(endpoint, new URLSearchParams(query), response);
   });
-  if (onUpgrade !== undefined) server.on("upgrade", onUpgrade);
+  server.timeout = IDLE_TIMEOUT_MS;
+  const limiter = new ConnectionLimiter(server, { maximumConnections, onDrop });
+  if (onUpgrade !== undefined) {
+    server.on("upgrade", (request, socket: Socket, head) => {
+      limiter.release(socket);
+      onUpgrade(request, socket, head);
+      // Refused callers may keep their side open.
+      socket.once("finish", () => {
+        socket.setTimeout(LINGER_MS, () => socket.destroy());
+        socket.resume();
+      });
+    });
+  }
   return listenAt(server, address);
 }
 
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined ||
+    Number(headers["content-length"] ?? 0) !== 0;
+}
+
 async function respondWith(
   endpoint: Endpoint,
   query: URLSearchParams,
--- a/packages/gateway/src/operatorServers.ts
+++ b/packages/gateway/src/operatorServers.ts
@@ -34,6 +34,8 @@
   readonly readinessPath: string;
   /** Handles upgrade requests of peers. */
   readonly onPeerUpgrade: UpgradeListener;
+  /** Called for each connection that is closed for a limit. */
+  readonly onDrop: () => void;
 }
 
 /** Runs the HTTP servers for readiness, store snapshots and metrics. */
@@ -48,7 +50,8 @@
 
   /** Opens all ports; a host whose port for metrics is taken serves without. */
   async open(): Promise<Result<void, ListenError>> {
-    const { data, addresses, readinessPath, onPeerUpgrade } = this.#options;
+    const { data, addresses, readinessPath, onPeerUpgrade, onDrop } =
+      this.#options;
     const endpoints: {
       endpoint: Endpoint;
       address: string;
@@ -66,7 +69,7 @@
     ];
     for (const { endpoint, address, onUpgrade } of endpoints) {
       const server = await openPort(
-        () => serveEndpoint(endpoint, address, onUpgrade),
+        () => serveEndpoint({ endpoint, address }, { onUpgrade, onDrop }),
         this.#options,
       );
       if (server.isErr()) return err(server.error);
@@ -80,7 +83,10 @@
     const { data, addresses: { metrics }, timer, log } = this.#options;
     if (metrics === undefined || this.#isClosed) return;
     const { address, path } = metrics;
-    const server = await serveEndpoint(metricsEndpoint(data, path), address);
+    const endpoint = metricsEndpoint(data, path);
+    const server = await serveEndpoint({ endpoint, address }, {
+      onDrop: this.#options.onDrop,
+    });
     if (server.isOk()) return void this.#servers.push(server.value);
     log.write("metrics_unavailable", { detail: server.error.detail });
     timer.after(METRICS_RETRY_MS, () => void this.#openMetrics());
--- a/packages/gateway/tests/httpEndpoint.test.ts
+++ b/packages/gateway/tests/httpEndpoint.test.ts
@@ -17,7 +17,8 @@
 }
 
 async function startServer(endpoint: Endpoint): Promise<Server> {
-  return (await serveEndpoint(endpoint, "127.0.0.1:0"))._unsafeUnwrap();
+  return (await serveEndpoint({ endpoint, address: "127.0.0.1:0" }))
+    ._unsafeUnwrap();
 }
 
 test("a request with an invalid path gets 404 and does not stop the server", async (t) => {
@@ -55,3 +56,71 @@
   t.is(await sendRequestLine(server, "GET /p"), "200");
   server.close();
 });
+
+test("a connection that pipelines requests without end is closed", async (t) => {
+  // Guards against one stranger that keeps the process from all other work.
+  let served = 0;
+  const server = await startServer({
+    path: "/p",
+    respond: () => ({ status: 200, body: String(++served) }),
+  });
+  const { port } = server.address() as AddressInfo;
+  const socket = connect(port, "127.0.0.1");
+  t.teardown(() => {
+    socket.destroy();
+    server.close();
+  });
+  socket.resume().on("error", () => {});
+  socket.write("GET /p HTTP/1.1\r\nhost: h\r\n\r\n".repeat(2_000));
+  await new Promise((resolve) => {
+    socket.once("close", resolve);
+    setTimeout(resolve, 1_000);
+  });
+  t.true(served < 10, `${served} served`);
+  t.is(await sendRequestLine(server, "GET /p"), "200");
+});
+
+test("idle connections of strangers keep no caller out", async (t) => {
+  // Guards against a load balancer that takes a sound host out.
+  const server = await startServer({
+    path: "/p",
+    respond: () => ({ status: 200 }),
+  });
+  const { port } = server.address() as AddressInfo;
+  const idle = Array.from(
+    { length: 400 },
+    () => connect(port, "127.0.0.1").on("error", () => {}).resume(),
+  );
+  t.teardown(() => {
+    for (const socket of idle) socket.destroy();
+    server.close();
+  });
+  await Promise.all(
+    idle.map((socket) =>
+      new Promise((resolve) => socket.once("connect", resolve))
+    ),
+  );
+  t.is(await sendRequestLine(server, "GET /p"), "200");
+  const open = await new Promise<number>((resolve) =>
+    server.getConnections((_error, count) => resolve(count))
+  );
+  t.true(open <= 256, `${open} open`);
+});
+
+test("a body is not read", async (t) => {
+  // Guards against a stranger that sends one without end.
+  const server = await startServer({
+    path: "/p",
+    respond: () => ({ status: 200 }),
+  });
+  const { port } = server.address() as AddressInfo;
+  const socket = connect(port, "127.0.0.1").on("error", () => {}).resume();
+  socket.write("GET /p HTTP/1.1\r\nhost: h\r\ncontent-length: 900000\r\n\r\n");
+  const isClosed = await new Promise((resolve) => {
+    socket.once("close", () => resolve(true));
+    setTimeout(() => resolve(false), 1_000);
+  });
+  t.true(isClosed);
+  socket.destroy();
+  server.close();
+});
