--- a/packages/gateway/src/compressedBytes.ts
+++ b/packages/gateway/src/compressedBytes.ts
@@ -1,8 +1,5 @@
 import { gunzipSync, gzipSync } from "node:zlib";
 
-/** Size above which a compressed policy is taken for malformed. */
-const MAXIMUM_BYTES = 64 * 1_024 * 1_024;
-
 /** Compresses a document that is sent many times, and keeps the result. */
 export class CompressedBytes {
   #source: Uint8Array | undefined;
@@ -19,8 +16,14 @@
   }
 }
 
-/** Reverses {@link CompressedBytes.of}; throws for malformed bytes. */
-export function decompress(bytes: Uint8Array): Uint8Array {
+/**
+ * Reverses {@link CompressedBytes.of}; throws for malformed bytes and for a
+ * document of more than `maximumBytes`.
+ */
+export function decompress(
+  bytes: Uint8Array,
+  maximumBytes: number,
+): Uint8Array {
   if (bytes.length === 0) return bytes;
-  return new Uint8Array(gunzipSync(bytes, { maxOutputLength: MAXIMUM_BYTES }));
+  return new Uint8Array(gunzipSync(bytes, { maxOutputLength: maximumBytes }));
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -135,6 +135,7 @@
     this.#operatorServers = new OperatorServers({
       timer,
       data: this.#createOperatorData(),
+      memory: this.context.memory.snapshots,
       addresses: options.addresses,
       readinessPath: options.readinessPath,
       onPeerUpgrade: (request, socket, head) =>
--- a/packages/gateway/src/hostMemory.ts
+++ b/packages/gateway/src/hostMemory.ts
@@ -7,6 +7,7 @@
 const BODY_SHARE = 0.12;
 const RESPONSE_SHARE = 0.1;
 const TRANSFER_SHARE = 0.05;
+const SNAPSHOT_SHARE = 0.05;
 
 /** What the items of one process hold that others send, by kind. */
 export interface HostMemory {
@@ -16,6 +17,8 @@
   readonly responses: MemoryBudget;
   /** Contents of the store and of peers while they are received and decoded. */
   readonly transfers: MemoryBudget;
+  /** Snapshots that peers have not read yet. */
+  readonly snapshots: MemoryBudget;
 }
 
 /** Creates the budgets of a process that may use so many bytes. */
@@ -24,5 +27,6 @@
     bodies: new MemoryBudget({ limit: BODY_SHARE * limit }),
     responses: new MemoryBudget({ limit: RESPONSE_SHARE * limit }),
     transfers: new MemoryBudget({ limit: TRANSFER_SHARE * limit }),
+    snapshots: new MemoryBudget({ limit: SNAPSHOT_SHARE * limit }),
   };
 }
--- a/packages/gateway/src/httpEndpoint.ts
+++ b/packages/gateway/src/httpEndpoint.ts
@@ -7,7 +7,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
-import type { Milliseconds } from "@wasabivane/common";
+import type { MemoryLease, Milliseconds } from "@wasabivane/common";
 import type { Result } from "neverthrow";
 import { ConnectionLimiter } from "./connectionLimiter.ts";
 import { listenAt } from "./listenAt.ts";
@@ -35,6 +35,8 @@
   readonly status: number;
   readonly type?: string;
   readonly body?: string | Buffer;
+  /** Is released when the response has been read or given up. */
+  readonly lease?: MemoryLease;
 }
 
 /** Responds to requests for one path. */
@@ -130,8 +132,10 @@
 
 function send(
   response: ServerResponse,
-  { status, type, body = "" }: EndpointResponse,
+  { status, type, body = "", lease }: EndpointResponse,
 ): void {
+  if (response.closed) lease?.release();
+  else response.once("close", () => lease?.release());
   response.statusCode = status;
   if (type !== undefined) response.setHeader("content-type", type);
   response.end(body);
--- a/packages/gateway/src/operatorEndpoints.ts
+++ b/packages/gateway/src/operatorEndpoints.ts
@@ -3,6 +3,8 @@
   type Address,
   collectBody,
   type FailureDomain,
+  MemoryBudget,
+  type MemoryLease,
   type Milliseconds,
   StallTimeout,
   type Timer,
@@ -14,6 +16,7 @@
 import type { UpstreamListChange } from "./gossipMessage.ts";
 import type { Endpoint } from "./httpEndpoint.ts";
 import type { ListCheck } from "./listDigest.ts";
+import { sizeOfPackedValues } from "./packedValues.ts";
 import { expectSnapshot } from "./snapshotValues.ts";
 
 const packr = new Packr({ useRecords: false });
@@ -24,7 +27,15 @@
 const RESPONSE_TIMEOUT_MS: Milliseconds = 400;
 /** Time between two chunks of a response, which share the peer's link. */
 const CHUNK_TIMEOUT_MS: Milliseconds = 1_000;
-const MAXIMUM_SNAPSHOT_BYTES = 64 * 1_024 * 1_024;
+/** Time of the whole body. */
+const BODY_TIMEOUT_MS: Milliseconds = 20_000;
+/** Bytes that a snapshot, and the policy in it, may have on any host. */
+const SMALLEST_LIMIT = 8 * 1_024 * 1_024;
+const LARGEST_LIMIT = 64 * 1_024 * 1_024;
+/** Bytes that a snapshot holds for each of its own: its texts, bytes and copies. */
+const SNAPSHOT_FACTOR = 2;
+/** Copies of a policy while it is decompressed. */
+const POLICY_FACTOR = 2;
 
 /**
  * The versions that a host has; a requesting host is not sent what is not newer.
@@ -118,6 +129,7 @@
  */
 export function snapshotEndpoint(
   { createSnapshot }: OperatorData,
+  memory: MemoryBudget,
 ): Endpoint {
   const compressedPolicy = new CompressedBytes();
   return {
@@ -131,7 +143,11 @@
       };
       const snapshot = createSnapshot(known);
       const policy = compressedPolicy.of(snapshot.policy);
-      return { status: 200, body: packr.pack({ ...snapshot, policy }) };
+      const body = packr.pack({ ...snapshot, policy });
+      const lease = memory.reserve(body.length);
+      return lease === undefined
+        ? { status: 503 }
+        : { status: 200, body, lease };
     },
   };
 }
@@ -142,14 +158,27 @@
   return Number.isSafeInteger(version) && version >= 0 ? version : 0;
 }
 
+/** Options of {@link fetchSnapshot}. */
+export interface FetchOptions extends SnapshotVersions {
+  readonly timer: Timer;
+  /** Bounds what all snapshots hold while they are received and decoded. */
+  readonly memory?: MemoryBudget;
+}
+
 /** Fetches the snapshot of a peer. */
 export async function fetchSnapshot(
   address: Address,
-  { policyVersion, listRevision, timer }: SnapshotVersions & { timer: Timer },
+  { policyVersion, listRevision, timer, memory = new MemoryBudget() }:
+    FetchOptions,
 ): Promise<Result<StoreSnapshot, FetchError>> {
   const pool = new Pool(`http://${address}`);
   const query = `policy=${policyVersion}&list=${listRevision}&changes=1`;
   const timeout = new StallTimeout(timer, RESPONSE_TIMEOUT_MS);
+  const lease = memory.reserve(0)!;
+  const maximumBytes = Math.min(
+    LARGEST_LIMIT,
+    Math.max(SMALLEST_LIMIT, memory.limit),
+  );
   try {
     const response = await pool.request({
       method: "GET",
@@ -159,7 +188,9 @@
     const bytes = await collectBody(response.body, {
       timeout,
       span: CHUNK_TIMEOUT_MS,
-      maximumBytes: MAXIMUM_SNAPSHOT_BYTES,
+      wholeSpan: BODY_TIMEOUT_MS,
+      maximumBytes,
+      reserve: (count) => lease.resize(SNAPSHOT_FACTOR * count),
     });
     if (response.statusCode !== 200) {
       return err({
@@ -167,12 +198,27 @@
         detail: `status ${response.statusCode}`,
       });
     }
-    const snapshot = expectSnapshot(packr.unpack(bytes));
-    return ok({ ...snapshot, policy: decompress(snapshot.policy) });
+    return ok(decodeSnapshot(bytes, { lease, maximumBytes }));
   } catch (thrown) {
     return err({ kind: "unreachable", detail: String(thrown) });
   } finally {
     timeout.cancel();
+    lease.release();
     void pool.destroy();
   }
 }
+
+/** Throws for a snapshot that is malformed or holds too much. */
+function decodeSnapshot(
+  bytes: Uint8Array,
+  { lease, maximumBytes }: { lease: MemoryLease; maximumBytes: number },
+): StoreSnapshot {
+  const size = sizeOfPackedValues(bytes);
+  const limit = SNAPSHOT_FACTOR * maximumBytes;
+  if (size > limit || !lease.resize(lease.bytes + size)) {
+    throw new RangeError(`No memory for values of ${size} bytes`);
+  }
+  const snapshot = expectSnapshot(packr.unpack(bytes));
+  const policy = decompress(snapshot.policy, maximumBytes / POLICY_FACTOR);
+  return { ...snapshot, policy };
+}
--- a/packages/gateway/src/operatorServers.ts
+++ b/packages/gateway/src/operatorServers.ts
@@ -1,5 +1,5 @@
 import type { Server } from "node:http";
-import type { Address, Milliseconds } from "@wasabivane/common";
+import type { Address, MemoryBudget, Milliseconds } from "@wasabivane/common";
 import { err, ok, type Result } from "neverthrow";
 import type { ListenError } from "./listenError.ts";
 import {
@@ -30,6 +30,8 @@
 /** Options of {@link OperatorServers}. */
 export interface OperatorServersOptions extends OpenPortOptions {
   readonly data: OperatorData;
+  /** Bounds the snapshots that peers have not read yet. */
+  readonly memory: MemoryBudget;
   readonly addresses: OperatorAddresses;
   readonly readinessPath: string;
   /** Handles upgrade requests of peers. */
@@ -50,7 +52,7 @@
 
   /** Opens all ports; a host whose port for metrics is taken serves without. */
   async open(): Promise<Result<void, ListenError>> {
-    const { data, addresses, readinessPath, onPeerUpgrade, onDrop } =
+    const { data, memory, addresses, readinessPath, onPeerUpgrade, onDrop } =
       this.#options;
     const endpoints: {
       endpoint: Endpoint;
@@ -62,7 +64,7 @@
         address: addresses.readiness,
       },
       {
-        endpoint: snapshotEndpoint(data),
+        endpoint: snapshotEndpoint(data, memory),
         address: addresses.peers,
         onUpgrade: onPeerUpgrade,
       },
--- a/packages/gateway/src/snapshotFetcher.ts
+++ b/packages/gateway/src/snapshotFetcher.ts
@@ -54,7 +54,11 @@
     const { peers, context, apply } = this.#options;
     const {
       requestSnapshot = (ip, known) =>
-        fetchSnapshot(ip, { ...known, timer: context.timer }),
+        fetchSnapshot(ip, {
+          ...known,
+          timer: context.timer,
+          memory: context.memory.transfers,
+        }),
     } = this.#options;
     const address = peers.addressOf(peer);
     if (address === undefined) return true;
