--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -141,10 +141,12 @@
     this.#operatorServers = new OperatorServers({
       timer,
       data: this.#createOperatorData(),
+      memory: this.context.memory.snapshots,
       addresses: options.addresses,
       readinessPath: options.readinessPath,
       onPeerUpgrade: (request, socket, head) =>
         this.#links.handleUpgrade(request, socket, head),
+      onDrop: () => this.context.metrics.count("operator_connections_dropped"),
       log: this.context.log,
     });
     this.#channel = this.#createChannel();
--- a/packages/gateway/src/hostMemory.ts
+++ b/packages/gateway/src/hostMemory.ts
@@ -8,6 +8,7 @@
 const RESPONSE_SHARE = 0.1;
 const TRANSFER_SHARE = 0.05;
 const CONNECTION_SHARE = 0.1;
+const SNAPSHOT_SHARE = 0.05;
 
 /** What the items of one process hold that others send, by kind. */
 export interface HostMemory {
@@ -19,6 +20,8 @@
   readonly transfers: MemoryBudget;
   /** Callers' connections, with what they have sent of incomplete heads. */
   readonly connections: MemoryBudget;
+  /** Snapshots that peers have not read yet. */
+  readonly snapshots: MemoryBudget;
 }
 
 /** Creates the budgets of a process that may use so many bytes. */
@@ -28,5 +31,6 @@
     responses: new MemoryBudget({ limit: RESPONSE_SHARE * limit }),
     transfers: new MemoryBudget({ limit: TRANSFER_SHARE * limit }),
     connections: new MemoryBudget({ limit: CONNECTION_SHARE * limit }),
+    snapshots: new MemoryBudget({ limit: SNAPSHOT_SHARE * limit }),
   };
 }
