--- a/packages/gateway/src/pipelineLimits.ts
+++ b/packages/gateway/src/pipelineLimits.ts
@@ -139,7 +139,10 @@
     this.#ignored++;
     if (this.#ignored <= MAXIMUM_IGNORED) return;
     if (pipeline.socket.destroyed) return;
-    this.#findLargest()?.socket.destroy();
+    const largest = this.#findLargest();
+    if (largest === undefined) return;
+    if (largest.due > 0) this.#options.metrics.count("pipelines_cut");
+    largest.socket.destroy();
   }
 
   /** Of those without a due response, if there are any. */
