--- a/packages/gateway/tests/relayBounds.test.ts
+++ b/packages/gateway/tests/relayBounds.test.ts
@@ -50,6 +50,27 @@
   }
 });
 
+test.serial("a relay without memory is cut, and small messages pass", async (t) => {
+  // Guards against relays that hold more than the host has.
+  const upstream = await startUpstream(() => {});
+  const { inTouch } = await startCutPair(t, [upstream], {
+    memoryLimit: 16 * MIB,
+  });
+  const { memory, metrics } = inTouch.gateway.context;
+  memory.responses.reserve(memory.responses.limit);
+  const webSocket = new WebSocket(
+    `ws://${inTouch.peerAddress}${relayPathOf("u0")}`,
+  );
+  webSocket.on("error", () => {});
+  await new Promise((resolve) => webSocket.once("open", resolve));
+  webSocket.send(Buffer.from("GET / HTTP/1.1\r\n\r\n"));
+  await waitUntil(() => upstream.received.length === 1);
+  webSocket.send(Buffer.alloc(MIB));
+  await new Promise((resolve) => webSocket.once("close", resolve));
+  t.regex(await metrics.text(), /"relays_cut_memory"} 1\b/);
+  t.is(memory.responses.used, memory.responses.limit);
+});
+
 test.serial("a relayed socket sends large writes in parts and joins small messages", async (t) => {
   // Guards against copies of whole bodies, and an object for each byte.
   const server = new WebSocketServer({ host: "127.0.0.1", port: 0 });
