Spend little on floods of malformed datagrams

Each malformed row of a message cost an exception, up to some 20,000 in one datagram, and each datagram of a stranger was parsed.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -530,6 +530,7 @@
       now: () => timer.now(),
       onMessage: (message) => this.#receive(message),
       onMalformed: () => this.context.metrics.count("peer_words_malformed"),
+      onDrop: () => this.context.metrics.count("peer_words_dropped"),
       onTraffic: (direction, bytes) => {
         this.context.metrics.count(`peer_words_${direction}`);
         this.context.metrics.count(`peer_bytes_${direction}`, bytes);
--- a/packages/gateway/src/peerChannel.ts
+++ b/packages/gateway/src/peerChannel.ts
@@ -1,7 +1,8 @@
 import type { Buffer } from "node:buffer";
-import { createSocket, type Socket } from "node:dgram";
+import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
 import type { Address, Milliseconds } from "@wasabivane/common";
 import { err, ok, type Result } from "neverthrow";
+import { DatagramFilter } from "./datagramFilter.ts";
 import { PORT_TAKEN, type PortError } from "./openPort.ts";
 import {
   decodeMessage,
@@ -20,6 +21,8 @@
   readonly now: () => Milliseconds;
   readonly onMessage: (message: PeerMessage) => void;
   readonly onMalformed: (detail: string) => void;
+  /** Called for each datagram of a source that sent too many malformed ones. */
+  readonly onDrop?: () => void;
   /** Called for each datagram, to count traffic. */
   readonly onTraffic: (direction: "heard" | "sent", bytes: number) => void;
 }
@@ -32,12 +35,13 @@
 export class PeerChannel {
   readonly #socket: Socket = createSocket("udp4");
   readonly #options: PeerChannelOptions;
+  readonly #filter = new DatagramFilter();
   /** The runtime binds a socket that sends before it is bound to another port. */
   #isOpen = false;
 
   constructor(options: PeerChannelOptions) {
     this.#options = options;
-    this.#socket.on("message", (bytes) => this.#receive(bytes));
+    this.#socket.on("message", (bytes, from) => this.#receive(bytes, from));
   }
 
   open(address: string): Promise<Result<void, ChannelError>> {
@@ -76,12 +80,17 @@
     this.#socket.close();
   }
 
-  #receive(bytes: Buffer): void {
-    const { now, onMessage, onMalformed, onTraffic } = this.#options;
+  #receive(bytes: Buffer, { address, port }: RemoteInfo): void {
+    const { now, onMessage, onMalformed, onDrop, onTraffic } = this.#options;
     onTraffic("heard", bytes.length);
+    const source = `${address}:${port}`;
+    if (!this.#filter.accepts(source, now())) return onDrop?.();
     decodeMessage(bytes, now()).match(
       onMessage,
-      ({ detail }) => onMalformed(detail),
+      ({ detail }) => {
+        this.#filter.recordMalformed(source);
+        onMalformed(detail);
+      },
     );
   }
 }
--- a/packages/gateway/src/peerMessage.ts
+++ b/packages/gateway/src/peerMessage.ts
@@ -77,6 +77,8 @@
 
 const FORMAT_VERSION = 17;
 const MAXIMUM_HOSTS = 100_000;
+/** How each encoded message begins. */
+const PREFIX = Buffer.from(`[${FORMAT_VERSION},"`);
 const TEXT_DECODER = new TextDecoder();
 
 /**
@@ -343,11 +345,12 @@
   bytes: Uint8Array,
   now: Milliseconds,
 ): Result<PeerMessage, MessageError> {
+  // Parsing a large datagram costs far more than comparing its first bytes.
+  if (!PREFIX.equals(bytes.subarray(0, PREFIX.length))) {
+    return malformed("Unknown message format");
+  }
   try {
-    const [format, kind, body] = expectArray(
-      JSON.parse(TEXT_DECODER.decode(bytes)),
-    );
-    if (format !== FORMAT_VERSION) return malformed("Unknown message format");
+    const [, kind, body] = expectArray(JSON.parse(TEXT_DECODER.decode(bytes)));
     return decodeBody(expectString(kind), expectArray(body), now);
   } catch (thrown) {
     return malformed(String(thrown));
--- a/packages/gateway/src/rowValues.ts
+++ b/packages/gateway/src/rowValues.ts
@@ -76,17 +76,25 @@
   return expectArray(value).map(expectArray);
 }
 
-/** Decodes rows, and leaves out those with a value that is out of range. */
+/** Rows that may be left out of a message that is otherwise sound. */
+const MAXIMUM_REJECTED_ROWS = 32;
+
+/**
+ * Decodes rows, and leaves out those with a value that is out of range. Throws if
+ * there are many of them, as each costs far more than a sound one.
+ */
 export function selectRows<Value>(
   value: unknown,
   decode: (row: Row) => Value,
 ): Value[] {
   const decoded: Value[] = [];
+  let rejected = 0;
   for (const row of expectRows(value)) {
     try {
       decoded.push(decode(row));
-    } catch {
+    } catch (thrown) {
       // The other rows of the message hold.
+      if (++rejected > MAXIMUM_REJECTED_ROWS) throw thrown;
     }
   }
   return decoded;
