Bound what a host keeps of names that messages of peers tell

A report holds for five seconds at most, and only for a host that is known.

The bounds of coordinators and of the time of a report have no test of their own yet.

--- a/packages/admission/src/cellSnapshots.ts
+++ b/packages/admission/src/cellSnapshots.ts
@@ -4,6 +4,8 @@
 
 /** Older snapshots say nothing about free slots. */
 const MAXIMUM_SNAPSHOT_AGE_MS: Milliseconds = 1_000;
+/** Cells that replies of coordinators may name. */
+const MAXIMUM_CELLS = 1_024;
 /** Share of all slots that must be free for cells to count as idle. */
 const IDLE_FREE_SHARE = 0.25;
 
@@ -15,9 +17,13 @@
   update(snapshot: CellSnapshot): void {
     const key = cellKeyOf(snapshot.cell);
     const known = this.#snapshots.get(key);
-    if (known === undefined || known.at <= snapshot.at) {
-      this.#snapshots.set(key, snapshot);
-    }
+    if (known !== undefined && known.at > snapshot.at) return;
+    // Keeps the snapshots in order of time.
+    this.#snapshots.delete(key);
+    this.#snapshots.set(key, snapshot);
+    if (this.#snapshots.size <= MAXIMUM_CELLS) return;
+    const [oldest] = this.#snapshots.keys();
+    this.#snapshots.delete(oldest!);
   }
 
   /** Returns the snapshot of a cell; `undefined` without a recent one. */
--- a/packages/admission/src/quotaLedger.ts
+++ b/packages/admission/src/quotaLedger.ts
@@ -21,6 +21,8 @@
 const SUCCESSION_MS: Milliseconds = 1_500;
 /** Longest time between two reports for which buckets are refilled. */
 const MAXIMUM_GAP_MS: Milliseconds = 500;
+/** Hosts that may report at the same time. */
+const MAXIMUM_HOSTS = 2_048;
 /** Time in which accounts get what a new ledger starts with. */
 const SETTLING_MS: Milliseconds = 700;
 /** How long a report that slots are idle holds. */
@@ -110,6 +112,10 @@
       this.#forget(report.host);
       return this.#createGrants(new Map(), now);
     }
+    const isFull = this.#reportedAt.size >= MAXIMUM_HOSTS;
+    if (isFull && !this.#reportedAt.has(report.host)) {
+      return this.#createGrants(new Map(), now);
+    }
     this.#reportedAt.set(report.host, now);
     const accounts = new Map(
       report.demands.map((demand) => [
--- a/packages/gateway/src/cellRouter.ts
+++ b/packages/gateway/src/cellRouter.ts
@@ -27,6 +27,8 @@
  */
 const SNAPSHOT_RECIPIENTS = 8;
 /** Maximum age of a forwarded snapshot of another cell. */
+/** Cells that others may name to this host, of any service. */
+const MAXIMUM_CELLS = 1_024;
 const MAXIMUM_SNAPSHOT_AGE_MS: Milliseconds = 400;
 
 const SLOT_LOG_INTERVAL_MS: Milliseconds = 1_000;
@@ -93,7 +95,7 @@
 
   /** Processes an update; a host that receives one coordinates the cell. */
   receiveUpdate(update: CellUpdate): void {
-    this.#coordinatorOf(update.cell).receive(update, this.#now());
+    this.#coordinatorOf(update.cell)?.receive(update, this.#now());
   }
 
   /** Processes a coordinator's reply. */
@@ -113,10 +115,20 @@
   /** Stores snapshots of other cells. */
   receiveSnapshots(snapshots: readonly CellSnapshot[]): void {
     for (const snapshot of snapshots) {
-      this.#snapshots.set(cellKeyOf(snapshot.cell), snapshot);
+      this.#keepSnapshot(snapshot);
     }
   }
 
+  /** Drops the snapshot that was not renewed for longest if there are too many. */
+  #keepSnapshot(snapshot: CellSnapshot): void {
+    const key = cellKeyOf(snapshot.cell);
+    this.#snapshots.delete(key);
+    this.#snapshots.set(key, snapshot);
+    if (this.#snapshots.size <= MAXIMUM_CELLS) return;
+    const [oldest] = this.#snapshots.keys();
+    this.#snapshots.delete(oldest!);
+  }
+
   /** Checks all queues, and sends due updates and snapshots. */
   tick(now: Milliseconds): void {
     const { errors } = this.#options.context();
@@ -143,10 +155,12 @@
     this.#options.placementClient.review(now);
   }
 
-  #coordinatorOf(cell: Cell): CellCoordinator {
+  /** Returns `undefined` if this host coordinates too many cells already. */
+  #coordinatorOf(cell: Cell): CellCoordinator | undefined {
     const key = cellKeyOf(cell);
     const known = this.#coordinators.get(key);
     if (known !== undefined) return known;
+    if (this.#coordinators.size >= MAXIMUM_CELLS) return undefined;
     const coordinator = this.#createCoordinator(cell);
     this.#coordinators.set(key, coordinator);
     return coordinator;
@@ -224,7 +238,7 @@
     const { placementClient, send } = this.#options;
     const snapshot = coordinator.snapshot(now);
     const key = cellKeyOf(coordinator.cell);
-    this.#snapshots.set(key, snapshot);
+    this.#keepSnapshot(snapshot);
     const others = placementClient.cellsOf(coordinator.cell.service)
       .filter((cell) => cellKeyOf(cell) !== key)
       .map((cell) => placementClient.coordinators.coordinatorOf(cell, now));
--- a/packages/gateway/src/gossipProtocol.ts
+++ b/packages/gateway/src/gossipProtocol.ts
@@ -50,6 +50,8 @@
  * Entries of one kind in a message, so that a datagram fits into one packet.
  */
 const MAXIMUM_ROWS = 24;
+/** Time for which peers may have a host passed over. */
+const MAXIMUM_SKIP_MS: Milliseconds = 5_000;
 /** Changed upstreams in a message; for larger changes, peers fetch the list. */
 const MAXIMUM_CHANGED_UPSTREAMS = 6;
 /** Peer records in a heartbeat. */
@@ -239,6 +241,7 @@
   ): void {
     const {
       context: { directory },
+      peers,
       onUpstreamLeaving,
       onUnresponsiveHost,
     } = this.#options;
@@ -250,9 +253,11 @@
     this.#crashGossip.apply(rows, now);
     this.#partCrashGossip.apply(rows, now);
     for (const [host, span] of unresponsiveHosts) {
-      if (this.#unresponsiveHosts.has(host)) continue;
-      onUnresponsiveHost(host, now + span);
-      this.announceUnresponsive(host, now + span);
+      const isKnown = peers.addressOf(host) !== undefined;
+      if (!isKnown || this.#unresponsiveHosts.has(host)) continue;
+      const until = now + Math.min(MAXIMUM_SKIP_MS, span);
+      onUnresponsiveHost(host, until);
+      this.announceUnresponsive(host, until);
     }
   }
 
--- a/packages/gateway/src/peerDirectory.ts
+++ b/packages/gateway/src/peerDirectory.ts
@@ -24,6 +24,8 @@
  * Time for which messages are still sent to a lost peer, in case it returns.
  */
 const FORGET_MS: Milliseconds = 60_000;
+/** Hosts that messages may name; further ones are not taken in. */
+const MAXIMUM_PEERS = 2_048;
 /** Interval of messages to a seed that has not replied. */
 const SEED_RETRY_MS: Milliseconds = 200;
 /** Rendezvous key for the order of store readers. */
@@ -146,6 +148,8 @@
     const isOlder = previous !== undefined &&
       startedAt < previous.startedAt + MINIMUM_RESTART_MS;
     if (isOlder) return false;
+    const isFull = this.#peers.size >= MAXIMUM_PEERS;
+    if (previous === undefined && isFull) return false;
     this.#peers.set(host, {
       incarnation,
       address: record.address,
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -537,3 +537,14 @@
   ]);
   await host.close();
 });
+
+test("records of hosts without end fill no memory, and known hosts stay", (t) => {
+  // Guards against a stranger whose messages name new hosts all the time.
+  const directory = createDirectory();
+  t.true(directory.recordMessage(createRecord("known"), 1, 0));
+  for (let index = 0; index < 10_000; index++) {
+    directory.mergeRecord(createRecord(`stranger${index}`), 100);
+  }
+  t.true(directory.aliveCount < 3_000, `${directory.aliveCount}`);
+  t.true(directory.recordMessage(createRecord("known"), 2, 200));
+});
