Refuse a request that waits for quota at its latest start as stopping

A request whose wait for credit was cut short by the stop was answered 429, which sent its caller away though its account had units left.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -350,12 +350,15 @@
     const request = this.#createQuotaRequest(admitted);
     if (request === undefined) return ok(undefined);
     const { quotaGate, servingWindow } = this.#context;
-    const latestStart = servingWindow.latestStart(admitted);
-    const charged = await quotaGate.charge(
-      request,
-      Math.min(admitted.deadline, latestStart),
+    const charged = await quotaGate.charge(request, {
+      deadline: admitted.deadline,
+      latestStart: servingWindow.latestStart(admitted),
+    });
+    return charged.mapErr((refusal) =>
+      servingWindow.hasTimeFor(admitted)
+        ? createQuotaRefusal(refusal)
+        : STOPPING_REFUSAL
     );
-    return charged.mapErr(createQuotaRefusal);
   }
 
   #createQuotaRequest(
--- a/packages/gateway/src/quotaGate.ts
+++ b/packages/gateway/src/quotaGate.ts
@@ -37,12 +37,16 @@
   /** Takes the units of a request, which may wait for credit. */
   async charge(
     request: QuotaRequest,
-    deadline: Milliseconds,
+    { deadline, latestStart }: {
+      deadline: Milliseconds;
+      /** Until when the request must be sent. */
+      latestStart: Milliseconds;
+    },
   ): Promise<Result<void, OverQuota>> {
     const { quotas, timer, requestCredit } = this.#options;
     const now = timer.now();
-    const until = now +
-      Math.min(WAIT_MS, MAXIMUM_WAIT_SHARE * (deadline - now));
+    const span = Math.min(WAIT_MS, MAXIMUM_WAIT_SHARE * (deadline - now));
+    const until = Math.min(now + span, latestStart);
     for (;;) {
       const taken = quotas.take(request, timer.now());
       const isDecided = taken.isOk() || !taken.error.isPending;
