Open no relay on a host that was told to stop while it connects

A peer whose relay was accepted before the stop and opened after it never heard that the host stops. It went on using the relay, which was cut with all that ran over it at the end of the grace. Found by reading.

stoppingRelays.test.ts failed before and passes now.

--- a/packages/gateway/src/relayServer.ts
+++ b/packages/gateway/src/relayServer.ts
@@ -98,6 +98,10 @@
         return refuse(socket, `${STATUS_UNREACHABLE} Bad Gateway`);
       }
       if (socket.destroyed) return void connection.destroy();
+      if (this.#isStopping) {
+        connection.destroy();
+        return refuse(socket, "503 Service Unavailable");
+      }
       socket.once("close", () => connection.destroy());
       this.#webSockets.handleUpgrade(request, socket, head, (webSocket) => {
         this.#relay(upstream, connection, webSocket);
