Take no more than a sixth of a short grace for the end of a stop

With a grace of 2 s, a host cut its streams 0.6 s before the end of it, so that ones that would have ended between 1.4 and 1.67 s were lost. The margin is 0.6 s or a sixth of the grace, whichever is less; the last responses get a third of it to be read, and a third is left after the hard end. A grace of 8 s is as before.

The test of a short grace failed before and passes now.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -67,10 +67,12 @@
 const MAXIMUM_UNREADY_SHARE = 0.35;
 /** Time between the process's own end and the platform's kill. */
 const STOP_MARGIN_MS: Milliseconds = 600;
-/** Time for callers to read the last responses. */
-const LAST_RESPONSES_MS: Milliseconds = 200;
-/** Time between the end of the grace and the latest end of the process. */
-const HARD_STOP_MARGIN_MS: Milliseconds = 200;
+/** Largest share of the grace that is taken for that. */
+const MAXIMUM_MARGIN_SHARE = 1 / 6;
+/** Share of that time in which callers read the last responses. */
+const LAST_RESPONSES_SHARE = 1 / 3;
+/** Share of that time before the kill in which the process ends in any case. */
+const HARD_STOP_SHARE = 1 / 3;
 const STOP_CHECK_MS: Milliseconds = 50;
 const SHED_LOG_MS: Milliseconds = 1_000;
 
@@ -306,7 +308,8 @@
 
   #shutDown(): Promise<void> {
     const { timer, log } = this.context;
-    const span = this.#options.shutdownGrace - HARD_STOP_MARGIN_MS;
+    const span = this.#options.shutdownGrace -
+      HARD_STOP_SHARE * this.#stopMargin;
     return new Promise((resolve, reject) => {
       const hardEnd = timer.after(span, () => {
         log.write("stop_overdue", { open: this.#callerServer.openRequests });
@@ -319,7 +322,8 @@
 
   async #finishAndClose(): Promise<void> {
     const { timer, log, servingWindow } = this.context;
-    const end = timer.now() + this.#options.shutdownGrace - STOP_MARGIN_MS;
+    const margin = this.#stopMargin;
+    const end = timer.now() + this.#options.shutdownGrace - margin;
     servingWindow.close(end);
     log.write("stopping", { open: this.#callerServer.openRequests });
     const maximumWait = MAXIMUM_UNREADY_SHARE * this.#options.shutdownGrace;
@@ -330,7 +334,7 @@
     await this.#waitForWork(end);
     const unfinished = this.#callerServer.openRequests;
     servingWindow.end();
-    await this.#waitForWork(end + LAST_RESPONSES_MS);
+    await this.#waitForWork(end + LAST_RESPONSES_SHARE * margin);
     const cut = this.#callerServer.openRequests;
     log.write("stopped", { open: unfinished, cut });
     await this.close();
@@ -364,6 +368,11 @@
     await this.context.connections.close();
   }
 
+  get #stopMargin(): Milliseconds {
+    const share = MAXIMUM_MARGIN_SHARE * this.#options.shutdownGrace;
+    return Math.min(STOP_MARGIN_MS, share);
+  }
+
   get #hasOpenWork(): boolean {
     return this.#callerServer.openRequests > 0 || this.#links.relayCount > 0;
   }
--- a/packages/gateway/tests/servingWindow.test.ts
+++ b/packages/gateway/tests/servingWindow.test.ts
@@ -195,3 +195,21 @@
   await until(startedAt + 7_900);
   t.true(hasStopped);
 });
+
+test("a short grace is used up to its last sixth", async (t) => {
+  // Guards against a margin that takes a third of a short grace.
+  const upstream = await startUpstream(() => {});
+  const { send, stop, until } = await startStoppingHost(t, {
+    upstreams: [upstream],
+    shutdownGrace: 2_000,
+  });
+  const { text } = send("q1");
+  await waitUntil(() => upstream.received.length === 1);
+  await stop();
+  await until(1_600);
+  const [received] = upstream.received;
+  const head = responseHead(received!, { "content-length": 2 });
+  received!.socket.write(`${head}ok`);
+  await until(1_620);
+  t.regex(text(), /^HTTP\/1.1 200 /);
+});
