Deliver responses that are due before a malformed request

Callers whose connection sent a malformed or incomplete head behind a request in progress got 400 or 408 as the response to that request, though it had been passed on to an upstream: 408 promises that it never runs. Requests whose response had begun, or that waited behind another one, were cut.

The error belongs to what follows; so the connection is read no further and ends behind the responses that are due, as one does that pipelines too much. Only an error within the only request that is due is told.

--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -46,6 +46,11 @@
     return this.#isLast;
   }
 
+  /** Whether the request that it responds to has been received whole. */
+  get isRequestComplete(): boolean {
+    return this.#response.req.complete;
+  }
+
   get hasStarted(): boolean {
     return this.#response.headersSent;
   }
--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -248,12 +248,15 @@
   #handleClientError(error: Error, socket: Socket): void {
     // What is incomplete was not read on, and responses are due before it.
     if (this.#pipelines.isOverrun(socket) && !socket.destroyed) return;
-    const hasStarted = this.#latest.get(socket)?.hasStarted === true;
     const due = this.#pipelines.dueOf(socket);
-    closeAfterClientError(socket, {
-      error,
-      isTold: due === 0 || due === 1 && !hasStarted,
-    });
+    const latest = this.#latest.get(socket);
+    const isWhole = latest?.isRequestComplete === true;
+    // Requests that were received before the error may have been passed on.
+    if (!socket.destroyed && due > (isWhole ? 0 : 1)) {
+      return this.#pipelines.endBehindResponses(socket);
+    }
+    const isTold = due === 0 || latest?.hasStarted !== true;
+    closeAfterClientError(socket, { error, isTold });
   }
 
   /** Admits a request by its head alone, or refuses it. */
--- a/packages/gateway/src/pipelineLimits.ts
+++ b/packages/gateway/src/pipelineLimits.ts
@@ -64,6 +64,7 @@
     if (!pipeline.isOverrun) {
       pipeline.unanswered++;
       if (pipeline.unanswered <= MAXIMUM_UNANSWERED) return true;
+      this.#options.metrics.count("pipelines_overrun");
       this.#stopReading(pipeline);
     }
     this.#ignore(pipeline);
@@ -80,6 +81,12 @@
     return this.#pipelines.get(socket)?.isOverrun === true;
   }
 
+  /** Reads nothing more, and ends a connection behind the responses that are due. */
+  endBehindResponses(socket: Socket): void {
+    const pipeline = this.#pipelineOf(socket);
+    if (!pipeline.isOverrun) this.#stopReading(pipeline);
+  }
+
   /** Waits for the response to a request that was counted. */
   watch(socket: Socket, response: ServerResponse): void {
     const pipeline = this.#pipelineOf(socket);
@@ -120,7 +127,6 @@
 
   #stopReading(pipeline: Pipeline): void {
     pipeline.isOverrun = true;
-    this.#options.metrics.count("pipelines_overrun");
     pipeline.hold.hold();
     this.#overrun.add(pipeline);
     pipeline.socket.once("close", () => {
