Bound requests with an expectation like others

The HTTP server answered requests with an unknown expectation by itself (417), so that a connection could pipeline them without end: none of the bounds on pipelined and refused requests applied.

The new test fails before (5,000 requests were answered 417 in place of 32 that are served) and passes now.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -131,15 +131,12 @@
       keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS,
       connectionsCheckingInterval: HEADER_CHECK_MS,
       noDelay: true,
-    }, (request, response) => {
-      try {
-        this.#receive(request, response);
-      } catch (thrown) {
-        this.#abandon(response, thrown);
-      }
     });
     this.#listener = new CallerListener(this.#server, context.timer);
     this.#server.on("connection", (socket) => this.#track(socket));
+    this.#server.on("request", this.#handleRequest);
+    // The HTTP server would answer it without the bounds of other requests.
+    this.#server.on("checkExpectation", this.#handleRequest);
     this.#server.on(
       "clientError",
       (error, socket) => this.#handleClientError(error, socket as Socket),
@@ -259,6 +256,17 @@
     closeAfterClientError(socket, { error, isTold });
   }
 
+  readonly #handleRequest = (
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void => {
+    try {
+      this.#receive(request, response);
+    } catch (thrown) {
+      this.#abandon(response, thrown);
+    }
+  };
+
   /** Admits a request by its head alone, or refuses it. */
   #receive(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
--- a/packages/gateway/tests/clientErrors.test.ts
+++ b/packages/gateway/tests/clientErrors.test.ts
@@ -11,6 +11,8 @@
 const REQUEST = "GET /a/1 HTTP/1.1\r\nhost: plans.example\r\n" +
   "id: q\r\nkey: k\r\n\r\n";
 
+const FLOOD = 5_000;
+
 async function setUp(
   t: ExecutionContext,
   { delay = 0 }: { delay?: number } = {},
@@ -18,6 +20,7 @@
   const upstream = await startServing({}, { delay });
   const host = await startGateway({
     upstreams: [upstream],
+    slots: 32,
     route: { target: 20_000, timeout: 60_000 },
   });
   t.teardown(() => host.close());
@@ -57,3 +60,17 @@
   t.is(upstream.received.length, 0);
   t.regex(caller.seen(), /^HTTP\/1\.1 400 /);
 });
+
+test("requests with an unknown expectation are bounded like others", async (t) => {
+  // Guards against pipelined requests that the HTTP server answers by itself.
+  const { upstream, caller } = await setUp(t);
+  for (let index = 0; index < FLOOD; index++) {
+    caller.socket.write(
+      REQUEST.replace("id: q", `expect: more\r\nid: q${index}`),
+    );
+  }
+  await waitUntil(() => caller.isClosed());
+  t.is(caller.seen().split("HTTP/1.1 200 ").length - 1, 32);
+  t.is(caller.seen().split("HTTP/1.1 ").length - 1, 32);
+  t.is(upstream.received.length, 32);
+});
