--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -145,15 +145,12 @@
       keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS,
       connectionsCheckingInterval: HEADER_CHECK_MS,
       noDelay: true,
-    }, (request, response) => {
-      try {
-        this.#receive(request, response);
-      } catch (thrown) {
-        this.#abandon(response, thrown);
-      }
     });
     this.#listener = new CallerListener(this.#server, context.timer);
     this.#server.on("connection", (socket) => this.#track(socket));
+    this.#server.on("request", this.#handleRequest);
+    // The HTTP server would answer it without the bounds of other requests.
+    this.#server.on("checkExpectation", this.#handleRequest);
     this.#server.on(
       "clientError",
       (error, socket) => this.#handleClientError(error, socket as Socket),
@@ -263,13 +260,27 @@
   #handleClientError(error: Error, socket: Socket): void {
     // What is incomplete was not read on, and responses are due before it.
     if (this.#pipelines.isOverrun(socket) && !socket.destroyed) return;
-    const hasStarted = this.#latest.get(socket)?.hasStarted === true;
     const due = this.#pipelines.dueOf(socket);
-    closeAfterClientError(socket, {
-      error,
-      isTold: due === 0 || due === 1 && !hasStarted,
-    });
-  }
+    const latest = this.#latest.get(socket);
+    const isWhole = latest?.isRequestComplete === true;
+    // Requests that were received before the error may have been passed on.
+    if (!socket.destroyed && due > (isWhole ? 0 : 1)) {
+      return this.#pipelines.endBehindResponses(socket);
+    }
+    const isTold = due === 0 || latest?.hasStarted !== true;
+    closeAfterClientError(socket, { error, isTold });
+  }
+
+  readonly #handleRequest = (
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void => {
+    try {
+      this.#receive(request, response);
+    } catch (thrown) {
+      this.#abandon(response, thrown);
+    }
+  };
 
   /** Admits a request by its head alone, or refuses it. */
   #receive(request: IncomingMessage, response: ServerResponse): void {
