Discard the chunks of a refused body while they are parsed

A request that is refused by its head gets its refusal in the next step of the event loop.

The new test in refusals.test.ts finds 1,000 bytes kept on the code before, and none now.

--- a/packages/gateway/src/refusalWriter.ts
+++ b/packages/gateway/src/refusalWriter.ts
@@ -49,9 +49,13 @@
         ...describe?.(),
       });
     }
-    if (isShort(call.request)) this.#send(call, refusal);
+    if (isShort(call.request)) return this.#send(call, refusal);
+    // Each chunk that waits to be read is a buffer of its own.
+    if (bodyLength(call.request) === undefined) {
+      call.request.on("data", discard);
+    }
     // What was received together with the head is parsed until then.
-    else setImmediate(() => this.#send(call, refusal));
+    setImmediate(() => this.#send(call, refusal));
   }
 
   #log({ request }: Call, refusal: Refusal, inputs: LogValues): void {
@@ -83,6 +87,8 @@
   }
 }
 
+function discard(): void {}
+
 function isShort(request: IncomingMessage): boolean {
   return (bodyLength(request) ?? Infinity) <= SHORT_BODY_BYTES;
 }
--- a/packages/gateway/tests/refusals.test.ts
+++ b/packages/gateway/tests/refusals.test.ts
@@ -1,9 +1,12 @@
 import { Buffer } from "node:buffer";
 import { once } from "node:events";
-import { connect, type Socket } from "node:net";
+import { createServer } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { asId } from "@wasabivane/common";
 import test, { type ExecutionContext } from "ava";
+import { CallerResponse } from "../src/callerResponse.ts";
+import { RefusalWriter } from "../src/refusalWriter.ts";
 import { RefusalSampler } from "../src/refusalSampler.ts";
 import {
   buildPolicy,
@@ -227,6 +230,32 @@
   caller.socket.destroy();
 });
 
+test("nothing is kept of a body of unknown length whose request is refused", async (t) => {
+  // Guards against a buffer for each chunk until the refusal is written.
+  const { host } = await startOverQuota(t);
+  const writer = new RefusalWriter(host.gateway.context, () => {});
+  let kept: number | undefined;
+  const server = createServer((request, response) => {
+    setImmediate(() => kept = request.readableLength);
+    const callerResponse = new CallerResponse(response, () => false);
+    const call = { request, response, callerResponse };
+    writer.refuse(call, { status: 429, reason: "over-quota" });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const caller = await openCaller({ ...host, url: `http://127.0.0.1:${port}` });
+  const head = headText(0).replace(
+    "content-length: 0",
+    "transfer-encoding: chunked",
+  );
+  caller.socket.write(head + "1\r\nx\r\n".repeat(1_000));
+  await waitUntil(() => kept !== undefined);
+  t.is(kept, 0);
+  caller.socket.destroy();
+});
+
 test("a quota is charged only for requests whose body was read", async (t) => {
   // Guards against an account that pays for requests that never ran.
   const { host, upstream } = await startLimited(t);
