Look at a connection's first bytes before they are parsed

The runtime parses all requests of a chunk, some 2,000, before the first of them can be refused, so strangers who connected again and again with full chunks kept a host from answering the load balancer and its peers. The ports for readiness, peers and metrics now close a connection whose first bytes exceed a head or hold more than four requests, and for the next 1,000 requests after a flood close each connection behind its response.

--- a/packages/gateway/src/connectionLimiter.ts
+++ b/packages/gateway/src/connectionLimiter.ts
@@ -2,7 +2,9 @@
 import type { Socket } from "node:net";
 
 /** Requests of one connection that may wait for their response. */
-const MAXIMUM_PENDING = 4;
+export const MAXIMUM_PENDING = 4;
+/** Requests after a flood whose connections are closed behind their response. */
+const STRICT_REQUESTS = 1_000;
 
 /** Options of {@link ConnectionLimiter}. */
 export interface ConnectionLimiterOptions {
@@ -21,6 +23,9 @@
   /** Pending requests by connection, the least recently used one first. */
   readonly #pending = new Map<Socket, number>();
 
+  /** Requests until connections are kept for further ones again. */
+  #strictRequests = 0;
+
   constructor(server: Server, options: ConnectionLimiterOptions) {
     this.#options = options;
     server.on("connection", (socket: Socket) => this.#admit(socket));
@@ -38,9 +43,13 @@
     if (socket.destroyed) return false;
     const pending = this.#pending.get(socket) ?? 0;
     if (pending >= MAXIMUM_PENDING) {
-      this.#drop(socket);
+      this.dropFlood(socket);
       return false;
     }
+    if (this.#strictRequests > 0) {
+      this.#strictRequests--;
+      response.shouldKeepAlive = false;
+    }
     this.#use(socket, pending + 1);
     response.once("close", () => {
       const left = this.#pending.get(socket);
@@ -54,6 +63,12 @@
     this.#pending.delete(socket);
   }
 
+  /** Closes a connection that sends too many requests at once. */
+  dropFlood(socket: Socket): void {
+    this.#strictRequests = STRICT_REQUESTS;
+    this.#drop(socket);
+  }
+
   #admit(socket: Socket): void {
     if (this.#pending.size >= this.#options.maximumConnections) {
       this.#drop(this.#oldestIdle());
--- a/packages/gateway/src/httpEndpoint.ts
+++ b/packages/gateway/src/httpEndpoint.ts
@@ -9,7 +9,8 @@
 import type { Duplex } from "node:stream";
 import type { MemoryLease, Milliseconds } from "@wasabivane/common";
 import type { Result } from "neverthrow";
-import { ConnectionLimiter } from "./connectionLimiter.ts";
+import { ConnectionLimiter, MAXIMUM_PENDING } from "./connectionLimiter.ts";
+import { checkFirstBytes } from "./firstBytes.ts";
 import { listenAt } from "./listenAt.ts";
 import type { ListenError } from "./listenError.ts";
 
@@ -98,6 +99,11 @@
     void respondWith(endpoint, new URLSearchParams(query), response);
   });
   server.timeout = IDLE_TIMEOUT_MS;
+  checkFirstBytes(server, {
+    maximumBytes: SERVER_OPTIONS.maxHeaderSize,
+    maximumHeads: MAXIMUM_PENDING,
+    onDrop: (socket) => limiter.dropFlood(socket),
+  });
   const limiter = new ConnectionLimiter(server, { maximumConnections, onDrop });
   if (onUpgrade !== undefined) {
     server.on("upgrade", (request, socket: Socket, head) => {
--- a/packages/gateway/tests/httpEndpoint.test.ts
+++ b/packages/gateway/tests/httpEndpoint.test.ts
@@ -124,3 +124,22 @@
   socket.destroy();
   server.close();
 });
+
+test("requests that come in one chunk without end are not even parsed", async (t) => {
+  // Guards against a stranger that connects again and again with full chunks.
+  const server = await startServer({
+    path: "/p",
+    respond: () => ({ status: 200 }),
+  });
+  let parsed = 0;
+  server.prependListener("request", () => parsed++);
+  const { port } = server.address() as AddressInfo;
+  for (let count = 0; count < 5; count++) {
+    const socket = connect(port, "127.0.0.1").on("error", () => {}).resume();
+    socket.write("GET /p HTTP/1.1\r\nhost: h\r\n\r\n".repeat(2_000));
+    await new Promise((resolve) => socket.once("close", resolve));
+  }
+  t.is(parsed, 0);
+  t.is(await sendRequestLine(server, "GET /p"), "200");
+  server.close();
+});
