Limit the processor time that earlier floods may owe

Requests in tiny pieces that end before they can be held, and requests that are ignored, added to the time that is owed without limit. A sound body in more than some thousand tiny chunks then waited for minutes behind a flood that was over, and was refused when its connection had been idle for too long. At most twice the burst is owed now, which is paid within four seconds.

The new test fails before (nothing is called within 5 s) and passes now.

--- a/packages/gateway/src/parsingBudget.ts
+++ b/packages/gateway/src/parsingBudget.ts
@@ -4,6 +4,8 @@
 const SHARE = 0.05;
 /** Processor time that may be spent at once. */
 const BURST_MS: Milliseconds = 200;
+/** Processor time that is owed at most, so that the wait for it ends in seconds. */
+const MAXIMUM_DEBT_MS: Milliseconds = 2 * BURST_MS;
 /** Time for a connection that goes on to be read. */
 const MINIMUM_WAIT_MS: Milliseconds = 5;
 
@@ -30,7 +32,7 @@
 
   /** Records processor time, as it is estimated. */
   spend(time: Milliseconds): void {
-    this.#debt = this.#update() + time;
+    this.#debt = Math.min(MAXIMUM_DEBT_MS, this.#update() + time);
   }
 
   /** Calls back in turn, once there is time again; returns how to cancel. */
--- a/packages/gateway/tests/requestBodies.test.ts
+++ b/packages/gateway/tests/requestBodies.test.ts
@@ -169,3 +169,14 @@
   t.true(spent > 0.04 * 60_000, `${spent}`);
   t.true(spent < 0.06 * 60_000 + 12 * 30, `${spent}`);
 });
+
+test("what was spent on tiny pieces is forgotten within seconds", (t) => {
+  // Guards against connections that wait for minutes behind an earlier flood.
+  const timer = new VirtualTimer();
+  const parsing = new ParsingBudget(timer);
+  for (let count = 0; count < 1_000; count++) parsing.spend(60);
+  let isCalled = false;
+  parsing.wait(() => isCalled = true);
+  timer.advance(5_000);
+  t.true(isCalled);
+});
