Reserve no memory for a response that has ended

An attempt that was ended by its listener while events were passed on released its memory, and then reserved it for the incomplete event behind them. Nothing released that, so that the budget for all responses shrank for good. It takes a part of more than 64 KB, as a relay may hand on; shown with an attempt alone.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -301,6 +301,8 @@
   #forwardEvents(chunk: Buffer): void {
     const events = this.#splitter.push(chunk);
     if (events !== undefined) this.#forward(events);
+    // The listener may have ended the attempt.
+    if (this.#isEnded) return;
     const { remainderBytes, fillerBytes } = this.#splitter;
     if (remainderBytes > MAXIMUM_EVENT_BYTES) this.#exceed("event-size");
     else if (fillerBytes > MAXIMUM_FILLER_BYTES) this.#exceed("comment-size");
--- a/packages/gateway/tests/responseMemory.test.ts
+++ b/packages/gateway/tests/responseMemory.test.ts
@@ -46,9 +46,10 @@
 
   constructor(
     memory: MemoryBudget,
-    { isStreaming = false, status = 200 }: {
+    { isStreaming = false, status = 200, endsAtFirstEvent = false }: {
       isStreaming?: boolean;
       status?: number;
+      endsAtFirstEvent?: boolean;
     } = {},
   ) {
     const timer = new VirtualTimer();
@@ -57,7 +58,7 @@
       timer,
     });
     const upstream = buildEntry("u", { address: "127.0.0.1:9" });
-    new Attempt({
+    const attempt = new Attempt({
       upstream,
       call: callTo(upstream),
       connections,
@@ -75,10 +76,14 @@
       onReport: () => {},
       listener: {
         onStreamStart: () => {},
-        onEvents: (bytes) => (this.forwardedBytes += bytes.length),
+        onEvents: (bytes) => {
+          this.forwardedBytes += bytes.length;
+          if (endsAtFirstEvent) attempt.abort("cancelled", "caller left");
+        },
         onEnd: (end) => this.ends.push(end),
       },
-    }).start();
+    });
+    attempt.start();
     this.#listener = connections.listener!;
     this.#listener.shouldSend();
     this.#listener.sent();
@@ -91,6 +96,10 @@
     }
   }
 
+  receiveChunk(text: string): void {
+    this.#listener.data(Buffer.from(text));
+  }
+
   async finish(): Promise<void> {
     this.#listener.data(Buffer.from("\n\n"));
     this.#listener.ended();
@@ -168,3 +177,15 @@
   const { body } = await sendRequest(host.url);
   t.is(body.length, event.length);
 });
+
+test("a response that ends while it is passed on holds no memory", (t) => {
+  // Guards against memory that is reserved behind its release, and kept.
+  const memory = new MemoryBudget({ limit: LIMIT_BYTES });
+  const response = new FedResponse(memory, {
+    isStreaming: true,
+    endsAtFirstEvent: true,
+  });
+  response.receiveChunk(`data: x\n\ndata: ${"x".repeat(256 * KIB)}`);
+  t.is(response.outcome, "cancelled");
+  t.is(memory.used, 0);
+});
