Allow for the framing of chunks of four bytes

The size of a chunk and its line ends are five bytes, and a chunk of four allowed for four: a sound response in such chunks was cut behind some 500 KB, or refused with 502 if it had not been passed on.

The new test fails before (502 in place of 819,200 bytes) and passes now.

--- a/packages/gateway/src/overheadLimit.ts
+++ b/packages/gateway/src/overheadLimit.ts
@@ -4,6 +4,8 @@
 const MAXIMUM_OVERHEAD_BYTES = 4 * MAXIMUM_HEADER_BYTES;
 /** Mean size below which parts of a body cost more than their bytes. */
 const SMALL_PART_BYTES = 4;
+/** Framing of a chunk of that size. */
+const CHUNK_FRAMING_BYTES = 5;
 
 /**
  * Limits the bytes of a connection that are no payload, such as interim heads,
@@ -25,7 +27,8 @@
 
   /** Records that what was counted holds a part of a body. */
   recordPayload(bytes: number): void {
-    this.count(-2 * bytes);
+    const framing = bytes < SMALL_PART_BYTES ? bytes : CHUNK_FRAMING_BYTES;
+    this.count(-bytes - Math.max(bytes, framing));
     this.#smallPartBytes = Math.max(
       0,
       this.#smallPartBytes + SMALL_PART_BYTES - bytes,
--- a/packages/gateway/tests/responseMemory.test.ts
+++ b/packages/gateway/tests/responseMemory.test.ts
@@ -6,7 +6,7 @@
   type UpstreamId,
   VirtualTimer,
 } from "@wasabivane/common";
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { Attempt, type AttemptEnd } from "../src/attempt.ts";
 import {
   type RunningCall,
@@ -189,3 +189,25 @@
   t.is(response.outcome, "cancelled");
   t.is(memory.used, 0);
 });
+
+/** Sends a response in parts through a host, and returns the bytes that came. */
+async function relayParts(
+  t: ExecutionContext,
+  { part, count }: { part: string; count: number },
+): Promise<number> {
+  const upstream = await startUpstream((received) => {
+    const head = responseHead(received, { "transfer-encoding": "chunked" });
+    const chunk = `${part.length.toString(16)}\r\n${part}\r\n`;
+    received.socket.write(`${head}${chunk.repeat(count)}0\r\n\r\n`);
+  });
+  const host = await startGateway({ upstreams: [upstream] });
+  t.teardown(() => host.close());
+  const { body } = await sendRequest(host.url);
+  return body.length;
+}
+
+test("a response in parts of four bytes is served whole", async (t) => {
+  // Guards against a limit on framing that sound responses exceed.
+  const count = 200 * KIB;
+  t.is(await relayParts(t, { part: "abcd", count }), 4 * count);
+});
