Count what the HTTP library puts back before the limit is checked

When a response is paused, the HTTP library puts back what it has not parsed, and reads it again together with what came meanwhile. The limit on bytes that are no payload was checked before the bytes that are put back were taken off, so that a sound response in small chunks was cut when its caller was slower than its upstream.

--- a/packages/gateway/src/upstreamSockets.ts
+++ b/packages/gateway/src/upstreamSockets.ts
@@ -37,7 +37,7 @@
       return chunk;
     };
     socket.unshift = (chunk, encoding) => {
-      watched.countBytes(-chunk.length);
+      watched.returnBytes(chunk.length);
       unshift(chunk, encoding);
     };
   }
@@ -70,6 +70,11 @@
     this.#overhead.count(bytes);
   }
 
+  /** Records that the last of the bytes that were read are yet to be parsed. */
+  returnBytes(bytes: number): void {
+    this.#overhead.count(-bytes);
+  }
+
   /** Records that what was just read held a final head. */
   recordHead(): void {
     this.#overhead.reset();
--- a/packages/gateway/tests/responseMemory.test.ts
+++ b/packages/gateway/tests/responseMemory.test.ts
@@ -211,3 +211,9 @@
   const count = 200 * KIB;
   t.is(await relayParts(t, { part: "abcd", count }), 4 * count);
 });
+
+test("a response in small parts is served whole though its reading pauses", async (t) => {
+  // Guards against bytes that are counted as framing before they are parsed.
+  const count = 512 * KIB;
+  t.is(await relayParts(t, { part: "x".repeat(9), count }), 9 * count);
+});
