--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -135,14 +135,18 @@
     });
     this.#peerLog = new PeerLog(this.context);
     this.#quotaLog = new QuotaLog(this.context);
-    this.#callerServer = new CallerServer(this.context);
+    this.#callerServer = new CallerServer(this.context, {
+      connectionLimit: options.connectionLimit,
+    });
     this.#operatorServers = new OperatorServers({
       timer,
       data: this.#createOperatorData(),
+      memory: this.context.memory.snapshots,
       addresses: options.addresses,
       readinessPath: options.readinessPath,
       onPeerUpgrade: (request, socket, head) =>
         this.#links.handleUpgrade(request, socket, head),
+      onDrop: () => this.context.metrics.count("operator_connections_dropped"),
       log: this.context.log,
     });
     this.#channel = this.#createChannel();
--- a/packages/gateway/src/operatorServers.ts
+++ b/packages/gateway/src/operatorServers.ts
@@ -1,5 +1,5 @@
 import type { Server } from "node:http";
-import type { Address, Milliseconds } from "@wasabivane/common";
+import type { Address, MemoryBudget, Milliseconds } from "@wasabivane/common";
 import { err, ok, type Result } from "neverthrow";
 import type { ListenError } from "./listenError.ts";
 import {
@@ -30,10 +30,14 @@
 /** Options of {@link OperatorServers}. */
 export interface OperatorServersOptions extends OpenPortOptions {
   readonly data: OperatorData;
+  /** Bounds the snapshots that peers have not read yet. */
+  readonly memory: MemoryBudget;
   readonly addresses: OperatorAddresses;
   readonly readinessPath: string;
   /** Handles upgrade requests of peers. */
   readonly onPeerUpgrade: UpgradeListener;
+  /** Called for each connection that is closed for a limit. */
+  readonly onDrop: () => void;
 }
 
 /** Runs the HTTP servers for readiness, store snapshots and metrics. */
@@ -48,7 +52,8 @@
 
   /** Opens all ports; a host whose port for metrics is taken serves without. */
   async open(): Promise<Result<void, ListenError>> {
-    const { data, addresses, readinessPath, onPeerUpgrade } = this.#options;
+    const { data, memory, addresses, readinessPath, onPeerUpgrade, onDrop } =
+      this.#options;
     const endpoints: {
       endpoint: Endpoint;
       address: string;
@@ -59,14 +64,14 @@
         address: addresses.readiness,
       },
       {
-        endpoint: snapshotEndpoint(data),
+        endpoint: snapshotEndpoint(data, memory),
         address: addresses.peers,
         onUpgrade: onPeerUpgrade,
       },
     ];
     for (const { endpoint, address, onUpgrade } of endpoints) {
       const server = await openPort(
-        () => serveEndpoint(endpoint, address, onUpgrade),
+        () => serveEndpoint({ endpoint, address }, { onUpgrade, onDrop }),
         this.#options,
       );
       if (server.isErr()) return err(server.error);
@@ -80,7 +85,10 @@
     const { data, addresses: { metrics }, timer, log } = this.#options;
     if (metrics === undefined || this.#isClosed) return;
     const { address, path } = metrics;
-    const server = await serveEndpoint(metricsEndpoint(data, path), address);
+    const endpoint = metricsEndpoint(data, path);
+    const server = await serveEndpoint({ endpoint, address }, {
+      onDrop: this.#options.onDrop,
+    });
     if (server.isOk()) return void this.#servers.push(server.value);
     log.write("metrics_unavailable", { detail: server.error.detail });
     timer.after(METRICS_RETRY_MS, () => void this.#openMetrics());
--- a/packages/gateway/src/parsingBudget.ts
+++ b/packages/gateway/src/parsingBudget.ts
@@ -3,9 +3,9 @@
 /** Share of one core. */
 const SHARE = 0.05;
 /** Processor time that may be spent at once. */
-const BURST_MS: Milliseconds = 200;
+const BURST_MS: Milliseconds = 100;
 /** Processor time that is owed at most, so that the wait for it ends in seconds. */
-const MAXIMUM_DEBT_MS: Milliseconds = 2 * BURST_MS;
+const MAXIMUM_DEBT_MS: Milliseconds = 3 * BURST_MS;
 /** Time for a connection that goes on to be read. */
 const MINIMUM_WAIT_MS: Milliseconds = 5;
 
