Close one connection when one gives way for its own head

Where a connection with an incomplete head was itself the oldest, its memory was released and could not grow any more, and all other connections without a request were closed for it one after the other.

The new test fails before (three connections closed in place of one) and passes now.

--- a/packages/gateway/src/connectionLimits.ts
+++ b/packages/gateway/src/connectionLimits.ts
@@ -118,7 +118,10 @@
       if (this.#options.isBusy(socket)) continue;
       const headBytes = socket.bytesRead - readBefore;
       const bytes = CONNECTION_BYTES + Math.min(headBytes, MAXIMUM_HEAD_BYTES);
-      while (!lease.resize(bytes) && this.#closeOldest());
+      while (!lease.resize(bytes)) {
+        // It may be the oldest itself.
+        if (!this.#closeOldest() || !this.#connections.has(socket)) break;
+      }
     }
   }
 }
--- a/packages/gateway/tests/connectionLimits.test.ts
+++ b/packages/gateway/tests/connectionLimits.test.ts
@@ -1,4 +1,9 @@
+import type { Socket } from "node:net";
+import { PassThrough } from "node:stream";
+import { MemoryBudget, VirtualTimer } from "@wasabivane/common";
 import test from "ava";
+import { ConnectionLimits } from "../src/connectionLimits.ts";
+import { GatewayMetrics } from "../src/gatewayMetrics.ts";
 import { startGateway, startUpstream, waitUntil } from "./helpers/fleet.ts";
 import { connectCaller, type RawCaller } from "./helpers/rawCaller.ts";
 import { startServing } from "./helpers/simpleUpstreams.ts";
@@ -89,3 +94,23 @@
   t.true(host.gateway.context.memory.connections.used <= MEMORY_LIMIT / 10);
   idle.socket.destroy();
 });
+
+test("a connection that gives way for its own head takes no other with it", (t) => {
+  // Guards against idle connections that are closed for one that is gone.
+  const timer = new VirtualTimer();
+  const limits = new ConnectionLimits({
+    timer,
+    metrics: new GatewayMetrics(),
+    budget: new MemoryBudget({ limit: 3 * 16 * 1_024 + 1 }),
+    connectionLimit: CONNECTION_LIMIT,
+    isBusy: () => false,
+  });
+  const sockets = Array.from(
+    { length: 3 },
+    () => Object.assign(new PassThrough(), { bytesRead: 0 }),
+  );
+  for (const socket of sockets) limits.add(socket as unknown as Socket);
+  sockets[0]!.bytesRead = LONG_HEAD_BYTES;
+  timer.advance(200);
+  t.deepEqual(sockets.map(({ destroyed }) => destroyed), [true, false, false]);
+});
