--- a/packages/gateway/src/httpEndpoint.ts
+++ b/packages/gateway/src/httpEndpoint.ts
@@ -134,9 +134,20 @@
   response: ServerResponse,
   { status, type, body = "", lease }: EndpointResponse,
 ): void {
-  if (response.closed) lease?.release();
-  else response.once("close", () => lease?.release());
+  if (lease !== undefined) releaseAtEnd(response, lease);
   response.statusCode = status;
   if (type !== undefined) response.setHeader("content-type", type);
   response.end(body);
 }
+
+function releaseAtEnd(response: ServerResponse, lease: MemoryLease): void {
+  const { socket } = response.req;
+  if (response.closed || socket.destroyed) return lease.release();
+  const release = (): void => {
+    socket.off("close", release);
+    lease.release();
+  };
+  response.once("close", release);
+  // A response that waits for earlier ones is not told of it.
+  socket.once("close", release);
+}
--- a/packages/gateway/tests/httpEndpoint.test.ts
+++ b/packages/gateway/tests/httpEndpoint.test.ts
@@ -1,7 +1,12 @@
+import { Buffer } from "node:buffer";
+import { once } from "node:events";
 import type { Server } from "node:http";
 import { type AddressInfo, connect } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { MemoryBudget } from "@wasabivane/common";
 import test from "ava";
 import { type Endpoint, serveEndpoint } from "../src/httpEndpoint.ts";
+import { waitUntil } from "./helpers/fleet.ts";
 
 /** Sends a raw request line and returns the status of the response. */
 function sendRequestLine(server: Server, line: string): Promise<string> {
@@ -124,3 +129,27 @@
   socket.destroy();
   server.close();
 });
+
+test("responses that wait for their turn hold no memory behind their connection", async (t) => {
+  // Guards against strangers that use up the memory for all snapshots.
+  const memory = new MemoryBudget();
+  let responses = 0;
+  const body = Buffer.alloc(8 * 1_024 * 1_024);
+  const server = await startServer({
+    path: "/p",
+    respond: () => {
+      responses++;
+      return { status: 200, body, lease: memory.reserve(body.length)! };
+    },
+  });
+  t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const socket = connect(port, "127.0.0.1");
+  socket.pause();
+  socket.write("GET /p HTTP/1.1\r\nhost: h\r\n\r\n".repeat(3));
+  await waitUntil(() => responses === 3);
+  socket.destroy();
+  await once(socket, "close");
+  await sleep(100);
+  t.is(memory.used, 0);
+});
