Bound requests with an expectation at the operators' ports

As at the callers' port, the HTTP server answered them by itself, without the bound on pending requests of a connection.

The new test fails before (more than the allowed four responses to 1,000 requests) and passes now.

--- a/packages/gateway/src/httpEndpoint.ts
+++ b/packages/gateway/src/httpEndpoint.ts
@@ -83,7 +83,7 @@
     onDrop = () => {},
   }: ServeOptions = {},
 ): Promise<Result<Server, ListenError>> {
-  const server = createServer(SERVER_OPTIONS, (request, response) => {
+  const handle = (request: IncomingMessage, response: ServerResponse): void => {
     if (!limiter.begin(request, response)) return;
     // A body would be read to its end otherwise.
     if (hasBody(request)) {
@@ -96,7 +96,10 @@
     const isMatch = METHODS.includes(request.method) && path === endpoint.path;
     if (!isMatch) return send(response, NOT_FOUND);
     void respondWith(endpoint, new URLSearchParams(query), response);
-  });
+  };
+  const server = createServer(SERVER_OPTIONS, handle);
+  // The HTTP server would answer it without the bounds of other requests.
+  server.on("checkExpectation", handle);
   server.timeout = IDLE_TIMEOUT_MS;
   const limiter = new ConnectionLimiter(server, { maximumConnections, onDrop });
   if (onUpgrade !== undefined) {
--- a/packages/gateway/tests/httpEndpoint.test.ts
+++ b/packages/gateway/tests/httpEndpoint.test.ts
@@ -153,3 +153,21 @@
   await sleep(100);
   t.is(memory.used, 0);
 });
+
+test("requests with an unknown expectation are bounded like others", async (t) => {
+  // Guards against pipelined requests that the HTTP server answers by itself.
+  const server = await startServer({
+    path: "/p",
+    respond: () => ({ status: 200 }),
+  });
+  t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const socket = connect(port, "127.0.0.1");
+  let text = "";
+  socket.on("data", (chunk) => text += chunk.toString());
+  socket.on("error", () => {});
+  socket.write("GET /p HTTP/1.1\r\nhost: h\r\nexpect: x\r\n\r\n".repeat(1_000));
+  socket.write("GET /p HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+  await once(socket, "close");
+  t.true(text.split("HTTP/1.1 ").length - 1 <= 4);
+});
