Keep large parts of an incomplete event as they came

An event of 5 MB was copied into blocks and joined once more, so that hosts held and left behind twice its bytes.

--- a/packages/gateway/src/heldParts.ts
+++ b/packages/gateway/src/heldParts.ts
@@ -1,45 +1,62 @@
 import { Buffer } from "node:buffer";
 import { ByteCollector } from "@wasabivane/common";
 
-const NO_BYTES = Buffer.alloc(0);
+/** Parts of at least this size are worth the block that they are cut from. */
+const LARGE_PART_BYTES = 16 * 1_024;
 
 /**
- * Parts of a response that cannot be passed on yet. A part that is alone is kept
- * as it came, as most responses and events come at once; more are copied into
- * blocks.
+ * Parts of a response that cannot be passed on yet. Large ones, and one that is
+ * alone, are kept as they came; small ones are copied into blocks.
  */
 export class HeldParts {
-  #first: Buffer = NO_BYTES;
-  readonly #further = new ByteCollector();
+  #parts: Buffer[] = [];
+  #partBytes = 0;
+  /** Small parts behind the others. */
+  readonly #small = new ByteCollector();
 
   get length(): number {
-    return this.#first.length + this.#further.length;
+    return this.#partBytes + this.#small.length;
   }
 
   add(part: Buffer): void {
-    if (this.length === 0) {
-      this.#first = part;
-      return;
-    }
-    this.#further.add(this.#first);
-    this.#first = NO_BYTES;
-    this.#further.add(part);
+    const [first] = this.#parts;
+    const isFirstSmall = this.#parts.length === 1 && this.#small.length === 0 &&
+      first!.length < LARGE_PART_BYTES;
+    if (isFirstSmall) this.#small.add(this.#take());
+    if (this.length === 0 || part.length >= LARGE_PART_BYTES) this.#keep(part);
+    else this.#small.add(part);
   }
 
   /** Returns all parts as one buffer, and begins anew. */
   take(): Buffer {
-    const first = this.#first;
-    this.#first = NO_BYTES;
-    return this.#further.length > 0 ? this.#further.take() : first;
+    this.#keepSmall();
+    return this.#take();
   }
 
   /** Returns all parts and a last one as one buffer, and begins anew. */
   takeWith(last: Buffer): Buffer {
-    if (this.#further.length > 0) {
-      this.#further.add(last);
-      return this.take();
-    }
-    const first = this.take();
-    return first.length > 0 ? Buffer.concat([first, last]) : last;
+    if (this.length === 0) return last;
+    this.#keep(last);
+    return this.#take();
+  }
+
+  #keep(part: Buffer): void {
+    this.#keepSmall();
+    this.#parts.push(part);
+    this.#partBytes += part.length;
+  }
+
+  #keepSmall(): void {
+    if (this.#small.length === 0) return;
+    const bytes = this.#small.take();
+    this.#parts.push(bytes);
+    this.#partBytes += bytes.length;
+  }
+
+  #take(): Buffer {
+    const parts = this.#parts;
+    this.#parts = [];
+    this.#partBytes = 0;
+    return parts.length === 1 ? parts[0]! : Buffer.concat(parts);
   }
 }
--- a/packages/gateway/tests/responseMemory.test.ts
+++ b/packages/gateway/tests/responseMemory.test.ts
@@ -7,6 +7,7 @@
   VirtualTimer,
 } from "@wasabivane/common";
 import test from "ava";
+import { HeldParts } from "../src/heldParts.ts";
 import { Attempt, type AttemptEnd } from "../src/attempt.ts";
 import {
   type RunningCall,
@@ -102,6 +103,26 @@
   }
 }
 
+test("held parts of any sizes are joined in their order", (t) => {
+  // Guards against bytes that are lost or moved between small and large parts.
+  const sizes = [1, 2, 20 * KIB, 3, 40 * KIB, 64 * KIB, 5, 6, 1];
+  for (let from = 0; from < sizes.length; from++) {
+    for (let to = from; to <= sizes.length; to++) {
+      const parts = sizes.slice(from, to)
+        .map((size, index) => Buffer.alloc(size, index + 1));
+      const held = new HeldParts();
+      for (const part of parts) held.add(part);
+      const all = Buffer.concat(parts);
+      t.is(held.length, all.length);
+      t.true(held.take().equals(all));
+      t.is(held.length, 0);
+      for (const part of parts) held.add(part);
+      const last = Buffer.from("last");
+      t.true(held.takeWith(last).equals(Buffer.concat([all, last])));
+    }
+  }
+});
+
 test("incomplete events share a limit, and small ones always fit", async (t) => {
   // Guards against hosts that outgrow their memory by many events at once.
   const memory = new MemoryBudget({ limit: LIMIT_BYTES });
