--- a/packages/gateway/tests/httpEndpoint.test.ts
+++ b/packages/gateway/tests/httpEndpoint.test.ts
@@ -187,6 +187,6 @@
   socket.on("error", () => {});
   socket.write("GET /p HTTP/1.1\r\nhost: h\r\nexpect: x\r\n\r\n".repeat(1_000));
   socket.write("GET /p HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
-  await once(socket, "close");
+  await new Promise((resolve) => socket.once("close", resolve));
   t.true(text.split("HTTP/1.1 ").length - 1 <= 4);
 });
