--- a/packages/gateway/tests/refusals.test.ts
+++ b/packages/gateway/tests/refusals.test.ts
@@ -6,6 +6,7 @@
 import { asId } from "@wasabivane/common";
 import test, { type ExecutionContext } from "ava";
 import { CallerResponse } from "../src/callerResponse.ts";
+import { UnreadResponses } from "../src/unreadResponses.ts";
 import { RefusalWriter } from "../src/refusalWriter.ts";
 import { RefusalSampler } from "../src/refusalSampler.ts";
 import {
@@ -234,10 +235,19 @@
   // Guards against a buffer for each chunk until the refusal is written.
   const { host } = await startOverQuota(t);
   const writer = new RefusalWriter(host.gateway.context, () => {});
+  const { memory } = host.gateway.context;
+  const unreadResponses = new UnreadResponses({
+    budget: memory.responses,
+    idleTimeout: () => 5_000,
+    onCut: () => {},
+  });
   let kept: number | undefined;
   const server = createServer((request, response) => {
     setImmediate(() => kept = request.readableLength);
-    const callerResponse = new CallerResponse(response, () => false);
+    const callerResponse = new CallerResponse(response, {
+      shouldClose: () => false,
+      unreadResponses,
+    });
     const call = { request, response, callerResponse };
     writer.refuse(call, { status: 429, reason: "over-quota" });
   });
