Refuse new requests of a host with a grace of 2 s at once, as before

A host that ends within 1.7 s refuses now, where it was 1.5 s.

forwarding.test.ts and servingWindow.test.ts: 22 tests pass.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -49,7 +49,7 @@
  */
 const ITERATIONS_TO_READ = 3;
 /** A host that ends sooner than this refuses new requests. */
-const MINIMUM_SERVING_MS: Milliseconds = 1_500;
+const MINIMUM_SERVING_MS: Milliseconds = 1_700;
 
 /** Work that a host was spared, or that it could not do. */
 export interface UnservedCounts {
