Reserve memory for small responses that wait for an earlier one

Up to 32 KB of each unread response need no reservation, since a connection has one that is written. Those that wait for their turn on a connection that pipelines are kept whole by this host, and there may be as many as requests; a slow first request kept them all outside of any limit.

The new test fails before (72 responses of 30 KB are kept within a limit of 1 MB) and passes now.

--- a/packages/gateway/src/unreadResponses.ts
+++ b/packages/gateway/src/unreadResponses.ts
@@ -2,7 +2,7 @@
 import type { MemoryBudget, Milliseconds } from "@wasabivane/common";
 import { ResponseLease } from "./responseLease.ts";
 
-/** Unread bytes of each response that are not reserved. */
+/** Unread bytes of each connection's current response that are not reserved. */
 const UNRESERVED_BYTES = 32 * 1_024;
 
 /** Options of {@link UnreadResponses}. */
@@ -91,8 +91,11 @@
 
   /** Reserves the unread bytes; returns false if they do not fit. */
   hold(): boolean {
-    const bytes = this.#isClosed ? 0 : this.#response.writableLength;
-    return this.#options.lease.hold(bytes);
+    const { writableLength, socket } = this.#response;
+    if (this.#isClosed) return this.#options.lease.hold(0);
+    // There may be many that wait for an earlier one of their connection.
+    const allowance = socket === null ? UNRESERVED_BYTES : 0;
+    return this.#options.lease.hold(writableLength + allowance);
   }
 
   /** Looks at what is unread once the system has taken what it can. */
--- a/packages/gateway/tests/unreadResponses.test.ts
+++ b/packages/gateway/tests/unreadResponses.test.ts
@@ -126,3 +126,35 @@
   t.true(await readSlowly(second) > BODY.length);
   t.true(await readSlowly(first) < BODY.length);
 });
+
+test("small responses that wait for an earlier one share the limit", async (t) => {
+  // Guards against pipelined responses that each need no reservation.
+  const small = Buffer.alloc(30 * 1_024, "x");
+  const budget = new MemoryBudget({ limit: MIB });
+  let cuts = 0;
+  const unreadResponses = new UnreadResponses({
+    budget,
+    idleTimeout: () => IDLE_TIMEOUT_MS,
+    onCut: () => cuts++,
+  });
+  let waiting = 0;
+  const server = createServer((request, response) => {
+    if (request.headers.id === "q0") return;
+    const options = { shouldClose: () => false, unreadResponses };
+    new CallerResponse(response, options).sendComplete(200, {}, small);
+    waiting++;
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const { port } = server.address() as { port: number };
+  const callers = 8;
+  for (let count = 0; count < callers; count++) {
+    startPausedCaller(t, { port, requests: PIPELINED });
+  }
+  await waitUntil(() => waiting === callers * (PIPELINED - 1) || cuts > 0);
+  t.true(cuts > 0);
+  t.true(budget.used <= MIB);
+});
