Reserve memory for the whole heads of requests in progress

What a connection sends of an incomplete head is counted, but no longer once the head is whole: connections that each pipeline as many requests as they may, with heads within the policy's limit, held more than the memory of the process. A head now needs memory of the callers' connections while its request is in progress, except for 4 KB of the connection's only request, and is refused with 503 where it does not fit.

The new test fails before (144 requests with heads of 14,000 bytes are kept by a process of 1.6 MB) and passes now.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -25,6 +25,7 @@
   accountName,
   admitRequest,
   type AdmittedRequest,
+  headerBytes,
   quotaUnits,
   readHead,
   type Refusal,
@@ -314,6 +315,14 @@
     if (withinQuota.isErr()) {
       return this.#refuseOverQuota(call, withinQuota.error, admitted.value);
     }
+    const headLease = this.#connectionLimits.reserveHead(
+      headerBytes(request.rawHeaders),
+      { isPipelined: this.#pipelines.dueOf(socket) > 1 },
+    );
+    if (headLease === undefined) {
+      return this.#refusals.refuse(call, this.#createMemoryRefusal());
+    }
+    releaseAtEnd(headLease, call);
     this.#addBusy(socket);
     response.once("close", () => {
       this.#removeBusy(socket);
@@ -348,7 +357,7 @@
       if (body.error === "caller-left") return;
       return this.#refusals.refuse(call, this.#createBodyRefusal(body.error));
     }
-    releaseAtEnd(body.value, call);
+    if (body.value.lease !== undefined) releaseAtEnd(body.value.lease, call);
     if (!servingWindow.hasTimeFor(admitted)) {
       return this.#refusals.refuse(call, STOPPING_REFUSAL);
     }
@@ -418,13 +427,15 @@
 
   #createBodyRefusal(error: Exclude<BodyError, "caller-left">): Refusal {
     if (error === "stopping") return STOPPING_REFUSAL;
-    if (error === "memory") {
-      const retryAfter = MEMORY_RETRY_MS * (1 + this.#context.random.float());
-      return { status: 503, reason: error, retryAfter };
-    }
+    if (error === "memory") return this.#createMemoryRefusal();
     return { status: error === "body-too-slow" ? 408 : 413, reason: error };
   }
 
+  #createMemoryRefusal(): Refusal {
+    const retryAfter = MEMORY_RETRY_MS * (1 + this.#context.random.float());
+    return { status: 503, reason: "memory", retryAfter };
+  }
+
   /** Only the first request of a connection waited with it. */
   #takeWait(socket: Socket): Milliseconds {
     const wait = this.#waits.get(socket) ?? 0;
@@ -550,12 +561,11 @@
   return { status: 429, reason: "over-quota", retryAfter };
 }
 
-/** Whatever becomes of a request, its body is not needed after it. */
+/** Whatever becomes of a request, what it holds is not needed after it. */
 function releaseAtEnd(
-  { lease }: RequestBody,
+  lease: { release(): void },
   { request, response }: Call,
 ): void {
-  if (lease === undefined) return;
   const { socket } = request;
   const release = (): void => {
     socket.off("close", release);
--- a/packages/gateway/src/connectionLimits.ts
+++ b/packages/gateway/src/connectionLimits.ts
@@ -9,6 +9,8 @@
 
 /** Memory of a connection without what it has sent of a head. */
 const CONNECTION_BYTES = 16 * 1_024;
+/** Part of that for the head of a request in progress. */
+const SMALL_HEAD_BYTES = 4 * 1_024;
 /** What is kept of a head at most. */
 const MAXIMUM_HEAD_BYTES = 64 * 1_024;
 /** The others are for upstreams, peers and the store. */
@@ -73,11 +75,30 @@
     this.#connections.set(socket, connection);
   }
 
+  /**
+   * Reserves what the head of a request in progress holds; `undefined` if it does
+   * not fit. A connection allows for one small head.
+   */
+  reserveHead(
+    bytes: number,
+    { isPipelined }: { isPipelined: boolean },
+  ): MemoryLease | undefined {
+    const allowance = isPipelined ? 0 : SMALL_HEAD_BYTES;
+    const reserved = Math.max(0, bytes - allowance);
+    return this.#makeRoom(() => this.#options.budget.reserve(reserved));
+  }
+
   #reserve(): MemoryLease | undefined {
-    while (true) {
-      const lease = this.#connections.size < this.#maximumCount
+    return this.#makeRoom(() =>
+      this.#connections.size < this.#maximumCount
         ? this.#options.budget.reserve(CONNECTION_BYTES)
-        : undefined;
+        : undefined
+    );
+  }
+
+  #makeRoom(reserve: () => MemoryLease | undefined): MemoryLease | undefined {
+    while (true) {
+      const lease = reserve();
       if (lease !== undefined || !this.#closeOldest()) return lease;
     }
   }
--- a/packages/gateway/src/requestAdmission.ts
+++ b/packages/gateway/src/requestAdmission.ts
@@ -251,7 +251,8 @@
  * Returns the approximate size of the headers on the wire, each with a colon, a
  * space and a line end.
  */
-function headerBytes(rawHeaders: readonly string[]): number {
+/** Returns the size of the header lines of a request. */
+export function headerBytes(rawHeaders: readonly string[]): number {
   let bytes = 2 * rawHeaders.length;
   for (const text of rawHeaders) bytes += text.length;
   return bytes;
--- a/packages/gateway/tests/connectionLimits.test.ts
+++ b/packages/gateway/tests/connectionLimits.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Socket } from "node:net";
 import { PassThrough } from "node:stream";
 import { MemoryBudget, VirtualTimer } from "@wasabivane/common";
@@ -13,6 +14,9 @@
 const CALLERS = CONNECTION_LIMIT / 2;
 /** Connections may have 160,000 bytes, so two of them can send a long head. */
 const MEMORY_LIMIT = 1_600_000;
+const PIPELINED = 16;
+const REQUESTS = 160;
+const WHOLE_HEAD_BYTES = 14_000;
 const LONG_HEAD_BYTES = 60_000;
 const HEAD = "GET /a/1 HTTP/1.1\r\nhost: plans.example\r\nid: q\r\nkey: k\r\n";
 
@@ -114,3 +118,34 @@
   timer.advance(200);
   t.deepEqual(sockets.map(({ destroyed }) => destroyed), [true, false, false]);
 });
+
+test("whole heads of requests in progress share a limit", async (t) => {
+  // Guards against requests that are each within their limit and together end the
+  // process.
+  const upstream = await startUpstream(() => {});
+  const host = await startGateway({
+    upstreams: [upstream],
+    route: { target: 20_000, timeout: 60_000 },
+    memoryLimit: MEMORY_LIMIT,
+    slots: REQUESTS,
+  });
+  t.teardown(() => host.close());
+  const callers: RawCaller[] = [];
+  for (let count = 0; count < REQUESTS / PIPELINED; count++) {
+    const caller = await connectCaller(host);
+    t.teardown(() => caller.socket.destroy());
+    callers.push(caller);
+    for (let index = 0; index < PIPELINED; index++) {
+      const head = HEAD.replace("id: q", `id: q${count}-${index}`);
+      caller.socket.write(
+        `${head}filler: ${"x".repeat(WHOLE_HEAD_BYTES)}\r\n\r\n`,
+      );
+    }
+  }
+  await sleep(500);
+  const kept = callers
+    .filter((caller) => !caller.isClosed())
+    .map((caller) => PIPELINED - caller.seen().split("HTTP/1.1 ").length + 1);
+  const count = kept.reduce((sum, requests) => sum + requests, 0);
+  t.true(count * WHOLE_HEAD_BYTES <= MEMORY_LIMIT, `${count} kept`);
+});
