--- a/packages/gateway/src/httpEndpoint.ts
+++ b/packages/gateway/src/httpEndpoint.ts
@@ -9,7 +9,8 @@
 import type { Duplex } from "node:stream";
 import type { MemoryLease, Milliseconds } from "@wasabivane/common";
 import type { Result } from "neverthrow";
-import { ConnectionLimiter } from "./connectionLimiter.ts";
+import { ConnectionLimiter, MAXIMUM_PENDING } from "./connectionLimiter.ts";
+import { checkFirstBytes } from "./firstBytes.ts";
 import { listenAt } from "./listenAt.ts";
 import type { ListenError } from "./listenError.ts";
 
@@ -83,7 +84,7 @@
     onDrop = () => {},
   }: ServeOptions = {},
 ): Promise<Result<Server, ListenError>> {
-  const server = createServer(SERVER_OPTIONS, (request, response) => {
+  const handle = (request: IncomingMessage, response: ServerResponse): void => {
     if (!limiter.begin(request, response)) return;
     // A body would be read to its end otherwise.
     if (hasBody(request)) {
@@ -96,8 +97,16 @@
     const isMatch = METHODS.includes(request.method) && path === endpoint.path;
     if (!isMatch) return send(response, NOT_FOUND);
     void respondWith(endpoint, new URLSearchParams(query), response);
-  });
+  };
+  const server = createServer(SERVER_OPTIONS, handle);
+  // The HTTP server would answer it without the bounds of other requests.
+  server.on("checkExpectation", handle);
   server.timeout = IDLE_TIMEOUT_MS;
+  checkFirstBytes(server, {
+    maximumBytes: SERVER_OPTIONS.maxHeaderSize,
+    maximumHeads: MAXIMUM_PENDING,
+    onDrop: (socket) => limiter.dropFlood(socket),
+  });
   const limiter = new ConnectionLimiter(server, { maximumConnections, onDrop });
   if (onUpgrade !== undefined) {
     server.on("upgrade", (request, socket: Socket, head) => {
@@ -134,9 +143,20 @@
   response: ServerResponse,
   { status, type, body = "", lease }: EndpointResponse,
 ): void {
-  if (response.closed) lease?.release();
-  else response.once("close", () => lease?.release());
+  if (lease !== undefined) releaseAtEnd(response, lease);
   response.statusCode = status;
   if (type !== undefined) response.setHeader("content-type", type);
   response.end(body);
 }
+
+function releaseAtEnd(response: ServerResponse, lease: MemoryLease): void {
+  const { socket } = response.req;
+  if (response.closed || socket.destroyed) return lease.release();
+  const release = (): void => {
+    socket.off("close", release);
+    lease.release();
+  };
+  response.once("close", release);
+  // A response that waits for earlier ones is not told of it.
+  socket.once("close", release);
+}
--- a/packages/gateway/tests/responseMemory.test.ts
+++ b/packages/gateway/tests/responseMemory.test.ts
@@ -6,7 +6,8 @@
   type UpstreamId,
   VirtualTimer,
 } from "@wasabivane/common";
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
+import { HeldParts } from "../src/heldParts.ts";
 import { Attempt, type AttemptEnd } from "../src/attempt.ts";
 import {
   type RunningCall,
@@ -46,9 +47,10 @@
 
   constructor(
     memory: MemoryBudget,
-    { isStreaming = false, status = 200 }: {
+    { isStreaming = false, status = 200, endsAtFirstEvent = false }: {
       isStreaming?: boolean;
       status?: number;
+      endsAtFirstEvent?: boolean;
     } = {},
   ) {
     const timer = new VirtualTimer();
@@ -57,7 +59,7 @@
       timer,
     });
     const upstream = buildEntry("u", { address: "127.0.0.1:9" });
-    new Attempt({
+    const attempt = new Attempt({
       upstream,
       call: callTo(upstream),
       connections,
@@ -75,10 +77,14 @@
       onReport: () => {},
       listener: {
         onStreamStart: () => {},
-        onEvents: (bytes) => (this.forwardedBytes += bytes.length),
+        onEvents: (bytes) => {
+          this.forwardedBytes += bytes.length;
+          if (endsAtFirstEvent) attempt.abort("cancelled", "caller left");
+        },
         onEnd: (end) => this.ends.push(end),
       },
-    }).start();
+    });
+    attempt.start();
     this.#listener = connections.listener!;
     this.#listener.shouldSend();
     this.#listener.sent();
@@ -91,6 +97,10 @@
     }
   }
 
+  receiveChunk(text: string): void {
+    this.#listener.data(Buffer.from(text));
+  }
+
   async finish(): Promise<void> {
     this.#listener.data(Buffer.from("\n\n"));
     this.#listener.ended();
@@ -102,6 +112,26 @@
   }
 }
 
+test("held parts of any sizes are joined in their order", (t) => {
+  // Guards against bytes that are lost or moved between small and large parts.
+  const sizes = [1, 2, 20 * KIB, 3, 40 * KIB, 64 * KIB, 5, 6, 1];
+  for (let from = 0; from < sizes.length; from++) {
+    for (let to = from; to <= sizes.length; to++) {
+      const parts = sizes.slice(from, to)
+        .map((size, index) => Buffer.alloc(size, index + 1));
+      const held = new HeldParts();
+      for (const part of parts) held.add(part);
+      const all = Buffer.concat(parts);
+      t.is(held.length, all.length);
+      t.true(held.take().equals(all));
+      t.is(held.length, 0);
+      for (const part of parts) held.add(part);
+      const last = Buffer.from("last");
+      t.true(held.takeWith(last).equals(Buffer.concat([all, last])));
+    }
+  }
+});
+
 test("incomplete events share a limit, and small ones always fit", async (t) => {
   // Guards against hosts that outgrow their memory by many events at once.
   const memory = new MemoryBudget({ limit: LIMIT_BYTES });
@@ -168,3 +198,43 @@
   const { body } = await sendRequest(host.url);
   t.is(body.length, event.length);
 });
+
+test("a response that ends while it is passed on holds no memory", (t) => {
+  // Guards against memory that is reserved behind its release, and kept.
+  const memory = new MemoryBudget({ limit: LIMIT_BYTES });
+  const response = new FedResponse(memory, {
+    isStreaming: true,
+    endsAtFirstEvent: true,
+  });
+  response.receiveChunk(`data: x\n\ndata: ${"x".repeat(256 * KIB)}`);
+  t.is(response.outcome, "cancelled");
+  t.is(memory.used, 0);
+});
+
+/** Sends a response in parts through a host, and returns the bytes that came. */
+async function relayParts(
+  t: ExecutionContext,
+  { part, count }: { part: string; count: number },
+): Promise<number> {
+  const upstream = await startUpstream((received) => {
+    const head = responseHead(received, { "transfer-encoding": "chunked" });
+    const chunk = `${part.length.toString(16)}\r\n${part}\r\n`;
+    received.socket.write(`${head}${chunk.repeat(count)}0\r\n\r\n`);
+  });
+  const host = await startGateway({ upstreams: [upstream] });
+  t.teardown(() => host.close());
+  const { body } = await sendRequest(host.url);
+  return body.length;
+}
+
+test("a response in parts of four bytes is served whole", async (t) => {
+  // Guards against a limit on framing that sound responses exceed.
+  const count = 200 * KIB;
+  t.is(await relayParts(t, { part: "abcd", count }), 4 * count);
+});
+
+test("a response in small parts is served whole though its reading pauses", async (t) => {
+  // Guards against bytes that are counted as framing before they are parsed.
+  const count = 512 * KIB;
+  t.is(await relayParts(t, { part: "x".repeat(9), count }), 9 * count);
+});
