Log all that a process holds by kind when its memory is high

Cause: two budgets came with the parts and were missing from memory_high. Change: the line has each kind of the host's memory. Measured: processMonitor.test.ts.

--- a/packages/gateway/src/processMonitor.ts
+++ b/packages/gateway/src/processMonitor.ts
@@ -84,9 +84,9 @@
       resident,
       external,
       limit: memoryLimit === Infinity ? undefined : memoryLimit,
-      bodies: memory.bodies.used,
-      responses: memory.responses.used,
-      transfers: memory.transfers.used,
+      ...Object.fromEntries(
+        Object.entries(memory).map(([kind, { used }]) => [kind, used]),
+      ),
     });
   });
 }
