--- a/packages/gateway/src/cellRouter.ts
+++ b/packages/gateway/src/cellRouter.ts
@@ -26,9 +26,9 @@
  * Coordinators that a snapshot is sent to; drawn at random if there are more.
  */
 const SNAPSHOT_RECIPIENTS = 8;
-/** Maximum age of a forwarded snapshot of another cell. */
 /** Cells that others may name to this host, of any service. */
 const MAXIMUM_CELLS = 1_024;
+/** Maximum age of a forwarded snapshot of another cell. */
 const MAXIMUM_SNAPSHOT_AGE_MS: Milliseconds = 400;
 
 const SLOT_LOG_INTERVAL_MS: Milliseconds = 1_000;
