--- a/review/lib-2/replica_process.mjs
+++ b/review/lib-2/replica_process.mjs
@@ -29,5 +29,9 @@
     setTimeout(() => response.end(`second half of ${attempt}`), Number(pause));
   });
 });
-server.listen(Number(port), "127.0.0.1", () => process.send({ event: "listening" }));
+server.listen(
+  Number(port),
+  "127.0.0.1",
+  () => process.send({ event: "listening" }),
+);
 process.on("disconnect", () => process.exit(0));
--- a/review/lib-2/stand.mjs
+++ b/review/lib-2/stand.mjs
@@ -1,7 +1,13 @@
 // Stand-ins for the scripts of review/6 and later: the platform's store, a
 // replica and entry hosts as the deploy file starts them. Loopback only.
 import { spawn } from "node:child_process";
-import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import {
+  appendFileSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import http from "node:http";
 import net from "node:net";
 import { tmpdir } from "node:os";
@@ -37,7 +43,9 @@
     return server;
   }));
   const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((r) => server.close(r))));
+  await Promise.all(
+    servers.map((server) => new Promise((r) => server.close(r))),
+  );
   return ports;
 }
 
@@ -209,7 +217,15 @@
 /** Entry hosts, one loopback address each, with the same ports. */
 export class Fleet {
   hosts = [];
-  constructor({ ports, zone = "z1", seeds = ["127.0.0.11", "127.0.0.12", "127.0.0.13"], bounds = {}, limits = {} }) {
+  constructor(
+    {
+      ports,
+      zone = "z1",
+      seeds = ["127.0.0.11", "127.0.0.12", "127.0.0.13"],
+      bounds = {},
+      limits = {},
+    },
+  ) {
     Object.assign(this, { ports, zone, seeds, bounds, limits });
     this.folder = mkdtempSync(path.join(tmpdir(), "review-2-"));
   }
@@ -220,46 +236,107 @@
     const [front, ready, control, internal, metrics] = this.ports;
     const file = path.join(this.folder, `${name}.conf`);
     const bounds = {
-      seedLagS: 3, reuseAfterS: 2, contactMs: 3000, ackMs: 4000, catchUpS: 4,
-      drainMs: 2000, graceS: 8, lossSlackMs: 200, configApplyMs: 2000,
-      downgradeSlackMs: 250, outerBoundMs: 5000, revokeOnPartition: true,
-      revokeMs: 5000, retryBudgetRatio: 0.2, retryWindowS: 10, budgetSlack: 56,
-      quotaWindowS: 8, quotaOverrun: 0.25, quotaSlack: 72000, recoveryS: 12,
-      passMs: 120, reuseWindowS: 4.9, ...this.bounds,
+      seedLagS: 3,
+      reuseAfterS: 2,
+      contactMs: 3000,
+      ackMs: 4000,
+      catchUpS: 4,
+      drainMs: 2000,
+      graceS: 8,
+      lossSlackMs: 200,
+      configApplyMs: 2000,
+      downgradeSlackMs: 250,
+      outerBoundMs: 5000,
+      revokeOnPartition: true,
+      revokeMs: 5000,
+      retryBudgetRatio: 0.2,
+      retryWindowS: 10,
+      budgetSlack: 56,
+      quotaWindowS: 8,
+      quotaOverrun: 0.25,
+      quotaSlack: 72000,
+      recoveryS: 12,
+      passMs: 120,
+      reuseWindowS: 4.9,
+      ...this.bounds,
     };
     const limits = {
-      cpuShare: 0.675, cores: 1, memoryMb: 200, fileDescriptors: 4100,
-      linkMbps: "1000.0", diskMb: 0, ...this.limits,
+      cpuShare: 0.675,
+      cores: 1,
+      memoryMb: 200,
+      fileDescriptors: 4100,
+      linkMbps: "1000.0",
+      diskMb: 0,
+      ...this.limits,
     };
-    writeFileSync(file, [
-      `nodeName=${name}`, "role=entry", "machineClass=edge", "serves=edge,control",
-      `ip=${ip}`, `zone=${this.zone}`, "region=r1", `zones.${this.zone}=r1`,
-      `listenersMap.frontend=${ip}:${front}`, `listenersMap.ready=${ip}:${ready}`,
-      `listenersMap.controlPlane=${ip}:${control}`,
-      `internalPortRange=${internal},${internal + 15}`,
-      `seeds=${this.seeds.map((seed) => `${seed}:${control}`).join(",")}`,
-      `bootstrap=${isFirst}`, "faultCounted=false",
-      ...Object.entries(limits).map(([key, value]) => `limits.${key}=${value}`),
-      "discovery=platform", "entry=vip", "heartbeatMs=1200",
-      "contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,quota,platform",
-      "faultTolerance.machines=2", "faultTolerance.zones=0", "faultTolerance.regions=0",
-      ...Object.entries(bounds).map(([key, value]) => `bounds.${key}=${value}`),
-      `platform.address=${entrance.address}`, "platform.form=read",
-      "platform.writesPerS=400", "platform.readsPerS=2000", "platform.historyS=20",
-      "platform.valueBytes=1048576", "platform.ttlMinMs=1000",
-    ].join("\n"));
+    writeFileSync(
+      file,
+      [
+        `nodeName=${name}`,
+        "role=entry",
+        "machineClass=edge",
+        "serves=edge,control",
+        `ip=${ip}`,
+        `zone=${this.zone}`,
+        "region=r1",
+        `zones.${this.zone}=r1`,
+        `listenersMap.frontend=${ip}:${front}`,
+        `listenersMap.ready=${ip}:${ready}`,
+        `listenersMap.controlPlane=${ip}:${control}`,
+        `internalPortRange=${internal},${internal + 15}`,
+        `seeds=${this.seeds.map((seed) => `${seed}:${control}`).join(",")}`,
+        `bootstrap=${isFirst}`,
+        "faultCounted=false",
+        ...Object.entries(limits).map(([key, value]) =>
+          `limits.${key}=${value}`
+        ),
+        "discovery=platform",
+        "entry=vip",
+        "heartbeatMs=1200",
+        "contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,quota,platform",
+        "faultTolerance.machines=2",
+        "faultTolerance.zones=0",
+        "faultTolerance.regions=0",
+        ...Object.entries(bounds).map(([key, value]) =>
+          `bounds.${key}=${value}`
+        ),
+        `platform.address=${entrance.address}`,
+        "platform.form=read",
+        "platform.writesPerS=400",
+        "platform.readsPerS=2000",
+        "platform.historyS=20",
+        "platform.valueBytes=1048576",
+        "platform.ttlMinMs=1000",
+      ].join("\n"),
+    );
     const [, ...words] = runWords();
     // The last word is the metrics endpoint of the deploy file.
     words[words.length - 1] = `${metrics}/metrics`;
     const child = spawn(process.execPath, words, {
       cwd: ROOT,
-      env: { PATH: process.env.PATH, HOME: process.env.HOME, WASABIVANE_BOOT: file },
+      env: {
+        PATH: process.env.PATH,
+        HOME: process.env.HOME,
+        WASABIVANE_BOOT: file,
+      },
       stdio: ["ignore", "pipe", "inherit"],
     });
-    const host = { child, ip, name, index, front, ready, log: [], exit: undefined };
+    const host = {
+      child,
+      ip,
+      name,
+      index,
+      front,
+      ready,
+      log: [],
+      exit: undefined,
+    };
     child.stdout.on("data", (chunk) => host.log.push(String(chunk)));
     host.exited = new Promise((resolve) =>
-      child.once("exit", (code, signal) => resolve(host.exit = { code, signal, at: clock() }))
+      child.once(
+        "exit",
+        (code, signal) => resolve(host.exit = { code, signal, at: clock() }),
+      )
     );
     this.hosts[index] = host;
     return host;
@@ -279,7 +356,9 @@
   }
   async stop() {
     for (const { child } of this.hosts) {
-      if (child.exitCode === null && child.signalCode === null) child.kill("SIGKILL");
+      if (child.exitCode === null && child.signalCode === null) {
+        child.kill("SIGKILL");
+      }
     }
     await Promise.all(this.hosts.map(({ exited }) => exited));
     rmSync(this.folder, { recursive: true });
@@ -288,34 +367,59 @@
 
 function get(url) {
   return new Promise((resolve) => {
-    const request = http.get(url, { agent: false, timeout: 1000 }, (response) => {
-      response.resume();
-      resolve(response.statusCode);
-    });
+    const request = http.get(
+      url,
+      { agent: false, timeout: 1000 },
+      (response) => {
+        response.resume();
+        resolve(response.statusCode);
+      },
+    );
     request.on("timeout", () => request.destroy());
     request.on("error", () => resolve(undefined));
   });
 }
 
 /** Sends one request on a connection of its own; resolves with what came back. */
-export function call(host, { method = "GET", path: target, headers, body, agent = false, timeout }) {
+export function call(
+  host,
+  { method = "GET", path: target, headers, body, agent = false, timeout },
+) {
   return new Promise((resolve) => {
     const sentAt = clock();
     const request = http.request({
-      host: host.ip, port: host.front, method, path: target, headers, agent,
+      host: host.ip,
+      port: host.front,
+      method,
+      path: target,
+      headers,
+      agent,
     }, (response) => {
       const parts = [];
       response.on("data", (part) => parts.push(part));
-      const done = (isComplete) => resolve({
-        status: response.statusCode, headers: response.headers, isComplete,
-        body: Buffer.concat(parts), sentAt, endedAt: clock(),
-      });
+      const done = (isComplete) =>
+        resolve({
+          status: response.statusCode,
+          headers: response.headers,
+          isComplete,
+          body: Buffer.concat(parts),
+          sentAt,
+          endedAt: clock(),
+        });
       response.once("end", () => done(response.complete));
       response.once("error", () => done(false));
       response.once("close", () => done(response.complete));
     });
-    request.once("error", (error) =>
-      resolve({ status: undefined, error: error.code, isComplete: false, sentAt, endedAt: clock() })
+    request.once(
+      "error",
+      (error) =>
+        resolve({
+          status: undefined,
+          error: error.code,
+          isComplete: false,
+          sentAt,
+          endedAt: clock(),
+        }),
     );
     if (timeout !== undefined) setTimeout(() => request.destroy(), timeout);
     request.end(body);
