Keep the review's stand-ins in the case folders

The shared stand-ins lie in review/6, the replica process and the slow callers beside the cases that use them.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # and one client in Python 3. This only checks that they can be read.
 set -eu
 cd "$(dirname "$0")"
-for file in lib-2/*.mjs [6-9]/*.mjs 10/*.mjs; do
+for file in [6-9]/*.mjs 10/*.mjs; do
   [ -e "$file" ] || continue
   node --check "$file"
 done
